Build frame: three modules, formatter, linter, identifiers, architecture page

Cause: an empty repository. One Maven build with Error Prone, Checkstyle and google-java-format failing the build; the wire contracts of the outside systems are written down first, so that stand-ins and daemon can be built side by side.

--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/RequestId.java
@@ -0,0 +1,26 @@
+package io.sequoiapass.coordination;
+
+/**
+ * Names one request for its whole life, over every hop and attempt.
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param value the name, not blank
+ */
+public record RequestId(String value) implements Comparable<RequestId> {
+
+  /** Checks the name. */
+  public RequestId {
+    Names.check("request", value);
+  }
+
+  @Override
+  public int compareTo(RequestId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The one binary: its commands and the entry daemon. */
+package io.sequoiapass.daemon;
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins, fault proxy, load tool and demo. */
+package io.sequoiapass.testbed;
