HTTP server and client on Netty's codec, with back-pressure and bounds

Cause: daemon, stand-ins and commands all speak HTTP; one small pair of classes serves them. Pipelined requests wait for the answer before theirs.

Ruled out: the JDK's client (own threads, no pause of a stream).

--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpCall.java
@@ -0,0 +1,108 @@
+package io.sequoiapass.daemon.connection;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Describes one HTTP request to send.
+ *
+ * <pre>{@code
+ * HttpCall call = HttpCall.to(address, "PUT", "/v1/objects/preset/current")
+ *     .header("If-Match", "7")
+ *     .body("{}");
+ * }</pre>
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ */
+public final class HttpCall {
+
+  private static final byte[] NO_BODY = new byte[0];
+
+  private final InetSocketAddress address;
+  private final String method;
+  private final String path;
+  private final Map<String, String> headers;
+  private final byte[] body;
+
+  private HttpCall(
+      InetSocketAddress address,
+      String method,
+      String path,
+      Map<String, String> headers,
+      byte[] body) {
+    this.address = Objects.requireNonNull(address, "address");
+    this.method = Objects.requireNonNull(method, "method");
+    this.path = Objects.requireNonNull(path, "path");
+    this.headers = headers;
+    this.body = body;
+  }
+
+  /**
+   * Returns a call without headers or body.
+   *
+   * @param address where to
+   * @param method the HTTP method
+   * @param path path and query
+   */
+  public static HttpCall to(InetSocketAddress address, String method, String path) {
+    return new HttpCall(address, method, path, Map.of(), NO_BODY);
+  }
+
+  /**
+   * Returns this call with one more header.
+   *
+   * @param name the header's name
+   * @param value its value
+   */
+  public HttpCall header(String name, String value) {
+    Map<String, String> more = new LinkedHashMap<>(headers);
+    more.put(name, value);
+    return new HttpCall(address, method, path, more, body);
+  }
+
+  /**
+   * Returns this call with a body.
+   *
+   * @param text the body, sent as UTF-8
+   */
+  public HttpCall body(String text) {
+    return body(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Returns this call with a body.
+   *
+   * @param bytes the body; not copied, so leave it unchanged
+   */
+  public HttpCall body(byte[] bytes) {
+    return new HttpCall(address, method, path, headers, bytes);
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  String method() {
+    return method;
+  }
+
+  String path() {
+    return path;
+  }
+
+  Map<String, String> headers() {
+    return headers;
+  }
+
+  byte[] body() {
+    return body;
+  }
+
+  @Override
+  public String toString() {
+    return method + " " + address + path;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpRequestMessage.java
@@ -0,0 +1,49 @@
+package io.sequoiapass.daemon.connection;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Holds one whole HTTP request as a server received it.
+ *
+ * @param method the HTTP method
+ * @param target path and query as sent
+ * @param headers the headers
+ * @param body the body
+ */
+// Requests are never compared, so the array's identity in equals does no harm.
+@SuppressWarnings("ArrayRecordComponent")
+public record HttpRequestMessage(String method, String target, HttpHeaders headers, byte[] body) {
+
+  /** Returns the path without the query. */
+  public String path() {
+    return new QueryStringDecoder(target).path();
+  }
+
+  /**
+   * Returns the first value of a query parameter.
+   *
+   * @param name the parameter's name
+   */
+  public Optional<String> query(String name) {
+    List<String> values = new QueryStringDecoder(target).parameters().get(name);
+    return values == null ? Optional.empty() : Optional.of(values.get(0));
+  }
+
+  /**
+   * Returns the first value of a header.
+   *
+   * @param name the header's name
+   */
+  public Optional<String> header(String name) {
+    return Optional.ofNullable(headers.get(name));
+  }
+
+  /** Returns the body as UTF-8 text. */
+  public String text() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -0,0 +1,139 @@
+package io.sequoiapass.daemon.connection;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+/**
+ * Serves HTTP/1.1 on one address.
+ *
+ * <pre>{@code
+ * HttpServer server = HttpServer.builder(group, handler)
+ *     .maxBodyBytes(1 << 20)
+ *     .start(new InetSocketAddress("127.0.0.1", 0));
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class HttpServer implements AutoCloseable {
+
+  private static final int WRITE_LOW_BYTES = 16 << 10;
+  private static final int WRITE_HIGH_BYTES = 64 << 10;
+
+  private final Channel listening;
+  private final ChannelGroup connections;
+
+  private HttpServer(Channel listening, ChannelGroup connections) {
+    this.listening = listening;
+    this.connections = connections;
+  }
+
+  /**
+   * Returns a builder.
+   *
+   * @param group the event loops to run on
+   * @param handler what answers
+   */
+  public static Builder builder(EventLoopGroup group, HttpHandler handler) {
+    return new Builder(group, handler);
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return ((InetSocketAddress) listening.localAddress()).getPort();
+  }
+
+  /** Returns how many connections are open. */
+  public int openConnections() {
+    return connections.size();
+  }
+
+  /** Stops accepting connections; those open go on. */
+  public void stopAccepting() {
+    listening.close().awaitUninterruptibly();
+  }
+
+  @Override
+  public void close() {
+    stopAccepting();
+    connections.close().awaitUninterruptibly();
+  }
+
+  /** Builds a server; not safe for use by several threads. */
+  public static final class Builder {
+
+    private final EventLoopGroup group;
+    private final HttpHandler handler;
+    private int maxBodyBytes = 1 << 20;
+    private int maxLineBytes = 4 << 10;
+    private int maxHeaderBytes = 16 << 10;
+
+    private Builder(EventLoopGroup group, HttpHandler handler) {
+      this.group = Objects.requireNonNull(group, "group");
+      this.handler = Objects.requireNonNull(handler, "handler");
+    }
+
+    /**
+     * Sets the largest body taken.
+     *
+     * @param bytes the bound in bytes
+     */
+    public Builder maxBodyBytes(int bytes) {
+      if (bytes <= 0) {
+        throw new IllegalArgumentException("maxBodyBytes must be positive: " + bytes);
+      }
+      this.maxBodyBytes = bytes;
+      return this;
+    }
+
+    /**
+     * Starts listening.
+     *
+     * @param address where; port 0 takes any free port
+     * @throws IOException if the address cannot be had
+     */
+    public HttpServer start(InetSocketAddress address) throws IOException {
+      ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+      ServerBootstrap bootstrap =
+          new ServerBootstrap()
+              .group(group)
+              .channel(NioServerSocketChannel.class)
+              .option(ChannelOption.SO_BACKLOG, 1024)
+              .option(ChannelOption.SO_REUSEADDR, true)
+              .childOption(ChannelOption.TCP_NODELAY, true)
+              .childOption(
+                  ChannelOption.WRITE_BUFFER_WATER_MARK,
+                  new WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+              .childHandler(initializer(connections));
+      var binding = bootstrap.bind(address).awaitUninterruptibly();
+      if (!binding.isSuccess()) {
+        throw new IOException("cannot listen on " + address, binding.cause());
+      }
+      return new HttpServer(binding.channel(), connections);
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(ChannelGroup connections) {
+      return new ChannelInitializer<>() {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+          connections.add(channel);
+          channel.pipeline().addLast(new HttpServerCodec(maxLineBytes, maxHeaderBytes, 64 << 10));
+          channel.pipeline().addLast(new BodyCollector(maxBodyBytes));
+          channel.pipeline().addLast(new HttpServerHandler(handler));
+        }
+      };
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ServerExchange.java
@@ -0,0 +1,136 @@
+package io.sequoiapass.daemon.connection;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** Sends the answer to one request of one server connection; safe for use by several threads. */
+final class ServerExchange implements HttpResponder {
+
+  private final ChannelHandlerContext context;
+  private final boolean keepAlive;
+  private final Runnable finished;
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private volatile Runnable onWritable = () -> {};
+  private volatile Runnable onClose = () -> {};
+  private volatile boolean closed;
+
+  ServerExchange(ChannelHandlerContext context, boolean keepAlive, Runnable finished) {
+    this.context = context;
+    this.keepAlive = keepAlive;
+    this.finished = finished;
+  }
+
+  @Override
+  public void respond(int status, Map<String, String> headers, byte[] body) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+    headers.forEach((name, value) -> response.headers().set(name, value));
+    HttpUtil.setContentLength(response, body.length);
+    finish(response);
+  }
+
+  @Override
+  public void respond(int status, Map<String, String> headers, String json) {
+    Map<String, String> typed = new LinkedHashMap<>(headers);
+    typed.putIfAbsent(HttpHeaderNames.CONTENT_TYPE.toString(), "application/json");
+    respond(status, typed, json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void begin(int status, Map<String, String> headers) {
+    HttpResponse head =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    headers.forEach((name, value) -> head.headers().set(name, value));
+    HttpUtil.setTransferEncodingChunked(head, true);
+    markClosing(head);
+    context.writeAndFlush(head);
+  }
+
+  @Override
+  public void write(byte[] part) {
+    if (!ended.get()) {
+      context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)));
+    }
+  }
+
+  @Override
+  public void end() {
+    finish(LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  @Override
+  public void abort() {
+    if (ended.compareAndSet(false, true)) {
+      context.close();
+    }
+  }
+
+  private void finish(Object last) {
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
+    if (last instanceof HttpResponse head) {
+      markClosing(head);
+    }
+    var written = context.writeAndFlush(last);
+    if (keepAlive) {
+      context.executor().execute(finished);
+    } else {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  private void markClosing(HttpResponse head) {
+    if (!keepAlive) {
+      head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  @Override
+  public boolean writable() {
+    return context.channel().isWritable();
+  }
+
+  @Override
+  public void onWritable(Runnable action) {
+    onWritable = action;
+  }
+
+  @Override
+  public void onClose(Runnable action) {
+    onClose = action;
+    // The connection may have closed before the action was known; without this the caller's leaving
+    // would go unnoticed and its work would run on for nobody.
+    if (closed && !ended.get()) {
+      action.run();
+    }
+  }
+
+  void becameWritable() {
+    onWritable.run();
+  }
+
+  void closed() {
+    closed = true;
+    if (!ended.get()) {
+      onClose.run();
+    }
+  }
+}
