--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EventSplitter.java
@@ -0,0 +1,57 @@
+package io.sequoiapass.daemon.connection.engine;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/**
+ * Splits the bytes of a stream of server-sent events into the text of each event.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class EventSplitter {
+
+  /** Longest event taken; a token with its names is far shorter. */
+  private static final int MAX_EVENT_BYTES = 1 << 16;
+
+  private static final String DATA = "data:";
+
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final Consumer<String> events;
+
+  /**
+   * Makes a splitter.
+   *
+   * @param events what receives the text of each event
+   */
+  public EventSplitter(Consumer<String> events) {
+    this.events = events;
+  }
+
+  /**
+   * Takes the next bytes of the stream.
+   *
+   * @param part the bytes
+   * @throws IllegalArgumentException if an event is longer than an engine ever sends
+   */
+  public void accept(byte[] part) {
+    for (byte b : part) {
+      if (b == '\n') {
+        endLine();
+      } else {
+        line.write(b);
+      }
+    }
+    if (line.size() > MAX_EVENT_BYTES) {
+      throw new IllegalArgumentException("event of more than " + MAX_EVENT_BYTES + " bytes");
+    }
+  }
+
+  private void endLine() {
+    String text = line.toString(StandardCharsets.UTF_8).strip();
+    line.reset();
+    if (text.startsWith(DATA)) {
+      events.accept(text.substring(DATA.length()).strip());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The client side of the engines' protocol. */
+package io.sequoiapass.daemon.connection.engine;
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -0,0 +1,215 @@
+package io.sequoiapass.daemon.connection.peer;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.request.AttemptAction;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Priority;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+
+/**
+ * Turns messages into frames and back.
+ *
+ * <pre>{@code
+ * byte[] frame = PeerFrames.encode(new PeerMessage.Cancel(id));
+ * PeerMessage message = PeerFrames.decode(frame);
+ * }</pre>
+ *
+ * <p>A frame is the type's number and then the fields in the order of the record. Safe for use by
+ * several threads.
+ */
+public final class PeerFrames {
+
+  private static final int COMPLETION = 0;
+  private static final int SERVICE_CALL = 1;
+
+  private PeerFrames() {}
+
+  /**
+   * Returns the frame of a message.
+   *
+   * @param message the message
+   */
+  public static byte[] encode(PeerMessage message) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packInt(message.type().number());
+      write(out, message);
+      return out.toByteArray();
+    } catch (IOException impossible) {
+      throw new UncheckedIOException("a buffer in memory cannot fail", impossible);
+    }
+  }
+
+  /**
+   * Returns the message of a frame.
+   *
+   * @param frame the bytes
+   * @throws PeerFrameException if they are no frame of the protocol
+   */
+  public static PeerMessage decode(byte[] frame) throws PeerFrameException {
+    FrameReader in = new FrameReader(frame);
+    try {
+      PeerMessage message = PeerMessageType.of(in.number()).read(in);
+      in.expectEnd();
+      return message;
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new PeerFrameException("not a frame: " + e.getMessage(), e);
+    }
+  }
+
+  private static void write(MessageBufferPacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.OfAttempt ofAttempt) {
+      out.packString(ofAttempt.id().request().value());
+      out.packInt(ofAttempt.id().attempt());
+      writeOfAttempt(out, ofAttempt);
+    } else if (message instanceof PeerMessage.Hello hello) {
+      out.packString(hello.daemon().value());
+      out.packString(hello.dataCentre().value());
+      out.packLong(hello.incarnation());
+    } else if (message instanceof PeerMessage.Heartbeat beat) {
+      out.packLong(beat.incarnation());
+      out.packBoolean(beat.draining());
+      out.packLong(beat.configuration());
+      out.packBoolean(beat.platformReachable());
+      out.packInt(beat.weightDemand());
+    } else if (message instanceof PeerMessage.ObjectsPush push) {
+      out.packArrayHeader(push.objects().size());
+      for (String object : push.objects()) {
+        out.packString(object);
+      }
+    } else if (message instanceof PeerMessage.ObjectsRequest request) {
+      out.packArrayHeader(request.versions().size());
+      for (PeerMessage.HeldVersion held : request.versions()) {
+        out.packString(held.kind());
+        out.packString(held.name());
+        out.packLong(held.version());
+      }
+    }
+  }
+
+  private static void writeOfAttempt(MessageBufferPacker out, PeerMessage.OfAttempt message)
+      throws IOException {
+    if (message instanceof PeerMessage.Forward forward) {
+      writeForward(out, forward);
+    } else if (message instanceof PeerMessage.StartAnswer answer) {
+      out.packBoolean(answer.granted());
+    } else if (message instanceof PeerMessage.Tokens tokens) {
+      out.packString(tokens.ranOn().toString());
+      out.packInt(tokens.firstIndex());
+      out.packArrayHeader(tokens.texts().size());
+      for (String text : tokens.texts()) {
+        out.packString(text);
+      }
+    } else if (message instanceof PeerMessage.Finished finished) {
+      out.packString(finished.ranOn().toString());
+      out.packInt(finished.tokens());
+      out.packLong(finished.stalledMs());
+    } else if (message instanceof PeerMessage.ServiceAnswer answer) {
+      out.packInt(answer.status());
+      out.packString(answer.contentType());
+      writeBytes(out, answer.body());
+    } else if (message instanceof PeerMessage.Refused refused) {
+      out.packInt(refused.kind().ordinal());
+      out.packBoolean(refused.byEndpoint());
+      out.packLong(refused.comeBackMs());
+    } else if (message instanceof PeerMessage.Flow flow) {
+      out.packBoolean(flow.paused());
+    }
+  }
+
+  private static void writeForward(MessageBufferPacker out, PeerMessage.Forward forward)
+      throws IOException {
+    out.packString(forward.endpoint().value());
+    out.packInt(forward.mode().ordinal());
+    out.packLong(forward.remainingMs());
+    out.packBoolean(forward.atMostOnce());
+    out.packInt(forward.work().priority().ordinal());
+    if (forward.work() instanceof ForwardedWork.Completion work) {
+      out.packInt(COMPLETION);
+      out.packString(work.adapter().toString());
+      out.packString(work.model().value());
+      out.packString(work.prompt());
+      out.packInt(work.maxTokens());
+      out.packInt(work.resumeFrom());
+    } else if (forward.work() instanceof ForwardedWork.ServiceCall work) {
+      out.packInt(SERVICE_CALL);
+      out.packString(work.method());
+      out.packString(work.path());
+      out.packString(work.contentType());
+      out.packString(work.idempotencyKey());
+      writeBytes(out, work.body());
+    }
+  }
+
+  private static void writeBytes(MessageBufferPacker out, byte[] bytes) throws IOException {
+    out.packBinaryHeader(bytes.length);
+    out.writePayload(bytes);
+  }
+
+  static PeerMessage readHello(FrameReader in) throws IOException {
+    return new PeerMessage.Hello(
+        new DaemonId(in.text()), new DataCentreId(in.text()), in.longNumber());
+  }
+
+  static PeerMessage readHeartbeat(FrameReader in) throws IOException {
+    return new PeerMessage.Heartbeat(
+        in.longNumber(), in.bool(), in.longNumber(), in.bool(), in.number());
+  }
+
+  static PeerMessage readForward(FrameReader in) throws IOException, PeerFrameException {
+    PeerMessage.AttemptId id = in.attempt();
+    EndpointId endpoint = new EndpointId(in.text());
+    AttemptAction.Mode mode = in.constant(AttemptAction.Mode.values());
+    long remainingMs = in.longNumber();
+    boolean atMostOnce = in.bool();
+    Priority priority = in.constant(Priority.values());
+    ForwardedWork work = readWork(in, priority);
+    return new PeerMessage.Forward(id, endpoint, work, mode, remainingMs, atMostOnce);
+  }
+
+  private static ForwardedWork readWork(FrameReader in, Priority priority)
+      throws IOException, PeerFrameException {
+    int kind = in.number();
+    if (kind == COMPLETION) {
+      return new ForwardedWork.Completion(
+          in.adapter(), new ModelId(in.text()), priority, in.text(), in.number(), in.number());
+    }
+    if (kind == SERVICE_CALL) {
+      return new ForwardedWork.ServiceCall(
+          priority, in.text(), in.text(), in.text(), in.text(), in.bytes());
+    }
+    throw new PeerFrameException("no such kind of work: " + kind);
+  }
+
+  static PeerMessage readTokens(FrameReader in) throws IOException, PeerFrameException {
+    PeerMessage.AttemptId id = in.attempt();
+    AdapterVersion ranOn = in.adapter();
+    int firstIndex = in.number();
+    return new PeerMessage.Tokens(id, ranOn, firstIndex, in.list(FrameReader::text));
+  }
+
+  static PeerMessage readFinished(FrameReader in) throws IOException {
+    return new PeerMessage.Finished(in.attempt(), in.adapter(), in.number(), in.longNumber());
+  }
+
+  static PeerMessage readServiceAnswer(FrameReader in) throws IOException, PeerFrameException {
+    return new PeerMessage.ServiceAnswer(in.attempt(), in.number(), in.text(), in.bytes());
+  }
+
+  static PeerMessage readRefused(FrameReader in) throws IOException, PeerFrameException {
+    PeerMessage.AttemptId id = in.attempt();
+    ErrorKind kind = in.constant(ErrorKind.values());
+    return new PeerMessage.Refused(id, kind, in.bool(), in.longNumber());
+  }
+
+  static PeerMessage.HeldVersion readHeldVersion(FrameReader in) throws IOException {
+    return new PeerMessage.HeldVersion(in.text(), in.text(), in.longNumber());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerListener.java
@@ -0,0 +1,34 @@
+package io.sequoiapass.daemon.connection.peer;
+
+/** Hears what happens on one connection to a peer, on its event loop; must not block. */
+public interface PeerListener {
+
+  /**
+   * Called when the connection has opened.
+   *
+   * @param channel the connection
+   */
+  void opened(PeerChannel channel);
+
+  /**
+   * Called with each message.
+   *
+   * @param channel the connection
+   * @param message the message
+   */
+  void received(PeerChannel channel, PeerMessage message);
+
+  /**
+   * Called when the connection starts or stops taking more.
+   *
+   * @param channel the connection
+   */
+  void writabilityChanged(PeerChannel channel);
+
+  /**
+   * Called once when the connection has closed.
+   *
+   * @param channel the connection
+   */
+  void closed(PeerChannel channel);
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -0,0 +1,273 @@
+package io.sequoiapass.daemon.connection.peer;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.request.AttemptAction.Mode;
+import io.sequoiapass.coordination.request.ErrorKind;
+import java.util.List;
+
+/**
+ * Is one frame between two daemons.
+ *
+ * <p>Every frame about a request carries the request and the attempt, so that a frame of an attempt
+ * that was given up cannot be taken for one of its successor. Instances are immutable and safe for
+ * use by several threads.
+ */
+public sealed interface PeerMessage {
+
+  /** Returns the type whose number stands first in the frame. */
+  PeerMessageType type();
+
+  /** Is a frame about one attempt of one request. */
+  sealed interface OfAttempt extends PeerMessage {
+
+    /** Returns the request and the attempt. */
+    AttemptId id();
+  }
+
+  /**
+   * Names one attempt of one request.
+   *
+   * @param request the request
+   * @param attempt the attempt's number, from 1
+   */
+  record AttemptId(RequestId request, int attempt) {}
+
+  /**
+   * Opens a link: tells who calls.
+   *
+   * @param daemon the caller
+   * @param dataCentre where it runs
+   * @param incarnation a number that grows with each start of that daemon
+   */
+  record Hello(DaemonId daemon, DataCentreId dataCentre, long incarnation) implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.HELLO;
+    }
+  }
+
+  /**
+   * Shows that a daemon lives, and what of its state others act on.
+   *
+   * @param incarnation the sender's incarnation
+   * @param draining whether the sender is stopping
+   * @param configuration digest of the configuration that the sender holds
+   * @param platformReachable whether the sender's last call to the platform was answered
+   * @param weightDemand how many loads the sender waits for
+   */
+  record Heartbeat(
+      long incarnation,
+      boolean draining,
+      long configuration,
+      boolean platformReachable,
+      int weightDemand)
+      implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.HEARTBEAT;
+    }
+  }
+
+  /**
+   * Hands a request to the owner of an endpoint.
+   *
+   * @param id the attempt
+   * @param endpoint where the entry wants it to run
+   * @param work what to run
+   * @param mode whether the owner may run it, or only go on with a stream that the engine still has
+   * @param remainingMs milliseconds until its deadline; a span, since clocks differ
+   * @param atMostOnce whether the owner has to ask before it starts
+   */
+  record Forward(
+      AttemptId id,
+      EndpointId endpoint,
+      ForwardedWork work,
+      Mode mode,
+      long remainingMs,
+      boolean atMostOnce)
+      implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.FORWARD;
+    }
+  }
+
+  /**
+   * Asks the entry whether an attempt may start.
+   *
+   * @param id the attempt
+   */
+  record MayStart(AttemptId id) implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.MAY_START;
+    }
+  }
+
+  /**
+   * Answers {@link MayStart}.
+   *
+   * @param id the attempt
+   * @param granted whether it may start
+   */
+  record StartAnswer(AttemptId id, boolean granted) implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.START_ANSWER;
+    }
+  }
+
+  /**
+   * Carries tokens of a stream.
+   *
+   * @param id the attempt
+   * @param ranOn the adapter and version that the engine says it ran on
+   * @param firstIndex index of the first token, from 0
+   * @param texts the tokens
+   */
+  record Tokens(AttemptId id, AdapterVersion ranOn, int firstIndex, List<String> texts)
+      implements OfAttempt {
+    /** Copies the list. */
+    public Tokens {
+      texts = List.copyOf(texts);
+    }
+
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.TOKENS;
+    }
+  }
+
+  /**
+   * Ends a stream.
+   *
+   * @param id the attempt
+   * @param ranOn the adapter and version that the engine says it ran on
+   * @param tokens how many tokens the whole answer has
+   * @param stalledMs how long the request waited for its adapter, in milliseconds
+   */
+  record Finished(AttemptId id, AdapterVersion ranOn, int tokens, long stalledMs)
+      implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.FINISHED;
+    }
+  }
+
+  /**
+   * Carries the whole answer of a plain service.
+   *
+   * @param id the attempt
+   * @param status the service's status code
+   * @param contentType the service's content type
+   * @param body the body
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  record ServiceAnswer(AttemptId id, int status, String contentType, byte[] body)
+      implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.SERVICE_ANSWER;
+    }
+  }
+
+  /**
+   * Ends an attempt with the owner's proof that it did not run.
+   *
+   * @param id the attempt
+   * @param kind why it was refused
+   * @param byEndpoint whether the endpoint refused it; otherwise it never left the owner's queue
+   * @param comeBackMs when to come back, in milliseconds; 0 for the kind's default
+   */
+  record Refused(AttemptId id, ErrorKind kind, boolean byEndpoint, long comeBackMs)
+      implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.REFUSED;
+    }
+  }
+
+  /**
+   * Ends an attempt that may have run and whose answer will not become whole.
+   *
+   * @param id the attempt
+   */
+  record EndpointLost(AttemptId id) implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.ENDPOINT_LOST;
+    }
+  }
+
+  /**
+   * Tells the owner that nobody waits for an attempt any more.
+   *
+   * @param id the attempt
+   */
+  record Cancel(AttemptId id) implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.CANCEL;
+    }
+  }
+
+  /**
+   * Tells the owner whether the caller's connection takes more.
+   *
+   * @param id the attempt
+   * @param paused whether the owner should stop reading from the endpoint
+   */
+  record Flow(AttemptId id, boolean paused) implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.FLOW;
+    }
+  }
+
+  /**
+   * Carries configuration objects to a peer, in the platform's JSON form.
+   *
+   * @param objects the objects
+   */
+  record ObjectsPush(List<String> objects) implements PeerMessage {
+    /** Copies the list. */
+    public ObjectsPush {
+      objects = List.copyOf(objects);
+    }
+
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.OBJECTS_PUSH;
+    }
+  }
+
+  /**
+   * Asks a peer for the configuration objects that the sender lacks.
+   *
+   * @param versions name and version of the objects that the sender holds
+   */
+  record ObjectsRequest(List<HeldVersion> versions) implements PeerMessage {
+    /** Copies the list. */
+    public ObjectsRequest {
+      versions = List.copyOf(versions);
+    }
+
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.OBJECTS_REQUEST;
+    }
+  }
+
+  /**
+   * Tells which version of an object a daemon holds.
+   *
+   * @param kind the object's kind
+   * @param name its name
+   * @param version the version
+   */
+  record HeldVersion(String kind, String name, long version) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -0,0 +1,74 @@
+package io.sequoiapass.daemon.connection.peer;
+
+import java.io.IOException;
+
+/** Numbers the kinds of frames and reads each; the numbers are part of the protocol. */
+public enum PeerMessageType {
+  /** See {@link PeerMessage.Hello}. */
+  HELLO(1, PeerFrames::readHello),
+  /** See {@link PeerMessage.Heartbeat}. */
+  HEARTBEAT(2, PeerFrames::readHeartbeat),
+  /** See {@link PeerMessage.Forward}. */
+  FORWARD(3, PeerFrames::readForward),
+  /** See {@link PeerMessage.MayStart}. */
+  MAY_START(4, in -> new PeerMessage.MayStart(in.attempt())),
+  /** See {@link PeerMessage.StartAnswer}. */
+  START_ANSWER(5, in -> new PeerMessage.StartAnswer(in.attempt(), in.bool())),
+  /** See {@link PeerMessage.Tokens}. */
+  TOKENS(6, PeerFrames::readTokens),
+  /** See {@link PeerMessage.Finished}. */
+  FINISHED(7, PeerFrames::readFinished),
+  /** See {@link PeerMessage.ServiceAnswer}. */
+  SERVICE_ANSWER(8, PeerFrames::readServiceAnswer),
+  /** See {@link PeerMessage.Refused}. */
+  REFUSED(9, PeerFrames::readRefused),
+  /** See {@link PeerMessage.EndpointLost}. */
+  ENDPOINT_LOST(10, in -> new PeerMessage.EndpointLost(in.attempt())),
+  /** See {@link PeerMessage.Cancel}. */
+  CANCEL(11, in -> new PeerMessage.Cancel(in.attempt())),
+  /** See {@link PeerMessage.Flow}. */
+  FLOW(12, in -> new PeerMessage.Flow(in.attempt(), in.bool())),
+  /** See {@link PeerMessage.ObjectsPush}. */
+  OBJECTS_PUSH(13, in -> new PeerMessage.ObjectsPush(in.list(FrameReader::text))),
+  /** See {@link PeerMessage.ObjectsRequest}. */
+  OBJECTS_REQUEST(14, in -> new PeerMessage.ObjectsRequest(in.list(PeerFrames::readHeldVersion)));
+
+  /** Reads the fields of one frame. */
+  @FunctionalInterface
+  interface Reader {
+    PeerMessage read(FrameReader in) throws IOException, PeerFrameException;
+  }
+
+  private static final PeerMessageType[] BY_NUMBER = byNumber();
+
+  private final int number;
+  private final Reader reader;
+
+  PeerMessageType(int number, Reader reader) {
+    this.number = number;
+    this.reader = reader;
+  }
+
+  int number() {
+    return number;
+  }
+
+  PeerMessage read(FrameReader in) throws IOException, PeerFrameException {
+    return reader.read(in);
+  }
+
+  static PeerMessageType of(int number) throws PeerFrameException {
+    if (number <= 0 || number >= BY_NUMBER.length) {
+      throw new PeerFrameException("no such frame type: " + number);
+    }
+    return BY_NUMBER[number];
+  }
+
+  private static PeerMessageType[] byNumber() {
+    PeerMessageType[] table = new PeerMessageType[values().length + 1];
+    for (PeerMessageType type : values()) {
+      table[type.number] = type;
+    }
+    return table;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The link between two daemons: MessagePack frames on TCP. */
+package io.sequoiapass.daemon.connection.peer;
