--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineState.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineState.java
@@ -75,6 +75,13 @@
     private String requestId;
 
     private int attempt;
+    private String adapter;
+    private String version;
+
+    /** Returns whether it runs on what a slot holds. */
+    public boolean isOn(Slot slot) {
+      return slot.adapter().equals(adapter) && slot.version().equals(version);
+    }
 
     /** Returns the request. */
     public String requestId() {
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
@@ -0,0 +1,132 @@
+package io.sequoiapass.daemon.process.owner;
+
+import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.VersionId;
+import io.sequoiapass.daemon.connection.engine.EngineState;
+import io.sequoiapass.daemon.process.placement.EndpointStatus;
+import io.sequoiapass.daemon.process.placement.LoadHandle;
+import io.sequoiapass.daemon.process.placement.Resident;
+import io.sequoiapass.daemon.request.AttemptKeys;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Knows what one engine last told of itself, and when to ask again.
+ *
+ * <p>Guarded by the lock of its shard.
+ */
+final class EngineWatch {
+
+  /** Between two looks at an engine that is well: a restart shows within this time. */
+  private static final long LOOK_EVERY_MS = 1_000;
+
+  /** Between two looks at an engine that did not answer, or where others' streams still run. */
+  private static final long LOOK_SOON_MS = 200;
+
+  /** Tells what an engine's state says that was not known. */
+  enum News {
+    /** It is usable from now on. */
+    JOINED,
+    /** It was started anew: what it held is gone. */
+    RESTARTED,
+    /** It is the one known. */
+    SAME
+  }
+
+  private final OwnedEndpoint endpoint;
+  private final Set<RequestId> foreign = new HashSet<>();
+  private String boot;
+  private boolean usable;
+  private boolean asking;
+  private long nextLookAt = Long.MIN_VALUE;
+  private EngineState state;
+
+  EngineWatch(OwnedEndpoint endpoint) {
+    this.endpoint = endpoint;
+  }
+
+  OwnedEndpoint endpoint() {
+    return endpoint;
+  }
+
+  boolean due(long now) {
+    return !asking && now >= nextLookAt;
+  }
+
+  void asked() {
+    asking = true;
+  }
+
+  void lookNow() {
+    nextLookAt = Long.MIN_VALUE;
+  }
+
+  /** Notes that it did not answer; returns whether it was usable until now. */
+  boolean unreachable(long now) {
+    asking = false;
+    nextLookAt = now + LOOK_SOON_MS;
+    boolean was = usable;
+    usable = false;
+    return was;
+  }
+
+  News told(long now, EngineState told) {
+    asking = false;
+    state = told;
+    News news = News.SAME;
+    if (boot != null && !boot.equals(told.boot())) {
+      news = News.RESTARTED;
+    } else if (!usable) {
+      news = News.JOINED;
+    }
+    if (news != News.SAME) {
+      foreign.clear();
+      told.running().forEach(run -> foreign.add(AttemptKeys.of(run.requestId(), run.attempt())));
+    }
+    boot = told.boot();
+    usable = true;
+    nextLookAt = now + (foreign.isEmpty() ? LOOK_EVERY_MS : LOOK_SOON_MS);
+    return news;
+  }
+
+  /** Returns what the engine holds, for the placement. */
+  EndpointStatus status() {
+    List<Resident> residents = new ArrayList<>();
+    for (EngineState.Slot slot : state.slots()) {
+      if (slot.ready()) {
+        AdapterVersion adapter =
+            new AdapterVersion(new AdapterId(slot.adapter()), new VersionId(slot.version()));
+        residents.add(
+            new Resident(new LoadHandle(slot.handle()), adapter, runningOn(slot)));
+      }
+    }
+    return new EndpointStatus(
+        endpoint.id(), endpoint.model(), endpoint.slots(), endpoint.maxStreams(), residents);
+  }
+
+  private List<RequestId> runningOn(EngineState.Slot slot) {
+    return state.running().stream()
+        .filter(run -> run.isOn(slot))
+        .map(run -> AttemptKeys.of(run.requestId(), run.attempt()))
+        .toList();
+  }
+
+  /**
+   * Returns the runs that a former owner started and that have ended since, so that their places
+   * are free.
+   *
+   * @param told what runs now
+   * @param own the attempts of this daemon, whose ends it hears itself
+   */
+  List<RequestId> foreignGone(EngineState told, Set<RequestId> own) {
+    Set<RequestId> gone = new HashSet<>(foreign);
+    told.running().forEach(run -> gone.remove(AttemptKeys.of(run.requestId(), run.attempt())));
+    foreign.removeAll(gone);
+    gone.removeAll(own);
+    return List.copyOf(gone);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -0,0 +1,577 @@
+package io.sequoiapass.daemon.process.owner;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.FencingNumber;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.OrderKind;
+import io.sequoiapass.coordination.request.AttemptAction.Mode;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.connection.engine.EngineClient;
+import io.sequoiapass.daemon.connection.engine.EngineRefusal;
+import io.sequoiapass.daemon.connection.engine.EngineRun;
+import io.sequoiapass.daemon.connection.engine.EngineState;
+import io.sequoiapass.daemon.connection.peer.ForwardedWork.Completion;
+import io.sequoiapass.daemon.connection.peer.PeerChannel;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
+import io.sequoiapass.daemon.process.placement.LoadHandle;
+import io.sequoiapass.daemon.process.placement.LoadResult;
+import io.sequoiapass.daemon.process.placement.Placement;
+import io.sequoiapass.daemon.process.placement.PlacementAction;
+import io.sequoiapass.daemon.process.placement.PlacementRequest;
+import io.sequoiapass.daemon.request.AttemptKeys;
+import io.sequoiapass.daemon.request.EngineRelay;
+import io.sequoiapass.daemon.request.Execution;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * Runs requests on the engines of one base model that this daemon owns.
+ *
+ * <p>One shard holds one placement and the attempts that it places; both change only under the
+ * shard's lock. What is written to a connection under the lock is only queued there, so the lock is
+ * never held for input or output. Answers of engines come on event loops and take the lock for
+ * their end only.
+ */
+public final class OwnerShard {
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final MillisClock clock;
+  private final Placement placement;
+  private final EngineClient engines;
+  private final OrderGate gate;
+  private final OwnerObserver observer;
+  private final Map<EndpointId, EngineWatch> endpoints = new HashMap<>();
+  private final Map<RequestId, Execution> executions = new HashMap<>();
+
+  /**
+   * Makes a shard without endpoints.
+   *
+   * @param clock the clock of all times
+   * @param placement decides what runs where
+   * @param engines carries calls to engines
+   * @param gate tells whether an order may still be given
+   * @param observer hears what is worth a log entry or a metric
+   */
+  public OwnerShard(
+      MillisClock clock,
+      Placement placement,
+      EngineClient engines,
+      OrderGate gate,
+      OwnerObserver observer) {
+    this.clock = Objects.requireNonNull(clock, "clock");
+    this.placement = Objects.requireNonNull(placement, "placement");
+    this.engines = Objects.requireNonNull(engines, "engines");
+    this.gate = Objects.requireNonNull(gate, "gate");
+    this.observer = Objects.requireNonNull(observer, "observer");
+  }
+
+  // Endpoints.
+
+  /**
+   * Takes over an endpoint: it is used once its engine has told what it holds and runs.
+   *
+   * @param endpoint the endpoint
+   */
+  public void own(OwnedEndpoint endpoint) {
+    locked(
+        () -> {
+          EngineWatch watch = endpoints.get(endpoint.id());
+          if (watch != null && watch.endpoint().equals(endpoint)) {
+            return;
+          }
+          if (watch != null) {
+            perform(placement.endpointLeft(clock.millis(), endpoint.id()));
+          }
+          endpoints.put(endpoint.id(), new EngineWatch(endpoint));
+        });
+  }
+
+  /**
+   * Stops using an endpoint; what runs on it goes on, what waits is given back to its entry.
+   *
+   * @param endpoint the endpoint
+   */
+  public void disown(EndpointId endpoint) {
+    locked(
+        () -> {
+          if (endpoints.remove(endpoint) != null) {
+            perform(placement.endpointLeft(clock.millis(), endpoint));
+            giveBackQueued(endpoint);
+          }
+        });
+  }
+
+  /**
+   * Gives no new work to an endpoint; what runs on it goes on.
+   *
+   * @param endpoint the endpoint
+   */
+  public void drain(EndpointId endpoint) {
+    locked(() -> perform(placement.endpointDraining(clock.millis(), endpoint)));
+  }
+
+  private void giveBackQueued(EndpointId endpoint) {
+    for (Execution execution : List.copyOf(executions.values())) {
+      boolean waitsThere =
+          execution.stage() == Execution.Stage.QUEUED
+              && execution.forward().endpoint().equals(endpoint);
+      if (waitsThere) {
+        perform(
+            placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+        over(execution);
+        execution.refuse(ErrorKind.DRAINING, false, 0);
+      }
+    }
+  }
+
+  // Requests.
+
+  /**
+   * Takes an attempt from an entry.
+   *
+   * @param forward the attempt
+   * @param replies where its frames go
+   */
+  public void submit(PeerMessage.Forward forward, PeerChannel replies) {
+    locked(
+        () -> {
+          Execution execution = new Execution(forward, replies, clock.millis());
+          EngineWatch watch = endpoints.get(forward.endpoint());
+          if (watch == null) {
+            execution.refuse(ErrorKind.NO_ENDPOINT, false, 0);
+            return;
+          }
+          if (executions.putIfAbsent(AttemptKeys.of(forward.id()), execution) != null) {
+            // The same frame twice; the first is under way and will answer.
+            return;
+          }
+          if (forward.mode() == Mode.RUN) {
+            enqueue(execution);
+          } else {
+            attach(execution, watch);
+          }
+        });
+  }
+
+  private void enqueue(Execution execution) {
+    Completion work = execution.completion();
+    long now = clock.millis();
+    perform(
+        placement.requestArrived(
+            now,
+            new PlacementRequest(
+                AttemptKeys.of(execution.id()),
+                work.adapter(),
+                work.model(),
+                Urgencies.of(work.priority()),
+                now + execution.remainingMs(now),
+                Math.max(1, work.maxTokens() - work.resumeFrom()),
+                execution.forward().endpoint())));
+  }
+
+  /**
+   * Takes the entry's answer to a question for its grant.
+   *
+   * @param answer the answer
+   */
+  public void startAnswered(PeerMessage.StartAnswer answer) {
+    locked(
+        () -> {
+          Execution execution = executions.get(AttemptKeys.of(answer.id()));
+          if (execution == null || execution.stage() != Execution.Stage.ASKING) {
+            return;
+          }
+          if (answer.granted()) {
+            write(execution, execution.place());
+          } else {
+            finished(execution);
+          }
+        });
+  }
+
+  /**
+   * Drops an attempt that nobody waits for any more.
+   *
+   * @param id the attempt
+   */
+  public void cancel(AttemptId id) {
+    locked(() -> Optional.ofNullable(executions.get(AttemptKeys.of(id))).ifPresent(this::cancel));
+  }
+
+  /**
+   * Drops the attempts of an entry whose connection is gone: their callers are gone with it. Work
+   * that may run only once goes on if it was granted, since half of it is worse than all of it.
+   *
+   * @param replies the connection
+   */
+  public void entryLost(PeerChannel replies) {
+    locked(
+        () -> {
+          for (Execution execution : List.copyOf(executions.values())) {
+            boolean keeps =
+                execution.forward().atMostOnce() && execution.stage() == Execution.Stage.RUNNING;
+            if (execution.replies() == replies && !keeps) {
+              cancel(execution);
+            }
+          }
+        });
+  }
+
+  /**
+   * Stops or goes on reading the answer of an attempt.
+   *
+   * @param flow what the entry asks
+   */
+  public void flow(PeerMessage.Flow flow) {
+    locked(
+        () ->
+            Optional.ofNullable(executions.get(AttemptKeys.of(flow.id())))
+                .ifPresent(execution -> execution.pause(flow.paused())));
+  }
+
+  /**
+   * Stops or goes on reading the answers that go out over one connection.
+   *
+   * @param replies the connection
+   */
+  public void flowOf(PeerChannel replies) {
+    boolean paused = !replies.writable();
+    locked(
+        () ->
+            executions.values().stream()
+                .filter(execution -> execution.replies() == replies)
+                .forEach(execution -> execution.pause(paused)));
+  }
+
+  private void cancel(Execution execution) {
+    switch (execution.stage()) {
+      case QUEUED -> {
+        perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+        over(execution);
+      }
+      case ASKING -> finished(execution);
+      case RUNNING -> cancelRunning(execution);
+      default -> {
+        // Over already.
+      }
+    }
+  }
+
+  /** The place stays taken until the engine says that the stream is gone: it may still serve. */
+  private void cancelRunning(Execution execution) {
+    if (!execution.end()) {
+      return;
+    }
+    execution.dropStream();
+    EngineWatch watch = endpoints.get(endpointOf(execution));
+    if (watch == null) {
+      over(execution);
+      return;
+    }
+    engines
+        .cancel(watch.endpoint().address(), execution.id().request())
+        .whenComplete(
+            (done, failure) ->
+                locked(
+                    () -> {
+                      if (failure == null) {
+                        finished(execution);
+                      } else {
+                        suspect(watch);
+                        over(execution);
+                      }
+                    }));
+  }
+
+  /** Returns where it runs; an attempt that was attached to a stream has no place of its own. */
+  private static EndpointId endpointOf(Execution execution) {
+    return execution.place() == null
+        ? execution.forward().endpoint()
+        : execution.place().endpoint();
+  }
+
+  // What the placement decides.
+
+  /** Lets time pass; to be called every 10 to 50 ms. */
+  public void tick() {
+    locked(
+        () -> {
+          long now = clock.millis();
+          perform(placement.tick(now));
+          for (EngineWatch watch : List.copyOf(endpoints.values())) {
+            if (watch.due(now)) {
+              look(watch);
+            }
+          }
+        });
+  }
+
+  private void perform(List<PlacementAction> actions) {
+    for (PlacementAction action : actions) {
+      if (action instanceof PlacementAction.Start start) {
+        start(start);
+      } else if (action instanceof PlacementAction.Load load) {
+        load(load);
+      } else if (action instanceof PlacementAction.Refuse refuse) {
+        refuse(refuse);
+      }
+    }
+  }
+
+  private void start(PlacementAction.Start start) {
+    Execution execution = executions.get(start.request());
+    if (execution == null) {
+      perform(placement.requestFinished(clock.millis(), start.request()));
+      return;
+    }
+    execution.place(start);
+    if (execution.forward().atMostOnce()) {
+      execution.asking();
+      execution.replies().send(new PeerMessage.MayStart(execution.id()));
+    } else {
+      write(execution, start);
+    }
+  }
+
+  private void refuse(PlacementAction.Refuse refuse) {
+    Execution execution = executions.get(refuse.request());
+    if (execution != null) {
+      over(execution);
+      execution.refuse(Refusals.kindOf(refuse.reason()), false, refuse.comeBackMs());
+    }
+  }
+
+  // Calls to engines.
+
+  private void write(Execution execution, PlacementAction.Start start) {
+    EngineWatch watch = endpoints.get(start.endpoint());
+    if (watch == null) {
+      finished(execution);
+      execution.refuse(ErrorKind.DRAINING, false, 0);
+      return;
+    }
+    long now = clock.millis();
+    execution.running(now);
+    Completion work = execution.completion();
+    EngineRun run =
+        new EngineRun(
+            execution.id().request().value(),
+            execution.id().attempt(),
+            work.adapter().adapter().value(),
+            work.adapter().version().value(),
+            start.handle().value(),
+            work.prompt(),
+            work.maxTokens(),
+            work.priority().rank(),
+            work.resumeFrom());
+    EngineRelay relay =
+        new EngineRelay(execution, work.resumeFrom(), new RunEnd(execution, watch, 0));
+    execution.stream(
+        engines.complete(watch.endpoint().address(), run, execution.remainingMs(now), relay));
+  }
+
+  private void attach(Execution execution, EngineWatch watch) {
+    execution.running(clock.millis());
+    resume(execution, watch, execution.completion().resumeFrom(), 0);
+  }
+
+  private void resume(Execution execution, EngineWatch watch, int from, int tries) {
+    EngineRelay relay = new EngineRelay(execution, from, new RunEnd(execution, watch, tries));
+    execution.stream(
+        engines.resume(
+            watch.endpoint().address(),
+            execution.id().request(),
+            from,
+            execution.remainingMs(clock.millis()),
+            relay));
+  }
+
+  private void load(PlacementAction.Load load) {
+    EngineWatch watch = endpoints.get(load.endpoint());
+    OrderKind kind = load.evict().isPresent() ? OrderKind.UNLOAD : OrderKind.LOAD_INTO_FREE_SLOT;
+    Optional<FencingNumber> fence =
+        watch == null ? Optional.empty() : gate.permit(load.endpoint(), kind);
+    if (fence.isEmpty()) {
+      loaded(load, Optional.empty());
+      return;
+    }
+    if (load.evict().isPresent()) {
+      evictAndLoad(watch, load, fence.get());
+    } else {
+      load(watch, load, fence.get());
+    }
+  }
+
+  private void evictAndLoad(EngineWatch watch, PlacementAction.Load load, FencingNumber fence) {
+    engines
+        .unload(watch.endpoint().address(), fence, load.evict().orElseThrow().value())
+        .whenComplete(
+            (done, failure) ->
+                locked(
+                    () -> {
+                      if (failure == null) {
+                        load(watch, load, fence);
+                      } else {
+                        suspect(watch);
+                        loaded(load, Optional.empty());
+                      }
+                    }));
+  }
+
+  private void load(EngineWatch watch, PlacementAction.Load load, FencingNumber fence) {
+    long sentAt = clock.millis();
+    engines
+        .load(watch.endpoint().address(), fence, load.adapter())
+        .whenComplete(
+            (handle, failure) -> {
+              observer.loadEnded(
+                  load.endpoint(), load.adapter(), clock.millis() - sentAt, failure == null);
+              locked(() -> loaded(load, Optional.ofNullable(handle).map(LoadHandle::new)));
+            });
+  }
+
+  private void loaded(PlacementAction.Load load, Optional<LoadHandle> handle) {
+    perform(
+        placement.loadFinished(
+            clock.millis(), new LoadResult(load.endpoint(), load.adapter(), handle)));
+  }
+
+  /** Hears how a run ended, on an event loop. */
+  private final class RunEnd implements EngineRelay.End {
+
+    /** Two tries: the second catches a connection that was cut just when the first one opened. */
+    private static final int MAX_RESUMES = 2;
+
+    private final Execution execution;
+    private final EngineWatch watch;
+    private final int resumes;
+
+    RunEnd(Execution execution, EngineWatch watch, int resumes) {
+      this.execution = execution;
+      this.watch = watch;
+      this.resumes = resumes;
+    }
+
+    @Override
+    public void whole() {
+      locked(() -> finished(execution));
+    }
+
+    @Override
+    public void refused(EngineRefusal refusal) {
+      locked(
+          () -> {
+            if (execution.stage() != Execution.Stage.RUNNING) {
+              return;
+            }
+            finished(execution);
+            if (refusal == EngineRefusal.NO_SUCH_STREAM) {
+              execution.lost();
+            } else {
+              execution.refuse(Refusals.kindOf(refusal), true, 0);
+            }
+            if (refusal == EngineRefusal.NOT_LOADED) {
+              suspect(watch);
+            }
+          });
+    }
+
+    @Override
+    public void broken(int next, boolean mayHaveReached, boolean resumable) {
+      locked(
+          () -> {
+            if (execution.stage() != Execution.Stage.RUNNING) {
+              return;
+            }
+            if (!mayHaveReached) {
+              suspect(watch);
+              finished(execution);
+              execution.refuse(ErrorKind.ENDPOINT_LOST_BEFORE_START, false, 0);
+            } else if (resumable && resumes < MAX_RESUMES) {
+              resume(execution, watch, next, resumes + 1);
+            } else {
+              suspect(watch);
+              finished(execution);
+              execution.lost();
+            }
+          });
+    }
+  }
+
+  // What engines tell of themselves.
+
+  private void suspect(EngineWatch watch) {
+    watch.lookNow();
+  }
+
+  private void look(EngineWatch watch) {
+    watch.asked();
+    engines
+        .state(watch.endpoint().address())
+        .whenComplete((state, failure) -> locked(() -> told(watch, state, failure)));
+  }
+
+  private void told(EngineWatch watch, EngineState state, Throwable failure) {
+    if (endpoints.get(watch.endpoint().id()) != watch) {
+      return;
+    }
+    long now = clock.millis();
+    if (failure != null) {
+      if (watch.unreachable(now)) {
+        observer.endpointUnreachable(watch.endpoint().id());
+        perform(placement.endpointLeft(now, watch.endpoint().id()));
+      }
+      return;
+    }
+    EngineWatch.News news = watch.told(now, state);
+    switch (news) {
+      case JOINED, RESTARTED -> {
+        observer.endpointJoined(watch.endpoint().id(), news == EngineWatch.News.RESTARTED);
+        perform(placement.endpointJoined(now, watch.status()));
+      }
+      case SAME -> {
+        for (RequestId gone : watch.foreignGone(state, executions.keySet())) {
+          perform(placement.requestFinished(now, gone));
+        }
+      }
+      default -> throw new AssertionError(news);
+    }
+  }
+
+  // Ends.
+
+  /** Ends an attempt whose place on an endpoint is free again. */
+  private void finished(Execution execution) {
+    over(execution);
+    perform(placement.requestFinished(clock.millis(), AttemptKeys.of(execution.id())));
+  }
+
+  private void over(Execution execution) {
+    execution.end();
+    executions.remove(AttemptKeys.of(execution.id()), execution);
+  }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the attempts that have not ended. */
+  public List<AttemptId> open() {
+    List<AttemptId> open = new ArrayList<>();
+    locked(() -> executions.values().forEach(execution -> open.add(execution.id())));
+    return open;
+  }
+}
