--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
@@ -0,0 +1,356 @@
+package io.sequoiapass.coordination.process;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.OperationId;
+import io.sequoiapass.coordination.version.Backoff;
+import io.sequoiapass.coordination.version.ConditionalWrite;
+import io.sequoiapass.coordination.version.WriteAnswer;
+import io.sequoiapass.coordination.version.WriteDecision;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides on changes of one data centre's ownership table, and follows each write to its end.
+ *
+ * <pre>{@code
+ * planner.tableSeen(now, table);
+ * planner.candidatesAre(now, weights);
+ * planner.endpointsAre(endpoints);
+ * planner.takeOver(now).ifPresent(platform::write);
+ * planner.answered(now, operation, answer);
+ * }</pre>
+ *
+ * <p>Endpoints leave a living owner only by its own hand ({@link #handOver}, {@link #rebalance}),
+ * which stops its orders for them before the write is sent. Others take what has no owner or whose
+ * owner's lease ran out ({@link #takeOver}). One write at a time is under way; its fate is followed
+ * until known. Not thread-safe; one shard drives it.
+ */
+public final class OwnershipPlanner {
+
+  private static final long BACKOFF_BASE_MILLIS = 200;
+  private static final long BACKOFF_CAP_MILLIS = 5_000;
+
+  private final OwnershipSettings settings;
+  private final DataCentreId dataCentre;
+  private final DaemonId self;
+  private final String operationPrefix;
+  private final LeaseObserver observer;
+  private final Backoff backoff;
+
+  private OwnershipTable table = OwnershipTable.EMPTY;
+  private long tableReceivedAt;
+  private boolean tableRead;
+  private Set<EndpointId> endpoints = new TreeSet<>();
+  private Map<DaemonId, Double> candidates = new TreeMap<>();
+  private final Map<DaemonId, Long> candidateSince = new TreeMap<>();
+
+  private long operations;
+  private ConditionalWrite pending;
+  private OwnershipProposal proposal;
+  private Set<EndpointId> handingOver = new TreeSet<>();
+  private long nextTryAt;
+  private long needSince = Long.MAX_VALUE;
+
+  private OwnershipPlanner(
+      OwnershipSettings settings,
+      DataCentreId dataCentre,
+      DaemonId self,
+      long incarnation,
+      LeaseObserver observer,
+      RandomGenerator random) {
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
+    this.self = Objects.requireNonNull(self, "self");
+    this.operationPrefix = "own/" + self + "/" + incarnation + "/";
+    this.observer = Objects.requireNonNull(observer, "observer");
+    this.backoff = Backoff.create(BACKOFF_BASE_MILLIS, BACKOFF_CAP_MILLIS, random);
+  }
+
+  /**
+   * Returns a planner that knows no table yet.
+   *
+   * @param settings the bounds
+   * @param dataCentre the data centre
+   * @param self the daemon
+   * @param incarnation its process's number
+   * @param observer its view of others' leases
+   * @param random the source of jitter
+   */
+  public static OwnershipPlanner create(
+      OwnershipSettings settings,
+      DataCentreId dataCentre,
+      DaemonId self,
+      long incarnation,
+      LeaseObserver observer,
+      RandomGenerator random) {
+    return new OwnershipPlanner(settings, dataCentre, self, incarnation, observer, random);
+  }
+
+  /**
+   * Takes in a table read from the platform or had from a peer; an older one changes nothing.
+   *
+   * @param now the time
+   * @param seen the table
+   * @return whether it is newer than the one known
+   */
+  public boolean tableSeen(long now, OwnershipTable seen) {
+    boolean newer = seen.version() > table.version();
+    if (newer || !tableRead) {
+      tableReceivedAt = now;
+      tableRead = true;
+    }
+    if (newer) {
+      table = seen;
+    }
+    return newer;
+  }
+
+  /**
+   * Takes in who may be given endpoints: daemons heard from, not draining, whose lease is live, the
+   * own one included.
+   *
+   * @param now the time
+   * @param weights the share each is to have
+   */
+  public void candidatesAre(long now, Map<DaemonId, Double> weights) {
+    candidates = new TreeMap<>(weights);
+    candidateSince.keySet().retainAll(candidates.keySet());
+    candidates.keySet().forEach(daemon -> candidateSince.putIfAbsent(daemon, now));
+  }
+
+  /** Takes in the endpoints of the data centre, from configuration. */
+  public void endpointsAre(Collection<EndpointId> known) {
+    endpoints = new TreeSet<>(known);
+  }
+
+  /** Returns the newest table known. */
+  public OwnershipTable table() {
+    return table;
+  }
+
+  /** Returns the daemons whose lease objects are to be read from the platform now. */
+  public Set<DaemonId> leasesToCheck(long now) {
+    Set<DaemonId> owners = table.daemons();
+    owners.remove(self);
+    long grace = rank() < settings.proposers() ? 0 : rank() * settings.rankDelayMillis();
+    return observer.toCheck(now, owners, grace);
+  }
+
+  /**
+   * Returns a write that gives owners to endpoints without one, if there are any, nothing else is
+   * under way and it is this daemon's turn.
+   */
+  public Optional<OwnershipProposal> takeOver(long now) {
+    Set<EndpointId> orphans = orphans(now);
+    Set<EndpointId> removed = new TreeSet<>(table.owners().keySet());
+    removed.removeAll(endpoints);
+    boolean needed =
+        tableRead && !candidates.isEmpty() && !(orphans.isEmpty() && removed.isEmpty());
+    needSince = needed ? Math.min(needSince, now) : Long.MAX_VALUE;
+    if (!needed || isBusy(now) || now < needSince + turnDelay()) {
+      return Optional.empty();
+    }
+    return propose(assignAll(orphans), removed);
+  }
+
+  /**
+   * Returns a write that gives away endpoints of this daemon, which stops ordering for them now.
+   *
+   * @param now the time
+   * @param leaving the endpoints; those that are not this daemon's are passed over
+   */
+  public Optional<OwnershipProposal> handOver(long now, Collection<EndpointId> leaving) {
+    Set<EndpointId> own = table.ownedBy(self);
+    own.retainAll(new TreeSet<>(leaving));
+    Map<DaemonId, Double> others = new TreeMap<>(candidates);
+    others.remove(self);
+    if (own.isEmpty() || others.isEmpty() || isBusy(now)) {
+      return Optional.empty();
+    }
+    Assignment assignment = new Assignment(others, table, endpoints.size(), settings.loadFactor());
+    Map<EndpointId, DaemonId> changed = new TreeMap<>();
+    for (EndpointId endpoint : own) {
+      assignment
+          .assign(endpoint, Optional.of(self))
+          .ifPresent(daemon -> changed.put(endpoint, daemon));
+    }
+    return proposeHandOver(changed);
+  }
+
+  /**
+   * Returns a write that hands a few endpoints to daemons that rank before this one for them, such
+   * as one that has come back; empty while nothing is to be gained.
+   */
+  public Optional<OwnershipProposal> rebalance(long now) {
+    if (!candidates.containsKey(self) || isBusy(now)) {
+      return Optional.empty();
+    }
+    Assignment assignment =
+        new Assignment(candidates, table, endpoints.size(), settings.loadFactor());
+    Map<EndpointId, DaemonId> changed = new TreeMap<>();
+    for (EndpointId endpoint : table.ownedBy(self)) {
+      Optional<DaemonId> better = assignment.assign(endpoint, Optional.of(self));
+      better
+          .filter(daemon -> !daemon.equals(self) && hasSettled(now, daemon))
+          .ifPresent(daemon -> changed.put(endpoint, daemon));
+      if (changed.size() == settings.maxMoves()) {
+        break;
+      }
+    }
+    return proposeHandOver(changed);
+  }
+
+  /**
+   * Returns a write that changes no owner and only raises the version, which a lease that ran out
+   * needs to be whole again (see {@link LeaseKeeper#needsTable}).
+   */
+  public Optional<OwnershipProposal> confirm(long now) {
+    if (!tableRead || table.ownedBy(self).isEmpty() || isBusy(now)) {
+      return Optional.empty();
+    }
+    return propose(new TreeMap<>(), List.of());
+  }
+
+  /** Returns the write under way, to be sent again, once its time has come. */
+  public Optional<OwnershipProposal> retry(long now) {
+    return pending != null && now >= nextTryAt ? Optional.of(proposal) : Optional.empty();
+  }
+
+  /**
+   * Takes in what came back from a write.
+   *
+   * @param now the time
+   * @param operation the write's name
+   * @param answer what came back
+   * @return what became of the write; empty for an answer to an older write
+   */
+  public Optional<WriteDecision> answered(long now, OperationId operation, WriteAnswer answer) {
+    if (pending == null || !pending.operation().equals(operation)) {
+      return Optional.empty();
+    }
+    WriteDecision decision = pending.answered(answer);
+    switch (decision.outcome()) {
+      case APPLIED -> {
+        tableSeen(now, proposal.table().storedAs(decision.version()));
+        finish();
+        backoff.reset();
+      }
+      case CONFLICT -> {
+        finish();
+        nextTryAt = now + backoff.nextDelayMillis();
+      }
+      case RETRY -> nextTryAt = now + retryDelay(answer);
+      default -> throw new AssertionError(decision.outcome());
+    }
+    return Optional.of(decision);
+  }
+
+  /**
+   * Returns whether a write's fate is unknown. Such a daemon must not report the platform as out:
+   * its takeover may still take effect.
+   */
+  public boolean isWritePending() {
+    return pending != null;
+  }
+
+  /**
+   * Returns whether the newest table gives an endpoint to this daemon and it is not being handed
+   * over; without it no order is given, whatever the lease says.
+   */
+  public boolean isOwned(EndpointId endpoint) {
+    return !handingOver.contains(endpoint)
+        && table.owner(endpoint).filter(self::equals).isPresent();
+  }
+
+  private Set<EndpointId> orphans(long now) {
+    Set<EndpointId> orphans = new TreeSet<>();
+    for (EndpointId endpoint : endpoints) {
+      Optional<DaemonId> owner = table.owner(endpoint);
+      if (owner.isEmpty() || hasLapsed(now, owner.get())) {
+        orphans.add(endpoint);
+      }
+    }
+    return orphans;
+  }
+
+  private boolean hasLapsed(long now, DaemonId owner) {
+    return !owner.equals(self) && observer.hasLapsed(now, owner, tableReceivedAt);
+  }
+
+  private Map<EndpointId, DaemonId> assignAll(Set<EndpointId> orphans) {
+    Assignment assignment =
+        new Assignment(candidates, table, endpoints.size(), settings.loadFactor());
+    Map<EndpointId, DaemonId> changed = new TreeMap<>();
+    for (EndpointId endpoint : orphans) {
+      assignment
+          .assign(endpoint, table.owner(endpoint))
+          .ifPresent(daemon -> changed.put(endpoint, daemon));
+    }
+    return changed;
+  }
+
+  private Optional<OwnershipProposal> proposeHandOver(Map<EndpointId, DaemonId> changed) {
+    if (changed.isEmpty()) {
+      return Optional.empty();
+    }
+    // An order given after the write was sent could reach the endpoint after the next owner's.
+    handingOver = new TreeSet<>(changed.keySet());
+    return propose(changed, List.of());
+  }
+
+  private Optional<OwnershipProposal> propose(
+      Map<EndpointId, DaemonId> changed, Collection<EndpointId> removed) {
+    operations++;
+    OperationId operation = new OperationId(operationPrefix + operations);
+    pending = ConditionalWrite.create(operation, table.version());
+    proposal = new OwnershipProposal(operation, table.version(), table.next(changed, removed));
+    nextTryAt = Long.MAX_VALUE;
+    return Optional.of(proposal);
+  }
+
+  private void finish() {
+    pending = null;
+    proposal = null;
+    handingOver = new TreeSet<>();
+    nextTryAt = Long.MIN_VALUE;
+  }
+
+  private boolean isBusy(long now) {
+    return pending != null || now < nextTryAt;
+  }
+
+  // Every daemon of a data centre sees a lapsed lease at about the same moment; if all wrote, all
+  // but one would conflict, at 23 data centres times 17 daemons. The first-ranked write at once and
+  // the rest wait, each longer, so a proposer that is itself cut off from the platform is replaced.
+  private long turnDelay() {
+    return rank() * settings.rankDelayMillis();
+  }
+
+  private int rank() {
+    List<DaemonId> ranked =
+        new ArrayList<>(RendezvousHash.rank("propose/" + dataCentre, candidates.keySet()));
+    int rank = ranked.indexOf(self);
+    return rank >= 0 ? rank : ranked.size();
+  }
+
+  private boolean hasSettled(long now, DaemonId daemon) {
+    return now - candidateSince.getOrDefault(daemon, now) >= settings.settleMillis();
+  }
+
+  private long retryDelay(WriteAnswer answer) {
+    long delay = backoff.nextDelayMillis();
+    return answer instanceof WriteAnswer.Throttled throttled
+        ? Math.max(delay, throttled.retryAfterMillis())
+        : delay;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipTable.java
@@ -0,0 +1,141 @@
+package io.sequoiapass.coordination.process;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.FencingNumber;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Tells which daemon owns each endpoint of one data centre, at one version of the platform's
+ * object.
+ *
+ * <pre>{@code
+ * OwnershipTable table = OwnershipTable.of(version, epoch, owners);
+ * Optional<DaemonId> owner = table.owner(endpoint);
+ * FencingNumber fence = table.fence();
+ * }</pre>
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ */
+public final class OwnershipTable {
+
+  /** The table before any was written. */
+  public static final OwnershipTable EMPTY = new OwnershipTable(0, 0, Map.of());
+
+  private final long version;
+  private final long epoch;
+  private final Map<EndpointId, DaemonId> owners;
+
+  private OwnershipTable(long version, long epoch, Map<EndpointId, DaemonId> owners) {
+    this.version = version;
+    this.epoch = epoch;
+    this.owners = Collections.unmodifiableMap(new TreeMap<>(owners));
+  }
+
+  /**
+   * Returns a table.
+   *
+   * @param version the object's version on the platform; 0 for one not written yet
+   * @param epoch counts the changes of the table
+   * @param owners the owner of each endpoint
+   */
+  public static OwnershipTable of(long version, long epoch, Map<EndpointId, DaemonId> owners) {
+    if (version < 0 || epoch < 0) {
+      throw new IllegalArgumentException(
+          "version and epoch must be >= 0: " + version + ", " + epoch);
+    }
+    return new OwnershipTable(version, epoch, owners);
+  }
+
+  /** Returns the object's version on the platform. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the count of the table's changes. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Returns the number that every order under this table carries. */
+  public FencingNumber fence() {
+    return new FencingNumber(version);
+  }
+
+  /** Returns the owner of each endpoint. */
+  public Map<EndpointId, DaemonId> owners() {
+    return owners;
+  }
+
+  /** Returns the owner of an endpoint, if it has one. */
+  public Optional<DaemonId> owner(EndpointId endpoint) {
+    return Optional.ofNullable(owners.get(endpoint));
+  }
+
+  /** Returns the daemons that own something. */
+  public Set<DaemonId> daemons() {
+    return new TreeSet<>(owners.values());
+  }
+
+  /** Returns the endpoints of a daemon. */
+  public Set<EndpointId> ownedBy(DaemonId daemon) {
+    Set<EndpointId> owned = new TreeSet<>();
+    owners.forEach(
+        (endpoint, owner) -> {
+          if (owner.equals(daemon)) {
+            owned.add(endpoint);
+          }
+        });
+    return owned;
+  }
+
+  /**
+   * Returns the endpoints that a daemon owns here and did not own in a former table.
+   *
+   * @param daemon the daemon
+   * @param former the former table
+   */
+  public Set<EndpointId> gainedBy(DaemonId daemon, OwnershipTable former) {
+    Set<EndpointId> gained = ownedBy(daemon);
+    gained.removeAll(former.ownedBy(daemon));
+    return gained;
+  }
+
+  /** Returns this table with other owners for some endpoints, one epoch on and not written yet. */
+  OwnershipTable next(Map<EndpointId, DaemonId> changed, Collection<EndpointId> removed) {
+    Map<EndpointId, DaemonId> next = new TreeMap<>(owners);
+    next.putAll(changed);
+    next.keySet().removeAll(new TreeSet<>(removed));
+    return new OwnershipTable(0, epoch + 1, next);
+  }
+
+  /** Returns this table as the platform stored it. */
+  OwnershipTable storedAs(long storedVersion) {
+    return new OwnershipTable(storedVersion, epoch, owners);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof OwnershipTable table
+        && version == table.version
+        && epoch == table.epoch
+        && owners.equals(table.owners);
+  }
+
+  @Override
+  public int hashCode() {
+    return Objects.hash(version, epoch, owners);
+  }
+
+  @Override
+  public String toString() {
+    return "OwnershipTable{version=" + version + ", epoch=" + epoch + ", owners=" + owners + "}";
+  }
+}
