--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/log/LogFormat.java
@@ -0,0 +1,24 @@
+package io.sequoiapass.daemon.process.log;
+
+import org.jboss.logmanager.ExtFormatter;
+import org.jboss.logmanager.formatters.PatternFormatter;
+
+/** Names the formats of a log line. */
+public enum LogFormat {
+  /** One line of text for people. */
+  TEXT {
+    @Override
+    ExtFormatter formatter() {
+      return new PatternFormatter("%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p %c %s%e%n");
+    }
+  },
+  /** One JSON object a line for log collectors. */
+  JSON {
+    @Override
+    ExtFormatter formatter() {
+      return new JsonLineFormatter();
+    }
+  };
+
+  abstract ExtFormatter formatter();
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/InvalidQueryException.java
@@ -0,0 +1,11 @@
+package io.sequoiapass.daemon.process.timeline;
+
+/** Tells which filter of a time line query is wrong, its value, and what is allowed. */
+public final class InvalidQueryException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  InvalidQueryException(String filter, String value, String allowed) {
+    super(filter + ": '" + value + "' is wrong; allowed: " + allowed);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineQuery.java
@@ -0,0 +1,122 @@
+package io.sequoiapass.daemon.process.timeline;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * Selects events of a time line by request, adapter, endpoint, kind and time.
+ *
+ * <pre>{@code
+ * TimelineQuery query = TimelineQuery.parse(httpRequest::query);
+ * String json = timeline.json(query);
+ * }</pre>
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ */
+public final class TimelineQuery {
+
+  /** Selects every event. */
+  public static final TimelineQuery ALL =
+      new TimelineQuery(
+          Long.MIN_VALUE,
+          Long.MAX_VALUE,
+          Optional.empty(),
+          Optional.empty(),
+          Optional.empty(),
+          EnumSet.allOf(TimelineKind.class));
+
+  private final long since;
+  private final long until;
+  private final Optional<String> request;
+  private final Optional<String> adapter;
+  private final Optional<String> endpoint;
+  private final Set<TimelineKind> kinds;
+
+  private TimelineQuery(
+      long since,
+      long until,
+      Optional<String> request,
+      Optional<String> adapter,
+      Optional<String> endpoint,
+      Set<TimelineKind> kinds) {
+    this.since = since;
+    this.until = until;
+    this.request = request;
+    this.adapter = adapter;
+    this.endpoint = endpoint;
+    this.kinds = kinds;
+  }
+
+  /**
+   * Returns the query that named filters give: {@code since} and {@code until} in milliseconds of
+   * the wall clock, {@code request}, {@code adapter} (with or without {@code @version}), {@code
+   * endpoint}, and {@code kind} (several separated by commas).
+   *
+   * @param filters gives the text of a filter, or nothing
+   * @throws InvalidQueryException if a filter's value is not allowed
+   */
+  public static TimelineQuery parse(Function<String, Optional<String>> filters)
+      throws InvalidQueryException {
+    return new TimelineQuery(
+        time("since", filters.apply("since"), Long.MIN_VALUE),
+        time("until", filters.apply("until"), Long.MAX_VALUE),
+        filters.apply("request"),
+        filters.apply("adapter"),
+        filters.apply("endpoint"),
+        kinds(filters.apply("kind")));
+  }
+
+  private static long time(String name, Optional<String> text, long absent)
+      throws InvalidQueryException {
+    if (text.isEmpty()) {
+      return absent;
+    }
+    try {
+      return Long.parseLong(text.get());
+    } catch (NumberFormatException e) {
+      throw new InvalidQueryException(name, text.get(), "milliseconds since 1970");
+    }
+  }
+
+  private static Set<TimelineKind> kinds(Optional<String> text) throws InvalidQueryException {
+    if (text.isEmpty()) {
+      return EnumSet.allOf(TimelineKind.class);
+    }
+    Set<TimelineKind> kinds = EnumSet.noneOf(TimelineKind.class);
+    for (String name : text.get().split(",", -1)) {
+      kinds.add(kind(name.strip()));
+    }
+    return kinds;
+  }
+
+  private static TimelineKind kind(String name) throws InvalidQueryException {
+    for (TimelineKind kind : TimelineKind.values()) {
+      if (kind.name().equals(name)) {
+        return kind;
+      }
+    }
+    throw new InvalidQueryException("kind", name, Arrays.toString(TimelineKind.values()));
+  }
+
+  boolean matches(TimelineEvent event) {
+    return event.wallMs() >= since
+        && event.wallMs() <= until
+        && kinds.contains(event.kind())
+        && matches(request, event.request().map(id -> id.value()))
+        && matches(endpoint, event.endpoint().map(id -> id.value()))
+        && (adapter.isEmpty() || event.adapter().filter(this::isAdapter).isPresent());
+  }
+
+  private boolean isAdapter(AdapterVersion id) {
+    String wanted = adapter.orElseThrow();
+    return wanted.equals(id.toString()) || wanted.equals(id.adapter().value());
+  }
+
+  private static boolean matches(Optional<String> wanted, Optional<String> found) {
+    return wanted.isEmpty() || wanted.equals(found);
+  }
+}
