--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -84,12 +84,12 @@
       for (String object : push.objects()) {
         out.packString(object);
       }
+      out.packBoolean(push.complete());
+      out.packBoolean(push.ready());
     } else if (message instanceof PeerMessage.ObjectsRequest request) {
-      out.packArrayHeader(request.versions().size());
-      for (PeerMessage.HeldVersion held : request.versions()) {
-        out.packString(held.kind());
-        out.packString(held.name());
-        out.packLong(held.version());
+      out.packArrayHeader(request.buckets().size());
+      for (long sum : request.buckets()) {
+        out.packLong(sum);
       }
     }
   }
@@ -209,7 +209,7 @@
     return new PeerMessage.Refused(id, kind, in.bool(), in.longNumber());
   }
 
-  static PeerMessage.HeldVersion readHeldVersion(FrameReader in) throws IOException {
-    return new PeerMessage.HeldVersion(in.text(), in.text(), in.longNumber());
+  static PeerMessage readObjectsPush(FrameReader in) throws IOException, PeerFrameException {
+    return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -232,8 +232,11 @@
    * Carries configuration objects to a peer, in the platform's JSON form.
    *
    * @param objects the objects
+   * @param complete whether they are all in which the two differ, as the answer to a request
+   * @param ready whether the sender's own configuration is complete
    */
-  record ObjectsPush(List<String> objects) implements PeerMessage {
+  record ObjectsPush(List<String> objects, boolean complete, boolean ready)
+      implements PeerMessage {
     /** Copies the list. */
     public ObjectsPush {
       objects = List.copyOf(objects);
@@ -246,14 +249,14 @@
   }
 
   /**
-   * Asks a peer for the configuration objects that the sender lacks.
+   * Asks a peer for the configuration objects in which the two differ.
    *
-   * @param versions name and version of the objects that the sender holds
+   * @param buckets the sums of the sender's digest, one a bucket
    */
-  record ObjectsRequest(List<HeldVersion> versions) implements PeerMessage {
+  record ObjectsRequest(List<Long> buckets) implements PeerMessage {
     /** Copies the list. */
     public ObjectsRequest {
-      versions = List.copyOf(versions);
+      buckets = List.copyOf(buckets);
     }
 
     @Override
@@ -261,13 +264,4 @@
       return PeerMessageType.OBJECTS_REQUEST;
     }
   }
-
-  /**
-   * Tells which version of an object a daemon holds.
-   *
-   * @param kind the object's kind
-   * @param name its name
-   * @param version the version
-   */
-  record HeldVersion(String kind, String name, long version) {}
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -29,9 +29,9 @@
   /** See {@link PeerMessage.Flow}. */
   FLOW(12, in -> new PeerMessage.Flow(in.attempt(), in.bool())),
   /** See {@link PeerMessage.ObjectsPush}. */
-  OBJECTS_PUSH(13, in -> new PeerMessage.ObjectsPush(in.list(FrameReader::text))),
+  OBJECTS_PUSH(13, PeerFrames::readObjectsPush),
   /** See {@link PeerMessage.ObjectsRequest}. */
-  OBJECTS_REQUEST(14, in -> new PeerMessage.ObjectsRequest(in.list(PeerFrames::readHeldVersion)));
+  OBJECTS_REQUEST(14, in -> new PeerMessage.ObjectsRequest(in.list(FrameReader::longNumber)));
 
   /** Reads the fields of one frame. */
   @FunctionalInterface
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/CallerAnswer.java
@@ -0,0 +1,181 @@
+package io.sequoiapass.daemon.request;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonObject;
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Outcome;
+import io.sequoiapass.coordination.request.OutcomeClass;
+import io.sequoiapass.coordination.request.Repeatability;
+import io.sequoiapass.daemon.connection.HttpResponder;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Writes one answer to its caller: as server-sent events or whole.
+ *
+ * <p>Guarded by the lock of its request's shard.
+ */
+public final class CallerAnswer {
+
+  private static final int OK = 200;
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final Gson GSON = new Gson();
+
+  private final HttpResponder responder;
+  private final String id;
+  private final Optional<AdapterVersion> adapter;
+  private final Repeatability repeatability;
+  private final boolean streamed;
+  private final StringBuilder text = new StringBuilder();
+  private boolean begun;
+
+  /**
+   * Makes an answer of which nothing is written.
+   *
+   * @param responder the caller's connection
+   * @param request the request
+   * @param adapter what it runs on; empty for a plain service
+   */
+  public CallerAnswer(
+      HttpResponder responder, CallerRequest request, Optional<AdapterVersion> adapter) {
+    this.responder = responder;
+    this.id = request.callerId().isEmpty() ? request.id().value() : request.callerId();
+    this.adapter = adapter;
+    this.repeatability = request.repeatability();
+    this.streamed = request.streamed();
+  }
+
+  /** Returns the caller's connection. */
+  public HttpResponder responder() {
+    return responder;
+  }
+
+  /**
+   * Hands on a token.
+   *
+   * @param index its place
+   * @param token its text
+   */
+  public void token(int index, String token) {
+    if (!streamed) {
+      text.append(token);
+      return;
+    }
+    begin();
+    JsonObject event = new JsonObject();
+    event.addProperty("id", id);
+    event.addProperty("index", index);
+    event.addProperty("text", token);
+    event(GSON.toJson(event));
+  }
+
+  private void begin() {
+    if (!begun) {
+      begun = true;
+      Map<String, String> headers = headers(OutcomeClass.ANSWERED);
+      // A stream that has begun may still fail; its last event tells, so its head does not.
+      headers.remove("Outcome");
+      headers.put("Content-Type", "text/event-stream");
+      responder.begin(OK, headers);
+    }
+  }
+
+  private void event(String data) {
+    responder.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Ends a completion that is whole.
+   *
+   * @param tokens its length
+   */
+  public void whole(int tokens) {
+    JsonObject body = outcome(OutcomeClass.ANSWERED);
+    adapter.ifPresent(
+        ranOn -> {
+          body.addProperty("adapter", ranOn.adapter().value());
+          body.addProperty("version", ranOn.version().value());
+        });
+    body.addProperty("tokens", tokens);
+    if (streamed) {
+      begin();
+      event(GSON.toJson(body));
+      event("[DONE]");
+      responder.end();
+    } else {
+      body.addProperty("text", text.toString());
+      responder.respond(OK, headers(OutcomeClass.ANSWERED), GSON.toJson(body));
+    }
+  }
+
+  /**
+   * Hands on the whole answer of a plain service.
+   *
+   * @param answer the answer
+   */
+  public void service(PeerMessage.ServiceAnswer answer) {
+    Map<String, String> headers = headers(OutcomeClass.ANSWERED);
+    headers.put("Content-Type", answer.contentType());
+    responder.respond(answer.status(), headers, answer.body());
+  }
+
+  /**
+   * Ends without an answer.
+   *
+   * @param outcome NOT RUN or UNKNOWN
+   * @param detail further words, perhaps empty
+   */
+  public void failed(Outcome outcome, String detail) {
+    ErrorKind kind = outcome.error().orElse(ErrorKind.INTERNAL);
+    JsonObject body = outcome(outcome.outcomeClass());
+    body.add("error", error(kind, detail, outcome.comeBackMillis()));
+    if (begun) {
+      event(GSON.toJson(body));
+      responder.end();
+      return;
+    }
+    Map<String, String> headers = headers(outcome.outcomeClass());
+    outcome
+        .comeBackMillis()
+        .ifPresent(ms -> headers.put("Retry-After", Long.toString(secondsUp(ms))));
+    responder.respond(kind.httpStatus(), headers, GSON.toJson(body));
+  }
+
+  private JsonObject error(ErrorKind kind, String detail, OptionalLong comeBackMs) {
+    JsonObject error = new JsonObject();
+    error.addProperty("kind", kind.name());
+    error.addProperty("message", detail.isEmpty() ? kind.message() : kind.message() + " " + detail);
+    error.addProperty("retry", kind.retryAdvice().name());
+    error.addProperty("retry_safe", kind.retryAdvice().safeFor(repeatability));
+    comeBackMs.ifPresent(ms -> error.addProperty("come_back_ms", ms));
+    return error;
+  }
+
+  private JsonObject outcome(OutcomeClass outcome) {
+    JsonObject body = new JsonObject();
+    body.addProperty("id", id);
+    body.addProperty("outcome", outcome.name());
+    return body;
+  }
+
+  private Map<String, String> headers(OutcomeClass outcome) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Request-Id", id);
+    headers.put("Outcome", outcome.name());
+    adapter.ifPresent(
+        ranOn -> {
+          headers.put("Adapter", ranOn.adapter().value());
+          headers.put("Adapter-Version", ranOn.version().value());
+        });
+    return headers;
+  }
+
+  private static long secondsUp(long ms) {
+    return (ms + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationPeers.java
@@ -0,0 +1,23 @@
+package io.sequoiapass.daemon.version;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+
+/** Sends messages to the other daemons of the data centre; safe for use by several threads. */
+public interface ConfigurationPeers {
+
+  /**
+   * Sends a message to every daemon of the data centre.
+   *
+   * @param message the message
+   */
+  void broadcast(PeerMessage message);
+
+  /**
+   * Sends a message to one daemon, if it is connected.
+   *
+   * @param peer the daemon
+   * @param message the message
+   */
+  void send(DaemonId peer, PeerMessage message);
+}
