--- a/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
@@ -276,6 +276,12 @@
     return acquired ? Math.max(0, validUntil - settings.marginMillis() - now) : 0;
   }
 
+  /** Returns whether the daemon may be given endpoints: its lease has time left, and it stays. */
+  public boolean isCandidate(long now) {
+    look(now);
+    return remainingMillis(now) > 0 && state == LeaseState.ACTIVE && !superseded && !released;
+  }
+
   /**
    * Returns whether a newer ownership table is needed before the lease is whole, so that the daemon
    * has to write one if nobody else does.
--- a/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
@@ -45,6 +45,7 @@
   private final DaemonId self;
   private final String operationPrefix;
   private final LeaseObserver observer;
+  private final RandomGenerator random;
   private final Backoff backoff;
 
   private OwnershipTable table = OwnershipTable.EMPTY;
@@ -60,6 +61,7 @@
   private Set<EndpointId> handingOver = new TreeSet<>();
   private long nextTryAt;
   private long needSince = Long.MAX_VALUE;
+  private long confirmAt = Long.MAX_VALUE;
 
   private OwnershipPlanner(
       OwnershipSettings settings,
@@ -73,6 +75,7 @@
     this.self = Objects.requireNonNull(self, "self");
     this.operationPrefix = "own/" + self + "/" + incarnation + "/";
     this.observer = Objects.requireNonNull(observer, "observer");
+    this.random = Objects.requireNonNull(random, "random");
     this.backoff = Backoff.create(BACKOFF_BASE_MILLIS, BACKOFF_CAP_MILLIS, random);
   }
 
@@ -110,6 +113,7 @@
       tableRead = true;
     }
     if (newer) {
+      confirmAt = Long.MAX_VALUE;
       table = seen;
     }
     return newer;
@@ -212,12 +216,19 @@
 
   /**
    * Returns a write that changes no owner and only raises the version, which a lease that ran out
-   * needs to be whole again (see {@link LeaseKeeper#needsTable}).
+   * needs to be whole again (see {@link LeaseKeeper#needsTable}). It comes at a random moment:
+   * after an outage every daemon needs one, and the first one written serves them all.
    */
   public Optional<OwnershipProposal> confirm(long now) {
     if (!tableRead || table.ownedBy(self).isEmpty() || isBusy(now)) {
       return Optional.empty();
     }
+    if (confirmAt == Long.MAX_VALUE) {
+      confirmAt = now + random.nextLong(settings.rankDelayMillis());
+    }
+    if (now < confirmAt) {
+      return Optional.empty();
+    }
     return propose(new TreeMap<>(), List.of());
   }
 
--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/EndpointType.java
@@ -0,0 +1,9 @@
+package io.sequoiapass.coordination.version;
+
+/** What runs at an endpoint. */
+public enum EndpointType {
+  /** A model engine with slots for adapters. */
+  ENGINE,
+  /** A plain service. */
+  SERVICE
+}
--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ObjectKey.java
@@ -0,0 +1,36 @@
+package io.sequoiapass.coordination.version;
+
+import java.util.Comparator;
+import java.util.Objects;
+
+/**
+ * Names one configuration object.
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param kind its kind
+ * @param name its name within the kind
+ */
+public record ObjectKey(ObjectKind kind, String name) implements Comparable<ObjectKey> {
+
+  private static final Comparator<ObjectKey> ORDER =
+      Comparator.comparing(ObjectKey::kind).thenComparing(ObjectKey::name);
+
+  /** Checks that both parts are there. */
+  public ObjectKey {
+    Objects.requireNonNull(kind, "kind");
+    if (name == null || name.isBlank()) {
+      throw new IllegalArgumentException("object name must not be blank: " + name);
+    }
+  }
+
+  @Override
+  public int compareTo(ObjectKey other) {
+    return ORDER.compare(this, other);
+  }
+
+  @Override
+  public String toString() {
+    return kind.pathName() + "/" + name;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ObjectKind.java
@@ -0,0 +1,18 @@
+package io.sequoiapass.coordination.version;
+
+/** The kinds of configuration objects on the platform. */
+public enum ObjectKind {
+  /** An adapter and its versions. */
+  ADAPTER,
+  /** A service that sends requests. */
+  SERVICE,
+  /** An endpoint that runs requests. */
+  ENDPOINT,
+  /** The preset; one object. */
+  PRESET;
+
+  /** Returns the kind's name in the platform's paths. */
+  public String pathName() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/VersionedMap.java
@@ -0,0 +1,78 @@
+package io.sequoiapass.coordination.version;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * An immutable map of objects, of which a changed copy shares all buckets but the changed one.
+ *
+ * <p>A plain copy of 27,000 adapters for each of 12 changes a second would take a good part of the
+ * processor time that a daemon has for control. Instances are safe for use by several threads.
+ */
+final class VersionedMap {
+
+  static final int BUCKETS = 256;
+
+  static final VersionedMap EMPTY = empty();
+
+  private final List<Map<ObjectKey, ConfigurationObject>> buckets;
+
+  private VersionedMap(List<Map<ObjectKey, ConfigurationObject>> buckets) {
+    this.buckets = buckets;
+  }
+
+  private static VersionedMap empty() {
+    List<Map<ObjectKey, ConfigurationObject>> buckets = new ArrayList<>();
+    for (int i = 0; i < BUCKETS; i++) {
+      buckets.add(Map.of());
+    }
+    return new VersionedMap(List.copyOf(buckets));
+  }
+
+  static int bucketOf(ObjectKey key) {
+    return StableHash.of(key.toString(), 0).bucket(BUCKETS);
+  }
+
+  Optional<ConfigurationObject> find(ObjectKey key) {
+    return Optional.ofNullable(buckets.get(bucketOf(key)).get(key));
+  }
+
+  Collection<ConfigurationObject> bucket(int index) {
+    return buckets.get(index).values();
+  }
+
+  List<ConfigurationObject> all() {
+    List<ConfigurationObject> all = new ArrayList<>();
+    buckets.forEach(bucket -> all.addAll(bucket.values()));
+    return all;
+  }
+
+  /** Returns a copy with the given objects in place of those of the same key. */
+  VersionedMap with(Collection<ConfigurationObject> changed) {
+    return edit(changed.stream().map(ConfigurationObject::key).toList(), changed);
+  }
+
+  /** Returns a copy without the given keys. */
+  VersionedMap without(Collection<ObjectKey> removed) {
+    return edit(removed, List.of());
+  }
+
+  private VersionedMap edit(Collection<ObjectKey> removed, Collection<ConfigurationObject> added) {
+    Map<Integer, Map<ObjectKey, ConfigurationObject>> edited = new HashMap<>();
+    for (ObjectKey key : removed) {
+      edited.computeIfAbsent(bucketOf(key), index -> new HashMap<>(buckets.get(index))).remove(key);
+    }
+    for (ConfigurationObject object : added) {
+      edited
+          .computeIfAbsent(bucketOf(object.key()), index -> new HashMap<>(buckets.get(index)))
+          .put(object.key(), object);
+    }
+    List<Map<ObjectKey, ConfigurationObject>> next = new ArrayList<>(buckets);
+    edited.forEach((index, bucket) -> next.set(index, Map.copyOf(bucket)));
+    return new VersionedMap(List.copyOf(next));
+  }
+}
