--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/Addresses.java
@@ -0,0 +1,34 @@
+package io.sequoiapass.daemon.connection;
+
+import java.net.InetSocketAddress;
+
+/** Reads addresses of the form {@code IP:port}. */
+public final class Addresses {
+
+  private static final int MAX_PORT = 65_535;
+
+  private Addresses() {}
+
+  /**
+   * Returns the address that a text names.
+   *
+   * @param text an IP number and a port
+   * @throws IllegalArgumentException if it is not of that form
+   */
+  public static InetSocketAddress parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      throw new IllegalArgumentException("not of the form IP:port: " + text);
+    }
+    int port;
+    try {
+      port = Integer.parseInt(text.substring(colon + 1));
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("not of the form IP:port: " + text, e);
+    }
+    if (port < 1 || port > MAX_PORT) {
+      throw new IllegalArgumentException("port must be 1 to " + MAX_PORT + ": " + text);
+    }
+    return new InetSocketAddress(text.substring(0, colon), port);
+  }
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/ObjectCodec.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/ObjectCodec.java
@@ -24,6 +24,7 @@
 import io.sequoiapass.coordination.version.ObjectKind;
 import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.coordination.version.RequestPriority;
+import io.sequoiapass.daemon.connection.SocketAddresses;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -117,7 +118,7 @@
     return new EndpointRecord(
         new EndpointId(stored.name()),
         stored.version(),
-        Objects.requireNonNull(value.address(), "address"),
+        checkedAddress(value.address()),
         new DataCentreId(value.dataCentre()),
         new HostId(value.host()),
         EndpointType.valueOf(value.type()),
@@ -129,6 +130,11 @@
         value.state() == null ? EndpointState.ACTIVE : EndpointState.valueOf(value.state()));
   }
 
+  private static String checkedAddress(String address) {
+    SocketAddresses.parse(Objects.requireNonNull(address, "address"));
+    return address;
+  }
+
   private static PresetRecord preset(StoredObject stored) {
     PresetValue value = GSON.fromJson(stored.value(), PresetValue.class);
     return new PresetRecord(
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -0,0 +1,368 @@
+package io.sequoiapass.daemon.process.entry;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.request.AnswerFrame;
+import io.sequoiapass.coordination.request.AttemptAction;
+import io.sequoiapass.coordination.request.AttemptEvent;
+import io.sequoiapass.coordination.request.AttemptSettings;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.NotRunProof;
+import io.sequoiapass.coordination.request.Outcome;
+import io.sequoiapass.coordination.request.RequestAttempts;
+import io.sequoiapass.coordination.request.RequestSpec;
+import io.sequoiapass.coordination.request.RetryBudget;
+import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.daemon.connection.HttpResponder;
+import io.sequoiapass.daemon.connection.peer.ForwardedWork;
+import io.sequoiapass.daemon.connection.peer.PeerChannel;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import io.sequoiapass.daemon.request.CallerAnswer;
+import io.sequoiapass.daemon.request.CallerRequest;
+import io.sequoiapass.daemon.request.RouteTarget;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * Drives the requests of some callers from their arrival to their outcome.
+ *
+ * <p>Everything about a request happens under the shard's lock, so what goes to its caller keeps
+ * its order. Writes to connections are queued there and block nothing. The shard calls no other
+ * shard: an owner in the same process is reached through a channel like any other.
+ */
+public final class EntryShard {
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Map<RequestId, EntryRequest> requests = new HashMap<>();
+  private final MillisClock clock;
+  private final Routes routes;
+  private final AttemptSettings settings;
+  private final RetryBudget budget;
+  private final EntryObserver observer;
+
+  /**
+   * Makes a shard without requests.
+   *
+   * @param clock the clock of deadlines
+   * @param routes finds where attempts go
+   * @param settings limits of a request's attempts
+   * @param budget limits retries over all of the shard's requests
+   * @param observer hears of the stages of requests
+   */
+  public EntryShard(
+      MillisClock clock,
+      Routes routes,
+      AttemptSettings settings,
+      RetryBudget budget,
+      EntryObserver observer) {
+    this.clock = Objects.requireNonNull(clock, "clock");
+    this.routes = Objects.requireNonNull(routes, "routes");
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.budget = Objects.requireNonNull(budget, "budget");
+    this.observer = Objects.requireNonNull(observer, "observer");
+  }
+
+  /**
+   * Takes a request.
+   *
+   * @param request the request
+   * @param snapshot the configuration that it was read against
+   * @param responder the caller's connection
+   */
+  public void accept(
+      CallerRequest request, ConfigurationSnapshot snapshot, HttpResponder responder) {
+    Optional<AdapterVersion> runsOn = EntryRequest.runsOn(request);
+    RequestSpec spec =
+        new RequestSpec(
+            request.id(),
+            runsOn,
+            request.repeatability(),
+            request.priority(),
+            false,
+            request.target() instanceof RouteTarget.Engine,
+            request.deadlineMs());
+    locked(
+        () -> {
+          RequestAttempts attempts =
+              new RequestAttempts(spec, settings, budget, Optional.empty());
+          CallerAnswer answer = new CallerAnswer(responder, request, runsOn);
+          EntryRequest entry = new EntryRequest(request, snapshot, attempts, answer);
+          requests.put(request.id(), entry);
+          observer.accepted(request);
+          perform(entry, attempts.begin(clock.millis()));
+        });
+    responder.onClose(() -> event(request.id(), new AttemptEvent.CallerLeft()));
+    responder.onWritable(() -> writable(request.id()));
+  }
+
+  /**
+   * Takes a frame from an owner.
+   *
+   * @param message the frame
+   */
+  public void received(PeerMessage.OfAttempt message) {
+    locked(
+        () -> {
+          EntryRequest entry = requests.get(message.id().request());
+          if (entry != null) {
+            take(entry, message);
+          }
+        });
+  }
+
+  /**
+   * Returns whether a request is under way here.
+   *
+   * @param request the request
+   */
+  public boolean has(RequestId request) {
+    lock.lock();
+    try {
+      return requests.containsKey(request);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Takes that the connection to an owner has closed.
+   *
+   * @param channel the connection
+   */
+  public void ownerLost(PeerChannel channel) {
+    locked(
+        () -> {
+          for (EntryRequest entry : List.copyOf(requests.values())) {
+            List<Integer> lost =
+                entry.routes().entrySet().stream()
+                    .filter(route -> route.getValue().owner() == channel)
+                    .map(Map.Entry::getKey)
+                    .sorted()
+                    .toList();
+            lost.forEach(attempt -> on(entry, new AttemptEvent.OwnerLost(attempt)));
+          }
+        });
+  }
+
+  /** Lets time pass; to be called every 10 to 50 ms. */
+  public void tick() {
+    locked(
+        () -> {
+          long now = clock.millis();
+          for (EntryRequest entry : List.copyOf(requests.values())) {
+            if (now >= entry.attempts().nextTickMillis()) {
+              on(entry, new AttemptEvent.Tick());
+            }
+          }
+        });
+  }
+
+  /** Returns the number of requests under way. */
+  public int size() {
+    lock.lock();
+    try {
+      return requests.size();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void event(RequestId id, AttemptEvent event) {
+    locked(() -> Optional.ofNullable(requests.get(id)).ifPresent(entry -> on(entry, event)));
+  }
+
+  private void take(EntryRequest entry, PeerMessage.OfAttempt message) {
+    int attempt = message.id().attempt();
+    if (message instanceof PeerMessage.Tokens tokens) {
+      takeTokens(entry, tokens);
+    } else if (message instanceof PeerMessage.Finished finished) {
+      on(
+          entry,
+          new AttemptEvent.Frame(
+              new AnswerFrame.Finished(
+                  entry.request().id(),
+                  attempt,
+                  Optional.of(finished.ranOn()),
+                  finished.tokens())));
+    } else if (message instanceof PeerMessage.ServiceAnswer answer) {
+      entry.hold(answer);
+      on(
+          entry,
+          new AttemptEvent.Frame(
+              new AnswerFrame.Finished(entry.request().id(), attempt, Optional.empty(), 0)));
+    } else if (message instanceof PeerMessage.MayStart) {
+      on(entry, new AttemptEvent.StartAsked(attempt));
+    } else if (message instanceof PeerMessage.Refused refused) {
+      on(entry, refusedEvent(attempt, refused));
+    } else if (message instanceof PeerMessage.EndpointLost) {
+      on(entry, new AttemptEvent.EndpointLost(attempt));
+    }
+  }
+
+  private void takeTokens(EntryRequest entry, PeerMessage.Tokens tokens) {
+    int index = tokens.firstIndex();
+    for (String text : tokens.texts()) {
+      on(
+          entry,
+          new AttemptEvent.Frame(
+              new AnswerFrame.Token(
+                  entry.request().id(),
+                  tokens.id().attempt(),
+                  Optional.of(tokens.ranOn()),
+                  index,
+                  text)));
+      index++;
+    }
+  }
+
+  private static AttemptEvent refusedEvent(int attempt, PeerMessage.Refused refused) {
+    NotRunProof proof =
+        refused.byEndpoint() ? NotRunProof.refusedByEndpoint() : NotRunProof.withdrawnFromQueue();
+    OptionalLong comeBack =
+        refused.comeBackMs() > 0 ? OptionalLong.of(refused.comeBackMs()) : OptionalLong.empty();
+    return new AttemptEvent.Refused(attempt, refused.kind(), proof, comeBack);
+  }
+
+  private void on(EntryRequest entry, AttemptEvent event) {
+    perform(entry, entry.attempts().on(event, clock.millis()));
+  }
+
+  private void perform(EntryRequest entry, List<AttemptAction> actions) {
+    for (AttemptAction action : actions) {
+      perform(entry, action);
+    }
+  }
+
+  private void perform(EntryRequest entry, AttemptAction action) {
+    if (action instanceof AttemptAction.Send send) {
+      send(entry, send);
+    } else if (action instanceof AttemptAction.GrantStart grant) {
+      answerStart(entry, grant.attempt(), true);
+    } else if (action instanceof AttemptAction.DenyStart deny) {
+      answerStart(entry, deny.attempt(), false);
+    } else if (action instanceof AttemptAction.Cancel cancel) {
+      toOwner(
+          entry, cancel.attempt(), new PeerMessage.Cancel(entry.attempt(cancel.attempt())));
+    } else if (action instanceof AttemptAction.Deliver deliver) {
+      deliver(entry, deliver.token());
+    } else if (action instanceof AttemptAction.End end) {
+      end(entry, end.outcome());
+    } else if (action instanceof AttemptAction.RecordStart record) {
+      on(
+          entry,
+          new AttemptEvent.StartRefused(record.attempt(), ErrorKind.LEDGER_UNAVAILABLE));
+    }
+  }
+
+  private void send(EntryRequest entry, AttemptAction.Send send) {
+    CallerRequest request = entry.request();
+    Optional<Route> found =
+        routes.find(request.target(), entry.snapshot(), send.prefer(), send.avoid());
+    if (found.isEmpty()) {
+      on(entry, new AttemptEvent.Unroutable(send.attempt(), ErrorKind.NO_ENDPOINT));
+      return;
+    }
+    Route route = found.get();
+    entry.routed(send.attempt(), route);
+    boolean attached = send.prefer().filter(route.endpoint()::equals).isPresent();
+    AttemptAction.Mode mode =
+        send.mode() == AttemptAction.Mode.ATTACH_OR_RUN && !attached
+            ? AttemptAction.Mode.RUN
+            : send.mode();
+    PeerMessage.Forward forward =
+        new PeerMessage.Forward(
+            entry.attempt(send.attempt()),
+            route.endpoint(),
+            from(request.work(), send.resumeFrom()),
+            mode,
+            Math.max(1, request.deadlineMs() - clock.millis()),
+            request.repeatability().needsStartGrant());
+    observer.routed(request, send.attempt(), route.endpoint());
+    on(entry, new AttemptEvent.Routed(send.attempt(), route.endpoint()));
+    if (!route.owner().send(forward)) {
+      // Nothing was sent, but what the attempt was counted as has to be undone by its own rules.
+      on(entry, new AttemptEvent.OwnerLost(send.attempt()));
+    }
+  }
+
+  private static ForwardedWork from(ForwardedWork work, int index) {
+    return work instanceof ForwardedWork.Completion completion && index > 0
+        ? new ForwardedWork.Completion(
+            completion.adapter(),
+            completion.model(),
+            completion.priority(),
+            completion.prompt(),
+            completion.maxTokens(),
+            index)
+        : work;
+  }
+
+  private void answerStart(EntryRequest entry, int attempt, boolean granted) {
+    boolean sent =
+        toOwner(entry, attempt, new PeerMessage.StartAnswer(entry.attempt(attempt), granted));
+    if (granted && !sent) {
+      on(entry, new AttemptEvent.OwnerLost(attempt));
+    }
+  }
+
+  private static boolean toOwner(EntryRequest entry, int attempt, PeerMessage message) {
+    return entry.route(attempt).map(route -> route.owner().send(message)).orElse(false);
+  }
+
+  private void deliver(EntryRequest entry, AnswerFrame.Token token) {
+    if (entry.takeFirstToken()) {
+      observer.firstToken(entry.request());
+    }
+    entry.answer().token(token.index(), token.text());
+    if (!entry.answer().responder().writable()) {
+      flow(entry, true);
+    }
+  }
+
+  private void writable(RequestId id) {
+    locked(
+        () -> Optional.ofNullable(requests.get(id)).ifPresent(entry -> flow(entry, false)));
+  }
+
+  /**
+   * A caller that reads slowly would have its whole answer pile up here. Telling the owner to stop
+   * reading is enough: TCP then holds the engine, and what is on the way is bounded by the windows.
+   */
+  private void flow(EntryRequest entry, boolean pause) {
+    if (entry.pause(pause)) {
+      entry
+          .routes()
+          .forEach(
+              (attempt, route) ->
+                  route.owner().send(new PeerMessage.Flow(entry.attempt(attempt), pause)));
+    }
+  }
+
+  private void end(EntryRequest entry, Outcome outcome) {
+    requests.remove(entry.request().id());
+    observer.ended(entry.request(), outcome);
+    if (outcome instanceof Outcome.Answered answered) {
+      entry
+          .serviceAnswer()
+          .ifPresentOrElse(
+              entry.answer()::service, () -> entry.answer().whole(answered.tokens()));
+    } else {
+      entry.answer().failed(outcome, "");
+    }
+  }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry's side: requests of callers, their routes and their answers. */
+package io.sequoiapass.daemon.process.entry;
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -0,0 +1,149 @@
+package io.sequoiapass.daemon.process.owner;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
+import io.sequoiapass.coordination.version.EndpointType;
+import io.sequoiapass.daemon.connection.SocketAddresses;
+import io.sequoiapass.daemon.connection.peer.ForwardedWork;
+import io.sequoiapass.daemon.connection.peer.PeerChannel;
+import io.sequoiapass.daemon.connection.peer.PeerListener;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+/**
+ * Is this daemon as an owner: it takes attempts from entries and spreads them over one shard a base
+ * model and the pool of plain services.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class Owner implements PeerListener {
+
+  private final Supplier<OwnerShard> newShard;
+  private final ServicePool services;
+  private final Map<ModelId, OwnerShard> shards = new ConcurrentHashMap<>();
+  private final Map<EndpointId, EndpointRecord> owned = new HashMap<>();
+
+  /**
+   * Makes an owner of nothing.
+   *
+   * @param newShard makes the shard of a base model
+   * @param services runs calls to plain services
+   */
+  public Owner(Supplier<OwnerShard> newShard, ServicePool services) {
+    this.newShard = Objects.requireNonNull(newShard, "newShard");
+    this.services = Objects.requireNonNull(services, "services");
+  }
+
+  /**
+   * Takes over what is new among the endpoints, and gives up what is no longer among them.
+   *
+   * @param endpoints all endpoints that this daemon owns now
+   */
+  public synchronized void owns(Collection<EndpointRecord> endpoints) {
+    Map<EndpointId, EndpointRecord> wanted = new HashMap<>();
+    endpoints.forEach(endpoint -> wanted.put(endpoint.id(), endpoint));
+    for (EndpointRecord known : Map.copyOf(owned).values()) {
+      if (!wanted.containsKey(known.id())) {
+        owned.remove(known.id());
+        disown(known);
+      }
+    }
+    for (EndpointRecord endpoint : wanted.values()) {
+      if (!endpoint.equals(owned.put(endpoint.id(), endpoint))) {
+        own(endpoint);
+      }
+    }
+  }
+
+  private void own(EndpointRecord endpoint) {
+    if (endpoint.type() == EndpointType.SERVICE) {
+      services.own(
+          endpoint.id(), SocketAddresses.parse(endpoint.address()), endpoint.maxStreams());
+      return;
+    }
+    OwnerShard shard = shard(endpoint);
+    shard.own(
+        new OwnedEndpoint(
+            endpoint.id(),
+            SocketAddresses.parse(endpoint.address()),
+            endpoint.model().orElseThrow(),
+            endpoint.slots().orElseThrow(),
+            endpoint.maxStreams()));
+    if (!endpoint.takesNewWork()) {
+      shard.drain(endpoint.id());
+    }
+  }
+
+  private void disown(EndpointRecord endpoint) {
+    if (endpoint.type() == EndpointType.SERVICE) {
+      services.disown(endpoint.id());
+    } else {
+      shard(endpoint).disown(endpoint.id());
+    }
+  }
+
+  private OwnerShard shard(EndpointRecord endpoint) {
+    return shards.computeIfAbsent(endpoint.model().orElseThrow(), model -> newShard.get());
+  }
+
+  /** Lets time pass; to be called every 10 to 50 ms. */
+  public void tick() {
+    shards.values().forEach(OwnerShard::tick);
+  }
+
+  /** Returns the number of attempts under way. */
+  public int size() {
+    return services.size() + shards.values().stream().mapToInt(OwnerShard::size).sum();
+  }
+
+  @Override
+  public void opened(PeerChannel channel) {
+    // An entry that has sent nothing needs nothing.
+  }
+
+  @Override
+  public void received(PeerChannel channel, PeerMessage message) {
+    if (message instanceof PeerMessage.Forward forward) {
+      submit(forward, channel);
+    } else if (message instanceof PeerMessage.StartAnswer answer) {
+      services.startAnswered(answer);
+      shards.values().forEach(shard -> shard.startAnswered(answer));
+    } else if (message instanceof PeerMessage.Cancel cancel) {
+      services.cancel(cancel.id());
+      shards.values().forEach(shard -> shard.cancel(cancel.id()));
+    } else if (message instanceof PeerMessage.Flow flow) {
+      shards.values().forEach(shard -> shard.flow(flow));
+    }
+  }
+
+  private void submit(PeerMessage.Forward forward, PeerChannel channel) {
+    if (forward.work() instanceof ForwardedWork.Completion completion) {
+      OwnerShard shard = shards.get(completion.model());
+      if (shard != null) {
+        shard.submit(forward, channel);
+      } else {
+        channel.send(new PeerMessage.Refused(forward.id(), ErrorKind.NO_ENDPOINT, false, 0));
+      }
+    } else {
+      services.submit(forward, channel);
+    }
+  }
+
+  @Override
+  public void writabilityChanged(PeerChannel channel) {
+    shards.values().forEach(shard -> shard.flowOf(channel));
+  }
+
+  @Override
+  public void closed(PeerChannel channel) {
+    services.entryLost(channel);
+    shards.values().forEach(shard -> shard.entryLost(channel));
+  }
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.daemon.process.owner;
 
-import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.FencingNumber;
 import io.sequoiapass.coordination.MillisClock;
@@ -24,7 +23,6 @@
 import io.sequoiapass.daemon.request.AttemptKeys;
 import io.sequoiapass.daemon.request.EngineRelay;
 import io.sequoiapass.daemon.request.Execution;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -568,10 +566,13 @@
     }
   }
 
-  /** Returns the attempts that have not ended. */
-  public List<AttemptId> open() {
-    List<AttemptId> open = new ArrayList<>();
-    locked(() -> executions.values().forEach(execution -> open.add(execution.id())));
-    return open;
+  /** Returns the number of attempts that have not ended. */
+  public int size() {
+    lock.lock();
+    try {
+      return executions.size();
+    } finally {
+      lock.unlock();
+    }
   }
 }
