--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/Command.java
@@ -0,0 +1,14 @@
+package io.sequoiapass.testbed;
+
+import io.sequoiapass.testbed.cli.UsageException;
+import java.io.IOException;
+
+/** One command of the testbed. */
+interface Command {
+
+  /** Returns a line for each flag. */
+  String help();
+
+  /** Runs the command and returns its exit code. */
+  int run(String... flags) throws UsageException, IOException, InterruptedException;
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Flags of the testbed's commands. */
+package io.sequoiapass.testbed.cli;
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/standin/PrefixCache.java
@@ -0,0 +1,108 @@
+package io.sequoiapass.testbed.standin;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Holds a bounded number of prompt prefixes and reports its changes late and with gaps; used on one
+ * event loop.
+ */
+final class PrefixCache {
+
+  /** Characters of a prompt that one step reads when they are not cached. */
+  private static final int CHARS_PER_STEP = 2_048;
+
+  /** Characters that the cache holds as one prefix. */
+  private static final int PREFIX_CHARS = 256;
+
+  private static final int MAX_EVENTS = 1_000;
+
+  private final int capacity;
+  private final int lagMs;
+  private final double loss;
+  private final EventLoop loop;
+  private final Random random;
+  private final LinkedHashMap<Prefix, Boolean> cached = new LinkedHashMap<>(16, 0.75f, true);
+  private final Deque<Event> reported = new ArrayDeque<>();
+  private long sequence;
+
+  PrefixCache(EngineSettings settings, EventLoop loop) {
+    this.capacity = settings.prefixes();
+    this.lagMs = settings.eventLagMs();
+    this.loss = settings.eventLoss();
+    this.loop = loop;
+    this.random = new Random(settings.seed());
+  }
+
+  boolean holds(EngineSlot slot, String prompt) {
+    return cached.get(prefix(slot, prompt)) != null;
+  }
+
+  /** Returns how many steps the prompt takes before its first token. */
+  int prefillSteps(boolean hit, String prompt) {
+    int uncached = hit ? Math.max(0, prompt.length() - PREFIX_CHARS) : prompt.length();
+    return uncached / CHARS_PER_STEP;
+  }
+
+  void add(EngineSlot slot, String prompt) {
+    Prefix prefix = prefix(slot, prompt);
+    if (capacity == 0 || cached.put(prefix, true) != null) {
+      return;
+    }
+    report(EventType.ADDED, prefix);
+    if (cached.size() > capacity) {
+      Iterator<Prefix> oldest = cached.keySet().iterator();
+      Prefix evicted = oldest.next();
+      oldest.remove();
+      report(EventType.EVICTED, evicted);
+    }
+  }
+
+  void clear() {
+    cached.clear();
+  }
+
+  private static Prefix prefix(EngineSlot slot, String prompt) {
+    String start = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
+    return new Prefix(slot.adapter(), slot.version(), Integer.toHexString(start.hashCode()));
+  }
+
+  private void report(EventType type, Prefix prefix) {
+    sequence++;
+    Event event = new Event(sequence, type, prefix.adapter, prefix.version, prefix.hash);
+    if (random.nextDouble() >= loss) {
+      loop.schedule(() -> publish(event), lagMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void publish(Event event) {
+    reported.addLast(event);
+    if (reported.size() > MAX_EVENTS) {
+      reported.removeFirst();
+    }
+  }
+
+  List<Event> eventsAfter(long after) {
+    return reported.stream().filter(event -> event.sequence() > after).toList();
+  }
+
+  /** Tells what happened to a prefix. */
+  enum EventType {
+    ADDED,
+    EVICTED
+  }
+
+  /** One change of the cache; numbers that are missing were lost. */
+  record Event(long sequence, EventType type, String adapter, String version, String prefix) {}
+
+  /** The answer to a call for events. */
+  record Events(List<Event> events) {}
+
+  private record Prefix(String adapter, String version, String hash) {}
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/wire/Json.java
@@ -0,0 +1,18 @@
+package io.sequoiapass.testbed.wire;
+
+import com.google.gson.FieldNamingPolicy;
+import com.google.gson.Gson;
+import com.google.gson.GsonBuilder;
+
+/** Holds the JSON mapping of the wire: lower case, words joined by an underscore. */
+public final class Json {
+
+  /** The mapping; safe for use by several threads. */
+  public static final Gson GSON =
+      new GsonBuilder()
+          .setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
+          .disableHtmlEscaping()
+          .create();
+
+  private Json() {}
+}
