--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/Addresses.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/SocketAddresses.java
@@ -3,11 +3,11 @@
 import java.net.InetSocketAddress;
 
 /** Reads addresses of the form {@code IP:port}. */
-public final class Addresses {
+public final class SocketAddresses {
 
   private static final int MAX_PORT = 65_535;
 
-  private Addresses() {}
+  private SocketAddresses() {}
 
   /**
    * Returns the address that a text names.
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
@@ -0,0 +1,170 @@
+package io.sequoiapass.daemon.process;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.daemon.connection.peer.PeerChannel;
+import io.sequoiapass.daemon.connection.peer.PeerLinks;
+import io.sequoiapass.daemon.connection.peer.PeerListener;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import io.sequoiapass.daemon.process.entry.Channels;
+import io.sequoiapass.daemon.process.entry.Entries;
+import io.sequoiapass.daemon.process.owner.Owner;
+import io.sequoiapass.daemon.process.settings.PeerAddress;
+import io.sequoiapass.daemon.version.ConfigurationPeers;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Joins this daemon to its peers: hands what arrives to the entry, the owner or the control parts,
+ * and sends to daemons by name.
+ *
+ * <p>Requests go out over the connection that this daemon opened, and their answers come back over
+ * it; control messages go out over it too. Safe for use by several threads.
+ */
+final class PeerNode implements PeerLinks.PeerEvents, ConfigurationPeers, Channels {
+
+  private final DaemonId self;
+  private final DataCentreId dataCentre;
+  private final PeerChannel local;
+  private final Map<DaemonId, PeerAddress> known = new ConcurrentHashMap<>();
+  private final Entries entries;
+  private final Owner owner;
+  private final ControlListener control;
+  private volatile PeerLinks links;
+
+  /** Hears control messages, on event loops; must not block. */
+  interface ControlListener {
+
+    /** Called when a peer is connected. */
+    void connected(DaemonId peer);
+
+    /** Called when the connection to a peer has closed. */
+    void disconnected(DaemonId peer);
+
+    /** Called with each control message. */
+    void received(DaemonId peer, PeerMessage message);
+  }
+
+  PeerNode(
+      DaemonId self,
+      DataCentreId dataCentre,
+      PeerChannel local,
+      Entries entries,
+      Owner owner,
+      ControlListener control) {
+    this.self = Objects.requireNonNull(self, "self");
+    this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
+    this.local = Objects.requireNonNull(local, "local");
+    this.entries = Objects.requireNonNull(entries, "entries");
+    this.owner = Objects.requireNonNull(owner, "owner");
+    this.control = Objects.requireNonNull(control, "control");
+  }
+
+  void start(PeerLinks opened, List<PeerAddress> peers) {
+    links = opened;
+    for (PeerAddress peer : peers) {
+      known.put(peer.daemon(), peer);
+      opened.add(peer.daemon(), peer.address());
+    }
+  }
+
+  /** Returns the peers in this daemon's data centre. */
+  List<DaemonId> neighbours() {
+    return known.values().stream()
+        .filter(peer -> peer.dataCentre().equals(dataCentre))
+        .map(PeerAddress::daemon)
+        .sorted()
+        .toList();
+  }
+
+  /** Returns the daemons of a data centre, this one included. */
+  List<DaemonId> daemonsOf(DataCentreId wanted) {
+    List<DaemonId> daemons = new java.util.ArrayList<>();
+    if (wanted.equals(dataCentre)) {
+      daemons.add(self);
+    }
+    known.values().stream()
+        .filter(peer -> peer.dataCentre().equals(wanted))
+        .map(PeerAddress::daemon)
+        .forEach(daemons::add);
+    return daemons;
+  }
+
+  @Override
+  public Optional<PeerChannel> to(DaemonId daemon) {
+    return daemon.equals(self) ? Optional.of(local) : links.channel(daemon);
+  }
+
+  @Override
+  public void broadcast(PeerMessage message) {
+    neighbours().forEach(peer -> send(peer, message));
+  }
+
+  @Override
+  public void send(DaemonId peer, PeerMessage message) {
+    links.channel(peer).ifPresent(channel -> channel.send(message));
+  }
+
+  @Override
+  public void connected(DaemonId peer, PeerChannel channel) {
+    control.connected(peer);
+  }
+
+  @Override
+  public void received(DaemonId peer, PeerChannel channel, PeerMessage message) {
+    if (message instanceof PeerMessage.OfAttempt ofAttempt) {
+      entries.received(channel, ofAttempt);
+    } else {
+      control.received(peer, message);
+    }
+  }
+
+  @Override
+  public void disconnected(DaemonId peer, PeerChannel channel) {
+    entries.ownerLost(channel);
+    control.disconnected(peer);
+  }
+
+  /** Returns the listener of a connection that a peer opened. */
+  PeerListener accepted() {
+    return new Accepted();
+  }
+
+  /** Is a connection that a peer opened: it carries the peer's requests and control messages. */
+  private final class Accepted implements PeerListener {
+
+    private volatile DaemonId peer;
+
+    @Override
+    public void opened(PeerChannel channel) {
+      owner.opened(channel);
+    }
+
+    @Override
+    public void received(PeerChannel channel, PeerMessage message) {
+      if (message instanceof PeerMessage.Hello hello) {
+        peer = hello.daemon();
+      } else if (peer == null) {
+        // Whoever does not say who it is gets nothing done.
+        channel.close();
+      } else if (message instanceof PeerMessage.OfAttempt) {
+        owner.received(channel, message);
+      } else {
+        control.received(peer, message);
+      }
+    }
+
+    @Override
+    public void writabilityChanged(PeerChannel channel) {
+      owner.writabilityChanged(channel);
+    }
+
+    @Override
+    public void closed(PeerChannel channel) {
+      owner.closed(channel);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as the process: the daemon and its parts. */
+package io.sequoiapass.daemon.process;
