--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/AttemptSettings.java
@@ -0,0 +1,30 @@
+package io.sequoiapass.coordination.request;
+
+/**
+ * Holds the limits of a request's attempts.
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param maxAttempts attempts of one request, the first included; a request that failed this often
+ *     is likelier to be the cause than the endpoints
+ * @param maxHeldTokens tokens kept behind a missing one; bounds the memory of one request
+ * @param gapMillis how long a missing token may stay away: more than links reorder by, less than a
+ *     caller notices
+ * @param stallMillis how long a stream that has begun may be silent: many engine steps, so that
+ *     only a frozen owner or engine is given up on
+ */
+public record AttemptSettings(
+    int maxAttempts, int maxHeldTokens, long gapMillis, long stallMillis) {
+
+  /** Suits engine steps of some 5 ms and links of a few milliseconds. */
+  public static final AttemptSettings DEFAULT = new AttemptSettings(4, 256, 250, 2_000);
+
+  /** Checks the limits. */
+  public AttemptSettings {
+    if (maxAttempts < 1 || maxHeldTokens < 0 || gapMillis <= 0 || stallMillis <= gapMillis) {
+      throw new IllegalArgumentException(
+          "attempts %d, held %d, gap %d ms, stall %d ms"
+              .formatted(maxAttempts, maxHeldTokens, gapMillis, stallMillis));
+    }
+  }
+}
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
@@ -78,6 +78,8 @@
   DRAINING(503, NOT_RUN, SAFE, 100, "This daemon is stopping."),
   /** No configuration was learnt yet, from the platform or a peer. */
   NO_CONFIGURATION(503, NOT_RUN, SAFE, 2_000, "No configuration has been learnt yet."),
+  /** The caller left before the start; only logs and metrics show it. */
+  CALLER_LEFT_BEFORE_START(499, NOT_RUN, SAFE, "The caller left before the start."),
   /** The caller left; only logs and metrics show it. */
   CALLER_LEFT(499, UNKNOWN, IF_REPEATABLE, "The caller left."),
   /** A fault of ours; nothing is claimed about the run. */
