--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/FrameReader.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/FrameReader.java
@@ -54,12 +54,9 @@
     return elements;
   }
 
-  <E extends Enum<E>> E constant(E[] values) throws IOException, PeerFrameException {
-    int ordinal = in.unpackInt();
-    if (ordinal < 0 || ordinal >= values.length) {
-      throw new PeerFrameException("no such constant: " + ordinal);
-    }
-    return values[ordinal];
+  /** Reads a constant by its name: its place in the enum may differ between two releases. */
+  <E extends Enum<E>> E constant(Class<E> type) throws IOException {
+    return Enum.valueOf(type, text());
   }
 
   PeerMessage.AttemptId attempt() throws IOException {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -116,7 +116,7 @@
       out.packString(answer.contentType());
       writeBytes(out, answer.body());
     } else if (message instanceof PeerMessage.Refused refused) {
-      out.packInt(refused.kind().ordinal());
+      out.packString(refused.kind().name());
       out.packBoolean(refused.byEndpoint());
       out.packLong(refused.comeBackMs());
     } else if (message instanceof PeerMessage.Flow flow) {
@@ -127,10 +127,10 @@
   private static void writeForward(MessageBufferPacker out, PeerMessage.Forward forward)
       throws IOException {
     out.packString(forward.endpoint().value());
-    out.packInt(forward.mode().ordinal());
+    out.packString(forward.mode().name());
     out.packLong(forward.remainingMs());
     out.packBoolean(forward.atMostOnce());
-    out.packInt(forward.work().priority().ordinal());
+    out.packString(forward.work().priority().name());
     if (forward.work() instanceof ForwardedWork.Completion work) {
       out.packInt(COMPLETION);
       out.packString(work.adapter().toString());
@@ -166,10 +166,10 @@
   static PeerMessage readForward(FrameReader in) throws IOException, PeerFrameException {
     PeerMessage.AttemptId id = in.attempt();
     EndpointId endpoint = new EndpointId(in.text());
-    AttemptAction.Mode mode = in.constant(AttemptAction.Mode.values());
+    AttemptAction.Mode mode = in.constant(AttemptAction.Mode.class);
     long remainingMs = in.longNumber();
     boolean atMostOnce = in.bool();
-    Priority priority = in.constant(Priority.values());
+    Priority priority = in.constant(Priority.class);
     ForwardedWork work = readWork(in, priority);
     return new PeerMessage.Forward(id, endpoint, work, mode, remainingMs, atMostOnce);
   }
@@ -205,7 +205,7 @@
 
   static PeerMessage readRefused(FrameReader in) throws IOException, PeerFrameException {
     PeerMessage.AttemptId id = in.attempt();
-    ErrorKind kind = in.constant(ErrorKind.values());
+    ErrorKind kind = in.constant(ErrorKind.class);
     return new PeerMessage.Refused(id, kind, in.bool(), in.longNumber());
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -235,8 +235,7 @@
    * @param complete whether they are all in which the two differ, as the answer to a request
    * @param ready whether the sender's own configuration is complete
    */
-  record ObjectsPush(List<String> objects, boolean complete, boolean ready)
-      implements PeerMessage {
+  record ObjectsPush(List<String> objects, boolean complete, boolean ready) implements PeerMessage {
     /** Copies the list. */
     public ObjectsPush {
       objects = List.copyOf(objects);
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -42,6 +42,9 @@
   private static final PeerMessageType[] BY_NUMBER = byNumber();
 
   private final int number;
+
+  // Readers are references to static methods and hold no state.
+  @SuppressWarnings("ImmutableEnumChecker")
   private final Reader reader;
 
   PeerMessageType(int number, Reader reader) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/ObjectCodec.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/ObjectCodec.java
@@ -137,8 +137,7 @@
 
   private static PresetRecord preset(StoredObject stored) {
     PresetValue value = GSON.fromJson(stored.value(), PresetValue.class);
-    return new PresetRecord(
-        stored.version(), Preset.valueOf(value.preset()), value.effectiveAt());
+    return new PresetRecord(stored.version(), Preset.valueOf(value.preset()), value.effectiveAt());
   }
 
   private static <T> List<T> orEmpty(List<T> list) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/PlatformClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/PlatformClient.java
@@ -90,8 +90,7 @@
    * @param after the revision after which changes are wanted
    * @param waitMs how long the platform may hold the call while nothing changes, in milliseconds
    */
-  public CompletableFuture<ObjectChanges> watch(
-      Collection<String> kinds, long after, long waitMs) {
+  public CompletableFuture<ObjectChanges> watch(Collection<String> kinds, long after, long waitMs) {
     String path =
         "/v1/watch?kinds=" + String.join(",", kinds) + "&after=" + after + "&wait_ms=" + waitMs;
     return http.send(HttpCall.to(address, "GET", path), waitMs + timeoutMs)
@@ -140,7 +139,8 @@
     }
     try {
       return switch (answer.status()) {
-        case OK -> new WriteAnswer.Stored(gson.fromJson(answer.text(), StoredObject.class).version());
+        case OK ->
+            new WriteAnswer.Stored(gson.fromJson(answer.text(), StoredObject.class).version());
         case NOT_FOUND -> new WriteAnswer.Conflict(0, Optional.empty());
         case CONFLICT -> conflict(gson.fromJson(answer.text(), ConflictBody.class));
         case THROTTLED -> new WriteAnswer.Throttled(retryAfterMs(answer));
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
@@ -0,0 +1,159 @@
+package io.sequoiapass.daemon.process;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Outcome;
+import io.sequoiapass.coordination.request.OutcomeClass;
+import io.sequoiapass.coordination.version.ConfigurationObject;
+import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.coordination.version.Preset;
+import io.sequoiapass.daemon.process.entry.EntryObserver;
+import io.sequoiapass.daemon.process.log.EventLog;
+import io.sequoiapass.daemon.process.log.LogEvent;
+import io.sequoiapass.daemon.process.owner.OwnerObserver;
+import io.sequoiapass.daemon.process.timeline.Timeline;
+import io.sequoiapass.daemon.process.timeline.TimelineEvent;
+import io.sequoiapass.daemon.process.timeline.TimelineKind;
+import io.sequoiapass.daemon.request.CallerRequest;
+import io.sequoiapass.daemon.request.RouteTarget;
+import io.sequoiapass.daemon.version.ConfigurationListener;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Turns what happens into log lines, metrics and time line events; safe for several threads. */
+final class DaemonEvents implements EntryObserver, OwnerObserver, ConfigurationListener {
+
+  private static final long NEVER = Long.MIN_VALUE;
+
+  private final MetricRegistry metrics;
+  private final Timeline timeline;
+  private final MillisClock clock;
+  private final Counter accepted;
+  private final Map<OutcomeClass, Counter> outcomes = new EnumMap<>(OutcomeClass.class);
+  private final AtomicLong platformOutSince = new AtomicLong(NEVER);
+
+  DaemonEvents(MetricRegistry metrics, Timeline timeline, MillisClock clock) {
+    this.metrics = metrics;
+    this.timeline = timeline;
+    this.clock = clock;
+    this.accepted = metrics.counter("requests.accepted");
+    for (OutcomeClass outcome : OutcomeClass.values()) {
+      outcomes.put(outcome, metrics.counter("requests." + outcome.name().toLowerCase(Locale.ROOT)));
+    }
+  }
+
+  @Override
+  public void accepted(CallerRequest request) {
+    accepted.inc();
+    timeline.record(event(TimelineKind.REQUEST_ACCEPTED, request).build());
+  }
+
+  @Override
+  public void routed(CallerRequest request, int attempt, EndpointId endpoint) {
+    TimelineKind kind = attempt == 1 ? TimelineKind.REQUEST_ROUTED : TimelineKind.REQUEST_RETRIED;
+    timeline.record(event(kind, request).endpoint(endpoint).detail("attempt " + attempt).build());
+  }
+
+  @Override
+  public void firstToken(CallerRequest request) {
+    timeline.record(event(TimelineKind.REQUEST_FIRST_TOKEN, request).build());
+  }
+
+  @Override
+  public void ended(CallerRequest request, Outcome outcome) {
+    outcomes.get(outcome.outcomeClass()).inc();
+    String why = outcome.error().map(ErrorKind::name).orElse("");
+    TimelineKind kind =
+        switch (outcome.outcomeClass()) {
+          case ANSWERED -> TimelineKind.REQUEST_ANSWERED;
+          case NOT_RUN -> TimelineKind.REQUEST_NOT_RUN;
+          case UNKNOWN -> TimelineKind.REQUEST_UNKNOWN;
+        };
+    timeline.record(event(kind, request).detail(why).build());
+    if (kind == TimelineKind.REQUEST_UNKNOWN
+        && outcome.error().filter(ErrorKind.CALLER_LEFT::equals).isEmpty()) {
+      EventLog.log(LogEvent.REQUEST_OUTCOME_UNKNOWN, request.id(), why);
+    }
+  }
+
+  private static TimelineEvent.Builder event(TimelineKind kind, CallerRequest request) {
+    TimelineEvent.Builder event = TimelineEvent.of(kind).request(request.id());
+    return request.target() instanceof RouteTarget.Engine engine
+        ? event.adapter(engine.adapter())
+        : event;
+  }
+
+  @Override
+  public void loadEnded(EndpointId endpoint, AdapterVersion adapter, long tookMs, boolean loaded) {
+    metrics.histogram("loads.ms").update(tookMs);
+    metrics.counter(loaded ? "loads.done" : "loads.failed").inc();
+    TimelineKind kind = loaded ? TimelineKind.LOAD_DONE : TimelineKind.LOAD_FAILED;
+    timeline.record(
+        TimelineEvent.of(kind).endpoint(endpoint).adapter(adapter).detail(tookMs + " ms").build());
+    if (!loaded) {
+      EventLog.log(LogEvent.LOAD_FAILED, adapter, endpoint, "after " + tookMs + " ms");
+    }
+  }
+
+  @Override
+  public void endpointJoined(EndpointId endpoint, boolean restarted) {
+    if (restarted) {
+      EventLog.log(LogEvent.ENGINE_RESTARTED, endpoint, "new");
+      timeline.record(TimelineEvent.of(TimelineKind.ENGINE_RESTARTED).endpoint(endpoint).build());
+    } else {
+      timeline.record(
+          TimelineEvent.of(TimelineKind.ENDPOINT_TAKEN_OVER).endpoint(endpoint).build());
+    }
+  }
+
+  @Override
+  public void endpointUnreachable(EndpointId endpoint) {
+    timeline.record(
+        TimelineEvent.of(TimelineKind.FAULT).endpoint(endpoint).detail("unreachable").build());
+  }
+
+  @Override
+  public void applied(ConfigurationSnapshot snapshot, List<ConfigurationObject> newer) {
+    EventLog.log(LogEvent.CONFIGURATION_APPLIED, snapshot.revision(), newer.size());
+    timeline.record(
+        TimelineEvent.of(TimelineKind.CONFIGURATION_APPLIED)
+            .detail("revision " + snapshot.revision())
+            .build());
+    platformAnswered();
+  }
+
+  private void platformAnswered() {
+    long since = platformOutSince.getAndSet(NEVER);
+    if (since != NEVER) {
+      EventLog.log(LogEvent.PLATFORM_BACK, clock.millis() - since);
+      timeline.record(TimelineEvent.of(TimelineKind.PLATFORM_BACK).build());
+    }
+  }
+
+  @Override
+  public void presetInForce(Preset preset) {
+    EventLog.log(LogEvent.PRESET_IN_FORCE, preset);
+    timeline.record(TimelineEvent.of(TimelineKind.PRESET_IN_FORCE).detail(preset.name()).build());
+  }
+
+  @Override
+  public void objectRefused(String problem) {
+    metrics.counter("configuration.refused").inc();
+    timeline.record(TimelineEvent.of(TimelineKind.FAULT).detail(problem).build());
+  }
+
+  @Override
+  public void platformFailed(Throwable failure) {
+    if (platformOutSince.compareAndSet(NEVER, clock.millis())) {
+      EventLog.log(LogEvent.PLATFORM_UNREACHABLE, String.valueOf(failure.getMessage()));
+      timeline.record(TimelineEvent.of(TimelineKind.PLATFORM_UNREACHABLE).build());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/LocalEntry.java
@@ -0,0 +1,32 @@
+package io.sequoiapass.daemon.process;
+
+import io.sequoiapass.daemon.connection.peer.PeerChannel;
+import io.sequoiapass.daemon.connection.peer.PeerListener;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import io.sequoiapass.daemon.process.entry.Entries;
+
+/** Hands what this process's own owner sends to its entry; safe for use by several threads. */
+record LocalEntry(Entries entries) implements PeerListener {
+
+  @Override
+  public void opened(PeerChannel channel) {
+    // The link of a process to itself is always open.
+  }
+
+  @Override
+  public void received(PeerChannel channel, PeerMessage message) {
+    if (message instanceof PeerMessage.OfAttempt ofAttempt) {
+      entries.received(channel, ofAttempt);
+    }
+  }
+
+  @Override
+  public void writabilityChanged(PeerChannel channel) {
+    // Never happens on a link within the process.
+  }
+
+  @Override
+  public void closed(PeerChannel channel) {
+    // Never happens on a link within the process.
+  }
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -89,8 +89,7 @@
             request.deadlineMs());
     locked(
         () -> {
-          RequestAttempts attempts =
-              new RequestAttempts(spec, settings, budget, Optional.empty());
+          RequestAttempts attempts = new RequestAttempts(spec, settings, budget, Optional.empty());
           CallerAnswer answer = new CallerAnswer(responder, request, runsOn);
           EntryRequest entry = new EntryRequest(request, snapshot, attempts, answer);
           requests.put(request.id(), entry);
@@ -247,16 +246,13 @@
     } else if (action instanceof AttemptAction.DenyStart deny) {
       answerStart(entry, deny.attempt(), false);
     } else if (action instanceof AttemptAction.Cancel cancel) {
-      toOwner(
-          entry, cancel.attempt(), new PeerMessage.Cancel(entry.attempt(cancel.attempt())));
+      toOwner(entry, cancel.attempt(), new PeerMessage.Cancel(entry.attempt(cancel.attempt())));
     } else if (action instanceof AttemptAction.Deliver deliver) {
       deliver(entry, deliver.token());
     } else if (action instanceof AttemptAction.End end) {
       end(entry, end.outcome());
     } else if (action instanceof AttemptAction.RecordStart record) {
-      on(
-          entry,
-          new AttemptEvent.StartRefused(record.attempt(), ErrorKind.LEDGER_UNAVAILABLE));
+      on(entry, new AttemptEvent.StartRefused(record.attempt(), ErrorKind.LEDGER_UNAVAILABLE));
     }
   }
 
@@ -326,8 +322,7 @@
   }
 
   private void writable(RequestId id) {
-    locked(
-        () -> Optional.ofNullable(requests.get(id)).ifPresent(entry -> flow(entry, false)));
+    locked(() -> Optional.ofNullable(requests.get(id)).ifPresent(entry -> flow(entry, false)));
   }
 
   /**
@@ -350,8 +345,7 @@
     if (outcome instanceof Outcome.Answered answered) {
       entry
           .serviceAnswer()
-          .ifPresentOrElse(
-              entry.answer()::service, () -> entry.answer().whole(answered.tokens()));
+          .ifPresentOrElse(entry.answer()::service, () -> entry.answer().whole(answered.tokens()));
     } else {
       entry.answer().failed(outcome, "");
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
@@ -100,8 +100,7 @@
       if (slot.ready()) {
         AdapterVersion adapter =
             new AdapterVersion(new AdapterId(slot.adapter()), new VersionId(slot.version()));
-        residents.add(
-            new Resident(new LoadHandle(slot.handle()), adapter, runningOn(slot)));
+        residents.add(new Resident(new LoadHandle(slot.handle()), adapter, runningOn(slot)));
       }
     }
     return new EndpointStatus(
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -64,8 +64,7 @@
 
   private void own(EndpointRecord endpoint) {
     if (endpoint.type() == EndpointType.SERVICE) {
-      services.own(
-          endpoint.id(), SocketAddresses.parse(endpoint.address()), endpoint.maxStreams());
+      services.own(endpoint.id(), SocketAddresses.parse(endpoint.address()), endpoint.maxStreams());
       return;
     }
     OwnerShard shard = shard(endpoint);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -122,8 +122,7 @@
           execution.stage() == Execution.Stage.QUEUED
               && execution.forward().endpoint().equals(endpoint);
       if (waitsThere) {
-        perform(
-            placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+        perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
         over(execution);
         execution.refuse(ErrorKind.DRAINING, false, 0);
       }
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequestParser.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequestParser.java
@@ -8,7 +8,6 @@
 import io.sequoiapass.coordination.IdempotencyKey;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.ServiceId;
-import io.sequoiapass.coordination.VersionId;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.coordination.request.Repeatability;
@@ -145,7 +144,8 @@
       throws Refusal {
     String rest = message.target().substring(SERVICES.length());
     int slash = rest.indexOf('/');
-    String name = slash < 0 ? message.path().substring(SERVICES.length()) : rest.substring(0, slash);
+    String name =
+        slash < 0 ? message.path().substring(SERVICES.length()) : rest.substring(0, slash);
     ServiceRecord service =
         find(name, snapshot)
             .orElseThrow(() -> new Refusal(ErrorKind.UNKNOWN_SERVICE, "no such service: " + name));
@@ -206,7 +206,8 @@
 
   private static String callerId(HttpRequestMessage message) throws Refusal {
     String given = message.header("Request-Id").orElse("");
-    if (given.length() > RequestIds.MAX_CALLER_ID || !given.chars().allMatch(c -> c > ' ' && c < 127)) {
+    if (given.length() > RequestIds.MAX_CALLER_ID
+        || !given.chars().allMatch(c -> c > ' ' && c < 127)) {
       throw new Refusal(
           ErrorKind.MALFORMED_REQUEST,
           "'Request-Id' must be at most "
@@ -265,7 +266,9 @@
                         + given.get()));
   }
 
-  /** The caller may forbid a second run of what its service allows, but not allow what it forbids. */
+  /**
+   * The caller may forbid a second run of what its service allows, but not allow what it forbids.
+   */
   private static Repeatability repeatability(
       HttpRequestMessage message, Optional<ServiceRecord> service) throws Refusal {
     String given = message.header("Repeatable").orElse("true");
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
@@ -15,6 +15,7 @@
 import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.coordination.version.PresetSchedule;
 import io.sequoiapass.coordination.version.WatcherElection;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import io.sequoiapass.daemon.connection.platform.ObjectChanges;
 import io.sequoiapass.daemon.connection.platform.ObjectCodec;
 import io.sequoiapass.daemon.connection.platform.ObjectFormatException;
@@ -22,7 +23,6 @@
 import io.sequoiapass.daemon.connection.platform.PlatformClient;
 import io.sequoiapass.daemon.connection.platform.PlatformException;
 import io.sequoiapass.daemon.connection.platform.StoredObject;
-import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -377,7 +377,8 @@
     lock.lock();
     try {
       long now = clock.millis();
-      boolean repairDue = now - repairedAt.getOrDefault(peer, now - REPAIR_EVERY_MS) >= REPAIR_EVERY_MS;
+      boolean repairDue =
+          now - repairedAt.getOrDefault(peer, now - REPAIR_EVERY_MS) >= REPAIR_EVERY_MS;
       if ((theirRoot == root && ready) || !repairDue) {
         return;
       }
