--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
@@ -0,0 +1,237 @@
+package io.sequoiapass.daemon.process.command;
+
+import io.sequoiapass.daemon.process.settings.EntrySettings;
+import io.sequoiapass.daemon.process.settings.SettingsException;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Lists the commands of the binary; each knows how to run.
+ *
+ * <pre>{@code
+ * System.exit(Command.dispatch(arguments));
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public enum Command {
+  /** Runs the entry daemon. */
+  ENTRY("", "run one entry daemon until it is told to stop") {
+    @Override
+    ExitCode execute(Invocation invocation) {
+      throw new AssertionError("the entry daemon reads its own flags");
+    }
+
+    @Override
+    public String help() {
+      return EntrySettings.help();
+    }
+
+    @Override
+    public int run(
+        List<String> arguments, Map<String, String> environment, PrintStream out, PrintStream err) {
+      return asksForHelp(arguments)
+          ? printHelp(out)
+          : EntryCommand.run(arguments, environment, err).code();
+    }
+  },
+  /** Brings a configuration file into force. */
+  APPLY(
+      "-f FILE [--dry-run] --platform HOST:PORT",
+      "check a configuration file, show the change and write it",
+      CommandFlag.FILE,
+      CommandFlag.DRY_RUN,
+      CommandFlag.IN_MS,
+      CommandFlag.PLATFORM,
+      CommandFlag.TIMEOUT_MS) {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return ApplyCommand.run(invocation);
+    }
+  },
+  /** Shows objects of the platform. */
+  SHOW(
+      "KIND [NAME] [--json] --platform HOST:PORT",
+      "show adapters, services, endpoints, the preset, leases or ownership",
+      CommandFlag.JSON,
+      CommandFlag.PLATFORM,
+      CommandFlag.TIMEOUT_MS) {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return ShowCommand.run(invocation);
+    }
+  },
+  /** Brings a preset into force. */
+  PRESET(
+      "NAME [--in-ms N] --platform HOST:PORT",
+      "bring ORDINARY, PEAK or MAINTENANCE into force",
+      CommandFlag.IN_MS,
+      CommandFlag.PLATFORM,
+      CommandFlag.TIMEOUT_MS) {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return PresetCommand.run(invocation);
+    }
+  },
+  /** Takes an endpoint or a daemon out of use. */
+  DRAIN(
+      "endpoint NAME [--undo] --platform HOST:PORT | daemon NAME --operators HOST:PORT,...",
+      "give an endpoint no new work, or stop a daemon without cutting off a request",
+      CommandFlag.UNDO,
+      CommandFlag.PLATFORM,
+      CommandFlag.OPERATORS,
+      CommandFlag.TIMEOUT_MS) {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return DrainCommand.run(invocation);
+    }
+  },
+  /** Shows the state of daemons. */
+  STATUS(
+      "[--json] --operators HOST:PORT,...",
+      "show the state of daemons",
+      CommandFlag.JSON,
+      CommandFlag.OPERATORS,
+      CommandFlag.TIMEOUT_MS) {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return StatusCommand.run(invocation);
+    }
+  },
+  /** Merges the time lines of daemons. */
+  TIMELINE(
+      "[filters] [--json] --operators HOST:PORT,...",
+      "merge the time lines of daemons into one",
+      CommandFlag.SINCE,
+      CommandFlag.UNTIL,
+      CommandFlag.REQUEST,
+      CommandFlag.ADAPTER,
+      CommandFlag.ENDPOINT,
+      CommandFlag.KIND,
+      CommandFlag.JSON,
+      CommandFlag.OPERATORS,
+      CommandFlag.TIMEOUT_MS) {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return TimelineCommand.run(invocation);
+    }
+  };
+
+  private static final String PROGRAM = "sequoiapass ";
+
+  private final String usage;
+  private final String summary;
+
+  // The set is unmodifiable, which its type does not say.
+  @SuppressWarnings("ImmutableEnumChecker")
+  private final Set<CommandFlag> flags;
+
+  Command(String usage, String summary, CommandFlag... flags) {
+    this.usage = usage;
+    this.summary = summary;
+    this.flags = Collections.unmodifiableSet(new TreeSet<>(Arrays.asList(flags)));
+  }
+
+  abstract ExitCode execute(Invocation invocation) throws CommandException, SettingsException;
+
+  /**
+   * Runs the command that the first argument names, printing to the process's own streams.
+   *
+   * @param arguments the command's name and its arguments
+   * @return the exit code
+   */
+  public static int dispatch(String[] arguments) {
+    return dispatch(Arrays.asList(arguments), System.getenv(), System.out, System.err);
+  }
+
+  static int dispatch(
+      List<String> arguments, Map<String, String> environment, PrintStream out, PrintStream err) {
+    if (arguments.isEmpty()) {
+      err.print(overview());
+      return ExitCode.USAGE.code();
+    }
+    String name = arguments.get(0);
+    if (name.equals("--help") || name.equals("-h") || name.equals("help")) {
+      out.print(overview());
+      return ExitCode.OK.code();
+    }
+    for (Command command : values()) {
+      if (command.word().equals(name)) {
+        return command.run(arguments.subList(1, arguments.size()), environment, out, err);
+      }
+    }
+    err.println(PROGRAM + "has no command '" + name + "'");
+    err.print(overview());
+    return ExitCode.USAGE.code();
+  }
+
+  /**
+   * Runs the command.
+   *
+   * @param arguments what follows the command's name
+   * @param environment the environment variables
+   * @param out where results go
+   * @param err where messages go
+   * @return the exit code
+   */
+  public int run(
+      List<String> arguments, Map<String, String> environment, PrintStream out, PrintStream err) {
+    if (asksForHelp(arguments)) {
+      return printHelp(out);
+    }
+    try {
+      return execute(Invocation.parse(flags, arguments, environment, out, err)).code();
+    } catch (SettingsException e) {
+      err.println(PROGRAM + word() + ": " + e.getMessage());
+      err.println("see " + PROGRAM + word() + " --help");
+      return ExitCode.USAGE.code();
+    } catch (CommandException e) {
+      err.println(PROGRAM + word() + ": " + e.getMessage());
+      return e.exitCode().code();
+    }
+  }
+
+  /** Returns the help text. */
+  public String help() {
+    StringBuilder text = new StringBuilder();
+    text.append("usage: ").append(usage()).append("\n\n");
+    text.append("Purpose: ").append(summary).append(".\n\n");
+    flags.forEach(flag -> text.append(flag.help()));
+    text.append("\nExit codes:\n");
+    for (ExitCode code : ExitCode.values()) {
+      text.append("  ").append(code.code()).append("  ").append(code.meaning()).append('\n');
+    }
+    return text.toString();
+  }
+
+  static String overview() {
+    StringBuilder text = new StringBuilder("usage: sequoiapass COMMAND [arguments]\n\n");
+    for (Command command : values()) {
+      text.append(String.format(Locale.ROOT, "  %-9s %s%n", command.word(), command.summary));
+    }
+    return text.append("\nsequoiapass COMMAND --help tells more.\n").toString();
+  }
+
+  String word() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  String usage() {
+    return PROGRAM + word() + " " + usage;
+  }
+
+  static boolean asksForHelp(List<String> arguments) {
+    return arguments.contains("--help") || arguments.contains("-h");
+  }
+
+  int printHelp(PrintStream out) {
+    out.print(help());
+    return ExitCode.OK.code();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandClient.java
@@ -0,0 +1,67 @@
+package io.sequoiapass.daemon.process.command;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.sequoiapass.daemon.connection.HttpAnswer;
+import io.sequoiapass.daemon.connection.HttpCall;
+import io.sequoiapass.daemon.connection.HttpClient;
+import io.sequoiapass.daemon.connection.HttpFailure;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * Sends a command's calls one after the other and waits for each.
+ *
+ * <p>Not safe for use by several threads.
+ */
+final class CommandClient implements AutoCloseable {
+
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  /** Waited on top of the client's own timeout, which should always come first. */
+  private static final long GRACE_MS = 1_000;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final HttpClient client = HttpClient.create(group, CONNECT_TIMEOUT_MS);
+  private final long timeoutMs;
+
+  CommandClient(long timeoutMs) {
+    this.timeoutMs = timeoutMs;
+  }
+
+  HttpAnswer send(HttpCall call) throws HttpFailure, CommandException {
+    try {
+      return client.send(call, timeoutMs).get(timeoutMs + GRACE_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      if (e.getCause() instanceof HttpFailure failure) {
+        throw failure;
+      }
+      throw new CommandException(ExitCode.FAILED, call + ": " + e.getCause());
+    } catch (TimeoutException e) {
+      throw new HttpFailure("no answer in time: " + call, true);
+    } catch (InterruptedException e) {
+      throw interrupted();
+    }
+  }
+
+  void pause(long pauseMs) throws CommandException {
+    try {
+      Thread.sleep(pauseMs);
+    } catch (InterruptedException e) {
+      throw interrupted();
+    }
+  }
+
+  private static CommandException interrupted() {
+    Thread.currentThread().interrupt();
+    return new CommandException(ExitCode.FAILED, "interrupted");
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, GRACE_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/DrainCommand.java
@@ -0,0 +1,102 @@
+package io.sequoiapass.daemon.process.command;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import io.sequoiapass.coordination.OperationId;
+import io.sequoiapass.daemon.connection.HttpAnswer;
+import io.sequoiapass.daemon.connection.HttpCall;
+import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.daemon.process.settings.SettingsException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+/** Takes an endpoint or a daemon out of use without cutting off a request. */
+final class DrainCommand {
+
+  /** Each attempt loses only against another change of the same endpoint. */
+  private static final int CONFLICT_ATTEMPTS = 5;
+
+  private DrainCommand() {}
+
+  static ExitCode run(Invocation invocation) throws CommandException, SettingsException {
+    List<String> words = invocation.words(2, 2, Command.DRAIN.usage());
+    return switch (words.get(0)) {
+      case "endpoint" -> drainEndpoint(invocation, words.get(1));
+      case "daemon" -> drainDaemon(invocation, words.get(1));
+      default ->
+          throw SettingsException.wrongValue("what to drain", words.get(0), "endpoint or daemon");
+    };
+  }
+
+  private static ExitCode drainEndpoint(Invocation invocation, String name)
+      throws CommandException, SettingsException {
+    ObjectFormat.EndpointState state =
+        invocation.has(CommandFlag.UNDO)
+            ? ObjectFormat.EndpointState.ACTIVE
+            : ObjectFormat.EndpointState.LEAVING;
+    InetSocketAddress address = invocation.platform();
+    try (CommandClient client = new CommandClient(invocation.timeoutMs())) {
+      PlatformClient platform = new PlatformClient(client, address);
+      setState(platform, name, state);
+      invocation.out().println("endpoint " + name + " is " + state);
+      return ExitCode.OK;
+    }
+  }
+
+  /**
+   * Sets the state and leaves the rest of the object as it is. After a conflict the object is read
+   * again: the other change may have touched any other member, and writing over it would undo it.
+   */
+  private static void setState(
+      PlatformClient platform, String name, ObjectFormat.EndpointState state)
+      throws CommandException {
+    for (int attempt = 1; true; attempt++) {
+      Optional<PlatformObject> found = platform.find(ObjectKind.ENDPOINT, name);
+      if (found.isEmpty()) {
+        throw new CommandException(
+            ExitCode.FAILED, "the platform holds no endpoint '" + name + "'");
+      }
+      JsonObject value = found.get().value().deepCopy();
+      JsonElement before = value.get(ObjectFormat.STATE);
+      if (before != null && before.getAsString().equals(state.name())) {
+        return;
+      }
+      value.addProperty(ObjectFormat.STATE, state.name());
+      try {
+        OperationId operation = new OperationId("drain-" + UUID.randomUUID());
+        platform.put(ObjectKind.ENDPOINT, name, value, found.get().version(), operation);
+        return;
+      } catch (CommandException e) {
+        if (e.exitCode() != ExitCode.CONFLICT || attempt == CONFLICT_ATTEMPTS) {
+          throw e;
+        }
+      }
+    }
+  }
+
+  private static ExitCode drainDaemon(Invocation invocation, String name)
+      throws CommandException, SettingsException {
+    if (invocation.has(CommandFlag.UNDO)) {
+      throw SettingsException.wrongValue("--undo", "daemon", "only with endpoint");
+    }
+    List<InetSocketAddress> operators = invocation.operators();
+    try (CommandClient client = new CommandClient(invocation.timeoutMs())) {
+      OperatorClient operator = new OperatorClient(client);
+      InetSocketAddress address = operator.find(operators, name);
+      HttpAnswer answer = client.send(HttpCall.to(address, "POST", "/drain"));
+      if (!answer.ok()) {
+        throw new CommandException(
+            ExitCode.CONFLICT,
+            "daemon " + name + " refused: status " + answer.status() + " " + answer.text());
+      }
+      invocation.out().println("daemon " + name + " drains");
+      return ExitCode.OK;
+    } catch (HttpFailure e) {
+      throw new CommandException(
+          ExitCode.UNREACHABLE,
+          e.getMessage() + (e.mayHaveReached() ? "; it may be draining" : "; it was not asked"));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/EntryCommand.java
@@ -0,0 +1,31 @@
+package io.sequoiapass.daemon.process.command;
+
+import io.sequoiapass.daemon.process.log.EventLog;
+import io.sequoiapass.daemon.process.settings.EntrySettings;
+import io.sequoiapass.daemon.process.settings.SettingsException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the settings of the entry daemon and runs it. */
+final class EntryCommand {
+
+  private EntryCommand() {}
+
+  static ExitCode run(List<String> arguments, Map<String, String> environment, PrintStream err) {
+    try {
+      EntrySettings settings = EntrySettings.parse(arguments, environment);
+      EventLog.configure(settings.logFormat());
+      return start(settings, err);
+    } catch (SettingsException e) {
+      err.println("sequoiapass entry: " + e.getMessage());
+      err.println("see sequoiapass entry --help");
+      return ExitCode.USAGE;
+    }
+  }
+
+  private static ExitCode start(EntrySettings settings, PrintStream err) {
+    err.println("sequoiapass entry: this build holds no entry daemon for " + settings.daemon());
+    return ExitCode.FAILED;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/FileValue.java
@@ -0,0 +1,122 @@
+package io.sequoiapass.daemon.process.command;
+
+import com.google.gson.JsonParseException;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import com.google.gson.stream.MalformedJsonException;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds one JSON value of a configuration file with its place, so that an error can name it.
+ *
+ * <p>Gson's own tree keeps neither places nor members given twice, and the second one would win
+ * without a word.
+ *
+ * @param place line, column and path
+ * @param type the type of the value
+ * @param text the text of a scalar, else empty
+ * @param members the members of an object, else empty
+ * @param items the items of an array, else empty
+ */
+record FileValue(
+    String place,
+    JsonToken type,
+    String text,
+    Map<String, FileValue> members,
+    List<FileValue> items) {
+
+  /** Deeper values are refused before they exhaust the stack. */
+  private static final int MAX_DEPTH = 16;
+
+  static FileValue read(String text) throws FileProblem {
+    JsonReader reader = new JsonReader(new StringReader(text));
+    // The only strictness that takes comments.
+    reader.setStrictness(Strictness.LENIENT);
+    try {
+      FileValue value = read(reader, 0);
+      if (reader.peek() != JsonToken.END_DOCUMENT) {
+        throw new FileProblem(place(reader) + ": more text after the end");
+      }
+      return value;
+    } catch (MalformedJsonException | JsonParseException | IllegalStateException e) {
+      throw new FileProblem(place(reader) + ": no JSON: " + firstLine(e));
+    } catch (EOFException e) {
+      throw new FileProblem(place(reader) + ": the file ends too early");
+    } catch (IOException e) {
+      throw new FileProblem(place(reader) + ": " + firstLine(e));
+    }
+  }
+
+  private static FileValue read(JsonReader reader, int depth) throws IOException, FileProblem {
+    JsonToken type = reader.peek();
+    String place = place(reader);
+    if (depth > MAX_DEPTH) {
+      throw new FileProblem(place + ": nested deeper than " + MAX_DEPTH);
+    }
+    return switch (type) {
+      case BEGIN_OBJECT -> new FileValue(place, type, "", members(reader, depth), List.of());
+      case BEGIN_ARRAY -> new FileValue(place, type, "", Map.of(), items(reader, depth));
+      case BOOLEAN -> scalar(place, type, Boolean.toString(reader.nextBoolean()));
+      case NULL -> {
+        reader.nextNull();
+        yield scalar(place, type, "null");
+      }
+      default -> scalar(place, type, reader.nextString());
+    };
+  }
+
+  private static FileValue scalar(String place, JsonToken type, String text) {
+    return new FileValue(place, type, text, Map.of(), List.of());
+  }
+
+  private static Map<String, FileValue> members(JsonReader reader, int depth)
+      throws IOException, FileProblem {
+    Map<String, FileValue> members = new LinkedHashMap<>();
+    reader.beginObject();
+    while (reader.hasNext()) {
+      String name = reader.nextName();
+      FileValue value = read(reader, depth + 1);
+      if (members.put(name, value) != null) {
+        throw new FileProblem(value.place + ": '" + name + "' is given twice");
+      }
+    }
+    reader.endObject();
+    return members;
+  }
+
+  private static List<FileValue> items(JsonReader reader, int depth)
+      throws IOException, FileProblem {
+    List<FileValue> items = new ArrayList<>();
+    reader.beginArray();
+    while (reader.hasNext()) {
+      items.add(read(reader, depth + 1));
+    }
+    reader.endArray();
+    return items;
+  }
+
+  private static String place(JsonReader reader) {
+    return reader.toString().replaceFirst("^JsonReader at ", "");
+  }
+
+  private static String firstLine(Exception e) {
+    return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+  }
+
+  /** Returns the value as a message shows it. */
+  String shown() {
+    return switch (type) {
+      case BEGIN_OBJECT -> "an object";
+      case BEGIN_ARRAY -> "an array";
+      case STRING -> "'" + text + "'";
+      default -> text;
+    };
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/ObjectFormat.java
@@ -0,0 +1,133 @@
+package io.sequoiapass.daemon.process.command;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import io.sequoiapass.daemon.process.settings.Addresses;
+import io.sequoiapass.daemon.process.settings.SettingsException;
+import java.util.List;
+
+/** Reads one object of a configuration file into the value that the platform holds. */
+enum ObjectFormat {
+  ADAPTERS(ObjectKind.ADAPTER) {
+    @Override
+    JsonObject read(FileObject file) {
+      JsonObject value = new JsonObject();
+      value.addProperty("model", file.name("model"));
+      List<String> versions = file.names("versions", false);
+      String current = file.text("current", versions::contains, "one of the versions " + versions);
+      value.addProperty("current", current);
+      value.add("versions", array(versions));
+      return value;
+    }
+  },
+  SERVICES(ObjectKind.SERVICE) {
+    @Override
+    JsonObject read(FileObject file) {
+      JsonObject value = new JsonObject();
+      if (file.has("model")) {
+        value.addProperty("model", file.name("model"));
+      }
+      value.add("adapters", array(file.names("adapters", true)));
+      if (file.has("endpoints")) {
+        value.add("endpoints", array(file.names("endpoints", false)));
+      }
+      value.addProperty("repeatable", file.flag("repeatable"));
+      value.addProperty("priority", file.choice("priority", Priority.values()).name());
+      value.addProperty("max_in_flight", file.number("max_in_flight", 1, MAX_IN_FLIGHT));
+      return value;
+    }
+  },
+  ENDPOINTS(ObjectKind.ENDPOINT) {
+    @Override
+    JsonObject read(FileObject file) {
+      JsonObject value = new JsonObject();
+      value.addProperty(
+          "address", file.text("address", ObjectFormat::isAddress, Addresses.ALLOWED));
+      value.addProperty("data_centre", file.name("data_centre"));
+      value.addProperty("host", file.name("host"));
+      EndpointType type = file.choice("type", EndpointType.values());
+      value.addProperty("type", type.name());
+      type.read(file, value);
+      value.addProperty("max_streams", file.number("max_streams", 1, MAX_STREAMS));
+      value.addProperty("checks_fence", file.flag("checks_fence"));
+      if (file.has(STATE)) {
+        value.addProperty(STATE, file.choice(STATE, EndpointState.values()).name());
+      }
+      return value;
+    }
+  };
+
+  /** The member that drain changes; a file that leaves it out keeps what the platform holds. */
+  static final String STATE = "state";
+
+  /** A service beyond that needs more than one configuration entry to be watched over. */
+  private static final long MAX_IN_FLIGHT = 100_000;
+
+  private static final long MAX_STREAMS = 10_000;
+
+  private static final long MAX_SLOTS = 1_024;
+
+  private final ObjectKind kind;
+
+  ObjectFormat(ObjectKind kind) {
+    this.kind = kind;
+  }
+
+  /** Says how urgent a service's requests are. */
+  enum Priority {
+    DEADLINE,
+    INTERACTIVE,
+    BATCH
+  }
+
+  /** Says whether an endpoint takes new work. */
+  enum EndpointState {
+    ACTIVE,
+    LEAVING
+  }
+
+  /** Says what an endpoint runs. */
+  enum EndpointType {
+    ENGINE {
+      @Override
+      void read(FileObject file, JsonObject value) {
+        value.addProperty("model", file.name("model"));
+        value.addProperty("slots", file.number("slots", 1, MAX_SLOTS));
+      }
+    },
+    SERVICE {
+      @Override
+      void read(FileObject file, JsonObject value) {
+        value.addProperty("service", file.name("service"));
+      }
+    };
+
+    abstract void read(FileObject file, JsonObject value);
+  }
+
+  ObjectKind kind() {
+    return kind;
+  }
+
+  /** Returns the member of the file that holds objects of this kind. */
+  String member() {
+    return kind.word() + "s";
+  }
+
+  abstract JsonObject read(FileObject file);
+
+  private static boolean isAddress(String text) {
+    try {
+      Addresses.parse("address", text);
+      return true;
+    } catch (SettingsException e) {
+      return false;
+    }
+  }
+
+  private static JsonArray array(List<String> names) {
+    JsonArray array = new JsonArray();
+    names.forEach(array::add);
+    return array;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/ObjectKind.java
@@ -0,0 +1,35 @@
+package io.sequoiapass.daemon.process.command;
+
+import io.sequoiapass.daemon.process.settings.SettingsException;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Lists the kinds of objects on the platform, in the order in which they are written. */
+enum ObjectKind {
+  ADAPTER,
+  SERVICE,
+  ENDPOINT,
+  PRESET,
+  LEASE,
+  OWNERSHIP;
+
+  /** The one object of kind preset. */
+  static final String CURRENT_PRESET = "current";
+
+  /** Returns the kind as the platform names it. */
+  String word() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  static ObjectKind parse(String word) throws SettingsException {
+    for (ObjectKind kind : values()) {
+      if (kind.word().equals(word)) {
+        return kind;
+      }
+    }
+    String allowed =
+        Arrays.stream(values()).map(ObjectKind::word).collect(Collectors.joining(", "));
+    throw SettingsException.wrongValue("KIND", word, allowed);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the one binary. */
+package io.sequoiapass.daemon.process.command;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/log/LogFormat.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/log/LogFormat.java
@@ -1,7 +1,10 @@
 package io.sequoiapass.daemon.process.log;
 
+import java.util.Map;
 import org.jboss.logmanager.ExtFormatter;
+import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.formatters.StructuredFormatter;
 
 /** Names the formats of a log line. */
 public enum LogFormat {
@@ -16,7 +19,10 @@
   JSON {
     @Override
     ExtFormatter formatter() {
-      return new JsonLineFormatter();
+      return new JsonFormatter(
+          Map.of(
+              StructuredFormatter.Key.TIMESTAMP, "time",
+              StructuredFormatter.Key.LOGGER_NAME, "event"));
     }
   };
 
