--- a/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
@@ -40,6 +40,7 @@
     commands.put("engine", standIn(StandInKind.ENGINE));
     commands.put("service", standIn(StandInKind.SERVICE));
     commands.put("weights", standIn(StandInKind.WEIGHTS));
+    commands.put("proxy", new ProxyCommand());
     return commands;
   }
 
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/FaultProxy.java
@@ -0,0 +1,152 @@
+package io.sequoiapass.testbed.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.sequoiapass.testbed.cli.Addresses;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Forwards TCP connections to a target and breaks them on demand.
+ *
+ * <pre>{@code
+ * try (FaultProxy proxy = FaultProxy.start(0, engine.address())) {
+ *   proxy.set(ProxyFault.freeze());
+ *   proxy.set(ProxyFault.none());
+ * }
+ * }</pre>
+ *
+ * <p>A fault holds for the connections open now and for those to come. Safe for use by several
+ * threads; all connections share one event loop.
+ */
+public final class FaultProxy implements AutoCloseable {
+
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  private final EventLoopGroup group;
+  private final EventLoop loop;
+  private final InetSocketAddress target;
+  private final List<ProxyLink> links = new ArrayList<>();
+  private ProxyFault fault = ProxyFault.none();
+  private Channel listening;
+
+  private FaultProxy(InetSocketAddress target) {
+    this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.loop = group.next();
+    this.target = Objects.requireNonNull(target, "target");
+  }
+
+  /**
+   * Starts a proxy on the loopback interface.
+   *
+   * @param port where to listen; 0 takes any free port
+   * @param target where to forward to
+   * @throws IOException if the port cannot be had
+   */
+  public static FaultProxy start(int port, InetSocketAddress target) throws IOException {
+    FaultProxy proxy = new FaultProxy(target);
+    ChannelFuture binding =
+        new ServerBootstrap()
+            .group(proxy.group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    proxy.accept(channel);
+                  }
+                })
+            .bind(Addresses.loopback(port))
+            .awaitUninterruptibly();
+    if (!binding.isSuccess()) {
+      proxy.close();
+      throw new IOException("cannot listen on port " + port, binding.cause());
+    }
+    proxy.listening = binding.channel();
+    return proxy;
+  }
+
+  /** Returns the port that the proxy listens on. */
+  public int port() {
+    return ((InetSocketAddress) listening.localAddress()).getPort();
+  }
+
+  /** Returns the address that the proxy listens on. */
+  public InetSocketAddress address() {
+    return Addresses.loopback(port());
+  }
+
+  /**
+   * Sets what the proxy does from now on; returns once it holds.
+   *
+   * @param next the fault, {@link ProxyFault#none} to end the one before
+   */
+  public void set(ProxyFault next) {
+    Objects.requireNonNull(next, "next");
+    loop.submit(
+            () -> {
+              fault = next;
+              List.copyOf(links).forEach(link -> link.apply(next));
+            })
+        .awaitUninterruptibly();
+  }
+
+  private void accept(SocketChannel caller) {
+    if (fault.mode() == ProxyMode.CUT) {
+      caller.close();
+      return;
+    }
+    ProxyLink link = new ProxyLink(caller, fault);
+    links.add(link);
+    link.onClose(() -> links.remove(link));
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.AUTO_READ, false)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                link.targetOpened(channel);
+              }
+            })
+        .connect(target)
+        .addListener(
+            done -> {
+              if (done.isSuccess()) {
+                link.start();
+              } else {
+                link.close();
+              }
+            });
+  }
+
+  @Override
+  public void close() {
+    if (listening != null) {
+      listening.close().awaitUninterruptibly();
+    }
+    loop.submit(() -> List.copyOf(links).forEach(ProxyLink::close)).awaitUninterruptibly();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyMode.java
@@ -0,0 +1,19 @@
+package io.sequoiapass.testbed.proxy;
+
+import com.google.gson.annotations.SerializedName;
+
+/** Names the proxy's faults as its control port takes them. */
+enum ProxyMode {
+  @SerializedName("none")
+  NONE,
+  @SerializedName("cut")
+  CUT,
+  @SerializedName("delay")
+  DELAY,
+  @SerializedName("freeze")
+  FREEZE,
+  @SerializedName("drop_after")
+  DROP_AFTER,
+  @SerializedName("one_way_cut")
+  ONE_WAY_CUT
+}
