--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/EntryCommand.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/EntryCommand.java
@@ -1,8 +1,10 @@
 package io.sequoiapass.daemon.process.command;
 
+import io.sequoiapass.daemon.process.EntryDaemon;
 import io.sequoiapass.daemon.process.log.EventLog;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.settings.SettingsException;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +27,15 @@
   }
 
   private static ExitCode start(EntrySettings settings, PrintStream err) {
-    err.println("sequoiapass entry: this build holds no entry daemon for " + settings.daemon());
-    return ExitCode.FAILED;
+    try {
+      EntryDaemon.start(settings).awaitStop();
+      return ExitCode.OK;
+    } catch (IOException e) {
+      err.println("sequoiapass entry: " + e.getMessage());
+      return ExitCode.FAILED;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ExitCode.FAILED;
+    }
   }
 }
