--- a/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationStore.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationStore.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -36,6 +37,7 @@
   private VersionedMap objects = VersionedMap.EMPTY;
   private ConfigurationSnapshot snapshot =
       new ConfigurationSnapshot(VersionedMap.EMPTY, 0, List.of());
+  private final Map<ObjectKind, Long> listedUpTo = new EnumMap<>(ObjectKind.class);
   private long forgottenUpTo;
   private boolean listingNeeded;
 
@@ -73,7 +75,8 @@
   }
 
   /**
-   * Takes in a complete listing from the platform, in which what is missing was deleted.
+   * Takes in a complete listing from the platform, in which what is missing was deleted; one that
+   * is older than a former listing changes nothing.
    *
    * @param now the time
    * @param revision the platform's counter at the listing
@@ -83,6 +86,9 @@
    */
   public List<ConfigurationObject> applyListing(
       long now, long revision, Set<ObjectKind> kinds, Collection<ConfigurationObject> listed) {
+    if (kinds.stream().anyMatch(kind -> revision < listedUpTo(kind))) {
+      return List.of();
+    }
     Map<ObjectKey, ConfigurationObject> newer = new HashMap<>();
     Set<ObjectKey> present = new HashSet<>();
     for (ConfigurationObject object : listed) {
@@ -101,6 +107,7 @@
         newer.put(known.key(), new Tombstone(known.key(), revision));
       }
     }
+    kinds.forEach(kind -> listedUpTo.put(kind, revision));
     listingNeeded = false;
     return commit(now, newer.values());
   }
@@ -171,7 +178,8 @@
   }
 
   /**
-   * Returns the objects of some buckets that a peer lacks or holds in an older version.
+   * Returns the objects of some buckets that a peer lacks or holds in an older version, and the
+   * deletion of those it holds that a listing from the platform showed to be gone.
    *
    * @param buckets the buckets in which the digests differ
    * @param theirs the versions that the peer holds in them
@@ -179,6 +187,12 @@
   public List<ConfigurationObject> deltaFor(
       Collection<Integer> buckets, Map<ObjectKey, Long> theirs) {
     List<ConfigurationObject> delta = new ArrayList<>();
+    theirs.forEach(
+        (key, version) -> {
+          if (version <= listedUpTo(key.kind()) && find(key).isEmpty()) {
+            delta.add(new Tombstone(key, listedUpTo(key.kind())));
+          }
+        });
     for (int bucket : buckets) {
       for (ConfigurationObject object : objects.bucket(bucket)) {
         if (object.version() > theirs.getOrDefault(object.key(), 0L)) {
@@ -194,6 +208,10 @@
     return objects.all();
   }
 
+  private long listedUpTo(ObjectKind kind) {
+    return listedUpTo.getOrDefault(kind, 0L);
+  }
+
   // A daemon that was cut off pushes what was deleted meanwhile. The tombstone's version refuses
   // it;
   // once the tombstone is forgotten, its version still bounds what unknown objects are believed,
@@ -204,6 +222,10 @@
     if (object.version() <= known) {
       return false;
     }
+    if (find(object.key()).isEmpty() && object.version() <= listedUpTo(object.key().kind())) {
+      // Not in a listing that would have shown it: deleted before, by a change that was missed.
+      return false;
+    }
     if (known == 0 && object.version() <= forgottenUpTo) {
       listingNeeded |= !(object instanceof Tombstone);
       return false;
