--- a/testbed/src/main/java/io/sequoiapass/testbed/standin/EngineBatch.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/standin/EngineBatch.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Runs streams in steps: each step gives each stream of the batch one token, and takes longer the
@@ -49,8 +50,9 @@
     return queue.size();
   }
 
-  List<EngineStream> running() {
-    return List.copyOf(running);
+  /** Returns the streams taken and not finished, those that wait for a place in a step included. */
+  List<EngineStream> underWay() {
+    return Stream.concat(running.stream(), queue.stream()).toList();
   }
 
   void add(EngineStream stream) {
--- a/testbed/src/main/java/io/sequoiapass/testbed/standin/EngineStandIn.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/standin/EngineStandIn.java
@@ -317,7 +317,7 @@
                         batch.streamsOn(slot)))
             .toList();
     List<RunningView> runningViews =
-        batch.running().stream()
+        batch.underWay().stream()
             .map(
                 stream ->
                     new RunningView(
