--- /dev/null
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -0,0 +1,104 @@
+package io.sequoiapass.daemon.connection.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.request.AttemptAction.Mode;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Priority;
+import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class PeerFramesTest {
+
+  private static final AttemptId ID = new AttemptId(new RequestId("r~d1.1"), 2);
+  private static final AdapterVersion ADAPTER = AdapterVersion.parse("notes@v7");
+
+  static List<PeerMessage> messages() {
+    return List.of(
+        new PeerMessage.Hello(new DaemonId("d1"), new DataCentreId("yard-north"), 7),
+        new PeerMessage.Forward(
+            ID,
+            new EndpointId("e1"),
+            new ForwardedWork.Completion(
+                ADAPTER, new ModelId("base"), Priority.DEADLINE, "prompt ñ", 9, 3),
+            Mode.ATTACH_OR_RUN,
+            450,
+            true),
+        new PeerMessage.MayStart(ID),
+        new PeerMessage.StartAnswer(ID, true),
+        new PeerMessage.Tokens(ID, ADAPTER, 5, List.of("a", "b")),
+        new PeerMessage.Finished(ID, ADAPTER, 7, 12),
+        new PeerMessage.Refused(ID, ErrorKind.QUEUE_FULL, true, 250),
+        new PeerMessage.EndpointLost(ID),
+        new PeerMessage.Cancel(ID),
+        new PeerMessage.Flow(ID, true),
+        new PeerMessage.ObjectsPush(List.of("{}"), true, false),
+        new PeerMessage.ObjectsRequest(List.of(1L, -1L)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void decodeReadsWhatEncodeWrites(PeerMessage message) throws PeerFrameException {
+    assertThat(PeerFrames.decode(PeerFrames.encode(message))).isEqualTo(message);
+  }
+
+  @Test
+  void bodiesOfPlainServicesKeepTheirBytes() throws PeerFrameException {
+    byte[] body = {0, -1, 7};
+    PeerMessage.ServiceAnswer read =
+        (PeerMessage.ServiceAnswer)
+            PeerFrames.decode(
+                PeerFrames.encode(new PeerMessage.ServiceAnswer(ID, 200, "text/plain", body)));
+    assertThat(read.body()).isEqualTo(body);
+  }
+
+  /**
+   * A peer of another release, or a stray client, sends bytes that are no frame. The connection is
+   * closed with a clear error; nothing else may come of it, neither a fault nor a large allocation.
+   */
+  @Nested
+  class BadFrames {
+
+    @ParameterizedTest
+    @MethodSource("io.sequoiapass.daemon.connection.peer.PeerFramesTest#messages")
+    void everyTruncationIsRefused(PeerMessage message) {
+      byte[] frame = PeerFrames.encode(message);
+      for (int length = 0; length < frame.length; length++) {
+        byte[] cut = Arrays.copyOf(frame, length);
+        assertThatThrownBy(() -> PeerFrames.decode(cut)).isInstanceOf(PeerFrameException.class);
+      }
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.sequoiapass.daemon.connection.peer.PeerFramesTest#messages")
+    void bytesAfterTheEndAreRefused(PeerMessage message) {
+      byte[] frame = PeerFrames.encode(message);
+      byte[] longer = Arrays.copyOf(frame, frame.length + 1);
+      assertThatThrownBy(() -> PeerFrames.decode(longer)).isInstanceOf(PeerFrameException.class);
+    }
+
+    @Property(tries = 2_000, seed = "7")
+    void arbitraryBytesNeverBringAnythingButTheError(@ForAll @Size(max = 64) byte[] bytes) {
+      try {
+        PeerFrames.decode(bytes);
+      } catch (PeerFrameException expected) {
+        assertThat(expected).hasMessageNotContaining("null pointer");
+      }
+    }
+  }
+}
