Tests and pages of settings, log events, time line and commands

A flag given twice was taken silently by its first value (found by the settings test); it is refused now. Netty's log goes through the same log manager.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.daemon.process.command;
 
+import io.sequoiapass.daemon.process.log.EventLog;
+import io.sequoiapass.daemon.process.log.LogFormat;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.settings.SettingsException;
 import java.io.PrintStream;
@@ -147,6 +149,7 @@
    * @return the exit code
    */
   public static int dispatch(String[] arguments) {
+    EventLog.configure(LogFormat.TEXT);
     return dispatch(Arrays.asList(arguments), System.getenv(), System.out, System.err);
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Invocation.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Invocation.java
@@ -55,12 +55,24 @@
               .setAllowPartialMatching(false)
               .get()
               .parse(options, arguments.toArray(new String[0]));
+      refuseRepeated(flags, line);
       return new Invocation(line, environment, out, err);
     } catch (ParseException e) {
       throw SettingsException.unreadable(e.getMessage());
     }
   }
 
+  /** Two values for one flag would leave open which one holds. */
+  private static void refuseRepeated(Set<CommandFlag> flags, CommandLine line)
+      throws SettingsException {
+    for (CommandFlag flag : flags) {
+      String[] given = line.getOptionValues(flag.option());
+      if (given != null && given.length > 1) {
+        throw SettingsException.wrongValue(flag.names(), String.join(" ", given), "one value");
+      }
+    }
+  }
+
   PrintStream out() {
     return out;
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/log/EventLog.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/log/EventLog.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.daemon.process.log;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Arrays;
 import java.util.logging.Handler;
 import org.jboss.logging.Logger;
@@ -33,6 +35,8 @@
     if (System.getProperty(MANAGER_PROPERTY) == null) {
       System.setProperty(MANAGER_PROPERTY, "org.jboss.logmanager.LogManager");
     }
+    // Netty would else take the SLF4J that a metrics library brings, which is bound to nothing.
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     java.util.logging.Logger root = java.util.logging.Logger.getLogger(ROOT_LOGGER);
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
@@ -68,12 +68,23 @@
       if (!line.getArgList().isEmpty()) {
         throw SettingsException.unreadable("not a flag: '" + line.getArgList().get(0) + "'");
       }
+      refuseRepeated(line);
       return line;
     } catch (ParseException e) {
       throw SettingsException.unreadable(e.getMessage());
     }
   }
 
+  /** Two values for one setting would leave open which one holds. */
+  private static void refuseRepeated(CommandLine line) throws SettingsException {
+    for (Setting setting : Setting.values()) {
+      String[] given = line.getOptionValues(setting.option());
+      if (given != null && given.length > 1) {
+        throw SettingsException.wrongValue(setting.names(), String.join(" ", given), "one value");
+      }
+    }
+  }
+
   private static Options options() {
     Options options = new Options();
     for (Setting setting : Setting.values()) {
--- /dev/null
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/TimelineTest.java
@@ -0,0 +1,151 @@
+package io.sequoiapass.daemon.process.timeline;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.RequestId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TimelineTest {
+
+  private static final DaemonId PROCESS = new DaemonId("entry-1");
+
+  private static TimelineEvent event() {
+    return TimelineEvent.of(TimelineKind.FAULT).build();
+  }
+
+  @Property(tries = 100, seed = "3")
+  void ringHoldsExactlyTheLastEventsInOrder(
+      @ForAll @IntRange(min = 1, max = 40) int capacity,
+      @ForAll @IntRange(max = 200) int recorded) {
+    Timeline timeline = Timeline.create(PROCESS, capacity, () -> 5);
+
+    for (int i = 0; i < recorded; i++) {
+      timeline.record(event());
+    }
+
+    long first = Math.max(1, recorded - capacity + 1);
+    assertThat(timeline.events(TimelineQuery.ALL))
+        .extracting(TimelineEvent::sequence)
+        .containsExactlyElementsOf(LongStream.rangeClosed(first, recorded).boxed().toList());
+  }
+
+  @Test
+  void threadsLoseNoneOfTheLastEvents() throws Exception {
+    int threads = 4;
+    int each = 20_000;
+    int capacity = 512;
+    Timeline timeline = Timeline.create(PROCESS, capacity, () -> 5);
+    ExecutorService pool = Executors.newFixedThreadPool(threads);
+    List<Future<Integer>> ends = new ArrayList<>();
+    for (int t = 0; t < threads; t++) {
+      Callable<Integer> work =
+          () -> {
+            for (int i = 0; i < each; i++) {
+              timeline.record(event());
+            }
+            return each;
+          };
+      ends.add(pool.submit(work));
+    }
+    for (Future<Integer> end : ends) {
+      assertThat(end.get(10, TimeUnit.SECONDS)).isEqualTo(each);
+    }
+    pool.shutdown();
+
+    long total = (long) threads * each;
+    assertThat(timeline.events(TimelineQuery.ALL))
+        .extracting(TimelineEvent::sequence)
+        .containsExactlyElementsOf(
+            LongStream.rangeClosed(total - capacity + 1, total).boxed().toList());
+  }
+
+  @Test
+  void longDetailIsCut() {
+    TimelineEvent event = TimelineEvent.of(TimelineKind.FAULT).detail("x".repeat(900)).build();
+
+    assertThat(event.detail()).hasSize(200);
+  }
+
+  @Nested
+  class Queries {
+
+    private final AtomicLong wall = new AtomicLong(1_000);
+    private final Timeline timeline = Timeline.create(PROCESS, 10, wall::get);
+
+    private List<Long> found(Map<String, String> filters) throws InvalidQueryException {
+      TimelineQuery query = TimelineQuery.parse(name -> Optional.ofNullable(filters.get(name)));
+      return timeline.events(query).stream().map(TimelineEvent::sequence).toList();
+    }
+
+    private void recordThree() {
+      timeline.record(
+          TimelineEvent.of(TimelineKind.REQUEST_STARTED)
+              .request(new RequestId("r1"))
+              .adapter(AdapterVersion.parse("notes@v7"))
+              .endpoint(new EndpointId("engine-1"))
+              .cause(new CauseId("order-9"))
+              .build());
+      wall.set(2_000);
+      timeline.record(
+          TimelineEvent.of(TimelineKind.LOAD_DONE)
+              .adapter(AdapterVersion.parse("notes@v6"))
+              .build());
+      wall.set(3_000);
+      timeline.record(TimelineEvent.of(TimelineKind.FAULT).request(new RequestId("r2")).build());
+    }
+
+    @Test
+    void filtersSelect() throws InvalidQueryException {
+      recordThree();
+
+      assertThat(found(Map.of())).containsExactly(1L, 2L, 3L);
+      assertThat(found(Map.of("request", "r1"))).containsExactly(1L);
+      assertThat(found(Map.of("adapter", "notes"))).containsExactly(1L, 2L);
+      assertThat(found(Map.of("adapter", "notes@v6"))).containsExactly(2L);
+      assertThat(found(Map.of("endpoint", "engine-1"))).containsExactly(1L);
+      assertThat(found(Map.of("kind", "FAULT,LOAD_DONE"))).containsExactly(2L, 3L);
+      assertThat(found(Map.of("since", "2000", "until", "2999"))).containsExactly(2L);
+    }
+
+    @Test
+    void wrongFilterNamesItsValueAndWhatIsAllowed() {
+      assertThatThrownBy(() -> found(Map.of("kind", "FALUT")))
+          .hasMessageStartingWith("kind: 'FALUT' is wrong; allowed: [REQUEST_ACCEPTED, ");
+      assertThatThrownBy(() -> found(Map.of("since", "noon")))
+          .hasMessage("since: 'noon' is wrong; allowed: milliseconds since 1970");
+    }
+
+    @Test
+    void jsonIsReadBack() {
+      recordThree();
+
+      TimelineReport report = TimelineReport.parse(timeline.json(TimelineQuery.ALL));
+
+      assertThat(report.process()).isEqualTo("entry-1");
+      assertThat(report.nowMs()).isEqualTo(3_000);
+      assertThat(report.events().get(0))
+          .isEqualTo(
+              new TimelineReport.Entry(
+                  1, 1_000, "REQUEST_STARTED", "r1", "notes@v7", "engine-1", "order-9", null));
+    }
+  }
+}
