Load tool, cluster of processes, demo

Two daemons and three engines in each of two data centres, a plain service in each, weight store and platform, all processes of their own. The load is open loop and seeded; every token's text is checked for adapter, version, request and index, and what callers were told is compared with what the stand-ins ran.

--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/DemoCommand.java
@@ -0,0 +1,146 @@
+package io.sequoiapass.testbed;
+
+import io.sequoiapass.testbed.cli.Flags;
+import io.sequoiapass.testbed.cli.UsageException;
+import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.DaemonNode;
+import io.sequoiapass.testbed.load.Judgement;
+import io.sequoiapass.testbed.load.LoadPlan;
+import io.sequoiapass.testbed.load.LoadReport;
+import io.sequoiapass.testbed.load.LoadTool;
+import io.sequoiapass.testbed.load.PlannedRequest;
+import io.sequoiapass.testbed.load.Verdict;
+import java.io.IOException;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Starts daemons and stand-ins in two data centres, sends a skewed load and tells how it went.
+ *
+ * <p>Exits 0 only if no answer was wrong, no serving adapter was evicted and every request got a
+ * final answer.
+ */
+final class DemoCommand implements Command {
+
+  private static final long READY_LIMIT_MS = 20_000;
+  private static final long ANSWERS_LIMIT_MS = 60_000;
+  private static final long SECOND_MS = 1_000;
+  private static final int REASONS = 5;
+
+  /** A first token from a resident copy takes some tens of milliseconds, a load 250 at least. */
+  private static final long STALL_MICROS = 200_000;
+
+  private static Flags.Definition definition() {
+    return Flags.define()
+        .flag("seconds", "10", "how long requests come")
+        .flag("rate", "40", "requests a second")
+        .flag("adapters", "100", "adapters configured and asked for")
+        .flag("skew", "1.5", "skew of their popularity")
+        .flag("tokens", "24", "tokens of an answer on average")
+        .flag("engines", "3", "engines in each of the two data centres")
+        .flag("seed", "1", "seed of the load");
+  }
+
+  @Override
+  public String help() {
+    return definition().help();
+  }
+
+  @Override
+  public int run(String... arguments) throws UsageException, IOException, InterruptedException {
+    Flags flags = definition().parse(arguments);
+    LoadPlan plan =
+        new LoadPlan(
+            flags.integer("seconds", 1, 3_600),
+            flags.decimal("rate", 0.1, 10_000),
+            flags.integer("adapters", 1, 100_000),
+            flags.decimal("skew", 0, 10),
+            flags.integer("tokens", 1, 10_000),
+            0.1,
+            0.05,
+            0.05,
+            flags.integer("seed", 0, Integer.MAX_VALUE));
+    int engines = flags.integer("engines", 1, 100);
+    progress("starting 4 daemons, " + 2 * engines + " engines, 2 plain services, platform, store");
+    try (Cluster cluster =
+        Cluster.builder()
+            .dataCentres("yard-north", "yard-south")
+            .daemons(2)
+            .engines(engines)
+            .services(1)
+            .adapters(plan.adapters())
+            .start()) {
+      cluster.awaitReady(READY_LIMIT_MS);
+      return load(cluster, plan);
+    }
+  }
+
+  private static void progress(String line) {
+    System.err.println(line);
+  }
+
+  private static int load(Cluster cluster, LoadPlan plan) throws IOException, InterruptedException {
+    List<PlannedRequest> requests = plan.requests();
+    progress("sending " + requests.size() + " requests in " + plan.seconds() + " s");
+    try (LoadTool tool =
+        LoadTool.to(cluster.daemons().stream().map(DaemonNode::callers).toList())) {
+      tool.start(requests);
+      for (int second = 1; second <= plan.seconds(); second++) {
+        Thread.sleep(SECOND_MS);
+        LoadReport soFar = tool.report();
+        progress(
+            second
+                + " s: sent "
+                + tool.sent()
+                + ", ended "
+                + soFar.results().size()
+                + ", whole "
+                + soFar.count(Verdict.WHOLE));
+      }
+      LoadReport told = tool.await(ANSWERS_LIMIT_MS);
+      Judgement judgement = Judgement.of(cluster);
+      return tell(judgement.apply(told), judgement);
+    }
+  }
+
+  private static int tell(LoadReport report, Judgement judgement) {
+    long wrong = report.count(Verdict.WRONG);
+    long unknown = report.count(Verdict.UNKNOWN);
+    Histogram firstTokens =
+        report.firstTokens(
+            result -> result.verdict() == Verdict.WHOLE && result.request().adapter().isPresent());
+    long stalls = firstTokens.getCountBetweenValues(STALL_MICROS, Long.MAX_VALUE);
+    report.reasons(REASONS).forEach(reason -> System.out.println("  " + reason));
+    judgement.violationDetails().forEach(detail -> System.out.println("  violation: " + detail));
+    row("requests", Long.toString(report.sent()));
+    row("right adapter, whole answer", Long.toString(report.count(Verdict.WHOLE)));
+    row("wrong", Long.toString(wrong));
+    row("not run", Long.toString(report.count(Verdict.NOT_RUN)));
+    row("unknown", Long.toString(unknown));
+    row("without a final answer", Long.toString(report.unanswered()));
+    row("first token p50", millis(firstTokens.getValueAtPercentile(50)));
+    row("first token p95", millis(firstTokens.getValueAtPercentile(95)));
+    row("load stalls (over 200 ms)", stalls + " of " + firstTokens.getTotalCount());
+    row("loads, evictions", judgement.loads() + ", " + judgement.evictions());
+    row("evictions while serving", Long.toString(judgement.violations()));
+    row("batch efficiency, streams a step", "%.2f".formatted(judgement.streamsPerStep()));
+    row("adapters a step", "%.2f".formatted(judgement.adaptersPerStep()));
+    System.out.printf(
+        "demo: sent=%d whole=%d wrong=%d not_run=%d unknown=%d%n",
+        report.sent(),
+        report.count(Verdict.WHOLE),
+        wrong,
+        report.count(Verdict.NOT_RUN),
+        unknown + report.unanswered());
+    boolean kept = wrong == 0 && report.unanswered() == 0 && judgement.violations() == 0;
+    return kept ? 0 : 1;
+  }
+
+  private static void row(String name, String value) {
+    System.out.printf("%-34s %s%n", name, value);
+  }
+
+  private static String millis(long micros) {
+    return "%.1f ms".formatted(micros / 1_000.0);
+  }
+}
--- a/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
@@ -41,6 +41,7 @@
     commands.put("service", standIn(StandInKind.SERVICE));
     commands.put("weights", standIn(StandInKind.WEIGHTS));
     commands.put("proxy", new ProxyCommand());
+    commands.put("demo", new DemoCommand());
     return commands;
   }
 
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterProxies.java
@@ -0,0 +1,107 @@
+package io.sequoiapass.testbed.launch;
+
+import io.sequoiapass.testbed.proxy.FaultProxy;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds the fault proxies of a cluster: one before the platform for each daemon, one for each
+ * daemon and peer it connects to, one before each endpoint for all daemons.
+ *
+ * <p>Safe for use by several threads once the cluster runs.
+ */
+public final class ClusterProxies implements AutoCloseable {
+
+  private final boolean enabled;
+  private final Map<String, FaultProxy> proxies = new HashMap<>();
+
+  ClusterProxies(boolean enabled) {
+    this.enabled = enabled;
+  }
+
+  void open(InetSocketAddress platform, List<DaemonNode> daemons, List<EndpointNode> endpoints)
+      throws IOException {
+    if (!enabled) {
+      return;
+    }
+    for (DaemonNode daemon : daemons) {
+      proxies.put(platformKey(daemon.id()), FaultProxy.start(0, platform));
+      for (DaemonNode peer : daemons) {
+        if (peer != daemon) {
+          proxies.put(peerKey(daemon.id(), peer.id()), FaultProxy.start(0, peer.peers()));
+        }
+      }
+    }
+    for (EndpointNode endpoint : endpoints) {
+      proxies.put(endpointKey(endpoint.id()), FaultProxy.start(0, endpoint.address()));
+    }
+  }
+
+  private static String platformKey(String daemon) {
+    return daemon + "->platform";
+  }
+
+  private static String peerKey(String from, String to) {
+    return from + "->" + to;
+  }
+
+  private static String endpointKey(String endpoint) {
+    return "*->" + endpoint;
+  }
+
+  InetSocketAddress platformFor(DaemonNode daemon, InetSocketAddress direct) {
+    return enabled ? toPlatform(daemon.id()).address() : direct;
+  }
+
+  InetSocketAddress peerFor(DaemonNode from, DaemonNode to) {
+    return enabled ? toPeer(from.id(), to.id()).address() : to.peers();
+  }
+
+  InetSocketAddress endpointFor(EndpointNode endpoint) {
+    return enabled ? toEndpoint(endpoint.id()).address() : endpoint.address();
+  }
+
+  /**
+   * Returns the proxy before the platform.
+   *
+   * @param daemon the daemon that connects
+   */
+  public FaultProxy toPlatform(String daemon) {
+    return find(platformKey(daemon));
+  }
+
+  /**
+   * Returns the proxy between two daemons.
+   *
+   * @param from the daemon that connects
+   * @param to the daemon that it connects to
+   */
+  public FaultProxy toPeer(String from, String to) {
+    return find(peerKey(from, to));
+  }
+
+  /**
+   * Returns the proxy before an endpoint.
+   *
+   * @param endpoint the endpoint
+   */
+  public FaultProxy toEndpoint(String endpoint) {
+    return find(endpointKey(endpoint));
+  }
+
+  private FaultProxy find(String key) {
+    FaultProxy proxy = proxies.get(key);
+    if (proxy == null) {
+      throw new IllegalStateException("no proxy " + key + "; enabled: " + enabled);
+    }
+    return proxy;
+  }
+
+  @Override
+  public void close() {
+    proxies.values().forEach(FaultProxy::close);
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/DaemonNode.java
@@ -0,0 +1,67 @@
+package io.sequoiapass.testbed.launch;
+
+import io.sequoiapass.testbed.cli.Addresses;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/**
+ * Is one daemon's place in a cluster; its ports stay when its process is replaced.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class DaemonNode {
+
+  private final String id;
+  private final String dataCentre;
+  private final int callerPort;
+  private final int operatorPort;
+  private final int peerPort;
+  private volatile LaunchedProcess process;
+
+  DaemonNode(String id, String dataCentre, FreePorts ports) throws IOException {
+    this.id = id;
+    this.dataCentre = dataCentre;
+    this.callerPort = ports.take();
+    this.operatorPort = ports.take();
+    this.peerPort = ports.take();
+  }
+
+  /** Returns the daemon's name. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the data centre it runs in. */
+  public String dataCentre() {
+    return dataCentre;
+  }
+
+  /** Returns the host it runs on. */
+  public String host() {
+    return "host-" + id;
+  }
+
+  /** Returns where it takes callers. */
+  public InetSocketAddress callers() {
+    return Addresses.loopback(callerPort);
+  }
+
+  /** Returns where it takes operators. */
+  public InetSocketAddress operators() {
+    return Addresses.loopback(operatorPort);
+  }
+
+  /** Returns where it takes peers. */
+  public InetSocketAddress peers() {
+    return Addresses.loopback(peerPort);
+  }
+
+  /** Returns its process, the last one after a restart. */
+  public LaunchedProcess process() {
+    return process;
+  }
+
+  void process(LaunchedProcess next) {
+    process = next;
+  }
+}
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
@@ -89,7 +89,8 @@
     command.addAll(arguments);
     Path errors = logs.resolve(name + ".log");
     ProcessBuilder builder =
-        new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()));
+        new ProcessBuilder(command)
+            .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()));
     LaunchedProcess process = new LaunchedProcess(name, builder.start(), errors);
     processes.add(process);
     return process;
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/PlannedRequest.java
@@ -0,0 +1,29 @@
+package io.sequoiapass.testbed.load;
+
+import java.util.Optional;
+
+/**
+ * Is one request that the load tool will send.
+ *
+ * @param id the caller's id of it
+ * @param atMicros when to send it, from the start of the load, in microseconds
+ * @param adapter the adapter it names; empty for a call of the plain service
+ * @param version the version it names, if it names one
+ * @param maxTokens tokens asked for
+ * @param priority its priority
+ * @param repeatable whether it may run twice
+ */
+public record PlannedRequest(
+    String id,
+    long atMicros,
+    Optional<String> adapter,
+    Optional<String> version,
+    int maxTokens,
+    String priority,
+    boolean repeatable) {
+
+  /** Returns the adapter as the caller names it to the daemons. */
+  public String model() {
+    return adapter.orElseThrow() + version.map(named -> "@" + named).orElse("");
+  }
+}
