Leases, fencing numbers and ownership tables drive the daemon

Cause: ownership was a static rendezvous, so a killed owner's endpoints were served by nobody and two owners could order at once. OwnershipNode carries the decision objects' messages and calls: heartbeats within the data centre, tables pushed to the region, renewals relayed by peers, orders only through the gate right before the write. A handover pauses new starts on its endpoints until the write is decided, since the next owner may already evict; requests are held meanwhile, not refused. Ruled out: an overlap in which both owners start requests (the next owner may evict what the former one is about to use).

--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
@@ -0,0 +1,140 @@
+package io.sequoiapass.daemon.connection.peer;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.process.OwnershipTable;
+import io.sequoiapass.coordination.process.PlatformReport;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.msgpack.core.MessagePacker;
+
+/** Writes and reads the fields of control frames, which are about no request. */
+final class ControlFrames {
+
+  private ControlFrames() {}
+
+  static void write(MessagePacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.Hello hello) {
+      out.packString(hello.daemon().value());
+      out.packString(hello.dataCentre().value());
+      out.packLong(hello.incarnation());
+    } else if (message instanceof PeerMessage.Heartbeat beat) {
+      writeHeartbeat(out, beat);
+    } else if (message instanceof PeerMessage.ObjectsPush push) {
+      out.packArrayHeader(push.objects().size());
+      for (String object : push.objects()) {
+        out.packString(object);
+      }
+      out.packBoolean(push.complete());
+      out.packBoolean(push.ready());
+    } else if (message instanceof PeerMessage.ObjectsRequest request) {
+      out.packArrayHeader(request.buckets().size());
+      for (long sum : request.buckets()) {
+        out.packLong(sum);
+      }
+    } else if (message instanceof PeerMessage.TablePush push) {
+      writeTable(out, push);
+    } else if (message instanceof PeerMessage.TableRequest request) {
+      out.packLong(request.knownVersion());
+    } else if (message instanceof PeerMessage.RelayCall call) {
+      out.packLong(call.call());
+      out.packString(call.operation());
+      out.packLong(call.expectedVersion());
+      out.packString(call.value());
+    } else if (message instanceof PeerMessage.RelayAnswer answer) {
+      out.packLong(answer.call());
+      out.packString(answer.result().name());
+      out.packLong(answer.version());
+      out.packString(answer.operation());
+      out.packString(answer.value());
+    }
+  }
+
+  private static void writeHeartbeat(MessagePacker out, PeerMessage.Heartbeat beat)
+      throws IOException {
+    out.packLong(beat.incarnation());
+    out.packBoolean(beat.draining());
+    out.packLong(beat.configuration());
+    out.packBoolean(beat.platform().platformOut());
+    out.packLong(beat.platform().tableVersion());
+    out.packLong(beat.platform().leaseVersion());
+    out.packLong(beat.platform().echoedMillis());
+    out.packLong(beat.sentMs());
+    out.packInt(beat.weightDemand());
+  }
+
+  private static void writeTable(MessagePacker out, PeerMessage.TablePush push) throws IOException {
+    OwnershipTable table = push.table();
+    out.packString(push.dataCentre().value());
+    out.packLong(table.version());
+    out.packLong(table.epoch());
+    out.packArrayHeader(table.daemons().size());
+    for (DaemonId daemon : table.daemons()) {
+      out.packString(daemon.value());
+      out.packLong(table.incarnation(daemon));
+      out.packArrayHeader(table.ownedBy(daemon).size());
+      for (EndpointId endpoint : table.ownedBy(daemon)) {
+        out.packString(endpoint.value());
+      }
+    }
+  }
+
+  static PeerMessage readHello(FrameReader in) throws IOException {
+    return new PeerMessage.Hello(
+        new DaemonId(in.text()), new DataCentreId(in.text()), in.longNumber());
+  }
+
+  static PeerMessage readHeartbeat(FrameReader in) throws IOException {
+    long incarnation = in.longNumber();
+    boolean draining = in.bool();
+    long configuration = in.longNumber();
+    PlatformReport report =
+        new PlatformReport(in.bool(), in.longNumber(), in.longNumber(), in.longNumber());
+    return new PeerMessage.Heartbeat(
+        incarnation, draining, configuration, report, in.longNumber(), in.number());
+  }
+
+  static PeerMessage readObjectsPush(FrameReader in) throws IOException, PeerFrameException {
+    return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
+  }
+
+  static PeerMessage readTablePush(FrameReader in) throws IOException, PeerFrameException {
+    DataCentreId dataCentre = new DataCentreId(in.text());
+    long version = in.longNumber();
+    long epoch = in.longNumber();
+    Map<EndpointId, DaemonId> owners = new TreeMap<>();
+    Map<DaemonId, Long> incarnations = new TreeMap<>();
+    for (Share share : in.list(ControlFrames::readShare)) {
+      incarnations.put(share.daemon(), share.incarnation());
+      share.endpoints().forEach(endpoint -> owners.put(endpoint, share.daemon()));
+    }
+    return new PeerMessage.TablePush(
+        dataCentre, OwnershipTable.of(version, epoch, owners, incarnations));
+  }
+
+  private static Share readShare(FrameReader in) throws IOException, PeerFrameException {
+    return new Share(
+        new DaemonId(in.text()),
+        in.longNumber(),
+        in.list(element -> new EndpointId(element.text())));
+  }
+
+  static PeerMessage readRelayCall(FrameReader in) throws IOException {
+    return new PeerMessage.RelayCall(in.longNumber(), in.text(), in.longNumber(), in.text());
+  }
+
+  static PeerMessage readRelayAnswer(FrameReader in) throws IOException {
+    return new PeerMessage.RelayAnswer(
+        in.longNumber(),
+        in.constant(PeerMessage.RelayResult.class),
+        in.longNumber(),
+        in.text(),
+        in.text());
+  }
+
+  /** Is what one daemon owns. */
+  private record Share(DaemonId daemon, long incarnation, List<EndpointId> endpoints) {}
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -1,8 +1,6 @@
 package io.sequoiapass.daemon.connection.peer;
 
 import io.sequoiapass.coordination.AdapterVersion;
-import io.sequoiapass.coordination.DaemonId;
-import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.request.AttemptAction;
@@ -69,28 +67,8 @@
       out.packString(ofAttempt.id().request().value());
       out.packInt(ofAttempt.id().attempt());
       writeOfAttempt(out, ofAttempt);
-    } else if (message instanceof PeerMessage.Hello hello) {
-      out.packString(hello.daemon().value());
-      out.packString(hello.dataCentre().value());
-      out.packLong(hello.incarnation());
-    } else if (message instanceof PeerMessage.Heartbeat beat) {
-      out.packLong(beat.incarnation());
-      out.packBoolean(beat.draining());
-      out.packLong(beat.configuration());
-      out.packBoolean(beat.platformReachable());
-      out.packInt(beat.weightDemand());
-    } else if (message instanceof PeerMessage.ObjectsPush push) {
-      out.packArrayHeader(push.objects().size());
-      for (String object : push.objects()) {
-        out.packString(object);
-      }
-      out.packBoolean(push.complete());
-      out.packBoolean(push.ready());
-    } else if (message instanceof PeerMessage.ObjectsRequest request) {
-      out.packArrayHeader(request.buckets().size());
-      for (long sum : request.buckets()) {
-        out.packLong(sum);
-      }
+    } else {
+      ControlFrames.write(out, message);
     }
   }
 
@@ -153,16 +131,6 @@
     out.writePayload(bytes);
   }
 
-  static PeerMessage readHello(FrameReader in) throws IOException {
-    return new PeerMessage.Hello(
-        new DaemonId(in.text()), new DataCentreId(in.text()), in.longNumber());
-  }
-
-  static PeerMessage readHeartbeat(FrameReader in) throws IOException {
-    return new PeerMessage.Heartbeat(
-        in.longNumber(), in.bool(), in.longNumber(), in.bool(), in.number());
-  }
-
   static PeerMessage readForward(FrameReader in) throws IOException, PeerFrameException {
     PeerMessage.AttemptId id = in.attempt();
     EndpointId endpoint = new EndpointId(in.text());
@@ -208,8 +176,4 @@
     ErrorKind kind = in.constant(ErrorKind.class);
     return new PeerMessage.Refused(id, kind, in.bool(), in.longNumber());
   }
-
-  static PeerMessage readObjectsPush(FrameReader in) throws IOException, PeerFrameException {
-    return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
-  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -5,6 +5,8 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.OwnershipTable;
+import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
 import java.util.List;
@@ -56,14 +58,16 @@
    * @param incarnation the sender's incarnation
    * @param draining whether the sender is stopping
    * @param configuration digest of the configuration that the sender holds
-   * @param platformReachable whether the sender's last call to the platform was answered
+   * @param platform what the sender knows of the platform, its lease and its ownership table
+   * @param sentMs the sender's clock, which the receiver sends back
    * @param weightDemand how many loads the sender waits for
    */
   record Heartbeat(
       long incarnation,
       boolean draining,
       long configuration,
-      boolean platformReachable,
+      PlatformReport platform,
+      long sentMs,
       int weightDemand)
       implements PeerMessage {
     @Override
@@ -263,4 +267,74 @@
       return PeerMessageType.OBJECTS_REQUEST;
     }
   }
+
+  /**
+   * Carries the ownership table of a data centre.
+   *
+   * @param dataCentre the data centre
+   * @param table the table
+   */
+  record TablePush(DataCentreId dataCentre, OwnershipTable table) implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.TABLE_PUSH;
+    }
+  }
+
+  /**
+   * Asks a peer for the ownership table of its data centre.
+   *
+   * @param knownVersion the version that the sender holds
+   */
+  record TableRequest(long knownVersion) implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.TABLE_REQUEST;
+    }
+  }
+
+  /**
+   * Asks a peer to read or renew the sender's own lease object on the platform.
+   *
+   * @param call names the call
+   * @param operation names the write; empty for a read
+   * @param expectedVersion the version that the object must have
+   * @param value the lease in the platform's JSON form; empty for a read
+   */
+  record RelayCall(long call, String operation, long expectedVersion, String value)
+      implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.RELAY_CALL;
+    }
+  }
+
+  /**
+   * Answers {@link RelayCall}.
+   *
+   * @param call the call
+   * @param result what came of it
+   * @param version the object's version; 0 if there is none
+   * @param operation the operation that wrote the object, or empty
+   * @param value the object's value after a read, or empty
+   */
+  record RelayAnswer(long call, RelayResult result, long version, String operation, String value)
+      implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.RELAY_ANSWER;
+    }
+  }
+
+  /** Tells what came of a relayed call. */
+  enum RelayResult {
+    /** The object was read, or there is none. */
+    READ,
+    /** The write was stored. */
+    STORED,
+    /** The object had another version. */
+    CONFLICT,
+    /** No answer. */
+    LOST
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -5,9 +5,9 @@
 /** Numbers the kinds of frames and reads each; the numbers are part of the protocol. */
 public enum PeerMessageType {
   /** See {@link PeerMessage.Hello}. */
-  HELLO(1, PeerFrames::readHello),
+  HELLO(1, ControlFrames::readHello),
   /** See {@link PeerMessage.Heartbeat}. */
-  HEARTBEAT(2, PeerFrames::readHeartbeat),
+  HEARTBEAT(2, ControlFrames::readHeartbeat),
   /** See {@link PeerMessage.Forward}. */
   FORWARD(3, PeerFrames::readForward),
   /** See {@link PeerMessage.MayStart}. */
@@ -29,9 +29,17 @@
   /** See {@link PeerMessage.Flow}. */
   FLOW(12, in -> new PeerMessage.Flow(in.attempt(), in.bool())),
   /** See {@link PeerMessage.ObjectsPush}. */
-  OBJECTS_PUSH(13, PeerFrames::readObjectsPush),
+  OBJECTS_PUSH(13, ControlFrames::readObjectsPush),
   /** See {@link PeerMessage.ObjectsRequest}. */
-  OBJECTS_REQUEST(14, in -> new PeerMessage.ObjectsRequest(in.list(FrameReader::longNumber)));
+  OBJECTS_REQUEST(14, in -> new PeerMessage.ObjectsRequest(in.list(FrameReader::longNumber))),
+  /** See {@link PeerMessage.TablePush}. */
+  TABLE_PUSH(15, ControlFrames::readTablePush),
+  /** See {@link PeerMessage.TableRequest}. */
+  TABLE_REQUEST(16, in -> new PeerMessage.TableRequest(in.longNumber())),
+  /** See {@link PeerMessage.RelayCall}. */
+  RELAY_CALL(17, ControlFrames::readRelayCall),
+  /** See {@link PeerMessage.RelayAnswer}. */
+  RELAY_ANSWER(18, ControlFrames::readRelayAnswer);
 
   /** Reads the fields of one frame. */
   @FunctionalInterface
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
@@ -3,8 +3,13 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.LeaseStanding;
+import io.sequoiapass.coordination.process.MembershipChange;
+import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.Outcome;
 import io.sequoiapass.coordination.request.OutcomeClass;
@@ -15,6 +20,7 @@
 import io.sequoiapass.daemon.process.log.EventLog;
 import io.sequoiapass.daemon.process.log.LogEvent;
 import io.sequoiapass.daemon.process.owner.OwnerObserver;
+import io.sequoiapass.daemon.process.ownership.OwnershipListener;
 import io.sequoiapass.daemon.process.timeline.Timeline;
 import io.sequoiapass.daemon.process.timeline.TimelineEvent;
 import io.sequoiapass.daemon.process.timeline.TimelineKind;
@@ -26,12 +32,16 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /** Turns what happens into log lines, metrics and time line events; safe for several threads. */
-final class DaemonEvents implements EntryObserver, OwnerObserver, ConfigurationListener {
+final class DaemonEvents
+    implements EntryObserver, OwnerObserver, ConfigurationListener, OwnershipListener {
 
   private static final long NEVER = Long.MIN_VALUE;
 
+  private final DaemonId daemon;
+  private final Consumer<DaemonId> resetLink;
   private final MetricRegistry metrics;
   private final Timeline timeline;
   private final MillisClock clock;
@@ -39,7 +49,14 @@
   private final Map<OutcomeClass, Counter> outcomes = new EnumMap<>(OutcomeClass.class);
   private final AtomicLong platformOutSince = new AtomicLong(NEVER);
 
-  DaemonEvents(MetricRegistry metrics, Timeline timeline, MillisClock clock) {
+  DaemonEvents(
+      DaemonId daemon,
+      MetricRegistry metrics,
+      Timeline timeline,
+      MillisClock clock,
+      Consumer<DaemonId> resetLink) {
+    this.daemon = daemon;
+    this.resetLink = resetLink;
     this.metrics = metrics;
     this.timeline = timeline;
     this.clock = clock;
@@ -156,4 +173,46 @@
       timeline.record(TimelineEvent.of(TimelineKind.PLATFORM_UNREACHABLE).build());
     }
   }
+
+  @Override
+  public void leaseStands(LeaseStanding standing) {
+    switch (standing) {
+      case VALID -> {
+        EventLog.log(LogEvent.LEASE_ACQUIRED, daemon, "its newest");
+        timeline.record(TimelineEvent.of(TimelineKind.LEASE_ACQUIRED).build());
+      }
+      case LAPSED, LAPSED_FOR_ALL, SUPERSEDED -> {
+        EventLog.log(LogEvent.LEASE_LOST, daemon);
+        timeline.record(TimelineEvent.of(TimelineKind.LEASE_LOST).detail(standing.name()).build());
+      }
+      default -> {
+        // Nothing is lost before the first lease.
+      }
+    }
+  }
+
+  @Override
+  public void tableChanged(DataCentreId dataCentre, OwnershipTable table) {
+    EventLog.log(LogEvent.OWNERSHIP_CHANGED, dataCentre, table.epoch());
+    timeline.record(
+        TimelineEvent.of(TimelineKind.OWNERSHIP_CHANGED)
+            .detail(dataCentre + " epoch " + table.epoch() + " fence " + table.version())
+            .build());
+  }
+
+  @Override
+  public void memberChanged(MembershipChange change) {
+    metrics.counter("members.changes").inc();
+    timeline.record(
+        TimelineEvent.of(
+                change.to().isReachable() ? TimelineKind.PEER_CONNECTED : TimelineKind.PEER_LOST)
+            .detail(change.daemon() + " " + change.from() + " to " + change.to())
+            .build());
+  }
+
+  @Override
+  public void peerDead(DaemonId peer) {
+    EventLog.log(LogEvent.PEER_LOST, peer, "silent");
+    resetLink.accept(peer);
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -5,13 +5,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.sequoiapass.coordination.DaemonId;
-import io.sequoiapass.coordination.FencingNumber;
 import io.sequoiapass.coordination.MillisClock;
-import io.sequoiapass.coordination.process.RendezvousHash;
 import io.sequoiapass.coordination.request.AttemptSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.RetryBudget;
-import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpServer;
@@ -30,9 +27,15 @@
 import io.sequoiapass.daemon.process.owner.Owner;
 import io.sequoiapass.daemon.process.owner.OwnerShard;
 import io.sequoiapass.daemon.process.owner.ServicePool;
+import io.sequoiapass.daemon.process.ownership.DaemonIdentity;
+import io.sequoiapass.daemon.process.ownership.OwnershipNode;
+import io.sequoiapass.daemon.process.ownership.OwnershipTimes;
 import io.sequoiapass.daemon.process.placement.LruPlacement;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
+import io.sequoiapass.daemon.process.timeline.TimelineEvent;
+import io.sequoiapass.daemon.process.timeline.TimelineKind;
+import io.sequoiapass.daemon.process.timeline.TimelineQuery;
 import io.sequoiapass.daemon.request.CallerRequestParser;
 import io.sequoiapass.daemon.request.RequestIds;
 import io.sequoiapass.daemon.version.ConfigurationNode;
@@ -42,8 +45,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Is one entry daemon: assembles its parts, starts them and stops them.
@@ -59,7 +62,18 @@
 
   private static final int CONNECT_TIMEOUT_MS = 500;
   private static final long PLATFORM_TIMEOUT_MS = 1_000;
-  private static final long TICK_MS = 20;
+  private static final long REQUEST_ROUND_MS = 20;
+
+  /** Bounds what a change of owner adds to a takeover, and costs little of a core. */
+  private static final long CONTROL_ROUND_MS = 50;
+
+  /** Heartbeats to other data centres are this much rarer: they only show changed tables. */
+  private static final int REMOTE_HEARTBEATS = 4;
+
+  /** What a balancer that looks every second needs to see that this daemon leaves. */
+  private static final long STOP_GRACE_MS = 2_500;
+
+  private static final long SHUTDOWN_MS = 1_000;
   private static final double RETRY_BURST = 20;
   private static final double PERCENT = 100.0;
 
@@ -76,7 +90,10 @@
   private final PeerNode peers;
   private final ConfigurationNode configuration;
   private final LocalLink local;
-  private final AtomicBoolean draining = new AtomicBoolean();
+  private final OwnershipNode ownership;
+  private final StopSequence stop;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private int heartbeats;
   private HttpServer callers;
   private HttpServer operators;
 
@@ -84,8 +101,9 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.group = new MultiThreadIoEventLoopGroup(settings.threads(), NioIoHandler.newFactory());
     this.timeline = Timeline.create(settings.daemon(), settings.timelineEvents(), wall);
-    this.events = new DaemonEvents(metrics, timeline, clock);
+    this.events = new DaemonEvents(settings.daemon(), metrics, timeline, clock, this::resetLink);
     HttpClient http = HttpClient.create(group, CONNECT_TIMEOUT_MS);
+    PlatformClient platform = new PlatformClient(http, settings.platform(), PLATFORM_TIMEOUT_MS);
     this.local = new LocalLink(group);
     this.entries = entries();
     this.owner = owner(http);
@@ -99,13 +117,23 @@
             new Control());
     this.configuration =
         new ConfigurationNode(
+            clock, wall, settings.daemon(), settings.dataCentre(), platform, peers, events);
+    this.ownership =
+        new OwnershipNode(
+            new DaemonIdentity(
+                settings.daemon(),
+                settings.dataCentre(),
+                incarnation,
+                settings.listenAddress() + ":" + settings.peerPort()),
+            OwnershipTimes.of(
+                settings.leaseDurationMs(),
+                settings.leaseMarginMs(),
+                settings.heartbeatIntervalMs()),
             clock,
-            wall,
-            settings.daemon(),
-            settings.dataCentre(),
-            new PlatformClient(http, settings.platform(), PLATFORM_TIMEOUT_MS),
+            platform,
             peers,
             events);
+    this.stop = new StopSequence(STOP_GRACE_MS, settings.drainLimitMs());
   }
 
   /**
@@ -127,7 +155,8 @@
       shards.add(
           new EntryShard(
               clock,
-              new RendezvousRoutes(endpoint -> ownerOf(endpoint), daemon -> this.peers.to(daemon)),
+              new RendezvousRoutes(
+                  endpoint -> this.ownership.server(endpoint), daemon -> this.peers.to(daemon)),
               AttemptSettings.DEFAULT,
               budget,
               events));
@@ -143,7 +172,7 @@
                 clock,
                 new LruPlacement(),
                 engines,
-                (endpoint, kind) -> Optional.of(new FencingNumber(1)),
+                (endpoint, kind) -> this.ownership.permit(endpoint, kind),
                 events),
         new ServicePool(clock, http));
   }
@@ -163,14 +192,9 @@
         HttpServer.builder(group, callerHandler())
             .maxBodyBytes(settings.maxBodyBytes())
             .start(address(settings.callerPort()));
-    group.next().scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-    group
-        .next()
-        .scheduleAtFixedRate(
-            this::heartbeat,
-            settings.heartbeatIntervalMs(),
-            settings.heartbeatIntervalMs(),
-            TimeUnit.MILLISECONDS);
+    every(REQUEST_ROUND_MS, "request round", this::requestRound);
+    every(CONTROL_ROUND_MS, "control round", this::controlRound);
+    every(settings.heartbeatIntervalMs(), "heartbeat", this::heartbeatRound);
     System.out.println(
         "ready caller=" + callers.port() + " operator=" + operators.port() + " peer=" + peerPort);
     EventLog.log(LogEvent.READY, settings.daemon(), callers.port());
@@ -183,8 +207,12 @@
     return new CallerHandler(parser, configuration::snapshot, this::closed, entries);
   }
 
+  private void resetLink(DaemonId peer) {
+    peers.reset(peer);
+  }
+
   private Optional<ErrorKind> closed() {
-    if (draining.get()) {
+    if (!phase().isAccepting()) {
       return Optional.of(ErrorKind.DRAINING);
     }
     return configuration.ready() ? Optional.empty() : Optional.of(ErrorKind.NO_CONFIGURATION);
@@ -194,37 +222,93 @@
     return new InetSocketAddress(settings.listenAddress(), port);
   }
 
-  private Optional<DaemonId> ownerOf(EndpointRecord endpoint) {
-    return RendezvousHash.first(endpoint.id().value(), peers.daemonsOf(endpoint.dataCentre()));
+  private void every(long periodMs, String name, Runnable round) {
+    group
+        .next()
+        .scheduleAtFixedRate(() -> guarded(name, round), periodMs, periodMs, TimeUnit.MILLISECONDS);
   }
 
-  private void tick() {
+  private static void guarded(String name, Runnable round) {
     try {
-      configuration.tick(peers.neighbours());
-      takeOwnership(configuration.snapshot());
-      entries.tick();
-      owner.tick();
+      round.run();
     } catch (RuntimeException e) {
-      // A fault in one tick must not end the timer: without it no deadline would ever pass again.
-      EventLog.log(LogEvent.INTERNAL_ERROR, "tick", e);
+      // A fault in one round must not end its timer: no deadline would ever pass again.
+      EventLog.log(LogEvent.INTERNAL_ERROR, name, e);
     }
   }
 
-  private void takeOwnership(ConfigurationSnapshot snapshot) {
-    owner.owns(
-        snapshot.endpoints(settings.dataCentre()).stream()
-            .filter(one -> ownerOf(one).filter(settings.daemon()::equals).isPresent())
-            .toList());
+  private void requestRound() {
+    entries.tick();
+    owner.tick();
+  }
+
+  private void controlRound() {
+    configuration.tick(ownership.alive());
+    ConfigurationSnapshot snapshot = configuration.snapshot();
+    ownership.tick(snapshot);
+    owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
+    owner.pauses(ownership.handingOver());
+    stopRound();
+  }
+
+  private void heartbeatRound() {
+    peers.neighbours().forEach(this::beat);
+    if (heartbeats++ % REMOTE_HEARTBEATS == 0) {
+      peers.remotes().forEach(this::beat);
+    }
   }
 
-  private void heartbeat() {
-    peers.broadcast(
-        new PeerMessage.Heartbeat(incarnation, draining.get(), configuration.root(), true, 0));
+  private void beat(DaemonId peer) {
+    peers.send(peer, ownership.heartbeat(peer, configuration.root(), 0));
   }
 
-  /** Blocks until the process is told to stop. */
+  // Stopping.
+
+  private StopSequence.Phase phase() {
+    synchronized (stop) {
+      return stop.phase();
+    }
+  }
+
+  private void stopRound() {
+    StopSequence.Phase before;
+    StopSequence.Phase after;
+    int underWay = entries.size() + owner.size();
+    synchronized (stop) {
+      before = stop.phase();
+      stop.tick(clock.millis(), underWay, ownership.hasSuccessor() ? ownership.owned() : 0);
+      after = stop.phase();
+    }
+    if (before != after && after == StopSequence.Phase.STOPPED) {
+      EventLog.log(LogEvent.STOPPED, underWay);
+      stopped.countDown();
+    }
+  }
+
+  /** Begins a planned stop: nothing under way is cut off, and everything owned is handed over. */
+  public void drain() {
+    synchronized (stop) {
+      if (stop.phase() != StopSequence.Phase.SERVING) {
+        return;
+      }
+      stop.begin(clock.millis());
+    }
+    EventLog.log(LogEvent.DRAINING, entries.size() + owner.size());
+    timeline.record(TimelineEvent.of(TimelineKind.DRAINING).build());
+    ownership.drain();
+  }
+
+  /**
+   * Blocks until a planned stop has ended.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
   public void awaitStop() throws InterruptedException {
-    group.terminationFuture().await();
+    stopped.await();
+    peers.stop();
+    callers.close();
+    operators.close();
+    group.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Takes what peers say of themselves. */
@@ -242,12 +326,15 @@
 
     @Override
     public void received(DaemonId peer, PeerMessage message) {
-      if (message instanceof PeerMessage.Heartbeat beat) {
+      if (message instanceof PeerMessage.Heartbeat beat && peers.isNeighbour(peer)) {
         configuration.heard(peer, beat.configuration());
-      } else if (message instanceof PeerMessage.ObjectsPush push) {
+      }
+      if (message instanceof PeerMessage.ObjectsPush push) {
         configuration.pushed(peer, push);
       } else if (message instanceof PeerMessage.ObjectsRequest request) {
         configuration.asked(peer, request);
+      } else {
+        ownership.received(peer, message);
       }
     }
   }
@@ -257,7 +344,7 @@
 
     @Override
     public boolean ready() {
-      return closed().isEmpty();
+      return phase().isReady() && configuration.ready();
     }
 
     @Override
@@ -272,7 +359,9 @@
               settings.dataCentre().value(),
               incarnation,
               ready(),
-              draining.get(),
+              phase() != StopSequence.Phase.SERVING,
+              ownership.standing().name(),
+              ownership.owned(),
               configuration.snapshot().revision(),
               configuration.preset().name(),
               entries.size(),
@@ -281,13 +370,13 @@
     }
 
     @Override
-    public String timeline(io.sequoiapass.daemon.process.timeline.TimelineQuery query) {
+    public String timeline(TimelineQuery query) {
       return timeline.json(query);
     }
 
     @Override
     public void drain() {
-      draining.set(true);
+      EntryDaemon.this.drain();
     }
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
@@ -9,12 +9,14 @@
 import io.sequoiapass.daemon.process.entry.Channels;
 import io.sequoiapass.daemon.process.entry.Entries;
 import io.sequoiapass.daemon.process.owner.Owner;
+import io.sequoiapass.daemon.process.ownership.OwnershipPeers;
 import io.sequoiapass.daemon.process.settings.PeerAddress;
 import io.sequoiapass.daemon.version.ConfigurationPeers;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -24,7 +26,7 @@
  * <p>Requests go out over the connection that this daemon opened, and their answers come back over
  * it; control messages go out over it too. Safe for use by several threads.
  */
-final class PeerNode implements PeerLinks.PeerEvents, ConfigurationPeers, Channels {
+final class PeerNode implements PeerLinks.PeerEvents, ConfigurationPeers, OwnershipPeers, Channels {
 
   private final DaemonId self;
   private final DataCentreId dataCentre;
@@ -33,6 +35,7 @@
   private final Entries entries;
   private final Owner owner;
   private final ControlListener control;
+  private final Set<PeerChannel> accepted = ConcurrentHashMap.newKeySet();
   private volatile PeerLinks links;
 
   /** Hears control messages, on event loops; must not block. */
@@ -71,8 +74,8 @@
     }
   }
 
-  /** Returns the peers in this daemon's data centre. */
-  List<DaemonId> neighbours() {
+  @Override
+  public List<DaemonId> neighbours() {
     return known.values().stream()
         .filter(peer -> peer.dataCentre().equals(dataCentre))
         .map(PeerAddress::daemon)
@@ -80,17 +83,26 @@
         .toList();
   }
 
-  /** Returns the daemons of a data centre, this one included. */
-  List<DaemonId> daemonsOf(DataCentreId wanted) {
-    List<DaemonId> daemons = new java.util.ArrayList<>();
-    if (wanted.equals(dataCentre)) {
-      daemons.add(self);
-    }
-    known.values().stream()
-        .filter(peer -> peer.dataCentre().equals(wanted))
-        .map(PeerAddress::daemon)
-        .forEach(daemons::add);
-    return daemons;
+  /** Returns the daemons of other data centres. */
+  List<DaemonId> remotes() {
+    return known.keySet().stream().filter(peer -> !isNeighbour(peer)).sorted().toList();
+  }
+
+  @Override
+  public boolean isNeighbour(DaemonId peer) {
+    return dataCentre.equals(dataCentreOf(peer));
+  }
+
+  @Override
+  public DataCentreId dataCentreOf(DaemonId peer) {
+    PeerAddress address = known.get(peer);
+    return address == null ? dataCentre : address.dataCentre();
+  }
+
+  @Override
+  public void broadcastTable(PeerMessage.TablePush push) {
+    known.keySet().forEach(peer -> send(peer, push));
+    accepted.forEach(channel -> channel.send(push));
   }
 
   @Override
@@ -108,6 +120,15 @@
     links.channel(peer).ifPresent(channel -> channel.send(message));
   }
 
+  /** Closes the connection to a silent peer, so that what waits for it moves on at once. */
+  void reset(DaemonId peer) {
+    links.reset(peer);
+  }
+
+  void stop() {
+    links.stop();
+  }
+
   @Override
   public void connected(DaemonId peer, PeerChannel channel) {
     control.connected(peer);
@@ -140,6 +161,7 @@
 
     @Override
     public void opened(PeerChannel channel) {
+      accepted.add(channel);
       owner.opened(channel);
     }
 
@@ -164,6 +186,7 @@
 
     @Override
     public void closed(PeerChannel channel) {
+      accepted.remove(channel);
       owner.closed(channel);
     }
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/StatusReport.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/StatusReport.java
@@ -10,6 +10,8 @@
  * @param incarnation its process's number
  * @param ready whether it takes requests
  * @param draining whether it is stopping
+ * @param lease how its lease stands
+ * @param owned endpoints that it owns
  * @param revision the highest version of any configuration object that it holds
  * @param preset the preset in force
  * @param requests requests of callers under way
@@ -21,6 +23,8 @@
     long incarnation,
     boolean ready,
     boolean draining,
+    String lease,
+    int owned,
     long revision,
     String preset,
     int requests,
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/EntryCommand.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/EntryCommand.java
@@ -28,7 +28,9 @@
 
   private static ExitCode start(EntrySettings settings, PrintStream err) {
     try {
-      EntryDaemon.start(settings).awaitStop();
+      EntryDaemon daemon = EntryDaemon.start(settings);
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> stopOnSignal(daemon), "stop"));
+      daemon.awaitStop();
       return ExitCode.OK;
     } catch (IOException e) {
       err.println("sequoiapass entry: " + e.getMessage());
@@ -38,4 +40,16 @@
       return ExitCode.FAILED;
     }
   }
+
+  /**
+   * A host's init system stops a service by a signal; the virtual machine ends once this returns.
+   */
+  private static void stopOnSignal(EntryDaemon daemon) {
+    try {
+      daemon.drain();
+      daemon.awaitStop();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
@@ -42,6 +42,7 @@
   private String boot;
   private boolean usable;
   private boolean asking;
+  private boolean paused;
   private long nextLookAt = Long.MIN_VALUE;
   private EngineState state;
 
@@ -53,6 +54,23 @@
     return endpoint;
   }
 
+  /** Notes whether a handover is under way; returns whether that is news. */
+  boolean pause(boolean pause) {
+    boolean news = paused != pause;
+    paused = pause;
+    usable &= !pause;
+    return news;
+  }
+
+  boolean isPaused() {
+    return paused;
+  }
+
+  /** Notes that an answer came that nobody can use any more. */
+  void answeredUnused() {
+    asking = false;
+  }
+
   boolean due(long now) {
     return !asking && now >= nextLookAt;
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
@@ -62,6 +63,19 @@
     }
   }
 
+  /**
+   * Starts nothing new on endpoints whose handover is under way.
+   *
+   * @param handingOver the endpoints
+   */
+  public synchronized void pauses(Set<EndpointId> handingOver) {
+    for (EndpointRecord endpoint : owned.values()) {
+      if (endpoint.type() == EndpointType.ENGINE) {
+        shard(endpoint).pause(endpoint.id(), handingOver.contains(endpoint.id()));
+      }
+    }
+  }
+
   private void own(EndpointRecord endpoint) {
     if (endpoint.type() == EndpointType.SERVICE) {
       services.own(endpoint.id(), SocketAddresses.parse(endpoint.address()), endpoint.maxStreams());
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -1,10 +1,8 @@
 package io.sequoiapass.daemon.process.owner;
 
 import io.sequoiapass.coordination.EndpointId;
-import io.sequoiapass.coordination.FencingNumber;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.RequestId;
-import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.daemon.connection.engine.EngineClient;
@@ -24,10 +22,12 @@
 import io.sequoiapass.daemon.request.EngineRelay;
 import io.sequoiapass.daemon.request.Execution;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -44,10 +44,11 @@
   private final MillisClock clock;
   private final Placement placement;
   private final EngineClient engines;
-  private final OrderGate gate;
+  private final LoadOrders orders;
   private final OwnerObserver observer;
   private final Map<EndpointId, EngineWatch> endpoints = new HashMap<>();
   private final Map<RequestId, Execution> executions = new HashMap<>();
+  private final Set<Execution> held = new LinkedHashSet<>();
 
   /**
    * Makes a shard without endpoints.
@@ -67,7 +68,7 @@
     this.clock = Objects.requireNonNull(clock, "clock");
     this.placement = Objects.requireNonNull(placement, "placement");
     this.engines = Objects.requireNonNull(engines, "engines");
-    this.gate = Objects.requireNonNull(gate, "gate");
+    this.orders = new LoadOrders(clock, engines, gate, observer);
     this.observer = Objects.requireNonNull(observer, "observer");
   }
 
@@ -101,8 +102,8 @@
     locked(
         () -> {
           if (endpoints.remove(endpoint) != null) {
-            perform(placement.endpointLeft(clock.millis(), endpoint));
             giveBackQueued(endpoint);
+            perform(placement.endpointLeft(clock.millis(), endpoint));
           }
         });
   }
@@ -116,15 +117,54 @@
     locked(() -> perform(placement.endpointDraining(clock.millis(), endpoint)));
   }
 
+  /**
+   * Starts nothing new on an endpoint while its handover is under way, and goes on with it if the
+   * handover came to nothing. Requests for it are held meanwhile: the write takes milliseconds.
+   *
+   * @param endpoint the endpoint
+   * @param paused whether to pause
+   */
+  public void pause(EndpointId endpoint, boolean paused) {
+    locked(
+        () -> {
+          EngineWatch watch = endpoints.get(endpoint);
+          if (watch == null || !watch.pause(paused)) {
+            return;
+          }
+          if (paused) {
+            queuedFor(endpoint).forEach(this::hold);
+            perform(placement.endpointLeft(clock.millis(), endpoint));
+          } else {
+            watch.lookNow();
+          }
+        });
+  }
+
+  private void hold(Execution execution) {
+    perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+    held.add(execution);
+  }
+
   private void giveBackQueued(EndpointId endpoint) {
-    for (Execution execution : List.copyOf(executions.values())) {
-      boolean waitsThere =
-          execution.stage() == Execution.Stage.QUEUED
-              && execution.forward().endpoint().equals(endpoint);
-      if (waitsThere) {
-        perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
-        over(execution);
-        execution.refuse(ErrorKind.DRAINING, false, 0);
+    for (Execution execution : queuedFor(endpoint)) {
+      perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+      over(execution);
+      execution.refuse(ErrorKind.DRAINING, false, 0);
+    }
+  }
+
+  private List<Execution> queuedFor(EndpointId endpoint) {
+    return executions.values().stream()
+        .filter(execution -> execution.stage() == Execution.Stage.QUEUED)
+        .filter(execution -> execution.forward().endpoint().equals(endpoint))
+        .toList();
+  }
+
+  private void releaseHeld(EndpointId endpoint) {
+    for (Execution execution : List.copyOf(held)) {
+      if (execution.forward().endpoint().equals(endpoint)) {
+        held.remove(execution);
+        enqueue(execution);
       }
     }
   }
@@ -150,7 +190,9 @@
             // The same frame twice; the first is under way and will answer.
             return;
           }
-          if (forward.mode() == Mode.RUN) {
+          if (watch.isPaused()) {
+            held.add(execution);
+          } else if (forward.mode() == Mode.RUN) {
             enqueue(execution);
           } else {
             attach(execution, watch);
@@ -393,46 +435,21 @@
 
   private void load(PlacementAction.Load load) {
     EngineWatch watch = endpoints.get(load.endpoint());
-    OrderKind kind = load.evict().isPresent() ? OrderKind.UNLOAD : OrderKind.LOAD_INTO_FREE_SLOT;
-    Optional<FencingNumber> fence =
-        watch == null ? Optional.empty() : gate.permit(load.endpoint(), kind);
-    if (fence.isEmpty()) {
+    if (watch == null) {
       loaded(load, Optional.empty());
       return;
     }
-    if (load.evict().isPresent()) {
-      evictAndLoad(watch, load, fence.get());
-    } else {
-      load(watch, load, fence.get());
-    }
-  }
-
-  private void evictAndLoad(EngineWatch watch, PlacementAction.Load load, FencingNumber fence) {
-    engines
-        .unload(watch.endpoint().address(), fence, load.evict().orElseThrow().value())
-        .whenComplete(
-            (done, failure) ->
-                locked(
-                    () -> {
-                      if (failure == null) {
-                        load(watch, load, fence);
-                      } else {
-                        suspect(watch);
-                        loaded(load, Optional.empty());
-                      }
-                    }));
-  }
-
-  private void load(EngineWatch watch, PlacementAction.Load load, FencingNumber fence) {
-    long sentAt = clock.millis();
-    engines
-        .load(watch.endpoint().address(), fence, load.adapter())
-        .whenComplete(
-            (handle, failure) -> {
-              observer.loadEnded(
-                  load.endpoint(), load.adapter(), clock.millis() - sentAt, failure == null);
-              locked(() -> loaded(load, Optional.ofNullable(handle).map(LoadHandle::new)));
-            });
+    orders.carry(
+        watch.endpoint(),
+        load,
+        (handle, suspect) ->
+            locked(
+                () -> {
+                  loaded(load, handle);
+                  if (suspect) {
+                    suspect(watch);
+                  }
+                }));
   }
 
   private void loaded(PlacementAction.Load load, Optional<LoadHandle> handle) {
@@ -517,7 +534,8 @@
   }
 
   private void told(EngineWatch watch, EngineState state, Throwable failure) {
-    if (endpoints.get(watch.endpoint().id()) != watch) {
+    if (endpoints.get(watch.endpoint().id()) != watch || watch.isPaused()) {
+      watch.answeredUnused();
       return;
     }
     long now = clock.millis();
@@ -533,6 +551,7 @@
       case JOINED, RESTARTED -> {
         observer.endpointJoined(watch.endpoint().id(), news == EngineWatch.News.RESTARTED);
         perform(placement.endpointJoined(now, watch.status()));
+        releaseHeld(watch.endpoint().id());
       }
       case SAME -> {
         for (RequestId gone : watch.foreignGone(state, executions.keySet())) {
@@ -553,6 +572,7 @@
 
   private void over(Execution execution) {
     execution.end();
+    held.remove(execution);
     executions.remove(AttemptKeys.of(execution.id()), execution);
   }
 
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipPeers.java
@@ -0,0 +1,43 @@
+package io.sequoiapass.daemon.process.ownership;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import java.util.List;
+
+/** Knows the other daemons and sends to them; safe for use by several threads. */
+public interface OwnershipPeers {
+
+  /** Returns the other daemons of this data centre, as the settings name them. */
+  List<DaemonId> neighbours();
+
+  /**
+   * Returns whether a daemon is in this data centre.
+   *
+   * @param peer the daemon
+   */
+  boolean isNeighbour(DaemonId peer);
+
+  /**
+   * Returns the data centre of a daemon.
+   *
+   * @param peer the daemon
+   */
+  DataCentreId dataCentreOf(DaemonId peer);
+
+  /**
+   * Sends a message to one daemon, if it is connected.
+   *
+   * @param peer the daemon
+   * @param message the message
+   */
+  void send(DaemonId peer, PeerMessage message);
+
+  /**
+   * Sends a table to every daemon of the region, on the connections in both directions: a refusal
+   * that follows on one of them must not overtake the table that explains it.
+   *
+   * @param push the table
+   */
+  void broadcastTable(PeerMessage.TablePush push);
+}
