--- a/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
@@ -42,6 +42,7 @@
     commands.put("weights", standIn(StandInKind.WEIGHTS));
     commands.put("proxy", new ProxyCommand());
     commands.put("demo", new DemoCommand());
+    commands.put("measure", new MeasureCommand());
     return commands;
   }
 
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/PathTimes.java
@@ -0,0 +1,45 @@
+package io.sequoiapass.testbed.measure;
+
+import org.HdrHistogram.Histogram;
+
+/** Collects the times of one path; safe for use by several threads. */
+final class PathTimes {
+
+  private static final long LONGEST_MICROS = 60_000_000;
+
+  private final String name;
+  private final Histogram histogram = new Histogram(LONGEST_MICROS, 3);
+  private long failed;
+  private long ended;
+
+  PathTimes(String name) {
+    this.name = name;
+  }
+
+  synchronized void ended(boolean ok, long micros, boolean counts) {
+    ended++;
+    if (!ok) {
+      failed++;
+    } else if (counts) {
+      histogram.recordValue(Math.max(0, Math.min(LONGEST_MICROS, micros)));
+    }
+  }
+
+  synchronized long endedCount() {
+    return ended;
+  }
+
+  synchronized long failedCount() {
+    return failed;
+  }
+
+  synchronized double millisAt(double percentile) {
+    return histogram.getValueAtPercentile(percentile) / 1_000.0;
+  }
+
+  synchronized String row() {
+    return "| %-32s | %8d | %6d | %7.2f | %7.2f | %7.2f |"
+        .formatted(
+            name, histogram.getTotalCount(), failed, millisAt(50), millisAt(95), millisAt(99));
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements that stand in docs/MEASUREMENTS.md, each with its command. */
+package io.sequoiapass.testbed.measure;
