--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointLoad.java
@@ -0,0 +1,26 @@
+package io.sequoiapass.daemon.process.placement;
+
+import io.sequoiapass.coordination.EndpointId;
+import java.util.Objects;
+
+/**
+ * Tells an entry how busy an endpoint is, by its owner's own count; old by the time it is read.
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param endpoint the endpoint
+ * @param streams requests that run on it
+ * @param queued requests that wait at its owner and were routed to it
+ * @param maxStreams streams that it runs at once
+ */
+public record EndpointLoad(EndpointId endpoint, int streams, int queued, int maxStreams) {
+
+  /** Checks the parts. */
+  public EndpointLoad {
+    Objects.requireNonNull(endpoint, "endpoint");
+    if (streams < 0 || queued < 0 || maxStreams < 1) {
+      throw new IllegalArgumentException(
+          "streams " + streams + ", queued " + queued + ", maxStreams " + maxStreams);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
@@ -0,0 +1,79 @@
+package io.sequoiapass.daemon.process.placement;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** What the owner knows exactly of one endpoint, since it gives all orders and sends all work. */
+final class EndpointState {
+
+  /** One slot that is not free. */
+  static final class Slot {
+    final EndpointState endpoint;
+    final AdapterVersion adapter;
+    final long loadedAtMs;
+    LoadHandle handle;
+    int streams;
+    boolean hung;
+
+    Slot(EndpointState endpoint, AdapterVersion adapter, long loadedAtMs) {
+      this.endpoint = endpoint;
+      this.adapter = adapter;
+      this.loadedAtMs = loadedAtMs;
+    }
+
+    boolean ready() {
+      return handle != null;
+    }
+
+    /** Tells whether the adapter may be evicted as far as running work goes. */
+    boolean idle() {
+      return ready() && streams == 0;
+    }
+  }
+
+  final EndpointId id;
+  final ModelId model;
+  final int maxStreams;
+  final List<Slot> slots = new ArrayList<>();
+  private final int maxSlots;
+  int streams;
+  boolean draining;
+
+  EndpointState(EndpointStatus status) {
+    this.id = status.endpoint();
+    this.model = status.model();
+    this.maxStreams = status.maxStreams();
+    this.maxSlots = status.slots();
+  }
+
+  boolean hasStreamPlace() {
+    return streams < maxStreams;
+  }
+
+  boolean hasFreeSlot() {
+    return slots.size() < maxSlots;
+  }
+
+  Slot add(long nowMs, AdapterVersion adapter) {
+    Slot slot = new Slot(this, adapter, nowMs);
+    slots.add(slot);
+    return slot;
+  }
+
+  /** Returns the slot whose load is under way. */
+  Optional<Slot> loading(AdapterVersion adapter) {
+    return slots.stream().filter(s -> !s.ready() && s.adapter.equals(adapter)).findFirst();
+  }
+
+  boolean holds(AdapterVersion adapter) {
+    return slots.stream().anyMatch(slot -> slot.adapter.equals(adapter));
+  }
+
+  boolean knows(LoadHandle handle) {
+    return slots.stream().anyMatch(slot -> handle.equals(slot.handle));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementWeights.java
@@ -0,0 +1,44 @@
+package io.sequoiapass.daemon.process.placement;
+
+/**
+ * What a user prefers where load stalls and full batches pull apart.
+ *
+ * <pre>{@code
+ * PlacementWeights peak = PlacementWeights.BATCHES.times(1.5, 1);
+ * }</pre>
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param stall weight of a load stall, above 0
+ * @param batch weight of batch efficiency, above 0
+ */
+public record PlacementWeights(double stall, double batch) {
+
+  /** Someone waits for most answers. */
+  public static final PlacementWeights STALLS = new PlacementWeights(2, 1);
+
+  /** Long work is billed by engine time. */
+  public static final PlacementWeights BATCHES = new PlacementWeights(1, 2);
+
+  /** Checks the weights. */
+  public PlacementWeights {
+    check("stall", stall);
+    check("batch", batch);
+  }
+
+  /** Returns these weights multiplied by what the preset in force says. */
+  public PlacementWeights times(double stallFactor, double batchFactor) {
+    return new PlacementWeights(stall * stallFactor, batch * batchFactor);
+  }
+
+  /** Returns how much batch efficiency counts against a load stall. */
+  double batchPreference() {
+    return batch / stall;
+  }
+
+  private static void check(String what, double value) {
+    if (!(value > 0) || Double.isInfinite(value)) {
+      throw new IllegalArgumentException(what + " must be above 0: " + value);
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/AdaptivePolicy.java
@@ -0,0 +1,57 @@
+package io.sequoiapass.testbed.policy;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
+import io.sequoiapass.daemon.process.placement.EndpointLoad;
+import io.sequoiapass.daemon.process.placement.Placement;
+import io.sequoiapass.daemon.process.placement.PlacementSettings;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
+import io.sequoiapass.daemon.process.placement.Router;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The daemon's own decisions; entries see the owners' counts late. */
+final class AdaptivePolicy implements Policy {
+
+  /** How old the hints are that an entry routes by, at most. */
+  private static final double HINT_MS = 250;
+
+  private static final long MAX_HINT_AGE_MS = 2_000;
+
+  private final Router router = new Router(MAX_HINT_AGE_MS);
+  private final List<AdaptivePlacement> placements = new ArrayList<>();
+  private final Map<EndpointId, EndpointLoad> hints = new HashMap<>();
+  private double hintsAtMs = Double.NEGATIVE_INFINITY;
+
+  AdaptivePolicy(Shape shape) {
+    PlacementWeights weights =
+        shape.user() == User.YARDS ? PlacementWeights.STALLS : PlacementWeights.BATCHES;
+    for (int i = 0; i < shape.owners(); i++) {
+      placements.add(new AdaptivePlacement(PlacementSettings.defaults(), weights));
+    }
+  }
+
+  @Override
+  public Placement placement(int owner) {
+    return placements.get(owner);
+  }
+
+  @Override
+  public EndpointId route(double nowMs, Workload.Arrival arrival, List<Engine> engines) {
+    if (nowMs - hintsAtMs >= HINT_MS) {
+      hintsAtMs = nowMs;
+      placements.forEach(p -> p.loads().forEach(load -> hints.put(load.endpoint(), load)));
+    }
+    List<Router.Candidate> candidates = new ArrayList<>();
+    for (Engine engine : engines) {
+      if (engine.model.equals(arrival.model())) {
+        Optional<EndpointLoad> hint = Optional.ofNullable(hints.get(engine.id));
+        candidates.add(new Router.Candidate(engine.id, 1, hint, (long) (nowMs - hintsAtMs)));
+      }
+    }
+    return router.rank(arrival.adapter(), 1, candidates).get(0);
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Simulation.java
@@ -0,0 +1,240 @@
+package io.sequoiapass.testbed.policy;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.daemon.process.placement.LoadHandle;
+import io.sequoiapass.daemon.process.placement.LoadResult;
+import io.sequoiapass.daemon.process.placement.Placement;
+import io.sequoiapass.daemon.process.placement.PlacementAction;
+import io.sequoiapass.daemon.process.placement.PlacementRequest;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * Plays one workload through one policy in virtual time, and fails at once if the policy breaks a
+ * rule of the engines.
+ */
+final class Simulation {
+
+  private static final double TICK_MS = 25;
+  private static final double HANG_MS = 30_000;
+
+  /** How long the run goes on after the last arrival, so that the last answers end. */
+  private static final double DRAIN_MS = 90_000;
+
+  /** A request between its arrival and its end. */
+  private static final class Ticket {
+    final Workload.Arrival arrival;
+    double queuedMs;
+    int tokensLeft;
+    boolean started;
+
+    Ticket(Workload.Arrival arrival, double queuedMs, int tokensLeft) {
+      this.arrival = arrival;
+      this.queuedMs = queuedMs;
+      this.tokensLeft = tokensLeft;
+    }
+  }
+
+  private record Event(double atMs, long order, Runnable step) {}
+
+  private final Shape shape;
+  private final Scenario scenario;
+  private final Policy policy;
+  private final Score score;
+  private final Random faults;
+  private final List<Engine> engines = new ArrayList<>();
+  private final Map<EndpointId, Engine> byId = new HashMap<>();
+  private final Map<RequestId, Ticket> tickets = new HashMap<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
+  private final WeightStore store = new WeightStore();
+  private double now;
+  private long order;
+
+  Simulation(Shape shape, Scenario scenario, long seed, Policy policy) {
+    this.shape = shape;
+    this.scenario = scenario;
+    this.policy = policy;
+    this.score = new Score(shape);
+    this.faults = new Random(~seed);
+    for (int i = 0; i < shape.engines(); i++) {
+      boolean main = i < shape.runners();
+      EndpointId id = new EndpointId((main ? "main-" : "second-") + i);
+      Engine engine =
+          new Engine(id, main ? Workload.MAIN : Workload.SECOND, shape.ownerOf(i), shape);
+      engines.add(engine);
+      byId.put(id, engine);
+    }
+  }
+
+  Score run(List<Workload.Arrival> arrivals) {
+    for (Engine engine : engines) {
+      apply(owner(engine).endpointJoined(0, engine.emptyStatus()));
+    }
+    for (Workload.Arrival arrival : arrivals) {
+      at(arrival.atMs(), () -> arrive(new Ticket(arrival, now, arrival.tokens())));
+    }
+    for (int i = 0; i < shape.owners(); i++) {
+      Placement placement = policy.placement(i);
+      at(TICK_MS * (i + 1) / shape.owners(), () -> tick(placement));
+    }
+    if (scenario == Scenario.COLD_HALF) {
+      at(shape.halfMs(), this::restartHalf);
+    }
+    while (now < shape.endMs() + DRAIN_MS) {
+      step();
+    }
+    score.engines(engines);
+    return score;
+  }
+
+  private void step() {
+    double storeMs = store.idle() ? Double.POSITIVE_INFINITY : store.nextEndMs();
+    if (storeMs <= events.peek().atMs()) {
+      now = storeMs;
+      WeightStore.Transfer ended = store.takeEnded(now);
+      loadEnded(ended.engine, ended.slot, faults.nextDouble() >= scenario.failingShare());
+    } else {
+      Event event = events.remove();
+      now = event.atMs();
+      event.step().run();
+    }
+  }
+
+  private void at(double atMs, Runnable step) {
+    events.add(new Event(atMs, order++, step));
+  }
+
+  private long millis() {
+    return (long) now;
+  }
+
+  private Placement owner(Engine engine) {
+    return policy.placement(engine.owner);
+  }
+
+  private void tick(Placement placement) {
+    apply(placement.tick(millis()));
+    at(now + TICK_MS, () -> tick(placement));
+  }
+
+  private void arrive(Ticket ticket) {
+    Workload.Arrival arrival = ticket.arrival;
+    Engine preferred = byId.get(policy.route(now, arrival, engines));
+    RequestId id = new RequestId(Integer.toString(arrival.index()));
+    tickets.put(id, ticket);
+    Placement placement = owner(preferred);
+    at((double) arrival.deadlineMs(), () -> withdraw(placement, id, ticket));
+    apply(
+        placement.requestArrived(
+            millis(),
+            new PlacementRequest(
+                id,
+                arrival.adapter(),
+                arrival.model(),
+                arrival.urgency(),
+                arrival.deadlineMs(),
+                arrival.tokens(),
+                preferred.id)));
+  }
+
+  private void withdraw(Placement placement, RequestId id, Ticket ticket) {
+    if (tickets.get(id) == ticket && !ticket.started) {
+      tickets.remove(id);
+      score.lost(ticket.arrival);
+      apply(placement.requestWithdrawn(millis(), id));
+    }
+  }
+
+  private void apply(List<PlacementAction> actions) {
+    for (PlacementAction action : actions) {
+      if (action instanceof PlacementAction.Start start) {
+        start(start);
+      } else if (action instanceof PlacementAction.Load load) {
+        load(load);
+      } else if (action instanceof PlacementAction.Refuse refuse) {
+        score.lost(tickets.remove(refuse.request()).arrival);
+      }
+    }
+  }
+
+  private void start(PlacementAction.Start start) {
+    Engine engine = byId.get(start.endpoint());
+    Ticket ticket = tickets.get(start.request());
+    if (ticket.started) {
+      throw new IllegalStateException("started twice: " + start);
+    }
+    ticket.started = true;
+    engine.start(ticket.arrival, start.handle(), ticket.tokensLeft);
+    double readyMs = engine.slot(start.handle()).readyMs;
+    score.started(ticket.arrival, ticket.queuedMs, Math.min(now, readyMs));
+    beginStep(engine);
+  }
+
+  private void load(PlacementAction.Load load) {
+    Engine engine = byId.get(load.endpoint());
+    load.evict().ifPresent(engine::evict);
+    score.load(now, load.evict().isPresent());
+    Engine.Slot slot = engine.load(load.adapter(), new LoadHandle("h" + order++));
+    if (faults.nextDouble() < scenario.hangingShare()) {
+      at(now + HANG_MS, () -> loadEnded(engine, slot, false));
+    } else {
+      store.add(now, new WeightStore.Transfer(engine, slot));
+    }
+  }
+
+  private void loadEnded(Engine engine, Engine.Slot slot, boolean success) {
+    if (!engine.slots.contains(slot)) {
+      return;
+    }
+    if (success) {
+      slot.readyMs = now;
+    } else {
+      engine.slots.remove(slot);
+    }
+    Optional<LoadHandle> handle = success ? Optional.of(slot.handle) : Optional.empty();
+    apply(owner(engine).loadFinished(millis(), new LoadResult(engine.id, slot.adapter, handle)));
+  }
+
+  private void beginStep(Engine engine) {
+    if (engine.stepping() || engine.streams.isEmpty()) {
+      return;
+    }
+    double length = engine.beginStep();
+    int boot = engine.boot;
+    at(now + length, () -> endStep(engine, boot, length));
+  }
+
+  private void endStep(Engine engine, int boot, double length) {
+    if (engine.boot != boot) {
+      return;
+    }
+    boolean measured = now >= shape.warmUpMs() && now < shape.endMs();
+    for (Engine.Stream stream : engine.endStep(length, measured)) {
+      RequestId id = new RequestId(Integer.toString(stream.arrival.index()));
+      tickets.remove(id);
+      score.answered(stream.arrival);
+      apply(owner(engine).requestFinished(millis(), id));
+    }
+    beginStep(engine);
+  }
+
+  private void restartHalf() {
+    for (int i = 0; i < engines.size(); i += 2) {
+      Engine engine = engines.get(i);
+      store.cancel(now, engine);
+      List<Engine.Stream> lost = engine.restart();
+      apply(owner(engine).endpointJoined(millis(), engine.emptyStatus()));
+      for (Engine.Stream stream : lost) {
+        arrive(new Ticket(stream.arrival, now, stream.tokensLeft));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Workload.java
@@ -0,0 +1,86 @@
+package io.sequoiapass.testbed.policy;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.daemon.process.placement.Urgency;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+/** The arrivals of one run, the same for each policy. */
+final class Workload {
+
+  static final ModelId MAIN = new ModelId("main");
+  static final ModelId SECOND = new ModelId("second");
+
+  /** One request before it is placed. */
+  record Arrival(
+      int index,
+      double atMs,
+      AdapterVersion adapter,
+      ModelId model,
+      Urgency urgency,
+      int tokens,
+      long deadlineMs) {}
+
+  private Workload() {}
+
+  static List<Arrival> generate(Shape shape, Scenario scenario, long seed) {
+    Random random = new Random(seed);
+    int second = Math.max(1, (int) (shape.adapters() * Shape.SECOND_SHARE));
+    Popularity main = new Popularity("m", shape.adapters(), shape.zipf(), random);
+    Popularity other = new Popularity("s", second, shape.zipf(), random);
+    List<Arrival> arrivals = new ArrayList<>();
+    boolean flipped = false;
+    double now = 0;
+    while (true) {
+      boolean secondHalf = now >= shape.halfMs();
+      now -=
+          Math.log(1 - random.nextDouble()) * 1000 / shape.rate() / scenario.rateFactor(secondHalf);
+      if (now >= shape.endMs()) {
+        return arrivals;
+      }
+      if (scenario == Scenario.FLIP && !flipped && now >= shape.halfMs()) {
+        main.shuffle(random);
+        other.shuffle(random);
+        flipped = true;
+      }
+      boolean isMain = random.nextDouble() >= Shape.SECOND_SHARE;
+      AdapterVersion adapter = (isMain ? main : other).draw(random);
+      Urgency urgency = shape.user().urgency(random);
+      int tokens = shape.user().tokens(random, urgency);
+      long deadline = (long) now + User.waitMs(urgency);
+      arrivals.add(
+          new Arrival(
+              arrivals.size(), now, adapter, isMain ? MAIN : SECOND, urgency, tokens, deadline));
+    }
+  }
+
+  /** Draws adapters by Zipf's law. */
+  private static final class Popularity {
+    private final List<AdapterVersion> byRank = new ArrayList<>();
+    private final double[] cumulative;
+
+    Popularity(String prefix, int count, double exponent, Random random) {
+      cumulative = new double[count];
+      double sum = 0;
+      for (int rank = 0; rank < count; rank++) {
+        sum += Math.pow(rank + 1, -exponent);
+        cumulative[rank] = sum;
+        byRank.add(AdapterVersion.parse(prefix + rank + "@v1"));
+      }
+      shuffle(random);
+    }
+
+    void shuffle(Random random) {
+      Collections.shuffle(byRank, random);
+    }
+
+    AdapterVersion draw(Random random) {
+      double draw = random.nextDouble() * cumulative[cumulative.length - 1];
+      int found = java.util.Arrays.binarySearch(cumulative, draw);
+      return byRank.get(found >= 0 ? found : -found - 1);
+    }
+  }
+}
