--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -181,9 +181,7 @@
         queuedFor.merge(entry.request().preferred(), 1, Integer::sum);
       }
     }
-    return endpoints.values().stream()
-        .map(e -> new EndpointLoad(e.id, e.streams, queuedFor.getOrDefault(e.id, 0), e.maxStreams))
-        .toList();
+    return endpoints.values().stream().map(e -> e.load(queuedFor.getOrDefault(e.id, 0))).toList();
   }
 
   private List<PlacementAction> decide(long nowMs) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointLoad.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointLoad.java
@@ -1,7 +1,9 @@
 package io.sequoiapass.daemon.process.placement;
 
+import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * Tells an entry how busy an endpoint is, by its owner's own count; old by the time it is read.
@@ -12,12 +14,15 @@
  * @param streams requests that run on it
  * @param queued requests that wait at its owner and were routed to it
  * @param maxStreams streams that it runs at once
+ * @param adapters what it holds or loads
  */
-public record EndpointLoad(EndpointId endpoint, int streams, int queued, int maxStreams) {
+public record EndpointLoad(
+    EndpointId endpoint, int streams, int queued, int maxStreams, Set<AdapterVersion> adapters) {
 
-  /** Checks the parts. */
+  /** Checks the parts and copies the set. */
   public EndpointLoad {
     Objects.requireNonNull(endpoint, "endpoint");
+    adapters = Set.copyOf(adapters);
     if (streams < 0 || queued < 0 || maxStreams < 1) {
       throw new IllegalArgumentException(
           "streams " + streams + ", queued " + queued + ", maxStreams " + maxStreams);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** What the owner knows exactly of one endpoint, since it gives all orders and sends all work. */
 final class EndpointState {
@@ -50,6 +52,12 @@
     this.maxSlots = status.slots();
   }
 
+  EndpointLoad load(int queued) {
+    Set<AdapterVersion> adapters =
+        slots.stream().filter(s -> !s.hung).map(s -> s.adapter).collect(Collectors.toSet());
+    return new EndpointLoad(id, streams, queued, maxStreams, adapters);
+  }
+
   boolean hasStreamPlace() {
     return streams < maxStreams;
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
@@ -46,7 +46,7 @@
     }
   }
 
-  private record Ranked(Candidate candidate, double score, boolean full) {}
+  private record Ranked(Candidate candidate, double score, boolean full, boolean holds) {}
 
   private final long maxLoadAgeMs;
 
@@ -76,14 +76,16 @@
     }
     List<Ranked> ranked = new ArrayList<>();
     for (Candidate candidate : candidates) {
-      ranked.add(new Ranked(candidate, score(adapter, candidate), full(candidate)));
+      ranked.add(
+          new Ranked(
+              candidate, score(adapter, candidate), full(candidate), holds(adapter, candidate)));
     }
     ranked.sort(
         Comparator.comparingDouble((Ranked r) -> -r.score())
             .thenComparing(r -> r.candidate().endpoint()));
     int spread = Math.min(copies, ranked.size());
     ranked.subList(0, spread).sort(Comparator.comparingDouble(Router::busy));
-    ranked.sort(Comparator.comparing(Ranked::full));
+    ranked.sort(Comparator.comparing(Ranked::full).thenComparing(r -> !r.holds()));
     return ranked.stream().map(r -> r.candidate().endpoint()).toList();
   }
 
@@ -102,6 +104,11 @@
         && candidate.load().filter(l -> l.streams() + l.queued() >= l.maxStreams()).isPresent();
   }
 
+  /** Tells whether the endpoint held the adapter; its owner finds out exactly. */
+  private static boolean holds(AdapterVersion adapter, Candidate candidate) {
+    return candidate.load().filter(load -> load.adapters().contains(adapter)).isPresent();
+  }
+
   private static double busy(Ranked ranked) {
     return ranked
         .candidate()
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/PolicyBench.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/PolicyBench.java
@@ -100,6 +100,7 @@
           "%-12s %-14s %s against %-13s stall %.3f  batch efficiency %.3f%n",
           user,
           scenario,
+          settings.policies().get(0),
           policy,
           ours[0] / other[0],
           ours[1] / other[1]);
