--- a/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
@@ -43,6 +43,7 @@
     commands.put("proxy", new ProxyCommand());
     commands.put("demo", new DemoCommand());
     commands.put("measure", new MeasureCommand());
+    commands.put("policy", new PolicyCommand());
     return commands;
   }
 
