Adaptive placement and affinity routes drive the daemon

Cause: the LRU baseline with one endpoint an adapter waited on loads at all owners at once. The owner now places over all its endpoints (AdaptivePlacement); entries rank by affinity and move away from endpoints whose hints, riding on Finished frames, say full. An attempt that runs elsewhere than it was sent tells its entry (Started), so that a resume asks the right endpoint.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -6,8 +6,11 @@
 import io.sequoiapass.coordination.request.AttemptAction;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.Priority;
+import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.HashSet;
+import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -89,6 +92,9 @@
       out.packString(finished.ranOn().toString());
       out.packInt(finished.tokens());
       out.packLong(finished.stalledMs());
+      writeLoads(out, finished.load());
+    } else if (message instanceof PeerMessage.Started started) {
+      out.packString(started.endpoint().value());
     } else if (message instanceof PeerMessage.ServiceAnswer answer) {
       out.packInt(answer.status());
       out.packString(answer.contentType());
@@ -102,6 +108,21 @@
     }
   }
 
+  private static void writeLoads(MessageBufferPacker out, List<EndpointLoad> loads)
+      throws IOException {
+    out.packArrayHeader(loads.size());
+    for (EndpointLoad load : loads) {
+      out.packString(load.endpoint().value());
+      out.packInt(load.streams());
+      out.packInt(load.queued());
+      out.packInt(load.maxStreams());
+      out.packArrayHeader(load.adapters().size());
+      for (AdapterVersion adapter : load.adapters()) {
+        out.packString(adapter.toString());
+      }
+    }
+  }
+
   private static void writeForward(MessageBufferPacker out, PeerMessage.Forward forward)
       throws IOException {
     out.packString(forward.endpoint().value());
@@ -163,8 +184,18 @@
     return new PeerMessage.Tokens(id, ranOn, firstIndex, in.list(FrameReader::text));
   }
 
-  static PeerMessage readFinished(FrameReader in) throws IOException {
-    return new PeerMessage.Finished(in.attempt(), in.adapter(), in.number(), in.longNumber());
+  static PeerMessage readFinished(FrameReader in) throws IOException, PeerFrameException {
+    return new PeerMessage.Finished(
+        in.attempt(), in.adapter(), in.number(), in.longNumber(), in.list(PeerFrames::readLoad));
+  }
+
+  private static EndpointLoad readLoad(FrameReader in) throws IOException, PeerFrameException {
+    return new EndpointLoad(
+        new EndpointId(in.text()),
+        in.number(),
+        in.number(),
+        in.number(),
+        new HashSet<>(in.list(FrameReader::adapter)));
   }
 
   static PeerMessage readServiceAnswer(FrameReader in) throws IOException, PeerFrameException {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -9,6 +9,7 @@
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.List;
 
 /**
@@ -125,6 +126,19 @@
     }
   }
 
+  /**
+   * Tells where an attempt runs, if not where the entry sent it.
+   *
+   * @param id the attempt
+   * @param endpoint the endpoint that it is written to
+   */
+  record Started(AttemptId id, EndpointId endpoint) implements OfAttempt {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.STARTED;
+    }
+  }
+
   /**
    * Carries tokens of a stream.
    *
@@ -153,9 +167,16 @@
    * @param ranOn the adapter and version that the engine says it ran on
    * @param tokens how many tokens the whole answer has
    * @param stalledMs how long the request waited for its adapter, in milliseconds
+   * @param load how busy the owner's endpoints are; a hint for the entry's next requests
    */
-  record Finished(AttemptId id, AdapterVersion ranOn, int tokens, long stalledMs)
+  record Finished(
+      AttemptId id, AdapterVersion ranOn, int tokens, long stalledMs, List<EndpointLoad> load)
       implements OfAttempt {
+    /** Copies the list. */
+    public Finished {
+      load = List.copyOf(load);
+    }
+
     @Override
     public PeerMessageType type() {
       return PeerMessageType.FINISHED;
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.daemon.connection.peer;
 
+import io.sequoiapass.coordination.EndpointId;
 import java.io.IOException;
 
 /** Numbers the kinds of frames and reads each; the numbers are part of the protocol. */
@@ -39,7 +40,9 @@
   /** See {@link PeerMessage.RelayCall}. */
   RELAY_CALL(17, ControlFrames::readRelayCall),
   /** See {@link PeerMessage.RelayAnswer}. */
-  RELAY_ANSWER(18, ControlFrames::readRelayAnswer);
+  RELAY_ANSWER(18, ControlFrames::readRelayAnswer),
+  /** See {@link PeerMessage.Started}. */
+  STARTED(19, in -> new PeerMessage.Started(in.attempt(), new EndpointId(in.text())));
 
   /** Reads the fields of one frame. */
   @FunctionalInterface
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -18,10 +18,11 @@
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import io.sequoiapass.daemon.connection.peer.PeerTransport;
 import io.sequoiapass.daemon.connection.platform.PlatformClient;
+import io.sequoiapass.daemon.process.entry.AffinityRoutes;
 import io.sequoiapass.daemon.process.entry.CallerHandler;
 import io.sequoiapass.daemon.process.entry.Entries;
 import io.sequoiapass.daemon.process.entry.EntryShard;
-import io.sequoiapass.daemon.process.entry.RendezvousRoutes;
+import io.sequoiapass.daemon.process.entry.Routes;
 import io.sequoiapass.daemon.process.log.EventLog;
 import io.sequoiapass.daemon.process.log.LogEvent;
 import io.sequoiapass.daemon.process.owner.Owner;
@@ -30,7 +31,9 @@
 import io.sequoiapass.daemon.process.ownership.DaemonIdentity;
 import io.sequoiapass.daemon.process.ownership.OwnershipNode;
 import io.sequoiapass.daemon.process.ownership.OwnershipTimes;
-import io.sequoiapass.daemon.process.placement.LruPlacement;
+import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
+import io.sequoiapass.daemon.process.placement.PlacementSettings;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
 import io.sequoiapass.daemon.process.timeline.TimelineEvent;
@@ -149,17 +152,13 @@
   }
 
   private Entries entries() {
+    Routes routes =
+        new AffinityRoutes(
+            clock, endpoint -> this.ownership.server(endpoint), daemon -> this.peers.to(daemon));
     List<EntryShard> shards = new ArrayList<>();
     for (int i = 0; i < settings.threads(); i++) {
       RetryBudget budget = new RetryBudget(settings.retryBudgetPercent() / PERCENT, RETRY_BURST);
-      shards.add(
-          new EntryShard(
-              clock,
-              new RendezvousRoutes(
-                  endpoint -> this.ownership.server(endpoint), daemon -> this.peers.to(daemon)),
-              AttemptSettings.DEFAULT,
-              budget,
-              events));
+      shards.add(new EntryShard(clock, routes, AttemptSettings.DEFAULT, budget, events));
     }
     return new Entries(shards);
   }
@@ -170,7 +169,7 @@
         () ->
             new OwnerShard(
                 clock,
-                new LruPlacement(),
+                new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.STALLS),
                 engines,
                 (endpoint, kind) -> this.ownership.permit(endpoint, kind),
                 events),
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
@@ -0,0 +1,123 @@
+package io.sequoiapass.daemon.process.entry;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.RendezvousHash;
+import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
+import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.coordination.version.EndpointType;
+import io.sequoiapass.daemon.process.placement.EndpointLoad;
+import io.sequoiapass.daemon.process.placement.Router;
+import io.sequoiapass.daemon.request.RouteTarget;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Ranks endpoints so that an adapter's requests meet on the same one whatever entry they came
+ * through, without a message; hints that ride on answers move them away from full endpoints.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class AffinityRoutes implements Routes {
+
+  /** A hint older than this says nothing: an endpoint's load changes within a few answers. */
+  private static final long MAX_HINT_AGE_MS = 2_000;
+
+  private static final int ONE_COPY = 1;
+
+  private final MillisClock clock;
+  private final Owners owners;
+  private final Channels channels;
+  private final Router router = new Router(MAX_HINT_AGE_MS);
+  private final Map<EndpointId, Hint> hints = new ConcurrentHashMap<>();
+
+  /**
+   * Makes routes.
+   *
+   * @param clock tells how old hints are
+   * @param owners tells who serves an endpoint
+   * @param channels finds the connection to it
+   */
+  public AffinityRoutes(MillisClock clock, Owners owners, Channels channels) {
+    this.clock = Objects.requireNonNull(clock, "clock");
+    this.owners = Objects.requireNonNull(owners, "owners");
+    this.channels = Objects.requireNonNull(channels, "channels");
+  }
+
+  @Override
+  public void learn(List<EndpointLoad> loads) {
+    long now = clock.millis();
+    loads.forEach(load -> hints.put(load.endpoint(), new Hint(load, now)));
+  }
+
+  @Override
+  public Optional<Route> find(
+      RouteTarget target,
+      ConfigurationSnapshot snapshot,
+      Optional<EndpointId> prefer,
+      Set<EndpointId> avoid) {
+    Optional<Route> preferred =
+        prefer.flatMap(snapshot::endpoint).flatMap(endpoint -> route(endpoint));
+    if (preferred.isPresent()) {
+      return preferred;
+    }
+    List<EndpointId> ranked = rank(target, snapshot);
+    return first(ranked.stream().filter(one -> !avoid.contains(one)).toList(), snapshot)
+        .or(() -> first(ranked, snapshot));
+  }
+
+  private List<EndpointId> rank(RouteTarget target, ConfigurationSnapshot snapshot) {
+    List<EndpointId> candidates = new ArrayList<>();
+    for (EndpointRecord endpoint : snapshot.endpoints()) {
+      if (endpoint.takesNewWork() && runs(endpoint, target)) {
+        candidates.add(endpoint.id());
+      }
+    }
+    if (target instanceof RouteTarget.Engine engine) {
+      List<Router.Candidate> weighed = candidates.stream().map(this::weigh).toList();
+      return router.rank(engine.adapter(), ONE_COPY, weighed);
+    }
+    return RendezvousHash.rank(target.affinity(), candidates);
+  }
+
+  private Router.Candidate weigh(EndpointId endpoint) {
+    Hint hint = hints.get(endpoint);
+    return hint == null
+        ? new Router.Candidate(endpoint, 1, Optional.empty(), Long.MAX_VALUE)
+        : new Router.Candidate(
+            endpoint, 1, Optional.of(hint.load()), clock.millis() - hint.learntAtMs());
+  }
+
+  private static boolean runs(EndpointRecord endpoint, RouteTarget target) {
+    if (target instanceof RouteTarget.Engine engine) {
+      return endpoint.type() == EndpointType.ENGINE
+          && endpoint.model().filter(engine.model()::equals).isPresent();
+    }
+    RouteTarget.Service service = (RouteTarget.Service) target;
+    return endpoint.type() == EndpointType.SERVICE
+        && endpoint.service().filter(service.service()::equals).isPresent();
+  }
+
+  private Optional<Route> first(List<EndpointId> ranked, ConfigurationSnapshot snapshot) {
+    return ranked.stream()
+        .map(snapshot::endpoint)
+        .flatMap(Optional::stream)
+        .map(this::route)
+        .flatMap(Optional::stream)
+        .findFirst();
+  }
+
+  private Optional<Route> route(EndpointRecord endpoint) {
+    return owners
+        .of(endpoint)
+        .flatMap(channels::to)
+        .map(channel -> new Route(endpoint.id(), channel));
+  }
+
+  private record Hint(EndpointLoad load, long learntAtMs) {}
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryRequest.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryRequest.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.daemon.process.entry;
 
 import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.request.RequestAttempts;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
@@ -59,6 +60,10 @@
     routes.put(attempt, route);
   }
 
+  void movedTo(int attempt, EndpointId endpoint) {
+    routes.computeIfPresent(attempt, (number, route) -> new Route(endpoint, route.owner()));
+  }
+
   Optional<Route> route(int attempt) {
     return Optional.ofNullable(routes.get(attempt));
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -180,7 +180,11 @@
     int attempt = message.id().attempt();
     if (message instanceof PeerMessage.Tokens tokens) {
       takeTokens(entry, tokens);
+    } else if (message instanceof PeerMessage.Started started) {
+      entry.movedTo(attempt, started.endpoint());
+      on(entry, new AttemptEvent.Routed(attempt, started.endpoint()));
     } else if (message instanceof PeerMessage.Finished finished) {
+      routes.learn(finished.load());
       on(
           entry,
           new AttemptEvent.Frame(
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/Routes.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/Routes.java
@@ -2,7 +2,9 @@
 
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import io.sequoiapass.daemon.request.RouteTarget;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -22,4 +24,11 @@
       ConfigurationSnapshot snapshot,
       Optional<EndpointId> prefer,
       Set<EndpointId> avoid);
+
+  /**
+   * Takes hints of how busy endpoints are.
+   *
+   * @param loads the hints
+   */
+  void learn(List<EndpointLoad> loads);
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.daemon.process.owner;
 
+import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.RequestId;
@@ -310,7 +311,7 @@
       return;
     }
     execution.dropStream();
-    EngineWatch watch = endpoints.get(endpointOf(execution));
+    EngineWatch watch = endpoints.get(execution.endpoint());
     if (watch == null) {
       over(execution);
       return;
@@ -330,13 +331,6 @@
                     }));
   }
 
-  /** Returns where it runs; an attempt that was attached to a stream has no place of its own. */
-  private static EndpointId endpointOf(Execution execution) {
-    return execution.place() == null
-        ? execution.forward().endpoint()
-        : execution.place().endpoint();
-  }
-
   // What the placement decides.
 
   /** Lets time pass; to be called every 10 to 50 ms. */
@@ -372,6 +366,9 @@
       return;
     }
     execution.place(start);
+    if (!start.endpoint().equals(execution.forward().endpoint())) {
+      execution.replies().send(new PeerMessage.Started(execution.id(), start.endpoint()));
+    }
     if (execution.forward().atMostOnce()) {
       execution.asking();
       execution.replies().send(new PeerMessage.MayStart(execution.id()));
@@ -400,17 +397,7 @@
     long now = clock.millis();
     execution.running(now);
     Completion work = execution.completion();
-    EngineRun run =
-        new EngineRun(
-            execution.id().request().value(),
-            execution.id().attempt(),
-            work.adapter().adapter().value(),
-            work.adapter().version().value(),
-            start.handle().value(),
-            work.prompt(),
-            work.maxTokens(),
-            work.priority().rank(),
-            work.resumeFrom());
+    EngineRun run = execution.run(start.handle());
     EngineRelay relay =
         new EngineRelay(execution, work.resumeFrom(), new RunEnd(execution, watch, 0));
     execution.stream(
@@ -475,8 +462,12 @@
     }
 
     @Override
-    public void whole() {
-      locked(() -> finished(execution));
+    public void whole(AdapterVersion ranOn, int tokens) {
+      locked(
+          () -> {
+            finished(execution);
+            execution.whole(ranOn, tokens, placement.loads());
+          });
     }
 
     @Override
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -173,7 +173,7 @@
     return actions;
   }
 
-  /** Returns how busy each endpoint is, for the entries' routers. */
+  @Override
   public List<EndpointLoad> loads() {
     Map<EndpointId, Integer> queuedFor = new HashMap<>();
     for (WaitingGroup group : waiting.values()) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
@@ -42,4 +42,9 @@
 
   /** Time went by; called every 10 to 50 ms. */
   List<PlacementAction> tick(long nowMs);
+
+  /** Returns how busy each endpoint is, as a hint for the entries' routers; perhaps nothing. */
+  default List<EndpointLoad> loads() {
+    return List.of();
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/EngineRelay.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/EngineRelay.java
@@ -17,8 +17,13 @@
   /** Hears how the stream ended. */
   public interface End {
 
-    /** The whole answer was handed on. */
-    void whole();
+    /**
+     * The whole answer arrived.
+     *
+     * @param ranOn what it ran on
+     * @param tokens its length
+     */
+    void whole(AdapterVersion ranOn, int tokens);
 
     /** The engine answered that it did not take the request. */
     void refused(EngineRefusal refusal);
@@ -95,12 +100,7 @@
       return;
     }
     over = true;
-    execution
-        .replies()
-        .send(
-            new PeerMessage.Finished(
-                execution.id(), frame.ranOn(), frame.tokens(), execution.waitedMs()));
-    end.whole();
+    end.whole(frame.ranOn(), frame.tokens());
   }
 
   private void fail(boolean mayHaveReached, boolean resumable) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/Execution.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/Execution.java
@@ -1,12 +1,18 @@
 package io.sequoiapass.daemon.request;
 
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.daemon.connection.HttpStream;
+import io.sequoiapass.daemon.connection.engine.EngineRun;
 import io.sequoiapass.daemon.connection.peer.ForwardedWork;
 import io.sequoiapass.daemon.connection.peer.PeerChannel;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
+import io.sequoiapass.daemon.process.placement.EndpointLoad;
+import io.sequoiapass.daemon.process.placement.LoadHandle;
 import io.sequoiapass.daemon.process.placement.PlacementAction;
+import java.util.List;
 
 /**
  * Holds one attempt at its owner, from its arrival until its last frame.
@@ -81,6 +87,30 @@
     return place;
   }
 
+  /** Returns where it runs; an attempt that was attached to a stream has no place of its own. */
+  public EndpointId endpoint() {
+    return place == null ? forward.endpoint() : place.endpoint();
+  }
+
+  /**
+   * Returns the call that runs it.
+   *
+   * @param handle the load to run on
+   */
+  public EngineRun run(LoadHandle handle) {
+    ForwardedWork.Completion work = completion();
+    return new EngineRun(
+        id().request().value(),
+        id().attempt(),
+        work.adapter().adapter().value(),
+        work.adapter().version().value(),
+        handle.value(),
+        work.prompt(),
+        work.maxTokens(),
+        work.priority().rank(),
+        work.resumeFrom());
+  }
+
   /** Returns how far it has come. */
   public Stage stage() {
     return stage;
@@ -144,6 +174,11 @@
     }
   }
 
+  /** Tells the entry that the whole answer was handed on. */
+  public void whole(AdapterVersion ranOn, int tokens, List<EndpointLoad> load) {
+    replies.send(new PeerMessage.Finished(id(), ranOn, tokens, waitedMs(), load));
+  }
+
   /** Tells the entry that it did not run and never will. */
   public void refuse(ErrorKind kind, boolean byEndpoint, long comeBackMs) {
     replies.send(new PeerMessage.Refused(id(), kind, byEndpoint, comeBackMs));
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -9,12 +9,17 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.OwnershipTable;
+import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
+import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
@@ -42,7 +47,24 @@
         new PeerMessage.MayStart(ID),
         new PeerMessage.StartAnswer(ID, true),
         new PeerMessage.Tokens(ID, ADAPTER, 5, List.of("a", "b")),
-        new PeerMessage.Finished(ID, ADAPTER, 7, 12),
+        new PeerMessage.Started(ID, new EndpointId("e2")),
+        new PeerMessage.Finished(
+            ID,
+            ADAPTER,
+            7,
+            12,
+            List.of(new EndpointLoad(new EndpointId("e1"), 1, 2, 16, Set.of(ADAPTER)))),
+        new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9),
+        new PeerMessage.TablePush(
+            new DataCentreId("yard-north"),
+            OwnershipTable.of(
+                9,
+                2,
+                Map.of(new EndpointId("e1"), new DaemonId("d1")),
+                Map.of(new DaemonId("d1"), 7L))),
+        new PeerMessage.TableRequest(4),
+        new PeerMessage.RelayCall(1, "lease/d1/7/1", 3, "{}"),
+        new PeerMessage.RelayAnswer(1, PeerMessage.RelayResult.CONFLICT, 3, "o", ""),
         new PeerMessage.Refused(ID, ErrorKind.QUEUE_FULL, true, 250),
         new PeerMessage.EndpointLost(ID),
         new PeerMessage.Cancel(ID),
