--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/AdmissionSettings.java
@@ -0,0 +1,44 @@
+package io.sequoiapass.coordination.request;
+
+/**
+ * Holds the limits of an {@link AdmissionQueue}; a preset supplies them.
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param maxQueued requests that may wait in all; bounds memory and the longest wait
+ * @param maxQueuedPerService requests of one service and priority that may wait
+ * @param lowerPriorityEvery each so-manieth request is taken from the lowest priority that waits,
+ *     so that batch work goes on under load; at least 2
+ * @param minServiceMillis the least time that serving takes: with less left, a request is refused
+ *     instead of being run in vain
+ * @param initialPerSecond the drain rate assumed before any is measured
+ * @param maxComeBackMillis the longest come-back time told
+ */
+public record AdmissionSettings(
+    int maxQueued,
+    int maxQueuedPerService,
+    int lowerPriorityEvery,
+    long minServiceMillis,
+    double initialPerSecond,
+    long maxComeBackMillis) {
+
+  /** Suits a daemon that serves some 65 requests a second. */
+  public static final AdmissionSettings DEFAULT =
+      new AdmissionSettings(512, 128, 16, 50, 65, 30_000);
+
+  /** Checks the limits. */
+  public AdmissionSettings {
+    if (maxQueued < 1 || maxQueuedPerService < 1 || maxQueuedPerService > maxQueued) {
+      throw new IllegalArgumentException(
+          "queued %d, per service %d".formatted(maxQueued, maxQueuedPerService));
+    }
+    if (lowerPriorityEvery < 2 || minServiceMillis < 0 || !(initialPerSecond > 0)) {
+      throw new IllegalArgumentException(
+          "lower priority every %d, service %d ms, %s a second"
+              .formatted(lowerPriorityEvery, minServiceMillis, initialPerSecond));
+    }
+    if (maxComeBackMillis < 1) {
+      throw new IllegalArgumentException("come back %d ms".formatted(maxComeBackMillis));
+    }
+  }
+}
