--- /dev/null
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerMember.java
@@ -0,0 +1,26 @@
+package io.sequoiapass.coordination.request;
+
+import io.sequoiapass.coordination.DaemonId;
+import java.util.Objects;
+
+/**
+ * Names one life of a daemon process: a restarted daemon keeps its name, but not its memory.
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param daemon the daemon
+ * @param incarnation greater for each later start of it
+ */
+public record LedgerMember(DaemonId daemon, long incarnation) implements Comparable<LedgerMember> {
+
+  /** Checks the daemon. */
+  public LedgerMember {
+    Objects.requireNonNull(daemon, "daemon");
+  }
+
+  @Override
+  public int compareTo(LedgerMember other) {
+    int order = daemon.compareTo(other.daemon);
+    return order != 0 ? order : Long.compare(incarnation, other.incarnation);
+  }
+}
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
@@ -412,7 +413,12 @@
     Attempt attempt = new Attempt(attempts.size() + 1, mode);
     attempts.add(attempt);
     actions.add(
-        new AttemptAction.Send(attempt.number(), mode, answer.next(), prefer, Set.copyOf(avoid)));
+        new AttemptAction.Send(
+            attempt.number(),
+            mode,
+            answer.next(),
+            prefer,
+            Collections.unmodifiableSet(new LinkedHashSet<>(avoid))));
   }
 
   private void endFailed() {
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsFuzzTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsFuzzTest.java
@@ -16,7 +16,7 @@
  */
 class RequestAttemptsFuzzTest {
 
-  /** More runs by {@code -DargLine="-Dfuzz.runs=100000"}. */
+  /** A longer run: {@code mvn test "-Dtest.arguments=-Xmx1g -Dfuzz.runs=100000"}. */
   private static final int RUNS = Integer.getInteger("fuzz.runs", 2_000);
 
   @Property(tries = 400, seed = "5")
