--- /dev/null
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerTest.java
@@ -0,0 +1,99 @@
+package io.sequoiapass.coordination.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.IdempotencyKey;
+import io.sequoiapass.coordination.OperationId;
+import io.sequoiapass.coordination.request.LedgerMessage.Answer;
+import io.sequoiapass.coordination.request.LedgerRecord.Holder;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LedgerTest {
+
+  private static final LedgerMember HOME = new LedgerMember(new DaemonId("home"), 1);
+  private static final LedgerMember SECOND = new LedgerMember(new DaemonId("second"), 1);
+  private static final IdempotencyKey KEY = new IdempotencyKey("slip-17");
+  private static final Holder FIRST = holder("first");
+  private static final Holder OTHER = holder("other");
+
+  private final Ledger ledger =
+      new Ledger(
+          HOME, LedgerSettings.DEFAULT, (key, members) -> members.stream().sorted().toList(), 0);
+
+  private static Holder holder(String entry) {
+    return new Holder(new LedgerMember(new DaemonId(entry), 1), new OperationId("o1"));
+  }
+
+  @BeforeEach
+  void homeThatKnows() {
+    ledger.authorityUntil(1_000);
+    ledger.membersChanged(new LedgerView(1, Set.of(HOME, SECOND)), 0);
+    LedgerMessage reply = new LedgerMessage.Records(SECOND, 1, List.of(), List.of(), true);
+    ledger.receive(SECOND.daemon(), reply, 0);
+  }
+
+  /** Lets the second keep each copy, and returns what the entry is told. */
+  private List<Optional<ErrorKind>> ask(LedgerMessage message, Holder holder, long now) {
+    List<LedgerSend> sends = new ArrayList<>(ledger.receive(holder.entry().daemon(), message, now));
+    for (LedgerSend send : List.copyOf(sends)) {
+      if (send.message() instanceof LedgerMessage.Copy copy) {
+        LedgerMessage kept = new LedgerMessage.Copied(SECOND, KEY, copy.record().sequence());
+        sends.addAll(ledger.receive(SECOND.daemon(), kept, now));
+      }
+    }
+    return sends.stream()
+        .filter(send -> send.message() instanceof Answer)
+        .map(send -> ((Answer) send.message()).refusal())
+        .toList();
+  }
+
+  private List<Optional<ErrorKind>> reserve(Holder holder, String digest, long now) {
+    return ask(new LedgerMessage.Reserve(KEY, digest, holder), holder, now);
+  }
+
+  private List<Optional<ErrorKind>> markStart(Holder holder) {
+    return ask(new LedgerMessage.MarkStart(KEY, holder), holder, 0);
+  }
+
+  /**
+   * A caller sends a key through one entry, which is cut off before the start; the key is freed and
+   * the caller's retry reserves it through another. The first entry is back and asks for its start:
+   * a yes would run the work twice.
+   */
+  @Test
+  void anEntryThatLostTheKeyMayNotStart() {
+    assertThat(reserve(FIRST, "body", 0)).containsExactly(Optional.empty());
+    ledger.entryLost(FIRST.entry(), 0);
+    assertThat(reserve(OTHER, "body", 0)).containsExactly(Optional.empty());
+    assertThat(markStart(FIRST)).containsExactly(Optional.of(ErrorKind.LEDGER_UNAVAILABLE));
+    assertThat(markStart(OTHER)).containsExactly(Optional.empty());
+  }
+
+  @Test
+  void aStartedKeyOfALostEntryIsUnknownAndNotFree() {
+    reserve(FIRST, "body", 0);
+    markStart(FIRST);
+    ledger.entryLost(FIRST.entry(), 0);
+    assertThat(reserve(OTHER, "body", 0))
+        .containsExactly(Optional.of(ErrorKind.KEY_OUTCOME_UNKNOWN));
+  }
+
+  @Test
+  void aKeyWithAnotherBodyIsToldApart() {
+    reserve(FIRST, "body", 0);
+    assertThat(reserve(OTHER, "body", 0)).containsExactly(Optional.of(ErrorKind.KEY_IN_PROGRESS));
+    assertThat(reserve(OTHER, "else", 0)).containsExactly(Optional.of(ErrorKind.KEY_REUSED));
+  }
+
+  @Test
+  void aHomeWhoseLeaseMayHaveLapsedRefuses() {
+    assertThat(reserve(FIRST, "body", 1_000))
+        .containsExactly(Optional.of(ErrorKind.LEDGER_UNAVAILABLE));
+  }
+}
