Commands use the shared platform client, conditional write and enums

The commands had a platform client, a decision about lost answers and enums of their own beside those of coordination and of the daemon; they are gone. DrainCommand's loop is bounded by its head. A deterministic test holds a thread up for a whole turn of the time line's ring.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/ApplyCommand.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/ApplyCommand.java
@@ -32,7 +32,7 @@
     String text = read(name);
     try (CommandClient client = new CommandClient(invocation.timeoutMs())) {
       ConfigurationFile file = ConfigurationFile.parse(text);
-      PlatformClient platform = new PlatformClient(client, platformAddress);
+      PlatformSession platform = new PlatformSession(client, platformAddress);
       long presetAtMs = MillisClock.wall().millis() + delayMs;
       List<Change> changes = new ChangePlan(file, platform).changes(presetAtMs);
       changes.forEach(change -> invocation.out().println(change.shown()));
@@ -58,7 +58,7 @@
   }
 
   private static ExitCode finish(
-      Invocation invocation, PlatformClient platform, List<Change> changes)
+      Invocation invocation, PlatformSession platform, List<Change> changes)
       throws CommandException {
     PrintStream out = invocation.out();
     if (changes.isEmpty()) {
@@ -72,7 +72,8 @@
     return ExitCode.OK;
   }
 
-  private static void write(PlatformClient platform, List<Change> changes) throws CommandException {
+  private static void write(PlatformSession platform, List<Change> changes)
+      throws CommandException {
     String run = "apply-" + UUID.randomUUID() + "-";
     for (int i = 0; i < changes.size(); i++) {
       try {
@@ -83,7 +84,7 @@
     }
   }
 
-  private static void write(PlatformClient platform, Change change, OperationId operation)
+  private static void write(PlatformSession platform, Change change, OperationId operation)
       throws CommandException {
     if (change.after().isPresent()) {
       platform.put(change.kind(), change.name(), change.after().get(), change.version(), operation);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Change.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Change.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import io.sequoiapass.daemon.connection.platform.StoredObject;
 import java.util.Optional;
 import java.util.Set;
 import java.util.StringJoiner;
@@ -16,15 +17,15 @@
  * @param after what it shall hold, or nothing
  */
 record Change(
-    ObjectKind kind, String name, Optional<PlatformObject> before, Optional<JsonObject> after) {
+    PlatformKind kind, String name, Optional<StoredObject> before, Optional<JsonObject> after) {
 
   /** Returns the version that the write is conditional on. */
   long version() {
-    return before.map(PlatformObject::version).orElse(PlatformObject.ABSENT);
+    return before.map(StoredObject::version).orElse(PlatformSession.ABSENT);
   }
 
   boolean needed() {
-    return !before.map(PlatformObject::value).equals(after);
+    return !before.map(StoredObject::value).equals(after);
   }
 
   /** Returns kind and name. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/ChangePlan.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/ChangePlan.java
@@ -3,6 +3,9 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import io.sequoiapass.coordination.version.EndpointState;
+import io.sequoiapass.coordination.version.Preset;
+import io.sequoiapass.daemon.connection.platform.StoredObject;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashSet;
@@ -21,23 +24,24 @@
 final class ChangePlan {
 
   private final ConfigurationFile file;
-  private final Map<ObjectKind, Map<String, PlatformObject>> held = new EnumMap<>(ObjectKind.class);
+  private final Map<PlatformKind, Map<String, StoredObject>> held =
+      new EnumMap<>(PlatformKind.class);
 
-  ChangePlan(ConfigurationFile file, PlatformClient platform) throws CommandException {
+  ChangePlan(ConfigurationFile file, PlatformSession platform) throws CommandException {
     this.file = file;
     for (ObjectFormat format : ObjectFormat.values()) {
       hold(format.kind(), platform.list(format.kind()));
     }
-    hold(ObjectKind.PRESET, platform.list(ObjectKind.PRESET));
+    hold(PlatformKind.PRESET, platform.list(PlatformKind.PRESET));
   }
 
-  private void hold(ObjectKind kind, List<PlatformObject> objects) {
-    Map<String, PlatformObject> byName = new LinkedHashMap<>();
+  private void hold(PlatformKind kind, List<StoredObject> objects) {
+    Map<String, StoredObject> byName = new LinkedHashMap<>();
     objects.forEach(object -> byName.put(object.name(), object));
     held.put(kind, byName);
   }
 
-  private Optional<PlatformObject> held(ObjectKind kind, String name) {
+  private Optional<StoredObject> held(PlatformKind kind, String name) {
     return Optional.ofNullable(held.get(kind).get(name));
   }
 
@@ -46,45 +50,45 @@
     checkNames();
     List<Change> changes = new ArrayList<>();
     for (ConfigurationFile.Wanted wanted : file.objects()) {
-      Optional<PlatformObject> before = held(wanted.kind(), wanted.name());
+      Optional<StoredObject> before = held(wanted.kind(), wanted.name());
       JsonObject after = wanted.value().deepCopy();
-      if (wanted.kind() == ObjectKind.ENDPOINT && !after.has(ObjectFormat.STATE)) {
+      if (wanted.kind() == PlatformKind.ENDPOINT && !after.has(ObjectFormat.STATE)) {
         after.addProperty(ObjectFormat.STATE, keptState(before));
       }
       changes.add(new Change(wanted.kind(), wanted.name(), before, Optional.of(after)));
     }
     for (ConfigurationFile.Removal removal : file.removals()) {
-      Optional<PlatformObject> before = held(removal.kind(), removal.name());
+      Optional<StoredObject> before = held(removal.kind(), removal.name());
       changes.add(new Change(removal.kind(), removal.name(), before, Optional.empty()));
     }
     file.preset().ifPresent(name -> changes.add(presetChange(name, presetAtMs)));
     return changes.stream().filter(Change::needed).toList();
   }
 
-  private static String keptState(Optional<PlatformObject> before) {
+  private static String keptState(Optional<StoredObject> before) {
     return before
         .map(object -> object.value().get(ObjectFormat.STATE))
         .map(JsonElement::getAsString)
-        .orElse(ObjectFormat.EndpointState.ACTIVE.name());
+        .orElse(EndpointState.ACTIVE.name());
   }
 
-  private Change presetChange(PresetName name, long presetAtMs) {
-    Optional<PlatformObject> before = held(ObjectKind.PRESET, ObjectKind.CURRENT_PRESET);
+  private Change presetChange(Preset name, long presetAtMs) {
+    Optional<StoredObject> before = held(PlatformKind.PRESET, PlatformKind.CURRENT_PRESET);
     JsonObject after = PresetCommand.value(name, presetAtMs);
     if (PresetCommand.holds(before, name)) {
       after = before.orElseThrow().value();
     }
-    return new Change(ObjectKind.PRESET, ObjectKind.CURRENT_PRESET, before, Optional.of(after));
+    return new Change(PlatformKind.PRESET, PlatformKind.CURRENT_PRESET, before, Optional.of(after));
   }
 
   /** Checks that every name which the file gives is there once all is written. */
   private void checkNames() throws FileProblem {
-    Map<ObjectKind, Set<String>> there = namesAfter();
+    Map<PlatformKind, Set<String>> there = namesAfter();
     List<String> problems = new ArrayList<>();
     for (ConfigurationFile.Wanted wanted : file.objects()) {
-      check(wanted, "adapters", ObjectKind.ADAPTER, there, problems);
-      check(wanted, "endpoints", ObjectKind.ENDPOINT, there, problems);
-      check(wanted, "service", ObjectKind.SERVICE, there, problems);
+      check(wanted, "adapters", PlatformKind.ADAPTER, there, problems);
+      check(wanted, "endpoints", PlatformKind.ENDPOINT, there, problems);
+      check(wanted, "service", PlatformKind.SERVICE, there, problems);
     }
     checkRemovals(problems);
     if (!problems.isEmpty()) {
@@ -92,8 +96,8 @@
     }
   }
 
-  private Map<ObjectKind, Set<String>> namesAfter() {
-    Map<ObjectKind, Set<String>> names = new EnumMap<>(ObjectKind.class);
+  private Map<PlatformKind, Set<String>> namesAfter() {
+    Map<PlatformKind, Set<String>> names = new EnumMap<>(PlatformKind.class);
     held.forEach((kind, objects) -> names.put(kind, new HashSet<>(objects.keySet())));
     file.objects().forEach(wanted -> names.get(wanted.kind()).add(wanted.name()));
     file.removals().forEach(removal -> names.get(removal.kind()).remove(removal.name()));
@@ -103,8 +107,8 @@
   private static void check(
       ConfigurationFile.Wanted wanted,
       String member,
-      ObjectKind kind,
-      Map<ObjectKind, Set<String>> there,
+      PlatformKind kind,
+      Map<PlatformKind, Set<String>> there,
       List<String> problems) {
     for (String name : named(wanted.value(), member)) {
       if (!there.get(kind).contains(name)) {
@@ -151,7 +155,7 @@
   }
 
   /** Returns whether an object of the platform is neither removed nor replaced by the file. */
-  private boolean stays(ObjectKind kind, String name) {
+  private boolean stays(PlatformKind kind, String name) {
     return file.removals().stream().noneMatch(r -> r.kind() == kind && r.name().equals(name))
         && file.objects().stream().noneMatch(w -> w.kind() == kind && w.name().equals(name));
   }
@@ -166,7 +170,7 @@
   }
 
   private static String stillNamed(
-      ConfigurationFile.Removal removal, ObjectKind kind, String name) {
+      ConfigurationFile.Removal removal, PlatformKind kind, String name) {
     return removal.place()
         + ": "
         + removal.kind().word()
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandClient.java
@@ -7,6 +7,10 @@
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.daemon.connection.platform.PlatformClient;
+import io.sequoiapass.daemon.connection.platform.PlatformException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -47,6 +51,26 @@
     }
   }
 
+  PlatformClient platform(InetSocketAddress address) {
+    return new PlatformClient(client, address, timeoutMs);
+  }
+
+  /** Waits for the answer to a call to the platform. */
+  <T> T await(CompletableFuture<T> answer) throws PlatformException, CommandException {
+    try {
+      return answer.get(timeoutMs + GRACE_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      if (e.getCause() instanceof PlatformException failure) {
+        throw failure;
+      }
+      throw new CommandException(ExitCode.FAILED, "platform: " + e.getCause());
+    } catch (TimeoutException e) {
+      throw new CommandException(ExitCode.UNREACHABLE, "platform gives no answer in time");
+    } catch (InterruptedException e) {
+      throw interrupted();
+    }
+  }
+
   void pause(long pauseMs) throws CommandException {
     try {
       Thread.sleep(pauseMs);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/ConfigurationFile.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/ConfigurationFile.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.daemon.process.command;
 
 import com.google.gson.JsonObject;
+import io.sequoiapass.coordination.version.Preset;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,8 +14,7 @@
  * @param removals the objects that shall be gone, in the order of deleting
  * @param preset the preset that shall be in force
  */
-record ConfigurationFile(
-    List<Wanted> objects, List<Removal> removals, Optional<PresetName> preset) {
+record ConfigurationFile(List<Wanted> objects, List<Removal> removals, Optional<Preset> preset) {
 
   /**
    * Holds one object that shall be there.
@@ -24,7 +24,7 @@
    * @param value its value
    * @param place where the file gives it
    */
-  record Wanted(ObjectKind kind, String name, JsonObject value, String place) {}
+  record Wanted(PlatformKind kind, String name, JsonObject value, String place) {}
 
   /**
    * Holds one object that shall be gone.
@@ -33,7 +33,7 @@
    * @param name its name
    * @param place where the file gives it
    */
-  record Removal(ObjectKind kind, String name, String place) {}
+  record Removal(PlatformKind kind, String name, String place) {}
 
   static ConfigurationFile parse(String text) throws FileProblem {
     List<String> problems = new ArrayList<>();
@@ -47,10 +47,8 @@
         objects.add(new Wanted(format.kind(), entry.getKey(), value, object.place()));
       }
     }
-    Optional<PresetName> preset =
-        file.has("preset")
-            ? Optional.of(file.choice("preset", PresetName.values()))
-            : Optional.empty();
+    Optional<Preset> preset =
+        file.has("preset") ? Optional.of(file.choice("preset", Preset.values())) : Optional.empty();
     List<Removal> removals = removals(file);
     file.refuseUnknown();
     refuseBoth(objects, removals, problems);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/DrainCommand.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/DrainCommand.java
@@ -3,9 +3,11 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import io.sequoiapass.coordination.OperationId;
+import io.sequoiapass.coordination.version.EndpointState;
 import io.sequoiapass.daemon.connection.HttpAnswer;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.daemon.connection.platform.StoredObject;
 import io.sequoiapass.daemon.process.settings.SettingsException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -32,13 +34,11 @@
 
   private static ExitCode drainEndpoint(Invocation invocation, String name)
       throws CommandException, SettingsException {
-    ObjectFormat.EndpointState state =
-        invocation.has(CommandFlag.UNDO)
-            ? ObjectFormat.EndpointState.ACTIVE
-            : ObjectFormat.EndpointState.LEAVING;
+    EndpointState state =
+        invocation.has(CommandFlag.UNDO) ? EndpointState.ACTIVE : EndpointState.LEAVING;
     InetSocketAddress address = invocation.platform();
     try (CommandClient client = new CommandClient(invocation.timeoutMs())) {
-      PlatformClient platform = new PlatformClient(client, address);
+      PlatformSession platform = new PlatformSession(client, address);
       setState(platform, name, state);
       invocation.out().println("endpoint " + name + " is " + state);
       return ExitCode.OK;
@@ -49,31 +49,35 @@
    * Sets the state and leaves the rest of the object as it is. After a conflict the object is read
    * again: the other change may have touched any other member, and writing over it would undo it.
    */
-  private static void setState(
-      PlatformClient platform, String name, ObjectFormat.EndpointState state)
+  private static void setState(PlatformSession platform, String name, EndpointState state)
       throws CommandException {
-    for (int attempt = 1; true; attempt++) {
-      Optional<PlatformObject> found = platform.find(ObjectKind.ENDPOINT, name);
-      if (found.isEmpty()) {
-        throw new CommandException(
-            ExitCode.FAILED, "the platform holds no endpoint '" + name + "'");
-      }
-      JsonObject value = found.get().value().deepCopy();
-      JsonElement before = value.get(ObjectFormat.STATE);
-      if (before != null && before.getAsString().equals(state.name())) {
-        return;
-      }
-      value.addProperty(ObjectFormat.STATE, state.name());
+    for (int attempt = 1; attempt < CONFLICT_ATTEMPTS; attempt++) {
       try {
-        OperationId operation = new OperationId("drain-" + UUID.randomUUID());
-        platform.put(ObjectKind.ENDPOINT, name, value, found.get().version(), operation);
+        trySetState(platform, name, state);
         return;
       } catch (CommandException e) {
-        if (e.exitCode() != ExitCode.CONFLICT || attempt == CONFLICT_ATTEMPTS) {
+        if (e.exitCode() != ExitCode.CONFLICT) {
           throw e;
         }
       }
     }
+    trySetState(platform, name, state);
+  }
+
+  private static void trySetState(PlatformSession platform, String name, EndpointState state)
+      throws CommandException {
+    Optional<StoredObject> found = platform.find(PlatformKind.ENDPOINT, name);
+    if (found.isEmpty()) {
+      throw new CommandException(ExitCode.FAILED, "the platform holds no endpoint '" + name + "'");
+    }
+    JsonObject value = found.get().value().deepCopy();
+    JsonElement before = value.get(ObjectFormat.STATE);
+    if (before != null && before.getAsString().equals(state.name())) {
+      return;
+    }
+    value.addProperty(ObjectFormat.STATE, state.name());
+    OperationId operation = new OperationId("drain-" + UUID.randomUUID());
+    platform.put(PlatformKind.ENDPOINT, name, value, found.get().version(), operation);
   }
 
   private static ExitCode drainDaemon(Invocation invocation, String name)
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/ObjectFormat.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/ObjectFormat.java
@@ -2,13 +2,16 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import io.sequoiapass.coordination.version.EndpointState;
+import io.sequoiapass.coordination.version.EndpointType;
+import io.sequoiapass.coordination.version.RequestPriority;
 import io.sequoiapass.daemon.process.settings.Addresses;
 import io.sequoiapass.daemon.process.settings.SettingsException;
 import java.util.List;
 
 /** Reads one object of a configuration file into the value that the platform holds. */
 enum ObjectFormat {
-  ADAPTERS(ObjectKind.ADAPTER) {
+  ADAPTERS(PlatformKind.ADAPTER) {
     @Override
     JsonObject read(FileObject file) {
       JsonObject value = new JsonObject();
@@ -20,7 +23,7 @@
       return value;
     }
   },
-  SERVICES(ObjectKind.SERVICE) {
+  SERVICES(PlatformKind.SERVICE) {
     @Override
     JsonObject read(FileObject file) {
       JsonObject value = new JsonObject();
@@ -32,12 +35,12 @@
         value.add("endpoints", array(file.names("endpoints", false)));
       }
       value.addProperty("repeatable", file.flag("repeatable"));
-      value.addProperty("priority", file.choice("priority", Priority.values()).name());
+      value.addProperty("priority", file.choice("priority", RequestPriority.values()).name());
       value.addProperty("max_in_flight", file.number("max_in_flight", 1, MAX_IN_FLIGHT));
       return value;
     }
   },
-  ENDPOINTS(ObjectKind.ENDPOINT) {
+  ENDPOINTS(PlatformKind.ENDPOINT) {
     @Override
     JsonObject read(FileObject file) {
       JsonObject value = new JsonObject();
@@ -47,7 +50,7 @@
       value.addProperty("host", file.name("host"));
       EndpointType type = file.choice("type", EndpointType.values());
       value.addProperty("type", type.name());
-      type.read(file, value);
+      readType(file, type, value);
       value.addProperty("max_streams", file.number("max_streams", 1, MAX_STREAMS));
       value.addProperty("checks_fence", file.flag("checks_fence"));
       if (file.has(STATE)) {
@@ -67,45 +70,13 @@
 
   private static final long MAX_SLOTS = 1_024;
 
-  private final ObjectKind kind;
+  private final PlatformKind kind;
 
-  ObjectFormat(ObjectKind kind) {
+  ObjectFormat(PlatformKind kind) {
     this.kind = kind;
   }
 
-  /** Says how urgent a service's requests are. */
-  enum Priority {
-    DEADLINE,
-    INTERACTIVE,
-    BATCH
-  }
-
-  /** Says whether an endpoint takes new work. */
-  enum EndpointState {
-    ACTIVE,
-    LEAVING
-  }
-
-  /** Says what an endpoint runs. */
-  enum EndpointType {
-    ENGINE {
-      @Override
-      void read(FileObject file, JsonObject value) {
-        value.addProperty("model", file.name("model"));
-        value.addProperty("slots", file.number("slots", 1, MAX_SLOTS));
-      }
-    },
-    SERVICE {
-      @Override
-      void read(FileObject file, JsonObject value) {
-        value.addProperty("service", file.name("service"));
-      }
-    };
-
-    abstract void read(FileObject file, JsonObject value);
-  }
-
-  ObjectKind kind() {
+  PlatformKind kind() {
     return kind;
   }
 
@@ -116,6 +87,15 @@
 
   abstract JsonObject read(FileObject file);
 
+  private static void readType(FileObject file, EndpointType type, JsonObject value) {
+    if (type == EndpointType.ENGINE) {
+      value.addProperty("model", file.name("model"));
+      value.addProperty("slots", file.number("slots", 1, MAX_SLOTS));
+    } else {
+      value.addProperty("service", file.name("service"));
+    }
+  }
+
   private static boolean isAddress(String text) {
     try {
       Addresses.parse("address", text);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/ObjectKind.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/PlatformKind.java
@@ -6,7 +6,7 @@
 import java.util.stream.Collectors;
 
 /** Lists the kinds of objects on the platform, in the order in which they are written. */
-enum ObjectKind {
+enum PlatformKind {
   ADAPTER,
   SERVICE,
   ENDPOINT,
@@ -22,14 +22,14 @@
     return name().toLowerCase(Locale.ROOT);
   }
 
-  static ObjectKind parse(String word) throws SettingsException {
-    for (ObjectKind kind : values()) {
+  static PlatformKind parse(String word) throws SettingsException {
+    for (PlatformKind kind : values()) {
       if (kind.word().equals(word)) {
         return kind;
       }
     }
     String allowed =
-        Arrays.stream(values()).map(ObjectKind::word).collect(Collectors.joining(", "));
+        Arrays.stream(values()).map(PlatformKind::word).collect(Collectors.joining(", "));
     throw SettingsException.wrongValue("KIND", word, allowed);
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/PresetName.java
+++ /dev/null
@@ -1,8 +0,0 @@
-package io.sequoiapass.daemon.process.command;
-
-/** Lists the presets that operators choose from. */
-enum PresetName {
-  ORDINARY,
-  PEAK,
-  MAINTENANCE
-}
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/command/FakePlatform.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/command/FakePlatform.java
@@ -9,6 +9,7 @@
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
 import io.sequoiapass.daemon.connection.HttpServer;
+import io.sequoiapass.daemon.connection.platform.StoredObject;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -44,7 +45,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final HttpServer server;
-  private final Map<String, PlatformObject> objects = new TreeMap<>();
+  private final Map<String, StoredObject> objects = new TreeMap<>();
   private final Deque<Fault> faults = new ArrayDeque<>();
   private final List<String> operations = new ArrayList<>();
   private long revision;
@@ -86,8 +87,8 @@
     return revision;
   }
 
-  private PlatformObject store(String kind, String name, JsonObject value, String operation) {
-    PlatformObject object = new PlatformObject(kind, name, ++revision, operation, value);
+  private StoredObject store(String kind, String name, JsonObject value, String operation) {
+    StoredObject object = new StoredObject(kind, name, ++revision, operation, value);
     objects.put(kind + "/" + name, object);
     return object;
   }
@@ -97,10 +98,10 @@
     if (!request.method().equals("GET")) {
       write(key, request, responder);
     } else if (key.contains("/")) {
-      PlatformObject found = objects.get(key);
+      StoredObject found = objects.get(key);
       responder.respond(found == null ? 404 : 200, Map.of(), gson.toJson(found));
     } else {
-      List<PlatformObject> items =
+      List<StoredObject> items =
           objects.values().stream().filter(object -> object.kind().equals(key)).toList();
       responder.respond(
           200, Map.of(), "{\"revision\":" + revision + ",\"items\":" + gson.toJson(items) + "}");
@@ -148,8 +149,8 @@
   }
 
   private int change(String key, HttpRequestMessage request) {
-    PlatformObject held = objects.get(key);
-    long version = held == null ? PlatformObject.ABSENT : held.version();
+    StoredObject held = objects.get(key);
+    long version = held == null ? PlatformSession.ABSENT : held.version();
     if (held == null && request.method().equals("DELETE")) {
       return 404;
     }
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/TimelineTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/TimelineTest.java
@@ -16,7 +16,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.LongStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -78,6 +80,35 @@
             LongStream.rangeClosed(total - capacity + 1, total).boxed().toList());
   }
 
+  /**
+   * A thread takes its sequence and is held up before it writes, while others record a whole turn
+   * of the ring. An operator who looks for the last events would find an old one in a newer one's
+   * place.
+   */
+  @Test
+  void eventThatComesAWholeTurnLateDoesNotHideANewerOne() {
+    AtomicReference<Timeline> held = new AtomicReference<>();
+    AtomicBoolean first = new AtomicBoolean(true);
+    Timeline timeline =
+        Timeline.create(
+            PROCESS,
+            2,
+            () -> {
+              if (first.getAndSet(false)) {
+                held.get().record(event());
+                held.get().record(event());
+              }
+              return 5;
+            });
+    held.set(timeline);
+
+    timeline.record(event());
+
+    assertThat(timeline.events(TimelineQuery.ALL))
+        .extracting(TimelineEvent::sequence)
+        .containsExactly(2L, 3L);
+  }
+
   @Test
   void longDetailIsCut() {
     TimelineEvent event = TimelineEvent.of(TimelineKind.FAULT).detail("x".repeat(900)).build();
