Time line answers hold the newest 2,000 events unless asked for more

The answer is written on an event loop that carries requests. What is left out is counted in the answer and shown.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
@@ -116,6 +116,7 @@
       CommandFlag.ADAPTER,
       CommandFlag.ENDPOINT,
       CommandFlag.KIND,
+      CommandFlag.LIMIT,
       CommandFlag.JSON,
       CommandFlag.OPERATORS,
       CommandFlag.TIMEOUT_MS) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandFlag.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandFlag.java
@@ -17,7 +17,8 @@
   REQUEST("ID", false, null, "only events of this request"),
   ADAPTER("NAME", false, null, "only events of this adapter, with or without @VERSION"),
   ENDPOINT("NAME", false, null, "only events of this endpoint"),
-  KIND("KIND,...", false, null, "only events of these kinds");
+  KIND("KIND,...", false, null, "only events of these kinds"),
+  LIMIT("N", false, "2000", "at most the newest N events of each daemon: 1 to 1000000");
 
   /** Bounds of {@link #TIMEOUT_MS}: shorter loses to a busy host, longer looks like a hang. */
   static final long TIMEOUT_MINIMUM_MS = 100;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/TimelineCommand.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/TimelineCommand.java
@@ -30,7 +30,12 @@
   private static final String PROBE = PATH + "?since=" + Long.MAX_VALUE;
 
   private static final Set<CommandFlag> SENT_AS_GIVEN =
-      Set.of(CommandFlag.REQUEST, CommandFlag.ADAPTER, CommandFlag.ENDPOINT, CommandFlag.KIND);
+      Set.of(
+          CommandFlag.REQUEST,
+          CommandFlag.ADAPTER,
+          CommandFlag.ENDPOINT,
+          CommandFlag.KIND,
+          CommandFlag.LIMIT);
 
   private static final Set<CommandFlag> TIMES = Set.of(CommandFlag.SINCE, CommandFlag.UNTIL);
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/MergedTimeline.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/MergedTimeline.java
@@ -48,9 +48,15 @@
    * @param uncertaintyMs the largest error of that
    * @param recorded how many events it ever recorded
    * @param overwritten how many of them are gone
+   * @param omitted how many older ones match but are left out for the limit
    */
   record ProcessClock(
-      String process, long aheadMs, long uncertaintyMs, long recorded, long overwritten) {}
+      String process,
+      long aheadMs,
+      long uncertaintyMs,
+      long recorded,
+      long overwritten,
+      long omitted) {}
 
   /**
    * Holds one event of the merge.
@@ -81,7 +87,8 @@
               offset.aheadMs(),
               offset.uncertaintyMs(),
               report.recorded(),
-              report.overwritten()));
+              report.overwritten(),
+              report.omitted()));
       events.addAll(corrected(report, offset));
     }
     // The sort is stable, so events of one process with the same time keep their order.
@@ -124,7 +131,9 @@
               + process.recorded()
               + " events recorded, "
               + process.overwritten()
-              + " overwritten");
+              + " overwritten, "
+              + process.omitted()
+              + " older ones omitted");
     }
     events.forEach(event -> lines.add(line(event)));
     return lines;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/Timeline.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/Timeline.java
@@ -72,7 +72,7 @@
   }
 
   /**
-   * Returns the events that a query selects, in the order of their sequence.
+   * Returns the events that a query selects, in the order of their sequence and without its limit.
    *
    * @param query the query
    */
@@ -94,10 +94,13 @@
    * @param query the query
    */
   public String json(TimelineQuery query) {
+    List<TimelineEvent> found = events(query);
+    int omitted = Math.max(0, found.size() - query.limit());
     List<TimelineReport.Entry> entries =
-        events(query).stream().map(TimelineReport.Entry::of).toList();
+        found.stream().skip(omitted).map(TimelineReport.Entry::of).toList();
     long total = recorded.get();
     long overwritten = Math.max(0, total - ring.length());
-    return new TimelineReport(process.value(), wall.millis(), total, overwritten, entries).json();
+    return new TimelineReport(process.value(), wall.millis(), total, overwritten, omitted, entries)
+        .json();
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineQuery.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineQuery.java
@@ -19,7 +19,15 @@
  */
 public final class TimelineQuery {
 
-  /** Selects every event. */
+  /**
+   * Events in one answer unless the query says otherwise. The answer is written on an event loop
+   * that carries requests too: a whole ring would hold them up for many milliseconds.
+   */
+  static final int DEFAULT_LIMIT = 2_000;
+
+  private static final int MAX_LIMIT = 1_000_000;
+
+  /** Selects every event, up to the limit. */
   public static final TimelineQuery ALL =
       new TimelineQuery(
           Long.MIN_VALUE,
@@ -27,7 +35,8 @@
           Optional.empty(),
           Optional.empty(),
           Optional.empty(),
-          EnumSet.allOf(TimelineKind.class));
+          EnumSet.allOf(TimelineKind.class),
+          DEFAULT_LIMIT);
 
   private final long since;
   private final long until;
@@ -35,6 +44,7 @@
   private final Optional<String> adapter;
   private final Optional<String> endpoint;
   private final Set<TimelineKind> kinds;
+  private final int limit;
 
   private TimelineQuery(
       long since,
@@ -42,19 +52,21 @@
       Optional<String> request,
       Optional<String> adapter,
       Optional<String> endpoint,
-      Set<TimelineKind> kinds) {
+      Set<TimelineKind> kinds,
+      int limit) {
     this.since = since;
     this.until = until;
     this.request = request;
     this.adapter = adapter;
     this.endpoint = endpoint;
     this.kinds = kinds;
+    this.limit = limit;
   }
 
   /**
    * Returns the query that named filters give: {@code since} and {@code until} in milliseconds of
    * the wall clock, {@code request}, {@code adapter} (with or without {@code @version}), {@code
-   * endpoint}, and {@code kind} (several separated by commas).
+   * endpoint}, {@code kind} (several separated by commas), and {@code limit}.
    *
    * @param filters gives the text of a filter, or nothing
    * @throws InvalidQueryException if a filter's value is not allowed
@@ -67,7 +79,8 @@
         filters.apply("request"),
         filters.apply("adapter"),
         filters.apply("endpoint"),
-        kinds(filters.apply("kind")));
+        kinds(filters.apply("kind")),
+        limit(filters.apply("limit")));
   }
 
   private static long time(String name, Optional<String> text, long absent)
@@ -82,6 +95,19 @@
     }
   }
 
+  private static int limit(Optional<String> text) throws InvalidQueryException {
+    if (text.isEmpty()) {
+      return DEFAULT_LIMIT;
+    }
+    if (text.get().matches("[0-9]{1,7}")) {
+      int limit = Integer.parseInt(text.get());
+      if (limit >= 1 && limit <= MAX_LIMIT) {
+        return limit;
+      }
+    }
+    throw new InvalidQueryException("limit", text.get(), "1 to " + MAX_LIMIT);
+  }
+
   private static Set<TimelineKind> kinds(Optional<String> text) throws InvalidQueryException {
     if (text.isEmpty()) {
       return EnumSet.allOf(TimelineKind.class);
@@ -102,6 +128,11 @@
     throw new InvalidQueryException("kind", name, Arrays.toString(TimelineKind.values()));
   }
 
+  /** Returns how many events one answer holds at most: the newest ones. */
+  int limit() {
+    return limit;
+  }
+
   boolean matches(TimelineEvent event) {
     return event.wallMs() >= since
         && event.wallMs() <= until
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineReport.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineReport.java
@@ -14,10 +14,11 @@
  * @param nowMs its wall clock when it answered; from it the reader estimates the clock's offset
  * @param recorded how many events it ever recorded
  * @param overwritten how many of them it no longer holds
+ * @param omitted how many events match but are left out for the limit, all older than those given
  * @param events the events that match, in the order of their sequence
  */
 public record TimelineReport(
-    String process, long nowMs, long recorded, long overwritten, List<Entry> events) {
+    String process, long nowMs, long recorded, long overwritten, long omitted, List<Entry> events) {
 
   private static final Gson GSON = new GsonBuilder().disableHtmlEscaping().create();
 
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/MergedTimelineTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/MergedTimelineTest.java
@@ -18,7 +18,7 @@
       entries.add(
           new TimelineReport.Entry(i + 1L, wallMs[i], "FAULT", null, null, null, null, null));
     }
-    TimelineReport report = new TimelineReport(process, 0, wallMs.length, 0, entries);
+    TimelineReport report = new TimelineReport(process, 0, wallMs.length, 0, 0, entries);
     return new MergedTimeline.Source(report, new ClockOffset(aheadMs, 1));
   }
 
@@ -55,12 +55,13 @@
 
   @Test
   void clocksAndLossesAreShown() {
-    TimelineReport report = new TimelineReport("a", 0, 150, 50, List.of());
+    TimelineReport report = new TimelineReport("a", 0, 150, 50, 7, List.of());
     MergedTimeline merged =
         MergedTimeline.of(List.of(new MergedTimeline.Source(report, new ClockOffset(-12, 3))));
 
     assertThat(merged.lines())
-        .containsExactly("# a: clock -12 ms ahead, +-3 ms; 150 events recorded, 50 overwritten");
+        .containsExactly(
+            "# a: clock -12 ms ahead, +-3 ms; 150 events recorded, 50 overwritten, 7 older ones omitted");
     assertThat(merged.json()).contains("\"aheadMs\":-12", "\"overwritten\":50");
   }
 
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/TimelineTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/TimelineTest.java
@@ -165,6 +165,20 @@
           .hasMessage("since: 'noon' is wrong; allowed: milliseconds since 1970");
     }
 
+    @Test
+    void limitKeepsTheNewestAndTellsHowManyItLeftOut() throws InvalidQueryException {
+      recordThree();
+      Map<String, String> filters = Map.of("limit", "1", "until", "2999");
+      TimelineQuery query = TimelineQuery.parse(name -> Optional.ofNullable(filters.get(name)));
+
+      TimelineReport report = TimelineReport.parse(timeline.json(query));
+
+      assertThat(report.events()).extracting(TimelineReport.Entry::sequence).containsExactly(2L);
+      assertThat(report.omitted()).isEqualTo(1);
+      assertThatThrownBy(() -> found(Map.of("limit", "0")))
+          .hasMessage("limit: '0' is wrong; allowed: 1 to 1000000");
+    }
+
     @Test
     void jsonIsReadBack() {
       recordThree();
