--- a/testbed/src/main/java/io/sequoiapass/testbed/DemoCommand.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/DemoCommand.java
@@ -9,9 +9,11 @@
 import io.sequoiapass.testbed.load.LoadReport;
 import io.sequoiapass.testbed.load.LoadTool;
 import io.sequoiapass.testbed.load.PlannedRequest;
+import io.sequoiapass.testbed.load.RequestResult;
 import io.sequoiapass.testbed.load.Verdict;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -26,6 +28,9 @@
   private static final long ANSWERS_LIMIT_MS = 60_000;
   private static final long SECOND_MS = 1_000;
   private static final int REASONS = 5;
+  private static final double PLAIN_SHARE = 0.1;
+  private static final double ONCE_SHARE = 0.05;
+  private static final double FORMER_SHARE = 0.02;
 
   /** A first token from a resident copy takes some tens of milliseconds, a load 250 at least. */
   private static final long STALL_MICROS = 200_000;
@@ -33,9 +38,9 @@
   private static Flags.Definition definition() {
     return Flags.define()
         .flag("seconds", "10", "how long requests come")
-        .flag("rate", "40", "requests a second")
+        .flag("rate", "30", "requests a second")
         .flag("adapters", "100", "adapters configured and asked for")
-        .flag("skew", "1.5", "skew of their popularity")
+        .flag("skew", "1.8", "skew of their popularity")
         .flag("tokens", "24", "tokens of an answer on average")
         .flag("engines", "3", "engines in each of the two data centres")
         .flag("seed", "1", "seed of the load");
@@ -56,9 +61,9 @@
             flags.integer("adapters", 1, 100_000),
             flags.decimal("skew", 0, 10),
             flags.integer("tokens", 1, 10_000),
-            0.1,
-            0.05,
-            0.05,
+            PLAIN_SHARE,
+            ONCE_SHARE,
+            FORMER_SHARE,
             flags.integer("seed", 0, Integer.MAX_VALUE));
     int engines = flags.integer("engines", 1, 100);
     progress("starting 4 daemons, " + 2 * engines + " engines, 2 plain services, platform, store");
@@ -70,7 +75,7 @@
             .services(1)
             .adapters(plan.adapters())
             .start()) {
-      cluster.awaitReady(READY_LIMIT_MS);
+      cluster.awaitServing(READY_LIMIT_MS);
       return load(cluster, plan);
     }
   }
@@ -99,16 +104,19 @@
       }
       LoadReport told = tool.await(ANSWERS_LIMIT_MS);
       Judgement judgement = Judgement.of(cluster);
-      return tell(judgement.apply(told), judgement);
+      return tell(plan, judgement.apply(told), judgement);
     }
   }
 
-  private static int tell(LoadReport report, Judgement judgement) {
+  private static int tell(LoadPlan plan, LoadReport report, Judgement judgement) {
     long wrong = report.count(Verdict.WRONG);
     long unknown = report.count(Verdict.UNKNOWN);
-    Histogram firstTokens =
+    Histogram firstTokens = report.firstTokens(DemoCommand::wholeCompletion);
+    // All engines start empty, so the first half shows above all how fast the weight store is.
+    long half = TimeUnit.SECONDS.toMicros(plan.seconds()) / 2;
+    Histogram warm =
         report.firstTokens(
-            result -> result.verdict() == Verdict.WHOLE && result.request().adapter().isPresent());
+            result -> wholeCompletion(result) && result.request().atMicros() >= half);
     long stalls = firstTokens.getCountBetweenValues(STALL_MICROS, Long.MAX_VALUE);
     report.reasons(REASONS).forEach(reason -> System.out.println("  " + reason));
     judgement.violationDetails().forEach(detail -> System.out.println("  violation: " + detail));
@@ -120,6 +128,7 @@
     row("without a final answer", Long.toString(report.unanswered()));
     row("first token p50", millis(firstTokens.getValueAtPercentile(50)));
     row("first token p95", millis(firstTokens.getValueAtPercentile(95)));
+    row("first token p95, second half", millis(warm.getValueAtPercentile(95)));
     row("load stalls (over 200 ms)", stalls + " of " + firstTokens.getTotalCount());
     row("loads, evictions", judgement.loads() + ", " + judgement.evictions());
     row("evictions while serving", Long.toString(judgement.violations()));
@@ -136,6 +145,10 @@
     return kept ? 0 : 1;
   }
 
+  private static boolean wholeCompletion(RequestResult result) {
+    return result.verdict() == Verdict.WHOLE && result.request().adapter().isPresent();
+  }
+
   private static void row(String name, String value) {
     System.out.printf("%-34s %s%n", name, value);
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/Cluster.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/Cluster.java
@@ -303,6 +303,42 @@
     }
   }
 
+  /**
+   * Waits until every daemon is ready and has answered a request for the first adapter, and one for
+   * the plain service where there is one. A daemon is ready once it has a configuration; it may
+   * take a moment more to reach its peers and the endpoints.
+   *
+   * @param limitMs how long to wait at most, in milliseconds
+   * @throws IOException if one does not answer in time
+   * @throws InterruptedException if the wait is interrupted
+   */
+  public void awaitServing(long limitMs) throws IOException, InterruptedException {
+    awaitReady(limitMs);
+    for (DaemonNode daemon : daemons) {
+      if (settings.engines() > 0) {
+        String body =
+            "{\"model\":\"%s\",\"prompt\":\"probe\",\"max_tokens\":1}"
+                .formatted(ClusterNames.adapter(0));
+        awaitAnswer(HttpCall.to(daemon.callers(), "POST", "/v1/completions").body(body), limitMs);
+      }
+      if (settings.services() > 0) {
+        String path = "/services/" + ClusterNames.SLIPS + "/probe";
+        awaitAnswer(HttpCall.to(daemon.callers(), "POST", path), limitMs);
+      }
+    }
+  }
+
+  private void awaitAnswer(HttpCall call, long limitMs) throws IOException, InterruptedException {
+    HttpAnswer answer = http.send(call);
+    for (long looks = limitMs / LOOK_MS; !answer.ok() && looks > 0; looks--) {
+      Thread.sleep(LOOK_MS);
+      answer = http.send(call);
+    }
+    if (!answer.ok()) {
+      throw new IOException(call + ": " + answer.status() + " " + answer.text());
+    }
+  }
+
   private boolean ready(DaemonNode daemon) throws InterruptedException {
     try {
       return http.send(HttpCall.to(daemon.operators(), "GET", "/ready")).ok();
--- a/testbed/src/main/java/io/sequoiapass/testbed/load/Judgement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/Judgement.java
@@ -25,7 +25,7 @@
   private final Map<String, List<String>> adaptersByRequest;
   private final Map<String, Integer> runsByRequest;
 
-  private Judgement(
+  Judgement(
       List<JudgeReport.Engine> engines,
       Map<String, List<String>> adaptersByRequest,
       Map<String, Integer> runsByRequest) {
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/DaemonMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/DaemonMeasurement.java
@@ -55,7 +55,7 @@
             .engineFlags("--stream-micros", "20")
             .daemonJvmFlags("-XX:TieredStopAtLevel=4")
             .start()) {
-      cluster.awaitReady(READY_LIMIT_MS);
+      cluster.awaitServing(READY_LIMIT_MS);
       loadAdapters(cluster);
       System.out.printf("one daemon of two, 10 engines, %d s each%n", seconds);
       System.out.println(
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/LatencyMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/LatencyMeasurement.java
@@ -55,7 +55,7 @@
             .engineFlags("--stream-micros", "10", "--adapter-micros", "50")
             .daemonJvmFlags("-XX:TieredStopAtLevel=4")
             .start()) {
-      cluster.awaitReady(READY_LIMIT_MS);
+      cluster.awaitServing(READY_LIMIT_MS);
       DaemonNode other = findForwarder(cluster);
       DaemonNode owner =
           cluster.daemons().stream().filter(daemon -> daemon != other).findFirst().orElseThrow();
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MachineLoad.java
@@ -0,0 +1,21 @@
+package io.sequoiapass.testbed.measure;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Tells how busy the machine is, since a figure from a busy machine says little. */
+final class MachineLoad {
+
+  private MachineLoad() {}
+
+  /** Returns the load averages and the number of processors, as one line. */
+  static String line() throws IOException {
+    String averages = Files.readString(Path.of("/proc/loadavg")).trim();
+    return "load averages "
+        + averages
+        + ", "
+        + Runtime.getRuntime().availableProcessors()
+        + " CPUs";
+  }
+}
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -66,6 +66,10 @@
    * @throws InterruptedException if a wait is interrupted
    */
   public int measure(String... arguments) throws UsageException, IOException, InterruptedException {
-    return run(definition().parse(arguments));
+    Flags flags = definition().parse(arguments);
+    System.out.println("before: " + MachineLoad.line());
+    int code = run(flags);
+    System.out.println("after: " + MachineLoad.line());
+    return code;
   }
 }
