--- a/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipFuzzTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipFuzzTest.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.coordination.process;
 
+import static org.assertj.core.api.Assertions.assertThatCode;
+
 import java.util.Random;
 import java.util.function.BiConsumer;
 import net.jqwik.api.Arbitraries;
@@ -41,7 +43,10 @@
         () -> {
           RandomGenerator<ActionChain<SimulatedDataCentre>> generator = chains().generator(count);
           for (int seed = 1; seed <= count; seed++) {
-            check(generator.next(new Random(seed)).value());
+            ActionChain<SimulatedDataCentre> faults = generator.next(new Random(seed)).value();
+            assertThatCode(() -> check(faults))
+                .as("chain %s: %s", seed, faults.transformations())
+                .doesNotThrowAnyException();
           }
         });
   }
