--- a/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
@@ -60,6 +60,7 @@
   private ConditionalWrite pending;
   private OwnershipProposal proposal;
   private Set<EndpointId> handingOver = new TreeSet<>();
+  private long handingOverUntil;
   private long nextTryAt;
   private long needSince = Long.MAX_VALUE;
   private long confirmAt = Long.MAX_VALUE;
@@ -113,6 +114,9 @@
     if (newer) {
       confirmAt = Long.MAX_VALUE;
       table = seen;
+      if (seen.version() >= handingOverUntil) {
+        handingOver = new TreeSet<>();
+      }
     }
     return newer;
   }
@@ -260,11 +264,15 @@
     WriteDecision decision = pending.answered(answer);
     switch (decision.outcome()) {
       case APPLIED -> {
+        handingOverUntil = 0;
         tableSeen(now, proposal.table().storedAs(decision.version()));
         finish();
         backoff.reset();
       }
       case CONFLICT -> {
+        // The handover may have taken effect, its answer lost, and the table changed again since.
+        // Until that table is known, ordering would be ordering another's endpoint.
+        handingOverUntil = decision.version();
         finish();
         nextTryAt = now + backoff.nextDelayMillis();
       }
@@ -329,6 +337,7 @@
     }
     // An order given after the write was sent could reach the endpoint after the next owner's.
     handingOver = new TreeSet<>(changed.keySet());
+    handingOverUntil = Long.MAX_VALUE;
     return propose(changed, List.of());
   }
 
@@ -349,7 +358,6 @@
   private void finish() {
     pending = null;
     proposal = null;
-    handingOver = new TreeSet<>();
     nextTryAt = Long.MIN_VALUE;
   }
 
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipPlannerTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipPlannerTest.java
@@ -128,9 +128,13 @@
     }
 
     @Test
-    void aConflictGivesTheEndpointBack() {
+    void aConflictGivesTheEndpointBackOnceTheOtherTableIsKnown() {
       OwnershipProposal proposal = planner.handOver(0, Set.of(endpoint)).orElseThrow();
       planner.answered(0, proposal.operation(), new WriteAnswer.Conflict(41, Optional.empty()));
+      assertThat(planner.isOwned(endpoint)).as("before the table is known").isFalse();
+      OwnershipTable mine = planner.table();
+      planner.tableSeen(
+          1, OwnershipTable.of(41, mine.epoch() + 1, mine.owners(), mine.incarnations()));
       assertThat(planner.isOwned(endpoint)).isTrue();
     }
   }
