Take turns at the weight store by piggybacked load counts; forget silent adapters sooner

Cause: owners that load at the same time share the store's speed, so each load takes longer than in a queue.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -31,6 +31,9 @@
   /** How often forgotten adapters leave the demand table. */
   private static final long PRUNE_MS = 60_000;
 
+  /** Loads that a request waits for while the store looks busy, at most; half for a deadline. */
+  private static final int PATIENCE_LOADS = 1;
+
   /** Requests within a half-life that a full batch on the endpoint makes up for. */
   private static final double PACKING = 1;
 
@@ -173,6 +176,21 @@
     return actions;
   }
 
+  /** Returns how many loads this owner has under way, for the other owners. */
+  public int loadsUnderWay() {
+    return turns.underWay();
+  }
+
+  /**
+   * Tells how many loads the other owners had under way by their last reports.
+   *
+   * @param nowMs the time
+   * @param loads the sum over the other owners that share the weight store
+   */
+  public void otherLoads(long nowMs, int loads) {
+    turns.others(nowMs, loads);
+  }
+
   /** Returns how busy each endpoint is, for the entries' routers. */
   public List<EndpointLoad> loads() {
     Map<EndpointId, Integer> queuedFor = new HashMap<>();
@@ -234,15 +252,24 @@
     }
     wanted.sort(Comparator.comparingDouble(group -> -group.loadValue(nowMs, AGING_MS)));
     for (WaitingGroup group : wanted) {
+      long waitedMs = nowMs - group.oldestMs();
+      if (!turns.mayBegin(nowMs, waitedMs, patienceMs(group.urgency()))) {
+        continue;
+      }
       if (load(nowMs, group.adapter, active(group.model), actions)) {
         return;
       }
     }
-    if (wanted.isEmpty()) {
+    if (wanted.isEmpty() && turns.mayBegin(nowMs, 0, 1)) {
       prefetch(nowMs, actions);
     }
   }
 
+  private long patienceMs(Urgency urgency) {
+    long patienceMs = PATIENCE_LOADS * settings.loadAloneMs();
+    return urgency == Urgency.DEADLINE ? patienceMs / 2 : patienceMs;
+  }
+
   private boolean needsLoad(long nowMs, WaitingGroup group) {
     if (backsOff(nowMs, group.adapter)) {
       return false;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/DemandTable.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/DemandTable.java
@@ -12,6 +12,9 @@
   /** A demand below this is forgotten: ten half-lives after a single request. */
   private static final double FORGOTTEN = 0.001;
 
+  /** Requests a half-life that a silence of one half-life still allows. */
+  private static final double SILENCE = 2;
+
   private static final class Count {
     double value;
     long atMs;
@@ -32,7 +35,7 @@
 
   double of(long nowMs, AdapterVersion adapter) {
     Count count = counts.get(adapter);
-    return count == null ? 0 : decayed(nowMs, count);
+    return count == null ? 0 : likely(nowMs, count);
   }
 
   /** Returns the adapters in demand, most wanted first. */
@@ -53,6 +56,15 @@
     return counts.size();
   }
 
+  /**
+   * Returns the demand, at most what so long a silence still allows: an adapter that moved away or
+   * fell out of favour would otherwise hold its slot for several half-lives.
+   */
+  private double likely(long nowMs, Count count) {
+    double silenceMs = Math.max(1, nowMs - count.atMs);
+    return Math.min(decayed(nowMs, count), SILENCE * halfLifeMs / silenceMs);
+  }
+
   private double decayed(long nowMs, Count count) {
     return count.value * Math.pow(2, -(nowMs - count.atMs) / halfLifeMs);
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/LoadTurns.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/LoadTurns.java
@@ -11,9 +11,14 @@
   /** Weight of the newest load in the estimate. */
   private static final double NEWEST = 0.3;
 
+  /** An older report is not believed. */
+  private static final long REPORT_AGE_MS = 1_000;
+
   private final long loadAloneMs;
   private double contention = 1;
   private int underWay;
+  private int othersUnderWay;
+  private long othersAtMs = -REPORT_AGE_MS - 1;
 
   LoadTurns(long loadAloneMs) {
     this.loadAloneMs = loadAloneMs;
@@ -23,6 +28,25 @@
     return underWay == 0;
   }
 
+  /** Learns how many loads the other owners had under way at last report. */
+  void others(long nowMs, int loads) {
+    othersUnderWay = loads;
+    othersAtMs = nowMs;
+  }
+
+  /**
+   * Tells whether a load that has waited so long may begin: at once when the store looks idle, else
+   * after its patience, so that a lost or old report delays a load but never stops it.
+   */
+  boolean mayBegin(long nowMs, long waitedMs, long patienceMs) {
+    boolean fresh = nowMs - othersAtMs <= REPORT_AGE_MS;
+    return !fresh || othersUnderWay == 0 || waitedMs >= patienceMs * othersUnderWay;
+  }
+
+  int underWay() {
+    return underWay;
+  }
+
   void begin() {
     underWay++;
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementSettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementSettings.java
@@ -26,7 +26,7 @@
     int maxFailures,
     int maxQueued) {
 
-  private static final long DEFAULT_HALF_LIFE_MS = 300_000;
+  private static final long DEFAULT_HALF_LIFE_MS = 150_000;
   private static final long DEFAULT_LOAD_ALONE_MS = 250;
   private static final long DEFAULT_HUNG_AFTER_MS = 5_000;
   private static final long DEFAULT_RETRY_MS = 250;
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/AdaptivePolicy.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/AdaptivePolicy.java
@@ -19,11 +19,14 @@
   /** How old the hints are that an entry routes by, at most. */
   private static final double HINT_MS = 250;
 
+  private static final long REPORT_MS = 50;
+
   private static final long MAX_HINT_AGE_MS = 2_000;
 
   private final Router router = new Router(MAX_HINT_AGE_MS);
   private final List<AdaptivePlacement> placements = new ArrayList<>();
   private final Map<EndpointId, EndpointLoad> hints = new HashMap<>();
+  private long reportsAtMs;
   private double hintsAtMs = Double.NEGATIVE_INFINITY;
 
   AdaptivePolicy(Shape shape) {
@@ -39,6 +42,17 @@
     return placements.get(owner);
   }
 
+  /** Each owner learns, late, how many loads the others have under way. */
+  @Override
+  public void tick(long nowMs) {
+    if (nowMs < reportsAtMs + REPORT_MS) {
+      return;
+    }
+    reportsAtMs = nowMs;
+    int sum = placements.stream().mapToInt(AdaptivePlacement::loadsUnderWay).sum();
+    placements.forEach(p -> p.otherLoads(nowMs, sum - p.loadsUnderWay()));
+  }
+
   @Override
   public EndpointId route(double nowMs, Workload.Arrival arrival, List<Engine> engines) {
     if (nowMs - hintsAtMs >= HINT_MS) {
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/Policy.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Policy.java
@@ -12,4 +12,7 @@
 
   /** Chooses the endpoint whose owner gets the request. */
   EndpointId route(double nowMs, Workload.Arrival arrival, List<Engine> engines);
+
+  /** Time went by: owners' reports to each other may travel. */
+  default void tick(long nowMs) {}
 }
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/Simulation.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Simulation.java
@@ -121,6 +121,7 @@
   }
 
   private void tick(Placement placement) {
+    policy.tick(millis());
     apply(placement.tick(millis()));
     at(now + TICK_MS, () -> tick(placement));
   }
