./run capacity: slopes of state, time and bytes over doubled sizes

Eight probes in one process, each at four or five doubled sizes, a least-squares line and its worst residual.

--- a/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/Testbed.java
@@ -44,6 +44,7 @@
     commands.put("demo", new DemoCommand());
     commands.put("measure", new MeasureCommand());
     commands.put("policy", new PolicyCommand());
+    commands.put("capacity", new CapacityCommand());
     return commands;
   }
 
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
@@ -0,0 +1,262 @@
+package io.sequoiapass.testbed.capacity;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.LeaseObserver;
+import io.sequoiapass.coordination.process.LeaseSettings;
+import io.sequoiapass.coordination.process.MemberState;
+import io.sequoiapass.coordination.process.Membership;
+import io.sequoiapass.coordination.process.MembershipSettings;
+import io.sequoiapass.coordination.process.OwnershipTable;
+import io.sequoiapass.coordination.process.PlatformContact;
+import io.sequoiapass.coordination.process.PlatformReport;
+import io.sequoiapass.coordination.version.ConfigurationObject;
+import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.coordination.version.ConfigurationStore;
+import io.sequoiapass.daemon.connection.peer.PeerChannel;
+import io.sequoiapass.daemon.connection.peer.PeerFrames;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import io.sequoiapass.daemon.connection.platform.ObjectCodec;
+import io.sequoiapass.daemon.process.entry.AffinityRoutes;
+import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
+import io.sequoiapass.daemon.process.placement.EndpointStatus;
+import io.sequoiapass.daemon.process.placement.LoadHandle;
+import io.sequoiapass.daemon.process.placement.PlacementRequest;
+import io.sequoiapass.daemon.process.placement.PlacementSettings;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
+import io.sequoiapass.daemon.process.placement.Resident;
+import io.sequoiapass.daemon.process.placement.Urgency;
+import io.sequoiapass.daemon.request.RouteTarget;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Lists what is measured, each over sizes that double and with the size that the letter asks for.
+ *
+ * <p>Each measurement makes its own state; none is safe for use by several threads.
+ */
+enum Probe {
+  /** Memory of the configuration. */
+  CONFIGURATION_MEMORY(
+      "configuration held, MB", "adapters", List.of(3_375, 6_750, 13_500, 27_000), 27_000) {
+    @Override
+    double measure(int size) {
+      return Gauge.megabytesOf(() -> store(Fleet.adapters(size)));
+    }
+  },
+  /** Time of one change. */
+  CONFIGURATION_CHANGE(
+      "applying one change, us", "adapters", List.of(3_375, 6_750, 13_500, 27_000), 27_000) {
+    @Override
+    double measure(int size) {
+      ConfigurationStore store = store(Fleet.adapters(size));
+      List<ConfigurationObject> changes = Fleet.adapters(size);
+      Gauge.Counter version = new Gauge.Counter(size);
+      return Gauge.microsOf(
+          () -> store.apply(0, List.of(newer(changes.get(version.next() % size), version))));
+    }
+  },
+  /** Bytes of one change on the wire. */
+  CHANGE_BYTES("pushing one batch of changes, B", "changes", List.of(1, 2, 4, 8, 16), 1) {
+    @Override
+    double measure(int size) {
+      List<String> texts = Fleet.adapters(size).stream().map(ObjectCodec::text).toList();
+      return PeerFrames.encode(new PeerMessage.ObjectsPush(texts, false, true)).length
+          + Gauge.PACKET_BYTES;
+    }
+  },
+  /** Bytes of heartbeats. */
+  HEARTBEAT_BYTES(
+      "heartbeats to neighbours, B/s at one a second", "neighbours", List.of(3, 7, 16, 33), 16) {
+    @Override
+    double measure(int size) {
+      int frame = PeerFrames.encode(heartbeat()).length + Gauge.PACKET_BYTES;
+      return (double) frame * size;
+    }
+  },
+  /** Time of hearing one round of heartbeats. */
+  HEARTBEAT_TIME("hearing a round of heartbeats, us", "neighbours", List.of(4, 8, 17, 34), 17) {
+    @Override
+    double measure(int size) {
+      List<DaemonId> daemons = Fleet.daemons(size);
+      Membership membership = Membership.create(MembershipSettings.DEFAULT, 0);
+      PlatformContact contact = PlatformContact.create(LeaseSettings.DEFAULT, 0);
+      LeaseObserver observer = LeaseObserver.create(LeaseSettings.DEFAULT, contact);
+      byte[] frame = PeerFrames.encode(heartbeat());
+      Gauge.Counter now = new Gauge.Counter(0);
+      return Gauge.microsOf(
+          () -> {
+            long time = now.next();
+            for (DaemonId daemon : daemons) {
+              PeerMessage.Heartbeat beat = (PeerMessage.Heartbeat) Gauge.decode(frame);
+              membership.heartbeatReceived(time, daemon, 1, MemberState.ALIVE);
+              observer.heartbeatCarried(time, daemon, beat.platform().leaseVersion());
+            }
+            return membership.tick(time);
+          });
+    }
+  },
+  /** Bytes of an ownership table. */
+  TABLE_BYTES("one ownership table, B", "endpoints", List.of(65, 130, 260, 520), 520) {
+    @Override
+    double measure(int size) {
+      PeerMessage push = new PeerMessage.TablePush(Fleet.DATA_CENTRE, table(size));
+      return PeerFrames.encode(push).length + Gauge.PACKET_BYTES;
+    }
+  },
+  /** Time of routing one request. */
+  ROUTING("routing one request, us", "endpoints", List.of(250, 500, 1_000, 2_000), 2_000) {
+    @Override
+    double measure(int size) {
+      ConfigurationSnapshot snapshot = store(Fleet.endpoints(size)).snapshot();
+      AffinityRoutes routes =
+          new AffinityRoutes(
+              MillisClock.monotonic(),
+              endpoint -> Optional.of(Fleet.daemons(1).get(0)),
+              daemon -> Optional.of(new SilentChannel()));
+      Gauge.Counter number = new Gauge.Counter(0);
+      return Gauge.microsOf(
+          () ->
+              routes.find(
+                  new RouteTarget.Engine(
+                      Fleet.MODEL, AdapterVersion.parse("adapter-" + number.next() % 500 + "@v1")),
+                  snapshot,
+                  Optional.empty(),
+                  Set.of()));
+    }
+  },
+  /** Time of placing one request. */
+  PLACEMENT("placing and ending one request, us", "endpoints owned", List.of(4, 8, 16, 32), 30) {
+    @Override
+    double measure(int size) {
+      AdaptivePlacement placement = placement(size);
+      Gauge.Counter number = new Gauge.Counter(0);
+      return Gauge.microsOf(
+          () -> {
+            int next = (int) number.next();
+            RequestId id = new RequestId("request-" + next);
+            placement.requestArrived(next, request(id, next % size, next));
+            return placement.requestFinished(next, id);
+          });
+    }
+  };
+
+  private final String what;
+  private final String unit;
+
+  // Made by List.of, so it never changes.
+  @SuppressWarnings("ImmutableEnumChecker")
+  private final List<Integer> sizes;
+
+  private final int target;
+
+  Probe(String what, String unit, List<Integer> sizes, int target) {
+    this.what = what;
+    this.unit = unit;
+    this.sizes = List.copyOf(sizes);
+    this.target = target;
+  }
+
+  /** Returns the value at a size. */
+  abstract double measure(int size);
+
+  String what() {
+    return what;
+  }
+
+  /** Returns what the sizes count. */
+  String unit() {
+    return unit;
+  }
+
+  List<Integer> sizes() {
+    return sizes;
+  }
+
+  /** Returns the size that the letter asks for. */
+  int target() {
+    return target;
+  }
+
+  private static ConfigurationStore store(List<ConfigurationObject> objects) {
+    ConfigurationStore store = ConfigurationStore.create(ConfigurationStore.TOMBSTONE_MILLIS);
+    store.apply(0, objects);
+    return store;
+  }
+
+  private static ConfigurationObject newer(ConfigurationObject object, Gauge.Counter version) {
+    ConfigurationObject.AdapterRecord adapter = (ConfigurationObject.AdapterRecord) object;
+    return new ConfigurationObject.AdapterRecord(
+        adapter.id(), version.next(), adapter.model(), adapter.current(), adapter.versions());
+  }
+
+  private static PeerMessage.Heartbeat heartbeat() {
+    PlatformReport report = new PlatformReport(false, 1_234_567, 7_654_321, 987_654_321);
+    return new PeerMessage.Heartbeat(
+        1_796_246_933_064L, false, 0x7edc_ba98_7654_3210L, report, 987_654_321, 2);
+  }
+
+  private static OwnershipTable table(int endpoints) {
+    List<DaemonId> daemons = Fleet.daemons(17);
+    Map<EndpointId, DaemonId> owners = new HashMap<>();
+    Map<DaemonId, Long> incarnations = new HashMap<>();
+    for (int i = 0; i < endpoints; i++) {
+      DaemonId owner = daemons.get(i % daemons.size());
+      owners.put(Fleet.endpoint(i), owner);
+      incarnations.put(owner, 1_796_246_933_064L);
+    }
+    return OwnershipTable.of(1_234_567, 99, owners, incarnations);
+  }
+
+  private static AdaptivePlacement placement(int endpoints) {
+    AdaptivePlacement placement =
+        new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.STALLS);
+    for (int i = 0; i < endpoints; i++) {
+      List<Resident> residents = new ArrayList<>();
+      residents.add(new Resident(new LoadHandle("h" + i), adapterOf(i), List.of()));
+      placement.endpointJoined(
+          0, new EndpointStatus(Fleet.endpoint(i), Fleet.MODEL, 8, 64, residents));
+    }
+    return placement;
+  }
+
+  private static AdapterVersion adapterOf(int endpoint) {
+    return AdapterVersion.parse("adapter-" + endpoint + "@v1");
+  }
+
+  private static PlacementRequest request(RequestId id, int endpoint, long now) {
+    return new PlacementRequest(
+        id,
+        adapterOf(endpoint),
+        Fleet.MODEL,
+        Urgency.INTERACTIVE,
+        now + 30_000,
+        200,
+        Fleet.endpoint(endpoint));
+  }
+
+  /** Takes messages and does nothing with them. */
+  private static final class SilentChannel implements PeerChannel {
+    @Override
+    public boolean send(PeerMessage message) {
+      return true;
+    }
+
+    @Override
+    public boolean writable() {
+      return true;
+    }
+
+    @Override
+    public void close() {
+      // Nothing is open.
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Slope.java
@@ -0,0 +1,66 @@
+package io.sequoiapass.testbed.capacity;
+
+import java.util.List;
+import org.apache.commons.math3.stat.regression.SimpleRegression;
+
+/**
+ * Fits a line through the values measured at several sizes.
+ *
+ * <pre>{@code
+ * Slope slope = Slope.fit(points);
+ * double atTarget = slope.at(27_000);
+ * }</pre>
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ */
+final class Slope {
+
+  /**
+   * Is one measured value.
+   *
+   * @param size the size at which it was measured
+   * @param value the value
+   */
+  record Point(double size, double value) {}
+
+  private final double slope;
+  private final double intercept;
+  private final double worstResidual;
+
+  private Slope(double slope, double intercept, double worstResidual) {
+    this.slope = slope;
+    this.intercept = intercept;
+    this.worstResidual = worstResidual;
+  }
+
+  /**
+   * Returns the least-squares line.
+   *
+   * @param points at least two points of different size
+   */
+  static Slope fit(List<Point> points) {
+    SimpleRegression regression = new SimpleRegression();
+    points.forEach(point -> regression.addData(point.size(), point.value()));
+    double worst = 0;
+    for (Point point : points) {
+      double predicted = regression.predict(point.size());
+      worst = Math.max(worst, Math.abs(point.value() - predicted) / Math.abs(point.value()));
+    }
+    return new Slope(regression.getSlope(), regression.getIntercept(), worst);
+  }
+
+  /** Returns the growth for each unit of size. */
+  double perUnit() {
+    return slope;
+  }
+
+  /** Returns the value that the line gives at a size. */
+  double at(double size) {
+    return intercept + slope * size;
+  }
+
+  /** Returns the largest distance of a point from the line, as a share of the point's value. */
+  double worstResidual() {
+    return worstResidual;
+  }
+}
