Keep an adapter's order of endpoints until the endpoints change

Cause: every request hashed and sorted all endpoints of its region. The first eight by affinity are kept per adapter and set of endpoints; hints re-rank these, and only when none of them can be had is the whole region ranked.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
@@ -30,11 +30,18 @@
 
   private static final int ONE_COPY = 1;
 
+  /** Endpoints among which an adapter's requests move: enough that not all are full or lost. */
+  private static final int FIRST = 8;
+
+  /** Orders kept: more adapters than one entry sees in an hour, at about 200 bytes each. */
+  private static final int MAX_ORDERS = 8_192;
+
   private final MillisClock clock;
   private final Owners owners;
   private final Channels channels;
   private final Router router = new Router(MAX_HINT_AGE_MS);
   private final Map<EndpointId, Hint> hints = new ConcurrentHashMap<>();
+  private volatile Orders orders = new Orders(List.of());
 
   /**
    * Makes routes.
@@ -66,12 +73,58 @@
     if (preferred.isPresent()) {
       return preferred;
     }
-    List<EndpointId> ranked = rank(target, snapshot);
-    return first(ranked.stream().filter(one -> !avoid.contains(one)).toList(), snapshot)
-        .or(() -> first(ranked, snapshot));
+    return first(without(avoid, rank(target, snapshot)), snapshot)
+        .or(() -> beyondTheFirst(target, snapshot, avoid));
+  }
+
+  private Optional<Route> beyondTheFirst(
+      RouteTarget target, ConfigurationSnapshot snapshot, Set<EndpointId> avoid) {
+    List<EndpointId> all = byAffinity(target, snapshot);
+    return first(without(avoid, all), snapshot).or(() -> first(all, snapshot));
   }
 
+  private static List<EndpointId> without(Set<EndpointId> avoid, List<EndpointId> ranked) {
+    return ranked.stream().filter(one -> !avoid.contains(one)).toList();
+  }
+
+  /** Ranks the few endpoints that the target's affinity puts first by what hints say of them. */
   private List<EndpointId> rank(RouteTarget target, ConfigurationSnapshot snapshot) {
+    List<EndpointId> first = firstByAffinity(target, snapshot);
+    if (target instanceof RouteTarget.Engine engine) {
+      List<Router.Candidate> weighed = first.stream().map(this::weigh).toList();
+      return router.rank(engine.adapter(), ONE_COPY, weighed);
+    }
+    return first;
+  }
+
+  /**
+   * Hashing and sorting all of a region's 2,000 endpoints takes a millisecond, which at 65 requests
+   * a second is more of a core than all control may use. An adapter's order changes only with the
+   * endpoints themselves, so it is kept until they do.
+   */
+  private List<EndpointId> firstByAffinity(RouteTarget target, ConfigurationSnapshot snapshot) {
+    if (!(target instanceof RouteTarget.Engine)) {
+      return byAffinity(target, snapshot);
+    }
+    List<EndpointRecord> endpoints = snapshot.endpoints();
+    Orders known = orders;
+    if (known.endpoints != endpoints) {
+      known = new Orders(endpoints);
+      orders = known;
+    }
+    if (known.byAffinity.size() >= MAX_ORDERS) {
+      // Popularity has moved on; what is asked for now is hashed again at a small cost each.
+      known.byAffinity.clear();
+    }
+    return known.byAffinity.computeIfAbsent(
+        target.affinity(),
+        affinity -> {
+          List<EndpointId> all = byAffinity(target, snapshot);
+          return List.copyOf(all.subList(0, Math.min(FIRST, all.size())));
+        });
+  }
+
+  private List<EndpointId> byAffinity(RouteTarget target, ConfigurationSnapshot snapshot) {
     List<EndpointId> candidates = new ArrayList<>();
     for (EndpointRecord endpoint : snapshot.endpoints()) {
       if (endpoint.takesNewWork() && runs(endpoint, target)) {
@@ -79,16 +132,20 @@
       }
     }
     if (target instanceof RouteTarget.Engine engine) {
-      List<Router.Candidate> weighed = candidates.stream().map(this::weigh).toList();
-      return router.rank(engine.adapter(), ONE_COPY, weighed);
+      List<Router.Candidate> unweighed = candidates.stream().map(AffinityRoutes::plain).toList();
+      return router.rank(engine.adapter(), ONE_COPY, unweighed);
     }
     return RendezvousHash.rank(target.affinity(), candidates);
   }
 
+  private static Router.Candidate plain(EndpointId endpoint) {
+    return new Router.Candidate(endpoint, 1, Optional.empty(), Long.MAX_VALUE);
+  }
+
   private Router.Candidate weigh(EndpointId endpoint) {
     Hint hint = hints.get(endpoint);
     return hint == null
-        ? new Router.Candidate(endpoint, 1, Optional.empty(), Long.MAX_VALUE)
+        ? plain(endpoint)
         : new Router.Candidate(
             endpoint, 1, Optional.of(hint.load()), clock.millis() - hint.learntAtMs());
   }
@@ -119,5 +176,15 @@
         .map(channel -> new Route(endpoint.id(), channel));
   }
 
+  /** Keeps the orders of adapters for one set of endpoints. */
+  private static final class Orders {
+    private final List<EndpointRecord> endpoints;
+    private final Map<String, List<EndpointId>> byAffinity = new ConcurrentHashMap<>();
+
+    Orders(List<EndpointRecord> endpoints) {
+      this.endpoints = endpoints;
+    }
+  }
+
   private record Hint(EndpointLoad load, long learntAtMs) {}
 }
