--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/LatencyMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/LatencyMeasurement.java
@@ -148,6 +148,9 @@
     System.out.println(direct.row());
     System.out.println(one.row());
     System.out.println(two.row());
+    for (PathTimes path : List.of(direct, one, two)) {
+      path.reasons().forEach(System.out::println);
+    }
     System.out.printf(
         "latency: added_p50_ms=%.2f added_p95_ms=%.2f added_p99_ms=%.2f%n",
         two.millisAt(50) - direct.millisAt(50),
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/PathTimes.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/PathTimes.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.testbed.measure;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.HdrHistogram.Histogram;
 
 /** Collects the times of one path; safe for use by several threads. */
@@ -7,7 +9,10 @@
 
   private static final long LONGEST_MICROS = 60_000_000;
 
+  private static final int MAX_REASONS = 3;
+
   private final String name;
+  private final List<String> reasons = new ArrayList<>();
   private final Histogram histogram = new Histogram(LONGEST_MICROS, 3);
   private long failed;
   private long ended;
@@ -16,15 +21,25 @@
     this.name = name;
   }
 
-  synchronized void ended(boolean ok, long micros, boolean counts) {
+  synchronized void answered(long micros, boolean counts) {
     ended++;
-    if (!ok) {
-      failed++;
-    } else if (counts) {
+    if (counts) {
       histogram.recordValue(Math.max(0, Math.min(LONGEST_MICROS, micros)));
     }
   }
 
+  synchronized void failed(String why) {
+    ended++;
+    failed++;
+    if (reasons.size() < MAX_REASONS) {
+      reasons.add(name + ": " + why);
+    }
+  }
+
+  synchronized List<String> reasons() {
+    return List.copyOf(reasons);
+  }
+
   synchronized long endedCount() {
     return ended;
   }
