Split an engine's events by range, not byte by byte

A profile of the owner at 65 requests/s and 15,000 tokens/s (JFR, one run, busy machine) had 102 of 632 samples in ByteArrayOutputStream.ensureCapacity, called by EventSplitter for each byte. Now a line is taken in one piece.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EventSplitter.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EventSplitter.java
@@ -35,13 +35,15 @@
    * @throws IllegalArgumentException if an event is longer than an engine ever sends
    */
   public void accept(byte[] part) {
-    for (byte b : part) {
-      if (b == '\n') {
+    int start = 0;
+    for (int i = 0; i < part.length; i++) {
+      if (part[i] == '\n') {
+        line.write(part, start, i - start);
         endLine();
-      } else {
-        line.write(b);
+        start = i + 1;
       }
     }
+    line.write(part, start, part.length - start);
     if (line.size() > MAX_EVENT_BYTES) {
       throw new IllegalArgumentException("event of more than " + MAX_EVENT_BYTES + " bytes");
     }
