--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -37,6 +37,15 @@
   /** Requests within a half-life that a full batch on the endpoint makes up for. */
   private static final double PACKING = 1;
 
+  /** Cost of a free slot: below any eviction. */
+  private static final double FREE = -1_000;
+
+  /**
+   * An adapter goes to the endpoint that the router chose if what it evicts there has less than
+   * this share of its own demand; one that is seldom asked for goes wherever the least is lost.
+   */
+  private static final double DESERVES = 0.5;
+
   private static final long NO_ENDPOINT_COME_BACK_MS = 1_000;
 
   private record Running(EndpointState.Slot slot) {}
@@ -57,6 +66,7 @@
   private final DemandTable demand;
   private final LoadTurns turns;
   private long pruneAtMs;
+  private long lastMs;
 
   /**
    * Creates a placement with no endpoint.
@@ -199,10 +209,17 @@
         queuedFor.merge(entry.request().preferred(), 1, Integer::sum);
       }
     }
-    return endpoints.values().stream().map(e -> e.load(queuedFor.getOrDefault(e.id, 0))).toList();
+    return endpoints.values().stream()
+        .map(
+            e ->
+                e.load(
+                    queuedFor.getOrDefault(e.id, 0),
+                    adapter -> demand.of(lastMs, adapter) >= settings.hotDemand()))
+        .toList();
   }
 
   private List<PlacementAction> decide(long nowMs) {
+    lastMs = nowMs;
     List<PlacementAction> actions = new ArrayList<>();
     startReady(actions);
     if (turns.free()) {
@@ -256,7 +273,7 @@
       if (!turns.mayBegin(nowMs, waitedMs, patienceMs(group.urgency()))) {
         continue;
       }
-      if (load(nowMs, group.adapter, active(group.model), actions)) {
+      if (load(nowMs, group.adapter, group.preferred(), active(group.model), actions)) {
         return;
       }
     }
@@ -291,8 +308,10 @@
   private boolean load(
       long nowMs,
       AdapterVersion adapter,
+      EndpointId preferred,
       Collection<EndpointState> candidates,
       List<PlacementAction> actions) {
+    double wanted = demand.of(nowMs, adapter);
     EndpointState best = null;
     EndpointState.Slot victim = null;
     double least = Double.POSITIVE_INFINITY;
@@ -300,20 +319,18 @@
       if (endpoint.holds(adapter)) {
         continue;
       }
-      if (endpoint.hasFreeSlot()) {
-        best = endpoint;
-        victim = null;
-        break;
+      EndpointState.Slot cheapest = endpoint.hasFreeSlot() ? null : cheapest(nowMs, endpoint);
+      if (cheapest == null && !endpoint.hasFreeSlot()) {
+        continue;
       }
-      for (EndpointState.Slot slot : endpoint.slots) {
-        if (slot.idle() && !waiting.containsKey(slot.adapter)) {
-          double worth = worth(nowMs, slot);
-          if (worth < least) {
-            best = endpoint;
-            victim = slot;
-            least = worth;
-          }
-        }
+      double cost = cheapest == null ? FREE : worth(nowMs, cheapest);
+      if (endpoint.id.equals(preferred) && cost < wanted * DESERVES) {
+        cost = FREE - 1;
+      }
+      if (cost < least) {
+        best = endpoint;
+        victim = cheapest;
+        least = cost;
       }
     }
     if (best == null) {
@@ -335,6 +352,17 @@
     return demand.of(nowMs, slot.adapter) - PACKING * weights.batchPreference() * busy;
   }
 
+  private EndpointState.Slot cheapest(long nowMs, EndpointState endpoint) {
+    EndpointState.Slot cheapest = null;
+    for (EndpointState.Slot slot : endpoint.slots) {
+      boolean evictable = slot.idle() && !waiting.containsKey(slot.adapter);
+      if (evictable && (cheapest == null || worth(nowMs, slot) < worth(nowMs, cheapest))) {
+        cheapest = slot;
+      }
+    }
+    return cheapest;
+  }
+
   private boolean backsOff(long nowMs, AdapterVersion adapter) {
     Failures failed = failures.get(adapter);
     return failed != null && nowMs < failed.retryAtMs;
@@ -356,7 +384,7 @@
         continue;
       }
       List<EndpointState> fitting = free.stream().filter(e -> e.model.equals(model)).toList();
-      if (load(nowMs, adapter, fitting, actions)) {
+      if (load(nowMs, adapter, null, fitting, actions)) {
         return;
       }
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointLoad.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointLoad.java
@@ -15,14 +15,27 @@
  * @param queued requests that wait at its owner and were routed to it
  * @param maxStreams streams that it runs at once
  * @param adapters what it holds or loads
+ * @param hot those that are asked for so often that they should share an endpoint
  */
 public record EndpointLoad(
-    EndpointId endpoint, int streams, int queued, int maxStreams, Set<AdapterVersion> adapters) {
+    EndpointId endpoint,
+    int streams,
+    int queued,
+    int maxStreams,
+    Set<AdapterVersion> adapters,
+    Set<AdapterVersion> hot) {
 
-  /** Checks the parts and copies the set. */
+  /** Creates a hint that calls no adapter hot. */
+  public EndpointLoad(
+      EndpointId endpoint, int streams, int queued, int maxStreams, Set<AdapterVersion> adapters) {
+    this(endpoint, streams, queued, maxStreams, adapters, Set.of());
+  }
+
+  /** Checks the parts and copies the sets. */
   public EndpointLoad {
     Objects.requireNonNull(endpoint, "endpoint");
     adapters = Set.copyOf(adapters);
+    hot = Set.copyOf(hot);
     if (streams < 0 || queued < 0 || maxStreams < 1) {
       throw new IllegalArgumentException(
           "streams " + streams + ", queued " + queued + ", maxStreams " + maxStreams);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /** What the owner knows exactly of one endpoint, since it gives all orders and sends all work. */
@@ -52,10 +53,11 @@
     this.maxSlots = status.slots();
   }
 
-  EndpointLoad load(int queued) {
+  EndpointLoad load(int queued, Predicate<AdapterVersion> isHot) {
     Set<AdapterVersion> adapters =
         slots.stream().filter(s -> !s.hung).map(s -> s.adapter).collect(Collectors.toSet());
-    return new EndpointLoad(id, streams, queued, maxStreams, adapters);
+    Set<AdapterVersion> hot = adapters.stream().filter(isHot).collect(Collectors.toSet());
+    return new EndpointLoad(id, streams, queued, maxStreams, adapters, hot);
   }
 
   boolean hasStreamPlace() {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
@@ -46,49 +48,98 @@
     }
   }
 
-  private record Ranked(Candidate candidate, double score, boolean full, boolean holds) {}
+  private record Ranked(
+      Candidate candidate, double score, boolean full, boolean holds, boolean fits) {}
+
+  /** Hashed with each endpoint to choose those that hot adapters share. */
+  private static final String DENSE = "dense";
 
   private final long maxLoadAgeMs;
+  private final double denseShare;
+
+  /**
+   * Creates a router that gives hot adapters no endpoints of their own.
+   *
+   * @param maxLoadAgeMs a hint older than this is ignored
+   */
+  public Router(long maxLoadAgeMs) {
+    this(maxLoadAgeMs, 0);
+  }
 
   /**
    * Creates a router.
    *
    * @param maxLoadAgeMs a hint older than this is ignored: affinity then decides alone, since a
    *     stale "full" would send an adapter's requests to an engine that must load it first
+   * @param denseShare share of a model's endpoints that hot adapters share, from 0 and below 1; at
+   *     least one endpoint unless 0
    */
-  public Router(long maxLoadAgeMs) {
+  public Router(long maxLoadAgeMs, double denseShare) {
     if (maxLoadAgeMs < 1) {
       throw new IllegalArgumentException("maxLoadAgeMs must be at least 1: " + maxLoadAgeMs);
     }
+    if (!(denseShare >= 0 && denseShare < 1)) {
+      throw new IllegalArgumentException("denseShare must be from 0 and below 1: " + denseShare);
+    }
     this.maxLoadAgeMs = maxLoadAgeMs;
+    this.denseShare = denseShare;
+  }
+
+  /** Returns the endpoints, best first, for an adapter that is not hot. */
+  public List<EndpointId> rank(AdapterVersion adapter, int copies, List<Candidate> candidates) {
+    return rank(adapter, copies, false, candidates);
   }
 
   /**
    * Returns the endpoints, best first.
    *
+   * <p>Hot adapters share few endpoints, where their requests meet in full batches; the others go
+   * to the rest, so that their loads don't compete for the same slots.
+   *
    * @param adapter what the request runs on
    * @param copies endpoints among which the adapter's requests are spread, at least 1
+   * @param hot whether the adapter is hot
    * @param candidates the endpoints of the adapter's base model
    */
-  public List<EndpointId> rank(AdapterVersion adapter, int copies, List<Candidate> candidates) {
+  public List<EndpointId> rank(
+      AdapterVersion adapter, int copies, boolean hot, List<Candidate> candidates) {
     if (copies < 1) {
       throw new IllegalArgumentException("copies must be at least 1: " + copies);
     }
+    Set<EndpointId> dense = dense(candidates);
     List<Ranked> ranked = new ArrayList<>();
     for (Candidate candidate : candidates) {
-      ranked.add(
-          new Ranked(
-              candidate, score(adapter, candidate), full(candidate), holds(adapter, candidate)));
+      boolean fits = dense.contains(candidate.endpoint()) == hot;
+      boolean holds = holds(adapter, candidate);
+      double score = score(adapter.adapter().value(), candidate);
+      ranked.add(new Ranked(candidate, score, full(candidate), holds, fits));
     }
     ranked.sort(
-        Comparator.comparingDouble((Ranked r) -> -r.score())
+        Comparator.comparing((Ranked r) -> !r.fits())
+            .thenComparingDouble(r -> -r.score())
             .thenComparing(r -> r.candidate().endpoint()));
     int spread = Math.min(copies, ranked.size());
     ranked.subList(0, spread).sort(Comparator.comparingDouble(Router::busy));
-    ranked.sort(Comparator.comparing(Ranked::full).thenComparing(r -> !r.holds()));
+    ranked.sort(
+        Comparator.comparing(Ranked::full)
+            .thenComparing(r -> hot && !r.fits())
+            .thenComparing(r -> !r.holds()));
     return ranked.stream().map(r -> r.candidate().endpoint()).toList();
   }
 
+  /** Returns the endpoints that hot adapters share: the same at every entry, by a hash. */
+  private Set<EndpointId> dense(List<Candidate> candidates) {
+    long count =
+        Math.min(candidates.size() - 1L, Math.max(1, Math.round(candidates.size() * denseShare)));
+    return candidates.stream()
+        .sorted(
+            Comparator.comparingDouble((Candidate c) -> -score(DENSE, c))
+                .thenComparing(Candidate::endpoint))
+        .limit(denseShare == 0 ? 0 : count)
+        .map(Candidate::endpoint)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Returns how many endpoints an adapter needs.
    *
@@ -117,8 +168,8 @@
         .orElse(0.0);
   }
 
-  private static double score(AdapterVersion adapter, Candidate candidate) {
-    byte[] key = (adapter.adapter() + " " + candidate.endpoint()).getBytes(StandardCharsets.UTF_8);
+  private static double score(String name, Candidate candidate) {
+    byte[] key = (name + " " + candidate.endpoint()).getBytes(StandardCharsets.UTF_8);
     long bits = MurmurHash3.hash128x64(key)[0] >>> 11;
     double unit = (bits + 0.5) / (1L << 53);
     return -candidate.weight() / Math.log(unit);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/WaitingGroup.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/WaitingGroup.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.daemon.process.placement;
 
 import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.RequestId;
 import java.util.ArrayList;
@@ -40,6 +41,11 @@
     return requests.get(0).request().urgency();
   }
 
+  /** Returns where the router sent the most urgent request. */
+  EndpointId preferred() {
+    return requests.get(0).request().preferred();
+  }
+
   long oldestMs() {
     return requests.stream().mapToLong(Queued::sinceMs).min().orElseThrow();
   }
--- /dev/null
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
@@ -0,0 +1,265 @@
+package io.sequoiapass.daemon.process.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.RequestId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AdaptivePlacementTest {
+
+  private static final ModelId MODEL = new ModelId("base-a");
+  private static final EndpointId ONE = new EndpointId("e1");
+  private static final EndpointId TWO = new EndpointId("e2");
+  private static final AdapterVersion NOTES = AdapterVersion.parse("notes@v1");
+  private static final AdapterVersion SLIPS = AdapterVersion.parse("slips@v1");
+  private static final AdapterVersion RULINGS = AdapterVersion.parse("rulings@v1");
+  private static final long DEADLINE_MS = 60_000;
+
+  private final AdaptivePlacement placement =
+      new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.STALLS);
+
+  @Test
+  void aMissLoadsOnceAndThenStartsAllThatWait() {
+    placement.endpointJoined(0, status(ONE, 1));
+
+    assertThat(arrive(1, "r1", NOTES)).containsExactly(load(ONE, NOTES, null));
+    assertThat(arrive(2, "r2", NOTES)).isEmpty();
+    assertThat(placement.loadFinished(250, loaded(ONE, NOTES, "h1")))
+        .containsExactly(start("r1", ONE, NOTES, "h1"), start("r2", ONE, NOTES, "h1"));
+  }
+
+  @Test
+  void anotherVersionIsAnotherAdapter() {
+    placement.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1")));
+
+    assertThat(arrive(1, "r1", AdapterVersion.parse("notes@v2")))
+        .containsExactly(load(ONE, AdapterVersion.parse("notes@v2"), null));
+  }
+
+  @Test
+  void theAdapterInLeastDemandIsEvicted() {
+    placement.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1"), resident(SLIPS, "h2")));
+    for (String id : List.of("r1", "r2")) {
+      arrive(1, id, SLIPS);
+      placement.requestFinished(2, new RequestId(id));
+    }
+    arrive(3, "r3", NOTES);
+    placement.requestFinished(4, new RequestId("r3"));
+
+    assertThat(arrive(5, "r4", RULINGS)).containsExactly(load(ONE, RULINGS, "h1"));
+  }
+
+  @Test
+  void theLoadThatDeadlinesWaitForGoesFirst() {
+    placement.endpointJoined(0, status(ONE, 4));
+    arrive(1, "r1", NOTES);
+    arrive(2, "r2", SLIPS, Urgency.BATCH);
+    arrive(3, "r3", RULINGS, Urgency.DEADLINE);
+
+    assertThat(placement.loadFinished(250, loaded(ONE, NOTES, "h1")))
+        .contains(load(ONE, RULINGS, null))
+        .doesNotContain(load(ONE, SLIPS, null));
+  }
+
+  @Test
+  void aLoadWaitsItsPatienceWhileOthersLoad() {
+    placement.endpointJoined(0, status(ONE, 4));
+    placement.otherLoads(0, 1);
+
+    assertThat(arrive(1, "r1", NOTES)).isEmpty();
+    assertThat(placement.tick(200)).isEmpty();
+    assertThat(placement.tick(251)).containsExactly(load(ONE, NOTES, null));
+  }
+
+  @Test
+  void anOldReportOfOthersLoadsIsNotBelieved() {
+    placement.endpointJoined(0, status(ONE, 4));
+    placement.otherLoads(0, 9);
+
+    assertThat(arrive(1_001, "r1", NOTES)).containsExactly(load(ONE, NOTES, null));
+  }
+
+  @Test
+  void aFreeSlotIsFilledWithWhatWasWantedMostAfterARestart() {
+    placement.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1"), resident(SLIPS, "h2")));
+    arrive(1, "r1", SLIPS);
+    arrive(1, "r2", SLIPS);
+    arrive(1, "r3", NOTES);
+
+    assertThat(placement.endpointJoined(5, status(ONE, 2))).containsExactly(load(ONE, SLIPS, null));
+    assertThat(placement.loadFinished(255, loaded(ONE, SLIPS, "h3")))
+        .containsExactly(load(ONE, NOTES, null));
+  }
+
+  @Test
+  void aRequestWithNoEndpointIsRefused() {
+    assertThat(arrive(1, "r1", NOTES))
+        .containsExactly(
+            new PlacementAction.Refuse(new RequestId("r1"), RefusalReason.NO_ENDPOINT, 1_000));
+  }
+
+  @Test
+  void aRequestPastItsDeadlineIsRefusedAtOnce() {
+    placement.endpointJoined(0, status(ONE, 1));
+    arrive(1, "r1", NOTES);
+
+    assertThat(placement.tick(DEADLINE_MS))
+        .containsExactly(
+            new PlacementAction.Refuse(new RequestId("r1"), RefusalReason.DEADLINE_PASSED, 0));
+  }
+
+  @Test
+  void theSameRequestTwiceIsAnError() {
+    placement.endpointJoined(0, status(ONE, 1));
+    arrive(1, "r1", NOTES);
+
+    assertThatThrownBy(() -> arrive(2, "r1", NOTES)).hasMessageContaining("r1");
+  }
+
+  /**
+   * A caller sees its answer cut off if the adapter that serves it is evicted. All slots are taken
+   * by adapters that serve, more are wanted, and the owner counts exactly who runs where, streams
+   * included that it learnt of when it took the endpoint over; so it waits for one to end.
+   */
+  @Nested
+  class AdapterInUse {
+
+    @Test
+    void isNotEvictedForAnother() {
+      placement.endpointJoined(0, status(ONE, 1, resident(NOTES, "h1")));
+      arrive(1, "r1", NOTES);
+
+      assertThat(arrive(2, "r2", SLIPS)).isEmpty();
+      assertThat(placement.requestFinished(100, new RequestId("r1")))
+          .containsExactly(load(ONE, SLIPS, "h1"));
+    }
+
+    @Test
+    void isNotEvictedWhenItsStreamsBeganUnderAnotherOwner() {
+      Resident taken = new Resident(new LoadHandle("h1"), NOTES, List.of(new RequestId("old")));
+      placement.endpointJoined(0, status(ONE, 1, taken));
+
+      assertThat(arrive(2, "r2", SLIPS)).isEmpty();
+      assertThat(placement.requestFinished(100, new RequestId("old")))
+          .containsExactly(load(ONE, SLIPS, "h1"));
+    }
+  }
+
+  /**
+   * A caller waits past its deadline if one broken load holds up all others. A load fails, or never
+   * answers; the owner pauses this adapter alone, gives its turn to the next after the bound, and
+   * after repeated failures tells the callers instead of letting them wait.
+   */
+  @Nested
+  class BrokenLoad {
+
+    @Test
+    void pausesOnlyItsOwnAdapter() {
+      placement.endpointJoined(0, status(ONE, 4));
+      arrive(1, "r1", NOTES);
+      arrive(2, "r2", SLIPS);
+
+      assertThat(placement.loadFinished(250, failed(ONE, NOTES)))
+          .containsExactly(load(ONE, SLIPS, null));
+      placement.loadFinished(450, loaded(ONE, SLIPS, "h1"));
+      assertThat(placement.tick(499)).isEmpty();
+      assertThat(placement.tick(500)).containsExactly(load(ONE, NOTES, null));
+    }
+
+    @Test
+    void thatHangsGivesUpItsTurn() {
+      placement.endpointJoined(0, status(ONE, 4));
+      placement.endpointJoined(0, status(TWO, 4));
+      arrive(1, "r1", NOTES);
+
+      assertThat(placement.tick(5_000)).isEmpty();
+      assertThat(placement.tick(5_001)).containsExactly(load(TWO, NOTES, null));
+      assertThat(placement.loadFinished(6_000, loaded(ONE, NOTES, "late")))
+          .containsExactly(start("r1", ONE, NOTES, "late"));
+    }
+
+    @Test
+    void isReportedToTheCallersAfterTheLastTry() {
+      placement.endpointJoined(0, status(ONE, 4));
+      arrive(1, "r1", NOTES);
+      List<PlacementAction> actions = new ArrayList<>();
+      for (int i = 1; i <= 5; i++) {
+        placement.tick(i * 10_000 - 5_000);
+        actions.addAll(placement.loadFinished(i * 10_000 - 4_000, failed(ONE, NOTES)));
+      }
+
+      assertThat(actions)
+          .containsExactly(
+              new PlacementAction.Refuse(new RequestId("r1"), RefusalReason.LOAD_FAILED, 4_000));
+    }
+  }
+
+  /** A caller must not notice planned work: what runs ends, what is new goes elsewhere. */
+  @Nested
+  class LeavingEndpoint {
+
+    @Test
+    void getsNoNewWork() {
+      placement.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1")));
+      placement.endpointJoined(0, status(TWO, 2));
+      placement.endpointDraining(1, ONE);
+
+      assertThat(arrive(2, "r1", NOTES)).containsExactly(load(TWO, NOTES, null));
+    }
+
+    @Test
+    void leavesQueuedRequestsQueued() {
+      placement.endpointJoined(0, status(ONE, 2));
+      arrive(1, "r1", NOTES);
+      assertThat(placement.endpointLeft(2, ONE)).isEmpty();
+
+      assertThat(placement.endpointJoined(3, status(TWO, 2, resident(NOTES, "h9"))))
+          .containsExactly(start("r1", TWO, NOTES, "h9"));
+    }
+  }
+
+  private List<PlacementAction> arrive(long nowMs, String id, AdapterVersion adapter) {
+    return arrive(nowMs, id, adapter, Urgency.INTERACTIVE);
+  }
+
+  private List<PlacementAction> arrive(
+      long nowMs, String id, AdapterVersion adapter, Urgency urgency) {
+    return placement.requestArrived(
+        nowMs,
+        new PlacementRequest(new RequestId(id), adapter, MODEL, urgency, DEADLINE_MS, 100, ONE));
+  }
+
+  private static EndpointStatus status(EndpointId id, int slots, Resident... residents) {
+    return new EndpointStatus(id, MODEL, slots, 4, List.of(residents));
+  }
+
+  private static Resident resident(AdapterVersion adapter, String handle) {
+    return new Resident(new LoadHandle(handle), adapter, List.of());
+  }
+
+  private static LoadResult loaded(EndpointId endpoint, AdapterVersion adapter, String handle) {
+    return new LoadResult(endpoint, adapter, Optional.of(new LoadHandle(handle)));
+  }
+
+  private static LoadResult failed(EndpointId endpoint, AdapterVersion adapter) {
+    return new LoadResult(endpoint, adapter, Optional.empty());
+  }
+
+  private static PlacementAction load(EndpointId endpoint, AdapterVersion adapter, String evict) {
+    return new PlacementAction.Load(
+        endpoint, adapter, Optional.ofNullable(evict).map(LoadHandle::new));
+  }
+
+  private static PlacementAction start(
+      String id, EndpointId endpoint, AdapterVersion adapter, String handle) {
+    return new PlacementAction.Start(new RequestId(id), endpoint, adapter, new LoadHandle(handle));
+  }
+}
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/AdaptivePolicy.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/AdaptivePolicy.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
+import io.sequoiapass.daemon.process.placement.HotAdapters;
 import io.sequoiapass.daemon.process.placement.Placement;
 import io.sequoiapass.daemon.process.placement.PlacementSettings;
 import io.sequoiapass.daemon.process.placement.PlacementWeights;
@@ -21,10 +22,16 @@
 
   private static final long REPORT_MS = 50;
 
+  /** Three half-lives of demand. */
+  private static final long HOT_MS = 450_000;
+
+  private static final double DENSE_SHARE = 0.15;
+
   private static final long MAX_HINT_AGE_MS = 2_000;
 
-  private final Router router = new Router(MAX_HINT_AGE_MS);
+  private final Router router = new Router(MAX_HINT_AGE_MS, DENSE_SHARE);
   private final List<AdaptivePlacement> placements = new ArrayList<>();
+  private final HotAdapters hot = new HotAdapters(HOT_MS);
   private final Map<EndpointId, EndpointLoad> hints = new HashMap<>();
   private long reportsAtMs;
   private double hintsAtMs = Double.NEGATIVE_INFINITY;
@@ -57,7 +64,9 @@
   public EndpointId route(double nowMs, Workload.Arrival arrival, List<Engine> engines) {
     if (nowMs - hintsAtMs >= HINT_MS) {
       hintsAtMs = nowMs;
-      placements.forEach(p -> p.loads().forEach(load -> hints.put(load.endpoint(), load)));
+      for (AdaptivePlacement placement : placements) {
+        placement.loads().forEach(load -> learn((long) nowMs, load));
+      }
     }
     List<Router.Candidate> candidates = new ArrayList<>();
     for (Engine engine : engines) {
@@ -66,6 +75,12 @@
         candidates.add(new Router.Candidate(engine.id, 1, hint, (long) (nowMs - hintsAtMs)));
       }
     }
-    return router.rank(arrival.adapter(), 1, candidates).get(0);
+    boolean isHot = hot.contains((long) nowMs, arrival.adapter());
+    return router.rank(arrival.adapter(), 1, isHot, candidates).get(0);
+  }
+
+  private void learn(long nowMs, EndpointLoad load) {
+    hints.put(load.endpoint(), load);
+    hot.learn(nowMs, load);
   }
 }
