Time line by the caller's id; operators on their own loop; placement preference

Cause: operators know only the id that a caller sent; a large time line answer ran on the callers' event loops; the two users weigh stalls and batches differently. A wrong filter's message was put into JSON unescaped.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -33,7 +33,6 @@
 import io.sequoiapass.daemon.process.ownership.OwnershipTimes;
 import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
 import io.sequoiapass.daemon.process.placement.PlacementSettings;
-import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
 import io.sequoiapass.daemon.process.timeline.TimelineEvent;
@@ -86,6 +85,11 @@
   private final long incarnation = wall.millis();
   private final MetricRegistry metrics = new MetricRegistry();
   private final EventLoopGroup group;
+
+  /** Operators' large answers must not hold up callers, so they have a loop of their own. */
+  private final EventLoopGroup operatorGroup =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
   private final Timeline timeline;
   private final DaemonEvents events;
   private final Entries entries;
@@ -169,7 +173,7 @@
         () ->
             new OwnerShard(
                 clock,
-                new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.STALLS),
+                new AdaptivePlacement(PlacementSettings.defaults(), settings.placementWeights()),
                 engines,
                 (endpoint, kind) -> this.ownership.permit(endpoint, kind),
                 events),
@@ -185,7 +189,7 @@
         new PeerMessage.Hello(settings.daemon(), settings.dataCentre(), incarnation);
     peers.start(new PeerLinks(transport, group, hello, peers), settings.peers());
     operators =
-        HttpServer.builder(group, new OperatorHandler(new View()))
+        HttpServer.builder(operatorGroup, new OperatorHandler(new View()))
             .start(address(settings.operatorPort()));
     callers =
         HttpServer.builder(group, callerHandler())
@@ -307,6 +311,7 @@
     peers.stop();
     callers.close();
     operators.close();
+    operatorGroup.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
     group.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/OperatorHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/OperatorHandler.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.daemon.process;
 
+import com.google.gson.JsonObject;
 import io.sequoiapass.daemon.connection.HttpHandler;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
@@ -49,7 +50,9 @@
       TimelineQuery query = TimelineQuery.parse(request::query);
       responder.respond(OK, Map.of(), view.timeline(query));
     } catch (InvalidQueryException e) {
-      responder.respond(BAD_REQUEST, Map.of(), "{\"error\":\"" + e.getMessage() + "\"}");
+      JsonObject error = new JsonObject();
+      error.addProperty("error", e.getMessage());
+      responder.respond(BAD_REQUEST, Map.of(), error.toString());
     }
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.daemon.process.log.LogFormat;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
@@ -198,6 +199,13 @@
     return LogFormat.valueOf(values.get(Setting.LOG_FORMAT).toUpperCase(Locale.ROOT));
   }
 
+  /** Returns what the placement of adapters weighs. */
+  public PlacementWeights placementWeights() {
+    return values.get(Setting.PLACEMENT_PREFERENCE).equals("batches")
+        ? PlacementWeights.BATCHES
+        : PlacementWeights.STALLS;
+  }
+
   /** Returns how long the lease lasts after its last renewal, in milliseconds. */
   public long leaseDurationMs() {
     return number(Setting.LEASE_DURATION_MS);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
@@ -58,6 +58,11 @@
       "text",
       "format of log lines on standard error",
       "text for people, json for log collectors"),
+  PLACEMENT_PREFERENCE(
+      SettingType.PREFERENCE,
+      "stalls",
+      "what the placement of adapters weighs more heavily",
+      "stalls where callers stand and wait, batches where long work is billed"),
   LEASE_DURATION_MS(
       500,
       60_000,
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/SettingType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/SettingType.java
@@ -98,6 +98,20 @@
         throw wrong(setting, text);
       }
     }
+  },
+  /** What the placement weighs more heavily. */
+  PREFERENCE {
+    @Override
+    String allowed(Setting setting) {
+      return "stalls or batches";
+    }
+
+    @Override
+    void check(Setting setting, String text) throws SettingsException {
+      if (!text.equals("stalls") && !text.equals("batches")) {
+        throw wrong(setting, text);
+      }
+    }
   };
 
   /** Returns what a setting of this type may hold, for messages and pages. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineQuery.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineQuery.java
@@ -1,6 +1,8 @@
 package io.sequoiapass.daemon.process.timeline;
 
 import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.daemon.request.RequestIds;
 import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.Optional;
@@ -137,11 +139,17 @@
     return event.wallMs() >= since
         && event.wallMs() <= until
         && kinds.contains(event.kind())
-        && matches(request, event.request().map(id -> id.value()))
+        && (request.isEmpty() || event.request().filter(this::isRequest).isPresent())
         && matches(endpoint, event.endpoint().map(id -> id.value()))
         && (adapter.isEmpty() || event.adapter().filter(this::isAdapter).isPresent());
   }
 
+  /** A caller knows its own id only; ours begins with it. */
+  private boolean isRequest(RequestId id) {
+    String wanted = request.orElseThrow();
+    return id.value().equals(wanted) || RequestIds.callerIdOf(id).equals(wanted);
+  }
+
   private boolean isAdapter(AdapterVersion id) {
     String wanted = adapter.orElseThrow();
     return wanted.equals(id.toString()) || wanted.equals(id.adapter().value());
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/RequestIds.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/RequestIds.java
@@ -41,6 +41,16 @@
     return new RequestId(callerId + suffix + Long.toString(counter.incrementAndGet(), RADIX));
   }
 
+  /**
+   * Returns the caller's own name in one of our names, perhaps empty.
+   *
+   * @param id one of our names
+   */
+  public static String callerIdOf(RequestId id) {
+    int separator = id.value().lastIndexOf(SEPARATOR);
+    return separator < 0 ? id.value() : id.value().substring(0, separator);
+  }
+
   /** Returns a text that differs from call to call. */
   String spread() {
     return Long.toString(counter.get(), RADIX);
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/TimelineTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/timeline/TimelineTest.java
@@ -144,6 +144,14 @@
       timeline.record(TimelineEvent.of(TimelineKind.FAULT).request(new RequestId("r2")).build());
     }
 
+    @Test
+    void aRequestIsFoundByTheNameThatItsCallerGave() throws InvalidQueryException {
+      timeline.record(
+          TimelineEvent.of(TimelineKind.FAULT).request(new RequestId("slip-7~d1.abc.2")).build());
+      assertThat(found(Map.of("request", "slip-7"))).hasSize(1);
+      assertThat(found(Map.of("request", "slip"))).isEmpty();
+    }
+
     @Test
     void filtersSelect() throws InvalidQueryException {
       recordThree();
