--- a/testbed/src/test/java/io/sequoiapass/testbed/launch/ClusterTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/launch/ClusterTest.java
@@ -31,7 +31,8 @@
       try (LoadTool tool =
           LoadTool.to(cluster.daemons().stream().map(DaemonNode::callers).toList())) {
         tool.start(plan.requests());
-        report = Judgement.of(cluster).apply(tool.await(LIMIT_MS));
+        LoadReport told = tool.await(LIMIT_MS);
+        report = Judgement.of(cluster).apply(told);
       }
 
       assertThat(report.reasons(5)).isEmpty();
