Begin no load that would end past the deadlines of all that wait

Cause: in overload a load was spent on requests that were gone before it ended, and made others late. The expected end comes from the measured contention.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -288,7 +288,8 @@
   }
 
   private boolean needsLoad(long nowMs, WaitingGroup group) {
-    if (backsOff(nowMs, group.adapter)) {
+    long readyMs = nowMs + (long) (settings.loadAloneMs() * turns.contention());
+    if (backsOff(nowMs, group.adapter) || group.latestDeadlineMs() < readyMs) {
       return false;
     }
     int copies = 0;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/WaitingGroup.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/WaitingGroup.java
@@ -50,6 +50,10 @@
     return requests.stream().mapToLong(Queued::sinceMs).min().orElseThrow();
   }
 
+  long latestDeadlineMs() {
+    return requests.stream().mapToLong(q -> q.request().deadlineMs()).max().orElseThrow();
+  }
+
   /** Returns what a load is worth now: who waits, how urgently, for how long. */
   double loadValue(long nowMs, long agingMs) {
     double value = 0;
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
@@ -87,6 +87,14 @@
     assertThat(arrive(1_001, "r1", NOTES)).containsExactly(load(ONE, NOTES, null));
   }
 
+  @Test
+  void aLoadThatWouldEndPastTheDeadlineIsNotBegun() {
+    placement.endpointJoined(0, status(ONE, 4));
+
+    assertThat(arrive(DEADLINE_MS - 249, "r1", NOTES)).isEmpty();
+    assertThat(arrive(DEADLINE_MS - 251, "r2", SLIPS)).containsExactly(load(ONE, SLIPS, null));
+  }
+
   @Test
   void aFreeSlotIsFilledWithWhatWasWantedMostAfterARestart() {
     placement.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1"), resident(SLIPS, "h2")));
