--- a/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
@@ -88,17 +88,17 @@
   }
 
   @Test
-  void aLoadThatWouldEndPastTheDeadlineIsNotBegun() {
-    placement.endpointJoined(0, status(ONE, 4));
+  void aLoadThatWouldEndPastTheDeadlineEvictsNothing() {
+    placement.endpointJoined(0, status(ONE, 1, resident(SLIPS, "h1")));
 
     assertThat(arrive(DEADLINE_MS - 249, "r1", NOTES)).isEmpty();
   }
 
   @Test
   void aLoadThatEndsRightAtTheDeadlineIsBegun() {
-    placement.endpointJoined(0, status(ONE, 4));
+    placement.endpointJoined(0, status(ONE, 1, resident(SLIPS, "h1")));
 
-    assertThat(arrive(DEADLINE_MS - 250, "r1", NOTES)).containsExactly(load(ONE, NOTES, null));
+    assertThat(arrive(DEADLINE_MS - 250, "r1", NOTES)).containsExactly(load(ONE, NOTES, "h1"));
   }
 
   @Test
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/Score.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Score.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.testbed.policy;
 
+import io.sequoiapass.daemon.process.placement.Urgency;
 import java.util.List;
 import org.HdrHistogram.Histogram;
 
@@ -95,7 +96,7 @@
     }
     stallMs += waitedMs;
     stalls.recordValue(Math.round(waitedMs));
-    if (arrival.urgency() == io.sequoiapass.daemon.process.placement.Urgency.DEADLINE) {
+    if (arrival.urgency() == Urgency.DEADLINE) {
       deadlineStalls.recordValue(Math.round(waitedMs));
     }
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/Workload.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Workload.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.daemon.process.placement.Urgency;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
@@ -79,7 +80,7 @@
 
     AdapterVersion draw(Random random) {
       double draw = random.nextDouble() * cumulative[cumulative.length - 1];
-      int found = java.util.Arrays.binarySearch(cumulative, draw);
+      int found = Arrays.binarySearch(cumulative, draw);
       return byRank.get(found >= 0 ? found : -found - 1);
     }
   }
