Let the owner's proof arrive before the deadline, and stop the stall timer while a caller reads slowly

Deadlines: Forward carried the whole remaining time, so the owner's NOT RUN for a request that only waited met an entry that had already said UNKNOWN. It now carries 60 ms less (a quarter of short ones), and the entry ends at once on DEADLINE_PASSED.

Slow callers: the entry pauses the owner, and then took the silence for a frozen one. The timers stop with the pause. The pause was not reached on loopback at first, since the system let each connection hold megabytes; the send buffer is now 64 KB, which also bounds a host's memory under slow callers. Not shown: that memory stays bounded for more callers than 24.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/AttemptEvent.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/AttemptEvent.java
@@ -80,6 +80,13 @@
    */
   record EndpointLost(int attempt) implements AttemptEvent {}
 
+  /**
+   * The caller's connection takes no more for now, or takes more again.
+   *
+   * @param paused whether reading of the answer was stopped
+   */
+  record Flow(boolean paused) implements AttemptEvent {}
+
   /** The caller closed its connection. */
   record CallerLeft() implements AttemptEvent {}
 
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
@@ -41,6 +41,7 @@
   private int source = NO_SOURCE;
   private boolean ended;
   private boolean callerLeft;
+  private boolean paused;
   private ErrorKind lastNotRun = ErrorKind.NO_ENDPOINT;
   private ErrorKind firstUnknown;
   private OptionalLong comeBackMillis = OptionalLong.empty();
@@ -143,6 +144,8 @@
     } else if (event instanceof AttemptEvent.EndpointLost lost) {
       open(lost.attempt())
           .ifPresent(attempt -> endpointLost(attempt, ErrorKind.ENDPOINT_LOST_AFTER_START));
+    } else if (event instanceof AttemptEvent.Flow flow) {
+      flow(flow.paused(), nowMillis);
     } else if (event instanceof AttemptEvent.CallerLeft) {
       callerLeft();
     } else {
@@ -237,8 +240,8 @@
     if (!callerLeft) {
       ready.forEach(token -> actions.add(new AttemptAction.Deliver(token)));
     }
-    stallAt = nowMillis + settings.stallMillis();
-    if (!answer.hasGap()) {
+    stallAt = paused ? NEVER : nowMillis + settings.stallMillis();
+    if (!answer.hasGap() || paused) {
       gapAt = NEVER;
     } else if (gapAt == NEVER || !ready.isEmpty()) {
       gapAt = nowMillis + settings.gapMillis();
@@ -248,6 +251,18 @@
     }
   }
 
+  /**
+   * Stops the timers while the owner was told to stop reading, and starts them anew after it. A
+   * silence that the caller made itself would be taken for a frozen owner: the stream would be
+   * given up and run again, once for each time that the caller reads slowly.
+   */
+  private void flow(boolean nowPaused, long nowMillis) {
+    paused = nowPaused;
+    boolean streaming = source != NO_SOURCE && open(source).isPresent();
+    stallAt = paused || !streaming ? NEVER : nowMillis + settings.stallMillis();
+    gapAt = paused || !streaming || !answer.hasGap() ? NEVER : nowMillis + settings.gapMillis();
+  }
+
   // Failures.
 
   private void unroutable(Attempt attempt, ErrorKind kind) {
@@ -273,6 +288,13 @@
     attempt.closeNotRun(refused.proof());
     lastNotRun = refused.kind();
     comeBackMillis = refused.comeBackMillis();
+    if (refused.kind() == ErrorKind.DEADLINE_PASSED) {
+      // No endpoint begins it in what is left; other attempts would end in the same way.
+      if (!anyOpen()) {
+        endFailed();
+      }
+      return;
+    }
     boolean isMove =
         refused.kind() == ErrorKind.DRAINING
             && refused.proof().situation() == NotRunProof.Situation.WITHDRAWN_FROM_QUEUE;
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsTest.java
@@ -131,4 +131,41 @@
       assertThat(send.resumeFrom()).isEqualTo(1);
     }
   }
+
+  // A caller on a slow line stops reading for longer than a stream may be silent. Reading of its
+  // answer is stopped at the owner too, so nothing arrives; that must not look like a lost owner.
+  @Nested
+  class WhenTheCallerReadsSlowly {
+
+    @Test
+    void neverGivesUpWhilePausedAndWaitsAnewAfterIt() {
+      attempts.begin(0);
+      routed(1);
+      token(0, 1);
+      attempts.on(new AttemptEvent.Flow(true), 2);
+      token(1, 3);
+      assertThat(attempts.nextTickMillis()).isEqualTo(DEADLINE);
+      assertThat(attempts.on(new AttemptEvent.Tick(), 5_000)).isEmpty();
+      attempts.on(new AttemptEvent.Flow(false), 5_000);
+      assertThat(attempts.nextTickMillis()).isEqualTo(5_000 + SETTINGS.stallMillis());
+    }
+
+    @Test
+    void stillGivesUpOnAStreamThatIsSilentWithoutAPause() {
+      attempts.begin(0);
+      routed(1);
+      token(0, 1);
+      assertThat(attempts.on(new AttemptEvent.Tick(), 2_001)).isNotEmpty();
+    }
+  }
+
+  @Test
+  void endsAtOnceWhenTheOwnerProvesThatTheDeadlineCannotBeKept() {
+    attempts.begin(0);
+    routed(1);
+    assertThat(refused(1, ErrorKind.DEADLINE_PASSED, 9_950))
+        .singleElement()
+        .extracting(action -> ((AttemptAction.End) action).outcome().outcomeClass())
+        .isEqualTo(OutcomeClass.NOT_RUN);
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -29,6 +29,12 @@
  */
 public final class HttpServer implements AutoCloseable {
 
+  /**
+   * The system would let each connection of a slow caller hold some megabytes, and thousands of
+   * them all memory of a small host; what a caller reads in a few milliseconds is enough.
+   */
+  private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
   private static final int WRITE_LOW_BYTES = 16 << 10;
   private static final int WRITE_HIGH_BYTES = 64 << 10;
 
@@ -116,6 +122,7 @@
               .childOption(
                   ChannelOption.WRITE_BUFFER_WATER_MARK,
                   new WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+              .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
               .childHandler(initializer(connections));
       var binding = bootstrap.bind(address).awaitUninterruptibly();
       if (!binding.isSuccess()) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -38,6 +38,9 @@
  */
 public final class EntryShard {
 
+  private static final long PROOF_MARGIN_MS = 60;
+  private static final int PROOF_MARGIN_PART = 4;
+
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<RequestId, EntryRequest> requests = new HashMap<>();
   private final MillisClock clock;
@@ -281,7 +284,7 @@
             route.endpoint(),
             from(request.work(), send.resumeFrom()),
             mode,
-            Math.max(1, request.deadlineMs() - clock.millis()),
+            ownersMillis(request.deadlineMs() - clock.millis()),
             request.repeatability().needsStartGrant());
     observer.routed(request, send.attempt(), route.endpoint());
     on(entry, new AttemptEvent.Routed(send.attempt(), route.endpoint()));
@@ -291,6 +294,16 @@
     }
   }
 
+  /**
+   * Returns the time that an owner gets. Were it the whole, the owner's proof that a request never
+   * left its queue would arrive just after the entry had to say UNKNOWN; a round of the owner's and
+   * of the entry's timer and the way back fit into the margin. Short deadlines give up a part only.
+   */
+  private static long ownersMillis(long remainingMillis) {
+    long margin = Math.min(PROOF_MARGIN_MS, remainingMillis / PROOF_MARGIN_PART);
+    return Math.max(1, remainingMillis - margin);
+  }
+
   private static ForwardedWork from(ForwardedWork work, int index) {
     return work instanceof ForwardedWork.Completion completion && index > 0
         ? new ForwardedWork.Completion(
@@ -335,6 +348,7 @@
    */
   private void flow(EntryRequest entry, boolean pause) {
     if (entry.pause(pause)) {
+      on(entry, new AttemptEvent.Flow(pause));
       entry
           .routes()
           .forEach(
--- /dev/null
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/RequestSlowCallerTest.java
@@ -0,0 +1,108 @@
+package io.sequoiapass.testbed.failure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.testbed.HttpProbe;
+import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.ClusterNames;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class RequestSlowCallerTest {
+
+  private static final long LIMIT_MS = 20_000;
+  private static final int CALLERS = 24;
+  private static final int TOKENS = 1_500;
+  private static final int READ_LIMIT_MS = 10_000;
+
+  /** The stall limit of a stream is 2 s; buffers of the system take most of the first second. */
+  private static final long SILENT_MS = 7_000;
+
+  // Many callers ask for long answers and stop reading for seconds, as on a phone between two
+  // masts. Their answers, some 9 MB, must wait at the engine and not in the daemon, whose buffers
+  // may take 8 MB; the silence must not count as a lost owner; and each reads its whole answer.
+  @Test
+  void callersThatStopReadingGetWholeAnswersAndTakeNoMemory() throws Exception {
+    try (Cluster cluster =
+        Cluster.builder()
+            .daemons(1)
+            .engines(1)
+            .adapters(1)
+            .engineSize(4, CALLERS)
+            .engineFlags("--stream-micros", "0")
+            .daemonFlags("--threads", "1")
+            .daemonJvmFlags("-Xmx48m", "-XX:MaxDirectMemorySize=8m")
+            .start()) {
+      cluster.awaitServing(LIMIT_MS);
+      HttpProbe engine = new HttpProbe(cluster.endpoint("e1").address());
+      long before = accepted(engine);
+      List<Socket> sockets = new ArrayList<>();
+      try {
+        for (int i = 0; i < CALLERS; i++) {
+          sockets.add(ask(cluster.daemon("d1").callers(), i));
+        }
+        // Time itself is what these callers do to the daemon; nothing is waited for here.
+        TimeUnit.MILLISECONDS.sleep(SILENT_MS);
+        for (int i = 0; i < CALLERS; i++) {
+          assertWhole(sockets.get(i), i);
+        }
+      } finally {
+        for (Socket socket : sockets) {
+          socket.close();
+        }
+      }
+      assertThat(accepted(engine) - before).as("none was run again").isEqualTo(CALLERS);
+      assertThat(cluster.daemon("d1").process().lastErrors()).doesNotContain("OutOfMemory");
+    }
+  }
+
+  private static long accepted(HttpProbe engine) throws IOException, InterruptedException {
+    return engine.json("/judge").get("accepted").getAsLong();
+  }
+
+  private static Socket ask(InetSocketAddress daemon, int number) throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(4_096);
+    socket.setSoTimeout(READ_LIMIT_MS);
+    socket.connect(daemon, READ_LIMIT_MS);
+    String body =
+        "{\"model\":\"%s\",\"prompt\":\"p\",\"max_tokens\":%d,\"stream\":true}"
+            .formatted(ClusterNames.adapter(0), TOKENS);
+    String head =
+        "POST /v1/completions HTTP/1.1\r\nHost: d1\r\nConnection: close\r\nDeadline-Ms: 60000\r\n"
+            + "Request-Id: %s\r\nContent-Length: %d\r\n\r\n".formatted(id(number), body.length());
+    socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+    return socket;
+  }
+
+  /** A long id makes each token's event some 250 bytes. */
+  private static String id(int number) {
+    return "c%03d-".formatted(number) + "x".repeat(55);
+  }
+
+  private static void assertWhole(Socket socket, int number) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder answer = new StringBuilder();
+    byte[] buffer = new byte[65_536];
+    for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+      answer.append(new String(buffer, 0, n, StandardCharsets.UTF_8));
+      if (answer.indexOf("[DONE]", Math.max(0, answer.length() - 100)) >= 0) {
+        break;
+      }
+    }
+    assertThat(answer).as("caller %d", number).contains("\"outcome\":\"ANSWERED\"");
+    int at = 0;
+    for (int token = 0; token < TOKENS; token++) {
+      at = answer.indexOf("\"index\":" + token + ",", at);
+      assertThat(at).as("caller %d, token %d", number, token).isPositive();
+      assertThat(answer.indexOf("\"index\":" + token + ",", at + 1)).as("doubled").isNegative();
+    }
+  }
+}
