Ownership: a process gives away only what it may order itself

Cause of the failing chain 32 of the longer fuzz run, as its trace shows: a process of d3 froze between the read and the write of its first lease, was told to drain, and was replaced twice. It woke at 46.8 s, conflicted, read the lease of its replacement (incarnation 10), numbered itself 11, and so no longer counted as replaced. As a draining process it handed the endpoints of its replacement to d2, without a lease of its own; the replacement's lease was valid and it went on ordering until it learned the newer table, 300 ms later.

Ruled out: LAPSED_FOR_ALL (the platform was never out in that chain), a takeover (the writer was d3 itself), stale handover writes (the write's expected version was the newest).

Mended in two places. After its first read, a higher incarnation under the own name means superseded, held or not. And a handover comes only from the process that the table names, while no predecessor may act (not NOT_HELD, not STARTING).

--- a/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
@@ -44,6 +44,7 @@
   private long incarnation;
   private LeaseState state = LeaseState.ACTIVE;
   private boolean ownVersionKnown;
+  private boolean readOnce;
   private long version;
   private long renewals;
   private long operations;
@@ -145,7 +146,11 @@
     }
     callSucceeded(now);
     LeaseRecord former = stored.map(StoredLease::lease).orElse(null);
-    if (former != null && acquired && former.incarnation() > incarnation) {
+    // A process that was frozen before its first lease finds on waking that a newer one holds the
+    // name. Taking the name back would stop the one that serves; so only the first read raises the
+    // number, which covers a wall clock set back between two starts.
+    boolean replaced = former != null && former.incarnation() > incarnation;
+    if (replaced && readOnce) {
       superseded = true;
       return;
     }
@@ -156,6 +161,7 @@
       predecessorUntil = now + Math.max(settings.durationMillis(), former.durationMillis());
     }
     version = stored.map(StoredLease::version).orElse(0L);
+    readOnce = true;
     ownVersionKnown = true;
     nextCallAt = now;
   }
@@ -274,6 +280,20 @@
     return authority(now, policy).permits(order);
   }
 
+  /**
+   * Returns whether this process may give its endpoints away. A handover is safe because the owner
+   * stops its own orders first; a process whose predecessor under the name may still order can't
+   * stop those.
+   *
+   * @param now the time
+   */
+  public boolean mayHandOver(long now) {
+    return switch (standing(now)) {
+      case VALID, LAPSED, LAPSED_FOR_ALL -> true;
+      case NOT_HELD, STARTING, SUPERSEDED -> false;
+    };
+  }
+
   /** Returns the time left of the lease, without the margin; 0 once it ran out. */
   public long remainingMillis(long now) {
     return acquired ? Math.max(0, validUntil - settings.marginMillis() - now) : 0;
--- a/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
@@ -178,7 +178,7 @@
    * @param leaving the endpoints; those that are not this daemon's are passed over
    */
   public Optional<OwnershipProposal> handOver(long now, Collection<EndpointId> leaving) {
-    Set<EndpointId> own = isReplaced() ? new TreeSet<>() : table.ownedBy(self);
+    Set<EndpointId> own = isNamed() ? table.ownedBy(self) : new TreeSet<>();
     own.retainAll(new TreeSet<>(leaving));
     Map<DaemonId, Candidate> others = new TreeMap<>(candidates);
     others.remove(self);
@@ -200,7 +200,7 @@
    * as one that has come back; empty while nothing is to be gained.
    */
   public Optional<OwnershipProposal> rebalance(long now) {
-    if (!candidates.containsKey(self) || isReplaced() || isBusy(now)) {
+    if (!candidates.containsKey(self) || !isNamed() || isBusy(now)) {
       return Optional.empty();
     }
     Assignment assignment =
@@ -296,10 +296,15 @@
    */
   public boolean isOwned(EndpointId endpoint) {
     return !handingOver.contains(endpoint)
-        && table.incarnation(self) == ownIncarnation
+        && isNamed()
         && table.owner(endpoint).filter(self::equals).isPresent();
   }
 
+  // The table gives this daemon's endpoints to this very process, not to one before or after it.
+  private boolean isNamed() {
+    return table.incarnation(self) == ownIncarnation;
+  }
+
   private boolean isReplaced() {
     return table.incarnation(self) > ownIncarnation;
   }
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/LeaseKeeperTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/LeaseKeeperTest.java
@@ -175,6 +175,27 @@
       successor.tableSeen(13);
       assertThat(successor.standing(1_000)).isEqualTo(LeaseStanding.STARTING);
       assertThat(successor.mayOrder(1_000, FencePolicy.IGNORES, OrderKind.UNLOAD)).isFalse();
+      assertThat(successor.mayHandOver(1_000)).isFalse();
+      assertThat(keeper.mayHandOver(1_000)).isTrue();
+    }
+
+    /**
+     * A stream ends early: a process froze before its first lease, was replaced, woke, took the
+     * name back and gave the endpoints of its replacement away, which went on ordering.
+     */
+    @Test
+    void aProcessFrozenBeforeItsFirstLeaseLeavesTheNameToItsReplacement() {
+      LeaseKeeper frozen = create();
+      frozen.tick(0);
+      frozen.readAnswered(0, Optional.empty());
+      LeaseAction.Renew renew = (LeaseAction.Renew) frozen.tick(30_000).orElseThrow();
+      frozen.renewalAnswered(
+          30_000, renew.operation(), new WriteAnswer.Conflict(50, Optional.empty()));
+      frozen.tick(30_000);
+      LeaseRecord later = new LeaseRecord(SELF, "", 9, 1, 10_000, LeaseState.ACTIVE);
+      frozen.readAnswered(30_000, Optional.of(new StoredLease(50, later)));
+      assertThat(frozen.standing(30_000)).isEqualTo(LeaseStanding.SUPERSEDED);
+      assertThat(frozen.tick(60_000)).isEmpty();
     }
 
     @Test
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipPlannerTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipPlannerTest.java
@@ -127,6 +127,18 @@
       assertThat(planner.table().owner(endpoint)).isPresent().isNotEqualTo(Optional.of(leaver));
     }
 
+    @Test
+    void onlyTheProcessThatTheTableNamesGivesAway() {
+      Map<DaemonId, Candidate> candidates = new TreeMap<>();
+      ranked.forEach(daemon -> candidates.put(daemon, new Candidate(1, 1)));
+      planner.candidatesAre(0, 2, candidates);
+      assertThat(planner.handOver(0, Set.of(endpoint))).as("a later process").isEmpty();
+      planner.candidatesAre(0, 0, candidates);
+      assertThat(planner.handOver(0, Set.of(endpoint))).as("a former process").isEmpty();
+      planner.candidatesAre(0, 1, candidates);
+      assertThat(planner.handOver(0, Set.of(endpoint))).isPresent();
+    }
+
     @Test
     void aConflictGivesTheEndpointBackOnceTheOtherTableIsKnown() {
       OwnershipProposal proposal = planner.handOver(0, Set.of(endpoint)).orElseThrow();
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/SimulatedDaemon.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/SimulatedDaemon.java
@@ -94,7 +94,7 @@
     if (found.isEmpty()) {
       found = planner.takeOver(now);
     }
-    if (found.isEmpty()) {
+    if (found.isEmpty() && keeper.mayHandOver(now)) {
       found = draining ? planner.handOver(now, world.endpoints()) : planner.rebalance(now);
     }
     return found;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -190,7 +190,7 @@
     if (found.isEmpty()) {
       found = planner.takeOver(now);
     }
-    if (found.isEmpty()) {
+    if (found.isEmpty() && keeper.mayHandOver(now)) {
       found = draining ? planner.handOver(now, endpoints) : planner.rebalance(now);
     }
     return found;
