--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -49,7 +49,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
  * Is one entry daemon: assembles its parts, starts them and stops them.
@@ -244,9 +246,12 @@
   private void controlRound() {
     configuration.tick(ownership.alive());
     ConfigurationSnapshot snapshot = configuration.snapshot();
-    ownership.tick(snapshot);
+    ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
     owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
     owner.pauses(ownership.handingOver());
+    if (ownership.isHeartbeatDue()) {
+      peers.neighbours().forEach(this::beat);
+    }
     stopRound();
   }
 
@@ -304,12 +309,22 @@
    */
   public void awaitStop() throws InterruptedException {
     stopped.await();
+    releaseLease();
     peers.stop();
     callers.close();
     operators.close();
     group.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void releaseLease() throws InterruptedException {
+    try {
+      ownership.release().get(SHUTDOWN_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException notReleased) {
+      // It runs out by itself; only the next process under this name waits for that.
+      EventLog.log(LogEvent.PLATFORM_UNREACHABLE, String.valueOf(notReleased.getMessage()));
+    }
+  }
+
   /** Takes what peers say of themselves. */
   private final class Control implements PeerNode.ControlListener {
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -30,6 +30,7 @@
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import io.sequoiapass.daemon.connection.platform.PlatformClient;
 import io.sequoiapass.daemon.process.owner.OrderGate;
+import java.security.SecureRandom;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -39,6 +40,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.ReentrantLock;
 
@@ -80,6 +82,7 @@
   private long nextTableReadAt = Long.MIN_VALUE;
   private boolean readingTable;
   private boolean draining;
+  private long renewalTold;
   private ConfigurationSnapshot lastSnapshot;
   private Set<EndpointId> endpoints = Set.of();
   private Map<EndpointId, FencePolicy> fences = Map.of();
@@ -109,8 +112,10 @@
     this.peers = Objects.requireNonNull(peers, "peers");
     this.listener = Objects.requireNonNull(listener, "listener");
     long now = clock.millis();
-    // Jitter only has to differ from daemon to daemon, so that they don't call in step.
-    SplittableRandom random = new SplittableRandom(identity.incarnation() ^ self.hashCode());
+    // Operation ids carry a number drawn here. Two processes of one name that drew the same would
+    // each take the other's write for its own, so the seed has to differ even between two that
+    // start in the same millisecond.
+    SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
     this.contact = PlatformContact.create(times.lease(), now);
     this.membership = Membership.create(times.membership(), now);
     this.observer = LeaseObserver.create(times.lease(), contact);
@@ -136,8 +141,9 @@
    * Lets time pass.
    *
    * @param snapshot the configuration as it stands
+   * @param plannedMoves whether the preset in force allows moves that nothing but balance asks for
    */
-  public void tick(ConfigurationSnapshot snapshot) {
+  public void tick(ConfigurationSnapshot snapshot, boolean plannedMoves) {
     locked(
         () -> {
           long now = clock.millis();
@@ -149,7 +155,7 @@
           keeper.tableSeen(planner.table().version());
           planner.candidatesAre(now, keeper.incarnation(), candidates(now));
           planner.leasesToCheck(now).forEach(this::readLease);
-          proposal(now).ifPresent(this::write);
+          proposal(now, plannedMoves).ifPresent(this::write);
           announce();
         });
   }
@@ -182,7 +188,7 @@
     return found;
   }
 
-  private Optional<OwnershipProposal> proposal(long now) {
+  private Optional<OwnershipProposal> proposal(long now, boolean plannedMoves) {
     Optional<OwnershipProposal> found = planner.retry(now);
     if (found.isEmpty() && (keeper.needsTable(now) || planner.needsConfirmation())) {
       found = planner.confirm(now);
@@ -190,10 +196,13 @@
     if (found.isEmpty()) {
       found = planner.takeOver(now);
     }
-    if (found.isEmpty() && keeper.mayHandOver(now)) {
-      found = draining ? planner.handOver(now, endpoints) : planner.rebalance(now);
+    if (found.isPresent() || !keeper.mayHandOver(now)) {
+      return found;
     }
-    return found;
+    if (draining) {
+      return planner.handOver(now, endpoints);
+    }
+    return plannedMoves ? planner.rebalance(now) : Optional.empty();
   }
 
   private void announce() {
@@ -211,6 +220,9 @@
 
   private void changed(MembershipChange change) {
     listener.memberChanged(change);
+    if (change.to() == MemberState.SUSPECT) {
+      observer.fellSilent(change.daemon());
+    }
     if (change.to() == MemberState.DEAD) {
       listener.peerDead(change.daemon());
     }
@@ -304,6 +316,7 @@
               planner.table().version(),
               keeper.version(),
               echoes.getOrDefault(peer, NEVER));
+      renewalTold = keeper.version();
       return new PeerMessage.Heartbeat(
           keeper.incarnation(), draining, configuration, report, now, weightDemand);
     } finally {
@@ -311,6 +324,20 @@
     }
   }
 
+  /**
+   * Returns whether peers are to be sent a heartbeat at once, since the lease was renewed after the
+   * last one. A renewal that no heartbeat carried is learned only by reading the lease once this
+   * daemon is silent, which starts the lease anew and delays the takeover.
+   */
+  public boolean isHeartbeatDue() {
+    lock.lock();
+    try {
+      return keeper.version() != renewalTold;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /**
    * Takes a control message of a peer in this data centre.
    *
@@ -487,6 +514,27 @@
         });
   }
 
+  /**
+   * Gives the lease up for good, at the end of a planned stop: no order is given any more, and the
+   * next process under this name has no predecessor to wait for.
+   *
+   * @return ends once the platform has answered, well or not
+   */
+  public CompletableFuture<Void> release() {
+    OperationId operation;
+    long version;
+    lock.lock();
+    try {
+      keeper.release();
+      version = keeper.version();
+      operation = new OperationId("release/" + self + "/" + keeper.incarnation());
+    } finally {
+      lock.unlock();
+    }
+    // If a renewal is under way this conflicts, and the lease is left to run out.
+    return platform.delete(LEASE, self.value(), version, operation).thenAccept(answer -> {});
+  }
+
   private void locked(Runnable action) {
     lock.lock();
     try {
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
@@ -56,6 +56,12 @@
   /** Between two repair exchanges with one peer whose digest differs. */
   private static final long REPAIR_EVERY_MS = 1_000;
 
+  /** A difference that a listing did not mend is a fault; asking more often would not mend it. */
+  private static final long LIST_AGAIN_EVERY_MS = 30_000;
+
+  /** All daemons that differ from one list; spread so that they don't in the same moment. */
+  private static final int LIST_SPREAD_MS = 2_000;
+
   private static final Set<ObjectKind> KINDS = Set.of(ObjectKind.values());
 
   private final ReentrantLock lock = new ReentrantLock();
@@ -71,6 +77,7 @@
   private final PresetSchedule schedule = PresetSchedule.empty();
   private final ColdStart coldStart;
   private final Map<DaemonId, Long> repairedAt = new HashMap<>();
+  private final Map<DaemonId, Difference> differences = new HashMap<>();
 
   private volatile ConfigurationSnapshot snapshot;
   private volatile long root;
@@ -80,6 +87,8 @@
   private boolean calling;
   private long nextCallAt = Long.MIN_VALUE;
   private long watchAfter;
+  private long listAgainAt = Long.MAX_VALUE;
+  private long listedAgainAt = Long.MIN_VALUE;
 
   /**
    * Makes a node that knows nothing yet.
@@ -148,9 +157,10 @@
     try {
       long now = clock.millis();
       store.tick(now);
-      ready = coldStart.isReady(now, alive);
+      ready |= coldStart.isReady(now, alive) && isPresetKnown();
       announcePreset();
-      call = !calling && now >= nextCallAt && (!listed || watches(alive));
+      boolean listingDue = store.isListingNeeded() || now >= listAgainAt;
+      call = !calling && now >= nextCallAt && (!listed || listingDue || watches(alive));
       calling |= call;
     } finally {
       lock.unlock();
@@ -160,6 +170,13 @@
     }
   }
 
+  // A preset that is known but not yet in force hides the one before it, which the others still
+  // have. If none is known at all, the listing that made this daemon ready, or its ready peer's,
+  // held none: then there is none, and the ordinary one applies.
+  private boolean isPresetKnown() {
+    return schedule.inForce(wall.millis()).isPresent() || schedule.pending().isEmpty();
+  }
+
   private boolean watches(Collection<DaemonId> alive) {
     List<DaemonId> members = new ArrayList<>(alive);
     members.add(self);
@@ -180,7 +197,7 @@
   // The platform.
 
   private void callPlatform() {
-    if (!listed || store.isListingNeeded()) {
+    if (!listed || store.isListingNeeded() || clock.millis() >= listAgainAt) {
       list();
     } else {
       watch();
@@ -215,6 +232,7 @@
           store.applyListing(clock.millis(), revision, KINDS, objects);
       coldStart.platformListed();
       listed = true;
+      listAgainAt = Long.MAX_VALUE;
       watchAfter = revision;
       applied(newer);
       callEnded(0);
@@ -383,6 +401,7 @@
         return;
       }
       repairedAt.put(peer, now);
+      noteDifference(now, peer, theirRoot);
       request = new PeerMessage.ObjectsRequest(store.digest().buckets());
     } finally {
       lock.unlock();
@@ -390,6 +409,22 @@
     peers.send(peer, request);
   }
 
+  // While changes are on their way two digests differ for a moment. Two that stand still and still
+  // differ after a repair cannot be mended between the peers: one of them holds what the other
+  // knows to have ended. The platform's listing tells which.
+  private void noteDifference(long now, DaemonId peer, long theirRoot) {
+    Difference difference = new Difference(theirRoot, root);
+    boolean stands = difference.equals(differences.put(peer, difference));
+    boolean recent = listedAgainAt != Long.MIN_VALUE && now - listedAgainAt < LIST_AGAIN_EVERY_MS;
+    if (stands && ready && theirRoot != root && !recent) {
+      listedAgainAt = now;
+      listAgainAt = now + Math.floorMod(self.hashCode(), LIST_SPREAD_MS);
+    }
+  }
+
+  /** Two digests at one moment. */
+  private record Difference(long theirs, long own) {}
+
   private PeerMessage.ObjectsPush push(List<ConfigurationObject> objects, boolean complete) {
     return new PeerMessage.ObjectsPush(
         objects.stream().map(ObjectCodec::text).toList(), complete, ready);
