--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/PolicyBench.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/PolicyBench.java
@@ -14,6 +14,7 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
 
 /**
  * Compares placement policies on the same arrivals, in one process and in virtual time.
@@ -39,7 +40,12 @@
    */
   public static int run(String[] args) {
     try {
-      Settings settings = Settings.of(new DefaultParser().parse(options(), args));
+      CommandLine line = new DefaultParser().parse(options(), args);
+      if (line.hasOption("help")) {
+        HelpFormatter.builder().get().printHelp("./run policy", "", options(), "", true);
+        return 0;
+      }
+      Settings settings = Settings.of(line);
       List<String> csv = new ArrayList<>();
       csv.add(
           "user,scenario,seed,policy,stall_s,p50_ms,p95_ms,p99_ms,deadline_p95_ms,"
@@ -129,6 +135,7 @@
 
   private static Options options() {
     Options options = new Options();
+    options.addOption(null, "help", false, "print the flags");
     options.addOption(null, "user", true, "yards, cooperativa or both (both)");
     options.addOption(
         null, "scenario", true, "ordinary, peak, flip, cold-half, load-failures or all (all)");
