--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementWeights.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementWeights.java
@@ -14,6 +14,11 @@
  */
 public record PlacementWeights(double stall, double batch) {
 
+  /** Share of the endpoints for hot adapters when both weigh the same. */
+  private static final double EVEN_DENSE_SHARE = 0.11;
+
+  private static final double MAX_DENSE_SHARE = 0.25;
+
   /** Someone waits for most answers. */
   public static final PlacementWeights STALLS = new PlacementWeights(2, 1);
 
@@ -31,6 +36,14 @@
     return new PlacementWeights(stall * stallFactor, batch * batchFactor);
   }
 
+  /**
+   * Returns the share of a model's endpoints that hot adapters get, for {@link Router}: fewer make
+   * fuller batches and leave other adapters fewer slots that are seldom evicted.
+   */
+  public double denseShare() {
+    return Math.min(MAX_DENSE_SHARE, EVEN_DENSE_SHARE / Math.sqrt(batchPreference()));
+  }
+
   /** Returns how much batch efficiency counts against a load stall. */
   double batchPreference() {
     return batch / stall;
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/AdaptivePolicy.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/AdaptivePolicy.java
@@ -25,11 +25,9 @@
   /** Three half-lives of demand. */
   private static final long HOT_MS = 450_000;
 
-  private static final double DENSE_SHARE = 0.15;
-
   private static final long MAX_HINT_AGE_MS = 2_000;
 
-  private final Router router = new Router(MAX_HINT_AGE_MS, DENSE_SHARE);
+  private final Router router;
   private final List<AdaptivePlacement> placements = new ArrayList<>();
   private final HotAdapters hot = new HotAdapters(HOT_MS);
   private final Map<EndpointId, EndpointLoad> hints = new HashMap<>();
@@ -39,6 +37,7 @@
   AdaptivePolicy(Shape shape) {
     PlacementWeights weights =
         shape.user() == User.YARDS ? PlacementWeights.STALLS : PlacementWeights.BATCHES;
+    router = new Router(MAX_HINT_AGE_MS, weights.denseShare());
     for (int i = 0; i < shape.owners(); i++) {
       placements.add(new AdaptivePlacement(PlacementSettings.defaults(), weights));
     }
