--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -11,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -116,10 +117,16 @@
       out.packInt(load.streams());
       out.packInt(load.queued());
       out.packInt(load.maxStreams());
-      out.packArrayHeader(load.adapters().size());
-      for (AdapterVersion adapter : load.adapters()) {
-        out.packString(adapter.toString());
-      }
+      writeAdapters(out, load.adapters());
+      writeAdapters(out, load.hot());
+    }
+  }
+
+  private static void writeAdapters(MessageBufferPacker out, Set<AdapterVersion> adapters)
+      throws IOException {
+    out.packArrayHeader(adapters.size());
+    for (AdapterVersion adapter : adapters) {
+      out.packString(adapter.toString());
     }
   }
 
@@ -195,6 +202,7 @@
         in.number(),
         in.number(),
         in.number(),
+        new HashSet<>(in.list(FrameReader::adapter)),
         new HashSet<>(in.list(FrameReader::adapter)));
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -160,7 +160,10 @@
   private Entries entries() {
     Routes routes =
         new AffinityRoutes(
-            clock, endpoint -> this.ownership.server(endpoint), daemon -> this.peers.to(daemon));
+            clock,
+            settings.placementWeights(),
+            endpoint -> this.ownership.server(endpoint),
+            daemon -> this.peers.to(daemon));
     List<EntryShard> shards = new ArrayList<>();
     for (int i = 0; i < settings.threads(); i++) {
       RetryBudget budget = new RetryBudget(settings.retryBudgetPercent() / PERCENT, RETRY_BURST);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.daemon.process.entry;
 
+import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.process.RendezvousHash;
@@ -7,6 +8,8 @@
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.coordination.version.EndpointType;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
+import io.sequoiapass.daemon.process.placement.HotAdapters;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import io.sequoiapass.daemon.process.placement.Router;
 import io.sequoiapass.daemon.request.RouteTarget;
 import java.util.ArrayList;
@@ -28,6 +31,9 @@
   /** A hint older than this says nothing: an endpoint's load changes within a few answers. */
   private static final long MAX_HINT_AGE_MS = 2_000;
 
+  /** Three half-lives of demand: an endpoint that a hot adapter moved to counts it from nothing. */
+  private static final long HOT_FOR_MS = 450_000;
+
   private static final int ONE_COPY = 1;
 
   /** Endpoints among which an adapter's requests move: enough that not all are full or lost. */
@@ -39,7 +45,8 @@
   private final MillisClock clock;
   private final Owners owners;
   private final Channels channels;
-  private final Router router = new Router(MAX_HINT_AGE_MS);
+  private final Router router;
+  private final HotAdapters hotAdapters = new HotAdapters(HOT_FOR_MS);
   private final Map<EndpointId, Hint> hints = new ConcurrentHashMap<>();
   private volatile Orders orders = new Orders(List.of());
 
@@ -47,10 +54,13 @@
    * Makes routes.
    *
    * @param clock tells how old hints are
+   * @param weights what the operators weigh more heavily
    * @param owners tells who serves an endpoint
    * @param channels finds the connection to it
    */
-  public AffinityRoutes(MillisClock clock, Owners owners, Channels channels) {
+  public AffinityRoutes(
+      MillisClock clock, PlacementWeights weights, Owners owners, Channels channels) {
+    this.router = new Router(MAX_HINT_AGE_MS, weights.denseShare());
     this.clock = Objects.requireNonNull(clock, "clock");
     this.owners = Objects.requireNonNull(owners, "owners");
     this.channels = Objects.requireNonNull(channels, "channels");
@@ -59,7 +69,18 @@
   @Override
   public void learn(List<EndpointLoad> loads) {
     long now = clock.millis();
-    loads.forEach(load -> hints.put(load.endpoint(), new Hint(load, now)));
+    for (EndpointLoad load : loads) {
+      hints.put(load.endpoint(), new Hint(load, now));
+      synchronized (hotAdapters) {
+        hotAdapters.learn(now, load);
+      }
+    }
+  }
+
+  private boolean isHot(AdapterVersion adapter) {
+    synchronized (hotAdapters) {
+      return hotAdapters.contains(clock.millis(), adapter);
+    }
   }
 
   @Override
@@ -79,7 +100,7 @@
 
   private Optional<Route> beyondTheFirst(
       RouteTarget target, ConfigurationSnapshot snapshot, Set<EndpointId> avoid) {
-    List<EndpointId> all = byAffinity(target, snapshot);
+    List<EndpointId> all = byAffinity(target, snapshot, false);
     return first(without(avoid, all), snapshot).or(() -> first(all, snapshot));
   }
 
@@ -89,12 +110,13 @@
 
   /** Ranks the few endpoints that the target's affinity puts first by what hints say of them. */
   private List<EndpointId> rank(RouteTarget target, ConfigurationSnapshot snapshot) {
-    List<EndpointId> first = firstByAffinity(target, snapshot);
-    if (target instanceof RouteTarget.Engine engine) {
-      List<Router.Candidate> weighed = first.stream().map(this::weigh).toList();
-      return router.rank(engine.adapter(), ONE_COPY, weighed);
+    if (!(target instanceof RouteTarget.Engine engine)) {
+      return byAffinity(target, snapshot, false);
     }
-    return first;
+    boolean hot = isHot(engine.adapter());
+    List<Router.Candidate> weighed =
+        firstByAffinity(engine, snapshot, hot).stream().map(this::weigh).toList();
+    return router.byHints(engine.adapter(), hot, weighed);
   }
 
   /**
@@ -102,10 +124,8 @@
    * a second is more of a core than all control may use. An adapter's order changes only with the
    * endpoints themselves, so it is kept until they do.
    */
-  private List<EndpointId> firstByAffinity(RouteTarget target, ConfigurationSnapshot snapshot) {
-    if (!(target instanceof RouteTarget.Engine)) {
-      return byAffinity(target, snapshot);
-    }
+  private List<EndpointId> firstByAffinity(
+      RouteTarget.Engine target, ConfigurationSnapshot snapshot, boolean hot) {
     List<EndpointRecord> endpoints = snapshot.endpoints();
     Orders known = orders;
     if (known.endpoints != endpoints) {
@@ -117,14 +137,15 @@
       known.byAffinity.clear();
     }
     return known.byAffinity.computeIfAbsent(
-        target.affinity(),
-        affinity -> {
-          List<EndpointId> all = byAffinity(target, snapshot);
+        new Order(target.adapter(), hot),
+        order -> {
+          List<EndpointId> all = byAffinity(target, snapshot, hot);
           return List.copyOf(all.subList(0, Math.min(FIRST, all.size())));
         });
   }
 
-  private List<EndpointId> byAffinity(RouteTarget target, ConfigurationSnapshot snapshot) {
+  private List<EndpointId> byAffinity(
+      RouteTarget target, ConfigurationSnapshot snapshot, boolean hot) {
     List<EndpointId> candidates = new ArrayList<>();
     for (EndpointRecord endpoint : snapshot.endpoints()) {
       if (endpoint.takesNewWork() && runs(endpoint, target)) {
@@ -133,7 +154,7 @@
     }
     if (target instanceof RouteTarget.Engine engine) {
       List<Router.Candidate> unweighed = candidates.stream().map(AffinityRoutes::plain).toList();
-      return router.rank(engine.adapter(), ONE_COPY, unweighed);
+      return router.rank(engine.adapter(), ONE_COPY, hot, unweighed);
     }
     return RendezvousHash.rank(target.affinity(), candidates);
   }
@@ -179,12 +200,15 @@
   /** Keeps the orders of adapters for one set of endpoints. */
   private static final class Orders {
     private final List<EndpointRecord> endpoints;
-    private final Map<String, List<EndpointId>> byAffinity = new ConcurrentHashMap<>();
+    private final Map<Order, List<EndpointId>> byAffinity = new ConcurrentHashMap<>();
 
     Orders(List<EndpointRecord> endpoints) {
       this.endpoints = endpoints;
     }
   }
 
+  /** Names an adapter's order: while it is hot it has another one. */
+  private record Order(AdapterVersion adapter, boolean hot) {}
+
   private record Hint(EndpointLoad load, long learntAtMs) {}
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
@@ -127,6 +127,21 @@
     return ranked.stream().map(r -> r.candidate().endpoint()).toList();
   }
 
+  /**
+   * Returns endpoints that {@link #rank} has put in order without hints, in the order that hints
+   * make of it: for callers that keep an adapter's order, since it changes only with the endpoints.
+   *
+   * @param adapter what the request runs on
+   * @param hot whether the adapter is hot; then it stays with those that hot adapters share
+   * @param ordered the endpoints, best first
+   */
+  public List<EndpointId> byHints(AdapterVersion adapter, boolean hot, List<Candidate> ordered) {
+    return ordered.stream()
+        .sorted(Comparator.comparing(this::full).thenComparing(c -> !hot && !holds(adapter, c)))
+        .map(Candidate::endpoint)
+        .toList();
+  }
+
   /** Returns the endpoints that hot adapters share: the same at every entry, by a hash. */
   private Set<EndpointId> dense(List<Candidate> candidates) {
     long count =
--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
@@ -119,6 +119,7 @@
       AffinityRoutes routes =
           new AffinityRoutes(
               MillisClock.monotonic(),
+              PlacementWeights.STALLS,
               endpoint -> Optional.of(Fleet.daemons(1).get(0)),
               daemon -> Optional.of(new SilentChannel()));
       Gauge.Counter number = new Gauge.Counter(0);
