--- a/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
@@ -30,7 +30,7 @@
  */
 public final class LoadTool implements AutoCloseable {
 
-  private static final int THREADS = 2;
+  private static final int THREADS = 4;
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final int DEADLINE_MS = 20_000;
 
