--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
@@ -34,7 +34,7 @@
 
   private final Path logs;
   private final List<LaunchedProcess> processes = new ArrayList<>();
-  private final Thread hook = new Thread(this::endAll, "end launched processes");
+  private final Thread hook = new Thread(this::endAllAndClean, "end launched processes");
   private boolean closed;
 
   private ProcessLauncher(Path logs) {
@@ -107,14 +107,24 @@
     processes.forEach(LaunchedProcess::close);
   }
 
+  private void endAllAndClean() {
+    endAll();
+    deleteLogs();
+  }
+
   @Override
   public void close() {
     endAll();
     try {
       Runtime.getRuntime().removeShutdownHook(hook);
     } catch (IllegalStateException shuttingDown) {
+      // The hook runs already, and cleans up as well.
       return;
     }
+    deleteLogs();
+  }
+
+  private void deleteLogs() {
     try (Stream<Path> files = Files.walk(logs)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.deleteIfExists(file);
