Record the starts of keyed work in the ledger, and wait for the next owner of a stream

Cause: keys were passed on but recorded nowhere, so one key through two daemons ran twice. LedgerNode drives Ledger over the peer links; its membership is one object on the platform, changed by conditional writes, and authority runs from a daemon's own write to the end of its lease. A stream whose owner died and whose engine has no other owner ended at once with NO_ENDPOINT; it now looks for the next owner every 100 ms within its deadline. Not measured: the handshake's cost and the gap that callers see.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/Attempt.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/Attempt.java
@@ -20,12 +20,14 @@
   private boolean everGranted;
   private boolean produced;
   private boolean heard;
+  private final Optional<EndpointId> prefer;
   private EndpointId endpoint;
   private NotRunProof proof;
 
-  Attempt(int number, AttemptAction.Mode mode) {
+  Attempt(int number, AttemptAction.Mode mode, Optional<EndpointId> prefer) {
     this.number = number;
     this.mode = mode;
+    this.prefer = prefer;
   }
 
   int number() {
@@ -41,6 +43,11 @@
     return Optional.ofNullable(endpoint);
   }
 
+  /** Returns the endpoint that may have its stream: where it went, or should have gone. */
+  Optional<EndpointId> streamAt() {
+    return endpoint().or(() -> prefer);
+  }
+
   void routed(EndpointId to) {
     endpoint = to;
   }
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/AttemptSettings.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/AttemptSettings.java
@@ -16,6 +16,8 @@
  *     {@code maxAttempts}: a rolling restart of a data centre moves an endpoint a few times, and
  *     more than that is a fault
  * @param movePauseMillis how long to wait after such a move: the new owner's table is on its way
+ * @param ownerPauseMillis how often an owner is looked for after the last one was lost: takeovers
+ *     take seconds, and a caller notices no tenth of one
  */
 public record AttemptSettings(
     int maxAttempts,
@@ -23,10 +25,12 @@
     long gapMillis,
     long stallMillis,
     int maxMoves,
-    long movePauseMillis) {
+    long movePauseMillis,
+    long ownerPauseMillis) {
 
   /** Suits engine steps of some 5 ms and links of a few milliseconds. */
-  public static final AttemptSettings DEFAULT = new AttemptSettings(4, 256, 250, 2_000, 16, 20);
+  public static final AttemptSettings DEFAULT =
+      new AttemptSettings(4, 256, 250, 2_000, 16, 20, 100);
 
   /** Checks the limits. */
   public AttemptSettings {
@@ -35,9 +39,10 @@
           "attempts %d, held %d, gap %d ms, stall %d ms"
               .formatted(maxAttempts, maxHeldTokens, gapMillis, stallMillis));
     }
-    if (maxMoves < 0 || movePauseMillis <= 0) {
+    if (maxMoves < 0 || movePauseMillis <= 0 || ownerPauseMillis <= 0) {
       throw new IllegalArgumentException(
-          "moves %d, pause %d ms".formatted(maxMoves, movePauseMillis));
+          "moves %d, pause %d ms, pause without owner %d ms"
+              .formatted(maxMoves, movePauseMillis, ownerPauseMillis));
     }
   }
 }
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
@@ -77,6 +77,14 @@
     authorityUntil = untilMillis;
   }
 
+  /**
+   * Notes that no ledger was kept before this life, so that it need not wait for the retention.
+   * Only who creates the membership on the platform may know this: then there was none before it.
+   */
+  public void nothingBefore() {
+    knowledge.nothingBefore();
+  }
+
   /** Takes a membership; an older one than the last is ignored. */
   public List<LedgerSend> membersChanged(LedgerView newView, long nowMillis) {
     if (newView.version() <= view.version()) {
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerKnowledge.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerKnowledge.java
@@ -79,6 +79,11 @@
     awaited.remove(self);
   }
 
+  /** Notes that no record can have been made before this life. */
+  void nothingBefore() {
+    seasoned = true;
+  }
+
   Set<LedgerMember> awaited() {
     return new TreeSet<>(awaited);
   }
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
@@ -51,6 +51,7 @@
   private long moveAt = NEVER;
   private Attempt moved;
   private int moves;
+  private int ownerless;
 
   /**
    * Creates the attempts of one request; nothing is sent yet.
@@ -128,7 +129,8 @@
     } else if (event instanceof AttemptEvent.Routed routed) {
       open(routed.attempt()).ifPresent(attempt -> attempt.routed(routed.endpoint()));
     } else if (event instanceof AttemptEvent.Unroutable unroutable) {
-      open(unroutable.attempt()).ifPresent(attempt -> unroutable(attempt, unroutable.kind()));
+      open(unroutable.attempt())
+          .ifPresent(attempt -> unroutable(attempt, unroutable.kind(), nowMillis));
     } else if (event instanceof AttemptEvent.StartAsked asked) {
       startAsked(asked.attempt());
     } else if (event instanceof AttemptEvent.StartRecorded recorded) {
@@ -265,10 +267,20 @@
 
   // Failures.
 
-  private void unroutable(Attempt attempt, ErrorKind kind) {
+  private void unroutable(Attempt attempt, ErrorKind kind, long nowMillis) {
     attempt.closeNotRun(NotRunProof.neverLeftEntry());
     lastNotRun = kind;
-    if (!anyOpen()) {
+    if (anyOpen()) {
+      return;
+    }
+    if (attempt.number() > 1) {
+      // The owner that had it is gone, and the next one comes when its lease has lapsed. Ending now
+      // would take a half-read answer from a caller who has time; nothing is sent meanwhile, so it
+      // costs neither budget nor attempts.
+      ownerless++;
+      moved = attempt;
+      moveAt = nowMillis + settings.ownerPauseMillis();
+    } else {
       endFailed();
     }
   }
@@ -324,7 +336,7 @@
     moveAt = NEVER;
     if (!anyOpen()) {
       boolean attaches = moved.mode() != Mode.RUN;
-      send(moved.mode(), attaches ? moved.endpoint() : Optional.empty());
+      send(moved.mode(), attaches ? moved.streamAt() : Optional.empty());
     }
   }
 
@@ -408,7 +420,7 @@
   }
 
   private int countedAttempts() {
-    return attempts.size() - moves;
+    return attempts.size() - moves - ownerless;
   }
 
   private boolean mayRunAgain() {
@@ -479,7 +491,7 @@
   // Sending and ending.
 
   private void send(Mode mode, Optional<EndpointId> prefer) {
-    Attempt attempt = new Attempt(attempts.size() + 1, mode);
+    Attempt attempt = new Attempt(attempts.size() + 1, mode, prefer);
     attempts.add(attempt);
     actions.add(
         new AttemptAction.Send(
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/AttemptWorld.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/AttemptWorld.java
@@ -47,7 +47,7 @@
     attempts =
         new RequestAttempts(
             spec,
-            new AttemptSettings(4, 3, 20, 40, 3, 5),
+            new AttemptSettings(4, 3, 20, 40, 3, 5, 10),
             new RetryBudget(0.1, 10),
             Optional.of(new HedgePolicy(15)));
   }
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerTest.java
@@ -96,4 +96,22 @@
     assertThat(reserve(FIRST, "body", 1_000))
         .containsExactly(Optional.of(ErrorKind.LEDGER_UNAVAILABLE));
   }
+
+  // A fresh fleet would refuse all keyed work for the retention, though nothing can have run
+  // before.
+  @Test
+  void decidesAtOnceOnlyIfNothingWasBefore() {
+    LedgerView alone = new LedgerView(1, Set.of(HOME, SECOND));
+    Ledger fresh =
+        new Ledger(HOME, LedgerSettings.DEFAULT, (key, all) -> all.stream().sorted().toList(), 0);
+    fresh.authorityUntil(1_000);
+    fresh.membersChanged(alone, 0);
+    fresh.receive(
+        SECOND.daemon(), new LedgerMessage.Records(SECOND, 1, List.of(), List.of(), false), 0);
+    assertThat(fresh.decides(KEY, 1)).isFalse();
+
+    fresh.nothingBefore();
+
+    assertThat(fresh.decides(KEY, 1)).isTrue();
+  }
 }
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsTest.java
@@ -13,7 +13,8 @@
 
   private static final EndpointId ENGINE = new EndpointId("e1");
   private static final long DEADLINE = 10_000;
-  private static final AttemptSettings SETTINGS = new AttemptSettings(2, 8, 250, 2_000, 16, 20);
+  private static final AttemptSettings SETTINGS =
+      new AttemptSettings(2, 8, 250, 2_000, 16, 20, 100);
 
   private final RetryBudget budget = new RetryBudget(0.1, 1);
   private final RequestAttempts attempts = attempts(Repeatability.REPEATABLE);
@@ -120,6 +121,23 @@
       assertThat(send.avoid()).containsExactly(ENGINE);
     }
 
+    @Test
+    void waitsForTheNextOwnerIfThereIsNoOther() {
+      attempts.begin(0);
+      routed(1);
+      token(0, 1);
+      attempts.on(new AttemptEvent.OwnerLost(1), 5);
+      int attempt = 2;
+      for (long now = 5; now < 4_000; now = attempts.nextTickMillis()) {
+        assertThat(attempts.on(new AttemptEvent.Unroutable(attempt, ErrorKind.NO_ENDPOINT), now))
+            .isEmpty();
+        AttemptAction.Send send =
+            onlySend(attempts.on(new AttemptEvent.Tick(), attempts.nextTickMillis()));
+        attempt = send.attempt();
+        assertThat(send.prefer()).contains(ENGINE);
+      }
+    }
+
     @Test
     void readsOnAtTheEngineIfTokensCame() {
       attempts.begin(0);
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
@@ -50,6 +50,8 @@
       out.packLong(answer.version());
       out.packString(answer.operation());
       out.packString(answer.value());
+    } else if (message instanceof PeerMessage.Ledger ledger) {
+      LedgerFrames.write(out, ledger.message());
     }
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -9,6 +9,7 @@
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.LedgerMessage;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.List;
 
@@ -347,6 +348,18 @@
     }
   }
 
+  /**
+   * Carries a message about idempotency keys.
+   *
+   * @param message the message
+   */
+  record Ledger(LedgerMessage message) implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.LEDGER;
+    }
+  }
+
   /** Tells what came of a relayed call. */
   enum RelayResult {
     /** The object was read, or there is none. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -42,7 +42,9 @@
   /** See {@link PeerMessage.RelayAnswer}. */
   RELAY_ANSWER(18, ControlFrames::readRelayAnswer),
   /** See {@link PeerMessage.Started}. */
-  STARTED(19, in -> new PeerMessage.Started(in.attempt(), new EndpointId(in.text())));
+  STARTED(19, in -> new PeerMessage.Started(in.attempt(), new EndpointId(in.text()))),
+  /** See {@link PeerMessage.Ledger}. */
+  LEDGER(20, LedgerFrames::read);
 
   /** Reads the fields of one frame. */
   @FunctionalInterface
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -8,6 +8,9 @@
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.request.AttemptSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.LedgerMember;
+import io.sequoiapass.coordination.request.LedgerSettings;
+import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.request.RetryBudget;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.daemon.connection.HttpClient;
@@ -23,6 +26,8 @@
 import io.sequoiapass.daemon.process.entry.Entries;
 import io.sequoiapass.daemon.process.entry.EntryShard;
 import io.sequoiapass.daemon.process.entry.Routes;
+import io.sequoiapass.daemon.process.entry.StartRecords;
+import io.sequoiapass.daemon.process.ledger.LedgerNode;
 import io.sequoiapass.daemon.process.log.EventLog;
 import io.sequoiapass.daemon.process.log.LogEvent;
 import io.sequoiapass.daemon.process.owner.Owner;
@@ -39,6 +44,7 @@
 import io.sequoiapass.daemon.process.timeline.TimelineEvent;
 import io.sequoiapass.daemon.process.timeline.TimelineKind;
 import io.sequoiapass.daemon.process.timeline.TimelineQuery;
+import io.sequoiapass.daemon.request.CallerRequest;
 import io.sequoiapass.daemon.request.CallerRequestParser;
 import io.sequoiapass.daemon.request.RequestIds;
 import io.sequoiapass.daemon.version.ConfigurationNode;
@@ -50,6 +56,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Is one entry daemon: assembles its parts, starts them and stops them.
@@ -76,6 +83,14 @@
   /** What a balancer that looks every second needs to see that this daemon leaves. */
   private static final long STOP_GRACE_MS = 2_500;
 
+  /** Longer than a change of the ledger's membership takes to reach all, with a margin. */
+  private static final long LEDGER_SETTLE_MS = 10_000;
+
+  private static final long LEDGER_ASK_AGAIN_MS = 500;
+
+  /** Some 300 bytes each: 60 MB at most. */
+  private static final int LEDGER_MAX_RECORDS = 200_000;
+
   private static final long SHUTDOWN_MS = 1_000;
   private static final double RETRY_BURST = 20;
   private static final double PERCENT = 100.0;
@@ -94,6 +109,7 @@
   private final ConfigurationNode configuration;
   private final LocalLink local;
   private final OwnershipNode ownership;
+  private final LedgerNode ledger;
   private final StopSequence stop;
   private final CountDownLatch stopped = new CountDownLatch(1);
   private int heartbeats;
@@ -136,6 +152,7 @@
             platform,
             peers,
             events);
+    this.ledger = ledger(platform);
     this.stop = new StopSequence(STOP_GRACE_MS, settings.drainLimitMs());
   }
 
@@ -158,11 +175,32 @@
     List<EntryShard> shards = new ArrayList<>();
     for (int i = 0; i < settings.threads(); i++) {
       RetryBudget budget = new RetryBudget(settings.retryBudgetPercent() / PERCENT, RETRY_BURST);
-      shards.add(new EntryShard(clock, routes, AttemptSettings.DEFAULT, budget, events));
+      shards.add(
+          new EntryShard(
+              clock, routes, AttemptSettings.DEFAULT, budget, events, new LateRecords()));
     }
     return new Entries(shards);
   }
 
+  private LedgerNode ledger(PlatformClient platform) {
+    long retention = settings.ledgerRetentionMs();
+    return new LedgerNode(
+        new LedgerMember(settings.daemon(), incarnation),
+        new LedgerSettings(
+            retention,
+            retention / 2,
+            LEDGER_SETTLE_MS,
+            LEDGER_ASK_AGAIN_MS,
+            LEDGER_ASK_AGAIN_MS,
+            LEDGER_MAX_RECORDS),
+        settings.ledgerFirstInstall(),
+        clock,
+        platform,
+        ownership,
+        peers::send,
+        group);
+  }
+
   private Owner owner(HttpClient http) {
     EngineClient engines = new EngineClient(http);
     return new Owner(
@@ -247,6 +285,7 @@
     ownership.tick(snapshot);
     owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
     owner.pauses(ownership.handingOver());
+    ledger.tick();
     stopRound();
   }
 
@@ -273,6 +312,10 @@
     StopSequence.Phase before;
     StopSequence.Phase after;
     int underWay = entries.size() + owner.size();
+    if (phase() != StopSequence.Phase.SERVING && entries.size() == 0) {
+      // Not before: the record of a member's request is closed when the member leaves.
+      ledger.leave();
+    }
     synchronized (stop) {
       before = stop.phase();
       stop.tick(clock.millis(), underWay, ownership.hasSuccessor() ? ownership.owned() : 0);
@@ -332,12 +375,28 @@
         configuration.pushed(peer, push);
       } else if (message instanceof PeerMessage.ObjectsRequest request) {
         configuration.asked(peer, request);
+      } else if (message instanceof PeerMessage.Ledger about) {
+        ledger.received(peer, about.message());
       } else {
         ownership.received(peer, message);
       }
     }
   }
 
+  /** Reaches the ledger, which is made after the entries. */
+  private final class LateRecords implements StartRecords {
+
+    @Override
+    public void record(CallerRequest request, Consumer<Optional<ErrorKind>> answer) {
+      ledger.record(request, answer);
+    }
+
+    @Override
+    public void finished(CallerRequest request, OutcomeClass outcome) {
+      ledger.finished(request, outcome);
+    }
+  }
+
   /** Shows the daemon to operators. */
   private final class View implements OperatorView {
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -48,6 +48,7 @@
   private final AttemptSettings settings;
   private final RetryBudget budget;
   private final EntryObserver observer;
+  private final StartRecords records;
 
   /**
    * Makes a shard without requests.
@@ -57,18 +58,21 @@
    * @param settings limits of a request's attempts
    * @param budget limits retries over all of the shard's requests
    * @param observer hears of the stages of requests
+   * @param records records the starts of requests with a key
    */
   public EntryShard(
       MillisClock clock,
       Routes routes,
       AttemptSettings settings,
       RetryBudget budget,
-      EntryObserver observer) {
+      EntryObserver observer,
+      StartRecords records) {
     this.clock = Objects.requireNonNull(clock, "clock");
     this.routes = Objects.requireNonNull(routes, "routes");
     this.settings = Objects.requireNonNull(settings, "settings");
     this.budget = Objects.requireNonNull(budget, "budget");
     this.observer = Objects.requireNonNull(observer, "observer");
+    this.records = Objects.requireNonNull(records, "records");
   }
 
   /**
@@ -87,7 +91,7 @@
             runsOn,
             request.repeatability(),
             request.priority(),
-            false,
+            request.startIsRecorded(),
             request.target() instanceof RouteTarget.Engine,
             request.deadlineMs());
     locked(
@@ -259,10 +263,21 @@
     } else if (action instanceof AttemptAction.End end) {
       end(entry, end.outcome());
     } else if (action instanceof AttemptAction.RecordStart record) {
-      on(entry, new AttemptEvent.StartRefused(record.attempt(), ErrorKind.LEDGER_UNAVAILABLE));
+      recordStart(entry.request(), record.attempt());
     }
   }
 
+  private void recordStart(CallerRequest request, int attempt) {
+    records.record(
+        request,
+        refusal ->
+            event(
+                request.id(),
+                refusal
+                    .<AttemptEvent>map(kind -> new AttemptEvent.StartRefused(attempt, kind))
+                    .orElseGet(() -> new AttemptEvent.StartRecorded(attempt))));
+  }
+
   private void send(EntryRequest entry, AttemptAction.Send send) {
     CallerRequest request = entry.request();
     Optional<Route> found =
@@ -360,6 +375,9 @@
   private void end(EntryRequest entry, Outcome outcome) {
     requests.remove(entry.request().id());
     observer.ended(entry.request(), outcome);
+    if (entry.request().startIsRecorded()) {
+      records.finished(entry.request(), outcome.outcomeClass());
+    }
     if (outcome instanceof Outcome.Answered answered) {
       entry
           .serviceAnswer()
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -29,8 +29,10 @@
 import io.sequoiapass.coordination.version.WriteAnswer;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import io.sequoiapass.daemon.connection.platform.PlatformClient;
+import io.sequoiapass.daemon.process.ledger.LedgerLeases;
 import io.sequoiapass.daemon.process.owner.OrderGate;
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,7 +51,7 @@
  * {@link OwnershipPlanner}; this class carries their messages and calls. Safe for use by several
  * threads: one lock guards all decision objects, and no call is waited for under it.
  */
-public final class OwnershipNode implements OrderGate {
+public final class OwnershipNode implements OrderGate, LedgerLeases {
 
   private static final String LEASE = "lease";
   private static final String OWNERSHIP = "ownership";
@@ -466,6 +468,37 @@
     }
   }
 
+  @Override
+  public long authorityUntil() {
+    lock.lock();
+    try {
+      long now = clock.millis();
+      // A lease that was renewed late counts here: the ledger's own write confirms it, as the
+      // ownership table's does for orders.
+      boolean held =
+          EnumSet.of(LeaseStanding.VALID, LeaseStanding.LAPSED).contains(keeper.standing(now))
+              && keeper.remainingMillis(now) > 0;
+      return held ? now + keeper.remainingMillis(now) : Long.MIN_VALUE;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  @Override
+  public Set<DaemonId> lapsed(Collection<DaemonId> daemons, long knownSince) {
+    lock.lock();
+    try {
+      long now = clock.millis();
+      List<DaemonId> here = daemons.stream().filter(peers::isNeighbour).toList();
+      observer.toCheck(now, here, 0).forEach(this::readLease);
+      Set<DaemonId> gone = new TreeSet<>(here);
+      gone.removeIf(daemon -> !observer.hasLapsed(now, daemon, knownSince));
+      return gone;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Returns whether another daemon could take this one's endpoints over. */
   public boolean hasSuccessor() {
     lock.lock();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
@@ -223,6 +223,16 @@
     return Math.toIntExact(number(Setting.RETRY_BUDGET_PERCENT));
   }
 
+  /** Returns how long an idempotency key is remembered, in milliseconds. */
+  public long ledgerRetentionMs() {
+    return number(Setting.LEDGER_RETENTION_MS);
+  }
+
+  /** Returns whether the operators say that no earlier fleet kept keys. */
+  public boolean ledgerFirstInstall() {
+    return Boolean.parseBoolean(values.get(Setting.LEDGER_FIRST_INSTALL));
+  }
+
   /** Returns the largest body of a request, in bytes. */
   public int maxBodyBytes() {
     return Math.toIntExact(number(Setting.MAX_BODY_BYTES));
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
@@ -96,6 +96,20 @@
       "%",
       "retries allowed for each hundred first attempts",
       "retries under an overload multiply it; one in ten covers the loss of a few endpoints"),
+  LEDGER_RETENTION_MS(
+      60_000,
+      86_400_000,
+      "600000",
+      "ms",
+      "how long an idempotency key is remembered",
+      "longer than any caller goes on trying; a request with a key may have a deadline of half of"
+          + " it; a fleet whose daemons all start anew refuses keyed work for this long"),
+  LEDGER_FIRST_INSTALL(
+      SettingType.SWITCH,
+      "false",
+      "says that no earlier fleet kept keys, so that keyed work is served at once",
+      "holds only for the daemon that creates the ledger's membership on the platform, and is"
+          + " ignored once there is one; wrong only if the platform's data was lost"),
   MAX_BODY_BYTES(
       1_024,
       16_777_216,
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/SettingType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/SettingType.java
@@ -82,6 +82,20 @@
       parsePeers(setting, text);
     }
   },
+  /** Yes or no. */
+  SWITCH {
+    @Override
+    String allowed(Setting setting) {
+      return "true or false";
+    }
+
+    @Override
+    void check(Setting setting, String text) throws SettingsException {
+      if (!text.equals("true") && !text.equals("false")) {
+        throw wrong(setting, text);
+      }
+    }
+  },
   /** A log format. */
   LOG_FORMAT {
     @Override
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequest.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequest.java
@@ -44,4 +44,12 @@
     Objects.requireNonNull(priority, "priority");
     Objects.requireNonNull(key, "key");
   }
+
+  /**
+   * Returns whether its start has to be recorded first. Work that may run twice needs no record,
+   * and would only be refused when the record cannot be asked.
+   */
+  public boolean startIsRecorded() {
+    return key.isPresent() && repeatability.needsStartGrant();
+  }
 }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -7,18 +7,26 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.IdempotencyKey;
 import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.OperationId;
 import io.sequoiapass.coordination.RequestId;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.LedgerMember;
+import io.sequoiapass.coordination.request.LedgerMessage;
+import io.sequoiapass.coordination.request.LedgerRecord;
+import io.sequoiapass.coordination.request.LedgerState;
+import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -33,6 +41,17 @@
   private static final AttemptId ID = new AttemptId(new RequestId("r~d1.1"), 2);
   private static final AdapterVersion ADAPTER = AdapterVersion.parse("notes@v7");
 
+  private static final IdempotencyKey KEY = new IdempotencyKey("slip-17");
+  private static final LedgerMember MEMBER = new LedgerMember(new DaemonId("d1"), 7);
+  private static final LedgerRecord.Holder HOLDER =
+      new LedgerRecord.Holder(MEMBER, new OperationId("r~d1.1"));
+  private static final LedgerRecord RECORD =
+      new LedgerRecord(KEY, "digest", HOLDER, LedgerState.STARTED, 3, 500);
+
+  private static PeerMessage ledger(LedgerMessage message) {
+    return new PeerMessage.Ledger(message);
+  }
+
   static List<PeerMessage> messages() {
     return List.of(
         new PeerMessage.Hello(new DaemonId("d1"), new DataCentreId("yard-north"), 7),
@@ -67,6 +86,23 @@
         new PeerMessage.RelayAnswer(1, PeerMessage.RelayResult.CONFLICT, 3, "o", ""),
         new PeerMessage.Refused(ID, ErrorKind.QUEUE_FULL, true, 250),
         new PeerMessage.EndpointLost(ID),
+        ledger(new LedgerMessage.Reserve(KEY, "digest", HOLDER)),
+        ledger(new LedgerMessage.MarkStart(KEY, HOLDER)),
+        ledger(new LedgerMessage.Finish(KEY, HOLDER, OutcomeClass.UNKNOWN)),
+        ledger(
+            new LedgerMessage.Answer(
+                KEY, HOLDER, LedgerMessage.Step.RESERVE, Optional.of(ErrorKind.KEY_REUSED))),
+        ledger(new LedgerMessage.Answer(KEY, HOLDER, LedgerMessage.Step.FINISH, Optional.empty())),
+        ledger(new LedgerMessage.Copy(RECORD)),
+        ledger(new LedgerMessage.Copied(MEMBER, KEY, 4)),
+        ledger(new LedgerMessage.AskRecords(MEMBER, 12)),
+        ledger(
+            new LedgerMessage.Records(
+                MEMBER,
+                12,
+                List.of(RECORD),
+                List.of(new LedgerMessage.Loss(Set.of(MEMBER), Set.of(MEMBER), 900)),
+                true)),
         new PeerMessage.Cancel(ID),
         new PeerMessage.Flow(ID, true),
         new PeerMessage.ObjectsPush(List.of("{}"), true, false),
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/Cluster.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/Cluster.java
@@ -147,6 +147,7 @@
     InetSocketAddress direct = Addresses.loopback(platformPort);
     flag(command, "platform", Addresses.text(proxies.platformFor(daemon, direct)));
     flag(command, "peers", peersOf(daemon));
+    flag(command, "ledger-first-install", true);
     command.addAll(settings.daemonFlags());
     daemon.process(launcher.start(daemon.id(), settings.daemonJvmFlags(), DAEMON, command));
   }
