--- a/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
@@ -60,6 +60,7 @@
   private ConditionalWrite pending;
   private OwnershipProposal proposal;
   private Set<EndpointId> handingOver = new TreeSet<>();
+  private long handingOverUntil;
   private long nextTryAt;
   private long needSince = Long.MAX_VALUE;
   private long confirmAt = Long.MAX_VALUE;
@@ -113,6 +114,9 @@
     if (newer) {
       confirmAt = Long.MAX_VALUE;
       table = seen;
+      if (seen.version() >= handingOverUntil) {
+        handingOver = new TreeSet<>();
+      }
     }
     return newer;
   }
@@ -174,7 +178,7 @@
    * @param leaving the endpoints; those that are not this daemon's are passed over
    */
   public Optional<OwnershipProposal> handOver(long now, Collection<EndpointId> leaving) {
-    Set<EndpointId> own = isReplaced() ? new TreeSet<>() : table.ownedBy(self);
+    Set<EndpointId> own = isNamed() ? table.ownedBy(self) : new TreeSet<>();
     own.retainAll(new TreeSet<>(leaving));
     Map<DaemonId, Candidate> others = new TreeMap<>(candidates);
     others.remove(self);
@@ -196,7 +200,7 @@
    * as one that has come back; empty while nothing is to be gained.
    */
   public Optional<OwnershipProposal> rebalance(long now) {
-    if (!candidates.containsKey(self) || isReplaced() || isBusy(now)) {
+    if (!candidates.containsKey(self) || !isNamed() || isBusy(now)) {
       return Optional.empty();
     }
     Assignment assignment =
@@ -260,11 +264,15 @@
     WriteDecision decision = pending.answered(answer);
     switch (decision.outcome()) {
       case APPLIED -> {
+        handingOverUntil = 0;
         tableSeen(now, proposal.table().storedAs(decision.version()));
         finish();
         backoff.reset();
       }
       case CONFLICT -> {
+        // The handover may have taken effect, its answer lost, and the table changed again since.
+        // Until that table is known, ordering would be ordering another's endpoint.
+        handingOverUntil = decision.version();
         finish();
         nextTryAt = now + backoff.nextDelayMillis();
       }
@@ -288,10 +296,15 @@
    */
   public boolean isOwned(EndpointId endpoint) {
     return !handingOver.contains(endpoint)
-        && table.incarnation(self) == ownIncarnation
+        && isNamed()
         && table.owner(endpoint).filter(self::equals).isPresent();
   }
 
+  // The table gives this daemon's endpoints to this very process, not to one before or after it.
+  private boolean isNamed() {
+    return table.incarnation(self) == ownIncarnation;
+  }
+
   private boolean isReplaced() {
     return table.incarnation(self) > ownIncarnation;
   }
@@ -329,6 +342,7 @@
     }
     // An order given after the write was sent could reach the endpoint after the next owner's.
     handingOver = new TreeSet<>(changed.keySet());
+    handingOverUntil = Long.MAX_VALUE;
     return propose(changed, List.of());
   }
 
@@ -349,7 +363,6 @@
   private void finish() {
     pending = null;
     proposal = null;
-    handingOver = new TreeSet<>();
     nextTryAt = Long.MIN_VALUE;
   }
 
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipPlannerTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/OwnershipPlannerTest.java
@@ -128,9 +128,25 @@
     }
 
     @Test
-    void aConflictGivesTheEndpointBack() {
+    void onlyTheProcessThatTheTableNamesGivesAway() {
+      Map<DaemonId, Candidate> candidates = new TreeMap<>();
+      ranked.forEach(daemon -> candidates.put(daemon, new Candidate(1, 1)));
+      planner.candidatesAre(0, 2, candidates);
+      assertThat(planner.handOver(0, Set.of(endpoint))).as("a later process").isEmpty();
+      planner.candidatesAre(0, 0, candidates);
+      assertThat(planner.handOver(0, Set.of(endpoint))).as("a former process").isEmpty();
+      planner.candidatesAre(0, 1, candidates);
+      assertThat(planner.handOver(0, Set.of(endpoint))).isPresent();
+    }
+
+    @Test
+    void aConflictGivesTheEndpointBackOnceTheOtherTableIsKnown() {
       OwnershipProposal proposal = planner.handOver(0, Set.of(endpoint)).orElseThrow();
       planner.answered(0, proposal.operation(), new WriteAnswer.Conflict(41, Optional.empty()));
+      assertThat(planner.isOwned(endpoint)).as("before the table is known").isFalse();
+      OwnershipTable mine = planner.table();
+      planner.tableSeen(
+          1, OwnershipTable.of(41, mine.epoch() + 1, mine.owners(), mine.incarnations()));
       assertThat(planner.isOwned(endpoint)).isTrue();
     }
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -38,7 +38,6 @@
 import io.sequoiapass.daemon.process.ownership.OwnershipTimes;
 import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
 import io.sequoiapass.daemon.process.placement.PlacementSettings;
-import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
 import io.sequoiapass.daemon.process.timeline.TimelineEvent;
@@ -55,7 +54,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 /**
@@ -101,6 +102,11 @@
   private final long incarnation = wall.millis();
   private final MetricRegistry metrics = new MetricRegistry();
   private final EventLoopGroup group;
+
+  /** Operators' large answers must not hold up callers, so they have a loop of their own. */
+  private final EventLoopGroup operatorGroup =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
   private final Timeline timeline;
   private final DaemonEvents events;
   private final Entries entries;
@@ -171,7 +177,10 @@
   private Entries entries() {
     Routes routes =
         new AffinityRoutes(
-            clock, endpoint -> this.ownership.server(endpoint), daemon -> this.peers.to(daemon));
+            clock,
+            settings.placementWeights(),
+            endpoint -> this.ownership.server(endpoint),
+            daemon -> this.peers.to(daemon));
     List<EntryShard> shards = new ArrayList<>();
     for (int i = 0; i < settings.threads(); i++) {
       RetryBudget budget = new RetryBudget(settings.retryBudgetPercent() / PERCENT, RETRY_BURST);
@@ -207,7 +216,7 @@
         () ->
             new OwnerShard(
                 clock,
-                new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.STALLS),
+                new AdaptivePlacement(PlacementSettings.defaults(), settings.placementWeights()),
                 engines,
                 (endpoint, kind) -> this.ownership.permit(endpoint, kind),
                 events),
@@ -223,7 +232,7 @@
         new PeerMessage.Hello(settings.daemon(), settings.dataCentre(), incarnation);
     peers.start(new PeerLinks(transport, group, hello, peers), settings.peers());
     operators =
-        HttpServer.builder(group, new OperatorHandler(new View()))
+        HttpServer.builder(operatorGroup, new OperatorHandler(new View()))
             .start(address(settings.operatorPort()));
     callers =
         HttpServer.builder(group, callerHandler())
@@ -282,9 +291,12 @@
   private void controlRound() {
     configuration.tick(ownership.alive());
     ConfigurationSnapshot snapshot = configuration.snapshot();
-    ownership.tick(snapshot);
+    ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
     owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
     owner.pauses(ownership.handingOver());
+    if (ownership.isHeartbeatDue()) {
+      peers.neighbours().forEach(this::beat);
+    }
     ledger.tick();
     stopRound();
   }
@@ -347,12 +359,23 @@
    */
   public void awaitStop() throws InterruptedException {
     stopped.await();
+    releaseLease();
     peers.stop();
     callers.close();
     operators.close();
+    operatorGroup.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
     group.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void releaseLease() throws InterruptedException {
+    try {
+      ownership.release().get(SHUTDOWN_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException notReleased) {
+      // It runs out by itself; only the next process under this name waits for that.
+      EventLog.log(LogEvent.PLATFORM_UNREACHABLE, String.valueOf(notReleased.getMessage()));
+    }
+  }
+
   /** Takes what peers say of themselves. */
   private final class Control implements PeerNode.ControlListener {
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/WaitingGroup.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/WaitingGroup.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.daemon.process.placement;
 
 import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.RequestId;
 import java.util.ArrayList;
@@ -40,10 +41,19 @@
     return requests.get(0).request().urgency();
   }
 
+  /** Returns where the router sent the most urgent request. */
+  EndpointId preferred() {
+    return requests.get(0).request().preferred();
+  }
+
   long oldestMs() {
     return requests.stream().mapToLong(Queued::sinceMs).min().orElseThrow();
   }
 
+  long latestDeadlineMs() {
+    return requests.stream().mapToLong(q -> q.request().deadlineMs()).max().orElseThrow();
+  }
+
   /** Returns what a load is worth now: who waits, how urgently, for how long. */
   double loadValue(long nowMs, long agingMs) {
     double value = 0;
