--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -190,14 +190,21 @@
           }
           if (watch.holdsRequests()) {
             held.add(execution);
-          } else if (forward.mode() == Mode.RUN) {
-            enqueue(execution);
           } else {
-            attach(execution, watch);
+            begin(execution, watch);
           }
         });
   }
 
+  /** What may only be read on must not be run, also after it was held. */
+  private void begin(Execution execution, EngineWatch watch) {
+    if (execution.forward().mode() == Mode.RUN) {
+      enqueue(execution);
+    } else {
+      attach(execution, watch);
+    }
+  }
+
   private void enqueue(Execution execution) {
     Completion work = execution.completion();
     long now = clock.millis();
@@ -541,7 +548,7 @@
       case JOINED, RESTARTED -> {
         observer.endpointJoined(watch.endpoint().id(), news == EngineWatch.News.RESTARTED);
         perform(placement.endpointJoined(now, watch.status()));
-        held.takeAll(watch.endpoint().id()).forEach(this::enqueue);
+        held.takeAll(watch.endpoint().id()).forEach(waited -> begin(waited, watch));
       }
       case SAME -> {
         for (RequestId gone : watch.foreignGone(state, executions.keySet())) {
