Owner: raise the fence, look before evicting, and cut off nothing in a rolling restart

Here: a new owner first orders the undoing of a load that never was, so that the fence rises, and then reads the engine's state. While a peer is not heard, the engine is asked before each eviction. An endpoint that was LEAVING and is ACTIVE again takes work again (it stayed drained before), and one that leaves stays drained when it joins anew. Readiness waits for connections to all owners, 5 s at most.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -5,7 +5,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.FencingNumber;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.request.AttemptSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.RetryBudget;
@@ -25,6 +28,7 @@
 import io.sequoiapass.daemon.process.entry.Routes;
 import io.sequoiapass.daemon.process.log.EventLog;
 import io.sequoiapass.daemon.process.log.LogEvent;
+import io.sequoiapass.daemon.process.owner.OrderGate;
 import io.sequoiapass.daemon.process.owner.Owner;
 import io.sequoiapass.daemon.process.owner.OwnerShard;
 import io.sequoiapass.daemon.process.owner.ServicePool;
@@ -79,6 +83,10 @@
   private static final long STOP_GRACE_MS = 2_500;
 
   private static final long SHUTDOWN_MS = 1_000;
+
+  /** A daemon whose peers are dead, or that starts alone in an outage, serves what it can. */
+  private static final long REACH_WAIT_MS = 5_000;
+
   private static final double RETRY_BURST = 20;
   private static final double PERCENT = 100.0;
 
@@ -98,6 +106,8 @@
   private final OwnershipNode ownership;
   private final StopSequence stop;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final long startedAt = clock.millis();
+  private volatile boolean reachesOwners;
   private int heartbeats;
   private HttpServer callers;
   private HttpServer operators;
@@ -173,7 +183,7 @@
                 clock,
                 new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.STALLS),
                 engines,
-                (endpoint, kind) -> this.ownership.permit(endpoint, kind),
+                new Gate(),
                 events),
         new ServicePool(clock, http));
   }
@@ -249,6 +259,11 @@
     ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
     owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
     owner.pauses(ownership.handingOver());
+    // A fresh daemon that shows readiness before it knows the owners and is connected to them
+    // refuses
+    // what the balancer sends it at once. Both come within moments; a peer that is dead does not.
+    reachesOwners |=
+        peers.reaches(ownership.owners()) || clock.millis() - startedAt >= REACH_WAIT_MS;
     if (ownership.isHeartbeatDue()) {
       peers.neighbours().forEach(this::beat);
     }
@@ -325,6 +340,20 @@
     }
   }
 
+  /** Asks the ownership part, which is made after the owner. */
+  private final class Gate implements OrderGate {
+
+    @Override
+    public Optional<FencingNumber> permit(EndpointId endpoint, OrderKind kind) {
+      return ownership.permit(endpoint, kind);
+    }
+
+    @Override
+    public boolean mayOthersServe() {
+      return ownership.mayOthersServe();
+    }
+  }
+
   /** Takes what peers say of themselves. */
   private final class Control implements PeerNode.ControlListener {
 
@@ -358,7 +387,7 @@
 
     @Override
     public boolean ready() {
-      return phase().isReady() && configuration.ready();
+      return phase().isReady() && configuration.ready() && reachesOwners;
     }
 
     @Override
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
@@ -120,6 +120,11 @@
     links.channel(peer).ifPresent(channel -> channel.send(message));
   }
 
+  /** Returns whether there are owners and each is this daemon or connected. */
+  boolean reaches(Set<DaemonId> owners) {
+    return !owners.isEmpty() && owners.stream().allMatch(owner -> to(owner).isPresent());
+  }
+
   /** Closes the connection to a silent peer, so that what waits for it moves on at once. */
   void reset(DaemonId peer) {
     links.reset(peer);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
@@ -42,6 +42,8 @@
   private String boot;
   private boolean usable;
   private boolean asking;
+  private boolean looked;
+  private boolean leaving;
   private boolean paused;
   private long nextLookAt = Long.MIN_VALUE;
   private EngineState state;
@@ -62,10 +64,30 @@
     return news;
   }
 
+  /** Notes whether it leaves, so that it joins anew once it is back; returns whether it is news. */
+  boolean leave(boolean leaves) {
+    boolean news = leaving != leaves;
+    leaving = leaves;
+    usable &= leaves || !news;
+    return news;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
   boolean isPaused() {
     return paused;
   }
 
+  /**
+   * Returns whether the engine was just taken over and has not been looked at. Requests wait for
+   * that, which takes milliseconds; refusing them would cut off callers in each planned stop.
+   */
+  boolean awaitsFirstLook() {
+    return !looked;
+  }
+
   /** Notes that an answer came that nobody can use any more. */
   void answeredUnused() {
     asking = false;
@@ -86,6 +108,7 @@
   /** Notes that it did not answer; returns whether it was usable until now. */
   boolean unreachable(long now) {
     asking = false;
+    looked = true;
     nextLookAt = now + LOOK_SOON_MS;
     boolean was = usable;
     usable = false;
@@ -94,6 +117,7 @@
 
   News told(long now, EngineState told) {
     asking = false;
+    looked = true;
     state = told;
     News news = News.SAME;
     if (boot != null && !boot.equals(told.boot())) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OrderGate.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OrderGate.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 
 /** Tells, right before an order is written, whether this daemon may still give it. */
-@FunctionalInterface
 public interface OrderGate {
 
   /**
@@ -16,4 +15,10 @@
    * @param kind what it would do
    */
   Optional<FencingNumber> permit(EndpointId endpoint, OrderKind kind);
+
+  /**
+   * Returns whether another daemon may have started streams on this daemon's endpoints, so that the
+   * engine has to be asked before each eviction.
+   */
+  boolean mayOthersServe();
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -89,9 +89,7 @@
             endpoint.model().orElseThrow(),
             endpoint.slots().orElseThrow(),
             endpoint.maxStreams()));
-    if (!endpoint.takesNewWork()) {
-      shard.drain(endpoint.id());
-    }
+    shard.drain(endpoint.id(), !endpoint.takesNewWork());
   }
 
   private void disown(EndpointRecord endpoint) {
@@ -142,7 +140,8 @@
       if (shard != null) {
         shard.submit(forward, channel);
       } else {
-        channel.send(new PeerMessage.Refused(forward.id(), ErrorKind.NO_ENDPOINT, false, 0));
+        // The entry learned of a takeover before this daemon's round did.
+        channel.send(new PeerMessage.Refused(forward.id(), ErrorKind.DRAINING, false, 0));
       }
     } else {
       services.submit(forward, channel);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -102,6 +102,7 @@
   public void disown(EndpointId endpoint) {
     locked(
         () -> {
+          orders.forget(endpoint);
           if (endpoints.remove(endpoint) != null) {
             giveBackQueued(endpoint);
             perform(placement.endpointLeft(clock.millis(), endpoint));
@@ -110,12 +111,25 @@
   }
 
   /**
-   * Gives no new work to an endpoint; what runs on it goes on.
+   * Gives no new work to an endpoint that leaves, and uses it again when it is back; what runs on
+   * it goes on.
    *
    * @param endpoint the endpoint
+   * @param leaving whether it leaves
    */
-  public void drain(EndpointId endpoint) {
-    locked(() -> perform(placement.endpointDraining(clock.millis(), endpoint)));
+  public void drain(EndpointId endpoint, boolean leaving) {
+    locked(
+        () -> {
+          EngineWatch watch = endpoints.get(endpoint);
+          if (watch == null || !watch.leave(leaving)) {
+            return;
+          }
+          if (leaving) {
+            perform(placement.endpointDraining(clock.millis(), endpoint));
+          } else {
+            watch.lookNow();
+          }
+        });
   }
 
   /**
@@ -162,12 +176,10 @@
   }
 
   private void releaseHeld(EndpointId endpoint) {
-    for (Execution execution : List.copyOf(held)) {
-      if (execution.forward().endpoint().equals(endpoint)) {
-        held.remove(execution);
-        enqueue(execution);
-      }
-    }
+    List<Execution> released =
+        held.stream().filter(one -> one.forward().endpoint().equals(endpoint)).toList();
+    released.forEach(held::remove);
+    released.forEach(this::enqueue);
   }
 
   // Requests.
@@ -192,7 +204,7 @@
             // The same frame twice; the first is under way and will answer.
             return;
           }
-          if (watch.isPaused()) {
+          if (watch.isPaused() || (watch.awaitsFirstLook() && forward.mode() == Mode.RUN)) {
             held.add(execution);
           } else if (forward.mode() == Mode.RUN) {
             enqueue(execution);
@@ -326,7 +338,7 @@
                       if (failure == null) {
                         finished(execution);
                       } else {
-                        suspect(watch);
+                        watch.lookNow();
                         over(execution);
                       }
                     }));
@@ -339,12 +351,9 @@
     locked(
         () -> {
           long now = clock.millis();
+          orders.tick();
           perform(placement.tick(now));
-          for (EngineWatch watch : List.copyOf(endpoints.values())) {
-            if (watch.due(now)) {
-              look(watch);
-            }
-          }
+          endpoints.values().stream().filter(w -> w.due(now)).toList().forEach(this::look);
         });
   }
 
@@ -435,7 +444,7 @@
                 () -> {
                   loaded(load, handle);
                   if (suspect) {
-                    suspect(watch);
+                    watch.lookNow();
                   }
                 }));
   }
@@ -485,7 +494,7 @@
               execution.refuse(Refusals.kindOf(refusal), true, 0);
             }
             if (refusal == EngineRefusal.NOT_LOADED) {
-              suspect(watch);
+              watch.lookNow();
             }
           });
     }
@@ -498,13 +507,13 @@
               return;
             }
             if (!mayHaveReached) {
-              suspect(watch);
+              watch.lookNow();
               finished(execution);
               execution.refuse(ErrorKind.ENDPOINT_LOST_BEFORE_START, false, 0);
             } else if (resumable && resumes < MAX_RESUMES) {
               resume(execution, watch, next, resumes + 1);
             } else {
-              suspect(watch);
+              watch.lookNow();
               finished(execution);
               execution.lost();
             }
@@ -514,14 +523,11 @@
 
   // What engines tell of themselves.
 
-  private void suspect(EngineWatch watch) {
-    watch.lookNow();
-  }
-
   private void look(EngineWatch watch) {
     watch.asked();
-    engines
-        .state(watch.endpoint().address())
+    orders
+        .raise(watch.endpoint())
+        .thenCompose(raised -> engines.state(watch.endpoint().address()))
         .whenComplete((state, failure) -> locked(() -> told(watch, state, failure)));
   }
 
@@ -536,6 +542,7 @@
         observer.endpointUnreachable(watch.endpoint().id());
         perform(placement.endpointLeft(now, watch.endpoint().id()));
       }
+      releaseHeld(watch.endpoint().id());
       return;
     }
     EngineWatch.News news = watch.told(now, state);
@@ -543,12 +550,16 @@
       case JOINED, RESTARTED -> {
         observer.endpointJoined(watch.endpoint().id(), news == EngineWatch.News.RESTARTED);
         perform(placement.endpointJoined(now, watch.status()));
+        if (watch.isLeaving()) {
+          // The placement takes an endpoint that joins for one that takes work.
+          perform(placement.endpointDraining(now, watch.endpoint().id()));
+        }
         releaseHeld(watch.endpoint().id());
       }
       case SAME -> {
-        for (RequestId gone : watch.foreignGone(state, executions.keySet())) {
-          perform(placement.requestFinished(now, gone));
-        }
+        watch
+            .foreignGone(state, executions.keySet())
+            .forEach(gone -> perform(placement.requestFinished(now, gone)));
       }
       default -> throw new AssertionError(news);
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -150,6 +150,7 @@
           endpointsAre(snapshot);
           keeper.dataCentreIs(new TreeSet<>(peers.neighbours()));
           keeper.tick(now).ifPresent(this::call);
+          peers.neighbours().forEach(peer -> membership.learned(now, peer));
           membership.tick(now).forEach(this::changed);
           readTable(now);
           keeper.tableSeen(planner.table().version());
@@ -452,6 +453,16 @@
     }
   }
 
+  @Override
+  public boolean mayOthersServe() {
+    lock.lock();
+    try {
+      return !membership.isEveryoneHeard();
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /**
    * Returns the endpoints whose handover is under way: the table still gives them to this daemon,
    * but the write that gives them away may have taken effect. Nothing new may start on them, since
@@ -478,6 +489,11 @@
     }
   }
 
+  /** Returns the daemons that the newest table of this data centre names. */
+  public Set<DaemonId> owners() {
+    return announced.daemons();
+  }
+
   /** Returns how many endpoints the newest table gives to this daemon. */
   public int owned() {
     return announced.ownedBy(self).size();
--- a/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
 
 /**
  * Sends a load to entry daemons, each request at its time, and checks each answer.
@@ -40,17 +41,14 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
   private final HttpClient client = HttpClient.create(group, CONNECT_TIMEOUT_MS);
-  private final List<InetSocketAddress> daemons;
+  private final IntFunction<InetSocketAddress> balancer;
   private final Queue<RequestResult> results = new ConcurrentLinkedQueue<>();
   private final AtomicLong sent = new AtomicLong();
   private CountDownLatch missing = new CountDownLatch(0);
   private long startedAt;
 
-  private LoadTool(List<InetSocketAddress> daemons) {
-    if (daemons.isEmpty()) {
-      throw new IllegalArgumentException("needs a daemon to send to");
-    }
-    this.daemons = List.copyOf(daemons);
+  private LoadTool(IntFunction<InetSocketAddress> balancer) {
+    this.balancer = balancer;
   }
 
   /**
@@ -59,7 +57,20 @@
    * @param daemons where the daemons take callers
    */
   public static LoadTool to(List<InetSocketAddress> daemons) {
-    return new LoadTool(daemons);
+    if (daemons.isEmpty()) {
+      throw new IllegalArgumentException("needs a daemon to send to");
+    }
+    List<InetSocketAddress> copy = List.copyOf(daemons);
+    return new LoadTool(number -> copy.get(number % copy.size()));
+  }
+
+  /**
+   * Returns a tool that asks a balancer where to send each request, right before it is sent.
+   *
+   * @param balancer tells for the number of a request where daemons take it; called on event loops
+   */
+  public static LoadTool through(IntFunction<InetSocketAddress> balancer) {
+    return new LoadTool(balancer);
   }
 
   /**
@@ -72,9 +83,10 @@
     startedAt = micros();
     for (int i = 0; i < requests.size(); i++) {
       PlannedRequest request = requests.get(i);
-      InetSocketAddress daemon = daemons.get(i % daemons.size());
+      int number = i;
       EventLoop loop = group.next();
-      loop.schedule(() -> send(request, daemon), request.atMicros(), TimeUnit.MICROSECONDS);
+      loop.schedule(
+          () -> send(request, balancer.apply(number)), request.atMicros(), TimeUnit.MICROSECONDS);
     }
   }
 
--- /dev/null
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/ConfigurationFailureTest.java
@@ -0,0 +1,114 @@
+package io.sequoiapass.testbed.failure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import io.sequoiapass.daemon.connection.HttpCall;
+import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.DaemonNode;
+import io.sequoiapass.testbed.load.Judgement;
+import io.sequoiapass.testbed.load.LoadPlan;
+import io.sequoiapass.testbed.load.LoadReport;
+import io.sequoiapass.testbed.load.LoadTool;
+import io.sequoiapass.testbed.load.Verdict;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What callers and operators see of changes to the configuration while things fail. */
+class ConfigurationFailureTest {
+
+  private static final long LIMIT_MS = 20_000;
+  private static final long PROPAGATION_MS = 4_000;
+
+  private static Cluster cluster(int engines) throws Exception {
+    Cluster cluster =
+        Cluster.builder()
+            .daemons(3)
+            .engines(engines)
+            .adapters(4)
+            .engineSize(8, 64)
+            .daemonJvmFlags("-Xmx96m")
+            .start();
+    cluster.awaitServing(LIMIT_MS);
+    return cluster;
+  }
+
+  // Two operators change the preset at the same moment, each on the version that both saw. One is
+  // told that it was overtaken, and every daemon ends up with the other's.
+  @Test
+  void ofTwoRacingPresetsExactlyOneIsInForceEverywhere() throws Exception {
+    try (Cluster cluster = cluster(1)) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      InetSocketAddress platform = cluster.platformAddress();
+      HttpCall read = HttpCall.to(platform, "GET", "/v1/objects/preset/current");
+      String seen = cluster.http().read(read, JsonObject.class).get("version").getAsString();
+      CompletableFuture<Integer> peak = change(cluster, "PEAK", seen);
+      CompletableFuture<Integer> maintenance = change(cluster, "MAINTENANCE", seen);
+
+      assertThat(List.of(peak.get(), maintenance.get())).containsExactlyInAnyOrder(200, 409);
+      String winner = peak.get() == 200 ? "PEAK" : "MAINTENANCE";
+      for (DaemonNode daemon : cluster.daemons()) {
+        probe.await(
+            winner + " at " + daemon.id(),
+            PROPAGATION_MS,
+            () -> probe.statusField(daemon, "preset").equals(winner));
+      }
+    }
+  }
+
+  private static CompletableFuture<Integer> change(Cluster cluster, String preset, String seen) {
+    HttpCall call =
+        HttpCall.to(cluster.platformAddress(), "PUT", "/v1/objects/preset/current")
+            .header("If-Match", seen)
+            .header("Operation-Id", "race-" + preset)
+            .body("{\"preset\":\"%s\",\"effective_at\":0}".formatted(preset));
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return cluster.http().send(call).status();
+          } catch (Exception failed) {
+            throw new AssertionError(failed);
+          }
+        });
+  }
+
+  // An operator takes an endpoint out of service before maintenance of its host; work that still
+  // begins there is cut off with the host. 2 s after the change nothing new begins there, while all
+  // answers stay whole; taken back, it works again.
+  @Test
+  void aLeavingEndpointGetsNoNewWorkAndComesBack() throws Exception {
+    try (Cluster cluster = cluster(2)) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      try (LoadTool tool =
+          LoadTool.to(cluster.daemons().stream().map(DaemonNode::callers).toList())) {
+        tool.start(new LoadPlan(9, 40, 4, 0, 10, 0, 0, 0, 8).requests());
+        probe.await("e1 works", LIMIT_MS, () -> probe.judged("e1", "accepted") > 0);
+        long start = System.nanoTime();
+        setState(cluster, "LEAVING");
+        probe.await("2 s", LIMIT_MS, () -> passedMs(start) >= 2_000);
+        long after = probe.judged("e1", "accepted");
+        probe.await("2 s more", LIMIT_MS, () -> passedMs(start) >= 4_000);
+        assertThat(probe.judged("e1", "accepted")).as("accepted after 2 s").isEqualTo(after);
+        setState(cluster, "ACTIVE");
+        probe.await("e1 works again", LIMIT_MS, () -> probe.judged("e1", "accepted") > after);
+
+        LoadReport report = Judgement.of(cluster).apply(tool.await(LIMIT_MS));
+        assertThat(report.reasons(5)).isEmpty();
+        assertThat(report.count(Verdict.WHOLE)).isEqualTo(report.sent());
+      }
+    }
+  }
+
+  private static long passedMs(long start) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+  }
+
+  private static void setState(Cluster cluster, String state) throws Exception {
+    JsonObject endpoint = cluster.objects().value("endpoint", "e1");
+    endpoint.addProperty("state", state);
+    cluster.objects().put("endpoint", "e1", endpoint);
+  }
+}
