--- a/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/RequestAttempts.java
@@ -41,6 +41,7 @@
   private int source = NO_SOURCE;
   private boolean ended;
   private boolean callerLeft;
+  private boolean paused;
   private ErrorKind lastNotRun = ErrorKind.NO_ENDPOINT;
   private ErrorKind firstUnknown;
   private OptionalLong comeBackMillis = OptionalLong.empty();
@@ -50,6 +51,7 @@
   private long moveAt = NEVER;
   private Attempt moved;
   private int moves;
+  private int ownerless;
 
   /**
    * Creates the attempts of one request; nothing is sent yet.
@@ -127,7 +129,8 @@
     } else if (event instanceof AttemptEvent.Routed routed) {
       open(routed.attempt()).ifPresent(attempt -> attempt.routed(routed.endpoint()));
     } else if (event instanceof AttemptEvent.Unroutable unroutable) {
-      open(unroutable.attempt()).ifPresent(attempt -> unroutable(attempt, unroutable.kind()));
+      open(unroutable.attempt())
+          .ifPresent(attempt -> unroutable(attempt, unroutable.kind(), nowMillis));
     } else if (event instanceof AttemptEvent.StartAsked asked) {
       startAsked(asked.attempt());
     } else if (event instanceof AttemptEvent.StartRecorded recorded) {
@@ -143,6 +146,8 @@
     } else if (event instanceof AttemptEvent.EndpointLost lost) {
       open(lost.attempt())
           .ifPresent(attempt -> endpointLost(attempt, ErrorKind.ENDPOINT_LOST_AFTER_START));
+    } else if (event instanceof AttemptEvent.Flow flow) {
+      flow(flow.paused(), nowMillis);
     } else if (event instanceof AttemptEvent.CallerLeft) {
       callerLeft();
     } else {
@@ -237,8 +242,8 @@
     if (!callerLeft) {
       ready.forEach(token -> actions.add(new AttemptAction.Deliver(token)));
     }
-    stallAt = nowMillis + settings.stallMillis();
-    if (!answer.hasGap()) {
+    stallAt = paused ? NEVER : nowMillis + settings.stallMillis();
+    if (!answer.hasGap() || paused) {
       gapAt = NEVER;
     } else if (gapAt == NEVER || !ready.isEmpty()) {
       gapAt = nowMillis + settings.gapMillis();
@@ -248,12 +253,34 @@
     }
   }
 
+  /**
+   * Stops the timers while the owner was told to stop reading, and starts them anew after it. A
+   * silence that the caller made itself would be taken for a frozen owner: the stream would be
+   * given up and run again, once for each time that the caller reads slowly.
+   */
+  private void flow(boolean nowPaused, long nowMillis) {
+    paused = nowPaused;
+    boolean streaming = source != NO_SOURCE && open(source).isPresent();
+    stallAt = paused || !streaming ? NEVER : nowMillis + settings.stallMillis();
+    gapAt = paused || !streaming || !answer.hasGap() ? NEVER : nowMillis + settings.gapMillis();
+  }
+
   // Failures.
 
-  private void unroutable(Attempt attempt, ErrorKind kind) {
+  private void unroutable(Attempt attempt, ErrorKind kind, long nowMillis) {
     attempt.closeNotRun(NotRunProof.neverLeftEntry());
     lastNotRun = kind;
-    if (!anyOpen()) {
+    if (anyOpen()) {
+      return;
+    }
+    if (attempt.number() > 1) {
+      // The owner that had it is gone, and the next one comes when its lease has lapsed. Ending now
+      // would take a half-read answer from a caller who has time; nothing is sent meanwhile, so it
+      // costs neither budget nor attempts.
+      ownerless++;
+      moved = attempt;
+      moveAt = nowMillis + settings.ownerPauseMillis();
+    } else {
       endFailed();
     }
   }
@@ -273,6 +300,13 @@
     attempt.closeNotRun(refused.proof());
     lastNotRun = refused.kind();
     comeBackMillis = refused.comeBackMillis();
+    if (refused.kind() == ErrorKind.DEADLINE_PASSED) {
+      // No endpoint begins it in what is left; other attempts would end in the same way.
+      if (!anyOpen()) {
+        endFailed();
+      }
+      return;
+    }
     boolean isMove =
         refused.kind() == ErrorKind.DRAINING
             && refused.proof().situation() == NotRunProof.Situation.WITHDRAWN_FROM_QUEUE;
@@ -302,7 +336,7 @@
     moveAt = NEVER;
     if (!anyOpen()) {
       boolean attaches = moved.mode() != Mode.RUN;
-      send(moved.mode(), attaches ? moved.endpoint() : Optional.empty());
+      send(moved.mode(), attaches ? moved.streamAt() : Optional.empty());
     }
   }
 
@@ -386,7 +420,7 @@
   }
 
   private int countedAttempts() {
-    return attempts.size() - moves;
+    return attempts.size() - moves - ownerless;
   }
 
   private boolean mayRunAgain() {
@@ -457,7 +491,7 @@
   // Sending and ending.
 
   private void send(Mode mode, Optional<EndpointId> prefer) {
-    Attempt attempt = new Attempt(attempts.size() + 1, mode);
+    Attempt attempt = new Attempt(attempts.size() + 1, mode, prefer);
     attempts.add(attempt);
     actions.add(
         new AttemptAction.Send(
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/RequestAttemptsTest.java
@@ -13,7 +13,8 @@
 
   private static final EndpointId ENGINE = new EndpointId("e1");
   private static final long DEADLINE = 10_000;
-  private static final AttemptSettings SETTINGS = new AttemptSettings(2, 8, 250, 2_000, 16, 20);
+  private static final AttemptSettings SETTINGS =
+      new AttemptSettings(2, 8, 250, 2_000, 16, 20, 100);
 
   private final RetryBudget budget = new RetryBudget(0.1, 1);
   private final RequestAttempts attempts = attempts(Repeatability.REPEATABLE);
@@ -120,6 +121,23 @@
       assertThat(send.avoid()).containsExactly(ENGINE);
     }
 
+    @Test
+    void waitsForTheNextOwnerIfThereIsNoOther() {
+      attempts.begin(0);
+      routed(1);
+      token(0, 1);
+      attempts.on(new AttemptEvent.OwnerLost(1), 5);
+      int attempt = 2;
+      for (long now = 5; now < 4_000; now = attempts.nextTickMillis()) {
+        assertThat(attempts.on(new AttemptEvent.Unroutable(attempt, ErrorKind.NO_ENDPOINT), now))
+            .isEmpty();
+        AttemptAction.Send send =
+            onlySend(attempts.on(new AttemptEvent.Tick(), attempts.nextTickMillis()));
+        attempt = send.attempt();
+        assertThat(send.prefer()).contains(ENGINE);
+      }
+    }
+
     @Test
     void readsOnAtTheEngineIfTokensCame() {
       attempts.begin(0);
@@ -131,4 +149,41 @@
       assertThat(send.resumeFrom()).isEqualTo(1);
     }
   }
+
+  // A caller on a slow line stops reading for longer than a stream may be silent. Reading of its
+  // answer is stopped at the owner too, so nothing arrives; that must not look like a lost owner.
+  @Nested
+  class WhenTheCallerReadsSlowly {
+
+    @Test
+    void neverGivesUpWhilePausedAndWaitsAnewAfterIt() {
+      attempts.begin(0);
+      routed(1);
+      token(0, 1);
+      attempts.on(new AttemptEvent.Flow(true), 2);
+      token(1, 3);
+      assertThat(attempts.nextTickMillis()).isEqualTo(DEADLINE);
+      assertThat(attempts.on(new AttemptEvent.Tick(), 5_000)).isEmpty();
+      attempts.on(new AttemptEvent.Flow(false), 5_000);
+      assertThat(attempts.nextTickMillis()).isEqualTo(5_000 + SETTINGS.stallMillis());
+    }
+
+    @Test
+    void stillGivesUpOnAStreamThatIsSilentWithoutAPause() {
+      attempts.begin(0);
+      routed(1);
+      token(0, 1);
+      assertThat(attempts.on(new AttemptEvent.Tick(), 2_001)).isNotEmpty();
+    }
+  }
+
+  @Test
+  void endsAtOnceWhenTheOwnerProvesThatTheDeadlineCannotBeKept() {
+    attempts.begin(0);
+    routed(1);
+    assertThat(refused(1, ErrorKind.DEADLINE_PASSED, 9_950))
+        .singleElement()
+        .extracting(action -> ((AttemptAction.End) action).outcome().outcomeClass())
+        .isEqualTo(OutcomeClass.NOT_RUN);
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -38,6 +38,9 @@
  */
 public final class EntryShard {
 
+  private static final long PROOF_MARGIN_MS = 60;
+  private static final int PROOF_MARGIN_PART = 4;
+
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<RequestId, EntryRequest> requests = new HashMap<>();
   private final MillisClock clock;
@@ -45,6 +48,7 @@
   private final AttemptSettings settings;
   private final RetryBudget budget;
   private final EntryObserver observer;
+  private final StartRecords records;
 
   /**
    * Makes a shard without requests.
@@ -54,18 +58,21 @@
    * @param settings limits of a request's attempts
    * @param budget limits retries over all of the shard's requests
    * @param observer hears of the stages of requests
+   * @param records records the starts of requests with a key
    */
   public EntryShard(
       MillisClock clock,
       Routes routes,
       AttemptSettings settings,
       RetryBudget budget,
-      EntryObserver observer) {
+      EntryObserver observer,
+      StartRecords records) {
     this.clock = Objects.requireNonNull(clock, "clock");
     this.routes = Objects.requireNonNull(routes, "routes");
     this.settings = Objects.requireNonNull(settings, "settings");
     this.budget = Objects.requireNonNull(budget, "budget");
     this.observer = Objects.requireNonNull(observer, "observer");
+    this.records = Objects.requireNonNull(records, "records");
   }
 
   /**
@@ -84,7 +91,7 @@
             runsOn,
             request.repeatability(),
             request.priority(),
-            false,
+            request.startIsRecorded(),
             request.target() instanceof RouteTarget.Engine,
             request.deadlineMs());
     locked(
@@ -256,10 +263,21 @@
     } else if (action instanceof AttemptAction.End end) {
       end(entry, end.outcome());
     } else if (action instanceof AttemptAction.RecordStart record) {
-      on(entry, new AttemptEvent.StartRefused(record.attempt(), ErrorKind.LEDGER_UNAVAILABLE));
+      recordStart(entry.request(), record.attempt());
     }
   }
 
+  private void recordStart(CallerRequest request, int attempt) {
+    records.record(
+        request,
+        refusal ->
+            event(
+                request.id(),
+                refusal
+                    .<AttemptEvent>map(kind -> new AttemptEvent.StartRefused(attempt, kind))
+                    .orElseGet(() -> new AttemptEvent.StartRecorded(attempt))));
+  }
+
   private void send(EntryRequest entry, AttemptAction.Send send) {
     CallerRequest request = entry.request();
     Optional<Route> found =
@@ -281,7 +299,7 @@
             route.endpoint(),
             from(request.work(), send.resumeFrom()),
             mode,
-            Math.max(1, request.deadlineMs() - clock.millis()),
+            ownersMillis(request.deadlineMs() - clock.millis()),
             request.repeatability().needsStartGrant());
     observer.routed(request, send.attempt(), route.endpoint());
     on(entry, new AttemptEvent.Routed(send.attempt(), route.endpoint()));
@@ -291,6 +309,16 @@
     }
   }
 
+  /**
+   * Returns the time that an owner gets. Were it the whole, the owner's proof that a request never
+   * left its queue would arrive just after the entry had to say UNKNOWN; a round of the owner's and
+   * of the entry's timer and the way back fit into the margin. Short deadlines give up a part only.
+   */
+  private static long ownersMillis(long remainingMillis) {
+    long margin = Math.min(PROOF_MARGIN_MS, remainingMillis / PROOF_MARGIN_PART);
+    return Math.max(1, remainingMillis - margin);
+  }
+
   private static ForwardedWork from(ForwardedWork work, int index) {
     return work instanceof ForwardedWork.Completion completion && index > 0
         ? new ForwardedWork.Completion(
@@ -335,6 +363,7 @@
    */
   private void flow(EntryRequest entry, boolean pause) {
     if (entry.pause(pause)) {
+      on(entry, new AttemptEvent.Flow(pause));
       entry
           .routes()
           .forEach(
@@ -346,6 +375,9 @@
   private void end(EntryRequest entry, Outcome outcome) {
     requests.remove(entry.request().id());
     observer.ended(entry.request(), outcome);
+    if (entry.request().startIsRecorded()) {
+      records.finished(entry.request(), outcome.outcomeClass());
+    }
     if (outcome instanceof Outcome.Answered answered) {
       entry
           .serviceAnswer()
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
@@ -41,8 +41,8 @@
   private final Set<RequestId> foreign = new HashSet<>();
   private String boot;
   private boolean usable;
+  private boolean failed;
   private boolean asking;
-  private boolean looked;
   private boolean leaving;
   private boolean paused;
   private long nextLookAt = Long.MIN_VALUE;
@@ -76,16 +76,17 @@
     return leaving;
   }
 
-  boolean isPaused() {
-    return paused;
-  }
-
   /**
-   * Returns whether the engine was just taken over and has not been looked at. Requests wait for
-   * that, which takes milliseconds; refusing them would cut off callers in each planned stop.
+   * Returns whether requests are held: a handover is under way, or the engine was just taken over
+   * and has not told what it holds. Refusing them would fail every request of the first round trip
+   * after each change of owner; either state ends within a few milliseconds or by a failed look.
    */
-  boolean awaitsFirstLook() {
-    return !looked;
+  boolean holdsRequests() {
+    return paused || (boot == null && !failed);
+  }
+
+  boolean isPaused() {
+    return paused;
   }
 
   /** Notes that an answer came that nobody can use any more. */
@@ -108,16 +109,15 @@
   /** Notes that it did not answer; returns whether it was usable until now. */
   boolean unreachable(long now) {
     asking = false;
-    looked = true;
     nextLookAt = now + LOOK_SOON_MS;
     boolean was = usable;
     usable = false;
+    failed = true;
     return was;
   }
 
   News told(long now, EngineState told) {
     asking = false;
-    looked = true;
     state = told;
     News news = News.SAME;
     if (boot != null && !boot.equals(told.boot())) {
@@ -131,6 +131,7 @@
     }
     boot = told.boot();
     usable = true;
+    failed = false;
     nextLookAt = now + (foreign.isEmpty() ? LOOK_EVERY_MS : LOOK_SOON_MS);
     return news;
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -23,12 +23,10 @@
 import io.sequoiapass.daemon.request.EngineRelay;
 import io.sequoiapass.daemon.request.Execution;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -49,7 +47,7 @@
   private final OwnerObserver observer;
   private final Map<EndpointId, EngineWatch> endpoints = new HashMap<>();
   private final Map<RequestId, Execution> executions = new HashMap<>();
-  private final Set<Execution> held = new LinkedHashSet<>();
+  private final HeldRequests held = new HeldRequests();
 
   /**
    * Makes a shard without endpoints.
@@ -175,11 +173,11 @@
         .toList();
   }
 
-  private void releaseHeld(EndpointId endpoint) {
-    List<Execution> released =
-        held.stream().filter(one -> one.forward().endpoint().equals(endpoint)).toList();
-    released.forEach(held::remove);
-    released.forEach(this::enqueue);
+  private void refuseHeld(List<Execution> refused, ErrorKind kind) {
+    for (Execution execution : refused) {
+      over(execution);
+      execution.refuse(kind, false, 0);
+    }
   }
 
   // Requests.
@@ -204,7 +202,7 @@
             // The same frame twice; the first is under way and will answer.
             return;
           }
-          if (watch.isPaused() || (watch.awaitsFirstLook() && forward.mode() == Mode.RUN)) {
+          if (watch.holdsRequests()) {
             held.add(execution);
           } else if (forward.mode() == Mode.RUN) {
             enqueue(execution);
@@ -352,6 +350,7 @@
         () -> {
           long now = clock.millis();
           orders.tick();
+          refuseHeld(held.takeLate(now), ErrorKind.DEADLINE_PASSED);
           perform(placement.tick(now));
           endpoints.values().stream().filter(w -> w.due(now)).toList().forEach(this::look);
         });
@@ -538,11 +537,11 @@
     }
     long now = clock.millis();
     if (failure != null) {
+      refuseHeld(held.takeAll(watch.endpoint().id()), ErrorKind.NO_ENDPOINT);
       if (watch.unreachable(now)) {
         observer.endpointUnreachable(watch.endpoint().id());
         perform(placement.endpointLeft(now, watch.endpoint().id()));
       }
-      releaseHeld(watch.endpoint().id());
       return;
     }
     EngineWatch.News news = watch.told(now, state);
@@ -554,7 +553,7 @@
           // The placement takes an endpoint that joins for one that takes work.
           perform(placement.endpointDraining(now, watch.endpoint().id()));
         }
-        releaseHeld(watch.endpoint().id());
+        held.takeAll(watch.endpoint().id()).forEach(this::enqueue);
       }
       case SAME -> {
         watch
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.daemon.process.log.LogFormat;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
@@ -198,6 +199,13 @@
     return LogFormat.valueOf(values.get(Setting.LOG_FORMAT).toUpperCase(Locale.ROOT));
   }
 
+  /** Returns what the placement of adapters weighs. */
+  public PlacementWeights placementWeights() {
+    return values.get(Setting.PLACEMENT_PREFERENCE).equals("batches")
+        ? PlacementWeights.BATCHES
+        : PlacementWeights.STALLS;
+  }
+
   /** Returns how long the lease lasts after its last renewal, in milliseconds. */
   public long leaseDurationMs() {
     return number(Setting.LEASE_DURATION_MS);
@@ -223,6 +231,16 @@
     return Math.toIntExact(number(Setting.RETRY_BUDGET_PERCENT));
   }
 
+  /** Returns how long an idempotency key is remembered, in milliseconds. */
+  public long ledgerRetentionMs() {
+    return number(Setting.LEDGER_RETENTION_MS);
+  }
+
+  /** Returns whether the operators say that no earlier fleet kept keys. */
+  public boolean ledgerFirstInstall() {
+    return Boolean.parseBoolean(values.get(Setting.LEDGER_FIRST_INSTALL));
+  }
+
   /** Returns the largest body of a request, in bytes. */
   public int maxBodyBytes() {
     return Math.toIntExact(number(Setting.MAX_BODY_BYTES));
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
@@ -87,6 +87,20 @@
     assertThat(arrive(1_001, "r1", NOTES)).containsExactly(load(ONE, NOTES, null));
   }
 
+  @Test
+  void aLoadThatWouldEndPastTheDeadlineEvictsNothing() {
+    placement.endpointJoined(0, status(ONE, 1, resident(SLIPS, "h1")));
+
+    assertThat(arrive(DEADLINE_MS - 249, "r1", NOTES)).isEmpty();
+  }
+
+  @Test
+  void aLoadThatEndsRightAtTheDeadlineIsBegun() {
+    placement.endpointJoined(0, status(ONE, 1, resident(SLIPS, "h1")));
+
+    assertThat(arrive(DEADLINE_MS - 250, "r1", NOTES)).containsExactly(load(ONE, NOTES, "h1"));
+  }
+
   @Test
   void aFreeSlotIsFilledWithWhatWasWantedMostAfterARestart() {
     placement.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1"), resident(SLIPS, "h2")));
