--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
@@ -43,6 +43,7 @@
   private boolean usable;
   private boolean failed;
   private boolean asking;
+  private boolean leaving;
   private boolean paused;
   private long nextLookAt = Long.MIN_VALUE;
   private EngineState state;
@@ -63,6 +64,18 @@
     return news;
   }
 
+  /** Notes whether it leaves, so that it joins anew once it is back; returns whether it is news. */
+  boolean leave(boolean leaves) {
+    boolean news = leaving != leaves;
+    leaving = leaves;
+    usable &= leaves || !news;
+    return news;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
   /**
    * Returns whether requests are held: a handover is under way, or the engine was just taken over
    * and has not told what it holds. Refusing them would fail every request of the first round trip
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -100,6 +100,7 @@
   public void disown(EndpointId endpoint) {
     locked(
         () -> {
+          orders.forget(endpoint);
           if (endpoints.remove(endpoint) != null) {
             giveBackQueued(endpoint);
             perform(placement.endpointLeft(clock.millis(), endpoint));
@@ -108,12 +109,25 @@
   }
 
   /**
-   * Gives no new work to an endpoint; what runs on it goes on.
+   * Gives no new work to an endpoint that leaves, and uses it again when it is back; what runs on
+   * it goes on.
    *
    * @param endpoint the endpoint
+   * @param leaving whether it leaves
    */
-  public void drain(EndpointId endpoint) {
-    locked(() -> perform(placement.endpointDraining(clock.millis(), endpoint)));
+  public void drain(EndpointId endpoint, boolean leaving) {
+    locked(
+        () -> {
+          EngineWatch watch = endpoints.get(endpoint);
+          if (watch == null || !watch.leave(leaving)) {
+            return;
+          }
+          if (leaving) {
+            perform(placement.endpointDraining(clock.millis(), endpoint));
+          } else {
+            watch.lookNow();
+          }
+        });
   }
 
   /**
@@ -329,7 +343,7 @@
                       if (failure == null) {
                         finished(execution);
                       } else {
-                        suspect(watch);
+                        watch.lookNow();
                         over(execution);
                       }
                     }));
@@ -342,13 +356,10 @@
     locked(
         () -> {
           long now = clock.millis();
+          orders.tick();
           refuseHeld(held.takeLate(now), ErrorKind.DEADLINE_PASSED);
           perform(placement.tick(now));
-          for (EngineWatch watch : List.copyOf(endpoints.values())) {
-            if (watch.due(now)) {
-              look(watch);
-            }
-          }
+          endpoints.values().stream().filter(w -> w.due(now)).toList().forEach(this::look);
         });
   }
 
@@ -439,7 +450,7 @@
                 () -> {
                   loaded(load, handle);
                   if (suspect) {
-                    suspect(watch);
+                    watch.lookNow();
                   }
                 }));
   }
@@ -489,7 +500,7 @@
               execution.refuse(Refusals.kindOf(refusal), true, 0);
             }
             if (refusal == EngineRefusal.NOT_LOADED) {
-              suspect(watch);
+              watch.lookNow();
             }
           });
     }
@@ -502,13 +513,13 @@
               return;
             }
             if (!mayHaveReached) {
-              suspect(watch);
+              watch.lookNow();
               finished(execution);
               execution.refuse(ErrorKind.ENDPOINT_LOST_BEFORE_START, false, 0);
             } else if (resumable && resumes < MAX_RESUMES) {
               resume(execution, watch, next, resumes + 1);
             } else {
-              suspect(watch);
+              watch.lookNow();
               finished(execution);
               execution.lost();
             }
@@ -518,14 +529,11 @@
 
   // What engines tell of themselves.
 
-  private void suspect(EngineWatch watch) {
-    watch.lookNow();
-  }
-
   private void look(EngineWatch watch) {
     watch.asked();
-    engines
-        .state(watch.endpoint().address())
+    orders
+        .raise(watch.endpoint())
+        .thenCompose(raised -> engines.state(watch.endpoint().address()))
         .whenComplete((state, failure) -> locked(() -> told(watch, state, failure)));
   }
 
@@ -548,12 +556,16 @@
       case JOINED, RESTARTED -> {
         observer.endpointJoined(watch.endpoint().id(), news == EngineWatch.News.RESTARTED);
         perform(placement.endpointJoined(now, watch.status()));
+        if (watch.isLeaving()) {
+          // The placement takes an endpoint that joins for one that takes work.
+          perform(placement.endpointDraining(now, watch.endpoint().id()));
+        }
         held.takeAll(watch.endpoint().id()).forEach(waited -> begin(waited, watch));
       }
       case SAME -> {
-        for (RequestId gone : watch.foreignGone(state, executions.keySet())) {
-          perform(placement.requestFinished(now, gone));
-        }
+        watch
+            .foreignGone(state, executions.keySet())
+            .forEach(gone -> perform(placement.requestFinished(now, gone)));
       }
       default -> throw new AssertionError(news);
     }
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.daemon.connection.HttpClient;
@@ -60,7 +61,7 @@
             MillisClock.monotonic(),
             new LruPlacement(),
             new EngineClient(HttpClient.create(group, 500)),
-            (endpoint, kind) -> Optional.of(new FencingNumber(1)),
+            new OpenGate(),
             new SilentObserver());
   }
 
@@ -72,7 +73,9 @@
 
   private void answer(HttpRequestMessage request, HttpResponder responder) {
     engineCalls.add(request.path());
-    if (request.path().equals("/v1/state")) {
+    if (request.text().contains("UNLOAD")) {
+      responder.respond(404, Map.of(), "{\"error\":\"no_such_handle\"}");
+    } else if (request.path().equals("/v1/state")) {
       engineState.thenAccept(state -> responder.respond(200, Map.of(), state));
     }
   }
@@ -111,6 +114,9 @@
       own(engine.port());
       submit(LIMIT_MS);
       shard.tick();
+      assertThat(engineCalls.poll(LIMIT_MS, TimeUnit.MILLISECONDS))
+          .as("the fence is raised before the engine's state is read")
+          .isEqualTo("/v1/orders");
       assertThat(engineCalls.poll(LIMIT_MS, TimeUnit.MILLISECONDS)).isEqualTo("/v1/state");
       assertThat(replies.messages).isEmpty();
 
@@ -158,6 +164,18 @@
     public void close() {}
   }
 
+  private static final class OpenGate implements OrderGate {
+    @Override
+    public Optional<FencingNumber> permit(EndpointId endpoint, OrderKind kind) {
+      return Optional.of(new FencingNumber(1));
+    }
+
+    @Override
+    public boolean mayOthersServe() {
+      return false;
+    }
+  }
+
   private static final class SilentObserver implements OwnerObserver {
     @Override
     public void loadEnded(
