--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -7,7 +7,6 @@
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.daemon.connection.engine.EngineClient;
-import io.sequoiapass.daemon.connection.engine.EngineRefusal;
 import io.sequoiapass.daemon.connection.engine.EngineRun;
 import io.sequoiapass.daemon.connection.engine.EngineState;
 import io.sequoiapass.daemon.connection.peer.ForwardedWork.Completion;
@@ -415,7 +414,7 @@
     Completion work = execution.completion();
     EngineRun run = execution.run(start.handle());
     EngineRelay relay =
-        new EngineRelay(execution, work.resumeFrom(), new RunEnd(execution, watch, 0));
+        new EngineRelay(execution, work.resumeFrom(), new RunEnd(this, execution, watch, 0));
     execution.stream(
         engines.complete(watch.endpoint().address(), run, execution.remainingMs(now), relay));
   }
@@ -425,8 +424,8 @@
     resume(execution, watch, execution.completion().resumeFrom(), 0);
   }
 
-  private void resume(Execution execution, EngineWatch watch, int from, int tries) {
-    EngineRelay relay = new EngineRelay(execution, from, new RunEnd(execution, watch, tries));
+  void resume(Execution execution, EngineWatch watch, int from, int tries) {
+    EngineRelay relay = new EngineRelay(execution, from, new RunEnd(this, execution, watch, tries));
     execution.stream(
         engines.resume(
             watch.endpoint().address(),
@@ -461,72 +460,6 @@
             clock.millis(), new LoadResult(load.endpoint(), load.adapter(), handle)));
   }
 
-  /** Hears how a run ended, on an event loop. */
-  private final class RunEnd implements EngineRelay.End {
-
-    /** Two tries: the second catches a connection that was cut just when the first one opened. */
-    private static final int MAX_RESUMES = 2;
-
-    private final Execution execution;
-    private final EngineWatch watch;
-    private final int resumes;
-
-    RunEnd(Execution execution, EngineWatch watch, int resumes) {
-      this.execution = execution;
-      this.watch = watch;
-      this.resumes = resumes;
-    }
-
-    @Override
-    public void whole(AdapterVersion ranOn, int tokens) {
-      locked(
-          () -> {
-            finished(execution);
-            execution.whole(ranOn, tokens, placement.loads());
-          });
-    }
-
-    @Override
-    public void refused(EngineRefusal refusal) {
-      locked(
-          () -> {
-            if (execution.stage() != Execution.Stage.RUNNING) {
-              return;
-            }
-            finished(execution);
-            if (refusal == EngineRefusal.NO_SUCH_STREAM) {
-              execution.lost();
-            } else {
-              execution.refuse(Refusals.kindOf(refusal), true, 0);
-            }
-            if (refusal == EngineRefusal.NOT_LOADED) {
-              watch.lookNow();
-            }
-          });
-    }
-
-    @Override
-    public void broken(int next, boolean mayHaveReached, boolean resumable) {
-      locked(
-          () -> {
-            if (execution.stage() != Execution.Stage.RUNNING) {
-              return;
-            }
-            if (!mayHaveReached) {
-              watch.lookNow();
-              finished(execution);
-              execution.refuse(ErrorKind.ENDPOINT_LOST_BEFORE_START, false, 0);
-            } else if (resumable && resumes < MAX_RESUMES) {
-              resume(execution, watch, next, resumes + 1);
-            } else {
-              watch.lookNow();
-              finished(execution);
-              execution.lost();
-            }
-          });
-    }
-  }
-
   // What engines tell of themselves.
 
   private void look(EngineWatch watch) {
@@ -573,8 +506,14 @@
 
   // Ends.
 
+  /** Ends an attempt whose whole answer was handed on. */
+  void whole(Execution execution, AdapterVersion ranOn, int tokens) {
+    finished(execution);
+    execution.whole(ranOn, tokens, placement.loads());
+  }
+
   /** Ends an attempt whose place on an endpoint is free again. */
-  private void finished(Execution execution) {
+  void finished(Execution execution) {
     over(execution);
     perform(placement.requestFinished(clock.millis(), AttemptKeys.of(execution.id())));
   }
@@ -585,7 +524,7 @@
     executions.remove(AttemptKeys.of(execution.id()), execution);
   }
 
-  private void locked(Runnable action) {
+  void locked(Runnable action) {
     lock.lock();
     try {
       action.run();
