Serve what is resident when the table still names one's former process

Cause: ConfigurationFailureTest.aDaemonThatStartsDuringAnOutageHasWhatItsPeersHave failed in 5 of 10 repetitions with 'no whole answer in time'. The time line of the daemon showed the request routed to its own endpoint and nothing more, its status lease NOT_HELD and owned 1: killed and started again under its name during an outage, it counted endpoints of its former process as being handed over and held their requests until the deadline. Ruled out: loads (the engine held the adapter), the configuration (revision 18 everywhere). Only a handover that is under way, and a superseded process, pause an endpoint now; what is resident is served without orders, as a deputy does.

Also: owners record starts, waits, loads and evictions in the time line, tied to the entry's records by a cause; RequestStreamTest reads the time line to explain the caller's pause after the owner's death.

--- a/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/OwnershipPlanner.java
@@ -300,6 +300,14 @@
         && table.owner(endpoint).filter(self::equals).isPresent();
   }
 
+  /**
+   * Returns whether an endpoint was given away by a write that is under way, or that was overtaken
+   * by a table which is not known yet: its next owner may act already.
+   */
+  public boolean isHandingOver(EndpointId endpoint) {
+    return handingOver.contains(endpoint);
+  }
+
   // The table gives this daemon's endpoints to this very process, not to one before or after it.
   private boolean isNamed() {
     return table.incarnation(self) == ownIncarnation;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
@@ -1,12 +1,14 @@
 package io.sequoiapass.daemon.process;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.RequestId;
 import io.sequoiapass.coordination.process.LeaseStanding;
 import io.sequoiapass.coordination.process.MembershipChange;
 import io.sequoiapass.coordination.process.OwnershipTable;
@@ -16,11 +18,13 @@
 import io.sequoiapass.coordination.version.ConfigurationObject;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.coordination.version.Preset;
+import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
 import io.sequoiapass.daemon.process.entry.EntryObserver;
 import io.sequoiapass.daemon.process.log.EventLog;
 import io.sequoiapass.daemon.process.log.LogEvent;
 import io.sequoiapass.daemon.process.owner.OwnerObserver;
 import io.sequoiapass.daemon.process.ownership.OwnershipListener;
+import io.sequoiapass.daemon.process.timeline.CauseId;
 import io.sequoiapass.daemon.process.timeline.Timeline;
 import io.sequoiapass.daemon.process.timeline.TimelineEvent;
 import io.sequoiapass.daemon.process.timeline.TimelineKind;
@@ -40,12 +44,16 @@
 
   private static final long NEVER = Long.MIN_VALUE;
 
+  /** A wait this long is a load or a queue; a free place is given within a step. */
+  private static final long STALL_MS = 100;
+
   private final DaemonId daemon;
   private final Consumer<DaemonId> resetLink;
   private final MetricRegistry metrics;
   private final Timeline timeline;
   private final MillisClock clock;
   private final Counter accepted;
+  private final Histogram stalls;
   private final Map<OutcomeClass, Counter> outcomes = new EnumMap<>(OutcomeClass.class);
   private final AtomicLong platformOutSince = new AtomicLong(NEVER);
 
@@ -61,6 +69,7 @@
     this.timeline = timeline;
     this.clock = clock;
     this.accepted = metrics.counter("requests.accepted");
+    this.stalls = metrics.histogram("requests.waited.ms");
     for (OutcomeClass outcome : OutcomeClass.values()) {
       outcomes.put(outcome, metrics.counter("requests." + outcome.name().toLowerCase(Locale.ROOT)));
     }
@@ -75,7 +84,8 @@
   @Override
   public void routed(CallerRequest request, int attempt, EndpointId endpoint) {
     TimelineKind kind = attempt == 1 ? TimelineKind.REQUEST_ROUTED : TimelineKind.REQUEST_RETRIED;
-    timeline.record(event(kind, request).endpoint(endpoint).detail("attempt " + attempt).build());
+    timeline.record(
+        event(kind, request).endpoint(endpoint).cause(causeOf(request.id(), attempt)).build());
   }
 
   @Override
@@ -107,6 +117,43 @@
         : event;
   }
 
+  @Override
+  public void started(AttemptId id, AdapterVersion adapter, EndpointId endpoint, long waitedMs) {
+    stalls.update(waitedMs);
+    if (waitedMs >= STALL_MS) {
+      timeline.record(
+          ofAttempt(TimelineKind.REQUEST_STALLED, id)
+              .adapter(adapter)
+              .endpoint(endpoint)
+              .detail(waitedMs + " ms")
+              .build());
+    }
+    timeline.record(
+        ofAttempt(TimelineKind.REQUEST_STARTED, id).adapter(adapter).endpoint(endpoint).build());
+  }
+
+  private static TimelineEvent.Builder ofAttempt(TimelineKind kind, AttemptId id) {
+    return TimelineEvent.of(kind).request(id.request()).cause(causeOf(id.request(), id.attempt()));
+  }
+
+  /** Ties what entry and owner record of one attempt together. */
+  private static CauseId causeOf(RequestId request, int attempt) {
+    return new CauseId(request.value() + "/" + attempt);
+  }
+
+  @Override
+  public void loadBegun(EndpointId endpoint, AdapterVersion adapter, boolean evicts) {
+    if (evicts) {
+      timeline.record(
+          TimelineEvent.of(TimelineKind.EVICTED)
+              .endpoint(endpoint)
+              .detail("to load " + adapter)
+              .build());
+    }
+    timeline.record(
+        TimelineEvent.of(TimelineKind.LOAD_STARTED).endpoint(endpoint).adapter(adapter).build());
+  }
+
   @Override
   public void loadEnded(EndpointId endpoint, AdapterVersion adapter, long tookMs, boolean loaded) {
     metrics.histogram("loads.ms").update(tookMs);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerObserver.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerObserver.java
@@ -2,10 +2,30 @@
 
 import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
 
 /** Hears what happens to owned endpoints; safe for use by several threads, must not block. */
 public interface OwnerObserver {
 
+  /**
+   * Called when an attempt is written to its endpoint.
+   *
+   * @param id the attempt
+   * @param adapter what it runs on
+   * @param endpoint where it runs
+   * @param waitedMs how long it waited at the owner, in milliseconds
+   */
+  void started(AttemptId id, AdapterVersion adapter, EndpointId endpoint, long waitedMs);
+
+  /**
+   * Called when a load has been decided on.
+   *
+   * @param endpoint where
+   * @param adapter what is to be loaded
+   * @param evicts whether another adapter is unloaded first
+   */
+  void loadBegun(EndpointId endpoint, AdapterVersion adapter, boolean evicts);
+
   /**
    * Called when a load has ended.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -412,6 +412,7 @@
     long now = clock.millis();
     execution.running(now);
     Completion work = execution.completion();
+    observer.started(execution.id(), work.adapter(), start.endpoint(), execution.waitedMs());
     EngineRun run = execution.run(start.handle());
     EngineRelay relay =
         new EngineRelay(execution, work.resumeFrom(), new RunEnd(this, execution, watch, 0));
@@ -441,6 +442,7 @@
       loaded(load, Optional.empty());
       return;
     }
+    observer.loadBegun(load.endpoint(), load.adapter(), load.evict().isPresent());
     orders.carry(
         watch.endpoint(),
         load,
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -466,16 +466,21 @@
   }
 
   /**
-   * Returns the endpoints whose handover is under way: the table still gives them to this daemon,
-   * but the write that gives them away may have taken effect. Nothing new may start on them, since
-   * their next owner may already evict.
+   * Returns the endpoints on which nothing new may start: those whose handover is under way, since
+   * their next owner may already evict, and all once a newer process acts under this name.
+   *
+   * <p>An endpoint that the table gives to a former process of this daemon is not among them.
+   * During an outage nobody can write a newer table; held, its requests would wait out the outage.
+   * Serving what is resident gives no order, so it harms no other owner.
    */
   public Set<EndpointId> handingOver() {
     lock.lock();
     try {
-      Set<EndpointId> owned = planner.table().ownedBy(self);
-      owned.removeIf(planner::isOwned);
-      return owned;
+      Set<EndpointId> paused = planner.table().ownedBy(self);
+      if (keeper.standing(clock.millis()) != LeaseStanding.SUPERSEDED) {
+        paused.removeIf(endpoint -> !planner.isHandingOver(endpoint));
+      }
+      return paused;
     } finally {
       lock.unlock();
     }
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
@@ -177,6 +177,13 @@
   }
 
   private static final class SilentObserver implements OwnerObserver {
+    @Override
+    public void started(
+        PeerMessage.AttemptId id, AdapterVersion adapter, EndpointId endpoint, long waitedMs) {}
+
+    @Override
+    public void loadBegun(EndpointId endpoint, AdapterVersion adapter, boolean evicts) {}
+
     @Override
     public void loadEnded(
         EndpointId endpoint, AdapterVersion adapter, long tookMs, boolean loaded) {}
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/ConfigurationFailureTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/ConfigurationFailureTest.java
@@ -3,14 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonObject;
+import io.sequoiapass.daemon.connection.HttpAnswer;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.ClusterNames;
 import io.sequoiapass.testbed.launch.DaemonNode;
 import io.sequoiapass.testbed.load.Judgement;
 import io.sequoiapass.testbed.load.LoadPlan;
 import io.sequoiapass.testbed.load.LoadReport;
 import io.sequoiapass.testbed.load.LoadTool;
 import io.sequoiapass.testbed.load.Verdict;
+import io.sequoiapass.testbed.wire.ObjectValues;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -36,6 +39,51 @@
     return cluster;
   }
 
+  // A daemon is replaced while the platform is out and comes up with what it could find. A caller
+  // must not get the version before the one in force: the daemon learns what its peers have before
+  // it is ready. Nor may a caller wait out the outage: the ownership table still names the process
+  // before, so the daemon serves what is resident on its endpoints and gives them no order.
+  @Test
+  void aDaemonThatStartsDuringAnOutageHasWhatItsPeersHave() throws Exception {
+    try (Cluster cluster = cluster(1)) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      List<String> versions = List.of("v1", ClusterNames.CURRENT_VERSION);
+      ObjectValues.Adapter changed = new ObjectValues.Adapter(ClusterNames.MODEL, "v1", versions);
+      cluster.objects().put("adapter", ClusterNames.adapter(0), changed);
+      DaemonNode daemon = cluster.daemon("d1");
+      probe.await("applied everywhere", PROPAGATION_MS, () -> allAnswer(cluster, "v1"));
+      cluster.faults(cluster.platformAddress(), "{\"outage\":true}");
+
+      daemon.process().kill();
+      cluster.restart(daemon);
+      probe.await("ready without the platform", LIMIT_MS, () -> probe.ready(daemon));
+
+      assertThat(probe.statusField(daemon, "revision"))
+          .isEqualTo(probe.statusField(cluster.daemon("d2"), "revision"));
+      assertThat(probe.statusField(daemon, "preset")).isEqualTo("ORDINARY");
+      probe.await("answers", LIMIT_MS, () -> answers(cluster, daemon, "v1"));
+    }
+  }
+
+  private static boolean allAnswer(Cluster cluster, String version) throws Exception {
+    for (DaemonNode daemon : cluster.daemons()) {
+      if (!answers(cluster, daemon, version)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean answers(Cluster cluster, DaemonNode daemon, String version)
+      throws Exception {
+    String body =
+        "{\"model\":\"%s\",\"prompt\":\"probe\",\"max_tokens\":1}"
+            .formatted(ClusterNames.adapter(0));
+    HttpAnswer answer =
+        cluster.http().send(HttpCall.to(daemon.callers(), "POST", "/v1/completions").body(body));
+    return answer.ok() && version.equals(answer.headers().get("Adapter-Version"));
+  }
+
   // Two operators change the preset at the same moment, each on the version that both saw. One is
   // told that it was overtaken, and every daemon ends up with the other's.
   @Test
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/RequestStreamTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/RequestStreamTest.java
@@ -13,7 +13,9 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -103,6 +105,19 @@
     }
     assertThat(next).isEqualTo(TOKENS);
     assertThat(answered).isTrue();
+    assertThat(timeline(entry))
+        .as("the entry's time line tells why the caller saw a pause")
+        .containsSubsequence(
+            "REQUEST_FIRST_TOKEN", "OWNERSHIP_CHANGED", "REQUEST_RETRIED", "REQUEST_ANSWERED");
+  }
+
+  private static List<String> timeline(DaemonNode daemon) throws Exception {
+    List<String> kinds = new ArrayList<>();
+    new HttpProbe(daemon.operators())
+        .json("/timeline")
+        .getAsJsonArray("events")
+        .forEach(event -> kinds.add(event.getAsJsonObject().get("kind").getAsString()));
+    return kinds;
   }
 
   private static Stream<String> stream(DaemonNode entry) throws IOException, InterruptedException {
