One piece of code writes what a caller is told in place of an answer

Cause: CallerHandler and CallerAnswer each built the error's JSON and the Retry-After header; the handler's lacked come_back_ms and retry_safe.

--- a/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
@@ -393,9 +393,9 @@
   }
 
   // A process that was frozen goes on in the middle of what it did, with checks that it made
-  // before.
-  // The gap in its own clock shows it; orders stop until a renewal sent after the gap is applied.
-  // A gap between this check and the write itself stays open: see docs/design/ownership.md.
+  // before. The gap in its own clock shows it; orders stop until a renewal sent after the gap is
+  // applied. A gap between this check and the write itself stays open: see
+  // docs/design/ownership.md.
   private void look(long now) {
     if (now - lastSeen > settings.maxPauseMillis()) {
       pausedAt = now;
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/ConditionalWrite.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ConditionalWrite.java
@@ -66,10 +66,9 @@
   }
 
   // After a lost answer the retry conflicts with the own change. Taken for somebody else's, it
-  // would
-  // be done again on top: a second handover, or a lease given up that is held. The operation id in
-  // the object tells them apart; once overwritten by a third party it is gone, and the caller is
-  // told that too.
+  // would be done again on top: a second handover, or a lease given up that is held. The operation
+  // id in the object tells them apart; once overwritten by a third party it is gone, and the caller
+  // is told that too.
   private WriteDecision afterConflict(WriteAnswer.Conflict conflict) {
     if (conflict.operation().filter(operation::equals).isPresent()) {
       return new WriteDecision(Outcome.APPLIED, conflict.version(), false);
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationStore.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationStore.java
@@ -213,10 +213,8 @@
   }
 
   // A daemon that was cut off pushes what was deleted meanwhile. The tombstone's version refuses
-  // it;
-  // once the tombstone is forgotten, its version still bounds what unknown objects are believed,
-  // and
-  // a listing from the platform decides about the rest.
+  // it; once the tombstone is forgotten, its version still bounds what unknown objects are
+  // believed, and a listing from the platform decides about the rest.
   private boolean isNewer(ConfigurationObject object, ConfigurationObject sameBatch) {
     long known = Math.max(versionOf(object.key()), sameBatch == null ? 0 : sameBatch.version());
     if (object.version() <= known) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -305,8 +305,8 @@
     owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
     owner.pauses(ownership.handingOver());
     // A fresh daemon that shows readiness before it knows the owners and is connected to them
-    // refuses
-    // what the balancer sends it at once. Both come within moments; a peer that is dead does not.
+    // refuses what the balancer sends it at once. Both come within moments; a peer that is dead
+    // does not.
     reachesOwners |=
         peers.reaches(ownership.owners()) || clock.millis() - startedAt >= REACH_WAIT_MS;
     if (ownership.isHeartbeatDue()) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/CallerAnswer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/CallerAnswer.java
@@ -3,7 +3,6 @@
 import com.google.gson.Gson;
 import com.google.gson.JsonObject;
 import io.sequoiapass.coordination.AdapterVersion;
-import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.Outcome;
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.request.Repeatability;
@@ -13,7 +12,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * Writes one answer to its caller: as server-sent events or whole.
@@ -23,7 +21,6 @@
 public final class CallerAnswer {
 
   private static final int OK = 200;
-  private static final long MILLIS_PER_SECOND = 1_000;
   private static final Gson GSON = new Gson();
 
   private final HttpResponder responder;
@@ -131,29 +128,16 @@
    * @param detail further words, perhaps empty
    */
   public void failed(Outcome outcome, String detail) {
-    ErrorKind kind = outcome.error().orElse(ErrorKind.INTERNAL);
     JsonObject body = outcome(outcome.outcomeClass());
-    body.add("error", error(kind, detail, outcome.comeBackMillis()));
+    body.add("error", ErrorAnswer.json(outcome, detail, repeatability));
     if (begun) {
       event(GSON.toJson(body));
       responder.end();
       return;
     }
     Map<String, String> headers = headers(outcome.outcomeClass());
-    outcome
-        .comeBackMillis()
-        .ifPresent(ms -> headers.put("Retry-After", Long.toString(secondsUp(ms))));
-    responder.respond(kind.httpStatus(), headers, GSON.toJson(body));
-  }
-
-  private JsonObject error(ErrorKind kind, String detail, OptionalLong comeBackMs) {
-    JsonObject error = new JsonObject();
-    error.addProperty("kind", kind.name());
-    error.addProperty("message", detail.isEmpty() ? kind.message() : kind.message() + " " + detail);
-    error.addProperty("retry", kind.retryAdvice().name());
-    error.addProperty("retry_safe", kind.retryAdvice().safeFor(repeatability));
-    comeBackMs.ifPresent(ms -> error.addProperty("come_back_ms", ms));
-    return error;
+    ErrorAnswer.putRetryAfter(headers, outcome);
+    responder.respond(ErrorAnswer.kindOf(outcome).httpStatus(), headers, GSON.toJson(body));
   }
 
   private JsonObject outcome(OutcomeClass outcome) {
@@ -174,8 +158,4 @@
         });
     return headers;
   }
-
-  private static long secondsUp(long ms) {
-    return (ms + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-  }
 }
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/RequestRunsOnceTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/RequestRunsOnceTest.java
@@ -95,8 +95,7 @@
   }
 
   // Every endpoint refuses before it begins. That proves that nothing ran: the caller hears NOT
-  // RUN,
-  // the counts are zero, and the key is free for the next try.
+  // RUN, the counts are zero, and the key is free for the next try.
   @Test
   @Order(3)
   void aRefusalBeforeTheStartIsNotRunAndFreesTheKey() throws Exception {
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/RequestStreamTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/RequestStreamTest.java
@@ -73,8 +73,7 @@
   }
 
   // A caller reads a long answer through one daemon when the owner of the engine, another daemon,
-  // is
-  // killed. The engine goes on; once the lease has lapsed the next owner reads on from the first
+  // is killed. The engine goes on; once the lease has lapsed the next owner reads on from the first
   // token that is missing. The caller sees a pause, and each token once.
   @Test
   @Order(2)
--- a/testbed/src/test/java/io/sequoiapass/testbed/load/JudgementTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/load/JudgementTest.java
@@ -21,8 +21,7 @@
   }
 
   // The caller is refused with "not run" and sends again; the engine ran it all the same, so it
-  // runs
-  // twice and no client can notice. Only the engine's count shows it.
+  // runs twice and no client can notice. Only the engine's count shows it.
   @Test
   void findsAFalseNotRun() {
     assertThat(judge(told(Verdict.NOT_RUN, true), List.of("a@v2"))).isEqualTo(Verdict.WRONG);
--- a/testbed/src/test/java/io/sequoiapass/testbed/standin/EngineStandInTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/standin/EngineStandInTest.java
@@ -125,8 +125,7 @@
   class Orders {
 
     // An owner unloads an adapter that serves. The engine obeys, the reader's stream breaks off,
-    // and
-    // the judge counts it: without the count a broken promise would look like a cut connection.
+    // and the judge counts it: without the count a broken promise would look like a cut connection.
     @Test
     void countsTheEvictionOfAServingAdapter() throws Exception {
       order("LOAD", 1, "v1", "h1");
