One enum of priorities

Cause: coordination.version.RequestPriority held the same three constants as coordination.request.Priority, and the caller's parser translated one into the other by name. The configuration now holds Priority; behaviour stays as it is. Ruled out for now: joining Ranking.rendezvous with RendezvousHash, which orders keys otherwise and would have to pass the ledger's long fuzz again.

--- a/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationObject.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationObject.java
@@ -8,6 +8,7 @@
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.VersionId;
 import io.sequoiapass.coordination.process.FencePolicy;
+import io.sequoiapass.coordination.request.Priority;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -77,7 +78,7 @@
       Set<AdapterId> adapters,
       Set<EndpointId> endpoints,
       boolean repeatable,
-      RequestPriority priority,
+      Priority priority,
       int maxInFlight)
       implements ConfigurationObject {
 
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/Preset.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/Preset.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.coordination.version;
 
+import io.sequoiapass.coordination.request.Priority;
+
 /**
  * The operators' choice of how the whole system weighs its work; exactly one is in force.
  *
@@ -41,8 +43,8 @@
   }
 
   /** Returns whether new requests of a priority are admitted. */
-  public boolean admits(RequestPriority priority) {
-    return batchAdmitted || priority != RequestPriority.BATCH;
+  public boolean admits(Priority priority) {
+    return batchAdmitted || priority != Priority.BATCH;
   }
 
   /** Returns whether endpoints may be moved for balance, or daemons drained for planned work. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/ObjectCodec.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/ObjectCodec.java
@@ -12,6 +12,7 @@
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.VersionId;
 import io.sequoiapass.coordination.process.FencePolicy;
+import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.coordination.version.ConfigurationObject;
 import io.sequoiapass.coordination.version.ConfigurationObject.AdapterRecord;
 import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
@@ -23,7 +24,6 @@
 import io.sequoiapass.coordination.version.ObjectKey;
 import io.sequoiapass.coordination.version.ObjectKind;
 import io.sequoiapass.coordination.version.Preset;
-import io.sequoiapass.coordination.version.RequestPriority;
 import io.sequoiapass.daemon.connection.SocketAddresses;
 import java.util.ArrayList;
 import java.util.List;
@@ -107,9 +107,7 @@
             .collect(Collectors.toSet()),
         orEmpty(value.endpoints()).stream().map(EndpointId::new).collect(Collectors.toSet()),
         value.repeatable() == null || value.repeatable(),
-        value.priority() == null
-            ? RequestPriority.INTERACTIVE
-            : RequestPriority.valueOf(value.priority()),
+        value.priority() == null ? Priority.INTERACTIVE : Priority.valueOf(value.priority()),
         value.maxInFlight() == null ? DEFAULT_MAX_IN_FLIGHT : value.maxInFlight());
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/ObjectFormat.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/ObjectFormat.java
@@ -2,9 +2,9 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.coordination.version.EndpointState;
 import io.sequoiapass.coordination.version.EndpointType;
-import io.sequoiapass.coordination.version.RequestPriority;
 import io.sequoiapass.daemon.process.settings.Addresses;
 import io.sequoiapass.daemon.process.settings.SettingsException;
 import java.util.List;
@@ -35,7 +35,7 @@
         value.add("endpoints", array(file.names("endpoints", false)));
       }
       value.addProperty("repeatable", file.flag("repeatable"));
-      value.addProperty("priority", file.choice("priority", RequestPriority.values()).name());
+      value.addProperty("priority", file.choice("priority", Priority.values()).name());
       value.addProperty("max_in_flight", file.number("max_in_flight", 1, MAX_IN_FLIGHT));
       return value;
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequestParser.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequestParser.java
@@ -249,9 +249,7 @@
       throws Refusal {
     Optional<String> given = message.header("Priority");
     if (given.isEmpty()) {
-      return service
-          .map(record -> Priority.valueOf(record.priority().name()))
-          .orElse(Priority.INTERACTIVE);
+      return service.map(ServiceRecord::priority).orElse(Priority.INTERACTIVE);
     }
     return Arrays.stream(Priority.values())
         .filter(priority -> priority.name().equalsIgnoreCase(given.get()))
