--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
@@ -50,7 +49,7 @@
     Bootstrap bootstrap =
         new Bootstrap()
             .group(group)
-            .channel(NioSocketChannel.class)
+            .channel(SocketTransport.of(group).client())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .handler(
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -119,7 +118,7 @@
       ServerBootstrap bootstrap =
           new ServerBootstrap()
               .group(group)
-              .channel(NioServerSocketChannel.class)
+              .channel(SocketTransport.of(group).server())
               .option(ChannelOption.SO_BACKLOG, 1024)
               .option(ChannelOption.SO_REUSEADDR, true)
               .childOption(ChannelOption.TCP_NODELAY, true)
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/SocketTransport.java
@@ -0,0 +1,96 @@
+package io.sequoiapass.daemon.connection;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoEventLoopGroup;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * Names the ways in which event loops wait for sockets.
+ *
+ * <pre>{@code
+ * EventLoopGroup group = SocketTransport.best().group(4);
+ * bootstrap.group(group).channel(SocketTransport.of(group).client());
+ * }</pre>
+ */
+public enum SocketTransport {
+  /**
+   * The kernel's epoll, called through Netty's native library. It needs a directory for temporary
+   * files, into which Netty unpacks that library at start.
+   */
+  EPOLL(EpollIoHandler.class, EpollSocketChannel.class, EpollServerSocketChannel.class) {
+    @Override
+    IoHandlerFactory handlers() {
+      return EpollIoHandler.newFactory();
+    }
+  },
+
+  /** The JDK's selectors, which work everywhere and cost more for each event. */
+  NIO(NioIoHandler.class, NioSocketChannel.class, NioServerSocketChannel.class) {
+    @Override
+    IoHandlerFactory handlers() {
+      return NioIoHandler.newFactory();
+    }
+  };
+
+  private final Class<? extends IoHandler> handler;
+  private final Class<? extends SocketChannel> client;
+  private final Class<? extends ServerSocketChannel> server;
+
+  SocketTransport(
+      Class<? extends IoHandler> handler,
+      Class<? extends SocketChannel> client,
+      Class<? extends ServerSocketChannel> server) {
+    this.handler = handler;
+    this.client = client;
+    this.server = server;
+  }
+
+  abstract IoHandlerFactory handlers();
+
+  /**
+   * Returns the cheapest way that works in this process: {@link #NIO} where the native library
+   * cannot be loaded, or was switched off by {@code -Dio.netty.transport.noNative=true}.
+   */
+  public static SocketTransport best() {
+    return Epoll.isAvailable() ? EPOLL : NIO;
+  }
+
+  /**
+   * Returns the transport that the loops of a group were made for.
+   *
+   * @param group the group
+   */
+  public static SocketTransport of(EventLoopGroup group) {
+    return group instanceof IoEventLoopGroup loops && loops.isIoType(EPOLL.handler) ? EPOLL : NIO;
+  }
+
+  /**
+   * Returns new event loops.
+   *
+   * @param threads how many
+   */
+  public EventLoopGroup group(int threads) {
+    return new MultiThreadIoEventLoopGroup(threads, handlers());
+  }
+
+  /** Returns the type of connections that are opened. */
+  public Class<? extends SocketChannel> client() {
+    return client;
+  }
+
+  /** Returns the type of listening sockets. */
+  public Class<? extends ServerSocketChannel> server() {
+    return server;
+  }
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerTransport.java
@@ -10,11 +10,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import io.sequoiapass.daemon.connection.SocketTransport;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Objects;
@@ -79,7 +78,7 @@
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(SocketTransport.of(group).server())
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(initializer(listeners));
@@ -100,7 +99,7 @@
     ChannelFuture opening =
         new Bootstrap()
             .group(group)
-            .channel(NioSocketChannel.class)
+            .channel(SocketTransport.of(group).client())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .handler(initializer(() -> listener))
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -2,8 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.FencingNumber;
@@ -18,6 +16,7 @@
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpServer;
+import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.daemon.connection.engine.EngineClient;
 import io.sequoiapass.daemon.connection.peer.LocalLink;
 import io.sequoiapass.daemon.connection.peer.PeerLinks;
@@ -112,8 +111,7 @@
   private final EventLoopGroup group;
 
   /** Operators' large answers must not hold up callers, so they have a loop of their own. */
-  private final EventLoopGroup operatorGroup =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup operatorGroup = SocketTransport.best().group(1);
 
   private final Timeline timeline;
   private final DaemonEvents events;
@@ -134,7 +132,7 @@
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.group = new MultiThreadIoEventLoopGroup(settings.threads(), NioIoHandler.newFactory());
+    this.group = SocketTransport.best().group(settings.threads());
     this.timeline = Timeline.create(settings.daemon(), settings.timelineEvents(), wall);
     this.events = new DaemonEvents(settings.daemon(), metrics, timeline, clock, this::resetLink);
     HttpClient http = HttpClient.create(group, CONNECT_TIMEOUT_MS);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandClient.java
@@ -1,12 +1,11 @@
 package io.sequoiapass.daemon.process.command;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.sequoiapass.daemon.connection.HttpAnswer;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.daemon.connection.platform.PlatformClient;
 import io.sequoiapass.daemon.connection.platform.PlatformException;
 import java.net.InetSocketAddress;
@@ -27,8 +26,7 @@
   /** Waited on top of the client's own timeout, which should always come first. */
   private static final long GRACE_MS = 1_000;
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group = SocketTransport.NIO.group(1);
   private final HttpClient client = HttpClient.create(group, CONNECT_TIMEOUT_MS);
   private final long timeoutMs;
 
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/DaemonMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/DaemonMeasurement.java
@@ -37,12 +37,14 @@
   private final int rate;
   private final int tokensPerRequest;
   private final long seed;
+  private final List<String> jvmFlags;
 
-  DaemonMeasurement(int seconds, int rate, int tokensPerRequest, long seed) {
+  DaemonMeasurement(int seconds, int rate, int tokensPerRequest, long seed, List<String> jvmFlags) {
     this.seconds = seconds;
     this.rate = rate;
     this.tokensPerRequest = tokensPerRequest;
     this.seed = seed;
+    this.jvmFlags = List.copyOf(jvmFlags);
   }
 
   int run() throws IOException, InterruptedException {
@@ -53,7 +55,7 @@
             .adapters(ADAPTERS)
             .engineSize(2 * ADAPTERS, 512)
             .engineFlags("--stream-micros", "20")
-            .daemonJvmFlags("-XX:TieredStopAtLevel=4")
+            .daemonJvmFlags(jvmFlags.toArray(String[]::new))
             .start()) {
       cluster.awaitServing(READY_LIMIT_MS);
       loadAdapters(cluster);
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.testbed.cli.Flags;
 import io.sequoiapass.testbed.cli.UsageException;
 import java.io.IOException;
+import java.util.List;
 
 /** Names what can be measured, each with its flags. */
 public enum MeasureTopic {
@@ -28,7 +29,12 @@
     Flags.Definition definition() {
       return common()
           .flag("rate", "65", "requests a second to each daemon; then three times that")
-          .flag("tokens", "238", "tokens of an answer on average");
+          .flag("tokens", "238", "tokens of an answer on average")
+          .flag(
+              "jvm",
+              "-XX:TieredStopAtLevel=4",
+              "JVM flags of the daemons, separated by spaces; -Dio.netty.transport.noNative=true"
+                  + " leaves epoll out");
     }
 
     @Override
@@ -37,7 +43,8 @@
               flags.integer("seconds", 1, 3_600),
               flags.integer("rate", 1, 10_000),
               flags.integer("tokens", 1, 10_000),
-              flags.integer("seed", 0, Integer.MAX_VALUE))
+              flags.integer("seed", 0, Integer.MAX_VALUE),
+              List.of(flags.text("jvm").split(" ", -1)))
           .run();
     }
   };
