Tokens that arrive within 10 ms share a read, a frame and a write

Cause: a token costs a read, a frame to the peer and a write of its own, which is most of a daemon's time at the planned load. After a read of an engine's stream the connection rests to the next moment of a grid of 10 ms (setting stream-read-interval-ms, 0 for none); the first token is never held. Events of one read go out as one frame and one part to the caller.

Weighed: a timer and a buffer at the owner (still one read a token); flushes joined at the caller's connection alone (still one frame a token); the rest at the source, which saves all three.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -24,15 +24,18 @@
   private final HttpClient client;
   private final HttpCall call;
   private final HttpStreamListener listener;
+  private final int readIntervalMs;
   private final AtomicBoolean over = new AtomicBoolean();
   private volatile Channel channel;
+  private volatile ReadGate gate;
   private volatile boolean written;
   private volatile Future<?> limit;
   private boolean keepAlive = true;
 
-  HttpExchange(HttpClient client, HttpCall call, HttpStreamListener listener) {
+  HttpExchange(HttpClient client, HttpCall call, int readIntervalMs, HttpStreamListener listener) {
     this.client = client;
     this.call = call;
+    this.readIntervalMs = readIntervalMs;
     this.listener = listener;
   }
 
@@ -51,6 +54,7 @@
 
   void begin(Channel opened) {
     channel = opened;
+    gate = new ReadGate(opened, readIntervalMs);
     if (over.get()) {
       opened.close();
       return;
@@ -95,12 +99,13 @@
   void part(byte[] bytes) {
     if (!over.get()) {
       listener.received(bytes);
+      gate.wasRead();
     }
   }
 
   void end() {
     if (keepAlive) {
-      channel.config().setAutoRead(true);
+      gate.release();
       client.keep(call.address(), channel);
     } else {
       channel.close();
@@ -131,17 +136,17 @@
 
   @Override
   public void pause() {
-    Channel current = channel;
+    ReadGate current = gate;
     if (current != null && !over.get()) {
-      current.config().setAutoRead(false);
+      current.pause(true);
     }
   }
 
   @Override
   public void resume() {
-    Channel current = channel;
+    ReadGate current = gate;
     if (current != null) {
-      current.config().setAutoRead(true);
+      current.pause(false);
     }
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineStreamListener.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineStreamListener.java
@@ -1,18 +1,20 @@
 package io.sequoiapass.daemon.connection.engine;
 
+import java.util.List;
+
 /**
  * Hears how an engine answers one request; on the connection's event loop, must not block.
  *
- * <p>Any number of {@link #frame}, then exactly one of the others.
+ * <p>Any number of {@link #frames}, then exactly one of the others.
  */
 public interface EngineStreamListener {
 
   /**
-   * Called with each event of the stream.
+   * Called with the events that arrived together.
    *
-   * @param frame the event
+   * @param frames the events in order, at least one
    */
-  void frame(EngineFrame frame);
+  void frames(List<EngineFrame> frames);
 
   /** Called when the stream ended as HTTP; whether it was whole, its frames tell. */
   void ended();
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineStreamReader.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineStreamReader.java
@@ -7,6 +7,8 @@
 import io.sequoiapass.daemon.connection.HttpStreamListener;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Reads an engine's answer to one request; used on the connection's event loop. */
 final class EngineStreamReader implements HttpStreamListener {
@@ -17,6 +19,7 @@
   private final EngineStreamListener listener;
   private final EventSplitter splitter;
   private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
+  private final List<EngineFrame> together = new ArrayList<>();
   private int status;
   private boolean broken;
 
@@ -47,12 +50,16 @@
       // What comes after an event that cannot be read may lack a token, so nothing of it counts.
       broken = true;
     }
+    if (!together.isEmpty()) {
+      listener.frames(List.copyOf(together));
+      together.clear();
+    }
   }
 
   private void event(String text) {
     EngineFrame frame = gson.fromJson(text, EngineFrame.class);
     if (frame != null) {
-      listener.frame(frame);
+      together.add(frame);
     }
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -219,7 +219,7 @@
   }
 
   private Owner owner(HttpClient http) {
-    EngineClient engines = new EngineClient(http);
+    EngineClient engines = new EngineClient(http, settings.streamReadIntervalMs());
     return new Owner(
         () ->
             new OwnerShard(
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -217,18 +217,14 @@
 
   private void takeTokens(EntryRequest entry, PeerMessage.Tokens tokens) {
     int index = tokens.firstIndex();
+    Optional<AdapterVersion> ranOn = Optional.of(tokens.ranOn());
     for (String text : tokens.texts()) {
-      on(
-          entry,
-          new AttemptEvent.Frame(
-              new AnswerFrame.Token(
-                  entry.request().id(),
-                  tokens.id().attempt(),
-                  Optional.of(tokens.ranOn()),
-                  index,
-                  text)));
+      AnswerFrame.Token token =
+          new AnswerFrame.Token(entry.request().id(), tokens.id().attempt(), ranOn, index, text);
+      perform(entry, entry.attempts().on(new AttemptEvent.Frame(token), clock.millis()));
       index++;
     }
+    flush(entry);
   }
 
   private static AttemptEvent refusedEvent(int attempt, PeerMessage.Refused refused) {
@@ -241,6 +237,13 @@
 
   private void on(EntryRequest entry, AttemptEvent event) {
     perform(entry, entry.attempts().on(event, clock.millis()));
+    flush(entry);
+  }
+
+  private void flush(EntryRequest entry) {
+    if (entry.answer().flush() && !entry.answer().responder().writable()) {
+      flow(entry, true);
+    }
   }
 
   private void perform(EntryRequest entry, List<AttemptAction> actions) {
@@ -348,9 +351,6 @@
       observer.firstToken(entry.request());
     }
     entry.answer().token(token.index(), token.text());
-    if (!entry.answer().responder().writable()) {
-      flow(entry, true);
-    }
   }
 
   private void writable(RequestId id) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/CallerAnswer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/CallerAnswer.java
@@ -29,6 +29,7 @@
   private final Repeatability repeatability;
   private final boolean streamed;
   private final StringBuilder text = new StringBuilder();
+  private final StringBuilder events = new StringBuilder();
   private boolean begun;
 
   /**
@@ -53,7 +54,7 @@
   }
 
   /**
-   * Hands on a token.
+   * Takes a token; a stream's goes out with the next {@link #flush}.
    *
    * @param index its place
    * @param token its text
@@ -83,7 +84,21 @@
   }
 
   private void event(String data) {
-    responder.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+    events.append("data: ").append(data).append("\n\n");
+  }
+
+  /**
+   * Sends the events taken so far in one part, so that tokens that came together cost one write.
+   *
+   * @return whether there were any
+   */
+  public boolean flush() {
+    if (events.isEmpty()) {
+      return false;
+    }
+    responder.write(events.toString().getBytes(StandardCharsets.UTF_8));
+    events.setLength(0);
+    return true;
   }
 
   /**
@@ -103,6 +118,7 @@
       begin();
       event(GSON.toJson(body));
       event("[DONE]");
+      flush();
       responder.end();
     } else {
       body.addProperty("text", text.toString());
@@ -132,6 +148,7 @@
     body.add("error", ErrorAnswer.json(outcome, detail, repeatability));
     if (begun) {
       event(GSON.toJson(body));
+      flush();
       responder.end();
       return;
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/EngineRelay.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/EngineRelay.java
@@ -5,7 +5,9 @@
 import io.sequoiapass.daemon.connection.engine.EngineRefusal;
 import io.sequoiapass.daemon.connection.engine.EngineStreamListener;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Hands an engine's stream on to the entry, as long as it is what was asked for.
@@ -59,7 +61,26 @@
   }
 
   @Override
-  public void frame(EngineFrame frame) {
+  public void frames(List<EngineFrame> frames) {
+    int first = next;
+    List<String> texts = new ArrayList<>(frames.size());
+    Optional<EngineFrame> odd = Optional.empty();
+    for (EngineFrame frame : frames) {
+      if (over || !matches(frame) || frame.done() || frame.index() != next) {
+        odd = Optional.of(frame);
+        break;
+      }
+      texts.add(frame.token());
+      next++;
+    }
+    // Before the end that the odd frame may bring: what follows an end is not read by the entry.
+    if (!texts.isEmpty()) {
+      execution.replies().send(new PeerMessage.Tokens(execution.id(), expected, first, texts));
+    }
+    odd.ifPresent(this::endWith);
+  }
+
+  private void endWith(EngineFrame frame) {
     if (over) {
       return;
     }
@@ -67,13 +88,6 @@
       fail(true, false);
     } else if (frame.done()) {
       finish(frame);
-    } else if (frame.index() == next) {
-      next++;
-      execution
-          .replies()
-          .send(
-              new PeerMessage.Tokens(
-                  execution.id(), frame.ranOn(), frame.index(), List.of(frame.token())));
     } else {
       fail(true, true);
     }
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
@@ -60,7 +60,7 @@
         new OwnerShard(
             MillisClock.monotonic(),
             new LruPlacement(),
-            new EngineClient(HttpClient.create(group, 500)),
+            new EngineClient(HttpClient.create(group, 500), 0),
             new OpenGate(),
             new SilentObserver());
   }
--- /dev/null
+++ b/daemon/src/test/java/io/sequoiapass/daemon/request/EngineRelayTest.java
@@ -0,0 +1,118 @@
+package io.sequoiapass.daemon.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.Gson;
+import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.VersionId;
+import io.sequoiapass.coordination.request.AttemptAction.Mode;
+import io.sequoiapass.coordination.request.Priority;
+import io.sequoiapass.daemon.connection.engine.EngineFrame;
+import io.sequoiapass.daemon.connection.engine.EngineRefusal;
+import io.sequoiapass.daemon.connection.peer.ForwardedWork;
+import io.sequoiapass.daemon.connection.peer.PeerChannel;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class EngineRelayTest {
+
+  private static final AdapterVersion NOTES =
+      new AdapterVersion(new AdapterId("notes"), new VersionId("v1"));
+  private static final PeerMessage.AttemptId ID = new PeerMessage.AttemptId(new RequestId("r1"), 0);
+  private final List<String> heard = new ArrayList<>();
+  private final EngineRelay relay = relay();
+
+  @Test
+  void tokensThatCameTogetherGoOutInOneMessageAndBeforeTheEnd() {
+    relay.frames(List.of(token(0, "a"), token(1, "b"), end(2)));
+    assertThat(heard).containsExactly("0 [a, b]", "whole 2");
+  }
+
+  // The engine restarts and its answer goes on with another request's text. The tokens before are
+  // this request's and may be read on from; nothing that follows the stranger's may be.
+  @Test
+  void nothingIsHandedOnFromAStrangersFrameOn() {
+    relay.frames(List.of(token(0, "a"), frame("other", 1, "x"), token(1, "b")));
+    relay.frames(List.of(token(1, "b"), end(2)));
+    assertThat(heard).containsExactly("0 [a]", "broken at 1");
+  }
+
+  // One token of several that arrived together is missing; what came before it is handed on, and
+  // the stream can be asked for the rest.
+  @Test
+  void aMissingTokenBreaksTheStreamAtItsPlace() {
+    relay.frames(List.of(token(0, "a"), token(2, "c")));
+    assertThat(heard).containsExactly("0 [a]", "broken at 1");
+  }
+
+  private EngineRelay relay() {
+    ForwardedWork.Completion work =
+        new ForwardedWork.Completion(NOTES, new ModelId("base"), Priority.INTERACTIVE, "p", 8, 0);
+    PeerMessage.Forward forward =
+        new PeerMessage.Forward(ID, new EndpointId("e1"), work, Mode.RUN, 1_000, false);
+    return new EngineRelay(new Execution(forward, new Replies(), 0), 0, new End());
+  }
+
+  private static EngineFrame token(int index, String text) {
+    return frame("r1", index, text);
+  }
+
+  private static EngineFrame frame(String request, int index, String text) {
+    return read(
+        """
+        {"request_id":"%s","index":%d,"token":"%s","adapter":"notes","version":"v1"}"""
+            .formatted(request, index, text));
+  }
+
+  private static EngineFrame end(int tokens) {
+    return read(
+        """
+        {"request_id":"r1","done":true,"tokens":%d,"adapter":"notes","version":"v1"}"""
+            .formatted(tokens));
+  }
+
+  private static EngineFrame read(String json) {
+    return new Gson().fromJson(json, EngineFrame.class);
+  }
+
+  private final class Replies implements PeerChannel {
+
+    @Override
+    public boolean send(PeerMessage message) {
+      PeerMessage.Tokens tokens = (PeerMessage.Tokens) message;
+      return heard.add(tokens.firstIndex() + " " + tokens.texts());
+    }
+
+    @Override
+    public boolean writable() {
+      return true;
+    }
+
+    @Override
+    public void close() {}
+  }
+
+  private final class End implements EngineRelay.End {
+
+    @Override
+    public void whole(AdapterVersion ranOn, int tokens) {
+      heard.add("whole " + tokens);
+    }
+
+    @Override
+    public void refused(EngineRefusal refusal) {
+      heard.add("refused");
+    }
+
+    @Override
+    public void broken(int next, boolean mayHaveReached, boolean resumable) {
+      heard.add("broken at " + next);
+    }
+  }
+}
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/DaemonMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/DaemonMeasurement.java
@@ -37,13 +37,21 @@
   private final int rate;
   private final int tokensPerRequest;
   private final long seed;
+  private final List<String> daemonFlags;
   private final List<String> jvmFlags;
 
-  DaemonMeasurement(int seconds, int rate, int tokensPerRequest, long seed, List<String> jvmFlags) {
+  DaemonMeasurement(
+      int seconds,
+      int rate,
+      int tokensPerRequest,
+      long seed,
+      List<String> daemonFlags,
+      List<String> jvmFlags) {
     this.seconds = seconds;
     this.rate = rate;
     this.tokensPerRequest = tokensPerRequest;
     this.seed = seed;
+    this.daemonFlags = List.copyOf(daemonFlags);
     this.jvmFlags = List.copyOf(jvmFlags);
   }
 
@@ -55,6 +63,7 @@
             .adapters(ADAPTERS)
             .engineSize(2 * ADAPTERS, 512)
             .engineFlags("--stream-micros", "20")
+            .daemonFlags(daemonFlags.toArray(String[]::new))
             .daemonJvmFlags(jvmFlags.toArray(String[]::new))
             .start()) {
       cluster.awaitServing(READY_LIMIT_MS);
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -30,6 +30,7 @@
       return common()
           .flag("rate", "65", "requests a second to each daemon; then three times that")
           .flag("tokens", "238", "tokens of an answer on average")
+          .flag("daemon-flags", "", "flags of the daemons, separated by spaces")
           .flag(
               "jvm",
               "-XX:TieredStopAtLevel=4",
@@ -44,7 +45,8 @@
               flags.integer("rate", 1, 10_000),
               flags.integer("tokens", 1, 10_000),
               flags.integer("seed", 0, Integer.MAX_VALUE),
-              List.of(flags.text("jvm").split(" ", -1)))
+              words(flags.text("daemon-flags")),
+              words(flags.text("jvm")))
           .run();
     }
   };
@@ -59,6 +61,10 @@
         .flag("seed", "1", "seed of the load");
   }
 
+  private static List<String> words(String text) {
+    return text.isBlank() ? List.of() : List.of(text.strip().split(" +", -1));
+  }
+
   /** Returns a line for each flag. */
   public String help() {
     return definition().help();
