Ask the holder before its key is called in progress

Cause of the red aKeyWhoseHomeIsKilledDoesNotRunAgain: a caller has its answer, and the home of its key is killed before the entry's Finish is kept by the second. The new home has the record as an open copy only, and called it KEY_IN_PROGRESS until the entry had read the new membership. Two ways led there: the Finish was on its way, or it was answered by a home whose copy to the second was lost with it; the entry had forgotten the outcome by then, and the key stayed open for the retention.

- a home that would say "in progress" asks the entry that holds the key; the entry answers Finish or StillOpen, and notes the end before its caller hears of it.
Two messages, only when one key is used twice at once
- Finish is answered once the second keeps the outcome
- a late Finish no longer undoes "ran" or "released"
- Finish is sent again with doubling pauses, and at once when the home moves.
At 100 ms without end, the not-run starts of a minute without a home were ten messages a second each; the fuzzed network showed it as a backlog of 2,000 to 16,000 messages and no starts at all
- a member's score is hashed once per ranking, not in each comparison

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.IdempotencyKey;
 import io.sequoiapass.coordination.request.LedgerMessage.Answer;
+import io.sequoiapass.coordination.request.LedgerMessage.AskHolder;
 import io.sequoiapass.coordination.request.LedgerMessage.AskRecords;
 import io.sequoiapass.coordination.request.LedgerMessage.Copied;
 import io.sequoiapass.coordination.request.LedgerMessage.Copy;
@@ -11,6 +12,7 @@
 import io.sequoiapass.coordination.request.LedgerMessage.Records;
 import io.sequoiapass.coordination.request.LedgerMessage.Reserve;
 import io.sequoiapass.coordination.request.LedgerMessage.Step;
+import io.sequoiapass.coordination.request.LedgerMessage.StillOpen;
 import io.sequoiapass.coordination.request.LedgerRecord.Holder;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -115,6 +117,8 @@
       markStart(from, start, nowMillis);
     } else if (message instanceof Finish finish) {
       finish(from, finish, nowMillis);
+    } else if (message instanceof StillOpen open) {
+      stillOpen(open, nowMillis);
     } else if (message instanceof Copy copy) {
       keepCopy(from, copy.record(), nowMillis);
     } else if (message instanceof Copied copied) {
@@ -135,6 +139,7 @@
       if (entry.waitedSince(nowMillis) >= settings.copyTimeoutMillis()) {
         refuseWaiting(entry, nowMillis);
       }
+      answerAskers(entry, nowMillis - settings.holderTimeoutMillis(), nowMillis);
     }
     if (nowMillis >= askAgainAt) {
       askAll(nowMillis);
@@ -165,6 +170,10 @@
       entry = null;
     }
     Optional<ErrorKind> refusal = refusal(entry, reserve, nowMillis);
+    if (refusal.filter(kind -> kind == ErrorKind.KEY_IN_PROGRESS).isPresent()) {
+      askHolder(entry, from, reserve.holder(), nowMillis);
+      return;
+    }
     if (refusal.isPresent()) {
       answer(from, key, reserve.holder(), Step.RESERVE, refusal);
       return;
@@ -202,6 +211,42 @@
         : Optional.of(record.state().refusal());
   }
 
+  /**
+   * Asks the holder before its key is called in progress. Its caller may have had the answer
+   * already while the word of it is still on its way, or was lost with the home before this one;
+   * the same caller would then hear that its finished work is under way. The holder notes the end
+   * before its caller hears of it, so its word is never behind what the caller knows.
+   */
+  private void askHolder(LedgerEntry entry, DaemonId from, Holder asker, long nowMillis) {
+    entry.awaitHolder(asker, from, nowMillis);
+    LedgerRecord record = entry.record();
+    sends.add(
+        new LedgerSend(
+            record.holder().entry().daemon(), new AskHolder(record.key(), record.holder(), asker)));
+  }
+
+  private void stillOpen(StillOpen open, long nowMillis) {
+    LedgerEntry entry = entries.get(open.key());
+    if (entry != null && entry.record().holder().equals(open.holder())) {
+      entry
+          .takeAsker(open.asker())
+          .ifPresent(daemon -> answerAsker(entry, open.asker(), daemon, nowMillis));
+    }
+  }
+
+  private void answerAsker(LedgerEntry entry, Holder asker, DaemonId daemon, long nowMillis) {
+    LedgerRecord record = entry.record();
+    boolean tells = record.state() != LedgerState.RELEASED && decides(record.key(), nowMillis);
+    ErrorKind refusal = tells ? record.state().refusal() : ErrorKind.LEDGER_UNAVAILABLE;
+    answer(daemon, record.key(), asker, Step.RESERVE, Optional.of(refusal));
+  }
+
+  private void answerAskers(LedgerEntry entry, long beforeMillis, long nowMillis) {
+    entry
+        .takeAskers(beforeMillis)
+        .forEach((asker, daemon) -> answerAsker(entry, asker, daemon, nowMillis));
+  }
+
   private void markStart(DaemonId from, MarkStart start, long nowMillis) {
     LedgerEntry entry = entries.get(start.key());
     boolean held =
@@ -226,10 +271,17 @@
       answer(from, finish.key(), finish.holder(), Step.FINISH, refusal);
       return;
     }
-    if (entry != null && entry.record().holder().equals(finish.holder())) {
-      change(entry, LedgerState.after(finish.outcome()), nowMillis);
+    if (entry == null || !entry.record().holder().equals(finish.holder())) {
+      answer(from, finish.key(), finish.holder(), Step.FINISH, Optional.empty());
+      return;
+    }
+    LedgerState ended = LedgerState.after(finish.outcome());
+    if (entry.record().state().yieldsTo(ended)) {
+      change(entry, ended, nowMillis);
     }
-    answer(from, finish.key(), finish.holder(), Step.FINISH, Optional.empty());
+    // Once it is answered the holder forgets it. If this home were lost before the second had the
+    // outcome, the key would be open until it expires, with nobody left who knows better.
+    copyOrAnswer(entry, from, Step.FINISH, nowMillis);
   }
 
   /** Answers at once if the current second has the copy, else when it has. */
@@ -265,6 +317,7 @@
   private void change(LedgerEntry entry, LedgerState state, long nowMillis) {
     refuseAll(entry);
     entry.change(state, ++lastSequence, nowMillis + settings.retentionMillis());
+    answerAskers(entry, Long.MAX_VALUE, nowMillis);
     sendCopy(entry, nowMillis);
   }
 
@@ -319,6 +372,7 @@
     if (known == null || known.record().sequence() < record.sequence()) {
       if (known != null) {
         refuseAll(known);
+        answerAskers(known, Long.MAX_VALUE, nowMillis);
       }
       entries.put(record.key(), LedgerEntry.copyOf(record, nowMillis));
     }
@@ -352,6 +406,7 @@
       IdempotencyKey key = entry.record().key();
       if (!isHome(key)) {
         refuseWaiting(entry, nowMillis);
+        answerAskers(entry, Long.MAX_VALUE, nowMillis);
         entry.disown();
       } else if (!entry.isCopiedTo(homes.second(key))) {
         sendCopy(entry, nowMillis);
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerEntry.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerEntry.java
@@ -2,7 +2,9 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.request.LedgerMessage.Step;
+import io.sequoiapass.coordination.request.LedgerRecord.Holder;
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -15,6 +17,9 @@
   private LedgerMember copyAt;
   private Map<Step, DaemonId> waiting = new EnumMap<>(Step.class);
   private long waitingSince;
+  private final Map<Holder, Asker> askers = new LinkedHashMap<>();
+
+  private record Asker(DaemonId entry, long since) {}
 
   private LedgerEntry(LedgerRecord record, boolean own, long nowMillis) {
     this.record = record;
@@ -87,6 +92,29 @@
     return waiting.containsKey(step);
   }
 
+  /** Notes that another reservation waits for the holder's word. */
+  void awaitHolder(Holder asker, DaemonId entry, long nowMillis) {
+    askers.putIfAbsent(asker, new Asker(entry, nowMillis));
+  }
+
+  /** Ends the wait of one reservation; empty if it does not wait. */
+  Optional<DaemonId> takeAsker(Holder asker) {
+    return Optional.ofNullable(askers.remove(asker)).map(Asker::entry);
+  }
+
+  /** Ends the wait of all reservations that began to wait before a time. */
+  Map<Holder, DaemonId> takeAskers(long beforeMillis) {
+    Map<Holder, DaemonId> taken = new LinkedHashMap<>();
+    askers.forEach(
+        (asker, waiting) -> {
+          if (waiting.since < beforeMillis) {
+            taken.put(asker, waiting.entry);
+          }
+        });
+    askers.keySet().removeAll(taken.keySet());
+    return taken;
+  }
+
   Map<Step, DaemonId> takeWaiting() {
     Map<Step, DaemonId> taken = waiting;
     waiting = new EnumMap<>(Step.class);
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerMessage.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerMessage.java
@@ -60,6 +60,27 @@
   record Answer(IdempotencyKey key, Holder holder, Step step, Optional<ErrorKind> refusal)
       implements LedgerMessage {}
 
+  /**
+   * Home to the entry that holds a key: how does it stand? Sent only when another asks for the key,
+   * so that requests with keys of their own cost no message more.
+   *
+   * @param key the key
+   * @param holder the reservation that has the key
+   * @param asker the reservation that wants it
+   */
+  record AskHolder(IdempotencyKey key, Holder holder, Holder asker) implements LedgerMessage {}
+
+  /**
+   * Entry to home, to {@link AskHolder}: it has not ended. One that has ended is answered by {@link
+   * Finish}.
+   *
+   * @param key the key
+   * @param holder the reservation that has the key
+   * @param asker the reservation that was asked for; the answer for an earlier one may be out of
+   *     date
+   */
+  record StillOpen(IdempotencyKey key, Holder holder, Holder asker) implements LedgerMessage {}
+
   /**
    * Home to second: keep this copy.
    *
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerState.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/LedgerState.java
@@ -35,6 +35,14 @@
     return this == RESERVED || this == STARTED;
   }
 
+  /**
+   * Returns whether the holder's word of its outcome changes this state. What ran stays run, and
+   * what was released was proved not to have started; a late message undoes neither.
+   */
+  boolean yieldsTo(LedgerState outcome) {
+    return isOpen() || (this == UNKNOWN && outcome != UNKNOWN);
+  }
+
   /** Returns the state that an outcome leaves. */
   static LedgerState after(OutcomeClass outcome) {
     return switch (outcome) {
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/Ranking.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/Ranking.java
@@ -26,12 +26,20 @@
   static Ranking rendezvous() {
     return (key, members) ->
         members.stream()
-            .sorted(
-                Comparator.comparingLong((DaemonId daemon) -> score(key, daemon))
-                    .thenComparing(Comparator.naturalOrder()))
+            .map(daemon -> new Scored(score(key, daemon), daemon))
+            .sorted(Comparator.comparingLong(Scored::score).thenComparing(Scored::daemon))
+            .map(Scored::daemon)
             .toList();
   }
 
+  /**
+   * Is a member with its score for one key, so that sorting does not hash it over and over.
+   *
+   * @param score the score
+   * @param daemon the member
+   */
+  record Scored(long score, DaemonId daemon) {}
+
   private static long score(String key, DaemonId daemon) {
     byte[] bytes = (key + '\n' + daemon).getBytes(StandardCharsets.UTF_8);
     return MurmurHash3.hash128x64(bytes)[0];
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/LedgerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/LedgerFrames.java
@@ -29,6 +29,8 @@
   private static final int COPIED = 6;
   private static final int ASK_RECORDS = 7;
   private static final int RECORDS = 8;
+  private static final int ASK_HOLDER = 9;
+  private static final int STILL_OPEN = 10;
 
   private LedgerFrames() {}
 
@@ -53,6 +55,12 @@
       write(out, answer.holder());
       out.packString(answer.step().name());
       out.packString(answer.refusal().map(ErrorKind::name).orElse(""));
+    } else if (message instanceof LedgerMessage.AskHolder ask) {
+      out.packInt(ASK_HOLDER);
+      write(out, ask.key(), ask.holder(), ask.asker());
+    } else if (message instanceof LedgerMessage.StillOpen open) {
+      out.packInt(STILL_OPEN);
+      write(out, open.key(), open.holder(), open.asker());
     } else {
       writeBetweenHomes(out, message);
     }
@@ -90,6 +98,13 @@
     }
   }
 
+  private static void write(MessagePacker out, IdempotencyKey key, Holder holder, Holder asker)
+      throws IOException {
+    out.packString(key.value());
+    write(out, holder);
+    write(out, asker);
+  }
+
   private static void write(MessagePacker out, LedgerMember member) throws IOException {
     out.packString(member.daemon().value());
     out.packLong(member.incarnation());
@@ -130,6 +145,8 @@
       case ANSWER ->
           new LedgerMessage.Answer(
               key(in), holder(in), in.constant(LedgerMessage.Step.class), refusal(in));
+      case ASK_HOLDER -> new LedgerMessage.AskHolder(key(in), holder(in), holder(in));
+      case STILL_OPEN -> new LedgerMessage.StillOpen(key(in), holder(in), holder(in));
       case COPY -> new LedgerMessage.Copy(record(in));
       case COPIED -> new LedgerMessage.Copied(member(in), key(in), in.longNumber());
       case ASK_RECORDS -> new LedgerMessage.AskRecords(member(in), in.longNumber());
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -93,6 +93,11 @@
 
   private static final long LEDGER_ASK_AGAIN_MS = 500;
 
+  /**
+   * Shorter than an entry waits for its key's home; an entry that lives answers in milliseconds.
+   */
+  private static final long LEDGER_HOLDER_TIMEOUT_MS = 2_000;
+
   /** Some 300 bytes each: 60 MB at most. */
   private static final int LEDGER_MAX_RECORDS = 200_000;
 
@@ -210,6 +215,7 @@
             retention / 2,
             LEDGER_SETTLE_MS,
             LEDGER_ASK_AGAIN_MS,
+            LEDGER_HOLDER_TIMEOUT_MS,
             LEDGER_ASK_AGAIN_MS,
             LEDGER_MAX_RECORDS),
         settings.ledgerFirstInstall(),
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ledger/KeyedStart.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ledger/KeyedStart.java
@@ -15,6 +15,9 @@
   /** A home that moves is asked again this often: it answers within a few milliseconds. */
   private static final long ASK_AGAIN_MS = 100;
 
+  /** The longest pause before an outcome that was not confirmed is sent again. */
+  private static final long MAX_PAUSE_MS = 6_400;
+
   /** A change of home takes a read of the membership; a caller should not wait longer for it. */
   private static final long START_LIMIT_MS = 4_000;
 
@@ -27,6 +30,7 @@
   private Step step;
   private OutcomeClass outcome;
   private Consumer<Optional<ErrorKind>> listener;
+  private long pauseMs = ASK_AGAIN_MS;
   private long sendAt;
   private long until;
 
@@ -47,6 +51,7 @@
   void begin(Consumer<Optional<ErrorKind>> answer, long nowMs, long deadlineMs) {
     listener = answer;
     step = Step.RESERVE;
+    pauseMs = ASK_AGAIN_MS;
     sendAt = nowMs;
     until = Math.min(deadlineMs, nowMs + START_LIMIT_MS);
   }
@@ -55,10 +60,16 @@
     listener = null;
     step = Step.FINISH;
     outcome = how;
+    pauseMs = ASK_AGAIN_MS;
     sendAt = nowMs;
     until = nowMs + FINISH_LIMIT_MS;
   }
 
+  /** Lets it be sent to a new home at once. */
+  void homeMoved(long nowMs) {
+    sendAt = Math.min(sendAt, nowMs);
+  }
+
   /** Returns whether it waits for an answer of the home. */
   boolean isWaiting() {
     return step != null;
@@ -77,7 +88,12 @@
   }
 
   LedgerMessage message(long nowMs) {
-    sendAt = nowMs + ASK_AGAIN_MS;
+    sendAt = nowMs + pauseMs;
+    if (isFinishing()) {
+      // Nobody waits for it: a home that needs it asks. At the full pace the unheard outcomes of a
+      // minute without a home would be thousands of messages a second.
+      pauseMs = Math.min(2 * pauseMs, MAX_PAUSE_MS);
+    }
     return switch (step) {
       case RESERVE -> new LedgerMessage.Reserve(key, digest, holder);
       case MARK_START -> new LedgerMessage.MarkStart(key, holder);
@@ -85,6 +101,13 @@
     };
   }
 
+  /** Returns what a home is told that asks how this stands. */
+  LedgerMessage standing(LedgerMessage.AskHolder ask) {
+    return isFinishing()
+        ? new LedgerMessage.Finish(key, holder, outcome)
+        : new LedgerMessage.StillOpen(key, holder, ask.asker());
+  }
+
   /** Takes that the step was done; returns true if the whole is. */
   boolean done(Step answered, long nowMs) {
     if (answered != step) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ledger/LedgerNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ledger/LedgerNode.java
@@ -134,7 +134,11 @@
     if (members.version() <= fedVersion) {
       return;
     }
-    homes = new LedgerHomes(ranking, members.members());
+    LedgerHomes next = new LedgerHomes(ranking, members.members());
+    if (!next.equals(homes)) {
+      homes = next;
+      starts.values().forEach(start -> start.homeMoved(now));
+    }
     if (members.isMember()) {
       if (members.createdIt() && firstInstall) {
         ledger.nothingBefore();
@@ -148,6 +152,8 @@
     long now = clock.millis();
     if (message instanceof LedgerMessage.Answer answer) {
       answered(answer, now);
+    } else if (message instanceof LedgerMessage.AskHolder ask) {
+      asked(from, ask);
     } else {
       outbox.addAll(ledger.receive(from, message, now));
     }
@@ -213,9 +219,24 @@
     }
   }
 
+  private void asked(DaemonId home, LedgerMessage.AskHolder ask) {
+    Optional<KeyedStart> start = start(ask.holder());
+    if (start.isPresent()) {
+      outbox.add(new LedgerSend(home, start.get().standing(ask)));
+    } else if (ask.holder().entry().equals(members.life())) {
+      // It has ended here, and what was known of its end was given up or is already kept: nobody
+      // but this entry could start it, so a home that holds it open may close it.
+      LedgerMessage ended = new LedgerMessage.Finish(ask.key(), ask.holder(), OutcomeClass.UNKNOWN);
+      outbox.add(new LedgerSend(home, ended));
+    }
+  }
+
+  private Optional<KeyedStart> start(Holder holder) {
+    return Optional.ofNullable(requests.get(holder)).map(starts::get);
+  }
+
   private void answered(LedgerMessage.Answer answer, long now) {
-    KeyedStart start =
-        Optional.ofNullable(requests.get(answer.holder())).map(starts::get).orElse(null);
+    KeyedStart start = start(answer.holder()).orElse(null);
     if (start == null || !start.isWaiting()) {
       return;
     }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -45,6 +45,8 @@
   private static final LedgerMember MEMBER = new LedgerMember(new DaemonId("d1"), 7);
   private static final LedgerRecord.Holder HOLDER =
       new LedgerRecord.Holder(MEMBER, new OperationId("r~d1.1"));
+  private static final LedgerRecord.Holder OTHER_HOLDER =
+      new LedgerRecord.Holder(MEMBER, new OperationId("r~d1.2"));
   private static final LedgerRecord RECORD =
       new LedgerRecord(KEY, "digest", HOLDER, LedgerState.STARTED, 3, 500);
 
@@ -95,6 +97,8 @@
             new LedgerMessage.Answer(
                 KEY, HOLDER, LedgerMessage.Step.RESERVE, Optional.of(ErrorKind.KEY_REUSED))),
         ledger(new LedgerMessage.Answer(KEY, HOLDER, LedgerMessage.Step.FINISH, Optional.empty())),
+        ledger(new LedgerMessage.AskHolder(KEY, HOLDER, OTHER_HOLDER)),
+        ledger(new LedgerMessage.StillOpen(KEY, HOLDER, OTHER_HOLDER)),
         ledger(new LedgerMessage.Copy(RECORD)),
         ledger(new LedgerMessage.Copied(MEMBER, KEY, 4)),
         ledger(new LedgerMessage.AskRecords(MEMBER, 12)),
