--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonView.java
@@ -0,0 +1,78 @@
+package io.sequoiapass.daemon.process;
+
+import com.codahale.metrics.MetricRegistry;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.daemon.process.entry.Entries;
+import io.sequoiapass.daemon.process.owner.Owner;
+import io.sequoiapass.daemon.process.ownership.OwnershipNode;
+import io.sequoiapass.daemon.process.timeline.Timeline;
+import io.sequoiapass.daemon.process.timeline.TimelineQuery;
+import io.sequoiapass.daemon.version.ConfigurationNode;
+
+/**
+ * Shows a daemon to operators.
+ *
+ * @param daemon its name
+ * @param dataCentre where it runs
+ * @param incarnation its process's number
+ * @param registry its metrics
+ * @param timeline its events
+ * @param configuration its configuration
+ * @param ownership its lease and endpoints
+ * @param entries requests under way
+ * @param owner attempts under way
+ * @param rounds tells whether owners are reached
+ * @param stop its planned stop
+ */
+record DaemonView(
+    DaemonId daemon,
+    DataCentreId dataCentre,
+    long incarnation,
+    MetricRegistry registry,
+    Timeline timeline,
+    ConfigurationNode configuration,
+    OwnershipNode ownership,
+    Entries entries,
+    Owner owner,
+    ControlRounds rounds,
+    PlannedStop stop)
+    implements OperatorView {
+
+  @Override
+  public boolean ready() {
+    return stop.phase().isReady() && configuration.ready() && rounds.reachesOwners();
+  }
+
+  @Override
+  public String metrics() {
+    return MetricsJson.of(registry);
+  }
+
+  @Override
+  public String status() {
+    return new StatusReport(
+            daemon.value(),
+            dataCentre.value(),
+            incarnation,
+            ready(),
+            stop.phase() != StopSequence.Phase.SERVING,
+            ownership.standing().name(),
+            ownership.owned(),
+            configuration.snapshot().revision(),
+            configuration.preset().name(),
+            entries.size(),
+            owner.size())
+        .json();
+  }
+
+  @Override
+  public String timeline(TimelineQuery query) {
+    return timeline.json(query);
+  }
+
+  @Override
+  public void drain() {
+    stop.begin();
+  }
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -15,7 +15,6 @@
 import io.sequoiapass.coordination.request.LedgerSettings;
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.request.RetryBudget;
-import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpServer;
 import io.sequoiapass.daemon.connection.engine.EngineClient;
@@ -44,9 +43,6 @@
 import io.sequoiapass.daemon.process.placement.PlacementSettings;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
-import io.sequoiapass.daemon.process.timeline.TimelineEvent;
-import io.sequoiapass.daemon.process.timeline.TimelineKind;
-import io.sequoiapass.daemon.process.timeline.TimelineQuery;
 import io.sequoiapass.daemon.request.CallerRequest;
 import io.sequoiapass.daemon.request.CallerRequestParser;
 import io.sequoiapass.daemon.request.RequestIds;
@@ -57,10 +53,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 /**
@@ -82,9 +75,6 @@
   /** Bounds what a change of owner adds to a takeover, and costs little of a core. */
   private static final long CONTROL_ROUND_MS = 50;
 
-  /** Heartbeats to other data centres are this much rarer: they only show changed tables. */
-  private static final int REMOTE_HEARTBEATS = 4;
-
   /** What a balancer that looks every second needs to see that this daemon leaves. */
   private static final long STOP_GRACE_MS = 2_500;
 
@@ -98,9 +88,6 @@
 
   private static final long SHUTDOWN_MS = 1_000;
 
-  /** A daemon whose peers are dead, or that starts alone in an outage, serves what it can. */
-  private static final long REACH_WAIT_MS = 5_000;
-
   private static final double RETRY_BURST = 20;
   private static final double PERCENT = 100.0;
 
@@ -124,11 +111,8 @@
   private final LocalLink local;
   private final OwnershipNode ownership;
   private final LedgerNode ledger;
-  private final StopSequence stop;
-  private final CountDownLatch stopped = new CountDownLatch(1);
-  private final long startedAt = clock.millis();
-  private volatile boolean reachesOwners;
-  private int heartbeats;
+  private final PlannedStop stop;
+  private final ControlRounds rounds;
   private HttpServer callers;
   private HttpServer operators;
 
@@ -169,7 +153,18 @@
             peers,
             events);
     this.ledger = ledger(platform);
-    this.stop = new StopSequence(STOP_GRACE_MS, settings.drainLimitMs());
+    this.stop =
+        new PlannedStop(
+            new StopSequence(STOP_GRACE_MS, settings.drainLimitMs()),
+            clock,
+            entries,
+            owner,
+            ownership,
+            ledger,
+            timeline);
+    this.rounds =
+        new ControlRounds(
+            settings.dataCentre(), clock, configuration, ownership, owner, peers, ledger, stop);
   }
 
   /**
@@ -242,15 +237,29 @@
         new PeerMessage.Hello(settings.daemon(), settings.dataCentre(), incarnation);
     peers.start(new PeerLinks(transport, group, hello, peers), settings.peers());
     operators =
-        HttpServer.builder(operatorGroup, new OperatorHandler(new View()))
+        HttpServer.builder(
+                operatorGroup,
+                new OperatorHandler(
+                    new DaemonView(
+                        settings.daemon(),
+                        settings.dataCentre(),
+                        incarnation,
+                        metrics,
+                        timeline,
+                        configuration,
+                        ownership,
+                        entries,
+                        owner,
+                        rounds,
+                        stop)))
             .start(address(settings.operatorPort()));
     callers =
         HttpServer.builder(group, callerHandler())
             .maxBodyBytes(settings.maxBodyBytes())
             .start(address(settings.callerPort()));
     every(REQUEST_ROUND_MS, "request round", this::requestRound);
-    every(CONTROL_ROUND_MS, "control round", this::controlRound);
-    every(settings.heartbeatIntervalMs(), "heartbeat", this::heartbeatRound);
+    every(CONTROL_ROUND_MS, "control round", rounds::control);
+    every(settings.heartbeatIntervalMs(), "heartbeat", rounds::heartbeat);
     System.out.println(
         "ready caller=" + callers.port() + " operator=" + operators.port() + " peer=" + peerPort);
     EventLog.log(LogEvent.READY, settings.daemon(), callers.port());
@@ -268,7 +277,7 @@
   }
 
   private Optional<ErrorKind> closed() {
-    if (!phase().isAccepting()) {
+    if (!stop.phase().isAccepting()) {
       return Optional.of(ErrorKind.DRAINING);
     }
     return configuration.ready() ? Optional.empty() : Optional.of(ErrorKind.NO_CONFIGURATION);
@@ -298,73 +307,9 @@
     owner.tick();
   }
 
-  private void controlRound() {
-    configuration.tick(ownership.alive());
-    ConfigurationSnapshot snapshot = configuration.snapshot();
-    ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
-    owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
-    owner.pauses(ownership.handingOver());
-    // A fresh daemon that shows readiness before it knows the owners and is connected to them
-    // refuses what the balancer sends it at once. Both come within moments; a peer that is dead
-    // does not.
-    reachesOwners |=
-        peers.reaches(ownership.owners()) || clock.millis() - startedAt >= REACH_WAIT_MS;
-    if (ownership.isHeartbeatDue()) {
-      peers.neighbours().forEach(this::beat);
-    }
-    ledger.tick();
-    stopRound();
-  }
-
-  private void heartbeatRound() {
-    peers.neighbours().forEach(this::beat);
-    if (heartbeats++ % REMOTE_HEARTBEATS == 0) {
-      peers.remotes().forEach(this::beat);
-    }
-  }
-
-  private void beat(DaemonId peer) {
-    peers.send(peer, ownership.heartbeat(peer, configuration.root(), 0));
-  }
-
-  // Stopping.
-
-  private StopSequence.Phase phase() {
-    synchronized (stop) {
-      return stop.phase();
-    }
-  }
-
-  private void stopRound() {
-    StopSequence.Phase before;
-    StopSequence.Phase after;
-    int underWay = entries.size() + owner.size();
-    if (phase() != StopSequence.Phase.SERVING && entries.size() == 0) {
-      // Not before: the record of a member's request is closed when the member leaves.
-      ledger.leave();
-    }
-    synchronized (stop) {
-      before = stop.phase();
-      stop.tick(clock.millis(), underWay, ownership.hasSuccessor() ? ownership.owned() : 0);
-      after = stop.phase();
-    }
-    if (before != after && after == StopSequence.Phase.STOPPED) {
-      EventLog.log(LogEvent.STOPPED, underWay);
-      stopped.countDown();
-    }
-  }
-
   /** Begins a planned stop: nothing under way is cut off, and everything owned is handed over. */
   public void drain() {
-    synchronized (stop) {
-      if (stop.phase() != StopSequence.Phase.SERVING) {
-        return;
-      }
-      stop.begin(clock.millis());
-    }
-    EventLog.log(LogEvent.DRAINING, entries.size() + owner.size());
-    timeline.record(TimelineEvent.of(TimelineKind.DRAINING).build());
-    ownership.drain();
+    stop.begin();
   }
 
   /**
@@ -373,8 +318,8 @@
    * @throws InterruptedException if the thread is interrupted
    */
   public void awaitStop() throws InterruptedException {
-    stopped.await();
-    releaseLease();
+    stop.await();
+    stop.releaseLease(SHUTDOWN_MS);
     peers.stop();
     callers.close();
     operators.close();
@@ -382,15 +327,6 @@
     group.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
   }
 
-  private void releaseLease() throws InterruptedException {
-    try {
-      ownership.release().get(SHUTDOWN_MS, TimeUnit.MILLISECONDS);
-    } catch (ExecutionException | TimeoutException notReleased) {
-      // It runs out by itself; only the next process under this name waits for that.
-      EventLog.log(LogEvent.PLATFORM_UNREACHABLE, String.valueOf(notReleased.getMessage()));
-    }
-  }
-
   /** Asks the ownership part, which is made after the owner. */
   private final class Gate implements OrderGate {
 
@@ -448,45 +384,4 @@
       ledger.finished(request, outcome);
     }
   }
-
-  /** Shows the daemon to operators. */
-  private final class View implements OperatorView {
-
-    @Override
-    public boolean ready() {
-      return phase().isReady() && configuration.ready() && reachesOwners;
-    }
-
-    @Override
-    public String metrics() {
-      return MetricsJson.of(metrics);
-    }
-
-    @Override
-    public String status() {
-      return new StatusReport(
-              settings.daemon().value(),
-              settings.dataCentre().value(),
-              incarnation,
-              ready(),
-              phase() != StopSequence.Phase.SERVING,
-              ownership.standing().name(),
-              ownership.owned(),
-              configuration.snapshot().revision(),
-              configuration.preset().name(),
-              entries.size(),
-              owner.size())
-          .json();
-    }
-
-    @Override
-    public String timeline(TimelineQuery query) {
-      return timeline.json(query);
-    }
-
-    @Override
-    public void drain() {
-      EntryDaemon.this.drain();
-    }
-  }
 }
