Ownership tables travel as deltas; OwnershipNode split along its jobs; ./run measure control

The writer of a table sends only what changed, on the connections in both directions as before. A daemon that lacks the base asks one peer at a time, on its control round; the answer is the joined deltas, or the whole table for who is more than 16 changes behind. Before, each of 16 neighbours whose heartbeat showed a newer version was asked, and each sent the table whole.

Frames of control are counted beside their bytes, so that packet headers can be added.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
@@ -2,13 +2,8 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
-import io.sequoiapass.coordination.EndpointId;
-import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
 import java.io.IOException;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import org.msgpack.core.MessagePacker;
 
 /** Writes and reads the fields of control frames, which are about no request. */
@@ -36,7 +31,9 @@
         out.packLong(sum);
       }
     } else if (message instanceof PeerMessage.TablePush push) {
-      writeTable(out, push);
+      TableFrames.writeTable(out, push);
+    } else if (message instanceof PeerMessage.TableDelta push) {
+      TableFrames.writeDelta(out, push);
     } else if (message instanceof PeerMessage.TableRequest request) {
       out.packLong(request.knownVersion());
     } else if (message instanceof PeerMessage.RelayCall call) {
@@ -68,22 +65,6 @@
     out.packInt(beat.weightDemand());
   }
 
-  private static void writeTable(MessagePacker out, PeerMessage.TablePush push) throws IOException {
-    OwnershipTable table = push.table();
-    out.packString(push.dataCentre().value());
-    out.packLong(table.version());
-    out.packLong(table.epoch());
-    out.packArrayHeader(table.daemons().size());
-    for (DaemonId daemon : table.daemons()) {
-      out.packString(daemon.value());
-      out.packLong(table.incarnation(daemon));
-      out.packArrayHeader(table.ownedBy(daemon).size());
-      for (EndpointId endpoint : table.ownedBy(daemon)) {
-        out.packString(endpoint.value());
-      }
-    }
-  }
-
   static PeerMessage readHello(FrameReader in) throws IOException {
     return new PeerMessage.Hello(
         new DaemonId(in.text()), new DataCentreId(in.text()), in.longNumber());
@@ -103,27 +84,6 @@
     return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
   }
 
-  static PeerMessage readTablePush(FrameReader in) throws IOException, PeerFrameException {
-    DataCentreId dataCentre = new DataCentreId(in.text());
-    long version = in.longNumber();
-    long epoch = in.longNumber();
-    Map<EndpointId, DaemonId> owners = new TreeMap<>();
-    Map<DaemonId, Long> incarnations = new TreeMap<>();
-    for (Share share : in.list(ControlFrames::readShare)) {
-      incarnations.put(share.daemon(), share.incarnation());
-      share.endpoints().forEach(endpoint -> owners.put(endpoint, share.daemon()));
-    }
-    return new PeerMessage.TablePush(
-        dataCentre, OwnershipTable.of(version, epoch, owners, incarnations));
-  }
-
-  private static Share readShare(FrameReader in) throws IOException, PeerFrameException {
-    return new Share(
-        new DaemonId(in.text()),
-        in.longNumber(),
-        in.list(element -> new EndpointId(element.text())));
-  }
-
   static PeerMessage readRelayCall(FrameReader in) throws IOException {
     return new PeerMessage.RelayCall(in.longNumber(), in.text(), in.longNumber(), in.text());
   }
@@ -136,7 +96,4 @@
         in.text(),
         in.text());
   }
-
-  /** Is what one daemon owns. */
-  private record Share(DaemonId daemon, long incarnation, List<EndpointId> endpoints) {}
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/NettyPeerChannel.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/NettyPeerChannel.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.daemon.connection.peer;
 
-import com.codahale.metrics.Counter;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 
@@ -8,13 +7,11 @@
 final class NettyPeerChannel implements PeerChannel {
 
   private final Channel channel;
-  private final Counter controlBytes;
-  private final Counter dataBytes;
+  private final PeerCounters counters;
 
-  NettyPeerChannel(Channel channel, Counter controlBytes, Counter dataBytes) {
+  NettyPeerChannel(Channel channel, PeerCounters counters) {
     this.channel = channel;
-    this.controlBytes = controlBytes;
-    this.dataBytes = dataBytes;
+    this.counters = counters;
   }
 
   @Override
@@ -23,8 +20,7 @@
       return false;
     }
     byte[] frame = PeerFrames.encode(message);
-    Counter counter = message instanceof PeerMessage.OfAttempt ? dataBytes : controlBytes;
-    counter.inc(frame.length);
+    counters.sent(message, frame.length);
     channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
     return true;
   }
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerCounters.java
@@ -0,0 +1,27 @@
+package io.sequoiapass.daemon.connection.peer;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+
+/** Counts what is sent to peers, control apart from data; safe for use by several threads. */
+final class PeerCounters {
+
+  private final Counter controlBytes;
+  private final Counter controlFrames;
+  private final Counter dataBytes;
+
+  PeerCounters(MetricRegistry metrics) {
+    this.controlBytes = metrics.counter("peer.control.bytes");
+    this.controlFrames = metrics.counter("peer.control.frames");
+    this.dataBytes = metrics.counter("peer.data.bytes");
+  }
+
+  void sent(PeerMessage message, int bytes) {
+    if (message instanceof PeerMessage.OfAttempt) {
+      dataBytes.inc(bytes);
+    } else {
+      controlBytes.inc(bytes);
+      controlFrames.inc();
+    }
+  }
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.OwnershipDelta;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
@@ -304,7 +305,20 @@
   }
 
   /**
-   * Asks a peer for the ownership table of its data centre.
+   * Carries what changed in the ownership table of a data centre.
+   *
+   * @param dataCentre the data centre
+   * @param delta what changed
+   */
+  record TableDelta(DataCentreId dataCentre, OwnershipDelta delta) implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.TABLE_DELTA;
+    }
+  }
+
+  /**
+   * Asks a peer for what is newer in the ownership table of its data centre.
    *
    * @param knownVersion the version that the sender holds
    */
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -34,7 +34,7 @@
   /** See {@link PeerMessage.ObjectsRequest}. */
   OBJECTS_REQUEST(14, in -> new PeerMessage.ObjectsRequest(in.list(FrameReader::longNumber))),
   /** See {@link PeerMessage.TablePush}. */
-  TABLE_PUSH(15, ControlFrames::readTablePush),
+  TABLE_PUSH(15, TableFrames::readTable),
   /** See {@link PeerMessage.TableRequest}. */
   TABLE_REQUEST(16, in -> new PeerMessage.TableRequest(in.longNumber())),
   /** See {@link PeerMessage.RelayCall}. */
@@ -44,7 +44,9 @@
   /** See {@link PeerMessage.Started}. */
   STARTED(19, in -> new PeerMessage.Started(in.attempt(), new EndpointId(in.text()))),
   /** See {@link PeerMessage.Ledger}. */
-  LEDGER(20, LedgerFrames::read);
+  LEDGER(20, LedgerFrames::read),
+  /** See {@link PeerMessage.TableDelta}. */
+  TABLE_DELTA(21, TableFrames::readDelta);
 
   /** Reads the fields of one frame. */
   @FunctionalInterface
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerTransport.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.daemon.connection.peer;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -47,13 +46,11 @@
   private static final int CONNECT_TIMEOUT_MS = 500;
 
   private final EventLoopGroup group;
-  private final Counter controlBytes;
-  private final Counter dataBytes;
+  private final PeerCounters counters;
 
   private PeerTransport(EventLoopGroup group, MetricRegistry metrics) {
     this.group = Objects.requireNonNull(group, "group");
-    this.controlBytes = metrics.counter("peer.control.bytes");
-    this.dataBytes = metrics.counter("peer.data.bytes");
+    this.counters = new PeerCounters(metrics);
   }
 
   /**
@@ -108,7 +105,7 @@
     opening.addListener(
         done -> {
           if (!done.isSuccess()) {
-            listener.closed(new NettyPeerChannel(opening.channel(), controlBytes, dataBytes));
+            listener.closed(new NettyPeerChannel(opening.channel(), counters));
           }
         });
   }
@@ -129,6 +126,6 @@
         .addLast(
             new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-        .addLast(new PeerHandler(new NettyPeerChannel(channel, controlBytes, dataBytes), listener));
+        .addLast(new PeerHandler(new NettyPeerChannel(channel, counters), listener));
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
@@ -76,11 +76,7 @@
 
   @Override
   public List<DaemonId> neighbours() {
-    return known.values().stream()
-        .filter(peer -> peer.dataCentre().equals(dataCentre))
-        .map(PeerAddress::daemon)
-        .sorted()
-        .toList();
+    return daemonsOf(dataCentre);
   }
 
   /** Returns the daemons of other data centres. */
@@ -100,7 +96,16 @@
   }
 
   @Override
-  public void broadcastTable(PeerMessage.TablePush push) {
+  public List<DaemonId> daemonsOf(DataCentreId wanted) {
+    return known.values().stream()
+        .filter(peer -> peer.dataCentre().equals(wanted))
+        .map(PeerAddress::daemon)
+        .sorted()
+        .toList();
+  }
+
+  @Override
+  public void broadcastTable(PeerMessage.TableDelta push) {
     known.keySet().forEach(peer -> send(peer, push));
     accepted.forEach(channel -> channel.send(push));
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -6,9 +6,6 @@
 import io.sequoiapass.coordination.FencingNumber;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.OperationId;
-import io.sequoiapass.coordination.process.Candidate;
-import io.sequoiapass.coordination.process.DeputyRule;
-import io.sequoiapass.coordination.process.FencePolicy;
 import io.sequoiapass.coordination.process.LeaseAction;
 import io.sequoiapass.coordination.process.LeaseKeeper;
 import io.sequoiapass.coordination.process.LeaseObserver;
@@ -19,11 +16,7 @@
 import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.process.OwnershipPlanner;
 import io.sequoiapass.coordination.process.OwnershipProposal;
-import io.sequoiapass.coordination.process.OwnershipSettings;
-import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformContact;
-import io.sequoiapass.coordination.process.PlatformReport;
-import io.sequoiapass.coordination.process.ServingRole;
 import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.coordination.version.WriteAnswer;
@@ -33,18 +26,15 @@
 import io.sequoiapass.daemon.process.owner.OrderGate;
 import java.security.SecureRandom;
 import java.util.Collection;
-import java.util.EnumSet;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
 
 /**
  * Keeps this daemon's lease, hears its peers, and takes part in its data centre's ownership table.
@@ -55,39 +45,27 @@
  */
 public final class OwnershipNode implements OrderGate, LedgerLeases {
 
-  private static final String LEASE = "lease";
-  private static final String OWNERSHIP = "ownership";
-  private static final double EQUAL_WEIGHT = 1.0;
-
-  /** A peer never heard from echoes no time of ours: older than any report that is believed. */
-  private static final long NEVER = Long.MIN_VALUE / 2;
-
   private final ReentrantLock lock = new ReentrantLock();
   private final OwnershipTimes times;
   private final DaemonId self;
   private final DataCentreId dataCentre;
   private final MillisClock clock;
-  private final PlatformClient platform;
   private final OwnershipPeers peers;
   private final OwnershipListener listener;
+  private final OwnershipDecisions decisions;
+  private final OwnershipTables tables;
   private final PlatformContact contact;
   private final Membership membership;
   private final LeaseObserver observer;
   private final LeaseKeeper keeper;
   private final OwnershipPlanner planner;
-  private final DeputyRule deputies;
   private final Relays relays;
-  private final Map<DaemonId, Long> echoes = new HashMap<>();
-  private final Map<DataCentreId, OwnershipTable> remoteTables = new ConcurrentHashMap<>();
-  private volatile OwnershipTable announced = OwnershipTable.EMPTY;
+  private final Heartbeats heartbeats;
+  private final OwnershipCalls calls;
   private LeaseStanding lastStanding = LeaseStanding.NOT_HELD;
   private long nextTableReadAt = Long.MIN_VALUE;
   private boolean readingTable;
   private boolean draining;
-  private long renewalTold;
-  private ConfigurationSnapshot lastSnapshot;
-  private Set<EndpointId> endpoints = Set.of();
-  private Map<EndpointId, FencePolicy> fences = Map.of();
 
   /**
    * Makes a node that holds no lease and knows no table.
@@ -110,7 +88,6 @@
     this.self = identity.daemon();
     this.dataCentre = identity.dataCentre();
     this.clock = Objects.requireNonNull(clock, "clock");
-    this.platform = Objects.requireNonNull(platform, "platform");
     this.peers = Objects.requireNonNull(peers, "peers");
     this.listener = Objects.requireNonNull(listener, "listener");
     long now = clock.millis();
@@ -118,22 +95,15 @@
     // each take the other's write for its own, so the seed has to differ even between two that
     // start in the same millisecond.
     SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
-    this.contact = PlatformContact.create(times.lease(), now);
-    this.membership = Membership.create(times.membership(), now);
-    this.observer = LeaseObserver.create(times.lease(), contact);
-    this.keeper =
-        LeaseKeeper.create(
-            times.lease(),
-            self,
-            identity.peerAddress(),
-            identity.incarnation(),
-            random.split(),
-            contact,
-            now);
-    this.planner =
-        OwnershipPlanner.create(
-            OwnershipSettings.DEFAULT, dataCentre, self, observer, random.split());
-    this.deputies = DeputyRule.create(self);
+    this.decisions = new OwnershipDecisions(identity, times, random, now);
+    this.contact = decisions.contact();
+    this.membership = decisions.membership();
+    this.observer = decisions.observer();
+    this.keeper = decisions.keeper();
+    this.planner = decisions.planner();
+    this.tables = new OwnershipTables(identity, peers, listener);
+    this.heartbeats = new Heartbeats(decisions);
+    this.calls = new OwnershipCalls(platform, dataCentre);
     this.relays = new Relays(platform, peers, clock);
   }
 
@@ -149,76 +119,28 @@
     locked(
         () -> {
           long now = clock.millis();
-          endpointsAre(snapshot);
+          decisions.endpointsAre(snapshot);
           keeper.dataCentreIs(new TreeSet<>(peers.neighbours()));
           keeper.tick(now).ifPresent(this::call);
           peers.neighbours().forEach(peer -> membership.learned(now, peer));
           membership.tick(now).forEach(this::changed);
           readTable(now);
           keeper.tableSeen(planner.table().version());
-          planner.candidatesAre(now, keeper.incarnation(), candidates(now));
+          planner.candidatesAre(now, keeper.incarnation(), decisions.candidates(now));
           planner.leasesToCheck(now).forEach(this::readLease);
-          proposal(now, plannedMoves).ifPresent(this::write);
+          decisions.proposal(now, plannedMoves, draining).ifPresent(this::write);
           announce();
+          tables.tick(now);
         });
   }
 
-  private void endpointsAre(ConfigurationSnapshot snapshot) {
-    if (snapshot == lastSnapshot) {
-      return;
-    }
-    lastSnapshot = snapshot;
-    Set<EndpointId> known = new TreeSet<>();
-    Map<EndpointId, FencePolicy> policies = new HashMap<>();
-    for (EndpointRecord endpoint : snapshot.endpoints(dataCentre)) {
-      known.add(endpoint.id());
-      policies.put(endpoint.id(), endpoint.fencePolicy());
-    }
-    endpoints = known;
-    fences = policies;
-    planner.endpointsAre(known);
-  }
-
-  private Map<DaemonId, Candidate> candidates(long now) {
-    Map<DaemonId, Candidate> found = new HashMap<>();
-    membership.candidates().stream()
-        .filter(peer -> observer.isLive(now, peer))
-        .forEach(
-            peer -> found.put(peer, new Candidate(EQUAL_WEIGHT, membership.incarnation(peer))));
-    if (keeper.isCandidate(now)) {
-      found.put(self, new Candidate(EQUAL_WEIGHT, keeper.incarnation()));
-    }
-    return found;
-  }
-
-  private Optional<OwnershipProposal> proposal(long now, boolean plannedMoves) {
-    Optional<OwnershipProposal> found = planner.retry(now);
-    if (found.isEmpty() && (keeper.needsTable(now) || planner.needsConfirmation())) {
-      found = planner.confirm(now);
-    }
-    if (found.isEmpty()) {
-      found = planner.takeOver(now);
-    }
-    if (found.isPresent() || !keeper.mayHandOver(now)) {
-      return found;
-    }
-    if (draining) {
-      return planner.handOver(now, endpoints);
-    }
-    return plannedMoves ? planner.rebalance(now) : Optional.empty();
-  }
-
   private void announce() {
     LeaseStanding standing = keeper.standing(clock.millis());
     if (standing != lastStanding) {
       lastStanding = standing;
       listener.leaseStands(standing);
     }
-    OwnershipTable table = planner.table();
-    if (table.version() > announced.version()) {
-      announced = table;
-      listener.tableChanged(dataCentre, table);
-    }
+    tables.known(planner.table());
   }
 
   private void changed(MembershipChange change) {
@@ -243,16 +165,16 @@
     }
     readingTable = true;
     nextTableReadAt = now + times.tableReadMs();
-    platform
-        .read(OWNERSHIP, dataCentre.value())
+    calls
+        .readTable()
         .whenComplete(
-            (stored, failure) ->
+            (table, failure) ->
                 locked(
                     () -> {
                       readingTable = false;
                       if (failure == null) {
                         contact.succeeded(clock.millis());
-                        planner.tableSeen(clock.millis(), LeaseCodec.table(stored));
+                        planner.tableSeen(clock.millis(), table);
                         announce();
                       }
                     }));
@@ -260,30 +182,22 @@
 
   private void readLease(DaemonId holder) {
     long sentAt = clock.millis();
-    platform
-        .read(LEASE, holder.value())
+    calls
+        .readLeaseVersion(holder)
         .whenComplete(
-            (stored, failure) ->
+            (version, failure) ->
                 locked(
                     () -> {
                       if (failure == null) {
                         long now = clock.millis();
                         contact.succeeded(now);
-                        long version = stored.map(found -> found.version()).orElse(0L);
                         observer.leaseRead(sentAt, now, holder, version);
                       }
                     }));
   }
 
   private void write(OwnershipProposal proposal) {
-    platform
-        .put(
-            OWNERSHIP,
-            dataCentre.value(),
-            LeaseCodec.json(proposal.table()),
-            proposal.expectedVersion(),
-            proposal.operation())
-        .thenAccept(answer -> locked(() -> written(proposal.operation(), answer)));
+    calls.write(proposal).thenAccept(answer -> locked(() -> written(proposal.operation(), answer)));
   }
 
   private void written(OperationId operation, WriteAnswer answer) {
@@ -291,10 +205,7 @@
       contact.succeeded(clock.millis());
     }
     planner.answered(clock.millis(), operation, answer);
-    if (planner.table().version() > announced.version()) {
-      announce();
-      peers.broadcastTable(new PeerMessage.TablePush(dataCentre, planner.table()));
-    }
+    tables.known(planner.table()).ifPresent(tables::broadcast);
     if (answer instanceof WriteAnswer.Conflict) {
       nextTableReadAt = Long.MIN_VALUE;
     }
@@ -310,21 +221,8 @@
    * @param weightDemand how many loads this daemon waits for
    */
   public PeerMessage.Heartbeat heartbeat(DaemonId peer, long configuration, int weightDemand) {
-    lock.lock();
-    try {
-      long now = clock.millis();
-      PlatformReport report =
-          new PlatformReport(
-              contact.isOut(now) && !planner.isWritePending(),
-              planner.table().version(),
-              keeper.version(),
-              echoes.getOrDefault(peer, NEVER));
-      renewalTold = keeper.version();
-      return new PeerMessage.Heartbeat(
-          keeper.incarnation(), draining, configuration, report, now, weightDemand);
-    } finally {
-      lock.unlock();
-    }
+    return reading(
+        () -> heartbeats.write(clock.millis(), peer, draining, configuration, weightDemand));
   }
 
   /**
@@ -333,12 +231,7 @@
    * daemon is silent, which starts the lease anew and delays the takeover.
    */
   public boolean isHeartbeatDue() {
-    lock.lock();
-    try {
-      return keeper.version() != renewalTold;
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> heartbeats.isDue());
   }
 
   /**
@@ -351,12 +244,11 @@
     if (message instanceof PeerMessage.Heartbeat beat) {
       locked(() -> heard(peer, beat));
     } else if (message instanceof PeerMessage.TablePush push) {
-      locked(() -> tableSeen(push));
+      locked(() -> tableLearned(tables.received(push)));
+    } else if (message instanceof PeerMessage.TableDelta push) {
+      locked(() -> tableLearned(tables.received(push)));
     } else if (message instanceof PeerMessage.TableRequest request) {
-      OwnershipTable table = announced;
-      if (table.version() > request.knownVersion()) {
-        peers.send(peer, new PeerMessage.TablePush(dataCentre, table));
-      }
+      locked(() -> tables.asked(peer, request.knownVersion()));
     } else if (message instanceof PeerMessage.RelayCall call) {
       relays.serve(peer, call);
     } else if (message instanceof PeerMessage.RelayAnswer answer) {
@@ -365,45 +257,22 @@
   }
 
   private void heard(DaemonId peer, PeerMessage.Heartbeat beat) {
-    long now = clock.millis();
-    if (!peers.isNeighbour(peer)) {
-      OwnershipTable known = tableOf(peers.dataCentreOf(peer));
-      if (beat.platform().tableVersion() > known.version()) {
-        peers.send(peer, new PeerMessage.TableRequest(known.version()));
-      }
-      return;
-    }
-    MemberState said = beat.draining() ? MemberState.DRAINING : MemberState.ALIVE;
-    membership.heartbeatReceived(now, peer, beat.incarnation(), said).ifPresent(this::changed);
-    keeper.peerReported(peer, beat.platform());
-    observer.heartbeatCarried(now, peer, beat.platform().leaseVersion());
-    echoes.merge(peer, beat.sentMs(), Math::max);
-    if (beat.platform().tableVersion() > planner.table().version()) {
-      peers.send(peer, new PeerMessage.TableRequest(planner.table().version()));
+    tables.versionSeen(peer, beat.platform().tableVersion());
+    if (peers.isNeighbour(peer)) {
+      heartbeats.heard(clock.millis(), peer, beat).ifPresent(this::changed);
     }
   }
 
-  private void tableSeen(PeerMessage.TablePush push) {
-    if (push.dataCentre().equals(dataCentre)) {
-      planner.tableSeen(clock.millis(), push.table());
-      announce();
-      return;
-    }
-    OwnershipTable known = tableOf(push.dataCentre());
-    if (push.table().version() > known.version()) {
-      remoteTables.put(push.dataCentre(), push.table());
-      listener.tableChanged(push.dataCentre(), push.table());
+  private void tableLearned(boolean newer) {
+    // Not before one is known: a planner that was told of an empty table takes it for the
+    // platform's.
+    if (newer) {
+      planner.tableSeen(clock.millis(), tables.of(dataCentre));
     }
   }
 
   // What others ask.
 
-  private OwnershipTable tableOf(DataCentreId wanted) {
-    return wanted.equals(dataCentre)
-        ? announced
-        : remoteTables.getOrDefault(wanted, OwnershipTable.EMPTY);
-  }
-
   /**
    * Returns the daemon that takes requests for an endpoint: its owner, or its deputy in an outage.
    *
@@ -411,15 +280,9 @@
    */
   public Optional<DaemonId> server(EndpointRecord endpoint) {
     if (!endpoint.dataCentre().equals(dataCentre)) {
-      return tableOf(endpoint.dataCentre()).owner(endpoint.id());
-    }
-    lock.lock();
-    try {
-      return deputies.server(
-          endpoint.id(), planner.table(), membership, contact.isOut(clock.millis()));
-    } finally {
-      lock.unlock();
+      return tables.of(endpoint.dataCentre()).owner(endpoint.id());
     }
+    return reading(() -> decisions.server(clock.millis(), endpoint.id()));
   }
 
   /**
@@ -428,27 +291,14 @@
    * @param candidates the endpoints of the data centre
    */
   public List<EndpointRecord> served(Collection<EndpointRecord> candidates) {
-    lock.lock();
-    try {
-      boolean out = contact.isOut(clock.millis());
-      return candidates.stream()
-          .filter(
-              endpoint ->
-                  deputies.role(endpoint.id(), planner.table(), membership, out)
-                      != ServingRole.NONE)
-          .toList();
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> decisions.served(clock.millis(), candidates));
   }
 
   @Override
   public Optional<FencingNumber> permit(EndpointId endpoint, OrderKind kind) {
     lock.lock();
     try {
-      FencePolicy policy = fences.getOrDefault(endpoint, FencePolicy.IGNORES);
-      boolean permitted =
-          planner.isOwned(endpoint) && keeper.mayOrder(clock.millis(), policy, kind);
+      boolean permitted = decisions.mayOrder(clock.millis(), endpoint, kind);
       return permitted ? Optional.of(planner.table().fence()) : Optional.empty();
     } finally {
       lock.unlock();
@@ -457,12 +307,7 @@
 
   @Override
   public boolean mayOthersServe() {
-    lock.lock();
-    try {
-      return !membership.isEveryoneHeard();
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> !membership.isEveryoneHeard());
   }
 
   /**
@@ -474,62 +319,32 @@
    * Serving what is resident gives no order, so it harms no other owner.
    */
   public Set<EndpointId> handingOver() {
-    lock.lock();
-    try {
-      Set<EndpointId> paused = planner.table().ownedBy(self);
-      if (keeper.standing(clock.millis()) != LeaseStanding.SUPERSEDED) {
-        paused.removeIf(endpoint -> !planner.isHandingOver(endpoint));
-      }
-      return paused;
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> decisions.handingOver(clock.millis()));
   }
 
   /** Returns the peers of the data centre that are heard from. */
   public Set<DaemonId> alive() {
-    lock.lock();
-    try {
-      return membership.candidates();
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> membership.candidates());
   }
 
   /** Returns the daemons that the newest table of this data centre names. */
   public Set<DaemonId> owners() {
-    return announced.daemons();
+    return tables.of(dataCentre).daemons();
   }
 
   /** Returns how many endpoints the newest table gives to this daemon. */
   public int owned() {
-    return announced.ownedBy(self).size();
+    return tables.of(dataCentre).ownedBy(self).size();
   }
 
   /** Returns how this daemon's lease stands. */
   public LeaseStanding standing() {
-    lock.lock();
-    try {
-      return keeper.standing(clock.millis());
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> keeper.standing(clock.millis()));
   }
 
   @Override
   public long authorityUntil() {
-    lock.lock();
-    try {
-      long now = clock.millis();
-      // A lease that was renewed late counts here: the ledger's own write confirms it, as the
-      // ownership table's does for orders.
-      boolean held =
-          EnumSet.of(LeaseStanding.VALID, LeaseStanding.LAPSED).contains(keeper.standing(now))
-              && keeper.remainingMillis(now) > 0;
-      return held ? now + keeper.remainingMillis(now) : Long.MIN_VALUE;
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> decisions.authorityUntil(clock.millis()));
   }
 
   @Override
@@ -549,12 +364,7 @@
 
   /** Returns whether another daemon could take this one's endpoints over. */
   public boolean hasSuccessor() {
-    lock.lock();
-    try {
-      return !membership.candidates().isEmpty() && !contact.isOut(clock.millis());
-    } finally {
-      lock.unlock();
-    }
+    return reading(() -> !membership.candidates().isEmpty() && !contact.isOut(clock.millis()));
   }
 
   /** Begins to hand over everything that this daemon owns. */
@@ -586,7 +396,16 @@
       lock.unlock();
     }
     // If a renewal is under way this conflicts, and the lease is left to run out.
-    return platform.delete(LEASE, self.value(), version, operation).thenAccept(answer -> {});
+    return calls.deleteLease(self, version, operation);
+  }
+
+  private <T> T reading(Supplier<T> question) {
+    lock.lock();
+    try {
+      return question.get();
+    } finally {
+      lock.unlock();
+    }
   }
 
   private void locked(Runnable action) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipPeers.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipPeers.java
@@ -11,6 +11,13 @@
   /** Returns the other daemons of this data centre, as the settings name them. */
   List<DaemonId> neighbours();
 
+  /**
+   * Returns the other daemons of a data centre, as the settings name them.
+   *
+   * @param wanted the data centre
+   */
+  List<DaemonId> daemonsOf(DataCentreId wanted);
+
   /**
    * Returns whether a daemon is in this data centre.
    *
@@ -34,10 +41,10 @@
   void send(DaemonId peer, PeerMessage message);
 
   /**
-   * Sends a table to every daemon of the region, on the connections in both directions: a refusal
-   * that follows on one of them must not overtake the table that explains it.
+   * Sends a change of a table to every daemon of the region, on the connections in both directions:
+   * a refusal that follows on one of them must not overtake the change that explains it.
    *
-   * @param push the table
+   * @param push the change
    */
-  void broadcastTable(PeerMessage.TablePush push);
+  void broadcastTable(PeerMessage.TableDelta push);
 }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.OperationId;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.OwnershipDelta;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
@@ -52,6 +53,29 @@
     return new PeerMessage.Ledger(message);
   }
 
+  private static PeerMessage tablePush() {
+    return new PeerMessage.TablePush(
+        new DataCentreId("yard-north"),
+        OwnershipTable.of(
+            9,
+            2,
+            Map.of(new EndpointId("e1"), new DaemonId("d1")),
+            Map.of(new DaemonId("d1"), 7L)));
+  }
+
+  private static PeerMessage tableDelta() {
+    DaemonId gaining = new DaemonId("d3");
+    return new PeerMessage.TableDelta(
+        new DataCentreId("yard-north"),
+        new OwnershipDelta(
+            9,
+            11,
+            3,
+            Map.of(new EndpointId("e1"), new DaemonId("d2"), new EndpointId("e2"), gaining),
+            Set.of(new EndpointId("e4")),
+            Map.of(gaining, 7L, new DaemonId("d4"), 8L)));
+  }
+
   static List<PeerMessage> messages() {
     return List.of(
         new PeerMessage.Hello(new DaemonId("d1"), new DataCentreId("yard-north"), 7),
@@ -76,13 +100,8 @@
                 new EndpointLoad(
                     new EndpointId("e1"), 1, 2, 16, Set.of(ADAPTER), Set.of(ADAPTER)))),
         new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9),
-        new PeerMessage.TablePush(
-            new DataCentreId("yard-north"),
-            OwnershipTable.of(
-                9,
-                2,
-                Map.of(new EndpointId("e1"), new DaemonId("d1")),
-                Map.of(new DaemonId("d1"), 7L))),
+        tablePush(),
+        tableDelta(),
         new PeerMessage.TableRequest(4),
         new PeerMessage.RelayCall(1, "lease/d1/7/1", 3, "{}"),
         new PeerMessage.RelayAnswer(1, PeerMessage.RelayResult.CONFLICT, 3, "o", ""),
--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Fleet.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Fleet.java
@@ -22,6 +22,7 @@
 /** Makes adapters, endpoints and daemons with names as long as an operator's. */
 final class Fleet {
 
+  static final int DAEMONS_OF_A_CENTRE = 17;
   static final DataCentreId DATA_CENTRE = new DataCentreId("region-3-centre-2");
   static final ModelId MODEL = new ModelId("note-model-8b");
   private static final int SLOTS = 8;
--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
@@ -10,6 +10,7 @@
 import io.sequoiapass.coordination.process.MemberState;
 import io.sequoiapass.coordination.process.Membership;
 import io.sequoiapass.coordination.process.MembershipSettings;
+import io.sequoiapass.coordination.process.OwnershipDelta;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformContact;
 import io.sequoiapass.coordination.process.PlatformReport;
@@ -111,6 +112,20 @@
       return PeerFrames.encode(push).length + Gauge.PACKET_BYTES;
     }
   },
+  /** Bytes of the change by which four endpoints move to another owner. */
+  MOVE_BYTES("delta of four moved endpoints, B", "endpoints", List.of(65, 130, 260, 520), 520) {
+    @Override
+    double measure(int size) {
+      return deltaBytes(size, 4);
+    }
+  },
+  /** Bytes of the change by which the others take over what one daemon of 17 owned. */
+  TAKEOVER_BYTES("delta of a takeover, B", "endpoints", List.of(65, 130, 260, 520), 520) {
+    @Override
+    double measure(int size) {
+      return deltaBytes(size, size / Fleet.DAEMONS_OF_A_CENTRE);
+    }
+  },
   /** Time of routing one request. */
   ROUTING("routing one request, us", "endpoints", List.of(250, 500, 1_000, 2_000), 2_000) {
     @Override
@@ -205,7 +220,7 @@
   }
 
   private static OwnershipTable table(int endpoints) {
-    List<DaemonId> daemons = Fleet.daemons(17);
+    List<DaemonId> daemons = Fleet.daemons(Fleet.DAEMONS_OF_A_CENTRE);
     Map<EndpointId, DaemonId> owners = new HashMap<>();
     Map<DaemonId, Long> incarnations = new HashMap<>();
     for (int i = 0; i < endpoints; i++) {
@@ -216,6 +231,22 @@
     return OwnershipTable.of(1_234_567, 99, owners, incarnations);
   }
 
+  /** Returns the frame of the change by which others get the first endpoints of one daemon. */
+  private static int deltaBytes(int endpoints, int moved) {
+    OwnershipTable base = table(endpoints);
+    List<DaemonId> daemons = Fleet.daemons(Fleet.DAEMONS_OF_A_CENTRE);
+    Map<EndpointId, DaemonId> owners = new HashMap<>(base.owners());
+    List<EndpointId> leaving = List.copyOf(base.ownedBy(daemons.get(0)));
+    for (int i = 0; i < Math.min(moved, leaving.size()); i++) {
+      owners.put(leaving.get(i), daemons.get(1 + i % (daemons.size() - 1)));
+    }
+    OwnershipTable next =
+        OwnershipTable.of(base.version() + 1, base.epoch() + 1, owners, base.incarnations());
+    PeerMessage push =
+        new PeerMessage.TableDelta(Fleet.DATA_CENTRE, OwnershipDelta.between(base, next));
+    return PeerFrames.encode(push).length + Gauge.PACKET_BYTES;
+  }
+
   private static AdaptivePlacement placement(int endpoints) {
     AdaptivePlacement placement =
         new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.STALLS);
--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Slope.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Slope.java
@@ -13,7 +13,7 @@
  *
  * <p>Instances are immutable and safe for use by several threads.
  */
-final class Slope {
+public final class Slope {
 
   /**
    * Is one measured value.
@@ -21,7 +21,7 @@
    * @param size the size at which it was measured
    * @param value the value
    */
-  record Point(double size, double value) {}
+  public record Point(double size, double value) {}
 
   private final double slope;
   private final double intercept;
@@ -38,7 +38,7 @@
    *
    * @param points at least two points of different size
    */
-  static Slope fit(List<Point> points) {
+  public static Slope fit(List<Point> points) {
     SimpleRegression regression = new SimpleRegression();
     points.forEach(point -> regression.addData(point.size(), point.value()));
     double worst = 0;
@@ -50,17 +50,21 @@
   }
 
   /** Returns the growth for each unit of size. */
-  double perUnit() {
+  public double perUnit() {
     return slope;
   }
 
-  /** Returns the value that the line gives at a size. */
-  double at(double size) {
+  /**
+   * Returns the value that the line gives at a size.
+   *
+   * @param size the size
+   */
+  public double at(double size) {
     return intercept + slope * size;
   }
 
   /** Returns the largest distance of a point from the line, as a share of the point's value. */
-  double worstResidual() {
+  public double worstResidual() {
     return worstResidual;
   }
 }
--- a/testbed/src/main/java/io/sequoiapass/testbed/cli/Flags.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/cli/Flags.java
@@ -1,6 +1,8 @@
 package io.sequoiapass.testbed.cli;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -60,6 +62,28 @@
     return (int) value;
   }
 
+  /**
+   * Returns a flag's value as whole numbers between commas.
+   *
+   * @param name the flag's name
+   * @param min the smallest value allowed
+   * @param max the largest value allowed
+   * @throws UsageException if one is no whole number or out of range
+   */
+  public List<Integer> integers(String name, int min, int max) throws UsageException {
+    List<Integer> values = new ArrayList<>();
+    for (String text : text(name).split(",", -1)) {
+      if (!text.matches("[0-9]{1,9}") || Integer.parseInt(text) < min) {
+        throw new UsageException("--" + name + " must be whole numbers >= " + min + ": " + text);
+      }
+      if (Integer.parseInt(text) > max) {
+        throw new UsageException("--" + name + " must be at most " + max + ": " + text);
+      }
+      values.add(Integer.parseInt(text));
+    }
+    return values;
+  }
+
   /**
    * Returns a flag's value as a number.
    *
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MachineLoad.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MachineLoad.java
@@ -18,4 +18,9 @@
         + Runtime.getRuntime().availableProcessors()
         + " CPUs";
   }
+
+  /** Returns the load average of the last minute. */
+  static String recent() throws IOException {
+    return Files.readString(Path.of("/proc/loadavg")).split(" ", 2)[0];
+  }
 }
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -40,6 +40,31 @@
               flags.integer("seed", 0, Integer.MAX_VALUE))
           .run();
     }
+  },
+  /** What control costs a daemon that serves nothing. */
+  CONTROL {
+    @Override
+    Flags.Definition definition() {
+      return Flags.define()
+          .flag("seconds", "15", "how long to measure at each size")
+          .flag("warm-up", "45", "seconds before that, in which code is compiled")
+          .flag("daemons", "4,8,17,34", "daemons of the data centre, a run each")
+          .flag("engines", "4", "endpoints for each daemon")
+          .flag("lease-ms", "10000", "duration of a lease")
+          .flag("heartbeat-ms", "1000", "time between two heartbeats");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new ControlMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("warm-up", 0, 3_600),
+              flags.integers("daemons", 1, 100),
+              flags.integer("engines", 0, 100),
+              flags.integer("lease-ms", 1_000, 60_000),
+              flags.integer("heartbeat-ms", 100, 10_000))
+          .run();
+    }
   };
 
   abstract Flags.Definition definition();
