The platform's host list takes endpoints out of service

Nothing read the list, so an endpoint on a host that the platform drains got new work until somebody changed the configuration as well. The two watchers of a data centre now read it once a second (with a tag and the data centre, so that an unchanged list costs few bytes) and push what changed to their peers; a difference shows in the digest on heartbeats and is repaired.

A host that leaves is believed at once, one that is live again after 2.5 s of readings that say so. A list that lost more than half of its hosts at once is not believed. Peers' hosts (new in Hello) give membership its hint, which nothing fed before.

Peers no longer count on a watcher that says it lost the platform.

Ruled out: hints as configuration objects (their versions are the platform's counter), a union over readers (a reader that died could not be outlived).

--- a/coordination/src/main/java/io/sequoiapass/coordination/process/Membership.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/Membership.java
@@ -92,6 +92,18 @@
         });
   }
 
+  /**
+   * Takes in that a daemon exists, and what the platform's host list says of its host.
+   *
+   * @param now the time
+   * @param daemon the daemon
+   * @param hint what the list says
+   */
+  public void learned(long now, DaemonId daemon, HostHint hint) {
+    learned(now, daemon);
+    hinted(daemon, hint);
+  }
+
   /**
    * Takes in what the platform's host list says of a daemon's host.
    *
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationObject.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationObject.java
@@ -164,6 +164,23 @@
       return state == EndpointState.ACTIVE;
     }
 
+    /** Returns this endpoint as one that takes no new work. */
+    EndpointRecord leaving() {
+      return new EndpointRecord(
+          id,
+          version,
+          address,
+          dataCentre,
+          host,
+          type,
+          model,
+          service,
+          slots,
+          maxStreams,
+          fencePolicy,
+          EndpointState.LEAVING);
+    }
+
     @Override
     public ObjectKey key() {
       return new ObjectKey(ObjectKind.ENDPOINT, id.value());
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationSnapshot.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/ConfigurationSnapshot.java
@@ -70,6 +70,11 @@
     return endpoints.stream().filter(one -> one.dataCentre().equals(dataCentre)).toList();
   }
 
+  /** Returns this configuration with other copies of some of its endpoints. */
+  ConfigurationSnapshot withEndpoints(List<EndpointRecord> changed, List<EndpointRecord> all) {
+    return new ConfigurationSnapshot(objects.with(changed), revision, all);
+  }
+
   /** Returns every adapter, by name; costs time in proportion to their number. */
   public List<AdapterRecord> adapters() {
     return objects.all().stream()
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/VersionedMap.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/VersionedMap.java
@@ -52,8 +52,10 @@
   }
 
   /** Returns a copy with the given objects in place of those of the same key. */
-  VersionedMap with(Collection<ConfigurationObject> changed) {
-    return edit(changed.stream().map(ConfigurationObject::key).toList(), changed);
+  VersionedMap with(Collection<? extends ConfigurationObject> changed) {
+    List<ObjectKey> keys = new ArrayList<>();
+    changed.forEach(object -> keys.add(object.key()));
+    return edit(keys, changed);
   }
 
   /** Returns a copy without the given keys. */
@@ -61,7 +63,8 @@
     return edit(removed, List.of());
   }
 
-  private VersionedMap edit(Collection<ObjectKey> removed, Collection<ConfigurationObject> added) {
+  private VersionedMap edit(
+      Collection<ObjectKey> removed, Collection<? extends ConfigurationObject> added) {
     Map<Integer, Map<ObjectKey, ConfigurationObject>> edited = new HashMap<>();
     for (ObjectKey key : removed) {
       edited.computeIfAbsent(bucketOf(key), index -> new HashMap<>(buckets.get(index))).remove(key);
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
@@ -3,11 +3,16 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.HostId;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
+import io.sequoiapass.coordination.version.HostHints;
+import io.sequoiapass.coordination.version.HostReport;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.msgpack.core.MessagePacker;
 
@@ -20,6 +25,7 @@
     if (message instanceof PeerMessage.Hello hello) {
       out.packString(hello.daemon().value());
       out.packString(hello.dataCentre().value());
+      out.packString(hello.host().value());
       out.packLong(hello.incarnation());
     } else if (message instanceof PeerMessage.Heartbeat beat) {
       writeHeartbeat(out, beat);
@@ -35,6 +41,8 @@
       for (long sum : request.buckets()) {
         out.packLong(sum);
       }
+    } else if (message instanceof PeerMessage.HostsPush push) {
+      writeHosts(out, push.hints());
     } else if (message instanceof PeerMessage.TablePush push) {
       writeTable(out, push);
     } else if (message instanceof PeerMessage.TableRequest request) {
@@ -68,6 +76,20 @@
     out.packInt(beat.weightDemand());
   }
 
+  private static void writeHosts(MessagePacker out, HostHints hints) throws IOException {
+    out.packLong(hints.version());
+    out.packString(hints.reader());
+    out.packArrayHeader(hints.reports().size());
+    for (HostReport report : hints.reports()) {
+      out.packString(report.host().value());
+      out.packString(report.hint().name());
+      out.packArrayHeader(report.endpoints().size());
+      for (EndpointId endpoint : report.endpoints()) {
+        out.packString(endpoint.value());
+      }
+    }
+  }
+
   private static void writeTable(MessagePacker out, PeerMessage.TablePush push) throws IOException {
     OwnershipTable table = push.table();
     out.packString(push.dataCentre().value());
@@ -86,7 +108,10 @@
 
   static PeerMessage readHello(FrameReader in) throws IOException {
     return new PeerMessage.Hello(
-        new DaemonId(in.text()), new DataCentreId(in.text()), in.longNumber());
+        new DaemonId(in.text()),
+        new DataCentreId(in.text()),
+        new HostId(in.text()),
+        in.longNumber());
   }
 
   static PeerMessage readHeartbeat(FrameReader in) throws IOException {
@@ -103,6 +128,20 @@
     return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
   }
 
+  static PeerMessage readHostsPush(FrameReader in) throws IOException, PeerFrameException {
+    long version = in.longNumber();
+    DaemonId reader = new DaemonId(in.text());
+    return new PeerMessage.HostsPush(
+        HostHints.of(version, reader, in.list(ControlFrames::readHost)));
+  }
+
+  private static HostReport readHost(FrameReader in) throws IOException, PeerFrameException {
+    return new HostReport(
+        new HostId(in.text()),
+        in.constant(HostHint.class),
+        Set.copyOf(in.list(element -> new EndpointId(element.text()))));
+  }
+
   static PeerMessage readTablePush(FrameReader in) throws IOException, PeerFrameException {
     DataCentreId dataCentre = new DataCentreId(in.text());
     long version = in.longNumber();
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -4,12 +4,14 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.RequestId;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.LedgerMessage;
+import io.sequoiapass.coordination.version.HostHints;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.List;
 
@@ -45,9 +47,11 @@
    *
    * @param daemon the caller
    * @param dataCentre where it runs
+   * @param host the host it runs on
    * @param incarnation a number that grows with each start of that daemon
    */
-  record Hello(DaemonId daemon, DataCentreId dataCentre, long incarnation) implements PeerMessage {
+  record Hello(DaemonId daemon, DataCentreId dataCentre, HostId host, long incarnation)
+      implements PeerMessage {
     @Override
     public PeerMessageType type() {
       return PeerMessageType.HELLO;
@@ -290,6 +294,18 @@
     }
   }
 
+  /**
+   * Carries what a reader of the platform's host list made of it.
+   *
+   * @param hints the hosts that are not live
+   */
+  record HostsPush(HostHints hints) implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.HOSTS_PUSH;
+    }
+  }
+
   /**
    * Carries the ownership table of a data centre.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -44,7 +44,9 @@
   /** See {@link PeerMessage.Started}. */
   STARTED(19, in -> new PeerMessage.Started(in.attempt(), new EndpointId(in.text()))),
   /** See {@link PeerMessage.Ledger}. */
-  LEDGER(20, LedgerFrames::read);
+  LEDGER(20, LedgerFrames::read),
+  /** See {@link PeerMessage.HostsPush}. */
+  HOSTS_PUSH(21, ControlFrames::readHostsPush);
 
   /** Reads the fields of one frame. */
   @FunctionalInterface
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/PlatformClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/platform/PlatformClient.java
@@ -3,6 +3,7 @@
 import com.google.gson.Gson;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
+import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.OperationId;
 import io.sequoiapass.coordination.version.WriteAnswer;
 import io.sequoiapass.daemon.connection.HttpAnswer;
@@ -32,6 +33,7 @@
 public final class PlatformClient {
 
   private static final int OK = 200;
+  private static final int NOT_MODIFIED = 304;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
   private static final int GONE = 410;
@@ -83,6 +85,28 @@
         .handle((answer, failure) -> parse(answer, failure, ObjectList.class));
   }
 
+  /**
+   * Reads the list of hosts. The platform may leave hosts of other data centres out, and may answer
+   * that the list is still the one that the tag names, so that reading it often costs few bytes.
+   *
+   * @param dataCentre the data centre whose hosts are wanted
+   * @param tag the tag of the list that the caller holds; empty if it holds none
+   * @return the list; empty if it is unchanged
+   */
+  public CompletableFuture<Optional<HostList>> hosts(DataCentreId dataCentre, String tag) {
+    String path = "/v1/hosts?data_centre=" + encode(dataCentre.value());
+    HttpCall call = HttpCall.to(address, "GET", path);
+    return http.send(tag.isEmpty() ? call : call.header("If-None-Match", tag), timeoutMs)
+        .handle(
+            (answer, failure) -> {
+              if (failure == null && answer.status() == NOT_MODIFIED) {
+                return Optional.empty();
+              }
+              HostList list = parse(answer, failure, HostList.class);
+              return Optional.of(list.tagged(answer.headers().get("ETag", "")));
+            });
+  }
+
   /**
    * Waits for changes.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
@@ -17,6 +17,7 @@
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.version.ConfigurationObject;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.coordination.version.HostHints;
 import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
 import io.sequoiapass.daemon.process.entry.EntryObserver;
@@ -47,6 +48,9 @@
   /** A wait this long is a load or a queue; a free place is given within a step. */
   private static final long STALL_MS = 100;
 
+  /** Objects that one time line event names: what a burst of changes brings at once. */
+  private static final int MAX_NAMED = 32;
+
   private final DaemonId daemon;
   private final Consumer<DaemonId> resetLink;
   private final MetricRegistry metrics;
@@ -188,11 +192,22 @@
     EventLog.log(LogEvent.CONFIGURATION_APPLIED, snapshot.revision(), newer.size());
     timeline.record(
         TimelineEvent.of(TimelineKind.CONFIGURATION_APPLIED)
-            .detail("revision " + snapshot.revision())
+            .detail("revision " + snapshot.revision() + namesOf(newer))
             .build());
     platformAnswered();
   }
 
+  /** Names what changed, as {@code kind/name@version}; a whole listing only by its number. */
+  private static String namesOf(List<ConfigurationObject> newer) {
+    if (newer.size() > MAX_NAMED) {
+      return ", objects: " + newer.size();
+    }
+    StringBuilder names = new StringBuilder();
+    newer.forEach(
+        object -> names.append(' ').append(object.key()).append('@').append(object.version()));
+    return names.toString();
+  }
+
   private void platformAnswered() {
     long since = platformOutSince.getAndSet(NEVER);
     if (since != NEVER) {
@@ -213,6 +228,12 @@
     timeline.record(TimelineEvent.of(TimelineKind.FAULT).detail(problem).build());
   }
 
+  @Override
+  public void hostsChanged(HostHints hints) {
+    EventLog.log(LogEvent.HOSTS_LEAVING, hints.reports().size(), hints.version(), hints.reader());
+    timeline.record(TimelineEvent.of(TimelineKind.HOSTS_CHANGED).detail(hints.toString()).build());
+  }
+
   @Override
   public void platformFailed(Throwable failure) {
     if (platformOutSince.compareAndSet(NEVER, clock.millis())) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -7,7 +7,9 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.FencingNumber;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.request.AttemptSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
@@ -239,7 +241,8 @@
     local.open(owner, new LocalEntry(entries));
     int peerPort = transport.listen(address(settings.peerPort()), peers::accepted);
     PeerMessage.Hello hello =
-        new PeerMessage.Hello(settings.daemon(), settings.dataCentre(), incarnation);
+        new PeerMessage.Hello(
+            settings.daemon(), settings.dataCentre(), settings.host(), incarnation);
     peers.start(new PeerLinks(transport, group, hello, peers), settings.peers());
     operators =
         HttpServer.builder(operatorGroup, new OperatorHandler(new View()))
@@ -418,15 +421,22 @@
       EventLog.log(LogEvent.PEER_LOST, peer, "connection closed");
     }
 
+    @Override
+    public HostHint hint(HostId host) {
+      return configuration.hints().of(host);
+    }
+
     @Override
     public void received(DaemonId peer, PeerMessage message) {
       if (message instanceof PeerMessage.Heartbeat beat && peers.isNeighbour(peer)) {
-        configuration.heard(peer, beat.configuration());
+        configuration.heard(peer, beat.configuration(), beat.platform().platformOut());
       }
       if (message instanceof PeerMessage.ObjectsPush push) {
         configuration.pushed(peer, push);
       } else if (message instanceof PeerMessage.ObjectsRequest request) {
         configuration.asked(peer, request);
+      } else if (message instanceof PeerMessage.HostsPush push && peers.isNeighbour(peer)) {
+        configuration.hostsPushed(push);
       } else if (message instanceof PeerMessage.Ledger about) {
         ledger.received(peer, about.message());
       } else {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
@@ -2,6 +2,8 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.HostId;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.daemon.connection.peer.PeerChannel;
 import io.sequoiapass.daemon.connection.peer.PeerLinks;
 import io.sequoiapass.daemon.connection.peer.PeerListener;
@@ -35,6 +37,7 @@
   private final Entries entries;
   private final Owner owner;
   private final ControlListener control;
+  private final Map<DaemonId, HostId> hosts = new ConcurrentHashMap<>();
   private final Set<PeerChannel> accepted = ConcurrentHashMap.newKeySet();
   private volatile PeerLinks links;
 
@@ -47,6 +50,9 @@
     /** Called when the connection to a peer has closed. */
     void disconnected(DaemonId peer);
 
+    /** Returns what the platform's host list says of a host. */
+    HostHint hint(HostId host);
+
     /** Called with each control message. */
     void received(DaemonId peer, PeerMessage message);
   }
@@ -99,6 +105,13 @@
     return address == null ? dataCentre : address.dataCentre();
   }
 
+  @Override
+  public HostHint hint(DaemonId peer) {
+    // Until it has connected a peer's host is not known, and its silence is borne as ever.
+    HostId host = hosts.get(peer);
+    return host == null ? HostHint.LIVE : control.hint(host);
+  }
+
   @Override
   public void broadcastTable(PeerMessage.TablePush push) {
     known.keySet().forEach(peer -> send(peer, push));
@@ -174,6 +187,7 @@
     public void received(PeerChannel channel, PeerMessage message) {
       if (message instanceof PeerMessage.Hello hello) {
         peer = hello.daemon();
+        hosts.put(peer, hello.host());
       } else if (peer == null) {
         // Whoever does not say who it is gets nothing done.
         channel.close();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/log/LogEvent.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/log/LogEvent.java
@@ -134,7 +134,13 @@
       23,
       Level.WARN,
       "%s requests refused for overload in the last %s ms",
-      "At most one line an interval. Add endpoints or change the preset.");
+      "At most one line an interval. Add endpoints or change the preset."),
+  /** The platform's host list changed what it says of this data centre's hosts. */
+  HOSTS_LEAVING(
+      50,
+      Level.INFO,
+      "%s hosts of this data centre are leaving or gone, list %s as read by %s",
+      "Their endpoints finish what they have and get no new work until the list shows them live.");
 
   private final int number;
   private final Level level;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -79,6 +79,7 @@
   private void own(EndpointRecord endpoint) {
     if (endpoint.type() == EndpointType.SERVICE) {
       services.own(endpoint.id(), SocketAddresses.parse(endpoint.address()), endpoint.maxStreams());
+      services.drain(endpoint.id(), !endpoint.takesNewWork());
       return;
     }
     OwnerShard shard = shard(endpoint);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServicePool.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServicePool.java
@@ -64,6 +64,17 @@
         });
   }
 
+  /**
+   * Starts nothing new on an endpoint that leaves; calls under way go on.
+   *
+   * @param endpoint the endpoint
+   * @param leaving whether it leaves
+   */
+  public void drain(EndpointId endpoint, boolean leaving) {
+    locked(
+        () -> Optional.ofNullable(pools.get(endpoint)).ifPresent(pool -> pool.leaving = leaving));
+  }
+
   /**
    * Stops using an endpoint; calls under way go on.
    *
@@ -84,7 +95,7 @@
         () -> {
           Execution execution = new Execution(forward, replies, clock.millis());
           Pool pool = pools.get(forward.endpoint());
-          if (pool == null) {
+          if (pool == null || pool.leaving) {
             // The entry's table and this one differ, as they do for moments around each handover.
             execution.refuse(ErrorKind.DRAINING, false, 0);
           } else if (pool.running >= pool.maxCalls) {
@@ -120,7 +131,7 @@
           Pool pool = pools.get(execution.forward().endpoint());
           if (!answer.granted()) {
             over(execution);
-          } else if (pool == null) {
+          } else if (pool == null || pool.leaving) {
             over(execution);
             execution.refuse(ErrorKind.DRAINING, false, 0);
           } else {
@@ -230,6 +241,7 @@
     private final InetSocketAddress address;
     private final int maxCalls;
     private int running;
+    private boolean leaving;
 
     Pool(InetSocketAddress address, int maxCalls, int running) {
       this.address = address;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -152,7 +152,7 @@
           endpointsAre(snapshot);
           keeper.dataCentreIs(new TreeSet<>(peers.neighbours()));
           keeper.tick(now).ifPresent(this::call);
-          peers.neighbours().forEach(peer -> membership.learned(now, peer));
+          peers.neighbours().forEach(peer -> membership.learned(now, peer, peers.hint(peer)));
           membership.tick(now).forEach(this::changed);
           readTable(now);
           keeper.tableSeen(planner.table().version());
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipPeers.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipPeers.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import java.util.List;
 
@@ -25,6 +26,13 @@
    */
   DataCentreId dataCentreOf(DaemonId peer);
 
+  /**
+   * Returns what the platform's host list says of the host that a daemon runs on.
+   *
+   * @param peer the daemon
+   */
+  HostHint hint(DaemonId peer);
+
   /**
    * Sends a message to one daemon, if it is connected.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineKind.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/timeline/TimelineKind.java
@@ -60,6 +60,8 @@
   ENGINE_RESTARTED,
   /** A configuration came into force. */
   CONFIGURATION_APPLIED,
+  /** The hosts that the platform lists as leaving or gone changed. */
+  HOSTS_CHANGED,
   /** A preset came into force. */
   PRESET_IN_FORCE,
   /** The platform stopped answering. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationListener.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationListener.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.version.ConfigurationObject;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.coordination.version.HostHints;
 import io.sequoiapass.coordination.version.Preset;
 import java.util.List;
 
@@ -23,6 +24,13 @@
    */
   void presetInForce(Preset preset);
 
+  /**
+   * Called when the hosts that are leaving or gone changed.
+   *
+   * @param hints the hosts
+   */
+  void hostsChanged(HostHints hints);
+
   /**
    * Called when an object could not be read and is passed over.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
@@ -2,38 +2,39 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.version.Backoff;
 import io.sequoiapass.coordination.version.ColdStart;
 import io.sequoiapass.coordination.version.ConfigurationDigest;
 import io.sequoiapass.coordination.version.ConfigurationObject;
+import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
 import io.sequoiapass.coordination.version.ConfigurationObject.PresetRecord;
-import io.sequoiapass.coordination.version.ConfigurationObject.Tombstone;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.coordination.version.ConfigurationStore;
-import io.sequoiapass.coordination.version.ObjectKey;
+import io.sequoiapass.coordination.version.HintedSnapshots;
+import io.sequoiapass.coordination.version.HostHints;
+import io.sequoiapass.coordination.version.HostListMonitor;
+import io.sequoiapass.coordination.version.HostReport;
 import io.sequoiapass.coordination.version.ObjectKind;
 import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.coordination.version.PresetSchedule;
 import io.sequoiapass.coordination.version.WatcherElection;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
-import io.sequoiapass.daemon.connection.platform.ObjectChanges;
 import io.sequoiapass.daemon.connection.platform.ObjectCodec;
 import io.sequoiapass.daemon.connection.platform.ObjectFormatException;
-import io.sequoiapass.daemon.connection.platform.ObjectList;
 import io.sequoiapass.daemon.connection.platform.PlatformClient;
-import io.sequoiapass.daemon.connection.platform.PlatformException;
-import io.sequoiapass.daemon.connection.platform.StoredObject;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
+import java.util.SplittableRandom;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.stream.Collectors;
 
 /**
  * Holds this daemon's configuration and keeps it fresh: from the platform if it is one of its data
@@ -45,13 +46,14 @@
 
   private static final int WATCHERS = 2;
 
-  /** How long the platform may hold a watch: rare enough to cost little of its calls. */
-  private static final long WATCH_WAIT_MS = 10_000;
-
   /** How long a fresh daemon waits for peers that are heard but do not answer. */
   private static final long PEER_WAIT_MS = 3_000;
 
-  private static final long RETRY_MS = 500;
+  /** Bounds of the pause after a failed call, of which a random part is waited. */
+  private static final long MIN_BACKOFF_MS = 500;
+
+  /** Half of the 4 s within which a change that follows an outage is in force everywhere. */
+  private static final long MAX_BACKOFF_MS = 2_000;
 
   /** Between two repair exchanges with one peer whose digest differs. */
   private static final long REPAIR_EVERY_MS = 1_000;
@@ -62,20 +64,23 @@
   /** All daemons that differ from one list; spread so that they don't in the same moment. */
   private static final int LIST_SPREAD_MS = 2_000;
 
-  private static final Set<ObjectKind> KINDS = Set.of(ObjectKind.values());
-
   private final ReentrantLock lock = new ReentrantLock();
   private final MillisClock clock;
   private final MillisClock wall;
   private final DaemonId self;
-  private final PlatformClient platform;
+  private final DataCentreId dataCentre;
+  private final PlatformFeed feed;
+  private final HostListFeed hostFeed;
   private final ConfigurationPeers peers;
   private final ConfigurationListener listener;
   private final WatcherElection election;
   private final ConfigurationStore store =
       ConfigurationStore.create(ConfigurationStore.TOMBSTONE_MILLIS);
+  private final HostListMonitor hosts;
+  private final HintedSnapshots hinted = new HintedSnapshots();
   private final PresetSchedule schedule = PresetSchedule.empty();
   private final ColdStart coldStart;
+  private final Set<DaemonId> withoutPlatform = new HashSet<>();
   private final Map<DaemonId, Long> repairedAt = new HashMap<>();
   private final Map<DaemonId, Difference> differences = new HashMap<>();
 
@@ -83,10 +88,6 @@
   private volatile long root;
   private volatile boolean ready;
   private Preset announced;
-  private boolean listed;
-  private boolean calling;
-  private long nextCallAt = Long.MIN_VALUE;
-  private long watchAfter;
   private long listAgainAt = Long.MAX_VALUE;
   private long listedAgainAt = Long.MIN_VALUE;
 
@@ -112,16 +113,28 @@
     this.clock = Objects.requireNonNull(clock, "clock");
     this.wall = Objects.requireNonNull(wall, "wall");
     this.self = Objects.requireNonNull(self, "self");
-    this.platform = Objects.requireNonNull(platform, "platform");
+    this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
     this.peers = Objects.requireNonNull(peers, "peers");
     this.listener = Objects.requireNonNull(listener, "listener");
     this.election = WatcherElection.create(dataCentre, WATCHERS);
+    this.hosts = HostListMonitor.create(self);
+    this.feed = new PlatformFeed(clock, platform, backoff("watch"), new FromPlatform());
+    this.hostFeed =
+        new HostListFeed(clock, dataCentre, platform, backoff("hosts"), this::hostsRead);
     this.coldStart = ColdStart.create(clock.millis(), PEER_WAIT_MS);
     this.snapshot = store.snapshot();
     this.root = store.digest().root();
   }
 
-  /** Returns the configuration as it stands. */
+  // Seeded by the name, so that the daemons of a fleet draw different pauses.
+  private Backoff backoff(String call) {
+    return Backoff.create(
+        MIN_BACKOFF_MS,
+        MAX_BACKOFF_MS,
+        new SplittableRandom((call + self).hashCode() + wall.millis()));
+  }
+
+  /** Returns the configuration as it stands, with what the host list takes out of service. */
   public ConfigurationSnapshot snapshot() {
     return snapshot;
   }
@@ -146,28 +159,37 @@
     }
   }
 
+  /** Returns the hosts that the platform's list shows as leaving or gone. */
+  public HostHints hints() {
+    lock.lock();
+    try {
+      return hosts.hints();
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /**
    * Lets time pass.
    *
    * @param alive the peers of the data centre that are heard from
    */
   public void tick(Collection<DaemonId> alive) {
-    boolean call;
+    boolean list;
+    boolean watch;
     lock.lock();
     try {
       long now = clock.millis();
       store.tick(now);
       ready |= coldStart.isReady(now, alive) && isPresetKnown();
       announcePreset();
-      boolean listingDue = store.isListingNeeded() || now >= listAgainAt;
-      call = !calling && now >= nextCallAt && (!listed || listingDue || watches(alive));
-      calling |= call;
+      list = store.isListingNeeded() || now >= listAgainAt;
+      watch = watches(alive);
     } finally {
       lock.unlock();
     }
-    if (call) {
-      callPlatform();
-    }
+    feed.tick(list, watch);
+    hostFeed.tick(watch);
   }
 
   // A preset that is known but not yet in force hides the one before it, which the others still
@@ -177,8 +199,12 @@
     return schedule.inForce(wall.millis()).isPresent() || schedule.pending().isEmpty();
   }
 
+  // A watcher that is cut off from the platform alone would leave its data centre with one watcher
+  // less, or none: its peers hear it and count on it. So nobody counts on a peer that says it has
+  // no contact. This daemon itself goes on trying, since contact shows by that alone.
   private boolean watches(Collection<DaemonId> alive) {
     List<DaemonId> members = new ArrayList<>(alive);
+    members.removeAll(withoutPlatform);
     members.add(self);
     return election.watchers(members).contains(self);
   }
@@ -196,120 +222,58 @@
 
   // The platform.
 
-  private void callPlatform() {
-    if (!listed || store.isListingNeeded() || clock.millis() >= listAgainAt) {
-      list();
-    } else {
-      watch();
+  /** Takes what the platform answers. */
+  private final class FromPlatform implements PlatformFeed.Sink {
+
+    @Override
+    public void listed(long revision, Set<ObjectKind> kinds, List<ConfigurationObject> objects) {
+      locked(
+          () -> {
+            List<ConfigurationObject> newer =
+                store.applyListing(clock.millis(), revision, kinds, objects);
+            coldStart.platformListed();
+            listAgainAt = Long.MAX_VALUE;
+            applied(newer);
+          });
     }
-  }
-
-  private void list() {
-    List<CompletableFuture<ObjectList>> listings =
-        KINDS.stream().map(kind -> platform.list(kind.pathName())).toList();
-    CompletableFuture.allOf(listings.toArray(new CompletableFuture<?>[0]))
-        .whenComplete(
-            (done, failure) -> {
-              if (failure == null) {
-                listed(listings.stream().map(CompletableFuture::join).toList());
-              } else {
-                failed(failure);
-              }
-            });
-  }
 
-  private void listed(List<ObjectList> listings) {
-    // The kinds are listed one by one. What changed in between shows in the watch from the lowest
-    // revision on, so taking the lowest loses nothing.
-    long revision = listings.stream().mapToLong(ObjectList::revision).min().orElse(0);
-    List<ConfigurationObject> objects = new ArrayList<>();
-    for (ObjectList listing : listings) {
-      listing.items().forEach(stored -> read(stored).ifPresent(objects::add));
-    }
-    lock.lock();
-    try {
-      List<ConfigurationObject> newer =
-          store.applyListing(clock.millis(), revision, KINDS, objects);
-      coldStart.platformListed();
-      listed = true;
-      listAgainAt = Long.MAX_VALUE;
-      watchAfter = revision;
-      applied(newer);
-      callEnded(0);
-    } finally {
-      lock.unlock();
+    @Override
+    public void changed(List<ConfigurationObject> objects) {
+      locked(() -> applied(store.apply(clock.millis(), objects)));
     }
-  }
-
-  private void watch() {
-    List<String> kinds = KINDS.stream().map(ObjectKind::pathName).sorted().toList();
-    platform
-        .watch(kinds, watchAfter, WATCH_WAIT_MS)
-        .whenComplete(
-            (changes, failure) -> {
-              if (failure == null) {
-                changed(changes);
-              } else {
-                failed(failure);
-              }
-            });
-  }
 
-  private void changed(ObjectChanges changes) {
-    List<ConfigurationObject> objects = new ArrayList<>();
-    for (ObjectChanges.Change change : changes.events()) {
-      read(change).ifPresent(objects::add);
-    }
-    lock.lock();
-    try {
-      watchAfter = Math.max(watchAfter, changes.revision());
-      applied(store.apply(clock.millis(), objects));
-      callEnded(0);
-    } finally {
-      lock.unlock();
+    @Override
+    public void refused(String problem) {
+      listener.objectRefused(problem);
     }
-  }
 
-  private void failed(Throwable failure) {
-    lock.lock();
-    try {
-      if (failure.getCause() instanceof PlatformException cause
-          && cause.reason() == PlatformException.Reason.HISTORY_GONE) {
-        listed = false;
-      }
-      callEnded(RETRY_MS);
-    } finally {
-      lock.unlock();
+    @Override
+    public void failed(Throwable failure) {
+      listener.platformFailed(failure);
     }
-    listener.platformFailed(failure);
   }
 
-  private void callEnded(long pauseMs) {
-    calling = false;
-    nextCallAt = clock.millis() + pauseMs;
+  private void hostsRead(List<HostReport> listed) {
+    locked(
+        () ->
+            hosts
+                .read(clock.millis(), listed, hostsInUse())
+                .ifPresent(
+                    hints -> {
+                      hostsChanged(hints);
+                      peers.broadcast(new PeerMessage.HostsPush(hints));
+                    }));
   }
 
-  private Optional<ConfigurationObject> read(ObjectChanges.Change change) {
-    StoredObject stored = change.object();
-    if (change.type() == ObjectChanges.Type.DELETE) {
-      try {
-        ObjectKind kind = ObjectKind.valueOf(stored.kind().toUpperCase(Locale.ROOT));
-        return Optional.of(new Tombstone(new ObjectKey(kind, stored.name()), stored.version()));
-      } catch (IllegalArgumentException notOurs) {
-        return Optional.empty();
-      }
-    }
-    return read(stored);
+  private Set<HostId> hostsInUse() {
+    return store.snapshot().endpoints(dataCentre).stream()
+        .map(EndpointRecord::host)
+        .collect(Collectors.toSet());
   }
 
-  /** An object that cannot be read keeps its last good version in force; operators are told. */
-  private Optional<ConfigurationObject> read(StoredObject stored) {
-    try {
-      return Optional.of(ObjectCodec.read(stored));
-    } catch (ObjectFormatException e) {
-      listener.objectRefused(e.getMessage());
-      return Optional.empty();
-    }
+  private void hostsChanged(HostHints hints) {
+    refresh();
+    listener.hostsChanged(hints);
   }
 
   private void applied(List<ConfigurationObject> newer) {
@@ -326,12 +290,16 @@
         schedule.learned(preset);
       }
     }
-    snapshot = store.snapshot();
-    root = store.digest().root();
+    refresh();
     listener.applied(snapshot, newer);
     announcePreset();
   }
 
+  private void refresh() {
+    snapshot = hinted.apply(store.snapshot(), hosts.hints());
+    root = store.digest().root() + hosts.hints().digest();
+  }
+
   // Peers.
 
   /**
@@ -363,6 +331,20 @@
     }
   }
 
+  /**
+   * Takes what a peer made of the platform's host list.
+   *
+   * @param push the hosts that are leaving or gone
+   */
+  public void hostsPushed(PeerMessage.HostsPush push) {
+    locked(
+        () -> {
+          if (hosts.received(push.hints())) {
+            hostsChanged(push.hints());
+          }
+        });
+  }
+
   /**
    * Answers a peer that asks in what it differs.
    *
@@ -371,17 +353,22 @@
    */
   public void asked(DaemonId peer, PeerMessage.ObjectsRequest request) {
     PeerMessage.ObjectsPush answer;
+    HostHints hints;
     lock.lock();
     try {
       ConfigurationDigest theirs = new ConfigurationDigest(request.buckets());
       List<Integer> differing = store.digest().differingFrom(theirs);
       answer = push(store.deltaFor(differing, Map.of()), true);
+      hints = hosts.hints();
     } catch (IllegalArgumentException malformed) {
       return;
     } finally {
       lock.unlock();
     }
     peers.send(peer, answer);
+    if (hints.version() > 0) {
+      peers.send(peer, new PeerMessage.HostsPush(hints));
+    }
   }
 
   /**
@@ -389,11 +376,17 @@
    *
    * @param peer the peer
    * @param theirRoot the sum of what it holds
+   * @param platformOut whether it has lost the platform
    */
-  public void heard(DaemonId peer, long theirRoot) {
+  public void heard(DaemonId peer, long theirRoot, boolean platformOut) {
     PeerMessage.ObjectsRequest request;
     lock.lock();
     try {
+      if (platformOut) {
+        withoutPlatform.add(peer);
+      } else {
+        withoutPlatform.remove(peer);
+      }
       long now = clock.millis();
       boolean repairDue =
           now - repairedAt.getOrDefault(peer, now - REPAIR_EVERY_MS) >= REPAIR_EVERY_MS;
@@ -429,4 +422,13 @@
     return new PeerMessage.ObjectsPush(
         objects.stream().map(ObjectCodec::text).toList(), complete, ready);
   }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
+    }
+  }
 }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -7,10 +7,12 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.IdempotencyKey;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.OperationId;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
@@ -21,6 +23,8 @@
 import io.sequoiapass.coordination.request.LedgerState;
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.request.Priority;
+import io.sequoiapass.coordination.version.HostHints;
+import io.sequoiapass.coordination.version.HostReport;
 import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.Arrays;
@@ -48,13 +52,24 @@
   private static final LedgerRecord RECORD =
       new LedgerRecord(KEY, "digest", HOLDER, LedgerState.STARTED, 3, 500);
 
+  private static final PeerMessage HOSTS =
+      new PeerMessage.HostsPush(
+          HostHints.of(
+              3,
+              new DaemonId("d1"),
+              List.of(
+                  new HostReport(
+                      new HostId("h2"), HostHint.LEAVING, Set.of(new EndpointId("e1"))))));
+
   private static PeerMessage ledger(LedgerMessage message) {
     return new PeerMessage.Ledger(message);
   }
 
   static List<PeerMessage> messages() {
     return List.of(
-        new PeerMessage.Hello(new DaemonId("d1"), new DataCentreId("yard-north"), 7),
+        new PeerMessage.Hello(
+            new DaemonId("d1"), new DataCentreId("yard-north"), new HostId("h1"), 7),
+        HOSTS,
         new PeerMessage.Forward(
             ID,
             new EndpointId("e1"),
--- a/testbed/src/main/java/io/sequoiapass/testbed/standin/PlatformStandIn.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/standin/PlatformStandIn.java
@@ -40,6 +40,7 @@
   private final Map<CallKind, Long> calls = new TreeMap<>();
   private Faults faults = new Faults(false, 0, 0, false);
   private JsonElement hosts = noHosts();
+  private int hostsTag;
   private long conflicts;
   private long lostAnswers;
   private int mostWatches;
@@ -81,7 +82,7 @@
   void serve(HttpRequestMessage request, HttpResponder responder) {
     if (request.path().equals("/hosts") && request.method().equals("PUT")) {
       JsonElement next = read(request.text(), JsonElement.class);
-      loop.schedule(() -> hosts = next, settings.hostsLagMs(), TimeUnit.MILLISECONDS);
+      loop.schedule(() -> hostsAre(next), settings.hostsLagMs(), TimeUnit.MILLISECONDS);
       ok(responder, Map.of());
       return;
     }
@@ -106,6 +107,30 @@
     }
   }
 
+  private void hostsAre(JsonElement next) {
+    hosts = next;
+    hostsTag++;
+  }
+
+  private void hosts(HttpRequestMessage request, HttpResponder responder) {
+    String tag = "\"" + hostsTag + "\"";
+    if (request.header("If-None-Match").filter(tag::equals).isPresent()) {
+      responder.respond(304, Map.of("ETag", tag), "");
+      return;
+    }
+    JsonArray wanted = new JsonArray();
+    Optional<String> dataCentre = request.query("data_centre");
+    for (JsonElement host : hosts.getAsJsonObject().getAsJsonArray("hosts")) {
+      String at = host.getAsJsonObject().get("data_centre").getAsString();
+      if (dataCentre.isEmpty() || dataCentre.get().equals(at)) {
+        wanted.add(host);
+      }
+    }
+    JsonObject list = new JsonObject();
+    list.add("hosts", wanted);
+    responder.respond(200, Map.of("ETag", tag), list.toString());
+  }
+
   private void count(CallKind kind) {
     calls.merge(kind, 1L, Long::sum);
   }
@@ -114,7 +139,7 @@
     try {
       switch (kind) {
         case WATCH -> watch(request, responder);
-        case HOSTS -> ok(responder, hosts);
+        case HOSTS -> hosts(request, responder);
         case LIST -> list(request, responder);
         case READ -> readObject(request, responder);
         case PUT -> put(request, responder);
