--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterBuilder.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterBuilder.java
@@ -14,7 +14,7 @@
   private int slots = 4;
   private int maxStreams = 16;
   private boolean checksFence = true;
-  private boolean proxies;
+  private ProxyPlan proxies = ProxyPlan.NONE;
   private List<String> engineFlags = List.of();
   private List<String> platformFlags = List.of();
   private List<String> daemonFlags = List.of();
@@ -96,7 +96,13 @@
 
   /** Puts fault proxies between daemons, endpoints and platform. */
   public ClusterBuilder withProxies() {
-    proxies = true;
+    proxies = ProxyPlan.ALL;
+    return this;
+  }
+
+  /** Puts fault proxies between daemons and platform only. */
+  public ClusterBuilder withPlatformProxies() {
+    proxies = ProxyPlan.PLATFORM;
     return this;
   }
 
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterProxies.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterProxies.java
@@ -15,20 +15,28 @@
  */
 public final class ClusterProxies implements AutoCloseable {
 
-  private final boolean enabled;
+  private final ProxyPlan plan;
   private final Map<String, FaultProxy> proxies = new HashMap<>();
 
-  ClusterProxies(boolean enabled) {
-    this.enabled = enabled;
+  ClusterProxies(ProxyPlan plan) {
+    this.plan = plan;
   }
 
   void open(InetSocketAddress platform, List<DaemonNode> daemons, List<EndpointNode> endpoints)
       throws IOException {
-    if (!enabled) {
-      return;
+    if (plan.beforePlatform()) {
+      for (DaemonNode daemon : daemons) {
+        proxies.put(platformKey(daemon.id()), FaultProxy.start(0, platform));
+      }
+    }
+    if (plan.beforePeersAndEndpoints()) {
+      openOthers(daemons, endpoints);
     }
+  }
+
+  private void openOthers(List<DaemonNode> daemons, List<EndpointNode> endpoints)
+      throws IOException {
     for (DaemonNode daemon : daemons) {
-      proxies.put(platformKey(daemon.id()), FaultProxy.start(0, platform));
       for (DaemonNode peer : daemons) {
         if (peer != daemon) {
           proxies.put(peerKey(daemon.id(), peer.id()), FaultProxy.start(0, peer.peers()));
@@ -53,15 +61,17 @@
   }
 
   InetSocketAddress platformFor(DaemonNode daemon, InetSocketAddress direct) {
-    return enabled ? toPlatform(daemon.id()).address() : direct;
+    return plan.beforePlatform() ? toPlatform(daemon.id()).address() : direct;
   }
 
   InetSocketAddress peerFor(DaemonNode from, DaemonNode to) {
-    return enabled ? toPeer(from.id(), to.id()).address() : to.peers();
+    return plan.beforePeersAndEndpoints() ? toPeer(from.id(), to.id()).address() : to.peers();
   }
 
   InetSocketAddress endpointFor(EndpointNode endpoint) {
-    return enabled ? toEndpoint(endpoint.id()).address() : endpoint.address();
+    return plan.beforePeersAndEndpoints()
+        ? toEndpoint(endpoint.id()).address()
+        : endpoint.address();
   }
 
   /**
@@ -95,7 +105,7 @@
   private FaultProxy find(String key) {
     FaultProxy proxy = proxies.get(key);
     if (proxy == null) {
-      throw new IllegalStateException("no proxy " + key + "; enabled: " + enabled);
+      throw new IllegalStateException("no proxy " + key + "; plan: " + plan);
     }
     return proxy;
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterSettings.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterSettings.java
@@ -13,7 +13,7 @@
  * @param slots adapter slots of each engine
  * @param maxStreams streams of each engine
  * @param checksFence whether engines refuse orders with an old fencing number
- * @param proxies whether fault proxies stand between daemons, engines and platform
+ * @param proxies where fault proxies stand
  * @param engineFlags further flags of each engine
  * @param platformFlags further flags of the platform
  * @param daemonFlags further flags of each daemon
@@ -28,7 +28,7 @@
     int slots,
     int maxStreams,
     boolean checksFence,
-    boolean proxies,
+    ProxyPlan proxies,
     List<String> engineFlags,
     List<String> platformFlags,
     List<String> daemonFlags,
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -40,6 +40,26 @@
               flags.integer("seed", 0, Integer.MAX_VALUE))
           .run();
     }
+  },
+  /** The time from a change's acceptance by the platform until it is in force everywhere. */
+  PROPAGATION {
+    @Override
+    Flags.Definition definition() {
+      return common()
+          .flag("data-centres", "3", "data centres")
+          .flag("daemons", "8", "daemons in each")
+          .flag("rate", "12", "changes a second in the burst");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new PropagationMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("data-centres", 1, 6),
+              flags.integer("daemons", 2, 17),
+              flags.integer("rate", 1, 1_000))
+          .run();
+    }
   };
 
   abstract Flags.Definition definition();
