--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.RequestId;
 import io.sequoiapass.coordination.process.OwnershipDelta;
 import io.sequoiapass.coordination.process.OwnershipTable;
@@ -11,6 +12,7 @@
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.LedgerMessage;
+import io.sequoiapass.coordination.version.HostHints;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.List;
 
@@ -46,9 +48,11 @@
    *
    * @param daemon the caller
    * @param dataCentre where it runs
+   * @param host the host it runs on
    * @param incarnation a number that grows with each start of that daemon
    */
-  record Hello(DaemonId daemon, DataCentreId dataCentre, long incarnation) implements PeerMessage {
+  record Hello(DaemonId daemon, DataCentreId dataCentre, HostId host, long incarnation)
+      implements PeerMessage {
     @Override
     public PeerMessageType type() {
       return PeerMessageType.HELLO;
@@ -291,6 +295,18 @@
     }
   }
 
+  /**
+   * Carries what a reader of the platform's host list made of it.
+   *
+   * @param hints the hosts that are not live
+   */
+  record HostsPush(HostHints hints) implements PeerMessage {
+    @Override
+    public PeerMessageType type() {
+      return PeerMessageType.HOSTS_PUSH;
+    }
+  }
+
   /**
    * Carries the ownership table of a data centre.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessageType.java
@@ -46,7 +46,9 @@
   /** See {@link PeerMessage.Ledger}. */
   LEDGER(20, LedgerFrames::read),
   /** See {@link PeerMessage.TableDelta}. */
-  TABLE_DELTA(21, TableFrames::readDelta);
+  TABLE_DELTA(21, TableFrames::readDelta),
+  /** See {@link PeerMessage.HostsPush}. */
+  HOSTS_PUSH(22, ControlFrames::readHostsPush);
 
   /** Reads the fields of one frame. */
   @FunctionalInterface
