--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/Engine.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Engine.java
@@ -26,12 +26,16 @@
   static final class Slot {
     final AdapterVersion adapter;
     final LoadHandle handle;
+    final LoadCause cause;
+    final double beginMs;
     double readyMs = Double.NaN;
     int streams;
 
-    Slot(AdapterVersion adapter, LoadHandle handle) {
+    Slot(AdapterVersion adapter, LoadHandle handle, LoadCause cause, double beginMs) {
       this.adapter = adapter;
       this.handle = handle;
+      this.cause = cause;
+      this.beginMs = beginMs;
     }
 
     boolean ready() {
@@ -84,15 +88,19 @@
     slots.remove(slot);
   }
 
-  Slot load(AdapterVersion adapter, LoadHandle handle) {
+  Slot load(AdapterVersion adapter, LoadHandle handle, LoadCause cause, double beginMs) {
     if (slots.size() == maxSlots) {
       throw new IllegalStateException(id + " has no slot for " + adapter);
     }
-    Slot slot = new Slot(adapter, handle);
+    Slot slot = new Slot(adapter, handle, cause, beginMs);
     slots.add(slot);
     return slot;
   }
 
+  boolean holds(AdapterVersion adapter) {
+    return slots.stream().anyMatch(s -> s.adapter.equals(adapter));
+  }
+
   Slot slot(LoadHandle handle) {
     return slots.stream().filter(s -> s.handle.equals(handle)).findFirst().orElseThrow();
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/PolicyBench.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/PolicyBench.java
@@ -95,6 +95,9 @@
         sum[1] += score.batchEfficiency() / settings.seeds().size();
         String row = row(user, scenario, seed, policy, score);
         out.println(row);
+        if (settings.breakdown()) {
+          out.println(score.breakdown());
+        }
         csv.add(row.trim().replaceAll(" +", ","));
       }
     }
@@ -151,6 +154,7 @@
     options.addOption(
         null, "policies", true, "names with commas, the first is compared with the others (all)");
     options.addOption(null, "seconds", true, "length of a run (600)");
+    options.addOption(null, "breakdown", false, "print what the stall seconds were spent on");
     options.addOption(null, "csv", true, "file to write");
     return options;
   }
@@ -178,6 +182,10 @@
           line.getOptionValue("csv"));
     }
 
+    boolean breakdown() {
+      return line.hasOption("breakdown");
+    }
+
     List<Policies> policies() {
       String names = line.getOptionValue("policies", "all").toUpperCase(Locale.ROOT);
       if (names.equals("ALL")) {
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/Score.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Score.java
@@ -12,6 +12,7 @@
   private final Shape shape;
   private final Histogram stalls = new Histogram(DIGITS);
   private final Histogram deadlineStalls = new Histogram(DIGITS);
+  private final Breakdown breakdown = new Breakdown();
   private double stallMs;
   private double busyMs;
   private long tokens;
@@ -24,14 +25,19 @@
     this.shape = shape;
   }
 
-  void started(Workload.Arrival arrival, double queuedMs, double readyMs) {
-    record(arrival, Math.max(0, readyMs - queuedMs));
+  void started(Workload.Arrival arrival, Engine.Slot slot, double queuedMs, double nowMs) {
+    double readyMs = Math.max(queuedMs, Math.min(nowMs, slot.readyMs));
+    record(arrival, readyMs - queuedMs);
+    if (counts(arrival) && readyMs > queuedMs) {
+      breakdown.waited(slot, queuedMs, readyMs);
+    }
   }
 
   /** Counts the whole time up to the deadline, so that refusing can't improve a policy's stalls. */
   void lost(Workload.Arrival arrival) {
     record(arrival, arrival.deadlineMs() - arrival.atMs());
     if (counts(arrival)) {
+      breakdown.lost(arrival.deadlineMs() - arrival.atMs());
       lost++;
     }
   }
@@ -42,9 +48,10 @@
     }
   }
 
-  void load(double nowMs, boolean evicts) {
+  void load(double nowMs, LoadCause cause, boolean evicts) {
     if (nowMs >= shape.warmUpMs() && nowMs < shape.endMs()) {
       loads++;
+      breakdown.load(cause);
       evictions += evicts ? 1 : 0;
     }
   }
@@ -56,6 +63,10 @@
     }
   }
 
+  Breakdown breakdown() {
+    return breakdown;
+  }
+
   double stallSeconds() {
     return stallMs / 1000;
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/policy/Simulation.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/policy/Simulation.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.testbed.policy;
 
+import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.RequestId;
 import io.sequoiapass.daemon.process.placement.LoadHandle;
@@ -10,11 +11,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Plays one workload through one policy in virtual time, and fails at once if the policy breaks a
@@ -52,6 +55,7 @@
   private final List<Engine> engines = new ArrayList<>();
   private final Map<EndpointId, Engine> byId = new HashMap<>();
   private final Map<RequestId, Ticket> tickets = new HashMap<>();
+  private final Set<AdapterVersion> held = new HashSet<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
   private final WeightStore store = new WeightStore();
@@ -174,16 +178,16 @@
     }
     ticket.started = true;
     engine.start(ticket.arrival, start.handle(), ticket.tokensLeft);
-    double readyMs = engine.slot(start.handle()).readyMs;
-    score.started(ticket.arrival, ticket.queuedMs, Math.min(now, readyMs));
+    score.started(ticket.arrival, engine.slot(start.handle()), ticket.queuedMs, now);
     beginStep(engine);
   }
 
   private void load(PlacementAction.Load load) {
     Engine engine = byId.get(load.endpoint());
     load.evict().ifPresent(engine::evict);
-    score.load(now, load.evict().isPresent());
-    Engine.Slot slot = engine.load(load.adapter(), new LoadHandle("h" + order++));
+    LoadCause cause = causeOf(load.adapter());
+    score.load(now, cause, load.evict().isPresent());
+    Engine.Slot slot = engine.load(load.adapter(), new LoadHandle("h" + order++), cause, now);
     if (faults.nextDouble() < scenario.hangingShare()) {
       at(now + HANG_MS, () -> loadEnded(engine, slot, false));
     } else {
@@ -191,12 +195,20 @@
     }
   }
 
+  private LoadCause causeOf(AdapterVersion adapter) {
+    if (engines.stream().anyMatch(engine -> engine.holds(adapter))) {
+      return LoadCause.ELSEWHERE;
+    }
+    return held.contains(adapter) ? LoadCause.AGAIN : LoadCause.FIRST;
+  }
+
   private void loadEnded(Engine engine, Engine.Slot slot, boolean success) {
     if (!engine.slots.contains(slot)) {
       return;
     }
     if (success) {
       slot.readyMs = now;
+      held.add(slot.adapter);
     } else {
       engine.slots.remove(slot);
     }
