Route a miss to the endpoint whose load loses least

Cause: an adapter that nobody holds went to its first endpoint by hash, whatever it evicted there, and waited behind that owner's other loads. Each load hint now carries the price of the endpoint's next load (demand of what it evicts, a few bytes on frames that flow anyway) and the adapters that wait; an entry that finds no holder chooses among the first eight by price plus half a request for each one queued. With fewer than half of the prices known the order stays as it was.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -125,6 +125,7 @@
       out.packInt(load.maxStreams());
       writeAdapters(out, load.adapters());
       writeAdapters(out, load.hot());
+      out.packInt(load.price());
     }
   }
 
@@ -209,7 +210,8 @@
         in.number(),
         in.number(),
         new HashSet<>(in.list(FrameReader::adapter)),
-        new HashSet<>(in.list(FrameReader::adapter)));
+        new HashSet<>(in.list(FrameReader::adapter)),
+        in.number());
   }
 
   static PeerMessage readServiceAnswer(FrameReader in) throws IOException, PeerFrameException {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
@@ -36,9 +36,6 @@
 
   private static final int ONE_COPY = 1;
 
-  /** Endpoints among which an adapter's requests move: enough that not all are full or lost. */
-  private static final int FIRST = 8;
-
   /** Orders kept: more adapters than one entry sees in an hour, at about 200 bytes each. */
   private static final int MAX_ORDERS = 8_192;
 
@@ -140,7 +137,8 @@
         new Order(target.adapter(), hot),
         order -> {
           List<EndpointId> all = byAffinity(target, snapshot, hot);
-          return List.copyOf(all.subList(0, Math.min(FIRST, all.size())));
+          int places = hot ? all.size() : router.ownPlaces(false, all.size());
+          return List.copyOf(all.subList(0, Math.min(Router.CHOICES, places)));
         });
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -46,6 +46,8 @@
    */
   private static final double DESERVES = 0.5;
 
+  private static final int HUNDREDTHS = 100;
+
   private static final long NO_ENDPOINT_COME_BACK_MS = 1_000;
 
   private record Running(EndpointState.Slot slot) {}
@@ -203,21 +205,37 @@
 
   @Override
   public List<EndpointLoad> loads() {
-    Map<EndpointId, Integer> queuedFor = new HashMap<>();
+    Map<EndpointId, List<AdapterVersion>> queuedFor = new HashMap<>();
     for (WaitingGroup group : waiting.values()) {
       for (WaitingGroup.Queued entry : group.requests) {
-        queuedFor.merge(entry.request().preferred(), 1, Integer::sum);
+        queuedFor
+            .computeIfAbsent(entry.request().preferred(), e -> new ArrayList<>())
+            .add(group.adapter);
       }
     }
     return endpoints.values().stream()
         .map(
             e ->
                 e.load(
-                    queuedFor.getOrDefault(e.id, 0),
-                    adapter -> demand.of(lastMs, adapter) >= settings.hotDemand()))
+                    queuedFor.getOrDefault(e.id, List.of()),
+                    adapter -> demand.of(lastMs, adapter) >= settings.hotDemand(),
+                    price(e)))
         .toList();
   }
 
+  /**
+   * Returns what the next load on an endpoint evicts, for entries that choose between endpoints.
+   */
+  private int price(EndpointState endpoint) {
+    if (endpoint.hasFreeSlot()) {
+      return 0;
+    }
+    EndpointState.Slot cheapest = cheapest(lastMs, endpoint);
+    return cheapest == null
+        ? EndpointLoad.NOTHING_TO_EVICT
+        : (int) Math.round(demand.of(lastMs, cheapest.adapter) * HUNDREDTHS);
+  }
+
   private List<PlacementAction> decide(long nowMs) {
     lastMs = nowMs;
     List<PlacementAction> actions = new ArrayList<>();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointLoad.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointLoad.java
@@ -14,8 +14,10 @@
  * @param streams requests that run on it
  * @param queued requests that wait at its owner and were routed to it
  * @param maxStreams streams that it runs at once
- * @param adapters what it holds or loads
+ * @param adapters what it holds, loads, or will load for requests that wait
  * @param hot those that are asked for so often that they should share an endpoint
+ * @param price demand of the adapter that its next load evicts, in hundredths of a request; 0 with
+ *     a free slot
  */
 public record EndpointLoad(
     EndpointId endpoint,
@@ -23,12 +25,16 @@
     int queued,
     int maxStreams,
     Set<AdapterVersion> adapters,
-    Set<AdapterVersion> hot) {
+    Set<AdapterVersion> hot,
+    int price) {
+
+  /** Price of an endpoint on which every slot is in use. */
+  public static final int NOTHING_TO_EVICT = Integer.MAX_VALUE;
 
   /** Creates a hint that calls no adapter hot. */
   public EndpointLoad(
       EndpointId endpoint, int streams, int queued, int maxStreams, Set<AdapterVersion> adapters) {
-    this(endpoint, streams, queued, maxStreams, adapters, Set.of());
+    this(endpoint, streams, queued, maxStreams, adapters, Set.of(), 0);
   }
 
   /** Checks the parts and copies the sets. */
@@ -36,9 +42,16 @@
     Objects.requireNonNull(endpoint, "endpoint");
     adapters = Set.copyOf(adapters);
     hot = Set.copyOf(hot);
-    if (streams < 0 || queued < 0 || maxStreams < 1) {
+    if (streams < 0 || queued < 0 || maxStreams < 1 || price < 0) {
       throw new IllegalArgumentException(
-          "streams " + streams + ", queued " + queued + ", maxStreams " + maxStreams);
+          "streams "
+              + streams
+              + ", queued "
+              + queued
+              + ", maxStreams "
+              + maxStreams
+              + ", price "
+              + price);
     }
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
@@ -53,11 +53,12 @@
     this.maxSlots = status.slots();
   }
 
-  EndpointLoad load(int queued, Predicate<AdapterVersion> isHot) {
+  EndpointLoad load(List<AdapterVersion> queued, Predicate<AdapterVersion> isHot, int price) {
     Set<AdapterVersion> adapters =
         slots.stream().filter(s -> !s.hung).map(s -> s.adapter).collect(Collectors.toSet());
+    adapters.addAll(queued);
     Set<AdapterVersion> hot = adapters.stream().filter(isHot).collect(Collectors.toSet());
-    return new EndpointLoad(id, streams, queued, maxStreams, adapters, hot);
+    return new EndpointLoad(id, streams, queued.size(), maxStreams, adapters, hot, price);
   }
 
   boolean hasStreamPlace() {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Router.java
@@ -51,6 +51,16 @@
   private record Ranked(
       Candidate candidate, double score, boolean full, boolean holds, boolean fits) {}
 
+  /**
+   * Endpoints among which a missing adapter goes to the one that loses least by its load: enough
+   * that a slot of little worth is among them, and few enough that an adapter that was evicted
+   * comes back where its demand is known.
+   */
+  public static final int CHOICES = 8;
+
+  /** What the owner's queue adds to a price, for each request: loads there wait for each other. */
+  private static final int PRICE_OF_QUEUED = 50;
+
   /** Hashed with each endpoint to choose those that hot adapters share. */
   private static final String DENSE = "dense";
 
@@ -130,7 +140,47 @@
         Comparator.comparing(Ranked::full)
             .thenComparing(r -> hot && !r.fits())
             .thenComparing(r -> !r.holds()));
-    return ranked.stream().map(r -> r.candidate().endpoint()).toList();
+    List<Candidate> ordered = ranked.stream().map(Ranked::candidate).toList();
+    return (hot ? ordered : byPrice(adapter, ordered, ownPlaces(false, ordered.size())))
+        .stream().map(Candidate::endpoint).toList();
+  }
+
+  /**
+   * Returns how many of the first places of {@link #rank} are for adapters of this kind.
+   *
+   * @param hot whether hot adapters are meant, or the others
+   * @param candidates endpoints of the model
+   */
+  public int ownPlaces(boolean hot, int candidates) {
+    int dense = denseCount(candidates);
+    return hot ? dense : candidates - dense;
+  }
+
+  /** Puts the endpoint that loses least first when none is known to hold the adapter. */
+  private List<Candidate> byPrice(AdapterVersion adapter, List<Candidate> ordered, int places) {
+    int count = Math.min(CHOICES, Math.min(places, ordered.size()));
+    List<Candidate> choices = ordered.subList(0, count);
+    long priced = choices.stream().filter(this::isFresh).count();
+    // With few prices known, every miss would go to the same few endpoints.
+    if (priced * 2 < count || ordered.stream().anyMatch(c -> holds(adapter, c) && !full(c))) {
+      return ordered;
+    }
+    List<Candidate> priceOrder = new ArrayList<>(choices);
+    priceOrder.sort(Comparator.comparing(this::full).thenComparingLong(this::price));
+    priceOrder.addAll(ordered.subList(count, ordered.size()));
+    return priceOrder;
+  }
+
+  private boolean isFresh(Candidate candidate) {
+    return candidate.load().isPresent() && candidate.loadAgeMs() <= maxLoadAgeMs;
+  }
+
+  private long price(Candidate candidate) {
+    return candidate
+        .load()
+        .filter(load -> isFresh(candidate))
+        .map(load -> load.price() + (long) PRICE_OF_QUEUED * load.queued())
+        .orElse((long) EndpointLoad.NOTHING_TO_EVICT);
   }
 
   /**
@@ -142,28 +192,32 @@
    * @param ordered the endpoints, best first
    */
   public List<EndpointId> byHints(AdapterVersion adapter, boolean hot, List<Candidate> ordered) {
-    return ordered.stream()
-        .sorted(Comparator.comparing(this::full).thenComparing(c -> !hot && !holds(adapter, c)))
-        .map(Candidate::endpoint)
-        .toList();
+    List<Candidate> hinted =
+        ordered.stream()
+            .sorted(Comparator.comparing(this::full).thenComparing(c -> !hot && !holds(adapter, c)))
+            .toList();
+    return (hot ? hinted : byPrice(adapter, hinted, hinted.size()))
+        .stream().map(Candidate::endpoint).toList();
   }
 
   /** Returns the endpoints that hot adapters share: the same at every entry, by a hash. */
   private Set<EndpointId> dense(List<Candidate> candidates) {
-    if (candidates.size() < MIN_ENDPOINTS_TO_DIVIDE) {
-      return Set.of();
-    }
-    long count =
-        Math.min(candidates.size() - 1L, Math.max(1, Math.round(candidates.size() * denseShare)));
     return candidates.stream()
         .sorted(
             Comparator.comparingDouble((Candidate c) -> -score(DENSE, c))
                 .thenComparing(Candidate::endpoint))
-        .limit(denseShare == 0 ? 0 : count)
+        .limit(denseCount(candidates.size()))
         .map(Candidate::endpoint)
         .collect(Collectors.toSet());
   }
 
+  private int denseCount(int candidates) {
+    if (denseShare == 0 || candidates < MIN_ENDPOINTS_TO_DIVIDE) {
+      return 0;
+    }
+    return Math.min(candidates - 1, Math.max(1, (int) Math.round(candidates * denseShare)));
+  }
+
   /**
    * Returns how many endpoints an adapter needs.
    *
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -74,7 +74,7 @@
             12,
             List.of(
                 new EndpointLoad(
-                    new EndpointId("e1"), 1, 2, 16, Set.of(ADAPTER), Set.of(ADAPTER)))),
+                    new EndpointId("e1"), 1, 2, 16, Set.of(ADAPTER), Set.of(ADAPTER), 250))),
         new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9),
         new PeerMessage.TablePush(
             new DataCentreId("yard-north"),
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/entry/AffinityRoutesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/entry/AffinityRoutesTest.java
@@ -91,7 +91,7 @@
     for (int i = 0; i < MANY; i++) {
       hot.add(AdapterVersion.parse("adapter-" + i + "@v1"));
     }
-    routes.learn(List.of(new EndpointLoad(new EndpointId("e0"), 0, 0, 16, Set.of(), hot)));
+    routes.learn(List.of(new EndpointLoad(new EndpointId("e0"), 0, 0, 16, Set.of(), hot, 0)));
     Set<EndpointId> shared = endpointsOfManyAdapters();
 
     assertThat(shared).isNotEmpty().doesNotContainAnyElementsOf(others);
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/placement/RouterTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/placement/RouterTest.java
@@ -65,6 +65,22 @@
     assertThat(router.rank(NOTES, 1, false, candidates)).first().isEqualTo(last);
   }
 
+  @Test
+  void aMissingAdapterGoesWhereItsLoadLosesLeast() {
+    List<Router.Candidate> priced = priced(candidates(3), 300, 20, 100);
+
+    assertThat(router.rank(NOTES, 1, false, priced)).first().isEqualTo(priced.get(1).endpoint());
+  }
+
+  @Test
+  void aMissingAdapterStaysWithItsAffinityWhileFewPricesAreKnown() {
+    List<Router.Candidate> all = candidates(3);
+    List<Router.Candidate> one = new ArrayList<>(all);
+    one.set(2, priced(all, 1, 1, 1).get(2));
+
+    assertThat(router.rank(NOTES, 1, false, one)).isEqualTo(router.rank(NOTES, 1, false, all));
+  }
+
   @Test
   void hotAdaptersShareFewEndpointsThatTheOthersLeave() {
     Router dense = new Router(MAX_AGE_MS, 0.25);
@@ -84,6 +100,16 @@
     return firsts;
   }
 
+  private static List<Router.Candidate> priced(List<Router.Candidate> all, int... prices) {
+    List<Router.Candidate> priced = new ArrayList<>();
+    for (int i = 0; i < prices.length; i++) {
+      EndpointId id = all.get(i).endpoint();
+      EndpointLoad load = new EndpointLoad(id, 0, 0, 4, Set.of(), Set.of(), prices[i]);
+      priced.add(candidate(id.value(), 1, load, 0));
+    }
+    return priced;
+  }
+
   private static List<Router.Candidate> withFull(EndpointId full, long ageMs) {
     List<Router.Candidate> candidates = new ArrayList<>(candidates(3));
     candidates.replaceAll(
@@ -105,6 +131,6 @@
   }
 
   private static EndpointLoad load(EndpointId id, int streams, AdapterVersion... adapters) {
-    return new EndpointLoad(id, streams, 0, 4, Set.of(adapters), Set.of());
+    return new EndpointLoad(id, streams, 0, 4, Set.of(adapters), Set.of(), 0);
   }
 }
