An adapter is hot by the user's weights

Cause: from a demand of 10 more adapters are hot than their shared endpoints have slots for, so hot ones evict each other. 14 divided by the root of the batch preference: 20 for stalls, 10 for batches as before.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -59,6 +59,7 @@
 
   private final PlacementSettings settings;
   private final PlacementWeights weights;
+  private final double hotDemand;
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   private final Map<AdapterVersion, WaitingGroup> waiting = new TreeMap<>();
   private final Map<RequestId, AdapterVersion> queued = new HashMap<>();
@@ -79,6 +80,7 @@
   public AdaptivePlacement(PlacementSettings settings, PlacementWeights weights) {
     this.settings = settings;
     this.weights = weights;
+    this.hotDemand = weights.hotDemand(settings.hotDemand());
     this.demand = new DemandTable(settings.demandHalfLifeMs());
     this.turns = new LoadTurns(settings.loadAloneMs());
   }
@@ -218,7 +220,7 @@
             e ->
                 e.load(
                     queuedFor.getOrDefault(e.id, List.of()),
-                    adapter -> demand.of(lastMs, adapter) >= settings.hotDemand(),
+                    adapter -> demand.of(lastMs, adapter) >= hotDemand,
                     price(e)))
         .toList();
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementSettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementSettings.java
@@ -11,8 +11,9 @@
  *
  * @param demandHalfLifeMs after how long a request counts half in an adapter's demand: long enough
  *     that the adapters at the edge of what fits are seen twice within it
- * @param hotDemand demand, in requests of the last half-life or so, from which an adapter is hot:
- *     it then keeps a stream going for a good part of the time
+ * @param hotDemand demand, in requests of the last half-life or so, from which an adapter is hot
+ *     where stalls and batches weigh the same: it then keeps a stream going for a good part of the
+ *     time
  * @param loadAloneMs how long a load takes when the weight store serves no other
  * @param hungAfterMs when a load is given up as hung; several times what a load takes when every
  *     owner loads at once
@@ -30,7 +31,7 @@
     int maxQueued) {
 
   private static final long DEFAULT_HALF_LIFE_MS = 150_000;
-  private static final int DEFAULT_HOT_DEMAND = 10;
+  private static final int DEFAULT_HOT_DEMAND = 14;
   private static final long DEFAULT_LOAD_ALONE_MS = 250;
   private static final long DEFAULT_HUNG_AFTER_MS = 5_000;
   private static final long DEFAULT_RETRY_MS = 250;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementWeights.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/PlacementWeights.java
@@ -44,6 +44,16 @@
     return Math.min(MAX_DENSE_SHARE, EVEN_DENSE_SHARE / Math.sqrt(batchPreference()));
   }
 
+  /**
+   * Returns from which demand an adapter is hot: each hot one makes batches fuller, and takes one
+   * of the few slots that they share from the others.
+   *
+   * @param even the demand when both weigh the same
+   */
+  double hotDemand(double even) {
+    return even / Math.sqrt(batchPreference());
+  }
+
   /** Returns how much batch efficiency counts against a load stall. */
   double batchPreference() {
     return batch / stall;
