--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerTransport.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.daemon.connection.peer;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -10,11 +9,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import io.sequoiapass.daemon.connection.SocketTransport;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Objects;
@@ -47,13 +45,11 @@
   private static final int CONNECT_TIMEOUT_MS = 500;
 
   private final EventLoopGroup group;
-  private final Counter controlBytes;
-  private final Counter dataBytes;
+  private final PeerCounters counters;
 
   private PeerTransport(EventLoopGroup group, MetricRegistry metrics) {
     this.group = Objects.requireNonNull(group, "group");
-    this.controlBytes = metrics.counter("peer.control.bytes");
-    this.dataBytes = metrics.counter("peer.data.bytes");
+    this.counters = new PeerCounters(metrics);
   }
 
   /**
@@ -79,7 +75,7 @@
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(SocketTransport.of(group).server())
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(initializer(listeners));
@@ -100,7 +96,7 @@
     ChannelFuture opening =
         new Bootstrap()
             .group(group)
-            .channel(NioSocketChannel.class)
+            .channel(SocketTransport.of(group).client())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .handler(initializer(() -> listener))
@@ -108,7 +104,7 @@
     opening.addListener(
         done -> {
           if (!done.isSuccess()) {
-            listener.closed(new NettyPeerChannel(opening.channel(), controlBytes, dataBytes));
+            listener.closed(new NettyPeerChannel(opening.channel(), counters));
           }
         });
   }
@@ -129,6 +125,6 @@
         .addLast(
             new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-        .addLast(new PeerHandler(new NettyPeerChannel(channel, controlBytes, dataBytes), listener));
+        .addLast(new PeerHandler(new NettyPeerChannel(channel, counters), listener));
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -2,8 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.FencingNumber;
@@ -15,9 +13,9 @@
 import io.sequoiapass.coordination.request.LedgerSettings;
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.request.RetryBudget;
-import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpServer;
+import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.daemon.connection.engine.EngineClient;
 import io.sequoiapass.daemon.connection.peer.LocalLink;
 import io.sequoiapass.daemon.connection.peer.PeerLinks;
@@ -44,9 +42,6 @@
 import io.sequoiapass.daemon.process.placement.PlacementSettings;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
-import io.sequoiapass.daemon.process.timeline.TimelineEvent;
-import io.sequoiapass.daemon.process.timeline.TimelineKind;
-import io.sequoiapass.daemon.process.timeline.TimelineQuery;
 import io.sequoiapass.daemon.request.CallerRequest;
 import io.sequoiapass.daemon.request.CallerRequestParser;
 import io.sequoiapass.daemon.request.RequestIds;
@@ -57,10 +52,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 /**
@@ -82,9 +74,6 @@
   /** Bounds what a change of owner adds to a takeover, and costs little of a core. */
   private static final long CONTROL_ROUND_MS = 50;
 
-  /** Heartbeats to other data centres are this much rarer: they only show changed tables. */
-  private static final int REMOTE_HEARTBEATS = 4;
-
   /** What a balancer that looks every second needs to see that this daemon leaves. */
   private static final long STOP_GRACE_MS = 2_500;
 
@@ -93,14 +82,16 @@
 
   private static final long LEDGER_ASK_AGAIN_MS = 500;
 
+  /**
+   * Shorter than an entry waits for its key's home; an entry that lives answers in milliseconds.
+   */
+  private static final long LEDGER_HOLDER_TIMEOUT_MS = 2_000;
+
   /** Some 300 bytes each: 60 MB at most. */
   private static final int LEDGER_MAX_RECORDS = 200_000;
 
   private static final long SHUTDOWN_MS = 1_000;
 
-  /** A daemon whose peers are dead, or that starts alone in an outage, serves what it can. */
-  private static final long REACH_WAIT_MS = 5_000;
-
   private static final double RETRY_BURST = 20;
   private static final double PERCENT = 100.0;
 
@@ -112,8 +103,7 @@
   private final EventLoopGroup group;
 
   /** Operators' large answers must not hold up callers, so they have a loop of their own. */
-  private final EventLoopGroup operatorGroup =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup operatorGroup = SocketTransport.best().group(1);
 
   private final Timeline timeline;
   private final DaemonEvents events;
@@ -124,17 +114,14 @@
   private final LocalLink local;
   private final OwnershipNode ownership;
   private final LedgerNode ledger;
-  private final StopSequence stop;
-  private final CountDownLatch stopped = new CountDownLatch(1);
-  private final long startedAt = clock.millis();
-  private volatile boolean reachesOwners;
-  private int heartbeats;
+  private final PlannedStop stop;
+  private final ControlRounds rounds;
   private HttpServer callers;
   private HttpServer operators;
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.group = new MultiThreadIoEventLoopGroup(settings.threads(), NioIoHandler.newFactory());
+    this.group = SocketTransport.best().group(settings.threads());
     this.timeline = Timeline.create(settings.daemon(), settings.timelineEvents(), wall);
     this.events = new DaemonEvents(settings.daemon(), metrics, timeline, clock, this::resetLink);
     HttpClient http = HttpClient.create(group, CONNECT_TIMEOUT_MS);
@@ -169,7 +156,18 @@
             peers,
             events);
     this.ledger = ledger(platform);
-    this.stop = new StopSequence(STOP_GRACE_MS, settings.drainLimitMs());
+    this.stop =
+        new PlannedStop(
+            new StopSequence(STOP_GRACE_MS, settings.drainLimitMs()),
+            clock,
+            entries,
+            owner,
+            ownership,
+            ledger,
+            timeline);
+    this.rounds =
+        new ControlRounds(
+            settings.dataCentre(), clock, configuration, ownership, owner, peers, ledger, stop);
   }
 
   /**
@@ -210,6 +208,7 @@
             retention / 2,
             LEDGER_SETTLE_MS,
             LEDGER_ASK_AGAIN_MS,
+            LEDGER_HOLDER_TIMEOUT_MS,
             LEDGER_ASK_AGAIN_MS,
             LEDGER_MAX_RECORDS),
         settings.ledgerFirstInstall(),
@@ -221,7 +220,7 @@
   }
 
   private Owner owner(HttpClient http) {
-    EngineClient engines = new EngineClient(http);
+    EngineClient engines = new EngineClient(http, settings.streamReadIntervalMs());
     return new Owner(
         () ->
             new OwnerShard(
@@ -242,15 +241,29 @@
         new PeerMessage.Hello(settings.daemon(), settings.dataCentre(), incarnation);
     peers.start(new PeerLinks(transport, group, hello, peers), settings.peers());
     operators =
-        HttpServer.builder(operatorGroup, new OperatorHandler(new View()))
+        HttpServer.builder(
+                operatorGroup,
+                new OperatorHandler(
+                    new DaemonView(
+                        settings.daemon(),
+                        settings.dataCentre(),
+                        incarnation,
+                        metrics,
+                        timeline,
+                        configuration,
+                        ownership,
+                        entries,
+                        owner,
+                        rounds,
+                        stop)))
             .start(address(settings.operatorPort()));
     callers =
         HttpServer.builder(group, callerHandler())
             .maxBodyBytes(settings.maxBodyBytes())
             .start(address(settings.callerPort()));
     every(REQUEST_ROUND_MS, "request round", this::requestRound);
-    every(CONTROL_ROUND_MS, "control round", this::controlRound);
-    every(settings.heartbeatIntervalMs(), "heartbeat", this::heartbeatRound);
+    every(CONTROL_ROUND_MS, "control round", rounds::control);
+    every(settings.heartbeatIntervalMs(), "heartbeat", rounds::heartbeat);
     System.out.println(
         "ready caller=" + callers.port() + " operator=" + operators.port() + " peer=" + peerPort);
     EventLog.log(LogEvent.READY, settings.daemon(), callers.port());
@@ -268,7 +281,7 @@
   }
 
   private Optional<ErrorKind> closed() {
-    if (!phase().isAccepting()) {
+    if (!stop.phase().isAccepting()) {
       return Optional.of(ErrorKind.DRAINING);
     }
     return configuration.ready() ? Optional.empty() : Optional.of(ErrorKind.NO_CONFIGURATION);
@@ -298,73 +311,9 @@
     owner.tick();
   }
 
-  private void controlRound() {
-    configuration.tick(ownership.alive());
-    ConfigurationSnapshot snapshot = configuration.snapshot();
-    ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
-    owner.owns(ownership.served(snapshot.endpoints(settings.dataCentre())));
-    owner.pauses(ownership.handingOver());
-    // A fresh daemon that shows readiness before it knows the owners and is connected to them
-    // refuses what the balancer sends it at once. Both come within moments; a peer that is dead
-    // does not.
-    reachesOwners |=
-        peers.reaches(ownership.owners()) || clock.millis() - startedAt >= REACH_WAIT_MS;
-    if (ownership.isHeartbeatDue()) {
-      peers.neighbours().forEach(this::beat);
-    }
-    ledger.tick();
-    stopRound();
-  }
-
-  private void heartbeatRound() {
-    peers.neighbours().forEach(this::beat);
-    if (heartbeats++ % REMOTE_HEARTBEATS == 0) {
-      peers.remotes().forEach(this::beat);
-    }
-  }
-
-  private void beat(DaemonId peer) {
-    peers.send(peer, ownership.heartbeat(peer, configuration.root(), 0));
-  }
-
-  // Stopping.
-
-  private StopSequence.Phase phase() {
-    synchronized (stop) {
-      return stop.phase();
-    }
-  }
-
-  private void stopRound() {
-    StopSequence.Phase before;
-    StopSequence.Phase after;
-    int underWay = entries.size() + owner.size();
-    if (phase() != StopSequence.Phase.SERVING && entries.size() == 0) {
-      // Not before: the record of a member's request is closed when the member leaves.
-      ledger.leave();
-    }
-    synchronized (stop) {
-      before = stop.phase();
-      stop.tick(clock.millis(), underWay, ownership.hasSuccessor() ? ownership.owned() : 0);
-      after = stop.phase();
-    }
-    if (before != after && after == StopSequence.Phase.STOPPED) {
-      EventLog.log(LogEvent.STOPPED, underWay);
-      stopped.countDown();
-    }
-  }
-
   /** Begins a planned stop: nothing under way is cut off, and everything owned is handed over. */
   public void drain() {
-    synchronized (stop) {
-      if (stop.phase() != StopSequence.Phase.SERVING) {
-        return;
-      }
-      stop.begin(clock.millis());
-    }
-    EventLog.log(LogEvent.DRAINING, entries.size() + owner.size());
-    timeline.record(TimelineEvent.of(TimelineKind.DRAINING).build());
-    ownership.drain();
+    stop.begin();
   }
 
   /**
@@ -373,8 +322,8 @@
    * @throws InterruptedException if the thread is interrupted
    */
   public void awaitStop() throws InterruptedException {
-    stopped.await();
-    releaseLease();
+    stop.await();
+    stop.releaseLease(SHUTDOWN_MS);
     peers.stop();
     callers.close();
     operators.close();
@@ -382,15 +331,6 @@
     group.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
   }
 
-  private void releaseLease() throws InterruptedException {
-    try {
-      ownership.release().get(SHUTDOWN_MS, TimeUnit.MILLISECONDS);
-    } catch (ExecutionException | TimeoutException notReleased) {
-      // It runs out by itself; only the next process under this name waits for that.
-      EventLog.log(LogEvent.PLATFORM_UNREACHABLE, String.valueOf(notReleased.getMessage()));
-    }
-  }
-
   /** Asks the ownership part, which is made after the owner. */
   private final class Gate implements OrderGate {
 
@@ -448,45 +388,4 @@
       ledger.finished(request, outcome);
     }
   }
-
-  /** Shows the daemon to operators. */
-  private final class View implements OperatorView {
-
-    @Override
-    public boolean ready() {
-      return phase().isReady() && configuration.ready() && reachesOwners;
-    }
-
-    @Override
-    public String metrics() {
-      return MetricsJson.of(metrics);
-    }
-
-    @Override
-    public String status() {
-      return new StatusReport(
-              settings.daemon().value(),
-              settings.dataCentre().value(),
-              incarnation,
-              ready(),
-              phase() != StopSequence.Phase.SERVING,
-              ownership.standing().name(),
-              ownership.owned(),
-              configuration.snapshot().revision(),
-              configuration.preset().name(),
-              entries.size(),
-              owner.size())
-          .json();
-    }
-
-    @Override
-    public String timeline(TimelineQuery query) {
-      return timeline.json(query);
-    }
-
-    @Override
-    public void drain() {
-      EntryDaemon.this.drain();
-    }
-  }
 }
