--- a/coordination/src/main/java/io/sequoiapass/coordination/request/AdmissionQueue.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/AdmissionQueue.java
@@ -44,25 +44,39 @@
    */
   public record Turn(Optional<AdmissionTicket> next, List<Refusal> refused) {}
 
+  /**
+   * An overload fills the queue up to the wait that is just allowed. If that were all of the spare
+   * time, each wait that turns out longer than expected would end in a refusal at the last moment.
+   */
+  private static final double WAIT_MARGIN = 1.25;
+
   private static final class Level {
     private final Map<ServiceId, ServiceLine> lines = new TreeMap<>();
     private final FairShares<ServiceId> shares = new FairShares<>();
+    private final DrainRate rate;
     private int size;
+
+    private Level(DrainRate rate) {
+      this.rate = rate;
+    }
   }
 
   private final Map<Priority, Level> levels = new EnumMap<>(Priority.class);
   private final DrainRate rate;
+  private final ServiceTime times = new ServiceTime();
   private AdmissionSettings settings;
   private int size;
   private long turns;
   private double nextComeBackAt;
+  private AdmissionTicket newest;
+  private long newestAt;
 
   /** Creates an empty queue. */
   public AdmissionQueue(AdmissionSettings settings, long nowMillis) {
     this.settings = Objects.requireNonNull(settings, "settings");
     this.rate = new DrainRate(settings.initialPerSecond(), nowMillis);
     for (Priority priority : Priority.values()) {
-      levels.put(priority, new Level());
+      levels.put(priority, new Level(new DrainRate(settings.initialPerSecond(), nowMillis)));
     }
   }
 
@@ -80,17 +94,22 @@
     if (size == 0) {
       rate.idle(nowMillis);
     }
+    Level level = levels.get(ticket.priority());
+    if (level.size == 0) {
+      level.rate.idle(nowMillis);
+    }
     long wait = expectedWaitMillis(ticket, nowMillis);
-    long spare = ticket.deadlineMillis() - nowMillis - settings.minServiceMillis();
-    if (wait > spare) {
-      return Optional.of(refuse(ticket, ErrorKind.DEADLINE_UNREACHABLE, wait - spare, nowMillis));
+    long spare = latestStart(ticket) - nowMillis;
+    if (wait * WAIT_MARGIN > spare) {
+      return Optional.of(
+          refuse(ticket, ErrorKind.DEADLINE_UNREACHABLE, Math.max(0, wait - spare), nowMillis));
     }
     Optional<AdmissionTicket> out = makesWay(ticket);
     if (out.equals(Optional.of(ticket))) {
       return Optional.of(refuse(ticket, ErrorKind.QUEUE_FULL, wait, nowMillis));
     }
     out.ifPresent(this::withdraw);
-    add(ticket);
+    add(ticket, nowMillis);
     return out.map(other -> refuse(other, ErrorKind.OVERLOADED, wait, nowMillis));
   }
 
@@ -107,12 +126,36 @@
     return new Turn(head, refused);
   }
 
+  /**
+   * Notes that a request was served whole; how long others will take is told from it.
+   *
+   * @param cost the cost of its ticket
+   * @param tookMillis how long serving it took, without its wait here
+   */
+  public void finished(double cost, long tookMillis) {
+    times.served(cost, tookMillis);
+  }
+
+  /**
+   * Notes that a request was given up while it was served. How long it would have taken is unknown,
+   * but longer than this: learning only from those that ended in time would never show that serving
+   * has become slower, and all would be begun too late from then on.
+   *
+   * @param cost the cost of its ticket
+   * @param ranMillis how long it had been served
+   */
+  public void abandoned(double cost, long ranMillis) {
+    if (ranMillis > times.expectedMillis(cost)) {
+      times.served(cost, ranMillis);
+    }
+  }
+
   /** Removes and returns what cannot meet its deadline any more; to be called now and then. */
   public List<Refusal> expire(long nowMillis) {
     List<Refusal> refused = new ArrayList<>();
     for (Level level : levels.values()) {
       for (ServiceLine line : List.copyOf(level.lines.values())) {
-        for (AdmissionTicket ticket : line.late(nowMillis + settings.minServiceMillis())) {
+        for (AdmissionTicket ticket : line.matching(ticket -> isTooLate(ticket, nowMillis))) {
           withdraw(ticket);
           refused.add(late(ticket, nowMillis));
         }
@@ -142,23 +185,32 @@
     return size;
   }
 
-  /** Returns how long a request would wait, from the drain rate and from what is before it. */
+  /**
+   * Returns how long a request would wait, from what is before it and from how fast that goes.
+   *
+   * <p>What outranks it and is yet to come shows only in the pace of its own priority: without that
+   * a batch request under an overload would be taken in, wait, and be refused at its last moment.
+   */
   public long expectedWaitMillis(AdmissionTicket ticket, long nowMillis) {
     Level level = levels.get(ticket.priority());
-    int before = 0;
+    int outranking = 0;
     for (Map.Entry<Priority, Level> other : levels.entrySet()) {
-      before += other.getKey().outranks(ticket.priority()) ? other.getValue().size : 0;
+      outranking += other.getKey().outranks(ticket.priority()) ? other.getValue().size : 0;
     }
     ServiceLine own = level.lines.get(ticket.service());
     int services = level.shares.active() + (own == null ? 1 : 0);
     int ownSize = own == null ? 0 : own.size();
     // Services take turns: a short line is served before the rest of a long one.
-    before += Math.min(level.size, ownSize * services + services - 1);
-    return (long) (before * 1_000 / rate.perSecond(nowMillis));
+    int before = Math.min(level.size, ownSize * services + services - 1);
+    double ofAll = (outranking + before) / rate.perSecond(nowMillis);
+    double ofLevel = before / level.rate.perSecond(nowMillis);
+    return (long) (1_000 * Math.max(ofAll, ofLevel));
   }
 
-  private void add(AdmissionTicket ticket) {
+  private void add(AdmissionTicket ticket, long nowMillis) {
     Level level = levels.get(ticket.priority());
+    newest = ticket;
+    newestAt = nowMillis;
     if (level.lines.computeIfAbsent(ticket.service(), s -> new ServiceLine()).add(ticket)) {
       level.shares.activate(ticket.service());
       level.size++;
@@ -170,8 +222,14 @@
     Level level = levels.get(ticket.priority());
     level.lines.get(ticket.service()).charge(ticket);
     level.shares.charge(ticket.service(), ticket.cost());
+    boolean waited = size > 1 || !ticket.equals(newest) || nowMillis > newestAt;
     withdraw(ticket);
-    rate.served(nowMillis);
+    if (waited) {
+      // What found room at once tells how fast work comes, not how fast it could go: counted, a
+      // quiet hour would make the rate of the first minute of an overload too high by far.
+      rate.served(nowMillis);
+      level.rate.served(nowMillis);
+    }
     turns++;
   }
 
@@ -222,7 +280,12 @@
   }
 
   private boolean isTooLate(AdmissionTicket ticket, long nowMillis) {
-    return nowMillis + settings.minServiceMillis() > ticket.deadlineMillis();
+    return nowMillis > latestStart(ticket);
+  }
+
+  private long latestStart(AdmissionTicket ticket) {
+    long service = Math.max(settings.minServiceMillis(), times.expectedMillis(ticket.cost()));
+    return ticket.deadlineMillis() - service;
   }
 
   private Refusal late(AdmissionTicket ticket, long nowMillis) {
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/AdmissionSettings.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/AdmissionSettings.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.coordination.request;
 
+import java.util.function.IntUnaryOperator;
+
 /**
  * Holds the limits of an {@link AdmissionQueue}; a preset supplies them.
  *
@@ -9,9 +11,10 @@
  * @param maxQueuedPerService requests of one service and priority that may wait
  * @param lowerPriorityEvery each so-manieth request is taken from the lowest priority that waits,
  *     so that batch work goes on under load; at least 2
- * @param minServiceMillis the least time that serving takes: with less left, a request is refused
- *     instead of being run in vain
- * @param initialPerSecond the drain rate assumed before any is measured
+ * @param minServiceMillis the least time that serving takes, while nothing longer was measured:
+ *     with less left, a request is refused instead of being run in vain; an engine step
+ * @param initialPerSecond the drain rate assumed before any is measured; too low a one keeps the
+ *     queue short until it is, too high a one takes in what is refused at its last moment
  * @param maxComeBackMillis the longest come-back time told
  */
 public record AdmissionSettings(
@@ -22,9 +25,9 @@
     double initialPerSecond,
     long maxComeBackMillis) {
 
-  /** Suits a daemon that serves some 65 requests a second. */
+  /** Suits a daemon that serves some 65 requests a second, of which each priority has a part. */
   public static final AdmissionSettings DEFAULT =
-      new AdmissionSettings(512, 128, 16, 50, 65, 30_000);
+      new AdmissionSettings(512, 128, 16, 5, 20, 30_000);
 
   /** Checks the limits. */
   public AdmissionSettings {
@@ -41,4 +44,30 @@
       throw new IllegalArgumentException("come back %d ms".formatted(maxComeBackMillis));
     }
   }
+
+  /**
+   * Returns these limits with other bounds.
+   *
+   * @param queued requests that may wait in all
+   * @param queuedPerService requests of one service and priority that may wait
+   */
+  public AdmissionSettings holding(int queued, int queuedPerService) {
+    return new AdmissionSettings(
+        queued,
+        queuedPerService,
+        lowerPriorityEvery,
+        minServiceMillis,
+        initialPerSecond,
+        maxComeBackMillis);
+  }
+
+  /**
+   * Returns these limits with bounds as a preset asks for them.
+   *
+   * @param bound maps the bound of ordinary days to the one wanted
+   */
+  public AdmissionSettings bounded(IntUnaryOperator bound) {
+    int queued = bound.applyAsInt(maxQueued);
+    return holding(queued, Math.min(queued, bound.applyAsInt(maxQueuedPerService)));
+  }
 }
--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ServiceLine.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ServiceLine.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Holds what waits for one service at one priority: by adapter in fair turn, and by deadline within
@@ -58,11 +60,9 @@
     return shares.next().map(flow -> flows.get(flow).first());
   }
 
-  /** Returns the tickets that are due before the given moment. */
-  List<AdmissionTicket> late(long millis) {
-    return flows.values().stream()
-        .flatMap(tickets -> tickets.stream().takeWhile(t -> t.deadlineMillis() < millis))
-        .toList();
+  /** Returns the tickets that meet a condition. */
+  List<AdmissionTicket> matching(Predicate<AdmissionTicket> condition) {
+    return flows.values().stream().flatMap(Set::stream).filter(condition).toList();
   }
 
   /** Charges the flow of a ticket that is served. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ForwardedWork.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ForwardedWork.java
@@ -2,7 +2,9 @@
 
 import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.Priority;
+import java.util.Optional;
 
 /** Is what an endpoint is asked to run; immutable and safe for use by several threads. */
 public sealed interface ForwardedWork {
@@ -16,6 +18,7 @@
    * @param adapter the adapter and version
    * @param model the base model
    * @param priority how urgent it is
+   * @param service the service on whose behalf it runs, if the caller named one
    * @param prompt the prompt
    * @param maxTokens the most tokens to generate
    * @param resumeFrom index of the first token wanted; more than 0 only when a stream is resumed
@@ -24,10 +27,23 @@
       AdapterVersion adapter,
       ModelId model,
       Priority priority,
+      Optional<ServiceId> service,
       String prompt,
       int maxTokens,
       int resumeFrom)
-      implements ForwardedWork {}
+      implements ForwardedWork {
+
+    /** Creates work of a caller that names no service. */
+    public Completion(
+        AdapterVersion adapter,
+        ModelId model,
+        Priority priority,
+        String prompt,
+        int maxTokens,
+        int resumeFrom) {
+      this(adapter, model, priority, Optional.empty(), prompt, maxTokens, resumeFrom);
+    }
+  }
 
   /**
    * Calls a plain service.
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerFrames.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.AttemptAction;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.Priority;
@@ -11,6 +12,7 @@
 import java.io.UncheckedIOException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -147,6 +149,7 @@
       out.packInt(COMPLETION);
       out.packString(work.adapter().toString());
       out.packString(work.model().value());
+      out.packString(work.service().map(ServiceId::value).orElse(""));
       out.packString(work.prompt());
       out.packInt(work.maxTokens());
       out.packInt(work.resumeFrom());
@@ -181,7 +184,13 @@
     int kind = in.number();
     if (kind == COMPLETION) {
       return new ForwardedWork.Completion(
-          in.adapter(), new ModelId(in.text()), priority, in.text(), in.number(), in.number());
+          in.adapter(),
+          new ModelId(in.text()),
+          priority,
+          Optional.of(in.text()).filter(name -> !name.isEmpty()).map(ServiceId::new),
+          in.text(),
+          in.number(),
+          in.number());
     }
     if (kind == SERVICE_CALL) {
       return new ForwardedWork.ServiceCall(
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
@@ -62,6 +62,7 @@
     ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
     owner.owns(ownership.served(snapshot.endpoints(dataCentre)));
     owner.pauses(ownership.handingOver());
+    owner.apply(configuration.preset());
     // A fresh daemon that shows readiness before it knows the owners and is connected to them
     // refuses what the balancer sends it at once. Both come within moments; a peer that is dead
     // does not.
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/DaemonEvents.java
@@ -47,6 +47,9 @@
   /** A wait this long is a load or a queue; a free place is given within a step. */
   private static final long STALL_MS = 100;
 
+  /** At most a line in this time tells of refusals: one each would be an overload of its own. */
+  private static final long REFUSALS_INTERVAL_MS = 5_000;
+
   private final DaemonId daemon;
   private final Consumer<DaemonId> resetLink;
   private final MetricRegistry metrics;
@@ -55,6 +58,8 @@
   private final Counter accepted;
   private final Histogram stalls;
   private final Map<OutcomeClass, Counter> outcomes = new EnumMap<>(OutcomeClass.class);
+  private final AtomicLong refusals = new AtomicLong();
+  private final AtomicLong refusalsToldAt = new AtomicLong(NEVER / 2);
   private final AtomicLong platformOutSince = new AtomicLong(NEVER);
 
   DaemonEvents(
@@ -177,6 +182,19 @@
     }
   }
 
+  @Override
+  public void overloaded(AttemptId id, ErrorKind kind, long waitedMs) {
+    metrics.counter("admission.refused." + kind.name().toLowerCase(Locale.ROOT)).inc();
+    metrics.histogram("admission.refused.after.ms").update(waitedMs);
+    long now = clock.millis();
+    long refused = refusals.incrementAndGet();
+    long since = refusalsToldAt.get();
+    if (now - since >= REFUSALS_INTERVAL_MS && refusalsToldAt.compareAndSet(since, now)) {
+      refusals.addAndGet(-refused);
+      EventLog.log(LogEvent.REFUSED_OVERLOAD, refused, REFUSALS_INTERVAL_MS);
+    }
+  }
+
   @Override
   public void endpointUnreachable(EndpointId endpoint) {
     timeline.record(
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -131,6 +131,7 @@
     this.local = new LocalLink(group);
     this.entries = entries();
     this.owner = owner(http);
+    metrics.gauge("admission.waiting", () -> owner::waiting);
     this.peers =
         new PeerNode(
             settings.daemon(),
@@ -230,8 +231,9 @@
                 new AdaptivePlacement(PlacementSettings.defaults(), settings.placementWeights()),
                 engines,
                 new Gate(),
-                events),
-        new ServicePool(clock, http));
+                events,
+                settings.admission()),
+        new ServicePool(clock, http, events, settings.admission()));
   }
 
   private void open() throws IOException {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -325,6 +325,7 @@
             completion.adapter(),
             completion.model(),
             completion.priority(),
+            completion.service(),
             completion.prompt(),
             completion.maxTokens(),
             index)
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
 import io.sequoiapass.coordination.version.EndpointType;
+import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.daemon.connection.SocketAddresses;
 import io.sequoiapass.daemon.connection.peer.ForwardedWork;
 import io.sequoiapass.daemon.connection.peer.PeerChannel;
@@ -78,7 +79,11 @@
 
   private void own(EndpointRecord endpoint) {
     if (endpoint.type() == EndpointType.SERVICE) {
-      services.own(endpoint.id(), SocketAddresses.parse(endpoint.address()), endpoint.maxStreams());
+      services.own(
+          endpoint.id(),
+          endpoint.service().orElseThrow(),
+          SocketAddresses.parse(endpoint.address()),
+          endpoint.maxStreams());
       return;
     }
     OwnerShard shard = shard(endpoint);
@@ -106,9 +111,25 @@
 
   /** Lets time pass; to be called every 10 to 50 ms. */
   public void tick() {
+    services.tick();
     shards.values().forEach(OwnerShard::tick);
   }
 
+  /**
+   * Applies the limits of a preset.
+   *
+   * @param preset the preset in force
+   */
+  public void apply(Preset preset) {
+    services.apply(preset);
+    shards.values().forEach(shard -> shard.apply(preset));
+  }
+
+  /** Returns the number of attempts that wait for their turn. */
+  public int waiting() {
+    return services.waiting() + shards.values().stream().mapToInt(OwnerShard::waiting).sum();
+  }
+
   /** Returns the number of attempts under way. */
   public int size() {
     return services.size() + shards.values().stream().mapToInt(OwnerShard::size).sum();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerObserver.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerObserver.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
 
 /** Hears what happens to owned endpoints; safe for use by several threads, must not block. */
@@ -50,4 +51,13 @@
    * @param endpoint the endpoint
    */
   void endpointUnreachable(EndpointId endpoint);
+
+  /**
+   * Called when an attempt is refused because more work comes than can be done.
+   *
+   * @param id the attempt
+   * @param kind what its caller is told
+   * @param waitedMs how long it had waited, in milliseconds
+   */
+  void overloaded(AttemptId id, ErrorKind kind, long waitedMs);
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -4,10 +4,13 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.request.AdmissionQueue;
+import io.sequoiapass.coordination.request.AdmissionSettings;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Outcome;
+import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.daemon.connection.engine.EngineClient;
-import io.sequoiapass.daemon.connection.engine.EngineRun;
 import io.sequoiapass.daemon.connection.engine.EngineState;
 import io.sequoiapass.daemon.connection.peer.ForwardedWork.Completion;
 import io.sequoiapass.daemon.connection.peer.PeerChannel;
@@ -19,7 +22,6 @@
 import io.sequoiapass.daemon.process.placement.PlacementAction;
 import io.sequoiapass.daemon.process.placement.PlacementRequest;
 import io.sequoiapass.daemon.request.AttemptKeys;
-import io.sequoiapass.daemon.request.EngineRelay;
 import io.sequoiapass.daemon.request.Execution;
 import java.util.HashMap;
 import java.util.List;
@@ -47,6 +49,8 @@
   private final Map<EndpointId, EngineWatch> endpoints = new HashMap<>();
   private final Map<RequestId, Execution> executions = new HashMap<>();
   private final HeldRequests held = new HeldRequests();
+  private final EngineAdmission admission;
+  private final EngineRuns runs;
 
   /**
    * Makes a shard without endpoints.
@@ -56,18 +60,31 @@
    * @param engines carries calls to engines
    * @param gate tells whether an order may still be given
    * @param observer hears what is worth a log entry or a metric
+   * @param limits bounds what waits on ordinary days; empty to let everything pass
    */
   public OwnerShard(
       MillisClock clock,
       Placement placement,
       EngineClient engines,
       OrderGate gate,
-      OwnerObserver observer) {
+      OwnerObserver observer,
+      Optional<AdmissionSettings> limits) {
     this.clock = Objects.requireNonNull(clock, "clock");
     this.placement = Objects.requireNonNull(placement, "placement");
     this.engines = Objects.requireNonNull(engines, "engines");
     this.orders = new LoadOrders(clock, engines, gate, observer);
     this.observer = Objects.requireNonNull(observer, "observer");
+    this.admission = new EngineAdmission(limits, clock.millis());
+    this.runs = new EngineRuns(this, clock, engines, observer);
+  }
+
+  /**
+   * Applies the limits of a preset.
+   *
+   * @param preset the preset in force
+   */
+  public void apply(Preset preset) {
+    locked(() -> admission.apply(preset));
   }
 
   // Endpoints.
@@ -153,18 +170,25 @@
   }
 
   private void hold(Execution execution) {
-    perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+    withdraw(execution);
     held.add(execution);
   }
 
   private void giveBackQueued(EndpointId endpoint) {
     for (Execution execution : queuedFor(endpoint)) {
-      perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+      withdraw(execution);
       over(execution);
       execution.refuse(ErrorKind.DRAINING, false, 0);
     }
   }
 
+  private void withdraw(Execution execution) {
+    RequestId id = AttemptKeys.of(execution.id());
+    if (!admission.withdraw(id)) {
+      perform(placement.requestWithdrawn(clock.millis(), id));
+    }
+  }
+
   private List<Execution> queuedFor(EndpointId endpoint) {
     return executions.values().stream()
         .filter(execution -> execution.stage() == Execution.Stage.QUEUED)
@@ -214,11 +238,36 @@
     if (execution.forward().mode() == Mode.RUN) {
       enqueue(execution);
     } else {
-      attach(execution, watch);
+      runs.attach(execution, watch);
     }
   }
 
   private void enqueue(Execution execution) {
+    if (admission.isOn()) {
+      admission.offer(execution, clock.millis()).ifPresent(this::refuse);
+    } else {
+      place(execution);
+    }
+  }
+
+  /** Gives the places that are free to those whose turn it is. */
+  private void release() {
+    while (admission.hasTurn() && placement.freePlaces() > 0) {
+      AdmissionQueue.Turn turn = admission.next(clock.millis());
+      turn.refused().forEach(this::refuse);
+      turn.next().map(ticket -> executions.get(ticket.request())).ifPresent(this::place);
+    }
+  }
+
+  private void refuse(AdmissionQueue.Refusal refusal) {
+    Execution execution = executions.get(refusal.ticket().request());
+    over(execution);
+    Outcome.NotRun outcome = refusal.outcome();
+    observer.overloaded(execution.id(), outcome.kind(), execution.agedMs(clock.millis()));
+    execution.refuse(outcome.kind(), false, outcome.comeBackMillis().orElse(0));
+  }
+
+  private void place(Execution execution) {
     Completion work = execution.completion();
     long now = clock.millis();
     perform(
@@ -247,7 +296,7 @@
             return;
           }
           if (answer.granted()) {
-            write(execution, execution.place());
+            runs.write(execution, execution.place());
           } else {
             finished(execution);
           }
@@ -311,43 +360,20 @@
   private void cancel(Execution execution) {
     switch (execution.stage()) {
       case QUEUED -> {
-        perform(placement.requestWithdrawn(clock.millis(), AttemptKeys.of(execution.id())));
+        withdraw(execution);
         over(execution);
       }
       case ASKING -> finished(execution);
-      case RUNNING -> cancelRunning(execution);
+      case RUNNING -> {
+        admission.abandoned(execution, clock.millis());
+        runs.cancel(execution);
+      }
       default -> {
         // Over already.
       }
     }
   }
 
-  /** The place stays taken until the engine says that the stream is gone: it may still serve. */
-  private void cancelRunning(Execution execution) {
-    if (!execution.end()) {
-      return;
-    }
-    execution.dropStream();
-    EngineWatch watch = endpoints.get(execution.endpoint());
-    if (watch == null) {
-      over(execution);
-      return;
-    }
-    engines
-        .cancel(watch.endpoint().address(), execution.id().request())
-        .whenComplete(
-            (done, failure) ->
-                locked(
-                    () -> {
-                      if (failure == null) {
-                        finished(execution);
-                      } else {
-                        watch.lookNow();
-                        over(execution);
-                      }
-                    }));
-  }
-
   // What the placement decides.
 
   /** Lets time pass; to be called every 10 to 50 ms. */
@@ -357,6 +383,7 @@
           long now = clock.millis();
           orders.tick();
           refuseHeld(held.takeLate(now), ErrorKind.DEADLINE_PASSED);
+          admission.expire(now).forEach(this::refuse);
           perform(placement.tick(now));
           endpoints.values().stream().filter(w -> w.due(now)).toList().forEach(this::look);
         });
@@ -381,6 +408,7 @@
       return;
     }
     execution.place(start);
+    admission.placed(start.request());
     if (!start.endpoint().equals(execution.forward().endpoint())) {
       execution.replies().send(new PeerMessage.Started(execution.id(), start.endpoint()));
     }
@@ -388,7 +416,7 @@
       execution.asking();
       execution.replies().send(new PeerMessage.MayStart(execution.id()));
     } else {
-      write(execution, start);
+      runs.write(execution, start);
     }
   }
 
@@ -400,41 +428,7 @@
     }
   }
 
-  // Calls to engines.
-
-  private void write(Execution execution, PlacementAction.Start start) {
-    EngineWatch watch = endpoints.get(start.endpoint());
-    if (watch == null) {
-      finished(execution);
-      execution.refuse(ErrorKind.DRAINING, false, 0);
-      return;
-    }
-    long now = clock.millis();
-    execution.running(now);
-    Completion work = execution.completion();
-    observer.started(execution.id(), work.adapter(), start.endpoint(), execution.waitedMs());
-    EngineRun run = execution.run(start.handle());
-    EngineRelay relay =
-        new EngineRelay(execution, work.resumeFrom(), new RunEnd(this, execution, watch, 0));
-    execution.stream(
-        engines.complete(watch.endpoint().address(), run, execution.remainingMs(now), relay));
-  }
-
-  private void attach(Execution execution, EngineWatch watch) {
-    execution.running(clock.millis());
-    resume(execution, watch, execution.completion().resumeFrom(), 0);
-  }
-
-  void resume(Execution execution, EngineWatch watch, int from, int tries) {
-    EngineRelay relay = new EngineRelay(execution, from, new RunEnd(this, execution, watch, tries));
-    execution.stream(
-        engines.resume(
-            watch.endpoint().address(),
-            execution.id().request(),
-            from,
-            execution.remainingMs(clock.millis()),
-            relay));
-  }
+  // Orders to engines.
 
   private void load(PlacementAction.Load load) {
     EngineWatch watch = endpoints.get(load.endpoint());
@@ -508,8 +502,14 @@
 
   // Ends.
 
+  /** Returns what is known of an endpoint, or null if it is not owned. */
+  EngineWatch watch(EndpointId endpoint) {
+    return endpoints.get(endpoint);
+  }
+
   /** Ends an attempt whose whole answer was handed on. */
   void whole(Execution execution, AdapterVersion ranOn, int tokens) {
+    admission.served(execution, clock.millis());
     finished(execution);
     execution.whole(ranOn, tokens, placement.loads());
   }
@@ -520,9 +520,10 @@
     perform(placement.requestFinished(clock.millis(), AttemptKeys.of(execution.id())));
   }
 
-  private void over(Execution execution) {
+  void over(Execution execution) {
     execution.end();
     held.remove(execution);
+    admission.withdraw(AttemptKeys.of(execution.id()));
     executions.remove(AttemptKeys.of(execution.id()), execution);
   }
 
@@ -530,6 +531,19 @@
     lock.lock();
     try {
       action.run();
+      if (lock.getHoldCount() == 1) {
+        release();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the number of attempts that wait for their turn. */
+  public int waiting() {
+    lock.lock();
+    try {
+      return admission.size();
     } finally {
       lock.unlock();
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/RunEnd.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/RunEnd.java
@@ -17,12 +17,14 @@
   private static final int MAX_RESUMES = 2;
 
   private final OwnerShard shard;
+  private final EngineRuns runs;
   private final Execution execution;
   private final EngineWatch watch;
   private final int resumes;
 
-  RunEnd(OwnerShard shard, Execution execution, EngineWatch watch, int resumes) {
+  RunEnd(OwnerShard shard, EngineRuns runs, Execution execution, EngineWatch watch, int resumes) {
     this.shard = shard;
+    this.runs = runs;
     this.execution = execution;
     this.watch = watch;
     this.resumes = resumes;
@@ -64,7 +66,7 @@
             shard.finished(execution);
             execution.refuse(ErrorKind.ENDPOINT_LOST_BEFORE_START, false, 0);
           } else if (resumable && resumes < MAX_RESUMES) {
-            shard.resume(execution, watch, next, resumes + 1);
+            runs.resume(execution, watch, next, resumes + 1);
           } else {
             watch.lookNow();
             shard.finished(execution);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServicePool.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServicePool.java
@@ -3,7 +3,12 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.request.AdmissionQueue;
+import io.sequoiapass.coordination.request.AdmissionSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Outcome;
+import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.daemon.connection.HttpAnswer;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpClient;
@@ -34,7 +39,9 @@
   private final ReentrantLock lock = new ReentrantLock();
   private final MillisClock clock;
   private final HttpClient http;
-  private final Map<EndpointId, Pool> pools = new HashMap<>();
+  private final OwnerObserver observer;
+  private final Optional<AdmissionSettings> limits;
+  private final Map<EndpointId, ServiceEndpoint> endpoints = new HashMap<>();
   private final Map<RequestId, Execution> executions = new HashMap<>();
 
   /**
@@ -42,35 +49,80 @@
    *
    * @param clock the clock of deadlines
    * @param http what carries the calls
+   * @param observer hears of refusals
+   * @param limits bounds what waits on ordinary days; empty to refuse what finds no place
    */
-  public ServicePool(MillisClock clock, HttpClient http) {
+  public ServicePool(
+      MillisClock clock,
+      HttpClient http,
+      OwnerObserver observer,
+      Optional<AdmissionSettings> limits) {
     this.clock = Objects.requireNonNull(clock, "clock");
     this.http = Objects.requireNonNull(http, "http");
+    this.observer = Objects.requireNonNull(observer, "observer");
+    this.limits = Objects.requireNonNull(limits, "limits");
   }
 
   /**
    * Takes over an endpoint.
    *
    * @param endpoint the endpoint
+   * @param service the service that it runs
    * @param address where it listens
    * @param maxCalls calls that it runs at once
    */
-  public void own(EndpointId endpoint, InetSocketAddress address, int maxCalls) {
+  public void own(EndpointId endpoint, ServiceId service, InetSocketAddress address, int maxCalls) {
     locked(
-        () -> {
-          Pool known = pools.get(endpoint);
-          int running = known == null ? 0 : known.running;
-          pools.put(endpoint, new Pool(address, maxCalls, running));
-        });
+        () ->
+            endpoints
+                .computeIfAbsent(
+                    endpoint,
+                    fresh ->
+                        new ServiceEndpoint(
+                            service,
+                            address,
+                            maxCalls,
+                            limits.orElse(AdmissionSettings.DEFAULT),
+                            clock.millis()))
+                .configure(address, maxCalls));
   }
 
   /**
-   * Stops using an endpoint; calls under way go on.
+   * Stops using an endpoint; calls under way go on, what waits is given back to its entry.
    *
    * @param endpoint the endpoint
    */
   public void disown(EndpointId endpoint) {
-    locked(() -> pools.remove(endpoint));
+    locked(
+        () -> {
+          if (endpoints.remove(endpoint) != null) {
+            executions.values().stream()
+                .filter(execution -> execution.stage() == Execution.Stage.QUEUED)
+                .filter(execution -> execution.forward().endpoint().equals(endpoint))
+                .toList()
+                .forEach(execution -> refuse(execution, ErrorKind.DRAINING, 0));
+          }
+        });
+  }
+
+  /**
+   * Applies the limits of a preset.
+   *
+   * @param preset the preset in force
+   */
+  public void apply(Preset preset) {
+    locked(() -> endpoints.values().forEach(endpoint -> endpoint.apply(preset)));
+  }
+
+  /** Lets time pass; to be called every 10 to 50 ms. */
+  public void tick() {
+    locked(
+        () -> {
+          for (ServiceEndpoint endpoint : endpoints.values()) {
+            endpoint.expire(clock.millis()).forEach(this::refuse);
+            release(endpoint);
+          }
+        });
   }
 
   /**
@@ -83,25 +135,57 @@
     locked(
         () -> {
           Execution execution = new Execution(forward, replies, clock.millis());
-          Pool pool = pools.get(forward.endpoint());
-          if (pool == null) {
+          ServiceEndpoint endpoint = endpoints.get(forward.endpoint());
+          if (endpoint == null) {
             // The entry's table and this one differ, as they do for moments around each handover.
             execution.refuse(ErrorKind.DRAINING, false, 0);
-          } else if (pool.running >= pool.maxCalls) {
-            execution.refuse(ErrorKind.QUEUE_FULL, false, 0);
           } else if (executions.putIfAbsent(AttemptKeys.of(forward.id()), execution) == null) {
-            pool.running++;
-            begin(execution, pool);
+            take(execution, endpoint);
           }
         });
   }
 
-  private void begin(Execution execution, Pool pool) {
+  private void take(Execution execution, ServiceEndpoint endpoint) {
+    if (limits.isPresent()) {
+      endpoint.offer(execution, clock.millis()).ifPresent(this::refuse);
+      release(endpoint);
+    } else if (endpoint.hasPlace()) {
+      begin(execution, endpoint);
+    } else {
+      refuse(execution, ErrorKind.QUEUE_FULL, 0);
+    }
+  }
+
+  /** Gives the places that are free to those whose turn it is. */
+  private void release(ServiceEndpoint endpoint) {
+    while (endpoint.hasTurn()) {
+      AdmissionQueue.Turn turn = endpoint.next(clock.millis());
+      turn.refused().forEach(this::refuse);
+      turn.next()
+          .map(ticket -> executions.get(ticket.request()))
+          .ifPresent(execution -> begin(execution, endpoint));
+    }
+  }
+
+  private void refuse(AdmissionQueue.Refusal refusal) {
+    Execution execution = executions.get(refusal.ticket().request());
+    Outcome.NotRun outcome = refusal.outcome();
+    observer.overloaded(execution.id(), outcome.kind(), execution.agedMs(clock.millis()));
+    refuse(execution, outcome.kind(), outcome.comeBackMillis().orElse(0));
+  }
+
+  private void refuse(Execution execution, ErrorKind kind, long comeBackMs) {
+    over(execution);
+    execution.refuse(kind, false, comeBackMs);
+  }
+
+  private void begin(Execution execution, ServiceEndpoint endpoint) {
+    endpoint.begun();
     if (execution.forward().atMostOnce()) {
       execution.asking();
       execution.replies().send(new PeerMessage.MayStart(execution.id()));
     } else {
-      write(execution, pool);
+      write(execution, endpoint);
     }
   }
 
@@ -117,14 +201,13 @@
           if (execution == null || execution.stage() != Execution.Stage.ASKING) {
             return;
           }
-          Pool pool = pools.get(execution.forward().endpoint());
+          ServiceEndpoint endpoint = endpoints.get(execution.forward().endpoint());
           if (!answer.granted()) {
             over(execution);
-          } else if (pool == null) {
-            over(execution);
-            execution.refuse(ErrorKind.DRAINING, false, 0);
+          } else if (endpoint == null) {
+            refuse(execution, ErrorKind.DRAINING, 0);
           } else {
-            write(execution, pool);
+            write(execution, endpoint);
           }
         });
   }
@@ -139,12 +222,12 @@
     locked(
         () ->
             Optional.ofNullable(executions.get(AttemptKeys.of(id)))
-                .filter(execution -> execution.stage() == Execution.Stage.ASKING)
+                .filter(ServicePool::isUnwritten)
                 .ifPresent(this::over));
   }
 
   /**
-   * Drops what waits for the grant of an entry whose connection is gone.
+   * Drops what waits for an entry whose connection is gone.
    *
    * @param replies the connection
    */
@@ -153,16 +236,21 @@
         () ->
             List.copyOf(executions.values()).stream()
                 .filter(execution -> execution.replies() == replies)
-                .filter(execution -> execution.stage() == Execution.Stage.ASKING)
+                .filter(ServicePool::isUnwritten)
                 .forEach(this::over));
   }
 
-  private void write(Execution execution, Pool pool) {
+  private static boolean isUnwritten(Execution execution) {
+    return execution.stage() == Execution.Stage.QUEUED
+        || execution.stage() == Execution.Stage.ASKING;
+  }
+
+  private void write(Execution execution, ServiceEndpoint endpoint) {
     long now = clock.millis();
     execution.running(now);
     ServiceCall work = (ServiceCall) execution.forward().work();
     HttpCall call =
-        HttpCall.to(pool.address, work.method(), work.path())
+        HttpCall.to(endpoint.address(), work.method(), work.path())
             .header("Request-Id", execution.id().request().value())
             .header("Content-Type", work.contentType())
             .body(work.body());
@@ -174,8 +262,10 @@
   }
 
   private void ended(Execution execution, HttpAnswer answer, Throwable failure) {
+    boolean refused = failure == null && answer.status() == SERVICE_UNAVAILABLE;
+    learn(execution, refused, failure);
     over(execution);
-    if (failure == null && answer.status() == SERVICE_UNAVAILABLE) {
+    if (refused) {
       execution.refuse(ErrorKind.OVERLOADED, true, 0);
     } else if (failure == null) {
       String contentType = answer.headers().get("Content-Type", "application/octet-stream");
@@ -191,18 +281,44 @@
     }
   }
 
+  private void learn(Execution execution, boolean refused, Throwable failure) {
+    ServiceEndpoint endpoint = endpoints.get(execution.forward().endpoint());
+    if (endpoint != null && refused) {
+      endpoint.refused(clock.millis());
+    } else if (endpoint != null && failure == null) {
+      endpoint.answered(execution.ranMs(clock.millis()));
+    }
+  }
+
   private static boolean neverReached(Throwable failure) {
     return failure instanceof HttpFailure http && !http.mayHaveReached();
   }
 
   private void over(Execution execution) {
+    boolean hadPlace = execution.stage() != Execution.Stage.QUEUED;
     if (!execution.end()) {
       return;
     }
-    executions.remove(AttemptKeys.of(execution.id()), execution);
-    Pool pool = pools.get(execution.forward().endpoint());
-    if (pool != null) {
-      pool.running = Math.max(0, pool.running - 1);
+    RequestId id = AttemptKeys.of(execution.id());
+    executions.remove(id, execution);
+    ServiceEndpoint endpoint = endpoints.get(execution.forward().endpoint());
+    if (endpoint == null) {
+      return;
+    }
+    endpoint.withdraw(id);
+    if (hadPlace) {
+      endpoint.ended();
+      release(endpoint);
+    }
+  }
+
+  /** Returns the number of calls that wait for their turn. */
+  public int waiting() {
+    lock.lock();
+    try {
+      return endpoints.values().stream().mapToInt(ServiceEndpoint::size).sum();
+    } finally {
+      lock.unlock();
     }
   }
 
@@ -224,17 +340,4 @@
       lock.unlock();
     }
   }
-
-  /** Is one endpoint. */
-  private static final class Pool {
-    private final InetSocketAddress address;
-    private final int maxCalls;
-    private int running;
-
-    Pool(InetSocketAddress address, int maxCalls, int running) {
-      this.address = address;
-      this.maxCalls = maxCalls;
-      this.running = running;
-    }
-  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -201,6 +201,19 @@
     turns.others(nowMs, loads);
   }
 
+  @Override
+  public int freePlaces() {
+    boolean any = false;
+    int free = 0;
+    for (EndpointState endpoint : endpoints.values()) {
+      if (!endpoint.draining) {
+        any = true;
+        free += Math.max(0, endpoint.maxStreams - endpoint.streams);
+      }
+    }
+    return any ? free : Integer.MAX_VALUE;
+  }
+
   @Override
   public List<EndpointLoad> loads() {
     Map<EndpointId, Integer> queuedFor = new HashMap<>();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
@@ -43,6 +43,14 @@
   /** Time went by; called every 10 to 50 ms. */
   List<PlacementAction> tick(long nowMs);
 
+  /**
+   * Returns how many more requests could run now if their adapters were loaded. Without an endpoint
+   * it is as many as one likes: there is no place to wait for, so what comes is refused.
+   */
+  default int freePlaces() {
+    return Integer.MAX_VALUE;
+  }
+
   /** Returns how busy each endpoint is, as a hint for the entries' routers; perhaps nothing. */
   default List<EndpointLoad> loads() {
     return List.of();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.HostId;
+import io.sequoiapass.coordination.request.AdmissionSettings;
 import io.sequoiapass.daemon.process.log.LogFormat;
 import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import java.io.PrintWriter;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -110,6 +112,12 @@
   private void checkTogether() throws SettingsException {
     atMost(Setting.LEASE_MARGIN_MS, (leaseDurationMs() - 1) / 2);
     atMost(Setting.HEARTBEAT_INTERVAL_MS, leaseDurationMs() / 3);
+    if (number(Setting.MAX_QUEUED_PER_SERVICE) > number(Setting.MAX_QUEUED)) {
+      throw SettingsException.wrongValue(
+          Setting.MAX_QUEUED_PER_SERVICE.names(),
+          values.get(Setting.MAX_QUEUED_PER_SERVICE),
+          "at most --max-queued " + number(Setting.MAX_QUEUED));
+    }
     for (PeerAddress peer : peers) {
       if (peer.daemon().equals(daemon())) {
         throw SettingsException.wrongValue(
@@ -231,6 +239,17 @@
     return Math.toIntExact(number(Setting.RETRY_BUDGET_PERCENT));
   }
 
+  /** Returns the limits of what waits on ordinary days, or empty if nothing is limited. */
+  public Optional<AdmissionSettings> admission() {
+    if (!Boolean.parseBoolean(values.get(Setting.ADMISSION))) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        AdmissionSettings.DEFAULT.holding(
+            Math.toIntExact(number(Setting.MAX_QUEUED)),
+            Math.toIntExact(number(Setting.MAX_QUEUED_PER_SERVICE))));
+  }
+
   /** Returns how long an idempotency key is remembered, in milliseconds. */
   public long ledgerRetentionMs() {
     return number(Setting.LEDGER_RETENTION_MS);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
@@ -101,6 +101,25 @@
       "%",
       "retries allowed for each hundred first attempts",
       "retries under an overload multiply it; one in ten covers the loss of a few endpoints"),
+  ADMISSION(
+      SettingType.SWITCH,
+      "true",
+      "whether requests that cannot be served in time are refused at once",
+      "only measurements switch it off, to show what it does; without it an overload is served late"),
+  MAX_QUEUED(
+      1,
+      100_000,
+      "512",
+      "requests",
+      "requests that wait at an owner for engines of one model, or for one plain service's endpoint",
+      "bounds memory and the longest wait; a preset scales it; some 8 s at 65 requests a second"),
+  MAX_QUEUED_PER_SERVICE(
+      1,
+      100_000,
+      "128",
+      "requests",
+      "requests of one service and priority among those that wait",
+      "a service that floods fills its own part and no more; at most --max-queued"),
   LEDGER_RETENTION_MS(
       60_000,
       86_400_000,
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequestParser.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/CallerRequestParser.java
@@ -87,7 +87,13 @@
     int maxTokens = maxTokens(body);
     ForwardedWork work =
         new ForwardedWork.Completion(
-            adapter, record.model(), priority, body.prompt(), maxTokens, 0);
+            adapter,
+            record.model(),
+            priority,
+            service.map(ServiceRecord::id),
+            body.prompt(),
+            maxTokens,
+            0);
     RouteTarget target = new RouteTarget.Engine(record.model(), adapter);
     return request(message, work, target, priority, service, Boolean.TRUE.equals(body.stream()));
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/request/Execution.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/request/Execution.java
@@ -141,6 +141,16 @@
     return startedAt - arrivedAt;
   }
 
+  /** Returns how long ago it arrived, in milliseconds. */
+  public long agedMs(long nowMs) {
+    return nowMs - arrivedAt;
+  }
+
+  /** Returns how long ago it was written to the endpoint, in milliseconds. */
+  public long ranMs(long nowMs) {
+    return nowMs - startedAt;
+  }
+
   /** Returns the milliseconds that its deadline leaves. */
   public long remainingMs(long nowMs) {
     return Math.max(1, forward.remainingMs() - (nowMs - arrivedAt));
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
@@ -13,6 +13,7 @@
 import io.sequoiapass.coordination.RequestId;
 import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
+import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
@@ -62,7 +63,8 @@
             new LruPlacement(),
             new EngineClient(HttpClient.create(group, 500)),
             new OpenGate(),
-            new SilentObserver());
+            new SilentObserver(),
+            Optional.empty());
   }
 
   @AfterEach
@@ -193,5 +195,8 @@
 
     @Override
     public void endpointUnreachable(EndpointId endpoint) {}
+
+    @Override
+    public void overloaded(PeerMessage.AttemptId id, ErrorKind kind, long waitedMs) {}
   }
 }
--- a/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
@@ -35,8 +35,8 @@
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final int DEADLINE_MS = 20_000;
 
-  /** Longer than the deadline, after which the daemon owes an answer. */
-  private static final int WAIT_MS = DEADLINE_MS + 5_000;
+  /** Waited beyond the deadline, after which the daemon owes an answer. */
+  private static final int GRACE_MS = 5_000;
 
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
@@ -46,6 +46,8 @@
   private final AtomicLong sent = new AtomicLong();
   private CountDownLatch missing = new CountDownLatch(0);
   private long startedAt;
+  private volatile int deadlineMs = DEADLINE_MS;
+  private volatile String service = ClusterNames.NOTES;
 
   private LoadTool(IntFunction<InetSocketAddress> balancer) {
     this.balancer = balancer;
@@ -73,6 +75,26 @@
     return new LoadTool(balancer);
   }
 
+  /**
+   * Sets the deadline of all requests.
+   *
+   * @param millis from when each is sent, in milliseconds
+   */
+  public LoadTool deadlineMs(int millis) {
+    deadlineMs = millis;
+    return this;
+  }
+
+  /**
+   * Sets the service on whose behalf completions are asked for.
+   *
+   * @param name the service
+   */
+  public LoadTool service(String name) {
+    service = name;
+    return this;
+  }
+
   /**
    * Starts to send and returns at once.
    *
@@ -102,22 +124,22 @@
             request,
             version,
             LoadTool::micros,
-            WAIT_MS,
+            deadlineMs + GRACE_MS,
             result -> {
               results.add(result);
               missing.countDown();
             });
-    client.stream(call(request, daemon), WAIT_MS, check);
+    client.stream(call(request, daemon), deadlineMs + GRACE_MS, check);
   }
 
-  private static HttpCall call(PlannedRequest request, InetSocketAddress daemon) {
+  private HttpCall call(PlannedRequest request, InetSocketAddress daemon) {
     boolean plain = request.adapter().isEmpty();
     String path = plain ? "/services/" + ClusterNames.SLIPS + "/pay" : "/v1/completions";
     HttpCall call =
         HttpCall.to(daemon, "POST", path)
             .header("Request-Id", request.id())
             .header("Priority", request.priority())
-            .header("Deadline-Ms", Integer.toString(DEADLINE_MS));
+            .header("Deadline-Ms", Integer.toString(deadlineMs));
     if (!request.repeatable()) {
       call = call.header("Repeatable", "false").header("Idempotency-Key", request.id());
     }
@@ -127,7 +149,7 @@
     CallerMessages.Completion body =
         new CallerMessages.Completion(
             request.model(), "summarise " + request.id(), request.maxTokens(), true);
-    return call.header("Service", ClusterNames.NOTES).body(Json.GSON.toJson(body));
+    return call.header("Service", service).body(Json.GSON.toJson(body));
   }
 
   /** Returns how many requests were sent so far. */
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -41,6 +41,27 @@
           .run();
     }
   },
+  /** What is answered in time under an overload, with admission and without. */
+  OVERLOAD {
+    @Override
+    Flags.Definition definition() {
+      return common()
+          .flag("deadline-ms", "1500", "deadline of each request")
+          .flag("tokens", "5", "tokens of an answer on average")
+          .flag("step-micros", "40000", "an engine step's cost before any stream");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new OverloadMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("deadline-ms", 100, 60_000),
+              flags.integer("tokens", 1, 10_000),
+              flags.integer("step-micros", 0, 1_000_000),
+              flags.integer("seed", 0, Integer.MAX_VALUE))
+          .run();
+    }
+  },
   /** What control costs a daemon that serves nothing. */
   CONTROL {
     @Override
--- /dev/null
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OverloadTest.java
@@ -0,0 +1,221 @@
+package io.sequoiapass.testbed.failure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import io.sequoiapass.daemon.connection.HttpCall;
+import io.sequoiapass.testbed.HttpProbe;
+import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.ClusterNames;
+import io.sequoiapass.testbed.launch.DaemonNode;
+import io.sequoiapass.testbed.load.Judgement;
+import io.sequoiapass.testbed.load.LoadPlan;
+import io.sequoiapass.testbed.load.LoadReport;
+import io.sequoiapass.testbed.load.LoadTool;
+import io.sequoiapass.testbed.load.PlannedRequest;
+import io.sequoiapass.testbed.load.RequestResult;
+import io.sequoiapass.testbed.load.Verdict;
+import io.sequoiapass.testbed.wire.ObjectValues;
+import java.net.InetSocketAddress;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class OverloadTest {
+
+  private static final String FLOOD = "flood";
+  private static final long LIMIT_MS = 30_000;
+  private static final int ADAPTERS = 4;
+  private static final int SECONDS = 6;
+  private static final int DEADLINE_MS = 3_000;
+
+  /** Some 70 answers a second: 16 streams of 5 tokens at steps long against a busy machine's. */
+  private static final int STREAMS = 16;
+
+  private static final String STEP_MICROS = "40000";
+  private static final int TOKENS = 5;
+  private static final int QUIET_RATE = 20;
+  private static final int FLOOD_RATE = 210;
+
+  /** Half of the refusals are decided on arrival; a round of the owner's timer takes 20 ms. */
+  private static final double AT_ONCE_MS = 20;
+
+  private static Cluster cluster() throws Exception {
+    Cluster cluster =
+        Cluster.builder()
+            .daemons(2)
+            .engines(1)
+            .adapters(ADAPTERS)
+            .engineSize(ADAPTERS, STREAMS)
+            .engineFlags("--base-micros", STEP_MICROS)
+            .daemonFlags("--admission", System.getProperty("sequoiapass.admission", "true"))
+            .daemonJvmFlags("-XX:TieredStopAtLevel=4")
+            .start();
+    cluster.awaitServing(LIMIT_MS);
+    cluster
+        .objects()
+        .put(
+            "service",
+            FLOOD,
+            new ObjectValues.Service(
+                ClusterNames.MODEL, List.of("*"), null, true, "INTERACTIVE", 100_000));
+    for (DaemonNode daemon : cluster.daemons()) {
+      for (int adapter = 0; adapter < ADAPTERS; adapter++) {
+        awaitAnswer(daemon, adapter);
+      }
+    }
+    return cluster;
+  }
+
+  private static void awaitAnswer(DaemonNode daemon, int adapter) throws Exception {
+    for (long looks = LIMIT_MS / 50; looks > 0; looks--) {
+      if (ask(daemon, adapter).statusCode() == 200) {
+        return;
+      }
+      Thread.sleep(50);
+    }
+    throw new AssertionError("no answer from " + daemon.id() + " for adapter " + adapter);
+  }
+
+  private static HttpResponse<String> ask(DaemonNode daemon, int adapter) throws Exception {
+    String body =
+        "{\"model\":\"%s\",\"prompt\":\"p\",\"max_tokens\":%d}"
+            .formatted(ClusterNames.adapter(adapter), TOKENS);
+    return new HttpProbe(daemon.callers())
+        .call(
+            "POST",
+            "/v1/completions",
+            body,
+            "Service",
+            FLOOD,
+            "Deadline-Ms",
+            Integer.toString(DEADLINE_MS));
+  }
+
+  private static List<PlannedRequest> plan(int rate, long seed) {
+    return new LoadPlan(SECONDS, rate, ADAPTERS, 0, TOKENS, 0, 0, 0, seed).requests();
+  }
+
+  /** Priorities go before services, so a flood of work for a person shows what services share. */
+  private static List<PlannedRequest> interactive(List<PlannedRequest> plan) {
+    return plan.stream()
+        .map(
+            request ->
+                new PlannedRequest(
+                    request.id(),
+                    request.atMicros(),
+                    request.adapter(),
+                    request.version(),
+                    request.maxTokens(),
+                    "INTERACTIVE",
+                    request.repeatable()))
+        .toList();
+  }
+
+  private static LoadTool load(Cluster cluster, String service, List<PlannedRequest> plan) {
+    List<InetSocketAddress> daemons = cluster.daemons().stream().map(DaemonNode::callers).toList();
+    LoadTool tool = LoadTool.to(daemons).deadlineMs(DEADLINE_MS).service(service);
+    tool.start(plan);
+    return tool;
+  }
+
+  private static boolean inTime(RequestResult result) {
+    return result.verdict() == Verdict.WHOLE
+        && result.tookMicros() <= TimeUnit.MILLISECONDS.toMicros(DEADLINE_MS);
+  }
+
+  private static double inTimeShare(LoadReport report, Predicate<RequestResult> which) {
+    List<RequestResult> counted = report.results().stream().filter(which).toList();
+    return counted.stream().filter(OverloadTest::inTime).count() / (double) counted.size();
+  }
+
+  /** Returns for how long owners held the half of what they refused that they held shortest. */
+  private static double heldBeforeRefusalMs(Cluster cluster) throws Exception {
+    double longest = -1;
+    for (DaemonNode daemon : cluster.daemons()) {
+      JsonObject metrics =
+          cluster.http().read(HttpCall.to(daemon.operators(), "GET", "/metrics"), JsonObject.class);
+      if (metrics.has("admission.refused.after.ms")) {
+        JsonObject held = metrics.getAsJsonObject("admission.refused.after.ms");
+        System.out.println("overload: " + daemon.id() + " held what it refused, in ms: " + held);
+        longest = Math.max(longest, held.get("p50").getAsDouble());
+      }
+    }
+    assertThat(longest).as("some owner refused something").isNotNegative();
+    return longest;
+  }
+
+  private static long refusedWithinMs(LoadReport report, double share) {
+    List<Long> times =
+        report.results().stream()
+            .filter(result -> result.verdict() == Verdict.NOT_RUN)
+            .map(RequestResult::tookMicros)
+            .sorted()
+            .toList();
+    return TimeUnit.MICROSECONDS.toMillis(times.get((int) (share * (times.size() - 1))));
+  }
+
+  @Nested
+  class OneServiceFloods {
+
+    // One service sends three times what the engine can do, another a quarter of it. Without
+    // turns by service both wait in one line, and the quiet service's callers see answers that come
+    // after their deadline or not at all; only its batch work, for which nobody waits, may give way
+    // to the flood's. The flood's callers hear NOT RUN at once and when to come back; what they
+    // were
+    // told did not run has to be unknown to the engine's judge.
+    @Test
+    void theOtherKeepsItsAnswersAndRefusalsComeAtOnce() throws Exception {
+      try (Cluster cluster = cluster();
+          LoadTool quiet = load(cluster, ClusterNames.NOTES, plan(QUIET_RATE, 1));
+          LoadTool flood = load(cluster, FLOOD, interactive(plan(FLOOD_RATE, 2)))) {
+        String retryAfter = retryAfterOfARefusal(cluster.daemons().get(0));
+        LoadReport quietReport = quiet.await(LIMIT_MS);
+        LoadReport floodReport = flood.await(LIMIT_MS);
+        Judgement judge = Judgement.of(cluster);
+        quietReport = judge.apply(quietReport);
+        floodReport = judge.apply(floodReport);
+        double share = inTimeShare(quietReport, any -> true);
+        double priority =
+            inTimeShare(quietReport, result -> result.request().priority().equals("DEADLINE"));
+        double awaited =
+            inTimeShare(quietReport, result -> !result.request().priority().equals("BATCH"));
+        long refused = floodReport.count(Verdict.NOT_RUN);
+        System.out.printf(
+            "overload: quiet in time %.3f, without its batch work %.3f, its priority work %.3f, flood refused %d of %d, half"
+                + " within %d ms, 95 of 100 within %d ms%n%s%n%s%n",
+            share,
+            awaited,
+            priority,
+            refused,
+            floodReport.sent(),
+            refusedWithinMs(floodReport, 0.5),
+            refusedWithinMs(floodReport, 0.95),
+            quietReport.reasons(5),
+            floodReport.reasons(5));
+        assertThat(quietReport.count(Verdict.WRONG) + floodReport.count(Verdict.WRONG)).isZero();
+        assertThat(quietReport.unanswered() + floodReport.unanswered()).isZero();
+        assertThat(awaited).as("quiet service in time").isGreaterThan(0.85);
+        assertThat(priority).as("its priority work in time").isGreaterThan(0.9);
+        assertThat(refused).isGreaterThan(floodReport.sent() / 3);
+        assertThat(heldBeforeRefusalMs(cluster)).as("held by the owner").isLessThan(AT_ONCE_MS);
+        assertThat(refusedWithinMs(floodReport, 1)).as("the last one").isLessThan(DEADLINE_MS);
+        assertThat(Integer.parseInt(retryAfter)).isPositive();
+      }
+    }
+
+    private static String retryAfterOfARefusal(DaemonNode daemon) throws Exception {
+      for (int tries = 0; tries < 1_000; tries++) {
+        HttpResponse<String> answer = ask(daemon, tries % ADAPTERS);
+        if (answer.headers().firstValue("Outcome").equals(Optional.of("NOT_RUN"))) {
+          return answer.headers().firstValue("Retry-After").orElse("-1");
+        }
+      }
+      return "-1";
+    }
+  }
+}
