Circuits and hedges at the entry

Cause: no process drove EndpointHealth and HedgePolicy, so each request found a dead endpoint out by itself and spent the retry budget on it.

EndpointResults tells the health of endpoints how each attempt ended, once for each; what is left out joins the endpoints that an attempt avoids. Priority DEADLINE work that may run twice is hedged after the 95th percentile of the time to the first token, as learnt at this entry; a hedge beside its first attempt on one endpoint is not sent.

--- a/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointHealth.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointHealth.java
@@ -85,6 +85,17 @@
     compare(nowMillis);
   }
 
+  /** Returns the endpoints that may get no request now. */
+  public Set<EndpointId> leftOut(long nowMillis) {
+    Set<EndpointId> out = new HashSet<>();
+    for (EndpointId endpoint : endpoints.keySet()) {
+      if (!admits(endpoint, nowMillis)) {
+        out.add(endpoint);
+      }
+    }
+    return out;
+  }
+
   /** Forgets the endpoints that are not among these. */
   public void retain(Set<EndpointId> present) {
     endpoints.keySet().retainAll(present);
--- /dev/null
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EndpointResults.java
@@ -0,0 +1,99 @@
+package io.sequoiapass.daemon.process.entry;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.connection.EndpointHealth;
+import io.sequoiapass.coordination.connection.HealthSettings;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Tells the health of endpoints how each attempt on them ended, once for each.
+ *
+ * <p>Guarded by the lock of its shard.
+ */
+final class EndpointResults {
+
+  private final EndpointHealth health = new EndpointHealth(HealthSettings.DEFAULT);
+  private final Map<AttemptId, EndpointId> open = new HashMap<>();
+
+  /** Returns the endpoints that get no request now because those before failed. */
+  Set<EndpointId> leftOut(long nowMs) {
+    return health.leftOut(nowMs);
+  }
+
+  /** Returns whether another attempt of the same request is under way on an endpoint. */
+  boolean isUnderWay(AttemptId attempt, EndpointId endpoint) {
+    return open.entrySet().stream()
+        .anyMatch(
+            other ->
+                other.getValue().equals(endpoint)
+                    && other.getKey().request().equals(attempt.request())
+                    && other.getKey().attempt() != attempt.attempt());
+  }
+
+  /** Notes that an attempt goes to an endpoint, or was moved there by its owner. */
+  void sent(AttemptId attempt, EndpointId endpoint, long nowMs) {
+    withdrawn(attempt, nowMs);
+    open.put(attempt, endpoint);
+    health.sent(endpoint, nowMs);
+  }
+
+  /** Takes what an owner's frame says of the endpoint. */
+  void received(PeerMessage.OfAttempt message, long nowMs) {
+    if (message instanceof PeerMessage.Started started) {
+      sent(started.id(), started.endpoint(), nowMs);
+    } else if (message instanceof PeerMessage.Finished
+        || message instanceof PeerMessage.ServiceAnswer) {
+      succeeded(message.id(), nowMs);
+    } else if (message instanceof PeerMessage.EndpointLost) {
+      failed(message.id(), nowMs);
+    } else if (message instanceof PeerMessage.Refused refused) {
+      refused(refused, nowMs);
+    }
+  }
+
+  private void refused(PeerMessage.Refused refused, long nowMs) {
+    boolean gone =
+        refused.kind() == ErrorKind.ENDPOINT_LOST_BEFORE_START
+            || refused.kind() == ErrorKind.NO_ENDPOINT;
+    if (gone) {
+      failed(refused.id(), nowMs);
+    } else {
+      withdrawn(refused.id(), nowMs);
+    }
+  }
+
+  private void succeeded(AttemptId attempt, long nowMs) {
+    EndpointId endpoint = open.remove(attempt);
+    if (endpoint != null) {
+      health.succeeded(endpoint, nowMs);
+    }
+  }
+
+  private void failed(AttemptId attempt, long nowMs) {
+    EndpointId endpoint = open.remove(attempt);
+    if (endpoint != null) {
+      health.failed(endpoint, nowMs);
+    }
+  }
+
+  /** Notes that an attempt ended without telling anything of its endpoint. */
+  void withdrawn(AttemptId attempt, long nowMs) {
+    EndpointId endpoint = open.remove(attempt);
+    if (endpoint != null) {
+      health.withdrawn(endpoint, nowMs);
+    }
+  }
+
+  /** Notes that a request is over; what of it is still under way tells nothing. */
+  void over(EntryRequest entry, long nowMs) {
+    for (int attempt : List.copyOf(entry.routes().keySet())) {
+      withdrawn(entry.attempt(attempt), nowMs);
+    }
+  }
+}
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryRequest.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryRequest.java
@@ -20,6 +20,7 @@
   private final ConfigurationSnapshot snapshot;
   private final RequestAttempts attempts;
   private final CallerAnswer answer;
+  private final long acceptedAt;
   private final Map<Integer, Route> routes = new HashMap<>();
   private Optional<PeerMessage.ServiceAnswer> serviceAnswer = Optional.empty();
   private boolean firstTokenSeen;
@@ -29,11 +30,13 @@
       CallerRequest request,
       ConfigurationSnapshot snapshot,
       RequestAttempts attempts,
-      CallerAnswer answer) {
+      CallerAnswer answer,
+      long acceptedAt) {
     this.request = request;
     this.snapshot = snapshot;
     this.attempts = attempts;
     this.answer = answer;
+    this.acceptedAt = acceptedAt;
   }
 
   CallerRequest request() {
@@ -52,6 +55,10 @@
     return answer;
   }
 
+  long agedMs(long nowMs) {
+    return nowMs - acceptedAt;
+  }
+
   AttemptId attempt(int number) {
     return new AttemptId(request.id(), number);
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.daemon.process.entry;
 
 import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.RequestId;
 import io.sequoiapass.coordination.request.AnswerFrame;
@@ -8,6 +9,7 @@
 import io.sequoiapass.coordination.request.AttemptEvent;
 import io.sequoiapass.coordination.request.AttemptSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.FirstTokenTimes;
 import io.sequoiapass.coordination.request.NotRunProof;
 import io.sequoiapass.coordination.request.Outcome;
 import io.sequoiapass.coordination.request.RequestAttempts;
@@ -27,6 +29,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -49,6 +52,9 @@
   private final RetryBudget budget;
   private final EntryObserver observer;
   private final StartRecords records;
+  private final EndpointResults results = new EndpointResults();
+  private final FirstTokenTimes engineTimes = new FirstTokenTimes();
+  private final FirstTokenTimes serviceTimes = new FirstTokenTimes();
 
   /**
    * Makes a shard without requests.
@@ -96,9 +102,11 @@
             request.deadlineMs());
     locked(
         () -> {
-          RequestAttempts attempts = new RequestAttempts(spec, settings, budget, Optional.empty());
+          RequestAttempts attempts =
+              new RequestAttempts(spec, settings, budget, times(request).hedging());
           CallerAnswer answer = new CallerAnswer(responder, request, runsOn);
-          EntryRequest entry = new EntryRequest(request, snapshot, attempts, answer);
+          EntryRequest entry =
+              new EntryRequest(request, snapshot, attempts, answer, clock.millis());
           requests.put(request.id(), entry);
           observer.accepted(request);
           perform(entry, attempts.begin(clock.millis()));
@@ -107,6 +115,10 @@
     responder.onWritable(() -> writable(request.id()));
   }
 
+  private FirstTokenTimes times(CallerRequest request) {
+    return request.target() instanceof RouteTarget.Engine ? engineTimes : serviceTimes;
+  }
+
   /**
    * Takes a frame from an owner.
    *
@@ -151,7 +163,10 @@
                     .map(Map.Entry::getKey)
                     .sorted()
                     .toList();
-            lost.forEach(attempt -> on(entry, new AttemptEvent.OwnerLost(attempt)));
+            for (int attempt : lost) {
+              results.withdrawn(entry.attempt(attempt), clock.millis());
+              on(entry, new AttemptEvent.OwnerLost(attempt));
+            }
           }
         });
   }
@@ -185,6 +200,7 @@
 
   private void take(EntryRequest entry, PeerMessage.OfAttempt message) {
     int attempt = message.id().attempt();
+    results.received(message, clock.millis());
     if (message instanceof PeerMessage.Tokens tokens) {
       takeTokens(entry, tokens);
     } else if (message instanceof PeerMessage.Started started) {
@@ -201,6 +217,7 @@
                   Optional.of(finished.ranOn()),
                   finished.tokens())));
     } else if (message instanceof PeerMessage.ServiceAnswer answer) {
+      serviceTimes.add(entry.agedMs(clock.millis()));
       entry.hold(answer);
       on(
           entry,
@@ -257,6 +274,7 @@
     } else if (action instanceof AttemptAction.DenyStart deny) {
       answerStart(entry, deny.attempt(), false);
     } else if (action instanceof AttemptAction.Cancel cancel) {
+      results.withdrawn(entry.attempt(cancel.attempt()), clock.millis());
       toOwner(entry, cancel.attempt(), new PeerMessage.Cancel(entry.attempt(cancel.attempt())));
     } else if (action instanceof AttemptAction.Deliver deliver) {
       deliver(entry, deliver.token());
@@ -281,13 +299,17 @@
   private void send(EntryRequest entry, AttemptAction.Send send) {
     CallerRequest request = entry.request();
     Optional<Route> found =
-        routes.find(request.target(), entry.snapshot(), send.prefer(), send.avoid());
+        routes
+            .find(request.target(), entry.snapshot(), send.prefer(), avoided(send))
+            .filter(route -> !results.isUnderWay(entry.attempt(send.attempt()), route.endpoint()));
     if (found.isEmpty()) {
+      // A hedge beside its first attempt on one endpoint would only make that endpoint slower.
       on(entry, new AttemptEvent.Unroutable(send.attempt(), ErrorKind.NO_ENDPOINT));
       return;
     }
     Route route = found.get();
     entry.routed(send.attempt(), route);
+    results.sent(entry.attempt(send.attempt()), route.endpoint(), clock.millis());
     boolean attached = send.prefer().filter(route.endpoint()::equals).isPresent();
     AttemptAction.Mode mode =
         send.mode() == AttemptAction.Mode.ATTACH_OR_RUN && !attached
@@ -309,6 +331,12 @@
     }
   }
 
+  private Set<EndpointId> avoided(AttemptAction.Send send) {
+    Set<EndpointId> avoided = results.leftOut(clock.millis());
+    avoided.addAll(send.avoid());
+    return avoided;
+  }
+
   /**
    * Returns the time that an owner gets. Were it the whole, the owner's proof that a request never
    * left its queue would arrive just after the entry had to say UNKNOWN; a round of the owner's and
@@ -347,6 +375,7 @@
   private void deliver(EntryRequest entry, AnswerFrame.Token token) {
     if (entry.takeFirstToken()) {
       observer.firstToken(entry.request());
+      engineTimes.add(entry.agedMs(clock.millis()));
     }
     entry.answer().token(token.index(), token.text());
     if (!entry.answer().responder().writable()) {
@@ -375,6 +404,7 @@
 
   private void end(EntryRequest entry, Outcome outcome) {
     requests.remove(entry.request().id());
+    results.over(entry, clock.millis());
     observer.ended(entry.request(), outcome);
     if (entry.request().startIsRecorded()) {
       records.finished(entry.request(), outcome.outcomeClass());
