--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
@@ -2,8 +2,14 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.HostId;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.coordination.process.PlatformReport;
+import io.sequoiapass.coordination.version.HostHints;
+import io.sequoiapass.coordination.version.HostReport;
 import java.io.IOException;
+import java.util.Set;
 import org.msgpack.core.MessagePacker;
 
 /** Writes and reads the fields of control frames, which are about no request. */
@@ -15,6 +21,7 @@
     if (message instanceof PeerMessage.Hello hello) {
       out.packString(hello.daemon().value());
       out.packString(hello.dataCentre().value());
+      out.packString(hello.host().value());
       out.packLong(hello.incarnation());
     } else if (message instanceof PeerMessage.Heartbeat beat) {
       writeHeartbeat(out, beat);
@@ -30,6 +37,8 @@
       for (long sum : request.buckets()) {
         out.packLong(sum);
       }
+    } else if (message instanceof PeerMessage.HostsPush push) {
+      writeHosts(out, push.hints());
     } else if (message instanceof PeerMessage.TablePush push) {
       TableFrames.writeTable(out, push);
     } else if (message instanceof PeerMessage.TableDelta push) {
@@ -65,9 +74,26 @@
     out.packInt(beat.weightDemand());
   }
 
+  private static void writeHosts(MessagePacker out, HostHints hints) throws IOException {
+    out.packLong(hints.version());
+    out.packString(hints.reader());
+    out.packArrayHeader(hints.reports().size());
+    for (HostReport report : hints.reports()) {
+      out.packString(report.host().value());
+      out.packString(report.hint().name());
+      out.packArrayHeader(report.endpoints().size());
+      for (EndpointId endpoint : report.endpoints()) {
+        out.packString(endpoint.value());
+      }
+    }
+  }
+
   static PeerMessage readHello(FrameReader in) throws IOException {
     return new PeerMessage.Hello(
-        new DaemonId(in.text()), new DataCentreId(in.text()), in.longNumber());
+        new DaemonId(in.text()),
+        new DataCentreId(in.text()),
+        new HostId(in.text()),
+        in.longNumber());
   }
 
   static PeerMessage readHeartbeat(FrameReader in) throws IOException {
@@ -84,6 +110,20 @@
     return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
   }
 
+  static PeerMessage readHostsPush(FrameReader in) throws IOException, PeerFrameException {
+    long version = in.longNumber();
+    DaemonId reader = new DaemonId(in.text());
+    return new PeerMessage.HostsPush(
+        HostHints.of(version, reader, in.list(ControlFrames::readHost)));
+  }
+
+  private static HostReport readHost(FrameReader in) throws IOException, PeerFrameException {
+    return new HostReport(
+        new HostId(in.text()),
+        in.constant(HostHint.class),
+        Set.copyOf(in.list(element -> new EndpointId(element.text()))));
+  }
+
   static PeerMessage readRelayCall(FrameReader in) throws IOException {
     return new PeerMessage.RelayCall(in.longNumber(), in.text(), in.longNumber(), in.text());
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -2,12 +2,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.FencingNumber;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.request.AttemptSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
@@ -17,6 +17,7 @@
 import io.sequoiapass.coordination.request.RetryBudget;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpServer;
+import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.daemon.connection.engine.EngineClient;
 import io.sequoiapass.daemon.connection.peer.LocalLink;
 import io.sequoiapass.daemon.connection.peer.PeerLinks;
@@ -104,8 +105,7 @@
   private final EventLoopGroup group;
 
   /** Operators' large answers must not hold up callers, so they have a loop of their own. */
-  private final EventLoopGroup operatorGroup =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup operatorGroup = SocketTransport.best().group(1);
 
   private final Timeline timeline;
   private final DaemonEvents events;
@@ -123,7 +123,7 @@
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.group = new MultiThreadIoEventLoopGroup(settings.threads(), NioIoHandler.newFactory());
+    this.group = SocketTransport.best().group(settings.threads());
     this.timeline = Timeline.create(settings.daemon(), settings.timelineEvents(), wall);
     this.events = new DaemonEvents(settings.daemon(), metrics, timeline, clock, this::resetLink);
     HttpClient http = HttpClient.create(group, CONNECT_TIMEOUT_MS);
@@ -223,7 +223,7 @@
   }
 
   private Owner owner(HttpClient http) {
-    EngineClient engines = new EngineClient(http);
+    EngineClient engines = new EngineClient(http, settings.streamReadIntervalMs());
     return new Owner(
         () ->
             new OwnerShard(
@@ -242,7 +242,8 @@
     local.open(owner, new LocalEntry(entries));
     int peerPort = transport.listen(address(settings.peerPort()), peers::accepted);
     PeerMessage.Hello hello =
-        new PeerMessage.Hello(settings.daemon(), settings.dataCentre(), incarnation);
+        new PeerMessage.Hello(
+            settings.daemon(), settings.dataCentre(), settings.host(), incarnation);
     peers.start(new PeerLinks(transport, group, hello, peers), settings.peers());
     operators =
         HttpServer.builder(
@@ -362,15 +363,22 @@
       EventLog.log(LogEvent.PEER_LOST, peer, "connection closed");
     }
 
+    @Override
+    public HostHint hint(HostId host) {
+      return configuration.hints().of(host);
+    }
+
     @Override
     public void received(DaemonId peer, PeerMessage message) {
       if (message instanceof PeerMessage.Heartbeat beat && peers.isNeighbour(peer)) {
-        configuration.heard(peer, beat.configuration());
+        configuration.heard(peer, beat.configuration(), beat.platform().platformOut());
       }
       if (message instanceof PeerMessage.ObjectsPush push) {
         configuration.pushed(peer, push);
       } else if (message instanceof PeerMessage.ObjectsRequest request) {
         configuration.asked(peer, request);
+      } else if (message instanceof PeerMessage.HostsPush push && peers.isNeighbour(peer)) {
+        configuration.hostsPushed(push);
       } else if (message instanceof PeerMessage.Ledger about) {
         ledger.received(peer, about.message());
       } else {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -84,6 +84,7 @@
           endpoint.service().orElseThrow(),
           SocketAddresses.parse(endpoint.address()),
           endpoint.maxStreams());
+      services.drain(endpoint.id(), !endpoint.takesNewWork());
       return;
     }
     OwnerShard shard = shard(endpoint);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServiceEndpoint.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServiceEndpoint.java
@@ -32,6 +32,7 @@
   private final Map<RequestId, AdmissionTicket> waiting = new HashMap<>();
   private InetSocketAddress address;
   private int running;
+  private boolean leaving;
 
   ServiceEndpoint(
       ServiceId service,
@@ -56,6 +57,15 @@
     queue.apply(ordinary.bounded(preset::queueBound));
   }
 
+  /** Notes whether it leaves, and so begins nothing new. */
+  void leave(boolean leaves) {
+    leaving = leaves;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
   InetSocketAddress address() {
     return address;
   }
@@ -82,7 +92,7 @@
 
   /** Returns whether one that waits may be begun. */
   boolean hasTurn() {
-    return queue.size() > 0 && hasPlace();
+    return queue.size() > 0 && hasPlace() && !leaving;
   }
 
   /** Takes out the attempt whose turn it is, and those that are too late by now. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServicePool.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/ServicePool.java
@@ -87,6 +87,33 @@
                 .configure(address, maxCalls));
   }
 
+  /**
+   * Starts nothing new on an endpoint that leaves; calls under way go on, what waits is given back.
+   *
+   * @param endpoint the endpoint
+   * @param leaving whether it leaves
+   */
+  public void drain(EndpointId endpoint, boolean leaving) {
+    locked(
+        () -> {
+          ServiceEndpoint known = endpoints.get(endpoint);
+          if (known != null) {
+            known.leave(leaving);
+          }
+          if (leaving) {
+            giveBackQueued(endpoint);
+          }
+        });
+  }
+
+  private void giveBackQueued(EndpointId endpoint) {
+    executions.values().stream()
+        .filter(execution -> execution.stage() == Execution.Stage.QUEUED)
+        .filter(execution -> execution.forward().endpoint().equals(endpoint))
+        .toList()
+        .forEach(execution -> refuse(execution, ErrorKind.DRAINING, 0));
+  }
+
   /**
    * Stops using an endpoint; calls under way go on, what waits is given back to its entry.
    *
@@ -96,11 +123,7 @@
     locked(
         () -> {
           if (endpoints.remove(endpoint) != null) {
-            executions.values().stream()
-                .filter(execution -> execution.stage() == Execution.Stage.QUEUED)
-                .filter(execution -> execution.forward().endpoint().equals(endpoint))
-                .toList()
-                .forEach(execution -> refuse(execution, ErrorKind.DRAINING, 0));
+            giveBackQueued(endpoint);
           }
         });
   }
@@ -136,7 +159,7 @@
         () -> {
           Execution execution = new Execution(forward, replies, clock.millis());
           ServiceEndpoint endpoint = endpoints.get(forward.endpoint());
-          if (endpoint == null) {
+          if (endpoint == null || endpoint.isLeaving()) {
             // The entry's table and this one differ, as they do for moments around each handover.
             execution.refuse(ErrorKind.DRAINING, false, 0);
           } else if (executions.putIfAbsent(AttemptKeys.of(forward.id()), execution) == null) {
@@ -204,7 +227,7 @@
           ServiceEndpoint endpoint = endpoints.get(execution.forward().endpoint());
           if (!answer.granted()) {
             over(execution);
-          } else if (endpoint == null) {
+          } else if (endpoint == null || endpoint.isLeaving()) {
             refuse(execution, ErrorKind.DRAINING, 0);
           } else {
             write(execution, endpoint);
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.testbed.cli.Flags;
 import io.sequoiapass.testbed.cli.UsageException;
 import java.io.IOException;
+import java.util.List;
 
 /** Names what can be measured, each with its flags. */
 public enum MeasureTopic {
@@ -28,7 +29,13 @@
     Flags.Definition definition() {
       return common()
           .flag("rate", "65", "requests a second to each daemon; then three times that")
-          .flag("tokens", "238", "tokens of an answer on average");
+          .flag("tokens", "238", "tokens of an answer on average")
+          .flag("daemon-flags", "", "flags of the daemons, separated by spaces")
+          .flag(
+              "jvm",
+              "-XX:TieredStopAtLevel=4",
+              "JVM flags of the daemons, separated by spaces; -Dio.netty.transport.noNative=true"
+                  + " leaves epoll out");
     }
 
     @Override
@@ -37,7 +44,9 @@
               flags.integer("seconds", 1, 3_600),
               flags.integer("rate", 1, 10_000),
               flags.integer("tokens", 1, 10_000),
-              flags.integer("seed", 0, Integer.MAX_VALUE))
+              flags.integer("seed", 0, Integer.MAX_VALUE),
+              words(flags.text("daemon-flags")),
+              words(flags.text("jvm")))
           .run();
     }
   },
@@ -86,6 +95,26 @@
               flags.integer("heartbeat-ms", 100, 10_000))
           .run();
     }
+  },
+  /** The time from a change's acceptance by the platform until it is in force everywhere. */
+  PROPAGATION {
+    @Override
+    Flags.Definition definition() {
+      return common()
+          .flag("data-centres", "3", "data centres")
+          .flag("daemons", "8", "daemons in each")
+          .flag("rate", "12", "changes a second in the burst");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new PropagationMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("data-centres", 1, 6),
+              flags.integer("daemons", 2, 17),
+              flags.integer("rate", 1, 1_000))
+          .run();
+    }
   };
 
   abstract Flags.Definition definition();
@@ -98,6 +127,10 @@
         .flag("seed", "1", "seed of the load");
   }
 
+  private static List<String> words(String text) {
+    return text.isBlank() ? List.of() : List.of(text.strip().split(" +", -1));
+  }
+
   /** Returns a line for each flag. */
   public String help() {
     return definition().help();
