Fault run by command: ./run measure faults

Engine work, slips with a key and without, under a seeded schedule of kills, freezes, cuts of peers and platform, platform outages, engine restarts and lost answers, one at a time and a quarter of them two at once. Prints duplicates, false NOT RUN, UNKNOWN and its share of the requests in flight; fails on a duplicate or a false NOT RUN. A planned request now says whether it carries a key.

--- a/testbed/src/main/java/io/sequoiapass/testbed/load/AnswerCheck.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/AnswerCheck.java
@@ -169,7 +169,7 @@
           Json.GSON.fromJson(body.toString(StandardCharsets.UTF_8), CallerMessages.Plain.class);
       boolean own =
           plain.requestId().startsWith(request.id() + INTERNAL_PART)
-              && plain.idempotencyKey().equals(request.id());
+              && plain.idempotencyKey().equals(request.keyed() ? request.id() : "");
       tell(own ? Verdict.WHOLE : Verdict.WRONG, own ? "" : "answer to " + plain.requestId());
     } catch (JsonSyntaxException | NullPointerException e) {
       tell(Verdict.WRONG, "unreadable answer: " + body.toString(StandardCharsets.UTF_8));
--- a/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
@@ -119,7 +119,10 @@
             .header("Priority", request.priority())
             .header("Deadline-Ms", Integer.toString(DEADLINE_MS));
     if (!request.repeatable()) {
-      call = call.header("Repeatable", "false").header("Idempotency-Key", request.id());
+      call = call.header("Repeatable", "false");
+    }
+    if (request.keyed()) {
+      call = call.header("Idempotency-Key", request.id());
     }
     if (plain) {
       return call.body("{}");
--- a/testbed/src/main/java/io/sequoiapass/testbed/load/PlannedRequest.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/PlannedRequest.java
@@ -12,6 +12,7 @@
  * @param maxTokens tokens asked for
  * @param priority its priority
  * @param repeatable whether it may run twice
+ * @param keyed whether it carries an idempotency key, its id
  */
 public record PlannedRequest(
     String id,
@@ -20,7 +21,26 @@
     Optional<String> version,
     int maxTokens,
     String priority,
-    boolean repeatable) {
+    boolean repeatable,
+    boolean keyed) {
+
+  /** Makes a request that carries a key if it may not run twice; the parameters are as above. */
+  public PlannedRequest(
+      String id,
+      long atMicros,
+      Optional<String> adapter,
+      Optional<String> version,
+      int maxTokens,
+      String priority,
+      boolean repeatable) {
+    this(id, atMicros, adapter, version, maxTokens, priority, repeatable, !repeatable);
+  }
+
+  /** Returns the same request without a key. */
+  public PlannedRequest withoutKey() {
+    return new PlannedRequest(
+        id, atMicros, adapter, version, maxTokens, priority, repeatable, false);
+  }
 
   /** Returns the adapter as the caller names it to the daemons. */
   public String model() {
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultKind.java
@@ -0,0 +1,145 @@
+package io.sequoiapass.testbed.measure;
+
+import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.DaemonNode;
+import io.sequoiapass.testbed.launch.EndpointNode;
+import io.sequoiapass.testbed.launch.EndpointNode.EndpointKind;
+import io.sequoiapass.testbed.proxy.Direction;
+import io.sequoiapass.testbed.proxy.ProxyFault;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Names the faults of a fault run. */
+enum FaultKind {
+  /** A daemon is killed, and replaced under its name at the end. */
+  KILL_DAEMON(true) {
+    @Override
+    void begin(Cluster cluster, int target) {
+      daemon(cluster, target).process().kill();
+    }
+
+    @Override
+    void end(Cluster cluster, int target) throws IOException, InterruptedException {
+      cluster.restart(daemon(cluster, target));
+    }
+  },
+  /** A daemon's process stands still. */
+  FREEZE_DAEMON(true) {
+    @Override
+    void begin(Cluster cluster, int target) throws IOException, InterruptedException {
+      daemon(cluster, target).process().pause();
+    }
+
+    @Override
+    void end(Cluster cluster, int target) throws IOException, InterruptedException {
+      daemon(cluster, target).process().resume();
+    }
+  },
+  /** A daemon and its peers lose each other; callers, endpoints and platform stay. */
+  CUT_PEERS(false) {
+    @Override
+    void begin(Cluster cluster, int target) {
+      peers(cluster, target, ProxyFault.cut());
+    }
+
+    @Override
+    void end(Cluster cluster, int target) {
+      peers(cluster, target, ProxyFault.none());
+    }
+  },
+  /** What the daemon sends to its peers over its own connections hangs, and closes nothing. */
+  HANG_PEERS(false) {
+    @Override
+    void begin(Cluster cluster, int target) {
+      peers(cluster, target, ProxyFault.oneWayCut(Direction.TO_TARGET));
+    }
+
+    @Override
+    void end(Cluster cluster, int target) {
+      peers(cluster, target, ProxyFault.none());
+    }
+  },
+  /** A daemon loses the platform. */
+  CUT_PLATFORM(false) {
+    @Override
+    void begin(Cluster cluster, int target) {
+      cluster.proxies().toPlatform(daemon(cluster, target).id()).set(ProxyFault.cut());
+    }
+
+    @Override
+    void end(Cluster cluster, int target) {
+      cluster.proxies().toPlatform(daemon(cluster, target).id()).set(ProxyFault.none());
+    }
+  },
+  /** The platform is out for all. */
+  PLATFORM_OUT(false) {
+    @Override
+    void begin(Cluster cluster, int target) throws IOException, InterruptedException {
+      cluster.faults(cluster.platformAddress(), "{\"outage\":true}");
+    }
+
+    @Override
+    void end(Cluster cluster, int target) throws IOException, InterruptedException {
+      cluster.faults(cluster.platformAddress(), "{}");
+    }
+  },
+  /** An engine restarts empty. */
+  RESTART_ENGINE(false) {
+    @Override
+    void begin(Cluster cluster, int target) throws IOException, InterruptedException {
+      cluster.faults(endpoint(cluster, EndpointKind.ENGINE, target), "{\"restart\":true}");
+    }
+
+    @Override
+    void end(Cluster cluster, int target) throws IOException, InterruptedException {
+      cluster.faults(endpoint(cluster, EndpointKind.ENGINE, target), "{}");
+    }
+  },
+  /** A plain service runs what it gets and its answers are lost. */
+  LOSE_ANSWERS(false) {
+    @Override
+    void begin(Cluster cluster, int target) throws IOException, InterruptedException {
+      cluster.faults(endpoint(cluster, EndpointKind.SERVICE, target), "{\"lose_answer\":true}");
+    }
+
+    @Override
+    void end(Cluster cluster, int target) throws IOException, InterruptedException {
+      cluster.faults(endpoint(cluster, EndpointKind.SERVICE, target), "{}");
+    }
+  };
+
+  private final boolean takesDaemonDown;
+
+  FaultKind(boolean takesDaemonDown) {
+    this.takesDaemonDown = takesDaemonDown;
+  }
+
+  /** Returns whether a balancer sends no callers to the daemon meanwhile. */
+  boolean takesDaemonDown() {
+    return takesDaemonDown;
+  }
+
+  abstract void begin(Cluster cluster, int target) throws IOException, InterruptedException;
+
+  abstract void end(Cluster cluster, int target) throws IOException, InterruptedException;
+
+  static DaemonNode daemon(Cluster cluster, int target) {
+    return cluster.daemons().get(target % cluster.daemons().size());
+  }
+
+  private static InetSocketAddress endpoint(Cluster cluster, EndpointKind kind, int target) {
+    List<EndpointNode> nodes = cluster.endpoints(kind);
+    return nodes.get(target % nodes.size()).address();
+  }
+
+  private static void peers(Cluster cluster, int target, ProxyFault fault) {
+    DaemonNode daemon = daemon(cluster, target);
+    for (DaemonNode peer : cluster.daemons()) {
+      if (peer != daemon) {
+        cluster.proxies().toPeer(daemon.id(), peer.id()).set(fault);
+        cluster.proxies().toPeer(peer.id(), daemon.id()).set(fault);
+      }
+    }
+  }
+}
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -22,6 +22,25 @@
           .run();
     }
   },
+  /** What callers are told, and what ran, while parts fail. */
+  FAULTS {
+    @Override
+    Flags.Definition definition() {
+      return Flags.define()
+          .flag("seconds", "190", "how long requests come")
+          .flag("rate", "110", "requests a second")
+          .flag("seed", "1", "seed of the load and of the faults");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new FaultsMeasurement(
+              flags.integer("seconds", 10, 3_600),
+              flags.integer("rate", 1, 10_000),
+              flags.integer("seed", 0, Integer.MAX_VALUE))
+          .run();
+    }
+  },
   /** What a daemon uses. */
   DAEMON {
     @Override
