--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
@@ -3,12 +3,13 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
-import io.sequoiapass.coordination.process.OwnershipTable;
+import io.sequoiapass.coordination.HostId;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.coordination.process.PlatformReport;
+import io.sequoiapass.coordination.version.HostHints;
+import io.sequoiapass.coordination.version.HostReport;
 import java.io.IOException;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.Set;
 import org.msgpack.core.MessagePacker;
 
 /** Writes and reads the fields of control frames, which are about no request. */
@@ -20,6 +21,7 @@
     if (message instanceof PeerMessage.Hello hello) {
       out.packString(hello.daemon().value());
       out.packString(hello.dataCentre().value());
+      out.packString(hello.host().value());
       out.packLong(hello.incarnation());
     } else if (message instanceof PeerMessage.Heartbeat beat) {
       writeHeartbeat(out, beat);
@@ -35,8 +37,12 @@
       for (long sum : request.buckets()) {
         out.packLong(sum);
       }
+    } else if (message instanceof PeerMessage.HostsPush push) {
+      writeHosts(out, push.hints());
     } else if (message instanceof PeerMessage.TablePush push) {
-      writeTable(out, push);
+      TableFrames.writeTable(out, push);
+    } else if (message instanceof PeerMessage.TableDelta push) {
+      TableFrames.writeDelta(out, push);
     } else if (message instanceof PeerMessage.TableRequest request) {
       out.packLong(request.knownVersion());
     } else if (message instanceof PeerMessage.RelayCall call) {
@@ -68,17 +74,15 @@
     out.packInt(beat.weightDemand());
   }
 
-  private static void writeTable(MessagePacker out, PeerMessage.TablePush push) throws IOException {
-    OwnershipTable table = push.table();
-    out.packString(push.dataCentre().value());
-    out.packLong(table.version());
-    out.packLong(table.epoch());
-    out.packArrayHeader(table.daemons().size());
-    for (DaemonId daemon : table.daemons()) {
-      out.packString(daemon.value());
-      out.packLong(table.incarnation(daemon));
-      out.packArrayHeader(table.ownedBy(daemon).size());
-      for (EndpointId endpoint : table.ownedBy(daemon)) {
+  private static void writeHosts(MessagePacker out, HostHints hints) throws IOException {
+    out.packLong(hints.version());
+    out.packString(hints.reader());
+    out.packArrayHeader(hints.reports().size());
+    for (HostReport report : hints.reports()) {
+      out.packString(report.host().value());
+      out.packString(report.hint().name());
+      out.packArrayHeader(report.endpoints().size());
+      for (EndpointId endpoint : report.endpoints()) {
         out.packString(endpoint.value());
       }
     }
@@ -86,7 +90,10 @@
 
   static PeerMessage readHello(FrameReader in) throws IOException {
     return new PeerMessage.Hello(
-        new DaemonId(in.text()), new DataCentreId(in.text()), in.longNumber());
+        new DaemonId(in.text()),
+        new DataCentreId(in.text()),
+        new HostId(in.text()),
+        in.longNumber());
   }
 
   static PeerMessage readHeartbeat(FrameReader in) throws IOException {
@@ -103,25 +110,18 @@
     return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
   }
 
-  static PeerMessage readTablePush(FrameReader in) throws IOException, PeerFrameException {
-    DataCentreId dataCentre = new DataCentreId(in.text());
+  static PeerMessage readHostsPush(FrameReader in) throws IOException, PeerFrameException {
     long version = in.longNumber();
-    long epoch = in.longNumber();
-    Map<EndpointId, DaemonId> owners = new TreeMap<>();
-    Map<DaemonId, Long> incarnations = new TreeMap<>();
-    for (Share share : in.list(ControlFrames::readShare)) {
-      incarnations.put(share.daemon(), share.incarnation());
-      share.endpoints().forEach(endpoint -> owners.put(endpoint, share.daemon()));
-    }
-    return new PeerMessage.TablePush(
-        dataCentre, OwnershipTable.of(version, epoch, owners, incarnations));
+    DaemonId reader = new DaemonId(in.text());
+    return new PeerMessage.HostsPush(
+        HostHints.of(version, reader, in.list(ControlFrames::readHost)));
   }
 
-  private static Share readShare(FrameReader in) throws IOException, PeerFrameException {
-    return new Share(
-        new DaemonId(in.text()),
-        in.longNumber(),
-        in.list(element -> new EndpointId(element.text())));
+  private static HostReport readHost(FrameReader in) throws IOException, PeerFrameException {
+    return new HostReport(
+        new HostId(in.text()),
+        in.constant(HostHint.class),
+        Set.copyOf(in.list(element -> new EndpointId(element.text()))));
   }
 
   static PeerMessage readRelayCall(FrameReader in) throws IOException {
@@ -136,7 +136,4 @@
         in.text(),
         in.text());
   }
-
-  /** Is what one daemon owns. */
-  private record Share(DaemonId daemon, long incarnation, List<EndpointId> endpoints) {}
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipPeers.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipPeers.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import java.util.List;
 
@@ -11,6 +12,13 @@
   /** Returns the other daemons of this data centre, as the settings name them. */
   List<DaemonId> neighbours();
 
+  /**
+   * Returns the other daemons of a data centre, as the settings name them.
+   *
+   * @param wanted the data centre
+   */
+  List<DaemonId> daemonsOf(DataCentreId wanted);
+
   /**
    * Returns whether a daemon is in this data centre.
    *
@@ -25,6 +33,13 @@
    */
   DataCentreId dataCentreOf(DaemonId peer);
 
+  /**
+   * Returns what the platform's host list says of the host that a daemon runs on.
+   *
+   * @param peer the daemon
+   */
+  HostHint hint(DaemonId peer);
+
   /**
    * Sends a message to one daemon, if it is connected.
    *
@@ -34,10 +49,10 @@
   void send(DaemonId peer, PeerMessage message);
 
   /**
-   * Sends a table to every daemon of the region, on the connections in both directions: a refusal
-   * that follows on one of them must not overtake the table that explains it.
+   * Sends a change of a table to every daemon of the region, on the connections in both directions:
+   * a refusal that follows on one of them must not overtake the change that explains it.
    *
-   * @param push the table
+   * @param push the change
    */
-  void broadcastTable(PeerMessage.TablePush push);
+  void broadcastTable(PeerMessage.TableDelta push);
 }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -7,10 +7,13 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.IdempotencyKey;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.OperationId;
 import io.sequoiapass.coordination.RequestId;
+import io.sequoiapass.coordination.process.HostHint;
+import io.sequoiapass.coordination.process.OwnershipDelta;
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformReport;
 import io.sequoiapass.coordination.request.AttemptAction.Mode;
@@ -21,6 +24,8 @@
 import io.sequoiapass.coordination.request.LedgerState;
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.coordination.request.Priority;
+import io.sequoiapass.coordination.version.HostHints;
+import io.sequoiapass.coordination.version.HostReport;
 import io.sequoiapass.daemon.connection.peer.PeerMessage.AttemptId;
 import io.sequoiapass.daemon.process.placement.EndpointLoad;
 import java.util.Arrays;
@@ -50,13 +55,47 @@
   private static final LedgerRecord RECORD =
       new LedgerRecord(KEY, "digest", HOLDER, LedgerState.STARTED, 3, 500);
 
+  private static final PeerMessage HOSTS =
+      new PeerMessage.HostsPush(
+          HostHints.of(
+              3,
+              new DaemonId("d1"),
+              List.of(
+                  new HostReport(
+                      new HostId("h2"), HostHint.LEAVING, Set.of(new EndpointId("e1"))))));
+
   private static PeerMessage ledger(LedgerMessage message) {
     return new PeerMessage.Ledger(message);
   }
 
+  private static PeerMessage tablePush() {
+    return new PeerMessage.TablePush(
+        new DataCentreId("yard-north"),
+        OwnershipTable.of(
+            9,
+            2,
+            Map.of(new EndpointId("e1"), new DaemonId("d1")),
+            Map.of(new DaemonId("d1"), 7L)));
+  }
+
+  private static PeerMessage tableDelta() {
+    DaemonId gaining = new DaemonId("d3");
+    return new PeerMessage.TableDelta(
+        new DataCentreId("yard-north"),
+        new OwnershipDelta(
+            9,
+            11,
+            3,
+            Map.of(new EndpointId("e1"), new DaemonId("d2"), new EndpointId("e2"), gaining),
+            Set.of(new EndpointId("e4")),
+            Map.of(gaining, 7L, new DaemonId("d4"), 8L)));
+  }
+
   static List<PeerMessage> messages() {
     return List.of(
-        new PeerMessage.Hello(new DaemonId("d1"), new DataCentreId("yard-north"), 7),
+        new PeerMessage.Hello(
+            new DaemonId("d1"), new DataCentreId("yard-north"), new HostId("h1"), 7),
+        HOSTS,
         new PeerMessage.Forward(
             ID,
             new EndpointId("e1"),
@@ -78,13 +117,8 @@
                 new EndpointLoad(
                     new EndpointId("e1"), 1, 2, 16, Set.of(ADAPTER), Set.of(ADAPTER)))),
         new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9),
-        new PeerMessage.TablePush(
-            new DataCentreId("yard-north"),
-            OwnershipTable.of(
-                9,
-                2,
-                Map.of(new EndpointId("e1"), new DaemonId("d1")),
-                Map.of(new DaemonId("d1"), 7L))),
+        tablePush(),
+        tableDelta(),
         new PeerMessage.TableRequest(4),
         new PeerMessage.RelayCall(1, "lease/d1/7/1", 3, "{}"),
         new PeerMessage.RelayAnswer(1, PeerMessage.RelayResult.CONFLICT, 3, "o", ""),
