--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultKind.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultKind.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.testbed.measure;
 
+import io.sequoiapass.testbed.cli.UsageException;
 import io.sequoiapass.testbed.launch.Cluster;
 import io.sequoiapass.testbed.launch.DaemonNode;
 import io.sequoiapass.testbed.launch.EndpointNode;
@@ -8,7 +9,9 @@
 import io.sequoiapass.testbed.proxy.ProxyFault;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 
 /** Names the faults of a fault run. */
 enum FaultKind {
@@ -124,6 +127,20 @@
 
   abstract void end(Cluster cluster, int target) throws IOException, InterruptedException;
 
+  /**
+   * Returns the kind of that name, or all for an empty one.
+   *
+   * @throws UsageException if there is none
+   */
+  static Set<FaultKind> named(String name) throws UsageException {
+    EnumSet<FaultKind> kinds = EnumSet.allOf(FaultKind.class);
+    kinds.removeIf(kind -> !name.isEmpty() && !kind.name().equals(name));
+    if (kinds.isEmpty()) {
+      throw new UsageException("no such kind of fault: " + name);
+    }
+    return kinds;
+  }
+
   static DaemonNode daemon(Cluster cluster, int target) {
     return cluster.daemons().get(target % cluster.daemons().size());
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultSchedule.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultSchedule.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -20,7 +19,6 @@
  */
 final class FaultSchedule {
 
-  private static final List<FaultKind> KINDS = List.copyOf(EnumSet.allOf(FaultKind.class));
   private static final int SHORTEST_MS = 200;
   private static final int LONGEST_MS = 5_000;
   private static final int GAP_MS = 1_500;
@@ -40,11 +38,21 @@
   private record Event(long atMs, boolean begins, Planned fault) {}
 
   private final Cluster cluster;
+  private final List<FaultKind> kinds;
   private final List<Planned> planned = new ArrayList<>();
   private final Set<Integer> down = ConcurrentHashMap.newKeySet();
 
-  FaultSchedule(Cluster cluster, int seconds, long seed) {
+  /**
+   * Draws the faults.
+   *
+   * @param cluster what they are played on
+   * @param kinds the kinds to draw from
+   * @param seconds how long new ones begin
+   * @param seed seed of all that is drawn
+   */
+  FaultSchedule(Cluster cluster, Set<FaultKind> kinds, int seconds, long seed) {
     this.cluster = cluster;
+    this.kinds = List.copyOf(kinds);
     Random random = new Random(seed);
     long last = TimeUnit.SECONDS.toMillis(seconds);
     for (long at = GAP_MS; at < last; ) {
@@ -64,7 +72,7 @@
   }
 
   private Planned draw(Random random, long atMs) {
-    FaultKind kind = KINDS.get(random.nextInt(KINDS.size()));
+    FaultKind kind = kinds.get(random.nextInt(kinds.size()));
     int target = random.nextInt(cluster.daemons().size());
     return new Planned(
         kind, target, atMs, atMs + SHORTEST_MS + random.nextInt(LONGEST_MS - SHORTEST_MS));
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultsMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultsMeasurement.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -35,11 +36,13 @@
   private static final long ANSWERS_LIMIT_MS = 60_000;
   private static final int REASONS = 14;
 
+  private final Set<FaultKind> kinds;
   private final int seconds;
   private final int rate;
   private final long seed;
 
-  FaultsMeasurement(int seconds, int rate, long seed) {
+  FaultsMeasurement(Set<FaultKind> kinds, int seconds, int rate, long seed) {
+    this.kinds = kinds;
     this.seconds = seconds;
     this.rate = rate;
     this.seed = seed;
@@ -63,7 +66,7 @@
                 "500")
             .start()) {
       cluster.awaitServing(READY_LIMIT_MS);
-      FaultSchedule faults = new FaultSchedule(cluster, seconds - SECONDS_AFTER, seed);
+      FaultSchedule faults = new FaultSchedule(cluster, kinds, seconds - SECONDS_AFTER, seed);
       try (LoadTool tool = LoadTool.through(faults::pick)) {
         List<PlannedRequest> requests = requests();
         long start = System.nanoTime();
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -30,12 +30,14 @@
       return Flags.define()
           .flag("seconds", "190", "how long requests come")
           .flag("rate", "110", "requests a second")
-          .flag("seed", "1", "seed of the load and of the faults");
+          .flag("seed", "1", "seed of the load and of the faults")
+          .flag("only", "", "the one kind of fault to play, as KILL_DAEMON; without it all");
     }
 
     @Override
     int run(Flags flags) throws UsageException, IOException, InterruptedException {
       return new FaultsMeasurement(
+              FaultKind.named(flags.text("only")),
               flags.integer("seconds", 10, 3_600),
               flags.integer("rate", 1, 10_000),
               flags.integer("seed", 0, Integer.MAX_VALUE))
