--- a/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/load/LoadTool.java
@@ -141,7 +141,10 @@
             .header("Priority", request.priority())
             .header("Deadline-Ms", Integer.toString(deadlineMs));
     if (!request.repeatable()) {
-      call = call.header("Repeatable", "false").header("Idempotency-Key", request.id());
+      call = call.header("Repeatable", "false");
+    }
+    if (request.keyed()) {
+      call = call.header("Idempotency-Key", request.id());
     }
     if (plain) {
       return call.body("{}");
