--- /dev/null
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipOutageTest.java
@@ -0,0 +1,217 @@
+package io.sequoiapass.testbed.failure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.ClusterNames;
+import io.sequoiapass.testbed.launch.DaemonNode;
+import io.sequoiapass.testbed.load.Judgement;
+import io.sequoiapass.testbed.load.LoadPlan;
+import io.sequoiapass.testbed.load.LoadReport;
+import io.sequoiapass.testbed.load.LoadTool;
+import io.sequoiapass.testbed.load.PlannedRequest;
+import io.sequoiapass.testbed.load.Verdict;
+import io.sequoiapass.testbed.proxy.ProxyFault;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What callers see when daemons cannot reach the platform: one of them, or all for a long time.
+ *
+ * <p>The longer run: {@code -Dsequoiapass.outage.seconds=180}.
+ */
+class OwnershipOutageTest {
+
+  private static final long LIMIT_MS = 30_000;
+  private static final int LEASE_MS = 3_000;
+  private static final int OUTAGE_SECONDS = Integer.getInteger("sequoiapass.outage.seconds", 12);
+  private static final int ADAPTERS = 12;
+
+  private static Cluster cluster(boolean checksFence) throws Exception {
+    Cluster cluster =
+        Cluster.builder()
+            .daemons(3)
+            .engines(3)
+            .adapters(ADAPTERS)
+            .engineSize(3, 64)
+            .checksFence(checksFence)
+            .withProxies()
+            .daemonFlags(
+                "--lease-duration-ms",
+                Integer.toString(LEASE_MS),
+                "--lease-margin-ms",
+                "500",
+                "--heartbeat-interval-ms",
+                "500")
+            .daemonJvmFlags("-Xmx96m")
+            .start();
+    cluster.awaitServing(LIMIT_MS);
+    return cluster;
+  }
+
+  // A caller's stream ends early when an owner that lost the platform goes on evicting while
+  // another took its endpoint over; or a caller waits, because an owner that only its own link cut
+  // off gives its endpoints up. Its peers hear it and carry its renewals, so it keeps its lease and
+  // its endpoints for many leases, whether or not its endpoints check fences. Few slots: loads
+  // evict all along.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void anOwnerThatOnlyLostThePlatformKeepsWhatItHas(boolean checksFence) throws Exception {
+    try (Cluster cluster = cluster(checksFence)) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      DaemonNode cut = cluster.daemon(probe.owner("e1", "yard-north"));
+      try (LoadTool tool =
+          LoadTool.to(cluster.daemons().stream().map(DaemonNode::callers).toList())) {
+        int seconds = 4 * LEASE_MS / 1_000;
+        tool.start(new LoadPlan(seconds, 20, ADAPTERS, 0.5, 20, 0, 0, 0, 11).requests());
+        cluster.proxies().toPlatform(cut.id()).set(ProxyFault.cut());
+        LoadReport report = Judgement.of(cluster).apply(tool.await(2 * LIMIT_MS));
+
+        assertThat(probe.owner("e1", "yard-north")).isEqualTo(cut.id());
+        assertThat(probe.statusField(cut, "lease")).isEqualTo("VALID");
+        Judgement judgement = Judgement.of(cluster);
+        System.out.println("cut off: " + counts(report) + " evictions=" + judgement.evictions());
+        assertThat(judgement.violationDetails()).isEmpty();
+        assertThat(judgement.evictions()).as("evictions at all").isPositive();
+        assertThat(report.reasons(5)).isEmpty();
+        assertThat(report.count(Verdict.WHOLE)).isEqualTo(report.sent());
+      }
+    }
+  }
+
+  // The platform is out for minutes, longer than any lease. A caller must neither get a wrong
+  // answer nor lose a stream to an eviction, while other adapters become popular and daemons are
+  // replaced: owners go on, since all say that the platform is out for them too; the endpoints of
+  // a replaced daemon are served without orders. Afterwards every endpoint has an owner again.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void minutesWithoutThePlatformHarmNoAnswer(boolean checksFence) throws Exception {
+    try (Cluster cluster = cluster(checksFence)) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      // Its callers stay connected: what is measured is the others' view of its end.
+      DaemonNode replaced = cluster.daemon("d3");
+      List<DaemonNode> entries = List.of(cluster.daemon("d1"), cluster.daemon("d2"));
+      try (LoadTool tool = LoadTool.to(entries.stream().map(DaemonNode::callers).toList())) {
+        tool.start(shifting());
+        cluster.faults(cluster.platformAddress(), "{\"outage\":true}");
+        probe.await("half", LIMIT_MS + 500L * OUTAGE_SECONDS, () -> tool.sent() > sentBy(0.4));
+        replaced.process().kill();
+        cluster.restart(replaced);
+        LoadReport told = tool.await(2 * LIMIT_MS + 1_000L * OUTAGE_SECONDS);
+        cluster.faults(cluster.platformAddress(), "{}");
+
+        Judgement judgement = Judgement.of(cluster);
+        LoadReport report = judgement.apply(told);
+        System.out.println(
+            "outage of "
+                + OUTAGE_SECONDS
+                + " s: "
+                + counts(report)
+                + " loads="
+                + judgement.loads()
+                + " "
+                + report.reasons(4));
+        assertThat(judgement.violationDetails()).isEmpty();
+        assertThat(report.count(Verdict.WRONG)).as(report.reasons(5).toString()).isZero();
+        assertThat(report.unanswered()).isZero();
+        assertThat(judgement.evictions()).as("adapters shift").isPositive();
+        assertThat(report.count(Verdict.WHOLE)).isGreaterThan(report.sent() * 3 / 4);
+        probe.await("owners again", LIMIT_MS, () -> allOwnedAndValid(cluster, probe));
+      }
+    }
+  }
+
+  /** The most popular adapter is another one in each third of the outage. */
+  private static List<PlannedRequest> shifting() {
+    List<PlannedRequest> requests = new ArrayList<>();
+    int part = OUTAGE_SECONDS / 3;
+    for (int i = 0; i < 3; i++) {
+      int third = i;
+      new LoadPlan(part, 20, ADAPTERS, 1, 15, 0, 0, 0, 20 + i)
+          .requests()
+          .forEach(request -> requests.add(shifted(request, third, part)));
+    }
+    requests.sort(Comparator.comparingLong(PlannedRequest::atMicros));
+    return requests;
+  }
+
+  private static PlannedRequest shifted(PlannedRequest request, int third, int partSeconds) {
+    return new PlannedRequest(
+        request.id(),
+        request.atMicros() + 1_000_000L * third * partSeconds,
+        request.adapter().map(name -> rotated(name, 4 * third)),
+        request.version(),
+        request.maxTokens(),
+        request.priority(),
+        request.repeatable());
+  }
+
+  private static String rotated(String adapter, int by) {
+    for (int i = 0; i < ADAPTERS; i++) {
+      if (ClusterNames.adapter(i).equals(adapter)) {
+        return ClusterNames.adapter((i + by) % ADAPTERS);
+      }
+    }
+    throw new IllegalArgumentException("no such adapter: " + adapter);
+  }
+
+  private static long sentBy(double share) {
+    return (long) (20 * OUTAGE_SECONDS * share);
+  }
+
+  private static boolean allOwnedAndValid(Cluster cluster, OwnershipProbe probe) throws Exception {
+    int owned = 0;
+    for (DaemonNode daemon : cluster.daemons()) {
+      owned += probe.owned(daemon);
+      if (probe.owned(daemon) > 0 && !probe.statusField(daemon, "lease").equals("VALID")) {
+        return false;
+      }
+    }
+    return owned == 3;
+  }
+
+  // Two daemons are stopped while nobody can take their endpoints over. A caller must not lose a
+  // stream by that: they finish what they have and go, and the one left serves their endpoints as
+  // deputy, without orders, until the platform is back and gives them to it.
+  @Test
+  void twoStopsWithoutThePlatformCutOffNoRequest() throws Exception {
+    try (Cluster cluster = cluster(true)) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      DaemonNode left = cluster.daemon("d3");
+      try (LoadTool tool = LoadTool.to(List.of(left.callers()))) {
+        tool.start(new LoadPlan(10, 15, 3, 0, 30, 0, 0, 0, 31).requests());
+        probe.await("load", LIMIT_MS, () -> tool.sent() > 40);
+        cluster.faults(cluster.platformAddress(), "{\"outage\":true}");
+        probe.await("load", LIMIT_MS, () -> tool.sent() > 70);
+        cluster.daemon("d1").process().stop();
+        cluster.daemon("d2").process().stop();
+        cluster.daemon("d1").process().awaitExit(LIMIT_MS);
+        cluster.daemon("d2").process().awaitExit(LIMIT_MS);
+        LoadReport told = tool.await(LIMIT_MS);
+        cluster.faults(cluster.platformAddress(), "{}");
+        probe.await("the one left owns all", LIMIT_MS, () -> probe.owned(left) == 3);
+
+        Judgement judgement = Judgement.of(cluster);
+        LoadReport report = judgement.apply(told);
+        System.out.println("two stops in an outage: " + counts(report) + " " + report.reasons(4));
+        assertThat(judgement.violationDetails()).isEmpty();
+        assertThat(report.count(Verdict.WRONG)).isZero();
+        assertThat(report.count(Verdict.UNKNOWN)).as(report.reasons(5).toString()).isZero();
+        assertThat(report.unanswered()).isZero();
+      }
+    }
+  }
+
+  private static String counts(LoadReport report) {
+    return "sent=%d whole=%d not_run=%d unknown=%d"
+        .formatted(
+            report.sent(),
+            report.count(Verdict.WHOLE),
+            report.count(Verdict.NOT_RUN),
+            report.count(Verdict.UNKNOWN));
+  }
+}
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipProbe.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipProbe.java
@@ -1,11 +1,16 @@
 package io.sequoiapass.testbed.failure;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.testbed.launch.Cluster;
 import io.sequoiapass.testbed.launch.DaemonNode;
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 
@@ -14,6 +19,9 @@
 
   private static final long LOOK_MS = 20;
 
+  /** Several rounds of balance. */
+  private static final long STEADY_MS = 3_000;
+
   private final Cluster cluster;
 
   OwnershipProbe(Cluster cluster) {
@@ -35,6 +43,26 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
   }
 
+  /**
+   * Waits until endpoints have several owners and none moves any more: the first daemon to start
+   * takes them all, and hands some over once the others have been steady for a while.
+   */
+  void awaitBalanced(String dataCentre, long limitMs) throws Exception {
+    Map<String, Long> since = new HashMap<>();
+    await(
+        "balance",
+        limitMs,
+        () -> {
+          JsonObject owners =
+              cluster.objects().value("ownership", dataCentre).getAsJsonObject("owners");
+          Set<JsonElement> distinct = new HashSet<>(owners.asMap().values());
+          since.keySet().retainAll(Set.of(owners.toString()));
+          long first = since.computeIfAbsent(owners.toString(), seen -> System.nanoTime());
+          long steadyMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - first);
+          return distinct.size() > 1 && steadyMs > STEADY_MS;
+        });
+  }
+
   Optional<JsonObject> status(DaemonNode daemon) throws InterruptedException {
     try {
       HttpCall call = HttpCall.to(daemon.operators(), "GET", "/status");
