Launcher for small hosts: one compiler, small stacks and young generation

Cause: resident memory of an idle daemon 161 MB with a heap of 96 MB; native memory tracking shows 24 MB of heap in use, 15 MB of metaspace, 16 MB of code and 12 MB of shared classes: the rest is what the second compiler's arenas left behind in malloc, and heap that was touched once.

Fewer malloc arenas alone gained nothing. To be measured on a quiet machine.

--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
@@ -23,12 +23,15 @@
  */
 public final class ProcessLauncher implements AutoCloseable {
 
-  /** Small and quick to start: many run on one machine, most for seconds. */
+  /** Those of the daemon's own launcher, and a bound: many processes run on one machine. */
   private static final List<String> JVM_FLAGS =
       List.of(
           "-XX:-UsePerfData",
-          "-XX:TieredStopAtLevel=1",
           "-XX:+UseSerialGC",
+          "-XX:TieredStopAtLevel=1",
+          "-Xss256k",
+          "-Xms16m",
+          "-Xmn8m",
           "-Xmx96m",
           "-Xshare:auto");
 
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -33,7 +33,7 @@
           .flag("daemon-flags", "", "flags of the daemons, separated by spaces")
           .flag(
               "jvm",
-              "-XX:TieredStopAtLevel=4",
+              "",
               "JVM flags of the daemons, separated by spaces; -Dio.netty.transport.noNative=true"
                   + " leaves epoll out");
     }
