--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
@@ -157,12 +157,13 @@
       "how many events the time line holds",
       "about a minute at 65 requests a second and a few events each, in 7 MB as measured with full events"),
   DRAIN_LIMIT_MS(
-      100,
+      2_500,
       3_600_000,
       "60000",
       "ms",
       "how long a planned stop waits for requests under way",
-      "longer than the default deadline of a request, so that a planned stop cuts none off"),
+      "longer than the default deadline of a request, so that a planned stop cuts none off; at"
+          + " least what a balancer needs to see that the daemon leaves"),
   THREADS(
       1,
       256,
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/settings/EntrySettingsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/settings/EntrySettingsTest.java
@@ -74,6 +74,15 @@
                   Addresses.parse("--peers", "[::1]:10")));
     }
 
+    // An operator who allowed a stop 100 ms got a stack trace instead of a daemon: the stop takes
+    // callers for 2.5 s after readiness is off, until the balancer has seen it.
+    @Test
+    void aStopIsNeverShorterThanItsGrace() {
+      assertThatThrownBy(() -> parse("--drain-limit-ms", "2499"))
+          .isInstanceOf(SettingsException.class)
+          .hasMessageContaining("2500 to 3600000 ms");
+    }
+
     @ParameterizedTest
     @EnumSource(Setting.class)
     void everyDefaultIsAllowed(Setting setting) throws SettingsException {
