Push changes over a tree, and count on no watcher that is cut off

A watcher sent each change to all 16 neighbours itself. It now reaches four, which pass it on to the peers that their copy names; a fresh daemon's first listing is not pushed at all, since its peers have it. Lost copies are found by digest; a repair waits until nothing arrives any more for 100 ms or the difference has lasted 750 ms, as each costs 2 KB and a bucket of objects.

Cause: the lease's contact, which the election looked at, is kept up by renewals that a peer relays. Heartbeats now say whether the sender's own calls go unanswered; such a daemon is not elected and tries again each 10 s (PlatformReach).

Ruled out: electing by the platform contact of the lease (see above), a ring (its length adds hops, and one dead daemon cuts more of it off).

ConfigurationNode is split further: ConfigurationRepair, PresetInForce.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/ControlFrames.java
@@ -36,6 +36,10 @@
       }
       out.packBoolean(push.complete());
       out.packBoolean(push.ready());
+      out.packArrayHeader(push.passOnTo().size());
+      for (DaemonId daemon : push.passOnTo()) {
+        out.packString(daemon.value());
+      }
     } else if (message instanceof PeerMessage.ObjectsRequest request) {
       out.packArrayHeader(request.buckets().size());
       for (long sum : request.buckets()) {
@@ -74,6 +78,7 @@
     out.packLong(beat.platform().echoedMillis());
     out.packLong(beat.sentMs());
     out.packInt(beat.weightDemand());
+    out.packBoolean(beat.cutOff());
   }
 
   private static void writeHosts(MessagePacker out, HostHints hints) throws IOException {
@@ -121,11 +126,15 @@
     PlatformReport report =
         new PlatformReport(in.bool(), in.longNumber(), in.longNumber(), in.longNumber());
     return new PeerMessage.Heartbeat(
-        incarnation, draining, configuration, report, in.longNumber(), in.number());
+        incarnation, draining, configuration, report, in.longNumber(), in.number(), in.bool());
   }
 
   static PeerMessage readObjectsPush(FrameReader in) throws IOException, PeerFrameException {
-    return new PeerMessage.ObjectsPush(in.list(FrameReader::text), in.bool(), in.bool());
+    return new PeerMessage.ObjectsPush(
+        in.list(FrameReader::text),
+        in.bool(),
+        in.bool(),
+        in.list(element -> new DaemonId(element.text())));
   }
 
   static PeerMessage readHostsPush(FrameReader in) throws IOException, PeerFrameException {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerMessage.java
@@ -67,6 +67,7 @@
    * @param platform what the sender knows of the platform, its lease and its ownership table
    * @param sentMs the sender's clock, which the receiver sends back
    * @param weightDemand how many loads the sender waits for
+   * @param cutOff whether the sender's own calls to the platform go unanswered
    */
   record Heartbeat(
       long incarnation,
@@ -74,8 +75,16 @@
       long configuration,
       PlatformReport platform,
       long sentMs,
-      int weightDemand)
+      int weightDemand,
+      boolean cutOff)
       implements PeerMessage {
+
+    /** Returns the same heartbeat, saying whether the sender's own calls go unanswered. */
+    public Heartbeat cutOff(boolean now) {
+      return new Heartbeat(
+          incarnation, draining, configuration, platform, sentMs, weightDemand, now);
+    }
+
     @Override
     public PeerMessageType type() {
       return PeerMessageType.HEARTBEAT;
@@ -264,11 +273,19 @@
    * @param objects the objects
    * @param complete whether they are all in which the two differ, as the answer to a request
    * @param ready whether the sender's own configuration is complete
+   * @param passOnTo the daemons to which the receiver passes it on
    */
-  record ObjectsPush(List<String> objects, boolean complete, boolean ready) implements PeerMessage {
-    /** Copies the list. */
+  record ObjectsPush(List<String> objects, boolean complete, boolean ready, List<DaemonId> passOnTo)
+      implements PeerMessage {
+    /** Copies the lists. */
     public ObjectsPush {
       objects = List.copyOf(objects);
+      passOnTo = List.copyOf(passOnTo);
+    }
+
+    /** Returns the same push with others to pass it on to. */
+    public ObjectsPush passedOnTo(List<DaemonId> others) {
+      return new ObjectsPush(objects, complete, ready, others);
     }
 
     @Override
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -327,7 +327,8 @@
   }
 
   private void beat(DaemonId peer) {
-    peers.send(peer, ownership.heartbeat(peer, configuration.root(), 0));
+    peers.send(
+        peer, ownership.heartbeat(peer, configuration.root(), 0).cutOff(configuration.isCutOff()));
   }
 
   // Stopping.
@@ -429,7 +430,7 @@
     @Override
     public void received(DaemonId peer, PeerMessage message) {
       if (message instanceof PeerMessage.Heartbeat beat && peers.isNeighbour(peer)) {
-        configuration.heard(peer, beat.configuration(), beat.platform().platformOut());
+        configuration.heard(peer, beat.configuration(), beat.cutOff());
       }
       if (message instanceof PeerMessage.ObjectsPush push) {
         configuration.pushed(peer, push);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -321,7 +321,7 @@
               echoes.getOrDefault(peer, NEVER));
       renewalTold = keeper.version();
       return new PeerMessage.Heartbeat(
-          keeper.incarnation(), draining, configuration, report, now, weightDemand);
+          keeper.incarnation(), draining, configuration, report, now, weightDemand, false);
     } finally {
       lock.unlock();
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationNode.java
@@ -9,16 +9,15 @@
 import io.sequoiapass.coordination.version.ConfigurationDigest;
 import io.sequoiapass.coordination.version.ConfigurationObject;
 import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
-import io.sequoiapass.coordination.version.ConfigurationObject.PresetRecord;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.coordination.version.ConfigurationStore;
+import io.sequoiapass.coordination.version.FanOut;
 import io.sequoiapass.coordination.version.HintedSnapshots;
 import io.sequoiapass.coordination.version.HostHints;
 import io.sequoiapass.coordination.version.HostListMonitor;
 import io.sequoiapass.coordination.version.HostReport;
 import io.sequoiapass.coordination.version.ObjectKind;
 import io.sequoiapass.coordination.version.Preset;
-import io.sequoiapass.coordination.version.PresetSchedule;
 import io.sequoiapass.coordination.version.WatcherElection;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
 import io.sequoiapass.daemon.connection.platform.ObjectCodec;
@@ -26,7 +25,6 @@
 import io.sequoiapass.daemon.connection.platform.PlatformClient;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -55,20 +53,12 @@
   /** Half of the 4 s within which a change that follows an outage is in force everywhere. */
   private static final long MAX_BACKOFF_MS = 2_000;
 
-  /** Between two repair exchanges with one peer whose digest differs. */
-  private static final long REPAIR_EVERY_MS = 1_000;
-
-  /** A difference that a listing did not mend is a fault; asking more often would not mend it. */
-  private static final long LIST_AGAIN_EVERY_MS = 30_000;
-
-  /** All daemons that differ from one list; spread so that they don't in the same moment. */
-  private static final int LIST_SPREAD_MS = 2_000;
-
   private final ReentrantLock lock = new ReentrantLock();
   private final MillisClock clock;
   private final MillisClock wall;
   private final DaemonId self;
   private final DataCentreId dataCentre;
+  private final PlatformReach reach;
   private final PlatformFeed feed;
   private final HostListFeed hostFeed;
   private final ConfigurationPeers peers;
@@ -78,18 +68,16 @@
       ConfigurationStore.create(ConfigurationStore.TOMBSTONE_MILLIS);
   private final HostListMonitor hosts;
   private final HintedSnapshots hinted = new HintedSnapshots();
-  private final PresetSchedule schedule = PresetSchedule.empty();
+  private final PresetInForce presets = new PresetInForce();
   private final ColdStart coldStart;
   private final Set<DaemonId> withoutPlatform = new HashSet<>();
-  private final Map<DaemonId, Long> repairedAt = new HashMap<>();
-  private final Map<DaemonId, Difference> differences = new HashMap<>();
+  private final ConfigurationRepair repair;
 
   private volatile ConfigurationSnapshot snapshot;
   private volatile long root;
   private volatile boolean ready;
-  private Preset announced;
-  private long listAgainAt = Long.MAX_VALUE;
-  private long listedAgainAt = Long.MIN_VALUE;
+  private Collection<DaemonId> heard = List.of();
+  private boolean listedOnce;
 
   /**
    * Makes a node that knows nothing yet.
@@ -117,10 +105,12 @@
     this.peers = Objects.requireNonNull(peers, "peers");
     this.listener = Objects.requireNonNull(listener, "listener");
     this.election = WatcherElection.create(dataCentre, WATCHERS);
+    this.repair = new ConfigurationRepair(self);
     this.hosts = HostListMonitor.create(self);
-    this.feed = new PlatformFeed(clock, platform, backoff("watch"), new FromPlatform());
+    this.reach = new PlatformReach(clock);
+    this.feed = new PlatformFeed(clock, platform, backoff("watch"), reach, new FromPlatform());
     this.hostFeed =
-        new HostListFeed(clock, dataCentre, platform, backoff("hosts"), this::hostsRead);
+        new HostListFeed(clock, dataCentre, platform, backoff("hosts"), reach, this::hostsRead);
     this.coldStart = ColdStart.create(clock.millis(), PEER_WAIT_MS);
     this.snapshot = store.snapshot();
     this.root = store.digest().root();
@@ -144,6 +134,11 @@
     return root;
   }
 
+  /** Returns whether this daemon's own calls to the platform go unanswered. */
+  public boolean isCutOff() {
+    return reach.isCutOff();
+  }
+
   /** Returns whether enough is known to serve. */
   public boolean ready() {
     return ready;
@@ -153,7 +148,7 @@
   public Preset preset() {
     lock.lock();
     try {
-      return schedule.inForce(wall.millis()).orElse(Preset.ORDINARY);
+      return presets.inForce(wall.millis());
     } finally {
       lock.unlock();
     }
@@ -181,9 +176,11 @@
     try {
       long now = clock.millis();
       store.tick(now);
-      ready |= coldStart.isReady(now, alive) && isPresetKnown();
-      announcePreset();
-      list = store.isListingNeeded() || now >= listAgainAt;
+      heard = List.copyOf(alive);
+      repair.due(now, root, ready).ifPresent(this::ask);
+      ready |= coldStart.isReady(now, alive) && presets.isKnown(wall.millis());
+      presets.announce(wall.millis(), listener);
+      list = store.isListingNeeded() || repair.isListingDue(now);
       watch = watches(alive);
     } finally {
       lock.unlock();
@@ -192,32 +189,19 @@
     hostFeed.tick(watch);
   }
 
-  // A preset that is known but not yet in force hides the one before it, which the others still
-  // have. If none is known at all, the listing that made this daemon ready, or its ready peer's,
-  // held none: then there is none, and the ordinary one applies.
-  private boolean isPresetKnown() {
-    return schedule.inForce(wall.millis()).isPresent() || schedule.pending().isEmpty();
-  }
-
-  // A watcher that is cut off from the platform alone would leave its data centre with one watcher
-  // less, or none: its peers hear it and count on it. So nobody counts on a peer that says it has
-  // no contact. This daemon itself goes on trying, since contact shows by that alone.
+  // A watcher that is cut off from the platform alone leaves its data centre with one watcher less,
+  // or none: its peers hear it and count on it. So nobody counts on a daemon that says it is cut
+  // off; it tries again now and then, since contact shows by that alone. In an outage all are cut
+  // off, and the first go on trying.
   private boolean watches(Collection<DaemonId> alive) {
     List<DaemonId> members = new ArrayList<>(alive);
-    members.removeAll(withoutPlatform);
     members.add(self);
-    return election.watchers(members).contains(self);
-  }
-
-  private void announcePreset() {
-    schedule
-        .inForce(wall.millis())
-        .filter(preset -> preset != announced)
-        .ifPresent(
-            preset -> {
-              announced = preset;
-              listener.presetInForce(preset);
-            });
+    List<DaemonId> able = new ArrayList<>(members);
+    able.removeAll(withoutPlatform);
+    if (reach.isCutOff()) {
+      able.remove(self);
+    }
+    return election.watchers(able.isEmpty() ? members : able).contains(self);
   }
 
   // The platform.
@@ -232,8 +216,14 @@
             List<ConfigurationObject> newer =
                 store.applyListing(clock.millis(), revision, kinds, objects);
             coldStart.platformListed();
-            listAgainAt = Long.MAX_VALUE;
-            applied(newer);
+            repair.listed();
+            if (listedOnce) {
+              applied(newer);
+            } else if (!newer.isEmpty()) {
+              // Everything is new to a fresh daemon, and nearly nothing of it to its peers.
+              take(newer);
+            }
+            listedOnce = true;
           });
     }
 
@@ -281,18 +271,20 @@
       return;
     }
     take(newer);
-    peers.broadcast(push(newer, false));
+    passOn(push(newer, false), FanOut.order(self, peers.neighbours(), heard));
   }
 
-  private void take(List<ConfigurationObject> newer) {
-    for (ConfigurationObject object : newer) {
-      if (object instanceof PresetRecord preset) {
-        schedule.learned(preset);
-      }
+  private void passOn(PeerMessage.ObjectsPush push, List<DaemonId> order) {
+    for (FanOut.Branch branch : FanOut.branches(order)) {
+      peers.send(branch.child(), push.passedOnTo(branch.rest()));
     }
+  }
+
+  private void take(List<ConfigurationObject> newer) {
+    presets.learned(newer);
     refresh();
     listener.applied(snapshot, newer);
-    announcePreset();
+    presets.announce(wall.millis(), listener);
   }
 
   private void refresh() {
@@ -309,6 +301,9 @@
    * @param push the objects
    */
   public void pushed(DaemonId peer, PeerMessage.ObjectsPush push) {
+    // Also if nothing in it is new here: the other watcher's copy may have come first, and that one
+    // was passed on to others.
+    passOn(push, push.passOnTo());
     List<ConfigurationObject> objects = new ArrayList<>();
     for (String text : push.objects()) {
       try {
@@ -376,51 +371,29 @@
    *
    * @param peer the peer
    * @param theirRoot the sum of what it holds
-   * @param platformOut whether it has lost the platform
+   * @param cutOff whether its own calls to the platform go unanswered
    */
-  public void heard(DaemonId peer, long theirRoot, boolean platformOut) {
-    PeerMessage.ObjectsRequest request;
-    lock.lock();
-    try {
-      if (platformOut) {
-        withoutPlatform.add(peer);
-      } else {
-        withoutPlatform.remove(peer);
-      }
-      long now = clock.millis();
-      boolean repairDue =
-          now - repairedAt.getOrDefault(peer, now - REPAIR_EVERY_MS) >= REPAIR_EVERY_MS;
-      if ((theirRoot == root && ready) || !repairDue) {
-        return;
-      }
-      repairedAt.put(peer, now);
-      noteDifference(now, peer, theirRoot);
-      request = new PeerMessage.ObjectsRequest(store.digest().buckets());
-    } finally {
-      lock.unlock();
-    }
-    peers.send(peer, request);
+  public void heard(DaemonId peer, long theirRoot, boolean cutOff) {
+    locked(
+        () -> {
+          if (cutOff) {
+            withoutPlatform.add(peer);
+          } else {
+            withoutPlatform.remove(peer);
+          }
+          if (repair.heard(clock.millis(), peer, theirRoot, root, ready)) {
+            ask(peer);
+          }
+        });
   }
 
-  // While changes are on their way two digests differ for a moment. Two that stand still and still
-  // differ after a repair cannot be mended between the peers: one of them holds what the other
-  // knows to have ended. The platform's listing tells which.
-  private void noteDifference(long now, DaemonId peer, long theirRoot) {
-    Difference difference = new Difference(theirRoot, root);
-    boolean stands = difference.equals(differences.put(peer, difference));
-    boolean recent = listedAgainAt != Long.MIN_VALUE && now - listedAgainAt < LIST_AGAIN_EVERY_MS;
-    if (stands && ready && theirRoot != root && !recent) {
-      listedAgainAt = now;
-      listAgainAt = now + Math.floorMod(self.hashCode(), LIST_SPREAD_MS);
-    }
+  private void ask(DaemonId peer) {
+    peers.send(peer, new PeerMessage.ObjectsRequest(store.digest().buckets()));
   }
 
-  /** Two digests at one moment. */
-  private record Difference(long theirs, long own) {}
-
   private PeerMessage.ObjectsPush push(List<ConfigurationObject> objects, boolean complete) {
     return new PeerMessage.ObjectsPush(
-        objects.stream().map(ObjectCodec::text).toList(), complete, ready);
+        objects.stream().map(ObjectCodec::text).toList(), complete, ready, List.of());
   }
 
   private void locked(Runnable action) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationPeers.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/ConfigurationPeers.java
@@ -2,10 +2,14 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import java.util.List;
 
 /** Sends messages to the other daemons of the data centre; safe for use by several threads. */
 public interface ConfigurationPeers {
 
+  /** Returns the other daemons of the data centre, as the settings name them. */
+  List<DaemonId> neighbours();
+
   /**
    * Sends a message to every daemon of the data centre.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/HostListFeed.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/HostListFeed.java
@@ -27,6 +27,7 @@
   private final DataCentreId dataCentre;
   private final PlatformClient platform;
   private final Backoff backoff;
+  private final PlatformReach reach;
   private final Consumer<List<HostReport>> readings;
   private List<HostReport> last = List.of();
   private String tag = "";
@@ -38,11 +39,13 @@
       DataCentreId dataCentre,
       PlatformClient platform,
       Backoff backoff,
+      PlatformReach reach,
       Consumer<List<HostReport>> readings) {
     this.clock = Objects.requireNonNull(clock, "clock");
     this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
     this.platform = Objects.requireNonNull(platform, "platform");
     this.backoff = Objects.requireNonNull(backoff, "backoff");
+    this.reach = Objects.requireNonNull(reach, "reach");
     this.readings = Objects.requireNonNull(readings, "readings");
   }
 
@@ -75,6 +78,7 @@
       Optional<HostList> answer, Throwable failure) {
     reading = false;
     if (failure == null) {
+      reach.succeeded();
       try {
         if (answer.isPresent()) {
           last = answer.get().of(dataCentre);
@@ -86,6 +90,9 @@
         // Treated as no answer: what was read before stands.
       }
     }
+    if (failure != null) {
+      reach.failed(failure);
+    }
     nextReadAt = clock.millis() + READ_EVERY_MS + backoff.nextDelayMillis();
     return Optional.empty();
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/version/PlatformFeed.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/version/PlatformFeed.java
@@ -44,6 +44,7 @@
   private final PlatformClient platform;
   private final Sink sink;
   private final Backoff backoff;
+  private final PlatformReach reach;
   private boolean listed;
   private boolean calling;
   private long nextCallAt = Long.MIN_VALUE;
@@ -65,10 +66,12 @@
     void failed(Throwable failure);
   }
 
-  PlatformFeed(MillisClock clock, PlatformClient platform, Backoff backoff, Sink sink) {
+  PlatformFeed(
+      MillisClock clock, PlatformClient platform, Backoff backoff, PlatformReach reach, Sink sink) {
     this.clock = Objects.requireNonNull(clock, "clock");
     this.platform = Objects.requireNonNull(platform, "platform");
     this.backoff = Objects.requireNonNull(backoff, "backoff");
+    this.reach = Objects.requireNonNull(reach, "reach");
     this.sink = Objects.requireNonNull(sink, "sink");
   }
 
@@ -84,7 +87,7 @@
     long after;
     synchronized (this) {
       listNow = list || !listed;
-      if (calling || now < nextCallAt || !(listNow || watch)) {
+      if (calling || now < nextCallAt || !(listNow || watch || reach.isProbeDue())) {
         return;
       }
       calling = true;
@@ -157,11 +160,13 @@
   private void succeeded() {
     calling = false;
     backoff.reset();
+    reach.succeeded();
   }
 
   // After an outage all watchers of the fleet come back at once. Each waits a random part of a
   // growing time, so that their first calls spread and the platform is not refused its recovery.
   private void failed(Throwable failure) {
+    reach.failed(failure);
     synchronized (this) {
       if (failure.getCause() instanceof PlatformException cause
           && cause.reason() == PlatformException.Reason.HISTORY_GONE) {
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -90,7 +90,7 @@
             List.of(
                 new EndpointLoad(
                     new EndpointId("e1"), 1, 2, 16, Set.of(ADAPTER), Set.of(ADAPTER)))),
-        new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9),
+        new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9, true),
         new PeerMessage.TablePush(
             new DataCentreId("yard-north"),
             OwnershipTable.of(
@@ -122,7 +122,7 @@
                 true)),
         new PeerMessage.Cancel(ID),
         new PeerMessage.Flow(ID, true),
-        new PeerMessage.ObjectsPush(List.of("{}"), true, false),
+        new PeerMessage.ObjectsPush(List.of("{}"), true, false, List.of(new DaemonId("d2"))),
         new PeerMessage.ObjectsRequest(List.of(1L, -1L)));
   }
 
--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
@@ -68,7 +68,7 @@
     @Override
     double measure(int size) {
       List<String> texts = Fleet.adapters(size).stream().map(ObjectCodec::text).toList();
-      return PeerFrames.encode(new PeerMessage.ObjectsPush(texts, false, true)).length
+      return PeerFrames.encode(new PeerMessage.ObjectsPush(texts, false, true, List.of())).length
           + Gauge.PACKET_BYTES;
     }
   },
@@ -201,7 +201,7 @@
   private static PeerMessage.Heartbeat heartbeat() {
     PlatformReport report = new PlatformReport(false, 1_234_567, 7_654_321, 987_654_321);
     return new PeerMessage.Heartbeat(
-        1_796_246_933_064L, false, 0x7edc_ba98_7654_3210L, report, 987_654_321, 2);
+        1_796_246_933_064L, false, 0x7edc_ba98_7654_3210L, report, 987_654_321, 2, false);
   }
 
   private static OwnershipTable table(int endpoints) {
