--- a/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/PeerNode.java
@@ -82,11 +82,7 @@
 
   @Override
   public List<DaemonId> neighbours() {
-    return known.values().stream()
-        .filter(peer -> peer.dataCentre().equals(dataCentre))
-        .map(PeerAddress::daemon)
-        .sorted()
-        .toList();
+    return daemonsOf(dataCentre);
   }
 
   /** Returns the daemons of other data centres. */
@@ -105,6 +101,15 @@
     return address == null ? dataCentre : address.dataCentre();
   }
 
+  @Override
+  public List<DaemonId> daemonsOf(DataCentreId wanted) {
+    return known.values().stream()
+        .filter(peer -> peer.dataCentre().equals(wanted))
+        .map(PeerAddress::daemon)
+        .sorted()
+        .toList();
+  }
+
   @Override
   public HostHint hint(DaemonId peer) {
     // Until it has connected a peer's host is not known, and its silence is borne as ever.
@@ -113,7 +118,7 @@
   }
 
   @Override
-  public void broadcastTable(PeerMessage.TablePush push) {
+  public void broadcastTable(PeerMessage.TableDelta push) {
     known.keySet().forEach(peer -> send(peer, push));
     accepted.forEach(channel -> channel.send(push));
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.testbed.cli.Flags;
 import io.sequoiapass.testbed.cli.UsageException;
 import java.io.IOException;
+import java.util.List;
 
 /** Names what can be measured, each with its flags. */
 public enum MeasureTopic {
@@ -28,7 +29,13 @@
     Flags.Definition definition() {
       return common()
           .flag("rate", "65", "requests a second to each daemon; then three times that")
-          .flag("tokens", "238", "tokens of an answer on average");
+          .flag("tokens", "238", "tokens of an answer on average")
+          .flag("daemon-flags", "", "flags of the daemons, separated by spaces")
+          .flag(
+              "jvm",
+              "-XX:TieredStopAtLevel=4",
+              "JVM flags of the daemons, separated by spaces; -Dio.netty.transport.noNative=true"
+                  + " leaves epoll out");
     }
 
     @Override
@@ -37,7 +44,34 @@
               flags.integer("seconds", 1, 3_600),
               flags.integer("rate", 1, 10_000),
               flags.integer("tokens", 1, 10_000),
-              flags.integer("seed", 0, Integer.MAX_VALUE))
+              flags.integer("seed", 0, Integer.MAX_VALUE),
+              words(flags.text("daemon-flags")),
+              words(flags.text("jvm")))
+          .run();
+    }
+  },
+  /** What control costs a daemon that serves nothing. */
+  CONTROL {
+    @Override
+    Flags.Definition definition() {
+      return Flags.define()
+          .flag("seconds", "15", "how long to measure at each size")
+          .flag("warm-up", "45", "seconds before that, in which code is compiled")
+          .flag("daemons", "4,8,17,34", "daemons of the data centre, a run each")
+          .flag("engines", "4", "endpoints for each daemon")
+          .flag("lease-ms", "10000", "duration of a lease")
+          .flag("heartbeat-ms", "1000", "time between two heartbeats");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new ControlMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("warm-up", 0, 3_600),
+              flags.integers("daemons", 1, 100),
+              flags.integer("engines", 0, 100),
+              flags.integer("lease-ms", 1_000, 60_000),
+              flags.integer("heartbeat-ms", 100, 10_000))
           .run();
     }
   },
@@ -72,6 +106,10 @@
         .flag("seed", "1", "seed of the load");
   }
 
+  private static List<String> words(String text) {
+    return text.isBlank() ? List.of() : List.of(text.strip().split(" +", -1));
+  }
+
   /** Returns a line for each flag. */
   public String help() {
     return definition().help();
