--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -94,6 +94,26 @@
               flags.integer("rate", 1, 1_000))
           .run();
     }
+  },
+  /** What daemons ask of the platform in the seconds after it returns from an outage. */
+  RECOVERY {
+    @Override
+    Flags.Definition definition() {
+      return common()
+          .flag("data-centres", "3", "data centres")
+          .flag("daemons", "8", "daemons in each")
+          .flag("outage", "20", "seconds that the platform is out");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new RecoveryMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("data-centres", 1, 6),
+              flags.integer("daemons", 2, 17),
+              flags.integer("outage", 1, 600))
+          .run();
+    }
   };
 
   abstract Flags.Definition definition();
--- /dev/null
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/RecoveryMeasurement.java
@@ -0,0 +1,69 @@
+package io.sequoiapass.testbed.measure;
+
+import io.sequoiapass.testbed.launch.Cluster;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+/**
+ * Measures the curve of calls to the platform before, during and after an outage: a flood of them
+ * when the platform returns would bring it down again.
+ *
+ * <p>Used by one thread.
+ */
+final class RecoveryMeasurement {
+
+  private static final int BEFORE_SECONDS = 5;
+  private static final long SLICE_MS = 500;
+  private static final long READY_LIMIT_MS = 90_000;
+
+  private final int seconds;
+  private final int dataCentres;
+  private final int daemons;
+  private final int outageSeconds;
+
+  RecoveryMeasurement(int seconds, int dataCentres, int daemons, int outageSeconds) {
+    this.seconds = seconds;
+    this.dataCentres = dataCentres;
+    this.daemons = daemons;
+    this.outageSeconds = outageSeconds;
+  }
+
+  int run() throws IOException, InterruptedException {
+    String[] names =
+        IntStream.rangeClosed(1, dataCentres).mapToObj(i -> "dc-" + i).toArray(String[]::new);
+    try (Cluster cluster =
+        Cluster.builder()
+            .dataCentres(names)
+            .daemons(daemons)
+            .engines(1)
+            .adapters(40)
+            .daemonJvmFlags("-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+            .start()) {
+      cluster.awaitReady(READY_LIMIT_MS);
+      System.out.printf(
+          "%d data centres with %d daemons each, platform out for %d s%n",
+          dataCentres, daemons, outageSeconds);
+      System.out.println(
+          "| time | WATCH/s | HOSTS/s | LIST/s | READ/s | PUT/s | a daemon/s | a data centre/s"
+              + " | control B/s a daemon | most B/s |");
+      System.out.println("|---|---|---|---|---|---|---|---|---|---|");
+      slice(cluster, "before", TimeUnit.SECONDS.toMillis(BEFORE_SECONDS));
+      cluster.faults(cluster.platformAddress(), "{\"outage\":true}");
+      slice(cluster, "out", TimeUnit.SECONDS.toMillis(outageSeconds));
+      cluster.faults(cluster.platformAddress(), "{}");
+      long slices = TimeUnit.SECONDS.toMillis(seconds) / SLICE_MS;
+      for (int i = 1; i <= slices; i++) {
+        slice(cluster, "%.1f s after".formatted(i * SLICE_MS / 1_000.0), SLICE_MS);
+      }
+      return 0;
+    }
+  }
+
+  private static void slice(Cluster cluster, String name, long millis)
+      throws IOException, InterruptedException {
+    PlatformCalls before = PlatformCalls.of(cluster);
+    TimeUnit.MILLISECONDS.sleep(millis);
+    System.out.printf("| %s | %s |%n", name, PlatformCalls.of(cluster).since(before).row());
+  }
+}
