--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -369,7 +369,7 @@
     @Override
     public void received(DaemonId peer, PeerMessage message) {
       if (message instanceof PeerMessage.Heartbeat beat && peers.isNeighbour(peer)) {
-        configuration.heard(peer, beat.configuration(), beat.platform().platformOut());
+        configuration.heard(peer, beat.configuration(), beat.cutOff());
       }
       if (message instanceof PeerMessage.ObjectsPush push) {
         configuration.pushed(peer, push);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/Heartbeats.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/Heartbeats.java
@@ -40,7 +40,13 @@
             renewalTold,
             echoes.getOrDefault(peer, NEVER));
     return new PeerMessage.Heartbeat(
-        decisions.keeper().incarnation(), draining, configuration, report, now, weightDemand);
+        decisions.keeper().incarnation(),
+        draining,
+        configuration,
+        report,
+        now,
+        weightDemand,
+        false);
   }
 
   /** Returns whether the lease was renewed after the last heartbeat. */
