--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -23,6 +23,27 @@
           .run();
     }
   },
+  /** What callers are told, and what ran, while parts fail. */
+  FAULTS {
+    @Override
+    Flags.Definition definition() {
+      return Flags.define()
+          .flag("seconds", "190", "how long requests come")
+          .flag("rate", "110", "requests a second")
+          .flag("seed", "1", "seed of the load and of the faults")
+          .flag("only", "", "the one kind of fault to play, as KILL_DAEMON; without it all");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new FaultsMeasurement(
+              FaultKind.named(flags.text("only")),
+              flags.integer("seconds", 10, 3_600),
+              flags.integer("rate", 1, 10_000),
+              flags.integer("seed", 0, Integer.MAX_VALUE))
+          .run();
+    }
+  },
   /** What a daemon uses. */
   DAEMON {
     @Override
@@ -33,7 +54,7 @@
           .flag("daemon-flags", "", "flags of the daemons, separated by spaces")
           .flag(
               "jvm",
-              "-XX:TieredStopAtLevel=4",
+              "",
               "JVM flags of the daemons, separated by spaces; -Dio.netty.transport.noNative=true"
                   + " leaves epoll out");
     }
