Closed links use up no attempts of a request

The cause: when an entry loses its links to several owners at once, each further attempt found a closed link, was counted, and the four of a request were gone at once.

First failing: EntryShardTest.closedLinksUseUpNoAttempts, which got Unknown[kind=STREAM_SHORT] on the shard before.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -307,11 +307,22 @@
     observer.routed(request, send.attempt(), route.endpoint());
     on(entry, new AttemptEvent.Routed(send.attempt(), route.endpoint()));
     if (!route.owner().send(forward)) {
-      // Nothing was sent, but what the attempt was counted as has to be undone by its own rules.
-      on(entry, new AttemptEvent.OwnerLost(send.attempt()));
+      on(entry, notSent(send.attempt()));
     }
   }
 
+  /**
+   * Returns what a send over a closed connection means. A first attempt goes elsewhere. A later one
+   * waits a moment and counts for nothing, since nothing was sent: when several connections close
+   * together, all attempts were used up on them within a millisecond, and a caller whose stream
+   * could have been read on was told UNKNOWN.
+   */
+  private static AttemptEvent notSent(int attempt) {
+    return attempt > 1
+        ? new AttemptEvent.Unroutable(attempt, ErrorKind.NO_ENDPOINT)
+        : new AttemptEvent.OwnerLost(attempt);
+  }
+
   /**
    * Returns the time that an owner gets. Were it the whole, the owner's proof that a request never
    * left its queue would arrive just after the entry had to say UNKNOWN; a round of the owner's and
