An attempt that was not sent is not under way at its endpoint

After the merge with the results of endpoints, an attempt over a closed link stayed noted as under way there, so that the next look for a route of the same request found that endpoint taken: EntryShardTest failed, which shows it. It is withdrawn now.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/EntryShard.java
@@ -329,6 +329,7 @@
     observer.routed(request, send.attempt(), route.endpoint());
     on(entry, new AttemptEvent.Routed(send.attempt(), route.endpoint()));
     if (!route.owner().send(forward)) {
+      results.withdrawn(entry.attempt(send.attempt()), clock.millis());
       on(entry, notSent(send.attempt()));
     }
   }
