--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
@@ -63,6 +63,7 @@
       owner.owns(now);
     }
     owner.pauses(ownership.handingOver());
+    owner.apply(configuration.preset());
     // A fresh daemon that shows readiness before it knows the owners and is connected to them
     // refuses what the balancer sends it at once. Both come within moments; a peer that is dead
     // does not.
@@ -84,7 +85,8 @@
   }
 
   private void beat(DaemonId peer) {
-    peers.send(peer, ownership.heartbeat(peer, configuration.root(), 0));
+    peers.send(
+        peer, ownership.heartbeat(peer, configuration.root(), 0).cutOff(configuration.isCutOff()));
   }
 
   /** Returns whether the owners of endpoints were all connected once, or were waited for. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -131,6 +131,7 @@
     this.local = new LocalLink(group);
     this.entries = entries();
     this.owner = owner(http);
+    metrics.gauge("admission.waiting", () -> owner::waiting);
     this.peers =
         new PeerNode(
             settings.daemon(),
@@ -228,8 +229,9 @@
                 new AdaptivePlacement(PlacementSettings.defaults(), settings.placementWeights()),
                 engines,
                 new Gate(),
-                events),
-        new ServicePool(clock, http));
+                events,
+                settings.admission()),
+        new ServicePool(clock, http, events, settings.admission()));
   }
 
   private void open() throws IOException {
@@ -367,7 +369,7 @@
     @Override
     public void received(DaemonId peer, PeerMessage message) {
       if (message instanceof PeerMessage.Heartbeat beat && peers.isNeighbour(peer)) {
-        configuration.heard(peer, beat.configuration(), beat.platform().platformOut());
+        configuration.heard(peer, beat.configuration(), beat.cutOff());
       }
       if (message instanceof PeerMessage.ObjectsPush push) {
         configuration.pushed(peer, push);
