Placement and routes follow the preset in force

Cause: the daemon's placement took its weights at start, so a preset change at run time changed neither what is hot, nor the shared endpoints, nor prefetch. The control round now passes a change on to the routes and to each owner shard; a shard made in between asks for its weights itself. The share of PREFETCH is still all or nothing.

--- a/coordination/src/main/java/io/sequoiapass/coordination/version/Preset.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/Preset.java
@@ -9,21 +9,27 @@
  */
 public enum Preset {
   /** Ordinary days: some prefetch, batch work, planned moves. */
-  ORDINARY(1.0, 0.25, true, true),
+  ORDINARY(1.0, 0.25, 1.0, true, true),
   /** Peaks: short queues, loads for waiting requests only, no batch work, nothing moved. */
-  PEAK(0.5, 0.0, false, false),
+  PEAK(0.5, 0.0, 2.0, false, false),
   /** Planned work on hosts: long queues bridge restarts, and endpoints move. */
-  MAINTENANCE(1.5, 0.1, true, true);
+  MAINTENANCE(1.5, 0.1, 1.0, true, true);
 
   private final double queueBoundFactor;
   private final double prefetchShare;
+  private final double stallFactor;
   private final boolean batchAdmitted;
   private final boolean plannedMoves;
 
   Preset(
-      double queueBoundFactor, double prefetchShare, boolean batchAdmitted, boolean plannedMoves) {
+      double queueBoundFactor,
+      double prefetchShare,
+      double stallFactor,
+      boolean batchAdmitted,
+      boolean plannedMoves) {
     this.queueBoundFactor = queueBoundFactor;
     this.prefetchShare = prefetchShare;
+    this.stallFactor = stallFactor;
     this.batchAdmitted = batchAdmitted;
     this.plannedMoves = plannedMoves;
   }
@@ -42,6 +48,14 @@
     return prefetchShare;
   }
 
+  /**
+   * Returns by how much load stalls weigh more against batch efficiency than on ordinary days: at a
+   * peak the weight store is the first to be full, and each load saved shortens all other waits.
+   */
+  public double stallFactor() {
+    return stallFactor;
+  }
+
   /** Returns whether new requests of a priority are admitted. */
   public boolean admits(Priority priority) {
     return batchAdmitted || priority != Priority.BATCH;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
@@ -4,11 +4,13 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.daemon.process.ledger.LedgerNode;
 import io.sequoiapass.daemon.process.owner.Owner;
 import io.sequoiapass.daemon.process.ownership.OwnershipNode;
 import io.sequoiapass.daemon.version.ConfigurationNode;
 import java.util.Objects;
+import java.util.function.Consumer;
 
 /**
  * Lets time pass for the control parts of a daemon, and sends its heartbeats.
@@ -31,6 +33,7 @@
   private final PeerNode peers;
   private final LedgerNode ledger;
   private final PlannedStop stop;
+  private final Consumer<Preset> presets;
   private final long startedAt;
   private volatile boolean reachesOwners;
   private int heartbeats;
@@ -43,7 +46,8 @@
       Owner owner,
       PeerNode peers,
       LedgerNode ledger,
-      PlannedStop stop) {
+      PlannedStop stop,
+      Consumer<Preset> presets) {
     this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
     this.clock = Objects.requireNonNull(clock, "clock");
     this.configuration = Objects.requireNonNull(configuration, "configuration");
@@ -52,6 +56,7 @@
     this.peers = Objects.requireNonNull(peers, "peers");
     this.ledger = Objects.requireNonNull(ledger, "ledger");
     this.stop = Objects.requireNonNull(stop, "stop");
+    this.presets = Objects.requireNonNull(presets, "presets");
     this.startedAt = clock.millis();
   }
 
@@ -59,6 +64,7 @@
   void control() {
     configuration.tick(ownership.alive());
     ConfigurationSnapshot snapshot = configuration.snapshot();
+    presets.accept(configuration.preset());
     ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
     owner.owns(ownership.served(snapshot.endpoints(dataCentre)));
     owner.pauses(ownership.handingOver());
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -26,7 +26,6 @@
 import io.sequoiapass.daemon.process.entry.CallerHandler;
 import io.sequoiapass.daemon.process.entry.Entries;
 import io.sequoiapass.daemon.process.entry.EntryShard;
-import io.sequoiapass.daemon.process.entry.Routes;
 import io.sequoiapass.daemon.process.entry.StartRecords;
 import io.sequoiapass.daemon.process.ledger.LedgerNode;
 import io.sequoiapass.daemon.process.log.EventLog;
@@ -38,8 +37,6 @@
 import io.sequoiapass.daemon.process.ownership.DaemonIdentity;
 import io.sequoiapass.daemon.process.ownership.OwnershipNode;
 import io.sequoiapass.daemon.process.ownership.OwnershipTimes;
-import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
-import io.sequoiapass.daemon.process.placement.PlacementSettings;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
 import io.sequoiapass.daemon.request.CallerRequest;
@@ -107,6 +104,8 @@
 
   private final Timeline timeline;
   private final DaemonEvents events;
+  private final PlacementByPreset placement;
+  private final AffinityRoutes routes;
   private final Entries entries;
   private final Owner owner;
   private final PeerNode peers;
@@ -127,6 +126,8 @@
     HttpClient http = HttpClient.create(group, CONNECT_TIMEOUT_MS);
     PlatformClient platform = new PlatformClient(http, settings.platform(), PLATFORM_TIMEOUT_MS);
     this.local = new LocalLink(group);
+    this.placement = new PlacementByPreset(settings.placementPolicy(), settings.placementWeights());
+    this.routes = routes();
     this.entries = entries();
     this.owner = owner(http);
     this.peers =
@@ -167,7 +168,15 @@
             timeline);
     this.rounds =
         new ControlRounds(
-            settings.dataCentre(), clock, configuration, ownership, owner, peers, ledger, stop);
+            settings.dataCentre(),
+            clock,
+            configuration,
+            ownership,
+            owner,
+            peers,
+            ledger,
+            stop,
+            preset -> placement.inForce(preset, routes, owner));
   }
 
   /**
@@ -182,13 +191,15 @@
     return daemon;
   }
 
+  private AffinityRoutes routes() {
+    return new AffinityRoutes(
+        clock,
+        settings.placementWeights(),
+        endpoint -> this.ownership.server(endpoint),
+        daemon -> this.peers.to(daemon));
+  }
+
   private Entries entries() {
-    Routes routes =
-        new AffinityRoutes(
-            clock,
-            settings.placementWeights(),
-            endpoint -> this.ownership.server(endpoint),
-            daemon -> this.peers.to(daemon));
     List<EntryShard> shards = new ArrayList<>();
     for (int i = 0; i < settings.threads(); i++) {
       RetryBudget budget = new RetryBudget(settings.retryBudgetPercent() / PERCENT, RETRY_BURST);
@@ -222,13 +233,7 @@
   private Owner owner(HttpClient http) {
     EngineClient engines = new EngineClient(http, settings.streamReadIntervalMs());
     return new Owner(
-        () ->
-            new OwnerShard(
-                clock,
-                new AdaptivePlacement(PlacementSettings.defaults(), settings.placementWeights()),
-                engines,
-                new Gate(),
-                events),
+        () -> new OwnerShard(clock, placement.placement(), engines, new Gate(), events),
         new ServicePool(clock, http));
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/AffinityRoutes.java
@@ -42,7 +42,7 @@
   private final MillisClock clock;
   private final Owners owners;
   private final Channels channels;
-  private final Router router;
+  private volatile Router router;
   private final HotAdapters hotAdapters = new HotAdapters(HOT_FOR_MS);
   private final Map<EndpointId, Hint> hints = new ConcurrentHashMap<>();
   private volatile Orders orders = new Orders(List.of());
@@ -63,6 +63,17 @@
     this.channels = Objects.requireNonNull(channels, "channels");
   }
 
+  /**
+   * Changes what the routes weigh, after a change of the preset in force.
+   *
+   * @param weights what counts more
+   */
+  public void weigh(PlacementWeights weights) {
+    router = new Router(MAX_HINT_AGE_MS, weights.denseShare());
+    // The kept orders say which endpoints hot adapters share, and another share moves them.
+    orders = new Orders(List.of());
+  }
+
   @Override
   public void learn(List<EndpointLoad> loads) {
     long now = clock.millis();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/Owner.java
@@ -10,6 +10,7 @@
 import io.sequoiapass.daemon.connection.peer.PeerChannel;
 import io.sequoiapass.daemon.connection.peer.PeerListener;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -104,6 +105,16 @@
     return shards.computeIfAbsent(endpoint.model().orElseThrow(), model -> newShard.get());
   }
 
+  /**
+   * Changes what the placements weigh, after a change of the preset in force.
+   *
+   * @param weights what counts more
+   * @param prefetches whether adapters that nobody waits for may be loaded
+   */
+  public synchronized void weigh(PlacementWeights weights, boolean prefetches) {
+    shards.values().forEach(shard -> shard.weigh(weights, prefetches));
+  }
+
   /** Lets time pass; to be called every 10 to 50 ms. */
   public void tick() {
     shards.values().forEach(OwnerShard::tick);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -18,6 +18,7 @@
 import io.sequoiapass.daemon.process.placement.Placement;
 import io.sequoiapass.daemon.process.placement.PlacementAction;
 import io.sequoiapass.daemon.process.placement.PlacementRequest;
+import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import io.sequoiapass.daemon.request.AttemptKeys;
 import io.sequoiapass.daemon.request.EngineRelay;
 import io.sequoiapass.daemon.request.Execution;
@@ -348,6 +349,16 @@
                     }));
   }
 
+  /**
+   * Changes what the placement weighs.
+   *
+   * @param weights what counts more
+   * @param prefetches whether adapters that nobody waits for may be loaded
+   */
+  void weigh(PlacementWeights weights, boolean prefetches) {
+    locked(() -> placement.weigh(weights, prefetches));
+  }
+
   // What the placement decides.
 
   /** Lets time pass; to be called every 10 to 50 ms. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -58,8 +58,8 @@
   }
 
   private final PlacementSettings settings;
-  private final PlacementWeights weights;
-  private final double hotDemand;
+  private PlacementWeights weights;
+  private boolean prefetches = true;
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   private final Map<AdapterVersion, WaitingGroup> waiting = new TreeMap<>();
   private final Map<RequestId, AdapterVersion> queued = new HashMap<>();
@@ -80,7 +80,6 @@
   public AdaptivePlacement(PlacementSettings settings, PlacementWeights weights) {
     this.settings = settings;
     this.weights = weights;
-    this.hotDemand = weights.hotDemand(settings.hotDemand());
     this.demand = new DemandTable(settings.demandHalfLifeMs());
     this.turns = new LoadTurns(settings.loadAloneMs());
   }
@@ -205,8 +204,15 @@
     turns.others(nowMs, loads);
   }
 
+  @Override
+  public void weigh(PlacementWeights newWeights, boolean mayPrefetch) {
+    weights = newWeights;
+    prefetches = mayPrefetch;
+  }
+
   @Override
   public List<EndpointLoad> loads() {
+    double hotDemand = weights.hotDemand(settings.hotDemand());
     Map<EndpointId, List<AdapterVersion>> queuedFor = new HashMap<>();
     for (WaitingGroup group : waiting.values()) {
       for (WaitingGroup.Queued entry : group.requests) {
@@ -297,7 +303,7 @@
         return;
       }
     }
-    if (wanted.isEmpty() && turns.mayBegin(nowMs, 0, 1)) {
+    if (prefetches && wanted.isEmpty() && turns.mayBegin(nowMs, 0, 1)) {
       prefetch(nowMs, actions);
     }
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
@@ -43,6 +43,14 @@
   /** Time went by; called every 10 to 50 ms. */
   List<PlacementAction> tick(long nowMs);
 
+  /**
+   * Another preset came into force.
+   *
+   * @param weights what counts more from now on
+   * @param prefetches whether adapters that nobody waits for may be loaded
+   */
+  default void weigh(PlacementWeights weights, boolean prefetches) {}
+
   /** Returns how busy each endpoint is, as a hint for the entries' routers; perhaps nothing. */
   default List<EndpointLoad> loads() {
     return List.of();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.daemon.process.log.LogFormat;
+import io.sequoiapass.daemon.process.placement.PlacementPolicy;
 import io.sequoiapass.daemon.process.placement.PlacementWeights;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -206,6 +207,11 @@
         : PlacementWeights.STALLS;
   }
 
+  /** Returns how adapters are placed. */
+  public PlacementPolicy placementPolicy() {
+    return PlacementPolicy.valueOf(values.get(Setting.PLACEMENT_POLICY).toUpperCase(Locale.ROOT));
+  }
+
   /** Returns how long the lease lasts after its last renewal, in milliseconds. */
   public long leaseDurationMs() {
     return number(Setting.LEASE_DURATION_MS);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
@@ -63,6 +63,11 @@
       "stalls",
       "what the placement of adapters weighs more heavily",
       "stalls where callers stand and wait, batches where long work is billed"),
+  PLACEMENT_POLICY(
+      SettingType.POLICY,
+      "adaptive",
+      "how adapters are placed on engines",
+      "lru is the baseline that measurements compare with; it loads more and waits longer"),
   LEASE_DURATION_MS(
       500,
       60_000,
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/SettingType.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/SettingType.java
@@ -126,6 +126,20 @@
         throw wrong(setting, text);
       }
     }
+  },
+  /** A placement. */
+  POLICY {
+    @Override
+    String allowed(Setting setting) {
+      return "adaptive or lru";
+    }
+
+    @Override
+    void check(Setting setting, String text) throws SettingsException {
+      if (!text.equals("adaptive") && !text.equals("lru")) {
+        throw wrong(setting, text);
+      }
+    }
   };
 
   /** Returns what a setting of this type may hold, for messages and pages. */
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/entry/AffinityRoutesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/entry/AffinityRoutesTest.java
@@ -98,6 +98,19 @@
     assertThat(others.size() + shared.size()).isEqualTo(ENDPOINTS);
   }
 
+  @Test
+  void hotAdaptersShareMoreEndpointsOnceStallsWeighMore() {
+    Set<AdapterVersion> hot = new HashSet<>();
+    for (int i = 0; i < MANY; i++) {
+      hot.add(AdapterVersion.parse("adapter-" + i + "@v1"));
+    }
+    routes.learn(List.of(new EndpointLoad(new EndpointId("e0"), 0, 0, 16, Set.of(), hot, 0)));
+    Set<EndpointId> ordinary = endpointsOfManyAdapters();
+    routes.weigh(PlacementWeights.STALLS.times(2, 1));
+
+    assertThat(endpointsOfManyAdapters()).containsAll(ordinary).hasSizeGreaterThan(ordinary.size());
+  }
+
   private Set<EndpointId> endpointsOfManyAdapters() {
     Set<EndpointId> used = new HashSet<>();
     for (int i = 0; i < MANY; i++) {
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
@@ -57,6 +57,32 @@
     assertThat(arrive(5, "r4", RULINGS)).containsExactly(load(ONE, RULINGS, "h1"));
   }
 
+  @Test
+  void anAdapterThatIsHotForBatchesIsNotHotOnceStallsWeighMore() {
+    AdaptivePlacement batches =
+        new AdaptivePlacement(PlacementSettings.defaults(), PlacementWeights.BATCHES);
+    batches.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1")));
+    for (int i = 0; i < 12; i++) {
+      batches.requestArrived(1, request("r" + i, NOTES, Urgency.INTERACTIVE));
+      batches.requestFinished(1, new RequestId("r" + i));
+    }
+
+    assertThat(batches.loads().get(0).hot()).containsExactly(NOTES);
+    batches.weigh(PlacementWeights.BATCHES.times(2, 1), true);
+    assertThat(batches.loads().get(0).hot()).isEmpty();
+  }
+
+  @Test
+  void nothingIsLoadedAheadWhereThePresetForbidsIt() {
+    placement.endpointJoined(0, status(ONE, 2, resident(NOTES, "h1")));
+    arrive(1, "r1", NOTES);
+    placement.weigh(PlacementWeights.STALLS, false);
+
+    assertThat(placement.endpointJoined(2, status(ONE, 2))).isEmpty();
+    placement.weigh(PlacementWeights.STALLS, true);
+    assertThat(placement.tick(3)).containsExactly(load(ONE, NOTES, null));
+  }
+
   @Test
   void theLoadThatDeadlinesWaitForGoesFirst() {
     placement.endpointJoined(0, status(ONE, 4));
@@ -246,9 +272,11 @@
 
   private List<PlacementAction> arrive(
       long nowMs, String id, AdapterVersion adapter, Urgency urgency) {
-    return placement.requestArrived(
-        nowMs,
-        new PlacementRequest(new RequestId(id), adapter, MODEL, urgency, DEADLINE_MS, 100, ONE));
+    return placement.requestArrived(nowMs, request(id, adapter, urgency));
+  }
+
+  private static PlacementRequest request(String id, AdapterVersion adapter, Urgency urgency) {
+    return new PlacementRequest(new RequestId(id), adapter, MODEL, urgency, DEADLINE_MS, 100, ONE);
   }
 
   private static EndpointStatus status(EndpointId id, int slots, Resident... residents) {
