--- /dev/null
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/PlacementFailureTest.java
@@ -0,0 +1,167 @@
+package io.sequoiapass.testbed.failure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import io.sequoiapass.daemon.connection.HttpAnswer;
+import io.sequoiapass.daemon.connection.HttpCall;
+import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.ClusterNames;
+import io.sequoiapass.testbed.launch.DaemonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What callers and operators see of loads while engines lose what they hold. */
+class PlacementFailureTest {
+
+  private static final long LIMIT_MS = 20_000;
+  private static final long LOAD_LIMIT_MS = 10_000;
+  private static final int RESTARTS = 5;
+
+  // An engine restarts empty while nobody asks. Under PEAK nothing is loaded ahead, since loads are
+  // for callers who wait; a caller's own adapter is loaded, and its answer is whole. Once ORDINARY
+  // is in force, without a restart of the daemon, the engine gets back what was asked for most
+  // first, so that the callers who come next find it.
+  @Test
+  void anEmptyEngineIsRefilledHottestFirstOnceThePresetAllowsIt() throws Exception {
+    try (Cluster cluster = cluster()) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      DaemonNode daemon = cluster.daemon("d1");
+      ask(cluster, 2, 3);
+      ask(cluster, 0, 5);
+      ask(cluster, 1, 1);
+      preset(cluster, probe, "PEAK");
+      cluster.faults(cluster.endpoint("e1").address(), "{\"restart\":true}");
+      probe.await("restart seen", LIMIT_MS, () -> count(cluster, "ENGINE_RESTARTED") == 1);
+      int before = loaded(cluster).size();
+      ask(cluster, 3, 1);
+      assertThat(loaded(cluster).subList(before, loaded(cluster).size()))
+          .containsExactly(ClusterNames.adapter(3));
+
+      preset(cluster, probe, "ORDINARY");
+      probe.await("refilled", LOAD_LIMIT_MS, () -> loaded(cluster).size() == before + 4);
+
+      assertThat(loaded(cluster).subList(before + 1, before + 4))
+          .containsExactly(
+              ClusterNames.adapter(0), ClusterNames.adapter(2), ClusterNames.adapter(1));
+      assertThat(probe.statusField(daemon, "preset")).isEqualTo("ORDINARY");
+    }
+  }
+
+  // The engine restarts right after the owner saw it hold the adapter: the request that was routed
+  // for the copy meets an engine without it. Its caller gets one whole answer of the adapter and
+  // version it named, later by a load, or is told NOT RUN where no other engine is left to try; the
+  // owner learns of the empty slots, and what the engine took is what callers got.
+  @Test
+  void anEngineThatRestartsBetweenRouteAndSendRunsNothingOnAnEmptySlot() throws Exception {
+    try (Cluster cluster = cluster()) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      ask(cluster, 0, 1);
+      long before = probe.judged("e1", "accepted");
+      int whole = 0;
+      for (int i = 0; i < RESTARTS; i++) {
+        cluster.faults(cluster.endpoint("e1").address(), "{\"restart\":true}");
+        HttpAnswer answer = call(cluster, 0);
+        if (answer.ok()) {
+          whole++;
+          assertThat(answer.headers().get("Adapter-Version"))
+              .isEqualTo(ClusterNames.CURRENT_VERSION);
+          assertThat(answer.text()).contains(ClusterNames.adapter(0) + "@v2");
+        } else {
+          assertThat(answer.text()).contains("\"outcome\":\"NOT_RUN\"");
+        }
+        probe.await("serves again", LIMIT_MS, () -> call(cluster, 0).ok());
+        whole++;
+      }
+
+      assertThat(probe.judged("e1", "not_loaded")).as("met an empty engine").isPositive();
+      assertThat(probe.judged("e1", "accepted") - before).as("each ran once").isEqualTo(whole);
+    }
+  }
+
+  // Every load fails, late, while a caller waits for an adapter that nobody holds; then the weight
+  // store recovers. The caller waits through the failed loads and gets the whole answer of the
+  // version it named, since a failed load leaves no slot that a request could run on.
+  @Test
+  void aCallerWaitsThroughLoadsThatFail() throws Exception {
+    try (Cluster cluster = cluster()) {
+      OwnershipProbe probe = new OwnershipProbe(cluster);
+      long before = probe.judged("e1", "accepted");
+      int answered = count(cluster, "REQUEST_ANSWERED");
+      cluster.faults(cluster.endpoint("e1").address(), "{\"fail_loads\":1.0}");
+      Thread caller = new Thread(() -> askUnchecked(cluster));
+      caller.start();
+      probe.await("two failed loads", LIMIT_MS, () -> probe.judged("e1", "failed_loads") >= 2);
+      assertThat(probe.judged("e1", "accepted")).isEqualTo(before);
+      cluster.faults(cluster.endpoint("e1").address(), "{}");
+      caller.join(LIMIT_MS);
+
+      assertThat(probe.judged("e1", "accepted")).isEqualTo(before + 1);
+      assertThat(count(cluster, "REQUEST_ANSWERED")).isEqualTo(answered + 1);
+    }
+  }
+
+  private static Cluster cluster() throws Exception {
+    Cluster cluster = Cluster.builder().daemons(1).engines(1).adapters(4).engineSize(4, 16).start();
+    cluster.awaitServing(LIMIT_MS);
+    return cluster;
+  }
+
+  private static void preset(Cluster cluster, OwnershipProbe probe, String preset)
+      throws Exception {
+    HttpCall read = HttpCall.to(cluster.platformAddress(), "GET", "/v1/objects/preset/current");
+    String seen = cluster.http().read(read, JsonObject.class).get("version").getAsString();
+    HttpCall write =
+        HttpCall.to(cluster.platformAddress(), "PUT", "/v1/objects/preset/current")
+            .header("If-Match", seen)
+            .header("Operation-Id", "preset-" + preset)
+            .body("{\"preset\":\"%s\",\"effective_at\":0}".formatted(preset));
+    assertThat(cluster.http().send(write).ok()).isTrue();
+    DaemonNode daemon = cluster.daemon("d1");
+    probe.await(preset, LIMIT_MS, () -> probe.statusField(daemon, "preset").equals(preset));
+  }
+
+  private static void askUnchecked(Cluster cluster) {
+    try {
+      ask(cluster, 1, 1);
+    } catch (Exception failed) {
+      throw new AssertionError(failed);
+    }
+  }
+
+  private static void ask(Cluster cluster, int adapter, int times) throws Exception {
+    for (int i = 0; i < times; i++) {
+      HttpAnswer answer = call(cluster, adapter);
+      assertThat(answer.status()).as(answer.text()).isEqualTo(200);
+      assertThat(answer.headers().get("Adapter-Version")).isEqualTo(ClusterNames.CURRENT_VERSION);
+    }
+  }
+
+  private static HttpAnswer call(Cluster cluster, int adapter) throws Exception {
+    String name = ClusterNames.adapter(adapter);
+    String body = "{\"model\":\"%s\",\"prompt\":\"p\",\"max_tokens\":2}".formatted(name);
+    return cluster
+        .http()
+        .send(HttpCall.to(cluster.daemon("d1").callers(), "POST", "/v1/completions").body(body));
+  }
+
+  private static List<String> loaded(Cluster cluster) throws Exception {
+    List<String> adapters = new ArrayList<>();
+    for (JsonElement event : events(cluster, "LOAD_STARTED")) {
+      String version = event.getAsJsonObject().get("adapter").getAsString();
+      adapters.add(version.substring(0, version.indexOf('@')));
+    }
+    return adapters;
+  }
+
+  private static int count(Cluster cluster, String kind) throws Exception {
+    return events(cluster, kind).size();
+  }
+
+  private static List<JsonElement> events(Cluster cluster, String kind) throws Exception {
+    HttpCall call = HttpCall.to(cluster.daemon("d1").operators(), "GET", "/timeline?kind=" + kind);
+    return cluster.http().read(call, JsonObject.class).getAsJsonArray("events").asList();
+  }
+}
