--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.testbed.cli.Flags;
 import io.sequoiapass.testbed.cli.UsageException;
+import io.sequoiapass.testbed.load.LoadPlan;
 import java.io.IOException;
 import java.util.List;
 
@@ -74,6 +75,49 @@
               flags.integer("heartbeat-ms", 100, 10_000))
           .run();
     }
+  },
+  /** How long callers wait with our placement and with the baseline. */
+  PLACEMENT {
+    @Override
+    Flags.Definition definition() {
+      return common().flag("rate", "10", "requests a second to all daemons");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      int rate = flags.integer("rate", 1, 1_000);
+      int seed = flags.integer("seed", 0, 1_000_000);
+      VariantMeasurement.Size size =
+          new VariantMeasurement.Size(
+              3,
+              6,
+              6,
+              new LoadPlan(10, rate, 300, 1.2, 40, 0, 0, 0, seed + 1),
+              new LoadPlan(flags.integer("seconds", 1, 600), rate, 300, 1.2, 40, 0, 0, 0, seed));
+      return new VariantMeasurement(size).run("placement-policy", List.of("adaptive", "lru"));
+    }
+  },
+  /** What the time line costs: a ring as set by default and the smallest one, twice each. */
+  TIMELINE {
+    @Override
+    Flags.Definition definition() {
+      return common().flag("rate", "130", "requests a second to both daemons");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      int rate = flags.integer("rate", 1, 10_000);
+      int seed = flags.integer("seed", 0, 1_000_000);
+      VariantMeasurement.Size size =
+          new VariantMeasurement.Size(
+              2,
+              10,
+              40,
+              new LoadPlan(10, rate, 20, 0, 20, 0, 0, 0, seed + 1),
+              new LoadPlan(flags.integer("seconds", 1, 600), rate, 20, 0, 20, 0, 0, 0, seed));
+      return new VariantMeasurement(size)
+          .run("timeline-events", List.of("20000", "64", "20000", "64"));
+    }
   };
 
   abstract Flags.Definition definition();
