--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
@@ -1,14 +1,14 @@
 package io.sequoiapass.daemon.process;
 
 import io.sequoiapass.coordination.DaemonId;
-import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.MillisClock;
-import io.sequoiapass.coordination.version.ConfigurationSnapshot;
+import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
 import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.daemon.process.ledger.LedgerNode;
 import io.sequoiapass.daemon.process.owner.Owner;
 import io.sequoiapass.daemon.process.ownership.OwnershipNode;
 import io.sequoiapass.daemon.version.ConfigurationNode;
+import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
 
@@ -25,7 +25,6 @@
   /** A daemon whose peers are dead, or that starts alone in an outage, serves what it can. */
   private static final long REACH_WAIT_MS = 5_000;
 
-  private final DataCentreId dataCentre;
   private final MillisClock clock;
   private final ConfigurationNode configuration;
   private final OwnershipNode ownership;
@@ -36,10 +35,10 @@
   private final Consumer<Preset> presets;
   private final long startedAt;
   private volatile boolean reachesOwners;
+  private List<EndpointRecord> served = List.of();
   private int heartbeats;
 
   ControlRounds(
-      DataCentreId dataCentre,
       MillisClock clock,
       ConfigurationNode configuration,
       OwnershipNode ownership,
@@ -48,7 +47,6 @@
       LedgerNode ledger,
       PlannedStop stop,
       Consumer<Preset> presets) {
-    this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
     this.clock = Objects.requireNonNull(clock, "clock");
     this.configuration = Objects.requireNonNull(configuration, "configuration");
     this.ownership = Objects.requireNonNull(ownership, "ownership");
@@ -63,11 +61,15 @@
   /** Drives configuration, ownership, ledger and stop. */
   void control() {
     configuration.tick(ownership.alive());
-    ConfigurationSnapshot snapshot = configuration.snapshot();
     presets.accept(configuration.preset());
-    ownership.tick(snapshot, configuration.preset().allowsPlannedMoves());
-    owner.owns(ownership.served(snapshot.endpoints(dataCentre)));
+    ownership.tick(configuration.snapshot(), configuration.preset().allowsPlannedMoves());
+    List<EndpointRecord> now = ownership.served();
+    if (now != served) {
+      served = now;
+      owner.owns(now);
+    }
     owner.pauses(ownership.handingOver());
+    owner.apply(configuration.preset());
     // A fresh daemon that shows readiness before it knows the owners and is connected to them
     // refuses what the balancer sends it at once. Both come within moments; a peer that is dead
     // does not.
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -5,7 +5,9 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.FencingNumber;
+import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.HostHint;
 import io.sequoiapass.coordination.process.OrderKind;
 import io.sequoiapass.coordination.request.AttemptSettings;
 import io.sequoiapass.coordination.request.ErrorKind;
@@ -130,6 +132,7 @@
     this.routes = routes();
     this.entries = entries();
     this.owner = owner(http);
+    metrics.gauge("admission.waiting", () -> owner::waiting);
     this.peers =
         new PeerNode(
             settings.daemon(),
@@ -168,7 +171,6 @@
             timeline);
     this.rounds =
         new ControlRounds(
-            settings.dataCentre(),
             clock,
             configuration,
             ownership,
@@ -233,8 +235,10 @@
   private Owner owner(HttpClient http) {
     EngineClient engines = new EngineClient(http, settings.streamReadIntervalMs());
     return new Owner(
-        () -> new OwnerShard(clock, placement.placement(), engines, new Gate(), events),
-        new ServicePool(clock, http));
+        () ->
+            new OwnerShard(
+                clock, placement.placement(), engines, new Gate(), events, settings.admission()),
+        new ServicePool(clock, http, events, settings.admission()));
   }
 
   private void open() throws IOException {
@@ -243,7 +247,8 @@
     local.open(owner, new LocalEntry(entries));
     int peerPort = transport.listen(address(settings.peerPort()), peers::accepted);
     PeerMessage.Hello hello =
-        new PeerMessage.Hello(settings.daemon(), settings.dataCentre(), incarnation);
+        new PeerMessage.Hello(
+            settings.daemon(), settings.dataCentre(), settings.host(), incarnation);
     peers.start(new PeerLinks(transport, group, hello, peers), settings.peers());
     operators =
         HttpServer.builder(
@@ -363,15 +368,22 @@
       EventLog.log(LogEvent.PEER_LOST, peer, "connection closed");
     }
 
+    @Override
+    public HostHint hint(HostId host) {
+      return configuration.hints().of(host);
+    }
+
     @Override
     public void received(DaemonId peer, PeerMessage message) {
       if (message instanceof PeerMessage.Heartbeat beat && peers.isNeighbour(peer)) {
-        configuration.heard(peer, beat.configuration());
+        configuration.heard(peer, beat.configuration(), beat.platform().platformOut());
       }
       if (message instanceof PeerMessage.ObjectsPush push) {
         configuration.pushed(peer, push);
       } else if (message instanceof PeerMessage.ObjectsRequest request) {
         configuration.asked(peer, request);
+      } else if (message instanceof PeerMessage.HostsPush push && peers.isNeighbour(peer)) {
+        configuration.hostsPushed(push);
       } else if (message instanceof PeerMessage.Ledger about) {
         ledger.received(peer, about.message());
       } else {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
@@ -51,6 +51,14 @@
    */
   default void weigh(PlacementWeights weights, boolean prefetches) {}
 
+  /**
+   * Returns how many more requests could run now if their adapters were loaded. Without an endpoint
+   * it is as many as one likes: there is no place to wait for, so what comes is refused.
+   */
+  default int freePlaces() {
+    return Integer.MAX_VALUE;
+  }
+
   /** Returns how busy each endpoint is, as a hint for the entries' routers; perhaps nothing. */
   default List<EndpointLoad> loads() {
     return List.of();
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/MeasureTopic.java
@@ -24,6 +24,27 @@
           .run();
     }
   },
+  /** What callers are told, and what ran, while parts fail. */
+  FAULTS {
+    @Override
+    Flags.Definition definition() {
+      return Flags.define()
+          .flag("seconds", "190", "how long requests come")
+          .flag("rate", "110", "requests a second")
+          .flag("seed", "1", "seed of the load and of the faults")
+          .flag("only", "", "the one kind of fault to play, as KILL_DAEMON; without it all");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new FaultsMeasurement(
+              FaultKind.named(flags.text("only")),
+              flags.integer("seconds", 10, 3_600),
+              flags.integer("rate", 1, 10_000),
+              flags.integer("seed", 0, Integer.MAX_VALUE))
+          .run();
+    }
+  },
   /** What a daemon uses. */
   DAEMON {
     @Override
@@ -34,7 +55,7 @@
           .flag("daemon-flags", "", "flags of the daemons, separated by spaces")
           .flag(
               "jvm",
-              "-XX:TieredStopAtLevel=4",
+              "",
               "JVM flags of the daemons, separated by spaces; -Dio.netty.transport.noNative=true"
                   + " leaves epoll out");
     }
@@ -51,6 +72,27 @@
           .run();
     }
   },
+  /** What is answered in time under an overload, with admission and without. */
+  OVERLOAD {
+    @Override
+    Flags.Definition definition() {
+      return common()
+          .flag("deadline-ms", "1500", "deadline of each request")
+          .flag("tokens", "5", "tokens of an answer on average")
+          .flag("step-micros", "40000", "an engine step's cost before any stream");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new OverloadMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("deadline-ms", 100, 60_000),
+              flags.integer("tokens", 1, 10_000),
+              flags.integer("step-micros", 0, 1_000_000),
+              flags.integer("seed", 0, Integer.MAX_VALUE))
+          .run();
+    }
+  },
   /** What control costs a daemon that serves nothing. */
   CONTROL {
     @Override
@@ -118,6 +160,26 @@
       return new VariantMeasurement(size)
           .run("timeline-events", List.of("20000", "64", "20000", "64"));
     }
+  },
+  /** The time from a change's acceptance by the platform until it is in force everywhere. */
+  PROPAGATION {
+    @Override
+    Flags.Definition definition() {
+      return common()
+          .flag("data-centres", "3", "data centres")
+          .flag("daemons", "8", "daemons in each")
+          .flag("rate", "12", "changes a second in the burst");
+    }
+
+    @Override
+    int run(Flags flags) throws UsageException, IOException, InterruptedException {
+      return new PropagationMeasurement(
+              flags.integer("seconds", 1, 3_600),
+              flags.integer("data-centres", 1, 6),
+              flags.integer("daemons", 2, 17),
+              flags.integer("rate", 1, 1_000))
+          .run();
+    }
   };
 
   abstract Flags.Definition definition();
