--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
@@ -3,12 +3,14 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
+import io.sequoiapass.coordination.version.Preset;
 import io.sequoiapass.daemon.process.ledger.LedgerNode;
 import io.sequoiapass.daemon.process.owner.Owner;
 import io.sequoiapass.daemon.process.ownership.OwnershipNode;
 import io.sequoiapass.daemon.version.ConfigurationNode;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Consumer;
 
 /**
  * Lets time pass for the control parts of a daemon, and sends its heartbeats.
@@ -30,6 +32,7 @@
   private final PeerNode peers;
   private final LedgerNode ledger;
   private final PlannedStop stop;
+  private final Consumer<Preset> presets;
   private final long startedAt;
   private volatile boolean reachesOwners;
   private List<EndpointRecord> served = List.of();
@@ -42,7 +45,8 @@
       Owner owner,
       PeerNode peers,
       LedgerNode ledger,
-      PlannedStop stop) {
+      PlannedStop stop,
+      Consumer<Preset> presets) {
     this.clock = Objects.requireNonNull(clock, "clock");
     this.configuration = Objects.requireNonNull(configuration, "configuration");
     this.ownership = Objects.requireNonNull(ownership, "ownership");
@@ -50,12 +54,14 @@
     this.peers = Objects.requireNonNull(peers, "peers");
     this.ledger = Objects.requireNonNull(ledger, "ledger");
     this.stop = Objects.requireNonNull(stop, "stop");
+    this.presets = Objects.requireNonNull(presets, "presets");
     this.startedAt = clock.millis();
   }
 
   /** Drives configuration, ownership, ledger and stop. */
   void control() {
     configuration.tick(ownership.alive());
+    presets.accept(configuration.preset());
     ownership.tick(configuration.snapshot(), configuration.preset().allowsPlannedMoves());
     List<EndpointRecord> now = ownership.served();
     if (now != served) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -28,7 +28,6 @@
 import io.sequoiapass.daemon.process.entry.CallerHandler;
 import io.sequoiapass.daemon.process.entry.Entries;
 import io.sequoiapass.daemon.process.entry.EntryShard;
-import io.sequoiapass.daemon.process.entry.Routes;
 import io.sequoiapass.daemon.process.entry.StartRecords;
 import io.sequoiapass.daemon.process.ledger.LedgerNode;
 import io.sequoiapass.daemon.process.log.EventLog;
@@ -40,8 +39,6 @@
 import io.sequoiapass.daemon.process.ownership.DaemonIdentity;
 import io.sequoiapass.daemon.process.ownership.OwnershipNode;
 import io.sequoiapass.daemon.process.ownership.OwnershipTimes;
-import io.sequoiapass.daemon.process.placement.AdaptivePlacement;
-import io.sequoiapass.daemon.process.placement.PlacementSettings;
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import io.sequoiapass.daemon.process.timeline.Timeline;
 import io.sequoiapass.daemon.request.CallerRequest;
@@ -109,6 +106,8 @@
 
   private final Timeline timeline;
   private final DaemonEvents events;
+  private final PlacementByPreset placement;
+  private final AffinityRoutes routes;
   private final Entries entries;
   private final Owner owner;
   private final PeerNode peers;
@@ -129,6 +128,8 @@
     HttpClient http = HttpClient.create(group, CONNECT_TIMEOUT_MS);
     PlatformClient platform = new PlatformClient(http, settings.platform(), PLATFORM_TIMEOUT_MS);
     this.local = new LocalLink(group);
+    this.placement = new PlacementByPreset(settings.placementPolicy(), settings.placementWeights());
+    this.routes = routes();
     this.entries = entries();
     this.owner = owner(http);
     metrics.gauge("admission.waiting", () -> owner::waiting);
@@ -168,7 +169,16 @@
             ownership,
             ledger,
             timeline);
-    this.rounds = new ControlRounds(clock, configuration, ownership, owner, peers, ledger, stop);
+    this.rounds =
+        new ControlRounds(
+            clock,
+            configuration,
+            ownership,
+            owner,
+            peers,
+            ledger,
+            stop,
+            preset -> placement.inForce(preset, routes, owner));
   }
 
   /**
@@ -183,13 +193,15 @@
     return daemon;
   }
 
+  private AffinityRoutes routes() {
+    return new AffinityRoutes(
+        clock,
+        settings.placementWeights(),
+        endpoint -> this.ownership.server(endpoint),
+        daemon -> this.peers.to(daemon));
+  }
+
   private Entries entries() {
-    Routes routes =
-        new AffinityRoutes(
-            clock,
-            settings.placementWeights(),
-            endpoint -> this.ownership.server(endpoint),
-            daemon -> this.peers.to(daemon));
     List<EntryShard> shards = new ArrayList<>();
     for (int i = 0; i < settings.threads(); i++) {
       RetryBudget budget = new RetryBudget(settings.retryBudgetPercent() / PERCENT, RETRY_BURST);
@@ -225,12 +237,7 @@
     return new Owner(
         () ->
             new OwnerShard(
-                clock,
-                new AdaptivePlacement(PlacementSettings.defaults(), settings.placementWeights()),
-                engines,
-                new Gate(),
-                events,
-                settings.admission()),
+                clock, placement.placement(), engines, new Gate(), events, settings.admission()),
         new ServicePool(clock, http, events, settings.admission()));
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
@@ -43,6 +43,14 @@
   /** Time went by; called every 10 to 50 ms. */
   List<PlacementAction> tick(long nowMs);
 
+  /**
+   * Another preset came into force.
+   *
+   * @param weights what counts more from now on
+   * @param prefetches whether adapters that nobody waits for may be loaded
+   */
+  default void weigh(PlacementWeights weights, boolean prefetches) {}
+
   /**
    * Returns how many more requests could run now if their adapters were loaded. Without an endpoint
    * it is as many as one likes: there is no place to wait for, so what comes is refused.
