--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ServiceTime.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ServiceTime.java
@@ -43,7 +43,7 @@
    * @param ofCost the work it stands for
    */
   long expectedMillis(double ofCost) {
-    return cost == 0 ? 0 : (long) (mean(ofCost) + ERRORS * error);
+    return cost == 0 ? 0 : Math.round(mean(ofCost) + ERRORS * error);
   }
 
   private double mean(double ofCost) {
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/AdmissionQueueTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/AdmissionQueueTest.java
@@ -164,4 +164,37 @@
       assertThat(good.get(Priority.DEADLINE)).isEqualTo(offered.get(Priority.DEADLINE));
     }
   }
+
+  @Nested
+  class Pace {
+
+    // Ten thousand requests a second find a place at once, then places run out. Were they counted
+    // as drained, callers who come next would be taken in by the hundred and refused when their
+    // deadline is near.
+    @Test
+    void whatFindsAPlaceAtOnceSaysNothingOfIt() {
+      for (int i = 0; i < 10_000; i++) {
+        queue.offer(ticket("yards", "a", Priority.INTERACTIVE, 60_000), i / 10);
+        assertThat(queue.poll(i / 10).next()).isPresent();
+      }
+      queue.offer(ticket("yards", "a", Priority.INTERACTIVE, 60_000), 1_000);
+      queue.offer(ticket("yards", "a", Priority.INTERACTIVE, 60_000), 1_000);
+      AdmissionTicket third = ticket("yards", "a", Priority.INTERACTIVE, 60_000);
+      assertThat(queue.expectedWaitMillis(third, 1_000)).isEqualTo(20);
+    }
+
+    // An engine becomes slower, and the work begun last is given up at its deadline. Learning from
+    // whole answers only, the queue would go on beginning work that cannot end in time.
+    @Test
+    void whatWasGivenUpShowsThatServingHasBecomeSlower() {
+      queue.finished(1, 100);
+      for (int i = 0; i < 50; i++) {
+        queue.abandoned(1, 1_000);
+      }
+      assertThat(queue.offer(ticket("yards", "a", Priority.INTERACTIVE, 800), 0))
+          .get()
+          .extracting(refusal -> refusal.outcome().kind())
+          .isEqualTo(ErrorKind.DEADLINE_UNREACHABLE);
+    }
+  }
 }
