--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -278,7 +278,12 @@
     CallerRequestParser parser =
         new CallerRequestParser(
             new RequestIds(settings.daemon(), incarnation), clock, settings.requestDeadlineMs());
-    return new CallerHandler(parser, configuration::snapshot, this::closed, entries);
+    return new CallerHandler(
+        parser,
+        configuration::snapshot,
+        this::closed,
+        priority -> configuration.preset().admits(priority),
+        entries);
   }
 
   private void resetLink(DaemonId peer) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/CallerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/CallerHandler.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.daemon.process.entry;
 
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Priority;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.daemon.connection.HttpFault;
 import io.sequoiapass.daemon.connection.HttpHandler;
@@ -12,6 +13,7 @@
 import io.sequoiapass.daemon.request.Refusal;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Answers callers over HTTP; safe for use by several threads. */
@@ -20,6 +22,7 @@
   private final CallerRequestParser parser;
   private final Supplier<ConfigurationSnapshot> snapshots;
   private final Supplier<Optional<ErrorKind>> closed;
+  private final Predicate<Priority> admitted;
   private final Entries entries;
 
   /**
@@ -28,16 +31,19 @@
    * @param parser reads requests
    * @param snapshots gives the configuration as it stands
    * @param closed tells why no request is taken now, if none is
+   * @param admitted tells which priorities the preset in force admits
    * @param entries drives requests
    */
   public CallerHandler(
       CallerRequestParser parser,
       Supplier<ConfigurationSnapshot> snapshots,
       Supplier<Optional<ErrorKind>> closed,
+      Predicate<Priority> admitted,
       Entries entries) {
     this.parser = Objects.requireNonNull(parser, "parser");
     this.snapshots = Objects.requireNonNull(snapshots, "snapshots");
     this.closed = Objects.requireNonNull(closed, "closed");
+    this.admitted = Objects.requireNonNull(admitted, "admitted");
     this.entries = Objects.requireNonNull(entries, "entries");
   }
 
@@ -71,6 +77,14 @@
       ErrorAnswer.refuse(responder, refusal.kind(), refusal.getMessage());
       return;
     }
+    if (!admitted.test(request.priority())) {
+      // Refused before any hop: what the preset leaves out must cost nothing at a peak.
+      ErrorAnswer.refuse(
+          responder,
+          ErrorKind.OVERLOADED,
+          "the preset in force admits no work of priority " + request.priority());
+      return;
+    }
     entries.accept(request, snapshot, responder);
   }
 
