measure overload: goodput against offered load, with admission and without

Two clusters, one after the other at each load, so that both meet the same machine. A first form counted requests: at 3 times the capacity it showed 139 % of it, since short requests are answered and long ones refused more often; goodput and capacity are counted in tokens now. It also warmed up by load alone, and one adapter of the cluster without admission never came (every eighth request late at half load): it waits for each adapter's answer now.

--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/OverloadMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/OverloadMeasurement.java
@@ -1,6 +1,8 @@
 package io.sequoiapass.testbed.measure;
 
+import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.testbed.launch.Cluster;
+import io.sequoiapass.testbed.launch.ClusterNames;
 import io.sequoiapass.testbed.launch.DaemonNode;
 import io.sequoiapass.testbed.load.LoadPlan;
 import io.sequoiapass.testbed.load.LoadReport;
@@ -8,6 +10,7 @@
 import io.sequoiapass.testbed.load.RequestResult;
 import io.sequoiapass.testbed.load.Verdict;
 import java.io.IOException;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -16,8 +19,9 @@
  * the other at each load.
  *
  * <p>Two clusters of two daemons and one engine whose adapters are all loaded, so that its stream
- * places are what is scarce. The capacity is measured first, as the rate at which a burst with a
- * long deadline is worked off.
+ * places are what is scarce. The capacity is measured first, as the tokens a second at which a
+ * burst with a long deadline is worked off. Goodput is counted in tokens too: a policy that
+ * answered the short requests only would look better by their number than it is.
  */
 final class OverloadMeasurement {
 
@@ -28,6 +32,7 @@
   private static final int BURST_SECONDS = 2;
   private static final int LONG_DEADLINE_MS = 60_000;
   private static final long READY_LIMIT_MS = 30_000;
+  private static final int WARM_UP_TRIES = 20;
   private static final int EDGE = 10;
   private static final double AIM = 0.9;
 
@@ -54,10 +59,10 @@
       loadAdapters(without);
       double capacity = capacity(without);
       System.out.printf(
-          "capacity %.1f requests/s; deadline %d ms, %d tokens on average, %d s each%n",
+          "capacity %.0f tokens/s; deadline %d ms, %d tokens on average, %d s each%n",
           capacity, deadlineMs, tokens, seconds);
       System.out.println(
-          "| load | admission | offered/s | in time/s | of capacity in % | p95 ms | refused/s"
+          "| load | admission | offered/s | in time/s | work in time of capacity in % | p95 ms | refused/s"
               + " | refusal p95 ms | late/s | unknown/s | priority work in time in % |");
       System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
       double last = 0;
@@ -93,33 +98,55 @@
     }
   }
 
-  private void loadAdapters(Cluster cluster) throws InterruptedException {
-    send(cluster, 5, ADAPTERS, LONG_DEADLINE_MS);
+  /** Waits until every adapter has answered; loads are not what is measured here. */
+  private static void loadAdapters(Cluster cluster) throws IOException, InterruptedException {
+    for (int adapter = 0; adapter < ADAPTERS; adapter++) {
+      String body =
+          "{\"model\":\"%s\",\"prompt\":\"warm-up\",\"max_tokens\":1}"
+              .formatted(ClusterNames.adapter(adapter));
+      for (DaemonNode daemon : cluster.daemons()) {
+        HttpCall call = HttpCall.to(daemon.callers(), "POST", "/v1/completions").body(body);
+        for (int tries = 0; !cluster.http().send(call).ok(); tries++) {
+          if (tries >= WARM_UP_TRIES) {
+            throw new IOException("no answer for " + ClusterNames.adapter(adapter));
+          }
+        }
+      }
+    }
   }
 
   private double capacity(Cluster cluster) throws InterruptedException {
     LoadReport report = send(cluster, BURST_SECONDS, BURST_RATE, LONG_DEADLINE_MS);
-    List<Long> ends =
+    List<RequestResult> ended =
         report.results().stream()
             .filter(result -> result.verdict() == Verdict.WHOLE)
-            .map(result -> result.request().atMicros() + result.tookMicros())
-            .sorted()
+            .sorted(Comparator.comparingLong(OverloadMeasurement::endMicros))
             .toList();
     // Without its first and last part, in which the batch is not full.
-    int first = ends.size() / EDGE;
-    int last = ends.size() - 1 - first;
-    return (last - first) * 1e6 / (ends.get(last) - ends.get(first));
+    int first = ended.size() / EDGE;
+    int last = ended.size() - 1 - first;
+    long micros = endMicros(ended.get(last)) - endMicros(ended.get(first));
+    return tokensOf(ended.subList(first, last)) * 1e6 / micros;
+  }
+
+  private static long endMicros(RequestResult result) {
+    return result.request().atMicros() + result.tookMicros();
+  }
+
+  private static long tokensOf(List<RequestResult> results) {
+    return results.stream().mapToLong(result -> result.request().maxTokens()).sum();
   }
 
   private double level(Cluster cluster, String admission, double load, double capacity)
       throws InterruptedException {
-    LoadReport report = send(cluster, seconds, load * capacity, deadlineMs);
+    LoadReport report = send(cluster, seconds, load * capacity / tokens, deadlineMs);
     List<RequestResult> all = report.results();
-    long inTime = all.stream().filter(this::inTime).count();
+    List<RequestResult> answered = all.stream().filter(this::inTime).toList();
+    long inTime = answered.size();
     long late = report.count(Verdict.WHOLE) - inTime;
     List<RequestResult> priority =
         all.stream().filter(result -> result.request().priority().equals("DEADLINE")).toList();
-    double goodput = inTime / (double) seconds / capacity;
+    double goodput = tokensOf(answered) / (double) seconds / capacity;
     System.out.printf(
         "| %.1f | %s | %.1f | %.1f | %.0f | %d | %.1f | %d | %.1f | %.1f | %.1f |%n",
         load,
