A priority's pace is at least that of the turns kept for it

Cause: StopTest failed once, at load average 93: a request of a rolling restart was refused as DEADLINE_UNREACHABLE with 19.6 s to come back. The likely cause is a batch line that had had no turn for some seconds: its pace fell towards 0.1 a second, far below the sixteenth of all turns that is kept for it. A real overload by the machine's other work was not ruled out.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/AdmissionQueue.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/AdmissionQueue.java
@@ -202,8 +202,12 @@
     int ownSize = own == null ? 0 : own.size();
     // Services take turns: a short line is served before the rest of a long one.
     int before = Math.min(level.size, ownSize * services + services - 1);
-    double ofAll = (outranking + before) / rate.perSecond(nowMillis);
-    double ofLevel = before / level.rate.perSecond(nowMillis);
+    double pace = rate.perSecond(nowMillis);
+    // The turns kept for it are the least that a priority gets, also after a time without any.
+    double ownPace =
+        Math.max(level.rate.perSecond(nowMillis), pace / settings.lowerPriorityEvery());
+    double ofAll = (outranking + before) / pace;
+    double ofLevel = before / ownPace;
     return (long) (1_000 * Math.max(ofAll, ofLevel));
   }
 
