--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
@@ -69,7 +69,7 @@
     @Override
     double measure(int size) {
       List<String> texts = Fleet.adapters(size).stream().map(ObjectCodec::text).toList();
-      return PeerFrames.encode(new PeerMessage.ObjectsPush(texts, false, true)).length
+      return PeerFrames.encode(new PeerMessage.ObjectsPush(texts, false, true, List.of())).length
           + Gauge.PACKET_BYTES;
     }
   },
@@ -126,6 +126,14 @@
       return deltaBytes(size, size / Fleet.DAEMONS_OF_A_CENTRE);
     }
   },
+  /** Time of one round of an owner that has nothing to change. */
+  OWNERSHIP_ROUND(
+      "a round of ownership decisions, us", "endpoints", List.of(65, 130, 260, 520), 520) {
+    @Override
+    double measure(int size) {
+      return OwnershipRound.micros(size);
+    }
+  },
   /** Time of routing one request. */
   ROUTING("routing one request, us", "endpoints", List.of(250, 500, 1_000, 2_000), 2_000) {
     @Override
@@ -216,7 +224,7 @@
   private static PeerMessage.Heartbeat heartbeat() {
     PlatformReport report = new PlatformReport(false, 1_234_567, 7_654_321, 987_654_321);
     return new PeerMessage.Heartbeat(
-        1_796_246_933_064L, false, 0x7edc_ba98_7654_3210L, report, 987_654_321, 2);
+        1_796_246_933_064L, false, 0x7edc_ba98_7654_3210L, report, 987_654_321, 2, false);
   }
 
   private static OwnershipTable table(int endpoints) {
