--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ControlRounds.java
@@ -91,7 +91,8 @@
   }
 
   private void beat(DaemonId peer) {
-    peers.send(peer, ownership.heartbeat(peer, configuration.root(), 0));
+    peers.send(
+        peer, ownership.heartbeat(peer, configuration.root(), 0).cutOff(configuration.isCutOff()));
   }
 
   /** Returns whether the owners of endpoints were all connected once, or were waited for. */
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/peer/PeerFramesTest.java
@@ -116,7 +116,7 @@
             List.of(
                 new EndpointLoad(
                     new EndpointId("e1"), 1, 2, 16, Set.of(ADAPTER), Set.of(ADAPTER), 250))),
-        new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9),
+        new PeerMessage.Heartbeat(7, true, -3, new PlatformReport(true, 5, 6, 7), 8, 9, true),
         tablePush(),
         tableDelta(),
         new PeerMessage.TableRequest(4),
@@ -145,7 +145,7 @@
                 true)),
         new PeerMessage.Cancel(ID),
         new PeerMessage.Flow(ID, true),
-        new PeerMessage.ObjectsPush(List.of("{}"), true, false),
+        new PeerMessage.ObjectsPush(List.of("{}"), true, false, List.of(new DaemonId("d2"))),
         new PeerMessage.ObjectsRequest(List.of(1L, -1L)));
   }
 
