The time of short work is not multiplied up to long work

Cause: an owner that had served a probe of one token in some 40 ms expected a long answer to take minutes, and refused it as DEADLINE_UNREACHABLE with a minute left: RequestSlowCallerTest failed so, on an idle engine. Work larger than the usual counts as usual now. The same test passes; it had been failing since admission was wired.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ServiceTime.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ServiceTime.java
@@ -19,6 +19,7 @@
 
   private static final double ERRORS = 2;
 
+  private double count;
   private double cost;
   private double millis;
   private double error;
@@ -33,6 +34,7 @@
     if (cost > 0) {
       error = error * MEMORY + Math.abs(tookMillis - mean(servedCost)) * (1 - MEMORY);
     }
+    count = count * MEMORY + 1;
     cost = cost * MEMORY + servedCost;
     millis = millis * MEMORY + tookMillis;
   }
@@ -46,7 +48,12 @@
     return cost == 0 ? 0 : Math.round(mean(ofCost) + ERRORS * error);
   }
 
+  /**
+   * Work larger than the usual counts as usual: a short request takes mostly what each takes once,
+   * and multiplied by the tokens of a long one that would refuse work that has all the time it
+   * needs.
+   */
   private double mean(double ofCost) {
-    return ofCost * millis / cost;
+    return Math.min(ofCost, cost / count) * millis / cost;
   }
 }
