--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterBuilder.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ClusterBuilder.java
@@ -1,7 +1,9 @@
 package io.sequoiapass.testbed.launch;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /** Builds a {@link Cluster}; not safe for use by several threads. */
 public final class ClusterBuilder {
@@ -17,6 +19,7 @@
   private ProxyPlan proxies = ProxyPlan.NONE;
   private List<String> engineFlags = List.of();
   private List<String> platformFlags = List.of();
+  private List<String> leaseFlags = List.of();
   private List<String> daemonFlags = List.of();
   private List<String> daemonJvmFlags = List.of();
 
@@ -32,6 +35,16 @@
     return this;
   }
 
+  /**
+   * Sets data centres named {@code dc-1}, {@code dc-2} and so on.
+   *
+   * @param count how many
+   */
+  public ClusterBuilder dataCentres(int count) {
+    dataCentres = IntStream.rangeClosed(1, count).mapToObj(i -> "dc-" + i).toList();
+    return this;
+  }
+
   /**
    * Sets the daemons in each data centre.
    *
@@ -126,6 +139,22 @@
     return this;
   }
 
+  /**
+   * Sets the daemons' leases, in place of the defaults.
+   *
+   * @param durationMs how long a lease lasts, in milliseconds
+   * @param marginMs how long before its end a daemon stops its orders, in milliseconds
+   * @param heartbeatMs time between heartbeats, in milliseconds
+   */
+  public ClusterBuilder leases(int durationMs, int marginMs, int heartbeatMs) {
+    leaseFlags =
+        List.of(
+            "--lease-duration-ms=" + durationMs,
+            "--lease-margin-ms=" + marginMs,
+            "--heartbeat-interval-ms=" + heartbeatMs);
+    return this;
+  }
+
   /**
    * Adds flags to each daemon's command.
    *
@@ -153,6 +182,8 @@
    * @throws InterruptedException if the wait is interrupted
    */
   public Cluster start() throws IOException, InterruptedException {
+    List<String> allDaemonFlags = new ArrayList<>(leaseFlags);
+    allDaemonFlags.addAll(daemonFlags);
     return Cluster.start(
         new ClusterSettings(
             dataCentres,
@@ -166,7 +197,7 @@
             proxies,
             engineFlags,
             platformFlags,
-            daemonFlags,
+            allDaemonFlags,
             daemonJvmFlags));
   }
 
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/ControlMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/ControlMeasurement.java
@@ -27,6 +27,8 @@
   /** Daemons of one data centre at the size to design for. */
   private static final int TARGET = 17;
 
+  private static final int LEASE_MARGIN_MS = 500;
+
   private static final long READY_LIMIT_MS = 60_000;
   private static final long LOOK_MS = 200;
 
@@ -95,11 +97,7 @@
         Cluster.builder()
             .daemons(size)
             .engines(Math.min(1, engines))
-            .daemonFlags(
-                "--lease-duration-ms",
-                Integer.toString(leaseMs),
-                "--heartbeat-interval-ms",
-                Integer.toString(heartbeatMs))
+            .leases(leaseMs, LEASE_MARGIN_MS, heartbeatMs)
             .start()) {
       cluster.awaitReady(READY_LIMIT_MS);
       addEndpoints(cluster, engines * size);
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultsMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/FaultsMeasurement.java
@@ -57,13 +57,7 @@
             .adapters(ADAPTERS)
             .engineSize(2 * ADAPTERS, 128)
             .withProxies()
-            .daemonFlags(
-                "--lease-duration-ms",
-                "3000",
-                "--lease-margin-ms",
-                "500",
-                "--heartbeat-interval-ms",
-                "500")
+            .leases(3_000, 500, 500)
             .start()) {
       cluster.awaitServing(READY_LIMIT_MS);
       FaultSchedule faults = new FaultSchedule(cluster, kinds, seconds - SECONDS_AFTER, seed);
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/PropagationMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/PropagationMeasurement.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 
 /**
  * Measures how long a change takes from the platform's acceptance until it is in force on every
@@ -24,6 +23,7 @@
 
   private static final int WATCHERS = 2;
   private static final int ADAPTERS = 40;
+  private static final String FIRST_DATA_CENTRE = "dc-1";
   private static final double QUIET_RATE = 2;
   private static final long READY_LIMIT_MS = 90_000;
 
@@ -43,11 +43,9 @@
   }
 
   int run() throws IOException, InterruptedException {
-    String[] names =
-        IntStream.rangeClosed(1, dataCentres).mapToObj(i -> "dc-" + i).toArray(String[]::new);
     try (Cluster cluster =
         Cluster.builder()
-            .dataCentres(names)
+            .dataCentres(dataCentres)
             .daemons(daemons)
             .engines(1)
             .adapters(ADAPTERS)
@@ -69,7 +67,7 @@
       cluster.proxies().toPlatform(fifth.get(fifth.size() - 1)).set(ProxyFault.freeze());
       whole &= phase(cluster, "a fifth cut", QUIET_RATE);
       whole &= phase(cluster, "a fifth cut", rate);
-      watchers(cluster, names[0])
+      watchers(cluster, FIRST_DATA_CENTRE)
           .forEach(daemon -> cluster.proxies().toPlatform(daemon).set(ProxyFault.cut()));
       whole &= phase(cluster, "all of one data centre cut", QUIET_RATE);
       return whole ? 0 : 1;
--- a/testbed/src/main/java/io/sequoiapass/testbed/measure/RecoveryMeasurement.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/measure/RecoveryMeasurement.java
@@ -3,7 +3,6 @@
 import io.sequoiapass.testbed.launch.Cluster;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 
 /**
  * Measures the curve of calls to the platform before, during and after an outage: a flood of them
@@ -30,11 +29,9 @@
   }
 
   int run() throws IOException, InterruptedException {
-    String[] names =
-        IntStream.rangeClosed(1, dataCentres).mapToObj(i -> "dc-" + i).toArray(String[]::new);
     try (Cluster cluster =
         Cluster.builder()
-            .dataCentres(names)
+            .dataCentres(dataCentres)
             .daemons(daemons)
             .engines(1)
             .adapters(40)
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/KeyedHomeFaultsTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/KeyedHomeFaultsTest.java
@@ -41,13 +41,7 @@
             .services(2)
             .adapters(0)
             .withProxies()
-            .daemonFlags(
-                "--lease-duration-ms",
-                "3000",
-                "--lease-margin-ms",
-                "500",
-                "--heartbeat-interval-ms",
-                "500")
+            .leases(3_000, 500, 500)
             .start();
     cluster.awaitServing(LIMIT_MS);
     calls = new KeyedCalls(cluster);
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipFailureTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipFailureTest.java
@@ -29,13 +29,7 @@
         .adapters(12)
         .engineSize(3, 64)
         .checksFence(checksFence)
-        .daemonFlags(
-            "--lease-duration-ms",
-            Integer.toString(LEASE_MS),
-            "--lease-margin-ms",
-            "500",
-            "--heartbeat-interval-ms",
-            "500")
+        .leases(LEASE_MS, 500, 500)
         .daemonJvmFlags("-Xmx96m")
         .start();
   }
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipOutageTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipOutageTest.java
@@ -40,13 +40,7 @@
             .engineSize(3, 64)
             .checksFence(checksFence)
             .withProxies()
-            .daemonFlags(
-                "--lease-duration-ms",
-                Integer.toString(LEASE_MS),
-                "--lease-margin-ms",
-                "500",
-                "--heartbeat-interval-ms",
-                "500")
+            .leases(LEASE_MS, 500, 500)
             .daemonJvmFlags("-Xmx96m")
             .start();
     cluster.awaitServing(LIMIT_MS);
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipTakeoverLoadTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipTakeoverLoadTest.java
@@ -43,13 +43,7 @@
             .engines(6)
             .adapters(ADAPTERS)
             .engineSize(ADAPTERS, 64)
-            .daemonFlags(
-                "--lease-duration-ms",
-                Integer.toString(LEASE_MS),
-                "--lease-margin-ms",
-                "500",
-                "--heartbeat-interval-ms",
-                "500")
+            .leases(LEASE_MS, 500, 500)
             .daemonJvmFlags("-Xmx96m")
             .start();
     cluster.awaitServing(LIMIT_MS);
