--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipTakeoverLoadTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OwnershipTakeoverLoadTest.java
@@ -65,8 +65,10 @@
     try (Cluster cluster = cluster()) {
       OwnershipProbe probe = new OwnershipProbe(cluster);
       probe.awaitBalanced("yard-north", LIMIT_MS);
-      String victim = probe.owner("e1", "yard-north");
-      List<String> elsewhere = adaptersNotOn(cluster, probe, victim);
+      Map<String, String> homes = homes(cluster, probe);
+      String lost = engineOfAnother(cluster, probe, homes);
+      String victim = probe.owner(lost, "yard-north");
+      List<String> elsewhere = adaptersNotOn(homes, probe, victim);
       List<DaemonNode> others =
           cluster.daemons().stream().filter(daemon -> !daemon.id().equals(victim)).toList();
       try (LoadTool tool = LoadTool.to(others.stream().map(DaemonNode::callers).toList())) {
@@ -77,7 +79,7 @@
             probe.await(
                 "takeover",
                 LIMIT_MS,
-                () -> !List.of("", victim).contains(probe.owner("e1", "yard-north")));
+                () -> !List.of("", victim).contains(probe.owner(lost, "yard-north")));
         LoadReport report = Judgement.of(cluster).apply(tool.await(LIMIT_MS));
 
         Histogram before = report.firstTokens(OwnershipTakeoverLoadTest::isBefore);
@@ -105,11 +107,23 @@
     return result.request().atMicros() < TimeUnit.SECONDS.toMicros(BEFORE_SECONDS);
   }
 
+  /** Returns an engine of another daemon than the one that owns the first adapter's engine. */
+  private static String engineOfAnother(
+      Cluster cluster, OwnershipProbe probe, Map<String, String> homes) throws Exception {
+    String spared = probe.owner(homes.get(ClusterNames.adapter(0)), "yard-north");
+    for (EndpointNode engine : cluster.endpoints()) {
+      if (!probe.owner(engine.id(), "yard-north").equals(spared)) {
+        return engine.id();
+      }
+    }
+    throw new AssertionError("all engines are owned by " + spared);
+  }
+
   /** Returns the adapters whose engine another daemon owns. */
-  private static List<String> adaptersNotOn(Cluster cluster, OwnershipProbe probe, String daemon)
-      throws Exception {
+  private static List<String> adaptersNotOn(
+      Map<String, String> homes, OwnershipProbe probe, String daemon) throws Exception {
     List<String> adapters = new ArrayList<>();
-    for (Map.Entry<String, String> home : homes(cluster, probe).entrySet()) {
+    for (Map.Entry<String, String> home : homes.entrySet()) {
       if (!probe.owner(home.getValue(), "yard-north").equals(daemon)) {
         adapters.add(home.getKey());
       }
@@ -173,8 +187,9 @@
     try (Cluster cluster = cluster()) {
       OwnershipProbe probe = new OwnershipProbe(cluster);
       probe.awaitBalanced("yard-north", LIMIT_MS);
-      String dead = probe.owner("e1", "yard-north");
-      List<String> elsewhere = adaptersNotOn(cluster, probe, dead);
+      Map<String, String> homes = homes(cluster, probe);
+      String dead = probe.owner(engineOfAnother(cluster, probe, homes), "yard-north");
+      List<String> elsewhere = adaptersNotOn(homes, probe, dead);
       List<DaemonNode> others =
           cluster.daemons().stream().filter(daemon -> !daemon.id().equals(dead)).toList();
       DaemonNode stopping = probe.owned(others.get(0)) > 0 ? others.get(0) : others.get(1);
