What an engine holds beyond its orders' answers is taken over at a look

A slot that a former owner's load filled after the takeover, or one whose answer was lost, counted as free for good: each load into it was refused with no_slot, the adapter backed off and its callers waited or heard LOAD_FAILED, until the engine restarted. The look that follows a suspect order changed nothing either.

Now slots that the engine is loading count as taken when the endpoint joins, and a look without an order under way since before it was asked (EngineWatch.isSettled) reconciles the slots: unknown idle copies are adopted, gone ones dropped. Copies that run somebody else's stream are left until it has ended.

Ruled out: to join the endpoint anew (its status may be older than a start, and a serving adapter could be evicted).

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/EngineWatch.java
@@ -47,6 +47,9 @@
   private boolean paused;
   private long nextLookAt = Long.MIN_VALUE;
   private EngineState state;
+  private int ordersUnderWay;
+  private long ordersBegun;
+  private long begunBeforeLook;
 
   EngineWatch(OwnedEndpoint endpoint) {
     this.endpoint = endpoint;
@@ -100,6 +103,23 @@
 
   void asked() {
     asking = true;
+    begunBeforeLook = ordersBegun - ordersUnderWay;
+  }
+
+  /** Notes that an order to load, and perhaps to evict before, is given. */
+  void orderBegun() {
+    ordersUnderWay++;
+    ordersBegun++;
+  }
+
+  /** Notes that an order has ended, in whatever way. */
+  void orderEnded() {
+    ordersUnderWay--;
+  }
+
+  /** Returns whether no order was under way from the look until now, so that its state is exact. */
+  boolean isSettled() {
+    return ordersBegun == begunBeforeLook;
   }
 
   void lookNow() {
@@ -139,15 +159,21 @@
   /** Returns what the engine holds, for the placement. */
   EndpointStatus status() {
     List<Resident> residents = new ArrayList<>();
+    List<AdapterVersion> loading = new ArrayList<>();
     for (EngineState.Slot slot : state.slots()) {
+      AdapterVersion adapter =
+          new AdapterVersion(new AdapterId(slot.adapter()), new VersionId(slot.version()));
       if (slot.ready()) {
-        AdapterVersion adapter =
-            new AdapterVersion(new AdapterId(slot.adapter()), new VersionId(slot.version()));
         residents.add(new Resident(new LoadHandle(slot.handle()), adapter, runningOn(slot)));
+      } else {
+        loading.add(adapter);
       }
     }
+    // An engine may hold more than the configuration says while that is being changed; refusing its
+    // word would leave it without work until somebody notices.
+    int slots = Math.max(endpoint.slots(), residents.size() + loading.size());
     return new EndpointStatus(
-        endpoint.id(), endpoint.model(), endpoint.slots(), endpoint.maxStreams(), residents);
+        endpoint.id(), endpoint.model(), slots, endpoint.maxStreams(), residents, loading);
   }
 
   private List<RequestId> runningOn(EngineState.Slot slot) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/owner/OwnerShard.java
@@ -448,12 +448,14 @@
       return;
     }
     observer.loadBegun(load.endpoint(), load.adapter(), load.evict().isPresent());
+    watch.orderBegun();
     orders.carry(
         watch.endpoint(),
         load,
         (handle, suspect) ->
             locked(
                 () -> {
+                  watch.orderEnded();
                   loaded(load, handle);
                   if (suspect) {
                     watch.lookNow();
@@ -506,6 +508,9 @@
         watch
             .foreignGone(state, executions.keySet())
             .forEach(gone -> perform(placement.requestFinished(now, gone)));
+        if (watch.isSettled()) {
+          perform(placement.endpointSeen(now, watch.status()));
+        }
       }
       default -> throw new AssertionError(news);
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -96,9 +96,16 @@
         occupy(request, slot);
       }
     }
+    status.loading().forEach(adapter -> endpoint.addForeign(nowMs, adapter));
     return decide(nowMs);
   }
 
+  @Override
+  public List<PlacementAction> endpointSeen(long nowMs, EndpointStatus status) {
+    EndpointState endpoint = endpoints.get(status.endpoint());
+    return endpoint != null && endpoint.reconcile(nowMs, status) ? decide(nowMs) : List.of();
+  }
+
   @Override
   public List<PlacementAction> endpointLeft(long nowMs, EndpointId endpoint) {
     forget(endpoint);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
@@ -69,6 +69,57 @@
     return slots.size() < maxSlots;
   }
 
+  /** Takes a slot for a load that this owner did not order; its turn is not counted here. */
+  void addForeign(long nowMs, AdapterVersion adapter) {
+    add(nowMs, adapter).hung = true;
+  }
+
+  /**
+   * Takes over what the engine says it holds where that differs from what its orders' answers told:
+   * a load of a former owner that ended since, or one whose answer was lost. Without it a slot that
+   * counts as free here is not: every load into it is refused, for as long as the engine runs. To
+   * be called with a status read while no order was under way, so it cannot be older than one.
+   *
+   * @return whether anything differed
+   */
+  boolean reconcile(long nowMs, EndpointStatus status) {
+    boolean changed = slots.removeIf(slot -> isGone(slot, status));
+    for (Resident resident : status.residents()) {
+      // What runs there was started by another owner; its end would not be heard of here.
+      if (!knows(resident.handle()) && resident.running().isEmpty()) {
+        changed |= adopt(nowMs, resident);
+      }
+    }
+    for (AdapterVersion adapter : status.loading()) {
+      if (!holds(adapter) && hasFreeSlot()) {
+        addForeign(nowMs, adapter);
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  private static boolean isGone(Slot slot, EndpointStatus status) {
+    boolean resident =
+        status.residents().stream()
+            .anyMatch(
+                held ->
+                    slot.ready()
+                        ? held.handle().equals(slot.handle)
+                        : held.adapter().equals(slot.adapter));
+    boolean foreignLoad = slot.hung && !slot.ready();
+    return !resident && (slot.idle() || (foreignLoad && !status.loading().contains(slot.adapter)));
+  }
+
+  private boolean adopt(long nowMs, Resident resident) {
+    Optional<Slot> loading = loading(resident.adapter());
+    if (loading.isEmpty() && !hasFreeSlot()) {
+      return false;
+    }
+    loading.orElseGet(() -> add(nowMs, resident.adapter())).handle = resident.handle();
+    return true;
+  }
+
   Slot add(long nowMs, AdapterVersion adapter) {
     Slot slot = new Slot(this, adapter, nowMs);
     slots.add(slot);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointStatus.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointStatus.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.daemon.process.placement;
 
+import io.sequoiapass.coordination.AdapterVersion;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import java.util.List;
@@ -15,11 +16,23 @@
  * @param slots adapters that it holds at once, at least 1
  * @param maxStreams streams that it runs at once, at least 1
  * @param residents what it holds ready
+ * @param loading what it loads, one entry for each slot that a load has taken
  */
 public record EndpointStatus(
-    EndpointId endpoint, ModelId model, int slots, int maxStreams, List<Resident> residents) {
+    EndpointId endpoint,
+    ModelId model,
+    int slots,
+    int maxStreams,
+    List<Resident> residents,
+    List<AdapterVersion> loading) {
 
-  /** Checks the parts and copies the list. */
+  /** Makes the status of an endpoint that loads nothing. */
+  public EndpointStatus(
+      EndpointId endpoint, ModelId model, int slots, int maxStreams, List<Resident> residents) {
+    this(endpoint, model, slots, maxStreams, residents, List.of());
+  }
+
+  /** Checks the parts and copies the lists. */
   public EndpointStatus {
     Objects.requireNonNull(endpoint, "endpoint");
     Objects.requireNonNull(model, "model");
@@ -30,8 +43,10 @@
       throw new IllegalArgumentException("maxStreams must be at least 1: " + maxStreams);
     }
     residents = List.copyOf(residents);
-    if (residents.size() > slots) {
-      throw new IllegalArgumentException(residents.size() + " residents in " + slots + " slots");
+    loading = List.copyOf(loading);
+    int used = residents.size() + loading.size();
+    if (used > slots) {
+      throw new IllegalArgumentException(used + " adapters in " + slots + " slots");
     }
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/Placement.java
@@ -22,6 +22,14 @@
    */
   List<PlacementAction> endpointJoined(long nowMs, EndpointStatus status);
 
+  /**
+   * An endpoint that joined before told what it holds, and no order to it was under way meanwhile.
+   * It may hold more than its orders' answers said, as when an answer was lost.
+   */
+  default List<PlacementAction> endpointSeen(long nowMs, EndpointStatus status) {
+    return List.of();
+  }
+
   /** An endpoint was handed over or lost; requests that wait for it stay queued. */
   List<PlacementAction> endpointLeft(long nowMs, EndpointId endpoint);
 
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/placement/AdaptivePlacementTest.java
@@ -242,6 +242,66 @@
     }
   }
 
+  /**
+   * An owner takes an endpoint over while a load of the one before is under way there, or the
+   * answer to its own load is lost. The engine has a slot less than the owner believes, and refuses
+   * every load into it; callers wait for adapters that never come, until the engine restarts.
+   */
+  @Nested
+  class SlotsThatOthersFilled {
+
+    @Test
+    void aLoadOfTheFormerOwnerTakesASlotAndServesOnceItIsReady() {
+      placement.endpointJoined(0, seen(ONE, 1, List.of(SLIPS)));
+      assertThat(arrive(1, "r1", NOTES)).isEmpty();
+      assertThat(arrive(2, "r2", SLIPS)).isEmpty();
+
+      assertThat(placement.endpointSeen(3, status(ONE, 1, resident(SLIPS, "h1"))))
+          .containsExactly(start("r2", ONE, SLIPS, "h1"));
+    }
+
+    @Test
+    void aLoadOfTheFormerOwnerThatFailedFreesItsSlot() {
+      placement.endpointJoined(0, seen(ONE, 1, List.of(SLIPS)));
+      assertThat(arrive(1, "r1", NOTES)).isEmpty();
+
+      assertThat(placement.endpointSeen(2, status(ONE, 1))).containsExactly(load(ONE, NOTES, null));
+    }
+
+    @Test
+    void whatALostAnswerLeftThereIsEvictedAndNotLoadedInto() {
+      placement.endpointJoined(0, status(ONE, 1));
+      arrive(1, "r1", SLIPS);
+      placement.loadFinished(2, failed(ONE, SLIPS));
+      placement.requestWithdrawn(3, new RequestId("r1"));
+      placement.endpointSeen(4, status(ONE, 1, resident(SLIPS, "h1")));
+
+      assertThat(arrive(5, "r2", NOTES)).containsExactly(load(ONE, NOTES, "h1"));
+    }
+
+    @Test
+    void whatRunsThereForAnotherOwnerIsLeftAlone() {
+      placement.endpointJoined(0, status(ONE, 2));
+      Resident serving =
+          new Resident(new LoadHandle("h1"), SLIPS, List.of(new RequestId("other~d9.1")));
+      placement.endpointSeen(1, status(ONE, 2, serving));
+
+      assertThat(placement.loads().get(0).adapters()).doesNotContain(SLIPS);
+    }
+
+    @Test
+    void whatTheEngineLostIsLoadedAgain() {
+      placement.endpointJoined(0, status(ONE, 1, resident(NOTES, "h1")));
+      placement.endpointSeen(1, status(ONE, 1));
+
+      assertThat(arrive(2, "r1", NOTES)).containsExactly(load(ONE, NOTES, null));
+    }
+
+    private EndpointStatus seen(EndpointId id, int slots, List<AdapterVersion> loading) {
+      return new EndpointStatus(id, MODEL, slots, 4, List.of(), loading);
+    }
+  }
+
   /** A caller must not notice planned work: what runs ends, what is new goes elsewhere. */
   @Nested
   class LeavingEndpoint {
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/PlacementFailureTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/PlacementFailureTest.java
@@ -103,6 +103,34 @@
     }
   }
 
+  // An engine holds an adapter that its owner never heard of, as when the answer to a load is lost
+  // or a former owner's load ends after the takeover. Its slot counts as free, and each load into
+  // it is refused: callers were told LOAD_FAILED again and again. A look at the engine tells what
+  // the slot holds, which is evicted like anything else, and the caller is answered.
+  @Test
+  void anAdapterThatNobodyHeardOfIsEvictedForOneThatIsAskedFor() throws Exception {
+    try (Cluster cluster =
+        Cluster.builder()
+            .daemons(1)
+            .engines(1)
+            .adapters(3)
+            .engineSize(2, 16)
+            .checksFence(false)
+            .start()) {
+      cluster.awaitServing(LIMIT_MS);
+      ask(cluster, 0, 1);
+      HttpCall order =
+          HttpCall.to(cluster.endpoint("e1").address(), "POST", "/v1/orders")
+              .body(
+                  "{\"order\":\"LOAD\",\"fence\":0,\"adapter\":\"%s\",\"version\":\"%s\"}"
+                      .formatted(ClusterNames.adapter(2), ClusterNames.CURRENT_VERSION));
+      assertThat(cluster.http().send(order).status()).isEqualTo(200);
+
+      ask(cluster, 1, 1);
+      assertThat(count(cluster, "EVICTED")).isPositive();
+    }
+  }
+
   private static Cluster cluster() throws Exception {
     Cluster cluster = Cluster.builder().daemons(1).engines(1).adapters(4).engineSize(4, 16).start();
     cluster.awaitServing(LIMIT_MS);
