Take back the rest between two reads of a stream

Tokens that came within 10 ms were to share a read, a frame and a write. An interval above 28 ms would break the promise. So reads, setting and ReadGate go; events that do arrive together still travel in one frame and one write.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -84,20 +84,7 @@
    * @param listener what receives the answer
    */
   public HttpStream stream(HttpCall call, long timeoutMs, HttpStreamListener listener) {
-    return stream(call, timeoutMs, 0, listener);
-  }
-
-  /**
-   * Sends a call and hands on its answer part by part, what arrives within an interval together.
-   *
-   * @param call what to send
-   * @param timeoutMs how long the whole exchange may take, in milliseconds
-   * @param readIntervalMs least time between two reads of the answer, in milliseconds; 0 for none
-   * @param listener what receives the answer
-   */
-  public HttpStream stream(
-      HttpCall call, long timeoutMs, int readIntervalMs, HttpStreamListener listener) {
-    HttpExchange exchange = new HttpExchange(this, call, readIntervalMs, listener);
+    HttpExchange exchange = new HttpExchange(this, call, listener);
     exchange.limit(bootstrap.config().group().next(), timeoutMs);
     Channel kept = takeIdle(call.address());
     if (kept != null) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -24,18 +24,15 @@
   private final HttpClient client;
   private final HttpCall call;
   private final HttpStreamListener listener;
-  private final int readIntervalMs;
   private final AtomicBoolean over = new AtomicBoolean();
   private volatile Channel channel;
-  private volatile ReadGate gate;
   private volatile boolean written;
   private volatile Future<?> limit;
   private boolean keepAlive = true;
 
-  HttpExchange(HttpClient client, HttpCall call, int readIntervalMs, HttpStreamListener listener) {
+  HttpExchange(HttpClient client, HttpCall call, HttpStreamListener listener) {
     this.client = client;
     this.call = call;
-    this.readIntervalMs = readIntervalMs;
     this.listener = listener;
   }
 
@@ -54,7 +51,6 @@
 
   void begin(Channel opened) {
     channel = opened;
-    gate = new ReadGate(opened, readIntervalMs);
     if (over.get()) {
       opened.close();
       return;
@@ -99,13 +95,12 @@
   void part(byte[] bytes) {
     if (!over.get()) {
       listener.received(bytes);
-      gate.wasRead();
     }
   }
 
   void end() {
     if (keepAlive) {
-      gate.release();
+      channel.config().setAutoRead(true);
       client.keep(call.address(), channel);
     } else {
       channel.close();
@@ -136,17 +131,17 @@
 
   @Override
   public void pause() {
-    ReadGate current = gate;
+    Channel current = channel;
     if (current != null && !over.get()) {
-      current.pause(true);
+      current.config().setAutoRead(false);
     }
   }
 
   @Override
   public void resume() {
-    ReadGate current = gate;
+    Channel current = channel;
     if (current != null) {
-      current.pause(false);
+      current.config().setAutoRead(true);
     }
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/engine/EngineClient.java
@@ -18,7 +18,7 @@
  * Speaks the engines' protocol.
  *
  * <pre>{@code
- * EngineClient engines = new EngineClient(http, 10);
+ * EngineClient engines = new EngineClient(http);
  * engines.complete(address, run, timeoutMs, listener);
  * }</pre>
  *
@@ -36,18 +36,15 @@
   private static final long LOAD_TIMEOUT_MS = 10_000;
 
   private final HttpClient http;
-  private final int readIntervalMs;
   private final Gson gson = new Gson();
 
   /**
    * Makes a client.
    *
    * @param http what carries the calls
-   * @param readIntervalMs least time between two reads of one stream, in milliseconds; 0 for none
    */
-  public EngineClient(HttpClient http, int readIntervalMs) {
+  public EngineClient(HttpClient http) {
     this.http = http;
-    this.readIntervalMs = readIntervalMs;
   }
 
   /**
@@ -61,7 +58,7 @@
   public HttpStream complete(
       InetSocketAddress engine, EngineRun run, long timeoutMs, EngineStreamListener listener) {
     HttpCall call = HttpCall.to(engine, "POST", "/v1/completions").body(gson.toJson(run));
-    return http.stream(call, timeoutMs, readIntervalMs, new EngineStreamReader(gson, listener));
+    return http.stream(call, timeoutMs, new EngineStreamReader(gson, listener));
   }
 
   /**
@@ -80,7 +77,7 @@
       long timeoutMs,
       EngineStreamListener listener) {
     HttpCall call = HttpCall.to(engine, "GET", "/v1/streams/" + request + "?from=" + from);
-    return http.stream(call, timeoutMs, readIntervalMs, new EngineStreamReader(gson, listener));
+    return http.stream(call, timeoutMs, new EngineStreamReader(gson, listener));
   }
 
   /**
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -233,7 +233,7 @@
   }
 
   private Owner owner(HttpClient http) {
-    EngineClient engines = new EngineClient(http, settings.streamReadIntervalMs());
+    EngineClient engines = new EngineClient(http);
     return new Owner(
         () ->
             new OwnerShard(
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/EntrySettings.java
@@ -266,11 +266,6 @@
     return Boolean.parseBoolean(values.get(Setting.LEDGER_FIRST_INSTALL));
   }
 
-  /** Returns the least time between two reads of one engine's stream, in milliseconds. */
-  public int streamReadIntervalMs() {
-    return Math.toIntExact(number(Setting.STREAM_READ_INTERVAL_MS));
-  }
-
   /** Returns the largest body of a request, in bytes. */
   public int maxBodyBytes() {
     return Math.toIntExact(number(Setting.MAX_BODY_BYTES));
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/settings/Setting.java
@@ -139,14 +139,6 @@
       "says that no earlier fleet kept keys, so that keyed work is served at once",
       "holds only for the daemon that creates the ledger's membership on the platform, and is"
           + " ignored once there is one; wrong only if the platform's data was lost"),
-  STREAM_READ_INTERVAL_MS(
-      0,
-      100,
-      "10",
-      "ms",
-      "least time between two reads of one engine's stream; 0 hands each token on by itself",
-      "tokens that arrive within it share a read, a frame and a write; it delays a token by at most"
-          + " as much, but not the first, and 28 ms between tokens are allowed"),
   MAX_BODY_BYTES(
       1_024,
       16_777_216,
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/owner/OwnerShardTest.java
@@ -61,7 +61,7 @@
         new OwnerShard(
             MillisClock.monotonic(),
             new LruPlacement(),
-            new EngineClient(HttpClient.create(group, 500), 0),
+            new EngineClient(HttpClient.create(group, 500)),
             new OpenGate(),
             new SilentObserver(),
             Optional.empty());
