One way to take in a copy that an engine holds unheard of

AdaptivePlacement.adopt, for a load that ended late, and EndpointState.adopt, for what a look shows, did the same. The latter serves both; where the former was called no load of the adapter is under way, so nothing changes. Format, lint, AdaptivePlacementTest, its fuzz test and OwnerShardTest pass.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/AdaptivePlacement.java
@@ -163,7 +163,7 @@
     }
     Optional<EndpointState.Slot> loading = endpoint.loading(result.adapter());
     if (loading.isEmpty()) {
-      adopt(nowMs, endpoint, result);
+      result.handle().ifPresent(handle -> endpoint.adopt(nowMs, result.adapter(), handle));
       return decide(nowMs);
     }
     EndpointState.Slot slot = loading.get();
@@ -437,13 +437,6 @@
     }
   }
 
-  private void adopt(long nowMs, EndpointState endpoint, LoadResult result) {
-    result
-        .handle()
-        .filter(handle -> endpoint.hasFreeSlot() && !endpoint.knows(handle))
-        .ifPresent(handle -> endpoint.add(nowMs, result.adapter()).handle = handle);
-  }
-
   private List<PlacementAction> loadFailed(long nowMs, AdapterVersion adapter) {
     Failures failed = failures.computeIfAbsent(adapter, a -> new Failures());
     failed.count++;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/placement/EndpointState.java
@@ -86,8 +86,8 @@
     boolean changed = slots.removeIf(slot -> isGone(slot, status));
     for (Resident resident : status.residents()) {
       // What runs there was started by another owner; its end would not be heard of here.
-      if (!knows(resident.handle()) && resident.running().isEmpty()) {
-        changed |= adopt(nowMs, resident);
+      if (resident.running().isEmpty()) {
+        changed |= adopt(nowMs, resident.adapter(), resident.handle());
       }
     }
     for (AdapterVersion adapter : status.loading()) {
@@ -111,12 +111,13 @@
     return !resident && (slot.idle() || (foreignLoad && !status.loading().contains(slot.adapter)));
   }
 
-  private boolean adopt(long nowMs, Resident resident) {
-    Optional<Slot> loading = loading(resident.adapter());
-    if (loading.isEmpty() && !hasFreeSlot()) {
+  /** Takes in a copy that is not known here, if a slot is left for it; returns whether it was. */
+  boolean adopt(long nowMs, AdapterVersion adapter, LoadHandle handle) {
+    Optional<Slot> loading = loading(adapter);
+    if (knows(handle) || (loading.isEmpty() && !hasFreeSlot())) {
       return false;
     }
-    loading.orElseGet(() -> add(nowMs, resident.adapter())).handle = resident.handle();
+    loading.orElseGet(() -> add(nowMs, adapter)).handle = handle;
     return true;
   }
 
@@ -135,7 +136,7 @@
     return slots.stream().anyMatch(slot -> slot.adapter.equals(adapter));
   }
 
-  boolean knows(LoadHandle handle) {
+  private boolean knows(LoadHandle handle) {
     return slots.stream().anyMatch(slot -> handle.equals(slot.handle));
   }
 }
