--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpCall.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpCall.java
@@ -26,18 +26,21 @@
   private final String path;
   private final Map<String, String> headers;
   private final byte[] body;
+  private final ReusePolicy reuse;
 
   private HttpCall(
       InetSocketAddress address,
       String method,
       String path,
       Map<String, String> headers,
-      byte[] body) {
+      byte[] body,
+      ReusePolicy reuse) {
     this.address = Objects.requireNonNull(address, "address");
     this.method = Objects.requireNonNull(method, "method");
     this.path = Objects.requireNonNull(path, "path");
     this.headers = headers;
     this.body = body;
+    this.reuse = reuse;
   }
 
   /**
@@ -48,7 +51,7 @@
    * @param path path and query
    */
   public static HttpCall to(InetSocketAddress address, String method, String path) {
-    return new HttpCall(address, method, path, Map.of(), NO_BODY);
+    return new HttpCall(address, method, path, Map.of(), NO_BODY, ReusePolicy.ANY);
   }
 
   /**
@@ -60,7 +63,7 @@
   public HttpCall header(String name, String value) {
     Map<String, String> more = new LinkedHashMap<>(headers);
     more.put(name, value);
-    return new HttpCall(address, method, path, more, body);
+    return new HttpCall(address, method, path, more, body, reuse);
   }
 
   /**
@@ -78,7 +81,29 @@
    * @param bytes the body; not copied, so leave it unchanged
    */
   public HttpCall body(byte[] bytes) {
-    return new HttpCall(address, method, path, headers, bytes);
+    return new HttpCall(address, method, path, headers, bytes, reuse);
+  }
+
+  /**
+   * Returns this call with other headers in place of all that it has.
+   *
+   * @param all the headers; not copied, so leave them unchanged
+   */
+  public HttpCall headers(Map<String, String> all) {
+    return new HttpCall(address, method, path, all, body, reuse);
+  }
+
+  /**
+   * Returns this call with a rule for the connections that may carry it.
+   *
+   * @param policy the rule
+   */
+  public HttpCall reuse(ReusePolicy policy) {
+    return new HttpCall(address, method, path, headers, body, policy);
+  }
+
+  ReusePolicy reuse() {
+    return reuse;
   }
 
   InetSocketAddress address() {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoiapass.coordination.MillisClock;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.Deque;
@@ -33,10 +34,14 @@
   private static final int MAX_IDLE = 32;
 
   private final Bootstrap bootstrap;
-  private final ConcurrentMap<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
+  private final String echoedHeader;
+  private final ConcurrentMap<InetSocketAddress, Deque<KeptConnection>> idle =
+      new ConcurrentHashMap<>();
+  private final MillisClock clock = MillisClock.monotonic();
 
-  private HttpClient(Bootstrap bootstrap) {
+  private HttpClient(Bootstrap bootstrap, String echoedHeader) {
     this.bootstrap = bootstrap;
+    this.echoedHeader = echoedHeader;
   }
 
   /**
@@ -46,6 +51,19 @@
    * @param connectTimeoutMs how long a connection may take to open, in milliseconds
    */
   public static HttpClient create(EventLoopGroup group, int connectTimeoutMs) {
+    return create(group, connectTimeoutMs, null);
+  }
+
+  /**
+   * Returns a client of servers that repeat a header of the request in its answer. An answer that
+   * repeats another value belongs to another request, such as a late second answer to the one
+   * before; it is passed over, since taking it would give one caller the answer of another.
+   *
+   * @param group the event loops to run on
+   * @param connectTimeoutMs how long a connection may take to open, in milliseconds
+   * @param echoedHeader the name of the header; null if servers repeat none
+   */
+  public static HttpClient create(EventLoopGroup group, int connectTimeoutMs, String echoedHeader) {
     Bootstrap bootstrap =
         new Bootstrap()
             .group(group)
@@ -60,7 +78,7 @@
                     channel.pipeline().addLast(new HttpClientHandler());
                   }
                 });
-    return new HttpClient(bootstrap);
+    return new HttpClient(bootstrap, echoedHeader);
   }
 
   /**
@@ -86,11 +104,13 @@
   public HttpStream stream(HttpCall call, long timeoutMs, HttpStreamListener listener) {
     HttpExchange exchange = new HttpExchange(this, call, listener);
     exchange.limit(bootstrap.config().group().next(), timeoutMs);
-    Channel kept = takeIdle(call.address());
-    if (kept != null) {
-      kept.eventLoop().execute(() -> exchange.begin(kept));
-    } else {
+    Channel kept = takeIdle(call);
+    if (kept == null) {
       open(exchange, call.address());
+    } else if (kept.eventLoop().inEventLoop()) {
+      exchange.begin(kept);
+    } else {
+      kept.eventLoop().execute(() -> exchange.begin(kept));
     }
     return exchange;
   }
@@ -107,27 +127,56 @@
         });
   }
 
-  private Channel takeIdle(InetSocketAddress address) {
-    Deque<Channel> channels = idle.get(address);
-    if (channels == null) {
+  private Channel takeIdle(HttpCall call) {
+    Deque<KeptConnection> kept = idle.get(call.address());
+    if (kept == null) {
       return null;
     }
-    Channel channel = channels.pollLast();
-    while (channel != null && !channel.isActive()) {
-      channel = channels.pollLast();
+    long now = clock.millis();
+    for (KeptConnection next = kept.pollLast(); next != null; next = kept.pollLast()) {
+      if (next.channel().isActive() && call.reuse().allows(now - next.since(), next.limitMs())) {
+        return next.channel();
+      }
+      next.channel().close();
     }
-    return channel;
+    return null;
   }
 
-  void keep(InetSocketAddress address, Channel channel) {
-    Deque<Channel> channels = idle.computeIfAbsent(address, a -> new ConcurrentLinkedDeque<>());
-    if (channels.size() >= MAX_IDLE) {
+  String echoedHeader() {
+    return echoedHeader;
+  }
+
+  /**
+   * Keeps a connection for the next call to its address.
+   *
+   * @param address the server's address
+   * @param channel the connection
+   * @param limitMs how long the server said it keeps the connection, in milliseconds; negative if
+   *     it did not say
+   */
+  void keep(InetSocketAddress address, Channel channel, long limitMs) {
+    Deque<KeptConnection> kept = idle.computeIfAbsent(address, a -> new ConcurrentLinkedDeque<>());
+    if (kept.size() >= MAX_IDLE) {
       channel.close();
     } else {
-      channels.addLast(channel);
+      kept.addLast(new KeptConnection(channel, clock.millis(), limitMs));
+    }
+  }
+
+  /**
+   * Closes the kept connections to an address that no server uses any more.
+   *
+   * @param address the address
+   */
+  public void forget(InetSocketAddress address) {
+    Deque<KeptConnection> kept = idle.remove(address);
+    if (kept != null) {
+      kept.forEach(connection -> connection.channel().close());
     }
   }
 
+  private record KeptConnection(Channel channel, long since, long limitMs) {}
+
   /** Collects the parts of one answer. */
   private static final class Collector implements HttpStreamListener {
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -14,10 +14,14 @@
  */
 final class HttpClientHandler extends SimpleChannelInboundHandler<HttpObject> {
 
+  private static final int FIRST_FINAL_STATUS = 200;
+
   private HttpExchange current;
+  private boolean skipping;
 
   void expect(HttpExchange exchange) {
     current = exchange;
+    skipping = false;
   }
 
   @Override
@@ -28,30 +32,59 @@
       return;
     }
     if (message instanceof HttpResponse head) {
-      exchange.head(head.status().code(), head.headers(), HttpUtil.isKeepAlive(head));
+      begin(exchange, head);
     }
     if (message instanceof HttpContent content) {
-      if (content.content().isReadable()) {
-        exchange.part(ByteBufUtil.getBytes(content.content()));
-      }
-      if (message instanceof LastHttpContent) {
-        current = null;
-        exchange.end();
-      }
+      read(exchange, content);
+    }
+  }
+
+  private void begin(HttpExchange exchange, HttpResponse head) {
+    if (head.status().code() < FIRST_FINAL_STATUS) {
+      skipping = true;
+    } else if (!exchange.isMine(head.headers())) {
+      skipping = true;
+      exchange.tainted();
+    } else {
+      exchange.head(head.status().code(), head.headers(), HttpUtil.isKeepAlive(head));
+    }
+  }
+
+  private void read(HttpExchange exchange, HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    if (content.content().isReadable()) {
+      exchange.part(ByteBufUtil.getBytes(content.content()));
+    }
+    if (last) {
+      current = null;
+      exchange.end();
     }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    HttpExchange exchange = current;
-    current = null;
-    if (exchange != null) {
-      exchange.closed();
-    }
+    fail();
   }
 
+  /**
+   * Ends the exchange before the codec hears of the close: an answer without a length ends with its
+   * connection, and one that was cut by a reset would else count as whole.
+   */
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    fail();
     context.close();
   }
+
+  private void fail() {
+    HttpExchange exchange = current;
+    current = null;
+    if (exchange != null) {
+      exchange.closed();
+    }
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -13,6 +13,8 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Carries one HTTP request and its answer over one connection.
@@ -21,6 +23,10 @@
  */
 final class HttpExchange implements HttpStream {
 
+  private static final long UNSTATED = -1;
+  private static final String KEEP_ALIVE = "Keep-Alive";
+  private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
+
   private final HttpClient client;
   private final HttpCall call;
   private final HttpStreamListener listener;
@@ -28,7 +34,10 @@
   private volatile Channel channel;
   private volatile boolean written;
   private volatile Future<?> limit;
+  private volatile boolean flushed;
   private boolean keepAlive = true;
+  private boolean tainted;
+  private long keepAliveMs = UNSTATED;
 
   HttpExchange(HttpClient client, HttpCall call, HttpStreamListener listener) {
     this.client = client;
@@ -65,6 +74,7 @@
         .writeAndFlush(request())
         .addListener(
             done -> {
+              flushed = done.isSuccess();
               if (!done.isSuccess()) {
                 fail(new HttpFailure("cannot write the request: " + call, true));
                 opened.close();
@@ -86,7 +96,8 @@
   }
 
   void head(int status, HttpHeaders headers, boolean keepConnection) {
-    keepAlive = keepConnection;
+    keepAlive = keepConnection && !tainted;
+    keepAliveMs = statedLimitMs(headers);
     if (!over.get()) {
       listener.started(status, headers);
     }
@@ -98,10 +109,22 @@
     }
   }
 
+  private static long statedLimitMs(HttpHeaders headers) {
+    String stated = headers.get(KEEP_ALIVE);
+    Matcher seconds = stated == null ? null : KEEP_ALIVE_SECONDS.matcher(stated);
+    return seconds != null && seconds.find()
+        ? TimeUnit.SECONDS.toMillis(Long.parseLong(seconds.group(1)))
+        : UNSTATED;
+  }
+
+  /**
+   * Ends the exchange with a whole answer. A server may answer before it has read a long body; the
+   * rest of that body would be read as the next request, so such a connection is not kept.
+   */
   void end() {
-    if (keepAlive) {
+    if (keepAlive && flushed) {
       channel.config().setAutoRead(true);
-      client.keep(call.address(), channel);
+      client.keep(call.address(), channel, keepAliveMs);
     } else {
       channel.close();
     }
@@ -118,6 +141,19 @@
     }
   }
 
+  /** Tells whether an answer is for this call, where servers repeat a header of the request. */
+  boolean isMine(HttpHeaders headers) {
+    String name = client.echoedHeader();
+    String sent = name == null ? null : call.headers().get(name);
+    String echoed = sent == null ? null : headers.get(name);
+    return echoed == null || echoed.equals(sent);
+  }
+
+  /** Notes that the connection carried an answer to another request; it is not kept any more. */
+  void tainted() {
+    tainted = true;
+  }
+
   void closed() {
     fail(new HttpFailure("connection closed before the answer was whole: " + call, written));
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -12,9 +12,12 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.sequoiapass.coordination.MillisClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 
 /**
  * Serves HTTP/1.1 on one address.
@@ -43,10 +46,12 @@
 
   private final Channel listening;
   private final ChannelGroup connections;
+  private final AtomicBoolean closing;
 
-  private HttpServer(Channel listening, ChannelGroup connections) {
+  private HttpServer(Channel listening, ChannelGroup connections, AtomicBoolean closing) {
     this.listening = listening;
     this.connections = connections;
+    this.closing = closing;
   }
 
   /**
@@ -69,6 +74,26 @@
     return connections.size();
   }
 
+  /** Closes each connection after the answer that is under way or comes next on it. */
+  public void closeAfterAnswers() {
+    closing.set(true);
+  }
+
+  /** Closes the connections on which no request is arriving or being answered. */
+  public void closeResting() {
+    for (Channel connection : connections) {
+      ConnectionGuard guard = connection.pipeline().get(ConnectionGuard.class);
+      connection
+          .eventLoop()
+          .execute(
+              () -> {
+                if (guard != null && guard.isResting()) {
+                  connection.close();
+                }
+              });
+    }
+  }
+
   /** Stops accepting connections; those open go on. */
   public void stopAccepting() {
     listening.close().awaitUninterruptibly();
@@ -85,9 +110,11 @@
 
     private final EventLoopGroup group;
     private final HttpHandler handler;
+    private final AtomicBoolean closing = new AtomicBoolean();
     private int maxBodyBytes = 1 << 20;
     private int maxLineBytes = 4 << 10;
     private int maxHeaderBytes = 16 << 10;
+    private Supplier<ConnectionLimits> limits;
 
     private Builder(EventLoopGroup group, HttpHandler handler) {
       this.group = Objects.requireNonNull(group, "group");
@@ -107,6 +134,16 @@
       return this;
     }
 
+    /**
+     * Sets where the limits of a connection come from as it opens, in place of fixed ones.
+     *
+     * @param source returns the limits in force
+     */
+    public Builder limits(Supplier<ConnectionLimits> source) {
+      this.limits = Objects.requireNonNull(source, "source");
+      return this;
+    }
+
     /**
      * Starts listening.
      *
@@ -131,7 +168,11 @@
       if (!binding.isSuccess()) {
         throw new IOException("cannot listen on " + address, binding.cause());
       }
-      return new HttpServer(binding.channel(), connections);
+      return new HttpServer(binding.channel(), connections, closing);
+    }
+
+    private ConnectionLimits fixedLimits() {
+      return new ConnectionLimits(maxHeaderBytes, maxBodyBytes, 0, 0);
     }
 
     private ChannelInitializer<SocketChannel> initializer(ChannelGroup connections) {
@@ -140,9 +181,14 @@
         protected void initChannel(SocketChannel channel) {
           connections.add(channel);
           channel.pipeline().addLast(new FlushConsolidationHandler(MAX_JOINED_FLUSHES, true));
-          channel.pipeline().addLast(new HttpServerCodec(maxLineBytes, maxHeaderBytes, 64 << 10));
-          channel.pipeline().addLast(new BodyCollector(maxBodyBytes));
-          channel.pipeline().addLast(new HttpServerHandler(handler));
+          ConnectionLimits bounds = limits == null ? fixedLimits() : limits.get();
+          ConnectionGuard guard = new ConnectionGuard(bounds, MillisClock.monotonic());
+          channel.pipeline().addLast(guard);
+          channel
+              .pipeline()
+              .addLast(new HttpServerCodec(maxLineBytes, bounds.maxHeaderBytes(), 64 << 10));
+          channel.pipeline().addLast(new BodyCollector(bounds.maxBodyBytes()));
+          channel.pipeline().addLast(new HttpServerHandler(handler, guard, closing::get));
         }
       };
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -10,6 +10,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.function.BooleanSupplier;
 
 /**
  * Hands the requests of one server connection to the handler, one after another.
@@ -23,12 +24,23 @@
   private static final int MAX_WAITING = 16;
 
   private final HttpHandler handler;
+  private final ConnectionGuard guard;
+  private final BooleanSupplier closing;
   private final Queue<PendingCall> waiting = new ArrayDeque<>();
   private ServerExchange current;
   private boolean refused;
 
-  HttpServerHandler(HttpHandler handler) {
+  /**
+   * Makes a handler.
+   *
+   * @param handler what answers
+   * @param guard what watches the connection's times
+   * @param closing whether the connection is to close after the next answer
+   */
+  HttpServerHandler(HttpHandler handler, ConnectionGuard guard, BooleanSupplier closing) {
     this.handler = handler;
+    this.guard = guard;
+    this.closing = closing;
   }
 
   @Override
@@ -50,6 +62,7 @@
   }
 
   private void accept(ChannelHandlerContext context, FullHttpRequest request) {
+    guard.requestArrived();
     if (request.decoderResult().isFailure()) {
       refuse(context, faultOf(request.decoderResult().cause()));
       return;
@@ -80,7 +93,7 @@
 
   private void refuse(ChannelHandlerContext context, HttpFault fault) {
     refused = true;
-    handler.refuse(fault, new ServerExchange(context, false, () -> {}));
+    handler.refuse(fault, new ServerExchange(context, () -> false, () -> {}));
   }
 
   private void next(ChannelHandlerContext context) {
@@ -91,12 +104,16 @@
     if (call == null) {
       return;
     }
-    current = new ServerExchange(context, call.keepAlive(), () -> finished(context));
+    BooleanSupplier keep = () -> call.keepAlive() && !closing.getAsBoolean();
+    current = new ServerExchange(context, keep, () -> finished(context));
     handler.handle(call.request(), current);
   }
 
   private void finished(ChannelHandlerContext context) {
     current = null;
+    if (waiting.isEmpty()) {
+      guard.answerEnded();
+    }
     next(context);
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ServerExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ServerExchange.java
@@ -18,19 +18,21 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 /** Sends the answer to one request of one server connection; safe for use by several threads. */
 final class ServerExchange implements HttpResponder {
 
   private final ChannelHandlerContext context;
-  private final boolean keepAlive;
+  private final BooleanSupplier keepAlive;
+  private boolean closesAfter;
   private final Runnable finished;
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile Runnable onWritable = () -> {};
   private volatile Runnable onClose = () -> {};
   private volatile boolean closed;
 
-  ServerExchange(ChannelHandlerContext context, boolean keepAlive, Runnable finished) {
+  ServerExchange(ChannelHandlerContext context, BooleanSupplier keepAlive, Runnable finished) {
     this.context = context;
     this.keepAlive = keepAlive;
     this.finished = finished;
@@ -90,7 +92,7 @@
       markClosing(head);
     }
     var written = context.writeAndFlush(last);
-    if (keepAlive) {
+    if (!closesAfter) {
       context.executor().execute(finished);
     } else {
       written.addListener(ChannelFutureListener.CLOSE);
@@ -98,7 +100,8 @@
   }
 
   private void markClosing(HttpResponse head) {
-    if (!keepAlive) {
+    closesAfter = !keepAlive.getAsBoolean();
+    if (closesAfter) {
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/NettyPeerChannel.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/NettyPeerChannel.java
@@ -1,33 +1,31 @@
 package io.sequoiapass.daemon.connection.peer;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
+import io.sequoiapass.daemon.connection.FrameChannel;
 
 /** Sends messages over one Netty connection; safe for use by several threads. */
 final class NettyPeerChannel implements PeerChannel {
 
-  private final Channel channel;
+  private final FrameChannel channel;
   private final PeerCounters counters;
 
-  NettyPeerChannel(Channel channel, PeerCounters counters) {
+  NettyPeerChannel(FrameChannel channel, PeerCounters counters) {
     this.channel = channel;
     this.counters = counters;
   }
 
   @Override
   public boolean send(PeerMessage message) {
-    if (!channel.isActive()) {
+    if (!channel.isOpen()) {
       return false;
     }
     byte[] frame = PeerFrames.encode(message);
     counters.sent(message, frame.length);
-    channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
-    return true;
+    return channel.send(frame);
   }
 
   @Override
   public boolean writable() {
-    return channel.isWritable();
+    return channel.writable();
   }
 
   @Override
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/peer/PeerHandler.java
@@ -1,49 +1,38 @@
 package io.sequoiapass.daemon.connection.peer;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.sequoiapass.daemon.connection.FrameChannel;
+import io.sequoiapass.daemon.connection.FrameListener;
 
-/** Hands the frames of one connection to its listener; used on the connection's event loop. */
-final class PeerHandler extends SimpleChannelInboundHandler<ByteBuf> {
+/** Hands the messages of one connection to its listener; used on the connection's event loop. */
+final class PeerHandler implements FrameListener {
 
-  private final PeerChannel peer;
+  private final PeerCounters counters;
   private final PeerListener listener;
+  private PeerChannel peer;
 
-  PeerHandler(PeerChannel peer, PeerListener listener) {
-    this.peer = peer;
+  PeerHandler(PeerCounters counters, PeerListener listener) {
+    this.counters = counters;
     this.listener = listener;
   }
 
   @Override
-  public void channelActive(ChannelHandlerContext context) {
+  public void opened(FrameChannel channel) {
+    peer = new NettyPeerChannel(channel, counters);
     listener.opened(peer);
   }
 
   @Override
-  protected void channelRead0(ChannelHandlerContext context, ByteBuf frame)
-      throws PeerFrameException {
-    listener.received(peer, PeerFrames.decode(ByteBufUtil.getBytes(frame)));
+  public void received(FrameChannel channel, byte[] frame) throws PeerFrameException {
+    listener.received(peer, PeerFrames.decode(frame));
   }
 
   @Override
-  public void channelWritabilityChanged(ChannelHandlerContext context) {
+  public void writabilityChanged(FrameChannel channel) {
     listener.writabilityChanged(peer);
   }
 
   @Override
-  public void channelInactive(ChannelHandlerContext context) {
-    listener.closed(peer);
-  }
-
-  /**
-   * A frame that cannot be read means that the two sides no longer agree on where frames begin, so
-   * every later frame of this connection would be misread. Closing it is enough: each side treats
-   * the attempts on it as lost, and other connections are untouched.
-   */
-  @Override
-  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    context.close();
+  public void closed(FrameChannel channel) {
+    listener.closed(peer == null ? new NettyPeerChannel(channel, counters) : peer);
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
@@ -43,6 +43,16 @@
           : EntryCommand.run(arguments, environment, err).code();
     }
   },
+  /** Runs the daemon in front of a deployment's own endpoints. */
+  SERVE(
+      "[--metrics-port PORT]",
+      "run one daemon on the host's own settings until it is told to stop",
+      CommandFlag.METRICS_PORT) {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return ServeCommand.run(invocation);
+    }
+  },
   /** Brings a configuration file into force. */
   APPLY(
       "-f FILE [--dry-run] --platform HOST:PORT",
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandFlag.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/CommandFlag.java
@@ -18,7 +18,8 @@
   ADAPTER("NAME", false, null, "only events of this adapter, with or without @VERSION"),
   ENDPOINT("NAME", false, null, "only events of this endpoint"),
   KIND("KIND,...", false, null, "only events of these kinds"),
-  LIMIT("N", false, "2000", "at most the newest N events of each daemon: 1 to 1000000");
+  LIMIT("N", false, "2000", "at most the newest N events of each daemon: 1 to 1000000"),
+  METRICS_PORT("PORT", false, null, "serve metrics as text on this port: 1 to 65535");
 
   /** Bounds of {@link #TIMEOUT_MS}: shorter loses to a busy host, longer looks like a hang. */
   static final long TIMEOUT_MINIMUM_MS = 100;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Invocation.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Invocation.java
@@ -73,6 +73,10 @@
     }
   }
 
+  Map<String, String> environment() {
+    return environment;
+  }
+
   PrintStream out() {
     return out;
   }
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -0,0 +1,246 @@
+package io.sequoiapass.gateway.connection;
+
+import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.gateway.process.Activity;
+import io.sequoiapass.gateway.process.Load;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Turns messages between daemons into frames and back.
+ *
+ * <pre>{@code
+ * byte[] frame = LinkFrames.encode(new LinkMessage.Hello(daemon, dataCentre));
+ * LinkMessage message = LinkFrames.decode(frame);
+ * }</pre>
+ *
+ * <p>A frame is the type's number and then the fields in the order of the record. Safe for use by
+ * several threads.
+ */
+public final class LinkFrames {
+
+  private static final int HELLO = 1;
+  private static final int DOING = 2;
+  private static final int NEED = 3;
+  private static final int MISSED = 4;
+  private static final int STANDING = 5;
+  private static final int PLACEMENTS = 6;
+  private static final int LOADS = 7;
+  private static final int NO_ROOM = 8;
+
+  private LinkFrames() {}
+
+  /** Tells that bytes are no frame of this protocol. */
+  public static final class FormatException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    FormatException(String message, Throwable cause) {
+      super(message, cause);
+    }
+  }
+
+  /**
+   * Returns the frame of a message.
+   *
+   * @param message the message
+   */
+  public static byte[] encode(LinkMessage message) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      write(out, message);
+      return out.toByteArray();
+    } catch (IOException impossible) {
+      throw new UncheckedIOException("a buffer in memory cannot fail", impossible);
+    }
+  }
+
+  private static void write(MessageBufferPacker out, LinkMessage message) throws IOException {
+    if (message instanceof LinkMessage.Hello hello) {
+      out.packInt(HELLO);
+      out.packString(hello.daemon().value());
+      out.packString(hello.dataCentre().value());
+    } else if (message instanceof LinkMessage.Doing doing) {
+      out.packInt(DOING);
+      list(out, doing.activities(), LinkFrames::writeActivity);
+    } else if (message instanceof LinkMessage.Need need) {
+      out.packInt(NEED);
+      writeAdapter(out, need.adapter());
+      out.packLong(need.version());
+      out.packBoolean(need.another());
+    } else if (message instanceof LinkMessage.Missed missed) {
+      out.packInt(MISSED);
+      out.packString(missed.endpoint().value());
+      writeAdapter(out, missed.adapter());
+      out.packBoolean(missed.early());
+    } else {
+      writeOfCoordinator(out, message);
+    }
+  }
+
+  private static void writeOfCoordinator(MessageBufferPacker out, LinkMessage message)
+      throws IOException {
+    if (message instanceof LinkMessage.Standing standing) {
+      out.packInt(STANDING);
+      out.packLong(standing.epoch());
+      out.packLong(standing.revision());
+      out.packInt(standing.daemons());
+      out.packBoolean(standing.stopping());
+    } else if (message instanceof LinkMessage.Placements placements) {
+      out.packInt(PLACEMENTS);
+      out.packBoolean(placements.whole());
+      list(out, placements.placements(), LinkFrames::writePlacement);
+    } else if (message instanceof LinkMessage.Loads loads) {
+      out.packInt(LOADS);
+      list(
+          out,
+          loads.loads(),
+          (to, load) -> {
+            to.packString(load.endpoint().value());
+            writeLoad(to, load.load());
+          });
+    } else if (message instanceof LinkMessage.NoRoom noRoom) {
+      out.packInt(NO_ROOM);
+      writeAdapter(out, noRoom.adapter());
+      out.packLong(noRoom.comeBackMs());
+    } else {
+      throw new IllegalArgumentException("no frame for " + message);
+    }
+  }
+
+  @FunctionalInterface
+  private interface Writer<T> {
+    void write(MessageBufferPacker out, T value) throws IOException;
+  }
+
+  private static <T> void list(MessageBufferPacker out, List<T> values, Writer<T> writer)
+      throws IOException {
+    out.packArrayHeader(values.size());
+    for (T value : values) {
+      writer.write(out, value);
+    }
+  }
+
+  private static void writeAdapter(MessageBufferPacker out, AdapterName adapter)
+      throws IOException {
+    out.packString(adapter.model().value());
+    out.packString(adapter.adapter().value());
+  }
+
+  private static void writeLoad(MessageBufferPacker out, Load load) throws IOException {
+    out.packInt(load.running());
+    out.packLong(load.prefillTokens());
+    out.packLong(load.memoryTokens());
+  }
+
+  private static void writePlacement(MessageBufferPacker out, LinkMessage.Placement placement)
+      throws IOException {
+    out.packString(placement.endpoint().value());
+    writeAdapter(out, placement.adapter());
+    out.packLong(placement.version());
+    out.packLong(placement.readyInMs());
+  }
+
+  private static void writeActivity(MessageBufferPacker out, Activity activity) throws IOException {
+    out.packString(activity.endpoint().value());
+    writeLoad(out, activity.load());
+    list(
+        out,
+        activity.uses(),
+        (to, use) -> {
+          writeAdapter(to, use.adapter());
+          to.packInt(use.running());
+          to.packInt(use.starts());
+        });
+  }
+
+  /**
+   * Returns the message of a frame.
+   *
+   * @param frame the bytes
+   * @throws FormatException if they are no frame of the protocol
+   */
+  public static LinkMessage decode(byte[] frame) throws FormatException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
+      LinkMessage message = read(in, in.unpackInt());
+      if (in.hasNext()) {
+        throw new IOException("bytes after the end of the frame");
+      }
+      return message;
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new FormatException("not a frame: " + e.getMessage(), e);
+    }
+  }
+
+  private static LinkMessage read(MessageUnpacker in, int type) throws IOException {
+    return switch (type) {
+      case HELLO ->
+          new LinkMessage.Hello(
+              new DaemonId(in.unpackString()), new DataCentreId(in.unpackString()));
+      case DOING -> new LinkMessage.Doing(list(in, LinkFrames::readActivity));
+      case NEED -> new LinkMessage.Need(readAdapter(in), in.unpackLong(), in.unpackBoolean());
+      case MISSED ->
+          new LinkMessage.Missed(
+              new EndpointId(in.unpackString()), readAdapter(in), in.unpackBoolean());
+      case STANDING ->
+          new LinkMessage.Standing(
+              in.unpackLong(), in.unpackLong(), in.unpackInt(), in.unpackBoolean());
+      case PLACEMENTS ->
+          new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
+      case LOADS -> new LinkMessage.Loads(list(in, LinkFrames::readEndpointLoad));
+      case NO_ROOM -> new LinkMessage.NoRoom(readAdapter(in), in.unpackLong());
+      default -> throw new IOException("unknown type " + type);
+    };
+  }
+
+  @FunctionalInterface
+  private interface Reader<T> {
+    T read(MessageUnpacker in) throws IOException;
+  }
+
+  /** Grows with what is there, since a bad frame may claim any length. */
+  private static <T> List<T> list(MessageUnpacker in, Reader<T> reader) throws IOException {
+    int size = in.unpackArrayHeader();
+    List<T> values = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      values.add(reader.read(in));
+    }
+    return values;
+  }
+
+  private static AdapterName readAdapter(MessageUnpacker in) throws IOException {
+    return new AdapterName(new ModelId(in.unpackString()), new AdapterId(in.unpackString()));
+  }
+
+  private static Load readLoad(MessageUnpacker in) throws IOException {
+    return new Load(in.unpackInt(), in.unpackLong(), in.unpackLong());
+  }
+
+  private static LinkMessage.Placement readPlacement(MessageUnpacker in) throws IOException {
+    return new LinkMessage.Placement(
+        new EndpointId(in.unpackString()), readAdapter(in), in.unpackLong(), in.unpackLong());
+  }
+
+  private static LinkMessage.EndpointLoad readEndpointLoad(MessageUnpacker in) throws IOException {
+    return new LinkMessage.EndpointLoad(new EndpointId(in.unpackString()), readLoad(in));
+  }
+
+  private static Activity readActivity(MessageUnpacker in) throws IOException {
+    EndpointId endpoint = new EndpointId(in.unpackString());
+    Load load = readLoad(in);
+    return new Activity(
+        endpoint,
+        load,
+        list(in, from -> new Activity.Use(readAdapter(from), from.unpackInt(), from.unpackInt())));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/package-info.java
@@ -0,0 +1,2 @@
+/** Frames and links between daemons. */
+package io.sequoiapass.gateway.connection;
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterDemand.java
@@ -0,0 +1,45 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Counts how often adapters are asked for, so that older requests count less and less.
+ *
+ * <p>Demand moves on through the list of adapters within seconds, so what was busy half a minute
+ * ago says little. Not safe for use by several threads.
+ */
+final class AdapterDemand {
+
+  /**
+   * Time in which a request's weight halves, in milliseconds: long enough to tell a request every
+   * two seconds from one in ten, short enough to follow demand that moves on within six seconds.
+   */
+  private static final double HALF_LIFE_MS = 8_000;
+
+  /** Scores below this are forgotten. */
+  private static final double LEAST = 0.02;
+
+  private final Map<AdapterName, Score> scores = new HashMap<>();
+
+  private record Score(double value, long at) {
+
+    double at(long now) {
+      return value * Math.pow(0.5, (now - at) / HALF_LIFE_MS);
+    }
+  }
+
+  void asked(AdapterName adapter, int times, long now) {
+    scores.put(adapter, new Score(of(adapter, now) + times, now));
+  }
+
+  double of(AdapterName adapter, long now) {
+    Score score = scores.get(adapter);
+    return score == null ? 0 : score.at(now);
+  }
+
+  void forgetIdle(long now) {
+    scores.values().removeIf(score -> score.at(now) < LEAST);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -0,0 +1,148 @@
+package io.sequoiapass.gateway.process;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.connection.HttpHandler;
+import io.sequoiapass.daemon.connection.HttpRequestMessage;
+import io.sequoiapass.daemon.connection.HttpResponder;
+import io.sequoiapass.gateway.request.Generation;
+import io.sequoiapass.gateway.request.RelayContext;
+import io.sequoiapass.gateway.request.RelayedRequest;
+import io.sequoiapass.gateway.spi.CallerFacts;
+import io.sequoiapass.gateway.spi.HostSettings;
+import io.sequoiapass.gateway.version.EngineSpec;
+import io.sequoiapass.gateway.version.RouteSpec;
+import io.sequoiapass.gateway.version.ServingConfiguration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+/** Takes callers' requests, finds their routes and starts them; safe for use by several threads. */
+final class CallerHandler implements HttpHandler {
+
+  private final RelayContext context;
+  private final Supplier<ServingConfiguration> configuration;
+  private final EndpointDirectory directory;
+  private final HostSettings.Bounds bounds;
+  private final IntSupplier daemons;
+  private final Map<ServiceId, RepeatBudget> budgets = new ConcurrentHashMap<>();
+  private final AtomicInteger underWay = new AtomicInteger();
+
+  CallerHandler(
+      RelayContext context,
+      Supplier<ServingConfiguration> configuration,
+      EndpointDirectory directory,
+      HostSettings.Bounds bounds,
+      IntSupplier daemons) {
+    this.context = context;
+    this.configuration = configuration;
+    this.directory = directory;
+    this.bounds = bounds;
+    this.daemons = daemons;
+  }
+
+  /** Returns how many requests are under way. */
+  int underWay() {
+    return underWay.get();
+  }
+
+  @Override
+  public void handle(HttpRequestMessage request, HttpResponder responder) {
+    CallerFacts facts = context.callers().read(request);
+    ServingConfiguration known = configuration.get();
+    if (known == null) {
+      refuse(ErrorKind.NO_CONFIGURATION, facts, responder);
+      return;
+    }
+    if (isAmbiguous(request)) {
+      refuse(ErrorKind.MALFORMED_REQUEST, facts, responder);
+      return;
+    }
+    String host = request.header(HttpHeaderNames.HOST.toString()).orElse("");
+    Optional<RouteSpec> route = known.route(host, pathOf(request.target()));
+    if (route.isEmpty()) {
+      refuse(ErrorKind.UNKNOWN_SERVICE, facts, responder);
+      return;
+    }
+    ServiceId service = route.get().target(Math.random());
+    if (!isKnown(facts, known, service)) {
+      refuse(ErrorKind.UNKNOWN_ADAPTER, facts, responder);
+      return;
+    }
+    start(request, responder, facts, route.get(), service);
+  }
+
+  /**
+   * Two ways of telling a body's length let a second request hide in the first one's body: who
+   * reads it by the other way takes the rest for a request of its own.
+   */
+  private static boolean isAmbiguous(HttpRequestMessage request) {
+    List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean strange =
+        encodings.size() > 1
+            || (encodings.size() == 1
+                && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0).trim()));
+    return strange || request.headers().getAll(HttpHeaderNames.HOST).size() > 1;
+  }
+
+  private static String pathOf(String target) {
+    int query = target.indexOf('?');
+    return query < 0 ? target : target.substring(0, query);
+  }
+
+  /** An adapter that the configuration does not know can never be brought. */
+  private static boolean isKnown(
+      CallerFacts facts, ServingConfiguration configuration, ServiceId service) {
+    Optional<EngineSpec> engine = configuration.service(service).flatMap(spec -> spec.engine());
+    if (facts.generation().isEmpty() || engine.isEmpty() || engine.get().models().isEmpty()) {
+      return true;
+    }
+    Generation generation = facts.generation().get();
+    Optional<AdapterId> adapter = generation.adapter().map(name -> name.adapter());
+    return engine.get().models().stream()
+        .filter(spec -> spec.model().equals(generation.model()))
+        .anyMatch(spec -> adapter.isEmpty() || spec.knows().test(adapter.get()));
+  }
+
+  private void start(
+      HttpRequestMessage request,
+      HttpResponder responder,
+      CallerFacts facts,
+      RouteSpec route,
+      ServiceId service) {
+    RepeatBudget budget =
+        budgets.computeIfAbsent(service, name -> new RepeatBudget(bounds, daemons));
+    budget.requestArrived(context.clock().millis());
+    underWay.incrementAndGet();
+    new RelayedRequest(
+            context,
+            route,
+            directory.group(service),
+            budget,
+            facts,
+            new RelayedRequest.Exchange(request, responder),
+            underWay::decrementAndGet)
+        .start();
+  }
+
+  private void refuse(ErrorKind kind, CallerFacts facts, HttpResponder responder) {
+    context.metrics().count("sequoiapass_requests_total{outcome=\"refused_" + kind + "\"}");
+    context
+        .log()
+        .request("ended", facts.requestId())
+        .with("outcome", "refused_" + kind)
+        .with("status", kind.httpStatus())
+        .write();
+    responder.respond(
+        kind.httpStatus(),
+        context.callers().ownHeaders(facts.requestId(), kind.comeBackMillis()),
+        "{\"error\":\"" + kind + "\",\"message\":\"" + kind.message() + "\"}");
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -0,0 +1,36 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+
+/**
+ * One endpoint as the choice for a request sees it, at one moment.
+ *
+ * @param endpoint its name
+ * @param dataCentre where it runs
+ * @param near whether it runs in this daemon's data centre
+ * @param slots requests that it runs at once
+ * @param running requests that are known to be there, those of other daemons included
+ * @param prefillTokens prompt tokens sent there of which no answer has begun
+ * @param memoryTokens memory that the running requests take, in tokens
+ * @param memoryLimit memory for running requests and kept prompts, in tokens; 0 if unknown
+ * @param keptTokens leading tokens of this request's prompt that are likely to be kept there
+ * @param readyInMs when the wanted adapter is there, in milliseconds; 0 if it is, negative if it is
+ *     not on its way
+ */
+public record Candidate(
+    EndpointId endpoint,
+    DataCentreId dataCentre,
+    boolean near,
+    int slots,
+    int running,
+    long prefillTokens,
+    long memoryTokens,
+    long memoryLimit,
+    long keptTokens,
+    long readyInMs) {
+
+  boolean holds() {
+    return readyInMs >= 0;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -0,0 +1,40 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.request.ErrorKind;
+
+/** What is to be done with a request now. */
+public sealed interface Choice {
+
+  /**
+   * Send it.
+   *
+   * @param candidate where to
+   * @param expectedMs the expected time until the answer begins, in milliseconds
+   * @param wantsCopy whether another copy of the adapter would have served it clearly sooner
+   */
+  record Send(Candidate candidate, long expectedMs, boolean wantsCopy) implements Choice {}
+
+  /**
+   * Wait until the adapter has arrived.
+   *
+   * @param candidate where it arrives
+   * @param waitMs for how long, in milliseconds
+   */
+  record AwaitLoad(Candidate candidate, long waitMs) implements Choice {}
+
+  /**
+   * Have the adapter loaded.
+   *
+   * @param dataCentre where
+   */
+  record RequestLoad(DataCentreId dataCentre) implements Choice {}
+
+  /**
+   * Refuse it: it has not run.
+   *
+   * @param kind the reason
+   * @param comeBackMs when the caller may come back, in milliseconds
+   */
+  record Refuse(ErrorKind kind, long comeBackMs) implements Choice {}
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -0,0 +1,259 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.spi.CoordinatorLease;
+import io.sequoiapass.gateway.spi.MetadataStore;
+import io.sequoiapass.gateway.spi.StoreKind;
+import io.sequoiapass.gateway.spi.StoreList;
+import io.sequoiapass.gateway.spi.Stored;
+import io.sequoiapass.gateway.spi.WriteResult;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ScheduledExecutorService;
+
+/**
+ * Keeps this daemon's place among the others: takes part in the election of its data centre's
+ * coordinator, and holds a link to the coordinator of each data centre of its region.
+ *
+ * <p>Safe for use by several threads; the election is one shard of state under this object's lock.
+ */
+final class CoordinationNode {
+
+  /** Pause between two readings of the leases while a coordinator is missing, in milliseconds. */
+  private static final long READ_MS = 700;
+
+  private final DataCentreId here;
+  private final CoordinatorElection election;
+  private final MetadataStore store;
+  private final ScheduledExecutorService loop;
+  private final MillisClock clock;
+  private final FreezeDetector freezes;
+  private final DecisionLog log;
+  private final Map<DataCentreId, CoordinatorLink> links = new TreeMap<>();
+  private Coordinator coordinator;
+  private boolean reading;
+  private long lastRead;
+
+  /**
+   * Makes a node; {@link #use} has to follow.
+   *
+   * @param here this daemon's data centre
+   * @param election decides on the lease
+   * @param store keeps the leases
+   * @param loop runs what comes later
+   * @param clock the monotonic clock
+   * @param freezes notices a suspended host
+   * @param log the log
+   */
+  CoordinationNode(
+      DataCentreId here,
+      CoordinatorElection election,
+      MetadataStore store,
+      ScheduledExecutorService loop,
+      MillisClock clock,
+      FreezeDetector freezes,
+      DecisionLog log) {
+    this.here = here;
+    this.election = election;
+    this.store = store;
+    this.loop = loop;
+    this.clock = clock;
+    this.freezes = freezes;
+    this.log = log;
+    this.lastRead = clock.millis() - READ_MS;
+  }
+
+  /** Sets the coordinator that runs while the lease is held, and the links. */
+  void use(Coordinator theCoordinator, List<CoordinatorLink> theLinks) {
+    coordinator = theCoordinator;
+    theLinks.forEach(link -> links.put(link.dataCentre(), link));
+  }
+
+  /** Returns whether an order may be given now. */
+  synchronized boolean mayOrder(long now, boolean fenced) {
+    if (freezes.noticed()) {
+      log.belief("freeze_noticed").with("holding", election.isHolding()).write();
+      freezes.suspect();
+    }
+    boolean current = fenced || !freezes.isSuspect();
+    return current && election.mayOrder(now, fenced);
+  }
+
+  /** Takes in what a coordinator told of itself. */
+  synchronized void heard(DataCentreId dataCentre, LinkMessage.Standing standing) {
+    if (dataCentre.equals(here)) {
+      election.heard(standing.revision(), clock.millis());
+    }
+  }
+
+  /** Ends holding the lease: an endpoint has seen a higher epoch. */
+  void fenced() {
+    synchronized (this) {
+      election.superseded();
+    }
+    coordinator.deactivate("fenced");
+  }
+
+  /** Gives the lease up for a planned stop. */
+  void giveUp() {
+    synchronized (this) {
+      election.giveUp();
+    }
+    coordinator.stop();
+    tick();
+  }
+
+  /** Does what is due; called several times a second. */
+  void tick() {
+    links.values().forEach(CoordinatorLink::tick);
+    long now = clock.millis();
+    boolean linked = links.get(here).isUp();
+    CoordinatorElection.Step step;
+    synchronized (this) {
+      step = election.next(now, linked);
+      if (step == CoordinatorElection.Step.REST && isReadDue(now)) {
+        step = CoordinatorElection.Step.READ;
+      }
+    }
+    switch (step) {
+      case READ -> read(now);
+      case WRITE -> write();
+      default -> {}
+    }
+  }
+
+  private boolean isReadDue(long now) {
+    return !reading
+        && now - lastRead >= READ_MS
+        && links.values().stream().anyMatch(link -> !link.isTrying());
+  }
+
+  private void read(long now) {
+    synchronized (this) {
+      reading = true;
+      lastRead = now;
+    }
+    store
+        .list(StoreKind.LEASES)
+        .whenComplete((list, failure) -> loop.execute(() -> taken(list, failure)));
+  }
+
+  private void taken(StoreList<CoordinatorLease> list, Throwable failure) {
+    boolean began;
+    synchronized (this) {
+      reading = false;
+      if (failure != null) {
+        election.readFailed();
+        return;
+      }
+      boolean before = election.isHolding();
+      Optional<Stored<CoordinatorLease>> mine =
+          list.items().stream().filter(item -> item.name().equals(here.value())).findFirst();
+      election.read(mine, clock.millis());
+      began = !before && election.isHolding();
+    }
+    if (began) {
+      begin();
+    }
+    list.items().forEach(this::connect);
+  }
+
+  private void connect(Stored<CoordinatorLease> lease) {
+    CoordinatorLink link = links.get(new DataCentreId(lease.name()));
+    if (link != null && lease.value().isPresent() && !lease.value().get().released()) {
+      link.connect(lease.value().get().address());
+    }
+  }
+
+  private void write() {
+    CoordinatorLease proposal = election.proposal();
+    store
+        .write(StoreKind.LEASES, here.value(), proposal, election.expected())
+        .whenComplete((result, failure) -> loop.execute(() -> written(proposal, result)));
+  }
+
+  private void written(CoordinatorLease proposal, WriteResult<CoordinatorLease> result) {
+    boolean changed;
+    boolean holding;
+    long revision;
+    synchronized (this) {
+      WriteResult<CoordinatorLease> known = result == null ? new WriteResult.Unknown<>() : result;
+      changed = election.written(known, clock.millis());
+      holding = election.isHolding();
+      revision = election.revision();
+      if (known instanceof WriteResult.Written) {
+        freezes.trust();
+      }
+    }
+    if (changed) {
+      log.belief("lease")
+          .with("holding", holding)
+          .with("epoch", proposal.epoch())
+          .with("revision", revision)
+          .with("result", String.valueOf(result))
+          .write();
+    }
+    if (changed && holding) {
+      begin();
+    } else if (changed) {
+      coordinator.deactivate("lease lost");
+    }
+    if (holding) {
+      coordinator.renewed(revision);
+    }
+  }
+
+  private void begin() {
+    long epoch;
+    long revision;
+    CoordinatorLease lease;
+    synchronized (this) {
+      epoch = election.epoch();
+      revision = election.revision();
+      lease = election.proposal();
+    }
+    coordinator.activate(epoch);
+    coordinator.renewed(revision);
+    if (lease != null) {
+      links.get(here).connect(lease.address());
+    }
+  }
+
+  /** Returns the data centres whose coordinator is heard, this daemon's own first. */
+  List<DataCentreId> coordinated() {
+    List<DataCentreId> heard = new ArrayList<>();
+    links.values().stream()
+        .filter(CoordinatorLink::isUp)
+        .map(CoordinatorLink::dataCentre)
+        .sorted(Comparator.comparing((DataCentreId dc) -> !dc.equals(here)))
+        .forEach(heard::add);
+    return heard;
+  }
+
+  /** Returns how many daemons are known to be linked to coordinators. */
+  int daemons() {
+    return links.values().stream().mapToInt(CoordinatorLink::daemons).max().orElse(0);
+  }
+
+  /** Has an adapter brought to an engine of a data centre; returns false if nobody hears it. */
+  boolean need(DataCentreId dataCentre, AdapterName adapter, long version, boolean another) {
+    CoordinatorLink link = links.get(dataCentre);
+    return link != null && link.send(new LinkMessage.Need(adapter, version, another));
+  }
+
+  /** Tells that an endpoint refused a request for an adapter that should have been there. */
+  void missed(DataCentreId dataCentre, EndpointId endpoint, AdapterName adapter, boolean early) {
+    CoordinatorLink link = links.get(dataCentre);
+    if (link != null) {
+      link.send(new LinkMessage.Missed(endpoint, adapter, early));
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -0,0 +1,239 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.gateway.spi.CoordinatorLease;
+import io.sequoiapass.gateway.spi.Stored;
+import io.sequoiapass.gateway.spi.WriteResult;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Decides when this daemon takes, renews and loses the lease of its data centre's coordinator.
+ *
+ * <pre>{@code
+ * switch (election.next(now, linked)) {
+ *   case READ -> ...
+ *   case WRITE -> store.write(LEASES, name, election.proposal(now), election.expected());
+ * }
+ * }</pre>
+ *
+ * <p>The lease is an object of the store; its holder changes it again and again, and others judge
+ * by their own clock how long it has stayed the same, so no clocks are compared. All writes are
+ * conditional on the revision that was read, so one of two takers fails. Not safe for use by
+ * several threads.
+ */
+final class CoordinatorElection {
+
+  /** What to do next. */
+  enum Step {
+    /** Nothing now. */
+    REST,
+    /** Read the lease. */
+    READ,
+    /** Write {@link #proposal} if the object has the revision {@link #expected}. */
+    WRITE
+  }
+
+  /** How often the holder renews, in milliseconds; each renewal is a call that is paid for. */
+  static final long RENEW_MS = 1_000;
+
+  /**
+   * How long a holder without a renewal may order endpoints that check no fencing number, in
+   * milliseconds from the sending of its last renewal.
+   */
+  static final long VALID_MS = 1_600;
+
+  /**
+   * How long the lease has to stay unchanged, in milliseconds, before another takes it: longer than
+   * {@link #VALID_MS} by the margin for one slow answer of the store.
+   */
+  static final long TAKE_AFTER_MS = 2_200;
+
+  /** Pause between two reads while there is no coordinator, in milliseconds. */
+  private static final long READ_MS = 400;
+
+  /** Pause after a write without an answer, in milliseconds. */
+  private static final long RETRY_MS = 250;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final DaemonId daemon;
+  private final String process;
+  private final InetSocketAddress address;
+  private Optional<Stored<CoordinatorLease>> seen = Optional.empty();
+  private boolean read;
+  private long unchangedSince = NEVER;
+  private long lastReadAt = NEVER;
+  private long lastWriteAt = NEVER;
+  private long renewedAt = NEVER;
+  private boolean holding;
+  private boolean busy;
+  private boolean giveUp;
+  private CoordinatorLease proposed;
+
+  /**
+   * Begins without a lease.
+   *
+   * @param daemon this daemon
+   * @param process this process
+   * @param address where its links listen
+   */
+  CoordinatorElection(DaemonId daemon, String process, InetSocketAddress address) {
+    this.daemon = daemon;
+    this.process = process;
+    this.address = address;
+  }
+
+  /**
+   * Returns what to do.
+   *
+   * @param now the time, in milliseconds
+   * @param linked whether the coordinator of this data centre is heard by its link
+   */
+  Step next(long now, boolean linked) {
+    if (busy) {
+      return Step.REST;
+    }
+    if (holding) {
+      long due = lastWriteAt + (renewedAt == lastWriteAt ? RENEW_MS : RETRY_MS);
+      return giveUp || now >= due ? write(now) : Step.REST;
+    }
+    if (giveUp || linked) {
+      return Step.REST;
+    }
+    boolean readDue = now - lastReadAt >= READ_MS;
+    if (read && mayTake(now) && !readDue && now - lastWriteAt >= RETRY_MS) {
+      return write(now);
+    }
+    if (!readDue) {
+      return Step.REST;
+    }
+    lastReadAt = now;
+    busy = true;
+    return Step.READ;
+  }
+
+  private boolean mayTake(long now) {
+    if (seen.isEmpty() || seen.get().value().isEmpty()) {
+      return true;
+    }
+    CoordinatorLease lease = seen.get().value().get();
+    // What this daemon's former process held, nobody else can be using: it was on this host.
+    return lease.released()
+        || lease.holder().equals(daemon)
+        || now - unchangedSince >= TAKE_AFTER_MS;
+  }
+
+  private Step write(long now) {
+    long epoch = seen.flatMap(Stored::value).map(CoordinatorLease::epoch).orElse(0L);
+    if (!holding) {
+      proposed = new CoordinatorLease(daemon, process, address, epoch + 1, 0, false);
+    } else {
+      CoordinatorLease held = seen.flatMap(Stored::value).orElseThrow();
+      proposed = giveUp ? held.givenUp() : held.renewed();
+    }
+    lastWriteAt = now;
+    busy = true;
+    return Step.WRITE;
+  }
+
+  /** Returns what to write. */
+  CoordinatorLease proposal() {
+    return proposed;
+  }
+
+  /** Returns the revision that the object must have; empty if it must not exist. */
+  OptionalLong expected() {
+    return seen.isPresent() ? OptionalLong.of(seen.get().revision()) : OptionalLong.empty();
+  }
+
+  /** Takes in the answer to a read; empty if there is no such object. */
+  void read(Optional<Stored<CoordinatorLease>> current, long now) {
+    busy = false;
+    read = true;
+    observe(current, now);
+  }
+
+  /** Notes that a read failed. */
+  void readFailed() {
+    busy = false;
+  }
+
+  private void observe(Optional<Stored<CoordinatorLease>> current, long now) {
+    boolean same =
+        current.map(Stored::revision).equals(seen.map(Stored::revision)) && unchangedSince != NEVER;
+    seen = current;
+    if (!same) {
+      unchangedSince = now;
+    }
+    // An answer that was lost may have brought this very process its lease.
+    holding = current.flatMap(Stored::value).filter(lease -> lease.isHeldBy(process)).isPresent();
+  }
+
+  /** Takes in what a coordinator told on its link: its lease was at this revision then. */
+  void heard(long revision, long now) {
+    if (seen.isPresent() && seen.get().revision() < revision) {
+      seen = Optional.of(new Stored<>(seen.get().name(), revision, seen.get().value(), ""));
+      unchangedSince = now;
+    }
+  }
+
+  /** Takes in the result of a write; returns whether holding the lease began or ended by it. */
+  boolean written(WriteResult<CoordinatorLease> result, long now) {
+    busy = false;
+    boolean before = holding;
+    if (result instanceof WriteResult.Written<CoordinatorLease> written) {
+      seen = Optional.of(new Stored<>("", written.revision(), Optional.of(proposed), ""));
+      unchangedSince = now;
+      holding = !proposed.released();
+      renewedAt = lastWriteAt;
+    } else if (result instanceof WriteResult.Conflict<CoordinatorLease> conflict) {
+      if (conflict.current().isPresent()) {
+        observe(conflict.current(), now);
+      } else {
+        holding = false;
+        read = false;
+      }
+    }
+    return before != holding;
+  }
+
+  /** Begins to give the lease up, for a planned stop. */
+  void giveUp() {
+    giveUp = true;
+  }
+
+  /** Ends holding it at once: an endpoint has seen a higher epoch. */
+  void superseded() {
+    holding = false;
+    read = false;
+    lastReadAt = NEVER;
+  }
+
+  /** Returns whether this process holds the lease, as far as it knows. */
+  boolean isHolding() {
+    return holding;
+  }
+
+  /** Returns the epoch of the lease that this process holds. */
+  long epoch() {
+    return seen.flatMap(Stored::value).map(CoordinatorLease::epoch).orElse(0L);
+  }
+
+  /** Returns the lease's revision as known. */
+  long revision() {
+    return seen.map(Stored::revision).orElse(0L);
+  }
+
+  /**
+   * Returns whether an order may be given.
+   *
+   * @param now the time, in milliseconds
+   * @param fenced whether the endpoint refuses orders with an old epoch. Then a holder without
+   *     contact to the store goes on, since whoever takes over shuts it out by the first order
+   */
+  boolean mayOrder(long now, boolean fenced) {
+    return holding && !giveUp && (fenced || now - renewedAt < VALID_MS);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DecisionLog.java
@@ -0,0 +1,168 @@
+package io.sequoiapass.gateway.process;
+
+import com.google.gson.stream.JsonWriter;
+import io.sequoiapass.coordination.MillisClock;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes one JSON line for each decision that touches a request or changes what the process
+ * believes.
+ *
+ * <pre>{@code
+ * log.request("sent", id).with("endpoint", endpoint).with("load_age_ms", 120).write();
+ * }</pre>
+ *
+ * <p>Lines go through a bounded queue to a thread of their own: a reader that stops reading the
+ * output makes lines be dropped and counted, and never makes a request wait. Safe for use by
+ * several threads; a line is built by one.
+ */
+public final class DecisionLog {
+
+  /** Lines that wait at the most; at some 300 bytes each they take about a megabyte. */
+  private static final int MAX_WAITING = 4_096;
+
+  private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
+  private final AtomicLong dropped = new AtomicLong();
+  private final MillisClock wall;
+  private final String daemon;
+  private final PrintStream out;
+
+  private DecisionLog(String daemon, MillisClock wall, PrintStream out) {
+    this.daemon = daemon;
+    this.wall = wall;
+    this.out = out;
+  }
+
+  /**
+   * Returns a log whose lines are written by a thread of its own until the process ends.
+   *
+   * @param daemon the daemon's name, on each line
+   * @param wall the wall clock for the lines' time
+   * @param out where lines go
+   */
+  public static DecisionLog start(String daemon, MillisClock wall, PrintStream out) {
+    DecisionLog log = new DecisionLog(daemon, wall, out);
+    Thread writer = new Thread(log::writeLines, "decision-log");
+    writer.setDaemon(true);
+    writer.start();
+    return log;
+  }
+
+  /** Returns a log that writes nothing. */
+  public static DecisionLog silent() {
+    return new DecisionLog("", () -> 0, null);
+  }
+
+  /**
+   * Begins a line about a request.
+   *
+   * @param event what was decided
+   * @param requestId the request
+   */
+  public Line request(String event, String requestId) {
+    return new Line(event).with("request", requestId);
+  }
+
+  /**
+   * Begins a line about what the process believes.
+   *
+   * @param event what changed
+   */
+  public Line belief(String event) {
+    return new Line(event);
+  }
+
+  /** Returns how many lines were dropped because nobody read them. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  /** Writes what waits; for the end of the process. */
+  public void flush() {
+    if (out != null) {
+      for (String line = waiting.poll(); line != null; line = waiting.poll()) {
+        print(line);
+      }
+      out.flush();
+    }
+  }
+
+  private void writeLines() {
+    try {
+      while (true) {
+        print(waiting.take());
+        if (waiting.isEmpty()) {
+          out.flush();
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void print(String line) {
+    byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
+    out.write(bytes, 0, bytes.length);
+  }
+
+  /** Is one line being built; used by one thread. */
+  public final class Line {
+
+    private final StringWriter text = new StringWriter(256);
+    private final JsonWriter json = new JsonWriter(text);
+
+    private Line(String event) {
+      try {
+        json.beginObject();
+        json.name("time_ms").value(wall.millis());
+        json.name("daemon").value(daemon);
+        json.name("event").value(event);
+      } catch (IOException impossible) {
+        throw new UncheckedIOException(impossible);
+      }
+    }
+
+    /**
+     * Adds a field.
+     *
+     * @param name its name
+     * @param value its value, written as its text
+     */
+    public Line with(String name, Object value) {
+      try {
+        if (value instanceof Number number) {
+          json.name(name).value(number);
+        } else if (value instanceof Boolean flag) {
+          json.name(name).value(flag);
+        } else {
+          json.name(name).value(String.valueOf(value));
+        }
+      } catch (IOException impossible) {
+        throw new UncheckedIOException(impossible);
+      }
+      return this;
+    }
+
+    /** Ends the line and hands it on. */
+    public void write() {
+      if (out == null) {
+        return;
+      }
+      try {
+        json.endObject();
+      } catch (IOException impossible) {
+        throw new UncheckedIOException(impossible);
+      }
+      if (!waiting.offer(text.toString())) {
+        dropped.incrementAndGet();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -0,0 +1,414 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.connection.EndpointHealth;
+import io.sequoiapass.coordination.connection.HealthSettings;
+import io.sequoiapass.coordination.process.RendezvousHash;
+import io.sequoiapass.gateway.request.Generation;
+import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.AdapterVersions;
+import io.sequoiapass.gateway.version.EngineSpec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Holds the endpoints of one service with their load, adapters and health: one shard of the
+ * daemon's state, under its own lock.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class EndpointGroup {
+
+  /**
+   * One daemon of several sees few requests an endpoint, so two failures in a row count; windows
+   * are short, since an endpoint that fails a share of its requests does so for seconds.
+   */
+  private static final HealthSettings HEALTH =
+      new HealthSettings(2, 400, 4_000, 4_000, 4, 0.25, 0.34);
+
+  /** Reading speed of engines until it is learned, in tokens a millisecond. */
+  private static final double FIRST_TOKENS_PER_MS = 25;
+
+  /** Time of a plain call until it is learned, in milliseconds. */
+  private static final double FIRST_SERVICE_MS = 60;
+
+  /** What an answer's beginning takes besides reading the prompt, in milliseconds. */
+  private static final double FIRST_TOKEN_MS = 15;
+
+  /** The prompt's parts that requests share; the last one is a request's own. */
+  private static final int SHARED_PARTS = 2;
+
+  private final DataCentreId here;
+  private final AdapterVersions versions;
+  private final EndpointChooser chooser = new EndpointChooser();
+  private final EndpointHealth health = new EndpointHealth(HEALTH);
+  private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
+  private final LearnedTime tokensPerMs = new LearnedTime(FIRST_TOKENS_PER_MS, 4, 400);
+  private final LearnedTime serviceMs = new LearnedTime(FIRST_SERVICE_MS, 1, 10_000);
+  private Optional<EngineSpec> engine = Optional.empty();
+
+  EndpointGroup(DataCentreId here, AdapterVersions versions) {
+    this.here = here;
+    this.versions = versions;
+  }
+
+  synchronized void configure(Optional<EngineSpec> spec) {
+    engine = spec;
+  }
+
+  /** Takes in an entry of the list; returns whether a new process stands behind a known name. */
+  synchronized boolean put(EndpointEntry entry, boolean coordinated, long now) {
+    EndpointState state = endpoints.get(entry.endpoint());
+    if (state == null) {
+      state = new EndpointState(entry);
+      endpoints.put(entry.endpoint(), state);
+    }
+    boolean restarted = state.entry.bornMs() != entry.bornMs();
+    state.entry = entry;
+    state.goneAt = EndpointState.STAYS;
+    if (restarted) {
+      state.restarted();
+    }
+    if (!coordinated) {
+      state.adoptEntryCopies(now);
+    }
+    return restarted;
+  }
+
+  /** Gives an endpoint no more work from a moment on. */
+  synchronized void goneAt(EndpointId endpoint, long at) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state != null) {
+      state.goneAt = Math.min(state.goneAt, at);
+    }
+  }
+
+  /** Drops endpoints that were gone a while ago and carry nothing of ours; returns what is left. */
+  synchronized Set<EndpointId> prune(long goneBefore) {
+    endpoints.values().removeIf(state -> state.goneAt < goneBefore && state.own.running() == 0);
+    health.retain(endpoints.keySet());
+    return Set.copyOf(endpoints.keySet());
+  }
+
+  synchronized boolean isEmpty() {
+    return endpoints.isEmpty();
+  }
+
+  /** Chooses what to do with a request now. */
+  public synchronized Choice choose(Demand demand, List<DataCentreId> loadable, long now) {
+    List<Candidate> candidates = candidates(demand, now, true);
+    if (candidates.isEmpty()) {
+      // With nothing else left, one that failed before is better than a refusal.
+      candidates = candidates(demand, now, false);
+    }
+    if (demand.generation().isEmpty()) {
+      return chooser.forCall(candidates, serviceMs.value(), demand.remainingMs());
+    }
+    long promptTokens = demand.generation().get().promptTokens();
+    return chooser.forGeneration(
+        candidates, promptTokens, tokensPerMs.value(), demand.remainingMs(), loadable);
+  }
+
+  private List<Candidate> candidates(Demand demand, long now, boolean healthyOnly) {
+    Optional<EndpointId> home = demand.generation().flatMap(generation -> home(generation, now));
+    List<Candidate> candidates = new ArrayList<>();
+    for (EndpointState state : endpoints.values()) {
+      EndpointId id = state.entry.endpoint();
+      boolean wanted =
+          state.takesWork(now)
+              && (!healthyOnly || (health.admits(id, now) && !demand.avoid().contains(id)));
+      if (wanted && holdsModel(state, demand)) {
+        candidates.add(candidate(state, demand, home.filter(id::equals).isPresent(), now));
+      }
+    }
+    return candidates;
+  }
+
+  private static boolean holdsModel(EndpointState state, Demand demand) {
+    return demand.generation().isEmpty() || state.holdsModel(demand.generation().get().model());
+  }
+
+  private Candidate candidate(EndpointState state, Demand demand, boolean home, long now) {
+    Load load = state.own.plus(state.others);
+    long kept = demand.generation().map(g -> keptTokens(state, g, home)).orElse(0L);
+    return new Candidate(
+        state.entry.endpoint(),
+        state.entry.dataCentre(),
+        state.entry.dataCentre().equals(here),
+        state.entry.slots(),
+        load.running(),
+        load.prefillTokens(),
+        load.memoryTokens(),
+        engine.map(EngineSpec::kvTokens).orElse(0L),
+        kept,
+        readyInMs(state, demand, now));
+  }
+
+  /**
+   * Returns the leading tokens that are likely to be kept. Other daemons send to the same engines;
+   * all of them rank the holders of an adapter alike, so the first of them is likely to have read
+   * the shared parts for another daemon.
+   */
+  private static long keptTokens(EndpointState state, Generation generation, boolean home) {
+    long known = state.prompts.keptTokens(generation);
+    long shared =
+        generation.parts().stream()
+            .limit(Math.min(SHARED_PARTS, Math.max(0, generation.parts().size() - 1)))
+            .mapToLong(Generation.PromptPart::tokens)
+            .sum();
+    return home ? Math.max(known, shared / 2) : known;
+  }
+
+  private Optional<EndpointId> home(Generation generation, long now) {
+    if (generation.adapter().isEmpty() || generation.parts().size() <= 1) {
+      return Optional.empty();
+    }
+    List<EndpointId> holders = new ArrayList<>();
+    for (EndpointState state : endpoints.values()) {
+      if (state.takesWork(now) && state.copies.containsKey(generation.adapter().get())) {
+        holders.add(state.entry.endpoint());
+      }
+    }
+    int last = Math.min(SHARED_PARTS, generation.parts().size() - 1) - 1;
+    String key = generation.adapter().get() + ":" + generation.parts().get(last).id();
+    return holders.size() < 2 ? Optional.empty() : RendezvousHash.first(key, holders);
+  }
+
+  private long readyInMs(EndpointState state, Demand demand, long now) {
+    Optional<AdapterName> adapter = demand.generation().flatMap(Generation::adapter);
+    if (adapter.isEmpty()) {
+      return 0;
+    }
+    EndpointState.Copy copy = state.copies.get(adapter.get());
+    if (copy == null || !versions.isUsable(adapter.get(), copy.version(), now)) {
+      return -1;
+    }
+    return Math.max(0, copy.readyAt() - now);
+  }
+
+  /** Notes that a request goes to an endpoint; the ticket tells the rest of its way. */
+  public synchronized Optional<Ticket> begin(EndpointId endpoint, Demand demand, long now) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state == null) {
+      return Optional.empty();
+    }
+    Ticket ticket = new Ticket(state, demand.generation(), now);
+    health.sent(endpoint, now);
+    return Optional.of(ticket);
+  }
+
+  /** The usual time of a plain call, in milliseconds. */
+  public synchronized double usualServiceMs() {
+    return serviceMs.value();
+  }
+
+  /** Replaces what is known of an endpoint's adapters by its coordinator's word. */
+  synchronized void replaceCopies(
+      EndpointId endpoint, Map<AdapterName, EndpointState.Copy> copies) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state != null) {
+      Set<AdapterName> left = new HashSet<>(state.copies.keySet());
+      left.removeAll(copies.keySet());
+      left.forEach(state.prompts::forget);
+      state.copies.clear();
+      state.copies.putAll(copies);
+    }
+  }
+
+  /** Sets what is known of one adapter at an endpoint; null when it has left. */
+  synchronized void setCopy(EndpointId endpoint, AdapterName adapter, EndpointState.Copy copy) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state == null) {
+      return;
+    }
+    if (copy == null) {
+      state.copies.remove(adapter);
+      state.prompts.forget(adapter);
+    } else {
+      state.copies.put(adapter, copy);
+    }
+  }
+
+  /** Takes an adapter for absent after the endpoint said so; the coordinator finds out why. */
+  public synchronized void absent(EndpointId endpoint, AdapterName adapter) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state != null) {
+      state.copies.remove(adapter);
+    }
+  }
+
+  /** Goes by the endpoints' own entries again, while a data centre has no coordinator. */
+  synchronized void adoptEntries(DataCentreId dataCentre, long now) {
+    for (EndpointState state : endpoints.values()) {
+      if (state.entry.dataCentre().equals(dataCentre)) {
+        state.others = Load.NONE;
+      }
+    }
+  }
+
+  synchronized void setOthers(EndpointId endpoint, Load load) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state != null) {
+      state.others = load;
+    }
+  }
+
+  /**
+   * Returns this daemon's own doing at the endpoints of a data centre, and starts counting anew.
+   */
+  synchronized List<Activity> takeActivity(DataCentreId dataCentre) {
+    List<Activity> activities = new ArrayList<>();
+    for (EndpointState state : endpoints.values()) {
+      if (!state.entry.dataCentre().equals(dataCentre)) {
+        continue;
+      }
+      if (state.own.running() == 0 && state.starts.isEmpty()) {
+        continue;
+      }
+      Map<AdapterName, Activity.Use> uses = new HashMap<>();
+      state.inUse.forEach((name, count) -> uses.put(name, new Activity.Use(name, count, 0)));
+      state.starts.forEach(
+          (name, count) ->
+              uses.put(name, new Activity.Use(name, state.inUse.getOrDefault(name, 0), count)));
+      state.starts.clear();
+      activities.add(new Activity(state.entry.endpoint(), state.own, List.copyOf(uses.values())));
+    }
+    return activities;
+  }
+
+  /** Returns an endpoint's address and the version that it has to have for a request. */
+  public synchronized Optional<Target> target(EndpointId endpoint, Demand demand, long now) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state == null) {
+      return Optional.empty();
+    }
+    Optional<AdapterName> adapter = demand.generation().flatMap(Generation::adapter);
+    boolean binding = adapter.isPresent() && versions.isBinding(adapter.get(), now);
+    OptionalLong version =
+        binding ? OptionalLong.of(versions.newest(adapter.get())) : OptionalLong.empty();
+    return Optional.of(new Target(endpoint, state.entry.address(), version));
+  }
+
+  /** Returns whether any endpoint that takes work holds the model. */
+  public synchronized boolean serves(ModelId model, long now) {
+    return endpoints.values().stream()
+        .anyMatch(state -> state.takesWork(now) && state.holdsModel(model));
+  }
+
+  synchronized List<EndpointEntry> entries(long now) {
+    return endpoints.values().stream()
+        .filter(state -> state.takesWork(now))
+        .map(state -> state.entry)
+        .toList();
+  }
+
+  synchronized Optional<EngineSpec> engine() {
+    return engine;
+  }
+
+  /** Counts one request at one endpoint from its sending to its end. */
+  public final class Ticket {
+
+    private final EndpointState state;
+    private final Optional<Generation> generation;
+    private final long sentAt;
+    private final Load load;
+    private final long backlog;
+    private boolean begun;
+    private boolean ended;
+
+    private Ticket(EndpointState state, Optional<Generation> generation, long now) {
+      this.state = state;
+      this.generation = generation;
+      this.sentAt = now;
+      this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0));
+      this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
+      state.own = state.own.plus(load);
+      generation.ifPresent(
+          g -> {
+            state.prompts.sent(g, engine.map(EngineSpec::kvTokens).orElse(0L));
+            g.adapter().ifPresent(this::countStart);
+          });
+    }
+
+    private Load loadOf(EndpointState at, Generation wanted) {
+      long unread = Math.max(0, wanted.promptTokens() - at.prompts.keptTokens(wanted));
+      return new Load(1, unread, wanted.memoryTokens());
+    }
+
+    private void countStart(AdapterName adapter) {
+      state.inUse.merge(adapter, 1, Integer::sum);
+      state.starts.merge(adapter, 1, Integer::sum);
+    }
+
+    /** Notes that the answer has begun. */
+    public void begun(long now) {
+      synchronized (EndpointGroup.this) {
+        if (!begun && !ended) {
+          begun = true;
+          state.own = state.own.minus(new Load(0, load.prefillTokens(), 0));
+          learnReadingSpeed(now);
+        }
+      }
+    }
+
+    /** Short prompts tell of steps and ways, not of reading. */
+    private void learnReadingSpeed(long now) {
+      double readingMs = now - sentAt - FIRST_TOKEN_MS;
+      if (generation.isPresent() && backlog >= 1_000 && readingMs > 0) {
+        tokensPerMs.sample(backlog / readingMs);
+      }
+    }
+
+    /** Notes the end of the request at this endpoint. */
+    public void ended(Ending ending, long now) {
+      synchronized (EndpointGroup.this) {
+        if (ended) {
+          return;
+        }
+        ended = true;
+        state.own =
+            state.own.minus(new Load(1, begun ? 0 : load.prefillTokens(), load.memoryTokens()));
+        generation.flatMap(Generation::adapter).ifPresent(this::countEnd);
+        EndpointId id = state.entry.endpoint();
+        switch (ending) {
+          case ANSWERED -> health.succeeded(id, now);
+          case FAILED -> health.failed(id, now);
+          default -> health.withdrawn(id, now);
+        }
+        if (ending == Ending.ANSWERED && generation.isEmpty()) {
+          serviceMs.sample((double) (now - sentAt));
+        }
+      }
+    }
+
+    private void countEnd(AdapterName adapter) {
+      state.inUse.computeIfPresent(adapter, (name, count) -> count > 1 ? count - 1 : null);
+    }
+
+    /** Returns the endpoint. */
+    public EndpointId endpoint() {
+      return state.entry.endpoint();
+    }
+  }
+
+  /** Tells what a request's end says about its endpoint. */
+  public enum Ending {
+    /** A whole answer. */
+    ANSWERED,
+    /** A lost connection, a cut answer, a failure of its own. */
+    FAILED,
+    /** A refusal for lack of room, a caller that left. */
+    NO_BLAME
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -0,0 +1,64 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What this daemon knows of one endpoint; guarded by the lock of its {@link EndpointGroup}. */
+final class EndpointState {
+
+  /** Never: the endpoint is not known to go. */
+  static final long STAYS = Long.MAX_VALUE;
+
+  EndpointEntry entry;
+  long goneAt = STAYS;
+  Load own = Load.NONE;
+  Load others = Load.NONE;
+  final Map<AdapterName, Copy> copies = new HashMap<>();
+  final Map<AdapterName, Integer> inUse = new HashMap<>();
+  final Map<AdapterName, Integer> starts = new HashMap<>();
+  KeptPrompts prompts = new KeptPrompts();
+
+  EndpointState(EndpointEntry entry) {
+    this.entry = entry;
+  }
+
+  /**
+   * One adapter at the endpoint.
+   *
+   * @param version its version
+   * @param readyAt when it is there, in milliseconds of the monotonic clock
+   */
+  record Copy(long version, long readyAt) {}
+
+  /** Takes what the endpoint's entry says of its adapters, as of some time ago. */
+  void adoptEntryCopies(long now) {
+    copies.clear();
+    entry
+        .models()
+        .forEach(
+            held ->
+                held.adapters()
+                    .forEach(
+                        (adapter, version) ->
+                            copies.put(
+                                new AdapterName(held.model(), adapter), new Copy(version, now))));
+  }
+
+  boolean holdsModel(ModelId model) {
+    return entry.models().stream().anyMatch(held -> held.model().equals(model));
+  }
+
+  boolean takesWork(long now) {
+    return !entry.leaving() && now < goneAt;
+  }
+
+  /** Forgets all of an earlier process under the same name: it took its memory along. */
+  void restarted() {
+    copies.clear();
+    prompts = new KeptPrompts();
+    others = Load.NONE;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -0,0 +1,388 @@
+package io.sequoiapass.gateway.process;
+
+import io.netty.channel.EventLoopGroup;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.daemon.connection.ConnectionLimits;
+import io.sequoiapass.daemon.connection.FrameTransport;
+import io.sequoiapass.daemon.connection.HttpClient;
+import io.sequoiapass.daemon.connection.HttpServer;
+import io.sequoiapass.daemon.connection.SocketTransport;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.request.RelayContext;
+import io.sequoiapass.gateway.request.Waiting;
+import io.sequoiapass.gateway.spi.Deployment;
+import io.sequoiapass.gateway.spi.HostSettings;
+import io.sequoiapass.gateway.spi.MetadataStore;
+import io.sequoiapass.gateway.spi.StoreChanges;
+import io.sequoiapass.gateway.spi.StoreKind;
+import io.sequoiapass.gateway.spi.Stored;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.AdapterRelease;
+import io.sequoiapass.gateway.version.AdapterVersions;
+import io.sequoiapass.gateway.version.ServingConfiguration;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+/**
+ * The entry daemon in front of endpoints that guard themselves: takes requests from callers, sends
+ * each straight to an endpoint, and takes its part in coordinating what the engines hold.
+ *
+ * <pre>{@code
+ * Gateway gateway = Gateway.start(deployment, settings, metricsPort, log);
+ * gateway.drain();   // returns when the process may end
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class Gateway {
+
+  /** Pause between two rounds of links and leases, in milliseconds. */
+  private static final long TICK_MS = 150;
+
+  /** Connections inside a deployment open in a millisecond; a dark host never answers. */
+  private static final int CONNECT_TIMEOUT_MS = 350;
+
+  /**
+   * Watches wait this long, in milliseconds. A silent connection is noticed after it, and what
+   * changed meanwhile has to be in force within two seconds or so.
+   */
+  private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(2_000, 500);
+
+  private static final StoreFeed.Timing CONFIGURATION_TIMING = new StoreFeed.Timing(2_000, 50);
+  private static final StoreFeed.Timing RELEASE_TIMING = new StoreFeed.Timing(4_000, 300);
+
+  /** Share of the time allowed for a new adapter version during which the old one may begin. */
+  private static final double OLD_VERSION_SHARE = 0.5;
+
+  /**
+   * How long a stopping daemon waits at the least, in milliseconds: the load balancer asks once a
+   * second and needs two refusals.
+   */
+  private static final long LEAST_STOP_MS = 2_600;
+
+  /** The last part of the grace period is left for the process's own end, in milliseconds. */
+  private static final long STOP_MARGIN_MS = 900;
+
+  private static final long STOP_LOOK_MS = 50;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  /** What callers may send until the first configuration is known. */
+  private static final ConnectionLimits FIRST_LIMITS =
+      new ConnectionLimits(16 << 10, 4 << 20, 3_000, 15_000);
+
+  private final HostSettings settings;
+  private final DecisionLog log;
+  private final MillisClock clock = MillisClock.monotonic();
+  private final EventLoopGroup loops;
+  private final AtomicReference<ServingConfiguration> configuration = new AtomicReference<>();
+  private final AdapterVersions versions;
+  private final EndpointDirectory directory;
+  private final Waiting waiting = new Waiting();
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private CoordinationNode node;
+  private Coordinator coordinator;
+  private CallerHandler callers;
+  private HttpServer callerServer;
+  private volatile boolean draining;
+
+  private Gateway(HostSettings settings, DecisionLog log) {
+    this.settings = settings;
+    this.log = log;
+    this.loops = SocketTransport.best().group(settings.cores());
+    long graceMs = (long) (settings.bounds().versionMs() * OLD_VERSION_SHARE);
+    this.versions = new AdapterVersions(graceMs);
+    this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param deployment names, formats and calls
+   * @param settings this host's settings
+   * @param metricsPort where metrics are served; empty for nowhere
+   * @param log the log
+   * @throws IOException if an address cannot be had
+   */
+  public static Gateway start(
+      Deployment deployment, HostSettings settings, OptionalInt metricsPort, DecisionLog log)
+      throws IOException {
+    Gateway gateway = new Gateway(settings, log);
+    gateway.begin(deployment, metricsPort);
+    return gateway;
+  }
+
+  private void begin(Deployment deployment, OptionalInt metricsPort) throws IOException {
+    HttpClient http = HttpClient.create(loops, CONNECT_TIMEOUT_MS);
+    MetadataStore store = deployment.store(http, settings);
+    HttpClient endpointHttp =
+        HttpClient.create(loops, CONNECT_TIMEOUT_MS, deployment.endpointProtocol().echoedHeader());
+    beginCoordination(deployment, http, store);
+    RelayContext context =
+        new RelayContext(
+            endpointHttp,
+            deployment.callerProtocol(),
+            deployment.endpointProtocol(),
+            new Adapters(),
+            waiting,
+            loops,
+            clock,
+            log,
+            metrics);
+    callers =
+        new CallerHandler(
+            context, configuration::get, directory, settings.bounds(), () -> node.daemons());
+    beginFeeds(store);
+    callerServer =
+        HttpServer.builder(loops, callers).limits(this::limits).start(settings.callers());
+    HttpServer.builder(
+            loops,
+            (request, responder) ->
+                responder.respond(isReady() ? OK : UNAVAILABLE, Map.of(), new byte[0]))
+        .start(settings.readiness());
+    if (metricsPort.isPresent()) {
+      String host = settings.callers().getHostString();
+      HttpServer.builder(
+              loops,
+              (request, responder) ->
+                  responder.respond(OK, Map.of("Content-Type", "text/plain"), metrics.text()))
+          .start(new InetSocketAddress(host, metricsPort.getAsInt()));
+    }
+    loops.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private ConnectionLimits limits() {
+    ServingConfiguration known = configuration.get();
+    return known == null ? FIRST_LIMITS : known.limits();
+  }
+
+  private void beginCoordination(Deployment deployment, HttpClient http, MetadataStore store)
+      throws IOException {
+    FrameTransport transport = FrameTransport.create(loops);
+    MillisClock wall = MillisClock.wall();
+    String process = settings.daemon() + "-" + wall.millis() + "-" + System.nanoTime();
+    CoordinatorElection election =
+        new CoordinatorElection(settings.daemon(), process, settings.links());
+    node =
+        new CoordinationNode(
+            settings.dataCentre(),
+            election,
+            store,
+            loops,
+            clock,
+            new FreezeDetector(clock, wall),
+            log);
+    ModelLoads modelLoads =
+        new ModelLoads(settings.bounds().loadWindowMs(), settings.regions().size());
+    coordinator =
+        new Coordinator(
+            new Coordinator.CoordinatorSettings(
+                settings.daemon(), settings.dataCentre(), settings.bounds().fenced()),
+            directory,
+            new PlacementPlan(versions, modelLoads),
+            new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log),
+            node::mayOrder,
+            node::fenced);
+    node.use(coordinator, links(transport));
+    directory.onChange(coordinator::observe);
+    directory.onRestart(entry -> coordinator.observe());
+    transport.listen(settings.links(), coordinator::listener);
+  }
+
+  /** One link for each data centre of this region. */
+  private List<CoordinatorLink> links(FrameTransport transport) {
+    String region = settings.regions().get(settings.dataCentre());
+    LinkMessage.Hello self = new LinkMessage.Hello(settings.daemon(), settings.dataCentre());
+    CoordinatorLink.Io io = new CoordinatorLink.Io(transport, clock, log);
+    List<CoordinatorLink> links = new ArrayList<>();
+    settings
+        .regions()
+        .forEach(
+            (dataCentre, its) -> {
+              if (its.equals(region)) {
+                Consumer<LinkMessage.Standing> heard = standing -> node.heard(dataCentre, standing);
+                links.add(
+                    new CoordinatorLink(self, dataCentre, directory, io, new Placed(), heard));
+              }
+            });
+    return links;
+  }
+
+  private void beginFeeds(MetadataStore store) {
+    new StoreFeed<>(
+            store,
+            StoreKind.CONFIGURATION,
+            CONFIGURATION_TIMING,
+            new ConfigurationListener(),
+            loops,
+            clock,
+            log)
+        .start();
+    new StoreFeed<>(store, StoreKind.ENDPOINTS, ENDPOINT_TIMING, directory, loops, clock, log)
+        .start();
+    new StoreFeed<>(
+            store, StoreKind.RELEASES, RELEASE_TIMING, new ReleaseListener(), loops, clock, log)
+        .start();
+  }
+
+  private void tick() {
+    try {
+      node.tick();
+      coordinator.tick(versions::newest);
+    } catch (RuntimeException e) {
+      // A fault in one round must not end all later ones, which the scheduler would do.
+      log.belief("internal_error").with("where", "tick").with("cause", e.toString()).write();
+    }
+  }
+
+  private boolean isReady() {
+    return !draining && configuration.get() != null && directory.isListed();
+  }
+
+  /**
+   * Stops without cutting off a request; returns when the process may end.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void drain() throws InterruptedException {
+    long begun = clock.millis();
+    draining = true;
+    log.belief("stopping").with("requests", callers.underWay()).write();
+    callerServer.closeAfterAnswers();
+    node.giveUp();
+    long latest = begun + settings.bounds().graceMs() - STOP_MARGIN_MS;
+    while (clock.millis() < latest) {
+      boolean asked = clock.millis() - begun >= LEAST_STOP_MS;
+      if (asked) {
+        callerServer.closeResting();
+      }
+      if (asked && callers.underWay() == 0 && callerServer.openConnections() == 0) {
+        break;
+      }
+      TimeUnit.MILLISECONDS.sleep(STOP_LOOK_MS);
+    }
+    log.belief("stopped").with("requests_cut", callers.underWay()).write();
+    log.flush();
+  }
+
+  private final class ConfigurationListener implements StoreFeed.Listener<ServingConfiguration> {
+
+    @Override
+    public void replaced(List<Stored<ServingConfiguration>> items, boolean afterOutage) {
+      items.forEach(this::take);
+    }
+
+    @Override
+    public void changed(StoreChanges.Change<ServingConfiguration> change, boolean afterOutage) {
+      if (!change.removed()) {
+        take(change.object());
+      }
+    }
+
+    /** A version never gives way to an older one, however answers of the store cross. */
+    private void take(Stored<ServingConfiguration> item) {
+      if (item.value().isEmpty()) {
+        log.belief("configuration_unreadable")
+            .with("revision", item.revision())
+            .with("problem", item.problem())
+            .write();
+        return;
+      }
+      ServingConfiguration next = item.value().get();
+      ServingConfiguration before = configuration.get();
+      if (before != null && before.version() >= next.version()) {
+        return;
+      }
+      directory.configure(next);
+      configuration.set(next);
+      coordinator.observe();
+      log.belief("configuration")
+          .with("version", next.version())
+          .with("revision", item.revision())
+          .write();
+    }
+  }
+
+  private final class ReleaseListener implements StoreFeed.Listener<AdapterRelease> {
+
+    @Override
+    public void replaced(List<Stored<AdapterRelease>> items, boolean afterOutage) {
+      items.forEach(this::take);
+    }
+
+    @Override
+    public void changed(StoreChanges.Change<AdapterRelease> change, boolean afterOutage) {
+      if (!change.removed()) {
+        take(change.object());
+      }
+    }
+
+    private void take(Stored<AdapterRelease> item) {
+      if (item.value().isEmpty()) {
+        log.belief("release_unreadable")
+            .with("name", item.name())
+            .with("problem", item.problem())
+            .write();
+        return;
+      }
+      AdapterRelease release = item.value().get();
+      boolean news =
+          release.adapter().isPresent()
+              && versions.announce(release.adapter().get(), release.version(), clock.millis());
+      if (news) {
+        log.belief("release")
+            .with("adapter", release.adapter().get())
+            .with("version", release.version())
+            .with("revision", item.revision())
+            .write();
+        coordinator.released(release.adapter().get(), release.version());
+      }
+    }
+  }
+
+  private final class Placed implements CoordinatorLink.Listener {
+
+    @Override
+    public void placed(AdapterName adapter) {
+      waiting.placed(adapter);
+    }
+
+    @Override
+    public void noRoom(AdapterName adapter, long comeBackMs) {
+      waiting.noRoom(adapter, comeBackMs);
+    }
+
+    @Override
+    public void changed() {
+      metrics.count("sequoiapass_coordinator_changes_total");
+    }
+  }
+
+  private final class Adapters implements RelayContext.AdapterSource {
+
+    @Override
+    public List<DataCentreId> loadable() {
+      return node.coordinated();
+    }
+
+    @Override
+    public boolean need(DataCentreId dataCentre, AdapterName adapter, boolean another) {
+      return node.need(dataCentre, adapter, versions.newest(adapter), another);
+    }
+
+    @Override
+    public void missed(
+        DataCentreId dataCentre, EndpointId endpoint, AdapterName adapter, boolean early) {
+      node.missed(dataCentre, endpoint, adapter, early);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
@@ -0,0 +1,76 @@
+package io.sequoiapass.gateway.process;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import com.codahale.metrics.Snapshot;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Counts what the daemon does and writes it in the text format that metrics collectors read.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class GatewayMetrics {
+
+  /** What a histogram looks back on, in seconds: two of the usual collecting intervals. */
+  private static final long WINDOW_S = 30;
+
+  private static final double[] QUANTILES = {0.5, 0.95, 0.99};
+
+  private final MetricRegistry registry = new MetricRegistry();
+
+  /**
+   * Counts one event.
+   *
+   * @param name the counter's name, with labels in braces where it has any
+   */
+  public void count(String name) {
+    registry.counter(name).inc();
+  }
+
+  /**
+   * Notes a time.
+   *
+   * @param name the histogram's name
+   * @param ms the time in milliseconds
+   */
+  public void time(String name, long ms) {
+    registry
+        .histogram(
+            name,
+            () -> new Histogram(new SlidingTimeWindowArrayReservoir(WINDOW_S, TimeUnit.SECONDS)))
+        .update(ms);
+  }
+
+  /** Returns all metrics as text. */
+  public String text() {
+    StringBuilder text = new StringBuilder();
+    for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
+      text.append(counter.getKey()).append(' ').append(counter.getValue().getCount()).append('\n');
+    }
+    registry.getHistograms().forEach((name, histogram) -> append(text, name, histogram));
+    Runtime runtime = Runtime.getRuntime();
+    text.append("sequoiapass_heap_bytes ")
+        .append(runtime.totalMemory() - runtime.freeMemory())
+        .append('\n');
+    return text.toString();
+  }
+
+  private static void append(StringBuilder text, String name, Histogram histogram) {
+    Snapshot snapshot = histogram.getSnapshot();
+    for (double quantile : QUANTILES) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "%s{quantile=\"%s\"} %.1f%n",
+              name,
+              quantile,
+              snapshot.getValue(quantile)));
+    }
+    text.append(name).append("_count ").append(histogram.getCount()).append('\n');
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
@@ -0,0 +1,83 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.daemon.process.command.ServeProgram;
+import io.sequoiapass.gateway.spi.Deployment;
+import io.sequoiapass.gateway.spi.HostSettings;
+import io.sequoiapass.gateway.spi.SettingsException;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.ServiceLoader;
+import java.util.concurrent.CountDownLatch;
+
+/** Runs the gateway as a command of the binary; safe for use by several threads. */
+public final class GatewayProgram implements ServeProgram {
+
+  private static final int BUFFER_BYTES = 8 << 10;
+
+  @Override
+  public void serve(OptionalInt metricsPort, Map<String, String> environment)
+      throws ServeException {
+    Optional<Deployment> deployment = ServiceLoader.load(Deployment.class).findFirst();
+    if (deployment.isEmpty()) {
+      throw new ServeException("this binary was built without a platform", null);
+    }
+    try {
+      run(deployment.get(), deployment.get().settings(environment), metricsPort, environment);
+    } catch (SettingsException | IOException e) {
+      throw new ServeException(e.getMessage(), e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void run(
+      Deployment deployment,
+      HostSettings settings,
+      OptionalInt metricsPort,
+      Map<String, String> environment)
+      throws IOException, InterruptedException {
+    PrintStream out =
+        new PrintStream(
+            new java.io.BufferedOutputStream(
+                new FileOutputStream(FileDescriptor.out), BUFFER_BYTES),
+            false,
+            StandardCharsets.UTF_8);
+    DecisionLog log = DecisionLog.start(settings.daemon().value(), MillisClock.wall(), out);
+    log.belief("started")
+        .with("data_centre", settings.dataCentre())
+        .with("callers", settings.callers())
+        .with("store", settings.store())
+        .write();
+    Gateway gateway = Gateway.start(deployment, settings, metricsPort, log);
+    Signals.onReload(() -> reload(deployment, environment, log));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "stop"));
+    new CountDownLatch(1).await();
+  }
+
+  /** Reads the settings anew; the addresses of a running process do not change. */
+  private static void reload(
+      Deployment deployment, Map<String, String> environment, DecisionLog log) {
+    try {
+      HostSettings settings = deployment.settings(environment);
+      log.belief("reloaded").with("data_centre", settings.dataCentre()).write();
+    } catch (SettingsException e) {
+      log.belief("reload_failed").with("cause", e.getMessage()).write();
+    }
+  }
+
+  /** The virtual machine ends once this returns. */
+  private static void stop(Gateway gateway) {
+    try {
+      gateway.drain();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/KeptPrompts.java
@@ -0,0 +1,65 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.gateway.request.Generation;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Remembers which parts of prompts this daemon sent to one engine lately, and so which the engine
+ * is likely to have kept.
+ *
+ * <p>An engine keeps a part for one model and adapter, and the least recently used parts yield. It
+ * reads a part again unless all parts before it are kept, too. Not safe for use by several threads.
+ */
+final class KeptPrompts {
+
+  /**
+   * Share of an engine's memory that is taken to be left for kept parts beside running requests.
+   */
+  private static final double KEPT_SHARE = 0.5;
+
+  private final Map<Key, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
+  private long tokens;
+
+  private record Key(Optional<AdapterName> adapter, String part) {}
+
+  /** Returns how many leading tokens of a prompt are likely to be kept. */
+  long keptTokens(Generation generation) {
+    long kept = 0;
+    for (Generation.PromptPart part : generation.parts()) {
+      if (!parts.containsKey(new Key(generation.adapter(), part.id()))) {
+        break;
+      }
+      kept += part.tokens();
+    }
+    return kept;
+  }
+
+  /** Notes that a prompt was sent. */
+  void sent(Generation generation, long memoryLimit) {
+    for (Generation.PromptPart part : generation.parts()) {
+      Key key = new Key(generation.adapter(), part.id());
+      Integer known = parts.put(key, part.tokens());
+      tokens += part.tokens() - (known == null ? 0 : known);
+    }
+    var eldest = parts.entrySet().iterator();
+    while (tokens > memoryLimit * KEPT_SHARE && eldest.hasNext()) {
+      tokens -= eldest.next().getValue();
+      eldest.remove();
+    }
+  }
+
+  /** Forgets the parts of an adapter that has left the engine. */
+  void forget(AdapterName adapter) {
+    parts
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean gone = entry.getKey().adapter().equals(Optional.of(adapter));
+              tokens -= gone ? entry.getValue() : 0;
+              return gone;
+            });
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -0,0 +1,566 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.gateway.connection.LinkMessage.Placement;
+import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.spi.EndpointOrder;
+import io.sequoiapass.gateway.spi.EndpointReport;
+import io.sequoiapass.gateway.spi.OrderResult;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.AdapterVersions;
+import io.sequoiapass.gateway.version.EngineSpec;
+import io.sequoiapass.gateway.version.ModelSpec;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Decides what the engines of one data centre hold: where an adapter is loaded, what makes way for
+ * it, and in what order the orders go out.
+ *
+ * <pre>{@code
+ * PlacementPlan.Need need = plan.need(adapter, 1, false, now);
+ * plan.nextOrder(endpoint, daemon, epoch, now).ifPresent(order -> ...);
+ * }</pre>
+ *
+ * <p>It answers the load of a long tail: some ten requests a second ask for an adapter that is
+ * nowhere, and each has to be on its way at once. Every order names the number of orders that the
+ * engine has accepted, so that one that was lost and comes late finds another number and is
+ * refused; without that an engine could be ordered beyond its places and would crash. Not safe for
+ * use by several threads.
+ */
+final class PlacementPlan {
+
+  /** Adapters that may be on their way to one engine at once; the engine takes no more. */
+  static final int MAX_COMING = 4;
+
+  /**
+   * An adapter that was used this lately is not dropped, in milliseconds: what other daemons do is
+   * known with this delay, and a request may be on its way to it.
+   */
+  private static final long IN_USE_MS = 500;
+
+  /** Time of a load until it is learned, in milliseconds. */
+  private static final double FIRST_LOAD_MS = 255;
+
+  /** Time of a load of an adapter that the engine held lately, in milliseconds. */
+  private static final long AGAIN_MS = 30;
+
+  /**
+   * After this time without an order an engine's report shows all that it accepted, in
+   * milliseconds: reports are a few hundred milliseconds old.
+   */
+  private static final long REPORT_LAG_MS = 350;
+
+  /** An engine writes its entry about once a second; this is two of its times, in milliseconds. */
+  private static final long ENTRY_LAG_MS = 2_500;
+
+  /** What a planned load adds to the wait for the next one at the same engine, in milliseconds. */
+  private static final double COMING_COST_MS = 60;
+
+  /** What it costs to drop an adapter that is asked for once in a half-life, in milliseconds. */
+  private static final double VICTIM_COST_MS = 25;
+
+  /**
+   * What it costs to bring an adapter from the store rather than from an engine's own memory, in
+   * milliseconds: its time, and as much again for the transfer, which is paid for.
+   */
+  private static final double FROM_STORE_COST_MS = 500;
+
+  /** Reading speed that turns a backlog of prompts into time, in tokens a millisecond. */
+  private static final double TOKENS_PER_MS = 38;
+
+  /** When to ask again if nothing can make way, in milliseconds: about half a usual run. */
+  private static final long COME_BACK_MS = 400;
+
+  private final AdapterVersions versions;
+  private final AdapterDemand demand = new AdapterDemand();
+  private final Map<EndpointId, PlannedEndpoint> endpoints = new TreeMap<>();
+  private final KeptAdapters kept = new KeptAdapters();
+  private final DaemonActivity activity = new DaemonActivity();
+  private final List<Placement> news = new ArrayList<>();
+  private double loadMs = FIRST_LOAD_MS;
+  private final ModelLoads modelLoads;
+
+  /**
+   * Plans for no engines yet.
+   *
+   * @param versions the newest versions
+   * @param modelLoads what bounds the loads of base models
+   */
+  PlacementPlan(AdapterVersions versions, ModelLoads modelLoads) {
+    this.versions = versions;
+    this.modelLoads = modelLoads;
+  }
+
+  /** What becomes of a wish for an adapter. */
+  sealed interface Need {
+
+    /**
+     * It is there or comes.
+     *
+     * @param endpoint where
+     */
+    record Coming(EndpointId endpoint) implements Need {}
+
+    /**
+     * Nothing can make way now.
+     *
+     * @param comeBackMs when to ask again, in milliseconds
+     */
+    record NoRoom(long comeBackMs) implements Need {}
+  }
+
+  /** Takes in an engine's entry; a new process under its name holds nothing of before. */
+  void observe(EndpointEntry entry, EngineSpec engine, long now) {
+    PlannedEndpoint known = endpoints.get(entry.endpoint());
+    if (known == null || known.entry.bornMs() != entry.bornMs()) {
+      if (known != null) {
+        known.copies.keySet().forEach(name -> tellGone(entry.endpoint(), name));
+        kept.forget(entry.endpoint());
+      }
+      known = new PlannedEndpoint(entry, engine);
+      known.adoptEntry(now);
+      endpoints.put(entry.endpoint(), known);
+      tellAll(known, now);
+    }
+    known.entry = entry;
+    known.engine = engine;
+    // An entry is up to a heartbeat old, so one from before an order tells nothing new.
+    if (now >= known.modelsKnownUntil) {
+      known.models.clear();
+      known.models.addAll(entry.models().stream().map(EndpointEntry.HeldModel::model).toList());
+    }
+  }
+
+  /** Forgets the engines that are not among these. */
+  void retain(Set<EndpointId> present) {
+    endpoints.keySet().retainAll(present);
+    kept.retain(present);
+  }
+
+  /** Makes all engines be asked again, as by a coordinator that has just taken over. */
+  void forgetSync() {
+    endpoints.values().forEach(endpoint -> endpoint.synced = false);
+  }
+
+  /** Takes in what a daemon does. */
+  void doing(DaemonId daemon, List<Activity> activities, long now) {
+    for (Activity told : activities) {
+      PlannedEndpoint endpoint = endpoints.get(told.endpoint());
+      if (endpoint != null) {
+        told.uses().forEach(use -> used(endpoint, use, now));
+      }
+    }
+    activity.doing(daemon, activities);
+  }
+
+  private void used(PlannedEndpoint endpoint, Activity.Use use, long now) {
+    demand.asked(use.adapter(), use.starts(), now);
+    PlannedEndpoint.Copy copy = endpoint.copies.get(use.adapter());
+    if (copy != null) {
+      copy.lastUsed = now;
+    }
+  }
+
+  /** Forgets a daemon whose link has closed. */
+  void left(DaemonId daemon) {
+    activity.left(daemon);
+  }
+
+  /** Returns what all daemons but one ask of the engines. */
+  Map<EndpointId, Load> loadsWithout(DaemonId daemon) {
+    return activity.loadsWithout(daemon, endpoints.keySet());
+  }
+
+  /** Has an adapter brought to an engine, unless it is there or comes already. */
+  Need need(AdapterName adapter, long version, boolean another, long now) {
+    demand.asked(adapter, 1, now);
+    if (!another) {
+      Optional<EndpointId> held = holder(adapter, version);
+      if (held.isPresent()) {
+        tell(held.get(), adapter, now);
+        return new Need.Coming(held.get());
+      }
+    } else if (isComing(adapter, now)) {
+      return new Need.NoRoom(COME_BACK_MS);
+    }
+    Optional<PlannedEndpoint> best =
+        endpoints.values().stream()
+            .filter(endpoint -> canTake(endpoint, adapter, now))
+            .min(Comparator.comparingDouble(endpoint -> cost(endpoint, adapter, now)));
+    if (best.isEmpty()) {
+      return new Need.NoRoom(COME_BACK_MS);
+    }
+    plan(best.get(), adapter, Math.max(version, versions.newest(adapter)), now);
+    return new Need.Coming(best.get().entry.endpoint());
+  }
+
+  private Optional<EndpointId> holder(AdapterName adapter, long version) {
+    return endpoints.values().stream()
+        .filter(endpoint -> !endpoint.entry.leaving())
+        .filter(endpoint -> holds(endpoint, adapter, version))
+        .map(endpoint -> endpoint.entry.endpoint())
+        .findFirst();
+  }
+
+  private static boolean holds(PlannedEndpoint endpoint, AdapterName adapter, long version) {
+    PlannedEndpoint.Copy copy = endpoint.copies.get(adapter);
+    return copy != null && copy.state != PlannedEndpoint.State.LEAVING && copy.version >= version;
+  }
+
+  private boolean isComing(AdapterName adapter, long now) {
+    return endpoints.values().stream()
+        .map(endpoint -> endpoint.copies.get(adapter))
+        .anyMatch(
+            copy ->
+                copy != null
+                    && (copy.state == PlannedEndpoint.State.PLANNED || copy.readyAt > now));
+  }
+
+  private boolean canTake(PlannedEndpoint endpoint, AdapterName adapter, long now) {
+    boolean able =
+        endpoint.synced
+            && !endpoint.entry.leaving()
+            && endpoint.models.contains(adapter.model())
+            && endpoint.coming(now) < MAX_COMING;
+    if (!able) {
+      return false;
+    }
+    // An older copy of the same adapter is replaced in its own place.
+    PlannedEndpoint.Copy own = endpoint.copies.get(adapter);
+    if (own != null) {
+      return own.state == PlannedEndpoint.State.HELD && own.version < versions.newest(adapter);
+    }
+    return hasFreePlace(endpoint) || victim(endpoint, now).isPresent();
+  }
+
+  private static boolean hasFreePlace(PlannedEndpoint endpoint) {
+    return endpoint.copies.size() < endpoint.engine.adapterSlots();
+  }
+
+  private double cost(PlannedEndpoint endpoint, AdapterName adapter, long now) {
+    double victimMs =
+        hasFreePlace(endpoint)
+            ? 0
+            : victim(endpoint, now).map(name -> VICTIM_COST_MS * demand.of(name, now)).orElse(0.0);
+    Load load = activity.load(endpoint.entry.endpoint());
+    return load.prefillTokens() / TOKENS_PER_MS
+        + load.running()
+        + endpoint.coming(now) * COMING_COST_MS
+        + victimMs
+        + (kept.isKept(endpoint.entry.endpoint(), adapter) ? 0 : FROM_STORE_COST_MS);
+  }
+
+  /** Returns the adapter that is missed least: old versions first, then by what is asked for. */
+  private Optional<AdapterName> victim(PlannedEndpoint endpoint, long now) {
+    Set<AdapterName> inUse = activity.inUse(endpoint.entry.endpoint());
+    return endpoint.copies.entrySet().stream()
+        .filter(entry -> entry.getValue().state == PlannedEndpoint.State.HELD)
+        .filter(entry -> !inUse.contains(entry.getKey()))
+        .filter(
+            entry ->
+                now - Math.max(entry.getValue().lastUsed, entry.getValue().readyAt) >= IN_USE_MS)
+        .min(
+            Comparator.comparingDouble(
+                entry ->
+                    entry.getValue().version < versions.newest(entry.getKey())
+                        ? -1
+                        : demand.of(entry.getKey(), now)))
+        .map(Map.Entry::getKey);
+  }
+
+  private void plan(PlannedEndpoint endpoint, AdapterName adapter, long version, long now) {
+    EndpointId id = endpoint.entry.endpoint();
+    if (!hasFreePlace(endpoint) && !endpoint.copies.containsKey(adapter)) {
+      AdapterName victim = victim(endpoint, now).orElseThrow();
+      endpoint.copies.get(victim).state = PlannedEndpoint.State.LEAVING;
+      endpoint.steps.add(step(EndpointOrder.Type.UNLOAD, victim, OptionalLong.empty()));
+      tellGone(id, victim);
+    }
+    boolean again = kept.isKept(id, adapter);
+    boolean replaces = endpoint.copies.containsKey(adapter);
+    long takesMs = again && !replaces ? AGAIN_MS : (long) loadMs;
+    endpoint.copies.put(
+        adapter,
+        new PlannedEndpoint.Copy(version, PlannedEndpoint.State.PLANNED, now + takesMs, now));
+    endpoint.steps.add(step(EndpointOrder.Type.LOAD, adapter, OptionalLong.of(version)));
+    tell(id, adapter, now);
+  }
+
+  private static PlannedEndpoint.Step step(
+      EndpointOrder.Type type, AdapterName adapter, OptionalLong version) {
+    return new PlannedEndpoint.Step(type, adapter.model(), Optional.of(adapter.adapter()), version);
+  }
+
+  /** Has the busy copies of an adapter replaced by its new version, one after the other. */
+  void released(AdapterName adapter, long version, long now) {
+    if (demand.of(adapter, now) < 1) {
+      return;
+    }
+    for (PlannedEndpoint endpoint : endpoints.values()) {
+      PlannedEndpoint.Copy copy = endpoint.copies.get(adapter);
+      boolean replaceable =
+          copy != null
+              && copy.state == PlannedEndpoint.State.HELD
+              && copy.version < version
+              && endpoint.synced
+              && endpoint.coming(now) < MAX_COMING;
+      if (replaceable && !isComing(adapter, now)) {
+        plan(endpoint, adapter, version, now);
+      }
+    }
+  }
+
+  /** Returns the adapters of which an engine holds a copy that is older than the newest. */
+  Set<AdapterName> outdated() {
+    Set<AdapterName> outdated = new HashSet<>();
+    for (PlannedEndpoint endpoint : endpoints.values()) {
+      endpoint.copies.forEach(
+          (name, copy) -> {
+            if (copy.version < versions.newest(name)) {
+              outdated.add(name);
+            }
+          });
+    }
+    return outdated;
+  }
+
+  /** Returns the engines that have to be asked what they hold. */
+  List<EndpointEntry> toAsk(long now) {
+    List<EndpointEntry> toAsk = new ArrayList<>();
+    for (PlannedEndpoint endpoint : endpoints.values()) {
+      if (!endpoint.synced
+          && !endpoint.asking
+          && !endpoint.ordering
+          && now >= endpoint.quietUntil) {
+        endpoint.asking = true;
+        toAsk.add(endpoint.entry);
+      }
+    }
+    return toAsk;
+  }
+
+  /** Takes in an engine's report, or that it gave none. */
+  void asked(EndpointId id, Optional<EndpointReport> report, long now) {
+    PlannedEndpoint endpoint = endpoints.get(id);
+    if (endpoint == null) {
+      return;
+    }
+    endpoint.asking = false;
+    if (report.isEmpty() || report.get().busy()) {
+      endpoint.quietUntil = now + REPORT_LAG_MS;
+      return;
+    }
+    Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
+    endpoint.adopt(report.get(), now, (long) loadMs);
+    before.removeAll(endpoint.copies.keySet());
+    before.forEach(name -> tellGone(id, name));
+    tellAll(endpoint, now);
+  }
+
+  /** Returns the next order to an engine, if one is due; its result has to be told. */
+  Optional<EndpointOrder> nextOrder(EndpointId id, DaemonId holder, long epoch, long now) {
+    PlannedEndpoint endpoint = endpoints.get(id);
+    if (endpoint == null || endpoint.ordering || !endpoint.synced || now < endpoint.quietUntil) {
+      return Optional.empty();
+    }
+    if (endpoint.steps.isEmpty() && endpoint.models.isEmpty() && !endpoint.entry.leaving()) {
+      missingModel(endpoint, now)
+          .ifPresent(
+              spec ->
+                  endpoint.steps.add(
+                      new PlannedEndpoint.Step(
+                          EndpointOrder.Type.LOAD,
+                          spec.model(),
+                          Optional.empty(),
+                          OptionalLong.empty())));
+    }
+    PlannedEndpoint.Step step = endpoint.steps.peek();
+    if (step == null) {
+      return Optional.empty();
+    }
+    endpoint.ordering = true;
+    return Optional.of(
+        new EndpointOrder(
+            step.type(),
+            id,
+            endpoint.entry.address(),
+            step.model(),
+            step.adapter(),
+            step.version(),
+            holder,
+            epoch,
+            endpoint.sequence));
+  }
+
+  /** An engine without any base model serves nothing; it gets the one that is held least. */
+  private Optional<ModelSpec> missingModel(PlannedEndpoint endpoint, long now) {
+    Optional<ModelSpec> missing =
+        endpoint.engine.models().stream()
+            .filter(spec -> spec.weightsMb() <= endpoint.engine.weightsMb())
+            .min(Comparator.comparingLong(spec -> holders(spec.model())));
+    return missing.filter(spec -> modelLoads.take(endpoint.engine.loadsPerSecond(), now));
+  }
+
+  private long holders(ModelId model) {
+    return endpoints.values().stream().filter(e -> e.models.contains(model)).count();
+  }
+
+  /** Takes in what an engine made of the order that was due. */
+  void ordered(EndpointOrder order, OrderResult result, long now) {
+    PlannedEndpoint endpoint = endpoints.get(order.endpoint());
+    if (endpoint == null) {
+      return;
+    }
+    endpoint.ordering = false;
+    PlannedEndpoint.Step step = endpoint.steps.poll();
+    if (step == null) {
+      return;
+    }
+    if (result == OrderResult.ACCEPTED || result == OrderResult.DONE) {
+      endpoint.sequence++;
+      carriedOut(endpoint, step, result, now);
+    } else {
+      failed(endpoint, result, now);
+    }
+  }
+
+  private void carriedOut(
+      PlannedEndpoint endpoint, PlannedEndpoint.Step step, OrderResult result, long now) {
+    if (step.name().isEmpty()) {
+      long takesMs = endpoint.engine.model(step.model()).map(ModelSpec::loadMs).orElse(1_000L);
+      endpoint.synced = false;
+      endpoint.quietUntil = now + takesMs + REPORT_LAG_MS;
+      endpoint.modelsKnownUntil = endpoint.quietUntil + ENTRY_LAG_MS;
+      return;
+    }
+    AdapterName name = step.name().get();
+    EndpointId id = endpoint.entry.endpoint();
+    if (step.type() == EndpointOrder.Type.UNLOAD) {
+      if (result == OrderResult.DONE) {
+        endpoint.copies.remove(name);
+      } else {
+        // It waits for its runs; the place is free only once a report shows so.
+        resync(endpoint, now);
+      }
+      return;
+    }
+    PlannedEndpoint.Copy copy = endpoint.copies.get(name);
+    if (copy == null) {
+      return;
+    }
+    boolean again = kept.isKept(id, name);
+    boolean done = result == OrderResult.DONE;
+    copy.state = PlannedEndpoint.State.HELD;
+    copy.readyAt = done ? now : now + (again ? AGAIN_MS : (long) loadMs);
+    copy.lastUsed = now;
+    kept.held(id, name);
+    tell(id, name, now);
+  }
+
+  /**
+   * After a refusal or a lost answer nobody knows what the engine holds. It gets no orders until
+   * its report, taken after the lag of reports, shows it; what was planned is planned anew by those
+   * who still need it.
+   */
+  private void failed(PlannedEndpoint endpoint, OrderResult result, long now) {
+    EndpointId id = endpoint.entry.endpoint();
+    endpoint.steps.clear();
+    List<AdapterName> lost = new ArrayList<>();
+    endpoint.copies.forEach(
+        (name, copy) -> {
+          if (copy.state == PlannedEndpoint.State.PLANNED) {
+            lost.add(name);
+          }
+        });
+    lost.forEach(name -> tellGone(id, name));
+    if (result != OrderResult.UNKNOWN) {
+      lost.forEach(endpoint.copies::remove);
+    }
+    resync(endpoint, now);
+  }
+
+  private static void resync(PlannedEndpoint endpoint, long now) {
+    endpoint.synced = false;
+    endpoint.quietUntil = now + REPORT_LAG_MS;
+  }
+
+  /** Takes in that an engine refused a request for an adapter that should have been there. */
+  void missed(EndpointId id, AdapterName adapter, boolean early, long now) {
+    PlannedEndpoint endpoint = endpoints.get(id);
+    PlannedEndpoint.Copy copy = endpoint == null ? null : endpoint.copies.get(adapter);
+    if (copy == null) {
+      return;
+    }
+    if (early) {
+      // Loads take longer than was thought: the store is busy with others.
+      loadMs = Math.min(loadMs * 1.15, FIRST_LOAD_MS * 8);
+      copy.readyAt = Math.max(copy.readyAt, now + (long) (loadMs / 4));
+      tell(id, adapter, now);
+    } else if (copy.state != PlannedEndpoint.State.PLANNED) {
+      resync(endpoint, now);
+    }
+  }
+
+  /** Lets the learned time of a load come down again; called now and then. */
+  void relax(long now) {
+    loadMs = Math.max(FIRST_LOAD_MS, loadMs * 0.97);
+    demand.forgetIdle(now);
+  }
+
+  /** Returns the engines for which an order may be due. */
+  List<EndpointId> ids() {
+    return List.copyOf(endpoints.keySet());
+  }
+
+  /** Returns the entry of an engine. */
+  Optional<EndpointEntry> entry(EndpointId id) {
+    return Optional.ofNullable(endpoints.get(id)).map(endpoint -> endpoint.entry);
+  }
+
+  private void tellAll(PlannedEndpoint endpoint, long now) {
+    endpoint.copies.keySet().forEach(name -> tell(endpoint.entry.endpoint(), name, now));
+  }
+
+  private void tell(EndpointId id, AdapterName adapter, long now) {
+    PlannedEndpoint.Copy copy = endpoints.get(id).copies.get(adapter);
+    if (copy.state != PlannedEndpoint.State.LEAVING) {
+      news.add(new Placement(id, adapter, copy.version, Math.max(0, copy.readyAt - now)));
+    }
+  }
+
+  private void tellGone(EndpointId id, AdapterName adapter) {
+    news.add(new Placement(id, adapter, 0, -1));
+  }
+
+  /** Returns what changed since the last call. */
+  List<Placement> takeNews() {
+    List<Placement> taken = List.copyOf(news);
+    news.clear();
+    return taken;
+  }
+
+  /** Returns all that the engines hold. */
+  List<Placement> whole(long now) {
+    List<Placement> whole = new ArrayList<>();
+    endpoints.forEach(
+        (id, endpoint) ->
+            endpoint.copies.forEach(
+                (name, copy) -> {
+                  if (copy.state != PlannedEndpoint.State.LEAVING) {
+                    long readyInMs = Math.max(0, copy.readyAt - now);
+                    whole.add(new Placement(id, name, copy.version, readyInMs));
+                  }
+                }));
+    return whole;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -0,0 +1,123 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.spi.EndpointOrder;
+import io.sequoiapass.gateway.spi.EndpointReport;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.EngineSpec;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** What a coordinator knows of one of its engines; guarded by the lock of its plan. */
+final class PlannedEndpoint {
+
+  EndpointEntry entry;
+  EngineSpec engine;
+  final Map<AdapterName, Copy> copies = new HashMap<>();
+  final Set<ModelId> models = new HashSet<>();
+  final Deque<Step> steps = new ArrayDeque<>();
+  long sequence;
+  boolean synced;
+  boolean asking;
+  boolean ordering;
+  long quietUntil;
+  long modelsKnownUntil;
+
+  PlannedEndpoint(EndpointEntry entry, EngineSpec engine) {
+    this.entry = entry;
+    this.engine = engine;
+  }
+
+  /** Names what is known of a copy. */
+  enum State {
+    /** It is there, or on its way and there at its time. */
+    HELD,
+    /** An order to load it waits for its turn. */
+    PLANNED,
+    /** It is being dropped, and takes its place until it is seen to be gone. */
+    LEAVING
+  }
+
+  /** One adapter, from the plan to load it until it has left. */
+  static final class Copy {
+    long version;
+    State state;
+    long readyAt;
+    long lastUsed;
+
+    Copy(long version, State state, long readyAt, long lastUsed) {
+      this.version = version;
+      this.state = state;
+      this.readyAt = readyAt;
+      this.lastUsed = lastUsed;
+    }
+  }
+
+  /**
+   * One order that is to be given.
+   *
+   * @param type what to do
+   * @param model the base model
+   * @param adapter the adapter; empty for the base model
+   * @param version the version to load; empty for the newest
+   */
+  record Step(
+      EndpointOrder.Type type, ModelId model, Optional<AdapterId> adapter, OptionalLong version) {
+
+    Optional<AdapterName> name() {
+      return adapter.map(known -> new AdapterName(model, known));
+    }
+  }
+
+  /** Takes what the engine says of itself for the truth, but for what is in use by our orders. */
+  void adopt(EndpointReport report, long now, long comingMs) {
+    Map<AdapterName, Copy> before = new HashMap<>(copies);
+    copies.clear();
+    models.clear();
+    report
+        .models()
+        .forEach(
+            held -> {
+              models.add(held.model());
+              held.adapters()
+                  .forEach(
+                      (adapter, version) ->
+                          hold(new AdapterName(held.model(), adapter), version, now, before));
+            });
+    report.coming().forEach((name, version) -> hold(name, version, now + comingMs, before));
+    sequence = report.sequence();
+    steps.clear();
+    synced = true;
+  }
+
+  private void hold(AdapterName name, long version, long readyAt, Map<AdapterName, Copy> before) {
+    Copy known = before.get(name);
+    long lastUsed = known == null ? readyAt : known.lastUsed;
+    long ready = known == null ? readyAt : Math.max(known.readyAt, 0);
+    copies.put(name, new Copy(version, State.HELD, ready, lastUsed));
+  }
+
+  /** Takes what the engine wrote into the list, for the time until it has been asked. */
+  void adoptEntry(long now) {
+    adopt(new EndpointReport(entry.models(), Map.of(), false, 0), now, 0);
+    synced = false;
+  }
+
+  int coming(long now) {
+    int coming = 0;
+    for (Copy copy : copies.values()) {
+      if (copy.state == State.PLANNED || copy.readyAt > now) {
+        coming++;
+      }
+    }
+    return coming;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -0,0 +1,178 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.gateway.spi.MetadataStore;
+import io.sequoiapass.gateway.spi.StoreChanges;
+import io.sequoiapass.gateway.spi.StoreException;
+import io.sequoiapass.gateway.spi.StoreKind;
+import io.sequoiapass.gateway.spi.StoreList;
+import io.sequoiapass.gateway.spi.Stored;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps a listener informed of one kind of objects: lists them, then waits for changes for good.
+ *
+ * <pre>{@code
+ * new StoreFeed<>(store, StoreKind.ENDPOINTS, timing, listener, loop, clock, log).start();
+ * }</pre>
+ *
+ * <p>The listener is called by one thread at a time, in the order of the store's revisions. Safe
+ * for use by several threads.
+ *
+ * @param <T> the type of the values
+ */
+final class StoreFeed<T> {
+
+  /** Hears what the store says; must not block. */
+  interface Listener<T> {
+
+    /**
+     * Called with all objects.
+     *
+     * @param items the objects
+     * @param afterOutage whether the store was out of reach before
+     */
+    void replaced(List<Stored<T>> items, boolean afterOutage);
+
+    /**
+     * Called with one change.
+     *
+     * @param change the change
+     * @param afterOutage whether the store was out of reach before
+     */
+    void changed(StoreChanges.Change<T> change, boolean afterOutage);
+  }
+
+  /**
+   * How often a feed calls the store.
+   *
+   * @param waitMs how long a watch may wait; bounds how long a silent connection goes unnoticed
+   * @param pauseMs the pause after a change before the next watch, in milliseconds: changes that
+   *     come close together then cost one call
+   */
+  record Timing(long waitMs, long pauseMs) {}
+
+  /** First pause after a failed call, in milliseconds; doubled up to {@link #MAX_RETRY_MS}. */
+  private static final long RETRY_MS = 100;
+
+  /** Longest pause, in milliseconds; a store that is back is noticed within this time. */
+  private static final long MAX_RETRY_MS = 800;
+
+  /**
+   * Failures for this long, in milliseconds, count as an outage. Endpoints write every second or so
+   * and lapse after three missed times, so a shorter gap cannot have made an entry lapse.
+   */
+  private static final long OUTAGE_MS = 1_000;
+
+  private static final long NEVER = -1;
+
+  private final MetadataStore store;
+  private final StoreKind<T> kind;
+  private final Timing timing;
+  private final Listener<T> listener;
+  private final ScheduledExecutorService loop;
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private long revision;
+  private long lastAnswer = NEVER;
+  private long failingSince = NEVER;
+  private long retryMs = RETRY_MS;
+
+  StoreFeed(
+      MetadataStore store,
+      StoreKind<T> kind,
+      Timing timing,
+      Listener<T> listener,
+      ScheduledExecutorService loop,
+      MillisClock clock,
+      DecisionLog log) {
+    this.store = Objects.requireNonNull(store, "store");
+    this.kind = kind;
+    this.timing = timing;
+    this.listener = listener;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  void start() {
+    list();
+  }
+
+  /** Returns how long ago the store last answered, in milliseconds; negative if it never did. */
+  synchronized long ageMs() {
+    return lastAnswer == NEVER ? NEVER : clock.millis() - lastAnswer;
+  }
+
+  private void list() {
+    store.list(kind).whenComplete((list, failure) -> loop.execute(() -> listed(list, failure)));
+  }
+
+  private synchronized void listed(StoreList<T> list, Throwable failure) {
+    if (failure != null) {
+      retry(failure, this::list);
+      return;
+    }
+    boolean afterOutage = answered();
+    revision = list.revision();
+    listener.replaced(list.items(), afterOutage);
+    watch();
+  }
+
+  private void watch() {
+    store
+        .watch(kind, revision, timing.waitMs())
+        .whenComplete((changes, failure) -> loop.execute(() -> watched(changes, failure)));
+  }
+
+  private synchronized void watched(StoreChanges<T> changes, Throwable failure) {
+    if (failure != null) {
+      if (StoreException.reasonOf(failure) == StoreException.Reason.HISTORY_GONE) {
+        log.belief("store_history_gone").with("kind", kind.name()).with("after", revision).write();
+        list();
+      } else {
+        retry(failure, this::watch);
+      }
+      return;
+    }
+    boolean afterOutage = answered();
+    revision = Math.max(revision, changes.revision());
+    changes.changes().forEach(change -> listener.changed(change, afterOutage));
+    if (changes.changes().isEmpty()) {
+      watch();
+    } else {
+      loop.schedule(this::watch, timing.pauseMs(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean answered() {
+    long now = clock.millis();
+    boolean afterOutage = failingSince != NEVER && now - failingSince >= OUTAGE_MS;
+    if (failingSince != NEVER) {
+      log.belief("store_back")
+          .with("kind", kind.name())
+          .with("away_ms", now - failingSince)
+          .write();
+    }
+    failingSince = NEVER;
+    retryMs = RETRY_MS;
+    lastAnswer = now;
+    return afterOutage;
+  }
+
+  private void retry(Throwable failure, Runnable again) {
+    if (failingSince == NEVER) {
+      failingSince = clock.millis();
+      log.belief("store_lost")
+          .with("kind", kind.name())
+          .with("reason", StoreException.reasonOf(failure).name())
+          .with("message", String.valueOf(failure.getMessage()))
+          .write();
+    }
+    loop.schedule(again, retryMs, TimeUnit.MILLISECONDS);
+    retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/package-info.java
@@ -0,0 +1,2 @@
+/** What lives for the process: endpoints, the coordinator's lease and plan, the daemon itself. */
+package io.sequoiapass.gateway.process;
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -0,0 +1,102 @@
+package io.sequoiapass.gateway.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.daemon.connection.HttpStream;
+import io.sequoiapass.daemon.connection.HttpStreamListener;
+import io.sequoiapass.gateway.process.EndpointGroup;
+import io.sequoiapass.gateway.spi.AnswerClass;
+import java.io.ByteArrayOutputStream;
+
+/**
+ * Hears the answer to one sending of a request and tells the request what it means. Used on the
+ * event loop of the connection that carries it.
+ */
+final class RelayAttempt implements HttpStreamListener {
+
+  /** The largest answer that is held until it is whole, in bytes. */
+  private static final int MAX_HELD_BYTES = 8 << 20;
+
+  final EndpointGroup.Ticket ticket;
+  final DataCentreId dataCentre;
+  final long sentAt;
+  volatile HttpStream stream;
+  private final RelayedRequest request;
+  private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+  private AnswerClass answer;
+  private int status;
+  private HttpHeaders headers;
+  private volatile boolean over;
+
+  RelayAttempt(
+      RelayedRequest request, EndpointGroup.Ticket ticket, DataCentreId dataCentre, long sentAt) {
+    this.request = request;
+    this.ticket = ticket;
+    this.dataCentre = dataCentre;
+    this.sentAt = sentAt;
+  }
+
+  /**
+   * A whole answer but for its status.
+   *
+   * @param headers its headers
+   * @param bytes its body
+   */
+  // Bodies are never compared, so the array's identity in equals does no harm.
+  @SuppressWarnings("ArrayRecordComponent")
+  record Body(HttpHeaders headers, byte[] bytes) {}
+
+  /** Returns whether the endpoint has said its last word on this sending. */
+  boolean isOver() {
+    return over;
+  }
+
+  @Override
+  public void started(int newStatus, HttpHeaders newHeaders) {
+    status = newStatus;
+    headers = newHeaders;
+    answer = request.began(this, newStatus, newHeaders);
+  }
+
+  private boolean isStream() {
+    return answer == AnswerClass.SUCCESS && request.streams();
+  }
+
+  @Override
+  public void received(byte[] part) {
+    if (isStream()) {
+      request.received(this, part);
+    } else if (held.size() + part.length <= MAX_HELD_BYTES) {
+      held.writeBytes(part);
+    } else {
+      answer = AnswerClass.UNTRUSTED;
+    }
+  }
+
+  @Override
+  public void ended() {
+    over = true;
+    if (answer.isNotRun()) {
+      request.rejected(this, answer);
+    } else if (answer == AnswerClass.UNTRUSTED) {
+      request.broken(this, "untrusted answer with status " + status);
+    } else if (isStream()) {
+      request.streamEnded(this);
+    } else {
+      request.answered(this, answer, status, new Body(headers, held.toByteArray()));
+    }
+  }
+
+  @Override
+  public void failed(HttpFailure failure) {
+    over = true;
+    if (answer != null && answer.isNotRun()) {
+      request.rejected(this, answer);
+    } else if (failure.mayHaveReached()) {
+      request.broken(this, String.valueOf(failure.getMessage()));
+    } else {
+      request.unsent(this, failure);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -0,0 +1,552 @@
+package io.sequoiapass.gateway.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.connection.HttpCall;
+import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.daemon.connection.HttpRequestMessage;
+import io.sequoiapass.daemon.connection.HttpResponder;
+import io.sequoiapass.daemon.connection.ReusePolicy;
+import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.process.Demand;
+import io.sequoiapass.gateway.process.EndpointGroup;
+import io.sequoiapass.gateway.process.RepeatBudget;
+import io.sequoiapass.gateway.process.Target;
+import io.sequoiapass.gateway.spi.AnswerClass;
+import io.sequoiapass.gateway.spi.CallerFacts;
+import io.sequoiapass.gateway.spi.ForwardTerms;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.RouteSpec;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Brings one request to an endpoint and its answer back to the caller.
+ *
+ * <p>It ends in one of three ways: the endpoint's answer, whole; a refusal, when it is proved that
+ * no endpoint ran the request; or a failure that claims nothing. Safe for use by several threads:
+ * its state has one lock, and what arrives for an attempt that is over is passed over.
+ */
+public final class RelayedRequest {
+
+  /** Most endpoints that a request is sent to, refusals included. */
+  private static final int MAX_SENDS = 4;
+
+  /** With less time than this left, in milliseconds, no endpoint can answer. */
+  private static final long LEAST_MS = 15;
+
+  /**
+   * How long after the deadline the caller hears that there is no answer, in milliseconds: time for
+   * the endpoint's own word, which says more.
+   */
+  private static final long DEADLINE_SLACK_MS = 40;
+
+  /** A connection to an endpoint is given this long beyond the deadline, in milliseconds. */
+  private static final long CALL_SLACK_MS = 300;
+
+  /** A refused load is asked for again only if this share of the wanted time is left. */
+  private static final double WAITING_SHARE = 0.5;
+
+  /** How long nobody may have brought the adapter before the caller is refused, in milliseconds. */
+  private static final long PLACING_MS = 800;
+
+  /**
+   * A request that may be repeated is sent elsewhere when its answer takes this many times as long
+   * as usual: an endpoint that lost it will never answer.
+   */
+  private static final double PATIENCE_TIMES = 4;
+
+  /** Least patience with a plain endpoint, in milliseconds. */
+  private static final long LEAST_PATIENCE_MS = 250;
+
+  /** Least patience with an engine, in milliseconds. */
+  private static final long ENGINE_PATIENCE_MS = 1_200;
+
+  /** A stream that pauses this many times the wanted gap has stopped. */
+  private static final long STALL_GAPS = 3;
+
+  /** A caller that finds no way into the system is asked back after this time, in milliseconds. */
+  private static final long COME_BACK_MS = 300;
+
+  private final RelayContext context;
+  private final RouteSpec route;
+  private final EndpointGroup group;
+  private final RepeatBudget budget;
+  private final CallerFacts facts;
+  private final HttpRequestMessage request;
+  private final HttpResponder responder;
+  private final Runnable finished;
+  private final long arrivedAt;
+  private final long deadlineAt;
+  private final Set<EndpointId> avoid = new HashSet<>();
+  private final EventRelay events;
+  private final RequestStory story;
+  private Future<?> deadlineTimer;
+  private Future<?> waitTimer;
+  private Future<?> patienceTimer;
+  private RelayAttempt attempt;
+  private int sends;
+  private int runs;
+  private long waitingSince;
+  private boolean waiting;
+  private boolean answering;
+  private boolean over;
+
+  /**
+   * Makes a request that has not been sent anywhere.
+   *
+   * @param context what all requests use
+   * @param route the route that takes it
+   * @param group the endpoints of its service
+   * @param budget bounds repeats
+   * @param facts what the caller says
+   * @param exchange the caller's request and what answers it
+   * @param finished runs once at the end
+   */
+  public RelayedRequest(
+      RelayContext context,
+      RouteSpec route,
+      EndpointGroup group,
+      RepeatBudget budget,
+      CallerFacts facts,
+      Exchange exchange,
+      Runnable finished) {
+    this.context = context;
+    this.route = route;
+    this.group = group;
+    this.budget = budget;
+    this.facts = facts;
+    this.request = exchange.request();
+    this.responder = exchange.responder();
+    this.finished = finished;
+    this.arrivedAt = context.clock().millis();
+    long allowedMs = Math.min(route.timeoutMs(), facts.deadlineMs().orElse(route.timeoutMs()));
+    this.deadlineAt = arrivedAt + allowedMs;
+    this.story = new RequestStory(context, route, facts);
+    this.events = new EventRelay(facts.lastEventId().orElse(EventRelay.NONE));
+  }
+
+  /**
+   * A caller's request and what answers it.
+   *
+   * @param request the request
+   * @param responder sends the answer
+   */
+  public record Exchange(HttpRequestMessage request, HttpResponder responder) {}
+
+  /** Begins. */
+  public synchronized void start() {
+    responder.onClose(this::callerLeft);
+    responder.onWritable(this::callerReads);
+    long leftMs = deadlineAt - arrivedAt + DEADLINE_SLACK_MS;
+    deadlineTimer =
+        context.loop().schedule(this::deadline, Math.max(0, leftMs), TimeUnit.MILLISECONDS);
+    dispatch();
+  }
+
+  /** Looks for an endpoint again: an adapter is there, or on its way. */
+  synchronized void lookAgain() {
+    if (waiting && !over) {
+      dispatch();
+    }
+  }
+
+  /** Hears that the adapter cannot be brought now. */
+  synchronized void noRoom(long comeBackMs) {
+    if (!waiting || over) {
+      return;
+    }
+    long now = context.clock().millis();
+    boolean worthWaiting = now + comeBackMs - arrivedAt < route.targetMs() * WAITING_SHARE;
+    if (worthWaiting) {
+      rest(comeBackMs);
+    } else {
+      refuse(ErrorKind.OVERLOADED, comeBackMs);
+    }
+  }
+
+  private void dispatch() {
+    stopWaiting();
+    long now = context.clock().millis();
+    long remainingMs = deadlineAt - now;
+    if (remainingMs < LEAST_MS) {
+      giveUp();
+      return;
+    }
+    Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
+    Choice choice = group.choose(demand, context.adapters().loadable(), now);
+    if (choice instanceof Choice.Send send) {
+      send(send, demand, now);
+    } else if (choice instanceof Choice.AwaitLoad load) {
+      await(now, load.waitMs() + 1);
+    } else if (choice instanceof Choice.RequestLoad load) {
+      requestLoad(load.dataCentre(), now);
+    } else if (choice instanceof Choice.Refuse refusal) {
+      refuseOrFail(refusal);
+    }
+  }
+
+  private void requestLoad(DataCentreId dataCentre, long now) {
+    AdapterName adapter = facts.generation().flatMap(Generation::adapter).orElseThrow();
+    boolean firstTime = waitingSince == 0;
+    await(now, PLACING_MS);
+    if (!firstTime && now - waitingSince >= PLACING_MS) {
+      refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
+      return;
+    }
+    if (!context.adapters().need(dataCentre, adapter, false)) {
+      refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
+    }
+  }
+
+  private void await(long now, long waitMs) {
+    facts.generation().flatMap(Generation::adapter).ifPresent(a -> context.waiting().add(a, this));
+    waiting = true;
+    if (waitingSince == 0) {
+      waitingSince = now;
+    }
+    rest(waitMs);
+  }
+
+  private void rest(long ms) {
+    cancel(waitTimer);
+    waitTimer = context.loop().schedule(this::lookAgain, ms, TimeUnit.MILLISECONDS);
+  }
+
+  private void stopWaiting() {
+    cancel(waitTimer);
+    if (waiting) {
+      waiting = false;
+      facts
+          .generation()
+          .flatMap(Generation::adapter)
+          .ifPresent(adapter -> context.waiting().remove(adapter, this));
+    }
+  }
+
+  private void send(Choice.Send choice, Demand demand, long now) {
+    EndpointId endpoint = choice.candidate().endpoint();
+    Optional<Target> target = group.target(endpoint, demand, now);
+    Optional<EndpointGroup.Ticket> ticket = group.begin(endpoint, demand, now);
+    if (target.isEmpty() || ticket.isEmpty()) {
+      refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
+      return;
+    }
+    if (sends > 0 && (sends >= MAX_SENDS || !budget.take(now))) {
+      ticket.get().ended(EndpointGroup.Ending.NO_BLAME, now);
+      refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, COME_BACK_MS));
+      return;
+    }
+    sends++;
+    story.sent(choice, sends, now - arrivedAt, demand.remainingMs());
+    if (choice.wantsCopy()) {
+      wantCopy();
+    }
+    long remainingMs = deadlineAt - now;
+    OptionalLong lastEventId =
+        events.lastId() == EventRelay.NONE
+            ? OptionalLong.empty()
+            : OptionalLong.of(events.lastId());
+    ForwardTerms terms =
+        new ForwardTerms(
+            endpoint, remainingMs, route.priority(), target.get().expectedVersion(), lastEventId);
+    HttpCall call =
+        HttpCall.to(target.get().address(), request.method(), request.target())
+            .headers(context.endpoints().forwardHeaders(request.headers(), terms))
+            .body(request.body())
+            .reuse(route.mayRepeat() ? ReusePolicy.ANY : ReusePolicy.RECENT);
+    attempt = new RelayAttempt(this, ticket.get(), choice.candidate().dataCentre(), now);
+    attempt.stream = context.http().stream(call, remainingMs + CALL_SLACK_MS, attempt);
+    bePatient(choice.expectedMs());
+  }
+
+  private void wantCopy() {
+    context.adapters().loadable().stream()
+        .findFirst()
+        .ifPresent(
+            dataCentre ->
+                facts
+                    .generation()
+                    .flatMap(Generation::adapter)
+                    .ifPresent(adapter -> context.adapters().need(dataCentre, adapter, true)));
+  }
+
+  private void bePatient(long expectedMs) {
+    cancel(patienceTimer);
+    if (!route.mayRepeat() || runs + 1 >= route.maxAttempts()) {
+      return;
+    }
+    long patienceMs =
+        facts.generation().isPresent()
+            ? Math.max(ENGINE_PATIENCE_MS, 2 * expectedMs + route.targetMs() / 2)
+            : Math.max(LEAST_PATIENCE_MS, (long) (PATIENCE_TIMES * group.usualServiceMs()));
+    RelayAttempt waitedFor = attempt;
+    patienceTimer =
+        context.loop().schedule(() -> silent(waitedFor), patienceMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Sends a request elsewhere whose endpoint says nothing, or no longer says anything. */
+  private synchronized void silent(RelayAttempt waitedFor) {
+    if (over || attempt != waitedFor) {
+      return;
+    }
+    long now = context.clock().millis();
+    if (!budgetLeft(now)) {
+      return;
+    }
+    waitedFor.stream.cancel();
+    broken(waitedFor, "silent");
+  }
+
+  private boolean budgetLeft(long now) {
+    return runs + 1 < route.maxAttempts() && deadlineAt - now > LEAST_MS && sends < MAX_SENDS;
+  }
+
+  /** Hears the beginning of an answer; returns what it proves. */
+  synchronized AnswerClass began(RelayAttempt from, int status, HttpHeaders headers) {
+    AnswerClass answer = context.endpoints().classify(status, headers);
+    if (over || from != attempt) {
+      return answer;
+    }
+    if (answer == AnswerClass.SUCCESS) {
+      cancel(patienceTimer);
+      from.ticket.begun(context.clock().millis());
+      if (route.streams()) {
+        beginStream(status, headers);
+        watchPauses(from);
+      }
+    }
+    return answer;
+  }
+
+  private void beginStream(int status, HttpHeaders headers) {
+    events.drop();
+    if (!answering) {
+      answering = true;
+      context.metrics().time("sequoiapass_first_event_ms", sinceArrival());
+      responder.begin(status, context.endpoints().answerHeaders(headers));
+    }
+  }
+
+  boolean streams() {
+    return route.streams();
+  }
+
+  /** Passes on the whole events of a stream. */
+  synchronized void received(RelayAttempt from, byte[] part) {
+    if (over || from != attempt) {
+      return;
+    }
+    byte[] whole = events.take(part);
+    if (whole.length > 0) {
+      responder.write(whole);
+      watchPauses(from);
+      if (!responder.writable()) {
+        from.stream.pause();
+      }
+    }
+  }
+
+  private void watchPauses(RelayAttempt from) {
+    cancel(patienceTimer);
+    if (route.mayRepeat() && runs + 1 < route.maxAttempts()) {
+      long stallMs = route.gapTargetMs() * STALL_GAPS;
+      patienceTimer = context.loop().schedule(() -> silent(from), stallMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private synchronized void callerReads() {
+    if (!over && attempt != null && attempt.stream != null) {
+      attempt.stream.resume();
+    }
+  }
+
+  /** Ends a stream that came whole. */
+  synchronized void streamEnded(RelayAttempt from) {
+    if (over || from != attempt) {
+      return;
+    }
+    from.ticket.ended(EndpointGroup.Ending.ANSWERED, context.clock().millis());
+    if (events.rest().length > 0) {
+      responder.write(events.rest());
+    }
+    finish("answered", 0);
+    responder.end();
+  }
+
+  /** Passes on an answer that came whole. */
+  synchronized void answered(
+      RelayAttempt from, AnswerClass answer, int status, RelayAttempt.Body body) {
+    if (over || from != attempt) {
+      return;
+    }
+    long now = context.clock().millis();
+    boolean success = answer == AnswerClass.SUCCESS;
+    from.ticket.ended(success ? EndpointGroup.Ending.ANSWERED : EndpointGroup.Ending.FAILED, now);
+    runs++;
+    if (!success && mayGoOn(now)) {
+      avoid.add(from.ticket.endpoint());
+      dispatch();
+      return;
+    }
+    if (answering) {
+      cut(ErrorKind.STREAM_SHORT, "resumption failed with " + status);
+      return;
+    }
+    context.metrics().time("sequoiapass_answer_ms", sinceArrival());
+    finish(success ? "answered" : "endpoint_failed", status);
+    responder.respond(status, context.endpoints().answerHeaders(body.headers()), body.bytes());
+  }
+
+  private boolean mayGoOn(long now) {
+    return route.mayRepeat()
+        && runs < route.maxAttempts()
+        && sends < MAX_SENDS
+        && deadlineAt - now > LEAST_MS;
+  }
+
+  /** Hears that the endpoint did not run the request, and why. */
+  synchronized void rejected(RelayAttempt from, AnswerClass answer) {
+    if (over || from != attempt) {
+      return;
+    }
+    long now = context.clock().millis();
+    from.ticket.ended(EndpointGroup.Ending.NO_BLAME, now);
+    Optional<AdapterName> adapter = facts.generation().flatMap(Generation::adapter);
+    boolean early = answer == AnswerClass.NOT_RUN_BUSY;
+    story.notRun(from, answer);
+    if (adapter.isPresent()) {
+      context.adapters().missed(from.dataCentre, from.ticket.endpoint(), adapter.get(), early);
+      if (!early) {
+        group.absent(from.ticket.endpoint(), adapter.get());
+      }
+    }
+    avoid.add(from.ticket.endpoint());
+    dispatch();
+  }
+
+  /** Hears that nothing of the request reached the endpoint. */
+  synchronized void unsent(RelayAttempt from, HttpFailure failure) {
+    if (over || from != attempt) {
+      return;
+    }
+    from.ticket.ended(EndpointGroup.Ending.FAILED, context.clock().millis());
+    story.lost("unsent", from, String.valueOf(failure.getMessage()), events.lastId());
+    avoid.add(from.ticket.endpoint());
+    dispatch();
+  }
+
+  /** Hears that an answer will not come, or not whole, though the request may have run. */
+  synchronized void broken(RelayAttempt from, String reason) {
+    if (over || from != attempt) {
+      return;
+    }
+    long now = context.clock().millis();
+    from.ticket.ended(EndpointGroup.Ending.FAILED, now);
+    story.lost("broken", from, reason, events.lastId());
+    runs++;
+    avoid.add(from.ticket.endpoint());
+    if (mayGoOn(now)) {
+      events.drop();
+      dispatch();
+    } else if (answering) {
+      cut(ErrorKind.STREAM_SHORT, reason);
+    } else {
+      fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
+    }
+  }
+
+  private synchronized void deadline() {
+    if (!over) {
+      giveUp();
+    }
+  }
+
+  private void giveUp() {
+    if (attempt != null && attempt.stream != null) {
+      attempt.stream.cancel();
+      attempt.ticket.ended(EndpointGroup.Ending.NO_BLAME, context.clock().millis());
+    }
+    if (answering) {
+      cut(ErrorKind.DEADLINE_PASSED_AFTER_START, "deadline");
+    } else if (mayHaveRun()) {
+      fail(ErrorKind.DEADLINE_PASSED_AFTER_START);
+    } else {
+      refuse(ErrorKind.DEADLINE_UNREACHABLE, COME_BACK_MS);
+    }
+  }
+
+  /** An attempt that is still open may run; one that ended is counted by what it proved. */
+  private boolean mayHaveRun() {
+    return runs > 0 || (attempt != null && !attempt.isOver());
+  }
+
+  private void refuseOrFail(Choice.Refuse refusal) {
+    if (answering) {
+      cut(ErrorKind.STREAM_SHORT, "no other endpoint");
+    } else if (runs > 0) {
+      fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
+    } else {
+      refuse(refusal.kind(), refusal.comeBackMs());
+    }
+  }
+
+  private void refuse(ErrorKind kind, long comeBackMs) {
+    finish("refused_" + kind, kind.httpStatus());
+    respond(kind, OptionalLong.of(comeBackMs));
+  }
+
+  private void fail(ErrorKind kind) {
+    finish("failed_" + kind, kind.httpStatus());
+    respond(kind, OptionalLong.empty());
+  }
+
+  private void respond(ErrorKind kind, OptionalLong comeBackMs) {
+    responder.respond(
+        kind.httpStatus(),
+        context.callers().ownHeaders(facts.requestId(), comeBackMs),
+        "{\"error\":\"" + kind + "\",\"message\":\"" + kind.message() + "\"}");
+  }
+
+  /** Ends a stream so that it does not look whole. */
+  private void cut(ErrorKind kind, String reason) {
+    finish("cut_" + kind + "_" + reason, 0);
+    responder.abort();
+  }
+
+  private synchronized void callerLeft() {
+    if (over) {
+      return;
+    }
+    if (attempt != null && attempt.stream != null) {
+      attempt.stream.cancel();
+      attempt.ticket.ended(EndpointGroup.Ending.NO_BLAME, context.clock().millis());
+    }
+    finish("caller_left", 0);
+  }
+
+  private void finish(String outcome, int status) {
+    over = true;
+    stopWaiting();
+    cancel(deadlineTimer);
+    cancel(patienceTimer);
+    finished.run();
+    story.ended(outcome, status, sinceArrival(), sends, runs, events.lastId());
+  }
+
+  private long sinceArrival() {
+    return context.clock().millis() - arrivedAt;
+  }
+
+  private static void cancel(Future<?> timer) {
+    if (timer != null) {
+      timer.cancel(false);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
@@ -0,0 +1,86 @@
+package io.sequoiapass.gateway.request;
+
+import io.sequoiapass.gateway.process.Candidate;
+import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.spi.AnswerClass;
+import io.sequoiapass.gateway.spi.CallerFacts;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.RouteSpec;
+
+/** Writes what is decided about one request to the log; under the request's lock. */
+final class RequestStory {
+
+  private final RelayContext context;
+  private final RouteSpec route;
+  private final String requestId;
+  private final String adapter;
+
+  RequestStory(RelayContext context, RouteSpec route, CallerFacts facts) {
+    this.context = context;
+    this.route = route;
+    this.requestId = facts.requestId();
+    this.adapter =
+        facts.generation().flatMap(Generation::adapter).map(AdapterName::toString).orElse("");
+  }
+
+  /** The request goes to an endpoint, chosen by what is known of it. */
+  void sent(Choice.Send choice, int send, long waitedMs, long leftMs) {
+    Candidate candidate = choice.candidate();
+    context
+        .log()
+        .request("sent", requestId)
+        .with("route", route.name())
+        .with("adapter", adapter)
+        .with("endpoint", candidate.endpoint())
+        .with("near", candidate.near())
+        .with("send", send)
+        .with("expected_ms", choice.expectedMs())
+        .with("waited_ms", waitedMs)
+        .with("left_ms", leftMs)
+        .with("running", candidate.running())
+        .with("prefill_tokens", candidate.prefillTokens())
+        .with("kept_tokens", candidate.keptTokens())
+        .write();
+  }
+
+  /** The endpoint says that it did not run the request. */
+  void notRun(RelayAttempt from, AnswerClass answer) {
+    context
+        .log()
+        .request("not_run", requestId)
+        .with("endpoint", from.ticket.endpoint())
+        .with("answer", answer)
+        .with("took_ms", context.clock().millis() - from.sentAt)
+        .write();
+  }
+
+  /** The endpoint was lost; whether it ran the request is in the event's name. */
+  void lost(String event, RelayAttempt from, String reason, long lastEvent) {
+    context
+        .log()
+        .request(event, requestId)
+        .with("endpoint", from.ticket.endpoint())
+        .with("reason", reason)
+        .with("took_ms", context.clock().millis() - from.sentAt)
+        .with("last_event", lastEvent)
+        .write();
+  }
+
+  /** The request has ended. */
+  void ended(String outcome, int status, long tookMs, int sends, int runs, long lastEvent) {
+    String label = outcome.startsWith("cut_") ? "cut" : outcome;
+    context.metrics().count("sequoiapass_requests_total{outcome=\"" + label + "\"}");
+    context
+        .log()
+        .request("ended", requestId)
+        .with("route", route.name())
+        .with("adapter", adapter)
+        .with("outcome", outcome)
+        .with("status", status)
+        .with("took_ms", tookMs)
+        .with("sends", sends)
+        .with("runs", runs)
+        .with("last_event", lastEvent)
+        .write();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/Waiting.java
@@ -0,0 +1,49 @@
+package io.sequoiapass.gateway.request;
+
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Holds the requests that wait for an adapter; safe for use by several threads. */
+public final class Waiting {
+
+  private final Map<AdapterName, Set<RelayedRequest>> requests = new ConcurrentHashMap<>();
+
+  void add(AdapterName adapter, RelayedRequest request) {
+    requests.computeIfAbsent(adapter, name -> ConcurrentHashMap.newKeySet()).add(request);
+  }
+
+  void remove(AdapterName adapter, RelayedRequest request) {
+    requests.computeIfPresent(
+        adapter,
+        (name, waiting) -> {
+          waiting.remove(request);
+          return waiting.isEmpty() ? null : waiting;
+        });
+  }
+
+  /**
+   * Looks again at all requests for an adapter that is there or on its way.
+   *
+   * @param adapter the adapter
+   */
+  public void placed(AdapterName adapter) {
+    waitingFor(adapter).forEach(RelayedRequest::lookAgain);
+  }
+
+  /**
+   * Tells all requests for an adapter that it cannot be brought now.
+   *
+   * @param adapter the adapter
+   * @param comeBackMs when to ask again, in milliseconds
+   */
+  public void noRoom(AdapterName adapter, long comeBackMs) {
+    waitingFor(adapter).forEach(request -> request.noRoom(comeBackMs));
+  }
+
+  private List<RelayedRequest> waitingFor(AdapterName adapter) {
+    return List.copyOf(requests.getOrDefault(adapter, Set.of()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/MetadataStore.java
@@ -0,0 +1,40 @@
+package io.sequoiapass.gateway.spi;
+
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Reads, watches and writes the platform's store. Reads end with a {@link StoreException} as their
+ * cause when there is no answer; writes always end with a {@link WriteResult}.
+ *
+ * <p>Implementations are safe for use by several threads.
+ */
+public interface MetadataStore {
+
+  /**
+   * Lists all objects of a kind.
+   *
+   * @param kind the kind
+   */
+  <T> CompletableFuture<StoreList<T>> list(StoreKind<T> kind);
+
+  /**
+   * Waits for changes.
+   *
+   * @param kind the kind
+   * @param after the revision after which changes are wanted
+   * @param waitMs how long the store may hold the call while nothing changes, in milliseconds
+   */
+  <T> CompletableFuture<StoreChanges<T>> watch(StoreKind<T> kind, long after, long waitMs);
+
+  /**
+   * Writes one object under a condition.
+   *
+   * @param kind the kind
+   * @param name the object's name
+   * @param value its new value
+   * @param expected the revision that it must have; empty if it must not exist
+   */
+  <T> CompletableFuture<WriteResult<T>> write(
+      StoreKind<T> kind, String name, T value, OptionalLong expected);
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/ServiceSpec.java
@@ -0,0 +1,15 @@
+package io.sequoiapass.gateway.version;
+
+import io.sequoiapass.coordination.ServiceId;
+import java.util.Optional;
+
+/**
+ * Describes one service: a group of endpoints that answer the same requests.
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ *
+ * @param service its name
+ * @param maxConnections connections that one endpoint takes from all callers together
+ * @param engine what its engines can do; empty for a plain service
+ */
+public record ServiceSpec(ServiceId service, int maxConnections, Optional<EngineSpec> engine) {}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/ServingConfiguration.java
@@ -0,0 +1,87 @@
+package io.sequoiapass.gateway.version;
+
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.daemon.connection.ConnectionLimits;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the operators' configuration, whole.
+ *
+ * <pre>{@code
+ * Optional<RouteSpec> route = configuration.route("notes.example", "/bales/7");
+ * }</pre>
+ *
+ * <p>Instances are immutable and safe for use by several threads.
+ */
+public final class ServingConfiguration {
+
+  private final long version;
+  private final Map<String, List<RouteSpec>> routesByHost = new HashMap<>();
+  private final Map<ServiceId, ServiceSpec> services = new HashMap<>();
+  private final ConnectionLimits limits;
+
+  /**
+   * Makes a version.
+   *
+   * @param version its number
+   * @param routes the routes
+   * @param services the services
+   * @param limits what callers may send
+   */
+  public ServingConfiguration(
+      long version, List<RouteSpec> routes, List<ServiceSpec> services, ConnectionLimits limits) {
+    this.version = version;
+    this.limits = limits;
+    routes.forEach(
+        route -> routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route));
+    Comparator<RouteSpec> longestFirst =
+        Comparator.comparingInt((RouteSpec route) -> route.pathPrefix().length()).reversed();
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+    services.forEach(service -> this.services.put(service.service(), service));
+  }
+
+  /** Returns the version's number. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns what callers may send. */
+  public ConnectionLimits limits() {
+    return limits;
+  }
+
+  /** Returns the services. */
+  public List<ServiceSpec> services() {
+    return List.copyOf(services.values());
+  }
+
+  /**
+   * Returns a service.
+   *
+   * @param service its name
+   */
+  public Optional<ServiceSpec> service(ServiceId service) {
+    return Optional.ofNullable(services.get(service));
+  }
+
+  /**
+   * Returns the route of a request: of those of its host, the one with the longest prefix that
+   * begins its path.
+   *
+   * @param host the host that the caller asked for, with or without a port
+   * @param path the path without the query
+   */
+  public Optional<RouteSpec> route(String host, String path) {
+    int port = host.lastIndexOf(':');
+    String name = (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
+    return routesByHost.getOrDefault(name, List.of()).stream()
+        .filter(route -> path.startsWith(route.pathPrefix()))
+        .findFirst();
+  }
+}
