--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -34,6 +34,26 @@
   private final IntSupplier daemons;
   private final Map<ServiceId, RepeatBudget> budgets = new ConcurrentHashMap<>();
   private final AtomicInteger underWay = new AtomicInteger();
+  private volatile Stop stop = Stop.NEVER;
+
+  /**
+   * When a stopping process takes no more requests.
+   *
+   * @param takesAllUntil until then callers are still sent here, so all requests are taken
+   * @param endsAt when the process ends; later requests are taken if they end before
+   */
+  private record Stop(long takesAllUntil, long endsAt) {
+
+    static final Stop NEVER = new Stop(Long.MAX_VALUE, Long.MAX_VALUE);
+
+    /**
+     * A request that would be cut off by the process's end is refused at once: its caller finds
+     * another daemon right away in place of half an answer seconds later.
+     */
+    boolean takes(RouteSpec route, long now) {
+      return now < takesAllUntil || now + route.timeoutMs() <= endsAt;
+    }
+  }
 
   CallerHandler(
       RelayContext context,
@@ -53,6 +73,11 @@
     return underWay.get();
   }
 
+  /** Begins a planned stop: which requests are still taken. */
+  void stopAt(long takesAllUntil, long endsAt) {
+    stop = new Stop(takesAllUntil, endsAt);
+  }
+
   @Override
   public void handle(HttpRequestMessage request, HttpResponder responder) {
     CallerFacts facts = context.callers().read(request);
@@ -71,6 +96,10 @@
       refuse(ErrorKind.UNKNOWN_SERVICE, facts, responder);
       return;
     }
+    if (!stop.takes(route.get(), context.clock().millis())) {
+      refuse(ErrorKind.DRAINING, facts, responder);
+      return;
+    }
     ServiceId service = route.get().target(Math.random());
     if (!isKnown(facts, known, service)) {
       refuse(ErrorKind.UNKNOWN_ADAPTER, facts, responder);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -11,9 +11,8 @@
    *
    * @param candidate where to
    * @param expectedMs the expected time until the answer begins, in milliseconds
-   * @param wantsCopy whether another copy of the adapter would have served it clearly sooner
    */
-  record Send(Candidate candidate, long expectedMs, boolean wantsCopy) implements Choice {}
+  record Send(Candidate candidate, long expectedMs) implements Choice {}
 
   /**
    * Wait until the adapter has arrived.
@@ -27,8 +26,9 @@
    * Have the adapter loaded.
    *
    * @param dataCentre where
+   * @param another whether there is a copy already, at an endpoint that is far behind
    */
-  record RequestLoad(DataCentreId dataCentre) implements Choice {}
+  record RequestLoad(DataCentreId dataCentre, boolean another) implements Choice {}
 
   /**
    * Refuse it: it has not run.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -34,8 +34,11 @@
  */
 final class Coordinator {
 
-  /** How long an order may go unanswered, in milliseconds; engines answer in a few. */
-  private static final long ORDER_TIMEOUT_MS = 400;
+  /**
+   * How long an order may go unanswered, in milliseconds: engines answer in a few, and callers wait
+   * for the adapter meanwhile.
+   */
+  private static final long ORDER_TIMEOUT_MS = 120;
 
   /**
    * A daemon that is silent for this long has left, in milliseconds; it speaks five times a second.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -46,7 +46,7 @@
   private static final double FULL_MS = 700;
 
   /** Another copy is worth a load once it saves this much, in milliseconds. */
-  private static final double COPY_GAIN_MS = 200;
+  private static final double COPY_GAIN_MS = 150;
 
   /** The least time after which a refused caller may come back, in milliseconds. */
   private static final long COME_BACK_MS = 250;
@@ -82,16 +82,19 @@
     if (holderMs > remainingMs) {
       return tooLate(holderMs, remainingMs);
     }
+    if (holderMs - otherMs > COPY_GAIN_MS) {
+      return new Choice.RequestLoad(other.get().dataCentre(), true);
+    }
     if (holder.get().readyInMs() > 0) {
       return new Choice.AwaitLoad(holder.get(), holder.get().readyInMs());
     }
-    return new Choice.Send(holder.get(), (long) holderMs, holderMs - otherMs > COPY_GAIN_MS);
+    return new Choice.Send(holder.get(), (long) holderMs);
   }
 
   private static Choice loadOrRefuse(Candidate best, double expectedMs, long remainingMs) {
     return expectedMs > remainingMs
         ? tooLate(expectedMs, remainingMs)
-        : new Choice.RequestLoad(best.dataCentre());
+        : new Choice.RequestLoad(best.dataCentre(), false);
   }
 
   /**
@@ -110,7 +113,7 @@
     double expectedMs = callMs(best.get(), serviceMs);
     return expectedMs > remainingMs
         ? tooLate(expectedMs, remainingMs)
-        : new Choice.Send(best.get(), (long) expectedMs, false);
+        : new Choice.Send(best.get(), (long) expectedMs);
   }
 
   private static double callMs(Candidate candidate, double serviceMs) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -23,7 +23,8 @@
  *
  * <p>Safe for use by several threads; each group has its own lock.
  */
-public final class EndpointDirectory implements StoreFeed.Listener<EndpointEntry> {
+public final class EndpointDirectory
+    implements StoreFeed.Listener<EndpointEntry>, PlacementPlan.Traffic {
 
   /**
    * How long an endpoint whose entry lapsed during an outage of the store keeps its work, in
@@ -90,6 +91,16 @@
     return List.copyOf(groups.values());
   }
 
+  @Override
+  public int coming(long now) {
+    return groups.values().stream().mapToInt(group -> group.coming(now)).sum();
+  }
+
+  @Override
+  public int engines() {
+    return groups.values().stream().mapToInt(EndpointGroup::engines).sum();
+  }
+
   /** Notes that a coordinator tells what the endpoints of a data centre hold. */
   void coordinated(DataCentreId dataCentre) {
     coordinated.add(dataCentre);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -45,6 +45,12 @@
   /** What an answer's beginning takes besides reading the prompt, in milliseconds. */
   private static final double FIRST_TOKEN_MS = 15;
 
+  /**
+   * A load that is this much later than expected has failed, in milliseconds: with many loads at
+   * once each takes several times as long as one alone.
+   */
+  private static final long LATE_LOAD_MS = 1_500;
+
   /** The prompt's parts that requests share; the last one is a request's own. */
   private static final int SHARED_PARTS = 2;
 
@@ -239,6 +245,28 @@
     }
   }
 
+  /**
+   * Takes an adapter that an endpoint refused for one that is still on its way, if it was to arrive
+   * a moment ago.
+   *
+   * @param endpoint the endpoint
+   * @param adapter the adapter
+   * @param now the time, in milliseconds
+   * @param readyAt when it is expected now
+   * @return false if it should have been there for long
+   */
+  public synchronized boolean postpone(
+      EndpointId endpoint, AdapterName adapter, long now, long readyAt) {
+    EndpointState state = endpoints.get(endpoint);
+    EndpointState.Copy copy = state == null ? null : state.copies.get(adapter);
+    if (copy == null || now - copy.readyAt() > LATE_LOAD_MS) {
+      return false;
+    }
+    long later = Math.max(copy.readyAt(), readyAt);
+    state.copies.put(adapter, new EndpointState.Copy(copy.version(), later));
+    return true;
+  }
+
   /** Takes an adapter for absent after the endpoint said so; the coordinator finds out why. */
   public synchronized void absent(EndpointId endpoint, AdapterName adapter) {
     EndpointState state = endpoints.get(endpoint);
@@ -305,6 +333,22 @@
         .anyMatch(state -> state.takesWork(now) && state.holdsModel(model));
   }
 
+  /** Returns how many adapters are on their way to the endpoints. */
+  synchronized int coming(long now) {
+    int coming = 0;
+    for (EndpointState state : endpoints.values()) {
+      for (EndpointState.Copy copy : state.copies.values()) {
+        coming += copy.readyAt() > now ? 1 : 0;
+      }
+    }
+    return coming;
+  }
+
+  /** Returns how many engines there are. */
+  synchronized int engines() {
+    return engine.isPresent() ? endpoints.size() : 0;
+  }
+
   synchronized List<EndpointEntry> entries(long now) {
     return endpoints.values().stream()
         .filter(state -> state.takesWork(now))
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -70,7 +70,7 @@
   private static final long LEAST_STOP_MS = 2_600;
 
   /** The last part of the grace period is left for the process's own end, in milliseconds. */
-  private static final long STOP_MARGIN_MS = 900;
+  private static final long STOP_MARGIN_MS = 450;
 
   private static final long STOP_LOOK_MS = 50;
   private static final int OK = 200;
@@ -188,7 +188,7 @@
             new Coordinator.CoordinatorSettings(
                 settings.daemon(), settings.dataCentre(), settings.bounds().fenced()),
             directory,
-            new PlacementPlan(versions, modelLoads),
+            new PlacementPlan(versions, modelLoads, directory),
             new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log),
             node::mayOrder,
             node::fenced);
@@ -260,6 +260,7 @@
     callerServer.closeAfterAnswers();
     node.giveUp();
     long latest = begun + settings.bounds().graceMs() - STOP_MARGIN_MS;
+    callers.stopAt(begun + LEAST_STOP_MS, latest);
     while (clock.millis() < latest) {
       boolean asked = clock.millis() - begun >= LEAST_STOP_MS;
       if (asked) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -51,6 +51,29 @@
   /** Time of a load until it is learned, in milliseconds. */
   private static final double FIRST_LOAD_MS = 255;
 
+  /** Bounds of the learned time, in milliseconds: beyond them something else is wrong. */
+  private static final double SHORTEST_LOAD_MS = 150;
+
+  private static final double LONGEST_LOAD_MS = 800;
+
+  /** What one request that came too early adds to the learned time, in milliseconds. */
+  private static final double EARLY_STEP_MS = 8;
+
+  /** What the learned time loses in each round without one; three early requests a second hold it. */
+  private static final double RELAX_STEP_MS = 2;
+
+  /** An adapter that was not there yet is expected this much later, in milliseconds. */
+  private static final long EARLY_AGAIN_MS = 50;
+
+  /** Most times that loads take longer while many run; more are not waited for but refused. */
+  private static final double MOST_STRETCH = 3;
+
+  /**
+   * Loads that run at full speed at once, for each engine; beyond, each takes longer in proportion.
+   * Stores are sized with their fleets: 8 for 13 engines, 40 for 63.
+   */
+  private static final double FULL_SPEED_LOADS = 0.61;
+
   /** Time of a load of an adapter that the engine held lately, in milliseconds. */
   private static final long AGAIN_MS = 30;
 
@@ -60,6 +83,9 @@
    */
   private static final long REPORT_LAG_MS = 350;
 
+  /** An order without an answer is given again this often before the engine is asked. */
+  private static final int MAX_UNANSWERED = 3;
+
   /** An engine writes its entry about once a second; this is two of its times, in milliseconds. */
   private static final long ENTRY_LAG_MS = 2_500;
 
@@ -89,16 +115,36 @@
   private final List<Placement> news = new ArrayList<>();
   private double loadMs = FIRST_LOAD_MS;
   private final ModelLoads modelLoads;
+  private final Traffic traffic;
 
   /**
    * Plans for no engines yet.
    *
    * @param versions the newest versions
    * @param modelLoads what bounds the loads of base models
+   * @param traffic tells of the loads of all data centres
    */
-  PlacementPlan(AdapterVersions versions, ModelLoads modelLoads) {
+  PlacementPlan(AdapterVersions versions, ModelLoads modelLoads, Traffic traffic) {
     this.versions = versions;
     this.modelLoads = modelLoads;
+    this.traffic = traffic;
+  }
+
+  /** Tells of the loads of all data centres, which share one store. */
+  interface Traffic {
+
+    /** Returns how many adapters are on their way from the store. */
+    int coming(long now);
+
+    /** Returns how many engines there are. */
+    int engines();
+  }
+
+  /** Returns how long a load from the store takes that begins now, in milliseconds. */
+  private long storeMs(long now) {
+    double width = Math.max(2, traffic.engines() * FULL_SPEED_LOADS);
+    double stretch = (traffic.coming(now) + 1) / width;
+    return (long) (loadMs * Math.max(1, Math.min(MOST_STRETCH, stretch)));
   }
 
   /** What becomes of a wish for an adapter. */
@@ -184,14 +230,10 @@
   /** Has an adapter brought to an engine, unless it is there or comes already. */
   Need need(AdapterName adapter, long version, boolean another, long now) {
     demand.asked(adapter, 1, now);
-    if (!another) {
-      Optional<EndpointId> held = holder(adapter, version);
-      if (held.isPresent()) {
-        tell(held.get(), adapter, now);
-        return new Need.Coming(held.get());
-      }
-    } else if (isComing(adapter, now)) {
-      return new Need.NoRoom(COME_BACK_MS);
+    Optional<EndpointId> known = another ? coming(adapter, now) : holder(adapter, version);
+    if (known.isPresent()) {
+      tell(known.get(), adapter, now);
+      return new Need.Coming(known.get());
     }
     Optional<PlannedEndpoint> best =
         endpoints.values().stream()
@@ -217,13 +259,17 @@
     return copy != null && copy.state != PlannedEndpoint.State.LEAVING && copy.version >= version;
   }
 
-  private boolean isComing(AdapterName adapter, long now) {
+  private Optional<EndpointId> coming(AdapterName adapter, long now) {
     return endpoints.values().stream()
-        .map(endpoint -> endpoint.copies.get(adapter))
-        .anyMatch(
-            copy ->
-                copy != null
-                    && (copy.state == PlannedEndpoint.State.PLANNED || copy.readyAt > now));
+        .filter(endpoint -> isComing(endpoint.copies.get(adapter), now))
+        .map(endpoint -> endpoint.entry.endpoint())
+        .findFirst();
+  }
+
+  private static boolean isComing(PlannedEndpoint.Copy copy, long now) {
+    return copy != null
+        && (copy.state == PlannedEndpoint.State.PLANNED || copy.readyAt > now)
+        && copy.state != PlannedEndpoint.State.LEAVING;
   }
 
   private boolean canTake(PlannedEndpoint endpoint, AdapterName adapter, long now) {
@@ -288,7 +334,7 @@
     }
     boolean again = kept.isKept(id, adapter);
     boolean replaces = endpoint.copies.containsKey(adapter);
-    long takesMs = again && !replaces ? AGAIN_MS : (long) loadMs;
+    long takesMs = again && !replaces ? AGAIN_MS : storeMs(now);
     endpoint.copies.put(
         adapter,
         new PlannedEndpoint.Copy(version, PlannedEndpoint.State.PLANNED, now + takesMs, now));
@@ -314,7 +360,7 @@
               && copy.version < version
               && endpoint.synced
               && endpoint.coming(now) < MAX_COMING;
-      if (replaceable && !isComing(adapter, now)) {
+      if (replaceable && coming(adapter, now).isEmpty()) {
         plan(endpoint, adapter, version, now);
       }
     }
@@ -422,6 +468,13 @@
       return;
     }
     endpoint.ordering = false;
+    if (result == OrderResult.UNKNOWN && endpoint.unanswered < MAX_UNANSWERED) {
+      // The same order once more, for the same number of accepted orders: one of the two is
+      // refused.
+      endpoint.unanswered++;
+      return;
+    }
+    endpoint.unanswered = 0;
     PlannedEndpoint.Step step = endpoint.steps.poll();
     if (step == null) {
       return;
@@ -461,7 +514,7 @@
     boolean again = kept.isKept(id, name);
     boolean done = result == OrderResult.DONE;
     copy.state = PlannedEndpoint.State.HELD;
-    copy.readyAt = done ? now : now + (again ? AGAIN_MS : (long) loadMs);
+    copy.readyAt = done ? now : Math.max(copy.readyAt, now + (again ? AGAIN_MS : (long) loadMs));
     copy.lastUsed = now;
     kept.held(id, name);
     tell(id, name, now);
@@ -502,9 +555,8 @@
       return;
     }
     if (early) {
-      // Loads take longer than was thought: the store is busy with others.
-      loadMs = Math.min(loadMs * 1.15, FIRST_LOAD_MS * 8);
-      copy.readyAt = Math.max(copy.readyAt, now + (long) (loadMs / 4));
+      loadMs = Math.min(loadMs + EARLY_STEP_MS, LONGEST_LOAD_MS);
+      copy.readyAt = Math.max(copy.readyAt, now + EARLY_AGAIN_MS);
       tell(id, adapter, now);
     } else if (copy.state != PlannedEndpoint.State.PLANNED) {
       resync(endpoint, now);
@@ -513,7 +565,7 @@
 
   /** Lets the learned time of a load come down again; called now and then. */
   void relax(long now) {
-    loadMs = Math.max(FIRST_LOAD_MS, loadMs * 0.97);
+    loadMs = Math.max(SHORTEST_LOAD_MS, loadMs - RELAX_STEP_MS);
     demand.forgetIdle(now);
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -28,6 +28,7 @@
   boolean synced;
   boolean asking;
   boolean ordering;
+  int unanswered;
   long quietUntil;
   long modelsKnownUntil;
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -20,6 +20,7 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -56,6 +57,9 @@
   /** How long nobody may have brought the adapter before the caller is refused, in milliseconds. */
   private static final long PLACING_MS = 800;
 
+  /** How long another copy may take to be placed before the request goes to the one there is. */
+  private static final long COPY_PLACING_MS = 60;
+
   /**
    * A request that may be repeated is sent elsewhere when its answer takes this many times as long
    * as usual: an endpoint that lost it will never answer.
@@ -71,6 +75,9 @@
   /** A stream that pauses this many times the wanted gap has stopped. */
   private static final long STALL_GAPS = 3;
 
+  /** An adapter that was not there yet is asked for again after this time, in milliseconds. */
+  private static final long EARLY_MS = 60;
+
   /** A caller that finds no way into the system is asked back after this time, in milliseconds. */
   private static final long COME_BACK_MS = 300;
 
@@ -90,6 +97,12 @@
   private Future<?> deadlineTimer;
   private Future<?> waitTimer;
   private Future<?> patienceTimer;
+  private final Set<DataCentreId> full = new HashSet<>();
+  private DataCentreId asked;
+  private boolean askedForCopy;
+  private long firstAt;
+  private long lastAt;
+  private long longestPauseMs;
   private RelayAttempt attempt;
   private int sends;
   private int runs;
@@ -162,9 +175,17 @@
     if (!waiting || over) {
       return;
     }
+    if (asked != null) {
+      full.add(asked);
+    }
+    if (askedForCopy || !loadable().isEmpty()) {
+      dispatch();
+      return;
+    }
     long now = context.clock().millis();
     boolean worthWaiting = now + comeBackMs - arrivedAt < route.targetMs() * WAITING_SHARE;
     if (worthWaiting) {
+      full.clear();
       rest(comeBackMs);
     } else {
       refuse(ErrorKind.OVERLOADED, comeBackMs);
@@ -180,29 +201,36 @@
       return;
     }
     Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
-    Choice choice = group.choose(demand, context.adapters().loadable(), now);
+    Choice choice = group.choose(demand, loadable(), now);
     if (choice instanceof Choice.Send send) {
       send(send, demand, now);
     } else if (choice instanceof Choice.AwaitLoad load) {
       await(now, load.waitMs() + 1);
     } else if (choice instanceof Choice.RequestLoad load) {
-      requestLoad(load.dataCentre(), now);
+      requestLoad(load, now);
     } else if (choice instanceof Choice.Refuse refusal) {
       refuseOrFail(refusal);
     }
   }
 
-  private void requestLoad(DataCentreId dataCentre, long now) {
+  /** Data centres that may still bring the adapter; one that had no room is not asked again. */
+  private List<DataCentreId> loadable() {
+    return askedForCopy
+        ? List.of()
+        : context.adapters().loadable().stream().filter(dc -> !full.contains(dc)).toList();
+  }
+
+  private void requestLoad(Choice.RequestLoad load, long now) {
     AdapterName adapter = facts.generation().flatMap(Generation::adapter).orElseThrow();
-    boolean firstTime = waitingSince == 0;
-    await(now, PLACING_MS);
-    if (!firstTime && now - waitingSince >= PLACING_MS) {
+    askedForCopy = load.another();
+    boolean tooLong = waitingSince != 0 && now - waitingSince >= PLACING_MS;
+    if (tooLong || !context.adapters().need(load.dataCentre(), adapter, load.another())) {
+      full.add(load.dataCentre());
       refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
       return;
     }
-    if (!context.adapters().need(dataCentre, adapter, false)) {
-      refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
-    }
+    asked = load.dataCentre();
+    await(now, load.another() ? COPY_PLACING_MS : PLACING_MS);
   }
 
   private void await(long now, long waitMs) {
@@ -245,9 +273,6 @@
     }
     sends++;
     story.sent(choice, sends, now - arrivedAt, demand.remainingMs());
-    if (choice.wantsCopy()) {
-      wantCopy();
-    }
     long remainingMs = deadlineAt - now;
     OptionalLong lastEventId =
         events.lastId() == EventRelay.NONE
@@ -266,17 +291,6 @@
     bePatient(choice.expectedMs());
   }
 
-  private void wantCopy() {
-    context.adapters().loadable().stream()
-        .findFirst()
-        .ifPresent(
-            dataCentre ->
-                facts
-                    .generation()
-                    .flatMap(Generation::adapter)
-                    .ifPresent(adapter -> context.adapters().need(dataCentre, adapter, true)));
-  }
-
   private void bePatient(long expectedMs) {
     cancel(patienceTimer);
     if (!route.mayRepeat() || runs + 1 >= route.maxAttempts()) {
@@ -345,6 +359,7 @@
     }
     byte[] whole = events.take(part);
     if (whole.length > 0) {
+      notePause();
       responder.write(whole);
       watchPauses(from);
       if (!responder.writable()) {
@@ -353,6 +368,16 @@
     }
   }
 
+  private void notePause() {
+    long now = context.clock().millis();
+    if (firstAt == 0) {
+      firstAt = now;
+    } else {
+      longestPauseMs = Math.max(longestPauseMs, now - lastAt);
+    }
+    lastAt = now;
+  }
+
   private void watchPauses(RelayAttempt from) {
     cancel(patienceTimer);
     if (route.mayRepeat() && runs + 1 < route.maxAttempts()) {
@@ -418,16 +443,18 @@
     }
     long now = context.clock().millis();
     from.ticket.ended(EndpointGroup.Ending.NO_BLAME, now);
-    Optional<AdapterName> adapter = facts.generation().flatMap(Generation::adapter);
-    boolean early = answer == AnswerClass.NOT_RUN_BUSY;
     story.notRun(from, answer);
-    if (adapter.isPresent()) {
+    Optional<AdapterName> adapter = facts.generation().flatMap(Generation::adapter);
+    boolean early =
+        adapter.isPresent()
+            && group.postpone(from.ticket.endpoint(), adapter.get(), now, now + EARLY_MS);
+    if (adapter.isPresent() && (early || answer == AnswerClass.NOT_RUN_ELSEWHERE)) {
       context.adapters().missed(from.dataCentre, from.ticket.endpoint(), adapter.get(), early);
-      if (!early) {
-        group.absent(from.ticket.endpoint(), adapter.get());
-      }
     }
-    avoid.add(from.ticket.endpoint());
+    if (!early) {
+      adapter.ifPresent(name -> group.absent(from.ticket.endpoint(), name));
+      avoid.add(from.ticket.endpoint());
+    }
     dispatch();
   }
 
@@ -537,7 +564,14 @@
     cancel(deadlineTimer);
     cancel(patienceTimer);
     finished.run();
-    story.ended(outcome, status, sinceArrival(), sends, runs, events.lastId());
+    story.ended(
+        outcome,
+        status,
+        new RequestStory.Times(
+            sinceArrival(), firstAt == 0 ? -1 : firstAt - arrivedAt, longestPauseMs),
+        sends,
+        runs,
+        events.lastId());
   }
 
   private long sinceArrival() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
@@ -66,8 +66,17 @@
         .write();
   }
 
+  /**
+   * How long a request took.
+   *
+   * @param tookMs from its arrival to its end, in milliseconds
+   * @param firstMs from its arrival to the first event; negative if there was none
+   * @param pauseMs the longest pause between two events
+   */
+  record Times(long tookMs, long firstMs, long pauseMs) {}
+
   /** The request has ended. */
-  void ended(String outcome, int status, long tookMs, int sends, int runs, long lastEvent) {
+  void ended(String outcome, int status, Times times, int sends, int runs, long lastEvent) {
     String label = outcome.startsWith("cut_") ? "cut" : outcome;
     context.metrics().count("sequoiapass_requests_total{outcome=\"" + label + "\"}");
     context
@@ -77,7 +86,9 @@
         .with("adapter", adapter)
         .with("outcome", outcome)
         .with("status", status)
-        .with("took_ms", tookMs)
+        .with("took_ms", times.tookMs())
+        .with("first_ms", times.firstMs())
+        .with("pause_ms", times.pauseMs())
         .with("sends", sends)
         .with("runs", runs)
         .with("last_event", lastEvent)
