--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -78,6 +78,8 @@
       writeAdapter(out, need.adapter());
       out.packLong(need.version());
       out.packBoolean(need.another());
+      out.packLong(need.promptTokens());
+      out.packLong(need.outputTokens());
     } else if (message instanceof LinkMessage.Missed missed) {
       out.packInt(MISSED);
       out.packString(missed.endpoint().value());
@@ -141,6 +143,7 @@
     out.packInt(load.running());
     out.packLong(load.prefillTokens());
     out.packLong(load.memoryTokens());
+    out.packLong(load.recentTokens());
   }
 
   private static void writePlacement(MessageBufferPacker out, LinkMessage.Placement placement)
@@ -188,7 +191,13 @@
           new LinkMessage.Hello(
               new DaemonId(in.unpackString()), new DataCentreId(in.unpackString()));
       case DOING -> new LinkMessage.Doing(list(in, LinkFrames::readActivity));
-      case NEED -> new LinkMessage.Need(readAdapter(in), in.unpackLong(), in.unpackBoolean());
+      case NEED ->
+          new LinkMessage.Need(
+              readAdapter(in),
+              in.unpackLong(),
+              in.unpackBoolean(),
+              in.unpackLong(),
+              in.unpackLong());
       case MISSED ->
           new LinkMessage.Missed(
               new EndpointId(in.unpackString()), readAdapter(in), in.unpackBoolean());
@@ -223,7 +232,7 @@
   }
 
   private static Load readLoad(MessageUnpacker in) throws IOException {
-    return new Load(in.unpackInt(), in.unpackLong(), in.unpackLong());
+    return new Load(in.unpackInt(), in.unpackLong(), in.unpackLong(), in.unpackLong());
   }
 
   private static LinkMessage.Placement readPlacement(MessageUnpacker in) throws IOException {
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -41,8 +41,12 @@
    * @param adapter the adapter
    * @param version the least version that will do
    * @param another whether a further copy is wanted although there is one
+   * @param promptTokens tokens of the prompt of the request that waits
+   * @param outputTokens tokens of its answer, as far as known
    */
-  record Need(AdapterName adapter, long version, boolean another) implements LinkMessage {}
+  record Need(
+      AdapterName adapter, long version, boolean another, long promptTokens, long outputTokens)
+      implements LinkMessage {}
 
   /**
    * An endpoint refused a request for an adapter that was told to be there.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -10,9 +10,7 @@
  * @param dataCentre where it runs
  * @param near whether it runs in this daemon's data centre
  * @param slots requests that it runs at once
- * @param running requests that are known to be there, those of other daemons included
- * @param prefillTokens prompt tokens sent there of which no answer has begun
- * @param memoryTokens memory that the running requests take, in tokens
+ * @param load what is known to be there, the requests of other daemons included
  * @param memoryLimit memory for running requests and kept prompts, in tokens; 0 if unknown
  * @param keptTokens leading tokens of this request's prompt that are likely to be kept there
  * @param readyInMs when the wanted adapter is there, in milliseconds; 0 if it is, negative if it is
@@ -23,9 +21,7 @@
     DataCentreId dataCentre,
     boolean near,
     int slots,
-    int running,
-    long prefillTokens,
-    long memoryTokens,
+    Load load,
     long memoryLimit,
     long keptTokens,
     long readyInMs) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -244,9 +244,9 @@
   }
 
   /** Has an adapter brought to an engine of a data centre; returns false if nobody hears it. */
-  boolean need(DataCentreId dataCentre, AdapterName adapter, long version, boolean another) {
+  boolean need(DataCentreId dataCentre, LinkMessage.Need need) {
     CoordinatorLink link = links.get(dataCentre);
-    return link != null && link.send(new LinkMessage.Need(adapter, version, another));
+    return link != null && link.send(need);
   }
 
   /** Tells that an endpoint refused a request for an adapter that should have been there. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -365,7 +365,9 @@
   }
 
   private void need(FrameChannel channel, LinkMessage.Need need, long now) {
-    PlacementPlan.Need result = plan.need(need.adapter(), need.version(), need.another(), now);
+    PlacementPlan.Size size = new PlacementPlan.Size(need.promptTokens(), need.outputTokens());
+    PlacementPlan.Need result =
+        plan.need(need.adapter(), need.version(), need.another(), size, now);
     if (result instanceof PlacementPlan.Need.NoRoom noRoom) {
       channel.send(LinkFrames.encode(new LinkMessage.NoRoom(need.adapter(), noRoom.comeBackMs())));
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -298,7 +298,7 @@
       return;
     }
     List<Activity> activities = new ArrayList<>();
-    directory.groups().forEach(group -> activities.addAll(group.takeActivity(dataCentre)));
+    directory.groups().forEach(group -> activities.addAll(group.takeActivity(dataCentre, now)));
     synchronized (this) {
       if (activities.isEmpty() && toldNothing && now - toldAt < ALIVE_MS) {
         return;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -2,15 +2,17 @@
 
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.gateway.request.Generation;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Chooses an endpoint for a request by the expected time until its answer begins.
  *
  * <pre>{@code
- * Choice choice = chooser.forGeneration(candidates, 9_190, 38.4, 4_000, loadable);
+ * Choice choice = chooser.forGeneration(candidates, generation, 38.4, 4_000, loadable);
  * }</pre>
  *
  * <p>It answers the load of a long tail: a fifth of the requests ask for an adapter that is
@@ -20,13 +22,6 @@
  */
 final class EndpointChooser {
 
-  /**
-   * What one running request adds to the wait, in milliseconds: its tokens are made in the same
-   * steps. A step grows by a hundredth of a millisecond for each request and some more for its
-   * context; over the steps of a prefill that comes to about this much.
-   */
-  private static final double RUNNING_MS = 1.5;
-
   /**
    * What another data centre costs, in milliseconds: the way there and back, and as much again for
    * the bytes, which are the dearest of all resources.
@@ -55,40 +50,45 @@
    * Chooses for a request to an engine.
    *
    * @param candidates the endpoints that may take it
-   * @param promptTokens the length of its prompt
+   * @param generation what is to be generated
    * @param tokensPerMs how fast engines read prompts
    * @param remainingMs how long the caller waits, in milliseconds
    * @param loadable data centres where an adapter can be ordered, the nearest first
    */
   Choice forGeneration(
       List<Candidate> candidates,
-      long promptTokens,
+      Generation generation,
       double tokensPerMs,
       long remainingMs,
       List<DataCentreId> loadable) {
-    Comparator<Candidate> soonest =
-        Comparator.comparingDouble(c -> expectedMs(c, promptTokens, tokensPerMs));
-    Optional<Candidate> holder = candidates.stream().filter(Candidate::holds).min(soonest);
+    ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
+    Comparator<Candidate> cheapest = Comparator.comparingDouble(cost);
+    Optional<Candidate> holder = candidates.stream().filter(Candidate::holds).min(cheapest);
     Optional<Candidate> other =
         candidates.stream()
             .filter(c -> !c.holds() && loadable.contains(c.dataCentre()))
-            .min(soonest);
-    double otherMs =
-        other.map(c -> LOAD_MS + expectedMs(c, promptTokens, tokensPerMs)).orElse(Double.MAX_VALUE);
+            .min(cheapest);
     if (holder.isEmpty()) {
-      return other.isEmpty() ? noEndpoint() : loadOrRefuse(other.get(), otherMs, remainingMs);
+      return other.isEmpty()
+          ? noEndpoint()
+          : loadOrRefuse(
+              other.get(), LOAD_MS + beginMs(other.get(), generation, tokensPerMs), remainingMs);
     }
-    double holderMs = expectedMs(holder.get(), promptTokens, tokensPerMs);
-    if (holderMs > remainingMs) {
-      return tooLate(holderMs, remainingMs);
-    }
-    if (holderMs - otherMs > COPY_GAIN_MS) {
+    double beginMs = beginMs(holder.get(), generation, tokensPerMs);
+    boolean otherIsBetter =
+        other.isPresent()
+            && cost.applyAsDouble(holder.get())
+                > cost.applyAsDouble(other.get()) + LOAD_MS + COPY_GAIN_MS;
+    if (otherIsBetter) {
       return new Choice.RequestLoad(other.get().dataCentre(), true);
     }
+    if (beginMs > remainingMs) {
+      return tooLate(beginMs, remainingMs);
+    }
     if (holder.get().readyInMs() > 0) {
       return new Choice.AwaitLoad(holder.get(), holder.get().readyInMs());
     }
-    return new Choice.Send(holder.get(), (long) holderMs);
+    return new Choice.Send(holder.get(), (long) beginMs);
   }
 
   private static Choice loadOrRefuse(Candidate best, double expectedMs, long remainingMs) {
@@ -117,28 +117,47 @@
   }
 
   private static double callMs(Candidate candidate, double serviceMs) {
-    double perSlot = (candidate.running() + 1.0) / Math.max(1, candidate.slots());
+    double perSlot = (candidate.load().running() + 1.0) / Math.max(1, candidate.slots());
     double waitMs = Math.max(0, perSlot - 1) * serviceMs;
     double busyMs = perSlot * serviceMs / 4;
     return serviceMs + waitMs + busyMs + (candidate.near() ? 0 : CROSSING_MS);
   }
 
-  private static double expectedMs(Candidate candidate, long promptTokens, double tokensPerMs) {
-    double backlogMs = candidate.prefillTokens() / tokensPerMs;
-    long unread = Math.max(0, promptTokens - candidate.keptTokens());
-    double waitMs = Math.max(backlogMs, (double) Math.max(0, candidate.readyInMs()));
-    return waitMs
-        + unread / tokensPerMs
-        + candidate.running() * RUNNING_MS
-        + (isFull(candidate, promptTokens) ? FULL_MS : 0)
+  /** The time until the answer begins: the adapter and the prompts before come side by side. */
+  private static double beginMs(Candidate candidate, Generation generation, double tokensPerMs) {
+    double readMs =
+        EngineCost.beginMs(candidate.load(), unread(candidate, generation), tokensPerMs);
+    double backlogMs = candidate.load().prefillTokens() / tokensPerMs;
+    return readMs + overhead(candidate, generation, backlogMs);
+  }
+
+  private static double cost(Candidate candidate, Generation generation, double tokensPerMs) {
+    double engineMs =
+        EngineCost.ms(
+            candidate.load(),
+            unread(candidate, generation),
+            generation.expectedOutputTokens(),
+            tokensPerMs);
+    double backlogMs = candidate.load().prefillTokens() / tokensPerMs;
+    return engineMs + overhead(candidate, generation, backlogMs);
+  }
+
+  private static long unread(Candidate candidate, Generation generation) {
+    return Math.max(0, generation.promptTokens() - candidate.keptTokens());
+  }
+
+  private static double overhead(Candidate candidate, Generation generation, double backlogMs) {
+    return Math.max(0, candidate.readyInMs() - backlogMs)
+        + (isFull(candidate, generation) ? FULL_MS : 0)
         + (candidate.near() ? 0 : CROSSING_MS);
   }
 
-  private static boolean isFull(Candidate candidate, long promptTokens) {
+  private static boolean isFull(Candidate candidate, Generation generation) {
     boolean memoryFull =
         candidate.memoryLimit() > 0
-            && candidate.memoryTokens() + promptTokens > candidate.memoryLimit() * MEMORY_SHARE;
-    return memoryFull || candidate.running() >= candidate.slots();
+            && candidate.load().memoryTokens() + generation.memoryTokens()
+                > candidate.memoryLimit() * MEMORY_SHARE;
+    return memoryFull || candidate.load().running() >= candidate.slots();
   }
 
   private static Choice noEndpoint() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -120,9 +120,8 @@
     if (demand.generation().isEmpty()) {
       return chooser.forCall(candidates, serviceMs.value(), demand.remainingMs());
     }
-    long promptTokens = demand.generation().get().promptTokens();
     return chooser.forGeneration(
-        candidates, promptTokens, tokensPerMs.value(), demand.remainingMs(), loadable);
+        candidates, demand.generation().get(), tokensPerMs.value(), demand.remainingMs(), loadable);
   }
 
   private List<Candidate> candidates(Demand demand, long now, boolean healthyOnly) {
@@ -145,16 +144,14 @@
   }
 
   private Candidate candidate(EndpointState state, Demand demand, boolean home, long now) {
-    Load load = state.own.plus(state.others);
+    Load load = state.own(now).plus(state.others);
     long kept = demand.generation().map(g -> keptTokens(state, g, home)).orElse(0L);
     return new Candidate(
         state.entry.endpoint(),
         state.entry.dataCentre(),
         state.entry.dataCentre().equals(here),
         state.entry.slots(),
-        load.running(),
-        load.prefillTokens(),
-        load.memoryTokens(),
+        load,
         engine.map(EngineSpec::kvTokens).orElse(0L),
         kept,
         readyInMs(state, demand, now));
@@ -294,7 +291,7 @@
   /**
    * Returns this daemon's own doing at the endpoints of a data centre, and starts counting anew.
    */
-  synchronized List<Activity> takeActivity(DataCentreId dataCentre) {
+  synchronized List<Activity> takeActivity(DataCentreId dataCentre, long now) {
     List<Activity> activities = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
       if (!state.entry.dataCentre().equals(dataCentre)) {
@@ -309,7 +306,8 @@
           (name, count) ->
               uses.put(name, new Activity.Use(name, state.inUse.getOrDefault(name, 0), count)));
       state.starts.clear();
-      activities.add(new Activity(state.entry.endpoint(), state.own, List.copyOf(uses.values())));
+      activities.add(
+          new Activity(state.entry.endpoint(), state.own(now), List.copyOf(uses.values())));
     }
     return activities;
   }
@@ -375,9 +373,10 @@
       this.state = state;
       this.generation = generation;
       this.sentAt = now;
-      this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0));
+      this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
       this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
       state.own = state.own.plus(load);
+      state.recent.add(load.prefillTokens(), now);
       generation.ifPresent(
           g -> {
             state.prompts.sent(g, engine.map(EngineSpec::kvTokens).orElse(0L));
@@ -387,7 +386,7 @@
 
     private Load loadOf(EndpointState at, Generation wanted) {
       long unread = Math.max(0, wanted.promptTokens() - at.prompts.keptTokens(wanted));
-      return new Load(1, unread, wanted.memoryTokens());
+      return new Load(1, unread, wanted.memoryTokens(), 0);
     }
 
     private void countStart(AdapterName adapter) {
@@ -400,7 +399,7 @@
       synchronized (EndpointGroup.this) {
         if (!begun && !ended) {
           begun = true;
-          state.own = state.own.minus(new Load(0, load.prefillTokens(), 0));
+          state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
           learnReadingSpeed(now);
         }
       }
@@ -422,7 +421,7 @@
         }
         ended = true;
         state.own =
-            state.own.minus(new Load(1, begun ? 0 : load.prefillTokens(), load.memoryTokens()));
+            state.own.minus(new Load(1, begun ? 0 : load.prefillTokens(), load.memoryTokens(), 0));
         generation.flatMap(Generation::adapter).ifPresent(this::countEnd);
         EndpointId id = state.entry.endpoint();
         switch (ending) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -15,6 +15,7 @@
   EndpointEntry entry;
   long goneAt = STAYS;
   Load own = Load.NONE;
+  final Recent recent = new Recent();
   Load others = Load.NONE;
   final Map<AdapterName, Copy> copies = new HashMap<>();
   final Map<AdapterName, Integer> inUse = new HashMap<>();
@@ -51,6 +52,26 @@
     return entry.models().stream().anyMatch(held -> held.model().equals(model));
   }
 
+  /** Returns what this daemon's own requests ask of the endpoint. */
+  Load own(long now) {
+    return own.plus(new Load(0, 0, 0, recent.value(now)));
+  }
+
+  /** A sum in which what is older counts less. */
+  static final class Recent {
+    private double sum;
+    private long at;
+
+    void add(long tokens, long now) {
+      sum = value(now) + tokens;
+      at = now;
+    }
+
+    long value(long now) {
+      return (long) (sum * Math.exp((at - now) / EngineCost.RECENT_MS));
+    }
+  }
+
   boolean takesWork(long now) {
     return !entry.leaving() && now < goneAt;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -10,6 +10,7 @@
 import io.sequoiapass.daemon.connection.HttpServer;
 import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.request.RelayContext;
 import io.sequoiapass.gateway.request.Waiting;
 import io.sequoiapass.gateway.spi.Deployment;
@@ -376,8 +377,16 @@
     }
 
     @Override
-    public boolean need(DataCentreId dataCentre, AdapterName adapter, boolean another) {
-      return node.need(dataCentre, adapter, versions.newest(adapter), another);
+    public boolean need(DataCentreId dataCentre, Generation generation, boolean another) {
+      AdapterName adapter = generation.adapter().orElseThrow();
+      return node.need(
+          dataCentre,
+          new LinkMessage.Need(
+              adapter,
+              versions.newest(adapter),
+              another,
+              generation.promptTokens(),
+              generation.expectedOutputTokens()));
     }
 
     @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Load.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Load.java
@@ -8,11 +8,12 @@
  * @param running requests that are there
  * @param prefillTokens tokens of prompts of which no answer has begun
  * @param memoryTokens memory that the requests take, in tokens
+ * @param recentTokens tokens of prompts sent there lately, older ones counting less
  */
-public record Load(int running, long prefillTokens, long memoryTokens) {
+public record Load(int running, long prefillTokens, long memoryTokens, long recentTokens) {
 
   /** Nothing. */
-  public static final Load NONE = new Load(0, 0, 0);
+  public static final Load NONE = new Load(0, 0, 0, 0);
 
   /**
    * Returns the sum of two loads.
@@ -23,7 +24,8 @@
     return new Load(
         running + other.running,
         prefillTokens + other.prefillTokens,
-        memoryTokens + other.memoryTokens);
+        memoryTokens + other.memoryTokens,
+        recentTokens + other.recentTokens);
   }
 
   /**
@@ -35,6 +37,7 @@
     return new Load(
         Math.max(0, running - other.running),
         Math.max(0, prefillTokens - other.prefillTokens),
-        Math.max(0, memoryTokens - other.memoryTokens));
+        Math.max(0, memoryTokens - other.memoryTokens),
+        Math.max(0, recentTokens - other.recentTokens));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -54,12 +54,14 @@
   /** Bounds of the learned time, in milliseconds: beyond them something else is wrong. */
   private static final double SHORTEST_LOAD_MS = 150;
 
-  private static final double LONGEST_LOAD_MS = 800;
+  private static final double LONGEST_LOAD_MS = 500;
 
   /** What one request that came too early adds to the learned time, in milliseconds. */
   private static final double EARLY_STEP_MS = 8;
 
-  /** What the learned time loses in each round without one; three early requests a second hold it. */
+  /**
+   * What the learned time loses in each round without one; three early requests a second hold it.
+   */
   private static final double RELAX_STEP_MS = 2;
 
   /** An adapter that was not there yet is expected this much later, in milliseconds. */
@@ -147,6 +149,14 @@
     return (long) (loadMs * Math.max(1, Math.min(MOST_STRETCH, stretch)));
   }
 
+  /**
+   * The size of the request for which an adapter is wanted.
+   *
+   * @param promptTokens tokens of its prompt
+   * @param outputTokens tokens of its answer, as far as known
+   */
+  record Size(long promptTokens, long outputTokens) {}
+
   /** What becomes of a wish for an adapter. */
   sealed interface Need {
 
@@ -228,7 +238,7 @@
   }
 
   /** Has an adapter brought to an engine, unless it is there or comes already. */
-  Need need(AdapterName adapter, long version, boolean another, long now) {
+  Need need(AdapterName adapter, long version, boolean another, Size size, long now) {
     demand.asked(adapter, 1, now);
     Optional<EndpointId> known = another ? coming(adapter, now) : holder(adapter, version);
     if (known.isPresent()) {
@@ -238,7 +248,7 @@
     Optional<PlannedEndpoint> best =
         endpoints.values().stream()
             .filter(endpoint -> canTake(endpoint, adapter, now))
-            .min(Comparator.comparingDouble(endpoint -> cost(endpoint, adapter, now)));
+            .min(Comparator.comparingDouble(endpoint -> cost(endpoint, adapter, size, now)));
     if (best.isEmpty()) {
       return new Need.NoRoom(COME_BACK_MS);
     }
@@ -293,14 +303,13 @@
     return endpoint.copies.size() < endpoint.engine.adapterSlots();
   }
 
-  private double cost(PlannedEndpoint endpoint, AdapterName adapter, long now) {
+  private double cost(PlannedEndpoint endpoint, AdapterName adapter, Size size, long now) {
     double victimMs =
         hasFreePlace(endpoint)
             ? 0
             : victim(endpoint, now).map(name -> VICTIM_COST_MS * demand.of(name, now)).orElse(0.0);
     Load load = activity.load(endpoint.entry.endpoint());
-    return load.prefillTokens() / TOKENS_PER_MS
-        + load.running()
+    return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), TOKENS_PER_MS)
         + endpoint.coming(now) * COMING_COST_MS
         + victimMs
         + (kept.isKept(endpoint.entry.endpoint(), adapter) ? 0 : FROM_STORE_COST_MS);
@@ -472,6 +481,7 @@
       // The same order once more, for the same number of accepted orders: one of the two is
       // refused.
       endpoint.unanswered++;
+      endpoint.copies.forEach((name, copy) -> postpone(endpoint, name, copy, now));
       return;
     }
     endpoint.unanswered = 0;
@@ -487,6 +497,15 @@
     }
   }
 
+  /** What is planned comes later by the time that was lost. */
+  private void postpone(
+      PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
+    if (copy.state == PlannedEndpoint.State.PLANNED) {
+      copy.readyAt = Math.max(copy.readyAt, now + (long) loadMs);
+      tell(endpoint.entry.endpoint(), name, now);
+    }
+  }
+
   private void carriedOut(
       PlannedEndpoint endpoint, PlannedEndpoint.Step step, OrderResult result, long now) {
     if (step.name().isEmpty()) {
@@ -514,7 +533,7 @@
     boolean again = kept.isKept(id, name);
     boolean done = result == OrderResult.DONE;
     copy.state = PlannedEndpoint.State.HELD;
-    copy.readyAt = done ? now : Math.max(copy.readyAt, now + (again ? AGAIN_MS : (long) loadMs));
+    copy.readyAt = done ? now : now + (again ? AGAIN_MS : storeMs(now));
     copy.lastUsed = now;
     kept.held(id, name);
     tell(id, name, now);
@@ -555,7 +574,9 @@
       return;
     }
     if (early) {
-      loadMs = Math.min(loadMs + EARLY_STEP_MS, LONGEST_LOAD_MS);
+      if (copy.state == PlannedEndpoint.State.HELD) {
+        loadMs = Math.min(loadMs + EARLY_STEP_MS, LONGEST_LOAD_MS);
+      }
       copy.readyAt = Math.max(copy.readyAt, now + EARLY_AGAIN_MS);
       tell(id, adapter, now);
     } else if (copy.state != PlannedEndpoint.State.PLANNED) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/Generation.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/Generation.java
@@ -23,6 +23,9 @@
     int maxOutputTokens,
     List<PromptPart> parts) {
 
+  /** Share of the stated most that an answer usually has. */
+  private static final double USUAL_SHARE = 0.8;
+
   /**
    * One part of a prompt.
    *
@@ -36,6 +39,14 @@
     parts = List.copyOf(parts);
   }
 
+  /**
+   * Returns how long the answer is likely to be, in tokens. Callers state the most that they take;
+   * most answers stay below it.
+   */
+  public long expectedOutputTokens() {
+    return Math.round(maxOutputTokens * USUAL_SHARE);
+  }
+
   /** Returns the memory that the whole run takes at an engine, in tokens. */
   public long memoryTokens() {
     return (long) promptTokens + maxOutputTokens;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -46,11 +46,11 @@
      * Has an adapter brought.
      *
      * @param dataCentre where to
-     * @param adapter the adapter
+     * @param generation what is to be generated with it
      * @param another whether a further copy is wanted although there is one
      * @return false if nobody can be asked
      */
-    boolean need(DataCentreId dataCentre, AdapterName adapter, boolean another);
+    boolean need(DataCentreId dataCentre, Generation generation, boolean another);
 
     /**
      * Tells that an endpoint refused a request for an adapter that should have been there.
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -221,10 +221,10 @@
   }
 
   private void requestLoad(Choice.RequestLoad load, long now) {
-    AdapterName adapter = facts.generation().flatMap(Generation::adapter).orElseThrow();
+    Generation generation = facts.generation().orElseThrow();
     askedForCopy = load.another();
     boolean tooLong = waitingSince != 0 && now - waitingSince >= PLACING_MS;
-    if (tooLong || !context.adapters().need(load.dataCentre(), adapter, load.another())) {
+    if (tooLong || !context.adapters().need(load.dataCentre(), generation, load.another())) {
       full.add(load.dataCentre());
       refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
       return;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
@@ -37,8 +37,9 @@
         .with("expected_ms", choice.expectedMs())
         .with("waited_ms", waitedMs)
         .with("left_ms", leftMs)
-        .with("running", candidate.running())
-        .with("prefill_tokens", candidate.prefillTokens())
+        .with("running", candidate.load().running())
+        .with("prefill_tokens", candidate.load().prefillTokens())
+        .with("recent_tokens", candidate.load().recentTokens())
         .with("kept_tokens", candidate.keptTokens())
         .write();
   }
