--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -15,6 +15,7 @@
  * @param keptTokens leading tokens of this request's prompt that are likely to be kept there
  * @param readyInMs when the wanted adapter is there, in milliseconds; 0 if it is, negative if it is
  *     not on its way
+ * @param keepsAdapter whether it held the adapter lately and is likely to have kept it in memory
  */
 public record Candidate(
     EndpointId endpoint,
@@ -24,7 +25,8 @@
     Load load,
     long memoryLimit,
     long keptTokens,
-    long readyInMs) {
+    long readyInMs,
+    boolean keepsAdapter) {
 
   boolean holds() {
     return readyInMs >= 0;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -31,6 +31,12 @@
   /** A load of an adapter, with the order for it, in milliseconds; 250 when the store is calm. */
   private static final double LOAD_MS = 280;
 
+  /** The same for an adapter that the engine has kept in its memory: a tenth of the time. */
+  private static final double RELOAD_MS = 40;
+
+  /** What the transfer from the store is worth besides its time, in milliseconds. */
+  private static final double TRANSFER_MS = 150;
+
   /**
    * Memory beyond this share makes an engine interrupt requests and read their prompts anew, which
    * costs more than any queue.
@@ -41,7 +47,7 @@
   private static final double FULL_MS = 700;
 
   /** Another copy is worth a load once it saves this much, in milliseconds. */
-  private static final double COPY_GAIN_MS = 150;
+  private static final double COPY_GAIN_MS = 100;
 
   /** The least time after which a refused caller may come back, in milliseconds. */
   private static final long COME_BACK_MS = 250;
@@ -67,18 +73,20 @@
     Optional<Candidate> other =
         candidates.stream()
             .filter(c -> !c.holds() && loadable.contains(c.dataCentre()))
-            .min(cheapest);
+            .min(Comparator.comparingDouble(c -> cost.applyAsDouble(c) + loadCost(c)));
     if (holder.isEmpty()) {
       return other.isEmpty()
           ? noEndpoint()
           : loadOrRefuse(
-              other.get(), LOAD_MS + beginMs(other.get(), generation, tokensPerMs), remainingMs);
+              other.get(),
+              loadMs(other.get()) + beginMs(other.get(), generation, tokensPerMs),
+              remainingMs);
     }
     double beginMs = beginMs(holder.get(), generation, tokensPerMs);
     boolean otherIsBetter =
         other.isPresent()
             && cost.applyAsDouble(holder.get())
-                > cost.applyAsDouble(other.get()) + LOAD_MS + COPY_GAIN_MS;
+                > cost.applyAsDouble(other.get()) + loadCost(other.get()) + COPY_GAIN_MS;
     if (otherIsBetter) {
       return new Choice.RequestLoad(other.get().dataCentre(), true);
     }
@@ -91,6 +99,14 @@
     return new Choice.Send(holder.get(), (long) beginMs);
   }
 
+  private static double loadMs(Candidate candidate) {
+    return candidate.keepsAdapter() ? RELOAD_MS : LOAD_MS;
+  }
+
+  private static double loadCost(Candidate candidate) {
+    return loadMs(candidate) + (candidate.keepsAdapter() ? 0 : TRANSFER_MS);
+  }
+
   private static Choice loadOrRefuse(Candidate best, double expectedMs, long remainingMs) {
     return expectedMs > remainingMs
         ? tooLate(expectedMs, remainingMs)
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -24,7 +24,7 @@
  * <p>Safe for use by several threads; each group has its own lock.
  */
 public final class EndpointDirectory
-    implements StoreFeed.Listener<EndpointEntry>, PlacementPlan.Traffic {
+    implements StoreFeed.Listener<EndpointEntry>, LoadTime.Traffic {
 
   /**
    * How long an endpoint whose entry lapsed during an outage of the store keeps its work, in
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -154,7 +154,8 @@
         load,
         engine.map(EngineSpec::kvTokens).orElse(0L),
         kept,
-        readyInMs(state, demand, now));
+        readyInMs(state, demand, now),
+        demand.generation().flatMap(Generation::adapter).filter(state.kept::isKept).isPresent());
   }
 
   /**
@@ -225,6 +226,7 @@
       left.forEach(state.prompts::forget);
       state.copies.clear();
       state.copies.putAll(copies);
+      copies.keySet().forEach(state.kept::held);
     }
   }
 
@@ -239,6 +241,7 @@
       state.prompts.forget(adapter);
     } else {
       state.copies.put(adapter, copy);
+      state.kept.held(adapter);
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -21,6 +21,7 @@
   final Map<AdapterName, Integer> inUse = new HashMap<>();
   final Map<AdapterName, Integer> starts = new HashMap<>();
   KeptPrompts prompts = new KeptPrompts();
+  KeptAdapters kept = new KeptAdapters();
 
   EndpointState(EndpointEntry entry) {
     this.entry = entry;
@@ -80,6 +81,7 @@
   void restarted() {
     copies.clear();
     prompts = new KeptPrompts();
+    kept = new KeptAdapters();
     others = Load.NONE;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -189,7 +189,7 @@
             new Coordinator.CoordinatorSettings(
                 settings.daemon(), settings.dataCentre(), settings.bounds().fenced()),
             directory,
-            new PlacementPlan(versions, modelLoads, directory),
+            new PlacementPlan(versions, modelLoads, new LoadTime(directory)),
             new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log),
             node::mayOrder,
             node::fenced);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -48,34 +48,6 @@
    */
   private static final long IN_USE_MS = 500;
 
-  /** Time of a load until it is learned, in milliseconds. */
-  private static final double FIRST_LOAD_MS = 255;
-
-  /** Bounds of the learned time, in milliseconds: beyond them something else is wrong. */
-  private static final double SHORTEST_LOAD_MS = 150;
-
-  private static final double LONGEST_LOAD_MS = 500;
-
-  /** What one request that came too early adds to the learned time, in milliseconds. */
-  private static final double EARLY_STEP_MS = 8;
-
-  /**
-   * What the learned time loses in each round without one; three early requests a second hold it.
-   */
-  private static final double RELAX_STEP_MS = 2;
-
-  /** An adapter that was not there yet is expected this much later, in milliseconds. */
-  private static final long EARLY_AGAIN_MS = 50;
-
-  /** Most times that loads take longer while many run; more are not waited for but refused. */
-  private static final double MOST_STRETCH = 3;
-
-  /**
-   * Loads that run at full speed at once, for each engine; beyond, each takes longer in proportion.
-   * Stores are sized with their fleets: 8 for 13 engines, 40 for 63.
-   */
-  private static final double FULL_SPEED_LOADS = 0.61;
-
   /** Time of a load of an adapter that the engine held lately, in milliseconds. */
   private static final long AGAIN_MS = 30;
 
@@ -91,6 +63,9 @@
   /** An engine writes its entry about once a second; this is two of its times, in milliseconds. */
   private static final long ENTRY_LAG_MS = 2_500;
 
+  /** An adapter that was not there yet is expected this much later, in milliseconds. */
+  private static final long EARLY_AGAIN_MS = 50;
+
   /** What a planned load adds to the wait for the next one at the same engine, in milliseconds. */
   private static final double COMING_COST_MS = 60;
 
@@ -112,41 +87,22 @@
   private final AdapterVersions versions;
   private final AdapterDemand demand = new AdapterDemand();
   private final Map<EndpointId, PlannedEndpoint> endpoints = new TreeMap<>();
-  private final KeptAdapters kept = new KeptAdapters();
   private final DaemonActivity activity = new DaemonActivity();
   private final List<Placement> news = new ArrayList<>();
-  private double loadMs = FIRST_LOAD_MS;
+  private final LoadTime loadTime;
   private final ModelLoads modelLoads;
-  private final Traffic traffic;
 
   /**
    * Plans for no engines yet.
    *
    * @param versions the newest versions
    * @param modelLoads what bounds the loads of base models
-   * @param traffic tells of the loads of all data centres
+   * @param loadTime how long loads take
    */
-  PlacementPlan(AdapterVersions versions, ModelLoads modelLoads, Traffic traffic) {
+  PlacementPlan(AdapterVersions versions, ModelLoads modelLoads, LoadTime loadTime) {
     this.versions = versions;
     this.modelLoads = modelLoads;
-    this.traffic = traffic;
-  }
-
-  /** Tells of the loads of all data centres, which share one store. */
-  interface Traffic {
-
-    /** Returns how many adapters are on their way from the store. */
-    int coming(long now);
-
-    /** Returns how many engines there are. */
-    int engines();
-  }
-
-  /** Returns how long a load from the store takes that begins now, in milliseconds. */
-  private long storeMs(long now) {
-    double width = Math.max(2, traffic.engines() * FULL_SPEED_LOADS);
-    double stretch = (traffic.coming(now) + 1) / width;
-    return (long) (loadMs * Math.max(1, Math.min(MOST_STRETCH, stretch)));
+    this.loadTime = loadTime;
   }
 
   /**
@@ -181,7 +137,6 @@
     if (known == null || known.entry.bornMs() != entry.bornMs()) {
       if (known != null) {
         known.copies.keySet().forEach(name -> tellGone(entry.endpoint(), name));
-        kept.forget(entry.endpoint());
       }
       known = new PlannedEndpoint(entry, engine);
       known.adoptEntry(now);
@@ -200,7 +155,6 @@
   /** Forgets the engines that are not among these. */
   void retain(Set<EndpointId> present) {
     endpoints.keySet().retainAll(present);
-    kept.retain(present);
   }
 
   /** Makes all engines be asked again, as by a coordinator that has just taken over. */
@@ -312,7 +266,7 @@
     return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), TOKENS_PER_MS)
         + endpoint.coming(now) * COMING_COST_MS
         + victimMs
-        + (kept.isKept(endpoint.entry.endpoint(), adapter) ? 0 : FROM_STORE_COST_MS);
+        + (endpoint.kept.isKept(adapter) ? 0 : FROM_STORE_COST_MS);
   }
 
   /** Returns the adapter that is missed least: old versions first, then by what is asked for. */
@@ -341,9 +295,9 @@
       endpoint.steps.add(step(EndpointOrder.Type.UNLOAD, victim, OptionalLong.empty()));
       tellGone(id, victim);
     }
-    boolean again = kept.isKept(id, adapter);
+    boolean again = endpoint.kept.isKept(adapter);
     boolean replaces = endpoint.copies.containsKey(adapter);
-    long takesMs = again && !replaces ? AGAIN_MS : storeMs(now);
+    long takesMs = again && !replaces ? AGAIN_MS : loadTime.storeMs(now);
     endpoint.copies.put(
         adapter,
         new PlannedEndpoint.Copy(version, PlannedEndpoint.State.PLANNED, now + takesMs, now));
@@ -416,7 +370,7 @@
       return;
     }
     Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
-    endpoint.adopt(report.get(), now, (long) loadMs);
+    endpoint.adopt(report.get(), now, loadTime.aloneMs());
     before.removeAll(endpoint.copies.keySet());
     before.forEach(name -> tellGone(id, name));
     tellAll(endpoint, now);
@@ -501,7 +455,7 @@
   private void postpone(
       PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
     if (copy.state == PlannedEndpoint.State.PLANNED) {
-      copy.readyAt = Math.max(copy.readyAt, now + (long) loadMs);
+      copy.readyAt = Math.max(copy.readyAt, now + loadTime.aloneMs());
       tell(endpoint.entry.endpoint(), name, now);
     }
   }
@@ -530,12 +484,12 @@
     if (copy == null) {
       return;
     }
-    boolean again = kept.isKept(id, name);
+    boolean again = endpoint.kept.isKept(name);
     boolean done = result == OrderResult.DONE;
     copy.state = PlannedEndpoint.State.HELD;
-    copy.readyAt = done ? now : now + (again ? AGAIN_MS : storeMs(now));
+    copy.readyAt = done ? now : now + (again ? AGAIN_MS : loadTime.storeMs(now));
     copy.lastUsed = now;
-    kept.held(id, name);
+    endpoint.kept.held(name);
     tell(id, name, now);
   }
 
@@ -575,7 +529,7 @@
     }
     if (early) {
       if (copy.state == PlannedEndpoint.State.HELD) {
-        loadMs = Math.min(loadMs + EARLY_STEP_MS, LONGEST_LOAD_MS);
+        loadTime.early();
       }
       copy.readyAt = Math.max(copy.readyAt, now + EARLY_AGAIN_MS);
       tell(id, adapter, now);
@@ -586,7 +540,7 @@
 
   /** Lets the learned time of a load come down again; called now and then. */
   void relax(long now) {
-    loadMs = Math.max(SHORTEST_LOAD_MS, loadMs - RELAX_STEP_MS);
+    loadTime.relax();
     demand.forgetIdle(now);
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -22,6 +22,7 @@
   EndpointEntry entry;
   EngineSpec engine;
   final Map<AdapterName, Copy> copies = new HashMap<>();
+  final KeptAdapters kept = new KeptAdapters();
   final Set<ModelId> models = new HashSet<>();
   final Deque<Step> steps = new ArrayDeque<>();
   long sequence;
--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/CoordinatorElectionTest.java
@@ -0,0 +1,211 @@
+package io.sequoiapass.gateway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.gateway.process.CoordinatorElection.Step;
+import io.sequoiapass.gateway.spi.CoordinatorLease;
+import io.sequoiapass.gateway.spi.Stored;
+import io.sequoiapass.gateway.spi.WriteResult;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CoordinatorElectionTest {
+
+  private static final InetSocketAddress ADDRESS =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 7000);
+  private static final boolean FENCED = true;
+
+  private final CoordinatorElection election = electionOf("north-1", "p1");
+
+  private static CoordinatorElection electionOf(String daemon, String process) {
+    return new CoordinatorElection(new DaemonId(daemon), process, ADDRESS);
+  }
+
+  private static CoordinatorLease lease(String daemon, String process, long epoch, long renewals) {
+    return new CoordinatorLease(new DaemonId(daemon), process, ADDRESS, epoch, renewals, false);
+  }
+
+  private static Optional<Stored<CoordinatorLease>> stored(long revision, CoordinatorLease lease) {
+    return Optional.of(new Stored<>("north", revision, Optional.of(lease), ""));
+  }
+
+  private void acquire(long now) {
+    assertThat(election.next(now, false)).isEqualTo(Step.READ);
+    election.read(Optional.empty(), now);
+    assertThat(election.next(now + 1, false)).isEqualTo(Step.WRITE);
+    election.written(new WriteResult.Written<>(5), now + 2);
+  }
+
+  @Nested
+  class FirstStart {
+
+    @Test
+    void takesALeaseThatDoesNotExist() {
+      acquire(0);
+
+      assertThat(election.isHolding()).isTrue();
+      assertThat(election.epoch()).isEqualTo(1);
+      assertThat(election.mayOrder(100, !FENCED)).isTrue();
+    }
+
+    @Test
+    void loserOfTheRaceFollows() {
+      election.next(0, false);
+      election.read(Optional.empty(), 0);
+      election.next(1, false);
+      assertThat(election.expected()).isEqualTo(OptionalLong.empty());
+
+      election.written(new WriteResult.Conflict<>(stored(5, lease("north-2", "p2", 1, 0))), 2);
+
+      assertThat(election.isHolding()).isFalse();
+      assertThat(election.next(10, false)).isEqualTo(Step.REST);
+    }
+  }
+
+  /**
+   * The holder dies. Nobody hears it any more, and its lease stays unchanged in the store. Another
+   * daemon takes the lease under a higher epoch, but only after the holder has had to stop
+   * ordering.
+   */
+  @Nested
+  class LostHolder {
+
+    @Test
+    void isReplacedAfterItsLeaseStayedUnchanged() {
+      election.next(0, false);
+      election.read(stored(7, lease("north-2", "p2", 3, 4)), 0);
+      for (long now = 400; now < CoordinatorElection.TAKE_AFTER_MS; now += 400) {
+        assertThat(election.next(now, false)).isEqualTo(Step.READ);
+        election.read(stored(7, lease("north-2", "p2", 3, 4)), now);
+        assertThat(election.next(now + 1, false)).isEqualTo(Step.REST);
+      }
+      long later = CoordinatorElection.TAKE_AFTER_MS + 100;
+
+      assertThat(election.next(later, false)).isEqualTo(Step.WRITE);
+      assertThat(election.proposal().epoch()).isEqualTo(4);
+      assertThat(election.expected()).isEqualTo(OptionalLong.of(7));
+      assertThat(CoordinatorElection.TAKE_AFTER_MS).isGreaterThan(CoordinatorElection.VALID_MS);
+    }
+
+    @Test
+    void isNotReplacedWhileItRenews() {
+      for (long now = 0; now < 10_000; now += 400) {
+        election.next(now, false);
+        election.read(stored(7 + now, lease("north-2", "p2", 3, now)), now);
+        assertThat(election.next(now + 1, false)).isEqualTo(Step.REST);
+      }
+    }
+
+    @Test
+    void isNotReplacedWhileItIsHeard() {
+      election.next(0, false);
+      election.read(stored(7, lease("north-2", "p2", 3, 4)), 0);
+
+      assertThat(election.next(60_000, true)).isEqualTo(Step.REST);
+    }
+
+    @Test
+    void isReplacedAtOnceByItsOwnNextProcess() {
+      election.next(0, false);
+      election.read(stored(7, lease("north-1", "former", 3, 4)), 0);
+
+      assertThat(election.next(1, false)).isEqualTo(Step.WRITE);
+      assertThat(election.proposal().epoch()).isEqualTo(4);
+    }
+  }
+
+  /**
+   * The answer to a write is lost after the store has carried it out. The writer reads the lease
+   * again, finds its own process's name there, and goes on as the holder under the same epoch.
+   */
+  @Nested
+  class LostAnswer {
+
+    @Test
+    void ofTheFirstWriteIsFoundByReading() {
+      election.next(0, false);
+      election.read(Optional.empty(), 0);
+      election.next(1, false);
+      election.written(new WriteResult.Unknown<>(), 1_200);
+      assertThat(election.isHolding()).isFalse();
+
+      assertThat(election.next(1_300, false)).isEqualTo(Step.READ);
+      election.read(stored(5, lease("north-1", "p1", 1, 0)), 1_301);
+
+      assertThat(election.isHolding()).isTrue();
+      assertThat(election.epoch()).isEqualTo(1);
+    }
+
+    @Test
+    void ofARenewalIsFoundByTheConflict() {
+      acquire(0);
+      assertThat(election.next(1_001, false)).isEqualTo(Step.WRITE);
+      election.written(new WriteResult.Unknown<>(), 1_100);
+      assertThat(election.next(1_300, false)).isEqualTo(Step.WRITE);
+
+      election.written(new WriteResult.Conflict<>(stored(9, lease("north-1", "p1", 1, 1))), 1_301);
+
+      assertThat(election.isHolding()).isTrue();
+      assertThat(election.revision()).isEqualTo(9);
+    }
+  }
+
+  /**
+   * The holder is cut off from the store. Endpoints that check epoch numbers still take its orders:
+   * whoever takes over shuts it out. Endpoints that check nothing would take orders of both.
+   */
+  @Nested
+  class HolderWithoutContact {
+
+    @Test
+    void ordersOnlyFencedEndpoints() {
+      acquire(0);
+      long late = CoordinatorElection.VALID_MS + 100;
+
+      assertThat(election.mayOrder(late, FENCED)).isTrue();
+      assertThat(election.mayOrder(late, !FENCED)).isFalse();
+    }
+
+    @Test
+    void stopsOnceAnEndpointHasSeenAHigherEpoch() {
+      acquire(0);
+      election.superseded();
+
+      assertThat(election.mayOrder(10, FENCED)).isFalse();
+      assertThat(election.next(10, false)).isEqualTo(Step.READ);
+    }
+  }
+
+  @Nested
+  class PlannedStop {
+
+    @Test
+    void givesTheLeaseUpAndTakesNoOther() {
+      acquire(0);
+      election.giveUp();
+      assertThat(election.mayOrder(3, FENCED)).isFalse();
+      assertThat(election.next(3, true)).isEqualTo(Step.WRITE);
+      assertThat(election.proposal().released()).isTrue();
+
+      election.written(new WriteResult.Written<>(6), 4);
+
+      assertThat(election.isHolding()).isFalse();
+      assertThat(election.next(5_000, false)).isEqualTo(Step.REST);
+    }
+
+    @Test
+    void leavesTheLeaseFreeForAnother() {
+      CoordinatorLease released = lease("north-2", "p2", 3, 4).givenUp();
+      election.next(0, false);
+      election.read(stored(8, released), 0);
+
+      assertThat(election.next(1, false)).isEqualTo(Step.WRITE);
+      assertThat(election.proposal().epoch()).isEqualTo(4);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -0,0 +1,325 @@
+package io.sequoiapass.gateway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.gateway.connection.LinkMessage.Placement;
+import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.spi.EndpointOrder;
+import io.sequoiapass.gateway.spi.EndpointReport;
+import io.sequoiapass.gateway.spi.OrderResult;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.AdapterVersions;
+import io.sequoiapass.gateway.version.EngineSpec;
+import io.sequoiapass.gateway.version.ModelSpec;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PlacementPlanTest {
+
+  private static final ModelId MODEL = new ModelId("base");
+  private static final EndpointId ENGINE = new EndpointId("engine-1");
+  private static final DaemonId DAEMON = new DaemonId("north-1");
+  private static final int PLACES = 4;
+  private static final PlacementPlan.Size SIZE = new PlacementPlan.Size(800, 200);
+  private static final EngineSpec SPEC =
+      new EngineSpec(
+          96, 200_000, 16_500, PLACES, 4, List.of(new ModelSpec(MODEL, 16_100, 600, a -> true)));
+
+  private final AdapterVersions versions = new AdapterVersions(2_500);
+  private final PlacementPlan plan =
+      new PlacementPlan(versions, new ModelLoads(5_000, 1), new LoadTime(calmStore()));
+  private final FakeEngine engine = new FakeEngine();
+
+  private static LoadTime.Traffic calmStore() {
+    return new LoadTime.Traffic() {
+      @Override
+      public int coming(long now) {
+        return 0;
+      }
+
+      @Override
+      public int engines() {
+        return 13;
+      }
+    };
+  }
+
+  private static AdapterName adapter(int number) {
+    return new AdapterName(MODEL, new AdapterId("a" + number));
+  }
+
+  private static EndpointEntry entry(long bornMs, boolean holdsModel) {
+    return new EndpointEntry(
+        ENGINE,
+        new ServiceId("notes"),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 9000),
+        new DataCentreId("north"),
+        96,
+        false,
+        bornMs,
+        holdsModel ? List.of(new EndpointEntry.HeldModel(MODEL, 1, Map.of())) : List.of());
+  }
+
+  /** An engine that counts accepted orders and crashes beyond its places, as real ones do. */
+  private static final class FakeEngine {
+
+    private final Map<AdapterName, Long> held = new HashMap<>();
+    private long sequence;
+    private boolean hasModel = true;
+
+    OrderResult carryOut(EndpointOrder order) {
+      if (order.expectedSequence() != sequence) {
+        return OrderResult.CONFLICT;
+      }
+      sequence++;
+      if (order.adapter().isEmpty()) {
+        hasModel = true;
+        return OrderResult.ACCEPTED;
+      }
+      AdapterName name = new AdapterName(order.model(), order.adapter().get());
+      if (order.type() == EndpointOrder.Type.UNLOAD) {
+        held.remove(name);
+        return OrderResult.DONE;
+      }
+      held.put(name, order.version().orElse(1));
+      assertThat(held).as("adapters beyond the engine's places").hasSizeLessThanOrEqualTo(PLACES);
+      return OrderResult.ACCEPTED;
+    }
+
+    EndpointReport report() {
+      Map<AdapterId, Long> adapters = new HashMap<>();
+      held.forEach((name, version) -> adapters.put(name.adapter(), version));
+      List<EndpointEntry.HeldModel> models =
+          hasModel ? List.of(new EndpointEntry.HeldModel(MODEL, 1, adapters)) : List.of();
+      return new EndpointReport(models, Map.of(), false, sequence);
+    }
+  }
+
+  @BeforeEach
+  void engineIsKnown() {
+    plan.observe(entry(1, true), SPEC, 0);
+    answerReports(0);
+  }
+
+  private void answerReports(long now) {
+    plan.toAsk(now).forEach(e -> plan.asked(e.endpoint(), Optional.of(engine.report()), now));
+  }
+
+  private void carryOutAll(long now) {
+    Optional<EndpointOrder> order = plan.nextOrder(ENGINE, DAEMON, 7, now);
+    while (order.isPresent()) {
+      plan.ordered(order.get(), engine.carryOut(order.get()), now);
+      order = plan.nextOrder(ENGINE, DAEMON, 7, now);
+    }
+  }
+
+  private void load(int number, long now) {
+    assertThat(plan.need(adapter(number), 1, false, SIZE, now))
+        .isInstanceOf(PlacementPlan.Need.Coming.class);
+    carryOutAll(now);
+  }
+
+  @Nested
+  class Loading {
+
+    @Test
+    void adapterIsOrderedAndTold() {
+      plan.takeNews();
+      load(1, 10);
+
+      assertThat(engine.held).containsOnlyKeys(adapter(1));
+      List<Placement> news = plan.takeNews();
+      assertThat(news.get(news.size() - 1).readyInMs()).isBetween(200L, 300L);
+    }
+
+    @Test
+    void adapterThatIsThereIsNotOrderedAgain() {
+      load(1, 10);
+      plan.need(adapter(1), 1, false, SIZE, 20);
+
+      assertThat(plan.nextOrder(ENGINE, DAEMON, 7, 20)).isEmpty();
+    }
+
+    @Test
+    void leastWantedAdapterMakesWay() {
+      for (int i = 1; i <= PLACES; i++) {
+        load(i, i * 1_000L);
+      }
+      for (int i = 0; i < 5; i++) {
+        plan.need(adapter(1), 1, false, SIZE, 9_000);
+      }
+      load(9, 9_500);
+
+      assertThat(engine.held).containsKeys(adapter(1), adapter(9)).doesNotContainKey(adapter(2));
+    }
+
+    @Test
+    void adapterInUseNeverMakesWay() {
+      for (int i = 1; i <= PLACES; i++) {
+        load(i, i * 1_000L);
+      }
+      List<Activity.Use> uses =
+          List.of(1, 2, 3, 4).stream().map(i -> new Activity.Use(adapter(i), 1, 1)).toList();
+      plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), 9_000);
+
+      assertThat(plan.need(adapter(9), 1, false, SIZE, 12_000))
+          .isInstanceOf(PlacementPlan.Need.NoRoom.class);
+    }
+
+    @Test
+    void noMoreAreUnderWayThanAnEngineTakes() {
+      EngineSpec wide = new EngineSpec(96, 200_000, 16_500, 20, 4, SPEC.models());
+      plan.observe(entry(1, true), wide, 5);
+      for (int i = 1; i <= PlacementPlan.MAX_COMING; i++) {
+        plan.need(adapter(i), 1, false, SIZE, 10);
+      }
+
+      assertThat(plan.need(adapter(9), 1, false, SIZE, 10))
+          .isInstanceOf(PlacementPlan.Need.NoRoom.class);
+    }
+  }
+
+  /**
+   * An order gets no answer and the engine carries it out seconds later, after newer orders.
+   * Without the number of accepted orders in each order the engine would be filled beyond its
+   * places and crash with all that it runs.
+   */
+  @Nested
+  class LateOrder {
+
+    @Test
+    void isRefusedOnceAnotherWasAccepted() {
+      plan.need(adapter(1), 1, false, SIZE, 10);
+      EndpointOrder lost = plan.nextOrder(ENGINE, DAEMON, 7, 10).orElseThrow();
+      plan.ordered(lost, OrderResult.UNKNOWN, 130);
+      carryOutAll(131);
+
+      assertThat(engine.held).containsOnlyKeys(adapter(1));
+      assertThat(engine.carryOut(lost)).isEqualTo(OrderResult.CONFLICT);
+    }
+
+    @Test
+    void thatWasCarriedOutAfterAllIsFoundByTheReport() {
+      plan.need(adapter(1), 1, false, SIZE, 10);
+      EndpointOrder lost = plan.nextOrder(ENGINE, DAEMON, 7, 10).orElseThrow();
+      engine.carryOut(lost);
+      plan.ordered(lost, OrderResult.UNKNOWN, 130);
+      carryOutAll(131);
+      answerReports(1_000);
+      load(2, 1_001);
+
+      assertThat(engine.held).containsOnlyKeys(adapter(1), adapter(2));
+    }
+
+    @Test
+    void neverFillsAnEngineBeyondItsPlaces() {
+      for (long seed = 0; seed < 200; seed++) {
+        playLostAndLateOrders(new Random(seed));
+      }
+    }
+
+    /** The engine itself checks its places at each order. */
+    private void playLostAndLateOrders(Random random) {
+      PlacementPlan fresh =
+          new PlacementPlan(versions, new ModelLoads(5_000, 1), new LoadTime(calmStore()));
+      FakeEngine other = new FakeEngine();
+      fresh.observe(entry(1, true), SPEC, 0);
+      List<EndpointOrder> late = new java.util.ArrayList<>();
+      for (long now = 0; now < 20_000; now += 50) {
+        long at = now;
+        fresh.toAsk(now).forEach(e -> fresh.asked(e.endpoint(), Optional.of(other.report()), at));
+        fresh.need(adapter(random.nextInt(12)), 1, false, SIZE, now);
+        Optional<EndpointOrder> order = fresh.nextOrder(ENGINE, DAEMON, 7, now);
+        if (order.isPresent()) {
+          double draw = random.nextDouble();
+          if (draw < 0.6) {
+            fresh.ordered(order.get(), other.carryOut(order.get()), now);
+          } else {
+            if (draw < 0.8) {
+              late.add(order.get());
+            } else {
+              other.carryOut(order.get());
+            }
+            fresh.ordered(order.get(), OrderResult.UNKNOWN, now);
+          }
+        }
+        if (!late.isEmpty() && random.nextInt(10) == 0) {
+          other.carryOut(late.remove(random.nextInt(late.size())));
+        }
+      }
+      assertThat(other.sequence).as("orders accepted").isGreaterThan(20);
+    }
+  }
+
+  /**
+   * An engine crashes and starts again under its name. It holds nothing and counts its orders anew;
+   * what was known of it before would send requests to adapters that are gone.
+   */
+  @Nested
+  class RestartedEngine {
+
+    @Test
+    void isToldToHoldNothingAndAskedAgain() {
+      load(1, 10);
+      plan.takeNews();
+      engine.held.clear();
+      engine.sequence = 0;
+      plan.observe(entry(2, true), SPEC, 2_000);
+
+      assertThat(plan.takeNews()).extracting(Placement::readyInMs).contains(-1L);
+      assertThat(plan.toAsk(2_000)).hasSize(1);
+    }
+
+    @Test
+    void withoutABaseModelGetsOne() {
+      engine.hasModel = false;
+      engine.sequence = 0;
+      plan.observe(entry(2, false), SPEC, 2_000);
+      answerReports(2_000);
+      EndpointOrder order = plan.nextOrder(ENGINE, DAEMON, 7, 2_001).orElseThrow();
+
+      assertThat(order.adapter()).isEmpty();
+      assertThat(order.model()).isEqualTo(MODEL);
+    }
+  }
+
+  @Nested
+  class NewVersion {
+
+    @Test
+    void replacesACopyThatIsAskedFor() {
+      load(1, 10);
+      plan.need(adapter(1), 1, false, SIZE, 20);
+      versions.announce(adapter(1), 2, 1_000);
+      plan.released(adapter(1), 2, 1_000);
+      carryOutAll(1_001);
+
+      assertThat(engine.held).containsEntry(adapter(1), 2L);
+    }
+
+    @Test
+    void olderCopyMakesWayFirst() {
+      for (int i = 1; i <= PLACES; i++) {
+        load(i, i * 1_000L);
+      }
+      versions.announce(adapter(4), 2, 8_000);
+      load(9, 9_000);
+
+      assertThat(engine.held).doesNotContainKey(adapter(4));
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/RepeatBudgetTest.java
@@ -0,0 +1,64 @@
+package io.sequoiapass.gateway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.gateway.spi.HostSettings;
+import org.junit.jupiter.api.Test;
+
+class RepeatBudgetTest {
+
+  private static final int DAEMONS = 6;
+  private static final double RATIO = 0.2;
+  private static final double SLACK = 52;
+  private static final long WINDOW_MS = 10_000;
+
+  private static RepeatBudget budget(int daemons) {
+    return new RepeatBudget(
+        new HostSettings.Bounds(8_000, 2_000, 3_000, 5_000, RATIO, SLACK, WINDOW_MS, 5_000, true),
+        () -> daemons);
+  }
+
+  /**
+   * All endpoints of a service fail, and every daemon wants to send each request again. Together
+   * they must stay within the shared budget in any window, or the retries would be the load that
+   * keeps the endpoints down.
+   */
+  @Test
+  void allDaemonsTogetherStayWithinTheSharedBudget() {
+    int requests = 0;
+    int repeats = 0;
+    for (int daemon = 0; daemon < DAEMONS; daemon++) {
+      RepeatBudget budget = budget(DAEMONS);
+      for (long now = 0; now < WINDOW_MS; now += 100) {
+        budget.requestArrived(now);
+        requests++;
+        repeats += budget.take(now) ? 1 : 0;
+      }
+    }
+
+    assertThat((double) repeats).isLessThanOrEqualTo(RATIO * requests + SLACK);
+    assertThat(repeats).isGreaterThan(requests / 10);
+  }
+
+  @Test
+  void windowSlides() {
+    RepeatBudget budget = budget(1);
+    while (budget.take(0)) {
+      assertThat(budget.take(1)).isIn(true, false);
+    }
+
+    assertThat(budget.take(WINDOW_MS - 1)).isFalse();
+    assertThat(budget.take(WINDOW_MS + 1)).isTrue();
+  }
+
+  @Test
+  void unknownNumberOfDaemonsTakesASmallShare() {
+    RepeatBudget alone = budget(0);
+    int taken = 0;
+    while (alone.take(0)) {
+      taken++;
+    }
+
+    assertThat(taken).isLessThanOrEqualTo((int) SLACK / DAEMONS);
+  }
+}
