--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -53,12 +53,17 @@
   private static final int CONNECT_TIMEOUT_MS = 350;
 
   /**
-   * Watches wait this long, in milliseconds. A silent connection is noticed after it, and what
-   * changed meanwhile has to be in force within two seconds or so.
+   * A watch waits for the first figure and pauses after changes for the second, in milliseconds. A
+   * silent connection is noticed after the wait. Endpoints write about once a second and serve for
+   * two seconds after they began to leave, so what they write is taken in once a second at the most:
+   * each call is paid for, and twice as often cost half as much again.
    */
-  private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(2_000, 500);
+  private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(2_500, 1_000);
 
-  private static final StoreFeed.Timing CONFIGURATION_TIMING = new StoreFeed.Timing(2_000, 50);
+  /** Changes of the configuration have to be in force within two seconds or so. */
+  private static final StoreFeed.Timing CONFIGURATION_TIMING = new StoreFeed.Timing(2_500, 50);
+
+  /** New versions of adapters have to be in force within five seconds or so. */
   private static final StoreFeed.Timing RELEASE_TIMING = new StoreFeed.Timing(4_000, 300);
 
   /** Share of the time allowed for a new adapter version during which the old one may begin. */
