--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -199,7 +199,7 @@
     for (AdapterName adapter : plan.outdated()) {
       plan.released(adapter, tick.newest(adapter), now);
     }
-    plan.relax(now);
+    plan.advance(now);
     work(now);
     sendStandings();
     links.forEach((channel, linked) -> sendLoads(channel, linked));
@@ -365,7 +365,7 @@
   }
 
   private void need(FrameChannel channel, LinkMessage.Need need, long now) {
-    PlacementPlan.Size size = new PlacementPlan.Size(need.promptTokens(), need.outputTokens());
+    RequestSize size = new RequestSize(need.promptTokens(), need.outputTokens());
     PlacementPlan.Need result =
         plan.need(need.adapter(), need.version(), need.another(), size, now);
     if (result instanceof PlacementPlan.Need.NoRoom noRoom) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -369,6 +369,7 @@
     private final long sentAt;
     private final Load load;
     private final long backlog;
+    private final int runningBefore;
     private boolean begun;
     private boolean ended;
 
@@ -377,6 +378,7 @@
       this.generation = generation;
       this.sentAt = now;
       this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
+      this.runningBefore = state.own.plus(state.others).running();
       this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
       state.own = state.own.plus(load);
       state.recent.add(load.prefillTokens(), now);
@@ -442,6 +444,11 @@
       state.inUse.computeIfPresent(adapter, (name, count) -> count > 1 ? count - 1 : null);
     }
 
+    /** Returns whether most places of the endpoint were free when the request was sent. */
+    public boolean wasHalfEmpty() {
+      return runningBefore < state.entry.slots() / 2;
+    }
+
     /** Returns the endpoint. */
     public EndpointId endpoint() {
       return state.entry.endpoint();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -55,8 +55,8 @@
   /**
    * A watch waits for the first figure and pauses after changes for the second, in milliseconds. A
    * silent connection is noticed after the wait. Endpoints write about once a second and serve for
-   * two seconds after they began to leave, so what they write is taken in once a second at the most:
-   * each call is paid for, and twice as often cost half as much again.
+   * two seconds after they began to leave, so what they write is taken in once a second at the
+   * most: each call is paid for, and twice as often cost half as much again.
    */
   private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(2_500, 1_000);
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
@@ -55,9 +55,17 @@
 
   /** Returns how long a load takes that begins now, in milliseconds. */
   long storeMs(long now) {
+    return (long) (aloneMs * stretch(traffic.coming(now) + 1));
+  }
+
+  /** Returns how many times as long loads take now as one alone. */
+  double stretch(long now) {
+    return stretch(traffic.coming(now));
+  }
+
+  private double stretch(int loads) {
     double width = Math.max(LEAST_WIDTH, traffic.engines() * FULL_SPEED_LOADS);
-    double stretch = (traffic.coming(now) + 1) / width;
-    return (long) (aloneMs * Math.max(1, Math.min(MOST_STRETCH, stretch)));
+    return Math.max(1, Math.min(MOST_STRETCH, loads / width));
   }
 
   /** Returns how long a load takes alone, in milliseconds. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -63,6 +63,9 @@
   /** An engine writes its entry about once a second; this is two of its times, in milliseconds. */
   private static final long ENTRY_LAG_MS = 2_500;
 
+  /** An arrival that moved by less is not told, in milliseconds. */
+  private static final long WORTH_TELLING_MS = 20;
+
   /** An adapter that was not there yet is expected this much later, in milliseconds. */
   private static final long EARLY_AGAIN_MS = 50;
 
@@ -88,8 +91,9 @@
   private final AdapterDemand demand = new AdapterDemand();
   private final Map<EndpointId, PlannedEndpoint> endpoints = new TreeMap<>();
   private final DaemonActivity activity = new DaemonActivity();
-  private final List<Placement> news = new ArrayList<>();
+  private final PlacementNews news = new PlacementNews();
   private final LoadTime loadTime;
+  private long advancedAt;
   private final ModelLoads modelLoads;
 
   /**
@@ -105,14 +109,6 @@
     this.loadTime = loadTime;
   }
 
-  /**
-   * The size of the request for which an adapter is wanted.
-   *
-   * @param promptTokens tokens of its prompt
-   * @param outputTokens tokens of its answer, as far as known
-   */
-  record Size(long promptTokens, long outputTokens) {}
-
   /** What becomes of a wish for an adapter. */
   sealed interface Need {
 
@@ -136,7 +132,7 @@
     PlannedEndpoint known = endpoints.get(entry.endpoint());
     if (known == null || known.entry.bornMs() != entry.bornMs()) {
       if (known != null) {
-        known.copies.keySet().forEach(name -> tellGone(entry.endpoint(), name));
+        known.copies.keySet().forEach(name -> news.gone(entry.endpoint(), name));
       }
       known = new PlannedEndpoint(entry, engine);
       known.adoptEntry(now);
@@ -192,7 +188,7 @@
   }
 
   /** Has an adapter brought to an engine, unless it is there or comes already. */
-  Need need(AdapterName adapter, long version, boolean another, Size size, long now) {
+  Need need(AdapterName adapter, long version, boolean another, RequestSize size, long now) {
     demand.asked(adapter, 1, now);
     Optional<EndpointId> known = another ? coming(adapter, now) : holder(adapter, version);
     if (known.isPresent()) {
@@ -257,7 +253,7 @@
     return endpoint.copies.size() < endpoint.engine.adapterSlots();
   }
 
-  private double cost(PlannedEndpoint endpoint, AdapterName adapter, Size size, long now) {
+  private double cost(PlannedEndpoint endpoint, AdapterName adapter, RequestSize size, long now) {
     double victimMs =
         hasFreePlace(endpoint)
             ? 0
@@ -293,7 +289,7 @@
       AdapterName victim = victim(endpoint, now).orElseThrow();
       endpoint.copies.get(victim).state = PlannedEndpoint.State.LEAVING;
       endpoint.steps.add(step(EndpointOrder.Type.UNLOAD, victim, OptionalLong.empty()));
-      tellGone(id, victim);
+      news.gone(id, victim);
     }
     boolean again = endpoint.kept.isKept(adapter);
     boolean replaces = endpoint.copies.containsKey(adapter);
@@ -372,7 +368,7 @@
     Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
     endpoint.adopt(report.get(), now, loadTime.aloneMs());
     before.removeAll(endpoint.copies.keySet());
-    before.forEach(name -> tellGone(id, name));
+    before.forEach(name -> news.gone(id, name));
     tellAll(endpoint, now);
   }
 
@@ -487,7 +483,9 @@
     boolean again = endpoint.kept.isKept(name);
     boolean done = result == OrderResult.DONE;
     copy.state = PlannedEndpoint.State.HELD;
-    copy.readyAt = done ? now : now + (again ? AGAIN_MS : loadTime.storeMs(now));
+    boolean fromStore = !done && !again;
+    copy.workMs = fromStore ? loadTime.aloneMs() : 0;
+    copy.readyAt = fromStore ? now + loadTime.storeMs(now) : now + (done ? 0 : AGAIN_MS);
     copy.lastUsed = now;
     endpoint.kept.held(name);
     tell(id, name, now);
@@ -508,7 +506,7 @@
             lost.add(name);
           }
         });
-    lost.forEach(name -> tellGone(id, name));
+    lost.forEach(name -> news.gone(id, name));
     if (result != OrderResult.UNKNOWN) {
       lost.forEach(endpoint.copies::remove);
     }
@@ -538,12 +536,39 @@
     }
   }
 
-  /** Lets the learned time of a load come down again; called now and then. */
-  void relax(long now) {
+  /**
+   * Brings the expected arrivals up to date; called several times a second. All loads share the
+   * store, so those that begin after a load make it later, and its callers would come too early.
+   */
+  void advance(long now) {
+    double stretch = loadTime.stretch(now);
+    double doneMs = (now - advancedAt) / stretch;
+    advancedAt = now;
+    endpoints.forEach(
+        (id, endpoint) ->
+            endpoint.copies.forEach((name, copy) -> advance(id, name, copy, doneMs, stretch, now)));
     loadTime.relax();
     demand.forgetIdle(now);
   }
 
+  private void advance(
+      EndpointId id,
+      AdapterName name,
+      PlannedEndpoint.Copy copy,
+      double doneMs,
+      double stretch,
+      long now) {
+    if (copy.state != PlannedEndpoint.State.HELD || copy.workMs <= 0) {
+      return;
+    }
+    copy.workMs -= doneMs;
+    long expected = now + (long) (Math.max(0, copy.workMs) * stretch);
+    if (copy.workMs > 0 && Math.abs(expected - copy.toldReadyAt) > WORTH_TELLING_MS) {
+      copy.readyAt = expected;
+      tell(id, name, now);
+    }
+  }
+
   /** Returns the engines for which an order may be due. */
   List<EndpointId> ids() {
     return List.copyOf(endpoints.keySet());
@@ -559,35 +584,16 @@
   }
 
   private void tell(EndpointId id, AdapterName adapter, long now) {
-    PlannedEndpoint.Copy copy = endpoints.get(id).copies.get(adapter);
-    if (copy.state != PlannedEndpoint.State.LEAVING) {
-      news.add(new Placement(id, adapter, copy.version, Math.max(0, copy.readyAt - now)));
-    }
-  }
-
-  private void tellGone(EndpointId id, AdapterName adapter) {
-    news.add(new Placement(id, adapter, 0, -1));
+    news.tell(id, adapter, endpoints.get(id).copies.get(adapter), now);
   }
 
   /** Returns what changed since the last call. */
   List<Placement> takeNews() {
-    List<Placement> taken = List.copyOf(news);
-    news.clear();
-    return taken;
+    return news.take();
   }
 
   /** Returns all that the engines hold. */
   List<Placement> whole(long now) {
-    List<Placement> whole = new ArrayList<>();
-    endpoints.forEach(
-        (id, endpoint) ->
-            endpoint.copies.forEach(
-                (name, copy) -> {
-                  if (copy.state != PlannedEndpoint.State.LEAVING) {
-                    long readyInMs = Math.max(0, copy.readyAt - now);
-                    whole.add(new Placement(id, name, copy.version, readyInMs));
-                  }
-                }));
-    return whole;
+    return PlacementNews.whole(endpoints, now);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -48,12 +48,17 @@
     LEAVING
   }
 
-  /** One adapter, from the plan to load it until it has left. */
+  /**
+   * One adapter, from the plan to load it until it has left. Its work is what a load from the store
+   * still takes at full speed, in milliseconds; 0 when it is there.
+   */
   static final class Copy {
     long version;
     State state;
     long readyAt;
     long lastUsed;
+    double workMs;
+    long toldReadyAt;
 
     Copy(long version, State state, long readyAt, long lastUsed) {
       this.version = version;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -442,17 +442,26 @@
       return;
     }
     long now = context.clock().millis();
-    from.ticket.ended(EndpointGroup.Ending.NO_BLAME, now);
     story.notRun(from, answer);
     Optional<AdapterName> adapter = facts.generation().flatMap(Generation::adapter);
+    boolean busy = answer == AnswerClass.NOT_RUN_BUSY;
+    // An endpoint that calls itself full with half of its places free is not to be believed.
+    from.ticket.ended(
+        busy && from.ticket.wasHalfEmpty()
+            ? EndpointGroup.Ending.FAILED
+            : EndpointGroup.Ending.NO_BLAME,
+        now);
     boolean early =
-        adapter.isPresent()
+        !busy
+            && adapter.isPresent()
             && group.postpone(from.ticket.endpoint(), adapter.get(), now, now + EARLY_MS);
-    if (adapter.isPresent() && (early || answer == AnswerClass.NOT_RUN_ELSEWHERE)) {
+    if (adapter.isPresent() && !busy) {
       context.adapters().missed(from.dataCentre, from.ticket.endpoint(), adapter.get(), early);
     }
     if (!early) {
-      adapter.ifPresent(name -> group.absent(from.ticket.endpoint(), name));
+      if (!busy) {
+        adapter.ifPresent(name -> group.absent(from.ticket.endpoint(), name));
+      }
       avoid.add(from.ticket.endpoint());
     }
     dispatch();
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -34,7 +34,7 @@
   private static final EndpointId ENGINE = new EndpointId("engine-1");
   private static final DaemonId DAEMON = new DaemonId("north-1");
   private static final int PLACES = 4;
-  private static final PlacementPlan.Size SIZE = new PlacementPlan.Size(800, 200);
+  private static final RequestSize SIZE = new RequestSize(800, 200);
   private static final EngineSpec SPEC =
       new EngineSpec(
           96, 200_000, 16_500, PLACES, 4, List.of(new ModelSpec(MODEL, 16_100, 600, a -> true)));
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/HostListFailureTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/HostListFailureTest.java
@@ -24,6 +24,9 @@
 
   private static final long LIMIT_MS = 20_000;
 
+  /** Two waits of {@link #LIMIT_MS} and the time in which there must be no new work. */
+  private static final int LOAD_S = 48;
+
   /** From the list saying so until no new work begins. */
   private static final long BOUND_MS = 4_000;
 
@@ -53,7 +56,9 @@
     try (Cluster cluster = cluster(3)) {
       OwnershipProbe probe = new OwnershipProbe(cluster);
       try (LoadTool tool = tool(cluster)) {
-        tool.start(new LoadPlan(20, 40, 4, 0, 60, 0, 0, 0, 8).requests());
+        // The load has to outlast both waits below, or the second one waits for work that never
+        // comes.
+        tool.start(new LoadPlan(LOAD_S, 40, 4, 0, 60, 0, 0, 0, 8).requests());
         probe.await("e1 works", LIMIT_MS, () -> probe.judged("e1", "accepted") > 0);
         putHosts(cluster, "LEAVING");
         long after = noNewWorkAfter(probe, BOUND_MS);
