An engine gets a base model only after its own report says that it is empty; unused parts out

Cause: the list may be older than the engine's last load; with two base models a second one would have been ordered beside the first. A base model that the service does not have is no longer refused for good.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -163,18 +163,6 @@
     }
   }
 
-  /**
-   * Closes the kept connections to an address that no server uses any more.
-   *
-   * @param address the address
-   */
-  public void forget(InetSocketAddress address) {
-    Deque<KeptConnection> kept = idle.remove(address);
-    if (kept != null) {
-      kept.forEach(connection -> connection.channel().close());
-    }
-  }
-
   private record KeptConnection(Channel channel, long since, long limitMs) {}
 
   /** Collects the parts of one answer. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.sequoiapass.coordination.AdapterId;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.daemon.connection.HttpHandler;
@@ -13,6 +12,7 @@
 import io.sequoiapass.gateway.request.RelayedRequest;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.spi.HostSettings;
+import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.EngineSpec;
 import io.sequoiapass.gateway.version.RouteSpec;
 import io.sequoiapass.gateway.version.ServingConfiguration;
@@ -107,18 +107,22 @@
     return query < 0 ? target : target.substring(0, query);
   }
 
-  /** An adapter that the configuration does not know can never be brought. */
+  /**
+   * An adapter that its base model does not have can never be brought. A base model that the
+   * service does not have is not judged here: another version of the configuration may have it.
+   */
   private static boolean isKnown(
       CallerFacts facts, ServingConfiguration configuration, ServiceId service) {
     Optional<EngineSpec> engine = configuration.service(service).flatMap(spec -> spec.engine());
-    if (facts.generation().isEmpty() || engine.isEmpty() || engine.get().models().isEmpty()) {
+    Optional<AdapterName> adapter = facts.generation().flatMap(Generation::adapter);
+    if (engine.isEmpty() || adapter.isEmpty()) {
       return true;
     }
-    Generation generation = facts.generation().get();
-    Optional<AdapterId> adapter = generation.adapter().map(name -> name.adapter());
-    return engine.get().models().stream()
-        .filter(spec -> spec.model().equals(generation.model()))
-        .anyMatch(spec -> adapter.isEmpty() || spec.knows().test(adapter.get()));
+    return engine
+        .get()
+        .model(adapter.get().model())
+        .map(spec -> spec.knows().test(adapter.get().adapter()))
+        .orElse(true);
   }
 
   private void start(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -366,9 +366,8 @@
 
   private void need(FrameChannel channel, LinkMessage.Need need, long now) {
     RequestSize size = new RequestSize(need.promptTokens(), need.outputTokens());
-    PlacementPlan.Need result =
-        plan.need(need.adapter(), need.version(), need.another(), size, now);
-    if (result instanceof PlacementPlan.Need.NoRoom noRoom) {
+    Need result = plan.need(need.adapter(), need.version(), need.another(), size, now);
+    if (result instanceof Need.NoRoom noRoom) {
       channel.send(LinkFrames.encode(new LinkMessage.NoRoom(need.adapter(), noRoom.comeBackMs())));
     }
     work(now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -109,12 +109,7 @@
   /** Notes that nobody tells any more; the endpoints' own entries count again as they change. */
   void uncoordinated(DataCentreId dataCentre) {
     coordinated.remove(dataCentre);
-    long now = clock.millis();
-    groups.values().forEach(group -> group.adoptEntries(dataCentre, now));
-  }
-
-  boolean isCoordinated(DataCentreId dataCentre) {
-    return coordinated.contains(dataCentre);
+    groups.values().forEach(group -> group.forgetOthers(dataCentre));
   }
 
   @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -2,7 +2,6 @@
 
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
-import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.connection.EndpointHealth;
 import io.sequoiapass.coordination.connection.HealthSettings;
 import io.sequoiapass.coordination.process.RendezvousHash;
@@ -106,10 +105,6 @@
     return Set.copyOf(endpoints.keySet());
   }
 
-  synchronized boolean isEmpty() {
-    return endpoints.isEmpty();
-  }
-
   /** Chooses what to do with a request now. */
   public synchronized Choice choose(Demand demand, List<DataCentreId> loadable, long now) {
     List<Candidate> candidates = candidates(demand, now, true);
@@ -275,8 +270,8 @@
     }
   }
 
-  /** Goes by the endpoints' own entries again, while a data centre has no coordinator. */
-  synchronized void adoptEntries(DataCentreId dataCentre, long now) {
+  /** Forgets what others do in a data centre whose coordinator is no longer heard. */
+  synchronized void forgetOthers(DataCentreId dataCentre) {
     for (EndpointState state : endpoints.values()) {
       if (state.entry.dataCentre().equals(dataCentre)) {
         state.others = Load.NONE;
@@ -328,12 +323,6 @@
     return Optional.of(new Target(endpoint, state.entry.address(), version));
   }
 
-  /** Returns whether any endpoint that takes work holds the model. */
-  public synchronized boolean serves(ModelId model, long now) {
-    return endpoints.values().stream()
-        .anyMatch(state -> state.takesWork(now) && state.holdsModel(model));
-  }
-
   /** Returns how many adapters are on their way to the endpoints. */
   synchronized int coming(long now) {
     int coming = 0;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -27,7 +27,7 @@
  * it, and in what order the orders go out.
  *
  * <pre>{@code
- * PlacementPlan.Need need = plan.need(adapter, 1, false, now);
+ * Need need = plan.need(adapter, 1, false, now);
  * plan.nextOrder(endpoint, daemon, epoch, now).ifPresent(order -> ...);
  * }</pre>
  *
@@ -109,24 +109,6 @@
     this.loadTime = loadTime;
   }
 
-  /** What becomes of a wish for an adapter. */
-  sealed interface Need {
-
-    /**
-     * It is there or comes.
-     *
-     * @param endpoint where
-     */
-    record Coming(EndpointId endpoint) implements Need {}
-
-    /**
-     * Nothing can make way now.
-     *
-     * @param comeBackMs when to ask again, in milliseconds
-     */
-    record NoRoom(long comeBackMs) implements Need {}
-  }
-
   /** Takes in an engine's entry; a new process under its name holds nothing of before. */
   void observe(EndpointEntry entry, EngineSpec engine, long now) {
     PlannedEndpoint known = endpoints.get(entry.endpoint());
@@ -367,6 +349,7 @@
     }
     Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
     endpoint.adopt(report.get(), now, loadTime.aloneMs());
+    endpoint.reportedEmpty = endpoint.models.isEmpty();
     before.removeAll(endpoint.copies.keySet());
     before.forEach(name -> news.gone(id, name));
     tellAll(endpoint, now);
@@ -379,6 +362,12 @@
       return Optional.empty();
     }
     if (endpoint.steps.isEmpty() && endpoint.models.isEmpty() && !endpoint.entry.leaving()) {
+      // The list may be older than the engine's last load, and a second model beside the first one
+      // would crash it; only the engine's own report tells that it is empty.
+      if (!endpoint.reportedEmpty) {
+        resync(endpoint, now);
+        return Optional.empty();
+      }
       missingModel(endpoint, now)
           .ifPresent(
               spec ->
@@ -463,6 +452,7 @@
       endpoint.synced = false;
       endpoint.quietUntil = now + takesMs + REPORT_LAG_MS;
       endpoint.modelsKnownUntil = endpoint.quietUntil + ENTRY_LAG_MS;
+      endpoint.reportedEmpty = false;
       return;
     }
     AdapterName name = step.name().get();
@@ -575,11 +565,6 @@
     return List.copyOf(endpoints.keySet());
   }
 
-  /** Returns the entry of an engine. */
-  Optional<EndpointEntry> entry(EndpointId id) {
-    return Optional.ofNullable(endpoints.get(id)).map(endpoint -> endpoint.entry);
-  }
-
   private void tellAll(PlannedEndpoint endpoint, long now) {
     endpoint.copies.keySet().forEach(name -> tell(endpoint.entry.endpoint(), name, now));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -32,6 +32,7 @@
   int unanswered;
   long quietUntil;
   long modelsKnownUntil;
+  boolean reportedEmpty;
 
   PlannedEndpoint(EndpointEntry entry, EngineSpec engine) {
     this.entry = entry;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -77,7 +77,6 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private long revision;
-  private long lastAnswer = NEVER;
   private long failingSince = NEVER;
   private long retryMs = RETRY_MS;
 
@@ -102,11 +101,6 @@
     list();
   }
 
-  /** Returns how long ago the store last answered, in milliseconds; negative if it never did. */
-  synchronized long ageMs() {
-    return lastAnswer == NEVER ? NEVER : clock.millis() - lastAnswer;
-  }
-
   private void list() {
     store.list(kind).whenComplete((list, failure) -> loop.execute(() -> listed(list, failure)));
   }
@@ -159,7 +153,6 @@
     }
     failingSince = NEVER;
     retryMs = RETRY_MS;
-    lastAnswer = now;
     return afterOutage;
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -128,8 +128,7 @@
   }
 
   private void load(int number, long now) {
-    assertThat(plan.need(adapter(number), 1, false, SIZE, now))
-        .isInstanceOf(PlacementPlan.Need.Coming.class);
+    assertThat(plan.need(adapter(number), 1, false, SIZE, now)).isInstanceOf(Need.Coming.class);
     carryOutAll(now);
   }
 
@@ -176,8 +175,7 @@
           List.of(1, 2, 3, 4).stream().map(i -> new Activity.Use(adapter(i), 1, 1)).toList();
       plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), 9_000);
 
-      assertThat(plan.need(adapter(9), 1, false, SIZE, 12_000))
-          .isInstanceOf(PlacementPlan.Need.NoRoom.class);
+      assertThat(plan.need(adapter(9), 1, false, SIZE, 12_000)).isInstanceOf(Need.NoRoom.class);
     }
 
     @Test
@@ -188,8 +186,7 @@
         plan.need(adapter(i), 1, false, SIZE, 10);
       }
 
-      assertThat(plan.need(adapter(9), 1, false, SIZE, 10))
-          .isInstanceOf(PlacementPlan.Need.NoRoom.class);
+      assertThat(plan.need(adapter(9), 1, false, SIZE, 10)).isInstanceOf(Need.NoRoom.class);
     }
   }
 
@@ -297,6 +294,27 @@
     }
   }
 
+  /**
+   * The list still shows an engine without a base model, from before its last load. Loading another
+   * model beside the one it holds would go beyond its memory and crash it.
+   */
+  @Nested
+  class StaleEntry {
+
+    @Test
+    void bringsNoSecondBaseModel() {
+      ModelSpec other = new ModelSpec(new ModelId("other"), 16_100, 600, a -> true);
+      EngineSpec two =
+          new EngineSpec(96, 200_000, 16_500, PLACES, 4, List.of(other, SPEC.models().get(0)));
+      plan.observe(entry(1, false), two, 500);
+
+      assertThat(plan.nextOrder(ENGINE, DAEMON, 7, 500)).isEmpty();
+      assertThat(plan.toAsk(900)).hasSize(1);
+      plan.asked(ENGINE, Optional.of(engine.report()), 901);
+      assertThat(plan.nextOrder(ENGINE, DAEMON, 7, 902)).isEmpty();
+    }
+  }
+
   @Nested
   class NewVersion {
 
