--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -53,8 +54,18 @@
   private void timeout() {
     Channel current = channel;
     fail(new HttpFailure("no whole answer in time: " + call, written));
-    if (current != null) {
-      current.close();
+    abandon(current);
+  }
+
+  /**
+   * Closes a connection whose answer nobody waits for. A plain close would still deliver what the
+   * network holds up: a request that was given up would reach its server seconds later and run for
+   * nobody. A reset drops it.
+   */
+  private static void abandon(Channel connection) {
+    if (connection != null) {
+      connection.config().setOption(ChannelOption.SO_LINGER, 0);
+      connection.close();
     }
   }
 
@@ -185,10 +196,7 @@
   public void cancel() {
     if (over.compareAndSet(false, true)) {
       cancelLimit();
-      Channel current = channel;
-      if (current != null) {
-        current.close();
-      }
+      abandon(channel);
     }
   }
 }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -155,6 +156,33 @@
     }
   }
 
+  /**
+   * The caller leaves, or its time is over, while the network holds the request up. After a plain
+   * close the request would still arrive and run for nobody; the server has to see a reset.
+   */
+  @Nested
+  class AbandonedCall {
+
+    @Test
+    void isResetWhenItsTimeIsOver() throws Exception {
+      CompletableFuture<Boolean> reset = new CompletableFuture<>();
+      InetSocketAddress address = server((socket, out) -> reset.complete(seesReset(socket)));
+      http.send(HttpCall.to(address, "GET", "/").header(ECHOED, "r1"), 200)
+          .handle((a, failure) -> failure)
+          .join();
+
+      assertThat(reset.get(CALL_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
+    private boolean seesReset(Socket socket) {
+      try {
+        return socket.getInputStream().read() >= 0;
+      } catch (IOException e) {
+        return true;
+      }
+    }
+  }
+
   @Test
   void answerThatIsCutShortIsNoAnswer() throws IOException {
     InetSocketAddress address =
