--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -60,11 +60,13 @@
   /**
    * Closes a connection whose answer nobody waits for. A plain close would still deliver what the
    * network holds up: a request that was given up would reach its server seconds later and run for
-   * nobody. A reset drops it.
+   * nobody. A reset drops it, where the client asks for that.
    */
-  private static void abandon(Channel connection) {
+  private void abandon(Channel connection) {
     if (connection != null) {
-      connection.config().setOption(ChannelOption.SO_LINGER, 0);
+      if (client.resetsAbandoned()) {
+        connection.config().setOption(ChannelOption.SO_LINGER, 0);
+      }
       connection.close();
     }
   }
