A request whose deadline passed before it began says when to come back; the overload test fits two cores

On two cores of this machine the test failed in one of three runs (the last refusal after its deadline; half of the refusals, decided within 1 ms, took 454 ms to be sent): 230 requests a second fill two cores there, so it measured the machine. Changed: the kind comes with 1,000 ms like DEADLINE_UNREACHABLE (ErrorKindTest failed first on it); the test's rates are halved and its time doubled, the ratios of flood, quiet work and capacity and every bound stay.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
@@ -57,7 +57,7 @@
   /** Waiting would take longer than the deadline leaves. */
   DEADLINE_UNREACHABLE(503, NOT_RUN, SAFE, 1_000, "The deadline cannot be met under this load."),
   /** The deadline passed before the request started. */
-  DEADLINE_PASSED(504, NOT_RUN, SAFE, "The deadline passed before the request started."),
+  DEADLINE_PASSED(504, NOT_RUN, SAFE, 1_000, "The deadline passed before the request started."),
   /** The deadline passed while the request may have been running. */
   DEADLINE_PASSED_AFTER_START(504, UNKNOWN, IF_REPEATABLE, "The deadline passed after the start."),
   /** No endpoint can take it. */
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/ErrorKindTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/ErrorKindTest.java
@@ -27,6 +27,16 @@
         .isEqualTo(kind.outcomeClass() == OutcomeClass.NOT_RUN);
   }
 
+  // A caller whose work did not run for a reason that passes waits for nothing and is sent away;
+  // with
+  // no time to come back at, callers return at once and all together.
+  @ParameterizedTest
+  @EnumSource
+  void workThatDidNotRunForAReasonThatPassesComesWithATimeToComeBack(ErrorKind kind) {
+    boolean passes = kind.retryAdvice() == RetryAdvice.SAFE && kind.httpStatus() >= 500;
+    assertThat(passes && kind.comeBackMillis().isEmpty()).isFalse();
+  }
+
   private static String row(ErrorKind kind) {
     String comeBack =
         kind.comeBackMillis().stream()
--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/OverloadTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OverloadTest.java
@@ -30,16 +30,20 @@
   private static final String FLOOD = "flood";
   private static final long LIMIT_MS = 30_000;
   private static final int ADAPTERS = 4;
-  private static final int SECONDS = 6;
+  private static final int SECONDS = 12;
   private static final int DEADLINE_MS = 3_000;
 
-  /** Some 70 answers a second: 16 streams of 5 tokens at steps long against a busy machine's. */
+  /**
+   * Some 35 answers a second: 16 streams of 5 tokens at steps long against a busy machine's. All
+   * rates are low enough that two cores carry callers, daemons and engine: at twice these rates the
+   * cores are full there, and half of the refusals, decided within 1 ms, take 450 ms to be sent.
+   */
   private static final int STREAMS = 16;
 
-  private static final String STEP_MICROS = "40000";
+  private static final String STEP_MICROS = "80000";
   private static final int TOKENS = 5;
-  private static final int QUIET_RATE = 20;
-  private static final int FLOOD_RATE = 210;
+  private static final int QUIET_RATE = 10;
+  private static final int FLOOD_RATE = 105;
 
   /** Half of the refusals are decided on arrival; a round of the owner's timer takes 20 ms. */
   private static final double AT_ONCE_MS = 20;
