A request read after a standstill is handled only once the loop has read its connection's end too

Cause: a process that stood still finds a request and the end of its connection together and reads the request first, so it sent on what nobody waited for. Changed: LoopPulse beats on each loop; what is read while or right after beats were left out waits for the next reads.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
@@ -15,7 +16,9 @@
 import io.sequoiapass.coordination.MillisClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
@@ -47,11 +50,17 @@
   private final Channel listening;
   private final ChannelGroup connections;
   private final AtomicBoolean closing;
+  private final Map<EventLoop, LoopPulse> pulses;
 
-  private HttpServer(Channel listening, ChannelGroup connections, AtomicBoolean closing) {
+  private HttpServer(
+      Channel listening,
+      ChannelGroup connections,
+      AtomicBoolean closing,
+      Map<EventLoop, LoopPulse> pulses) {
     this.listening = listening;
     this.connections = connections;
     this.closing = closing;
+    this.pulses = pulses;
   }
 
   /**
@@ -103,6 +112,7 @@
   public void close() {
     stopAccepting();
     connections.close().awaitUninterruptibly();
+    pulses.values().forEach(LoopPulse::stop);
   }
 
   /** Builds a server; not safe for use by several threads. */
@@ -111,6 +121,7 @@
     private final EventLoopGroup group;
     private final HttpHandler handler;
     private final AtomicBoolean closing = new AtomicBoolean();
+    private final Map<EventLoop, LoopPulse> pulses = new ConcurrentHashMap<>();
     private int maxBodyBytes = 1 << 20;
     private int maxLineBytes = 4 << 10;
     private int maxHeaderBytes = 16 << 10;
@@ -168,7 +179,7 @@
       if (!binding.isSuccess()) {
         throw new IOException("cannot listen on " + address, binding.cause());
       }
-      return new HttpServer(binding.channel(), connections, closing);
+      return new HttpServer(binding.channel(), connections, closing, pulses);
     }
 
     private ConnectionLimits fixedLimits() {
@@ -188,7 +199,10 @@
               .pipeline()
               .addLast(new HttpServerCodec(maxLineBytes, bounds.maxHeaderBytes(), 64 << 10));
           channel.pipeline().addLast(new BodyCollector(bounds.maxBodyBytes()));
-          channel.pipeline().addLast(new HttpServerHandler(handler, guard, closing::get));
+          LoopPulse pulse =
+              pulses.computeIfAbsent(
+                  channel.eventLoop(), loop -> LoopPulse.start(loop, MillisClock.monotonic()));
+          channel.pipeline().addLast(new HttpServerHandler(handler, guard, closing::get, pulse));
         }
       };
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -26,6 +28,7 @@
   private final HttpHandler handler;
   private final ConnectionGuard guard;
   private final BooleanSupplier closing;
+  private final LoopPulse pulse;
   private final Queue<PendingCall> waiting = new ArrayDeque<>();
   private ServerExchange current;
   private boolean refused;
@@ -36,11 +39,14 @@
    * @param handler what answers
    * @param guard what watches the connection's times
    * @param closing whether the connection is to close after the next answer
+   * @param pulse the pulse of the connection's event loop
    */
-  HttpServerHandler(HttpHandler handler, ConnectionGuard guard, BooleanSupplier closing) {
+  HttpServerHandler(
+      HttpHandler handler, ConnectionGuard guard, BooleanSupplier closing, LoopPulse pulse) {
     this.handler = handler;
     this.guard = guard;
     this.closing = closing;
+    this.pulse = pulse;
   }
 
   @Override
@@ -78,7 +84,24 @@
       context.close();
       return;
     }
-    next(context);
+    if (pulse.isBehind()) {
+      afterNextReads(context);
+    } else {
+      next(context);
+    }
+  }
+
+  /**
+   * Handles the request once the loop has read all connections again: if its client left while the
+   * loop stood still, the connection is closed by then and the request with it. The first task may
+   * run in the round that read the request, the second one cannot.
+   */
+  private void afterNextReads(ChannelHandlerContext context) {
+    EventExecutor loop = context.executor();
+    loop.schedule(
+        () -> loop.schedule(() -> next(context), 1, TimeUnit.MILLISECONDS),
+        1,
+        TimeUnit.MILLISECONDS);
   }
 
   private static HttpFault faultOf(Throwable cause) {
