--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/FreezeDetectorTest.java
@@ -0,0 +1,49 @@
+package io.sequoiapass.gateway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * A daemon that was suspended takes its lease for fresh and orders engines that another orders by
+ * now; callers see adapters unloaded under their streams.
+ */
+class FreezeDetectorTest {
+
+  private long monotonicMs = 1_000;
+  private long wallMs = 1_700_000_000_000L;
+  private final FreezeDetector detector = new FreezeDetector(() -> monotonicMs, () -> wallMs);
+
+  @Test
+  void aMonotonicClockThatStoodStillIsNoticedOnceAndSuspectUntilTheLeaseIsRenewed() {
+    wallMs += 3_000;
+    assertThat(detector.noticed()).isTrue();
+    assertThat(detector.isSuspect()).isTrue();
+    pass(100);
+    assertThat(detector.noticed()).isFalse();
+    assertThat(detector.isSuspect()).isTrue();
+    detector.trust();
+    assertThat(detector.isSuspect()).isFalse();
+  }
+
+  @Test
+  void aWallClockThatIsSetBackCountsToo() {
+    wallMs -= 3_000;
+    assertThat(detector.noticed()).isTrue();
+  }
+
+  // A late thread sees both clocks move; believed to be a freeze, each busy second would hold back
+  // the orders that callers wait for.
+  @Test
+  void timeThatPassesOnBothClocksIsNoFreeze() {
+    pass(10_000);
+    wallMs += 300;
+    assertThat(detector.noticed()).isFalse();
+    assertThat(detector.isSuspect()).isFalse();
+  }
+
+  private void pass(long ms) {
+    monotonicMs += ms;
+    wallMs += ms;
+  }
+}
