--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/FreePorts.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/FreePorts.java
@@ -11,7 +11,7 @@
  * range could be taken by some connection between here and the start of the process meant for it,
  * and the process would fail to listen. Safe for use by several threads.
  */
-final class FreePorts {
+public final class FreePorts {
 
   private static final int FIRST = 10_000;
   private static final int LAST = 30_000;
@@ -19,11 +19,16 @@
   private int next;
 
   /** Starts at a place that differs from process to process, so that two runs seldom meet. */
-  FreePorts() {
+  public FreePorts() {
     next = FIRST + (int) (ProcessHandle.current().pid() * 101 % (LAST - FIRST));
   }
 
-  synchronized int take() throws IOException {
+  /**
+   * Returns a port that nobody listens on, another one each time.
+   *
+   * @throws IOException if there is none
+   */
+  public synchronized int take() throws IOException {
     for (int tries = 0; tries < LAST - FIRST; tries++) {
       next = next + 1 > LAST ? FIRST : next + 1;
       if (free(next)) {
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/LaunchedProcess.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/LaunchedProcess.java
@@ -159,6 +159,16 @@
     signal("CONT");
   }
 
+  /**
+   * Tells it to read its settings again (SIGHUP).
+   *
+   * @throws IOException if the signal cannot be sent
+   * @throws InterruptedException if the wait for it is interrupted
+   */
+  public void reload() throws IOException, InterruptedException {
+    signal("HUP");
+  }
+
   private void signal(String signal) throws IOException, InterruptedException {
     if (!alive()) {
       throw new IOException(name + " has ended");
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/ProcessLauncher.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Stream;
 
 /**
@@ -76,9 +77,29 @@
    * @param arguments the arguments of its main method
    * @throws IOException if it cannot be started
    */
-  public synchronized LaunchedProcess start(
+  public LaunchedProcess start(
       String name, List<String> jvmFlags, String mainClass, List<String> arguments)
       throws IOException {
+    return start(name, jvmFlags, Map.of(), mainClass, arguments);
+  }
+
+  /**
+   * Starts a process with further environment variables and returns at once.
+   *
+   * @param name its name, also of its log
+   * @param jvmFlags flags after the ordinary ones, which they override
+   * @param environment variables besides those of this process
+   * @param mainClass the class to run
+   * @param arguments the arguments of its main method
+   * @throws IOException if it cannot be started
+   */
+  public synchronized LaunchedProcess start(
+      String name,
+      List<String> jvmFlags,
+      Map<String, String> environment,
+      String mainClass,
+      List<String> arguments)
+      throws IOException {
     if (closed) {
       throw new IOException("the launcher is closed");
     }
@@ -94,6 +115,7 @@
     ProcessBuilder builder =
         new ProcessBuilder(command)
             .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()));
+    builder.environment().putAll(environment);
     LaunchedProcess process = new LaunchedProcess(name, builder.start(), errors);
     processes.add(process);
     return process;
