--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -33,6 +33,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * The entry daemon in front of endpoints that guard themselves: takes requests from callers, sends
@@ -59,13 +60,23 @@
    * two seconds after they began to leave, so what they write is taken in once a second at the
    * most: each call is paid for, and twice as often cost half as much again.
    */
-  private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(1_000, 1_000);
+  private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(2_500, 1_000);
 
   /** Changes of the configuration have to be in force within two seconds or so. */
-  private static final StoreFeed.Timing CONFIGURATION_TIMING = new StoreFeed.Timing(1_000, 50);
+  private static final StoreFeed.Timing CONFIGURATION_TIMING = new StoreFeed.Timing(2_500, 50);
 
   /** New versions of adapters have to be in force within five seconds or so. */
-  private static final StoreFeed.Timing RELEASE_TIMING = new StoreFeed.Timing(1_000, 300);
+  private static final StoreFeed.Timing RELEASE_TIMING = new StoreFeed.Timing(4_000, 300);
+
+  /**
+   * The same for a coordinator, whose knowledge is relied on while it is fresh: asked each second,
+   * it went stale between two tellings, and 79 daemons made 25 calls a second for themselves.
+   */
+  private static final Map<RelayedViews.Topic, StoreFeed.Timing> COORDINATOR_TIMING =
+      Map.of(
+          RelayedViews.Topic.ENDPOINTS, new StoreFeed.Timing(600, 600),
+          RelayedViews.Topic.CONFIGURATION, new StoreFeed.Timing(700, 50),
+          RelayedViews.Topic.RELEASES, new StoreFeed.Timing(2_000, 300));
 
   /** Share of the time allowed for a new adapter version during which the old one may begin. */
   private static final double OLD_VERSION_SHARE = 0.5;
@@ -261,8 +272,10 @@
       StoreFeed.Timing timing,
       RelayedViews.Topic topic,
       StoreFeed.Listener<T> listener) {
+    Supplier<StoreFeed.Timing> now =
+        () -> node.isCoordinator() ? COORDINATOR_TIMING.get(topic) : timing;
     StoreFeed<T> feed =
-        new StoreFeed<>(store, kind, timing, relay(topic), listener, loops, clock, log);
+        new StoreFeed<>(store, kind, now, relay(topic), listener, loops, clock, log);
     feeds.put(topic, feed);
     feed.start();
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/RelayedViews.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/RelayedViews.java
@@ -15,12 +15,6 @@
  */
 final class RelayedViews {
 
-  /**
-   * How old a coordinator's knowledge may be to be relied on, in milliseconds: a coordinator asks
-   * about once a second, and what a daemon uses has to be in force within two.
-   */
-  static final long FRESH_MS = 1_500;
-
   /** Coordinators that have to know the store: one may be cut off and not know it yet. */
   private static final int WITNESSES = 2;
 
@@ -31,27 +25,42 @@
   /** Names what a daemon takes from the store. */
   enum Topic {
     /** The operators' configuration. */
-    CONFIGURATION {
+    CONFIGURATION(1_700) {
       @Override
       LinkMessage.StoreView of(LinkMessage.Standing standing) {
         return standing.configuration();
       }
     },
     /** New versions of adapters. */
-    RELEASES {
+    RELEASES(3_300) {
       @Override
       LinkMessage.StoreView of(LinkMessage.Standing standing) {
         return standing.releases();
       }
     },
     /** The list of endpoints. */
-    ENDPOINTS {
+    ENDPOINTS(1_600) {
       @Override
       LinkMessage.StoreView of(LinkMessage.Standing standing) {
         return standing.endpoints();
       }
     };
 
+    private final long freshMs;
+
+    Topic(long freshMs) {
+      this.freshMs = freshMs;
+    }
+
+    /**
+     * How old a coordinator's knowledge may be to be relied on, in milliseconds: what a daemon uses
+     * has to be in force within two seconds, releases within five. It is the time from one answer
+     * of the store to the next, and two tellings.
+     */
+    long freshMs() {
+      return freshMs;
+    }
+
     abstract LinkMessage.StoreView of(LinkMessage.Standing standing);
   }
 
@@ -74,7 +83,7 @@
     int witnesses = 0;
     for (Heard one : heard.values()) {
       LinkMessage.StoreView view = topic.of(one.standing());
-      boolean fresh = view.ageMs() >= 0 && view.ageMs() + now - one.at() <= FRESH_MS;
+      boolean fresh = view.ageMs() >= 0 && view.ageMs() + now - one.at() <= topic.freshMs();
       witnesses += fresh ? 1 : 0;
     }
     return witnesses >= WITNESSES;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Keeps a listener informed of one kind of objects: lists them, then waits for changes for good.
@@ -128,7 +129,7 @@
 
   private final MetadataStore store;
   private final StoreKind<T> kind;
-  private final Timing timing;
+  private final Supplier<Timing> timing;
   private final Relay relay;
   private final Listener<T> listener;
   private final ScheduledExecutorService loop;
@@ -143,7 +144,7 @@
   StoreFeed(
       MetadataStore store,
       StoreKind<T> kind,
-      Timing timing,
+      Supplier<Timing> timing,
       Relay relay,
       Listener<T> listener,
       ScheduledExecutorService loop,
@@ -213,7 +214,7 @@
 
   private void watch() {
     store
-        .watch(kind, revision, timing.waitMs())
+        .watch(kind, revision, timing.get().waitMs())
         .whenComplete((changes, failure) -> loop.execute(() -> watched(changes, failure)));
   }
 
@@ -237,7 +238,7 @@
     if (changes.changes().isEmpty()) {
       goOn();
     } else {
-      loop.schedule(this::goOnLater, timing.pauseMs(), TimeUnit.MILLISECONDS);
+      loop.schedule(this::goOnLater, timing.get().pauseMs(), TimeUnit.MILLISECONDS);
     }
   }
 
