One set of fixtures for the tests of what engines hold

WaitingNeedsTest wrote out what PlacementPlanTest had: the calm store, the adapters, the entry, the engine.

--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
@@ -0,0 +1,59 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.EngineSpec;
+import io.sequoiapass.gateway.version.ModelSpec;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+
+/** One engine, its adapters and a calm weight store, for tests of what engines hold. */
+final class PlanFixtures {
+
+  static final ModelId MODEL = new ModelId("base");
+  static final EndpointId ENGINE = new EndpointId("engine-1");
+
+  private PlanFixtures() {}
+
+  static EngineSpec engineOf(int places) {
+    return new EngineSpec(
+        96, 200_000, 16_500, places, 4, List.of(new ModelSpec(MODEL, 16_100, 600, a -> true)));
+  }
+
+  static LoadTime.Traffic calmStore() {
+    return new LoadTime.Traffic() {
+      @Override
+      public int coming(long now) {
+        return 0;
+      }
+
+      @Override
+      public int engines() {
+        return 13;
+      }
+    };
+  }
+
+  static AdapterName adapter(int number) {
+    return new AdapterName(MODEL, new AdapterId("a" + number));
+  }
+
+  static EndpointEntry entry(long bornMs, boolean holdsModel) {
+    return new EndpointEntry(
+        ENGINE,
+        new ServiceId("notes"),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 9000),
+        new DataCentreId("north"),
+        96,
+        false,
+        bornMs,
+        holdsModel ? List.of(new EndpointEntry.HeldModel(MODEL, 1, Map.of())) : List.of());
+  }
+}
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/WaitingNeedsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/WaitingNeedsTest.java
@@ -1,13 +1,12 @@
 package io.sequoiapass.gateway.process;
 
+import static io.sequoiapass.gateway.process.PlanFixtures.ENGINE;
+import static io.sequoiapass.gateway.process.PlanFixtures.adapter;
+import static io.sequoiapass.gateway.process.PlanFixtures.calmStore;
+import static io.sequoiapass.gateway.process.PlanFixtures.entry;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.sequoiapass.coordination.AdapterId;
 import io.sequoiapass.coordination.DaemonId;
-import io.sequoiapass.coordination.DataCentreId;
-import io.sequoiapass.coordination.EndpointId;
-import io.sequoiapass.coordination.ModelId;
-import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.gateway.connection.LinkMessage.Placement;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointOrder;
@@ -16,9 +15,6 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
-import io.sequoiapass.gateway.version.ModelSpec;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -33,54 +29,23 @@
  */
 class WaitingNeedsTest {
 
-  private static final ModelId MODEL = new ModelId("base");
-  private static final EndpointId ENGINE = new EndpointId("engine-1");
   private static final DaemonId DAEMON = new DaemonId("north-1");
   private static final int PLACES = 2;
   private static final RequestSize SIZE = new RequestSize(800, 200);
-  private static final EngineSpec SPEC =
-      new EngineSpec(
-          96, 200_000, 16_500, PLACES, 4, List.of(new ModelSpec(MODEL, 16_100, 600, a -> true)));
+  private static final EngineSpec SPEC = PlanFixtures.engineOf(PLACES);
 
   private final PlacementPlan plan =
       new PlacementPlan(
           new AdapterVersions(2_500), new ModelLoads(5_000, 1), new LoadTime(calmStore()));
   private final WaitingNeeds waiting = new WaitingNeeds(plan);
 
-  private static LoadTime.Traffic calmStore() {
-    return new LoadTime.Traffic() {
-      @Override
-      public int coming(long now) {
-        return 0;
-      }
-
-      @Override
-      public int engines() {
-        return 13;
-      }
-    };
-  }
-
-  private static AdapterName adapter(int number) {
-    return new AdapterName(MODEL, new AdapterId("a" + number));
-  }
-
   private static WaitingNeeds.Wish wish(int number, long inTimeUntil, long until) {
     return new WaitingNeeds.Wish(adapter(number), 1, SIZE, inTimeUntil, until);
   }
 
   @BeforeEach
   void placesAreInUse() {
-    EndpointEntry entry =
-        new EndpointEntry(
-            ENGINE,
-            new ServiceId("notes"),
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), 9000),
-            new DataCentreId("north"),
-            96,
-            false,
-            1,
-            List.of(new EndpointEntry.HeldModel(MODEL, 1, Map.of())));
+    EndpointEntry entry = entry(1, true);
     plan.observe(entry, SPEC, 0);
     EndpointReport report = new EndpointReport(entry.models(), Map.of(), false, 0);
     plan.toAsk(0).forEach(e -> plan.asked(e.endpoint(), Optional.of(report), 0));
