A data centre without engines no longer keeps requests from waiting in turn

Cause: a request was given a turn at the last data centre that could bring its adapter only where the list of data centres with a coordinator had one entry left. Data centres whose engines were all down counted, so with one such nobody ever waited and a request that found all places in use was refused as NO_ENDPOINT at once. Now the data centres of engines that could take the adapter are counted. A data centre's word that it is full also reaches only the requests that asked it, and a caller that finds all full hears when to come back.

Ruled out: engines taken for unhealthy (the refusals came with no sending). Test: EndpointChooserTest.DataCentreWithoutEngines (with the count by coordinators lastOneWithEnginesGivesTurns fails).

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -27,8 +27,9 @@
    *
    * @param dataCentre where
    * @param another whether there is a copy already, at an endpoint that is far behind
+   * @param last whether no other data centre has an engine that could take the adapter
    */
-  record RequestLoad(DataCentreId dataCentre, boolean another) implements Choice {}
+  record RequestLoad(DataCentreId dataCentre, boolean another, boolean last) implements Choice {}
 
   /**
    * Refuse it: it has not run.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -43,8 +43,8 @@
     /** Called when an adapter is there or on its way. */
     void placed(AdapterName adapter);
 
-    /** Called when an adapter cannot be brought now. */
-    void noRoom(AdapterName adapter, long comeBackMs);
+    /** Called when a data centre cannot bring an adapter now. */
+    void noRoom(DataCentreId dataCentre, AdapterName adapter, long comeBackMs);
 
     /** Called when a coordinator is heard for the first time, or is lost. */
     void changed();
@@ -211,7 +211,7 @@
     } else if (message instanceof LinkMessage.Endpoints endpoints) {
       directory.relayed(endpoints);
     } else if (message instanceof LinkMessage.NoRoom noRoom) {
-      listener.noRoom(noRoom.adapter(), noRoom.comeBackMs());
+      listener.noRoom(dataCentre, noRoom.adapter(), noRoom.comeBackMs());
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -81,9 +81,10 @@
     ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
     Comparator<Candidate> cheapest = Comparator.comparingDouble(cost);
     Optional<Candidate> holder = candidates.stream().filter(Candidate::holds).min(cheapest);
+    List<Candidate> others =
+        candidates.stream().filter(c -> !c.holds() && loadable.contains(c.dataCentre())).toList();
     Optional<Candidate> other =
-        candidates.stream()
-            .filter(c -> !c.holds() && loadable.contains(c.dataCentre()))
+        others.stream()
             .min(
                 Comparator.comparingDouble(c -> cost.applyAsDouble(c) + loadCost.applyAsDouble(c)));
     if (holder.isEmpty()) {
@@ -92,7 +93,8 @@
           : loadOrRefuse(
               other.get(),
               loadMs(other.get(), speeds) + beginMs(other.get(), generation, tokensPerMs),
-              remainingMs);
+              remainingMs,
+              isOnlyDataCentre(others));
     }
     double beginMs = beginMs(holder.get(), generation, tokensPerMs);
     boolean otherIsBetter =
@@ -102,7 +104,7 @@
                     + loadCost.applyAsDouble(other.get())
                     + COPY_GAIN_MS;
     if (otherIsBetter) {
-      return new Choice.RequestLoad(other.get().dataCentre(), true);
+      return new Choice.RequestLoad(other.get().dataCentre(), true, false);
     }
     if (beginMs > remainingMs) {
       return tooLate(beginMs, remainingMs);
@@ -137,10 +139,20 @@
         .flatMap(adapter -> RendezvousHash.first(adapter.toString(), loadable));
   }
 
-  private static Choice loadOrRefuse(Candidate best, double expectedMs, long remainingMs) {
+  private static Choice loadOrRefuse(
+      Candidate best, double expectedMs, long remainingMs, boolean last) {
     return expectedMs > remainingMs
         ? tooLate(expectedMs, remainingMs)
-        : new Choice.RequestLoad(best.dataCentre(), false);
+        : new Choice.RequestLoad(best.dataCentre(), false, last);
+  }
+
+  /**
+   * Counts by engines and not by coordinators: a data centre whose engines are all down may still
+   * have its coordinator, and a request that held out for it would never wait for its turn at the
+   * others but be refused.
+   */
+  private static boolean isOnlyDataCentre(List<Candidate> candidates) {
+    return candidates.stream().map(Candidate::dataCentre).distinct().count() == 1;
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -390,8 +390,8 @@
     }
 
     @Override
-    public void noRoom(AdapterName adapter, long comeBackMs) {
-      waiting.noRoom(adapter, comeBackMs);
+    public void noRoom(DataCentreId dataCentre, AdapterName adapter, long comeBackMs) {
+      waiting.noRoom(dataCentre, adapter, comeBackMs);
     }
 
     @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -84,6 +84,7 @@
   private Future<?> waitTimer;
   private Future<?> patienceTimer;
   private final Set<DataCentreId> full = new HashSet<>();
+  private long fullComeBackMs;
   private DataCentreId asked;
   private boolean askedForCopy;
   private long firstAt;
@@ -158,19 +159,17 @@
     }
   }
 
-  /** Hears that the adapter cannot be brought now. */
-  synchronized void noRoom(long comeBackMs) {
-    if (!waiting || over) {
+  /**
+   * Hears that a data centre cannot bring the adapter now. One that this request did not ask says
+   * nothing about its turn elsewhere.
+   */
+  synchronized void noRoom(DataCentreId dataCentre, long comeBackMs) {
+    if (!waiting || over || !dataCentre.equals(asked)) {
       return;
     }
-    if (asked != null) {
-      full.add(asked);
-    }
-    if (askedForCopy || !loadable().isEmpty()) {
-      dispatch();
-    } else {
-      refuse(ErrorKind.OVERLOADED, comeBackMs);
-    }
+    full.add(asked);
+    fullComeBackMs = comeBackMs;
+    dispatch();
   }
 
   private void dispatch() {
@@ -192,10 +191,17 @@
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, now);
     } else if (choice instanceof Choice.Refuse refusal) {
-      refuseOrFail(refusal);
+      refuseOrFail(full.isEmpty() ? refusal : orFull(refusal));
     }
   }
 
+  /** Where only full data centres are left, their word says more than that there is no endpoint. */
+  private Choice.Refuse orFull(Choice.Refuse refusal) {
+    return refusal.kind() == ErrorKind.NO_ENDPOINT && fullComeBackMs > 0
+        ? new Choice.Refuse(ErrorKind.OVERLOADED, fullComeBackMs)
+        : refusal;
+  }
+
   /** Data centres that may still bring the adapter; one that had no room is not asked again. */
   private List<DataCentreId> loadable() {
     return askedForCopy
@@ -208,8 +214,7 @@
     askedForCopy = load.another();
     boolean tooLong = waitingSince != 0 && now - waitingSince >= placingMs;
     // The last data centre that is left is asked to keep a turn.
-    boolean waits = !load.another() && loadable().size() == 1;
-    long waitMs = waits ? Patience.forPlaceMs(route, now - arrivedAt, deadlineAt - now) : 0;
+    long waitMs = load.last() ? Patience.forPlaceMs(route, now - arrivedAt, deadlineAt - now) : 0;
     long inTimeMs = Patience.loadInTimeMs(route, now - arrivedAt);
     LoadWish wish = new LoadWish(generation, load.another(), inTimeMs, waitMs);
     if (tooLong || !context.adapters().need(load.dataCentre(), wish)) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/Waiting.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/Waiting.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.request;
 
+import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.List;
 import java.util.Map;
@@ -34,13 +35,14 @@
   }
 
   /**
-   * Tells all requests for an adapter that it cannot be brought now.
+   * Tells the requests for an adapter that a data centre cannot bring it now.
    *
+   * @param dataCentre the data centre
    * @param adapter the adapter
    * @param comeBackMs when to ask again, in milliseconds
    */
-  public void noRoom(AdapterName adapter, long comeBackMs) {
-    waitingFor(adapter).forEach(request -> request.noRoom(comeBackMs));
+  public void noRoom(DataCentreId dataCentre, AdapterName adapter, long comeBackMs) {
+    waitingFor(adapter).forEach(request -> request.noRoom(dataCentre, comeBackMs));
   }
 
   private List<RelayedRequest> waitingFor(AdapterName adapter) {
