What a load takes is learned: from the store by the loads under way, from an engine's memory, and how deep that reaches

Cause: three figures of the first two sites stood as constants. Loads at full speed at once (0.61 an engine) made the new customer's loads seem four times slower than they were as soon as four were under way, so callers waited for adapters that were there; adapters kept in an engine's memory (40) hid 60 of 102, so they were fetched from the store again; daemons chose by a guess of their own that was never corrected.

Now ArrivalTime learns a time from whether the adapter was there when a request came, one load at a time being tried sooner; LoadTime keeps one for each doubling of the loads under way and one for loads from memory; KeptDepth learns the memory's reach, from four times the places on. Coordinators tell the daemons what they learned (LoadOutlook in their standing). A new coordinator takes over what engines held lately; a new version forgets what was kept.

Ruled out on the way: steps for each outcome (a row of late outcomes of one wrong guess ran away to 1,500 ms, shown by LoadTimeTest), one factor for all concurrency (a burst made calm loads long).

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -7,6 +7,7 @@
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.gateway.process.Activity;
 import io.sequoiapass.gateway.process.Load;
+import io.sequoiapass.gateway.process.LoadOutlook;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -104,6 +105,9 @@
       writeView(out, standing.configuration());
       writeView(out, standing.releases());
       writeView(out, standing.endpoints());
+      out.packLong(standing.loads().storeMs());
+      out.packLong(standing.loads().memoryMs());
+      out.packInt(standing.loads().keptDepth());
     } else if (message instanceof LinkMessage.Placements placements) {
       out.packInt(PLACEMENTS);
       out.packBoolean(placements.whole());
@@ -227,7 +231,8 @@
               in.unpackBoolean(),
               readView(in),
               readView(in),
-              readView(in));
+              readView(in),
+              new LoadOutlook(in.unpackLong(), in.unpackLong(), in.unpackInt()));
       case PLACEMENTS ->
           new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
       case LOADS -> new LinkMessage.Loads(list(in, LinkFrames::readEndpointLoad));
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.gateway.process.Activity;
 import io.sequoiapass.gateway.process.Load;
+import io.sequoiapass.gateway.process.LoadOutlook;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.List;
@@ -76,6 +77,7 @@
    * @param configuration what it knows of the operators' configuration
    * @param releases what it knows of new versions
    * @param endpoints what it knows of the list of endpoints
+   * @param loads how long adapters take to its engines
    */
   record Standing(
       long epoch,
@@ -84,7 +86,8 @@
       boolean stopping,
       StoreView configuration,
       StoreView releases,
-      StoreView endpoints)
+      StoreView endpoints,
+      LoadOutlook loads)
       implements LinkMessage {}
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -16,6 +16,7 @@
  * @param readyInMs when the wanted adapter is there, in milliseconds; 0 if it is, negative if it is
  *     not on its way
  * @param keepsAdapter whether it held the adapter lately and is likely to have kept it in memory
+ * @param loadMs how long a load of the adapter would take, in milliseconds
  */
 public record Candidate(
     EndpointId endpoint,
@@ -26,7 +27,8 @@
     long memoryLimit,
     long keptTokens,
     long readyInMs,
-    boolean keepsAdapter) {
+    boolean keepsAdapter,
+    long loadMs) {
 
   boolean holds() {
     return readyInMs >= 0;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -223,7 +223,9 @@
                 for (EndpointEntry entry : group.entries(now)) {
                   if (entry.dataCentre().equals(here)) {
                     present.add(entry.endpoint());
-                    plan.observe(entry, engine, now);
+                    if (plan.observe(entry, engine, now)) {
+                      plan.recall(entry.endpoint(), group.heldLately(entry.endpoint()));
+                    }
                   }
                 }
               });
@@ -234,6 +236,7 @@
 
   /** Takes in a new version of an adapter. */
   synchronized void released(AdapterName adapter, long version) {
+    plan.outdated(adapter);
     if (active) {
       plan.released(adapter, version, clock.millis());
       work(clock.millis());
@@ -301,7 +304,8 @@
         stopping,
         store.of(RelayedViews.Topic.CONFIGURATION),
         store.of(RelayedViews.Topic.RELEASES),
-        store.of(RelayedViews.Topic.ENDPOINTS));
+        store.of(RelayedViews.Topic.ENDPOINTS),
+        plan.outlook(clock.millis()));
   }
 
   private void sendLoads(FrameChannel channel, Linked linked) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -223,6 +223,7 @@
       heard = true;
     }
     onStanding.accept(standing);
+    directory.loads(dataCentre, standing.loads());
     if (first) {
       directory.coordinated(dataCentre);
       log.belief("coordinator_found")
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Demand.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Demand.java
@@ -11,7 +11,5 @@
  * @param generation what is to be generated; empty for a plain call
  * @param avoid endpoints that failed it before
  * @param remainingMs how long the caller still waits, in milliseconds
- * @param storeLoadMs how long an adapter takes from the weight store now, in milliseconds
  */
-public record Demand(
-    Optional<Generation> generation, Set<EndpointId> avoid, long remainingMs, long storeLoadMs) {}
+public record Demand(Optional<Generation> generation, Set<EndpointId> avoid, long remainingMs) {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -32,9 +32,6 @@
   /** The order for a load and its answer, in milliseconds. */
   private static final double ORDER_MS = 15;
 
-  /** A load of an adapter that the engine has kept in its memory: a tenth of the usual time. */
-  private static final double RELOAD_MS = 40;
-
   /**
    * What an adapter that is nowhere costs away from its home data centre, in milliseconds. Daemons
    * of several data centres that ask for it at the same moment then ask the same coordinator; of
@@ -65,19 +62,18 @@
    *
    * @param candidates the endpoints that may take it
    * @param generation what is to be generated
-   * @param speeds how fast engines read prompts and the weight store serves
+   * @param tokensPerMs how fast engines read prompts, in tokens a millisecond
    * @param remainingMs how long the caller waits, in milliseconds
    * @param loadable data centres where an adapter can be ordered, the nearest first
    */
   Choice forGeneration(
       List<Candidate> candidates,
       Generation generation,
-      Speeds speeds,
+      double tokensPerMs,
       long remainingMs,
       List<DataCentreId> loadable) {
-    double tokensPerMs = speeds.tokensPerMs();
     Optional<DataCentreId> home = home(generation, loadable);
-    ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, speeds, home);
+    ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, home);
     ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
     Comparator<Candidate> cheapest = Comparator.comparingDouble(cost);
     Optional<Candidate> holder = candidates.stream().filter(Candidate::holds).min(cheapest);
@@ -92,7 +88,7 @@
           ? noEndpoint()
           : loadOrRefuse(
               other.get(),
-              loadMs(other.get(), speeds) + beginMs(other.get(), generation, tokensPerMs),
+              loadMs(other.get()) + beginMs(other.get(), generation, tokensPerMs),
               remainingMs,
               isOnlyDataCentre(others));
     }
@@ -115,22 +111,14 @@
     return new Choice.Send(holder.get(), (long) beginMs);
   }
 
-  /**
-   * How fast engines and the weight store are.
-   *
-   * @param tokensPerMs how fast engines read prompts, in tokens a millisecond
-   * @param storeLoadMs how long an adapter takes from the weight store now, in milliseconds
-   */
-  record Speeds(double tokensPerMs, long storeLoadMs) {}
-
-  private static double loadMs(Candidate candidate, Speeds speeds) {
-    return candidate.keepsAdapter() ? RELOAD_MS : speeds.storeLoadMs() + ORDER_MS;
+  private static double loadMs(Candidate candidate) {
+    return candidate.loadMs() + ORDER_MS;
   }
 
-  private static double loadCost(Candidate candidate, Speeds speeds, Optional<DataCentreId> home) {
+  private static double loadCost(Candidate candidate, Optional<DataCentreId> home) {
     double transferMs = candidate.keepsAdapter() ? 0 : TRANSFER_MS;
     boolean away = home.isPresent() && !candidate.dataCentre().equals(home.get());
-    return loadMs(candidate, speeds) + transferMs + (away ? AWAY_MS : 0);
+    return loadMs(candidate) + transferMs + (away ? AWAY_MS : 0);
   }
 
   private static Optional<DataCentreId> home(Generation generation, List<DataCentreId> loadable) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -135,9 +135,9 @@
     return groups.values().stream().mapToInt(group -> group.coming(now)).sum();
   }
 
-  @Override
-  public int engines() {
-    return groups.values().stream().mapToInt(EndpointGroup::engines).sum();
+  /** Takes in how long adapters take to the endpoints of a data centre. */
+  void loads(DataCentreId dataCentre, LoadOutlook outlook) {
+    groups.values().forEach(group -> group.setOutlook(dataCentre, outlook));
   }
 
   /** Notes that a coordinator tells what the endpoints of a data centre hold. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -59,6 +59,7 @@
   private final EndpointHealth health = new EndpointHealth(HEALTH);
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   private final LearnedTime tokensPerMs = new LearnedTime(FIRST_TOKENS_PER_MS, 4, 400);
+  private final Map<DataCentreId, LoadOutlook> outlooks = new HashMap<>();
   private final LearnedTime serviceMs = new LearnedTime(FIRST_SERVICE_MS, 1, 10_000);
   private Optional<EngineSpec> engine = Optional.empty();
 
@@ -75,7 +76,7 @@
   synchronized boolean put(EndpointEntry entry, boolean coordinated, long now) {
     EndpointState state = endpoints.get(entry.endpoint());
     if (state == null) {
-      state = new EndpointState(entry);
+      state = new EndpointState(entry, () -> outlook(entry.dataCentre()).keptDepth());
       endpoints.put(entry.endpoint(), state);
     }
     boolean restarted = state.entry.bornMs() != entry.bornMs();
@@ -115,11 +116,7 @@
       return chooser.forCall(candidates, serviceMs.value(), demand.remainingMs());
     }
     return chooser.forGeneration(
-        candidates,
-        demand.generation().get(),
-        new EndpointChooser.Speeds(tokensPerMs.value(), demand.storeLoadMs()),
-        demand.remainingMs(),
-        loadable);
+        candidates, demand.generation().get(), tokensPerMs.value(), demand.remainingMs(), loadable);
   }
 
   private List<Candidate> candidates(Demand demand, long now, boolean healthyOnly) {
@@ -144,6 +141,9 @@
   private Candidate candidate(EndpointState state, Demand demand, boolean home, long now) {
     Load load = state.own(now).plus(state.others);
     long kept = demand.generation().map(g -> keptTokens(state, g, home)).orElse(0L);
+    Optional<AdapterName> adapter = demand.generation().flatMap(Generation::adapter);
+    boolean keepsAdapter = adapter.filter(state.kept::isKept).isPresent();
+    LoadOutlook outlook = outlook(state.entry.dataCentre());
     return new Candidate(
         state.entry.endpoint(),
         state.entry.dataCentre(),
@@ -153,7 +153,17 @@
         engine.map(EngineSpec::kvTokens).orElse(0L),
         kept,
         readyInMs(state, demand, now),
-        demand.generation().flatMap(Generation::adapter).filter(state.kept::isKept).isPresent());
+        keepsAdapter,
+        keepsAdapter ? outlook.memoryMs() : outlook.storeMs());
+  }
+
+  private LoadOutlook outlook(DataCentreId dataCentre) {
+    return outlooks.getOrDefault(dataCentre, LoadOutlook.FIRST);
+  }
+
+  /** Takes in how long adapters take to the endpoints of a data centre. */
+  synchronized void setOutlook(DataCentreId dataCentre, LoadOutlook outlook) {
+    outlooks.put(dataCentre, outlook);
   }
 
   /**
@@ -234,6 +244,17 @@
     }
   }
 
+  /** Returns the adapters that an endpoint held lately, the last one last. */
+  synchronized List<AdapterName> heldLately(EndpointId endpoint) {
+    EndpointState state = endpoints.get(endpoint);
+    return state == null ? List.of() : state.kept.all();
+  }
+
+  /** Forgets what endpoints keep of older versions of an adapter. */
+  synchronized void outdated(AdapterName adapter) {
+    endpoints.values().forEach(state -> state.kept.lost(adapter));
+  }
+
   /** Sets what is known of one adapter at an endpoint; null when it has left. */
   synchronized void setCopy(EndpointId endpoint, AdapterName adapter, EndpointState.Copy copy) {
     EndpointState state = endpoints.get(endpoint);
@@ -343,11 +364,6 @@
     return coming;
   }
 
-  /** Returns how many engines there are. */
-  synchronized int engines() {
-    return engine.isPresent() ? endpoints.size() : 0;
-  }
-
   synchronized List<EndpointEntry> entries(long now) {
     return endpoints.values().stream()
         .filter(state -> state.takesWork(now))
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 /** What this daemon knows of one endpoint; guarded by the lock of its {@link EndpointGroup}. */
 final class EndpointState {
@@ -21,10 +22,13 @@
   final Map<AdapterName, Integer> inUse = new HashMap<>();
   final Map<AdapterName, Integer> starts = new HashMap<>();
   KeptPrompts prompts = new KeptPrompts();
-  KeptAdapters kept = new KeptAdapters();
+  KeptAdapters kept;
+  private final IntSupplier keptDepth;
 
-  EndpointState(EndpointEntry entry) {
+  EndpointState(EndpointEntry entry, IntSupplier keptDepth) {
     this.entry = entry;
+    this.keptDepth = keptDepth;
+    this.kept = new KeptAdapters(keptDepth);
   }
 
   /**
@@ -81,7 +85,7 @@
   void restarted() {
     copies.clear();
     prompts = new KeptPrompts();
-    kept = new KeptAdapters();
+    kept = new KeptAdapters(keptDepth);
     others = Load.NONE;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -105,7 +105,6 @@
   private final AtomicReference<ServingConfiguration> configuration = new AtomicReference<>();
   private final AdapterVersions versions;
   private final EndpointDirectory directory;
-  private final LoadTime expectedLoads;
   private final Waiting waiting = new Waiting();
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final RelayedViews views = new RelayedViews();
@@ -123,7 +122,6 @@
     long graceMs = (long) (settings.bounds().versionMs() * OLD_VERSION_SHARE);
     this.versions = new AdapterVersions(graceMs);
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
-    this.expectedLoads = new LoadTime(directory);
   }
 
   /**
@@ -378,6 +376,7 @@
           .with("version", release.version())
           .with("revision", item.revision())
           .write();
+      directory.groups().forEach(group -> group.outdated(release.adapter().get()));
       coordinator.released(release.adapter().get(), release.version());
     }
   }
@@ -423,11 +422,6 @@
               wish.waitMs()));
     }
 
-    @Override
-    public long storeLoadMs() {
-      return expectedLoads.storeMs(clock.millis());
-    }
-
     @Override
     public void missed(
         DataCentreId dataCentre, EndpointId endpoint, AdapterName adapter, boolean early) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/KeptAdapters.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/KeptAdapters.java
@@ -2,7 +2,9 @@
 
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 /**
  * Remembers the adapters that one engine held lately: it keeps them in its own memory for a while,
@@ -12,27 +14,59 @@
  */
 final class KeptAdapters {
 
-  /** Adapters that an engine is trusted to keep besides those it holds. */
-  private static final int KEPT = 40;
+  /** Adapters that are remembered at the most, to bound the memory for a fleet. */
+  private static final int MOST = 256;
 
+  private final IntSupplier reach;
   private final Newest newest = new Newest();
 
-  private static final class Newest extends LinkedHashMap<AdapterName, Boolean> {
+  private final class Newest extends LinkedHashMap<AdapterName, Boolean> {
 
     private static final long serialVersionUID = 1L;
 
     @Override
     protected boolean removeEldestEntry(Map.Entry<AdapterName, Boolean> eldest) {
-      return size() > KEPT;
+      return size() > Math.min(MOST, reach.getAsInt());
     }
   }
 
+  /**
+   * Remembers nothing yet.
+   *
+   * @param reach how many adapters an engine is taken to keep
+   */
+  KeptAdapters(IntSupplier reach) {
+    this.reach = reach;
+  }
+
   void held(AdapterName adapter) {
     newest.remove(adapter);
     newest.put(adapter, true);
   }
 
+  /** Notes that an adapter is not kept any longer, or was not. */
+  void lost(AdapterName adapter) {
+    newest.remove(adapter);
+  }
+
+  /** Returns the adapters that are kept, the one that was held last as the last. */
+  List<AdapterName> all() {
+    return List.copyOf(newest.keySet());
+  }
+
   boolean isKept(AdapterName adapter) {
     return newest.containsKey(adapter);
   }
+
+  /** Returns how many adapters were held since one that is kept. */
+  int depth(AdapterName adapter) {
+    int before = 0;
+    for (AdapterName name : newest.keySet()) {
+      before++;
+      if (name.equals(adapter)) {
+        break;
+      }
+    }
+    return newest.size() - before;
+  }
 }
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadOutlook.java
@@ -0,0 +1,16 @@
+package io.sequoiapass.gateway.process;
+
+/**
+ * What a coordinator has learned of the time that adapters take to its engines, for the daemons
+ * that choose among data centres.
+ *
+ * @param storeMs time of a load from the weight store that begins now, in milliseconds
+ * @param memoryMs time of a load from an engine's own memory, in milliseconds
+ * @param keptDepth how many adapters an engine is taken to keep in its memory; the largest figure
+ *     where there are several services
+ */
+public record LoadOutlook(long storeMs, long memoryMs, int keptDepth) {
+
+  /** What is taken to hold until a coordinator was heard. */
+  static final LoadOutlook FIRST = new LoadOutlook(255, 30, 32);
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
@@ -1,88 +1,110 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Learns how long the weight store takes to bring an adapter to an engine.
+ * Learns how long adapters take to come to an engine: from the weight store, and from the engine's
+ * own memory.
  *
  * <p>A request that is sent too early is refused and sent again; one that is sent late has waited
- * for nothing. The time is learned in small steps: learned by factors it fed itself, since a longer
- * time makes more loads count as under way, and callers waited three seconds for loads of a quarter
- * of one. Not safe for use by several threads.
+ * for nothing. The store serves a number of loads at full speed and more of them slowly; how many
+ * is not known, so the time is learned for each doubling of the loads under way. One that has not
+ * been seen yet is taken for as fast as the next smaller one: a guess that is too short costs one
+ * request its refusal and is mended by it, one that is too long costs every caller its time and
+ * shows in nothing. Not safe for use by several threads.
  */
 final class LoadTime {
 
-  /** Time of a load alone until it is learned, in milliseconds. */
-  private static final double FIRST_MS = 255;
+  /** Time of a load from the store until it is learned, in milliseconds. */
+  private static final double FIRST_STORE_MS = 255;
 
-  /** Bounds of the learned time, in milliseconds: beyond them something else is wrong. */
-  private static final double SHORTEST_MS = 150;
+  /** Time of a load from an engine's own memory until it is learned, in milliseconds. */
+  private static final double FIRST_MEMORY_MS = 30;
 
-  private static final double LONGEST_MS = 500;
+  /** Doublings that are told apart: beyond a thousand loads under way all count alike. */
+  private static final int DOUBLINGS = 11;
 
-  /** What one request that came too early adds to the learned time, in milliseconds. */
-  private static final double EARLY_STEP_MS = 10;
+  private final Traffic traffic;
+  private final ArrivalTime[] store = new ArrivalTime[DOUBLINGS];
+  private final ArrivalTime memory = new ArrivalTime(FIRST_MEMORY_MS);
 
-  /**
-   * What the time loses in each round, seven a second. One early request in four seconds holds it;
-   * at six times this speed, a tenth of all requests came too early on a heavy day.
-   */
-  private static final double RELAX_STEP_MS = 0.3;
+  /** Tells of the loads of all data centres, which share one store. */
+  interface Traffic {
 
-  /**
-   * Loads that run at full speed at once, for each engine; beyond, each takes longer in proportion.
-   * Stores are sized with their fleets: 8 for 13 engines, 40 for 63.
-   */
-  private static final double FULL_SPEED_LOADS = 0.61;
+    /** Returns how many adapters are on their way from the store. */
+    int coming(long now);
+  }
 
-  /** Fewest loads that run at full speed. */
-  private static final double LEAST_WIDTH = 2;
+  LoadTime(Traffic traffic) {
+    this.traffic = traffic;
+    store[0] = new ArrivalTime(FIRST_STORE_MS);
+  }
 
-  /** Most times that loads take longer while many run. */
-  private static final double MOST_STRETCH = 3;
+  /** Returns how many loads are under way, one that begins now included. */
+  int underWay(long now) {
+    return traffic.coming(now) + 1;
+  }
 
-  private final Traffic traffic;
-  private double aloneMs = FIRST_MS;
+  /** Returns how long a load from the store takes that begins now, in milliseconds. */
+  long storeMs(long now) {
+    return storeMs(underWay(now));
+  }
 
-  LoadTime(Traffic traffic) {
-    this.traffic = traffic;
+  /** Returns how long a load from the store takes beside others, in milliseconds. */
+  long storeMs(int underWay) {
+    return Math.round(known(doubling(underWay)).millis());
   }
 
-  /** Tells of the loads of all data centres, which share one store. */
-  interface Traffic {
+  /** Returns after how long a load from the store is to be expected, in milliseconds. */
+  long nextStoreMs(int underWay) {
+    return Math.round(own(doubling(underWay)).next());
+  }
 
-    /** Returns how many adapters are on their way from the store. */
-    int coming(long now);
+  /** Returns how long a load from an engine's own memory takes, in milliseconds. */
+  long memoryMs() {
+    return Math.round(memory.millis());
+  }
 
-    /** Returns how many engines there are. */
-    int engines();
+  /** Returns after how long a load from an engine's memory is to be expected, in milliseconds. */
+  long nextMemoryMs() {
+    return Math.round(memory.next());
   }
 
-  /** Returns how long a load takes that begins now, in milliseconds. */
-  long storeMs(long now) {
-    return (long) (aloneMs * stretch(traffic.coming(now) + 1));
+  /** Notes that a load from the store had ended at an age, in milliseconds. */
+  void storeInTime(int underWay, long ageMs) {
+    own(doubling(underWay)).inTime((double) ageMs);
+  }
+
+  /** Notes that a load from the store had not ended at an age, in milliseconds. */
+  void storeEarly(int underWay, long ageMs) {
+    own(doubling(underWay)).early((double) ageMs);
   }
 
-  /** Returns how many times as long loads take now as one alone. */
-  double stretch(long now) {
-    return stretch(traffic.coming(now));
+  /** Notes that a load from an engine's memory had ended at an age, in milliseconds. */
+  void memoryInTime(long ageMs) {
+    memory.inTime((double) ageMs);
   }
 
-  private double stretch(int loads) {
-    double width = Math.max(LEAST_WIDTH, traffic.engines() * FULL_SPEED_LOADS);
-    return Math.max(1, Math.min(MOST_STRETCH, loads / width));
+  /** Notes that a load from an engine's memory had not ended at an age, in milliseconds. */
+  void memoryEarly(long ageMs) {
+    memory.early((double) ageMs);
   }
 
-  /** Returns how long a load takes alone, in milliseconds. */
-  long aloneMs() {
-    return (long) aloneMs;
+  private static int doubling(int loads) {
+    int doubling = Integer.SIZE - 1 - Integer.numberOfLeadingZeros(Math.max(1, loads));
+    return Math.min(DOUBLINGS - 1, doubling);
   }
 
-  /** Notes that an adapter was not there at its time. */
-  void early() {
-    aloneMs = Math.min(aloneMs + EARLY_STEP_MS, LONGEST_MS);
+  private ArrivalTime own(int doubling) {
+    if (store[doubling] == null) {
+      store[doubling] = new ArrivalTime(known(doubling).millis());
+    }
+    return store[doubling];
   }
 
-  /** Lets the learned time come down; called several times a second. */
-  void relax() {
-    aloneMs = Math.max(SHORTEST_MS, aloneMs - RELAX_STEP_MS);
+  private ArrivalTime known(int doubling) {
+    int seen = doubling;
+    while (store[seen] == null) {
+      seen--;
+    }
+    return store[seen];
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.gateway.connection.LinkMessage.Placement;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointOrder;
@@ -48,9 +49,6 @@
    */
   private static final long IN_USE_MS = 200;
 
-  /** Time of a load of an adapter that the engine held lately, in milliseconds. */
-  private static final long AGAIN_MS = 30;
-
   /**
    * After this time without an order an engine's report shows all that it accepted, in
    * milliseconds: reports are a few hundred milliseconds old.
@@ -66,8 +64,8 @@
   /** An arrival that moved by less is not told, in milliseconds. */
   private static final long WORTH_TELLING_MS = 20;
 
-  /** An adapter that was not there yet is expected this much later, in milliseconds. */
-  private static final long EARLY_AGAIN_MS = 50;
+  /** A replacement waits for its runs and is looked for again after this time, in milliseconds. */
+  private static final long REPLACED_AGAIN_MS = 50;
 
   /** What a planned load adds to the wait for the next one at the same engine, in milliseconds. */
   private static final double COMING_COST_MS = 60;
@@ -93,7 +91,7 @@
   private final DaemonActivity activity = new DaemonActivity();
   private final PlacementNews news = new PlacementNews();
   private final LoadTime loadTime;
-  private long advancedAt;
+  private final Map<ServiceId, KeptDepth> keptDepths = new TreeMap<>();
   private final ModelLoads modelLoads;
 
   /**
@@ -109,14 +107,21 @@
     this.loadTime = loadTime;
   }
 
-  /** Takes in an engine's entry; a new process under its name holds nothing of before. */
-  void observe(EndpointEntry entry, EngineSpec engine, long now) {
+  /**
+   * Takes in an engine's entry; a new process under its name holds nothing of before.
+   *
+   * @return whether the engine was not known
+   */
+  boolean observe(EndpointEntry entry, EngineSpec engine, long now) {
     PlannedEndpoint known = endpoints.get(entry.endpoint());
+    boolean isNew = known == null;
     if (known == null || known.entry.bornMs() != entry.bornMs()) {
       if (known != null) {
         known.copies.keySet().forEach(name -> news.gone(entry.endpoint(), name));
       }
-      known = new PlannedEndpoint(entry, engine);
+      KeptDepth depth =
+          keptDepths.computeIfAbsent(entry.service(), any -> new KeptDepth(engine.adapterSlots()));
+      known = new PlannedEndpoint(entry, engine, depth);
       known.adoptEntry(now);
       endpoints.put(entry.endpoint(), known);
       tellAll(known, now);
@@ -128,6 +133,7 @@
       known.models.clear();
       known.models.addAll(entry.models().stream().map(EndpointEntry.HeldModel::model).toList());
     }
+    return isNew;
   }
 
   /** Forgets the engines that are not among these. */
@@ -154,8 +160,12 @@
   private void used(PlannedEndpoint endpoint, Activity.Use use, long now) {
     demand.asked(use.adapter(), use.starts(), now);
     PlannedEndpoint.Copy copy = endpoint.copies.get(use.adapter());
-    if (copy != null) {
-      copy.lastUsed = now;
+    if (copy == null) {
+      return;
+    }
+    copy.lastUsed = now;
+    if (copy.load != null && use.starts() > 0) {
+      copy.load.tried();
     }
   }
 
@@ -286,10 +296,11 @@
     }
     boolean again = endpoint.kept.isKept(adapter);
     boolean replaces = endpoint.copies.containsKey(adapter);
-    long takesMs = again && !replaces ? AGAIN_MS : loadTime.storeMs(now);
-    endpoint.copies.put(
-        adapter,
-        new PlannedEndpoint.Copy(version, PlannedEndpoint.State.PLANNED, now + takesMs, now));
+    long takesMs = again && !replaces ? loadTime.memoryMs() : loadTime.storeMs(now);
+    PlannedEndpoint.Copy copy =
+        new PlannedEndpoint.Copy(version, PlannedEndpoint.State.PLANNED, now + takesMs, now);
+    copy.replaces = replaces;
+    endpoint.copies.put(adapter, copy);
     endpoint.steps.add(step(EndpointOrder.Type.LOAD, adapter, OptionalLong.of(version)));
     tell(id, adapter, now);
   }
@@ -299,6 +310,17 @@
     return new PlannedEndpoint.Step(type, adapter.model(), Optional.of(adapter.adapter()), version);
   }
 
+  /** Forgets what engines keep of older versions of an adapter. */
+  void outdated(AdapterName adapter) {
+    endpoints.values().forEach(endpoint -> endpoint.kept.lost(adapter));
+  }
+
+  /** Takes in what adapters an engine held lately, the last one last; for a new coordinator. */
+  void recall(EndpointId id, List<AdapterName> heldLately) {
+    PlannedEndpoint endpoint = endpoints.get(id);
+    heldLately.forEach(endpoint.kept::held);
+  }
+
   /** Has the busy copies of an adapter replaced by its new version, one after the other. */
   void released(AdapterName adapter, long version, long now) {
     if (demand.of(adapter, now) < 1) {
@@ -359,7 +381,7 @@
       return;
     }
     Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
-    endpoint.adopt(report.get(), now, loadTime.aloneMs());
+    endpoint.adopt(report.get(), now, loadTime.storeMs(now));
     endpoint.reportedEmpty = endpoint.models.isEmpty();
     before.removeAll(endpoint.copies.keySet());
     before.forEach(name -> news.gone(id, name));
@@ -450,7 +472,7 @@
   private void postpone(
       PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
     if (copy.state == PlannedEndpoint.State.PLANNED) {
-      copy.readyAt = Math.max(copy.readyAt, now + loadTime.aloneMs());
+      copy.readyAt = Math.max(copy.readyAt, now + loadTime.storeMs(now));
       tell(endpoint.entry.endpoint(), name, now);
     }
   }
@@ -480,17 +502,31 @@
     if (copy == null) {
       return;
     }
-    boolean again = endpoint.kept.isKept(name);
-    boolean done = result == OrderResult.DONE;
     copy.state = PlannedEndpoint.State.HELD;
-    boolean fromStore = !done && !again;
-    copy.workMs = fromStore ? loadTime.aloneMs() : 0;
-    copy.readyAt = fromStore ? now + loadTime.storeMs(now) : now + (done ? 0 : AGAIN_MS);
     copy.lastUsed = now;
+    copy.readyAt = now;
+    if (result == OrderResult.ACCEPTED) {
+      begin(endpoint, name, copy, now);
+    }
     endpoint.kept.held(name);
     tell(id, name, now);
   }
 
+  private void begin(
+      PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
+    if (copy.replaces) {
+      // It waits for the runs of the older version, which tells nothing of loads.
+      copy.readyAt = now + loadTime.storeMs(now);
+      return;
+    }
+    boolean again = endpoint.kept.isKept(name);
+    int underWay = loadTime.underWay(now);
+    long expectedMs = again ? loadTime.nextMemoryMs() : loadTime.nextStoreMs(underWay);
+    int depth = again ? endpoint.kept.depth(name) : 0;
+    copy.readyAt = now + expectedMs;
+    copy.load = new LoadUnderWay(now, underWay, again, depth, expectedMs);
+  }
+
   /**
    * After a refusal or a lost answer nobody knows what the engine holds. It gets no orders until
    * its report, taken after the lag of reports, shows it; what was planned is planned anew by those
@@ -526,50 +562,64 @@
       return;
     }
     if (early) {
-      boolean planned = copy.state == PlannedEndpoint.State.PLANNED;
-      if (!planned) {
-        loadTime.early();
+      // Several daemons may have sent at the same moment; the first refusal says it all.
+      if (now >= copy.readyAt) {
+        copy.readyAt = now + lateBy(endpoint, copy, now);
       }
-      copy.readyAt = Math.max(copy.readyAt, now + (planned ? loadTime.aloneMs() : EARLY_AGAIN_MS));
       tell(id, adapter, now);
     } else if (copy.state != PlannedEndpoint.State.PLANNED) {
       resync(endpoint, now);
     }
   }
 
+  private long lateBy(PlannedEndpoint endpoint, PlannedEndpoint.Copy copy, long now) {
+    if (copy.state == PlannedEndpoint.State.PLANNED) {
+      return loadTime.storeMs(now);
+    }
+    return copy.load == null
+        ? REPLACED_AGAIN_MS
+        : copy.load.refused(loadTime, keptDepths.get(endpoint.entry.service()), now);
+  }
+
   /**
-   * Brings the expected arrivals up to date; called several times a second. All loads share the
-   * store, so those that begin after a load make it later, and its callers would come too early.
+   * Brings the expected arrivals up to date and learns from those that are known; called several
+   * times a second.
    */
   void advance(long now) {
-    double stretch = loadTime.stretch(now);
-    double doneMs = (now - advancedAt) / stretch;
-    advancedAt = now;
     endpoints.forEach(
         (id, endpoint) ->
-            endpoint.copies.forEach((name, copy) -> advance(id, name, copy, doneMs, stretch, now)));
-    loadTime.relax();
+            endpoint.copies.forEach(
+                (name, copy) -> {
+                  if (copy.load != null) {
+                    advance(endpoint, name, copy, now);
+                  }
+                }));
     demand.forgetIdle(now);
   }
 
   private void advance(
-      EndpointId id,
-      AdapterName name,
-      PlannedEndpoint.Copy copy,
-      double doneMs,
-      double stretch,
-      long now) {
-    if (copy.state != PlannedEndpoint.State.HELD || copy.workMs <= 0) {
+      PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
+    if (copy.load.settle(loadTime, keptDepths.get(endpoint.entry.service()), copy.readyAt, now)) {
+      copy.load = null;
+      return;
+    }
+    boolean onItsWay = copy.load.isFromStore() && copy.readyAt > now;
+    if (!onItsWay) {
       return;
     }
-    copy.workMs -= doneMs;
-    long expected = now + (long) (Math.max(0, copy.workMs) * stretch);
-    if (copy.workMs > 0 && Math.abs(expected - copy.toldReadyAt) > WORTH_TELLING_MS) {
+    long expected = now + copy.load.advance(loadTime, now);
+    if (expected > now && Math.abs(expected - copy.toldReadyAt) > WORTH_TELLING_MS) {
       copy.readyAt = expected;
-      tell(id, name, now);
+      tell(endpoint.entry.endpoint(), name, now);
     }
   }
 
+  /** Returns how long loads take now, for those who choose among data centres. */
+  LoadOutlook outlook(long now) {
+    int reach = keptDepths.values().stream().mapToInt(KeptDepth::reach).max().orElse(0);
+    return new LoadOutlook(loadTime.storeMs(now), loadTime.memoryMs(), reach);
+  }
+
   /** Returns the number of engines. */
   int size() {
     return endpoints.size();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -22,7 +22,7 @@
   EndpointEntry entry;
   EngineSpec engine;
   final Map<AdapterName, Copy> copies = new HashMap<>();
-  final KeptAdapters kept = new KeptAdapters();
+  final KeptAdapters kept;
   final Set<ModelId> models = new HashSet<>();
   final Deque<Step> steps = new ArrayDeque<>();
   long sequence;
@@ -34,9 +34,10 @@
   long modelsKnownUntil;
   boolean reportedEmpty;
 
-  PlannedEndpoint(EndpointEntry entry, EngineSpec engine) {
+  PlannedEndpoint(EndpointEntry entry, EngineSpec engine, KeptDepth depth) {
     this.entry = entry;
     this.engine = engine;
+    this.kept = new KeptAdapters(depth::reach);
   }
 
   /** Names what is known of a copy. */
@@ -49,17 +50,17 @@
     LEAVING
   }
 
-  /**
-   * One adapter, from the plan to load it until it has left. Its work is what a load from the store
-   * still takes at full speed, in milliseconds; 0 when it is there.
-   */
+  /** One adapter, from the plan to load it until it has left. */
   static final class Copy {
     long version;
     State state;
     long readyAt;
     long lastUsed;
-    double workMs;
     long toldReadyAt;
+    boolean replaces;
+
+    /** The load whose outcome is not known yet; null if there is none. */
+    LoadUnderWay load;
 
     Copy(long version, State state, long readyAt, long lastUsed) {
       this.version = version;
@@ -111,6 +112,7 @@
     long lastUsed = known == null ? readyAt : known.lastUsed;
     long ready = known == null ? readyAt : known.readyAt;
     copies.put(name, new Copy(version, State.HELD, ready, lastUsed));
+    kept.held(name);
   }
 
   /** Takes what the engine wrote into the list, for the time until it has been asked. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -51,9 +51,6 @@
      */
     boolean need(DataCentreId dataCentre, LoadWish wish);
 
-    /** Returns how long a load from the weight store would take now, in milliseconds. */
-    long storeLoadMs();
-
     /**
      * Tells that an endpoint refused a request for an adapter that should have been there.
      *
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -180,9 +180,7 @@
       giveUp();
       return;
     }
-    Demand demand =
-        new Demand(
-            facts.generation(), Set.copyOf(avoid), remainingMs, context.adapters().storeLoadMs());
+    Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
     Choice choice = group.choose(demand, loadable(), now);
     if (choice instanceof Choice.Send send) {
       send(send, demand, now);
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.gateway.process.Activity;
 import io.sequoiapass.gateway.process.Load;
+import io.sequoiapass.gateway.process.LoadOutlook;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.net.InetAddress;
@@ -56,7 +57,8 @@
             false,
             new LinkMessage.StoreView(7, 120),
             LinkMessage.StoreView.NONE,
-            new LinkMessage.StoreView(9, 0)),
+            new LinkMessage.StoreView(9, 0),
+            new LoadOutlook(310, 28, 102)),
         new LinkMessage.Endpoints(
             true,
             900,
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
@@ -22,7 +22,8 @@
   private static final Generation GENERATION =
       new Generation(
           MODEL, Optional.of(new AdapterName(MODEL, new AdapterId("a1"))), 500, 70, List.of());
-  private static final EndpointChooser.Speeds SPEEDS = new EndpointChooser.Speeds(30, 250);
+  private static final double TOKENS_PER_MS = 30;
+  private static final long LOAD_MS = 250;
   private static final int NOT_THERE = -1;
   private static final long PATIENT_MS = 6_000;
 
@@ -38,11 +39,13 @@
         200_000,
         0,
         NOT_THERE,
-        false);
+        false,
+        LOAD_MS);
   }
 
   private Choice choose(List<Candidate> candidates, DataCentreId... loadable) {
-    return chooser.forGeneration(candidates, GENERATION, SPEEDS, PATIENT_MS, List.of(loadable));
+    return chooser.forGeneration(
+        candidates, GENERATION, TOKENS_PER_MS, PATIENT_MS, List.of(loadable));
   }
 
   /**
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadTimeTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadTimeTest.java
@@ -2,37 +2,157 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class LoadTimeTest {
 
-  private static final int ENGINES = 13;
+  /**
+   * A weight store that serves a number of loads at full speed and more of them slowly, and the
+   * loads at it. One caller waits for each: it comes when the adapter is expected, and again when
+   * it was refused.
+   */
+  private static final class Store implements LoadTime.Traffic {
 
-  /** Loads that are expected to be under way. */
-  private static final class Expected implements LoadTime.Traffic {
+    private final double aloneMs;
+    private final int width;
+    private final KeptDepth depth = new KeptDepth(8);
+    private final List<Load> loads = new ArrayList<>();
+    private int refused;
+    private int served;
+    private long waitedMs;
 
-    private final Deque<Long> ends = new ArrayDeque<>();
+    private static final class Load {
+      private LoadUnderWay load;
+      private long expectedAt;
+      private double shareLeft = 1;
+      private long thereAt;
+      private boolean served;
+    }
+
+    Store(double aloneMs, int width) {
+      this.aloneMs = aloneMs;
+      this.width = width;
+    }
 
     @Override
     public int coming(long now) {
-      ends.removeIf(end -> end <= now);
-      return ends.size();
+      return (int) loads.stream().filter(load -> load.expectedAt > now).count();
     }
 
-    @Override
-    public int engines() {
-      return ENGINES;
+    void begin(LoadTime time, long now) {
+      Load load = new Load();
+      int underWay = time.underWay(now);
+      long expectedMs = time.nextStoreMs(underWay);
+      load.load = new LoadUnderWay(now, underWay, false, 0, expectedMs);
+      load.expectedAt = now + expectedMs;
+      loads.add(load);
     }
+
+    /** Lets a millisecond pass. */
+    void pass(LoadTime time, long now) {
+      long running = loads.stream().filter(load -> load.thereAt == 0).count();
+      double stretch = Math.max(1, (double) running / width);
+      for (Load load : loads) {
+        if (load.thereAt == 0) {
+          load.shareLeft -= 1 / (aloneMs * stretch);
+          load.thereAt = load.shareLeft <= 0 ? now : 0;
+        }
+        if (now % 150 == 0 && load.expectedAt > now) {
+          load.expectedAt = now + load.load.advance(time, now);
+        }
+        if (!load.served && load.expectedAt <= now) {
+          ask(load, time, now);
+        }
+      }
+      loads.removeIf(load -> load.load.settle(time, depth, load.expectedAt, now));
+    }
+
+    private void ask(Load load, LoadTime time, long now) {
+      if (load.thereAt == 0) {
+        refused++;
+        load.expectedAt = now + load.load.refused(time, depth, now);
+        return;
+      }
+      load.load.tried();
+      load.served = true;
+      served++;
+      waitedMs += now - load.thereAt;
+    }
+
+    /** Loads for a time, one each so many milliseconds. */
+    void play(LoadTime time, long from, long until, long eachMs) {
+      refused = 0;
+      served = 0;
+      waitedMs = 0;
+      for (long now = from; now < until; now++) {
+        if (now % eachMs == 0) {
+          begin(time, now);
+        }
+        pass(time, now);
+      }
+    }
+  }
+
+  private static void assertLearned(double aloneMs, int width, long eachMs) {
+    Store store = new Store(aloneMs, width);
+    LoadTime time = new LoadTime(store);
+
+    store.play(time, 0, 8_000, eachMs);
+    store.play(time, 8_000, 16_000, eachMs);
+
+    assertThat((double) store.refused / store.served).as("refused").isLessThan(0.15);
+    assertThat((double) store.waitedMs / store.served)
+        .as("waited for nothing, in ms")
+        .isLessThan(0.15 * aloneMs);
   }
 
-  private final Expected expected = new Expected();
-  private final LoadTime time = new LoadTime(expected);
+  @Nested
+  class WrongGuess {
+
+    @Test
+    void storeThatIsFourTimesAsFastIsLearned() {
+      assertLearned(64, 8, 100);
+    }
+
+    @Test
+    void storeThatIsFourTimesAsSlowIsLearned() {
+      assertLearned(1_020, 64, 100);
+    }
+
+    @Test
+    void wideStoreIsNotTakenForNarrow() {
+      assertLearned(250, 100, 20);
+    }
+
+    @Test
+    void narrowStoreIsNotTakenForWide() {
+      Store store = new Store(250, 4);
+      LoadTime time = new LoadTime(store);
+
+      store.play(time, 0, 10_000, 70);
+
+      assertThat(time.storeMs(1)).isLessThan(400);
+    }
+  }
 
   @Test
-  void loadAloneTakesAboutAQuarterSecond() {
-    assertThat(time.storeMs(0)).isBetween(200L, 300L);
+  void changeIsFollowed() {
+    Store store = new Store(250, 8);
+    LoadTime time = new LoadTime(store);
+    store.play(time, 0, 5_000, 100);
+    long before = time.storeMs(3);
+    for (int i = 0; i < 4; i++) {
+      time.storeEarly(3, 500);
+    }
+    long slow = time.storeMs(3);
+    store.play(time, 5_000, 13_000, 100);
+
+    assertThat(before).isBetween(245L, 290L);
+    assertThat(slow).isGreaterThanOrEqualTo(400);
+    assertThat(time.storeMs(3)).isBetween(245L, 290L);
   }
 
   /**
@@ -42,19 +162,31 @@
    */
   @Test
   void expectedTimeStaysBoundedWhileRequestsComeEarly() {
+    Store store = new Store(250, 8);
+    LoadTime time = new LoadTime(store);
     long longest = 0;
     for (long now = 0; now < 20_000; now += 36) {
       long takesMs = time.storeMs(now);
-      expected.ends.add(now + takesMs);
+      store.begin(time, now);
       longest = Math.max(longest, takesMs);
+      int beside = time.underWay(now);
       if (now % 108 == 0) {
-        time.early();
-      }
-      if (now % 144 == 0) {
-        time.relax();
+        time.storeEarly(beside, takesMs);
+      } else {
+        time.storeInTime(beside, takesMs);
       }
     }
 
     assertThat(longest).isLessThanOrEqualTo(1_500);
   }
+
+  @Test
+  void memoryIsLearnedApartFromTheStore() {
+    LoadTime time = new LoadTime(now -> 0);
+    time.memoryEarly(60);
+    time.memoryEarly(60);
+
+    assertThat(time.memoryMs()).isBetween(45L, 70L);
+    assertThat(time.storeMs(1)).isEqualTo(255);
+  }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
@@ -28,17 +28,7 @@
   }
 
   static LoadTime.Traffic calmStore() {
-    return new LoadTime.Traffic() {
-      @Override
-      public int coming(long now) {
-        return 0;
-      }
-
-      @Override
-      public int engines() {
-        return 13;
-      }
-    };
+    return now -> 0;
   }
 
   static AdapterName adapter(int number) {
