explain: a command that says from decision lines where callers lost what

Each request is put down to one reason: in time, late and what took most of its time (a place for its adapter, the adapter's arrival, sendings that led to nothing, the endpoint beyond or as expected, a pause), refused or failed and how, the caller left; by route and by second, with ids to follow. ended lines carry what was wanted and how long the request waited for a place and for the load. Tests: LossReportTest, ExplainCommandTest, approved help text.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
@@ -134,6 +134,13 @@
     ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
       return TimelineCommand.run(invocation);
     }
+  },
+  /** Reads decision lines and says where callers lost what. */
+  EXPLAIN("FILE...", "say from the decision lines of daemons where callers lost what, and why") {
+    @Override
+    ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
+      return ExplainCommand.run(invocation);
+    }
   };
 
   private static final String PROGRAM = "sequoiapass ";
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ArrivalTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ArrivalTime.java
@@ -13,9 +13,9 @@
  * <p>One thing at a time is expected a little sooner than all others. If it is there, so will the
  * others be from now on, and the next trial goes further; if it is not, only this one was expected
  * too soon. So the estimate follows a time that becomes shorter without ever being wrong for more
- * than one, and a time that becomes longer by the age at which something was seen to be missing.
- * It depends on ages that were observed and never on other expectations, so it cannot feed itself.
- * Not safe for use by several threads.
+ * than one, and a time that becomes longer by the age at which something was seen to be missing. It
+ * depends on ages that were observed and never on other expectations, so it cannot feed itself. Not
+ * safe for use by several threads.
  */
 final class ArrivalTime {
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -96,6 +96,7 @@
   private long waitingSince;
   private long placingMs = PLACING_MS;
   private boolean waiting;
+  private final WaitTimes waits = new WaitTimes();
   private boolean answering;
   private boolean over;
 
@@ -185,7 +186,7 @@
     if (choice instanceof Choice.Send send) {
       send(send, demand, now);
     } else if (choice instanceof Choice.AwaitLoad load) {
-      await(now, load.waitMs() + 1);
+      await(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, now);
     } else if (choice instanceof Choice.Refuse refusal) {
@@ -222,10 +223,11 @@
     }
     asked = load.dataCentre();
     placingMs = Math.max(PLACING_MS, waitMs);
-    await(now, load.another() ? COPY_PLACING_MS : placingMs);
+    await(WaitTimes.Kind.PLACE, now, load.another() ? COPY_PLACING_MS : placingMs);
   }
 
-  private void await(long now, long waitMs) {
+  private void await(WaitTimes.Kind what, long now, long waitMs) {
+    waits.begin(what, now);
     adapter.ifPresent(name -> context.waiting().add(name, this));
     waiting = true;
     if (waitingSince == 0) {
@@ -242,6 +244,7 @@
   private void stopWaiting() {
     cancel(waitTimer);
     if (waiting) {
+      waits.end(context.clock().millis());
       waiting = false;
       adapter.ifPresent(name -> context.waiting().remove(name, this));
     }
@@ -560,7 +563,7 @@
         outcome,
         status,
         new RequestStory.Times(
-            sinceArrival(), firstAt == 0 ? -1 : firstAt - arrivedAt, longestPauseMs),
+            sinceArrival(), firstAt == 0 ? -1 : firstAt - arrivedAt, longestPauseMs, waits),
         sends,
         runs,
         events.lastId());
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
@@ -73,8 +73,9 @@
    * @param tookMs from its arrival to its end, in milliseconds
    * @param firstMs from its arrival to the first event; negative if there was none
    * @param pauseMs the longest pause between two events
+   * @param waits what it waited for before it was sent
    */
-  record Times(long tookMs, long firstMs, long pauseMs) {}
+  record Times(long tookMs, long firstMs, long pauseMs, WaitTimes waits) {}
 
   /** The request has ended. */
   void ended(String outcome, int status, Times times, int sends, int runs, long lastEvent) {
@@ -90,6 +91,10 @@
         .with("took_ms", times.tookMs())
         .with("first_ms", times.firstMs())
         .with("pause_ms", times.pauseMs())
+        .with("target_ms", route.targetMs())
+        .with("gap_ms", route.gapTargetMs())
+        .with("place_ms", times.waits().of(WaitTimes.Kind.PLACE))
+        .with("load_ms", times.waits().of(WaitTimes.Kind.LOAD))
         .with("sends", sends)
         .with("runs", runs)
         .with("last_event", lastEvent)
