An engine that loads its base model is asked each 400 ms whether it is there

Reports from before the order are told by their count of orders, so that no second model is ordered. A daemon takes a base model for there once a coordinator tells of an adapter at the engine; the list is a heartbeat older.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -53,8 +53,13 @@
                                 new AdapterName(held.model(), adapter), new Copy(version, now))));
   }
 
+  /**
+   * The endpoint's entry is up to a heartbeat old; where a coordinator tells of an adapter there,
+   * its base model is there, too.
+   */
   boolean holdsModel(ModelId model) {
-    return entry.models().stream().anyMatch(held -> held.model().equals(model));
+    return entry.models().stream().anyMatch(held -> held.model().equals(model))
+        || copies.keySet().stream().anyMatch(name -> name.model().equals(model));
   }
 
   /** Returns what this daemon's own requests ask of the endpoint. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -55,6 +55,13 @@
    */
   private static final long REPORT_LAG_MS = 350;
 
+  /**
+   * An engine that loads a base model is asked this often whether it is there, in milliseconds: an
+   * engine that kept the weights has them back in a fraction of the time of a load from the store,
+   * and all its places stand empty until it is known.
+   */
+  private static final long MODEL_ASK_MS = 400;
+
   /** An order without an answer is given again this often before the engine is asked. */
   private static final int MAX_UNANSWERED = 3;
 
@@ -376,8 +383,8 @@
       return;
     }
     endpoint.asking = false;
-    if (report.isEmpty() || report.get().busy()) {
-      endpoint.quietUntil = now + REPORT_LAG_MS;
+    if (report.isEmpty() || report.get().busy() || isOlderThanModel(endpoint, report.get(), now)) {
+      endpoint.quietUntil = now + (endpoint.modelsKnownUntil > now ? MODEL_ASK_MS : REPORT_LAG_MS);
       return;
     }
     Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
@@ -388,6 +395,15 @@
     tellAll(endpoint, now);
   }
 
+  /**
+   * Reports are a few hundred milliseconds old. One from before the order to load a base model
+   * shows an empty engine, which would be ordered to load a second one.
+   */
+  private static boolean isOlderThanModel(
+      PlannedEndpoint endpoint, EndpointReport report, long now) {
+    return now < endpoint.modelsKnownUntil && report.sequence() < endpoint.sequence;
+  }
+
   /** Returns the next order to an engine, if one is due; its result has to be told. */
   Optional<EndpointOrder> nextOrder(EndpointId id, DaemonId holder, long epoch, long now) {
     PlannedEndpoint endpoint = endpoints.get(id);
@@ -482,8 +498,8 @@
     if (step.name().isEmpty()) {
       long takesMs = endpoint.engine.model(step.model()).map(ModelSpec::loadMs).orElse(1_000L);
       endpoint.synced = false;
-      endpoint.quietUntil = now + takesMs + REPORT_LAG_MS;
-      endpoint.modelsKnownUntil = endpoint.quietUntil + ENTRY_LAG_MS;
+      endpoint.quietUntil = now + MODEL_ASK_MS;
+      endpoint.modelsKnownUntil = now + takesMs + REPORT_LAG_MS + ENTRY_LAG_MS;
       endpoint.reportedEmpty = false;
       return;
     }
