--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlaceChooser.java
@@ -0,0 +1,108 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.AdapterVersions;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Weighs the places of engines for adapters: where one can be loaded, what that costs, and what
+ * makes way for it.
+ *
+ * <p>It answers the load of a long tail, where a place is taken by some ten adapters a second:
+ * bringing an adapter back to an engine that has kept it costs a tenth of a transfer from the
+ * store, and dropping one that is asked for again costs its next caller a wait. All is weighed in
+ * milliseconds. Not safe for use by several threads.
+ */
+final class PlaceChooser {
+
+  /**
+   * An adapter that was used this lately is not dropped, in milliseconds: what other daemons do is
+   * known with this delay, and a request may be on its way to it.
+   */
+  private static final long IN_USE_MS = 200;
+
+  /** What a planned load adds to the wait for the next one at the same engine, in milliseconds. */
+  private static final double COMING_COST_MS = 60;
+
+  /** What it costs to drop an adapter that is asked for once in a half-life, in milliseconds. */
+  private static final double VICTIM_COST_MS = 25;
+
+  /**
+   * What it costs to bring an adapter from the store rather than from an engine's own memory, in
+   * milliseconds, besides its time: the transfer is paid for, and makes all others slower.
+   */
+  private static final double TRANSFER_COST_MS = 250;
+
+  /** Reading speed that turns a backlog of prompts into time, in tokens a millisecond. */
+  private static final double TOKENS_PER_MS = 38;
+
+  private final AdapterVersions versions;
+  private final AdapterDemand demand;
+  private final DaemonActivity activity;
+  private final LoadTracker loads;
+
+  PlaceChooser(
+      AdapterVersions versions, AdapterDemand demand, DaemonActivity activity, LoadTracker loads) {
+    this.versions = versions;
+    this.demand = demand;
+    this.activity = activity;
+    this.loads = loads;
+  }
+
+  /** Returns whether an adapter can be loaded at an engine now. */
+  boolean canTake(PlannedEndpoint endpoint, AdapterName adapter, long now) {
+    boolean able =
+        endpoint.synced
+            && !endpoint.entry.leaving()
+            && endpoint.models.contains(adapter.model())
+            && endpoint.coming(now) < PlacementPlan.MAX_COMING;
+    if (!able) {
+      return false;
+    }
+    // An older copy of the same adapter is replaced in its own place.
+    PlannedEndpoint.Copy own = endpoint.copies.get(adapter);
+    if (own != null) {
+      return own.state == PlannedEndpoint.State.HELD && own.version < versions.newest(adapter);
+    }
+    return hasFreePlace(endpoint) || victim(endpoint, now).isPresent();
+  }
+
+  /** Returns whether nothing has to make way at an engine. */
+  static boolean hasFreePlace(PlannedEndpoint endpoint) {
+    return endpoint.copies.size() < endpoint.engine.adapterSlots();
+  }
+
+  /** Returns what a load and its request cost at an engine, in milliseconds. */
+  double cost(PlannedEndpoint endpoint, AdapterName adapter, RequestSize size, long now) {
+    double victimMs =
+        hasFreePlace(endpoint)
+            ? 0
+            : victim(endpoint, now).map(name -> VICTIM_COST_MS * demand.of(name, now)).orElse(0.0);
+    Load load = activity.load(endpoint.entry.endpoint());
+    return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), TOKENS_PER_MS)
+        + endpoint.coming(now) * COMING_COST_MS
+        + victimMs
+        + (endpoint.kept.isKept(adapter) ? 0 : loads.storeMs(now) + TRANSFER_COST_MS);
+  }
+
+  /** Returns the adapter that is missed least: old versions first, then by what is asked for. */
+  Optional<AdapterName> victim(PlannedEndpoint endpoint, long now) {
+    Set<AdapterName> inUse = activity.inUse(endpoint.entry.endpoint());
+    return endpoint.copies.entrySet().stream()
+        .filter(entry -> entry.getValue().state == PlannedEndpoint.State.HELD)
+        .filter(entry -> !inUse.contains(entry.getKey()))
+        .filter(
+            entry ->
+                now - Math.max(entry.getValue().lastUsed, entry.getValue().readyAt) >= IN_USE_MS)
+        .min(
+            Comparator.comparingDouble(
+                entry ->
+                    entry.getValue().version < versions.newest(entry.getKey())
+                        ? -1
+                        : demand.of(entry.getKey(), now)))
+        .map(Map.Entry::getKey);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -3,7 +3,6 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
-import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.gateway.connection.LinkMessage.Placement;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointOrder;
@@ -43,12 +42,6 @@
   /** Adapters that may be on their way to one engine at once; the engine takes no more. */
   static final int MAX_COMING = 4;
 
-  /**
-   * An adapter that was used this lately is not dropped, in milliseconds: what other daemons do is
-   * known with this delay, and a request may be on its way to it.
-   */
-  private static final long IN_USE_MS = 200;
-
   /**
    * After this time without an order an engine's report shows all that it accepted, in
    * milliseconds: reports are a few hundred milliseconds old.
@@ -68,27 +61,6 @@
   /** An engine writes its entry about once a second; this is two of its times, in milliseconds. */
   private static final long ENTRY_LAG_MS = 2_500;
 
-  /** An arrival that moved by less is not told, in milliseconds. */
-  private static final long WORTH_TELLING_MS = 20;
-
-  /** A replacement waits for its runs and is looked for again after this time, in milliseconds. */
-  private static final long REPLACED_AGAIN_MS = 50;
-
-  /** What a planned load adds to the wait for the next one at the same engine, in milliseconds. */
-  private static final double COMING_COST_MS = 60;
-
-  /** What it costs to drop an adapter that is asked for once in a half-life, in milliseconds. */
-  private static final double VICTIM_COST_MS = 25;
-
-  /**
-   * What it costs to bring an adapter from the store rather than from an engine's own memory, in
-   * milliseconds, besides its time: the transfer is paid for, and makes all others slower.
-   */
-  private static final double TRANSFER_COST_MS = 250;
-
-  /** Reading speed that turns a backlog of prompts into time, in tokens a millisecond. */
-  private static final double TOKENS_PER_MS = 38;
-
   /** When to ask again if nothing can make way, in milliseconds: about half a usual run. */
   private static final long COME_BACK_MS = 400;
 
@@ -97,8 +69,8 @@
   private final Map<EndpointId, PlannedEndpoint> endpoints = new TreeMap<>();
   private final DaemonActivity activity = new DaemonActivity();
   private final PlacementNews news = new PlacementNews();
-  private final LoadTime loadTime;
-  private final Map<ServiceId, KeptDepth> keptDepths = new TreeMap<>();
+  private final LoadTracker loads;
+  private final PlaceChooser places;
   private final ModelLoads modelLoads;
 
   /**
@@ -111,7 +83,8 @@
   PlacementPlan(AdapterVersions versions, ModelLoads modelLoads, LoadTime loadTime) {
     this.versions = versions;
     this.modelLoads = modelLoads;
-    this.loadTime = loadTime;
+    this.loads = new LoadTracker(loadTime);
+    this.places = new PlaceChooser(versions, demand, activity, loads);
   }
 
   /**
@@ -126,8 +99,7 @@
       if (known != null) {
         known.copies.keySet().forEach(name -> news.gone(entry.endpoint(), name));
       }
-      KeptDepth depth =
-          keptDepths.computeIfAbsent(entry.service(), any -> new KeptDepth(engine.adapterSlots()));
+      KeptDepth depth = loads.depthOf(entry.service(), engine.adapterSlots());
       known = new PlannedEndpoint(entry, engine, depth);
       known.adoptEntry(now);
       endpoints.put(entry.endpoint(), known);
@@ -209,8 +181,8 @@
       AdapterName adapter, long version, RequestSize size, long now) {
     Optional<PlannedEndpoint> best =
         endpoints.values().stream()
-            .filter(endpoint -> canTake(endpoint, adapter, now))
-            .min(Comparator.comparingDouble(endpoint -> cost(endpoint, adapter, size, now)));
+            .filter(endpoint -> places.canTake(endpoint, adapter, now))
+            .min(Comparator.comparingDouble(endpoint -> places.cost(endpoint, adapter, size, now)));
     best.ifPresent(
         endpoint -> plan(endpoint, adapter, Math.max(version, versions.newest(adapter)), now));
     return best.map(endpoint -> endpoint.entry.endpoint());
@@ -242,68 +214,16 @@
         && copy.state != PlannedEndpoint.State.LEAVING;
   }
 
-  private boolean canTake(PlannedEndpoint endpoint, AdapterName adapter, long now) {
-    boolean able =
-        endpoint.synced
-            && !endpoint.entry.leaving()
-            && endpoint.models.contains(adapter.model())
-            && endpoint.coming(now) < MAX_COMING;
-    if (!able) {
-      return false;
-    }
-    // An older copy of the same adapter is replaced in its own place.
-    PlannedEndpoint.Copy own = endpoint.copies.get(adapter);
-    if (own != null) {
-      return own.state == PlannedEndpoint.State.HELD && own.version < versions.newest(adapter);
-    }
-    return hasFreePlace(endpoint) || victim(endpoint, now).isPresent();
-  }
-
-  private static boolean hasFreePlace(PlannedEndpoint endpoint) {
-    return endpoint.copies.size() < endpoint.engine.adapterSlots();
-  }
-
-  private double cost(PlannedEndpoint endpoint, AdapterName adapter, RequestSize size, long now) {
-    double victimMs =
-        hasFreePlace(endpoint)
-            ? 0
-            : victim(endpoint, now).map(name -> VICTIM_COST_MS * demand.of(name, now)).orElse(0.0);
-    Load load = activity.load(endpoint.entry.endpoint());
-    return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), TOKENS_PER_MS)
-        + endpoint.coming(now) * COMING_COST_MS
-        + victimMs
-        + (endpoint.kept.isKept(adapter) ? 0 : loadTime.storeMs(now) + TRANSFER_COST_MS);
-  }
-
-  /** Returns the adapter that is missed least: old versions first, then by what is asked for. */
-  private Optional<AdapterName> victim(PlannedEndpoint endpoint, long now) {
-    Set<AdapterName> inUse = activity.inUse(endpoint.entry.endpoint());
-    return endpoint.copies.entrySet().stream()
-        .filter(entry -> entry.getValue().state == PlannedEndpoint.State.HELD)
-        .filter(entry -> !inUse.contains(entry.getKey()))
-        .filter(
-            entry ->
-                now - Math.max(entry.getValue().lastUsed, entry.getValue().readyAt) >= IN_USE_MS)
-        .min(
-            Comparator.comparingDouble(
-                entry ->
-                    entry.getValue().version < versions.newest(entry.getKey())
-                        ? -1
-                        : demand.of(entry.getKey(), now)))
-        .map(Map.Entry::getKey);
-  }
-
   private void plan(PlannedEndpoint endpoint, AdapterName adapter, long version, long now) {
     EndpointId id = endpoint.entry.endpoint();
-    if (!hasFreePlace(endpoint) && !endpoint.copies.containsKey(adapter)) {
-      AdapterName victim = victim(endpoint, now).orElseThrow();
+    if (!PlaceChooser.hasFreePlace(endpoint) && !endpoint.copies.containsKey(adapter)) {
+      AdapterName victim = places.victim(endpoint, now).orElseThrow();
       endpoint.copies.get(victim).state = PlannedEndpoint.State.LEAVING;
       endpoint.steps.add(step(EndpointOrder.Type.UNLOAD, victim, OptionalLong.empty()));
       news.gone(id, victim);
     }
-    boolean again = endpoint.kept.isKept(adapter);
     boolean replaces = endpoint.copies.containsKey(adapter);
-    long takesMs = again && !replaces ? loadTime.memoryMs() : loadTime.storeMs(now);
+    long takesMs = loads.plannedMs(!replaces && endpoint.kept.isKept(adapter), now);
     PlannedEndpoint.Copy copy =
         new PlannedEndpoint.Copy(version, PlannedEndpoint.State.PLANNED, now + takesMs, now);
     copy.replaces = replaces;
@@ -388,7 +308,7 @@
       return;
     }
     Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
-    endpoint.adopt(report.get(), now, loadTime.storeMs(now));
+    endpoint.adopt(report.get(), now, loads.storeMs(now));
     endpoint.reportedEmpty = endpoint.models.isEmpty();
     before.removeAll(endpoint.copies.keySet());
     before.forEach(name -> news.gone(id, name));
@@ -488,7 +408,7 @@
   private void postpone(
       PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
     if (copy.state == PlannedEndpoint.State.PLANNED) {
-      copy.readyAt = Math.max(copy.readyAt, now + loadTime.storeMs(now));
+      copy.readyAt = Math.max(copy.readyAt, now + loads.storeMs(now));
       tell(endpoint.entry.endpoint(), name, now);
     }
   }
@@ -522,27 +442,12 @@
     copy.lastUsed = now;
     copy.readyAt = now;
     if (result == OrderResult.ACCEPTED) {
-      begin(endpoint, name, copy, now);
+      loads.begin(endpoint, name, copy, now);
     }
     endpoint.kept.held(name);
     tell(id, name, now);
   }
 
-  private void begin(
-      PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
-    if (copy.replaces) {
-      // It waits for the runs of the older version, which tells nothing of loads.
-      copy.readyAt = now + loadTime.storeMs(now);
-      return;
-    }
-    boolean again = endpoint.kept.isKept(name);
-    int underWay = loadTime.underWay(now);
-    long expectedMs = again ? loadTime.nextMemoryMs() : loadTime.nextStoreMs(underWay);
-    int depth = again ? endpoint.kept.depth(name) : 0;
-    copy.readyAt = now + expectedMs;
-    copy.load = new LoadUnderWay(now, underWay, again, depth, expectedMs);
-  }
-
   /**
    * After a refusal or a lost answer nobody knows what the engine holds. It gets no orders until
    * its report, taken after the lag of reports, shows it; what was planned is planned anew by those
@@ -578,62 +483,29 @@
       return;
     }
     if (early) {
-      // Several daemons may have sent at the same moment; the first refusal says it all.
-      if (now >= copy.readyAt) {
-        copy.readyAt = now + lateBy(endpoint, copy, now);
-      }
+      loads.early(endpoint, copy, now);
       tell(id, adapter, now);
     } else if (copy.state != PlannedEndpoint.State.PLANNED) {
       resync(endpoint, now);
     }
   }
 
-  private long lateBy(PlannedEndpoint endpoint, PlannedEndpoint.Copy copy, long now) {
-    if (copy.state == PlannedEndpoint.State.PLANNED) {
-      return loadTime.storeMs(now);
-    }
-    return copy.load == null
-        ? REPLACED_AGAIN_MS
-        : copy.load.refused(loadTime, keptDepths.get(endpoint.entry.service()), now);
-  }
-
-  /**
-   * Brings the expected arrivals up to date and learns from those that are known; called several
-   * times a second.
-   */
+  /** Brings the expected arrivals up to date; called several times a second. */
   void advance(long now) {
     endpoints.forEach(
         (id, endpoint) ->
             endpoint.copies.forEach(
                 (name, copy) -> {
-                  if (copy.load != null) {
-                    advance(endpoint, name, copy, now);
+                  if (loads.advance(endpoint, copy, now)) {
+                    tell(id, name, now);
                   }
                 }));
     demand.forgetIdle(now);
   }
 
-  private void advance(
-      PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
-    if (copy.load.settle(loadTime, keptDepths.get(endpoint.entry.service()), copy.readyAt, now)) {
-      copy.load = null;
-      return;
-    }
-    boolean onItsWay = copy.load.isFromStore() && copy.readyAt > now;
-    if (!onItsWay) {
-      return;
-    }
-    long expected = now + copy.load.advance(loadTime, now);
-    if (expected > now && Math.abs(expected - copy.toldReadyAt) > WORTH_TELLING_MS) {
-      copy.readyAt = expected;
-      tell(endpoint.entry.endpoint(), name, now);
-    }
-  }
-
   /** Returns how long loads take now, for those who choose among data centres. */
   LoadOutlook outlook(long now) {
-    int reach = keptDepths.values().stream().mapToInt(KeptDepth::reach).max().orElse(0);
-    return new LoadOutlook(loadTime.storeMs(now), loadTime.memoryMs(), reach);
+    return loads.outlook(now);
   }
 
   /** Returns the number of engines. */
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -281,6 +281,59 @@
     }
   }
 
+  /**
+   * An engine that crashed has kept its base model's weights on its own disk, and has them back in
+   * a third of the time that a load from the store takes. Callers are refused meanwhile, since all
+   * places of the other engines are in use. Taken for absent for the whole time of a load from the
+   * store, the engine would stand idle for seconds beside them.
+   */
+  @Nested
+  class BaseModelOnItsWay {
+
+    private static final long ORDERED_AT = 2_002;
+
+    @BeforeEach
+    void ordered() {
+      engine.hasModel = false;
+      engine.sequence = 0;
+      plan.observe(entry(2, false), SPEC, 2_000);
+      answerReports(2_000);
+      EndpointOrder order = plan.nextOrder(ENGINE, DAEMON, 7, 2_001).orElseThrow();
+      engine.sequence++;
+      plan.ordered(order, OrderResult.ACCEPTED, ORDERED_AT);
+    }
+
+    private EndpointReport report(boolean busy, long sequence) {
+      return new EndpointReport(engine.report().models(), Map.of(), busy, sequence);
+    }
+
+    private long answeredOnceAsked(long from, EndpointReport report) {
+      long now = from;
+      while (plan.toAsk(now).isEmpty()) {
+        now += 10;
+      }
+      plan.asked(ENGINE, Optional.of(report), now);
+      return now;
+    }
+
+    @Test
+    void isFoundWithinHalfASecondOfItsArrival() {
+      long asked = answeredOnceAsked(ORDERED_AT, report(true, 1));
+      engine.hasModel = true;
+      long found = answeredOnceAsked(asked + 1, report(false, 1));
+
+      assertThat(found - asked).isLessThanOrEqualTo(500);
+      assertThat(plan.need(adapter(1), 1, false, SIZE, found)).isInstanceOf(Need.Coming.class);
+    }
+
+    @Test
+    void reportFromBeforeTheOrderBringsNoSecondOne() {
+      long asked = answeredOnceAsked(ORDERED_AT, report(false, 0));
+
+      assertThat(plan.nextOrder(ENGINE, DAEMON, 7, asked + 1)).isEmpty();
+    }
+  }
+
   @Nested
   class NewVersion {
 
