How often a place becomes free is learned, and decides who waits for one

Cause: one rate (a place each 400 ms an engine, of eight places and answers of three seconds) stood for all. At engines of 17 places with answers of a second a place becomes free each 60 to 90 ms, so the third caller in a queue was refused though its turn came within 300 ms. Turnover learns the time between two places while somebody waits; while none becomes free the standstill counts.

Tests: TurnoverTest (four times too fast and too slow, change, standstill); WaitingNeedsTest.LargeEngine (with the old rate eight of ten callers are refused at once). WaitingNeedsTest.Refusal names 3,000 ms in place of 1,600, what two places with the first guess give.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -508,9 +508,12 @@
     return loads.outlook(now);
   }
 
-  /** Returns the number of engines. */
-  int size() {
-    return endpoints.size();
+  /** Returns the places for adapters of all engines that take orders. */
+  int places() {
+    return endpoints.values().stream()
+        .filter(endpoint -> endpoint.synced)
+        .mapToInt(endpoint -> endpoint.engine.adapterSlots())
+        .sum();
   }
 
   /** Returns the engines for which an order may be due. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
@@ -23,13 +23,8 @@
  */
 final class WaitingNeeds {
 
-  /**
-   * The least time between two places that become free at one engine of eight, in milliseconds:
-   * streams run for two to three seconds. It turns a queue's length into a time.
-   */
-  private static final long FREED_EACH_MS = 400;
-
   private final PlacementPlan plan;
+  private final Turnover turnover = new Turnover();
   private final Map<AdapterName, Wish> wishes = new HashMap<>();
 
   /**
@@ -69,10 +64,13 @@
     if (!(atOnce instanceof Need.NoRoom)) {
       return atOnce;
     }
-    long expectedMs = FREED_EACH_MS * (1 + wishes.size() / Math.max(1, plan.size()));
+    long expectedMs = turnover.expectedMs(wishes.size(), plan.places(), now);
     if (now + expectedMs > wish.until()) {
       return new Need.NoRoom(expectedMs);
     }
+    if (wishes.isEmpty()) {
+      turnover.waiting(now);
+    }
     wishes.merge(wish.adapter(), wish, Wish::and);
     return new Need.Waiting();
   }
@@ -86,6 +84,7 @@
       Need need = plan.bring(wish.adapter(), wish.version(), false, wish.size(), now);
       if (need instanceof Need.Coming) {
         wishes.remove(wish.adapter());
+        turnover.placed(now);
       }
     }
   }
