Late callers wait for what those in time leave, and hear at once when it is hopeless

Turns in time and late turns are learned apart; those in time go first, a wish that joins another takes no further place, and a late one whose turn would come too late is told so before its time is over. How long an answer still takes comes from the choice (load and reading), not from a constant of 350 ms.

Tests: WaitingNeedsTest.Refusal (joining, told before its time is over, late ones not before those in time).

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Askers.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Askers.java
@@ -13,8 +13,8 @@
  */
 final class Askers {
 
-  /** Requests wait for a place for twice their wanted time at the most, which is about a second. */
-  private static final long REMEMBERED_MS = 2_500;
+  /** Callers wait for some seconds at the most before they leave. */
+  private static final long REMEMBERED_MS = 6_000;
 
   private final Map<AdapterName, Asked> asked = new HashMap<>();
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -28,8 +28,10 @@
    * @param dataCentre where
    * @param another whether there is a copy already, at an endpoint that is far behind
    * @param last whether no other data centre has an engine that could take the adapter
+   * @param expectedMs the expected time from the order until the answer begins, in milliseconds
    */
-  record RequestLoad(DataCentreId dataCentre, boolean another, boolean last) implements Choice {}
+  record RequestLoad(DataCentreId dataCentre, boolean another, boolean last, long expectedMs)
+      implements Choice {}
 
   /**
    * Refuse it: it has not run.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -325,13 +325,19 @@
       return;
     }
     if (mayOrder.test(now)) {
-      waiting.place(now);
+      waiting.place(now).forEach(this::tellNoRoom);
       plan.toAsk(now).forEach(this::ask);
       plan.ids().forEach(id -> order(id, now));
     }
     tell(plan.takeNews(), now);
   }
 
+  private void tellNoRoom(WaitingNeeds.Hopeless hopeless) {
+    byte[] frame =
+        LinkFrames.encode(new LinkMessage.NoRoom(hopeless.adapter(), hopeless.comeBackMs()));
+    askers.of(hopeless.adapter()).forEach(channel -> channel.send(frame));
+  }
+
   /**
    * News goes at once to the daemons whose requests wait for it. The others hear it with the next
    * bulletin: at 79 daemons 140 frames a second to each of them were most of what they did.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -88,7 +88,7 @@
           ? noEndpoint()
           : loadOrRefuse(
               other.get(),
-              loadMs(other.get()) + beginMs(other.get(), generation, tokensPerMs),
+              expectedMs(other.get(), generation, tokensPerMs),
               remainingMs,
               isOnlyDataCentre(others));
     }
@@ -100,7 +100,8 @@
                     + loadCost.applyAsDouble(other.get())
                     + COPY_GAIN_MS;
     if (otherIsBetter) {
-      return new Choice.RequestLoad(other.get().dataCentre(), true, false);
+      return new Choice.RequestLoad(
+          other.get().dataCentre(), true, false, expectedMs(other.get(), generation, tokensPerMs));
     }
     if (beginMs > remainingMs) {
       return tooLate(beginMs, remainingMs);
@@ -111,8 +112,13 @@
     return new Choice.Send(holder.get(), (long) beginMs);
   }
 
+  /** The time from the order of a load until the answer begins. */
+  private static long expectedMs(Candidate best, Generation generation, double tokensPerMs) {
+    return (long) (loadMs(best) + beginMs(best, generation, tokensPerMs));
+  }
+
   private static double loadMs(Candidate candidate) {
-    return candidate.loadMs() + ORDER_MS;
+    return (double) candidate.loadMs() + ORDER_MS;
   }
 
   private static double loadCost(Candidate candidate, Optional<DataCentreId> home) {
@@ -128,10 +134,10 @@
   }
 
   private static Choice loadOrRefuse(
-      Candidate best, double expectedMs, long remainingMs, boolean last) {
+      Candidate best, long expectedMs, long remainingMs, boolean last) {
     return expectedMs > remainingMs
-        ? tooLate(expectedMs, remainingMs)
-        : new Choice.RequestLoad(best.dataCentre(), false, last);
+        ? tooLate((double) expectedMs, remainingMs)
+        : new Choice.RequestLoad(best.dataCentre(), false, last, expectedMs);
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
@@ -19,12 +19,16 @@
  * of them then, and all of them while a quarter of the engines is down. Asked again each 400 ms, a
  * freed place stood idle or went to whoever happened to ask next. Those that can still be answered
  * in time go first, by the time that they have left; a queue in the order of arrival would serve
- * everybody late once it is longer than the wanted time. Not safe for use by several threads.
+ * everybody late once it is longer than the wanted time. Those that are late get what the others
+ * leave, and how often that is decides how many of them wait: a late answer is better than none,
+ * and a refusal at once better than one after a wait. Not safe for use by several threads.
  */
 final class WaitingNeeds {
 
   private final PlacementPlan plan;
-  private final Turnover turnover = new Turnover();
+  private final Turnover turns = new Turnover();
+  private final Turnover lateTurns = new Turnover();
+  private boolean lateWaited;
   private final Map<AdapterName, Wish> wishes = new HashMap<>();
 
   /**
@@ -38,6 +42,11 @@
    */
   record Wish(AdapterName adapter, long version, RequestSize size, long inTimeUntil, long until) {
 
+    /** Returns whether no load that begins now would serve it in time. */
+    private boolean isLate(long now) {
+      return inTimeUntil < now;
+    }
+
     private Wish and(Wish other) {
       return new Wish(
           adapter,
@@ -48,6 +57,14 @@
     }
   }
 
+  /**
+   * An adapter whose turn would come too late.
+   *
+   * @param adapter the adapter
+   * @param comeBackMs when its turn would come, in milliseconds
+   */
+  record Hopeless(AdapterName adapter, long comeBackMs) {}
+
   /** Waits for places of a plan. */
   WaitingNeeds(PlacementPlan plan) {
     this.plan = plan;
@@ -64,29 +81,84 @@
     if (!(atOnce instanceof Need.NoRoom)) {
       return atOnce;
     }
-    long expectedMs = turnover.expectedMs(wishes.size(), plan.places(), now);
-    if (now + expectedMs > wish.until()) {
-      return new Need.NoRoom(expectedMs);
-    }
-    if (wishes.isEmpty()) {
-      turnover.waiting(now);
+    // One that joins others takes no further place.
+    if (!wishes.containsKey(wish.adapter())) {
+      long expectedMs = turnMs(wish, now);
+      if (now + expectedMs > wish.until()) {
+        return new Need.NoRoom(expectedMs);
+      }
+      if (wishes.isEmpty()) {
+        turns.waiting(now);
+      }
     }
     wishes.merge(wish.adapter(), wish, Wish::and);
     return new Need.Waiting();
   }
 
-  /** Gives places that became free to those that wait. */
-  void place(long now) {
+  /** Returns when the turn of a new wish would come, in milliseconds. */
+  private long turnMs(Wish wish, long now) {
+    long ahead = wishes.values().stream().filter(other -> goesBefore(other, wish, now)).count();
+    long inTimeMs = turns.expectedMs((int) ahead, plan.places(), now);
+    if (now + inTimeMs <= wish.inTimeUntil()) {
+      return inTimeMs;
+    }
+    long lateAhead = wishes.values().stream().filter(other -> other.isLate(now)).count();
+    return Math.max(inTimeMs, lateTurns.expectedMs((int) lateAhead, plan.places(), now));
+  }
+
+  private static boolean goesBefore(Wish other, Wish wish, long now) {
+    return !other.isLate(now) && other.inTimeUntil() <= wish.inTimeUntil();
+  }
+
+  /**
+   * Gives places that became free to those that wait.
+   *
+   * @param now the time, in milliseconds
+   * @return those that wait no longer, since their turn would come too late
+   */
+  List<Hopeless> place(long now) {
     if (wishes.isEmpty()) {
-      return;
+      return List.of();
     }
+    noteLate(now);
     for (Wish wish : inTurn(now)) {
       Need need = plan.bring(wish.adapter(), wish.version(), false, wish.size(), now);
       if (need instanceof Need.Coming) {
         wishes.remove(wish.adapter());
-        turnover.placed(now);
+        turns.placed(now);
+        if (wish.isLate(now)) {
+          lateTurns.placed(now);
+        }
+      }
+    }
+    return dropHopeless(now);
+  }
+
+  private void noteLate(long now) {
+    boolean anyLate = wishes.values().stream().anyMatch(wish -> wish.isLate(now));
+    if (anyLate && !lateWaited) {
+      lateTurns.waiting(now);
+    }
+    lateWaited = anyLate;
+  }
+
+  /** A caller that cannot be served any more is told at once, and not once its time is over. */
+  private List<Hopeless> dropHopeless(long now) {
+    List<Hopeless> hopeless = new ArrayList<>();
+    int ahead = 0;
+    for (Wish wish : inTurn(now)) {
+      if (!wish.isLate(now)) {
+        continue;
+      }
+      long expectedMs = lateTurns.expectedMs(ahead, plan.places(), now);
+      if (now + expectedMs > wish.until()) {
+        wishes.remove(wish.adapter());
+        hopeless.add(new Hopeless(wish.adapter(), expectedMs));
+      } else {
+        ahead++;
       }
     }
+    return hopeless;
   }
 
   /** Returns whether nobody waits. */
@@ -97,11 +169,11 @@
   /** Returns the wishes in the order of their turns, without those whose time is over. */
   private List<Wish> inTurn(long now) {
     wishes.values().removeIf(wish -> wish.until() < now);
-    List<Wish> turns = new ArrayList<>(wishes.values());
-    turns.sort(
-        Comparator.comparing((Wish wish) -> wish.inTimeUntil() < now)
-            .thenComparingLong(wish -> wish.inTimeUntil() < now ? wish.until() : wish.inTimeUntil())
+    List<Wish> inTurn = new ArrayList<>(wishes.values());
+    inTurn.sort(
+        Comparator.comparing((Wish wish) -> wish.isLate(now))
+            .thenComparingLong(wish -> wish.isLate(now) ? wish.until() : wish.inTimeUntil())
             .thenComparing(wish -> wish.adapter().toString()));
-    return turns;
+    return inTurn;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/Patience.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/Patience.java
@@ -5,16 +5,6 @@
 /** Says how long a request waits for what; the methods are pure. */
 final class Patience {
 
-  /**
-   * A request waits for a place for this many times the wanted time at the most: a late answer is
-   * worth a third of one in time to callers, and a place becomes free within two seconds nearly
-   * always, but not for everybody while a quarter of the engines is down.
-   */
-  private static final long WAITING_TIMES = 2;
-
-  /** A load from the store and a short prompt's reading take about this long, in milliseconds. */
-  private static final long LOAD_SPAN_MS = 350;
-
   /**
    * A request that may be repeated is sent elsewhere when its answer takes this many times as long
    * as usual: an endpoint that lost it will never answer.
@@ -30,20 +20,28 @@
   private Patience() {}
 
   /**
-   * Returns how long a request may wait for a place for its adapter, in milliseconds.
+   * Returns how long a request may wait for a place for its adapter, in milliseconds: a late answer
+   * is worth less to its caller than one in time, and more than none as long as it stays.
    *
    * @param route its route
    * @param waitedMs the time since it arrived, in milliseconds
    * @param leftMs the time until its deadline, in milliseconds
+   * @param loadMs the time from the order of a load until the answer begins, in milliseconds
    */
-  static long forPlaceMs(RouteSpec route, long waitedMs, long leftMs) {
-    long wantedMs = route.targetMs() * WAITING_TIMES - waitedMs;
-    return Math.max(0, Math.min(wantedMs, leftMs / 2));
+  static long forPlaceMs(RouteSpec route, long waitedMs, long leftMs, long loadMs) {
+    long staysMs = Math.min(route.patienceMs() - waitedMs, leftMs);
+    return Math.max(0, staysMs - loadMs);
   }
 
-  /** Returns how long a load may be put off for an answer in time, in milliseconds. */
-  static long loadInTimeMs(RouteSpec route, long waitedMs) {
-    return Math.max(0, route.targetMs() - LOAD_SPAN_MS - waitedMs);
+  /**
+   * Returns how long a load may be put off for an answer in time, in milliseconds.
+   *
+   * @param route the request's route
+   * @param waitedMs the time since it arrived, in milliseconds
+   * @param loadMs the time from the order of a load until the answer begins, in milliseconds
+   */
+  static long loadInTimeMs(RouteSpec route, long waitedMs, long loadMs) {
+    return Math.max(0, route.targetMs() - loadMs - waitedMs);
   }
 
   /** Returns how long a plain endpoint may say nothing, in milliseconds. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -213,8 +213,10 @@
     askedForCopy = load.another();
     boolean tooLong = waitingSince != 0 && now - waitingSince >= placingMs;
     // The last data centre that is left is asked to keep a turn.
-    long waitMs = load.last() ? Patience.forPlaceMs(route, now - arrivedAt, deadlineAt - now) : 0;
-    long inTimeMs = Patience.loadInTimeMs(route, now - arrivedAt);
+    long waitedMs = now - arrivedAt;
+    long waitMs =
+        load.last() ? Patience.forPlaceMs(route, waitedMs, deadlineAt - now, load.expectedMs()) : 0;
+    long inTimeMs = Patience.loadInTimeMs(route, waitedMs, load.expectedMs());
     LoadWish wish = new LoadWish(generation, load.another(), inTimeMs, waitMs);
     if (tooLong || !context.adapters().need(load.dataCentre(), wish)) {
       full.add(load.dataCentre());
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/RouteSpec.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/RouteSpec.java
@@ -20,6 +20,7 @@
  * @param targets the services that share the requests; not empty
  * @param maxAttempts the most endpoints that one request may be sent to
  * @param resumable whether a broken stream may go on at another endpoint
+ * @param patienceMs how long callers wait for the beginning of an answer, in milliseconds
  */
 public record RouteSpec(
     String name,
@@ -32,7 +33,8 @@
     int priority,
     List<Target> targets,
     int maxAttempts,
-    boolean resumable) {
+    boolean resumable,
+    long patienceMs) {
 
   /**
    * Gives a service its share of a route's requests.
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
@@ -63,7 +63,12 @@
     @Test
     void lastOneWithEnginesGivesTurns() {
       assertThat(choose(candidates, SOUTH, EMPTY))
-          .isEqualTo(new Choice.RequestLoad(SOUTH, false, true));
+          .isInstanceOfSatisfying(
+              Choice.RequestLoad.class,
+              load -> {
+                assertThat(load.dataCentre()).isEqualTo(SOUTH);
+                assertThat(load.last()).isTrue();
+              });
     }
 
     @Test
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/WaitingNeedsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/WaitingNeedsTest.java
@@ -158,6 +158,42 @@
               Need.NoRoom.class, told -> assertThat(told.comeBackMs()).isEqualTo(3_000));
     }
 
+    @Test
+    void whoJoinsOneThatWaitsIsNotRefused() {
+      waiting.needOrWait(wish(9, 1_500, 3_000), 1_100);
+      waiting.needOrWait(wish(10, 1_500, 4_000), 1_100);
+
+      assertThat(waiting.needOrWait(wish(9, 1_400, 1_600), 1_110)).isInstanceOf(Need.Waiting.class);
+    }
+
+    /**
+     * Callers that can no longer be served in time wait for what the others leave. Engines crash,
+     * and nothing becomes free any longer: they hear at once that their turn would come too late,
+     * and not once they have waited for all of their time.
+     */
+    @Test
+    void whoseTurnWouldComeTooLateIsToldBeforeItsTimeIsOver() {
+      waiting.needOrWait(wish(9, 1_300, 4_000), 1_100);
+      waiting.needOrWait(wish(10, 1_300, 4_100), 1_100);
+      assertThat(waiting.place(1_400)).isEmpty();
+
+      List<WaitingNeeds.Hopeless> hopeless = waiting.place(2_800);
+
+      assertThat(hopeless).extracting(WaitingNeeds.Hopeless::adapter).containsExactly(adapter(10));
+      assertThat(waiting.isEmpty()).isFalse();
+    }
+
+    /** A long queue of late ones is not before a caller that can still be served in time. */
+    @Test
+    void lateOnesAreNotBeforeThoseInTime() {
+      waiting.needOrWait(wish(9, 1_150, 6_000), 1_100);
+      waiting.needOrWait(wish(10, 1_150, 6_000), 1_100);
+      waiting.needOrWait(wish(11, 1_150, 6_000), 1_100);
+
+      assertThat(waiting.needOrWait(wish(12, 2_100, 2_200), 1_200))
+          .isInstanceOf(Need.Waiting.class);
+    }
+
     @Test
     void wishWhoseTimeIsOverTakesNoPlace() {
       waiting.needOrWait(wish(9, 1_500, 1_700), 1_100);
