Engines that take longer than the others get less

Slowness learns, from the time to the first event against that of an engine of usual speed, how many times as long one takes, and fades within seconds without answers, so that one that recovered is tried again. Test: EndpointGroupTest.SlowEngine (fails by load alone: both look the same).

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -16,6 +16,7 @@
  * @param readyInMs when the wanted adapter is there, in milliseconds; 0 if it is, negative if it is
  *     not on its way
  * @param keepsAdapter whether it held the adapter lately and is likely to have kept it in memory
+ * @param slowness how many times as long as the others it takes
  * @param loadMs how long a load of the adapter would take, in milliseconds
  */
 public record Candidate(
@@ -28,6 +29,7 @@
     long keptTokens,
     long readyInMs,
     boolean keepsAdapter,
+    double slowness,
     long loadMs) {
 
   boolean holds() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -179,7 +179,7 @@
   private static double beginMs(Candidate candidate, Generation generation, double tokensPerMs) {
     double readMs =
         EngineCost.beginMs(candidate.load(), unread(candidate, generation), tokensPerMs);
-    return readMs + overhead(candidate, generation, tokensPerMs);
+    return candidate.slowness() * readMs + overhead(candidate, generation, tokensPerMs);
   }
 
   private static double cost(Candidate candidate, Generation generation, double tokensPerMs) {
@@ -189,7 +189,7 @@
             unread(candidate, generation),
             generation.expectedOutputTokens(),
             tokensPerMs);
-    return engineMs + overhead(candidate, generation, tokensPerMs);
+    return candidate.slowness() * engineMs + overhead(candidate, generation, tokensPerMs);
   }
 
   private static long unread(Candidate candidate, Generation generation) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -165,6 +165,7 @@
         kept,
         readyInMs(state, demand, now),
         keepsAdapter,
+        state.slowness.value(now),
         keepsAdapter ? outlook.memoryMs() : outlook.storeMs());
   }
 
@@ -394,6 +395,7 @@
     private final long sentAt;
     private final Load load;
     private final long backlog;
+    private final double usualMs;
     private final int runningBefore;
     private boolean begun;
     private boolean ended;
@@ -405,6 +407,10 @@
       this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
       this.runningBefore = state.own.plus(state.others).running();
       this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
+      this.usualMs =
+          FIRST_TOKEN_MS
+              + EngineCost.beginMs(
+                  state.own.plus(state.others), load.prefillTokens(), tokensPerMs.value());
       state.own = state.own.plus(load);
       state.recent.add(load.prefillTokens(), now);
       generation.ifPresent(
@@ -431,6 +437,7 @@
           begun = true;
           state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
           learnReadingSpeed(now);
+          generation.ifPresent(g -> state.slowness.sample((double) (now - sentAt), usualMs, now));
         }
       }
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -17,6 +17,7 @@
   long goneAt = STAYS;
   Load own = Load.NONE;
   final Recent recent = new Recent();
+  Slowness slowness = new Slowness();
   Load others = Load.NONE;
   final Map<AdapterName, Copy> copies = new HashMap<>();
   final Map<AdapterName, Integer> inUse = new HashMap<>();
@@ -90,6 +91,7 @@
   void restarted() {
     copies.clear();
     prompts = new KeptPrompts();
+    slowness = new Slowness();
     kept = new KeptAdapters(keptDepth);
     others = Load.NONE;
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
@@ -40,6 +40,7 @@
         0,
         NOT_THERE,
         false,
+        1,
         LOAD_MS);
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -80,6 +80,41 @@
     group.put(entry("e2", SOUTH, false), true, 0);
   }
 
+  /**
+   * Both engines hold the adapter; the near one has turned four times as slow. Its load looks the
+   * same as the other's, since each request that is late there has been begun. Chosen by load alone
+   * it gets half of all requests, and their callers wait.
+   */
+  @Nested
+  class SlowEngine {
+
+    private void begin(String name, long tookMs, long now) {
+      EndpointGroup.Ticket ticket = group.begin(id(name), demand(600, 70), now).orElseThrow();
+      ticket.begun(now + tookMs);
+      ticket.ended(EndpointGroup.Ending.ANSWERED, now + tookMs + 1);
+    }
+
+    @BeforeEach
+    void bothHoldTheAdapter() {
+      hold("e1", 0);
+      hold("e2", 0);
+      for (int i = 0; i < 20; i++) {
+        begin("e1", 160, 100 + i * 200);
+        begin("e2", 40, 100 + i * 200);
+      }
+    }
+
+    @Test
+    void getsLess() {
+      assertThat(sentTo(choose(demand(600, 70), 4_200))).isEqualTo("e2");
+    }
+
+    @Test
+    void isTriedAgainOnceItMayHaveRecovered() {
+      assertThat(sentTo(choose(demand(600, 70), 40_000))).isEqualTo("e1");
+    }
+  }
+
   /**
    * A coordinator has requests that wait for a place. It hears at once which adapters have become
    * idle: with the next round of telling their places would stand idle meanwhile.
