A dark engine is given up once it says nothing to any of several streams

Heard knows when an endpoint last spoke to this daemon's streams and what pauses are usual there; WordWatch looks four times a second and once more 50 ms later, since after a standstill what was said lies unread.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -435,6 +435,7 @@
       synchronized (EndpointGroup.this) {
         if (!begun && !ended) {
           begun = true;
+          state.heard.begun(now);
           state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
           learnReadingSpeed(now);
           generation.ifPresent(g -> state.slowness.sample((double) (now - sentAt), usualMs, now));
@@ -442,6 +443,20 @@
       }
     }
 
+    /** Notes that a part of the answer has come. */
+    public void word(long now) {
+      synchronized (EndpointGroup.this) {
+        state.heard.word(now);
+      }
+    }
+
+    /** Returns whether the endpoint says nothing to any of this daemon's streams. */
+    public boolean endpointIsSilent(long now) {
+      synchronized (EndpointGroup.this) {
+        return state.heard.isSilent(now);
+      }
+    }
+
     /** Short prompts tell of steps and ways, not of reading. */
     private void learnReadingSpeed(long now) {
       double readingMs = now - sentAt - FIRST_TOKEN_MS;
@@ -457,6 +472,9 @@
           return;
         }
         ended = true;
+        if (begun) {
+          state.heard.ended();
+        }
         state.own =
             state.own.minus(new Load(1, begun ? 0 : load.prefillTokens(), load.memoryTokens(), 0));
         generation.flatMap(Generation::adapter).ifPresent(this::countEnd);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -301,17 +301,26 @@
   private void expectWord(RelayAttempt from, long patienceMs) {
     cancel(patienceTimer);
     if (route.mayRepeat() && runs + 1 < route.maxAttempts()) {
-      patienceTimer =
-          context.loop().schedule(() -> silent(from), patienceMs, TimeUnit.MILLISECONDS);
+      long now = context.clock().millis();
+      lookForWord(from, new WordWatch(now, patienceMs), now);
     }
   }
 
+  private void lookForWord(RelayAttempt from, WordWatch watch, long now) {
+    patienceTimer =
+        context
+            .loop()
+            .schedule(() -> look(from, watch), watch.nextLookMs(now), TimeUnit.MILLISECONDS);
+  }
+
   /** Sends a request elsewhere whose endpoint says nothing, or no longer says anything. */
-  private synchronized void silent(RelayAttempt waitedFor) {
-    if (over || attempt != waitedFor) {
+  private synchronized void look(RelayAttempt waitedFor, WordWatch watch) {
+    long now = context.clock().millis();
+    if (over || attempt != waitedFor || !mayGoOnAfter(runs + 1, now)) {
       return;
     }
-    if (!mayGoOnAfter(runs + 1, context.clock().millis())) {
+    if (!watch.givesUp(waitedFor.ticket.endpointIsSilent(now), now)) {
+      lookForWord(waitedFor, watch, now);
       return;
     }
     waitedFor.stream.cancel();
@@ -354,6 +363,7 @@
       return;
     }
     byte[] whole = events.take(part);
+    from.ticket.word(context.clock().millis());
     if (whole.length > 0) {
       notePause();
       responder.write(whole);
--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/WordWatchTest.java
@@ -0,0 +1,38 @@
+package io.sequoiapass.gateway.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * An engine goes dark: its connections stay open and say nothing. Its streams and the requests that
+ * were just sent there wait for a word; each alone would be patient for more than a second.
+ */
+class WordWatchTest {
+
+  private static final long PATIENCE_MS = 1_200;
+
+  private final WordWatch watch = new WordWatch(0, PATIENCE_MS);
+
+  @Test
+  void silenceToAllIsGivenUpOnTheSecondLook() {
+    assertThat(watch.givesUp(true, 450)).isFalse();
+    assertThat(watch.nextLookMs(450)).isLessThanOrEqualTo(100);
+    assertThat(watch.givesUp(true, 500)).isTrue();
+  }
+
+  @Test
+  void wordToAnotherStreamTakesTheSuspicionBack() {
+    watch.givesUp(true, 450);
+
+    assertThat(watch.givesUp(false, 500)).isFalse();
+    assertThat(watch.givesUp(true, 750)).isFalse();
+  }
+
+  @Test
+  void silenceToThisOneAloneIsBorneForItsPatience() {
+    assertThat(watch.givesUp(false, 1_190)).isFalse();
+    assertThat(watch.nextLookMs(1_190)).isEqualTo(10);
+    assertThat(watch.givesUp(false, 1_200)).isTrue();
+  }
+}
