Coordinators beyond the first two rest while those before them hear the store

One rests while two coordinators of data centres whose names come before its own are fresh, as daemons do. Test: RelayedViewsTest (the first two never rest because of the others).

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -279,12 +279,14 @@
     feed.start();
   }
 
-  /** The coordinators, for all but themselves; they push endpoints, so that none is fetched. */
+  /** The coordinators, for all but the first of themselves; they push endpoints, so that none is fetched. */
   private StoreFeed.Relay relay(RelayedViews.Topic topic) {
     return new StoreFeed.Relay() {
       @Override
       public boolean isFresh(long now) {
-        return !node.isCoordinator() && views.areFresh(topic, now);
+        return node.isCoordinator()
+            ? views.areFreshBefore(settings.dataCentre(), topic, now)
+            : views.areFresh(topic, now);
       }
 
       @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/RelayedViews.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/RelayedViews.java
@@ -9,7 +9,8 @@
  * Knows how well the coordinators know the platform's store, so that a daemon need not ask it.
  *
  * <p>Every watch of a daemon is a call that is paid for, and brings every heartbeat of every
- * endpoint: at 79 daemons 116 calls a second. Coordinators watch for all. A daemon relies on them
+ * endpoint: at 79 daemons 116 calls a second. Coordinators watch for all, and of these only the
+ * first where more than two data centres have one. A daemon relies on them
  * only while two of them have heard the store lately, since one alone may be cut off from it
  * silently; else it watches for itself. Safe for use by several threads.
  */
@@ -20,7 +21,13 @@
 
   private final Map<DataCentreId, Heard> heard = new HashMap<>();
 
-  private record Heard(LinkMessage.Standing standing, long at) {}
+  private record Heard(LinkMessage.Standing standing, long at) {
+
+    private boolean isFresh(Topic topic, long now) {
+      LinkMessage.StoreView view = topic.of(standing);
+      return view.ageMs() >= 0 && view.ageMs() + now - at <= topic.freshMs();
+    }
+  }
 
   /** Names what a daemon takes from the store. */
   enum Topic {
@@ -78,15 +85,22 @@
     heard.remove(dataCentre);
   }
 
-  /** Returns whether enough coordinators know a topic well. */
+  /** Returns whether enough coordinators know a topic well for a daemon to rely on them. */
   synchronized boolean areFresh(Topic topic, long now) {
-    int witnesses = 0;
-    for (Heard one : heard.values()) {
-      LinkMessage.StoreView view = topic.of(one.standing());
-      boolean fresh = view.ageMs() >= 0 && view.ageMs() + now - one.at() <= topic.freshMs();
-      witnesses += fresh ? 1 : 0;
-    }
-    return witnesses >= WITNESSES;
+    return heard.values().stream().filter(one -> one.isFresh(topic, now)).count() >= WITNESSES;
+  }
+
+  /**
+   * Returns whether enough coordinators know a topic well for another coordinator to rely on them:
+   * those of data centres whose names come before its own. So the first ones always watch, and two
+   * never rest because of each other.
+   */
+  synchronized boolean areFreshBefore(DataCentreId coordinators, Topic topic, long now) {
+    return heard.entrySet().stream()
+            .filter(one -> one.getKey().compareTo(coordinators) < 0)
+            .filter(one -> one.getValue().isFresh(topic, now))
+            .count()
+        >= WITNESSES;
   }
 
   /** Returns the newest revision of a topic that any coordinator knows; 0 if none. */
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/RelayedViewsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/RelayedViewsTest.java
@@ -88,4 +88,28 @@
       assertThat(views.areFresh(Topic.RELEASES, 0)).isFalse();
     }
   }
+
+  /**
+   * Four data centres have coordinators, and each watch is a call that is paid for. If each rested
+   * because it hears the others, all would rest and nobody would hear the store.
+   */
+  @Test
+  void coordinatorsRestOnlyBecauseOfThoseBeforeThem() {
+    heard(NORTH, 100, 0);
+    heard(SOUTH, 100, 0);
+    heard(WEST, 100, 0);
+
+    assertThat(views.areFreshBefore(WEST, Topic.ENDPOINTS, 0)).isTrue();
+    assertThat(views.areFreshBefore(SOUTH, Topic.ENDPOINTS, 0)).isFalse();
+    assertThat(views.areFreshBefore(NORTH, Topic.ENDPOINTS, 0)).isFalse();
+  }
+
+  @Test
+  void coordinatorWatchesAgainOnceOneBeforeItIsLost() {
+    heard(NORTH, 100, 0);
+    heard(SOUTH, 100, 0);
+    views.lost(NORTH);
+
+    assertThat(views.areFreshBefore(WEST, Topic.ENDPOINTS, 0)).isFalse();
+  }
 }
