A request waits at the data centre whose turn comes first, and its search is an object of its own

Cause: a request that found all data centres full waited at the one that was asked last, the dearest; one that had waited 800 ms for anything before was refused NO_ENDPOINT at its next search; after asking for a second copy nothing was ever loaded for it again; and one that waited at a coordinator that was lost waited in vain. Data centres tell when a turn would come, the choice weighs that against a transfer elsewhere (EndpointChooser.Loadable), and AdapterSearch keeps what was asked and answered. A request that may have run no longer ends as "not run" there.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -27,10 +27,10 @@
    *
    * @param dataCentre where
    * @param another whether there is a copy already, at an endpoint that is far behind
-   * @param last whether no other data centre has an engine that could take the adapter
+   * @param waits whether the data centre had no place, so that the request waits there for its turn
    * @param expectedMs the expected time from the order until the answer begins, in milliseconds
    */
-  record RequestLoad(DataCentreId dataCentre, boolean another, boolean last, long expectedMs)
+  record RequestLoad(DataCentreId dataCentre, boolean another, boolean waits, long expectedMs)
       implements Choice {}
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -482,19 +482,16 @@
   private void need(FrameChannel channel, LinkMessage.Need need, long now) {
     askers.asked(need.adapter(), channel, now);
     RequestSize size = new RequestSize(need.promptTokens(), need.outputTokens());
+    WaitingNeeds.Wish wish =
+        new WaitingNeeds.Wish(
+            need.adapter(), need.version(), size, now + need.inTimeMs(), now + need.waitMs());
     Need result =
         need.waitMs() > 0
-            ? waiting.needOrWait(
-                new WaitingNeeds.Wish(
-                    need.adapter(),
-                    need.version(),
-                    size,
-                    now + need.inTimeMs(),
-                    now + need.waitMs()),
-                now)
+            ? waiting.needOrWait(wish, now)
             : plan.need(need.adapter(), need.version(), need.another(), size, now);
-    if (result instanceof Need.NoRoom noRoom) {
-      channel.send(LinkFrames.encode(new LinkMessage.NoRoom(need.adapter(), noRoom.comeBackMs())));
+    if (result instanceof Need.NoRoom) {
+      channel.send(
+          LinkFrames.encode(new LinkMessage.NoRoom(need.adapter(), waiting.turnMs(wish, now))));
     }
     work(now);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.gateway.request.Generation;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
 
@@ -21,7 +22,7 @@
  * have to be weighed in one unit. The unit is milliseconds. Instances hold no state and are safe
  * for use by several threads.
  */
-final class EndpointChooser {
+public final class EndpointChooser {
 
   /**
    * What another data centre costs, in milliseconds: the way there and back, and as much again for
@@ -64,21 +65,21 @@
    * @param generation what is to be generated
    * @param tokensPerMs how fast engines read prompts, in tokens a millisecond
    * @param remainingMs how long the caller waits, in milliseconds
-   * @param loadable data centres where an adapter can be ordered, the nearest first
+   * @param loadable where an adapter can be ordered
    */
   Choice forGeneration(
       List<Candidate> candidates,
       Generation generation,
       double tokensPerMs,
       long remainingMs,
-      List<DataCentreId> loadable) {
-    Optional<DataCentreId> home = home(generation, loadable);
-    ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, home);
+      Loadable loadable) {
+    Optional<DataCentreId> home = home(generation, loadable.dataCentres());
+    ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, home) + loadable.turnMs(c);
     ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
     Comparator<Candidate> cheapest = Comparator.comparingDouble(cost);
     Optional<Candidate> holder = candidates.stream().filter(Candidate::holds).min(cheapest);
     List<Candidate> others =
-        candidates.stream().filter(c -> !c.holds() && loadable.contains(c.dataCentre())).toList();
+        candidates.stream().filter(c -> !c.holds() && loadable.has(c.dataCentre())).toList();
     Optional<Candidate> other =
         others.stream()
             .min(
@@ -87,14 +88,12 @@
       return other.isEmpty()
           ? noEndpoint()
           : loadOrRefuse(
-              other.get(),
-              expectedMs(other.get(), generation, tokensPerMs),
-              remainingMs,
-              isOnlyDataCentre(others));
+              other.get(), loadable, expectedMs(other.get(), generation, tokensPerMs), remainingMs);
     }
     double beginMs = beginMs(holder.get(), generation, tokensPerMs);
     boolean otherIsBetter =
         other.isPresent()
+            && !loadable.isFull(other.get())
             && cost.applyAsDouble(holder.get())
                 > cost.applyAsDouble(other.get())
                     + loadCost.applyAsDouble(other.get())
@@ -134,19 +133,39 @@
   }
 
   private static Choice loadOrRefuse(
-      Candidate best, long expectedMs, long remainingMs, boolean last) {
-    return expectedMs > remainingMs
-        ? tooLate((double) expectedMs, remainingMs)
-        : new Choice.RequestLoad(best.dataCentre(), false, last, expectedMs);
+      Candidate best, Loadable loadable, long expectedMs, long remainingMs) {
+    long withTurnMs = expectedMs + loadable.turnMs(best);
+    return withTurnMs > remainingMs
+        ? tooLate((double) withTurnMs, remainingMs)
+        : new Choice.RequestLoad(best.dataCentre(), false, loadable.isFull(best), expectedMs);
   }
 
   /**
-   * Counts by engines and not by coordinators: a data centre whose engines are all down may still
-   * have its coordinator, and a request that held out for it would never wait for its turn at the
-   * others but be refused.
+   * Where an adapter can be ordered.
+   *
+   * @param dataCentres the data centres, the nearest first
+   * @param turnsMs when a place becomes free, in milliseconds, at those that have none now: waiting
+   *     a moment for an engine that keeps the adapter may be better than a transfer elsewhere
    */
-  private static boolean isOnlyDataCentre(List<Candidate> candidates) {
-    return candidates.stream().map(Candidate::dataCentre).distinct().count() == 1;
+  public record Loadable(List<DataCentreId> dataCentres, Map<DataCentreId, Long> turnsMs) {
+
+    /** Copies both. */
+    public Loadable {
+      dataCentres = List.copyOf(dataCentres);
+      turnsMs = Map.copyOf(turnsMs);
+    }
+
+    private boolean has(DataCentreId dataCentre) {
+      return dataCentres.contains(dataCentre);
+    }
+
+    private boolean isFull(Candidate candidate) {
+      return turnsMs.containsKey(candidate.dataCentre());
+    }
+
+    private long turnMs(Candidate candidate) {
+      return turnsMs.getOrDefault(candidate.dataCentre(), 0L);
+    }
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -117,7 +117,7 @@
   }
 
   /** Chooses what to do with a request now. */
-  public synchronized Choice choose(Demand demand, List<DataCentreId> loadable, long now) {
+  public synchronized Choice choose(Demand demand, EndpointChooser.Loadable loadable, long now) {
     List<Candidate> candidates = candidates(demand, now, true);
     if (candidates.isEmpty()) {
       // With nothing else left, one that failed before is better than a refusal.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -240,7 +240,11 @@
                       node.heard(dataCentre, standing);
                       views.heard(dataCentre, standing, clock.millis());
                     };
-                Runnable lost = () -> views.lost(dataCentre);
+                Runnable lost =
+                    () -> {
+                      views.lost(dataCentre);
+                      waiting.lost(dataCentre);
+                    };
                 links.add(
                     new CoordinatorLink(
                         self, dataCentre, directory, io, new Placed(), heard, lost));
@@ -279,7 +283,10 @@
     feed.start();
   }
 
-  /** The coordinators, for all but the first of themselves; they push endpoints, so that none is fetched. */
+  /**
+   * The coordinators, for all but the first of themselves; they push endpoints, so that none is
+   * fetched.
+   */
   private StoreFeed.Relay relay(RelayedViews.Topic topic) {
     return new StoreFeed.Relay() {
       @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/RelayedViews.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/RelayedViews.java
@@ -10,9 +10,9 @@
  *
  * <p>Every watch of a daemon is a call that is paid for, and brings every heartbeat of every
  * endpoint: at 79 daemons 116 calls a second. Coordinators watch for all, and of these only the
- * first where more than two data centres have one. A daemon relies on them
- * only while two of them have heard the store lately, since one alone may be cut off from it
- * silently; else it watches for itself. Safe for use by several threads.
+ * first where more than two data centres have one. A daemon relies on them only while two of them
+ * have heard the store lately, since one alone may be cut off from it silently; else it watches for
+ * itself. Safe for use by several threads.
  */
 final class RelayedViews {
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
@@ -96,7 +96,7 @@
   }
 
   /** Returns when the turn of a new wish would come, in milliseconds. */
-  private long turnMs(Wish wish, long now) {
+  long turnMs(Wish wish, long now) {
     long ahead = wishes.values().stream().filter(other -> goesBefore(other, wish, now)).count();
     long inTimeMs = turns.expectedMs((int) ahead, plan.places(), now);
     if (now + inTimeMs <= wish.inTimeUntil()) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.Demand;
+import io.sequoiapass.gateway.process.EndpointChooser;
 import io.sequoiapass.gateway.process.EndpointGroup;
 import io.sequoiapass.gateway.process.RepeatBudget;
 import io.sequoiapass.gateway.process.Target;
@@ -20,7 +21,6 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -51,9 +51,6 @@
   /** A connection to an endpoint is given this long beyond the deadline, in milliseconds. */
   private static final long CALL_SLACK_MS = 300;
 
-  /** How long nobody may have brought the adapter before the caller is refused, in milliseconds. */
-  private static final long PLACING_MS = 800;
-
   /** How long another copy may take to be placed before the request goes to the one there is. */
   private static final long COPY_PLACING_MS = 60;
 
@@ -83,18 +80,13 @@
   private Future<?> deadlineTimer;
   private Future<?> waitTimer;
   private Future<?> patienceTimer;
-  private final Set<DataCentreId> full = new HashSet<>();
-  private long fullComeBackMs;
-  private DataCentreId asked;
-  private boolean askedForCopy;
+  private final AdapterSearch search = new AdapterSearch();
   private long firstAt;
   private long lastAt;
   private long longestPauseMs;
   private RelayAttempt attempt;
   private int sends;
   private int runs;
-  private long waitingSince;
-  private long placingMs = PLACING_MS;
   private boolean waiting;
   private final WaitTimes waits = new WaitTimes();
   private boolean answering;
@@ -164,13 +156,17 @@
    * Hears that a data centre cannot bring the adapter now. One that this request did not ask says
    * nothing about its turn elsewhere.
    */
-  synchronized void noRoom(DataCentreId dataCentre, long comeBackMs) {
-    if (!waiting || over || !dataCentre.equals(asked)) {
-      return;
+  synchronized void noRoom(DataCentreId dataCentre, long turnMs) {
+    if (waiting && !over && search.noRoom(dataCentre, turnMs)) {
+      dispatch();
+    }
+  }
+
+  /** Hears that a coordinator is lost: whoever waits there for a turn would wait in vain. */
+  synchronized void coordinatorLost(DataCentreId dataCentre) {
+    if (waiting && !over && search.lost(dataCentre)) {
+      dispatch();
     }
-    full.add(asked);
-    fullComeBackMs = comeBackMs;
-    dispatch();
   }
 
   private void dispatch() {
@@ -181,60 +177,54 @@
       giveUp();
       return;
     }
+    search.closeOverdue(now);
     Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
-    Choice choice = group.choose(demand, loadable(), now);
+    EndpointChooser.Loadable loadable =
+        new EndpointChooser.Loadable(search.open(context.adapters().loadable()), search.turns());
+    Choice choice = group.choose(demand, loadable, now);
     if (choice instanceof Choice.Send send) {
+      search.found();
       send(send, demand, now);
     } else if (choice instanceof Choice.AwaitLoad load) {
+      search.found();
       await(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, now);
     } else if (choice instanceof Choice.Refuse refusal) {
-      refuseOrFail(full.isEmpty() ? refusal : orFull(refusal));
+      refuseOrFail(orFull(refusal));
     }
   }
 
   /** Where only full data centres are left, their word says more than that there is no endpoint. */
   private Choice.Refuse orFull(Choice.Refuse refusal) {
-    return refusal.kind() == ErrorKind.NO_ENDPOINT && fullComeBackMs > 0
-        ? new Choice.Refuse(ErrorKind.OVERLOADED, fullComeBackMs)
+    return refusal.kind() == ErrorKind.NO_ENDPOINT && search.comeBackMs() > 0
+        ? new Choice.Refuse(ErrorKind.OVERLOADED, search.comeBackMs())
         : refusal;
   }
 
-  /** Data centres that may still bring the adapter; one that had no room is not asked again. */
-  private List<DataCentreId> loadable() {
-    return askedForCopy
-        ? List.of()
-        : context.adapters().loadable().stream().filter(dc -> !full.contains(dc)).toList();
-  }
-
   private void requestLoad(Choice.RequestLoad load, long now) {
-    Generation generation = facts.generation().orElseThrow();
-    askedForCopy = load.another();
-    boolean tooLong = waitingSince != 0 && now - waitingSince >= placingMs;
-    // The last data centre that is left is asked to keep a turn.
     long waitedMs = now - arrivedAt;
     long waitMs =
-        load.last() ? Patience.forPlaceMs(route, waitedMs, deadlineAt - now, load.expectedMs()) : 0;
+        load.waits()
+            ? Patience.forPlaceMs(route, waitedMs, deadlineAt - now, load.expectedMs())
+            : 0;
     long inTimeMs = Patience.loadInTimeMs(route, waitedMs, load.expectedMs());
-    LoadWish wish = new LoadWish(generation, load.another(), inTimeMs, waitMs);
-    if (tooLong || !context.adapters().need(load.dataCentre(), wish)) {
-      full.add(load.dataCentre());
-      refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
+    LoadWish wish =
+        new LoadWish(facts.generation().orElseThrow(), load.another(), inTimeMs, waitMs);
+    search.ask(load, waitMs, now);
+    boolean hopeless = load.waits() && waitMs == 0;
+    if (hopeless || !context.adapters().need(load.dataCentre(), wish)) {
+      search.close();
+      dispatch();
       return;
     }
-    asked = load.dataCentre();
-    placingMs = Math.max(PLACING_MS, waitMs);
-    await(WaitTimes.Kind.PLACE, now, load.another() ? COPY_PLACING_MS : placingMs);
+    await(WaitTimes.Kind.PLACE, now, load.another() ? COPY_PLACING_MS : search.overdueAt() - now);
   }
 
   private void await(WaitTimes.Kind what, long now, long waitMs) {
     waits.begin(what, now);
     adapter.ifPresent(name -> context.waiting().add(name, this));
     waiting = true;
-    if (waitingSince == 0) {
-      waitingSince = now;
-    }
     rest(waitMs);
   }
 
@@ -257,7 +247,7 @@
     Optional<Target> target = group.target(endpoint, demand, now);
     Optional<EndpointGroup.Ticket> ticket = group.begin(endpoint, demand, now);
     if (target.isEmpty() || ticket.isEmpty()) {
-      refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
+      refuseOrFail(new Choice.Refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS));
       return;
     }
     if (sends > 0 && (sends >= MAX_SENDS || !budget.take(now))) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/Waiting.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/Waiting.java
@@ -45,6 +45,18 @@
     waitingFor(adapter).forEach(request -> request.noRoom(dataCentre, comeBackMs));
   }
 
+  /**
+   * Tells all requests that a data centre's coordinator is no longer heard.
+   *
+   * @param dataCentre the data centre
+   */
+  public void lost(DataCentreId dataCentre) {
+    requests.values().stream()
+        .flatMap(Set::stream)
+        .toList()
+        .forEach(request -> request.coordinatorLost(dataCentre));
+  }
+
   private List<RelayedRequest> waitingFor(AdapterName adapter) {
     return List.copyOf(requests.getOrDefault(adapter, Set.of()));
   }
--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
@@ -0,0 +1,89 @@
+package io.sequoiapass.gateway.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.gateway.process.Choice;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A caller's adapter is nowhere, and places become free only now and then. Its request goes from
+ * one data centre to the next, and what one says must not be taken for the word of another.
+ */
+class AdapterSearchTest {
+
+  private static final DataCentreId NORTH = new DataCentreId("north");
+  private static final DataCentreId SOUTH = new DataCentreId("south");
+  private static final List<DataCentreId> BOTH = List.of(NORTH, SOUTH);
+
+  private final AdapterSearch search = new AdapterSearch();
+
+  private static Choice.RequestLoad load(DataCentreId dataCentre, boolean waits) {
+    return new Choice.RequestLoad(dataCentre, false, waits, 300);
+  }
+
+  @Test
+  void fullDataCentreStaysOpenForItsTurn() {
+    search.ask(load(NORTH, false), 0, 100);
+
+    assertThat(search.noRoom(NORTH, 250)).isTrue();
+    assertThat(search.open(BOTH)).containsExactly(NORTH, SOUTH);
+    assertThat(search.turns()).containsEntry(NORTH, 250L);
+    assertThat(search.comeBackMs()).isEqualTo(250);
+  }
+
+  @Test
+  void dataCentreThatDoesNotKeepItsTurnIsClosed() {
+    search.ask(load(NORTH, true), 900, 100);
+    search.noRoom(NORTH, 1_500);
+
+    assertThat(search.open(BOTH)).containsExactly(SOUTH);
+  }
+
+  @Test
+  void wordOfOneThatWasNotAskedChangesNothing() {
+    search.ask(load(NORTH, true), 900, 100);
+
+    assertThat(search.noRoom(SOUTH, 250)).isFalse();
+    assertThat(search.lost(SOUTH)).isFalse();
+    assertThat(search.open(BOTH)).containsExactly(NORTH, SOUTH);
+  }
+
+  @Test
+  void silentDataCentreIsNotWaitedForLongerThanAnAnswerTakes() {
+    search.ask(load(NORTH, false), 0, 100);
+    search.closeOverdue(500);
+    assertThat(search.open(BOTH)).contains(NORTH);
+
+    search.closeOverdue(1_000);
+    assertThat(search.open(BOTH)).containsExactly(SOUTH);
+  }
+
+  /** A wait for the adapter's arrival long ago is no reason to take the next order for overdue. */
+  @Test
+  void eachSearchHasItsOwnTime() {
+    search.ask(load(NORTH, false), 0, 100);
+    search.found();
+    search.closeOverdue(2_000);
+    search.ask(load(SOUTH, false), 0, 2_000);
+    search.closeOverdue(2_300);
+
+    assertThat(search.open(BOTH)).containsExactly(NORTH, SOUTH);
+  }
+
+  @Test
+  void lostCoordinatorIsClosed() {
+    search.ask(load(SOUTH, true), 2_000, 100);
+
+    assertThat(search.lost(SOUTH)).isTrue();
+    assertThat(search.open(BOTH)).containsExactly(NORTH);
+  }
+
+  @Test
+  void whileACopyIsAskedForNothingElseIsLoaded() {
+    search.ask(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
+
+    assertThat(search.open(BOTH)).isEmpty();
+  }
+}
