An adapter that leaves later blocks no orders to its engine

Now only that place stays taken until a report shows it free; another adapter makes way for the load, or it is given up and its callers look elsewhere at once.

Ruled out: the time of orders itself (2 to 5 ms), lost orders (55 ms). Tests: PlacementPlanTest.AdapterThatLeavesLater; 300 random plays with runs that end at any time never fill an engine beyond its places.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -265,8 +265,8 @@
     } else {
       placements.placements().forEach(placement -> place(placement, now));
     }
+    // Those that wait for an adapter which will not come after all look elsewhere, too.
     placements.placements().stream()
-        .filter(placement -> placement.readyInMs() >= 0)
         .map(LinkMessage.Placement::adapter)
         .distinct()
         .forEach(listener::placed);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -219,9 +219,7 @@
     EndpointId id = endpoint.entry.endpoint();
     if (!PlaceChooser.hasFreePlace(endpoint) && !endpoint.copies.containsKey(adapter)) {
       AdapterName victim = places.victim(endpoint, now).orElseThrow();
-      endpoint.copies.get(victim).state = PlannedEndpoint.State.LEAVING;
-      endpoint.steps.add(step(EndpointOrder.Type.UNLOAD, victim, OptionalLong.empty()));
-      news.gone(id, victim);
+      endpoint.steps.add(leave(endpoint, victim));
     }
     boolean replaces = endpoint.copies.containsKey(adapter);
     long takesMs = loads.plannedMs(!replaces && endpoint.kept.isKept(adapter), now);
@@ -233,6 +231,12 @@
     tell(id, adapter, now);
   }
 
+  private PlannedEndpoint.Step leave(PlannedEndpoint endpoint, AdapterName victim) {
+    endpoint.copies.get(victim).state = PlannedEndpoint.State.LEAVING;
+    news.gone(endpoint.entry.endpoint(), victim);
+    return step(EndpointOrder.Type.UNLOAD, victim, OptionalLong.empty());
+  }
+
   private static PlannedEndpoint.Step step(
       EndpointOrder.Type type, AdapterName adapter, OptionalLong version) {
     return new PlannedEndpoint.Step(type, adapter.model(), Optional.of(adapter.adapter()), version);
@@ -286,11 +290,13 @@
   List<EndpointEntry> toAsk(long now) {
     List<EndpointEntry> toAsk = new ArrayList<>();
     for (PlannedEndpoint endpoint : endpoints.values()) {
-      if (!endpoint.synced
-          && !endpoint.asking
-          && !endpoint.ordering
-          && now >= endpoint.quietUntil) {
+      boolean due =
+          endpoint.synced
+              ? endpoint.hasLeavers() && now >= endpoint.askLeaversAt
+              : !endpoint.ordering && now >= endpoint.quietUntil;
+      if (due && !endpoint.asking) {
         endpoint.asking = true;
+        endpoint.askingForLeavers = endpoint.synced;
         toAsk.add(endpoint.entry);
       }
     }
@@ -304,6 +310,11 @@
       return;
     }
     endpoint.asking = false;
+    if (endpoint.askingForLeavers) {
+      report.ifPresent(endpoint::dropLeft);
+      endpoint.askLeaversAt = now + REPORT_LAG_MS;
+      return;
+    }
     if (report.isEmpty() || report.get().busy() || isOlderThanModel(endpoint, report.get(), now)) {
       endpoint.quietUntil = now + (endpoint.modelsKnownUntil > now ? MODEL_ASK_MS : REPORT_LAG_MS);
       return;
@@ -348,7 +359,7 @@
                           Optional.empty(),
                           OptionalLong.empty())));
     }
-    PlannedEndpoint.Step step = endpoint.steps.peek();
+    PlannedEndpoint.Step step = nextStep(endpoint, now);
     if (step == null) {
       return Optional.empty();
     }
@@ -366,6 +377,37 @@
             endpoint.sequence));
   }
 
+  /**
+   * An adapter that was to make way may have got a request meanwhile, and then leaves only once
+   * that has ended. Loaded all the same, the one that comes would go beyond the engine's places and
+   * crash it; another makes way for it, or it is given up and its callers look elsewhere.
+   */
+  private PlannedEndpoint.Step nextStep(PlannedEndpoint endpoint, long now) {
+    PlannedEndpoint.Step step = endpoint.steps.peek();
+    while (step != null && lacksPlace(endpoint, step)) {
+      Optional<AdapterName> victim = places.victim(endpoint, now);
+      if (victim.isPresent()) {
+        endpoint.steps.addFirst(leave(endpoint, victim.get()));
+      } else {
+        endpoint.steps.poll();
+        AdapterName givenUp = step.name().orElseThrow();
+        endpoint.copies.remove(givenUp);
+        news.gone(endpoint.entry.endpoint(), givenUp);
+      }
+      step = endpoint.steps.peek();
+    }
+    return step;
+  }
+
+  private static boolean lacksPlace(PlannedEndpoint endpoint, PlannedEndpoint.Step step) {
+    if (step.type() != EndpointOrder.Type.LOAD || step.name().isEmpty()) {
+      return false;
+    }
+    PlannedEndpoint.Copy copy = endpoint.copies.get(step.name().get());
+    boolean newPlace = copy != null && !copy.replaces;
+    return newPlace && endpoint.taken() >= endpoint.engine.adapterSlots();
+  }
+
   /** An engine without any base model serves nothing; it gets the one that is held least. */
   private Optional<ModelSpec> missingModel(PlannedEndpoint endpoint, long now) {
     Optional<ModelSpec> missing =
@@ -431,7 +473,8 @@
         endpoint.copies.remove(name);
       } else {
         // It waits for its runs; the place is free only once a report shows so.
-        resync(endpoint, now);
+        endpoint.copies.get(name).leavesWith = endpoint.sequence;
+        endpoint.askLeaversAt = now + REPORT_LAG_MS;
       }
       return;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -28,6 +28,8 @@
   long sequence;
   boolean synced;
   boolean asking;
+  boolean askingForLeavers;
+  long askLeaversAt;
   boolean ordering;
   int unanswered;
   long quietUntil;
@@ -59,6 +61,9 @@
     long toldReadyAt;
     boolean replaces;
 
+    /** The engine's count of orders when it agreed to drop it; negative if it has not. */
+    long leavesWith = -1;
+
     /** Whether a daemon has told of a request that uses it. */
     boolean used;
 
@@ -116,6 +121,10 @@
     long ready = known == null ? readyAt : known.readyAt;
     Copy copy = new Copy(version, State.HELD, ready, lastUsed);
     copy.used = known == null || known.used;
+    if (known != null && known.leavesWith >= 0) {
+      copy.state = State.LEAVING;
+      copy.leavesWith = known.leavesWith;
+    }
     copies.put(name, copy);
     kept.held(name);
   }
@@ -126,6 +135,40 @@
     synced = false;
   }
 
+  /** Returns how many places are taken, those included that are being left. */
+  int taken() {
+    int taken = 0;
+    for (Copy copy : copies.values()) {
+      taken += copy.state != State.PLANNED || copy.replaces ? 1 : 0;
+    }
+    return taken;
+  }
+
+  /** Returns whether an adapter that was ordered to leave still waits for its runs. */
+  boolean hasLeavers() {
+    return copies.values().stream().anyMatch(copy -> copy.leavesWith >= 0);
+  }
+
+  /** Takes from a report which of those that were ordered to leave have left. */
+  void dropLeft(EndpointReport report) {
+    Set<AdapterName> held = new HashSet<>();
+    report
+        .models()
+        .forEach(
+            model ->
+                model
+                    .adapters()
+                    .keySet()
+                    .forEach(adapter -> held.add(new AdapterName(model.model(), adapter))));
+    copies
+        .entrySet()
+        .removeIf(
+            copy ->
+                copy.getValue().leavesWith >= 0
+                    && copy.getValue().leavesWith <= report.sequence()
+                    && !held.contains(copy.getKey()));
+  }
+
   int coming(long now) {
     int coming = 0;
     for (Copy copy : copies.values()) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -20,10 +20,12 @@
 import io.sequoiapass.gateway.version.EngineSpec;
 import io.sequoiapass.gateway.version.ModelSpec;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -44,6 +46,8 @@
   private static final class FakeEngine {
 
     private final Map<AdapterName, Long> held = new HashMap<>();
+    private final Set<AdapterName> running = new HashSet<>();
+    private final Set<AdapterName> leaving = new HashSet<>();
     private long sequence;
     private boolean hasModel = true;
 
@@ -58,6 +62,10 @@
       }
       AdapterName name = new AdapterName(order.model(), order.adapter().get());
       if (order.type() == EndpointOrder.Type.UNLOAD) {
+        if (running.contains(name)) {
+          leaving.add(name);
+          return OrderResult.ACCEPTED;
+        }
         held.remove(name);
         return OrderResult.DONE;
       }
@@ -66,6 +74,13 @@
       return OrderResult.ACCEPTED;
     }
 
+    void runEnds(AdapterName name) {
+      running.remove(name);
+      if (leaving.remove(name)) {
+        held.remove(name);
+      }
+    }
+
     EndpointReport report() {
       Map<AdapterId, Long> adapters = new HashMap<>();
       held.forEach((name, version) -> adapters.put(name.adapter(), version));
@@ -186,6 +201,73 @@
     }
   }
 
+  /**
+   * An adapter is to make way, and gets a request of another daemon just then: the engine agrees,
+   * and drops it once the request has ended. The load that was to take its place would go beyond
+   * the engine's places and crash it; asked what it holds first, the engine would get no orders for
+   * most of a second, and all that was planned for it would be given up.
+   */
+  @Nested
+  class AdapterThatLeavesLater {
+
+    private static final long NOW = 9_000;
+
+    @BeforeEach
+    void theOneThatMakesWayHasARun() {
+      for (int i = 1; i <= PLACES; i++) {
+        load(i, i * 1_000L);
+      }
+      engine.running.add(adapter(1));
+      assertThat(plan.need(adapter(9), 1, false, SIZE, NOW)).isInstanceOf(Need.Coming.class);
+    }
+
+    @Test
+    void anotherMakesWayAtOnce() {
+      carryOutAll(NOW);
+
+      assertThat(engine.held).containsKeys(adapter(1), adapter(9)).hasSize(PLACES);
+    }
+
+    @Test
+    void loadIsGivenUpAndToldIfNothingElseCanMakeWay() {
+      List<Activity.Use> uses =
+          List.of(2, 3, 4).stream().map(i -> new Activity.Use(adapter(i), 1, 1)).toList();
+      plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), NOW);
+      plan.takeNews();
+      carryOutAll(NOW);
+
+      assertThat(engine.held).doesNotContainKey(adapter(9)).hasSize(PLACES);
+      assertThat(plan.takeNews())
+          .filteredOn(placement -> placement.adapter().equals(adapter(9)))
+          .extracting(Placement::readyInMs)
+          .containsExactly(-1L);
+    }
+
+    @Test
+    void itsPlaceIsUsedOnceAReportShowsThatItHasLeft() {
+      carryOutAll(NOW);
+      engine.runEnds(adapter(1));
+      answerReports(NOW + 1_000);
+      load(10, NOW + 1_001);
+
+      assertThat(engine.held).containsKeys(adapter(9), adapter(10)).hasSize(PLACES);
+    }
+
+    @Test
+    void reportFromBeforeTheOrderDoesNotShowIt() {
+      EndpointReport before = engine.report();
+      carryOutAll(NOW);
+      assertThat(plan.toAsk(NOW + 1_000)).hasSize(1);
+      plan.asked(
+          ENGINE,
+          Optional.of(new EndpointReport(List.of(), Map.of(), false, before.sequence())),
+          NOW + 1_000);
+      load(10, NOW + 1_001);
+
+      assertThat(engine.held).hasSize(PLACES);
+    }
+  }
+
   /**
    * An order gets no answer and the engine carries it out seconds later, after newer orders.
    * Without the number of accepted orders in each order the engine would be filled beyond its
@@ -221,12 +303,19 @@
     @Test
     void neverFillsAnEngineBeyondItsPlaces() {
       for (long seed = 0; seed < 200; seed++) {
-        playLostAndLateOrders(new Random(seed));
+        playLostAndLateOrders(new Random(seed), false);
+      }
+    }
+
+    @Test
+    void neverFillsAnEngineWhoseAdaptersLeaveLater() {
+      for (long seed = 1_000; seed < 1_300; seed++) {
+        playLostAndLateOrders(new Random(seed), true);
       }
     }
 
     /** The engine itself checks its places at each order. */
-    private void playLostAndLateOrders(Random random) {
+    private void playLostAndLateOrders(Random random, boolean runs) {
       PlacementPlan fresh =
           new PlacementPlan(versions, new ModelLoads(5_000, 1), new LoadTime(calmStore()));
       FakeEngine other = new FakeEngine();
@@ -236,6 +325,9 @@
         long at = now;
         fresh.toAsk(now).forEach(e -> fresh.asked(e.endpoint(), Optional.of(other.report()), at));
         fresh.need(adapter(random.nextInt(12)), 1, false, SIZE, now);
+        if (runs) {
+          beginOrEndARun(other, random);
+        }
         Optional<EndpointOrder> order = fresh.nextOrder(ENGINE, DAEMON, 7, now);
         if (order.isPresent()) {
           double draw = random.nextDouble();
@@ -256,6 +348,15 @@
       }
       assertThat(other.sequence).as("orders accepted").isGreaterThan(20);
     }
+
+    private void beginOrEndARun(FakeEngine other, Random random) {
+      AdapterName name = adapter(random.nextInt(12));
+      if (other.running.contains(name)) {
+        other.runEnds(name);
+      } else if (other.held.containsKey(name) && !other.leaving.contains(name)) {
+        other.running.add(name);
+      }
+    }
   }
 
   /**
