The coordinator's plan uses the reading speed that its daemon learned

A constant of 38 tokens a millisecond, the speed of the first two sites' engines, stood in the plan; this customer's read 30.6, a third of them slower. Each engine's learned speed goes to the plan with its entry.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -226,6 +226,7 @@
                     if (plan.observe(entry, engine, now)) {
                       plan.recall(entry.endpoint(), group.heldLately(entry.endpoint()));
                     }
+                    plan.learned(entry.endpoint(), group.tokensPerMs(entry.endpoint(), now));
                   }
                 }
               });
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -37,7 +37,7 @@
       new HealthSettings(2, 400, 4_000, 4_000, 4, 0.25, 0.34);
 
   /** Reading speed of engines until it is learned, in tokens a millisecond. */
-  private static final double FIRST_TOKENS_PER_MS = 25;
+  static final double FIRST_TOKENS_PER_MS = 25;
 
   /** Time of a plain call until it is learned, in milliseconds. */
   private static final double FIRST_SERVICE_MS = 60;
@@ -242,6 +242,12 @@
     return serviceMs.value();
   }
 
+  /** How fast an engine reads prompts, in tokens a millisecond. */
+  synchronized double tokensPerMs(EndpointId endpoint, long now) {
+    EndpointState state = endpoints.get(endpoint);
+    return tokensPerMs.value() / (state == null ? 1 : state.slowness.value(now));
+  }
+
   /** Replaces what is known of an endpoint's adapters by its coordinator's word. */
   synchronized void replaceCopies(
       EndpointId endpoint, Map<AdapterName, EndpointState.Copy> copies) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlaceChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlaceChooser.java
@@ -42,9 +42,6 @@
    */
   private static final double TRANSFER_COST_MS = 250;
 
-  /** Reading speed that turns a backlog of prompts into time, in tokens a millisecond. */
-  private static final double TOKENS_PER_MS = 38;
-
   private final AdapterVersions versions;
   private final AdapterDemand demand;
   private final DaemonActivity activity;
@@ -88,7 +85,7 @@
             ? 0
             : victim(endpoint, now).map(name -> VICTIM_COST_MS * demand.of(name, now)).orElse(0.0);
     Load load = activity.load(endpoint.entry.endpoint());
-    return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), TOKENS_PER_MS)
+    return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), endpoint.tokensPerMs)
         + endpoint.coming(now) * COMING_COST_MS
         + victimMs
         + (endpoint.kept.isKept(adapter) ? 0 : loads.storeMs(now) + TRANSFER_COST_MS);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -115,6 +115,14 @@
     return isNew;
   }
 
+  /** Takes in how fast an engine reads prompts, in tokens a millisecond. */
+  void learned(EndpointId id, double tokensPerMs) {
+    PlannedEndpoint endpoint = endpoints.get(id);
+    if (endpoint != null) {
+      endpoint.tokensPerMs = tokensPerMs;
+    }
+  }
+
   /** Forgets the engines that are not among these. */
   void retain(Set<EndpointId> present) {
     endpoints.keySet().retainAll(present);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -26,6 +26,10 @@
   final Set<ModelId> models = new HashSet<>();
   final Deque<Step> steps = new ArrayDeque<>();
   long sequence;
+
+  /** How fast it reads prompts, in tokens a millisecond. */
+  double tokensPerMs = EndpointGroup.FIRST_TOKENS_PER_MS;
+
   boolean synced;
   boolean asking;
   boolean askingForLeavers;
