--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -105,7 +105,8 @@
     this.here = settings.dataCentre();
     this.directory = directory;
     this.plan = plan;
-    this.waiting = new WaitingNeeds(plan);
+    this.waiting =
+        new WaitingNeeds(plan, adapter -> directory.isHeldOutside(settings.dataCentre(), adapter));
     this.protocol = io.protocol();
     this.http = io.http();
     this.loop = io.loop();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -9,6 +9,7 @@
 import io.sequoiapass.gateway.spi.StoreChanges;
 import io.sequoiapass.gateway.spi.StoreList;
 import io.sequoiapass.gateway.spi.Stored;
+import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.ServingConfiguration;
 import java.util.ArrayList;
@@ -149,6 +150,12 @@
     groups.values().forEach(group -> group.setOutlook(dataCentre, outlook));
   }
 
+  /** Returns whether an endpoint outside a data centre has an adapter, or has it on its way. */
+  boolean isHeldOutside(DataCentreId dataCentre, AdapterName adapter) {
+    long now = clock.millis();
+    return groups.values().stream().anyMatch(g -> g.isHeldOutside(dataCentre, adapter, now));
+  }
+
   /** Notes that a coordinator tells what the endpoints of a data centre hold. */
   void coordinated(DataCentreId dataCentre) {
     coordinated.add(dataCentre);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -262,6 +262,13 @@
     }
   }
 
+  /** Returns whether an endpoint outside a data centre has an adapter, or has it on its way. */
+  synchronized boolean isHeldOutside(DataCentreId dataCentre, AdapterName adapter, long now) {
+    return endpoints.values().stream()
+        .filter(state -> !state.entry.dataCentre().equals(dataCentre))
+        .anyMatch(state -> state.takesWork(now) && state.copies.containsKey(adapter));
+  }
+
   /** Returns the adapters that an endpoint held lately, the last one last. */
   synchronized List<AdapterName> heldLately(EndpointId endpoint) {
     EndpointState state = endpoints.get(endpoint);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/WaitingNeeds.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Keeps the wishes for adapters that wait for a place at an engine, and gives places in turn.
@@ -26,6 +27,7 @@
 final class WaitingNeeds {
 
   private final PlacementPlan plan;
+  private final Predicate<AdapterName> isElsewhere;
   private final Turnover turns = new Turnover();
   private final Turnover lateTurns = new Turnover();
   private boolean lateWaited;
@@ -65,9 +67,15 @@
    */
   record Hopeless(AdapterName adapter, long comeBackMs) {}
 
-  /** Waits for places of a plan. */
-  WaitingNeeds(PlacementPlan plan) {
+  /**
+   * Waits for places of a plan.
+   *
+   * @param plan the plan
+   * @param isElsewhere whether another data centre has an adapter, or has it brought
+   */
+  WaitingNeeds(PlacementPlan plan, Predicate<AdapterName> isElsewhere) {
     this.plan = plan;
+    this.isElsewhere = isElsewhere;
   }
 
   /**
@@ -120,6 +128,8 @@
     if (wishes.isEmpty()) {
       return List.of();
     }
+    // Their callers have gone there; a place here would be taken for nobody.
+    wishes.keySet().removeIf(isElsewhere);
     noteLate(now);
     for (Wish wish : inTurn(now)) {
       Need need = plan.bring(wish.adapter(), wish.version(), false, wish.size(), now);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/WaitingNeedsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/WaitingNeedsTest.java
@@ -16,9 +16,11 @@
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -37,7 +39,8 @@
   private final PlacementPlan plan =
       new PlacementPlan(
           new AdapterVersions(2_500), new ModelLoads(5_000, 1), new LoadTime(calmStore()));
-  private final WaitingNeeds waiting = new WaitingNeeds(plan);
+  private final Set<AdapterName> elsewhere = new HashSet<>();
+  private final WaitingNeeds waiting = new WaitingNeeds(plan, elsewhere::contains);
 
   private static WaitingNeeds.Wish wish(int number, long inTimeUntil, long until) {
     return new WaitingNeeds.Wish(adapter(number), 1, SIZE, inTimeUntil, until);
@@ -112,6 +115,22 @@
       assertThat(placed()).containsExactly(adapter(9));
     }
 
+    /**
+     * While an adapter waits here for its turn another data centre has it brought, and its callers
+     * go there. The place that becomes free is for the next one.
+     */
+    @Test
+    void adapterThatCameElsewhereTakesNoPlace() {
+      waiting.needOrWait(wish(7, 1_500, 4_000), 1_100);
+      waiting.needOrWait(wish(8, 1_900, 4_000), 1_110);
+      elsewhere.add(adapter(7));
+      use(1_300, 1);
+      waiting.place(1_550);
+
+      assertThat(placed()).containsExactly(adapter(8));
+      assertThat(waiting.isEmpty()).isTrue();
+    }
+
     @Test
     void twoRequestsForOneAdapterTakeOnePlace() {
       waiting.needOrWait(wish(9, 1_500, 3_000), 1_100);
@@ -220,7 +239,7 @@
     private final PlacementPlan large =
         new PlacementPlan(
             new AdapterVersions(2_500), new ModelLoads(5_000, 1), new LoadTime(calmStore()));
-    private final WaitingNeeds turns = new WaitingNeeds(large);
+    private final WaitingNeeds turns = new WaitingNeeds(large, name -> false);
 
     private void uses(int from, long now) {
       List<Activity.Use> uses = new ArrayList<>();
