A request that comes back from an endpoint searches anew

Cause: what data centres had said before it was sent, and that a second copy had been asked for, still held for its next search: with its only engine lost it found none at all. Test: AdapterSearchTest.requestThatComesBackSearchesAnew.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -72,11 +72,22 @@
     asked = null;
   }
 
-  /** Notes that the adapter is somewhere now; the next time is a new search. */
+  /** Notes that the adapter is on its way; what the data centre that was asked says now is old. */
   void found() {
     asked = null;
   }
 
+  /**
+   * Notes that the request is sent. If it comes back, because its endpoint refused it or was lost,
+   * that is a new search, in which all may have changed.
+   */
+  void sent() {
+    asked = null;
+    askedForCopy = false;
+    turns.clear();
+    closed.clear();
+  }
+
   /**
    * Takes in that a data centre has no place.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -81,6 +81,7 @@
   private Future<?> waitTimer;
   private Future<?> patienceTimer;
   private final AdapterSearch search = new AdapterSearch();
+  private final WaitTimes waits = new WaitTimes();
   private long firstAt;
   private long lastAt;
   private long longestPauseMs;
@@ -88,7 +89,6 @@
   private int sends;
   private int runs;
   private boolean waiting;
-  private final WaitTimes waits = new WaitTimes();
   private boolean answering;
   private boolean over;
 
@@ -183,7 +183,7 @@
         new EndpointChooser.Loadable(search.open(context.adapters().loadable()), search.turns());
     Choice choice = group.choose(demand, loadable, now);
     if (choice instanceof Choice.Send send) {
-      search.found();
+      search.sent();
       send(send, demand, now);
     } else if (choice instanceof Choice.AwaitLoad load) {
       search.found();
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
@@ -80,6 +80,19 @@
     assertThat(search.open(BOTH)).containsExactly(NORTH);
   }
 
+  /** The only engine with the adapter is lost after a second copy was asked for. */
+  @Test
+  void requestThatComesBackSearchesAnew() {
+    search.ask(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
+    search.sent();
+    assertThat(search.open(BOTH)).containsExactly(NORTH, SOUTH);
+
+    search.ask(load(NORTH, false), 0, 200);
+    search.noRoom(NORTH, 900);
+    search.sent();
+    assertThat(search.turns()).isEmpty();
+  }
+
   @Test
   void whileACopyIsAskedForNothingElseIsLoaded() {
     search.ask(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
