--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
@@ -10,6 +10,8 @@
 /** Writes what is decided about one request to the log; under the request's lock. */
 final class RequestStory {
 
+  private static final double PERCENT = 100;
+
   private final RelayContext context;
   private final RouteSpec route;
   private final String requestId;
@@ -41,6 +43,7 @@
         .with("prefill_tokens", candidate.load().prefillTokens())
         .with("recent_tokens", candidate.load().recentTokens())
         .with("kept_tokens", candidate.keptTokens())
+        .with("slowness", Math.round(candidate.slowness() * PERCENT) / PERCENT)
         .write();
   }
 
