A request that waits goes on only once its caller's connection has been read after a standstill

New requests were guarded already (LoopPulse); waiting ones go on 2 ms later now, and once more if their timer fired 200 ms too late. Test: WakeTimeTest (the decision only; the order of a loop's reads is not played).

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -148,7 +148,7 @@
   /** Looks for an endpoint again: an adapter is there, or on its way. */
   synchronized void lookAgain() {
     if (waiting && !over) {
-      dispatch();
+      rest(WakeTime.READ_MS);
     }
   }
 
@@ -158,14 +158,14 @@
    */
   synchronized void noRoom(DataCentreId dataCentre, long turnMs) {
     if (waiting && !over && search.noRoom(dataCentre, turnMs)) {
-      dispatch();
+      rest(WakeTime.READ_MS);
     }
   }
 
   /** Hears that a coordinator is lost: whoever waits there for a turn would wait in vain. */
   synchronized void coordinatorLost(DataCentreId dataCentre) {
     if (waiting && !over && search.lost(dataCentre)) {
-      dispatch();
+      rest(WakeTime.READ_MS);
     }
   }
 
@@ -230,7 +230,19 @@
 
   private void rest(long ms) {
     cancel(waitTimer);
-    waitTimer = context.loop().schedule(this::lookAgain, ms, TimeUnit.MILLISECONDS);
+    long dueAt = context.clock().millis() + ms;
+    waitTimer = context.loop().schedule(() -> rested(dueAt), ms, TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void rested(long dueAt) {
+    if (!waiting || over) {
+      return;
+    }
+    if (WakeTime.isAfterStandstill(dueAt, context.clock().millis())) {
+      rest(WakeTime.READ_MS);
+    } else {
+      dispatch();
+    }
   }
 
   private void stopWaiting() {
