First guesses in one place, a name of its own for what notices silence, a list less

No change of behaviour: LoadOutlook's first figures are those of LoadTime, which stood there twice; process.Heard, beside a record of that name in RelayedViews, is SilenceDetector; a list that was read once is the stream it was made of.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -78,10 +78,9 @@
     ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
     Comparator<Candidate> cheapest = Comparator.comparingDouble(cost);
     Optional<Candidate> holder = candidates.stream().filter(Candidate::holds).min(cheapest);
-    List<Candidate> others =
-        candidates.stream().filter(c -> !c.holds() && loadable.has(c.dataCentre())).toList();
     Optional<Candidate> other =
-        others.stream()
+        candidates.stream()
+            .filter(c -> !c.holds() && loadable.has(c.dataCentre()))
             .min(
                 Comparator.comparingDouble(c -> cost.applyAsDouble(c) + loadCost.applyAsDouble(c)));
     if (holder.isEmpty()) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -18,7 +18,7 @@
   Load own = Load.NONE;
   final Recent recent = new Recent();
   Slowness slowness = new Slowness();
-  final Heard heard = new Heard();
+  final SilenceDetector heard = new SilenceDetector();
   Load others = Load.NONE;
   final Map<AdapterName, Copy> copies = new HashMap<>();
   final Map<AdapterName, Integer> inUse = new HashMap<>();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadOutlook.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadOutlook.java
@@ -12,5 +12,6 @@
 public record LoadOutlook(long storeMs, long memoryMs, int keptDepth) {
 
   /** What is taken to hold until a coordinator was heard. */
-  static final LoadOutlook FIRST = new LoadOutlook(255, 30, 32);
+  static final LoadOutlook FIRST =
+      new LoadOutlook(LoadTime.FIRST_STORE_MS, LoadTime.FIRST_MEMORY_MS, 32);
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
@@ -14,17 +14,17 @@
 final class LoadTime {
 
   /** Time of a load from the store until it is learned, in milliseconds. */
-  private static final double FIRST_STORE_MS = 255;
+  static final long FIRST_STORE_MS = 255;
 
   /** Time of a load from an engine's own memory until it is learned, in milliseconds. */
-  private static final double FIRST_MEMORY_MS = 30;
+  static final long FIRST_MEMORY_MS = 30;
 
   /** Doublings that are told apart: beyond a thousand loads under way all count alike. */
   private static final int DOUBLINGS = 11;
 
   private final Traffic traffic;
   private final ArrivalTime[] store = new ArrivalTime[DOUBLINGS];
-  private final ArrivalTime memory = new ArrivalTime(FIRST_MEMORY_MS);
+  private final ArrivalTime memory = new ArrivalTime((double) FIRST_MEMORY_MS);
 
   /** Tells of the loads of all data centres, which share one store. */
   interface Traffic {
@@ -35,7 +35,7 @@
 
   LoadTime(Traffic traffic) {
     this.traffic = traffic;
-    store[0] = new ArrivalTime(FIRST_STORE_MS);
+    store[0] = new ArrivalTime((double) FIRST_STORE_MS);
   }
 
   /** Returns how many loads are under way, one that begins now included. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Heard.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SilenceDetector.java
@@ -6,7 +6,7 @@
  *
  * <p>Not safe for use by several threads.
  */
-final class Heard {
+final class SilenceDetector {
 
   /** Streams that have to be silent: one alone may wait for a long prompt of its own batch. */
   private static final int LEAST_STREAMS = 2;
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/HeardTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SilenceDetectorTest.java
@@ -4,9 +4,9 @@
 
 import org.junit.jupiter.api.Test;
 
-class HeardTest {
+class SilenceDetectorTest {
 
-  private final Heard heard = new Heard();
+  private final SilenceDetector heard = new SilenceDetector();
 
   private void streams(int count, long now) {
     for (int i = 0; i < count; i++) {
