--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrail.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrail.java
@@ -78,7 +78,7 @@
   }
 
   long waitedForPlaceMs() {
-    return end.number("place_ms");
+    return end.number("slot_wait_ms");
   }
 
   long waitedForLoadMs() {
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/explain/LossReportTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/explain/LossReportTest.java
@@ -27,7 +27,7 @@
   }
 
   private static String stream(long firstMs, long pauseMs, long placeMs, long loadMs) {
-    return "\"took_ms\":2000,\"first_ms\":%d,\"pause_ms\":%d,\"place_ms\":%d,\"load_ms\":%d"
+    return "\"took_ms\":2000,\"first_ms\":%d,\"pause_ms\":%d,\"slot_wait_ms\":%d,\"load_ms\":%d"
         .formatted(firstMs, pauseMs, placeMs, loadMs);
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -5,9 +5,9 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
-import io.sequoiapass.gateway.process.Activity;
+import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
-import io.sequoiapass.gateway.process.LoadOutlook;
+import io.sequoiapass.gateway.process.LoadTimeEstimates;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -32,18 +32,18 @@
 public final class LinkFrames {
 
   private static final int HELLO = 1;
-  private static final int DOING = 2;
-  private static final int NEED = 3;
-  private static final int MISSED = 4;
-  private static final int STANDING = 5;
+  private static final int USAGE_REPORT = 2;
+  private static final int LOAD_REQUEST = 3;
+  private static final int ADAPTER_MISS = 4;
+  private static final int COORDINATOR_STATUS = 5;
   private static final int PLACEMENTS = 6;
   private static final int LOADS = 7;
-  private static final int NO_ROOM = 8;
+  private static final int LOAD_REJECTED = 8;
   private static final int ENDPOINTS = 9;
 
   private LinkFrames() {}
 
-  /** Tells that bytes are no frame of this protocol. */
+  /** Reports that bytes are no frame of this protocol. */
   public static final class FormatException extends Exception {
 
     private static final long serialVersionUID = 1L;
@@ -72,23 +72,23 @@
       out.packInt(HELLO);
       out.packString(hello.daemon().value());
       out.packString(hello.dataCentre().value());
-    } else if (message instanceof LinkMessage.Doing doing) {
-      out.packInt(DOING);
-      list(out, doing.activities(), LinkFrames::writeActivity);
-    } else if (message instanceof LinkMessage.Need need) {
-      out.packInt(NEED);
-      writeAdapter(out, need.adapter());
-      out.packLong(need.version());
-      out.packBoolean(need.another());
-      out.packLong(need.promptTokens());
-      out.packLong(need.outputTokens());
-      out.packLong(need.inTimeMs());
-      out.packLong(need.waitMs());
-    } else if (message instanceof LinkMessage.Missed missed) {
-      out.packInt(MISSED);
-      out.packString(missed.endpoint().value());
-      writeAdapter(out, missed.adapter());
-      out.packBoolean(missed.early());
+    } else if (message instanceof LinkMessage.UsageReport usage) {
+      out.packInt(USAGE_REPORT);
+      list(out, usage.activities(), LinkFrames::writeUsage);
+    } else if (message instanceof LinkMessage.LoadRequest request) {
+      out.packInt(LOAD_REQUEST);
+      writeAdapter(out, request.adapter());
+      out.packLong(request.version());
+      out.packBoolean(request.another());
+      out.packLong(request.promptTokens());
+      out.packLong(request.outputTokens());
+      out.packLong(request.inTimeMs());
+      out.packLong(request.waitMs());
+    } else if (message instanceof LinkMessage.AdapterMiss miss) {
+      out.packInt(ADAPTER_MISS);
+      out.packString(miss.endpoint().value());
+      writeAdapter(out, miss.adapter());
+      out.packBoolean(miss.early());
     } else {
       writeOfCoordinator(out, message);
     }
@@ -96,19 +96,19 @@
 
   private static void writeOfCoordinator(MessageBufferPacker out, LinkMessage message)
       throws IOException {
-    if (message instanceof LinkMessage.Standing standing) {
-      out.packInt(STANDING);
-      out.packLong(standing.epoch());
-      out.packLong(standing.revision());
-      out.packInt(standing.daemons());
-      out.packBoolean(standing.stopping());
-      writeView(out, standing.configuration());
-      writeView(out, standing.releases());
-      writeView(out, standing.endpoints());
-      out.packLong(standing.loads().storeMs());
-      out.packLong(standing.loads().memoryMs());
-      out.packInt(standing.loads().keptDepth());
-      out.packBoolean(standing.placesWanted());
+    if (message instanceof LinkMessage.CoordinatorStatus status) {
+      out.packInt(COORDINATOR_STATUS);
+      out.packLong(status.epoch());
+      out.packLong(status.revision());
+      out.packInt(status.daemons());
+      out.packBoolean(status.stopping());
+      writeView(out, status.configuration());
+      writeView(out, status.releases());
+      writeView(out, status.endpoints());
+      out.packLong(status.loads().storeMs());
+      out.packLong(status.loads().memoryMs());
+      out.packInt(status.loads().cacheDepth());
+      out.packBoolean(status.slotsWanted());
     } else if (message instanceof LinkMessage.Placements placements) {
       out.packInt(PLACEMENTS);
       out.packBoolean(placements.whole());
@@ -122,10 +122,10 @@
             to.packString(load.endpoint().value());
             writeLoad(to, load.load());
           });
-    } else if (message instanceof LinkMessage.NoRoom noRoom) {
-      out.packInt(NO_ROOM);
-      writeAdapter(out, noRoom.adapter());
-      out.packLong(noRoom.comeBackMs());
+    } else if (message instanceof LinkMessage.LoadRejected rejected) {
+      out.packInt(LOAD_REJECTED);
+      writeAdapter(out, rejected.adapter());
+      out.packLong(rejected.retryAfterMs());
     } else if (message instanceof LinkMessage.Endpoints endpoints) {
       out.packInt(ENDPOINTS);
       EntryFrames.write(out, endpoints);
@@ -175,7 +175,8 @@
     out.packLong(placement.readyInMs());
   }
 
-  private static void writeActivity(MessageBufferPacker out, Activity activity) throws IOException {
+  private static void writeUsage(MessageBufferPacker out, EndpointUsage activity)
+      throws IOException {
     out.packString(activity.endpoint().value());
     writeLoad(out, activity.load());
     list(
@@ -211,9 +212,9 @@
       case HELLO ->
           new LinkMessage.Hello(
               new DaemonId(in.unpackString()), new DataCentreId(in.unpackString()));
-      case DOING -> new LinkMessage.Doing(list(in, LinkFrames::readActivity));
-      case NEED ->
-          new LinkMessage.Need(
+      case USAGE_REPORT -> new LinkMessage.UsageReport(list(in, LinkFrames::readUsage));
+      case LOAD_REQUEST ->
+          new LinkMessage.LoadRequest(
               readAdapter(in),
               in.unpackLong(),
               in.unpackBoolean(),
@@ -221,11 +222,11 @@
               in.unpackLong(),
               in.unpackLong(),
               in.unpackLong());
-      case MISSED ->
-          new LinkMessage.Missed(
+      case ADAPTER_MISS ->
+          new LinkMessage.AdapterMiss(
               new EndpointId(in.unpackString()), readAdapter(in), in.unpackBoolean());
-      case STANDING ->
-          new LinkMessage.Standing(
+      case COORDINATOR_STATUS ->
+          new LinkMessage.CoordinatorStatus(
               in.unpackLong(),
               in.unpackLong(),
               in.unpackInt(),
@@ -233,12 +234,12 @@
               readView(in),
               readView(in),
               readView(in),
-              new LoadOutlook(in.unpackLong(), in.unpackLong(), in.unpackInt()),
+              new LoadTimeEstimates(in.unpackLong(), in.unpackLong(), in.unpackInt()),
               in.unpackBoolean());
       case PLACEMENTS ->
           new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
       case LOADS -> new LinkMessage.Loads(list(in, LinkFrames::readEndpointLoad));
-      case NO_ROOM -> new LinkMessage.NoRoom(readAdapter(in), in.unpackLong());
+      case LOAD_REJECTED -> new LinkMessage.LoadRejected(readAdapter(in), in.unpackLong());
       case ENDPOINTS -> EntryFrames.read(in);
       default -> throw new IOException("unknown type " + type);
     };
@@ -281,12 +282,16 @@
     return new LinkMessage.EndpointLoad(new EndpointId(in.unpackString()), readLoad(in));
   }
 
-  private static Activity readActivity(MessageUnpacker in) throws IOException {
+  private static EndpointUsage readUsage(MessageUnpacker in) throws IOException {
     EndpointId endpoint = new EndpointId(in.unpackString());
     Load load = readLoad(in);
-    return new Activity(
+    return new EndpointUsage(
         endpoint,
         load,
-        list(in, from -> new Activity.Use(readAdapter(from), from.unpackInt(), from.unpackInt())));
+        list(
+            in,
+            from ->
+                new EndpointUsage.AdapterUse(
+                    readAdapter(from), from.unpackInt(), from.unpackInt())));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -3,15 +3,15 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
-import io.sequoiapass.gateway.process.Activity;
+import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
-import io.sequoiapass.gateway.process.LoadOutlook;
+import io.sequoiapass.gateway.process.LoadTimeEstimates;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.List;
 
 /**
- * What daemons and the coordinator of a data centre tell each other.
+ * What daemons and the coordinator of a data centre exchange.
  *
  * <p>Messages are immutable and safe for use by several threads.
  */
@@ -30,9 +30,9 @@
    *
    * @param activities one an endpoint
    */
-  record Doing(List<Activity> activities) implements LinkMessage {
+  record UsageReport(List<EndpointUsage> activities) implements LinkMessage {
     /** Copies the list. */
-    public Doing {
+    public UsageReport {
       activities = List.copyOf(activities);
     }
   }
@@ -48,7 +48,7 @@
    * @param inTimeMs how long a load may be put off for an answer in time, in milliseconds
    * @param waitMs how long the request would wait for a place, in milliseconds; 0 if it would not
    */
-  record Need(
+  record LoadRequest(
       AdapterName adapter,
       long version,
       boolean another,
@@ -59,16 +59,17 @@
       implements LinkMessage {}
 
   /**
-   * An endpoint refused a request for an adapter that was told to be there.
+   * An endpoint refused a request for an adapter that was reported to be there.
    *
    * @param endpoint the endpoint
    * @param adapter the adapter
    * @param early whether the adapter seems to be still on its way
    */
-  record Missed(EndpointId endpoint, AdapterName adapter, boolean early) implements LinkMessage {}
+  record AdapterMiss(EndpointId endpoint, AdapterName adapter, boolean early)
+      implements LinkMessage {}
 
   /**
-   * A coordinator tells of itself; comes often, so that its silence shows.
+   * A coordinator reports its status; comes often, so that a lost connection is noticed.
    *
    * @param epoch its epoch
    * @param revision its lease's revision in the platform's store
@@ -78,9 +79,9 @@
    * @param releases what it knows of new versions
    * @param endpoints what it knows of the list of endpoints
    * @param loads how long adapters take to its engines
-   * @param placesWanted whether requests wait for a place for their adapter
+   * @param slotsWanted whether requests wait for a place for their adapter
    */
-  record Standing(
+  record CoordinatorStatus(
       long epoch,
       long revision,
       int daemons,
@@ -88,8 +89,8 @@
       StoreView configuration,
       StoreView releases,
       StoreView endpoints,
-      LoadOutlook loads,
-      boolean placesWanted)
+      LoadTimeEstimates loads,
+      boolean slotsWanted)
       implements LinkMessage {}
 
   /**
@@ -105,7 +106,7 @@
   }
 
   /**
-   * A coordinator tells how the list of endpoints has changed, so that not every daemon has to
+   * A coordinator reports how the list of endpoints has changed, so that not every daemon has to
    * watch the store.
    *
    * @param whole whether endpoints that are not named are not listed
@@ -141,7 +142,7 @@
   record GoneEndpoint(EndpointId endpoint, long revision, long graceMs) {}
 
   /**
-   * A coordinator tells what its endpoints hold.
+   * A coordinator reports what its endpoints hold.
    *
    * @param whole whether endpoints and adapters that are not named are not there
    * @param placements one an endpoint and adapter
@@ -187,7 +188,7 @@
    * A coordinator cannot have an adapter loaded now.
    *
    * @param adapter the adapter
-   * @param comeBackMs when to ask again, in milliseconds
+   * @param retryAfterMs when to ask again, in milliseconds
    */
-  record NoRoom(AdapterName adapter, long comeBackMs) implements LinkMessage {}
+  record LoadRejected(AdapterName adapter, long retryAfterMs) implements LinkMessage {}
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/KeptDepth.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterCacheDepthEstimator.java
@@ -1,16 +1,14 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Learns how many adapters engines keep in their own memory besides those in use: a load of one
- * that was kept takes a tenth of the time of one from the store.
+ * Learns how many adapters engines cache in their own memory.
  *
- * <p>The depth of an adapter is the number of adapters that the engine has held since. A load that
- * came from memory shows that the memory reaches at least so deep; one that did not, that it does
- * not. Loads a little beyond what is sure are tried as if they were kept, since nothing else would
- * ever show more; a trial that fails costs one request its refusal and makes the next ones rarer.
- * Not safe for use by several threads.
+ * <p>The depth of an adapter is the number of adapters that the engine has held since. A load
+ * served from memory shows that the cache reaches at least that deep; one from the store shows that
+ * it does not. Depths slightly beyond the known one are tried, and less often after a trial has
+ * failed. Not safe for use by several threads.
  */
-final class KeptDepth {
+final class AdapterCacheDepthEstimator {
 
   /** Adapters that are taken to be kept for each place until it is learned. */
   private static final int FIRST_PER_PLACE = 4;
@@ -39,7 +37,7 @@
    *
    * @param places the adapters that an engine holds at once
    */
-  KeptDepth(int places) {
+  AdapterCacheDepthEstimator(int places) {
     sure = Math.max(LEAST, (double) places * FIRST_PER_PLACE);
   }
 
@@ -57,7 +55,7 @@
   }
 
   /** Notes that an adapter at a depth was not kept. */
-  void notKept(int depth) {
+  void notCached(int depth) {
     if (depth < sure) {
       sure = Math.max(LEAST, sure - FALL * (sure - depth));
     } else {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/KeptAdapters.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterCacheModel.java
@@ -7,12 +7,12 @@
 import java.util.function.IntSupplier;
 
 /**
- * Remembers the adapters that one engine held lately: it keeps them in its own memory for a while,
- * and bringing one back takes a tenth of the time and nothing of the weight store.
+ * Estimates which adapters one engine still has in its own memory after they were unloaded.
  *
- * <p>Not safe for use by several threads.
+ * <p>A load from there is fast and needs no transfer from the weight store. Not safe for use by
+ * several threads.
  */
-final class KeptAdapters {
+final class AdapterCacheModel {
 
   /** Adapters that are remembered at the most, to bound the memory for a fleet. */
   private static final int MOST = 256;
@@ -35,7 +35,7 @@
    *
    * @param reach how many adapters an engine is taken to keep
    */
-  KeptAdapters(IntSupplier reach) {
+  AdapterCacheModel(IntSupplier reach) {
     this.reach = reach;
   }
 
@@ -54,7 +54,7 @@
     return List.copyOf(newest.keySet());
   }
 
-  boolean isKept(AdapterName adapter) {
+  boolean isCached(AdapterName adapter) {
     return newest.containsKey(adapter);
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterDemand.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterDemand.java
@@ -5,15 +5,13 @@
 import java.util.Map;
 
 /**
- * Counts how often adapters are asked for, so that older requests count less and less.
- *
- * <p>Demand moves on through the list of adapters within seconds, so what was busy half a minute
- * ago says little. Not safe for use by several threads.
+ * Exponentially decaying count of the requests for each adapter. Not safe for use by several
+ * threads.
  */
 final class AdapterDemand {
 
   /**
-   * Time in which a request's weight halves, in milliseconds: long enough to tell a request every
+   * Time in which a request's weight halves, in milliseconds: long enough to notify a request every
    * two seconds from one in ten, short enough to follow demand that moves on within six seconds.
    */
   private static final double HALF_LIFE_MS = 8_000;
@@ -30,7 +28,7 @@
     }
   }
 
-  void asked(AdapterName adapter, int times, long now) {
+  void record(AdapterName adapter, int times, long now) {
     scores.put(adapter, new Score(of(adapter, now) + times, now));
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ArrivalTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ArrivalTime.java
@@ -1,21 +1,18 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Learns how long something takes from nothing but whether it was there when it was expected.
+ * Learns how long something takes from whether it had arrived when it was expected.
  *
  * <pre>{@code
  * ArrivalTime time = new ArrivalTime(250);
  * double expectedMs = time.next();
- * time.inTime(expectedMs);   // it was there
- * time.early(expectedMs);    // or it was not
+ * time.inTime(expectedMs);   // it had arrived
+ * time.early(expectedMs);    // or it had not
  * }</pre>
  *
- * <p>One thing at a time is expected a little sooner than all others. If it is there, so will the
- * others be from now on, and the next trial goes further; if it is not, only this one was expected
- * too soon. So the estimate follows a time that becomes shorter without ever being wrong for more
- * than one, and a time that becomes longer by the age at which something was seen to be missing. It
- * depends on ages that were observed and never on other expectations, so it cannot feed itself. Not
- * safe for use by several threads.
+ * <p>One item at a time is expected a little sooner than the others, as a trial. If it has arrived,
+ * the estimate becomes shorter; if not, only this item was expected too soon. The estimate depends
+ * on observed ages only, never on other estimates. Not safe for use by several threads.
  */
 final class ArrivalTime {
 
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/BroadcastInterval.java
@@ -0,0 +1,30 @@
+package io.sequoiapass.gateway.process;
+
+/**
+ * Interval between status messages of daemons and coordinators.
+ *
+ * <p>Bounds the coordinator's outgoing message rate as the fleet grows. The methods are pure.
+ */
+final class BroadcastInterval {
+
+  /** Number of daemons that adds one round to the interval. */
+  private static final int DAEMONS_A_ROUND = 32;
+
+  /** Longest interval, in rounds; a link without messages for a second is closed. */
+  private static final int MOST_ROUNDS = 3;
+
+  /** Largest number of daemons that get every placement update immediately. */
+  private static final int FEW_DAEMONS = 10;
+
+  private BroadcastInterval() {}
+
+  /** Returns the number of rounds between two messages. */
+  static int rounds(int daemons) {
+    return Math.min(MOST_ROUNDS, 1 + daemons / DAEMONS_A_ROUND);
+  }
+
+  /** Returns whether placement updates go to all daemons immediately, not just to subscribers. */
+  static boolean broadcastsImmediately(int daemons) {
+    return daemons <= FEW_DAEMONS;
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -8,7 +8,7 @@
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
 import io.sequoiapass.gateway.request.Generation;
-import io.sequoiapass.gateway.request.OwnAnswer;
+import io.sequoiapass.gateway.request.LocalResponse;
 import io.sequoiapass.gateway.request.RelayContext;
 import io.sequoiapass.gateway.request.RelayedRequest;
 import io.sequoiapass.gateway.spi.CallerFacts;
@@ -33,9 +33,9 @@
   private final EndpointDirectory directory;
   private final HostSettings.Bounds bounds;
   private final IntSupplier daemons;
-  private final Map<ServiceId, RepeatBudget> budgets = new ConcurrentHashMap<>();
+  private final Map<ServiceId, SharedRetryBudget> budgets = new ConcurrentHashMap<>();
   private final AtomicInteger underWay = new AtomicInteger();
-  private volatile StopTimes stop = StopTimes.NEVER;
+  private volatile DrainSchedule stop = DrainSchedule.NEVER;
 
   CallerHandler(
       RelayContext context,
@@ -57,7 +57,7 @@
 
   /** Begins a planned stop: which requests are still taken. */
   void stopAt(long takesAllUntil, long endsAt) {
-    stop = new StopTimes(takesAllUntil, endsAt);
+    stop = new DrainSchedule(takesAllUntil, endsAt);
   }
 
   @Override
@@ -91,7 +91,7 @@
   }
 
   /**
-   * Two ways of telling a body's length let a second request hide in the first one's body: who
+   * Two ways of reporting a body's length let a second request hide in the first one's body: who
    * reads it by the other way takes the rest for a request of its own.
    */
   private static boolean isAmbiguous(HttpRequestMessage request) {
@@ -132,8 +132,8 @@
       CallerFacts facts,
       RouteSpec route,
       ServiceId service) {
-    RepeatBudget budget =
-        budgets.computeIfAbsent(service, name -> new RepeatBudget(bounds, daemons));
+    SharedRetryBudget budget =
+        budgets.computeIfAbsent(service, name -> new SharedRetryBudget(bounds, daemons));
     budget.requestArrived(context.clock().millis());
     underWay.incrementAndGet();
     new RelayedRequest(
@@ -155,6 +155,6 @@
         .with("outcome", "refused_" + kind)
         .with("status", kind.httpStatus())
         .write();
-    OwnAnswer.send(context.callers(), facts, responder, kind, kind.comeBackMillis());
+    LocalResponse.send(context.callers(), facts, responder, kind, kind.comeBackMillis());
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -12,11 +12,11 @@
  * @param slots requests that it runs at once
  * @param load what is known to be there, the requests of other daemons included
  * @param memoryLimit memory for running requests and kept prompts, in tokens; 0 if unknown
- * @param keptTokens leading tokens of this request's prompt that are likely to be kept there
+ * @param cachedTokens leading tokens of this request's prompt that are likely to be kept there
  * @param readyInMs when the wanted adapter is there, in milliseconds; 0 if it is, negative if it is
  *     not on its way
- * @param keepsAdapter whether it held the adapter lately and is likely to have kept it in memory
- * @param slowness how many times as long as the others it takes
+ * @param cachesAdapter whether it held the adapter lately and is likely to have kept it in memory
+ * @param slowdown how many times as long as the others it takes
  * @param loadMs how long a load of the adapter would take, in milliseconds
  */
 public record Candidate(
@@ -26,10 +26,10 @@
     int slots,
     Load load,
     long memoryLimit,
-    long keptTokens,
+    long cachedTokens,
     long readyInMs,
-    boolean keepsAdapter,
-    double slowness,
+    boolean cachesAdapter,
+    double slowdown,
     long loadMs) {
 
   boolean holds() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -37,7 +37,7 @@
    * Refuse it: it has not run.
    *
    * @param kind the reason
-   * @param comeBackMs when the caller may come back, in milliseconds
+   * @param retryAfterMs when the caller may come back, in milliseconds
    */
-  record Refuse(ErrorKind kind, long comeBackMs) implements Choice {}
+  record Refuse(ErrorKind kind, long retryAfterMs) implements Choice {}
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -90,10 +90,10 @@
     return current && election.mayOrder(now, fenced);
   }
 
-  /** Takes in what a coordinator told of itself. */
-  synchronized void heard(DataCentreId dataCentre, LinkMessage.Standing standing) {
+  /** Takes in what a coordinator reported of itself. */
+  synchronized void updateStatus(DataCentreId dataCentre, LinkMessage.CoordinatorStatus status) {
     if (dataCentre.equals(here)) {
-      election.heard(standing.revision(), clock.millis());
+      election.leaseSeen(status.revision(), clock.millis());
     }
   }
 
@@ -230,7 +230,7 @@
     }
   }
 
-  /** Returns the data centres whose coordinator is heard, this daemon's own first. */
+  /** Returns the data centres whose coordinator is connected, this daemon's own first. */
   List<DataCentreId> coordinated() {
     return links.values().stream()
         .filter(CoordinatorLink::isUp)
@@ -239,7 +239,7 @@
         .toList();
   }
 
-  /** Hears that an adapter has become idle in a data centre; must not block. */
+  /** Called when an adapter has become idle in a data centre; must not block. */
   void idle(DataCentreId dataCentre) {
     CoordinatorLink link = links.get(dataCentre);
     if (link != null) {
@@ -252,17 +252,19 @@
     return links.values().stream().mapToInt(CoordinatorLink::daemons).max().orElse(0);
   }
 
-  /** Has an adapter brought to an engine of a data centre; returns false if nobody hears it. */
-  boolean need(DataCentreId dataCentre, LinkMessage.Need need) {
+  /**
+   * Has an adapter brought to an engine of a data centre; returns false if there is no coordinator.
+   */
+  boolean requestLoad(DataCentreId dataCentre, LinkMessage.LoadRequest request) {
     CoordinatorLink link = links.get(dataCentre);
-    return link != null && link.send(need);
+    return link != null && link.send(request);
   }
 
-  /** Tells that an endpoint refused a request for an adapter that should have been there. */
+  /** Reports that an endpoint refused a request for an adapter that should have been there. */
   void missed(DataCentreId dataCentre, EndpointId endpoint, AdapterName adapter, boolean early) {
     CoordinatorLink link = links.get(dataCentre);
     if (link != null) {
-      link.send(new LinkMessage.Missed(endpoint, adapter, early));
+      link.send(new LinkMessage.AdapterMiss(endpoint, adapter, early));
     }
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -26,24 +26,18 @@
 import java.util.function.LongPredicate;
 
 /**
- * Runs the coordinator of one data centre while this process holds its lease: hears what the
- * daemons do, decides by its {@link PlacementPlan}, gives the orders and tells everybody what the
- * engines hold.
+ * Coordinates the engines of one data centre while this process holds the lease: collects usage
+ * reports, decides by its {@link PlacementPlan}, sends orders and publishes what the engines hold.
  *
  * <p>Safe for use by several threads; its plan and links are one shard of state under one lock.
  */
 final class Coordinator {
 
-  /**
-   * How long an order may go unanswered, in milliseconds: engines answer in a few, and callers wait
-   * for the adapter meanwhile.
-   */
+  /** Timeout of an order, in milliseconds. */
   private static final long ORDER_TIMEOUT_MS = 120;
 
-  /**
-   * A daemon that is silent for this long has left, in milliseconds; it speaks five times a second.
-   */
-  private static final long SILENT_MS = 2_000;
+  /** A daemon that sends nothing for this long is disconnected, in milliseconds. */
+  private static final long IDLE_TIMEOUT_MS = 2_000;
 
   private final DaemonId daemon;
   private final DataCentreId here;
@@ -54,7 +48,7 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final PlacementPlan plan;
-  private final WaitingNeeds waiting;
+  private final LoadQueue loadQueue;
   private final LongPredicate mayOrder;
   private final Runnable onFenced;
   private StoreKnowledge store = topic -> LinkMessage.StoreView.NONE;
@@ -64,8 +58,8 @@
   private long revision;
   private boolean stopping;
 
-  private final Askers askers = new Askers();
-  private final PlacementBulletin bulletin = new PlacementBulletin();
+  private final AdapterSubscribers subscribers = new AdapterSubscribers();
+  private final PlacementUpdateBatch updateBatch = new PlacementUpdateBatch();
   private final List<LinkMessage.ListedEndpoint> listed = new ArrayList<>();
   private final List<LinkMessage.GoneEndpoint> gone = new ArrayList<>();
   private long listedUpTo;
@@ -74,14 +68,14 @@
   /** A daemon that is linked. */
   private static final class Linked {
     private DaemonId daemon;
-    private long heardAt;
+    private long lastReceivedAt;
   }
 
   /** What the coordinator itself knows of the store, for those that rely on it. */
   interface StoreKnowledge {
 
     /** Returns how well a topic is known. */
-    LinkMessage.StoreView of(RelayedViews.Topic topic);
+    LinkMessage.StoreView of(StoreFreshness.Topic topic);
   }
 
   /**
@@ -105,8 +99,8 @@
     this.here = settings.dataCentre();
     this.directory = directory;
     this.plan = plan;
-    this.waiting =
-        new WaitingNeeds(plan, adapter -> directory.isHeldOutside(settings.dataCentre(), adapter));
+    this.loadQueue =
+        new LoadQueue(plan, adapter -> directory.isHeldOutside(settings.dataCentre(), adapter));
     this.protocol = io.protocol();
     this.http = io.http();
     this.loop = io.loop();
@@ -145,7 +139,7 @@
     store = knowledge;
   }
 
-  /** Returns what hears of changes in the list of endpoints, to tell the linked daemons. */
+  /** Returns what is notified of changes in the list of endpoints, to notify the linked daemons. */
   EndpointDirectory.Watcher watcher() {
     return new EndpointDirectory.Watcher() {
       @Override
@@ -177,7 +171,7 @@
   /** Begins to coordinate under an epoch. */
   synchronized void activate(long newEpoch) {
     active = true;
-    bulletin.clear();
+    updateBatch.clear();
     listed.clear();
     gone.clear();
     stopping = false;
@@ -198,10 +192,10 @@
     links.clear();
   }
 
-  /** Tells the daemons that the lease is being given up. */
+  /** Reports the daemons that the lease is being given up. */
   synchronized void stop() {
     stopping = true;
-    sendStandings();
+    broadcastStatus();
   }
 
   /** Takes note of the lease's newest revision. */
@@ -225,7 +219,7 @@
                   if (entry.dataCentre().equals(here)) {
                     present.add(entry.endpoint());
                     if (plan.observe(entry, engine, now)) {
-                      plan.recall(entry.endpoint(), group.heldLately(entry.endpoint()));
+                      plan.recall(entry.endpoint(), group.recentAdapters(entry.endpoint()));
                     }
                     plan.learned(entry.endpoint(), group.tokensPerMs(entry.endpoint(), now));
                   }
@@ -251,15 +245,15 @@
       return;
     }
     long now = clock.millis();
-    closeSilent(now);
+    closeIdle(now);
     plan.replaceOutdated(now);
     plan.advance(now);
     work(now);
     rounds++;
-    if (rounds % TellingPace.rounds(links.size()) == 0) {
-      sendStandings();
+    if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
+      broadcastStatus();
       sendListChanges();
-      sendBulletin(now);
+      sendUpdateBatch(now);
       links.forEach(this::sendLoads);
     }
   }
@@ -273,12 +267,12 @@
     gone.clear();
   }
 
-  private void sendBulletin(long now) {
-    List<LinkMessage.Placement> news = bulletin.take(now);
-    if (!news.isEmpty()) {
-      sendAll(new LinkMessage.Placements(false, news));
+  private void sendUpdateBatch(long now) {
+    List<LinkMessage.Placement> changes = updateBatch.drain(now);
+    if (!changes.isEmpty()) {
+      sendAll(new LinkMessage.Placements(false, changes));
     }
-    askers.forget(now);
+    subscribers.expire(now);
   }
 
   private void sendAll(LinkMessage message) {
@@ -286,29 +280,29 @@
     links.keySet().forEach(channel -> channel.send(frame));
   }
 
-  private void closeSilent(long now) {
+  private void closeIdle(long now) {
     for (Map.Entry<FrameChannel, Linked> link : new ArrayList<>(links.entrySet())) {
-      if (now - link.getValue().heardAt > SILENT_MS) {
+      if (now - link.getValue().lastReceivedAt > IDLE_TIMEOUT_MS) {
         link.getKey().close();
       }
     }
   }
 
-  private void sendStandings() {
-    sendAll(standing());
+  private void broadcastStatus() {
+    sendAll(status());
   }
 
-  private LinkMessage.Standing standing() {
-    return new LinkMessage.Standing(
+  private LinkMessage.CoordinatorStatus status() {
+    return new LinkMessage.CoordinatorStatus(
         epoch,
         revision,
         links.size(),
         stopping,
-        store.of(RelayedViews.Topic.CONFIGURATION),
-        store.of(RelayedViews.Topic.RELEASES),
-        store.of(RelayedViews.Topic.ENDPOINTS),
-        plan.outlook(clock.millis()),
-        !waiting.isEmpty());
+        store.of(StoreFreshness.Topic.CONFIGURATION),
+        store.of(StoreFreshness.Topic.RELEASES),
+        store.of(StoreFreshness.Topic.ENDPOINTS),
+        plan.loadTimes(clock.millis()),
+        !loadQueue.isEmpty());
   }
 
   private void sendLoads(FrameChannel channel, Linked linked) {
@@ -321,41 +315,38 @@
     channel.send(LinkFrames.encode(new LinkMessage.Loads(loads)));
   }
 
-  /** Asks, orders and tells, as far as each is due. */
+  /** Requests reports, sends orders and publishes changes, as far as each is due. */
   private void work(long now) {
     if (!active || stopping) {
       return;
     }
     if (mayOrder.test(now)) {
-      waiting.place(now).forEach(this::tellNoRoom);
-      plan.toAsk(now).forEach(this::ask);
+      loadQueue.dispatch(now).forEach(this::rejectExpired);
+      plan.dueForReport(now).forEach(this::requestReport);
       plan.ids().forEach(id -> order(id, now));
     }
-    tell(plan.takeNews(), now);
+    publish(plan.drainChanges(), now);
   }
 
-  private void tellNoRoom(WaitingNeeds.Hopeless hopeless) {
+  private void rejectExpired(LoadQueue.Expired expired) {
     byte[] frame =
-        LinkFrames.encode(new LinkMessage.NoRoom(hopeless.adapter(), hopeless.comeBackMs()));
-    askers.of(hopeless.adapter()).forEach(channel -> channel.send(frame));
+        LinkFrames.encode(new LinkMessage.LoadRejected(expired.adapter(), expired.retryAfterMs()));
+    subscribers.subscribersOf(expired.adapter()).forEach(channel -> channel.send(frame));
   }
 
-  /**
-   * News goes at once to the daemons whose requests wait for it. The others hear it with the next
-   * bulletin: at 79 daemons 140 frames a second to each of them were most of what they did.
-   */
-  private void tell(List<LinkMessage.Placement> news, long now) {
-    if (news.isEmpty()) {
+  /** Notifies the daemons that wait for an adapter at once; the others get the next batch. */
+  private void publish(List<LinkMessage.Placement> changes, long now) {
+    if (changes.isEmpty()) {
       return;
     }
-    if (TellingPace.tellsAtOnce(links.size())) {
-      sendAll(new LinkMessage.Placements(false, news));
+    if (BroadcastInterval.broadcastsImmediately(links.size())) {
+      sendAll(new LinkMessage.Placements(false, changes));
       return;
     }
-    bulletin.add(news, now);
+    updateBatch.add(changes, now);
     Map<FrameChannel, List<LinkMessage.Placement>> wanted = new HashMap<>();
-    for (LinkMessage.Placement placement : news) {
-      for (FrameChannel channel : askers.of(placement.adapter())) {
+    for (LinkMessage.Placement placement : changes) {
+      for (FrameChannel channel : subscribers.subscribersOf(placement.adapter())) {
         wanted.computeIfAbsent(channel, any -> new ArrayList<>()).add(placement);
       }
     }
@@ -364,15 +355,15 @@
             channel.send(LinkFrames.encode(new LinkMessage.Placements(false, placements))));
   }
 
-  private void ask(EndpointEntry entry) {
+  private void requestReport(EndpointEntry entry) {
     http.send(protocol.reportCall(entry.endpoint(), entry.address()), ORDER_TIMEOUT_MS)
         .whenComplete(
-            (answer, failure) -> loop.execute(() -> asked(entry.endpoint(), answer, failure)));
+            (answer, failure) -> loop.execute(() -> reported(entry.endpoint(), answer, failure)));
   }
 
-  private synchronized void asked(EndpointId endpoint, HttpAnswer answer, Throwable failure) {
+  private synchronized void reported(EndpointId endpoint, HttpAnswer answer, Throwable failure) {
     long now = clock.millis();
-    plan.asked(endpoint, failure == null ? protocol.report(answer) : Optional.empty(), now);
+    plan.reported(endpoint, failure == null ? protocol.report(answer) : Optional.empty(), now);
     work(now);
   }
 
@@ -412,7 +403,7 @@
     }
   }
 
-  /** Returns what hears one daemon's link. */
+  /** Returns what serves one daemon's link. */
   FrameListener listener() {
     return new FrameListener() {
       @Override
@@ -438,13 +429,13 @@
       return;
     }
     Linked linked = new Linked();
-    linked.heardAt = clock.millis();
+    linked.lastReceivedAt = clock.millis();
     links.put(channel, linked);
   }
 
   private synchronized void unlink(FrameChannel channel) {
     Linked linked = links.remove(channel);
-    askers.left(channel);
+    subscribers.unsubscribe(channel);
     if (linked != null && linked.daemon != null) {
       plan.left(linked.daemon);
       log.belief("daemon_unlinked").with("peer", linked.daemon).write();
@@ -457,43 +448,48 @@
       return;
     }
     long now = clock.millis();
-    linked.heardAt = now;
+    linked.lastReceivedAt = now;
     if (message instanceof LinkMessage.Hello hello) {
       linked.daemon = hello.daemon();
       welcome(channel, now);
       log.belief("daemon_linked").with("peer", hello.daemon()).with("links", links.size()).write();
-    } else if (message instanceof LinkMessage.Doing doing && linked.daemon != null) {
-      plan.doing(linked.daemon, doing.activities(), now);
-      if (!waiting.isEmpty()) {
+    } else if (message instanceof LinkMessage.UsageReport usage && linked.daemon != null) {
+      plan.usage(linked.daemon, usage.activities(), now);
+      if (!loadQueue.isEmpty()) {
         work(now);
       }
-    } else if (message instanceof LinkMessage.Need need) {
-      need(channel, need, now);
-    } else if (message instanceof LinkMessage.Missed missed) {
-      plan.missed(missed.endpoint(), missed.adapter(), missed.early(), now);
+    } else if (message instanceof LinkMessage.LoadRequest request) {
+      load(channel, request, now);
+    } else if (message instanceof LinkMessage.AdapterMiss miss) {
+      plan.missed(miss.endpoint(), miss.adapter(), miss.early(), now);
       work(now);
     }
   }
 
   private void welcome(FrameChannel channel, long now) {
     channel.send(LinkFrames.encode(directory.whole()));
-    channel.send(LinkFrames.encode(standing()));
+    channel.send(LinkFrames.encode(status()));
     channel.send(LinkFrames.encode(new LinkMessage.Placements(true, plan.whole(now))));
   }
 
-  private void need(FrameChannel channel, LinkMessage.Need need, long now) {
-    askers.asked(need.adapter(), channel, now);
-    RequestSize size = new RequestSize(need.promptTokens(), need.outputTokens());
-    WaitingNeeds.Wish wish =
-        new WaitingNeeds.Wish(
-            need.adapter(), need.version(), size, now + need.inTimeMs(), now + need.waitMs());
-    Need result =
-        need.waitMs() > 0
-            ? waiting.needOrWait(wish, now)
-            : plan.need(need.adapter(), need.version(), need.another(), size, now);
-    if (result instanceof Need.NoRoom) {
+  private void load(FrameChannel channel, LinkMessage.LoadRequest request, long now) {
+    subscribers.subscribe(request.adapter(), channel, now);
+    RequestSize size = new RequestSize(request.promptTokens(), request.outputTokens());
+    LoadQueue.Entry entry =
+        new LoadQueue.Entry(
+            request.adapter(),
+            request.version(),
+            size,
+            now + request.inTimeMs(),
+            now + request.waitMs());
+    LoadReply reply =
+        request.waitMs() > 0
+            ? loadQueue.loadOrEnqueue(entry, now)
+            : plan.request(request.adapter(), request.version(), request.another(), size, now);
+    if (reply instanceof LoadReply.Rejected) {
       channel.send(
-          LinkFrames.encode(new LinkMessage.NoRoom(need.adapter(), waiting.turnMs(wish, now))));
+          LinkFrames.encode(
+              new LinkMessage.LoadRejected(request.adapter(), loadQueue.queueWaitMs(entry, now))));
     }
     work(now);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -23,9 +23,8 @@
 /**
  * This daemon's link to the coordinator of one data centre.
  *
- * <p>It tells what the daemon does at that data centre's endpoints, asks for adapters, and takes in
- * what the endpoints hold and what others do there. Safe for use by several threads; its state is
- * one shard under its own lock.
+ * <p>Sends usage reports and load requests, and receives placements and loads. Safe for use by
+ * several threads; its state is one shard under its own lock.
  */
 final class CoordinatorLink {
 
@@ -33,30 +32,27 @@
    * A coordinator that is silent for this long is given up, in milliseconds. It speaks several
    * times a second; a connection that went silent without a reset shows in no other way.
    */
-  private static final long SILENT_MS = 1_000;
+  private static final long IDLE_TIMEOUT_MS = 1_000;
 
   /**
-   * What this daemon does is told at least this often, in milliseconds, so that it counts as alive.
+   * What this daemon does is reported at least this often, in milliseconds, so that it counts as
+   * alive.
    */
   private static final long ALIVE_MS = 500;
 
-  /**
-   * While requests wait for places, an adapter that became idle is told after this time, in
-   * milliseconds. With the next round its place would stand idle for half of a round more, and
-   * answers last no longer than a few rounds.
-   */
-  private static final long IDLE_TELL_MS = 25;
+  /** Delay of the report that an adapter became idle while loads are queued, in milliseconds. */
+  private static final long IDLE_REPORT_DELAY_MS = 25;
 
-  /** Hears what concerns requests that wait. */
+  /** Receives what concerns requests that wait. */
   interface Listener {
 
     /** Called when an adapter is there or on its way. */
     void placed(AdapterName adapter);
 
     /** Called when a data centre cannot bring an adapter now. */
-    void noRoom(DataCentreId dataCentre, AdapterName adapter, long comeBackMs);
+    void noRoom(DataCentreId dataCentre, AdapterName adapter, long retryAfterMs);
 
-    /** Called when a coordinator is heard for the first time, or is lost. */
+    /** Called when a coordinator is connected for the first time, or is lost. */
     void changed();
   }
 
@@ -69,19 +65,19 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final Listener listener;
-  private final Consumer<LinkMessage.Standing> onStanding;
+  private final Consumer<LinkMessage.CoordinatorStatus> onStatus;
   private final Runnable onLost;
   private FrameChannel channel;
   private InetSocketAddress address;
   private boolean connecting;
-  private boolean heard;
-  private long heardAt;
-  private long toldAt;
-  private boolean toldNothing;
+  private boolean alive;
+  private long lastReceivedAt;
+  private long lastReportAt;
+  private boolean lastReportEmpty;
   private int daemons;
   private int rounds;
-  private volatile boolean placesWanted;
-  private final AtomicBoolean tellingSoon = new AtomicBoolean();
+  private volatile boolean slotsWanted;
+  private final AtomicBoolean reportScheduled = new AtomicBoolean();
 
   /**
    * Makes a link that is not connected.
@@ -90,9 +86,9 @@
    * @param dataCentre the coordinator's data centre
    * @param directory the endpoints
    * @param io what carries frames, time and log lines
-   * @param listener hears of adapters
-   * @param onStanding hears what the coordinator tells of itself
-   * @param onLost runs when the coordinator is no longer heard
+   * @param listener is notified of adapters
+   * @param onStatus receives what the coordinator reports its status
+   * @param onLost runs when the coordinator is disconnected
    */
   CoordinatorLink(
       LinkMessage.Hello self,
@@ -100,7 +96,7 @@
       EndpointDirectory directory,
       Io io,
       Listener listener,
-      Consumer<LinkMessage.Standing> onStanding,
+      Consumer<LinkMessage.CoordinatorStatus> onStatus,
       Runnable onLost) {
     this.daemon = self.daemon();
     this.here = self.dataCentre();
@@ -111,7 +107,7 @@
     this.clock = io.clock();
     this.log = io.log();
     this.listener = listener;
-    this.onStanding = onStanding;
+    this.onStatus = onStatus;
     this.onLost = onLost;
   }
 
@@ -133,9 +129,9 @@
     return dataCentre;
   }
 
-  /** Returns whether the coordinator is heard. */
+  /** Returns whether the coordinator is connected. */
   synchronized boolean isUp() {
-    return channel != null && heard;
+    return channel != null && alive;
   }
 
   /** Returns whether a connection is open or being opened. */
@@ -143,7 +139,7 @@
     return channel != null || connecting;
   }
 
-  /** Returns how many daemons are linked to the coordinator, as last heard. */
+  /** Returns how many daemons are linked to the coordinator, as last received. */
   synchronized int daemons() {
     return isUp() ? daemons : 0;
   }
@@ -178,9 +174,9 @@
       synchronized (CoordinatorLink.this) {
         channel = opened;
         connecting = false;
-        heard = false;
-        heardAt = clock.millis();
-        toldAt = 0;
+        alive = false;
+        lastReceivedAt = clock.millis();
+        lastReportAt = 0;
       }
       opened.send(LinkFrames.encode(new LinkMessage.Hello(daemon, here)));
     }
@@ -197,7 +193,7 @@
         was = isUp();
         channel = null;
         connecting = false;
-        heard = false;
+        alive = false;
       }
       if (was) {
         directory.uncoordinated(dataCentre);
@@ -213,10 +209,10 @@
 
   private void receive(LinkMessage message) {
     synchronized (this) {
-      heardAt = clock.millis();
+      lastReceivedAt = clock.millis();
     }
-    if (message instanceof LinkMessage.Standing standing) {
-      standing(standing);
+    if (message instanceof LinkMessage.CoordinatorStatus status) {
+      status(status);
     } else if (message instanceof LinkMessage.Placements placements) {
       placements(placements);
     } else if (message instanceof LinkMessage.Loads loads) {
@@ -229,31 +225,31 @@
                       .ifPresent(group -> group.setOthers(load.endpoint(), load.load())));
     } else if (message instanceof LinkMessage.Endpoints endpoints) {
       directory.relayed(endpoints);
-    } else if (message instanceof LinkMessage.NoRoom noRoom) {
-      listener.noRoom(dataCentre, noRoom.adapter(), noRoom.comeBackMs());
+    } else if (message instanceof LinkMessage.LoadRejected noRoom) {
+      listener.noRoom(dataCentre, noRoom.adapter(), noRoom.retryAfterMs());
     }
   }
 
-  private void standing(LinkMessage.Standing standing) {
+  private void status(LinkMessage.CoordinatorStatus status) {
     boolean first;
     synchronized (this) {
-      daemons = standing.daemons();
-      first = !heard;
-      heard = true;
+      daemons = status.daemons();
+      first = !alive;
+      alive = true;
     }
-    onStanding.accept(standing);
-    directory.loads(dataCentre, standing.loads());
-    placesWanted = standing.placesWanted();
+    onStatus.accept(status);
+    directory.loads(dataCentre, status.loads());
+    slotsWanted = status.slotsWanted();
     if (first) {
       directory.coordinated(dataCentre);
       log.belief("coordinator_found")
           .with("data_centre", dataCentre)
-          .with("epoch", standing.epoch())
-          .with("revision", standing.revision())
+          .with("epoch", status.epoch())
+          .with("revision", status.revision())
           .write();
       listener.changed();
     }
-    if (standing.stopping()) {
+    if (status.stopping()) {
       close();
     }
   }
@@ -310,57 +306,57 @@
     return open != null && open.send(LinkFrames.encode(message));
   }
 
-  /** Tells what this daemon does, and notices silence; called several times a second. */
+  /** Reports what this daemon does, and notices silence; called several times a second. */
   void tick() {
     long now = clock.millis();
     FrameChannel open;
-    boolean silent;
+    boolean idle;
     synchronized (this) {
       open = channel;
-      silent = open != null && now - heardAt > SILENT_MS;
+      idle = open != null && now - lastReceivedAt > IDLE_TIMEOUT_MS;
     }
     if (open == null) {
       return;
     }
-    if (silent) {
+    if (idle) {
       open.close();
       return;
     }
     rounds++;
-    if (rounds % TellingPace.rounds(daemons()) == 0) {
-      tell(open, now);
+    if (rounds % BroadcastInterval.rounds(daemons()) == 0) {
+      sendReport(open, now);
     }
   }
 
-  /** Hears that an adapter became idle; must not block. */
+  /** Called when an adapter became idle; must not block. */
   void idle() {
-    if (placesWanted && tellingSoon.compareAndSet(false, true)) {
-      long soonMs = IDLE_TELL_MS * TellingPace.rounds(daemons());
-      loop.schedule(this::tellIdle, soonMs, TimeUnit.MILLISECONDS);
+    if (slotsWanted && reportScheduled.compareAndSet(false, true)) {
+      long soonMs = IDLE_REPORT_DELAY_MS * BroadcastInterval.rounds(daemons());
+      loop.schedule(this::reportIdle, soonMs, TimeUnit.MILLISECONDS);
     }
   }
 
-  private void tellIdle() {
-    tellingSoon.set(false);
+  private void reportIdle() {
+    reportScheduled.set(false);
     FrameChannel open;
     synchronized (this) {
       open = isUp() ? channel : null;
     }
     if (open != null) {
-      tell(open, clock.millis());
+      sendReport(open, clock.millis());
     }
   }
 
-  private void tell(FrameChannel open, long now) {
-    List<Activity> activities = new ArrayList<>();
+  private void sendReport(FrameChannel open, long now) {
+    List<EndpointUsage> activities = new ArrayList<>();
     directory.groups().forEach(group -> activities.addAll(group.takeActivity(dataCentre, now)));
     synchronized (this) {
-      if (activities.isEmpty() && toldNothing && now - toldAt < ALIVE_MS) {
+      if (activities.isEmpty() && lastReportEmpty && now - lastReportAt < ALIVE_MS) {
         return;
       }
-      toldNothing = activities.isEmpty();
-      toldAt = now;
+      lastReportEmpty = activities.isEmpty();
+      lastReportAt = now;
     }
-    open.send(LinkFrames.encode(new LinkMessage.Doing(activities)));
+    open.send(LinkFrames.encode(new LinkMessage.UsageReport(activities)));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonActivity.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
@@ -12,32 +12,32 @@
 import java.util.TreeMap;
 
 /**
- * Knows what each daemon last told of its requests at the engines of one coordinator.
+ * The latest usage report of each daemon for the engines of one coordinator.
  *
  * <p>Not safe for use by several threads.
  */
-final class DaemonActivity {
+final class DaemonUsageTable {
 
-  private final Map<DaemonId, Map<EndpointId, Activity>> doing = new HashMap<>();
+  private final Map<DaemonId, Map<EndpointId, EndpointUsage>> usage = new HashMap<>();
   private final Map<EndpointId, Load> sums = new HashMap<>();
 
   /** Takes in what a daemon does; what it does not name, it does no longer. */
-  void doing(DaemonId daemon, List<Activity> activities) {
-    Map<EndpointId, Activity> mine = new HashMap<>();
+  void usage(DaemonId daemon, List<EndpointUsage> activities) {
+    Map<EndpointId, EndpointUsage> mine = new HashMap<>();
     activities.forEach(activity -> mine.put(activity.endpoint(), activity));
-    doing.put(daemon, mine);
+    usage.put(daemon, mine);
     sum();
   }
 
   /** Forgets a daemon whose link has closed. */
   void left(DaemonId daemon) {
-    doing.remove(daemon);
+    usage.remove(daemon);
     sum();
   }
 
   private void sum() {
     sums.clear();
-    for (Map<EndpointId, Activity> mine : doing.values()) {
+    for (Map<EndpointId, EndpointUsage> mine : usage.values()) {
       mine.forEach((id, activity) -> sums.merge(id, activity.load(), Load::plus));
     }
   }
@@ -49,10 +49,10 @@
 
   /** Returns what all daemons but one ask of engines. */
   Map<EndpointId, Load> loadsWithout(DaemonId daemon, Collection<EndpointId> endpoints) {
-    Map<EndpointId, Activity> mine = doing.getOrDefault(daemon, Map.of());
+    Map<EndpointId, EndpointUsage> mine = usage.getOrDefault(daemon, Map.of());
     Map<EndpointId, Load> loads = new TreeMap<>();
     for (EndpointId id : endpoints) {
-      Activity own = mine.get(id);
+      EndpointUsage own = mine.get(id);
       loads.put(id, own == null ? load(id) : load(id).minus(own.load()));
     }
     return loads;
@@ -61,8 +61,8 @@
   /** Returns the adapters that requests at an engine use. */
   Set<AdapterName> inUse(EndpointId endpoint) {
     Set<AdapterName> inUse = new HashSet<>();
-    for (Map<EndpointId, Activity> mine : doing.values()) {
-      Activity activity = mine.get(endpoint);
+    for (Map<EndpointId, EndpointUsage> mine : usage.values()) {
+      EndpointUsage activity = mine.get(endpoint);
       if (activity != null) {
         activity.uses().stream()
             .filter(use -> use.running() > 0)
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StopTimes.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DrainSchedule.java
@@ -10,10 +10,10 @@
  *     milliseconds of the monotonic clock
  * @param endsAt when the process ends
  */
-record StopTimes(long takesAllUntil, long endsAt) {
+record DrainSchedule(long takesAllUntil, long endsAt) {
 
   /** No stop is planned. */
-  static final StopTimes NEVER = new StopTimes(Long.MAX_VALUE, Long.MAX_VALUE);
+  static final DrainSchedule NEVER = new DrainSchedule(Long.MAX_VALUE, Long.MAX_VALUE);
 
   boolean takes(long timeoutMs, long now) {
     return now < takesAllUntil || now + timeoutMs <= endsAt;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -11,42 +11,33 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * Chooses an endpoint for a request by the expected time until its answer begins.
+ * Chooses an endpoint for a request by the expected time until its response begins.
  *
  * <pre>{@code
  * Choice choice = chooser.forGeneration(candidates, generation, 38.4, 4_000, loadable);
  * }</pre>
  *
- * <p>It answers the load of a long tail: a fifth of the requests ask for an adapter that is
- * nowhere, and a long prompt costs as much time as a load, so that adapter, kept prompt and backlog
- * have to be weighed in one unit. The unit is milliseconds. Instances hold no state and are safe
- * for use by several threads.
+ * <p>Adapter loads, cached prompt parts and backlog are weighed in one unit, milliseconds.
+ * Instances hold no state and are safe for use by several threads.
  */
 public final class EndpointChooser {
 
-  /**
-   * What another data centre costs, in milliseconds: the way there and back, and as much again for
-   * the bytes, which are the dearest of all resources.
-   */
+  /** Penalty for another data centre, in milliseconds: the round trip and the transferred bytes. */
   private static final double CROSSING_MS = 6;
 
   /** The order for a load and its answer, in milliseconds. */
   private static final double ORDER_MS = 15;
 
   /**
-   * What an adapter that is nowhere costs away from its home data centre, in milliseconds. Daemons
-   * of several data centres that ask for it at the same moment then ask the same coordinator; of
-   * 190 second copies on a heavy day a fifth were ordered within 100 ms of the first.
+   * Penalty for a load outside the adapter's home data centre, in milliseconds. Makes concurrent
+   * requests for one adapter pick the same coordinator, which avoids duplicate loads.
    */
   private static final double AWAY_MS = 60;
 
   /** What the transfer from the store is worth besides its time, in milliseconds. */
   private static final double TRANSFER_MS = 150;
 
-  /**
-   * Memory beyond this share makes an engine interrupt requests and read their prompts anew, which
-   * costs more than any queue.
-   */
+  /** Beyond this share of its memory an engine preempts requests and reads their prompts again. */
   private static final double MEMORY_SHARE = 0.92;
 
   /** The wait for memory or a slot to become free, in milliseconds: half a usual run. */
@@ -56,7 +47,7 @@
   private static final double COPY_GAIN_MS = 100;
 
   /** The least time after which a refused caller may come back, in milliseconds. */
-  private static final long COME_BACK_MS = 250;
+  private static final long RETRY_AFTER_MS = 250;
 
   /**
    * Chooses for a request to an engine.
@@ -74,7 +65,7 @@
       long remainingMs,
       Loadable loadable) {
     Optional<DataCentreId> home = home(generation, loadable.dataCentres());
-    ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, home) + loadable.turnMs(c);
+    ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, home) + loadable.queueWaitMs(c);
     ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
     Comparator<Candidate> cheapest = Comparator.comparingDouble(cost);
     Optional<Candidate> holder = candidates.stream().filter(Candidate::holds).min(cheapest);
@@ -120,7 +111,7 @@
   }
 
   private static double loadCost(Candidate candidate, Optional<DataCentreId> home) {
-    double transferMs = candidate.keepsAdapter() ? 0 : TRANSFER_MS;
+    double transferMs = candidate.cachesAdapter() ? 0 : TRANSFER_MS;
     boolean away = home.isPresent() && !candidate.dataCentre().equals(home.get());
     return loadMs(candidate) + transferMs + (away ? AWAY_MS : 0);
   }
@@ -133,9 +124,9 @@
 
   private static Choice loadOrRefuse(
       Candidate best, Loadable loadable, long expectedMs, long remainingMs) {
-    long withTurnMs = expectedMs + loadable.turnMs(best);
-    return withTurnMs > remainingMs
-        ? tooLate((double) withTurnMs, remainingMs)
+    long withQueueMs = expectedMs + loadable.queueWaitMs(best);
+    return withQueueMs > remainingMs
+        ? tooLate((double) withQueueMs, remainingMs)
         : new Choice.RequestLoad(best.dataCentre(), false, loadable.isFull(best), expectedMs);
   }
 
@@ -143,15 +134,16 @@
    * Where an adapter can be ordered.
    *
    * @param dataCentres the data centres, the nearest first
-   * @param turnsMs when a place becomes free, in milliseconds, at those that have none now: waiting
-   *     a moment for an engine that keeps the adapter may be better than a transfer elsewhere
+   * @param queueWaitsMs when a place becomes free, in milliseconds, at those that have none now:
+   *     waiting a moment for an engine that keeps the adapter may be better than a transfer
+   *     elsewhere
    */
-  public record Loadable(List<DataCentreId> dataCentres, Map<DataCentreId, Long> turnsMs) {
+  public record Loadable(List<DataCentreId> dataCentres, Map<DataCentreId, Long> queueWaitsMs) {
 
     /** Copies both. */
     public Loadable {
       dataCentres = List.copyOf(dataCentres);
-      turnsMs = Map.copyOf(turnsMs);
+      queueWaitsMs = Map.copyOf(queueWaitsMs);
     }
 
     private boolean has(DataCentreId dataCentre) {
@@ -159,11 +151,11 @@
     }
 
     private boolean isFull(Candidate candidate) {
-      return turnsMs.containsKey(candidate.dataCentre());
+      return queueWaitsMs.containsKey(candidate.dataCentre());
     }
 
-    private long turnMs(Candidate candidate) {
-      return turnsMs.getOrDefault(candidate.dataCentre(), 0L);
+    private long queueWaitMs(Candidate candidate) {
+      return queueWaitsMs.getOrDefault(candidate.dataCentre(), 0L);
     }
   }
 
@@ -197,7 +189,7 @@
   private static double beginMs(Candidate candidate, Generation generation, double tokensPerMs) {
     double readMs =
         EngineCost.beginMs(candidate.load(), unread(candidate, generation), tokensPerMs);
-    return candidate.slowness() * readMs + overhead(candidate, generation, tokensPerMs);
+    return candidate.slowdown() * readMs + overhead(candidate, generation, tokensPerMs);
   }
 
   private static double cost(Candidate candidate, Generation generation, double tokensPerMs) {
@@ -207,11 +199,11 @@
             unread(candidate, generation),
             generation.expectedOutputTokens(),
             tokensPerMs);
-    return candidate.slowness() * engineMs + overhead(candidate, generation, tokensPerMs);
+    return candidate.slowdown() * engineMs + overhead(candidate, generation, tokensPerMs);
   }
 
   private static long unread(Candidate candidate, Generation generation) {
-    return Math.max(0, generation.promptTokens() - candidate.keptTokens());
+    return Math.max(0, generation.promptTokens() - candidate.cachedTokens());
   }
 
   private static double overhead(Candidate candidate, Generation generation, double tokensPerMs) {
@@ -230,12 +222,12 @@
   }
 
   private static Choice noEndpoint() {
-    return new Choice.Refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS);
+    return new Choice.Refuse(ErrorKind.NO_ENDPOINT, RETRY_AFTER_MS);
   }
 
   /** A caller that comes back once the excess has been worked off finds its turn. */
   private static Choice tooLate(double expectedMs, long remainingMs) {
     long excessMs = (long) (expectedMs - remainingMs);
-    return new Choice.Refuse(ErrorKind.DEADLINE_UNREACHABLE, Math.max(COME_BACK_MS, excessMs));
+    return new Choice.Refuse(ErrorKind.DEADLINE_UNREACHABLE, Math.max(RETRY_AFTER_MS, excessMs));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -23,7 +23,7 @@
 import java.util.function.Consumer;
 
 /**
- * Knows all endpoints, as the platform's list tells them, in one group a service.
+ * Knows all endpoints, as the platform's list reports them, in one group a service.
  *
  * <p>Safe for use by several threads; each group has its own lock.
  */
@@ -60,7 +60,7 @@
 
     private static final long serialVersionUID = 1L;
 
-    /** Far more than leave while a word of a coordinator is on its way. */
+    /** Far more than leave while a message of a coordinator is in transit. */
     private static final int MOST = 1_000;
 
     @Override
@@ -69,7 +69,7 @@
     }
   }
 
-  /** Hears what changes in the list; must not block. */
+  /** Receives what changes in the list; must not block. */
   interface Watcher {
 
     /** Nobody listens. */
@@ -97,17 +97,17 @@
     this.log = log;
   }
 
-  /** Sets what hears of any change of the list. */
+  /** Sets what is notified of any change of the list. */
   void onChange(Runnable action) {
     onChange = action;
   }
 
-  /** Sets what hears that an adapter has become idle in a data centre; must not block. */
+  /** Sets what called when an adapter has become idle in a data centre; must not block. */
   void onIdle(Consumer<DataCentreId> action) {
     onIdle = action;
   }
 
-  /** Sets what hears each change of the list. */
+  /** Sets what receives each change of the list. */
   void watchedBy(Watcher newWatcher) {
     watcher = newWatcher;
   }
@@ -146,8 +146,8 @@
   }
 
   /** Takes in how long adapters take to the endpoints of a data centre. */
-  void loads(DataCentreId dataCentre, LoadOutlook outlook) {
-    groups.values().forEach(group -> group.setOutlook(dataCentre, outlook));
+  void loads(DataCentreId dataCentre, LoadTimeEstimates loadTimes) {
+    groups.values().forEach(group -> group.setLoadTimes(dataCentre, loadTimes));
   }
 
   /** Returns whether an endpoint outside a data centre has an adapter, or has it on its way. */
@@ -156,12 +156,12 @@
     return groups.values().stream().anyMatch(g -> g.isHeldOutside(dataCentre, adapter, now));
   }
 
-  /** Notes that a coordinator tells what the endpoints of a data centre hold. */
+  /** Notes that a coordinator reports what the endpoints of a data centre hold. */
   void coordinated(DataCentreId dataCentre) {
     coordinated.add(dataCentre);
   }
 
-  /** Notes that nobody tells any more; the endpoints' own entries count again as they change. */
+  /** Notes that nobody reports any more; the endpoints' own entries count again as they change. */
   void uncoordinated(DataCentreId dataCentre) {
     coordinated.remove(dataCentre);
     groups.values().forEach(group -> group.forgetOthers(dataCentre));
@@ -170,32 +170,32 @@
   @Override
   public boolean replaced(StoreList<EndpointEntry> list, boolean afterOutage) {
     Set<EndpointId> present = new HashSet<>();
-    boolean news = false;
+    boolean changed = false;
     for (Stored<EndpointEntry> item : list.items()) {
-      news |= take(item);
+      changed |= take(item);
       item.value().ifPresent(entry -> present.add(entry.endpoint()));
     }
-    news |= removeAllBut(present, list.revision(), afterOutage ? LAPSE_GRACE_MS : 0);
+    changed |= removeAllBut(present, list.revision(), afterOutage ? LAPSE_GRACE_MS : 0);
     upTo = Math.max(upTo, list.revision());
     listed = true;
     onChange.run();
-    return news;
+    return changed;
   }
 
   private boolean removeAllBut(Set<EndpointId> present, long revision, long graceMs) {
-    boolean news = false;
+    boolean changed = false;
     for (EndpointEntry entry : new ArrayList<>(known.values())) {
       if (!present.contains(entry.endpoint())) {
-        news |= remove(entry.endpoint(), revision, graceMs);
+        changed |= remove(entry.endpoint(), revision, graceMs);
       }
     }
-    return news;
+    return changed;
   }
 
   @Override
   public boolean changed(
       StoreChanges.Change<EndpointEntry> change, long revision, boolean afterOutage) {
-    boolean news =
+    boolean changed =
         change.removed()
             ? remove(
                 endpointNamed(change.object()),
@@ -204,22 +204,22 @@
             : take(change.object());
     upTo = Math.max(upTo, revision);
     onChange.run();
-    return news;
+    return changed;
   }
 
-  /** Takes in what a coordinator tells of the list. */
-  void relayed(LinkMessage.Endpoints told) {
+  /** Takes in what a coordinator reports of the list. */
+  void relayed(LinkMessage.Endpoints update) {
     Set<EndpointId> present = new HashSet<>();
-    for (LinkMessage.ListedEndpoint item : told.entries()) {
+    for (LinkMessage.ListedEndpoint item : update.entries()) {
       EndpointId endpoint = item.entry().endpoint();
       present.add(endpoint);
       take(new Stored<>(endpoint.value(), item.revision(), Optional.of(item.entry()), ""));
     }
-    told.gone().forEach(gone -> remove(gone.endpoint(), gone.revision(), gone.graceMs()));
-    if (told.whole()) {
-      removeAllBut(present, told.revision(), 0);
+    update.gone().forEach(gone -> remove(gone.endpoint(), gone.revision(), gone.graceMs()));
+    if (update.whole()) {
+      removeAllBut(present, update.revision(), 0);
     }
-    upTo = Math.max(upTo, told.revision());
+    upTo = Math.max(upTo, update.revision());
     onChange.run();
   }
 
@@ -241,7 +241,7 @@
   /**
    * Takes in an entry; returns whether it says anything that requests depend on. One that cannot be
    * read comes from another writer and changes nothing that is known. One that is older than what
-   * is known was overtaken: the store and the coordinators tell the same on different ways.
+   * is known was overtaken: the store and the coordinators report the same on different ways.
    */
   private synchronized boolean take(Stored<EndpointEntry> item) {
     if (item.value().isEmpty()) {
@@ -259,16 +259,16 @@
     }
     seen.put(entry.endpoint(), item.revision());
     EndpointEntry before = known.put(entry.endpoint(), entry);
-    boolean told = coordinated.contains(entry.dataCentre());
-    boolean restarted = group(entry.service()).put(entry, told, clock.millis());
+    boolean isCoordinated = coordinated.contains(entry.dataCentre());
+    boolean restarted = group(entry.service()).put(entry, isCoordinated, clock.millis());
     if (before == null || before.leaving() != entry.leaving() || restarted) {
       logEntry(before == null ? "endpoint_known" : "endpoint_changed", entry, item.revision());
     }
-    boolean news = before == null || !before.servesLike(entry);
-    if (news) {
+    boolean changed = before == null || !before.servesLike(entry);
+    if (changed) {
       watcher.listed(new LinkMessage.ListedEndpoint(entry, item.revision()));
     }
-    return news;
+    return changed;
   }
 
   private void logEntry(String event, EndpointEntry entry, long revision) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -60,7 +60,7 @@
   private final EndpointHealth health = new EndpointHealth(HEALTH);
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   private final LearnedTime tokensPerMs = new LearnedTime(FIRST_TOKENS_PER_MS, 4, 400);
-  private final Map<DataCentreId, LoadOutlook> outlooks = new HashMap<>();
+  private final Map<DataCentreId, LoadTimeEstimates> loadTimes = new HashMap<>();
   private final LearnedTime serviceMs = new LearnedTime(FIRST_SERVICE_MS, 1, 10_000);
   private final Consumer<DataCentreId> onIdle;
   private Optional<EngineSpec> engine = Optional.empty();
@@ -70,7 +70,7 @@
    *
    * @param here this daemon's data centre
    * @param versions the newest versions
-   * @param onIdle hears that the last of this daemon's requests for an adapter has ended at an
+   * @param onIdle called when the last of this daemon's requests for an adapter has ended at an
    *     endpoint of a data centre; must not block
    */
   EndpointGroup(DataCentreId here, AdapterVersions versions, Consumer<DataCentreId> onIdle) {
@@ -87,7 +87,7 @@
   synchronized boolean put(EndpointEntry entry, boolean coordinated, long now) {
     EndpointState state = endpoints.get(entry.endpoint());
     if (state == null) {
-      state = new EndpointState(entry, () -> outlook(entry.dataCentre()).keptDepth());
+      state = new EndpointState(entry, () -> loadTimes(entry.dataCentre()).cacheDepth());
       endpoints.put(entry.endpoint(), state);
     }
     boolean restarted = state.entry.bornMs() != entry.bornMs();
@@ -151,10 +151,10 @@
 
   private Candidate candidate(EndpointState state, Demand demand, boolean home, long now) {
     Load load = state.own(now).plus(state.others);
-    long kept = demand.generation().map(g -> keptTokens(state, g, home)).orElse(0L);
+    long kept = demand.generation().map(g -> cachedTokens(state, g, home)).orElse(0L);
     Optional<AdapterName> adapter = demand.generation().flatMap(Generation::adapter);
-    boolean keepsAdapter = adapter.filter(state.kept::isKept).isPresent();
-    LoadOutlook outlook = outlook(state.entry.dataCentre());
+    boolean cachesAdapter = adapter.filter(state.kept::isCached).isPresent();
+    LoadTimeEstimates estimates = loadTimes(state.entry.dataCentre());
     return new Candidate(
         state.entry.endpoint(),
         state.entry.dataCentre(),
@@ -164,18 +164,18 @@
         engine.map(EngineSpec::kvTokens).orElse(0L),
         kept,
         readyInMs(state, demand, now),
-        keepsAdapter,
-        state.slowness.value(now),
-        keepsAdapter ? outlook.memoryMs() : outlook.storeMs());
+        cachesAdapter,
+        state.slowdown.value(now),
+        cachesAdapter ? estimates.memoryMs() : estimates.storeMs());
   }
 
-  private LoadOutlook outlook(DataCentreId dataCentre) {
-    return outlooks.getOrDefault(dataCentre, LoadOutlook.FIRST);
+  private LoadTimeEstimates loadTimes(DataCentreId dataCentre) {
+    return loadTimes.getOrDefault(dataCentre, LoadTimeEstimates.FIRST);
   }
 
   /** Takes in how long adapters take to the endpoints of a data centre. */
-  synchronized void setOutlook(DataCentreId dataCentre, LoadOutlook outlook) {
-    outlooks.put(dataCentre, outlook);
+  synchronized void setLoadTimes(DataCentreId dataCentre, LoadTimeEstimates estimates) {
+    loadTimes.put(dataCentre, estimates);
   }
 
   /**
@@ -183,8 +183,8 @@
    * all of them rank the holders of an adapter alike, so the first of them is likely to have read
    * the shared parts for another daemon.
    */
-  private static long keptTokens(EndpointState state, Generation generation, boolean home) {
-    long known = state.prompts.keptTokens(generation);
+  private static long cachedTokens(EndpointState state, Generation generation, boolean home) {
+    long known = state.prompts.cachedTokens(generation);
     if (!home) {
       return known;
     }
@@ -226,7 +226,7 @@
     return Math.max(0, copy.readyAt() - now);
   }
 
-  /** Notes that a request goes to an endpoint; the ticket tells the rest of its way. */
+  /** Notes that a request goes to an endpoint; the ticket reports the rest of its way. */
   public synchronized Optional<Ticket> begin(EndpointId endpoint, Demand demand, long now) {
     EndpointState state = endpoints.get(endpoint);
     if (state == null) {
@@ -245,10 +245,10 @@
   /** How fast an engine reads prompts, in tokens a millisecond. */
   synchronized double tokensPerMs(EndpointId endpoint, long now) {
     EndpointState state = endpoints.get(endpoint);
-    return tokensPerMs.value() / (state == null ? 1 : state.slowness.value(now));
+    return tokensPerMs.value() / (state == null ? 1 : state.slowdown.value(now));
   }
 
-  /** Replaces what is known of an endpoint's adapters by its coordinator's word. */
+  /** Replaces what is known of an endpoint's adapters by its coordinator's report. */
   synchronized void replaceCopies(
       EndpointId endpoint, Map<AdapterName, EndpointState.Copy> copies) {
     EndpointState state = endpoints.get(endpoint);
@@ -270,7 +270,7 @@
   }
 
   /** Returns the adapters that an endpoint held lately, the last one last. */
-  synchronized List<AdapterName> heldLately(EndpointId endpoint) {
+  synchronized List<AdapterName> recentAdapters(EndpointId endpoint) {
     EndpointState state = endpoints.get(endpoint);
     return state == null ? List.of() : state.kept.all();
   }
@@ -325,7 +325,7 @@
     }
   }
 
-  /** Forgets what others do in a data centre whose coordinator is no longer heard. */
+  /** Forgets what others do in a data centre whose coordinator is disconnected. */
   synchronized void forgetOthers(DataCentreId dataCentre) {
     for (EndpointState state : endpoints.values()) {
       if (state.entry.dataCentre().equals(dataCentre)) {
@@ -342,10 +342,10 @@
   }
 
   /**
-   * Returns this daemon's own doing at the endpoints of a data centre, and starts counting anew.
+   * Returns this daemon's own usage at the endpoints of a data centre, and starts counting anew.
    */
-  synchronized List<Activity> takeActivity(DataCentreId dataCentre, long now) {
-    List<Activity> activities = new ArrayList<>();
+  synchronized List<EndpointUsage> takeActivity(DataCentreId dataCentre, long now) {
+    List<EndpointUsage> activities = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
       if (!state.entry.dataCentre().equals(dataCentre)) {
         continue;
@@ -353,14 +353,17 @@
       if (state.own.running() == 0 && state.starts.isEmpty()) {
         continue;
       }
-      Map<AdapterName, Activity.Use> uses = new HashMap<>();
-      state.inUse.forEach((name, count) -> uses.put(name, new Activity.Use(name, count, 0)));
+      Map<AdapterName, EndpointUsage.AdapterUse> uses = new HashMap<>();
+      state.inUse.forEach(
+          (name, count) -> uses.put(name, new EndpointUsage.AdapterUse(name, count, 0)));
       state.starts.forEach(
           (name, count) ->
-              uses.put(name, new Activity.Use(name, state.inUse.getOrDefault(name, 0), count)));
+              uses.put(
+                  name,
+                  new EndpointUsage.AdapterUse(name, state.inUse.getOrDefault(name, 0), count)));
       state.starts.clear();
       activities.add(
-          new Activity(state.entry.endpoint(), state.own(now), List.copyOf(uses.values())));
+          new EndpointUsage(state.entry.endpoint(), state.own(now), List.copyOf(uses.values())));
     }
     return activities;
   }
@@ -434,7 +437,7 @@
     }
 
     private Load loadOf(EndpointState at, Generation wanted) {
-      long unread = Math.max(0, wanted.promptTokens() - at.prompts.keptTokens(wanted));
+      long unread = Math.max(0, wanted.promptTokens() - at.prompts.cachedTokens(wanted));
       return new Load(1, unread, wanted.memoryTokens(), 0);
     }
 
@@ -448,29 +451,29 @@
       synchronized (EndpointGroup.this) {
         if (!begun && !ended) {
           begun = true;
-          state.heard.begun(now);
+          state.stalls.streamStarted(now);
           state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
           learnReadingSpeed(now);
-          generation.ifPresent(g -> state.slowness.sample((double) (now - sentAt), usualMs, now));
+          generation.ifPresent(g -> state.slowdown.sample((double) (now - sentAt), usualMs, now));
         }
       }
     }
 
     /** Notes that a part of the answer has come. */
-    public void word(long now) {
+    public void progress(long now) {
       synchronized (EndpointGroup.this) {
-        state.heard.word(now);
+        state.stalls.progress(now);
       }
     }
 
-    /** Returns whether the endpoint says nothing to any of this daemon's streams. */
-    public boolean endpointIsSilent(long now) {
+    /** Returns whether the endpoint sends nothing to any of this daemon's streams. */
+    public boolean endpointIsStalled(long now) {
       synchronized (EndpointGroup.this) {
-        return state.heard.isSilent(now);
+        return state.stalls.isStalled(now);
       }
     }
 
-    /** Short prompts tell of steps and ways, not of reading. */
+    /** Short prompts indicate steps and ways, not of reading. */
     private void learnReadingSpeed(long now) {
       double readingMs = now - sentAt - FIRST_TOKEN_MS;
       if (generation.isPresent() && backlog >= 1_000 && readingMs > 0) {
@@ -486,7 +489,7 @@
         }
         ended = true;
         if (begun) {
-          state.heard.ended();
+          state.stalls.streamEnded();
         }
         state.own =
             state.own.minus(new Load(1, begun ? 0 : load.prefillTokens(), load.memoryTokens(), 0));
@@ -521,7 +524,7 @@
     }
   }
 
-  /** Tells what a request's end says about its endpoint. */
+  /** Reports what a request's end says about its endpoint. */
   public enum Ending {
     /** A whole answer. */
     ANSWERED,
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Slowness.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointSpeedEstimator.java
@@ -1,19 +1,17 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Learns how many times as long as the engines of its service one engine takes.
+ * Learns how slow one engine is compared with the other engines of its service.
  *
- * <p>Engines of one service differ in speed, and one may turn slow for seconds; taken for equal, a
- * slow one gets its full share of requests, and they are late. What was learned fades while the
- * engine gets nothing, so that one that has recovered is found again. Not safe for use by several
- * threads.
+ * <p>The estimate decays while the engine gets no requests, so that a recovered engine is used
+ * again. Not safe for use by several threads.
  */
-final class Slowness {
+final class EndpointSpeedEstimator {
 
   /** Weight of one answer's beginning. */
   private static final double WEIGHT = 0.12;
 
-  /** Bounds of one sample: a beginning beyond them tells of something else. */
+  /** Bounds of one sample: a beginning beyond them reports of something else. */
   private static final double LEAST = 0.25;
 
   private static final double MOST = 8;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SilenceDetector.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointStallDetector.java
@@ -1,23 +1,22 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Notes when an endpoint last said anything to the streams that it carries for this daemon, and
- * knows what pauses are usual.
+ * Detects that an endpoint sends nothing on any of the streams that it carries for this daemon.
  *
- * <p>Not safe for use by several threads.
+ * <p>Learns the usual pause between events. Not safe for use by several threads.
  */
-final class SilenceDetector {
+final class EndpointStallDetector {
 
   /** Streams that have to be silent: one alone may wait for a long prompt of its own batch. */
-  private static final int LEAST_STREAMS = 2;
+  private static final int MIN_STREAMS = 2;
 
   /**
    * A pause shorter than this is no silence, in milliseconds: a long prompt takes about as long.
    */
-  private static final long LEAST_SILENCE_MS = 400;
+  private static final long MIN_STALL_MS = 400;
 
   /** A pause of this many usual ones is a silence. */
-  private static final double USUAL_PAUSES = 8;
+  private static final double STALL_PAUSE_RATIO = 8;
 
   private static final double FIRST_PAUSE_MS = 50;
   private static final double LONGEST_PAUSE_MS = 2_000;
@@ -27,27 +26,27 @@
   private long at;
 
   /** A stream has begun. */
-  void begun(long now) {
+  void streamStarted(long now) {
     streams++;
     at = now;
   }
 
   /** A stream has said something. */
-  void word(long now) {
-    if (streams >= LEAST_STREAMS) {
+  void progress(long now) {
+    if (streams >= MIN_STREAMS) {
       pauseMs.sample((double) (now - at));
     }
     at = now;
   }
 
   /** A stream has ended. */
-  void ended() {
+  void streamEnded() {
     streams--;
   }
 
-  /** Returns whether the endpoint says nothing to any of several streams. */
-  boolean isSilent(long now) {
-    double silence = Math.max(LEAST_SILENCE_MS, USUAL_PAUSES * pauseMs.value());
-    return streams >= LEAST_STREAMS && now - at >= silence;
+  /** Returns whether the endpoint sends nothing to any of several streams. */
+  boolean isStalled(long now) {
+    double silence = Math.max(MIN_STALL_MS, STALL_PAUSE_RATIO * pauseMs.value());
+    return streams >= MIN_STREAMS && now - at >= silence;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -17,20 +17,20 @@
   long goneAt = STAYS;
   Load own = Load.NONE;
   final Recent recent = new Recent();
-  Slowness slowness = new Slowness();
-  final SilenceDetector heard = new SilenceDetector();
+  EndpointSpeedEstimator slowdown = new EndpointSpeedEstimator();
+  final EndpointStallDetector stalls = new EndpointStallDetector();
   Load others = Load.NONE;
   final Map<AdapterName, Copy> copies = new HashMap<>();
   final Map<AdapterName, Integer> inUse = new HashMap<>();
   final Map<AdapterName, Integer> starts = new HashMap<>();
-  KeptPrompts prompts = new KeptPrompts();
-  KeptAdapters kept;
-  private final IntSupplier keptDepth;
+  PrefixCacheModel prompts = new PrefixCacheModel();
+  AdapterCacheModel kept;
+  private final IntSupplier cacheDepth;
 
-  EndpointState(EndpointEntry entry, IntSupplier keptDepth) {
+  EndpointState(EndpointEntry entry, IntSupplier cacheDepth) {
     this.entry = entry;
-    this.keptDepth = keptDepth;
-    this.kept = new KeptAdapters(keptDepth);
+    this.cacheDepth = cacheDepth;
+    this.kept = new AdapterCacheModel(cacheDepth);
   }
 
   /**
@@ -56,7 +56,7 @@
   }
 
   /**
-   * The endpoint's entry is up to a heartbeat old; where a coordinator tells of an adapter there,
+   * The endpoint's entry is up to a heartbeat old; where a coordinator reports of an adapter there,
    * its base model is there, too.
    */
   boolean holdsModel(ModelId model) {
@@ -91,9 +91,9 @@
   /** Forgets all of an earlier process under the same name: it took its memory along. */
   void restarted() {
     copies.clear();
-    prompts = new KeptPrompts();
-    slowness = new Slowness();
-    kept = new KeptAdapters(keptDepth);
+    prompts = new PrefixCacheModel();
+    slowdown = new EndpointSpeedEstimator();
+    kept = new AdapterCacheModel(cacheDepth);
     others = Load.NONE;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Activity.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointUsage.java
@@ -13,10 +13,10 @@
  * @param load its requests there
  * @param uses the adapters that they use, and used since the last time
  */
-public record Activity(EndpointId endpoint, Load load, List<Use> uses) {
+public record EndpointUsage(EndpointId endpoint, Load load, List<AdapterUse> uses) {
 
   /** Copies the list. */
-  public Activity {
+  public EndpointUsage {
     uses = List.copyOf(uses);
   }
 
@@ -27,5 +27,5 @@
    * @param running requests that use it now
    * @param starts requests that began to use it since the last time
    */
-  public record Use(AdapterName adapter, int running, int starts) {}
+  public record AdapterUse(AdapterName adapter, int running, int starts) {}
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EngineCost.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EngineCost.java
@@ -1,14 +1,10 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Weighs what a request costs at an engine, for itself and for those that run there, in
- * milliseconds.
+ * Cost of a request at an engine, for itself and for the requests that run there, in milliseconds.
  *
- * <p>An engine reads prompts in pieces between the tokens of other requests, so each prompt holds
- * up every answer that is being made there, and an answer made beside many prompts takes several
- * times as long. It answers a load of long prompts with short answers beside short prompts with
- * long answers: with the harm in the weight the two kinds gather at different engines by
- * themselves, and answers hold their adapters' places for less time. The methods are pure.
+ * <p>An engine reads prompts in chunks between the tokens of other requests, so each prompt delays
+ * every response that is being generated there. The methods are pure.
  */
 final class EngineCost {
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/FreezeDetector.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/FreezeDetector.java
@@ -6,7 +6,7 @@
  * Notices that the host was suspended: its monotonic clock stands still meanwhile, and the wall
  * clock does not.
  *
- * <p>A holder that wakes up would else take its lease for fresh and order endpoints that another
+ * <p>A holder that resumes up would else take its lease for fresh and order endpoints that another
  * orders by now. A jump of the wall clock looks the same and costs one renewal of the lease. Not
  * safe for use by several threads.
  */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -11,9 +11,9 @@
 import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
-import io.sequoiapass.gateway.request.LoadWish;
+import io.sequoiapass.gateway.request.LoadRequest;
+import io.sequoiapass.gateway.request.PendingRequests;
 import io.sequoiapass.gateway.request.RelayContext;
-import io.sequoiapass.gateway.request.Waiting;
 import io.sequoiapass.gateway.spi.Deployment;
 import io.sequoiapass.gateway.spi.HostSettings;
 import io.sequoiapass.gateway.spi.MetadataStore;
@@ -70,13 +70,13 @@
 
   /**
    * The same for a coordinator, whose knowledge is relied on while it is fresh: asked each second
-   * and told each 450 ms, it would be up to 1.9 s old, and daemons would ask for themselves.
+   * and reported each 450 ms, it would be up to 1.9 s old, and daemons would ask for themselves.
    */
-  private static final Map<RelayedViews.Topic, StoreFeed.Timing> COORDINATOR_TIMING =
+  private static final Map<StoreFreshness.Topic, StoreFeed.Timing> COORDINATOR_TIMING =
       Map.of(
-          RelayedViews.Topic.ENDPOINTS, new StoreFeed.Timing(600, 600),
-          RelayedViews.Topic.CONFIGURATION, new StoreFeed.Timing(700, 50),
-          RelayedViews.Topic.RELEASES, new StoreFeed.Timing(2_000, 300));
+          StoreFreshness.Topic.ENDPOINTS, new StoreFeed.Timing(600, 600),
+          StoreFreshness.Topic.CONFIGURATION, new StoreFeed.Timing(700, 50),
+          StoreFreshness.Topic.RELEASES, new StoreFeed.Timing(2_000, 300));
 
   /** Share of the time allowed for a new adapter version during which the old one may begin. */
   private static final double OLD_VERSION_SHARE = 0.5;
@@ -105,10 +105,10 @@
   private final AtomicReference<ServingConfiguration> configuration = new AtomicReference<>();
   private final AdapterVersions versions;
   private final EndpointDirectory directory;
-  private final Waiting waiting = new Waiting();
+  private final PendingRequests waiting = new PendingRequests();
   private final GatewayMetrics metrics = new GatewayMetrics();
-  private final RelayedViews views = new RelayedViews();
-  private final Map<RelayedViews.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
+  private final StoreFreshness storeFreshness = new StoreFreshness();
+  private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
   private CoordinationNode node;
   private Coordinator coordinator;
   private CallerHandler callers;
@@ -219,7 +219,7 @@
     transport.listen(settings.links(), coordinator::listener);
   }
 
-  private LinkMessage.StoreView known(RelayedViews.Topic topic) {
+  private LinkMessage.StoreView known(StoreFreshness.Topic topic) {
     StoreFeed<?> feed = feeds.get(topic);
     return feed == null ? LinkMessage.StoreView.NONE : feed.view();
   }
@@ -235,19 +235,19 @@
         .forEach(
             (dataCentre, its) -> {
               if (its.equals(region)) {
-                Consumer<LinkMessage.Standing> heard =
-                    standing -> {
-                      node.heard(dataCentre, standing);
-                      views.heard(dataCentre, standing, clock.millis());
+                Consumer<LinkMessage.CoordinatorStatus> onStatus =
+                    status -> {
+                      node.updateStatus(dataCentre, status);
+                      storeFreshness.update(dataCentre, status, clock.millis());
                     };
                 Runnable lost =
                     () -> {
-                      views.lost(dataCentre);
+                      storeFreshness.lost(dataCentre);
                       waiting.lost(dataCentre);
                     };
                 links.add(
                     new CoordinatorLink(
-                        self, dataCentre, directory, io, new Placed(), heard, lost));
+                        self, dataCentre, directory, io, new Placed(), onStatus, lost));
               }
             });
     return links;
@@ -258,14 +258,14 @@
         store,
         StoreKind.CONFIGURATION,
         CONFIGURATION_TIMING,
-        RelayedViews.Topic.CONFIGURATION,
+        StoreFreshness.Topic.CONFIGURATION,
         StoreFeed.Listener.ofEach(this::takeConfiguration));
-    feed(store, StoreKind.ENDPOINTS, ENDPOINT_TIMING, RelayedViews.Topic.ENDPOINTS, directory);
+    feed(store, StoreKind.ENDPOINTS, ENDPOINT_TIMING, StoreFreshness.Topic.ENDPOINTS, directory);
     feed(
         store,
         StoreKind.RELEASES,
         RELEASE_TIMING,
-        RelayedViews.Topic.RELEASES,
+        StoreFreshness.Topic.RELEASES,
         StoreFeed.Listener.ofEach(this::takeRelease));
   }
 
@@ -273,7 +273,7 @@
       MetadataStore store,
       StoreKind<T> kind,
       StoreFeed.Timing timing,
-      RelayedViews.Topic topic,
+      StoreFreshness.Topic topic,
       StoreFeed.Listener<T> listener) {
     Supplier<StoreFeed.Timing> now =
         () -> node.isCoordinator() ? COORDINATOR_TIMING.get(topic) : timing;
@@ -287,18 +287,18 @@
    * The coordinators, for all but the first of themselves; they push endpoints, so that none is
    * fetched.
    */
-  private StoreFeed.Relay relay(RelayedViews.Topic topic) {
+  private StoreFeed.Relay relay(StoreFreshness.Topic topic) {
     return new StoreFeed.Relay() {
       @Override
       public boolean isFresh(long now) {
         return node.isCoordinator()
-            ? views.areFreshBefore(settings.dataCentre(), topic, now)
-            : views.areFresh(topic, now);
+            ? storeFreshness.areFreshBefore(settings.dataCentre(), topic, now)
+            : storeFreshness.areFresh(topic, now);
       }
 
       @Override
       public long revision() {
-        return topic == RelayedViews.Topic.ENDPOINTS ? 0 : views.revision(topic);
+        return topic == StoreFreshness.Topic.ENDPOINTS ? 0 : storeFreshness.revision(topic);
       }
     };
   }
@@ -332,11 +332,11 @@
     long latest = begun + settings.bounds().graceMs() - STOP_MARGIN_MS;
     callers.stopAt(begun + LEAST_STOP_MS, latest);
     while (clock.millis() < latest) {
-      boolean asked = clock.millis() - begun >= LEAST_STOP_MS;
-      if (asked) {
+      boolean polledLongEnough = clock.millis() - begun >= LEAST_STOP_MS;
+      if (polledLongEnough) {
         callerServer.closeResting();
       }
-      if (asked && callers.underWay() == 0 && callerServer.openConnections() == 0) {
+      if (polledLongEnough && callers.underWay() == 0 && callerServer.openConnections() == 0) {
         break;
       }
       TimeUnit.MILLISECONDS.sleep(STOP_LOOK_MS);
@@ -377,10 +377,10 @@
       return;
     }
     AdapterRelease release = item.value().get();
-    boolean news =
+    boolean changed =
         release.adapter().isPresent()
             && versions.announce(release.adapter().get(), release.version(), clock.millis());
-    if (news) {
+    if (changed) {
       log.belief("release")
           .with("adapter", release.adapter().get())
           .with("version", release.version())
@@ -399,8 +399,8 @@
     }
 
     @Override
-    public void noRoom(DataCentreId dataCentre, AdapterName adapter, long comeBackMs) {
-      waiting.noRoom(dataCentre, adapter, comeBackMs);
+    public void noRoom(DataCentreId dataCentre, AdapterName adapter, long retryAfterMs) {
+      waiting.noRoom(dataCentre, adapter, retryAfterMs);
     }
 
     @Override
@@ -417,19 +417,19 @@
     }
 
     @Override
-    public boolean need(DataCentreId dataCentre, LoadWish wish) {
-      Generation generation = wish.generation();
+    public boolean requestLoad(DataCentreId dataCentre, LoadRequest request) {
+      Generation generation = request.generation();
       AdapterName adapter = generation.adapter().orElseThrow();
-      return node.need(
+      return node.requestLoad(
           dataCentre,
-          new LinkMessage.Need(
+          new LinkMessage.LoadRequest(
               adapter,
               versions.newest(adapter),
-              wish.another(),
+              request.another(),
               generation.promptTokens(),
               generation.expectedOutputTokens(),
-              wish.inTimeMs(),
-              wish.waitMs()));
+              request.inTimeMs(),
+              request.waitMs()));
     }
 
     @Override
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -0,0 +1,186 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/**
+ * Queues load requests while every adapter slot is in use.
+ *
+ * <pre>{@code
+ * LoadReply reply = queue.loadOrEnqueue(entry, now);
+ * queue.dispatch(now);   // whenever a slot may have become free
+ * }</pre>
+ *
+ * <p>Entries that can still be served in time come first, ordered by the time that they have left;
+ * late ones get the slots that remain. An entry whose expected turn lies beyond its deadline is
+ * rejected at once. Not safe for use by several threads.
+ */
+final class LoadQueue {
+
+  private final PlacementPlan plan;
+  private final Predicate<AdapterName> isHeldOutside;
+  private final SlotTurnoverEstimator turnover = new SlotTurnoverEstimator();
+  private final SlotTurnoverEstimator lateTurnover = new SlotTurnoverEstimator();
+  private boolean lateWaited;
+  private final Map<AdapterName, Entry> entries = new HashMap<>();
+
+  /**
+   * The requests that wait for one adapter.
+   *
+   * @param adapter the adapter
+   * @param version the least version that will do
+   * @param size the size of the first of them
+   * @param inTimeUntil until when a load serves the first of them in time, in milliseconds
+   * @param until how long the last of them waits, in milliseconds
+   */
+  record Entry(AdapterName adapter, long version, RequestSize size, long inTimeUntil, long until) {
+
+    /** Returns whether no load that begins now would serve it in time. */
+    private boolean isLate(long now) {
+      return inTimeUntil < now;
+    }
+
+    private Entry and(Entry other) {
+      return new Entry(
+          adapter,
+          Math.max(version, other.version),
+          size,
+          Math.min(inTimeUntil, other.inTimeUntil),
+          Math.max(until, other.until));
+    }
+  }
+
+  /**
+   * An adapter whose turn would come too late.
+   *
+   * @param adapter the adapter
+   * @param retryAfterMs when its turn would come, in milliseconds
+   */
+  record Expired(AdapterName adapter, long retryAfterMs) {}
+
+  /**
+   * Waits for places of a plan.
+   *
+   * @param plan the plan
+   * @param isHeldOutside whether another data centre has an adapter, or has it brought
+   */
+  LoadQueue(PlacementPlan plan, Predicate<AdapterName> isHeldOutside) {
+    this.plan = plan;
+    this.isHeldOutside = isHeldOutside;
+  }
+
+  /**
+   * Plans a load at once, or queues it.
+   *
+   * @param entry the adapter, and how long it may wait
+   * @param now the time, in milliseconds
+   */
+  LoadReply loadOrEnqueue(Entry entry, long now) {
+    LoadReply atOnce = plan.request(entry.adapter(), entry.version(), false, entry.size(), now);
+    if (!(atOnce instanceof LoadReply.Rejected)) {
+      return atOnce;
+    }
+    // One that joins others takes no further place.
+    if (!entries.containsKey(entry.adapter())) {
+      long expectedMs = queueWaitMs(entry, now);
+      if (now + expectedMs > entry.until()) {
+        return new LoadReply.Rejected(expectedMs);
+      }
+      if (entries.isEmpty()) {
+        turnover.waiting(now);
+      }
+    }
+    entries.merge(entry.adapter(), entry, Entry::and);
+    return new LoadReply.Queued();
+  }
+
+  /** Returns the expected wait of a new entry, in milliseconds. */
+  long queueWaitMs(Entry entry, long now) {
+    long ahead = entries.values().stream().filter(other -> goesBefore(other, entry, now)).count();
+    long inTimeMs = turnover.expectedMs((int) ahead, plan.places(), now);
+    if (now + inTimeMs <= entry.inTimeUntil()) {
+      return inTimeMs;
+    }
+    long lateAhead = entries.values().stream().filter(other -> other.isLate(now)).count();
+    return Math.max(inTimeMs, lateTurnover.expectedMs((int) lateAhead, plan.places(), now));
+  }
+
+  private static boolean goesBefore(Entry other, Entry entry, long now) {
+    return !other.isLate(now) && other.inTimeUntil() <= entry.inTimeUntil();
+  }
+
+  /**
+   * Gives free slots to queued entries.
+   *
+   * @param now the time, in milliseconds
+   * @return entries that were removed because their turn would come too late
+   */
+  List<Expired> dispatch(long now) {
+    if (entries.isEmpty()) {
+      return List.of();
+    }
+    // Their callers have gone there; a place here would be taken for nobody.
+    entries.keySet().removeIf(isHeldOutside);
+    updateLate(now);
+    for (Entry entry : inOrder(now)) {
+      LoadReply reply =
+          plan.placeCounted(entry.adapter(), entry.version(), false, entry.size(), now);
+      if (reply instanceof LoadReply.Assigned) {
+        entries.remove(entry.adapter());
+        turnover.placed(now);
+        if (entry.isLate(now)) {
+          lateTurnover.placed(now);
+        }
+      }
+    }
+    return removeExpired(now);
+  }
+
+  private void updateLate(long now) {
+    boolean anyLate = entries.values().stream().anyMatch(entry -> entry.isLate(now));
+    if (anyLate && !lateWaited) {
+      lateTurnover.waiting(now);
+    }
+    lateWaited = anyLate;
+  }
+
+  /** Removes entries whose turn would come too late, so that their callers are refused at once. */
+  private List<Expired> removeExpired(long now) {
+    List<Expired> expired = new ArrayList<>();
+    int ahead = 0;
+    for (Entry entry : inOrder(now)) {
+      if (!entry.isLate(now)) {
+        continue;
+      }
+      long expectedMs = lateTurnover.expectedMs(ahead, plan.places(), now);
+      if (now + expectedMs > entry.until()) {
+        entries.remove(entry.adapter());
+        expired.add(new Expired(entry.adapter(), expectedMs));
+      } else {
+        ahead++;
+      }
+    }
+    return expired;
+  }
+
+  /** Returns whether the queue is empty. */
+  boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
+  /** Returns the entries in the order in which they get slots, and removes expired ones. */
+  private List<Entry> inOrder(long now) {
+    entries.values().removeIf(entry -> entry.until() < now);
+    List<Entry> inOrder = new ArrayList<>(entries.values());
+    inOrder.sort(
+        Comparator.comparing((Entry entry) -> entry.isLate(now))
+            .thenComparingLong(entry -> entry.isLate(now) ? entry.until() : entry.inTimeUntil())
+            .thenComparing(entry -> entry.adapter().toString()));
+    return inOrder;
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
@@ -1,15 +1,12 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Learns how long adapters take to come to an engine: from the weight store, and from the engine's
- * own memory.
+ * Learns how long adapter loads take, from the weight store and from an engine's own memory.
  *
- * <p>A request that is sent too early is refused and sent again; one that is sent late has waited
- * for nothing. The store serves a number of loads at full speed and more of them slowly; how many
- * is not known, so the time is learned for each doubling of the loads under way. One that has not
- * been seen yet is taken for as fast as the next smaller one: a guess that is too short costs one
- * request its refusal and is mended by it, one that is too long costs every caller its time and
- * shows in nothing. Not safe for use by several threads.
+ * <p>The store serves a limited number of loads at full speed, so its time is learned for each
+ * doubling of the concurrent loads. An unknown level is taken to be as fast as the next smaller
+ * one: an estimate that is too short costs one request a refusal, one that is too long delays every
+ * caller. Not safe for use by several threads.
  */
 final class LoadTime {
 
@@ -19,14 +16,14 @@
   /** Time of a load from an engine's own memory until it is learned, in milliseconds. */
   static final long FIRST_MEMORY_MS = 30;
 
-  /** Doublings that are told apart: beyond a thousand loads under way all count alike. */
+  /** Doublings that are reported apart: beyond a thousand loads under way all count alike. */
   private static final int DOUBLINGS = 11;
 
   private final Traffic traffic;
   private final ArrivalTime[] store = new ArrivalTime[DOUBLINGS];
   private final ArrivalTime memory = new ArrivalTime((double) FIRST_MEMORY_MS);
 
-  /** Tells of the loads of all data centres, which share one store. */
+  /** Knows the loads of all data centres, which share one store. */
   interface Traffic {
 
     /** Returns how many adapters are on their way from the store. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadOutlook.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTimeEstimates.java
@@ -6,12 +6,12 @@
  *
  * @param storeMs time of a load from the weight store that begins now, in milliseconds
  * @param memoryMs time of a load from an engine's own memory, in milliseconds
- * @param keptDepth how many adapters an engine is taken to keep in its memory; the largest figure
+ * @param cacheDepth how many adapters an engine is taken to keep in its memory; the largest figure
  *     where there are several services
  */
-public record LoadOutlook(long storeMs, long memoryMs, int keptDepth) {
+public record LoadTimeEstimates(long storeMs, long memoryMs, int cacheDepth) {
 
-  /** What is taken to hold until a coordinator was heard. */
-  static final LoadOutlook FIRST =
-      new LoadOutlook(LoadTime.FIRST_STORE_MS, LoadTime.FIRST_MEMORY_MS, 32);
+  /** What is taken to hold until a coordinator was received. */
+  static final LoadTimeEstimates FIRST =
+      new LoadTimeEstimates(LoadTime.FIRST_STORE_MS, LoadTime.FIRST_MEMORY_MS, 32);
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTracker.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTracker.java
@@ -16,11 +16,11 @@
   /** A replacement waits for its runs and is looked for again after this time, in milliseconds. */
   private static final long REPLACED_AGAIN_MS = 50;
 
-  /** An arrival that moved by less is not told, in milliseconds. */
-  private static final long WORTH_TELLING_MS = 20;
+  /** An arrival that moved by less is not reported, in milliseconds. */
+  private static final long PUBLISH_THRESHOLD_MS = 20;
 
   private final LoadTime time;
-  private final Map<ServiceId, KeptDepth> keptDepths = new TreeMap<>();
+  private final Map<ServiceId, AdapterCacheDepthEstimator> cacheDepths = new TreeMap<>();
 
   LoadTracker(LoadTime time) {
     this.time = time;
@@ -37,18 +37,18 @@
   }
 
   /** Returns how deep the memory of the engines of a service reaches. */
-  KeptDepth depthOf(ServiceId service, int places) {
-    return keptDepths.computeIfAbsent(service, any -> new KeptDepth(places));
+  AdapterCacheDepthEstimator depthOf(ServiceId service, int places) {
+    return cacheDepths.computeIfAbsent(service, any -> new AdapterCacheDepthEstimator(places));
   }
 
   /** Notes that an engine has accepted the order for a load. */
   void begin(PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
     if (copy.replaces) {
-      // It waits for the runs of the older version, which tells nothing of loads.
+      // It waits for the runs of the older version, which reports nothing of loads.
       copy.readyAt = now + time.storeMs(now);
       return;
     }
-    boolean again = endpoint.kept.isKept(name);
+    boolean again = endpoint.kept.isCached(name);
     int underWay = time.underWay(now);
     long expectedMs = again ? time.nextMemoryMs() : time.nextStoreMs(underWay);
     int depth = again ? endpoint.kept.depth(name) : 0;
@@ -70,19 +70,19 @@
     }
     return copy.load == null
         ? REPLACED_AGAIN_MS
-        : copy.load.refused(time, keptDepths.get(endpoint.entry.service()), now);
+        : copy.load.refused(time, cacheDepths.get(endpoint.entry.service()), now);
   }
 
   /**
    * Brings a copy's arrival up to date, or learns from it once it is known.
    *
-   * @return whether the arrival has moved so far that it should be told
+   * @return whether the arrival has moved so far that it should be reported
    */
   boolean advance(PlannedEndpoint endpoint, PlannedEndpoint.Copy copy, long now) {
     if (copy.load == null) {
       return false;
     }
-    if (copy.load.settle(time, keptDepths.get(endpoint.entry.service()), copy.readyAt, now)) {
+    if (copy.load.settle(time, cacheDepths.get(endpoint.entry.service()), copy.readyAt, now)) {
       copy.load = null;
       return false;
     }
@@ -91,7 +91,8 @@
       return false;
     }
     long expected = now + copy.load.advance(time, now);
-    boolean moved = expected > now && Math.abs(expected - copy.toldReadyAt) > WORTH_TELLING_MS;
+    boolean moved =
+        expected > now && Math.abs(expected - copy.publishedReadyAt) > PUBLISH_THRESHOLD_MS;
     if (moved) {
       copy.readyAt = expected;
     }
@@ -99,8 +100,9 @@
   }
 
   /** Returns how long loads take now, for those who choose among data centres. */
-  LoadOutlook outlook(long now) {
-    int reach = keptDepths.values().stream().mapToInt(KeptDepth::reach).max().orElse(0);
-    return new LoadOutlook(time.storeMs(now), time.memoryMs(), reach);
+  LoadTimeEstimates loadTimes(long now) {
+    int reach =
+        cacheDepths.values().stream().mapToInt(AdapterCacheDepthEstimator::reach).max().orElse(0);
+    return new LoadTimeEstimates(time.storeMs(now), time.memoryMs(), reach);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadUnderWay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadUnderWay.java
@@ -76,12 +76,12 @@
    *
    * @return after what time it is expected now, in milliseconds
    */
-  long refused(LoadTime time, KeptDepth kept, long now) {
+  long refused(LoadTime time, AdapterCacheDepthEstimator kept, long now) {
     long ageMs = now - orderedAt;
     if (fromMemory && (refusedAgeMs > 0 || ageMs > MEMORY_TIMES * time.memoryMs())) {
       fromMemory = false;
       refusedAgeMs = 0;
-      kept.notKept(depth);
+      kept.notCached(depth);
       return Math.max(time.memoryMs(), time.storeMs(beside) - ageMs);
     }
     refusedAgeMs = ageMs;
@@ -101,7 +101,7 @@
    * @param readyAt when it was expected at last, in milliseconds
    * @return whether it is known
    */
-  boolean settle(LoadTime time, KeptDepth kept, long readyAt, long now) {
+  boolean settle(LoadTime time, AdapterCacheDepthEstimator kept, long readyAt, long now) {
     if (now < readyAt + SETTLED_MS) {
       return false;
     }
@@ -111,7 +111,7 @@
     return true;
   }
 
-  private void learn(LoadTime time, KeptDepth kept, long ageMs) {
+  private void learn(LoadTime time, AdapterCacheDepthEstimator kept, long ageMs) {
     if (fromMemory) {
       kept.kept(depth);
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -23,18 +23,16 @@
 import java.util.TreeMap;
 
 /**
- * Decides what the engines of one data centre hold: where an adapter is loaded, what makes way for
- * it, and in what order the orders go out.
+ * Decides what the engines of one data centre hold: where an adapter is loaded, what is evicted for
+ * it, and in what order the orders are sent.
  *
  * <pre>{@code
- * Need need = plan.need(adapter, 1, false, now);
+ * LoadReply reply = plan.request(adapter, 1, false, size, now);
  * plan.nextOrder(endpoint, daemon, epoch, now).ifPresent(order -> ...);
  * }</pre>
  *
- * <p>It answers the load of a long tail: some ten requests a second ask for an adapter that is
- * nowhere, and each has to be on its way at once. Every order names the number of orders that the
- * engine has accepted, so that one that was lost and comes late finds another number and is
- * refused; without that an engine could be ordered beyond its places and would crash. Not safe for
+ * <p>Every order carries the number of orders that the engine has accepted, so that a delayed one
+ * is refused; otherwise an engine could be ordered beyond its slots and would crash. Not safe for
  * use by several threads.
  */
 final class PlacementPlan {
@@ -53,7 +51,7 @@
    * engine that kept the weights has them back in a fraction of the time of a load from the store,
    * and all its places stand empty until it is known.
    */
-  private static final long MODEL_ASK_MS = 400;
+  private static final long MODEL_POLL_MS = 400;
 
   /** An order without an answer is given again this often before the engine is asked. */
   private static final int MAX_UNANSWERED = 3;
@@ -62,15 +60,15 @@
   private static final long ENTRY_LAG_MS = 2_500;
 
   /** When to ask again if nothing can make way, in milliseconds: about half a usual run. */
-  private static final long COME_BACK_MS = 400;
+  private static final long RETRY_AFTER_MS = 400;
 
   private final AdapterVersions versions;
   private final AdapterDemand demand = new AdapterDemand();
   private final Map<EndpointId, PlannedEndpoint> endpoints = new TreeMap<>();
-  private final DaemonActivity activity = new DaemonActivity();
-  private final PlacementNews news = new PlacementNews();
+  private final DaemonUsageTable activity = new DaemonUsageTable();
+  private final PlacementChanges changes = new PlacementChanges();
   private final LoadTracker loads;
-  private final PlaceChooser places;
+  private final SlotChooser places;
   private final ModelLoads modelLoads;
 
   /**
@@ -84,7 +82,7 @@
     this.versions = versions;
     this.modelLoads = modelLoads;
     this.loads = new LoadTracker(loadTime);
-    this.places = new PlaceChooser(versions, demand, activity, loads);
+    this.places = new SlotChooser(versions, demand, activity, loads);
   }
 
   /**
@@ -97,17 +95,17 @@
     boolean isNew = known == null;
     if (known == null || known.entry.bornMs() != entry.bornMs()) {
       if (known != null) {
-        known.copies.keySet().forEach(name -> news.gone(entry.endpoint(), name));
+        known.copies.keySet().forEach(name -> changes.recordRemoved(entry.endpoint(), name));
       }
-      KeptDepth depth = loads.depthOf(entry.service(), engine.adapterSlots());
+      AdapterCacheDepthEstimator depth = loads.depthOf(entry.service(), engine.adapterSlots());
       known = new PlannedEndpoint(entry, engine, depth);
       known.adoptEntry(now);
       endpoints.put(entry.endpoint(), known);
-      tellAll(known, now);
+      recordAllChanges(known, now);
     }
     known.entry = entry;
     known.engine = engine;
-    // An entry is up to a heartbeat old, so one from before an order tells nothing new.
+    // An entry is up to a heartbeat old, so one from before an order reports nothing new.
     if (now >= known.modelsKnownUntil) {
       known.models.clear();
       known.models.addAll(entry.models().stream().map(EndpointEntry.HeldModel::model).toList());
@@ -134,18 +132,18 @@
   }
 
   /** Takes in what a daemon does. */
-  void doing(DaemonId daemon, List<Activity> activities, long now) {
-    for (Activity told : activities) {
-      PlannedEndpoint endpoint = endpoints.get(told.endpoint());
+  void usage(DaemonId daemon, List<EndpointUsage> activities, long now) {
+    for (EndpointUsage usage : activities) {
+      PlannedEndpoint endpoint = endpoints.get(usage.endpoint());
       if (endpoint != null) {
-        told.uses().forEach(use -> used(endpoint, use, now));
+        usage.uses().forEach(use -> used(endpoint, use, now));
       }
     }
-    activity.doing(daemon, activities);
+    activity.usage(daemon, activities);
   }
 
-  private void used(PlannedEndpoint endpoint, Activity.Use use, long now) {
-    demand.asked(use.adapter(), use.starts(), now);
+  private void used(PlannedEndpoint endpoint, EndpointUsage.AdapterUse use, long now) {
+    demand.record(use.adapter(), use.starts(), now);
     PlannedEndpoint.Copy copy = endpoint.copies.get(use.adapter());
     if (copy == null) {
       return;
@@ -168,21 +166,23 @@
   }
 
   /** Has an adapter brought to an engine, unless it is there or comes already. */
-  Need need(AdapterName adapter, long version, boolean another, RequestSize size, long now) {
-    demand.asked(adapter, 1, now);
-    return bring(adapter, version, another, size, now);
+  LoadReply request(
+      AdapterName adapter, long version, boolean another, RequestSize size, long now) {
+    demand.record(adapter, 1, now);
+    return placeCounted(adapter, version, another, size, now);
   }
 
   /** Does the same for a request that has been counted. */
-  Need bring(AdapterName adapter, long version, boolean another, RequestSize size, long now) {
+  LoadReply placeCounted(
+      AdapterName adapter, long version, boolean another, RequestSize size, long now) {
     Optional<EndpointId> known = another ? coming(adapter, now) : holder(adapter, version);
     if (known.isPresent()) {
-      tell(known.get(), adapter, now);
-      return new Need.Coming(known.get());
+      recordChange(known.get(), adapter, now);
+      return new LoadReply.Assigned(known.get());
     }
     return place(adapter, version, size, now)
-        .<Need>map(Need.Coming::new)
-        .orElseGet(() -> new Need.NoRoom(COME_BACK_MS));
+        .<LoadReply>map(LoadReply.Assigned::new)
+        .orElseGet(() -> new LoadReply.Rejected(RETRY_AFTER_MS));
   }
 
   /** Plans a load at the cheapest engine that has a place for it. */
@@ -225,23 +225,23 @@
 
   private void plan(PlannedEndpoint endpoint, AdapterName adapter, long version, long now) {
     EndpointId id = endpoint.entry.endpoint();
-    if (!PlaceChooser.hasFreePlace(endpoint) && !endpoint.copies.containsKey(adapter)) {
+    if (!SlotChooser.hasFreeSlot(endpoint) && !endpoint.copies.containsKey(adapter)) {
       AdapterName victim = places.victim(endpoint, now).orElseThrow();
       endpoint.steps.add(leave(endpoint, victim));
     }
     boolean replaces = endpoint.copies.containsKey(adapter);
-    long takesMs = loads.plannedMs(!replaces && endpoint.kept.isKept(adapter), now);
+    long takesMs = loads.plannedMs(!replaces && endpoint.kept.isCached(adapter), now);
     PlannedEndpoint.Copy copy =
         new PlannedEndpoint.Copy(version, PlannedEndpoint.State.PLANNED, now + takesMs, now);
     copy.replaces = replaces;
     endpoint.copies.put(adapter, copy);
     endpoint.steps.add(step(EndpointOrder.Type.LOAD, adapter, OptionalLong.of(version)));
-    tell(id, adapter, now);
+    recordChange(id, adapter, now);
   }
 
   private PlannedEndpoint.Step leave(PlannedEndpoint endpoint, AdapterName victim) {
     endpoint.copies.get(victim).state = PlannedEndpoint.State.LEAVING;
-    news.gone(endpoint.entry.endpoint(), victim);
+    changes.recordRemoved(endpoint.entry.endpoint(), victim);
     return step(EndpointOrder.Type.UNLOAD, victim, OptionalLong.empty());
   }
 
@@ -256,9 +256,9 @@
   }
 
   /** Takes in what adapters an engine held lately, the last one last; for a new coordinator. */
-  void recall(EndpointId id, List<AdapterName> heldLately) {
+  void recall(EndpointId id, List<AdapterName> recentAdapters) {
     PlannedEndpoint endpoint = endpoints.get(id);
-    heldLately.forEach(endpoint.kept::held);
+    recentAdapters.forEach(endpoint.kept::held);
   }
 
   /** Has the busy copies of an adapter replaced by its new version, one after the other. */
@@ -295,44 +295,44 @@
   }
 
   /** Returns the engines that have to be asked what they hold. */
-  List<EndpointEntry> toAsk(long now) {
-    List<EndpointEntry> toAsk = new ArrayList<>();
+  List<EndpointEntry> dueForReport(long now) {
+    List<EndpointEntry> dueForReport = new ArrayList<>();
     for (PlannedEndpoint endpoint : endpoints.values()) {
       boolean due =
           endpoint.synced
-              ? endpoint.hasLeavers() && now >= endpoint.askLeaversAt
+              ? endpoint.hasUnloading() && now >= endpoint.unloadReportAt
               : !endpoint.ordering && now >= endpoint.quietUntil;
-      if (due && !endpoint.asking) {
-        endpoint.asking = true;
-        endpoint.askingForLeavers = endpoint.synced;
-        toAsk.add(endpoint.entry);
+      if (due && !endpoint.reportPending) {
+        endpoint.reportPending = true;
+        endpoint.unloadReportPending = endpoint.synced;
+        dueForReport.add(endpoint.entry);
       }
     }
-    return toAsk;
+    return dueForReport;
   }
 
   /** Takes in an engine's report, or that it gave none. */
-  void asked(EndpointId id, Optional<EndpointReport> report, long now) {
+  void reported(EndpointId id, Optional<EndpointReport> report, long now) {
     PlannedEndpoint endpoint = endpoints.get(id);
     if (endpoint == null) {
       return;
     }
-    endpoint.asking = false;
-    if (endpoint.askingForLeavers) {
-      report.ifPresent(endpoint::dropLeft);
-      endpoint.askLeaversAt = now + REPORT_LAG_MS;
+    endpoint.reportPending = false;
+    if (endpoint.unloadReportPending) {
+      report.ifPresent(endpoint::removeUnloaded);
+      endpoint.unloadReportAt = now + REPORT_LAG_MS;
       return;
     }
     if (report.isEmpty() || report.get().busy() || isOlderThanModel(endpoint, report.get(), now)) {
-      endpoint.quietUntil = now + (endpoint.modelsKnownUntil > now ? MODEL_ASK_MS : REPORT_LAG_MS);
+      endpoint.quietUntil = now + (endpoint.modelsKnownUntil > now ? MODEL_POLL_MS : REPORT_LAG_MS);
       return;
     }
     Set<AdapterName> before = new HashSet<>(endpoint.copies.keySet());
     endpoint.adopt(report.get(), now, loads.storeMs(now));
     endpoint.reportedEmpty = endpoint.models.isEmpty();
     before.removeAll(endpoint.copies.keySet());
-    before.forEach(name -> news.gone(id, name));
-    tellAll(endpoint, now);
+    before.forEach(name -> changes.recordRemoved(id, name));
+    recordAllChanges(endpoint, now);
   }
 
   /**
@@ -344,7 +344,7 @@
     return now < endpoint.modelsKnownUntil && report.sequence() < endpoint.sequence;
   }
 
-  /** Returns the next order to an engine, if one is due; its result has to be told. */
+  /** Returns the next order to an engine, if one is due; its result has to be reported. */
   Optional<EndpointOrder> nextOrder(EndpointId id, DaemonId holder, long epoch, long now) {
     PlannedEndpoint endpoint = endpoints.get(id);
     if (endpoint == null || endpoint.ordering || !endpoint.synced || now < endpoint.quietUntil) {
@@ -352,7 +352,7 @@
     }
     if (endpoint.steps.isEmpty() && endpoint.models.isEmpty() && !endpoint.entry.leaving()) {
       // The list may be older than the engine's last load, and a second model beside the first one
-      // would crash it; only the engine's own report tells that it is empty.
+      // would crash it; only the engine's own report reports that it is empty.
       if (!endpoint.reportedEmpty) {
         resync(endpoint, now);
         return Optional.empty();
@@ -400,7 +400,7 @@
         endpoint.steps.poll();
         AdapterName givenUp = step.name().orElseThrow();
         endpoint.copies.remove(givenUp);
-        news.gone(endpoint.entry.endpoint(), givenUp);
+        changes.recordRemoved(endpoint.entry.endpoint(), givenUp);
       }
       step = endpoint.steps.peek();
     }
@@ -460,7 +460,7 @@
       PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
     if (copy.state == PlannedEndpoint.State.PLANNED) {
       copy.readyAt = Math.max(copy.readyAt, now + loads.storeMs(now));
-      tell(endpoint.entry.endpoint(), name, now);
+      recordChange(endpoint.entry.endpoint(), name, now);
     }
   }
 
@@ -469,7 +469,7 @@
     if (step.name().isEmpty()) {
       long takesMs = endpoint.engine.model(step.model()).map(ModelSpec::loadMs).orElse(1_000L);
       endpoint.synced = false;
-      endpoint.quietUntil = now + MODEL_ASK_MS;
+      endpoint.quietUntil = now + MODEL_POLL_MS;
       endpoint.modelsKnownUntil = now + takesMs + REPORT_LAG_MS + ENTRY_LAG_MS;
       endpoint.reportedEmpty = false;
       return;
@@ -481,8 +481,8 @@
         endpoint.copies.remove(name);
       } else {
         // It waits for its runs; the place is free only once a report shows so.
-        endpoint.copies.get(name).leavesWith = endpoint.sequence;
-        endpoint.askLeaversAt = now + REPORT_LAG_MS;
+        endpoint.copies.get(name).unloadSequence = endpoint.sequence;
+        endpoint.unloadReportAt = now + REPORT_LAG_MS;
       }
       return;
     }
@@ -497,7 +497,7 @@
       loads.begin(endpoint, name, copy, now);
     }
     endpoint.kept.held(name);
-    tell(id, name, now);
+    recordChange(id, name, now);
   }
 
   /**
@@ -515,7 +515,7 @@
             lost.add(name);
           }
         });
-    lost.forEach(name -> news.gone(id, name));
+    lost.forEach(name -> changes.recordRemoved(id, name));
     if (result != OrderResult.UNKNOWN) {
       lost.forEach(endpoint.copies::remove);
     }
@@ -536,7 +536,7 @@
     }
     if (early) {
       loads.early(endpoint, copy, now);
-      tell(id, adapter, now);
+      recordChange(id, adapter, now);
     } else if (copy.state != PlannedEndpoint.State.PLANNED) {
       resync(endpoint, now);
     }
@@ -549,15 +549,15 @@
             endpoint.copies.forEach(
                 (name, copy) -> {
                   if (loads.advance(endpoint, copy, now)) {
-                    tell(id, name, now);
+                    recordChange(id, name, now);
                   }
                 }));
     demand.forgetIdle(now);
   }
 
   /** Returns how long loads take now, for those who choose among data centres. */
-  LoadOutlook outlook(long now) {
-    return loads.outlook(now);
+  LoadTimeEstimates loadTimes(long now) {
+    return loads.loadTimes(now);
   }
 
   /** Returns the places for adapters of all engines that take orders. */
@@ -573,21 +573,21 @@
     return List.copyOf(endpoints.keySet());
   }
 
-  private void tellAll(PlannedEndpoint endpoint, long now) {
-    endpoint.copies.keySet().forEach(name -> tell(endpoint.entry.endpoint(), name, now));
+  private void recordAllChanges(PlannedEndpoint endpoint, long now) {
+    endpoint.copies.keySet().forEach(name -> recordChange(endpoint.entry.endpoint(), name, now));
   }
 
-  private void tell(EndpointId id, AdapterName adapter, long now) {
-    news.tell(id, adapter, endpoints.get(id).copies.get(adapter), now);
+  private void recordChange(EndpointId id, AdapterName adapter, long now) {
+    changes.recordHeld(id, adapter, endpoints.get(id).copies.get(adapter), now);
   }
 
   /** Returns what changed since the last call. */
-  List<Placement> takeNews() {
-    return news.take();
+  List<Placement> drainChanges() {
+    return changes.drain();
   }
 
   /** Returns all that the engines hold. */
   List<Placement> whole(long now) {
-    return PlacementNews.whole(endpoints, now);
+    return PlacementChanges.snapshot(endpoints, now);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -22,7 +22,7 @@
   EndpointEntry entry;
   EngineSpec engine;
   final Map<AdapterName, Copy> copies = new HashMap<>();
-  final KeptAdapters kept;
+  final AdapterCacheModel kept;
   final Set<ModelId> models = new HashSet<>();
   final Deque<Step> steps = new ArrayDeque<>();
   long sequence;
@@ -31,19 +31,19 @@
   double tokensPerMs = EndpointGroup.FIRST_TOKENS_PER_MS;
 
   boolean synced;
-  boolean asking;
-  boolean askingForLeavers;
-  long askLeaversAt;
+  boolean reportPending;
+  boolean unloadReportPending;
+  long unloadReportAt;
   boolean ordering;
   int unanswered;
   long quietUntil;
   long modelsKnownUntil;
   boolean reportedEmpty;
 
-  PlannedEndpoint(EndpointEntry entry, EngineSpec engine, KeptDepth depth) {
+  PlannedEndpoint(EndpointEntry entry, EngineSpec engine, AdapterCacheDepthEstimator depth) {
     this.entry = entry;
     this.engine = engine;
-    this.kept = new KeptAdapters(depth::reach);
+    this.kept = new AdapterCacheModel(depth::reach);
   }
 
   /** Names what is known of a copy. */
@@ -62,13 +62,13 @@
     State state;
     long readyAt;
     long lastUsed;
-    long toldReadyAt;
+    long publishedReadyAt;
     boolean replaces;
 
     /** The engine's count of orders when it agreed to drop it; negative if it has not. */
-    long leavesWith = -1;
+    long unloadSequence = -1;
 
-    /** Whether a daemon has told of a request that uses it. */
+    /** Whether a daemon has reported of a request that uses it. */
     boolean used;
 
     /** The load whose outcome is not known yet; null if there is none. */
@@ -125,9 +125,9 @@
     long ready = known == null ? readyAt : known.readyAt;
     Copy copy = new Copy(version, State.HELD, ready, lastUsed);
     copy.used = known == null || known.used;
-    if (known != null && known.leavesWith >= 0) {
+    if (known != null && known.unloadSequence >= 0) {
       copy.state = State.LEAVING;
-      copy.leavesWith = known.leavesWith;
+      copy.unloadSequence = known.unloadSequence;
     }
     copies.put(name, copy);
     kept.held(name);
@@ -149,12 +149,12 @@
   }
 
   /** Returns whether an adapter that was ordered to leave still waits for its runs. */
-  boolean hasLeavers() {
-    return copies.values().stream().anyMatch(copy -> copy.leavesWith >= 0);
+  boolean hasUnloading() {
+    return copies.values().stream().anyMatch(copy -> copy.unloadSequence >= 0);
   }
 
   /** Takes from a report which of those that were ordered to leave have left. */
-  void dropLeft(EndpointReport report) {
+  void removeUnloaded(EndpointReport report) {
     Set<AdapterName> held = new HashSet<>();
     report
         .models()
@@ -168,8 +168,8 @@
         .entrySet()
         .removeIf(
             copy ->
-                copy.getValue().leavesWith >= 0
-                    && copy.getValue().leavesWith <= report.sequence()
+                copy.getValue().unloadSequence >= 0
+                    && copy.getValue().unloadSequence <= report.sequence()
                     && !held.contains(copy.getKey()));
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/KeptPrompts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PrefixCacheModel.java
@@ -7,18 +7,18 @@
 import java.util.Optional;
 
 /**
- * Remembers which parts of prompts this daemon sent to one engine lately, and so which the engine
- * is likely to have kept.
+ * Estimates which prompt parts one engine has in its prefix cache, from what this daemon sent
+ * there.
  *
- * <p>An engine keeps a part for one model and adapter, and the least recently used parts yield. It
- * reads a part again unless all parts before it are kept, too. Not safe for use by several threads.
+ * <p>An engine caches a part for one model and adapter, evicts the least recently used parts, and
+ * reads a part again unless all parts before it are cached. Not safe for use by several threads.
  */
-final class KeptPrompts {
+final class PrefixCacheModel {
 
   /**
    * Share of an engine's memory that is taken to be left for kept parts beside running requests.
    */
-  private static final double KEPT_SHARE = 0.5;
+  private static final double CACHE_SHARE = 0.5;
 
   private final Map<Key, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
   private long tokens;
@@ -26,7 +26,7 @@
   private record Key(Optional<AdapterName> adapter, String part) {}
 
   /** Returns how many leading tokens of a prompt are likely to be kept. */
-  long keptTokens(Generation generation) {
+  long cachedTokens(Generation generation) {
     long kept = 0;
     for (Generation.PromptPart part : generation.parts()) {
       if (!parts.containsKey(new Key(generation.adapter(), part.id()))) {
@@ -45,7 +45,7 @@
       tokens += part.tokens() - (known == null ? 0 : known);
     }
     var eldest = parts.entrySet().iterator();
-    while (tokens > memoryLimit * KEPT_SHARE && eldest.hasNext()) {
+    while (tokens > memoryLimit * CACHE_SHARE && eldest.hasNext()) {
       tokens -= eldest.next().getValue();
       eldest.remove();
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/RepeatBudget.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SharedRetryBudget.java
@@ -6,13 +6,13 @@
 import java.util.function.IntSupplier;
 
 /**
- * Bounds how often this daemon sends requests of one service once more.
+ * Limits how often this daemon sends requests of one service again.
  *
- * <p>All daemons share one budget: a share of the requests in a window and a fixed number besides.
- * Each keeps to the share of its own requests and its part of the fixed number, so that no message
- * is needed and the sum stays within the budget. Safe for use by several threads.
+ * <p>All daemons share one budget: a ratio of the requests in a window, plus a fixed slack. Each
+ * daemon keeps to its own requests and its part of the slack, so that the sum stays within the
+ * budget without any messages. Safe for use by several threads.
  */
-public final class RepeatBudget {
+public final class SharedRetryBudget {
 
   /**
    * Share of the budget that is used at the most. Requests are counted where callers sent them, and
@@ -36,7 +36,7 @@
    * @param bounds the shared budget
    * @param daemons how many daemons share it; 0 if unknown
    */
-  RepeatBudget(HostSettings.Bounds bounds, IntSupplier daemons) {
+  SharedRetryBudget(HostSettings.Bounds bounds, IntSupplier daemons) {
     this.ratio = bounds.retryRatio();
     this.slack = bounds.retrySlack();
     this.windowMs = bounds.retryWindowMs();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlaceChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
@@ -8,15 +8,13 @@
 import java.util.Set;
 
 /**
- * Weighs the places of engines for adapters: where one can be loaded, what that costs, and what
- * makes way for it.
+ * Chooses the engine slot for a load: which engines can take it, at what cost, and what is evicted.
  *
- * <p>It answers the load of a long tail, where a place is taken by some ten adapters a second:
- * bringing an adapter back to an engine that has kept it costs a tenth of a transfer from the
- * store, and dropping one that is asked for again costs its next caller a wait. All is weighed in
- * milliseconds. Not safe for use by several threads.
+ * <p>Costs are in milliseconds. Reloading an adapter from an engine's own memory is cheap compared
+ * with a transfer from the store, and evicting an adapter that is requested again makes its next
+ * caller wait. Not safe for use by several threads.
  */
-final class PlaceChooser {
+final class SlotChooser {
 
   /**
    * An adapter that was used this lately is not dropped, in milliseconds: a request that another
@@ -25,10 +23,10 @@
   private static final long IN_USE_MS = 60;
 
   /**
-   * An adapter whose first request was not heard of yet is not dropped, in milliseconds: the
-   * request was sent when it arrived, and daemons tell each other some times a second.
+   * An adapter whose first request was not received of yet is not dropped, in milliseconds: the
+   * request was sent when it arrived, and daemons exchange some times a second.
    */
-  private static final long UNHEARD_MS = 300;
+  private static final long FIRST_USE_MS = 300;
 
   /** What a planned load adds to the wait for the next one at the same engine, in milliseconds. */
   private static final double COMING_COST_MS = 60;
@@ -44,11 +42,14 @@
 
   private final AdapterVersions versions;
   private final AdapterDemand demand;
-  private final DaemonActivity activity;
+  private final DaemonUsageTable activity;
   private final LoadTracker loads;
 
-  PlaceChooser(
-      AdapterVersions versions, AdapterDemand demand, DaemonActivity activity, LoadTracker loads) {
+  SlotChooser(
+      AdapterVersions versions,
+      AdapterDemand demand,
+      DaemonUsageTable activity,
+      LoadTracker loads) {
     this.versions = versions;
     this.demand = demand;
     this.activity = activity;
@@ -70,25 +71,25 @@
     if (own != null) {
       return own.state == PlannedEndpoint.State.HELD && own.version < versions.newest(adapter);
     }
-    return hasFreePlace(endpoint) || victim(endpoint, now).isPresent();
+    return hasFreeSlot(endpoint) || victim(endpoint, now).isPresent();
   }
 
   /** Returns whether nothing has to make way at an engine. */
-  static boolean hasFreePlace(PlannedEndpoint endpoint) {
+  static boolean hasFreeSlot(PlannedEndpoint endpoint) {
     return endpoint.copies.size() < endpoint.engine.adapterSlots();
   }
 
   /** Returns what a load and its request cost at an engine, in milliseconds. */
   double cost(PlannedEndpoint endpoint, AdapterName adapter, RequestSize size, long now) {
     double victimMs =
-        hasFreePlace(endpoint)
+        hasFreeSlot(endpoint)
             ? 0
             : victim(endpoint, now).map(name -> VICTIM_COST_MS * demand.of(name, now)).orElse(0.0);
     Load load = activity.load(endpoint.entry.endpoint());
     return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), endpoint.tokensPerMs)
         + endpoint.coming(now) * COMING_COST_MS
         + victimMs
-        + (endpoint.kept.isKept(adapter) ? 0 : loads.storeMs(now) + TRANSFER_COST_MS);
+        + (endpoint.kept.isCached(adapter) ? 0 : loads.storeMs(now) + TRANSFER_COST_MS);
   }
 
   /** Returns the adapter that is missed least: old versions first, then by what is asked for. */
@@ -108,6 +109,6 @@
   }
 
   private static boolean isIdle(PlannedEndpoint.Copy copy, long now) {
-    return copy.used ? now - copy.lastUsed >= IN_USE_MS : now - copy.readyAt >= UNHEARD_MS;
+    return copy.used ? now - copy.lastUsed >= IN_USE_MS : now - copy.readyAt >= FIRST_USE_MS;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Turnover.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotTurnoverEstimator.java
@@ -1,18 +1,17 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Learns how often a place becomes free for those who wait for one, and so when the turn of the
- * next one comes.
+ * Learns how often an adapter slot becomes free, and estimates when the next queued load gets one.
  *
  * <pre>{@code
- * turnover.waiting(now);              // somebody begins to wait while nobody did
- * turnover.placed(now);               // a place was given
- * turnover.expectedMs(3, 85, now);    // behind three others, at engines of 85 places
+ * turnover.waiting(now);              // a load is queued while none was
+ * turnover.placed(now);               // a queued load got a slot
+ * turnover.expectedMs(3, 85, now);    // behind three others, at engines of 85 slots
  * }</pre>
  *
  * <p>Not safe for use by several threads.
  */
-final class Turnover {
+final class SlotTurnoverEstimator {
 
   /** How long a place is taken by an adapter until it is learned, in milliseconds: one answer. */
   private static final double FIRST_HELD_MS = 1_500;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -23,8 +23,8 @@
  * feed.start();
  * }</pre>
  *
- * <p>While others are known to hear the store for this daemon, it rests, and asks only when they
- * tell of a newer revision.
+ * <p>While others are known to receive the store for this daemon, it rests, and asks only when they
+ * indicate a newer revision.
  *
  * <p>The listener is called by one thread at a time, in the order of the store's revisions. Safe
  * for use by several threads.
@@ -33,7 +33,7 @@
  */
 final class StoreFeed<T> {
 
-  /** Hears what the store says; must not block. */
+  /** Receives what the store returns; must not block. */
   interface Listener<T> {
 
     /**
@@ -49,7 +49,7 @@
      * Called with one change.
      *
      * @param change the change
-     * @param revision the store's revision up to which the changes are told
+     * @param revision the store's revision up to which the changes are reported
      * @param afterOutage whether the store was out of reach before
      * @return whether it says anything new
      */
@@ -80,7 +80,7 @@
     }
   }
 
-  /** Tells whether others hear the store for this daemon; must not block. */
+  /** Reports whether others receive the store for this daemon; must not block. */
   interface Relay {
 
     /** Nobody does. */
@@ -176,7 +176,7 @@
     boolean afterOutage = answered();
     revision = list.revision();
     if (listener.replaced(list, afterOutage)) {
-      noteNews();
+      recordChanges();
     }
     goOn();
   }
@@ -199,8 +199,8 @@
   }
 
   /**
-   * What is told of this feed. Read without the lock: who tells it holds a lock of its own, under
-   * which this feed's listener may want to come.
+   * What is reported of this feed. Read without the lock: who reports it holds a lock of its own,
+   * under which this feed's listener may want to come.
    */
   private record View(long changedRevision, long answeredAt, boolean failing) {}
 
@@ -232,7 +232,7 @@
     revision = Math.max(revision, changes.revision());
     for (StoreChanges.Change<T> change : changes.changes()) {
       if (listener.changed(change, revision, afterOutage)) {
-        noteNews();
+        recordChanges();
       }
     }
     if (changes.changes().isEmpty()) {
@@ -246,7 +246,7 @@
     goOn();
   }
 
-  private void noteNews() {
+  private void recordChanges() {
     view = new View(revision, view.answeredAt(), view.failing());
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -9,48 +9,48 @@
 import java.util.Set;
 
 /**
- * Remembers which data centres one request has asked for its adapter, and what they said.
+ * Tracks which data centres one request has asked to load its adapter, and their replies.
  *
- * <p>A data centre is first asked whether it has a place now. One that has none tells when a turn
- * would come; where no other is better, the request asks it again and waits. One that does not keep
- * that is closed to the request. Not safe for use by several threads.
+ * <p>A data centre is first asked for a slot at once. If it has none, it replies with the expected
+ * wait; where no other is better, the request is queued there. A data centre that does not keep its
+ * estimate is not asked again. Not safe for use by several threads.
  */
 final class AdapterSearch {
 
   /** A data centre that has said nothing for this long is not waited for, in milliseconds. */
   private static final long ANSWER_MS = 800;
 
-  private final Map<DataCentreId, Long> turns = new HashMap<>();
+  private final Map<DataCentreId, Long> queueWaits = new HashMap<>();
   private final Set<DataCentreId> closed = new HashSet<>();
-  private DataCentreId asked;
-  private boolean askedForCopy;
-  private boolean askedToWait;
+  private DataCentreId requested;
+  private boolean requestedCopy;
+  private boolean enqueued;
   private long overdueAt;
-  private long comeBackMs;
+  private long retryAfterMs;
 
   /** Returns the data centres that may still bring the adapter. */
   List<DataCentreId> open(List<DataCentreId> coordinated) {
-    return askedForCopy
+    return requestedCopy
         ? List.of()
         : coordinated.stream().filter(dataCentre -> !closed.contains(dataCentre)).toList();
   }
 
   /** Returns when a turn would come, in milliseconds, at those that had no place. */
-  Map<DataCentreId, Long> turns() {
-    return turns;
+  Map<DataCentreId, Long> queueWaits() {
+    return queueWaits;
   }
 
   /**
-   * Notes that a data centre is asked.
+   * Notes that a data centre is requested.
    *
    * @param load what for
    * @param waitMs how long the request waits there for its turn, in milliseconds; 0 if it does not
    * @param now the time, in milliseconds
    */
-  void ask(Choice.RequestLoad load, long waitMs, long now) {
-    asked = load.dataCentre();
-    askedForCopy = load.another();
-    askedToWait = waitMs > 0;
+  void request(Choice.RequestLoad load, long waitMs, long now) {
+    requested = load.dataCentre();
+    requestedCopy = load.another();
+    enqueued = waitMs > 0;
     overdueAt = now + Math.max(ANSWER_MS, waitMs);
   }
 
@@ -59,22 +59,24 @@
     return overdueAt;
   }
 
-  /** Closes the data centre that was asked, if it has not kept its turn or said nothing. */
+  /** Closes the data centre that was requested, if it has not kept its turn or said nothing. */
   void closeOverdue(long now) {
-    if (asked != null && !askedForCopy && now >= overdueAt) {
+    if (requested != null && !requestedCopy && now >= overdueAt) {
       close();
     }
   }
 
-  /** Closes the data centre that was asked. */
+  /** Closes the data centre that was requested. */
   void close() {
-    closed.add(asked);
-    asked = null;
+    closed.add(requested);
+    requested = null;
   }
 
-  /** Notes that the adapter is on its way; what the data centre that was asked says now is old. */
+  /**
+   * Notes that the adapter is on its way; what the data centre that was requested says now is old.
+   */
   void found() {
-    asked = null;
+    requested = null;
   }
 
   /**
@@ -82,34 +84,34 @@
    * that is a new search, in which all may have changed.
    */
   void sent() {
-    asked = null;
-    askedForCopy = false;
-    turns.clear();
+    requested = null;
+    requestedCopy = false;
+    queueWaits.clear();
     closed.clear();
   }
 
   /**
    * Takes in that a data centre has no place.
    *
-   * @return false if this request has not asked it
+   * @return false if this request has not requested it
    */
-  boolean noRoom(DataCentreId dataCentre, long turnMs) {
-    if (!dataCentre.equals(asked)) {
+  boolean noRoom(DataCentreId dataCentre, long queueWaitMs) {
+    if (!dataCentre.equals(requested)) {
       return false;
     }
-    comeBackMs = comeBackMs == 0 ? turnMs : Math.min(comeBackMs, turnMs);
-    if (askedToWait) {
+    retryAfterMs = retryAfterMs == 0 ? queueWaitMs : Math.min(retryAfterMs, queueWaitMs);
+    if (enqueued) {
       close();
     } else {
-      turns.put(dataCentre, turnMs);
-      asked = null;
+      queueWaits.put(dataCentre, queueWaitMs);
+      requested = null;
     }
     return true;
   }
 
-  /** Takes in that a data centre's coordinator is no longer heard; false if it was not asked. */
+  /** Takes in that a data centre's coordinator is disconnected; false if it was not requested. */
   boolean lost(DataCentreId dataCentre) {
-    if (!dataCentre.equals(asked)) {
+    if (!dataCentre.equals(requested)) {
       return false;
     }
     close();
@@ -117,7 +119,7 @@
   }
 
   /** Returns when a turn would come at the best of those that had no place; 0 if all had. */
-  long comeBackMs() {
-    return comeBackMs;
+  long retryAfterMs() {
+    return retryAfterMs;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/Patience.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -2,22 +2,24 @@
 
 import io.sequoiapass.gateway.version.RouteSpec;
 
-/** Says how long a request waits for what; the methods are pure. */
-final class Patience {
+/**
+ * Timeouts of one request while it waits for a slot, a load or an endpoint. The methods are pure.
+ */
+final class EndpointTimeouts {
 
   /**
    * A request that may be repeated is sent elsewhere when its answer takes this many times as long
    * as usual: an endpoint that lost it will never answer.
    */
-  private static final double PATIENCE_TIMES = 4;
+  private static final double SERVICE_TIMEOUT_RATIO = 4;
 
-  /** Least patience with a plain endpoint, in milliseconds. */
-  private static final long LEAST_PATIENCE_MS = 250;
+  /** Shortest timeout of a plain endpoint, in milliseconds. */
+  private static final long MIN_SERVICE_TIMEOUT_MS = 250;
 
-  /** Least patience with an engine, in milliseconds. */
-  private static final long ENGINE_PATIENCE_MS = 1_200;
+  /** Shortest timeout of an engine, in milliseconds. */
+  private static final long MIN_ENGINE_TIMEOUT_MS = 1_200;
 
-  private Patience() {}
+  private EndpointTimeouts() {}
 
   /**
    * Returns how long a request may wait for a place for its adapter, in milliseconds: a late answer
@@ -28,8 +30,8 @@
    * @param leftMs the time until its deadline, in milliseconds
    * @param loadMs the time from the order of a load until the answer begins, in milliseconds
    */
-  static long forPlaceMs(RouteSpec route, long waitedMs, long leftMs, long loadMs) {
-    long staysMs = Math.min(route.patienceMs() - waitedMs, leftMs);
+  static long maxQueueMs(RouteSpec route, long waitedMs, long leftMs, long loadMs) {
+    long staysMs = Math.min(route.abandonMs() - waitedMs, leftMs);
     return Math.max(0, staysMs - loadMs);
   }
 
@@ -40,17 +42,17 @@
    * @param waitedMs the time since it arrived, in milliseconds
    * @param loadMs the time from the order of a load until the answer begins, in milliseconds
    */
-  static long loadInTimeMs(RouteSpec route, long waitedMs, long loadMs) {
+  static long maxLoadDelayMs(RouteSpec route, long waitedMs, long loadMs) {
     return Math.max(0, route.targetMs() - loadMs - waitedMs);
   }
 
-  /** Returns how long a plain endpoint may say nothing, in milliseconds. */
-  static long forServiceMs(double usualMs) {
-    return Math.max(LEAST_PATIENCE_MS, (long) (PATIENCE_TIMES * usualMs));
+  /** Returns how long a plain endpoint may send nothing, in milliseconds. */
+  static long serviceTimeoutMs(double usualMs) {
+    return Math.max(MIN_SERVICE_TIMEOUT_MS, (long) (SERVICE_TIMEOUT_RATIO * usualMs));
   }
 
-  /** Returns how long an engine may say nothing, in milliseconds. */
-  static long forEngineMs(RouteSpec route, long expectedMs) {
-    return Math.max(ENGINE_PATIENCE_MS, 2 * expectedMs + route.targetMs() / 2);
+  /** Returns how long an engine may send nothing, in milliseconds. */
+  static long engineTimeoutMs(RouteSpec route, long expectedMs) {
+    return Math.max(MIN_ENGINE_TIMEOUT_MS, 2 * expectedMs + route.targetMs() / 2);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LoadWish.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
@@ -1,7 +1,7 @@
 package io.sequoiapass.gateway.request;
 
 /**
- * A request's wish for its adapter at an engine.
+ * A request's request for its adapter at an engine.
  *
  * <p>Instances are immutable and safe for use by several threads.
  *
@@ -10,4 +10,4 @@
  * @param inTimeMs how long the load may be put off for an answer in time, in milliseconds
  * @param waitMs how long the request would wait for a place, in milliseconds; 0 if it would not
  */
-public record LoadWish(Generation generation, boolean another, long inTimeMs, long waitMs) {}
+public record LoadRequest(Generation generation, boolean another, long inTimeMs, long waitMs) {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/OwnAnswer.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LocalResponse.java
@@ -6,29 +6,29 @@
 import io.sequoiapass.gateway.spi.CallerProtocol;
 import java.util.OptionalLong;
 
-/** Sends the answers that are the daemon's own and no endpoint's; the methods are pure. */
-public final class OwnAnswer {
+/** Sends responses that this daemon generates itself. The methods are pure. */
+public final class LocalResponse {
 
-  private OwnAnswer() {}
+  private LocalResponse() {}
 
   /**
-   * Tells a caller why its request has no answer.
+   * Reports a caller why its request has no answer.
    *
    * @param callers the names that callers speak
    * @param facts what the caller said
    * @param responder the caller's connection
    * @param kind the reason
-   * @param comeBackMs when the caller is to come back, in milliseconds; empty to say nothing
+   * @param retryAfterMs when the caller is to come back, in milliseconds; empty to send nothing
    */
   public static void send(
       CallerProtocol callers,
       CallerFacts facts,
       HttpResponder responder,
       ErrorKind kind,
-      OptionalLong comeBackMs) {
+      OptionalLong retryAfterMs) {
     responder.respond(
         kind.httpStatus(),
-        callers.ownHeaders(facts.requestId(), comeBackMs),
+        callers.ownHeaders(facts.requestId(), retryAfterMs),
         "{\"error\":\"" + kind + "\",\"message\":\"" + kind.message() + "\"}");
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/Waiting.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Holds the requests that wait for an adapter; safe for use by several threads. */
-public final class Waiting {
+/** Requests that wait for an adapter. Safe for use by several threads. */
+public final class PendingRequests {
 
   private final Map<AdapterName, Set<RelayedRequest>> requests = new ConcurrentHashMap<>();
 
@@ -31,22 +31,22 @@
    * @param adapter the adapter
    */
   public void placed(AdapterName adapter) {
-    waitingFor(adapter).forEach(RelayedRequest::lookAgain);
+    waitingFor(adapter).forEach(RelayedRequest::retryDispatch);
   }
 
   /**
-   * Tells the requests for an adapter that a data centre cannot bring it now.
+   * Reports the requests for an adapter that a data centre cannot bring it now.
    *
    * @param dataCentre the data centre
    * @param adapter the adapter
-   * @param comeBackMs when to ask again, in milliseconds
+   * @param retryAfterMs when to ask again, in milliseconds
    */
-  public void noRoom(DataCentreId dataCentre, AdapterName adapter, long comeBackMs) {
-    waitingFor(adapter).forEach(request -> request.noRoom(dataCentre, comeBackMs));
+  public void noRoom(DataCentreId dataCentre, AdapterName adapter, long retryAfterMs) {
+    waitingFor(adapter).forEach(request -> request.noRoom(dataCentre, retryAfterMs));
   }
 
   /**
-   * Tells all requests that a data centre's coordinator is no longer heard.
+   * Reports all requests that a data centre's coordinator is disconnected.
    *
    * @param dataCentre the data centre
    */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -10,8 +10,8 @@
 import java.io.ByteArrayOutputStream;
 
 /**
- * Hears the answer to one sending of a request and tells the request what it means. Used on the
- * event loop of the connection that carries it.
+ * Receives the answer to one attempt of a request and reports to the request what it means. Used on
+ * the event loop of the connection that carries it.
  */
 final class RelayAttempt implements HttpStreamListener {
 
@@ -47,7 +47,7 @@
   @SuppressWarnings("ArrayRecordComponent")
   record Body(HttpHeaders headers, byte[] bytes) {}
 
-  /** Returns whether the endpoint has said its last word on this sending. */
+  /** Returns whether the endpoint has said its final answer on this sending. */
   boolean isOver() {
     return over;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -30,7 +30,7 @@
     CallerProtocol callers,
     EndpointProtocol endpoints,
     AdapterSource adapters,
-    Waiting waiting,
+    PendingRequests waiting,
     ScheduledExecutorService loop,
     MillisClock clock,
     DecisionLog log,
@@ -46,13 +46,13 @@
      * Has an adapter brought.
      *
      * @param dataCentre where to
-     * @param wish for what, and how long the request would wait
+     * @param request for what, and how long the request would wait
      * @return false if nobody can be asked
      */
-    boolean need(DataCentreId dataCentre, LoadWish wish);
+    boolean requestLoad(DataCentreId dataCentre, LoadRequest request);
 
     /**
-     * Tells that an endpoint refused a request for an adapter that should have been there.
+     * Reports that an endpoint refused a request for an adapter that should have been there.
      *
      * @param dataCentre the endpoint's data centre
      * @param endpoint the endpoint
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -13,7 +13,7 @@
 import io.sequoiapass.gateway.process.Demand;
 import io.sequoiapass.gateway.process.EndpointChooser;
 import io.sequoiapass.gateway.process.EndpointGroup;
-import io.sequoiapass.gateway.process.RepeatBudget;
+import io.sequoiapass.gateway.process.SharedRetryBudget;
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import io.sequoiapass.gateway.spi.CallerFacts;
@@ -43,8 +43,8 @@
   private static final long LEAST_MS = 15;
 
   /**
-   * How long after the deadline the caller hears that there is no answer, in milliseconds: time for
-   * the endpoint's own word, which says more.
+   * How long after the deadline the caller called when there is no answer, in milliseconds: time
+   * for the endpoint's own answer, which says more.
    */
   private static final long DEADLINE_SLACK_MS = 40;
 
@@ -61,12 +61,12 @@
   private static final long EARLY_MS = 60;
 
   /** A caller that finds no way into the system is asked back after this time, in milliseconds. */
-  private static final long COME_BACK_MS = 300;
+  private static final long RETRY_AFTER_MS = 300;
 
   private final RelayContext context;
   private final RouteSpec route;
   private final EndpointGroup group;
-  private final RepeatBudget budget;
+  private final SharedRetryBudget budget;
   private final CallerFacts facts;
   private final Optional<AdapterName> adapter;
   private final HttpRequestMessage request;
@@ -76,10 +76,10 @@
   private final long deadlineAt;
   private final Set<EndpointId> avoid = new HashSet<>();
   private final EventRelay events;
-  private final RequestStory story;
+  private final RequestLog requestLog;
   private Future<?> deadlineTimer;
   private Future<?> waitTimer;
-  private Future<?> patienceTimer;
+  private Future<?> responseTimer;
   private final AdapterSearch search = new AdapterSearch();
   private final WaitTimes waits = new WaitTimes();
   private long firstAt;
@@ -107,7 +107,7 @@
       RelayContext context,
       RouteSpec route,
       EndpointGroup group,
-      RepeatBudget budget,
+      SharedRetryBudget budget,
       CallerFacts facts,
       Exchange exchange,
       Runnable finished) {
@@ -123,7 +123,7 @@
     this.arrivedAt = context.clock().millis();
     long allowedMs = Math.min(route.timeoutMs(), facts.deadlineMs().orElse(route.timeoutMs()));
     this.deadlineAt = arrivedAt + allowedMs;
-    this.story = new RequestStory(context, route, facts);
+    this.requestLog = new RequestLog(context, route, facts);
     this.events = new EventRelay(facts.lastEventId().orElse(EventRelay.NONE));
   }
 
@@ -146,26 +146,26 @@
   }
 
   /** Looks for an endpoint again: an adapter is there, or on its way. */
-  synchronized void lookAgain() {
+  synchronized void retryDispatch() {
     if (waiting && !over) {
-      rest(WakeTime.READ_MS);
+      rest(ResumeDelay.READ_MS);
     }
   }
 
   /**
-   * Hears that a data centre cannot bring the adapter now. One that this request did not ask says
+   * Called when a data centre cannot bring the adapter now. One that this request did not ask says
    * nothing about its turn elsewhere.
    */
-  synchronized void noRoom(DataCentreId dataCentre, long turnMs) {
-    if (waiting && !over && search.noRoom(dataCentre, turnMs)) {
-      rest(WakeTime.READ_MS);
+  synchronized void noRoom(DataCentreId dataCentre, long queueWaitMs) {
+    if (waiting && !over && search.noRoom(dataCentre, queueWaitMs)) {
+      rest(ResumeDelay.READ_MS);
     }
   }
 
-  /** Hears that a coordinator is lost: whoever waits there for a turn would wait in vain. */
+  /** Called when a coordinator is lost: whoever waits there for a turn would wait in vain. */
   synchronized void coordinatorLost(DataCentreId dataCentre) {
     if (waiting && !over && search.lost(dataCentre)) {
-      rest(WakeTime.READ_MS);
+      rest(ResumeDelay.READ_MS);
     }
   }
 
@@ -180,7 +180,8 @@
     search.closeOverdue(now);
     Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
     EndpointChooser.Loadable loadable =
-        new EndpointChooser.Loadable(search.open(context.adapters().loadable()), search.turns());
+        new EndpointChooser.Loadable(
+            search.open(context.adapters().loadable()), search.queueWaits());
     Choice choice = group.choose(demand, loadable, now);
     if (choice instanceof Choice.Send send) {
       search.sent();
@@ -195,10 +196,12 @@
     }
   }
 
-  /** Where only full data centres are left, their word says more than that there is no endpoint. */
+  /**
+   * Where only full data centres are left, their answer says more than that there is no endpoint.
+   */
   private Choice.Refuse orFull(Choice.Refuse refusal) {
-    return refusal.kind() == ErrorKind.NO_ENDPOINT && search.comeBackMs() > 0
-        ? new Choice.Refuse(ErrorKind.OVERLOADED, search.comeBackMs())
+    return refusal.kind() == ErrorKind.NO_ENDPOINT && search.retryAfterMs() > 0
+        ? new Choice.Refuse(ErrorKind.OVERLOADED, search.retryAfterMs())
         : refusal;
   }
 
@@ -206,14 +209,14 @@
     long waitedMs = now - arrivedAt;
     long waitMs =
         load.waits()
-            ? Patience.forPlaceMs(route, waitedMs, deadlineAt - now, load.expectedMs())
+            ? EndpointTimeouts.maxQueueMs(route, waitedMs, deadlineAt - now, load.expectedMs())
             : 0;
-    long inTimeMs = Patience.loadInTimeMs(route, waitedMs, load.expectedMs());
-    LoadWish wish =
-        new LoadWish(facts.generation().orElseThrow(), load.another(), inTimeMs, waitMs);
-    search.ask(load, waitMs, now);
-    boolean hopeless = load.waits() && waitMs == 0;
-    if (hopeless || !context.adapters().need(load.dataCentre(), wish)) {
+    long inTimeMs = EndpointTimeouts.maxLoadDelayMs(route, waitedMs, load.expectedMs());
+    LoadRequest loadRequest =
+        new LoadRequest(facts.generation().orElseThrow(), load.another(), inTimeMs, waitMs);
+    search.request(load, waitMs, now);
+    boolean expired = load.waits() && waitMs == 0;
+    if (expired || !context.adapters().requestLoad(load.dataCentre(), loadRequest)) {
       search.close();
       dispatch();
       return;
@@ -238,8 +241,8 @@
     if (!waiting || over) {
       return;
     }
-    if (WakeTime.isAfterStandstill(dueAt, context.clock().millis())) {
-      rest(WakeTime.READ_MS);
+    if (ResumeDelay.isAfterStandstill(dueAt, context.clock().millis())) {
+      rest(ResumeDelay.READ_MS);
     } else {
       dispatch();
     }
@@ -259,16 +262,16 @@
     Optional<Target> target = group.target(endpoint, demand, now);
     Optional<EndpointGroup.Ticket> ticket = group.begin(endpoint, demand, now);
     if (target.isEmpty() || ticket.isEmpty()) {
-      refuseOrFail(new Choice.Refuse(ErrorKind.NO_ENDPOINT, COME_BACK_MS));
+      refuseOrFail(new Choice.Refuse(ErrorKind.NO_ENDPOINT, RETRY_AFTER_MS));
       return;
     }
     if (sends > 0 && (sends >= MAX_SENDS || !budget.take(now))) {
       ticket.get().ended(EndpointGroup.Ending.NO_BLAME, now);
-      refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, COME_BACK_MS));
+      refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, RETRY_AFTER_MS));
       return;
     }
     sends++;
-    story.sent(choice, sends, now - arrivedAt, demand.remainingMs());
+    requestLog.sent(choice, sends, now - arrivedAt, demand.remainingMs());
     OptionalLong lastEventId =
         events.lastId() == EventRelay.NONE
             ? OptionalLong.empty()
@@ -288,59 +291,59 @@
             .resetIfAbandoned();
     attempt = new RelayAttempt(this, ticket.get(), choice.candidate().dataCentre(), now);
     attempt.stream = context.http().stream(call, demand.remainingMs() + CALL_SLACK_MS, attempt);
-    bePatient(choice.expectedMs());
+    startResponseTimer(choice.expectedMs());
   }
 
-  private void bePatient(long expectedMs) {
-    long patienceMs =
+  private void startResponseTimer(long expectedMs) {
+    long abandonMs =
         facts.generation().isPresent()
-            ? Patience.forEngineMs(route, expectedMs)
-            : Patience.forServiceMs(group.usualServiceMs());
-    expectWord(attempt, patienceMs);
+            ? EndpointTimeouts.engineTimeoutMs(route, expectedMs)
+            : EndpointTimeouts.serviceTimeoutMs(group.usualServiceMs());
+    awaitResponse(attempt, abandonMs);
   }
 
-  /** Waits for an endpoint's next word, where its silence can be made good elsewhere. */
-  private void expectWord(RelayAttempt from, long patienceMs) {
-    cancel(patienceTimer);
+  /** Waits for an endpoint's next event, where its silence can be recovered elsewhere. */
+  private void awaitResponse(RelayAttempt from, long abandonMs) {
+    cancel(responseTimer);
     if (route.mayRepeat() && runs + 1 < route.maxAttempts()) {
       long now = context.clock().millis();
-      lookForWord(from, new WordWatch(now, patienceMs), now);
+      scheduleResponseCheck(from, new ResponseWatchdog(now, abandonMs), now);
     }
   }
 
-  private void lookForWord(RelayAttempt from, WordWatch watch, long now) {
-    patienceTimer =
+  private void scheduleResponseCheck(RelayAttempt from, ResponseWatchdog watch, long now) {
+    responseTimer =
         context
             .loop()
             .schedule(() -> look(from, watch), watch.nextLookMs(now), TimeUnit.MILLISECONDS);
   }
 
-  /** Sends a request elsewhere whose endpoint says nothing, or no longer says anything. */
-  private synchronized void look(RelayAttempt waitedFor, WordWatch watch) {
+  /** Sends a request elsewhere whose endpoint sends nothing, or no longer says anything. */
+  private synchronized void look(RelayAttempt waitedFor, ResponseWatchdog watch) {
     long now = context.clock().millis();
     if (over || attempt != waitedFor || !mayGoOnAfter(runs + 1, now)) {
       return;
     }
-    if (!watch.givesUp(waitedFor.ticket.endpointIsSilent(now), now)) {
-      lookForWord(waitedFor, watch, now);
+    if (!watch.givesUp(waitedFor.ticket.endpointIsStalled(now), now)) {
+      scheduleResponseCheck(waitedFor, watch, now);
       return;
     }
     waitedFor.stream.cancel();
     broken(waitedFor, "silent");
   }
 
-  /** Hears the beginning of an answer; returns what it proves. */
+  /** Called at the beginning of an answer; returns what it proves. */
   synchronized AnswerClass began(RelayAttempt from, int status, HttpHeaders headers) {
     AnswerClass answer = context.endpoints().classify(status, headers);
     if (over || from != attempt) {
       return answer;
     }
     if (answer == AnswerClass.SUCCESS) {
-      cancel(patienceTimer);
+      cancel(responseTimer);
       from.ticket.begun(context.clock().millis());
       if (route.streams()) {
         beginStream(status, headers);
-        expectWord(from, stallMs());
+        awaitResponse(from, stallMs());
       }
     }
     return answer;
@@ -365,18 +368,18 @@
       return;
     }
     byte[] whole = events.take(part);
-    from.ticket.word(context.clock().millis());
+    from.ticket.progress(context.clock().millis());
     if (whole.length > 0) {
-      notePause();
+      recordPause();
       responder.write(whole);
-      expectWord(from, stallMs());
+      awaitResponse(from, stallMs());
       if (!responder.writable()) {
         from.stream.pause();
       }
     }
   }
 
-  private void notePause() {
+  private void recordPause() {
     long now = context.clock().millis();
     if (firstAt == 0) {
       firstAt = now;
@@ -444,13 +447,13 @@
         && deadlineAt - now > LEAST_MS;
   }
 
-  /** Hears that the endpoint did not run the request, and why. */
+  /** Called when the endpoint did not run the request, and why. */
   synchronized void rejected(RelayAttempt from, AnswerClass answer) {
     if (over || from != attempt) {
       return;
     }
     long now = context.clock().millis();
-    story.notRun(from, answer);
+    requestLog.notRun(from, answer);
     boolean busy = answer == AnswerClass.NOT_RUN_BUSY;
     // An endpoint that calls itself full with half of its places free is not to be believed, and
     // one that does not know the request's base model has started anew.
@@ -472,25 +475,25 @@
     dispatch();
   }
 
-  /** Hears that nothing of the request reached the endpoint. */
+  /** Called when nothing of the request reached the endpoint. */
   synchronized void unsent(RelayAttempt from, HttpFailure failure) {
     if (over || from != attempt) {
       return;
     }
     from.ticket.ended(EndpointGroup.Ending.FAILED, context.clock().millis());
-    story.lost("unsent", from, String.valueOf(failure.getMessage()), events.lastId());
+    requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), events.lastId());
     avoid.add(from.ticket.endpoint());
     dispatch();
   }
 
-  /** Hears that an answer will not come, or not whole, though the request may have run. */
+  /** Called when an answer will not come, or not whole, though the request may have run. */
   synchronized void broken(RelayAttempt from, String reason) {
     if (over || from != attempt) {
       return;
     }
     long now = context.clock().millis();
     from.ticket.ended(EndpointGroup.Ending.FAILED, now);
-    story.lost("broken", from, reason, events.lastId());
+    requestLog.lost("broken", from, reason, events.lastId());
     runs++;
     avoid.add(from.ticket.endpoint());
     if (mayGoOn(now)) {
@@ -524,7 +527,7 @@
     } else if (mayHaveRun()) {
       fail(ErrorKind.DEADLINE_PASSED_AFTER_START);
     } else {
-      refuse(ErrorKind.DEADLINE_UNREACHABLE, COME_BACK_MS);
+      refuse(ErrorKind.DEADLINE_UNREACHABLE, RETRY_AFTER_MS);
     }
   }
 
@@ -539,18 +542,18 @@
     } else if (runs > 0) {
       fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
     } else {
-      refuse(refusal.kind(), refusal.comeBackMs());
+      refuse(refusal.kind(), refusal.retryAfterMs());
     }
   }
 
-  private void refuse(ErrorKind kind, long comeBackMs) {
+  private void refuse(ErrorKind kind, long retryAfterMs) {
     finish("refused_" + kind, kind.httpStatus());
-    OwnAnswer.send(context.callers(), facts, responder, kind, OptionalLong.of(comeBackMs));
+    LocalResponse.send(context.callers(), facts, responder, kind, OptionalLong.of(retryAfterMs));
   }
 
   private void fail(ErrorKind kind) {
     finish("failed_" + kind, kind.httpStatus());
-    OwnAnswer.send(context.callers(), facts, responder, kind, OptionalLong.empty());
+    LocalResponse.send(context.callers(), facts, responder, kind, OptionalLong.empty());
   }
 
   /** Ends a stream so that it does not look whole. */
@@ -571,12 +574,12 @@
     over = true;
     stopWaiting();
     cancel(deadlineTimer);
-    cancel(patienceTimer);
+    cancel(responseTimer);
     finished.run();
-    story.ended(
+    requestLog.ended(
         outcome,
         status,
-        new RequestStory.Times(
+        new RequestLog.Times(
             sinceArrival(), firstAt == 0 ? -1 : firstAt - arrivedAt, longestPauseMs, waits),
         sends,
         runs,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestStory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -7,8 +7,8 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
 
-/** Writes what is decided about one request to the log; under the request's lock. */
-final class RequestStory {
+/** Logs the decisions on one request. Used under the request's lock. */
+final class RequestLog {
 
   private static final double PERCENT = 100;
 
@@ -17,7 +17,7 @@
   private final String requestId;
   private final String adapter;
 
-  RequestStory(RelayContext context, RouteSpec route, CallerFacts facts) {
+  RequestLog(RelayContext context, RouteSpec route, CallerFacts facts) {
     this.context = context;
     this.route = route;
     this.requestId = facts.requestId();
@@ -42,8 +42,8 @@
         .with("running", candidate.load().running())
         .with("prefill_tokens", candidate.load().prefillTokens())
         .with("recent_tokens", candidate.load().recentTokens())
-        .with("kept_tokens", candidate.keptTokens())
-        .with("slowness", Math.round(candidate.slowness() * PERCENT) / PERCENT)
+        .with("cached_tokens", candidate.cachedTokens())
+        .with("slowdown", Math.round(candidate.slowdown() * PERCENT) / PERCENT)
         .write();
   }
 
@@ -96,7 +96,7 @@
         .with("pause_ms", times.pauseMs())
         .with("target_ms", route.targetMs())
         .with("gap_ms", route.gapTargetMs())
-        .with("place_ms", times.waits().of(WaitTimes.Kind.PLACE))
+        .with("slot_wait_ms", times.waits().of(WaitTimes.Kind.PLACE))
         .with("load_ms", times.waits().of(WaitTimes.Kind.LOAD))
         .with("sends", sends)
         .with("runs", runs)
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/WakeTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ResumeDelay.java
@@ -1,15 +1,13 @@
 package io.sequoiapass.gateway.request;
 
 /**
- * Says when a request that waits for its adapter goes on once it is woken; the methods are pure.
+ * Decides whether a request that waited for its adapter has to be delayed before it is sent.
  *
- * <p>A process that stood still finds, all at once, the news that an adapter is there and that the
- * callers who waited for it have left. Woken by the news before the loop has read the end of its
- * caller's connection, a request would be sent to an engine for nobody. So it goes on a moment
- * later, when all connections have been read once more; and a timer that fires long after its time
- * says that the process stood still.
+ * <p>After a pause of this process, a placement update may be handled before the closed connection
+ * of a caller is read, and the request would run for nobody. A short delay lets the event loop read
+ * all connections first. The methods are pure.
  */
-final class WakeTime {
+final class ResumeDelay {
 
   /** Time in which the loop reads all connections once more, in milliseconds. */
   static final long READ_MS = 2;
@@ -17,7 +15,7 @@
   /** A timer that fires this much too late was held up by a standstill, in milliseconds. */
   private static final long STANDSTILL_MS = 200;
 
-  private WakeTime() {}
+  private ResumeDelay() {}
 
   /**
    * Returns whether connections have to be read first.
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/SettingsException.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/SettingsException.java
@@ -1,6 +1,6 @@
 package io.sequoiapass.gateway.spi;
 
-/** Tells which setting is missing or wrong, in words for the operator. */
+/** Names the setting that is missing or wrong, for the operator. */
 public final class SettingsException extends Exception {
 
   private static final long serialVersionUID = 1L;
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreChanges.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreChanges.java
@@ -5,7 +5,7 @@
 /**
  * What changed after a revision of the store.
  *
- * @param revision the revision up to which the changes are told
+ * @param revision the revision up to which the changes are reported
  * @param changes the changes in their order
  * @param <T> the type of the objects' values
  */
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreException.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreException.java
@@ -1,6 +1,6 @@
 package io.sequoiapass.gateway.spi;
 
-/** Tells why a read of the platform's store gave no answer. */
+/** Says why a read of the platform's store gave no answer. */
 public final class StoreException extends Exception {
 
   /** Names the reasons. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/AdapterVersions.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/AdapterVersions.java
@@ -40,7 +40,7 @@
    * @param name the adapter
    * @param version the version
    * @param now the time, in milliseconds
-   * @return whether it is news
+   * @return whether it is update
    */
   public boolean announce(AdapterName name, long version, long now) {
     Release known = releases.get(name);
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/RequestKind.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/RequestKind.java
@@ -1,6 +1,6 @@
 package io.sequoiapass.gateway.version;
 
-/** Tells what may be repeated of the requests of a route. */
+/** Reports what may be repeated of the requests of a route. */
 public enum RequestKind {
   /** May run more than once. */
   IDEMPOTENT {
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/RouteSpec.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/RouteSpec.java
@@ -20,7 +20,7 @@
  * @param targets the services that share the requests; not empty
  * @param maxAttempts the most endpoints that one request may be sent to
  * @param resumable whether a broken stream may go on at another endpoint
- * @param patienceMs how long callers wait for the beginning of an answer, in milliseconds
+ * @param abandonMs how long callers wait for the beginning of an answer, in milliseconds
  */
 public record RouteSpec(
     String name,
@@ -34,7 +34,7 @@
     List<Target> targets,
     int maxAttempts,
     boolean resumable,
-    long patienceMs) {
+    long abandonMs) {
 
   /**
    * Gives a service its share of a route's requests.
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -9,9 +9,9 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
-import io.sequoiapass.gateway.process.Activity;
+import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
-import io.sequoiapass.gateway.process.LoadOutlook;
+import io.sequoiapass.gateway.process.LoadTimeEstimates;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.net.InetAddress;
@@ -46,11 +46,13 @@
   static Stream<LinkMessage> messages() {
     return Stream.of(
         new LinkMessage.Hello(new DaemonId("north-1"), new DataCentreId("north")),
-        new LinkMessage.Doing(
-            List.of(new Activity(ENGINE, LOAD, List.of(new Activity.Use(ADAPTER, 2, 5))))),
-        new LinkMessage.Need(ADAPTER, 3, true, 9_190, 52, 450, 1_600),
-        new LinkMessage.Missed(ENGINE, ADAPTER, true),
-        new LinkMessage.Standing(
+        new LinkMessage.UsageReport(
+            List.of(
+                new EndpointUsage(
+                    ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5))))),
+        new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600),
+        new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
+        new LinkMessage.CoordinatorStatus(
             4,
             512,
             6,
@@ -58,7 +60,7 @@
             new LinkMessage.StoreView(7, 120),
             LinkMessage.StoreView.NONE,
             new LinkMessage.StoreView(9, 0),
-            new LoadOutlook(310, 28, 102),
+            new LoadTimeEstimates(310, 28, 102),
             true),
         new LinkMessage.Endpoints(
             true,
@@ -68,7 +70,7 @@
         new LinkMessage.Placements(
             true, List.of(new LinkMessage.Placement(ENGINE, ADAPTER, 3, -1))),
         new LinkMessage.Loads(List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
-        new LinkMessage.NoRoom(ADAPTER, 400));
+        new LinkMessage.LoadRejected(ADAPTER, 400));
   }
 
   @ParameterizedTest
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/KeptDepthTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/AdapterCacheDepthEstimatorTest.java
@@ -12,7 +12,7 @@
  * An engine keeps some adapters in its memory and nobody says how many. Taken for fewer, callers
  * wait for the weight store for what was there; taken for more, their requests are refused first.
  */
-class KeptDepthTest {
+class AdapterCacheDepthEstimatorTest {
 
   private static final int PLACES = 8;
 
@@ -21,24 +21,24 @@
 
     private final int size;
     private final Set<Integer> kept = new LinkedHashSet<>();
-    private final KeptAdapters believed;
-    private final KeptDepth depth;
+    private final AdapterCacheModel believed;
+    private final AdapterCacheDepthEstimator depth;
     private int refused;
     private int missed;
 
     Memory(int size) {
       this.size = size;
-      this.depth = new KeptDepth(PLACES);
-      this.believed = new KeptAdapters(depth::reach);
+      this.depth = new AdapterCacheDepthEstimator(PLACES);
+      this.believed = new AdapterCacheModel(depth::reach);
     }
 
     void load(int number) {
       boolean there = kept.remove(number);
-      boolean expected = believed.isKept(adapter(number));
+      boolean expected = believed.isCached(adapter(number));
       if (expected && there) {
         depth.kept(believed.depth(adapter(number)));
       } else if (expected) {
-        depth.notKept(believed.depth(adapter(number)));
+        depth.notCached(believed.depth(adapter(number)));
         refused++;
       } else if (there) {
         missed++;
@@ -84,7 +84,7 @@
 
   @Test
   void depthCountsWhatWasHeldSince() {
-    KeptAdapters kept = new KeptAdapters(() -> 10);
+    AdapterCacheModel kept = new AdapterCacheModel(() -> 10);
     for (int i = 1; i <= 4; i++) {
       kept.held(adapter(i));
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StopTimesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/DrainScheduleTest.java
@@ -10,10 +10,10 @@
  * stream that begins five seconds after the signal would be cut in its middle: its caller has to be
  * sent to another daemon instead.
  */
-class StopTimesTest {
+class DrainScheduleTest {
 
   private static final long SIGNAL = 1_000;
-  private static final StopTimes STOP = new StopTimes(SIGNAL + 2_600, SIGNAL + 7_550);
+  private static final DrainSchedule STOP = new DrainSchedule(SIGNAL + 2_600, SIGNAL + 7_550);
 
   @Test
   void allIsTakenWhileTheLoadBalancerStillSends() {
@@ -33,6 +33,6 @@
 
   @Test
   void withoutAStopAllIsTaken() {
-    assertThat(StopTimes.NEVER.takes(15_000, Long.MAX_VALUE - 20_000)).isTrue();
+    assertThat(DrainSchedule.NEVER.takes(15_000, Long.MAX_VALUE - 20_000)).isTrue();
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/SilenceDetectorTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointStallDetectorTest.java
@@ -4,19 +4,19 @@
 
 import org.junit.jupiter.api.Test;
 
-class SilenceDetectorTest {
+class EndpointStallDetectorTest {
 
-  private final SilenceDetector heard = new SilenceDetector();
+  private final EndpointStallDetector stalls = new EndpointStallDetector();
 
   private void streams(int count, long now) {
     for (int i = 0; i < count; i++) {
-      heard.begun(now);
+      stalls.streamStarted(now);
     }
   }
 
   private long wordsEach(long pauseMs, int times, long from) {
     for (int i = 1; i <= times; i++) {
-      heard.word(from + i * pauseMs);
+      stalls.progress(from + i * pauseMs);
     }
     return from + times * pauseMs;
   }
@@ -26,15 +26,15 @@
     streams(3, 0);
     long last = wordsEach(40, 50, 0);
 
-    assertThat(heard.isSilent(last + 390)).isFalse();
-    assertThat(heard.isSilent(last + 500)).isTrue();
+    assertThat(stalls.isStalled(last + 390)).isFalse();
+    assertThat(stalls.isStalled(last + 500)).isTrue();
   }
 
   @Test
   void oneStreamAloneProvesNothing() {
     streams(1, 0);
 
-    assertThat(heard.isSilent(5_000)).isFalse();
+    assertThat(stalls.isStalled(5_000)).isFalse();
   }
 
   @Test
@@ -42,14 +42,14 @@
     streams(2, 0);
     long last = wordsEach(300, 50, 0);
 
-    assertThat(heard.isSilent(last + 1_500)).isFalse();
+    assertThat(stalls.isStalled(last + 1_500)).isFalse();
   }
 
   @Test
   void endedStreamsAreNotMissed() {
     streams(2, 0);
-    heard.ended();
+    stalls.streamEnded();
 
-    assertThat(heard.isSilent(1_000)).isFalse();
+    assertThat(stalls.isStalled(1_000)).isFalse();
   }
 }
