--- a/gateway/src/test/java/io/sequoiapass/gateway/process/WaitingNeedsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -29,7 +29,7 @@
  * All places of an engine hold adapters that running answers use. Callers that ask for others wait
  * for a place, and the next place that becomes free goes to the one whose turn it is.
  */
-class WaitingNeedsTest {
+class LoadQueueTest {
 
   private static final DaemonId DAEMON = new DaemonId("north-1");
   private static final int PLACES = 2;
@@ -40,24 +40,25 @@
       new PlacementPlan(
           new AdapterVersions(2_500), new ModelLoads(5_000, 1), new LoadTime(calmStore()));
   private final Set<AdapterName> elsewhere = new HashSet<>();
-  private final WaitingNeeds waiting = new WaitingNeeds(plan, elsewhere::contains);
+  private final LoadQueue queue = new LoadQueue(plan, elsewhere::contains);
 
-  private static WaitingNeeds.Wish wish(int number, long inTimeUntil, long until) {
-    return new WaitingNeeds.Wish(adapter(number), 1, SIZE, inTimeUntil, until);
+  private static LoadQueue.Entry entry(int number, long inTimeUntil, long until) {
+    return new LoadQueue.Entry(adapter(number), 1, SIZE, inTimeUntil, until);
   }
 
   @BeforeEach
   void placesAreInUse() {
-    EndpointEntry entry = entry(1, true);
+    EndpointEntry entry = PlanFixtures.entry(1, true);
     plan.observe(entry, SPEC, 0);
     EndpointReport report = new EndpointReport(entry.models(), Map.of(), false, 0);
-    plan.toAsk(0).forEach(e -> plan.asked(e.endpoint(), Optional.of(report), 0));
+    plan.dueForReport(0).forEach(e -> plan.reported(e.endpoint(), Optional.of(report), 0));
     for (int i = 1; i <= PLACES; i++) {
-      assertThat(plan.need(adapter(i), 1, false, SIZE, 0)).isInstanceOf(Need.Coming.class);
+      assertThat(plan.request(adapter(i), 1, false, SIZE, 0))
+          .isInstanceOf(LoadReply.Assigned.class);
     }
     carryOutAll(0);
     use(1_000, 1, 2);
-    plan.takeNews();
+    plan.drainChanges();
   }
 
   private void carryOutAll(long now) {
@@ -74,15 +75,15 @@
   }
 
   private void use(long now, int... numbers) {
-    List<Activity.Use> uses = new ArrayList<>();
+    List<EndpointUsage.AdapterUse> uses = new ArrayList<>();
     for (int number : numbers) {
-      uses.add(new Activity.Use(adapter(number), 1, 1));
+      uses.add(new EndpointUsage.AdapterUse(adapter(number), 1, 1));
     }
-    plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), now);
+    plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), now);
   }
 
   private List<AdapterName> placed() {
-    return plan.takeNews().stream()
+    return plan.drainChanges().stream()
         .filter(placement -> placement.readyInMs() >= 0)
         .map(Placement::adapter)
         .toList();
@@ -93,25 +94,26 @@
 
     @Test
     void placeThatBecomesFreeIsGivenAtOnce() {
-      assertThat(waiting.needOrWait(wish(9, 1_500, 3_000), 1_100)).isInstanceOf(Need.Waiting.class);
-      waiting.place(1_200);
+      assertThat(queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100))
+          .isInstanceOf(LoadReply.Queued.class);
+      queue.dispatch(1_200);
       assertThat(placed()).isEmpty();
 
       use(1_300, 1);
-      waiting.place(1_550);
+      queue.dispatch(1_550);
 
       assertThat(placed()).containsExactly(adapter(9));
-      assertThat(waiting.isEmpty()).isTrue();
+      assertThat(queue.isEmpty()).isTrue();
     }
 
     @Test
     void whoCanStillBeInTimeGoesFirst() {
-      waiting.needOrWait(wish(7, 1_200, 4_000), 1_100);
-      waiting.needOrWait(wish(8, 1_900, 4_000), 1_110);
-      waiting.needOrWait(wish(9, 1_800, 4_000), 1_120);
+      queue.loadOrEnqueue(entry(7, 1_200, 4_000), 1_100);
+      queue.loadOrEnqueue(entry(8, 1_900, 4_000), 1_110);
+      queue.loadOrEnqueue(entry(9, 1_800, 4_000), 1_120);
 
       use(1_300, 1);
-      waiting.place(1_550);
+      queue.dispatch(1_550);
       assertThat(placed()).containsExactly(adapter(9));
     }
 
@@ -121,42 +123,42 @@
      */
     @Test
     void adapterThatCameElsewhereTakesNoPlace() {
-      waiting.needOrWait(wish(7, 1_500, 4_000), 1_100);
-      waiting.needOrWait(wish(8, 1_900, 4_000), 1_110);
+      queue.loadOrEnqueue(entry(7, 1_500, 4_000), 1_100);
+      queue.loadOrEnqueue(entry(8, 1_900, 4_000), 1_110);
       elsewhere.add(adapter(7));
       use(1_300, 1);
-      waiting.place(1_550);
+      queue.dispatch(1_550);
 
       assertThat(placed()).containsExactly(adapter(8));
-      assertThat(waiting.isEmpty()).isTrue();
+      assertThat(queue.isEmpty()).isTrue();
     }
 
     @Test
     void twoRequestsForOneAdapterTakeOnePlace() {
-      waiting.needOrWait(wish(9, 1_500, 3_000), 1_100);
-      waiting.needOrWait(wish(9, 1_600, 3_500), 1_110);
+      queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_600, 3_500), 1_110);
       use(1_300);
-      waiting.place(1_550);
+      queue.dispatch(1_550);
 
       assertThat(placed()).containsExactly(adapter(9));
     }
 
     @Test
     void waitingDoesNotMakeAnAdapterLookBusy() {
-      waiting.needOrWait(wish(9, 1_500, 3_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100);
       for (long now = 1_100; now < 1_500; now += 10) {
-        waiting.place(now);
+        queue.dispatch(now);
       }
       use(1_500, 1);
-      waiting.place(1_750);
+      queue.dispatch(1_750);
       carryOutAll(1_750);
       use(1_800);
       // One of the two has to make way: 1 was asked for twice, 9 once, however long it waited.
-      plan.need(adapter(1), 1, false, SIZE, 1_900);
-      plan.takeNews();
-      plan.need(adapter(2), 1, false, SIZE, 3_000);
+      plan.request(adapter(1), 1, false, SIZE, 1_900);
+      plan.drainChanges();
+      plan.request(adapter(2), 1, false, SIZE, 3_000);
 
-      assertThat(plan.takeNews())
+      assertThat(plan.drainChanges())
           .filteredOn(placement -> placement.readyInMs() < 0)
           .extracting(Placement::adapter)
           .containsExactly(adapter(9));
@@ -169,20 +171,21 @@
     @Test
     void whoWouldWaitInVainIsRefusedAtOnce() {
       for (int i = 10; i < 13; i++) {
-        waiting.needOrWait(wish(i, 1_500, 4_000), 1_100);
+        queue.loadOrEnqueue(entry(i, 1_500, 4_000), 1_100);
       }
 
-      assertThat(waiting.needOrWait(wish(20, 1_500, 2_000), 1_200))
+      assertThat(queue.loadOrEnqueue(entry(20, 1_500, 2_000), 1_200))
           .isInstanceOfSatisfying(
-              Need.NoRoom.class, told -> assertThat(told.comeBackMs()).isEqualTo(3_000));
+              LoadReply.Rejected.class, told -> assertThat(told.retryAfterMs()).isEqualTo(3_000));
     }
 
     @Test
     void whoJoinsOneThatWaitsIsNotRefused() {
-      waiting.needOrWait(wish(9, 1_500, 3_000), 1_100);
-      waiting.needOrWait(wish(10, 1_500, 4_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100);
+      queue.loadOrEnqueue(entry(10, 1_500, 4_000), 1_100);
 
-      assertThat(waiting.needOrWait(wish(9, 1_400, 1_600), 1_110)).isInstanceOf(Need.Waiting.class);
+      assertThat(queue.loadOrEnqueue(entry(9, 1_400, 1_600), 1_110))
+          .isInstanceOf(LoadReply.Queued.class);
     }
 
     /**
@@ -192,35 +195,35 @@
      */
     @Test
     void whoseTurnWouldComeTooLateIsToldBeforeItsTimeIsOver() {
-      waiting.needOrWait(wish(9, 1_300, 4_000), 1_100);
-      waiting.needOrWait(wish(10, 1_300, 4_100), 1_100);
-      assertThat(waiting.place(1_400)).isEmpty();
+      queue.loadOrEnqueue(entry(9, 1_300, 4_000), 1_100);
+      queue.loadOrEnqueue(entry(10, 1_300, 4_100), 1_100);
+      assertThat(queue.dispatch(1_400)).isEmpty();
 
-      List<WaitingNeeds.Hopeless> hopeless = waiting.place(2_800);
+      List<LoadQueue.Expired> expired = queue.dispatch(2_800);
 
-      assertThat(hopeless).extracting(WaitingNeeds.Hopeless::adapter).containsExactly(adapter(10));
-      assertThat(waiting.isEmpty()).isFalse();
+      assertThat(expired).extracting(LoadQueue.Expired::adapter).containsExactly(adapter(10));
+      assertThat(queue.isEmpty()).isFalse();
     }
 
     /** A long queue of late ones is not before a caller that can still be served in time. */
     @Test
     void lateOnesAreNotBeforeThoseInTime() {
-      waiting.needOrWait(wish(9, 1_150, 6_000), 1_100);
-      waiting.needOrWait(wish(10, 1_150, 6_000), 1_100);
-      waiting.needOrWait(wish(11, 1_150, 6_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_150, 6_000), 1_100);
+      queue.loadOrEnqueue(entry(10, 1_150, 6_000), 1_100);
+      queue.loadOrEnqueue(entry(11, 1_150, 6_000), 1_100);
 
-      assertThat(waiting.needOrWait(wish(12, 2_100, 2_200), 1_200))
-          .isInstanceOf(Need.Waiting.class);
+      assertThat(queue.loadOrEnqueue(entry(12, 2_100, 2_200), 1_200))
+          .isInstanceOf(LoadReply.Queued.class);
     }
 
     @Test
     void wishWhoseTimeIsOverTakesNoPlace() {
-      waiting.needOrWait(wish(9, 1_500, 1_700), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_500, 1_700), 1_100);
       use(1_300, 1);
-      waiting.place(1_800);
+      queue.dispatch(1_800);
 
       assertThat(placed()).isEmpty();
-      assertThat(waiting.isEmpty()).isTrue();
+      assertThat(queue.isEmpty()).isTrue();
     }
   }
 
@@ -239,24 +242,24 @@
     private final PlacementPlan large =
         new PlacementPlan(
             new AdapterVersions(2_500), new ModelLoads(5_000, 1), new LoadTime(calmStore()));
-    private final WaitingNeeds turns = new WaitingNeeds(large, name -> false);
+    private final LoadQueue queue = new LoadQueue(large, name -> false);
 
     private void uses(int from, long now) {
-      List<Activity.Use> uses = new ArrayList<>();
+      List<EndpointUsage.AdapterUse> uses = new ArrayList<>();
       for (int number = from; number <= LARGE; number++) {
-        uses.add(new Activity.Use(adapter(number), 1, 1));
+        uses.add(new EndpointUsage.AdapterUse(adapter(number), 1, 1));
       }
-      large.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), now);
+      large.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), now);
     }
 
     @BeforeEach
     void allPlacesAreInUse() {
-      EndpointEntry entry = entry(1, true);
+      EndpointEntry entry = PlanFixtures.entry(1, true);
       large.observe(entry, PlanFixtures.engineOf(LARGE), 0);
       EndpointReport report = new EndpointReport(entry.models(), Map.of(), false, 0);
-      large.toAsk(0).forEach(e -> large.asked(e.endpoint(), Optional.of(report), 0));
+      large.dueForReport(0).forEach(e -> large.reported(e.endpoint(), Optional.of(report), 0));
       for (int number = 1; number <= LARGE; number++) {
-        large.need(adapter(number), 1, false, SIZE, number * 500L);
+        large.request(adapter(number), 1, false, SIZE, number * 500L);
         carryOutAll(large, number * 500L);
       }
       uses(1, 10_000);
@@ -265,18 +268,18 @@
     @Test
     void allTurnsThatComeInTimeAreWaitedFor() {
       for (int caller = 0; caller < CALLERS; caller++) {
-        WaitingNeeds.Wish wish = wish(100 + caller, 10_600, 11_100);
-        assertThat(turns.needOrWait(wish, 10_050)).isInstanceOf(Need.Waiting.class);
+        LoadQueue.Entry entry = entry(100 + caller, 10_600, 11_100);
+        assertThat(queue.loadOrEnqueue(entry, 10_050)).isInstanceOf(LoadReply.Queued.class);
       }
       for (int ended = 1; ended <= CALLERS; ended++) {
         long now = 10_050 + ended * EACH_MS;
         uses(1 + ended, now);
-        turns.place(now);
+        queue.dispatch(now);
         carryOutAll(large, now);
       }
-      turns.place(11_080);
+      queue.dispatch(11_080);
 
-      assertThat(turns.isEmpty()).isTrue();
+      assertThat(queue.isEmpty()).isTrue();
     }
   }
 
@@ -295,15 +298,15 @@
 
     @Test
     void moreBeginInTimeThanByAskingAgain() {
-      int inTurn = play(true);
-      int askedAgain = new WaitingNeedsTest().fresh().play(false);
+      int queued = play(true);
+      int retried = new LoadQueueTest().fresh().play(false);
 
-      assertThat(inTurn).isGreaterThan(2 * askedAgain);
+      assertThat(queued).isGreaterThan(2 * retried);
     }
 
-    int play(boolean turns) {
+    int play(boolean enqueues) {
       List<long[]> running = new ArrayList<>();
-      List<long[]> asking = new ArrayList<>();
+      List<long[]> pending = new ArrayList<>();
       int inTime = 0;
       for (long now = 2_000; now < 2_000 + CALLERS * EACH_MS + 2_000; now += 10) {
         long time = now;
@@ -311,20 +314,20 @@
         use(now, running.stream().mapToInt(stream -> (int) stream[0]).toArray());
         int caller = (int) ((now - 2_000) / EACH_MS);
         if (caller < CALLERS && (now - 2_000) % EACH_MS == 0) {
-          asking.add(new long[] {100 + caller, now, now});
+          pending.add(new long[] {100 + caller, now, now});
         }
-        waiting.place(now);
-        for (long[] one : List.copyOf(asking)) {
+        queue.dispatch(now);
+        for (long[] one : List.copyOf(pending)) {
           if (now >= one[2]) {
-            ask(one, turns, now);
+            send(one, enqueues, now);
           }
         }
         carryOutAll(now);
         for (AdapterName name : placed()) {
           long number = Long.parseLong(name.adapter().value().substring(1));
-          for (long[] one : List.copyOf(asking)) {
+          for (long[] one : List.copyOf(pending)) {
             if (one[0] == number) {
-              asking.remove(one);
+              pending.remove(one);
               running.add(new long[] {number, now + STREAM_MS});
               inTime += now - one[1] <= IN_TIME_MS ? 1 : 0;
             }
@@ -334,12 +337,12 @@
       return inTime;
     }
 
-    private void ask(long[] one, boolean turns, long now) {
-      if (turns) {
-        waiting.needOrWait(wish((int) one[0], one[1] + IN_TIME_MS, one[1] + 2_000), now);
+    private void send(long[] one, boolean enqueues, long now) {
+      if (enqueues) {
+        queue.loadOrEnqueue(entry((int) one[0], one[1] + IN_TIME_MS, one[1] + 2_000), now);
         one[2] = Long.MAX_VALUE;
       } else {
-        plan.need(adapter((int) one[0]), 1, false, SIZE, now);
+        plan.request(adapter((int) one[0]), 1, false, SIZE, now);
         one[2] = now + 400;
       }
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadTimeTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadTimeTest.java
@@ -18,7 +18,7 @@
 
     private final double aloneMs;
     private final int width;
-    private final KeptDepth depth = new KeptDepth(8);
+    private final AdapterCacheDepthEstimator depth = new AdapterCacheDepthEstimator(8);
     private final List<Load> loads = new ArrayList<>();
     private int refused;
     private int served;
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -97,7 +97,8 @@
   }
 
   private void answerReports(long now) {
-    plan.toAsk(now).forEach(e -> plan.asked(e.endpoint(), Optional.of(engine.report()), now));
+    plan.dueForReport(now)
+        .forEach(e -> plan.reported(e.endpoint(), Optional.of(engine.report()), now));
   }
 
   private void carryOutAll(long now) {
@@ -109,7 +110,8 @@
   }
 
   private void load(int number, long now) {
-    assertThat(plan.need(adapter(number), 1, false, SIZE, now)).isInstanceOf(Need.Coming.class);
+    assertThat(plan.request(adapter(number), 1, false, SIZE, now))
+        .isInstanceOf(LoadReply.Assigned.class);
     carryOutAll(now);
   }
 
@@ -118,18 +120,18 @@
 
     @Test
     void adapterIsOrderedAndTold() {
-      plan.takeNews();
+      plan.drainChanges();
       load(1, 10);
 
       assertThat(engine.held).containsOnlyKeys(adapter(1));
-      List<Placement> news = plan.takeNews();
+      List<Placement> news = plan.drainChanges();
       assertThat(news.get(news.size() - 1).readyInMs()).isBetween(200L, 300L);
     }
 
     @Test
     void adapterThatIsThereIsNotOrderedAgain() {
       load(1, 10);
-      plan.need(adapter(1), 1, false, SIZE, 20);
+      plan.request(adapter(1), 1, false, SIZE, 20);
 
       assertThat(plan.nextOrder(ENGINE, DAEMON, 7, 20)).isEmpty();
     }
@@ -140,7 +142,7 @@
         load(i, i * 1_000L);
       }
       for (int i = 0; i < 5; i++) {
-        plan.need(adapter(1), 1, false, SIZE, 9_000);
+        plan.request(adapter(1), 1, false, SIZE, 9_000);
       }
       load(9, 9_500);
 
@@ -152,11 +154,14 @@
       for (int i = 1; i <= PLACES; i++) {
         load(i, i * 1_000L);
       }
-      List<Activity.Use> uses =
-          List.of(1, 2, 3, 4).stream().map(i -> new Activity.Use(adapter(i), 1, 1)).toList();
-      plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), 9_000);
+      List<EndpointUsage.AdapterUse> uses =
+          List.of(1, 2, 3, 4).stream()
+              .map(i -> new EndpointUsage.AdapterUse(adapter(i), 1, 1))
+              .toList();
+      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), 9_000);
 
-      assertThat(plan.need(adapter(9), 1, false, SIZE, 12_000)).isInstanceOf(Need.NoRoom.class);
+      assertThat(plan.request(adapter(9), 1, false, SIZE, 12_000))
+          .isInstanceOf(LoadReply.Rejected.class);
     }
 
     /**
@@ -171,8 +176,8 @@
       }
       long arrived = 300;
 
-      assertThat(plan.need(adapter(9), 1, false, SIZE, arrived + 200))
-          .isInstanceOf(Need.NoRoom.class);
+      assertThat(plan.request(adapter(9), 1, false, SIZE, arrived + 200))
+          .isInstanceOf(LoadReply.Rejected.class);
     }
 
     /** Its last request has ended and was told; waiting longer would leave the place idle. */
@@ -181,12 +186,15 @@
       for (int i = 1; i <= PLACES; i++) {
         load(i, 10);
       }
-      List<Activity.Use> uses =
-          List.of(1, 2, 3, 4).stream().map(i -> new Activity.Use(adapter(i), 1, 1)).toList();
-      plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), 400);
-      plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses.subList(0, 3))), 500);
+      List<EndpointUsage.AdapterUse> uses =
+          List.of(1, 2, 3, 4).stream()
+              .map(i -> new EndpointUsage.AdapterUse(adapter(i), 1, 1))
+              .toList();
+      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), 400);
+      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses.subList(0, 3))), 500);
 
-      assertThat(plan.need(adapter(9), 1, false, SIZE, 501)).isInstanceOf(Need.Coming.class);
+      assertThat(plan.request(adapter(9), 1, false, SIZE, 501))
+          .isInstanceOf(LoadReply.Assigned.class);
     }
 
     @Test
@@ -194,10 +202,11 @@
       EngineSpec wide = new EngineSpec(96, 200_000, 16_500, 20, 4, SPEC.models());
       plan.observe(entry(1, true), wide, 5);
       for (int i = 1; i <= PlacementPlan.MAX_COMING; i++) {
-        plan.need(adapter(i), 1, false, SIZE, 10);
+        plan.request(adapter(i), 1, false, SIZE, 10);
       }
 
-      assertThat(plan.need(adapter(9), 1, false, SIZE, 10)).isInstanceOf(Need.NoRoom.class);
+      assertThat(plan.request(adapter(9), 1, false, SIZE, 10))
+          .isInstanceOf(LoadReply.Rejected.class);
     }
   }
 
@@ -218,7 +227,8 @@
         load(i, i * 1_000L);
       }
       engine.running.add(adapter(1));
-      assertThat(plan.need(adapter(9), 1, false, SIZE, NOW)).isInstanceOf(Need.Coming.class);
+      assertThat(plan.request(adapter(9), 1, false, SIZE, NOW))
+          .isInstanceOf(LoadReply.Assigned.class);
     }
 
     @Test
@@ -230,14 +240,16 @@
 
     @Test
     void loadIsGivenUpAndToldIfNothingElseCanMakeWay() {
-      List<Activity.Use> uses =
-          List.of(2, 3, 4).stream().map(i -> new Activity.Use(adapter(i), 1, 1)).toList();
-      plan.doing(DAEMON, List.of(new Activity(ENGINE, Load.NONE, uses)), NOW);
-      plan.takeNews();
+      List<EndpointUsage.AdapterUse> uses =
+          List.of(2, 3, 4).stream()
+              .map(i -> new EndpointUsage.AdapterUse(adapter(i), 1, 1))
+              .toList();
+      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), NOW);
+      plan.drainChanges();
       carryOutAll(NOW);
 
       assertThat(engine.held).doesNotContainKey(adapter(9)).hasSize(PLACES);
-      assertThat(plan.takeNews())
+      assertThat(plan.drainChanges())
           .filteredOn(placement -> placement.adapter().equals(adapter(9)))
           .extracting(Placement::readyInMs)
           .containsExactly(-1L);
@@ -257,8 +269,8 @@
     void reportFromBeforeTheOrderDoesNotShowIt() {
       EndpointReport before = engine.report();
       carryOutAll(NOW);
-      assertThat(plan.toAsk(NOW + 1_000)).hasSize(1);
-      plan.asked(
+      assertThat(plan.dueForReport(NOW + 1_000)).hasSize(1);
+      plan.reported(
           ENGINE,
           Optional.of(new EndpointReport(List.of(), Map.of(), false, before.sequence())),
           NOW + 1_000);
@@ -278,7 +290,7 @@
 
     @Test
     void isRefusedOnceAnotherWasAccepted() {
-      plan.need(adapter(1), 1, false, SIZE, 10);
+      plan.request(adapter(1), 1, false, SIZE, 10);
       EndpointOrder lost = plan.nextOrder(ENGINE, DAEMON, 7, 10).orElseThrow();
       plan.ordered(lost, OrderResult.UNKNOWN, 130);
       carryOutAll(131);
@@ -289,7 +301,7 @@
 
     @Test
     void thatWasCarriedOutAfterAllIsFoundByTheReport() {
-      plan.need(adapter(1), 1, false, SIZE, 10);
+      plan.request(adapter(1), 1, false, SIZE, 10);
       EndpointOrder lost = plan.nextOrder(ENGINE, DAEMON, 7, 10).orElseThrow();
       engine.carryOut(lost);
       plan.ordered(lost, OrderResult.UNKNOWN, 130);
@@ -323,8 +335,10 @@
       List<EndpointOrder> late = new java.util.ArrayList<>();
       for (long now = 0; now < 20_000; now += 50) {
         long at = now;
-        fresh.toAsk(now).forEach(e -> fresh.asked(e.endpoint(), Optional.of(other.report()), at));
-        fresh.need(adapter(random.nextInt(12)), 1, false, SIZE, now);
+        fresh
+            .dueForReport(now)
+            .forEach(e -> fresh.reported(e.endpoint(), Optional.of(other.report()), at));
+        fresh.request(adapter(random.nextInt(12)), 1, false, SIZE, now);
         if (runs) {
           beginOrEndARun(other, random);
         }
@@ -369,13 +383,13 @@
     @Test
     void isToldToHoldNothingAndAskedAgain() {
       load(1, 10);
-      plan.takeNews();
+      plan.drainChanges();
       engine.held.clear();
       engine.sequence = 0;
       plan.observe(entry(2, true), SPEC, 2_000);
 
-      assertThat(plan.takeNews()).extracting(Placement::readyInMs).contains(-1L);
-      assertThat(plan.toAsk(2_000)).hasSize(1);
+      assertThat(plan.drainChanges()).extracting(Placement::readyInMs).contains(-1L);
+      assertThat(plan.dueForReport(2_000)).hasSize(1);
     }
 
     @Test
@@ -406,8 +420,8 @@
       plan.observe(entry(1, false), two, 500);
 
       assertThat(plan.nextOrder(ENGINE, DAEMON, 7, 500)).isEmpty();
-      assertThat(plan.toAsk(900)).hasSize(1);
-      plan.asked(ENGINE, Optional.of(engine.report()), 901);
+      assertThat(plan.dueForReport(900)).hasSize(1);
+      plan.reported(ENGINE, Optional.of(engine.report()), 901);
       assertThat(plan.nextOrder(ENGINE, DAEMON, 7, 902)).isEmpty();
     }
   }
@@ -440,10 +454,10 @@
 
     private long answeredOnceAsked(long from, EndpointReport report) {
       long now = from;
-      while (plan.toAsk(now).isEmpty()) {
+      while (plan.dueForReport(now).isEmpty()) {
         now += 10;
       }
-      plan.asked(ENGINE, Optional.of(report), now);
+      plan.reported(ENGINE, Optional.of(report), now);
       return now;
     }
 
@@ -454,7 +468,8 @@
       long found = answeredOnceAsked(asked + 1, report(false, 1));
 
       assertThat(found - asked).isLessThanOrEqualTo(500);
-      assertThat(plan.need(adapter(1), 1, false, SIZE, found)).isInstanceOf(Need.Coming.class);
+      assertThat(plan.request(adapter(1), 1, false, SIZE, found))
+          .isInstanceOf(LoadReply.Assigned.class);
     }
 
     @Test
@@ -471,7 +486,7 @@
     @Test
     void replacesACopyThatIsAskedFor() {
       load(1, 10);
-      plan.need(adapter(1), 1, false, SIZE, 20);
+      plan.request(adapter(1), 1, false, SIZE, 20);
       versions.announce(adapter(1), 2, 1_000);
       plan.released(adapter(1), 2, 1_000);
       carryOutAll(1_001);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementBulletinTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementUpdateBatchTest.java
@@ -10,13 +10,13 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class PlacementBulletinTest {
+class PlacementUpdateBatchTest {
 
   private static final EndpointId ENGINE = new EndpointId("engine-1");
   private static final AdapterName ADAPTER =
       new AdapterName(new ModelId("base"), new AdapterId("a1"));
 
-  private final PlacementBulletin bulletin = new PlacementBulletin();
+  private final PlacementUpdateBatch updateBatch = new PlacementUpdateBatch();
 
   private static Placement ready(long inMs) {
     return new Placement(ENGINE, ADAPTER, 1, inMs);
@@ -24,24 +24,24 @@
 
   @Test
   void arrivalIsToldAsOfTheTelling() {
-    bulletin.add(List.of(ready(250)), 1_000);
+    updateBatch.add(List.of(ready(250)), 1_000);
 
-    assertThat(bulletin.take(1_150)).containsExactly(ready(100));
-    assertThat(bulletin.take(1_300)).isEmpty();
+    assertThat(updateBatch.drain(1_150)).containsExactly(ready(100));
+    assertThat(updateBatch.drain(1_300)).isEmpty();
   }
 
   @Test
   void ofAnAdapterThatCameAndLeftOnlyTheEndIsTold() {
-    bulletin.add(List.of(ready(250)), 1_000);
-    bulletin.add(List.of(ready(-1)), 1_100);
+    updateBatch.add(List.of(ready(250)), 1_000);
+    updateBatch.add(List.of(ready(-1)), 1_100);
 
-    assertThat(bulletin.take(1_150)).containsExactly(ready(-1));
+    assertThat(updateBatch.drain(1_150)).containsExactly(ready(-1));
   }
 
   @Test
   void overdueArrivalIsTold() {
-    bulletin.add(List.of(ready(50)), 1_000);
+    updateBatch.add(List.of(ready(50)), 1_000);
 
-    assertThat(bulletin.take(1_450)).containsExactly(ready(0));
+    assertThat(updateBatch.drain(1_450)).containsExactly(ready(0));
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/RepeatBudgetTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SharedRetryBudgetTest.java
@@ -5,15 +5,15 @@
 import io.sequoiapass.gateway.spi.HostSettings;
 import org.junit.jupiter.api.Test;
 
-class RepeatBudgetTest {
+class SharedRetryBudgetTest {
 
   private static final int DAEMONS = 6;
   private static final double RATIO = 0.2;
   private static final double SLACK = 52;
   private static final long WINDOW_MS = 10_000;
 
-  private static RepeatBudget budget(int daemons) {
-    return new RepeatBudget(
+  private static SharedRetryBudget budget(int daemons) {
+    return new SharedRetryBudget(
         new HostSettings.Bounds(8_000, 2_000, 3_000, 5_000, RATIO, SLACK, WINDOW_MS, 5_000, true),
         () -> daemons);
   }
@@ -28,7 +28,7 @@
     int requests = 0;
     int repeats = 0;
     for (int daemon = 0; daemon < DAEMONS; daemon++) {
-      RepeatBudget budget = budget(DAEMONS);
+      SharedRetryBudget budget = budget(DAEMONS);
       for (long now = 0; now < WINDOW_MS; now += 100) {
         budget.requestArrived(now);
         requests++;
@@ -42,7 +42,7 @@
 
   @Test
   void windowSlides() {
-    RepeatBudget budget = budget(1);
+    SharedRetryBudget budget = budget(1);
     while (budget.take(0)) {
       assertThat(budget.take(1)).isIn(true, false);
     }
@@ -53,7 +53,7 @@
 
   @Test
   void unknownNumberOfDaemonsTakesASmallShare() {
-    RepeatBudget alone = budget(0);
+    SharedRetryBudget alone = budget(0);
     int taken = 0;
     while (alone.take(0)) {
       taken++;
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/TurnoverTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SlotTurnoverEstimatorTest.java
@@ -4,11 +4,11 @@
 
 import org.junit.jupiter.api.Test;
 
-class TurnoverTest {
+class SlotTurnoverEstimatorTest {
 
   private static final int PLACES = 10;
 
-  private final Turnover turnover = new Turnover();
+  private final SlotTurnoverEstimator turnover = new SlotTurnoverEstimator();
 
   private void placesBecomeFree(int times, long from, long eachMs) {
     turnover.waiting(from);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/RelayedViewsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFreshnessTest.java
@@ -4,33 +4,34 @@
 
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.gateway.connection.LinkMessage;
-import io.sequoiapass.gateway.process.RelayedViews.Topic;
+import io.sequoiapass.gateway.process.StoreFreshness.Topic;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class RelayedViewsTest {
+class StoreFreshnessTest {
 
   private static final DataCentreId NORTH = new DataCentreId("north");
   private static final DataCentreId SOUTH = new DataCentreId("south");
   private static final DataCentreId WEST = new DataCentreId("west");
 
-  private final RelayedViews views = new RelayedViews();
+  private final StoreFreshness freshness = new StoreFreshness();
 
-  private static LinkMessage.Standing standing(long revision, long ageMs, boolean stopping) {
+  private static LinkMessage.CoordinatorStatus status(long revision, long ageMs, boolean stopping) {
     LinkMessage.StoreView view = new LinkMessage.StoreView(revision, ageMs);
-    return new LinkMessage.Standing(1, 5, 6, stopping, view, view, view, LoadOutlook.FIRST, false);
+    return new LinkMessage.CoordinatorStatus(
+        1, 5, 6, stopping, view, view, view, LoadTimeEstimates.FIRST, false);
   }
 
   private void heard(DataCentreId from, long ageMs, long now) {
-    views.heard(from, standing(70, ageMs, false), now);
+    freshness.update(from, status(70, ageMs, false), now);
   }
 
   @Test
   void newestRevisionCounts() {
-    views.heard(NORTH, standing(70, 0, false), 0);
-    views.heard(SOUTH, standing(75, 0, false), 0);
+    freshness.update(NORTH, status(70, 0, false), 0);
+    freshness.update(SOUTH, status(75, 0, false), 0);
 
-    assertThat(views.revision(Topic.CONFIGURATION)).isEqualTo(75);
+    assertThat(freshness.revision(Topic.CONFIGURATION)).isEqualTo(75);
   }
 
   /**
@@ -45,7 +46,7 @@
     void oneWitnessIsNotEnough() {
       heard(NORTH, 100, 0);
 
-      assertThat(views.areFresh(Topic.ENDPOINTS, 10)).isFalse();
+      assertThat(freshness.areFresh(Topic.ENDPOINTS, 10)).isFalse();
     }
 
     @Test
@@ -53,7 +54,7 @@
       heard(NORTH, 100, 0);
       heard(SOUTH, 900, 0);
 
-      assertThat(views.areFresh(Topic.ENDPOINTS, 10)).isTrue();
+      assertThat(freshness.areFresh(Topic.ENDPOINTS, 10)).isTrue();
     }
 
     @Test
@@ -63,9 +64,9 @@
       heard(WEST, 100, 0);
       heard(WEST, 1_300, 1_200);
 
-      assertThat(views.areFresh(Topic.ENDPOINTS, 1_500)).isTrue();
-      assertThat(views.areFresh(Topic.ENDPOINTS, 1_501)).isFalse();
-      assertThat(views.areFresh(Topic.RELEASES, 1_501)).isTrue();
+      assertThat(freshness.areFresh(Topic.ENDPOINTS, 1_500)).isTrue();
+      assertThat(freshness.areFresh(Topic.ENDPOINTS, 1_501)).isFalse();
+      assertThat(freshness.areFresh(Topic.RELEASES, 1_501)).isTrue();
     }
 
     @Test
@@ -73,7 +74,7 @@
       heard(NORTH, -1, 0);
       heard(SOUTH, 0, 0);
 
-      assertThat(views.areFresh(Topic.ENDPOINTS, 0)).isFalse();
+      assertThat(freshness.areFresh(Topic.ENDPOINTS, 0)).isFalse();
     }
 
     @Test
@@ -81,11 +82,11 @@
       heard(NORTH, 0, 0);
       heard(SOUTH, 0, 0);
       heard(WEST, 0, 0);
-      views.lost(NORTH);
-      assertThat(views.areFresh(Topic.RELEASES, 0)).isTrue();
+      freshness.lost(NORTH);
+      assertThat(freshness.areFresh(Topic.RELEASES, 0)).isTrue();
 
-      views.heard(SOUTH, standing(70, 0, true), 0);
-      assertThat(views.areFresh(Topic.RELEASES, 0)).isFalse();
+      freshness.update(SOUTH, status(70, 0, true), 0);
+      assertThat(freshness.areFresh(Topic.RELEASES, 0)).isFalse();
     }
   }
 
@@ -99,17 +100,17 @@
     heard(SOUTH, 100, 0);
     heard(WEST, 100, 0);
 
-    assertThat(views.areFreshBefore(WEST, Topic.ENDPOINTS, 0)).isTrue();
-    assertThat(views.areFreshBefore(SOUTH, Topic.ENDPOINTS, 0)).isFalse();
-    assertThat(views.areFreshBefore(NORTH, Topic.ENDPOINTS, 0)).isFalse();
+    assertThat(freshness.areFreshBefore(WEST, Topic.ENDPOINTS, 0)).isTrue();
+    assertThat(freshness.areFreshBefore(SOUTH, Topic.ENDPOINTS, 0)).isFalse();
+    assertThat(freshness.areFreshBefore(NORTH, Topic.ENDPOINTS, 0)).isFalse();
   }
 
   @Test
   void coordinatorWatchesAgainOnceOneBeforeItIsLost() {
     heard(NORTH, 100, 0);
     heard(SOUTH, 100, 0);
-    views.lost(NORTH);
+    freshness.lost(NORTH);
 
-    assertThat(views.areFreshBefore(WEST, Topic.ENDPOINTS, 0)).isFalse();
+    assertThat(freshness.areFreshBefore(WEST, Topic.ENDPOINTS, 0)).isFalse();
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
@@ -25,17 +25,17 @@
 
   @Test
   void fullDataCentreStaysOpenForItsTurn() {
-    search.ask(load(NORTH, false), 0, 100);
+    search.request(load(NORTH, false), 0, 100);
 
     assertThat(search.noRoom(NORTH, 250)).isTrue();
     assertThat(search.open(BOTH)).containsExactly(NORTH, SOUTH);
-    assertThat(search.turns()).containsEntry(NORTH, 250L);
-    assertThat(search.comeBackMs()).isEqualTo(250);
+    assertThat(search.queueWaits()).containsEntry(NORTH, 250L);
+    assertThat(search.retryAfterMs()).isEqualTo(250);
   }
 
   @Test
   void dataCentreThatDoesNotKeepItsTurnIsClosed() {
-    search.ask(load(NORTH, true), 900, 100);
+    search.request(load(NORTH, true), 900, 100);
     search.noRoom(NORTH, 1_500);
 
     assertThat(search.open(BOTH)).containsExactly(SOUTH);
@@ -43,7 +43,7 @@
 
   @Test
   void wordOfOneThatWasNotAskedChangesNothing() {
-    search.ask(load(NORTH, true), 900, 100);
+    search.request(load(NORTH, true), 900, 100);
 
     assertThat(search.noRoom(SOUTH, 250)).isFalse();
     assertThat(search.lost(SOUTH)).isFalse();
@@ -52,7 +52,7 @@
 
   @Test
   void silentDataCentreIsNotWaitedForLongerThanAnAnswerTakes() {
-    search.ask(load(NORTH, false), 0, 100);
+    search.request(load(NORTH, false), 0, 100);
     search.closeOverdue(500);
     assertThat(search.open(BOTH)).contains(NORTH);
 
@@ -63,10 +63,10 @@
   /** A wait for the adapter's arrival long ago is no reason to take the next order for overdue. */
   @Test
   void eachSearchHasItsOwnTime() {
-    search.ask(load(NORTH, false), 0, 100);
+    search.request(load(NORTH, false), 0, 100);
     search.found();
     search.closeOverdue(2_000);
-    search.ask(load(SOUTH, false), 0, 2_000);
+    search.request(load(SOUTH, false), 0, 2_000);
     search.closeOverdue(2_300);
 
     assertThat(search.open(BOTH)).containsExactly(NORTH, SOUTH);
@@ -74,7 +74,7 @@
 
   @Test
   void lostCoordinatorIsClosed() {
-    search.ask(load(SOUTH, true), 2_000, 100);
+    search.request(load(SOUTH, true), 2_000, 100);
 
     assertThat(search.lost(SOUTH)).isTrue();
     assertThat(search.open(BOTH)).containsExactly(NORTH);
@@ -83,19 +83,19 @@
   /** The only engine with the adapter is lost after a second copy was asked for. */
   @Test
   void requestThatComesBackSearchesAnew() {
-    search.ask(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
+    search.request(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
     search.sent();
     assertThat(search.open(BOTH)).containsExactly(NORTH, SOUTH);
 
-    search.ask(load(NORTH, false), 0, 200);
+    search.request(load(NORTH, false), 0, 200);
     search.noRoom(NORTH, 900);
     search.sent();
-    assertThat(search.turns()).isEmpty();
+    assertThat(search.queueWaits()).isEmpty();
   }
 
   @Test
   void whileACopyIsAskedForNothingElseIsLoaded() {
-    search.ask(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
+    search.request(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
 
     assertThat(search.open(BOTH)).isEmpty();
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/WordWatchTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/ResponseWatchdogTest.java
@@ -8,11 +8,11 @@
  * An engine goes dark: its connections stay open and say nothing. Its streams and the requests that
  * were just sent there wait for a word; each alone would be patient for more than a second.
  */
-class WordWatchTest {
+class ResponseWatchdogTest {
 
   private static final long PATIENCE_MS = 1_200;
 
-  private final WordWatch watch = new WordWatch(0, PATIENCE_MS);
+  private final ResponseWatchdog watch = new ResponseWatchdog(0, PATIENCE_MS);
 
   @Test
   void silenceToAllIsGivenUpOnTheSecondLook() {
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/WakeTimeTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/ResumeDelayTest.java
@@ -9,15 +9,15 @@
  * goes on, the timers of the waits fire before the ends of the callers' connections are read, and
  * the requests of callers who have left would reach an engine.
  */
-class WakeTimeTest {
+class ResumeDelayTest {
 
   @Test
   void timerThatFiresLongAfterItsTimeWaitsForTheReads() {
-    assertThat(WakeTime.isAfterStandstill(1_000, 2_600)).isTrue();
+    assertThat(ResumeDelay.isAfterStandstill(1_000, 2_600)).isTrue();
   }
 
   @Test
   void timerThatFiresInItsTimeGoesOn() {
-    assertThat(WakeTime.isAfterStandstill(1_000, 1_020)).isFalse();
+    assertThat(ResumeDelay.isAfterStandstill(1_000, 1_020)).isFalse();
   }
 }
