Keep usage totals by difference instead of summing all daemons

Cause: each usage report made the coordinator sum the reports of all daemons over all engines, and each look for an eviction candidate walked all daemons twice for each engine; at N daemons that is N * N work a round on one small host, which orders all loads of its data centre. Change: totals of load and of adapters in use are kept for each engine and adjusted by the difference of two reports.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -74,7 +74,7 @@
       out.packString(hello.dataCentre().value());
     } else if (message instanceof LinkMessage.UsageReport usage) {
       out.packInt(USAGE_REPORT);
-      list(out, usage.activities(), LinkFrames::writeUsage);
+      list(out, usage.usages(), LinkFrames::writeUsage);
     } else if (message instanceof LinkMessage.LoadRequest request) {
       out.packInt(LOAD_REQUEST);
       writeAdapter(out, request.adapter());
@@ -175,13 +175,12 @@
     out.packLong(placement.readyInMs());
   }
 
-  private static void writeUsage(MessageBufferPacker out, EndpointUsage activity)
-      throws IOException {
-    out.packString(activity.endpoint().value());
-    writeLoad(out, activity.load());
+  private static void writeUsage(MessageBufferPacker out, EndpointUsage usage) throws IOException {
+    out.packString(usage.endpoint().value());
+    writeLoad(out, usage.load());
     list(
         out,
-        activity.uses(),
+        usage.uses(),
         (to, use) -> {
           writeAdapter(to, use.adapter());
           to.packInt(use.running());
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -28,12 +28,12 @@
   /**
    * What a daemon does at the coordinator's endpoints; endpoints that are not named get nothing.
    *
-   * @param activities one an endpoint
+   * @param usages one an endpoint
    */
-  record UsageReport(List<EndpointUsage> activities) implements LinkMessage {
+  record UsageReport(List<EndpointUsage> usages) implements LinkMessage {
     /** Copies the list. */
     public UsageReport {
-      activities = List.copyOf(activities);
+      usages = List.copyOf(usages);
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -454,7 +454,7 @@
       welcome(channel, now);
       log.belief("daemon_linked").with("peer", hello.daemon()).with("links", links.size()).write();
     } else if (message instanceof LinkMessage.UsageReport usage && linked.daemon != null) {
-      plan.usage(linked.daemon, usage.activities(), now);
+      plan.updateUsage(linked.daemon, usage.usages(), now);
       if (!loadQueue.isEmpty()) {
         work(now);
       }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -348,15 +348,15 @@
   }
 
   private void sendReport(FrameChannel open, long now) {
-    List<EndpointUsage> activities = new ArrayList<>();
-    directory.groups().forEach(group -> activities.addAll(group.takeActivity(dataCentre, now)));
+    List<EndpointUsage> usages = new ArrayList<>();
+    directory.groups().forEach(group -> usages.addAll(group.takeUsage(dataCentre, now)));
     synchronized (this) {
-      if (activities.isEmpty() && lastReportEmpty && now - lastReportAt < ALIVE_MS) {
+      if (usages.isEmpty() && lastReportEmpty && now - lastReportAt < ALIVE_MS) {
         return;
       }
-      lastReportEmpty = activities.isEmpty();
+      lastReportEmpty = usages.isEmpty();
       lastReportAt = now;
     }
-    open.send(LinkFrames.encode(new LinkMessage.UsageReport(activities)));
+    open.send(LinkFrames.encode(new LinkMessage.UsageReport(usages)));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
@@ -4,71 +4,109 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 
 /**
- * The latest usage report of each daemon for the engines of one coordinator.
+ * The latest usage report of each daemon for the engines of one coordinator, with totals for each
+ * engine.
  *
- * <p>Not safe for use by several threads.
+ * <pre>{@code
+ * usage.update(daemon, report.usages());
+ * usage.load(engine);    // of all daemons
+ * usage.inUse(engine);   // adapters with running requests
+ * }</pre>
+ *
+ * <p>Totals are adjusted by the difference of two reports of one daemon, so that the cost of a
+ * report does not depend on the number of daemons. Not safe for use by several threads.
  */
 final class DaemonUsageTable {
 
-  private final Map<DaemonId, Map<EndpointId, EndpointUsage>> usage = new HashMap<>();
-  private final Map<EndpointId, Load> sums = new HashMap<>();
+  private final Map<DaemonId, Map<EndpointId, EndpointUsage>> reports = new HashMap<>();
+  private final Map<EndpointId, Total> totals = new HashMap<>();
+
+  /** The usage of one engine by all daemons. */
+  private static final class Total {
+    private Load load = Load.NONE;
+    private final Map<AdapterName, Integer> running = new HashMap<>();
+
+    private void add(EndpointUsage usage) {
+      load = load.plus(usage.load());
+      for (EndpointUsage.AdapterUse use : usage.uses()) {
+        if (use.running() > 0) {
+          running.merge(use.adapter(), use.running(), Integer::sum);
+        }
+      }
+    }
+
+    private boolean isEmpty() {
+      return running.isEmpty() && load.equals(Load.NONE);
+    }
+
+    private void subtract(EndpointUsage usage) {
+      load = load.minus(usage.load());
+      for (EndpointUsage.AdapterUse use : usage.uses()) {
+        running.computeIfPresent(
+            use.adapter(),
+            (adapter, count) ->
+                count > use.running() ? Integer.valueOf(count - use.running()) : null);
+      }
+    }
+  }
 
-  /** Takes in what a daemon does; what it does not name, it does no longer. */
-  void usage(DaemonId daemon, List<EndpointUsage> activities) {
-    Map<EndpointId, EndpointUsage> mine = new HashMap<>();
-    activities.forEach(activity -> mine.put(activity.endpoint(), activity));
-    usage.put(daemon, mine);
-    sum();
+  /** Replaces a daemon's report; engines that it does not name are not used by the daemon. */
+  void update(DaemonId daemon, List<EndpointUsage> usages) {
+    remove(daemon);
+    Map<EndpointId, EndpointUsage> report = new HashMap<>();
+    usages.forEach(usage -> report.put(usage.endpoint(), usage));
+    reports.put(daemon, report);
+    report.forEach((endpoint, usage) -> total(endpoint).add(usage));
   }
 
-  /** Forgets a daemon whose link has closed. */
-  void left(DaemonId daemon) {
-    usage.remove(daemon);
-    sum();
+  /** Removes a daemon whose link has closed. */
+  void remove(DaemonId daemon) {
+    Map<EndpointId, EndpointUsage> report = reports.remove(daemon);
+    if (report != null) {
+      report.forEach(this::subtract);
+    }
   }
 
-  private void sum() {
-    sums.clear();
-    for (Map<EndpointId, EndpointUsage> mine : usage.values()) {
-      mine.forEach((id, activity) -> sums.merge(id, activity.load(), Load::plus));
+  private void subtract(EndpointId endpoint, EndpointUsage usage) {
+    Total total = total(endpoint);
+    total.subtract(usage);
+    if (total.isEmpty()) {
+      totals.remove(endpoint);
     }
   }
 
-  /** Returns what all daemons together ask of an engine. */
+  private Total total(EndpointId endpoint) {
+    return totals.computeIfAbsent(endpoint, any -> new Total());
+  }
+
+  /** Returns the load of all daemons at an engine. */
   Load load(EndpointId endpoint) {
-    return sums.getOrDefault(endpoint, Load.NONE);
+    Total total = totals.get(endpoint);
+    return total == null ? Load.NONE : total.load;
   }
 
-  /** Returns what all daemons but one ask of engines. */
+  /** Returns the load of all daemons but one at engines. */
   Map<EndpointId, Load> loadsWithout(DaemonId daemon, Collection<EndpointId> endpoints) {
-    Map<EndpointId, EndpointUsage> mine = usage.getOrDefault(daemon, Map.of());
+    Map<EndpointId, EndpointUsage> report = reports.getOrDefault(daemon, Map.of());
     Map<EndpointId, Load> loads = new TreeMap<>();
     for (EndpointId id : endpoints) {
-      EndpointUsage own = mine.get(id);
+      EndpointUsage own = report.get(id);
       loads.put(id, own == null ? load(id) : load(id).minus(own.load()));
     }
     return loads;
   }
 
-  /** Returns the adapters that requests at an engine use. */
+  /** Returns the adapters with running requests at an engine; an unmodifiable view. */
   Set<AdapterName> inUse(EndpointId endpoint) {
-    Set<AdapterName> inUse = new HashSet<>();
-    for (Map<EndpointId, EndpointUsage> mine : usage.values()) {
-      EndpointUsage activity = mine.get(endpoint);
-      if (activity != null) {
-        activity.uses().stream()
-            .filter(use -> use.running() > 0)
-            .forEach(use -> inUse.add(use.adapter()));
-      }
-    }
-    return inUse;
+    Total total = totals.get(endpoint);
+    return total == null ? Set.of() : Collections.unmodifiableSet(total.running.keySet());
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -344,8 +344,8 @@
   /**
    * Returns this daemon's own usage at the endpoints of a data centre, and starts counting anew.
    */
-  synchronized List<EndpointUsage> takeActivity(DataCentreId dataCentre, long now) {
-    List<EndpointUsage> activities = new ArrayList<>();
+  synchronized List<EndpointUsage> takeUsage(DataCentreId dataCentre, long now) {
+    List<EndpointUsage> usages = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
       if (!state.entry.dataCentre().equals(dataCentre)) {
         continue;
@@ -362,10 +362,10 @@
                   name,
                   new EndpointUsage.AdapterUse(name, state.inUse.getOrDefault(name, 0), count)));
       state.starts.clear();
-      activities.add(
+      usages.add(
           new EndpointUsage(state.entry.endpoint(), state.own(now), List.copyOf(uses.values())));
     }
-    return activities;
+    return usages;
   }
 
   /** Returns an endpoint's address and the version that it has to have for a request. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -65,7 +65,7 @@
   private final AdapterVersions versions;
   private final AdapterDemand demand = new AdapterDemand();
   private final Map<EndpointId, PlannedEndpoint> endpoints = new TreeMap<>();
-  private final DaemonUsageTable activity = new DaemonUsageTable();
+  private final DaemonUsageTable usage = new DaemonUsageTable();
   private final PlacementChanges changes = new PlacementChanges();
   private final LoadTracker loads;
   private final SlotChooser places;
@@ -82,7 +82,7 @@
     this.versions = versions;
     this.modelLoads = modelLoads;
     this.loads = new LoadTracker(loadTime);
-    this.places = new SlotChooser(versions, demand, activity, loads);
+    this.places = new SlotChooser(versions, demand, usage, loads);
   }
 
   /**
@@ -132,14 +132,14 @@
   }
 
   /** Takes in what a daemon does. */
-  void usage(DaemonId daemon, List<EndpointUsage> activities, long now) {
-    for (EndpointUsage usage : activities) {
-      PlannedEndpoint endpoint = endpoints.get(usage.endpoint());
+  void updateUsage(DaemonId daemon, List<EndpointUsage> usages, long now) {
+    for (EndpointUsage reported : usages) {
+      PlannedEndpoint endpoint = endpoints.get(reported.endpoint());
       if (endpoint != null) {
-        usage.uses().forEach(use -> used(endpoint, use, now));
+        reported.uses().forEach(use -> used(endpoint, use, now));
       }
     }
-    activity.usage(daemon, activities);
+    usage.update(daemon, usages);
   }
 
   private void used(PlannedEndpoint endpoint, EndpointUsage.AdapterUse use, long now) {
@@ -157,12 +157,12 @@
 
   /** Forgets a daemon whose link has closed. */
   void left(DaemonId daemon) {
-    activity.left(daemon);
+    usage.remove(daemon);
   }
 
   /** Returns what all daemons but one ask of the engines. */
   Map<EndpointId, Load> loadsWithout(DaemonId daemon) {
-    return activity.loadsWithout(daemon, endpoints.keySet());
+    return usage.loadsWithout(daemon, endpoints.keySet());
   }
 
   /** Has an adapter brought to an engine, unless it is there or comes already. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
@@ -42,17 +42,14 @@
 
   private final AdapterVersions versions;
   private final AdapterDemand demand;
-  private final DaemonUsageTable activity;
+  private final DaemonUsageTable usage;
   private final LoadTracker loads;
 
   SlotChooser(
-      AdapterVersions versions,
-      AdapterDemand demand,
-      DaemonUsageTable activity,
-      LoadTracker loads) {
+      AdapterVersions versions, AdapterDemand demand, DaemonUsageTable usage, LoadTracker loads) {
     this.versions = versions;
     this.demand = demand;
-    this.activity = activity;
+    this.usage = usage;
     this.loads = loads;
   }
 
@@ -85,7 +82,7 @@
         hasFreeSlot(endpoint)
             ? 0
             : victim(endpoint, now).map(name -> VICTIM_COST_MS * demand.of(name, now)).orElse(0.0);
-    Load load = activity.load(endpoint.entry.endpoint());
+    Load load = usage.load(endpoint.entry.endpoint());
     return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), endpoint.tokensPerMs)
         + endpoint.coming(now) * COMING_COST_MS
         + victimMs
@@ -94,7 +91,7 @@
 
   /** Returns the adapter that is missed least: old versions first, then by what is asked for. */
   Optional<AdapterName> victim(PlannedEndpoint endpoint, long now) {
-    Set<AdapterName> inUse = activity.inUse(endpoint.entry.endpoint());
+    Set<AdapterName> inUse = usage.inUse(endpoint.entry.endpoint());
     return endpoint.copies.entrySet().stream()
         .filter(entry -> entry.getValue().state == PlannedEndpoint.State.HELD)
         .filter(entry -> !inUse.contains(entry.getKey()))
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -279,7 +279,7 @@
     void loadIsThereFromSendingToEnd() {
       Demand demand = demand(800, 200);
       EndpointGroup.Ticket ticket = group.begin(id("e1"), demand, 10).orElseThrow();
-      List<EndpointUsage> during = group.takeActivity(NORTH, 11);
+      List<EndpointUsage> during = group.takeUsage(NORTH, 11);
       ticket.begun(50);
       ticket.ended(EndpointGroup.Ending.ANSWERED, 100);
       ticket.ended(EndpointGroup.Ending.FAILED, 101);
@@ -288,7 +288,7 @@
       assertThat(during.get(0).load().running()).isEqualTo(1);
       assertThat(during.get(0).load().prefillTokens()).isEqualTo(800);
       assertThat(during.get(0).uses()).containsExactly(new EndpointUsage.AdapterUse(ADAPTER, 1, 1));
-      assertThat(group.takeActivity(NORTH, 102)).isEmpty();
+      assertThat(group.takeUsage(NORTH, 102)).isEmpty();
     }
 
     @Test
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -79,7 +79,7 @@
     for (int number : numbers) {
       uses.add(new EndpointUsage.AdapterUse(adapter(number), 1, 1));
     }
-    plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), now);
+    plan.updateUsage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), now);
   }
 
   private List<AdapterName> placed() {
@@ -249,7 +249,7 @@
       for (int number = from; number <= LARGE; number++) {
         uses.add(new EndpointUsage.AdapterUse(adapter(number), 1, 1));
       }
-      large.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), now);
+      large.updateUsage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), now);
     }
 
     @BeforeEach
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -158,7 +158,7 @@
           List.of(1, 2, 3, 4).stream()
               .map(i -> new EndpointUsage.AdapterUse(adapter(i), 1, 1))
               .toList();
-      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), 9_000);
+      plan.updateUsage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), 9_000);
 
       assertThat(plan.request(adapter(9), 1, false, SIZE, 12_000))
           .isInstanceOf(LoadReply.Rejected.class);
@@ -190,8 +190,9 @@
           List.of(1, 2, 3, 4).stream()
               .map(i -> new EndpointUsage.AdapterUse(adapter(i), 1, 1))
               .toList();
-      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), 400);
-      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses.subList(0, 3))), 500);
+      plan.updateUsage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), 400);
+      plan.updateUsage(
+          DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses.subList(0, 3))), 500);
 
       assertThat(plan.request(adapter(9), 1, false, SIZE, 501))
           .isInstanceOf(LoadReply.Assigned.class);
@@ -244,7 +245,7 @@
           List.of(2, 3, 4).stream()
               .map(i -> new EndpointUsage.AdapterUse(adapter(i), 1, 1))
               .toList();
-      plan.usage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), NOW);
+      plan.updateUsage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), NOW);
       plan.drainChanges();
       carryOutAll(NOW);
 
