Redirect load requests to a copy in another data centre

Change: usage reports say whether their daemon coordinates a data centre, and placement changes go to such daemons at once; a coordinator that is asked for an adapter that another data centre holds or loads answers with that placement. A daemon that knows of a copy and asks all the same is not redirected, so that a copy that it cannot use does not send it in circles. LoadRouterTest plays concurrent requests at two coordinators: without the redirect each adapter is loaded twice.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -74,6 +74,7 @@
       out.packString(hello.dataCentre().value());
     } else if (message instanceof LinkMessage.UsageReport usage) {
       out.packInt(USAGE_REPORT);
+      out.packBoolean(usage.coordinator());
       list(out, usage.usages(), LinkFrames::writeUsage);
     } else if (message instanceof LinkMessage.LoadRequest request) {
       out.packInt(LOAD_REQUEST);
@@ -84,6 +85,7 @@
       out.packLong(request.outputTokens());
       out.packLong(request.inTimeMs());
       out.packLong(request.waitMs());
+      out.packBoolean(request.copyKnown());
     } else if (message instanceof LinkMessage.AdapterMiss miss) {
       out.packInt(ADAPTER_MISS);
       out.packString(miss.endpoint().value());
@@ -211,7 +213,8 @@
       case HELLO ->
           new LinkMessage.Hello(
               new DaemonId(in.unpackString()), new DataCentreId(in.unpackString()));
-      case USAGE_REPORT -> new LinkMessage.UsageReport(list(in, LinkFrames::readUsage));
+      case USAGE_REPORT ->
+          new LinkMessage.UsageReport(in.unpackBoolean(), list(in, LinkFrames::readUsage));
       case LOAD_REQUEST ->
           new LinkMessage.LoadRequest(
               readAdapter(in),
@@ -220,7 +223,8 @@
               in.unpackLong(),
               in.unpackLong(),
               in.unpackLong(),
-              in.unpackLong());
+              in.unpackLong(),
+              in.unpackBoolean());
       case ADAPTER_MISS ->
           new LinkMessage.AdapterMiss(
               new EndpointId(in.unpackString()), readAdapter(in), in.unpackBoolean());
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -28,9 +28,10 @@
   /**
    * What a daemon does at the coordinator's endpoints; endpoints that are not named get nothing.
    *
+   * @param coordinator whether the daemon coordinates its data centre
    * @param usages one an endpoint
    */
-  record UsageReport(List<EndpointUsage> usages) implements LinkMessage {
+  record UsageReport(boolean coordinator, List<EndpointUsage> usages) implements LinkMessage {
     /** Copies the list. */
     public UsageReport {
       usages = List.copyOf(usages);
@@ -47,6 +48,7 @@
    * @param outputTokens tokens of its answer, as far as known
    * @param inTimeMs how long a load may be put off for an answer in time, in milliseconds
    * @param waitMs how long the request would wait for a place, in milliseconds; 0 if it would not
+   * @param copyKnown whether the daemon knows of a copy, which it cannot use
    */
   record LoadRequest(
       AdapterName adapter,
@@ -55,7 +57,8 @@
       long promptTokens,
       long outputTokens,
       long inTimeMs,
-      long waitMs)
+      long waitMs,
+      boolean copyKnown)
       implements LinkMessage {}
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -49,6 +49,7 @@
   private final DecisionLog log;
   private final PlacementPlan plan;
   private final LoadQueue loadQueue;
+  private final LoadRouter router;
   private final LongPredicate mayOrder;
   private final Runnable onFenced;
   private StoreKnowledge store = topic -> LinkMessage.StoreView.NONE;
@@ -69,6 +70,7 @@
   private static final class Linked {
     private DaemonId daemon;
     private long lastReceivedAt;
+    private boolean coordinates;
   }
 
   /** What the coordinator itself knows of the store, for those that rely on it. */
@@ -101,6 +103,11 @@
     this.plan = plan;
     this.loadQueue =
         new LoadQueue(plan, adapter -> directory.isHeldOutside(settings.dataCentre(), adapter));
+    this.router =
+        new LoadRouter(
+            plan,
+            loadQueue,
+            (adapter, version) -> directory.copyOutside(settings.dataCentre(), adapter, version));
     this.protocol = io.protocol();
     this.http = io.http();
     this.loop = io.loop();
@@ -334,7 +341,7 @@
     subscribers.subscribersOf(expired.adapter()).forEach(channel -> channel.send(frame));
   }
 
-  /** Notifies the daemons that wait for an adapter at once; the others get the next batch. */
+  /** Notifies subscribers and other coordinators at once; the others get the next batch. */
   private void publish(List<LinkMessage.Placement> changes, long now) {
     if (changes.isEmpty()) {
       return;
@@ -350,6 +357,13 @@
         wanted.computeIfAbsent(channel, any -> new ArrayList<>()).add(placement);
       }
     }
+    // Coordinators of other data centres would load the same adapters again meanwhile.
+    links.forEach(
+        (channel, linked) -> {
+          if (linked.coordinates) {
+            wanted.put(channel, changes);
+          }
+        });
     wanted.forEach(
         (channel, placements) ->
             channel.send(LinkFrames.encode(new LinkMessage.Placements(false, placements))));
@@ -454,6 +468,7 @@
       welcome(channel, now);
       log.belief("daemon_linked").with("peer", hello.daemon()).with("links", links.size()).write();
     } else if (message instanceof LinkMessage.UsageReport usage && linked.daemon != null) {
+      linked.coordinates = usage.coordinator();
       plan.updateUsage(linked.daemon, usage.usages(), now);
       if (!loadQueue.isEmpty()) {
         work(now);
@@ -474,22 +489,14 @@
 
   private void load(FrameChannel channel, LinkMessage.LoadRequest request, long now) {
     subscribers.subscribe(request.adapter(), channel, now);
-    RequestSize size = new RequestSize(request.promptTokens(), request.outputTokens());
-    LoadQueue.Entry entry =
-        new LoadQueue.Entry(
-            request.adapter(),
-            request.version(),
-            size,
-            now + request.inTimeMs(),
-            now + request.waitMs());
-    LoadReply reply =
-        request.waitMs() > 0
-            ? loadQueue.loadOrEnqueue(entry, now)
-            : plan.request(request.adapter(), request.version(), request.another(), size, now);
-    if (reply instanceof LoadReply.Rejected) {
+    LoadReply reply = router.route(request, now);
+    if (reply instanceof LoadReply.Rejected rejected) {
       channel.send(
           LinkFrames.encode(
-              new LinkMessage.LoadRejected(request.adapter(), loadQueue.queueWaitMs(entry, now))));
+              new LinkMessage.LoadRejected(request.adapter(), rejected.retryAfterMs())));
+    } else if (reply instanceof LoadReply.HeldElsewhere elsewhere) {
+      channel.send(
+          LinkFrames.encode(new LinkMessage.Placements(false, List.of(elsewhere.placement()))));
     }
     work(now);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -56,6 +57,7 @@
     void changed();
   }
 
+  private final BooleanSupplier coordinates;
   private final DaemonId daemon;
   private final DataCentreId here;
   private final DataCentreId dataCentre;
@@ -98,6 +100,7 @@
       Listener listener,
       Consumer<LinkMessage.CoordinatorStatus> onStatus,
       Runnable onLost) {
+    this.coordinates = io.coordinates();
     this.daemon = self.daemon();
     this.here = self.dataCentre();
     this.dataCentre = dataCentre;
@@ -118,12 +121,14 @@
    * @param loop runs what comes later
    * @param clock the monotonic clock
    * @param log the log
+   * @param coordinates whether this daemon coordinates its data centre
    */
   record Io(
       FrameTransport transport,
       ScheduledExecutorService loop,
       MillisClock clock,
-      DecisionLog log) {}
+      DecisionLog log,
+      BooleanSupplier coordinates) {}
 
   DataCentreId dataCentre() {
     return dataCentre;
@@ -357,6 +362,6 @@
       lastReportEmpty = usages.isEmpty();
       lastReportAt = now;
     }
-    open.send(LinkFrames.encode(new LinkMessage.UsageReport(usages)));
+    open.send(LinkFrames.encode(new LinkMessage.UsageReport(coordinates.getAsBoolean(), usages)));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -13,6 +13,7 @@
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.ServingConfiguration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -156,6 +157,31 @@
     return groups.values().stream().anyMatch(g -> g.isHeldOutside(dataCentre, adapter, now));
   }
 
+  /** Returns whether any endpoint has an adapter, or is loading it, as far as this daemon knows. */
+  boolean isHeld(AdapterName adapter) {
+    long now = clock.millis();
+    return groups.values().stream().anyMatch(group -> group.isHeld(adapter, now));
+  }
+
+  /**
+   * Returns a copy of an adapter outside a data centre whose coordinator is connected, the one that
+   * is available first.
+   *
+   * @param dataCentre the data centre
+   * @param adapter the adapter
+   * @param version the least version
+   */
+  Optional<LinkMessage.Placement> copyOutside(
+      DataCentreId dataCentre, AdapterName adapter, long version) {
+    long now = clock.millis();
+    return groups.values().stream()
+        .flatMap(group -> group.copies(adapter, version, now))
+        .filter(copy -> !copy.dataCentre().equals(dataCentre))
+        .filter(copy -> coordinated.contains(copy.dataCentre()))
+        .map(EndpointGroup.LocatedCopy::placement)
+        .min(Comparator.comparingLong(LinkMessage.Placement::readyInMs));
+  }
+
   /** Notes that a coordinator reports what the endpoints of a data centre hold. */
   void coordinated(DataCentreId dataCentre) {
     coordinated.add(dataCentre);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.connection.EndpointHealth;
 import io.sequoiapass.coordination.connection.HealthSettings;
 import io.sequoiapass.coordination.process.RendezvousHash;
+import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
@@ -20,6 +21,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * Holds the endpoints of one service with their load, adapters and health: one shard of the
@@ -269,6 +271,34 @@
         .anyMatch(state -> state.takesWork(now) && state.copies.containsKey(adapter));
   }
 
+  synchronized boolean isHeld(AdapterName adapter, long now) {
+    return endpoints.values().stream()
+        .anyMatch(state -> state.takesWork(now) && state.copies.containsKey(adapter));
+  }
+
+  /**
+   * A copy of an adapter and its data centre.
+   *
+   * @param dataCentre the data centre
+   * @param placement the copy
+   */
+  record LocatedCopy(DataCentreId dataCentre, LinkMessage.Placement placement) {}
+
+  /** Returns the copies of an adapter that are not older than a version. */
+  synchronized Stream<LocatedCopy> copies(AdapterName adapter, long version, long now) {
+    List<LocatedCopy> found = new ArrayList<>();
+    for (EndpointState state : endpoints.values()) {
+      EndpointState.Copy copy = state.copies.get(adapter);
+      if (state.takesWork(now) && copy != null && copy.version() >= version) {
+        LinkMessage.Placement placement =
+            new LinkMessage.Placement(
+                state.entry.endpoint(), adapter, copy.version(), Math.max(0, copy.readyAt() - now));
+        found.add(new LocatedCopy(state.entry.dataCentre(), placement));
+      }
+    }
+    return found.stream();
+  }
+
   /** Returns the adapters that an endpoint held lately, the last one last. */
   synchronized List<AdapterName> recentAdapters(EndpointId endpoint) {
     EndpointState state = endpoints.get(endpoint);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -228,7 +228,8 @@
   private List<CoordinatorLink> links(FrameTransport transport) {
     String region = settings.regions().get(settings.dataCentre());
     LinkMessage.Hello self = new LinkMessage.Hello(settings.daemon(), settings.dataCentre());
-    CoordinatorLink.Io io = new CoordinatorLink.Io(transport, loops, clock, log);
+    CoordinatorLink.Io io =
+        new CoordinatorLink.Io(transport, loops, clock, log, node::isCoordinator);
     List<CoordinatorLink> links = new ArrayList<>();
     settings
         .regions()
@@ -429,7 +430,8 @@
               generation.promptTokens(),
               generation.expectedOutputTokens(),
               request.inTimeMs(),
-              request.waitMs()));
+              request.waitMs(),
+              directory.isHeld(adapter)));
     }
 
     @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadReply.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadReply.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.gateway.connection.LinkMessage;
 
 /** The result of a load request. */
 sealed interface LoadReply {
@@ -12,6 +13,13 @@
    */
   record Assigned(EndpointId endpoint) implements LoadReply {}
 
+  /**
+   * Another data centre has the adapter, or is loading it.
+   *
+   * @param placement where
+   */
+  record HeldElsewhere(LinkMessage.Placement placement) implements LoadReply {}
+
   /** The load is queued until a slot is free. */
   record Queued() implements LoadReply {}
 
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
@@ -0,0 +1,86 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.Optional;
+
+/**
+ * Decides on the load requests of daemons: loads the adapter here, queues the load, or redirects
+ * the daemon to a copy in another data centre.
+ *
+ * <pre>{@code
+ * LoadReply reply = router.route(request, now);
+ * }</pre>
+ *
+ * <p>It answers requests for one adapter that reach the coordinators of several data centres before
+ * placement updates have reached all daemons: coordinators know of each other's loads first, and a
+ * redirect avoids a second transfer. Not safe for use by several threads.
+ */
+final class LoadRouter {
+
+  private final PlacementPlan plan;
+  private final LoadQueue queue;
+  private final RemoteCopies remoteCopies;
+
+  /** Finds copies of adapters in other data centres. */
+  @FunctionalInterface
+  interface RemoteCopies {
+
+    /**
+     * Returns a copy that is held or loading outside this data centre.
+     *
+     * @param adapter the adapter
+     * @param version the least version
+     */
+    Optional<LinkMessage.Placement> find(AdapterName adapter, long version);
+  }
+
+  LoadRouter(PlacementPlan plan, LoadQueue queue, RemoteCopies remoteCopies) {
+    this.plan = plan;
+    this.queue = queue;
+    this.remoteCopies = remoteCopies;
+  }
+
+  /**
+   * Decides on a load request.
+   *
+   * @param request the request
+   * @param now the time, in milliseconds
+   */
+  LoadReply route(LinkMessage.LoadRequest request, long now) {
+    Optional<LinkMessage.Placement> remote = remoteCopy(request);
+    if (remote.isPresent()) {
+      return new LoadReply.HeldElsewhere(remote.get());
+    }
+    LoadReply reply =
+        request.waitMs() > 0
+            ? queue.loadOrEnqueue(entry(request, now), now)
+            : plan.request(
+                request.adapter(), request.version(), request.another(), size(request), now);
+    return reply instanceof LoadReply.Rejected
+        ? new LoadReply.Rejected(queue.queueWaitMs(entry(request, now), now))
+        : reply;
+  }
+
+  /** A daemon that knows of a copy and asks all the same cannot use it. */
+  private Optional<LinkMessage.Placement> remoteCopy(LinkMessage.LoadRequest request) {
+    boolean redirects =
+        !request.another()
+            && !request.copyKnown()
+            && !plan.holds(request.adapter(), request.version());
+    return redirects ? remoteCopies.find(request.adapter(), request.version()) : Optional.empty();
+  }
+
+  private static LoadQueue.Entry entry(LinkMessage.LoadRequest request, long now) {
+    return new LoadQueue.Entry(
+        request.adapter(),
+        request.version(),
+        size(request),
+        now + request.inTimeMs(),
+        now + request.waitMs());
+  }
+
+  private static RequestSize size(LinkMessage.LoadRequest request) {
+    return new RequestSize(request.promptTokens(), request.outputTokens());
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -197,6 +197,11 @@
     return best.map(endpoint -> endpoint.entry.endpoint());
   }
 
+  /** Returns whether an engine holds an adapter, or is to load it. */
+  boolean holds(AdapterName adapter, long version) {
+    return holder(adapter, version).isPresent();
+  }
+
   private Optional<EndpointId> holder(AdapterName adapter, long version) {
     return endpoints.values().stream()
         .filter(endpoint -> !endpoint.entry.leaving())
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -47,10 +47,11 @@
     return Stream.of(
         new LinkMessage.Hello(new DaemonId("north-1"), new DataCentreId("north")),
         new LinkMessage.UsageReport(
+            true,
             List.of(
                 new EndpointUsage(
                     ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5))))),
-        new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600),
+        new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600, true),
         new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
         new LinkMessage.CoordinatorStatus(
             4,
--- /dev/null
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
@@ -0,0 +1,119 @@
+package io.sequoiapass.gateway.process;
+
+import static io.sequoiapass.gateway.process.PlanFixtures.ENGINE;
+import static io.sequoiapass.gateway.process.PlanFixtures.adapter;
+import static io.sequoiapass.gateway.process.PlanFixtures.calmStore;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.spi.EndpointReport;
+import io.sequoiapass.gateway.version.AdapterVersions;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class LoadRouterTest {
+
+  private static final int SLOTS = 16;
+
+  private final DataCentre south = new DataCentre();
+  private final DataCentre north = new DataCentre();
+  private LinkMessage.Placement remote;
+
+  /** The coordinator of one data centre, as far as it decides on loads. */
+  private static final class DataCentre {
+    private final PlacementPlan plan =
+        new PlacementPlan(
+            new AdapterVersions(2_500), new ModelLoads(5_000, 1), new LoadTime(calmStore()));
+    private final LoadQueue queue = new LoadQueue(plan, name -> false);
+    private int loads;
+
+    DataCentre() {
+      var entry = PlanFixtures.entry(1, true);
+      plan.observe(entry, PlanFixtures.engineOf(SLOTS), 0);
+      var report = new EndpointReport(entry.models(), Map.of(), false, 0);
+      plan.dueForReport(0).forEach(e -> plan.reported(e.endpoint(), Optional.of(report), 0));
+    }
+
+    LoadReply route(LoadRouter.RemoteCopies copies, LinkMessage.LoadRequest request, long now) {
+      boolean held = plan.holds(request.adapter(), request.version());
+      LoadReply reply = new LoadRouter(plan, queue, copies).route(request, now);
+      loads += !held && reply instanceof LoadReply.Assigned ? 1 : 0;
+      return reply;
+    }
+  }
+
+  private static LinkMessage.LoadRequest request(int adapter, boolean another, boolean copyKnown) {
+    return new LinkMessage.LoadRequest(adapter(adapter), 1, another, 100, 20, 500, 0, copyKnown);
+  }
+
+  private LoadReply routeWithRemoteCopy(LinkMessage.LoadRequest request) {
+    remote = new LinkMessage.Placement(ENGINE, request.adapter(), 1, 200);
+    return north.route((adapter, version) -> Optional.of(remote), request, 0);
+  }
+
+  @Nested
+  class CopyInAnotherDataCentre {
+
+    @Test
+    void redirectsADaemonThatDoesNotKnowOfIt() {
+      assertThat(routeWithRemoteCopy(request(1, false, false)))
+          .isEqualTo(new LoadReply.HeldElsewhere(remote));
+    }
+
+    /** A daemon whose request the remote endpoint refused would be redirected there for ever. */
+    @Test
+    void isNotOfferedToADaemonThatCannotUseIt() {
+      assertThat(routeWithRemoteCopy(request(1, false, true)))
+          .isInstanceOf(LoadReply.Assigned.class);
+    }
+
+    @Test
+    void doesNotReplaceAFurtherCopyForABusyAdapter() {
+      assertThat(routeWithRemoteCopy(request(1, true, false)))
+          .isInstanceOf(LoadReply.Assigned.class);
+    }
+
+    @Test
+    void isNotPreferredToALocalCopy() {
+      north.route((adapter, version) -> Optional.empty(), request(1, false, false), 0);
+
+      assertThat(routeWithRemoteCopy(request(1, false, false)))
+          .isInstanceOf(LoadReply.Assigned.class);
+    }
+  }
+
+  /** Requests for one adapter at two coordinators within one update interval load it twice. */
+  @Nested
+  class ConcurrentRequests {
+
+    private static final int ADAPTERS = PlacementPlan.MAX_COMING;
+
+    @BeforeEach
+    void requestEachAdapterAtBoth() {
+      Random random = new Random(3);
+      for (int number = 1; number <= ADAPTERS; number++) {
+        boolean northFirst = random.nextBoolean();
+        DataCentre first = northFirst ? north : south;
+        DataCentre second = northFirst ? south : north;
+        long now = 1_000L * number;
+        first.route((adapter, version) -> Optional.empty(), request(number, false, false), now);
+        second.route(
+            (adapter, version) ->
+                first.plan.holds(adapter, version)
+                    ? Optional.of(new LinkMessage.Placement(ENGINE, adapter, 1, 250))
+                    : Optional.empty(),
+            request(number, false, false),
+            now + 20);
+      }
+    }
+
+    @Test
+    void loadEachAdapterOnce() {
+      assertThat(north.loads + south.loads).isEqualTo(ADAPTERS);
+    }
+  }
+}
