Do not evict adapters on usage that is not reported yet

Change: the time from the last known use to an eviction grows with the report interval, and a load request for an adapter that is held counts as a use. PlacementPlanTest.Eviction: the cases of the large fleet and of the adapter that was just requested fail without the change.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/BroadcastInterval.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/BroadcastInterval.java
@@ -7,6 +7,9 @@
  */
 final class BroadcastInterval {
 
+  /** Duration of one round, in milliseconds. */
+  static final long ROUND_MS = 150;
+
   /** Number of daemons that adds one round to the interval. */
   private static final int DAEMONS_A_ROUND = 32;
 
@@ -23,6 +26,11 @@
     return Math.min(MOST_ROUNDS, 1 + daemons / DAEMONS_A_ROUND);
   }
 
+  /** Returns the time between two messages, in milliseconds. */
+  static long intervalMs(int daemons) {
+    return ROUND_MS * rounds(daemons);
+  }
+
   /** Returns whether placement updates go to all daemons immediately, not just to subscribers. */
   static boolean broadcastsImmediately(int daemons) {
     return daemons <= FEW_DAEMONS;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -253,6 +253,7 @@
     }
     long now = clock.millis();
     closeIdle(now);
+    plan.reportInterval(BroadcastInterval.intervalMs(links.size()));
     plan.replaceOutdated(now);
     plan.advance(now);
     work(now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -48,9 +48,6 @@
  */
 public final class Gateway {
 
-  /** Pause between two rounds of links and leases, in milliseconds. */
-  private static final long TICK_MS = 150;
-
   /** Connections inside a deployment open in a millisecond; a dark host never answers. */
   private static final int CONNECT_TIMEOUT_MS = 350;
 
@@ -177,7 +174,7 @@
                   responder.respond(OK, Map.of("Content-Type", "text/plain"), metrics.text()))
           .start(new InetSocketAddress(host, metricsPort.getAsInt()));
     }
-    loops.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+    loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
   private ConnectionLimits limits() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -155,6 +155,11 @@
     }
   }
 
+  /** Sets the time between two usage reports of one daemon, in milliseconds. */
+  void reportInterval(long intervalMs) {
+    places.reportInterval(intervalMs);
+  }
+
   /** Forgets a daemon whose link has closed. */
   void left(DaemonId daemon) {
     usage.remove(daemon);
@@ -177,6 +182,8 @@
       AdapterName adapter, long version, boolean another, RequestSize size, long now) {
     Optional<EndpointId> known = another ? coming(adapter, now) : holder(adapter, version);
     if (known.isPresent()) {
+      // The request will be sent there and must not find the adapter evicted.
+      endpoints.get(known.get()).copies.get(adapter).lastUsed = now;
       recordChange(known.get(), adapter, now);
       return new LoadReply.Assigned(known.get());
     }
@@ -205,29 +212,18 @@
   private Optional<EndpointId> holder(AdapterName adapter, long version) {
     return endpoints.values().stream()
         .filter(endpoint -> !endpoint.entry.leaving())
-        .filter(endpoint -> holds(endpoint, adapter, version))
+        .filter(endpoint -> endpoint.holds(adapter, version))
         .map(endpoint -> endpoint.entry.endpoint())
         .findFirst();
   }
 
-  private static boolean holds(PlannedEndpoint endpoint, AdapterName adapter, long version) {
-    PlannedEndpoint.Copy copy = endpoint.copies.get(adapter);
-    return copy != null && copy.state != PlannedEndpoint.State.LEAVING && copy.version >= version;
-  }
-
   private Optional<EndpointId> coming(AdapterName adapter, long now) {
     return endpoints.values().stream()
-        .filter(endpoint -> isComing(endpoint.copies.get(adapter), now))
+        .filter(endpoint -> endpoint.isComing(adapter, now))
         .map(endpoint -> endpoint.entry.endpoint())
         .findFirst();
   }
 
-  private static boolean isComing(PlannedEndpoint.Copy copy, long now) {
-    return copy != null
-        && (copy.state == PlannedEndpoint.State.PLANNED || copy.readyAt > now)
-        && copy.state != PlannedEndpoint.State.LEAVING;
-  }
-
   private void plan(PlannedEndpoint endpoint, AdapterName adapter, long version, long now) {
     EndpointId id = endpoint.entry.endpoint();
     if (!SlotChooser.hasFreeSlot(endpoint) && !endpoint.copies.containsKey(adapter)) {
@@ -328,7 +324,7 @@
       endpoint.unloadReportAt = now + REPORT_LAG_MS;
       return;
     }
-    if (report.isEmpty() || report.get().busy() || isOlderThanModel(endpoint, report.get(), now)) {
+    if (report.isEmpty() || report.get().busy() || endpoint.isOlderThanModel(report.get(), now)) {
       endpoint.quietUntil = now + (endpoint.modelsKnownUntil > now ? MODEL_POLL_MS : REPORT_LAG_MS);
       return;
     }
@@ -340,15 +336,6 @@
     recordAllChanges(endpoint, now);
   }
 
-  /**
-   * Reports are a few hundred milliseconds old. One from before the order to load a base model
-   * shows an empty engine, which would be ordered to load a second one.
-   */
-  private static boolean isOlderThanModel(
-      PlannedEndpoint endpoint, EndpointReport report, long now) {
-    return now < endpoint.modelsKnownUntil && report.sequence() < endpoint.sequence;
-  }
-
   /** Returns the next order to an engine, if one is due; its result has to be reported. */
   Optional<EndpointOrder> nextOrder(EndpointId id, DaemonId holder, long epoch, long now) {
     PlannedEndpoint endpoint = endpoints.get(id);
@@ -397,7 +384,7 @@
    */
   private PlannedEndpoint.Step nextStep(PlannedEndpoint endpoint, long now) {
     PlannedEndpoint.Step step = endpoint.steps.peek();
-    while (step != null && lacksPlace(endpoint, step)) {
+    while (step != null && endpoint.lacksSlot(step)) {
       Optional<AdapterName> victim = places.victim(endpoint, now);
       if (victim.isPresent()) {
         endpoint.steps.addFirst(leave(endpoint, victim.get()));
@@ -412,15 +399,6 @@
     return step;
   }
 
-  private static boolean lacksPlace(PlannedEndpoint endpoint, PlannedEndpoint.Step step) {
-    if (step.type() != EndpointOrder.Type.LOAD || step.name().isEmpty()) {
-      return false;
-    }
-    PlannedEndpoint.Copy copy = endpoint.copies.get(step.name().get());
-    boolean newPlace = copy != null && !copy.replaces;
-    return newPlace && endpoint.taken() >= endpoint.engine.adapterSlots();
-  }
-
   /** An engine without any base model serves nothing; it gets the one that is held least. */
   private Optional<ModelSpec> missingModel(PlannedEndpoint endpoint, long now) {
     Optional<ModelSpec> missing =
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -182,4 +182,36 @@
     }
     return coming;
   }
+
+  /** Returns whether it holds an adapter, or is to load it, and keeps it. */
+  boolean holds(AdapterName adapter, long version) {
+    Copy copy = copies.get(adapter);
+    return copy != null && copy.state != State.LEAVING && copy.version >= version;
+  }
+
+  /** Returns whether an adapter is planned or loading. */
+  boolean isComing(AdapterName adapter, long now) {
+    Copy copy = copies.get(adapter);
+    return copy != null
+        && copy.state != State.LEAVING
+        && (copy.state == State.PLANNED || copy.readyAt > now);
+  }
+
+  /** Returns whether a load lacks a free slot. */
+  boolean lacksSlot(Step step) {
+    if (step.type() != EndpointOrder.Type.LOAD || step.name().isEmpty()) {
+      return false;
+    }
+    Copy copy = copies.get(step.name().get());
+    boolean needsSlot = copy != null && !copy.replaces;
+    return needsSlot && taken() >= engine.adapterSlots();
+  }
+
+  /**
+   * Returns whether a report was made before the order to load a base model. It shows an empty
+   * engine, which would be ordered to load a second model and crash.
+   */
+  boolean isOlderThanModel(EndpointReport report, long now) {
+    return now < modelsKnownUntil && report.sequence() < sequence;
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
@@ -16,17 +16,11 @@
  */
 final class SlotChooser {
 
-  /**
-   * An adapter that was used this lately is not dropped, in milliseconds: a request that another
-   * daemon has just sent may be on its way to it and would be refused.
-   */
-  private static final long IN_USE_MS = 60;
+  /** Least time from the last known use of an adapter to its eviction, in milliseconds. */
+  private static final long MIN_IDLE_MS = 60;
 
-  /**
-   * An adapter whose first request was not received of yet is not dropped, in milliseconds: the
-   * request was sent when it arrived, and daemons exchange some times a second.
-   */
-  private static final long FIRST_USE_MS = 300;
+  /** Time from the end of a load to the eviction of an unused adapter, in usage reports. */
+  private static final long FIRST_USE_REPORTS = 2;
 
   /** What a planned load adds to the wait for the next one at the same engine, in milliseconds. */
   private static final double COMING_COST_MS = 60;
@@ -44,6 +38,7 @@
   private final AdapterDemand demand;
   private final DaemonUsageTable usage;
   private final LoadTracker loads;
+  private long reportIntervalMs = BroadcastInterval.ROUND_MS;
 
   SlotChooser(
       AdapterVersions versions, AdapterDemand demand, DaemonUsageTable usage, LoadTracker loads) {
@@ -105,7 +100,21 @@
         .map(Map.Entry::getKey);
   }
 
-  private static boolean isIdle(PlannedEndpoint.Copy copy, long now) {
-    return copy.used ? now - copy.lastUsed >= IN_USE_MS : now - copy.readyAt >= FIRST_USE_MS;
+  /** Sets the time between two usage reports of one daemon, in milliseconds. */
+  void reportInterval(long intervalMs) {
+    reportIntervalMs = intervalMs;
+  }
+
+  /**
+   * Returns whether no request is likely to be on its way to a copy. Requests that a daemon has
+   * sent since its last report are not known here, and would be refused if the adapter were
+   * evicted.
+   */
+  private boolean isIdle(PlannedEndpoint.Copy copy, long now) {
+    if (copy.used) {
+      long unreportedMs = reportIntervalMs - BroadcastInterval.ROUND_MS;
+      return now - copy.lastUsed >= MIN_IDLE_MS + unreportedMs;
+    }
+    return now - copy.readyAt >= FIRST_USE_REPORTS * reportIntervalMs;
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -19,6 +19,7 @@
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
 import io.sequoiapass.gateway.version.ModelSpec;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -506,4 +507,64 @@
       assertThat(engine.held).doesNotContainKey(adapter(4));
     }
   }
+
+  @Nested
+  class Eviction {
+
+    private static final long LARGE_FLEET_INTERVAL_MS = 450;
+
+    private boolean isHeldAfterALoadAt(int number, long now) {
+      plan.request(adapter(PLACES + 1), 1, false, SIZE, now);
+      carryOutAll(now);
+      return plan.holds(adapter(number), 1);
+    }
+
+    private void use(long now, int... numbers) {
+      List<EndpointUsage.AdapterUse> uses = new ArrayList<>();
+      for (int number : numbers) {
+        uses.add(new EndpointUsage.AdapterUse(adapter(number), 0, 1));
+      }
+      plan.updateUsage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), now);
+    }
+
+    @BeforeEach
+    void fillAllSlots() {
+      for (int number = 1; number <= PLACES; number++) {
+        plan.request(adapter(number), 1, false, SIZE, number * 500L);
+        carryOutAll(number * 500L);
+      }
+      use(5_000, 2, 3, 4);
+      use(5_000, 2, 3, 4);
+      use(6_000, 1);
+    }
+
+    @Test
+    void takesTheLeastRequestedAdapter() {
+      assertThat(isHeldAfterALoadAt(1, 6_200)).isFalse();
+    }
+
+    /** A daemon that has just been sent to a copy finds it evicted, and its request is refused. */
+    @Test
+    void sparesAnAdapterThatWasJustRequested() {
+      plan.request(adapter(1), 1, false, SIZE, 6_980);
+
+      assertThat(isHeldAfterALoadAt(1, 7_000)).isTrue();
+    }
+
+    /** Requests sent since the last usage report are unknown for longer in a large fleet. */
+    @Test
+    void waitsForTheReportsOfALargeFleet() {
+      plan.reportInterval(LARGE_FLEET_INTERVAL_MS);
+
+      assertThat(isHeldAfterALoadAt(1, 6_200)).isTrue();
+      assertThat(isHeldAfterALoadAt(1, 6_400)).isTrue();
+    }
+
+    @Test
+    void goesOnAfterTheReportsOfALargeFleet() {
+      plan.reportInterval(LARGE_FLEET_INTERVAL_MS);
+
+      assertThat(isHeldAfterALoadAt(1, 6_700)).isFalse();
+    }
+  }
 }
