--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -533,8 +533,9 @@
         plan.request(adapter(number), 1, false, SIZE, number * 500L);
         carryOutAll(number * 500L);
       }
-      use(5_000, 2, 3, 4);
-      use(5_000, 2, 3, 4);
+      for (int requests = 0; requests < 6; requests++) {
+        use(5_000, 2, 3, 4);
+      }
       use(6_000, 1);
     }
 
