Push adapter releases from coordinators to daemons

Cause: each daemon listed the versions in the store once a coordinator had reported a newer revision, so every announcement cost a call for each daemon. Change: a coordinator sends all known releases to a daemon that links and each new one with the next broadcast; daemons fetch only the configuration.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -40,6 +40,7 @@
   private static final int LOADS = 7;
   private static final int LOAD_REJECTED = 8;
   private static final int ENDPOINTS = 9;
+  private static final int RELEASES = 10;
 
   private LinkFrames() {}
 
@@ -131,6 +132,15 @@
     } else if (message instanceof LinkMessage.Endpoints endpoints) {
       out.packInt(ENDPOINTS);
       EntryFrames.write(out, endpoints);
+    } else if (message instanceof LinkMessage.Releases releases) {
+      out.packInt(RELEASES);
+      list(
+          out,
+          releases.releases(),
+          (to, release) -> {
+            writeAdapter(to, release.adapter());
+            to.packLong(release.version());
+          });
     } else {
       throw new IllegalArgumentException("no frame for " + message);
     }
@@ -244,6 +254,9 @@
       case LOADS -> new LinkMessage.Loads(list(in, LinkFrames::readEndpointLoad));
       case LOAD_REJECTED -> new LinkMessage.LoadRejected(readAdapter(in), in.unpackLong());
       case ENDPOINTS -> EntryFrames.read(in);
+      case RELEASES ->
+          new LinkMessage.Releases(
+              list(in, from -> new LinkMessage.Release(readAdapter(from), from.unpackLong())));
       default -> throw new IOException("unknown type " + type);
     };
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -144,6 +144,26 @@
    */
   record GoneEndpoint(EndpointId endpoint, long revision, long graceMs) {}
 
+  /**
+   * New versions of adapters, so that not every daemon has to read the store.
+   *
+   * @param releases the newest version of each adapter that is named
+   */
+  record Releases(List<Release> releases) implements LinkMessage {
+    /** Copies the list. */
+    public Releases {
+      releases = List.copyOf(releases);
+    }
+  }
+
+  /**
+   * The newest version of an adapter.
+   *
+   * @param adapter the adapter
+   * @param version its version
+   */
+  record Release(AdapterName adapter, long version) {}
+
   /**
    * A coordinator reports what its endpoints hold.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -15,6 +15,7 @@
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.spi.OrderResult;
 import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.AdapterVersions;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -47,6 +48,7 @@
   private final ScheduledExecutorService loop;
   private final MillisClock clock;
   private final DecisionLog log;
+  private final AdapterVersions versions;
   private final PlacementPlan plan;
   private final LoadQueue loadQueue;
   private final LoadRouter router;
@@ -63,6 +65,7 @@
   private final PlacementUpdateBatch updateBatch = new PlacementUpdateBatch();
   private final List<LinkMessage.ListedEndpoint> listed = new ArrayList<>();
   private final List<LinkMessage.GoneEndpoint> gone = new ArrayList<>();
+  private final List<LinkMessage.Release> releases = new ArrayList<>();
   private long listedUpTo;
   private int rounds;
 
@@ -100,6 +103,7 @@
     this.daemon = settings.daemon();
     this.here = settings.dataCentre();
     this.directory = directory;
+    this.versions = io.versions();
     this.plan = plan;
     this.loadQueue =
         new LoadQueue(plan, adapter -> directory.isHeldOutside(settings.dataCentre(), adapter));
@@ -133,13 +137,15 @@
    * @param loop runs what comes later
    * @param clock the monotonic clock
    * @param log the log
+   * @param versions the newest versions of adapters
    */
   record Io(
       EndpointProtocol protocol,
       HttpClient http,
       ScheduledExecutorService loop,
       MillisClock clock,
-      DecisionLog log) {}
+      DecisionLog log,
+      AdapterVersions versions) {}
 
   /** Sets what this daemon knows of the store. */
   synchronized void use(StoreKnowledge knowledge) {
@@ -181,6 +187,7 @@
     updateBatch.clear();
     listed.clear();
     gone.clear();
+    releases.clear();
     stopping = false;
     epoch = newEpoch;
     plan.forgetSync();
@@ -241,6 +248,7 @@
   synchronized void released(AdapterName adapter, long version) {
     plan.outdated(adapter);
     if (active) {
+      releases.add(new LinkMessage.Release(adapter, version));
       plan.released(adapter, version, clock.millis());
       work(clock.millis());
     }
@@ -259,6 +267,8 @@
     work(now);
     rounds++;
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
+      // Before the status, which says up to when all of this is known.
+      sendReleases();
       broadcastStatus();
       sendListChanges();
       sendUpdateBatch(now);
@@ -275,6 +285,13 @@
     gone.clear();
   }
 
+  private void sendReleases() {
+    if (!releases.isEmpty()) {
+      sendAll(new LinkMessage.Releases(releases));
+      releases.clear();
+    }
+  }
+
   private void sendUpdateBatch(long now) {
     List<LinkMessage.Placement> changes = updateBatch.drain(now);
     if (!changes.isEmpty()) {
@@ -484,10 +501,19 @@
 
   private void welcome(FrameChannel channel, long now) {
     channel.send(LinkFrames.encode(directory.whole()));
+    channel.send(LinkFrames.encode(allReleases()));
     channel.send(LinkFrames.encode(status()));
     channel.send(LinkFrames.encode(new LinkMessage.Placements(true, plan.whole(now))));
   }
 
+  private LinkMessage.Releases allReleases() {
+    List<LinkMessage.Release> all = new ArrayList<>();
+    versions
+        .all()
+        .forEach((adapter, version) -> all.add(new LinkMessage.Release(adapter, version)));
+    return new LinkMessage.Releases(all);
+  }
+
   private void load(FrameChannel channel, LinkMessage.LoadRequest request, long now) {
     subscribers.subscribe(request.adapter(), channel, now);
     LoadReply reply = router.route(request, now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -53,6 +53,9 @@
     /** Called when a data centre cannot bring an adapter now. */
     void noRoom(DataCentreId dataCentre, AdapterName adapter, long retryAfterMs);
 
+    /** Called when a coordinator reports the version of an adapter. */
+    void released(LinkMessage.Release release);
+
     /** Called when a coordinator is connected for the first time, or is lost. */
     void changed();
   }
@@ -230,6 +233,8 @@
                       .ifPresent(group -> group.setOthers(load.endpoint(), load.load())));
     } else if (message instanceof LinkMessage.Endpoints endpoints) {
       directory.relayed(endpoints);
+    } else if (message instanceof LinkMessage.Releases releases) {
+      releases.releases().forEach(listener::released);
     } else if (message instanceof LinkMessage.LoadRejected noRoom) {
       listener.noRoom(dataCentre, noRoom.adapter(), noRoom.retryAfterMs());
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -205,7 +205,7 @@
             new Coordinator.CoordinatorSettings(settings.daemon(), settings.dataCentre()),
             directory,
             new PlacementPlan(versions, modelLoads, new LoadTime(directory)),
-            new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log),
+            new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log, versions),
             now -> node.mayOrder(now, settings.bounds().fenced()),
             node::fenced);
     node.use(coordinator, links(transport));
@@ -282,8 +282,8 @@
   }
 
   /**
-   * The coordinators, for all but the first of themselves; they push endpoints, so that none is
-   * fetched.
+   * The coordinators, for all but the first of themselves; they push endpoints and releases, and
+   * only a configuration is fetched.
    */
   private StoreFeed.Relay relay(StoreFreshness.Topic topic) {
     return new StoreFeed.Relay() {
@@ -296,7 +296,7 @@
 
       @Override
       public long revision() {
-        return topic == StoreFreshness.Topic.ENDPOINTS ? 0 : storeFreshness.revision(topic);
+        return topic == StoreFreshness.Topic.CONFIGURATION ? storeFreshness.revision(topic) : 0;
       }
     };
   }
@@ -375,18 +375,20 @@
       return;
     }
     AdapterRelease release = item.value().get();
-    boolean changed =
-        release.adapter().isPresent()
-            && versions.announce(release.adapter().get(), release.version(), clock.millis());
-    if (changed) {
-      log.belief("release")
-          .with("adapter", release.adapter().get())
-          .with("version", release.version())
-          .with("revision", item.revision())
-          .write();
-      directory.groups().forEach(group -> group.outdated(release.adapter().get()));
-      coordinator.released(release.adapter().get(), release.version());
+    release.adapter().ifPresent(adapter -> released(adapter, release.version(), "store"));
+  }
+
+  private void released(AdapterName adapter, long version, String source) {
+    if (!versions.announce(adapter, version, clock.millis())) {
+      return;
     }
+    log.belief("release")
+        .with("adapter", adapter)
+        .with("version", version)
+        .with("source", source)
+        .write();
+    directory.groups().forEach(group -> group.outdated(adapter));
+    coordinator.released(adapter, version);
   }
 
   private final class Placed implements CoordinatorLink.Listener {
@@ -401,6 +403,11 @@
       waiting.noRoom(dataCentre, adapter, retryAfterMs);
     }
 
+    @Override
+    public void released(LinkMessage.Release release) {
+      Gateway.this.released(release.adapter(), release.version(), "coordinator");
+    }
+
     @Override
     public void changed() {
       metrics.count("sequoiapass_coordinator_changes_total");
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/AdapterVersions.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/AdapterVersions.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.version;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -40,7 +41,7 @@
    * @param name the adapter
    * @param version the version
    * @param now the time, in milliseconds
-   * @return whether it is update
+   * @return whether it is newer than what was known
    */
   public boolean announce(AdapterName name, long version, long now) {
     Release known = releases.get(name);
@@ -51,6 +52,13 @@
     return true;
   }
 
+  /** Returns the newest version of each adapter that was announced. */
+  public Map<AdapterName, Long> all() {
+    Map<AdapterName, Long> all = new HashMap<>();
+    releases.forEach((name, release) -> all.put(name, release.version()));
+    return all;
+  }
+
   /**
    * Returns the newest version.
    *
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -71,6 +71,7 @@
         new LinkMessage.Placements(
             true, List.of(new LinkMessage.Placement(ENGINE, ADAPTER, 3, -1))),
         new LinkMessage.Loads(List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
+        new LinkMessage.Releases(List.of(new LinkMessage.Release(ADAPTER, 4))),
         new LinkMessage.LoadRejected(ADAPTER, 400));
   }
 
