Stop resting feeds from listing the store for each other

Cause: a feed reported a listing as a change, with the revision of the whole store, which grows with every heartbeat. Change: a change is reported with the revision of the newest object. StoreFeedTest.FeedsThatRelyOnEachOther: 2 listings for a change in place of one a round; fails without the change.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -176,7 +176,7 @@
     boolean afterOutage = answered();
     revision = list.revision();
     if (listener.replaced(list, afterOutage)) {
-      recordChanges();
+      recordChange(newestRevision(list));
     }
     goOn();
   }
@@ -232,7 +232,7 @@
     revision = Math.max(revision, changes.revision());
     for (StoreChanges.Change<T> change : changes.changes()) {
       if (listener.changed(change, revision, afterOutage)) {
-        recordChanges();
+        recordChange(change.object().revision());
       }
     }
     if (changes.changes().isEmpty()) {
@@ -246,8 +246,17 @@
     goOn();
   }
 
-  private void recordChanges() {
-    view = new View(revision, view.answeredAt(), view.failing());
+  private static long newestRevision(StoreList<?> list) {
+    return list.items().stream().mapToLong(Stored::revision).max().orElse(0);
+  }
+
+  /**
+   * Records the revision of a changed object. Recorded with the revision of the whole store, which
+   * grows with every write, two feeds that rely on each other would list again and again.
+   */
+  private void recordChange(long changedRevision) {
+    long newest = Math.max(view.changedRevision(), changedRevision);
+    view = new View(newest, view.answeredAt(), view.failing());
   }
 
   private boolean answered() {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
@@ -172,4 +172,52 @@
       assertThat(store.watches).isEqualTo(1);
     }
   }
+
+  /** Two resting coordinators that see each other's listings as changes list for ever. */
+  @Nested
+  class FeedsThatRelyOnEachOther {
+
+    private static final int ROUNDS = 20;
+
+    private final FakeRelay otherRelay = new FakeRelay();
+    private final StoreFeed<AdapterRelease> other =
+        new StoreFeed<>(
+            store,
+            StoreKind.RELEASES,
+            () -> new StoreFeed.Timing(1_000, 0),
+            otherRelay,
+            StoreFeed.Listener.ofEach(item -> taken.add(item.name())),
+            loop,
+            time::get,
+            DecisionLog.silent());
+
+    private void exchange() {
+      for (int round = 0; round < ROUNDS; round++) {
+        // Writes of other kinds advance the store's revision all the time.
+        store.revision++;
+        relay.revision = other.view().revision();
+        feed.look();
+        otherRelay.revision = feed.view().revision();
+        other.look();
+      }
+    }
+
+    @Test
+    void listOnceForEachChange() {
+      relay.fresh = true;
+      otherRelay.fresh = true;
+      store.add("base.a6");
+      feed.start();
+      other.start();
+      exchange();
+      assertThat(store.lists).isEqualTo(2);
+
+      store.add("base.a7");
+      relay.revision = store.revision;
+      feed.look();
+      exchange();
+
+      assertThat(store.lists).isEqualTo(4);
+    }
+  }
 }
