--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -225,7 +225,7 @@
     return new Choice.Refuse(ErrorKind.NO_ENDPOINT, RETRY_AFTER_MS);
   }
 
-  /** A caller that comes back once the excess has been worked off finds its turn. */
+  /** The caller may return once the excess has been worked off. */
   private static Choice tooLate(double expectedMs, long remainingMs) {
     long excessMs = (long) (expectedMs - remainingMs);
     return new Choice.Refuse(ErrorKind.DEADLINE_UNREACHABLE, Math.max(RETRY_AFTER_MS, excessMs));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -73,7 +73,7 @@
   /** Receives what changes in the list; must not block. */
   interface Watcher {
 
-    /** Nobody listens. */
+    /** Ignores all changes. */
     Watcher NONE =
         new Watcher() {
           @Override
@@ -187,7 +187,10 @@
     coordinated.add(dataCentre);
   }
 
-  /** Notes that nobody reports any more; the endpoints' own entries count again as they change. */
+  /**
+   * Records that a data centre has no connected coordinator; the endpoints' own entries count
+   * again.
+   */
   void uncoordinated(DataCentreId dataCentre) {
     coordinated.remove(dataCentre);
     groups.values().forEach(group -> group.forgetOthers(dataCentre));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -52,10 +52,8 @@
   private static final int CONNECT_TIMEOUT_MS = 350;
 
   /**
-   * A watch waits for the first figure and pauses after changes for the second, in milliseconds. A
-   * silent connection is noticed after the wait. Endpoints write about once a second and serve for
-   * two seconds after they began to leave, so what they write is taken in once a second at the
-   * most: each call is paid for, and twice as often cost half as much again.
+   * Endpoints write about once a second and serve for seconds after they began to leave, so one
+   * call a second is enough.
    */
   private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(2_500, 1_000);
 
@@ -66,8 +64,7 @@
   private static final StoreFeed.Timing RELEASE_TIMING = new StoreFeed.Timing(4_000, 300);
 
   /**
-   * The same for a coordinator, whose knowledge is relied on while it is fresh: asked each second
-   * and reported each 450 ms, it would be up to 1.9 s old, and daemons would ask for themselves.
+   * Timing of a coordinator, whose view has to be more current because other daemons rely on it.
    */
   private static final Map<StoreFreshness.Topic, StoreFeed.Timing> COORDINATOR_TIMING =
       Map.of(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -56,15 +56,15 @@
   }
 
   /**
-   * An adapter whose turn would come too late.
+   * An adapter that cannot get a slot in time.
    *
    * @param adapter the adapter
-   * @param retryAfterMs when its turn would come, in milliseconds
+   * @param retryAfterMs when a slot is expected, in milliseconds
    */
   record Expired(AdapterName adapter, long retryAfterMs) {}
 
   /**
-   * Waits for places of a plan.
+   * Creates an empty queue.
    *
    * @param plan the plan
    * @param isHeldOutside whether another data centre has an adapter, or has it brought
@@ -124,7 +124,7 @@
     if (entries.isEmpty()) {
       return List.of();
     }
-    // Their callers have gone there; a place here would be taken for nobody.
+    // Their requests are sent to that copy; a slot here would stay unused.
     entries.keySet().removeIf(isHeldOutside);
     updateLate(now);
     for (Entry entry : inOrder(now)) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -59,7 +59,7 @@
   /** An engine writes its entry about once a second; this is two of its times, in milliseconds. */
   private static final long ENTRY_LAG_MS = 2_500;
 
-  /** When to ask again if nothing can make way, in milliseconds: about half a usual run. */
+  /** Time to the next try if no adapter can be evicted, in milliseconds. */
   private static final long RETRY_AFTER_MS = 400;
 
   private final AdapterVersions versions;
@@ -378,9 +378,9 @@
   }
 
   /**
-   * An adapter that was to make way may have got a request meanwhile, and then leaves only once
-   * that has ended. Loaded all the same, the one that comes would go beyond the engine's places and
-   * crash it; another makes way for it, or it is given up and its callers look elsewhere.
+   * An adapter to be evicted may be in use again, and is unloaded only once its requests have
+   * ended. Another one is evicted in its place, or the load is dropped; a load beyond the engine's
+   * slots would crash it.
    */
   private PlannedEndpoint.Step nextStep(PlannedEndpoint endpoint, long now) {
     PlannedEndpoint.Step step = endpoint.steps.peek();
@@ -484,9 +484,9 @@
   }
 
   /**
-   * After a refusal or a lost answer nobody knows what the engine holds. It gets no orders until
-   * its report, taken after the lag of reports, shows it; what was planned is planned anew by those
-   * who still need it.
+   * After a refused or unanswered order the contents of the engine are unknown. It gets no orders
+   * until a report shows them; planned loads are dropped and requested again by those who need
+   * them.
    */
   private void failed(PlannedEndpoint endpoint, OrderResult result, long now) {
     EndpointId id = endpoint.entry.endpoint();
@@ -543,7 +543,7 @@
     return loads.loadTimes(now);
   }
 
-  /** Returns the places for adapters of all engines that take orders. */
+  /** Returns the number of adapter slots of all engines that take orders. */
   int places() {
     return endpoints.values().stream()
         .filter(endpoint -> endpoint.synced)
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
@@ -66,7 +66,7 @@
     return hasFreeSlot(endpoint) || victim(endpoint, now).isPresent();
   }
 
-  /** Returns whether nothing has to make way at an engine. */
+  /** Returns whether an engine has a free slot. */
   static boolean hasFreeSlot(PlannedEndpoint endpoint) {
     return endpoint.copies.size() < endpoint.engine.adapterSlots();
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SlotTurnoverEstimator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotTurnoverEstimator.java
@@ -24,7 +24,7 @@
   private LearnedTime between;
   private long since;
 
-  /** Notes that somebody begins to wait while nobody did. */
+  /** Records that a load is queued while none was. */
   void waiting(long now) {
     since = now;
   }
@@ -40,7 +40,7 @@
   }
 
   /**
-   * Returns after how long the turn of a new one comes, in milliseconds.
+   * Returns the expected wait of a new load, in milliseconds.
    *
    * @param ahead how many wait
    * @param places the places of all engines
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -23,8 +23,8 @@
  * feed.start();
  * }</pre>
  *
- * <p>While others are known to receive the store for this daemon, it rests, and asks only when they
- * indicate a newer revision.
+ * <p>Rests while coordinators watch the store for this daemon, and lists only when they report a
+ * newer revision.
  *
  * <p>The listener is called by one thread at a time, in the order of the store's revisions. Safe
  * for use by several threads.
@@ -80,10 +80,10 @@
     }
   }
 
-  /** Reports whether others receive the store for this daemon; must not block. */
+  /** The coordinators' view of the store; must not block. */
   interface Relay {
 
-    /** Nobody does. */
+    /** No coordinator watches the store for this daemon. */
     Relay NONE =
         new Relay() {
           @Override
@@ -190,7 +190,7 @@
     }
   }
 
-  /** Ends a rest when there is something to fetch or nobody to rely on; called often. */
+  /** Ends a rest when there is a newer revision or no current coordinator; called often. */
   synchronized void look() {
     if (resting && (relay.revision() > revision || !relay.isFresh(clock.millis()))) {
       resting = false;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -35,7 +35,7 @@
         : coordinated.stream().filter(dataCentre -> !closed.contains(dataCentre)).toList();
   }
 
-  /** Returns when a turn would come, in milliseconds, at those that had no place. */
+  /** Returns the expected wait for a slot at each data centre that had none, in milliseconds. */
   Map<DataCentreId, Long> queueWaits() {
     return queueWaits;
   }
@@ -59,7 +59,7 @@
     return overdueAt;
   }
 
-  /** Closes the data centre that was requested, if it has not kept its turn or said nothing. */
+  /** Closes the data centre that was asked if its reply is overdue. */
   void closeOverdue(long now) {
     if (requested != null && !requestedCopy && now >= overdueAt) {
       close();
@@ -118,7 +118,7 @@
     return true;
   }
 
-  /** Returns when a turn would come at the best of those that had no place; 0 if all had. */
+  /** Returns the shortest expected wait for a slot, in milliseconds; 0 if there was always one. */
   long retryAfterMs() {
     return retryAfterMs;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
@@ -26,7 +26,7 @@
   }
 
   /**
-   * Looks again at all requests for an adapter that is there or on its way.
+   * Dispatches all requests for an adapter that is held or loading.
    *
    * @param adapter the adapter
    */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -162,7 +162,7 @@
     }
   }
 
-  /** Called when a coordinator is lost: whoever waits there for a turn would wait in vain. */
+  /** Called when a coordinator is lost; loads that are queued there are lost with it. */
   synchronized void coordinatorLost(DataCentreId dataCentre) {
     if (waiting && !over && search.lost(dataCentre)) {
       rest(ResumeDelay.READ_MS);
