--- a/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterDemand.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterDemand.java
@@ -11,8 +11,9 @@
 final class AdapterDemand {
 
   /**
-   * Time in which a request's weight halves, in milliseconds: long enough to notify a request every
-   * two seconds from one in ten, short enough to follow demand that moves on within six seconds.
+   * Time in which a request's weight halves, in milliseconds: long enough to distinguish one
+   * request every two seconds from one every ten, short enough to follow demand that moves on
+   * within six seconds.
    */
   private static final double HALF_LIFE_MS = 8_000;
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -91,8 +91,8 @@
   }
 
   /**
-   * Two ways of reporting a body's length let a second request hide in the first one's body: who
-   * reads it by the other way takes the rest for a request of its own.
+   * Two ways of giving a body's length let a second request hide in the first one's body: who reads
+   * it by the other way takes the rest for a request of its own.
    */
   private static boolean isAmbiguous(HttpRequestMessage request) {
     List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -90,7 +90,7 @@
     return current && election.mayOrder(now, fenced);
   }
 
-  /** Takes in what a coordinator reported of itself. */
+  /** Takes in a coordinator's status. */
   synchronized void updateStatus(DataCentreId dataCentre, LinkMessage.CoordinatorStatus status) {
     if (dataCentre.equals(here)) {
       election.leaseSeen(status.revision(), clock.millis());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -152,7 +152,7 @@
     store = knowledge;
   }
 
-  /** Returns what is notified of changes in the list of endpoints, to notify the linked daemons. */
+  /** Returns a listener that forwards changes of the endpoint list to the linked daemons. */
   EndpointDirectory.Watcher watcher() {
     return new EndpointDirectory.Watcher() {
       @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -89,7 +89,7 @@
    * Returns what to do.
    *
    * @param now the time, in milliseconds
-   * @param linked whether the coordinator of this data centre is received by its link
+   * @param linked whether the coordinator of this data centre is connected
    */
   Step next(long now, boolean linked) {
     if (busy) {
@@ -171,7 +171,7 @@
     holding = current.flatMap(Stored::value).filter(lease -> lease.isHeldBy(process)).isPresent();
   }
 
-  /** Takes in what a coordinator reported on its link: its lease was at this revision then. */
+  /** Takes in the lease revision that a coordinator reported on its link. */
   void leaseSeen(long revision, long now) {
     if (seen.isPresent() && seen.get().revision() < revision) {
       seen = Optional.of(new Stored<>(seen.get().name(), revision, seen.get().value(), ""));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -92,7 +92,7 @@
    * @param directory the endpoints
    * @param io what carries frames, time and log lines
    * @param listener is notified of adapters
-   * @param onStatus receives what the coordinator reports its status
+   * @param onStatus receives the coordinator's status
    * @param onLost runs when the coordinator is disconnected
    */
   CoordinatorLink(
@@ -147,7 +147,7 @@
     return channel != null || connecting;
   }
 
-  /** Returns how many daemons are linked to the coordinator, as last received. */
+  /** Returns how many daemons are linked to the coordinator, as last reported. */
   synchronized int daemons() {
     return isUp() ? daemons : 0;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -98,17 +98,17 @@
     this.log = log;
   }
 
-  /** Sets what is notified of any change of the list. */
+  /** Sets the callback for any change of the list. */
   void onChange(Runnable action) {
     onChange = action;
   }
 
-  /** Sets what called when an adapter has become idle in a data centre; must not block. */
+  /** Sets the callback for an adapter that has become idle in a data centre; must not block. */
   void onIdle(Consumer<DataCentreId> action) {
     onIdle = action;
   }
 
-  /** Sets what receives each change of the list. */
+  /** Sets the listener for each change of the list. */
   void watchedBy(Watcher newWatcher) {
     watcher = newWatcher;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -228,7 +228,7 @@
     return Math.max(0, copy.readyAt() - now);
   }
 
-  /** Notes that a request goes to an endpoint; the ticket reports the rest of its way. */
+  /** Notes that a request goes to an endpoint; the ticket tracks it until its end. */
   public synchronized Optional<Ticket> begin(EndpointId endpoint, Demand demand, long now) {
     EndpointState state = endpoints.get(endpoint);
     if (state == null) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointSpeedEstimator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointSpeedEstimator.java
@@ -11,7 +11,7 @@
   /** Weight of one answer's beginning. */
   private static final double WEIGHT = 0.12;
 
-  /** Bounds of one sample: a beginning beyond them reports of something else. */
+  /** Bounds of one sample: a value beyond them has another cause. */
   private static final double LEAST = 0.25;
 
   private static final double MOST = 8;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -56,7 +56,7 @@
   }
 
   /**
-   * The endpoint's entry is up to a heartbeat old; where a coordinator reports of an adapter there,
+   * The endpoint's entry is up to a heartbeat old; where a coordinator reports an adapter there,
    * its base model is there, too.
    */
   boolean holdsModel(ModelId model) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTime.java
@@ -16,7 +16,7 @@
   /** Time of a load from an engine's own memory until it is learned, in milliseconds. */
   static final long FIRST_MEMORY_MS = 30;
 
-  /** Doublings that are reported apart: beyond a thousand loads under way all count alike. */
+  /** Number of levels; beyond a thousand concurrent loads all count alike. */
   private static final int DOUBLINGS = 11;
 
   private final Traffic traffic;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTimeEstimates.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTimeEstimates.java
@@ -11,7 +11,7 @@
  */
 public record LoadTimeEstimates(long storeMs, long memoryMs, int cacheDepth) {
 
-  /** What is taken to hold until a coordinator was received. */
+  /** Defaults until a coordinator is connected. */
   static final LoadTimeEstimates FIRST =
       new LoadTimeEstimates(LoadTime.FIRST_STORE_MS, LoadTime.FIRST_MEMORY_MS, 32);
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTracker.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadTracker.java
@@ -44,7 +44,7 @@
   /** Notes that an engine has accepted the order for a load. */
   void begin(PlannedEndpoint endpoint, AdapterName name, PlannedEndpoint.Copy copy, long now) {
     if (copy.replaces) {
-      // It waits for the runs of the older version, which reports nothing of loads.
+      // It waits for the runs of the older version, which says nothing about load times.
       copy.readyAt = now + time.storeMs(now);
       return;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -105,7 +105,7 @@
     }
     known.entry = entry;
     known.engine = engine;
-    // An entry is up to a heartbeat old, so one from before an order reports nothing new.
+    // An entry is up to a heartbeat old, so one from before an order has nothing new.
     if (now >= known.modelsKnownUntil) {
       known.models.clear();
       known.models.addAll(entry.models().stream().map(EndpointEntry.HeldModel::model).toList());
@@ -344,7 +344,7 @@
     }
     if (endpoint.steps.isEmpty() && endpoint.models.isEmpty() && !endpoint.entry.leaving()) {
       // The list may be older than the engine's last load, and a second model beside the first one
-      // would crash it; only the engine's own report reports that it is empty.
+      // would crash it; only the engine's own report shows that it is empty.
       if (!endpoint.reportedEmpty) {
         resync(endpoint, now);
         return Optional.empty();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -68,7 +68,7 @@
     /** The engine's count of orders when it agreed to drop it; negative if it has not. */
     long unloadSequence = -1;
 
-    /** Whether a daemon has reported of a request that uses it. */
+    /** Whether a daemon has reported a request that uses it. */
     boolean used;
 
     /** The load whose outcome is not known yet; null if there is none. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -46,12 +46,12 @@
     return Math.max(0, route.targetMs() - loadMs - waitedMs);
   }
 
-  /** Returns how long a plain endpoint may send nothing, in milliseconds. */
+  /** Returns the timeout of a plain endpoint, in milliseconds. */
   static long serviceTimeoutMs(double usualMs) {
     return Math.max(MIN_SERVICE_TIMEOUT_MS, (long) (SERVICE_TIMEOUT_RATIO * usualMs));
   }
 
-  /** Returns how long an engine may send nothing, in milliseconds. */
+  /** Returns the timeout of an engine, in milliseconds. */
   static long engineTimeoutMs(RouteSpec route, long expectedMs) {
     return Math.max(MIN_ENGINE_TIMEOUT_MS, 2 * expectedMs + route.targetMs() / 2);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LocalResponse.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LocalResponse.java
@@ -18,7 +18,7 @@
    * @param facts what the caller said
    * @param responder the caller's connection
    * @param kind the reason
-   * @param retryAfterMs when the caller is to come back, in milliseconds; empty to send nothing
+   * @param retryAfterMs when the caller is to come back, in milliseconds; empty for no advice
    */
   public static void send(
       CallerProtocol callers,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -47,7 +47,7 @@
   @SuppressWarnings("ArrayRecordComponent")
   record Body(HttpHeaders headers, byte[] bytes) {}
 
-  /** Returns whether the endpoint has said its final answer on this sending. */
+  /** Returns whether the endpoint has given its final answer to this attempt. */
   boolean isOver() {
     return over;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -43,8 +43,8 @@
   private static final long LEAST_MS = 15;
 
   /**
-   * How long after the deadline the caller called when there is no answer, in milliseconds: time
-   * for the endpoint's own answer, which says more.
+   * Time after the deadline until the caller is refused, in milliseconds; the endpoint's own
+   * answer, which says more, may still arrive.
    */
   private static final long DEADLINE_SLACK_MS = 40;
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/CallerProtocol.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/CallerProtocol.java
@@ -19,7 +19,7 @@
    * Returns the headers of an answer of our own.
    *
    * @param requestId the caller's name of the request; empty text if unknown
-   * @param retryAfterMs when the caller is to come back, in milliseconds; empty to send nothing
+   * @param retryAfterMs when the caller is to come back, in milliseconds; empty for no advice
    */
   Map<String, String> ownHeaders(String requestId, OptionalLong retryAfterMs);
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointProtocol.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointProtocol.java
@@ -18,7 +18,7 @@
    * Returns the headers of a caller's request as they go to an endpoint.
    *
    * @param callerHeaders what the caller sent
-   * @param terms what the endpoint is reported besides
+   * @param terms what is added to the caller's request
    */
   Map<String, String> forwardHeaders(HttpHeaders callerHeaders, ForwardTerms terms);
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/ForwardTerms.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/ForwardTerms.java
@@ -4,7 +4,7 @@
 import java.util.OptionalLong;
 
 /**
- * What an endpoint is reported beside the caller's own request.
+ * What is sent to an endpoint beside the caller's own request.
  *
  * @param endpoint the endpoint that is meant; any other refuses
  * @param remainingMs how long the caller still waits, in milliseconds
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/WriteResult.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/WriteResult.java
@@ -20,7 +20,7 @@
   /**
    * The object was not as expected, and nothing was written.
    *
-   * @param current the object as it is; empty if the answer does not report
+   * @param current the object as it is; empty if the answer does not contain it
    * @param <T> the type of the value
    */
   record Conflict<T>(Optional<Stored<T>> current) implements WriteResult<T> {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/ModelSpec.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/ModelSpec.java
@@ -12,6 +12,6 @@
  * @param model its name
  * @param weightsMb memory that its weights take, in megabytes
  * @param loadMs how long a load from the weight store takes, in milliseconds
- * @param knows reports whether an adapter of this model exists
+ * @param knows whether an adapter of this model exists
  */
 public record ModelSpec(ModelId model, double weightsMb, long loadMs, Predicate<AdapterId> knows) {}
