--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
@@ -52,13 +52,14 @@
     if (remote.isPresent()) {
       return new LoadReply.HeldElsewhere(remote.get());
     }
+    LoadQueue.Entry entry = entry(request, now);
+    if (request.waitMs() > 0) {
+      return queue.loadOrEnqueue(entry, now);
+    }
     LoadReply reply =
-        request.waitMs() > 0
-            ? queue.loadOrEnqueue(entry(request, now), now)
-            : plan.request(
-                request.adapter(), request.version(), request.another(), size(request), now);
+        plan.request(entry.adapter(), entry.version(), request.another(), entry.size(), now);
     return reply instanceof LoadReply.Rejected
-        ? new LoadReply.Rejected(queue.queueWaitMs(entry(request, now), now))
+        ? new LoadReply.Rejected(queue.queueWaitMs(entry, now))
         : reply;
   }
 
@@ -75,12 +76,8 @@
     return new LoadQueue.Entry(
         request.adapter(),
         request.version(),
-        size(request),
+        new RequestSize(request.promptTokens(), request.outputTokens()),
         now + request.inTimeMs(),
         now + request.waitMs());
   }
-
-  private static RequestSize size(LinkMessage.LoadRequest request) {
-    return new RequestSize(request.promptTokens(), request.outputTokens());
-  }
 }
