HttpServerStandstillTest: wait until the loop stands still

Cause: the test's own race. The standstill was a task of the loop, and the test did not wait for its start; a loop that is woken late reads the request before it runs the task, with the client still there, and handles it rightly. Ruled out: the pulse (a request read within 300 ms after a gap counts as behind). The check is unchanged; the test now waits until the task has begun, so the request is always read after the standstill.

--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpServerStandstillTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpServerStandstillTest.java
@@ -92,13 +92,19 @@
     assertThat(handled).containsExactly("/0", "/1", "/2", "/3");
   }
 
-  private Future<?> standStill(CountDownLatch until) {
-    return loops.submit(
-        () -> {
-          until.await();
-          TimeUnit.MILLISECONDS.sleep(STANDSTILL_MS);
-          return null;
-        });
+  /** Returns once the loop stands still: a request sent after that is read after the standstill. */
+  private Future<?> standStill(CountDownLatch until) throws InterruptedException {
+    CountDownLatch begun = new CountDownLatch(1);
+    Future<?> awake =
+        loops.submit(
+            () -> {
+              begun.countDown();
+              until.await();
+              TimeUnit.MILLISECONDS.sleep(STANDSTILL_MS);
+              return null;
+            });
+    begun.await();
+    return awake;
   }
 
   private Socket open() throws IOException {
