Stalled endpoint: keep the stream until another endpoint can take it; exclude failed holders from loads

FailoverPolicy now decides before the attempt is cancelled: move only to an endpoint that takes the request at once, have the adapter loaded elsewhere meanwhile, else stay. The endpoint's health is told of the stall all the same.

Second cause, found on the way: a request that lost its endpoint, or whose only holder is unhealthy, asked for a load, and the coordinator answered with that very holder; the request asked again after a round trip and 2 ms, until its deadline. Load requests now name the endpoints that cannot be used, and the coordinator neither offers them nor loads there.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -87,6 +87,7 @@
       out.packLong(request.inTimeMs());
       out.packLong(request.waitMs());
       out.packBoolean(request.copyKnown());
+      list(out, request.excluded(), (to, endpoint) -> to.packString(endpoint.value()));
     } else if (message instanceof LinkMessage.AdapterMiss miss) {
       out.packInt(ADAPTER_MISS);
       out.packString(miss.endpoint().value());
@@ -234,7 +235,8 @@
               in.unpackLong(),
               in.unpackLong(),
               in.unpackLong(),
-              in.unpackBoolean());
+              in.unpackBoolean(),
+              list(in, from -> new EndpointId(from.unpackString())));
       case ADAPTER_MISS ->
           new LinkMessage.AdapterMiss(
               new EndpointId(in.unpackString()), readAdapter(in), in.unpackBoolean());
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -49,6 +49,7 @@
    * @param inTimeMs how long a load may be put off for an answer in time, in milliseconds
    * @param waitMs how long the request would wait for a place, in milliseconds; 0 if it would not
    * @param copyKnown whether the daemon knows of a copy, which it cannot use
+   * @param excluded endpoints that the request cannot use, even if they hold the adapter
    */
   record LoadRequest(
       AdapterName adapter,
@@ -58,7 +59,8 @@
       long outputTokens,
       long inTimeMs,
       long waitMs,
-      boolean copyKnown)
+      boolean copyKnown,
+      List<EndpointId> excluded)
       implements LinkMessage {}
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -147,6 +147,19 @@
     return candidates;
   }
 
+  /**
+   * Returns the endpoints that a request is not to use: those that failed it, and unhealthy ones.
+   * Empty if there are no others.
+   */
+  public synchronized Set<EndpointId> excluded(Demand demand, long now) {
+    if (candidates(demand, now, true).isEmpty()) {
+      return Set.of();
+    }
+    Set<EndpointId> excluded = new HashSet<>(demand.avoid());
+    excluded.addAll(health.leftOut(now));
+    return excluded;
+  }
+
   private static boolean holdsModel(EndpointState state, Demand demand) {
     return demand.generation().isEmpty() || state.holdsModel(demand.generation().get().model());
   }
@@ -444,6 +457,7 @@
     private final double usualMs;
     private final int runningBefore;
     private boolean begun;
+    private boolean stalled;
     private boolean ended;
 
     private Ticket(EndpointState state, Optional<Generation> generation, long now) {
@@ -503,6 +517,16 @@
       }
     }
 
+    /** Notes that the endpoint has stopped responding; its answer may still come. */
+    public void stalled(long now) {
+      synchronized (EndpointGroup.this) {
+        if (!stalled && !ended) {
+          stalled = true;
+          health.failed(state.entry.endpoint(), now);
+        }
+      }
+    }
+
     /** Short prompts indicate steps and ways, not of reading. */
     private void learnReadingSpeed(long now) {
       double readingMs = now - sentAt - FIRST_TOKEN_MS;
@@ -527,7 +551,7 @@
         EndpointId id = state.entry.endpoint();
         switch (ending) {
           case ANSWERED -> health.succeeded(id, now);
-          case FAILED -> health.failed(id, now);
+          case FAILED -> failed(id, now);
           default -> health.withdrawn(id, now);
         }
         if (ending == Ending.ANSWERED && generation.isEmpty()) {
@@ -536,6 +560,12 @@
       }
     }
 
+    private void failed(EndpointId id, long now) {
+      if (!stalled) {
+        health.failed(id, now);
+      }
+    }
+
     private void countEnd(AdapterName adapter) {
       state.inUse.computeIfPresent(adapter, (name, count) -> count > 1 ? count - 1 : null);
       if (!state.inUse.containsKey(adapter)) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -432,7 +432,8 @@
               generation.expectedOutputTokens(),
               request.inTimeMs(),
               request.waitMs(),
-              directory.isHeld(adapter)));
+              directory.isHeld(adapter),
+              List.copyOf(request.excluded())));
     }
 
     @Override
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadNeed.java
@@ -0,0 +1,32 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * What a load has to provide. Instances are immutable.
+ *
+ * @param adapter the adapter
+ * @param version the least version that will do
+ * @param size the size of the request that waits
+ * @param excluded endpoints that the request cannot use, even if they hold the adapter
+ */
+record LoadNeed(AdapterName adapter, long version, RequestSize size, Set<EndpointId> excluded) {
+
+  /** Copies the excluded endpoints. */
+  LoadNeed {
+    Objects.requireNonNull(adapter, "adapter");
+    Objects.requireNonNull(size, "size");
+    excluded = Set.copyOf(excluded);
+  }
+
+  /** Returns a need that satisfies both; the size is that of this one. */
+  LoadNeed and(LoadNeed other) {
+    Set<EndpointId> both = new HashSet<>(excluded);
+    both.addAll(other.excluded);
+    return new LoadNeed(adapter, Math.max(version, other.version), size, both);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -32,13 +32,15 @@
   /**
    * The requests that wait for one adapter.
    *
-   * @param adapter the adapter
-   * @param version the least version that will do
-   * @param size the size of the first of them
+   * @param need what the load has to provide
    * @param inTimeUntil until when a load serves the first of them in time, in milliseconds
    * @param until how long the last of them waits, in milliseconds
    */
-  record Entry(AdapterName adapter, long version, RequestSize size, long inTimeUntil, long until) {
+  record Entry(LoadNeed need, long inTimeUntil, long until) {
+
+    private AdapterName adapter() {
+      return need.adapter();
+    }
 
     /** Returns whether no load that begins now would serve it in time. */
     private boolean isLate(long now) {
@@ -47,9 +49,7 @@
 
     private Entry and(Entry other) {
       return new Entry(
-          adapter,
-          Math.max(version, other.version),
-          size,
+          need.and(other.need),
           Math.min(inTimeUntil, other.inTimeUntil),
           Math.max(until, other.until));
     }
@@ -81,7 +81,7 @@
    * @param now the time, in milliseconds
    */
   LoadReply loadOrEnqueue(Entry entry, long now) {
-    LoadReply atOnce = plan.request(entry.adapter(), entry.version(), false, entry.size(), now);
+    LoadReply atOnce = plan.request(entry.need(), false, now);
     if (!(atOnce instanceof LoadReply.Rejected)) {
       return atOnce;
     }
@@ -128,8 +128,7 @@
     entries.keySet().removeIf(isHeldOutside);
     updateLate(now);
     for (Entry entry : inOrder(now)) {
-      LoadReply reply =
-          plan.placeCounted(entry.adapter(), entry.version(), false, entry.size(), now);
+      LoadReply reply = plan.placeCounted(entry.need(), false, now);
       if (reply instanceof LoadReply.Assigned) {
         entries.remove(entry.adapter());
         turnover.placed(now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decides on the load requests of daemons: loads the adapter here, queues the load, or redirects
@@ -56,8 +57,7 @@
     if (request.waitMs() > 0) {
       return queue.loadOrEnqueue(entry, now);
     }
-    LoadReply reply =
-        plan.request(entry.adapter(), entry.version(), request.another(), entry.size(), now);
+    LoadReply reply = plan.request(entry.need(), request.another(), now);
     return reply instanceof LoadReply.Rejected
         ? new LoadReply.Rejected(queue.queueWaitMs(entry, now))
         : reply;
@@ -69,14 +69,20 @@
         !request.another()
             && !request.copyKnown()
             && !plan.holds(request.adapter(), request.version());
-    return redirects ? remoteCopies.find(request.adapter(), request.version()) : Optional.empty();
+    return redirects
+        ? remoteCopies
+            .find(request.adapter(), request.version())
+            .filter(copy -> !request.excluded().contains(copy.endpoint()))
+        : Optional.empty();
   }
 
   private static LoadQueue.Entry entry(LinkMessage.LoadRequest request, long now) {
     return new LoadQueue.Entry(
-        request.adapter(),
-        request.version(),
-        new RequestSize(request.promptTokens(), request.outputTokens()),
+        new LoadNeed(
+            request.adapter(),
+            request.version(),
+            new RequestSize(request.promptTokens(), request.outputTokens()),
+            Set.copyOf(request.excluded())),
         now + request.inTimeMs(),
         now + request.waitMs());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -27,7 +27,7 @@
  * it, and in what order the orders are sent.
  *
  * <pre>{@code
- * LoadReply reply = plan.request(adapter, 1, false, size, now);
+ * LoadReply reply = plan.request(need, false, now);
  * plan.nextOrder(endpoint, daemon, epoch, now).ifPresent(order -> ...);
  * }</pre>
  *
@@ -171,47 +171,51 @@
   }
 
   /** Has an adapter brought to an engine, unless it is there or comes already. */
-  LoadReply request(
-      AdapterName adapter, long version, boolean another, RequestSize size, long now) {
-    demand.record(adapter, 1, now);
-    return placeCounted(adapter, version, another, size, now);
+  LoadReply request(LoadNeed need, boolean another, long now) {
+    demand.record(need.adapter(), 1, now);
+    return placeCounted(need, another, now);
   }
 
   /** Does the same for a request that has been counted. */
-  LoadReply placeCounted(
-      AdapterName adapter, long version, boolean another, RequestSize size, long now) {
-    Optional<EndpointId> known = another ? coming(adapter, now) : holder(adapter, version);
+  LoadReply placeCounted(LoadNeed need, boolean another, long now) {
+    AdapterName adapter = need.adapter();
+    Optional<EndpointId> known =
+        another ? coming(adapter, now) : holder(adapter, need.version(), need.excluded());
     if (known.isPresent()) {
       // The request will be sent there and must not find the adapter evicted.
       endpoints.get(known.get()).copies.get(adapter).lastUsed = now;
       recordChange(known.get(), adapter, now);
       return new LoadReply.Assigned(known.get());
     }
-    return place(adapter, version, size, now)
+    return place(need, now)
         .<LoadReply>map(LoadReply.Assigned::new)
         .orElseGet(() -> new LoadReply.Rejected(RETRY_AFTER_MS));
   }
 
   /** Plans a load at the cheapest engine that has a place for it. */
-  private Optional<EndpointId> place(
-      AdapterName adapter, long version, RequestSize size, long now) {
+  private Optional<EndpointId> place(LoadNeed need, long now) {
+    AdapterName adapter = need.adapter();
+    long version = Math.max(need.version(), versions.newest(adapter));
     Optional<PlannedEndpoint> best =
         endpoints.values().stream()
+            .filter(endpoint -> !need.excluded().contains(endpoint.entry.endpoint()))
             .filter(endpoint -> places.canTake(endpoint, adapter, now))
-            .min(Comparator.comparingDouble(endpoint -> places.cost(endpoint, adapter, size, now)));
-    best.ifPresent(
-        endpoint -> plan(endpoint, adapter, Math.max(version, versions.newest(adapter)), now));
+            .min(
+                Comparator.comparingDouble(
+                    endpoint -> places.cost(endpoint, adapter, need.size(), now)));
+    best.ifPresent(endpoint -> plan(endpoint, adapter, version, now));
     return best.map(endpoint -> endpoint.entry.endpoint());
   }
 
   /** Returns whether an engine holds an adapter, or is to load it. */
   boolean holds(AdapterName adapter, long version) {
-    return holder(adapter, version).isPresent();
+    return holder(adapter, version, Set.of()).isPresent();
   }
 
-  private Optional<EndpointId> holder(AdapterName adapter, long version) {
+  private Optional<EndpointId> holder(AdapterName adapter, long version, Set<EndpointId> excluded) {
     return endpoints.values().stream()
         .filter(endpoint -> !endpoint.entry.leaving())
+        .filter(endpoint -> !excluded.contains(endpoint.entry.endpoint()))
         .filter(endpoint -> endpoint.holds(adapter, version))
         .map(endpoint -> endpoint.entry.endpoint())
         .findFirst();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SharedRetryBudget.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SharedRetryBudget.java
@@ -59,17 +59,26 @@
    * @param now the time, in milliseconds
    */
   public synchronized boolean take(long now) {
-    expire(requests, now);
-    expire(repeats, now);
-    int sharing = Math.max(1, daemons.getAsInt() > 0 ? daemons.getAsInt() : UNKNOWN_DAEMONS);
-    double allowed = USED_SHARE * (ratio * requests.size() + slack / sharing);
-    if (repeats.size() + 1 > allowed) {
+    if (!allows(now)) {
       return false;
     }
     repeats.add(now);
     return true;
   }
 
+  /**
+   * Returns whether the budget allows a repeat.
+   *
+   * @param now the time, in milliseconds
+   */
+  public synchronized boolean allows(long now) {
+    expire(requests, now);
+    expire(repeats, now);
+    int sharing = Math.max(1, daemons.getAsInt() > 0 ? daemons.getAsInt() : UNKNOWN_DAEMONS);
+    double allowed = USED_SHARE * (ratio * requests.size() + slack / sharing);
+    return repeats.size() + 1 <= allowed;
+  }
+
   private void expire(Deque<Long> times, long now) {
     while (!times.isEmpty() && now - times.peek() >= windowMs) {
       times.poll();
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
@@ -1,5 +1,8 @@
 package io.sequoiapass.gateway.request;
 
+import io.sequoiapass.coordination.EndpointId;
+import java.util.Set;
+
 /**
  * A request's request for its adapter at an engine.
  *
@@ -9,5 +12,7 @@
  * @param another whether a further copy is wanted although there is one
  * @param inTimeMs how long the load may be put off for an answer in time, in milliseconds
  * @param waitMs how long the request would wait for a place, in milliseconds; 0 if it would not
+ * @param excluded endpoints that the request cannot use, even if they hold the adapter
  */
-public record LoadRequest(Generation generation, boolean another, long inTimeMs, long waitMs) {}
+public record LoadRequest(
+    Generation generation, boolean another, long inTimeMs, long waitMs, Set<EndpointId> excluded) {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -22,6 +22,10 @@
   final DataCentreId dataCentre;
   final long sentAt;
   volatile HttpStream stream;
+
+  /** Whether a load elsewhere was requested meanwhile; used under the request's lock. */
+  boolean loadRequested;
+
   private final RelayedRequest request;
   private final ByteArrayOutputStream held = new ByteArrayOutputStream();
   private AnswerClass answer;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -8,7 +8,6 @@
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
-import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.Demand;
 import io.sequoiapass.gateway.process.EndpointChooser;
@@ -17,7 +16,6 @@
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import io.sequoiapass.gateway.spi.CallerFacts;
-import io.sequoiapass.gateway.spi.ForwardTerms;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.HashSet;
@@ -69,7 +67,6 @@
   private final SharedRetryBudget budget;
   private final CallerFacts facts;
   private final Optional<AdapterName> adapter;
-  private final HttpRequestMessage request;
   private final HttpResponder responder;
   private final Runnable finished;
   private final long arrivedAt;
@@ -82,9 +79,8 @@
   private Future<?> responseTimer;
   private final AdapterSearch search = new AdapterSearch();
   private final WaitTimes waits = new WaitTimes();
-  private long firstAt;
-  private long lastAt;
-  private long longestPauseMs;
+  private final ResponseTimes times;
+  private final ForwardedRequest forward;
   private RelayAttempt attempt;
   private int sends;
   private int runs;
@@ -117,10 +113,11 @@
     this.budget = budget;
     this.facts = facts;
     this.adapter = facts.generation().flatMap(Generation::adapter);
-    this.request = exchange.request();
+    this.forward = new ForwardedRequest(context.endpoints(), route, exchange.request());
     this.responder = exchange.responder();
     this.finished = finished;
     this.arrivedAt = context.clock().millis();
+    this.times = new ResponseTimes(arrivedAt);
     long allowedMs = Math.min(route.timeoutMs(), facts.deadlineMs().orElse(route.timeoutMs()));
     this.deadlineAt = arrivedAt + allowedMs;
     this.requestLog = new RequestLog(context, route, facts);
@@ -179,10 +176,7 @@
     }
     search.closeOverdue(now);
     Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
-    EndpointChooser.Loadable loadable =
-        new EndpointChooser.Loadable(
-            search.open(context.adapters().loadable()), search.queueWaits());
-    Choice choice = group.choose(demand, loadable, now);
+    Choice choice = group.choose(demand, loadable(), now);
     if (choice instanceof Choice.Send send) {
       search.sent();
       send(send, demand, now);
@@ -190,12 +184,17 @@
       search.found();
       await(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
     } else if (choice instanceof Choice.RequestLoad load) {
-      requestLoad(load, now);
+      requestLoad(load, demand, now);
     } else if (choice instanceof Choice.Refuse refusal) {
       refuseOrFail(orFull(refusal));
     }
   }
 
+  private EndpointChooser.Loadable loadable() {
+    return new EndpointChooser.Loadable(
+        search.open(context.adapters().loadable()), search.queueWaits());
+  }
+
   /**
    * Where only full data centres are left, their answer says more than that there is no endpoint.
    */
@@ -205,15 +204,13 @@
         : refusal;
   }
 
-  private void requestLoad(Choice.RequestLoad load, long now) {
+  private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
     long waitedMs = now - arrivedAt;
     long waitMs =
         load.waits()
             ? EndpointTimeouts.maxQueueMs(route, waitedMs, deadlineAt - now, load.expectedMs())
             : 0;
-    long inTimeMs = EndpointTimeouts.maxLoadDelayMs(route, waitedMs, load.expectedMs());
-    LoadRequest loadRequest =
-        new LoadRequest(facts.generation().orElseThrow(), load.another(), inTimeMs, waitMs);
+    LoadRequest loadRequest = loadRequest(load, demand, waitMs, now);
     search.request(load, waitMs, now);
     boolean expired = load.waits() && waitMs == 0;
     if (expired || !context.adapters().requestLoad(load.dataCentre(), loadRequest)) {
@@ -224,6 +221,15 @@
     await(WaitTimes.Kind.PLACE, now, load.another() ? COPY_PLACING_MS : search.overdueAt() - now);
   }
 
+  private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
+    return new LoadRequest(
+        facts.generation().orElseThrow(),
+        load.another(),
+        EndpointTimeouts.maxLoadDelayMs(route, now - arrivedAt, load.expectedMs()),
+        waitMs,
+        group.excluded(demand, now));
+  }
+
   private void await(WaitTimes.Kind what, long now, long waitMs) {
     waits.begin(what, now);
     adapter.ifPresent(name -> context.waiting().add(name, this));
@@ -272,23 +278,7 @@
     }
     sends++;
     requestLog.sent(choice, sends, now - arrivedAt, demand.remainingMs());
-    OptionalLong lastEventId =
-        events.lastId() == EventRelay.NONE
-            ? OptionalLong.empty()
-            : OptionalLong.of(events.lastId());
-    ForwardTerms terms =
-        new ForwardTerms(
-            endpoint,
-            demand.remainingMs(),
-            route.priority(),
-            target.get().expectedVersion(),
-            lastEventId);
-    HttpCall call =
-        HttpCall.to(target.get().address(), request.method(), request.target())
-            .headers(context.endpoints().forwardHeaders(request.headers(), terms))
-            .body(request.body())
-            .reuse(route.mayRepeat() ? ReusePolicy.ANY : ReusePolicy.RECENT)
-            .resetIfAbandoned();
+    HttpCall call = forward.to(target.get(), demand.remainingMs(), events.lastId());
     attempt = new RelayAttempt(this, ticket.get(), choice.candidate().dataCentre(), now);
     attempt.stream = context.http().stream(call, demand.remainingMs() + CALL_SLACK_MS, attempt);
     startResponseTimer(choice.expectedMs());
@@ -324,12 +314,29 @@
     if (over || attempt != waitedFor || !mayGoOnAfter(runs + 1, now)) {
       return;
     }
-    if (!watch.givesUp(waitedFor.ticket.endpointIsStalled(now), now)) {
+    if (watch.givesUp(waitedFor.ticket.endpointIsStalled(now), now)
+        && failOver(waitedFor, now) == FailoverPolicy.Step.MOVE) {
+      waitedFor.stream.cancel();
+      broken(waitedFor, "silent");
+    } else {
       scheduleResponseCheck(waitedFor, watch, now);
-      return;
     }
-    waitedFor.stream.cancel();
-    broken(waitedFor, "silent");
+  }
+
+  private FailoverPolicy.Step failOver(RelayAttempt from, long now) {
+    EndpointId endpoint = from.ticket.endpoint();
+    from.ticket.stalled(now);
+    Set<EndpointId> others = new HashSet<>(avoid);
+    others.add(endpoint);
+    Demand demand = new Demand(facts.generation(), others, deadlineAt - now);
+    Choice choice = group.choose(demand, loadable(), now);
+    FailoverPolicy.Step step = FailoverPolicy.next(choice, endpoint, budget.allows(now));
+    if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
+      Choice.RequestLoad load = (Choice.RequestLoad) choice;
+      LoadRequest loadRequest = loadRequest(load, demand, 0, now);
+      from.loadRequested = context.adapters().requestLoad(load.dataCentre(), loadRequest);
+    }
+    return step;
   }
 
   /** Called at the beginning of an answer; returns what it proves. */
@@ -370,7 +377,7 @@
     byte[] whole = events.take(part);
     from.ticket.progress(context.clock().millis());
     if (whole.length > 0) {
-      recordPause();
+      times.event(context.clock().millis());
       responder.write(whole);
       awaitResponse(from, stallMs());
       if (!responder.writable()) {
@@ -379,16 +386,6 @@
     }
   }
 
-  private void recordPause() {
-    long now = context.clock().millis();
-    if (firstAt == 0) {
-      firstAt = now;
-    } else {
-      longestPauseMs = Math.max(longestPauseMs, now - lastAt);
-    }
-    lastAt = now;
-  }
-
   private long stallMs() {
     return route.gapTargetMs() * STALL_GAPS;
   }
@@ -577,13 +574,7 @@
     cancel(responseTimer);
     finished.run();
     requestLog.ended(
-        outcome,
-        status,
-        new RequestLog.Times(
-            sinceArrival(), firstAt == 0 ? -1 : firstAt - arrivedAt, longestPauseMs, waits),
-        sends,
-        runs,
-        events.lastId());
+        outcome, status, times.log(context.clock().millis(), waits), sends, runs, events.lastId());
   }
 
   private long sinceArrival() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseWatchdog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseWatchdog.java
@@ -42,6 +42,7 @@
 
   /** Returns when to look again, in milliseconds from now. */
   long nextLookMs(long now) {
-    return Math.max(1, Math.min(suspected ? CONFIRM_MS : LOOK_MS, until - now));
+    long leftMs = until > now ? until - now : CONFIRM_MS;
+    return Math.min(suspected ? CONFIRM_MS : LOOK_MS, leftMs);
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -51,7 +51,7 @@
             List.of(
                 new EndpointUsage(
                     ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5))))),
-        new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600, true),
+        new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600, true, List.of(ENGINE)),
         new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
         new LinkMessage.CoordinatorStatus(
             4,
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -4,6 +4,7 @@
 import static io.sequoiapass.gateway.process.PlanFixtures.adapter;
 import static io.sequoiapass.gateway.process.PlanFixtures.calmStore;
 import static io.sequoiapass.gateway.process.PlanFixtures.entry;
+import static io.sequoiapass.gateway.process.PlanFixtures.need;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sequoiapass.coordination.DaemonId;
@@ -33,7 +34,6 @@
 
   private static final DaemonId DAEMON = new DaemonId("north-1");
   private static final int PLACES = 2;
-  private static final RequestSize SIZE = new RequestSize(800, 200);
   private static final EngineSpec SPEC = PlanFixtures.engineOf(PLACES);
 
   private final PlacementPlan plan =
@@ -43,7 +43,7 @@
   private final LoadQueue queue = new LoadQueue(plan, elsewhere::contains);
 
   private static LoadQueue.Entry entry(int number, long inTimeUntil, long until) {
-    return new LoadQueue.Entry(adapter(number), 1, SIZE, inTimeUntil, until);
+    return new LoadQueue.Entry(need(number), inTimeUntil, until);
   }
 
   @BeforeEach
@@ -53,8 +53,7 @@
     EndpointReport report = new EndpointReport(entry.models(), Map.of(), false, 0);
     plan.dueForReport(0).forEach(e -> plan.reported(e.endpoint(), Optional.of(report), 0));
     for (int i = 1; i <= PLACES; i++) {
-      assertThat(plan.request(adapter(i), 1, false, SIZE, 0))
-          .isInstanceOf(LoadReply.Assigned.class);
+      assertThat(plan.request(need(i), false, 0)).isInstanceOf(LoadReply.Assigned.class);
     }
     carryOutAll(0);
     use(1_000, 1, 2);
@@ -154,9 +153,9 @@
       carryOutAll(1_750);
       use(1_800);
       // One of the two has to make way: 1 was asked for twice, 9 once, however long it waited.
-      plan.request(adapter(1), 1, false, SIZE, 1_900);
+      plan.request(need(1), false, 1_900);
       plan.drainChanges();
-      plan.request(adapter(2), 1, false, SIZE, 3_000);
+      plan.request(need(2), false, 3_000);
 
       assertThat(plan.drainChanges())
           .filteredOn(placement -> placement.readyInMs() < 0)
@@ -259,7 +258,7 @@
       EndpointReport report = new EndpointReport(entry.models(), Map.of(), false, 0);
       large.dueForReport(0).forEach(e -> large.reported(e.endpoint(), Optional.of(report), 0));
       for (int number = 1; number <= LARGE; number++) {
-        large.request(adapter(number), 1, false, SIZE, number * 500L);
+        large.request(need(number), false, number * 500L);
         carryOutAll(large, number * 500L);
       }
       uses(1, 10_000);
@@ -342,7 +341,7 @@
         queue.loadOrEnqueue(entry((int) one[0], one[1] + IN_TIME_MS, one[1] + 2_000), now);
         one[2] = Long.MAX_VALUE;
       } else {
-        plan.request(adapter((int) one[0]), 1, false, SIZE, now);
+        plan.request(need((int) one[0]), false, now);
         one[2] = now + 400;
       }
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
@@ -5,9 +5,11 @@
 import static io.sequoiapass.gateway.process.PlanFixtures.calmStore;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.spi.EndpointReport;
 import io.sequoiapass.gateway.version.AdapterVersions;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -32,7 +34,11 @@
     private int loads;
 
     DataCentre() {
-      var entry = PlanFixtures.entry(1, true);
+      add(ENGINE);
+    }
+
+    void add(EndpointId endpoint) {
+      var entry = PlanFixtures.entry(endpoint, 1, true);
       plan.observe(entry, PlanFixtures.engineOf(SLOTS), 0);
       var report = new EndpointReport(entry.models(), Map.of(), false, 0);
       plan.dueForReport(0).forEach(e -> plan.reported(e.endpoint(), Optional.of(report), 0));
@@ -47,7 +53,17 @@
   }
 
   private static LinkMessage.LoadRequest request(int adapter, boolean another, boolean copyKnown) {
-    return new LinkMessage.LoadRequest(adapter(adapter), 1, another, 100, 20, 500, 0, copyKnown);
+    return new LinkMessage.LoadRequest(
+        adapter(adapter), 1, another, 100, 20, 500, 0, copyKnown, List.of());
+  }
+
+  private static LinkMessage.LoadRequest excluding(int adapter, EndpointId endpoint) {
+    return new LinkMessage.LoadRequest(
+        adapter(adapter), 1, false, 100, 20, 500, 0, false, List.of(endpoint));
+  }
+
+  private LoadReply heldElsewhere() {
+    return new LoadReply.HeldElsewhere(remote);
   }
 
   private LoadReply routeWithRemoteCopy(LinkMessage.LoadRequest request) {
@@ -64,6 +80,11 @@
           .isEqualTo(new LoadReply.HeldElsewhere(remote));
     }
 
+    @Test
+    void isNotOfferedToADaemonThatExcludesIt() {
+      assertThat(routeWithRemoteCopy(excluding(1, ENGINE))).isNotEqualTo(heldElsewhere());
+    }
+
     /** A daemon whose request the remote endpoint refused would be redirected there for ever. */
     @Test
     void isNotOfferedToADaemonThatCannotUseIt() {
@@ -86,6 +107,36 @@
     }
   }
 
+  /** Guards against a request that asks again and again for the copy of an endpoint it lost. */
+  @Nested
+  class CopyAtAnExcludedEndpoint {
+
+    private static final EndpointId SECOND = new EndpointId("engine-2");
+
+    @Test
+    void isLoadedAtAnotherEndpoint() {
+      north.add(SECOND);
+      LoadReply first = route(request(1, false, false));
+      EndpointId failed = ((LoadReply.Assigned) first).endpoint();
+      EndpointId other = failed.equals(ENGINE) ? SECOND : ENGINE;
+
+      assertThat(route(excluding(1, failed))).isEqualTo(new LoadReply.Assigned(other));
+      assertThat(route(excluding(1, failed))).isEqualTo(new LoadReply.Assigned(other));
+      assertThat(north.plan.holds(adapter(1), 1)).isTrue();
+    }
+
+    @Test
+    void isRejectedIfThereIsNoOther() {
+      route(request(1, false, false));
+
+      assertThat(route(excluding(1, ENGINE))).isInstanceOf(LoadReply.Rejected.class);
+    }
+
+    private LoadReply route(LinkMessage.LoadRequest request) {
+      return north.route((adapter, version) -> Optional.empty(), request, 0);
+    }
+  }
+
   /** Requests for one adapter at two coordinators within one update interval load it twice. */
   @Nested
   class ConcurrentRequests {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -5,6 +5,7 @@
 import static io.sequoiapass.gateway.process.PlanFixtures.adapter;
 import static io.sequoiapass.gateway.process.PlanFixtures.calmStore;
 import static io.sequoiapass.gateway.process.PlanFixtures.entry;
+import static io.sequoiapass.gateway.process.PlanFixtures.need;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sequoiapass.coordination.AdapterId;
@@ -35,7 +36,6 @@
 
   private static final DaemonId DAEMON = new DaemonId("north-1");
   private static final int PLACES = 4;
-  private static final RequestSize SIZE = new RequestSize(800, 200);
   private static final EngineSpec SPEC = PlanFixtures.engineOf(PLACES);
 
   private final AdapterVersions versions = new AdapterVersions(2_500);
@@ -111,8 +111,7 @@
   }
 
   private void load(int number, long now) {
-    assertThat(plan.request(adapter(number), 1, false, SIZE, now))
-        .isInstanceOf(LoadReply.Assigned.class);
+    assertThat(plan.request(need(number), false, now)).isInstanceOf(LoadReply.Assigned.class);
     carryOutAll(now);
   }
 
@@ -132,7 +131,7 @@
     @Test
     void adapterThatIsThereIsNotOrderedAgain() {
       load(1, 10);
-      plan.request(adapter(1), 1, false, SIZE, 20);
+      plan.request(need(1), false, 20);
 
       assertThat(plan.nextOrder(ENGINE, DAEMON, 7, 20)).isEmpty();
     }
@@ -143,7 +142,7 @@
         load(i, i * 1_000L);
       }
       for (int i = 0; i < 5; i++) {
-        plan.request(adapter(1), 1, false, SIZE, 9_000);
+        plan.request(need(1), false, 9_000);
       }
       load(9, 9_500);
 
@@ -161,8 +160,7 @@
               .toList();
       plan.updateUsage(DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses)), 9_000);
 
-      assertThat(plan.request(adapter(9), 1, false, SIZE, 12_000))
-          .isInstanceOf(LoadReply.Rejected.class);
+      assertThat(plan.request(need(9), false, 12_000)).isInstanceOf(LoadReply.Rejected.class);
     }
 
     /**
@@ -177,7 +175,7 @@
       }
       long arrived = 300;
 
-      assertThat(plan.request(adapter(9), 1, false, SIZE, arrived + 200))
+      assertThat(plan.request(need(9), false, arrived + 200))
           .isInstanceOf(LoadReply.Rejected.class);
     }
 
@@ -195,8 +193,7 @@
       plan.updateUsage(
           DAEMON, List.of(new EndpointUsage(ENGINE, Load.NONE, uses.subList(0, 3))), 500);
 
-      assertThat(plan.request(adapter(9), 1, false, SIZE, 501))
-          .isInstanceOf(LoadReply.Assigned.class);
+      assertThat(plan.request(need(9), false, 501)).isInstanceOf(LoadReply.Assigned.class);
     }
 
     @Test
@@ -204,11 +201,10 @@
       EngineSpec wide = new EngineSpec(96, 200_000, 16_500, 20, 4, SPEC.models());
       plan.observe(entry(1, true), wide, 5);
       for (int i = 1; i <= PlacementPlan.MAX_COMING; i++) {
-        plan.request(adapter(i), 1, false, SIZE, 10);
+        plan.request(need(i), false, 10);
       }
 
-      assertThat(plan.request(adapter(9), 1, false, SIZE, 10))
-          .isInstanceOf(LoadReply.Rejected.class);
+      assertThat(plan.request(need(9), false, 10)).isInstanceOf(LoadReply.Rejected.class);
     }
   }
 
@@ -229,8 +225,7 @@
         load(i, i * 1_000L);
       }
       engine.running.add(adapter(1));
-      assertThat(plan.request(adapter(9), 1, false, SIZE, NOW))
-          .isInstanceOf(LoadReply.Assigned.class);
+      assertThat(plan.request(need(9), false, NOW)).isInstanceOf(LoadReply.Assigned.class);
     }
 
     @Test
@@ -292,7 +287,7 @@
 
     @Test
     void isRefusedOnceAnotherWasAccepted() {
-      plan.request(adapter(1), 1, false, SIZE, 10);
+      plan.request(need(1), false, 10);
       EndpointOrder lost = plan.nextOrder(ENGINE, DAEMON, 7, 10).orElseThrow();
       plan.ordered(lost, OrderResult.UNKNOWN, 130);
       carryOutAll(131);
@@ -303,7 +298,7 @@
 
     @Test
     void thatWasCarriedOutAfterAllIsFoundByTheReport() {
-      plan.request(adapter(1), 1, false, SIZE, 10);
+      plan.request(need(1), false, 10);
       EndpointOrder lost = plan.nextOrder(ENGINE, DAEMON, 7, 10).orElseThrow();
       engine.carryOut(lost);
       plan.ordered(lost, OrderResult.UNKNOWN, 130);
@@ -340,7 +335,7 @@
         fresh
             .dueForReport(now)
             .forEach(e -> fresh.reported(e.endpoint(), Optional.of(other.report()), at));
-        fresh.request(adapter(random.nextInt(12)), 1, false, SIZE, now);
+        fresh.request(need(random.nextInt(12)), false, now);
         if (runs) {
           beginOrEndARun(other, random);
         }
@@ -470,8 +465,7 @@
       long found = answeredOnceAsked(asked + 1, report(false, 1));
 
       assertThat(found - asked).isLessThanOrEqualTo(500);
-      assertThat(plan.request(adapter(1), 1, false, SIZE, found))
-          .isInstanceOf(LoadReply.Assigned.class);
+      assertThat(plan.request(need(1), false, found)).isInstanceOf(LoadReply.Assigned.class);
     }
 
     @Test
@@ -488,7 +482,7 @@
     @Test
     void replacesACopyThatIsAskedFor() {
       load(1, 10);
-      plan.request(adapter(1), 1, false, SIZE, 20);
+      plan.request(need(1), false, 20);
       versions.announce(adapter(1), 2, 1_000);
       plan.released(adapter(1), 2, 1_000);
       carryOutAll(1_001);
@@ -514,7 +508,7 @@
     private static final long LARGE_FLEET_INTERVAL_MS = 450;
 
     private boolean isHeldAfterALoadAt(int number, long now) {
-      plan.request(adapter(PLACES + 1), 1, false, SIZE, now);
+      plan.request(need(PLACES + 1), false, now);
       carryOutAll(now);
       return plan.holds(adapter(number), 1);
     }
@@ -530,7 +524,7 @@
     @BeforeEach
     void fillAllSlots() {
       for (int number = 1; number <= PLACES; number++) {
-        plan.request(adapter(number), 1, false, SIZE, number * 500L);
+        plan.request(need(number), false, number * 500L);
         carryOutAll(number * 500L);
       }
       for (int requests = 0; requests < 6; requests++) {
@@ -547,7 +541,7 @@
     /** A daemon that has just been sent to a copy finds it evicted, and its request is refused. */
     @Test
     void sparesAnAdapterThatWasJustRequested() {
-      plan.request(adapter(1), 1, false, SIZE, 6_980);
+      plan.request(need(1), false, 6_980);
 
       assertThat(isHeldAfterALoadAt(1, 7_000)).isTrue();
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** One engine, its adapters and a calm weight store, for tests of what engines hold. */
 final class PlanFixtures {
@@ -35,9 +36,22 @@
     return new AdapterName(MODEL, new AdapterId("a" + number));
   }
 
+  /** What a request for an adapter needs that can use all endpoints. */
+  static LoadNeed need(int number) {
+    return need(number, Set.of());
+  }
+
+  static LoadNeed need(int number, Set<EndpointId> excluded) {
+    return new LoadNeed(adapter(number), 1, new RequestSize(800, 200), excluded);
+  }
+
   static EndpointEntry entry(long bornMs, boolean holdsModel) {
+    return entry(ENGINE, bornMs, holdsModel);
+  }
+
+  static EndpointEntry entry(EndpointId endpoint, long bornMs, boolean holdsModel) {
     return new EndpointEntry(
-        ENGINE,
+        endpoint,
         new ServiceId("notes"),
         new InetSocketAddress(InetAddress.getLoopbackAddress(), 9000),
         new DataCentreId("north"),
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/ResponseWatchdogTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/ResponseWatchdogTest.java
@@ -21,6 +21,13 @@
     assertThat(watch.givesUp(true, 500)).isTrue();
   }
 
+  /** Without another endpoint the request stays, and the check must not spin. */
+  @Test
+  void keepsLookingAtIntervalsAfterTheTimeout() {
+    assertThat(watch.givesUp(false, 1_300)).isTrue();
+    assertThat(watch.nextLookMs(1_300)).isGreaterThanOrEqualTo(50);
+  }
+
   @Test
   void wordToAnotherStreamTakesTheSuspicionBack() {
     watch.givesUp(true, 450);
