A stopped daemon deletes its lease only once its last renewal is answered

Cause of the flaky StopTest ("lease of a stopped daemon" still there): a renewal was under way as the lease was given up; the deletion named the version before it and conflicted, and the lease was left to run out, so the next process under the name waited for it. The code said so in a comment. Now the deletion waits for the answer of that renewal, or for its loss. What it does not cover: an answer that is lost after the write was applied.

--- a/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/LeaseKeeper.java
@@ -231,11 +231,19 @@
     nextCallAt = Math.min(nextCallAt, now);
   }
 
-  /** Gives the lease up for good; the daemon may then delete the object at {@link #version}. */
+  /**
+   * Gives the lease up for good; the daemon may then delete the object at {@link #version}, once no
+   * renewal {@link #isRenewalOpen is open} that would change the version.
+   */
   public void release() {
     released = true;
   }
 
+  /** Returns whether a renewal was sent whose answer may still come. */
+  public boolean isRenewalOpen() {
+    return pending != null && callOpen;
+  }
+
   /** Returns how the lease stands. */
   public LeaseStanding standing(long now) {
     look(now);
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/LeaseKeeperTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/LeaseKeeperTest.java
@@ -75,6 +75,32 @@
     assertThat(keeper.remainingMillis(6_500)).isEqualTo(4_000 + 9_000 - 6_500);
   }
 
+  /** Guards against a stopped daemon whose lease stays, since a renewal crossed its deletion. */
+  @Nested
+  class Release {
+
+    @Test
+    void waitsForTheRenewalThatIsOpen() {
+      LeaseAction.Renew renew = (LeaseAction.Renew) keeper.tick(4_000).orElseThrow();
+      keeper.release();
+
+      assertThat(keeper.isRenewalOpen()).isTrue();
+      keeper.renewalAnswered(4_020, renew.operation(), new WriteAnswer.Stored(40));
+      assertThat(keeper.isRenewalOpen()).isFalse();
+      assertThat(keeper.version()).isEqualTo(40);
+      assertThat(keeper.tick(8_000)).isEmpty();
+    }
+
+    @Test
+    void doesNotWaitForAnAnswerThatIsLost() {
+      LeaseAction.Renew renew = (LeaseAction.Renew) keeper.tick(4_000).orElseThrow();
+      keeper.release();
+      keeper.renewalAnswered(4_900, renew.operation(), new WriteAnswer.Lost());
+
+      assertThat(keeper.isRenewalOpen()).isFalse();
+    }
+  }
+
   /**
    * A stream ends early because its adapter was unloaded by a daemon that lost the platform: its
    * lease ran out, another daemon took over, and the endpoint checks no fences.
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/ownership/OwnershipNode.java
@@ -66,6 +66,7 @@
   private long nextTableReadAt = Long.MIN_VALUE;
   private boolean readingTable;
   private boolean draining;
+  private CompletableFuture<Void> lastRenewal;
 
   /**
    * Whether the last direct call was answered. A handover stops what it gives away until its write
@@ -131,6 +132,7 @@
           decisions.endpointsAre(snapshot);
           keeper.dataCentreIs(new TreeSet<>(peers.neighbours()));
           keeper.tick(now).ifPresent(this::call);
+          completeLastRenewal();
           peers.neighbours().forEach(peer -> membership.learned(now, peer, peers.hint(peer)));
           membership.tick(now).forEach(this::changed);
           membership.overdue(now).forEach(observer::fellSilent);
@@ -168,7 +170,15 @@
   // The platform.
 
   private void call(LeaseAction action) {
-    relays.carry(action, self, answered -> locked(() -> answered.accept(keeper)));
+    relays.carry(
+        action,
+        self,
+        answered ->
+            locked(
+                () -> {
+                  answered.accept(keeper);
+                  completeLastRenewal();
+                }));
   }
 
   private void readTable(long now) {
@@ -399,18 +409,29 @@
    * @return ends once the platform has answered, well or not
    */
   public CompletableFuture<Void> release() {
-    OperationId operation;
-    long version;
-    lock.lock();
-    try {
-      keeper.release();
-      version = keeper.version();
-      operation = new OperationId("release/" + self + "/" + keeper.incarnation());
-    } finally {
-      lock.unlock();
+    CompletableFuture<Void> settled = new CompletableFuture<>();
+    locked(
+        () -> {
+          keeper.release();
+          lastRenewal = settled;
+          completeLastRenewal();
+        });
+    return settled.thenCompose(done -> deleteLease());
+  }
+
+  /** A deletion beside a renewal would conflict with it, and the lease would be left. */
+  private void completeLastRenewal() {
+    if (lastRenewal != null && !keeper.isRenewalOpen()) {
+      lastRenewal.complete(null);
     }
-    // If a renewal is under way this conflicts, and the lease is left to run out.
-    return calls.deleteLease(self, version, operation);
+  }
+
+  private CompletableFuture<Void> deleteLease() {
+    return reading(
+        () -> {
+          OperationId operation = new OperationId("release/" + self + "/" + keeper.incarnation());
+          return calls.deleteLease(self, keeper.version(), operation);
+        });
   }
 
   private <T> T reading(Supplier<T> question) {
