--- a/gateway/src/test/java/io/sequoiapass/gateway/process/DrainScheduleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/DrainScheduleTest.java
@@ -4,12 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/**
- * A daemon is told to stop and has eight seconds. The load balancer takes it out after two
- * refusals, but callers keep connections, and where few daemons are left new ones still come. A
- * stream that begins five seconds after the signal would be cut in its middle: its caller has to be
- * sent to another daemon instead.
- */
+/** Guards against streams that a stopping daemon accepts and cannot finish. */
 class DrainScheduleTest {
 
   private static final long SIGNAL = 1_000;
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -80,11 +80,7 @@
     group.put(entry("e2", SOUTH, false), true, 0);
   }
 
-  /**
-   * Both engines hold the adapter; the near one has turned four times as slow. Its load looks the
-   * same as the other's, since each request that is late there has been begun. Chosen by load alone
-   * it gets half of all requests, and their callers wait.
-   */
+  /** Guards against requests that go to a slow engine because its load looks like the others'. */
   @Nested
   class SlowEngine {
 
@@ -115,10 +111,7 @@
     }
   }
 
-  /**
-   * A coordinator has requests that wait for a place. It hears at once which adapters have become
-   * idle: with the next round of telling their places would stand idle meanwhile.
-   */
+  /** Guards against slots that stay unused until the next usage report. */
   @Nested
   class IdleAdapter {
 
@@ -193,11 +186,7 @@
     }
   }
 
-  /**
-   * A heavy day: twenty long prompts with short answers and thirty short prompts with long answers
-   * a second. Each prompt holds up every answer that is made beside it, so both kinds have to part:
-   * answers go where few prompts are read, prompts where few answers are made.
-   */
+  /** Guards against long prompts that delay every answer generated beside them. */
   @Nested
   class TwoKindsOfWork {
 
@@ -220,11 +209,7 @@
     }
   }
 
-  /**
-   * An adapter is late: the engine refuses the request that comes at the expected time. Taking that
-   * for absence would bring the adapter to another engine, and make all other loads later still; on
-   * a heavy day a fifth of all requests were refused that way.
-   */
+  /** Guards against a second load of an adapter that is only late. */
   @Nested
   class LateAdapter {
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/FreezeDetectorTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/FreezeDetectorTest.java
@@ -4,10 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/**
- * A daemon that was suspended takes its lease for fresh and orders engines that another orders by
- * now; callers see adapters unloaded under their streams.
- */
+/** Guards against orders under a lease that expired while the process was suspended. */
 class FreezeDetectorTest {
 
   private long monotonicMs = 1_000;
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -26,10 +26,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/**
- * All places of an engine hold adapters that running answers use. Callers that ask for others wait
- * for a place, and the next place that becomes free goes to the one whose turn it is.
- */
+/** Guards against queued load requests that are overtaken by newer ones. */
 class LoadQueueTest {
 
   private static final DaemonId DAEMON = new DaemonId("north-1");
@@ -116,10 +113,7 @@
       assertThat(placed()).containsExactly(adapter(9));
     }
 
-    /**
-     * While an adapter waits here for its turn another data centre has it brought, and its callers
-     * go there. The place that becomes free is for the next one.
-     */
+    /** Guards against a slot reserved for an adapter that another data centre loads. */
     @Test
     void adapterThatCameElsewhereTakesNoPlace() {
       queue.loadOrEnqueue(entry(7, 1_500, 4_000), 1_100);
@@ -187,11 +181,7 @@
           .isInstanceOf(LoadReply.Queued.class);
     }
 
-    /**
-     * Callers that can no longer be served in time wait for what the others leave. Engines crash,
-     * and nothing becomes free any longer: they hear at once that their turn would come too late,
-     * and not once they have waited for all of their time.
-     */
+    /** Guards against late callers that wait for slots which no longer become free. */
     @Test
     void whoseTurnWouldComeTooLateIsToldBeforeItsTimeIsOver() {
       queue.loadOrEnqueue(entry(9, 1_300, 4_000), 1_100);
@@ -226,11 +216,7 @@
     }
   }
 
-  /**
-   * All places of a large engine are in use by short answers, so that one becomes free each 80 ms.
-   * Ten callers ask for other adapters at once and would wait for a second. Their turns come in 800
-   * ms; with one rate of turnover for engines of all sizes eight of them are refused at once.
-   */
+  /** Guards against rejections by one turnover rate for engines of all sizes. */
   @Nested
   class LargeEngine {
 
@@ -282,11 +268,7 @@
     }
   }
 
-  /**
-   * On a heavy day callers ask for adapters that are nowhere faster than places become free. Those
-   * that come while no place is free either ask again each 400 ms or wait in turn. Asking again, 14
-   * of 60 begin in time and places stand idle between; in turn it is 47 of 60.
-   */
+  /** Guards against slots that stay unused between the retries of rejected callers. */
   @Nested
   class HeavyDay {
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadTimeTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadTimeTest.java
@@ -9,11 +9,7 @@
 
 class LoadTimeTest {
 
-  /**
-   * A weight store that serves a number of loads at full speed and more of them slowly, and the
-   * loads at it. One caller waits for each: it comes when the adapter is expected, and again when
-   * it was refused.
-   */
+  /** Simulates a weight store that slows down beyond some loads, and one caller a load. */
   private static final class Store implements LoadTime.Traffic {
 
     private final double aloneMs;
@@ -155,11 +151,7 @@
     assertThat(time.storeMs(3)).isBetween(245L, 290L);
   }
 
-  /**
-   * Callers of a heavy day wait for their adapters: 28 loads a second, and each third request comes
-   * too early. The expected time must not feed on itself: a longer one makes more loads count as
-   * under way, which would make the next one longer still, until callers wait for seconds.
-   */
+  /** Guards against an estimate that grows by its own feedback. */
   @Test
   void expectedTimeStaysBoundedWhileRequestsComeEarly() {
     Store store = new Store(250, 8);
@@ -190,9 +182,7 @@
     assertThat(time.storeMs(1)).isEqualTo(255);
   }
 
-  /**
-   * Trials that always fail cost requests their refusals, and with them the shared retry budget.
-   */
+  /** Guards against failing trials that use up the shared retry budget. */
   @Nested
   class SteadyStore {
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -163,11 +163,7 @@
       assertThat(plan.request(need(9), false, 12_000)).isInstanceOf(LoadReply.Rejected.class);
     }
 
-    /**
-     * An adapter arrives and its caller's request is sent. Daemons tell what they do some times a
-     * second; before that the adapter looks idle, and dropped for the next caller it would turn the
-     * first one away that has just waited for it.
-     */
+    /** Guards against the eviction of an adapter whose first request is not reported yet. */
     @Test
     void adapterWhoseFirstRequestIsNotHeardOfMakesNoWay() {
       for (int i = 1; i <= PLACES; i++) {
@@ -179,7 +175,7 @@
           .isInstanceOf(LoadReply.Rejected.class);
     }
 
-    /** Its last request has ended and was told; waiting longer would leave the place idle. */
+    /** Guards against slots that stay unused after the last reported use. */
     @Test
     void adapterThatBecameIdleMakesWaySoon() {
       for (int i = 1; i <= PLACES; i++) {
@@ -208,12 +204,7 @@
     }
   }
 
-  /**
-   * An adapter is to make way, and gets a request of another daemon just then: the engine agrees,
-   * and drops it once the request has ended. The load that was to take its place would go beyond
-   * the engine's places and crash it; asked what it holds first, the engine would get no orders for
-   * most of a second, and all that was planned for it would be given up.
-   */
+  /** Guards against a load beyond the slots of an engine that defers an unload. */
   @Nested
   class AdapterThatLeavesLater {
 
@@ -277,11 +268,7 @@
     }
   }
 
-  /**
-   * An order gets no answer and the engine carries it out seconds later, after newer orders.
-   * Without the number of accepted orders in each order the engine would be filled beyond its
-   * places and crash with all that it runs.
-   */
+  /** Guards against a delayed order that fills an engine beyond its slots. */
   @Nested
   class LateOrder {
 
@@ -370,10 +357,7 @@
     }
   }
 
-  /**
-   * An engine crashes and starts again under its name. It holds nothing and counts its orders anew;
-   * what was known of it before would send requests to adapters that are gone.
-   */
+  /** Guards against requests for adapters that a restarted engine no longer holds. */
   @Nested
   class RestartedEngine {
 
@@ -402,10 +386,7 @@
     }
   }
 
-  /**
-   * The list still shows an engine without a base model, from before its last load. Loading another
-   * model beside the one it holds would go beyond its memory and crash it.
-   */
+  /** Guards against a second base model on an engine whose list entry is outdated. */
   @Nested
   class StaleEntry {
 
@@ -423,12 +404,7 @@
     }
   }
 
-  /**
-   * An engine that crashed has kept its base model's weights on its own disk, and has them back in
-   * a third of the time that a load from the store takes. Callers are refused meanwhile, since all
-   * places of the other engines are in use. Taken for absent for the whole time of a load from the
-   * store, the engine would stand idle for seconds beside them.
-   */
+  /** Guards against an engine that stands idle although its base model is back. */
   @Nested
   class BaseModelOnItsWay {
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/SlotTurnoverEstimatorTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SlotTurnoverEstimatorTest.java
@@ -45,10 +45,7 @@
     assertThat(turnover.expectedMs(0, PLACES, 8_500)).isBetween(180L, 220L);
   }
 
-  /**
-   * Engines crash, and no place becomes free any longer. What was learned before would promise all
-   * those who come a turn within moments, and they would wait for it in vain.
-   */
+  /** Guards against expected waits that are too short once no slot becomes free. */
   @Test
   void standstillShowsBeforeThereIsAnotherPlace() {
     placesBecomeFree(50, 0, 50);
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
@@ -7,10 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/**
- * A caller's adapter is nowhere, and places become free only now and then. Its request goes from
- * one data centre to the next, and what one says must not be taken for the word of another.
- */
+/** Guards against a reply of one data centre that is taken for that of another. */
 class AdapterSearchTest {
 
   private static final DataCentreId NORTH = new DataCentreId("north");
@@ -60,7 +57,7 @@
     assertThat(search.open(BOTH)).containsExactly(SOUTH);
   }
 
-  /** A wait for the adapter's arrival long ago is no reason to take the next order for overdue. */
+  /** Guards against a load request that counts as overdue because of an earlier wait. */
   @Test
   void eachSearchHasItsOwnTime() {
     search.request(load(NORTH, false), 0, 100);
@@ -80,7 +77,7 @@
     assertThat(search.open(BOTH)).containsExactly(NORTH);
   }
 
-  /** The only engine with the adapter is lost after a second copy was asked for. */
+  /** Guards against a request that finds no endpoint after its second copy was requested. */
   @Test
   void requestThatComesBackSearchesAnew() {
     search.request(new Choice.RequestLoad(NORTH, true, false, 300), 0, 100);
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/ResponseWatchdogTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/ResponseWatchdogTest.java
@@ -4,10 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/**
- * An engine goes dark: its connections stay open and say nothing. Its streams and the requests that
- * were just sent there wait for a word; each alone would be patient for more than a second.
- */
+/** Guards against requests that wait for an engine whose open connections are silent. */
 class ResponseWatchdogTest {
 
   private static final long PATIENCE_MS = 1_200;
@@ -21,7 +18,7 @@
     assertThat(watch.givesUp(true, 500)).isTrue();
   }
 
-  /** Without another endpoint the request stays, and the check must not spin. */
+  /** Guards against a check that spins while a request stays at its endpoint. */
   @Test
   void keepsLookingAtIntervalsAfterTheTimeout() {
     assertThat(watch.givesUp(false, 1_300)).isTrue();
