--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -136,23 +136,27 @@
     Optional<EndpointId> home = demand.generation().flatMap(generation -> home(generation, now));
     List<Candidate> candidates = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
-      EndpointId id = state.entry.endpoint();
-      boolean wanted =
-          state.takesWork(now)
-              && (!healthyOnly || (health.admits(id, now) && !demand.avoid().contains(id)));
-      if (wanted && holdsModel(state, demand)) {
+      if (isCandidate(state, demand, now, healthyOnly)) {
+        EndpointId id = state.entry.endpoint();
         candidates.add(candidate(state, demand, home.filter(id::equals).isPresent(), now));
       }
     }
     return candidates;
   }
 
+  private boolean isCandidate(EndpointState state, Demand demand, long now, boolean healthyOnly) {
+    EndpointId id = state.entry.endpoint();
+    return state.takesWork(now)
+        && (!healthyOnly || (health.admits(id, now) && !demand.avoid().contains(id)))
+        && holdsModel(state, demand);
+  }
+
   /**
    * Returns the endpoints that a request is not to use: those that failed it, and unhealthy ones.
    * Empty if there are no others.
    */
   public synchronized Set<EndpointId> excluded(Demand demand, long now) {
-    if (candidates(demand, now, true).isEmpty()) {
+    if (endpoints.values().stream().noneMatch(s -> isCandidate(s, demand, now, true))) {
       return Set.of();
     }
     Set<EndpointId> excluded = new HashSet<>(demand.avoid());
@@ -217,7 +221,7 @@
     }
     List<EndpointId> holders = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
-      if (state.takesWork(now) && state.copies.containsKey(generation.adapter().get())) {
+      if (state.holds(generation.adapter().get(), now)) {
         holders.add(state.entry.endpoint());
       }
     }
@@ -281,12 +285,11 @@
   synchronized boolean isHeldOutside(DataCentreId dataCentre, AdapterName adapter, long now) {
     return endpoints.values().stream()
         .filter(state -> !state.entry.dataCentre().equals(dataCentre))
-        .anyMatch(state -> state.takesWork(now) && state.copies.containsKey(adapter));
+        .anyMatch(state -> state.holds(adapter, now));
   }
 
   synchronized boolean isHeld(AdapterName adapter, long now) {
-    return endpoints.values().stream()
-        .anyMatch(state -> state.takesWork(now) && state.copies.containsKey(adapter));
+    return endpoints.values().stream().anyMatch(state -> state.holds(adapter, now));
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -88,6 +88,11 @@
     return !entry.leaving() && now < goneAt;
   }
 
+  /** Returns whether it takes work and has an adapter, or has it on its way. */
+  boolean holds(AdapterName adapter, long now) {
+    return takesWork(now) && copies.containsKey(adapter);
+  }
+
   /** Forgets all of an earlier process under the same name: it took its memory along. */
   void restarted() {
     copies.clear();
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
@@ -15,4 +15,10 @@
  * @param excluded endpoints that the request cannot use, even if they hold the adapter
  */
 public record LoadRequest(
-    Generation generation, boolean another, long inTimeMs, long waitMs, Set<EndpointId> excluded) {}
+    Generation generation, boolean another, long inTimeMs, long waitMs, Set<EndpointId> excluded) {
+
+  /** Copies the excluded endpoints. */
+  public LoadRequest {
+    excluded = Set.copyOf(excluded);
+  }
+}
