--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
@@ -133,7 +133,7 @@
     }
   }
 
-  /** Two coordinators watch the store, so this daemon makes no call until they tell of a change. */
+  /** Guards against store calls of a daemon whose two coordinators watch the store. */
   @Nested
   class WithRelay {
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFreshnessTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFreshnessTest.java
@@ -90,10 +90,7 @@
     }
   }
 
-  /**
-   * Four data centres have coordinators, and each watch is a call that is paid for. If each rested
-   * because it hears the others, all would rest and nobody would hear the store.
-   */
+  /** Guards against coordinators that all rest because of one another. */
   @Test
   void coordinatorsRestOnlyBecauseOfThoseBeforeThem() {
     heard(NORTH, 100, 0);
