--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
@@ -38,6 +38,8 @@
   UNKNOWN_VERSION(404, NOT_RUN, CHANGE_FIRST, "The adapter has no such version."),
   /** The service does not exist. */
   UNKNOWN_SERVICE(404, NOT_RUN, CHANGE_FIRST, "No such service."),
+  /** The route needs an API key, and the request bears none that the configuration knows. */
+  UNAUTHORIZED(401, NOT_RUN, CHANGE_FIRST, "The API key is missing or unknown."),
   /** The service may not use this adapter. */
   NOT_ALLOWED(403, NOT_RUN, CHANGE_FIRST, "The service may not use this adapter."),
   /** The idempotency key was used with another body. */
@@ -55,6 +57,8 @@
   OVERLOADED(503, NOT_RUN, SAFE, 1_000, "More work arrives than can be done."),
   /** The queue of this service and priority is full. */
   QUEUE_FULL(429, NOT_RUN, SAFE, 1_000, "The queue of this service is full."),
+  /** The workspace has used up its usage limit. */
+  USAGE_LIMIT(429, NOT_RUN, SAFE, 1_000, "The workspace has reached its usage limit."),
   /** The expected wait exceeds the time left until the deadline. */
   DEADLINE_UNREACHABLE(503, NOT_RUN, SAFE, 1_000, "The deadline cannot be met under this load."),
   /** The deadline passed before the request started. */
@@ -79,6 +83,9 @@
   DRAINING(503, NOT_RUN, SAFE, 100, "This daemon is stopping."),
   /** No configuration has been received from the platform or a peer. */
   NO_CONFIGURATION(503, NOT_RUN, SAFE, 2_000, "No configuration has been learnt yet."),
+  /** It cannot be proved that the known configuration, and so the API key, is still in force. */
+  CONFIGURATION_NOT_CURRENT(
+      503, NOT_RUN, SAFE, 500, "The configuration cannot be confirmed at present."),
   /** The caller left before the start; visible only in logs and metrics. */
   CALLER_LEFT_BEFORE_START(499, NOT_RUN, SAFE, "The caller left before the start."),
   /** The caller left; visible only in logs and metrics. */
--- /dev/null
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/UsageAllocatorFuzzTest.java
@@ -0,0 +1,85 @@
+package io.sequoiapass.coordination.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * Guards against a workspace whose admitted units exceed its limit in some window while links are
+ * cut and coordinators are replaced, or that gets much less than its limit while all is well.
+ */
+class UsageAllocatorFuzzTest {
+
+  @Property(tries = 60, seed = "20261203")
+  void keepsAndUsesItsLimit(
+      @ForAll @IntRange(max = 1_000_000) int seed,
+      @ForAll @DoubleRange(min = 1.7, max = 4) double timesLimit) {
+    UsageFleet fleet = new UsageFleet(seed);
+    fleet.play(8_000, 0.55);
+    fleet.play(20_000, timesLimit);
+
+    assertThat(fleet.worstWindow()).isLessThanOrEqualTo(1);
+    assertThat(fleet.admittedBetween(16_000, 28_000)).isGreaterThan(0.95 * 12 * UsageFleet.RATE);
+  }
+
+  @Property(tries = 60, seed = "20261203")
+  void dataCentreThatIsCutOffDoesNotDoubleTheLimit(
+      @ForAll @IntRange(max = 1_000_000) int seed,
+      @ForAll @DoubleRange(min = 0.4, max = 3) double timesLimit) {
+    UsageFleet fleet = new UsageFleet(seed);
+    fleet.play(10_000, timesLimit);
+    for (int daemon = 0; daemon < UsageFleet.DAEMONS; daemon++) {
+      for (int dc = 0; dc < UsageFleet.DATA_CENTRES; dc++) {
+        if ((daemon % UsageFleet.DATA_CENTRES == 0) != (dc == 0)) {
+          fleet.cut(daemon, dc);
+        }
+      }
+    }
+    fleet.play(16_000, timesLimit);
+
+    assertThat(fleet.worstWindow()).isLessThanOrEqualTo(1);
+  }
+
+  @Property(tries = 60, seed = "20261203")
+  void allDaemonsWithoutACoordinatorKeepTheLimit(
+      @ForAll @IntRange(max = 1_000_000) int seed,
+      @ForAll @DoubleRange(min = 0.4, max = 3) double timesLimit) {
+    UsageFleet fleet = new UsageFleet(seed);
+    fleet.play(10_000, timesLimit);
+    for (int daemon = 0; daemon < UsageFleet.DAEMONS; daemon++) {
+      for (int dc = 0; dc < UsageFleet.DATA_CENTRES; dc++) {
+        fleet.cut(daemon, dc);
+      }
+    }
+    fleet.play(10_000, timesLimit);
+
+    assertThat(fleet.worstWindow()).isLessThanOrEqualTo(1);
+  }
+
+  @Property(tries = 60, seed = "20261203")
+  void replacedCoordinatorsAndFlakyLinksKeepTheLimit(
+      @ForAll @IntRange(max = 1_000_000) int seed,
+      @ForAll @DoubleRange(min = 0.4, max = 3) double timesLimit) {
+    UsageFleet fleet = new UsageFleet(seed);
+    fleet.play(6_000, timesLimit);
+    Random random = new Random(seed);
+    for (int i = 0; i < 10; i++) {
+      int daemon = random.nextInt(UsageFleet.DAEMONS);
+      int dc = random.nextInt(UsageFleet.DATA_CENTRES);
+      if (random.nextInt(5) == 0) {
+        fleet.replaceCoordinator(dc);
+      } else if (random.nextBoolean()) {
+        fleet.cut(daemon, dc);
+      } else {
+        fleet.mend(daemon, dc);
+      }
+      fleet.play(1_000, timesLimit);
+    }
+
+    assertThat(fleet.worstWindow()).isLessThanOrEqualTo(1);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -5,6 +5,10 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.WorkspaceId;
+import io.sequoiapass.coordination.process.ClockReading;
+import io.sequoiapass.coordination.process.WorkspaceShare;
+import io.sequoiapass.coordination.process.WorkspaceUsage;
 import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
@@ -13,6 +17,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -76,7 +81,9 @@
     } else if (message instanceof LinkMessage.UsageReport usage) {
       out.packInt(USAGE_REPORT);
       out.packBoolean(usage.coordinator());
+      writeClocks(out, usage.sentAt());
       list(out, usage.usages(), LinkFrames::writeUsage);
+      list(out, usage.workspaces(), LinkFrames::writeWorkspaceUsage);
     } else if (message instanceof LinkMessage.LoadRequest request) {
       out.packInt(LOAD_REQUEST);
       writeAdapter(out, request.adapter());
@@ -113,12 +120,24 @@
       out.packLong(status.loads().memoryMs());
       out.packInt(status.loads().cacheDepth());
       out.packBoolean(status.slotsWanted());
+      list(
+          out,
+          status.workspaces(),
+          (to, share) -> {
+            to.packString(share.workspace().value());
+            to.packDouble(share.share());
+          });
     } else if (message instanceof LinkMessage.Placements placements) {
       out.packInt(PLACEMENTS);
       out.packBoolean(placements.snapshot());
       list(out, placements.placements(), LinkFrames::writePlacement);
     } else if (message instanceof LinkMessage.Loads loads) {
       out.packInt(LOADS);
+      out.packBoolean(loads.asked().isPresent());
+      if (loads.asked().isPresent()) {
+        writeClocks(out, loads.asked().get());
+      }
+      out.packLong(loads.configurationRevision());
       list(
           out,
           loads.loads(),
@@ -147,6 +166,18 @@
     }
   }
 
+  private static void writeClocks(MessageBufferPacker out, ClockReading clocks) throws IOException {
+    out.packLong(clocks.monotonicMs());
+    out.packLong(clocks.wallMs());
+  }
+
+  private static void writeWorkspaceUsage(MessageBufferPacker out, WorkspaceUsage usage)
+      throws IOException {
+    out.packString(usage.workspace().value());
+    out.packLong(usage.asked());
+    out.packLong(usage.admitted());
+  }
+
   private static void writeView(MessageBufferPacker out, LinkMessage.StoreView view)
       throws IOException {
     out.packLong(view.revision());
@@ -225,7 +256,11 @@
           new LinkMessage.Hello(
               new DaemonId(in.unpackString()), new DataCentreId(in.unpackString()));
       case USAGE_REPORT ->
-          new LinkMessage.UsageReport(in.unpackBoolean(), list(in, LinkFrames::readUsage));
+          new LinkMessage.UsageReport(
+              in.unpackBoolean(),
+              readClocks(in),
+              list(in, LinkFrames::readUsage),
+              list(in, LinkFrames::readWorkspaceUsage));
       case LOAD_REQUEST ->
           new LinkMessage.LoadRequest(
               readAdapter(in),
@@ -250,10 +285,15 @@
               readView(in),
               readView(in),
               new LoadTimeEstimates(in.unpackLong(), in.unpackLong(), in.unpackInt()),
-              in.unpackBoolean());
+              in.unpackBoolean(),
+              list(in, LinkFrames::readWorkspaceShare));
       case PLACEMENTS ->
           new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
-      case LOADS -> new LinkMessage.Loads(list(in, LinkFrames::readEndpointLoad));
+      case LOADS ->
+          new LinkMessage.Loads(
+              in.unpackBoolean() ? Optional.of(readClocks(in)) : Optional.empty(),
+              in.unpackLong(),
+              list(in, LinkFrames::readEndpointLoad));
       case LOAD_REJECTED -> new LinkMessage.LoadRejected(readAdapter(in), in.unpackLong());
       case ENDPOINTS -> EntryFrames.read(in);
       case RELEASES ->
@@ -263,6 +303,18 @@
     };
   }
 
+  private static ClockReading readClocks(MessageUnpacker in) throws IOException {
+    return new ClockReading(in.unpackLong(), in.unpackLong());
+  }
+
+  private static WorkspaceUsage readWorkspaceUsage(MessageUnpacker in) throws IOException {
+    return new WorkspaceUsage(new WorkspaceId(in.unpackString()), in.unpackLong(), in.unpackLong());
+  }
+
+  private static WorkspaceShare readWorkspaceShare(MessageUnpacker in) throws IOException {
+    return new WorkspaceShare(new WorkspaceId(in.unpackString()), in.unpackDouble());
+  }
+
   private static LinkMessage.StoreView readView(MessageUnpacker in) throws IOException {
     return new LinkMessage.StoreView(in.unpackLong(), in.unpackLong());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -3,12 +3,16 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.process.ClockReading;
+import io.sequoiapass.coordination.process.WorkspaceShare;
+import io.sequoiapass.coordination.process.WorkspaceUsage;
 import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A message between a daemon and the coordinator of a data centre.
@@ -30,12 +34,20 @@
    * none.
    *
    * @param coordinator whether the daemon coordinates its data centre
+   * @param sentAt the daemon's clocks when it sent the report; the coordinator returns them
    * @param usages one for each endpoint
+   * @param workspaces what workspaces asked of the daemon since its last report on this link
    */
-  record UsageReport(boolean coordinator, List<EndpointUsage> usages) implements LinkMessage {
-    /** Copies the list. */
+  record UsageReport(
+      boolean coordinator,
+      ClockReading sentAt,
+      List<EndpointUsage> usages,
+      List<WorkspaceUsage> workspaces)
+      implements LinkMessage {
+    /** Copies the lists. */
     public UsageReport {
       usages = List.copyOf(usages);
+      workspaces = List.copyOf(workspaces);
     }
   }
 
@@ -87,6 +99,8 @@
    * @param endpoints how current its view of the endpoint list is
    * @param loads estimates of how long its engines take to load an adapter
    * @param slotsWanted whether requests wait for an adapter slot
+   * @param workspaces workspaces of which daemons must refuse requests; all others may have all
+   *     that they ask
    */
   record CoordinatorStatus(
       long epoch,
@@ -97,8 +111,14 @@
       StoreView releases,
       StoreView endpoints,
       LoadTimeEstimates loads,
-      boolean slotsWanted)
-      implements LinkMessage {}
+      boolean slotsWanted,
+      List<WorkspaceShare> workspaces)
+      implements LinkMessage {
+    /** Copies the list. */
+    public CoordinatorStatus {
+      workspaces = List.copyOf(workspaces);
+    }
+  }
 
   /**
    * How current a coordinator's view of one kind of objects in the platform's store is.
@@ -193,11 +213,16 @@
   record Placement(EndpointId endpoint, AdapterName adapter, long version, long readyInMs) {}
 
   /**
-   * A coordinator reports the load that the other daemons put on its endpoints.
+   * A coordinator reports the load that the other daemons put on its endpoints, and how recently it
+   * read the configuration.
    *
+   * @param asked the receiver's clocks in the last report that arrived before the coordinator asked
+   *     the store for the configuration; empty if there is none
+   * @param configurationRevision the configuration's revision in the store's answer
    * @param loads one for each endpoint
    */
-  record Loads(List<EndpointLoad> loads) implements LinkMessage {
+  record Loads(Optional<ClockReading> asked, long configurationRevision, List<EndpointLoad> loads)
+      implements LinkMessage {
     /** Copies the list. */
     public Loads {
       loads = List.copyOf(loads);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -7,6 +7,8 @@
 import io.sequoiapass.daemon.connection.HttpHandler;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
+import io.sequoiapass.gateway.request.CallerAccess;
+import io.sequoiapass.gateway.request.CallerExchange;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.request.LocalResponse;
 import io.sequoiapass.gateway.request.RelayContext;
@@ -20,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntSupplier;
@@ -35,6 +38,7 @@
   private final EndpointDirectory directory;
   private final HostSettings.Bounds bounds;
   private final IntSupplier daemons;
+  private final WorkspaceGate gate;
   private final Map<ServiceId, SharedRetryBudget> budgets = new ConcurrentHashMap<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile DrainSchedule drain = DrainSchedule.NEVER;
@@ -44,12 +48,14 @@
       Supplier<ServingConfiguration> configuration,
       EndpointDirectory directory,
       HostSettings.Bounds bounds,
-      IntSupplier daemons) {
+      IntSupplier daemons,
+      WorkspaceGate gate) {
     this.context = context;
     this.configuration = configuration;
     this.directory = directory;
     this.bounds = bounds;
     this.daemons = daemons;
+    this.gate = gate;
   }
 
   /** Returns the number of requests in flight. */
@@ -80,6 +86,11 @@
       refuse(ErrorKind.UNKNOWN_SERVICE, facts, responder);
       return;
     }
+    WorkspaceGate.Verdict verdict = gate.identify(known, route.get(), facts);
+    if (verdict instanceof WorkspaceGate.Verdict.Denied denied) {
+      refuse(denied.kind(), facts, responder);
+      return;
+    }
     if (!drain.accepts(route.get().timeoutMs(), context.clock().millis())) {
       refuse(ErrorKind.DRAINING, facts, responder);
       return;
@@ -89,7 +100,20 @@
       refuse(ErrorKind.UNKNOWN_ADAPTER, facts, responder);
       return;
     }
-    start(request, responder, facts, route.get(), service);
+    WorkspaceGate.Verdict.Known caller = (WorkspaceGate.Verdict.Known) verdict;
+    OptionalLong retryAfterMs = charge(caller, facts);
+    if (retryAfterMs.isPresent()) {
+      refuse(ErrorKind.USAGE_LIMIT, retryAfterMs, facts, responder);
+      return;
+    }
+    CallerAccess access = gate.access(caller, route.get(), facts);
+    start(request, responder, facts, route.get(), service, access);
+  }
+
+  private OptionalLong charge(WorkspaceGate.Verdict.Known caller, CallerFacts facts) {
+    return caller.workspace().isPresent()
+        ? gate.charge(caller.workspace().get(), facts, context.clock().millis())
+        : OptionalLong.empty();
   }
 
   /**
@@ -134,7 +158,8 @@
       HttpResponder responder,
       CallerFacts facts,
       RouteSpec route,
-      ServiceId service) {
+      ServiceId service,
+      CallerAccess access) {
     SharedRetryBudget budget =
         budgets.computeIfAbsent(service, name -> new SharedRetryBudget(bounds, daemons));
     budget.requestArrived(context.clock().millis());
@@ -145,12 +170,18 @@
             directory.group(service),
             budget,
             facts,
-            new RelayedRequest.Exchange(request, responder),
+            access,
+            new CallerExchange(request, responder),
             inFlight::decrementAndGet)
         .start();
   }
 
   private void refuse(ErrorKind kind, CallerFacts facts, HttpResponder responder) {
+    refuse(kind, kind.comeBackMillis(), facts, responder);
+  }
+
+  private void refuse(
+      ErrorKind kind, OptionalLong retryAfterMs, CallerFacts facts, HttpResponder responder) {
     context.metrics().count("sequoiapass_requests_total{outcome=\"refused_" + kind + "\"}");
     context
         .log()
@@ -158,6 +189,6 @@
         .with("outcome", "refused_" + kind)
         .with("status", kind.httpStatus())
         .write();
-    LocalResponse.send(context.callers(), facts, responder, kind, kind.comeBackMillis());
+    LocalResponse.send(context.callers(), facts, responder, kind, retryAfterMs);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -4,6 +4,9 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.ClockReading;
+import io.sequoiapass.coordination.process.UsageAllocator;
+import io.sequoiapass.coordination.process.WorkspaceShare;
 import io.sequoiapass.daemon.connection.FrameChannel;
 import io.sequoiapass.daemon.connection.FrameListener;
 import io.sequoiapass.daemon.connection.HttpAnswer;
@@ -24,7 +27,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.LongConsumer;
 import java.util.function.LongPredicate;
+import java.util.function.Supplier;
 
 /**
  * Coordinates the engines of one data centre while this process holds the lease: collects usage
@@ -69,12 +74,23 @@
   private final List<LinkMessage.Release> releases = new ArrayList<>();
   private long listedUpTo;
   private int rounds;
+  private final Supplier<UsageAllocator> newAllocator;
+  private UsageAllocator usage;
+  private List<WorkspaceShare> workspaceShares = List.of();
+  private long provedRevision;
 
   /** A daemon that is linked. */
   private static final class LinkedDaemon {
     private DaemonId daemon;
+    private DataCentreId dataCentre;
     private long lastReceivedAt;
     private boolean coordinates;
+
+    /** The daemon's clocks in its last report. */
+    private ClockReading lastReport;
+
+    /** The daemon's clocks before the last question to the store that was answered. */
+    private Optional<ClockReading> proved = Optional.empty();
   }
 
   /** This daemon's own view of the store, for daemons that rely on it. */
@@ -91,6 +107,7 @@
    * @param directory the endpoints
    * @param plan the plan
    * @param io protocol, client, executor, clock and log
+   * @param newAllocator creates an allocator of usage limits for a new term
    * @param mayOrder whether an order may be sent at a time
    * @param onFenced runs when an endpoint has received a higher epoch
    */
@@ -99,6 +116,7 @@
       EndpointDirectory directory,
       PlacementPlan plan,
       Io io,
+      Supplier<UsageAllocator> newAllocator,
       LongPredicate mayOrder,
       Runnable onFenced) {
     this.daemon = settings.daemon();
@@ -118,6 +136,8 @@
     this.loop = io.loop();
     this.clock = io.clock();
     this.log = io.log();
+    this.newAllocator = newAllocator;
+    this.usage = newAllocator.get();
     this.mayOrder = mayOrder;
     this.onFenced = onFenced;
   }
@@ -189,6 +209,7 @@
     listed.clear();
     gone.clear();
     releases.clear();
+    usage = newAllocator.get();
     stopping = false;
     epoch = newEpoch;
     plan.requireReports();
@@ -271,6 +292,7 @@
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
       // Releases precede the status, which reports the revision up to which they are complete.
       sendReleases();
+      workspaceShares = usage.allocate(now);
       broadcastStatus();
       sendListChanges();
       sendUpdateBatch(now);
@@ -278,6 +300,24 @@
     }
   }
 
+  /**
+   * Called before this daemon asks the store for the configuration; the returned action is to run
+   * once the answer has been applied. Reports that arrive in between prove nothing.
+   */
+  synchronized LongConsumer configurationAsked() {
+    Map<LinkedDaemon, ClockReading> asked = new HashMap<>();
+    links.values().stream()
+        .filter(linked -> linked.lastReport != null)
+        .forEach(linked -> asked.put(linked, linked.lastReport));
+    return revisionRead -> configurationAnswered(asked, revisionRead);
+  }
+
+  private synchronized void configurationAnswered(
+      Map<LinkedDaemon, ClockReading> asked, long revisionRead) {
+    provedRevision = revisionRead;
+    asked.forEach((linked, clocks) -> linked.proved = Optional.of(clocks));
+  }
+
   private void sendListChanges() {
     if (listed.isEmpty() && gone.isEmpty()) {
       return;
@@ -329,7 +369,8 @@
         store.of(StoreFreshness.Topic.RELEASES),
         store.of(StoreFreshness.Topic.ENDPOINTS),
         plan.loadTimes(clock.millis()),
-        !loadQueue.isEmpty());
+        !loadQueue.isEmpty(),
+        workspaceShares);
   }
 
   private void sendLoads(FrameChannel channel, LinkedDaemon linked) {
@@ -339,7 +380,7 @@
     List<LinkMessage.EndpointLoad> loads = new ArrayList<>();
     plan.loadsWithout(linked.daemon)
         .forEach((endpoint, load) -> loads.add(new LinkMessage.EndpointLoad(endpoint, load)));
-    channel.send(LinkFrames.encode(new LinkMessage.Loads(loads)));
+    channel.send(LinkFrames.encode(new LinkMessage.Loads(linked.proved, provedRevision, loads)));
   }
 
   /** Assigns slots, requests due reports, sends due orders and publishes changes. */
@@ -476,6 +517,7 @@
     subscribers.unsubscribe(channel);
     if (linked != null && linked.daemon != null) {
       plan.removeDaemon(linked.daemon);
+      usage.lost(linked.daemon, clock.millis());
       log.event("daemon_unlinked").with("peer", linked.daemon).write();
     }
   }
@@ -489,11 +531,14 @@
     linked.lastReceivedAt = now;
     if (message instanceof LinkMessage.Hello hello) {
       linked.daemon = hello.daemon();
+      linked.dataCentre = hello.dataCentre();
       sendSnapshot(channel, now);
       log.event("daemon_linked").with("peer", hello.daemon()).with("links", links.size()).write();
-    } else if (message instanceof LinkMessage.UsageReport usage && linked.daemon != null) {
-      linked.coordinates = usage.coordinator();
-      plan.updateUsage(linked.daemon, usage.usages(), now);
+    } else if (message instanceof LinkMessage.UsageReport report && linked.daemon != null) {
+      linked.coordinates = report.coordinator();
+      linked.lastReport = report.sentAt();
+      plan.updateUsage(linked.daemon, report.usages(), now);
+      usage.report(linked.daemon, linked.dataCentre, report.workspaces(), now);
       if (!loadQueue.isEmpty()) {
         work(now);
       }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -4,6 +4,10 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.process.ClockReading;
+import io.sequoiapass.coordination.process.UsageReporter;
+import io.sequoiapass.coordination.process.UsageThrottle;
+import io.sequoiapass.coordination.process.WorkspaceUsage;
 import io.sequoiapass.daemon.connection.FrameChannel;
 import io.sequoiapass.daemon.connection.FrameListener;
 import io.sequoiapass.daemon.connection.FrameTransport;
@@ -53,6 +57,14 @@
     /** Called when a coordinator reports the version of an adapter. */
     void released(LinkMessage.Release release);
 
+    /**
+     * Called when a coordinator has read the configuration.
+     *
+     * @param asked this daemon's clocks before the coordinator asked the store
+     * @param revision the configuration's revision in the answer
+     */
+    void configurationProved(ClockReading asked, long revision);
+
     /** Called when a coordinator's first status arrives, or its link is lost. */
     void changed();
   }
@@ -80,6 +92,9 @@
   private int rounds;
   private volatile boolean slotsWanted;
   private final AtomicBoolean reportScheduled = new AtomicBoolean();
+  private final UsageThrottle throttle;
+  private final UsageReporter workspaceReports = new UsageReporter();
+  private final MillisClock wall;
 
   /**
    * Creates a link that is not connected.
@@ -109,17 +124,21 @@
     this.loop = io.loop();
     this.clock = io.clock();
     this.log = io.log();
+    this.wall = io.wall();
+    this.throttle = io.throttle();
     this.listener = listener;
     this.onStatus = onStatus;
     this.onLost = onLost;
   }
 
   /**
-   * Transport, executor, clock and log.
+   * Transport, executor, clocks, throttle and log.
    *
    * @param transport opens connections
    * @param loop runs timers
    * @param clock the monotonic clock
+   * @param wall the wall clock
+   * @param throttle what workspaces asked of this daemon
    * @param log the log
    * @param coordinates whether this daemon coordinates its data centre
    */
@@ -127,6 +146,8 @@
       FrameTransport transport,
       ScheduledExecutorService loop,
       MillisClock clock,
+      MillisClock wall,
+      UsageThrottle throttle,
       DecisionLog log,
       BooleanSupplier coordinates) {}
 
@@ -182,6 +203,7 @@
         alive = false;
         lastReceivedAt = clock.millis();
         lastReportAt = 0;
+        workspaceReports.reset(throttle.totals());
       }
       opened.send(LinkFrames.encode(new LinkMessage.Hello(daemon, here)));
     }
@@ -221,6 +243,9 @@
     } else if (message instanceof LinkMessage.Placements placements) {
       placements(placements);
     } else if (message instanceof LinkMessage.Loads loads) {
+      loads
+          .asked()
+          .ifPresent(asked -> listener.configurationProved(asked, loads.configurationRevision()));
       loads
           .loads()
           .forEach(
@@ -358,13 +383,19 @@
   private void sendReport(FrameChannel open, long now) {
     List<EndpointUsage> usages = new ArrayList<>();
     directory.groups().forEach(group -> usages.addAll(group.takeUsage(dataCentre, now)));
+    List<WorkspaceUsage> workspaces;
     synchronized (this) {
-      if (usages.isEmpty() && lastReportEmpty && now - lastReportAt < MAX_REPORT_INTERVAL_MS) {
+      workspaces = workspaceReports.next(throttle.totals());
+      boolean empty = usages.isEmpty() && workspaces.isEmpty();
+      if (empty && lastReportEmpty && now - lastReportAt < MAX_REPORT_INTERVAL_MS) {
         return;
       }
-      lastReportEmpty = usages.isEmpty();
+      lastReportEmpty = empty;
       lastReportAt = now;
     }
-    open.send(LinkFrames.encode(new LinkMessage.UsageReport(coordinates.getAsBoolean(), usages)));
+    open.send(
+        LinkFrames.encode(
+            new LinkMessage.UsageReport(
+                coordinates.getAsBoolean(), ClockReading.now(clock, wall), usages, workspaces)));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -4,6 +4,13 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.WorkspaceId;
+import io.sequoiapass.coordination.process.ClockReading;
+import io.sequoiapass.coordination.process.ConfigurationCurrency;
+import io.sequoiapass.coordination.process.UsageAllocator;
+import io.sequoiapass.coordination.process.UsageThrottle;
+import io.sequoiapass.coordination.version.UsageLimit;
+import io.sequoiapass.coordination.version.Workspace;
 import io.sequoiapass.daemon.connection.ConnectionLimits;
 import io.sequoiapass.daemon.connection.FrameTransport;
 import io.sequoiapass.daemon.connection.HttpClient;
@@ -30,9 +37,11 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -64,6 +73,13 @@
   /** Changes of the configuration must take effect within about two seconds. */
   private static final StoreFeed.Timing CONFIGURATION_TIMING = new StoreFeed.Timing(2_500, 50);
 
+  /**
+   * Timing where a removed API key must not be accepted for longer than a few seconds: an answer
+   * proves only that the configuration was in force when the call was sent.
+   */
+  private static final StoreFeed.Timing STRICT_CONFIGURATION_TIMING =
+      new StoreFeed.Timing(1_000, 50);
+
   /** New adapter versions must take effect within about five seconds. */
   private static final StoreFeed.Timing RELEASE_TIMING = new StoreFeed.Timing(4_000, 300);
 
@@ -104,6 +120,10 @@
   private final HostSettings settings;
   private final DecisionLog log;
   private final MillisClock clock = MillisClock.monotonic();
+  private final MillisClock wall = MillisClock.wall();
+  private final ConfigurationCurrency currency = new ConfigurationCurrency();
+  private final UsageThrottle throttle =
+      new UsageThrottle(() -> ThreadLocalRandom.current().nextDouble());
   private final EventLoopGroup loops;
   private final AtomicReference<ServingConfiguration> configuration = new AtomicReference<>();
   private final AdapterVersions versions;
@@ -115,6 +135,7 @@
   private CoordinationNode node;
   private Coordinator coordinator;
   private CallerHandler callers;
+  private WorkspaceGate gate;
   private HttpServer callerServer;
   private volatile boolean draining;
 
@@ -161,9 +182,11 @@
             clock,
             log,
             metrics);
+    gate =
+        new WorkspaceGate(currency, throttle, configuration::get, this::clocks, settings.bounds());
     callers =
         new CallerHandler(
-            context, configuration::get, directory, settings.bounds(), () -> node.daemons());
+            context, configuration::get, directory, settings.bounds(), () -> node.daemons(), gate);
     startFeeds(store);
     callerServer =
         HttpServer.builder(loops, callers).limits(this::limits).start(settings.callers());
@@ -183,6 +206,17 @@
     loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
+  private ClockReading clocks() {
+    return ClockReading.now(clock, wall);
+  }
+
+  private UsageLimit usageLimit(WorkspaceId workspace) {
+    ServingConfiguration known = configuration.get();
+    return known == null
+        ? UsageLimit.NONE
+        : known.workspaces().find(workspace).map(Workspace::limit).orElse(UsageLimit.NONE);
+  }
+
   private ConnectionLimits limits() {
     ServingConfiguration known = configuration.get();
     return known == null ? FIRST_LIMITS : known.limits();
@@ -191,7 +225,6 @@
   private void startCoordination(Deployment deployment, HttpClient http, MetadataStore store)
       throws IOException {
     FrameTransport transport = FrameTransport.create(loops);
-    MillisClock wall = MillisClock.wall();
     String process = settings.daemon() + "-" + wall.millis() + "-" + System.nanoTime();
     CoordinatorElection election =
         new CoordinatorElection(settings.daemon(), process, settings.links());
@@ -212,6 +245,7 @@
             directory,
             new PlacementPlan(versions, modelLoads, new LoadTime(directory)),
             new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log, versions),
+            () -> new UsageAllocator(settings.regions().size(), this::usageLimit, clock.millis()),
             now -> node.mayOrder(now, settings.bounds().fenced()),
             node::fenced);
     node.use(coordinator, links(transport));
@@ -232,7 +266,7 @@
     String region = settings.regions().get(settings.dataCentre());
     LinkMessage.Hello self = new LinkMessage.Hello(settings.daemon(), settings.dataCentre());
     CoordinatorLink.Io io =
-        new CoordinatorLink.Io(transport, loops, clock, log, node::isCoordinator);
+        new CoordinatorLink.Io(transport, loops, clock, wall, throttle, log, node::isCoordinator);
     List<CoordinatorLink> links = new ArrayList<>();
     settings
         .regions()
@@ -243,10 +277,13 @@
                     status -> {
                       node.updateStatus(dataCentre, status);
                       storeFreshness.update(dataCentre, status, clock.millis());
+                      throttle.update(
+                          dataCentre, status.workspaces(), status.daemons(), clock.millis());
                     };
                 Runnable lost =
                     () -> {
                       storeFreshness.lost(dataCentre);
+                      throttle.lost(dataCentre);
                       waiting.coordinatorLost(dataCentre);
                     };
                 links.add(
@@ -261,16 +298,25 @@
     startFeed(
         store,
         StoreKind.CONFIGURATION,
-        CONFIGURATION_TIMING,
+        settings.bounds().revocationMs().isPresent()
+            ? STRICT_CONFIGURATION_TIMING
+            : CONFIGURATION_TIMING,
         StoreFreshness.Topic.CONFIGURATION,
+        this::configurationAsked,
         StoreFeed.Listener.ofEach(this::applyConfiguration));
     startFeed(
-        store, StoreKind.ENDPOINTS, ENDPOINT_TIMING, StoreFreshness.Topic.ENDPOINTS, directory);
+        store,
+        StoreKind.ENDPOINTS,
+        ENDPOINT_TIMING,
+        StoreFreshness.Topic.ENDPOINTS,
+        StoreFeed.CallObserver.NONE,
+        directory);
     startFeed(
         store,
         StoreKind.RELEASES,
         RELEASE_TIMING,
         StoreFreshness.Topic.RELEASES,
+        StoreFeed.CallObserver.NONE,
         StoreFeed.Listener.ofEach(this::applyRelease));
   }
 
@@ -279,11 +325,12 @@
       StoreKind<T> kind,
       StoreFeed.Timing timing,
       StoreFreshness.Topic topic,
+      StoreFeed.CallObserver observer,
       StoreFeed.Listener<T> listener) {
     Supplier<StoreFeed.Timing> now =
         () -> node.isCoordinator() ? COORDINATOR_TIMING.get(topic) : timing;
     StoreFeed<T> feed =
-        new StoreFeed<>(store, kind, now, relay(topic), listener, loops, clock, log);
+        new StoreFeed<>(store, kind, now, relay(topic), observer, listener, loops, clock, log);
     feeds.put(topic, feed);
     feed.start();
   }
@@ -296,6 +343,9 @@
     return new StoreFeed.Relay() {
       @Override
       public boolean isFresh(long now) {
+        if (topic == StoreFreshness.Topic.CONFIGURATION && !gate.isConfirmed()) {
+          return false;
+        }
         return node.isCoordinator()
             ? storeFreshness.areFreshForCoordinator(settings.dataCentre(), topic, now)
             : storeFreshness.areFresh(topic, now);
@@ -308,6 +358,16 @@
     };
   }
 
+  /** Proves the configuration to this daemon and, while it coordinates, to the linked ones. */
+  private LongConsumer configurationAsked() {
+    ClockReading asked = clocks();
+    LongConsumer linked = coordinator.configurationAsked();
+    return revision -> {
+      currency.proved(asked, revision);
+      linked.accept(revision);
+    };
+  }
+
   private void tick() {
     try {
       node.tick();
@@ -366,10 +426,14 @@
     ServingConfiguration next = item.value().get();
     ServingConfiguration before = configuration.get();
     if (before != null && before.version() >= next.version()) {
+      if (before.version() == next.version()) {
+        currency.applied(item.revision());
+      }
       return;
     }
     directory.configure(next);
     configuration.set(next);
+    currency.applied(item.revision());
     coordinator.observe();
     log.event("configuration")
         .with("version", next.version())
@@ -419,6 +483,11 @@
       Gateway.this.released(release.adapter(), release.version(), "coordinator");
     }
 
+    @Override
+    public void configurationProved(ClockReading asked, long revision) {
+      currency.proved(asked, revision);
+    }
+
     @Override
     public void changed() {
       metrics.count("sequoiapass_coordinator_changes_total");
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -20,7 +21,8 @@
  *
  * <pre>{@code
  * StoreFeed<EndpointEntry> feed =
- *     new StoreFeed<>(store, StoreKind.ENDPOINTS, timing, relay, listener, loop, clock, log);
+ *     new StoreFeed<>(
+ *         store, StoreKind.ENDPOINTS, timing, relay, CallObserver.NONE, listener, loop, clock, log);
  * feed.start();
  * }</pre>
  *
@@ -105,6 +107,19 @@
     long revision();
   }
 
+  /** Observes the calls of a feed; must not block. */
+  interface CallObserver {
+
+    /** Observes nothing. */
+    CallObserver NONE = () -> revision -> {};
+
+    /**
+     * Called before each call; the returned action gets the newest revision of the objects once the
+     * answer has been applied.
+     */
+    LongConsumer asking();
+  }
+
   /**
    * How often a feed calls the store.
    *
@@ -133,6 +148,7 @@
   private final StoreKind<T> kind;
   private final Supplier<Timing> timing;
   private final Relay relay;
+  private final CallObserver observer;
   private final Listener<T> listener;
   private final ScheduledExecutorService loop;
   private final MillisClock clock;
@@ -148,6 +164,7 @@
       StoreKind<T> kind,
       Supplier<Timing> timing,
       Relay relay,
+      CallObserver observer,
       Listener<T> listener,
       ScheduledExecutorService loop,
       MillisClock clock,
@@ -156,6 +173,7 @@
     this.kind = kind;
     this.timing = timing;
     this.relay = relay;
+    this.observer = observer;
     this.listener = listener;
     this.loop = loop;
     this.clock = clock;
@@ -167,10 +185,13 @@
   }
 
   private void list() {
-    store.list(kind).whenComplete((list, failure) -> loop.execute(() -> listed(list, failure)));
+    LongConsumer onAnswer = observer.asking();
+    store
+        .list(kind)
+        .whenComplete((list, failure) -> loop.execute(() -> listed(list, failure, onAnswer)));
   }
 
-  private synchronized void listed(StoreList<T> list, Throwable failure) {
+  private synchronized void listed(StoreList<T> list, Throwable failure, LongConsumer onAnswer) {
     if (failure != null) {
       retry(failure, this::list);
       return;
@@ -180,6 +201,7 @@
     if (listener.replaced(list, afterOutage)) {
       recordChange(newestRevision(list));
     }
+    onAnswer.accept(view.changedRevision());
     watchOrPause();
   }
 
@@ -218,12 +240,15 @@
   }
 
   private void watch() {
+    LongConsumer onAnswer = observer.asking();
     store
         .watch(kind, revision, timing.get().waitMs())
-        .whenComplete((changes, failure) -> loop.execute(() -> watched(changes, failure)));
+        .whenComplete(
+            (changes, failure) -> loop.execute(() -> watched(changes, failure, onAnswer)));
   }
 
-  private synchronized void watched(StoreChanges<T> changes, Throwable failure) {
+  private synchronized void watched(
+      StoreChanges<T> changes, Throwable failure, LongConsumer onAnswer) {
     if (failure != null) {
       if (StoreException.reasonOf(failure) == StoreException.Reason.HISTORY_GONE) {
         log.event("store_history_gone").with("kind", kind.name()).with("after", revision).write();
@@ -240,6 +265,7 @@
         recordChange(change.object().revision());
       }
     }
+    onAnswer.accept(view.changedRevision());
     if (changes.changes().isEmpty()) {
       watchOrPause();
     } else {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.request;
 
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.gateway.process.Choice;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -125,8 +126,10 @@
     return true;
   }
 
-  /** Returns the shortest expected wait for a slot, in milliseconds; 0 if no load was rejected. */
-  long retryAfterMs() {
-    return retryAfterMs;
+  /** Replaces NO_ENDPOINT if a data centre was full, since OVERLOADED is more specific. */
+  Choice.Refuse preferOverloaded(Choice.Refuse refusal) {
+    return refusal.kind() == ErrorKind.NO_ENDPOINT && retryAfterMs > 0
+        ? new Choice.Refuse(ErrorKind.OVERLOADED, retryAfterMs)
+        : refusal;
   }
 }
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
@@ -0,0 +1,32 @@
+package io.sequoiapass.gateway.request;
+
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.gateway.spi.CallerIdentity;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
+
+/**
+ * What a caller was granted when its request was accepted.
+ *
+ * @param identity whose request it is
+ * @param priority the priority of the caller's workspace; empty to use the route's
+ * @param recheck returns why the request may no longer be sent, if so: its key may have been
+ *     removed while it waited, or the process suspended
+ * @param notRun runs if the request ends without having run, since it must not count as usage then
+ */
+public record CallerAccess(
+    CallerIdentity identity,
+    OptionalInt priority,
+    Supplier<Optional<ErrorKind>> recheck,
+    Runnable notRun) {
+
+  /**
+   * Returns access that is not checked again and not counted.
+   *
+   * @param identity whose request it is
+   */
+  public static CallerAccess unlimited(CallerIdentity identity) {
+    return new CallerAccess(identity, OptionalInt.empty(), Optional::empty, () -> {});
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
@@ -14,9 +14,11 @@
  *
  * @param protocol the wire protocol of the endpoints
  * @param route the request's route
+ * @param access what the caller was granted
  * @param request the caller's request
  */
-record ForwardedRequest(EndpointProtocol protocol, RouteSpec route, HttpRequestMessage request) {
+record ForwardedRequest(
+    EndpointProtocol protocol, RouteSpec route, CallerAccess access, HttpRequestMessage request) {
 
   /**
    * Returns the call to an endpoint.
@@ -32,9 +34,10 @@
         new ForwardTerms(
             target.endpoint(),
             remainingMs,
-            route.priority(),
+            access.priority().orElse(route.priority()),
             target.expectedVersion(),
-            lastEventId);
+            lastEventId,
+            access.identity());
     return HttpCall.to(target.address(), request.method(), request.target())
         .headers(protocol.forwardHeaders(request.headers(), terms))
         .body(request.body())
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -6,7 +6,6 @@
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpFailure;
-import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.Demand;
@@ -73,6 +72,7 @@
   private final EndpointGroup group;
   private final SharedRetryBudget budget;
   private final CallerFacts facts;
+  private final CallerAccess access;
   private final Optional<AdapterName> adapter;
   private final HttpResponder responder;
   private final Runnable finished;
@@ -103,6 +103,7 @@
    * @param group the endpoints of its service
    * @param budget limits retries
    * @param facts what the request's headers state
+   * @param access what the caller was granted
    * @param exchange the caller's request and its responder
    * @param finished runs once at the end
    */
@@ -112,33 +113,27 @@
       EndpointGroup group,
       SharedRetryBudget budget,
       CallerFacts facts,
-      Exchange exchange,
+      CallerAccess access,
+      CallerExchange exchange,
       Runnable finished) {
     this.context = context;
     this.route = route;
     this.group = group;
     this.budget = budget;
     this.facts = facts;
+    this.access = access;
     this.adapter = facts.generation().flatMap(Generation::adapter);
-    this.forward = new ForwardedRequest(context.endpoints(), route, exchange.request());
+    this.forward = new ForwardedRequest(context.endpoints(), route, access, exchange.request());
     this.responder = exchange.responder();
     this.finished = finished;
     this.arrivedAt = context.clock().millis();
     this.times = new ResponseTimes(arrivedAt);
     long allowedMs = Math.min(route.timeoutMs(), facts.deadlineMs().orElse(route.timeoutMs()));
     this.deadlineAt = arrivedAt + allowedMs;
-    this.requestLog = new RequestLog(context, route, facts);
+    this.requestLog = new RequestLog(context, route, facts, access);
     this.events = new EventRelay(facts.lastEventId().orElse(EventRelay.NONE));
   }
 
-  /**
-   * A caller's request and its responder.
-   *
-   * @param request the request
-   * @param responder sends the answer
-   */
-  public record Exchange(HttpRequestMessage request, HttpResponder responder) {}
-
   /** Starts the request. */
   public synchronized void start() {
     responder.onClose(this::callerLeft);
@@ -181,6 +176,11 @@
       timeOut();
       return;
     }
+    Optional<ErrorKind> denied = hasRun() ? Optional.empty() : access.recheck().get();
+    if (denied.isPresent()) {
+      refuse(denied.get(), denied.get().comeBackMillis());
+      return;
+    }
     search.excludeOverdue(now);
     Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
     Choice choice = group.choose(demand, loadable(), now);
@@ -193,7 +193,7 @@
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, demand, now);
     } else if (choice instanceof Choice.Refuse refusal) {
-      refuseOrFail(preferOverloaded(refusal));
+      refuseOrFail(search.preferOverloaded(refusal));
     }
   }
 
@@ -202,13 +202,6 @@
         search.candidates(context.adapters().loadable()), search.queueWaits());
   }
 
-  /** Replaces NO_ENDPOINT if a data centre was full, since OVERLOADED is more specific. */
-  private Choice.Refuse preferOverloaded(Choice.Refuse refusal) {
-    return refusal.kind() == ErrorKind.NO_ENDPOINT && search.retryAfterMs() > 0
-        ? new Choice.Refuse(ErrorKind.OVERLOADED, search.retryAfterMs())
-        : refusal;
-  }
-
   private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
     long waitedMs = now - arrivedAt;
     long waitMs =
@@ -531,7 +524,7 @@
     } else if (mayHaveRun()) {
       fail(ErrorKind.DEADLINE_PASSED_AFTER_START);
     } else {
-      refuse(ErrorKind.DEADLINE_UNREACHABLE, RETRY_AFTER_MS);
+      refuse(ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS));
     }
   }
 
@@ -540,19 +533,24 @@
     return runs > 0 || (attempt != null && !attempt.isCompleted());
   }
 
+  /** Returns whether an endpoint has run the request, or still may; a rejected attempt does not. */
+  private boolean hasRun() {
+    return responseStarted || mayHaveRun();
+  }
+
   private void refuseOrFail(Choice.Refuse refusal) {
     if (responseStarted) {
       abort(ErrorKind.STREAM_SHORT, "no other endpoint");
     } else if (runs > 0) {
       fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
     } else {
-      refuse(refusal.kind(), refusal.retryAfterMs());
+      refuse(refusal.kind(), OptionalLong.of(refusal.retryAfterMs()));
     }
   }
 
-  private void refuse(ErrorKind kind, long retryAfterMs) {
+  private void refuse(ErrorKind kind, OptionalLong retryAfterMs) {
     finish("refused_" + kind, kind.httpStatus());
-    LocalResponse.send(context.callers(), facts, responder, kind, OptionalLong.of(retryAfterMs));
+    LocalResponse.send(context.callers(), facts, responder, kind, retryAfterMs);
   }
 
   private void fail(ErrorKind kind) {
@@ -580,6 +578,9 @@
     cancel(deadlineTimer);
     cancel(responseTimer);
     finished.run();
+    if (!hasRun()) {
+      access.notRun().run();
+    }
     requestLog.ended(
         outcome, status, times.log(context.clock().millis(), waits), sends, runs, events.lastId());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.request;
 
+import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.gateway.process.Candidate;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.spi.AnswerClass;
@@ -16,13 +17,15 @@
   private final RouteSpec route;
   private final String requestId;
   private final String adapter;
+  private final String workspace;
 
-  RequestLog(RelayContext context, RouteSpec route, CallerFacts facts) {
+  RequestLog(RelayContext context, RouteSpec route, CallerFacts facts, CallerAccess access) {
     this.context = context;
     this.route = route;
     this.requestId = facts.requestId();
     this.adapter =
         facts.generation().flatMap(Generation::adapter).map(AdapterName::toString).orElse("");
+    this.workspace = access.identity().workspace().map(WorkspaceId::toString).orElse("");
   }
 
   /** Logs that the request is sent, with the estimates that the choice of the endpoint rests on. */
@@ -89,6 +92,7 @@
         .request("ended", requestId)
         .with("route", route.name())
         .with("adapter", adapter)
+        .with("workspace", workspace)
         .with("outcome", outcome)
         .with("status", status)
         .with("took_ms", times.tookMs())
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/CallerFacts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/CallerFacts.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.spi;
 
+import io.sequoiapass.coordination.ApiKey;
 import io.sequoiapass.gateway.request.Generation;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -13,9 +14,14 @@
  * @param generation the generation request; empty for plain services
  * @param lastEventId id of the last event that the caller received before it resumed the stream;
  *     empty if the header is absent or not a number
+ * @param tokens length of the prompt and the longest answer together, in tokens; empty if the
+ *     caller states none
+ * @param key the API key that the caller presents; empty if there is none or it is malformed
  */
 public record CallerFacts(
     String requestId,
     OptionalLong deadlineMs,
     Optional<Generation> generation,
-    OptionalLong lastEventId) {}
+    OptionalLong lastEventId,
+    OptionalLong tokens,
+    Optional<ApiKey> key) {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/ForwardTerms.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/ForwardTerms.java
@@ -12,10 +12,12 @@
  * @param expectedVersion the adapter version that the endpoint must hold; empty for any
  * @param lastEventId the event after which the stream resumes; empty if it starts from the
  *     beginning
+ * @param identity whose request it is
  */
 public record ForwardTerms(
     EndpointId endpoint,
     long remainingMs,
     int priority,
     OptionalLong expectedVersion,
-    OptionalLong lastEventId) {}
+    OptionalLong lastEventId,
+    CallerIdentity identity) {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /**
  * The validated settings of one daemon.
@@ -55,6 +56,9 @@
    * @param retryWindowMs the window over which retries are counted, in milliseconds
    * @param loadWindowMs the window over which loads of base models are counted, in milliseconds
    * @param fenced whether endpoints reject orders with an outdated fencing number
+   * @param configurationMs time after which a new configuration must be in force, in milliseconds
+   * @param revocationMs time after which a removed API key must not be accepted by any daemon, in
+   *     touch with the store or not, in milliseconds; empty if that is not required
    */
   public record Bounds(
       long graceMs,
@@ -65,5 +69,7 @@
       double retrySlack,
       long retryWindowMs,
       long loadWindowMs,
-      boolean fenced) {}
+      boolean fenced,
+      long configurationMs,
+      OptionalLong revocationMs) {}
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/RouteSpec.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/RouteSpec.java
@@ -21,6 +21,7 @@
  * @param maxAttempts the maximum number of attempts of one request that may have run
  * @param resumable whether a broken stream may be resumed at another endpoint
  * @param abandonMs how long callers wait for the start of an answer, in milliseconds
+ * @param isPublic whether callers need no API key
  */
 public record RouteSpec(
     String name,
@@ -34,7 +35,8 @@
     List<Target> targets,
     int maxAttempts,
     boolean resumable,
-    long abandonMs) {
+    long abandonMs,
+    boolean isPublic) {
 
   /**
    * A service with its share of a route's requests.
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/ServingConfiguration.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/ServingConfiguration.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.version;
 
 import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.version.Workspaces;
 import io.sequoiapass.daemon.connection.ConnectionLimits;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -25,6 +26,7 @@
   private final Map<String, List<RouteSpec>> routesByHost = new HashMap<>();
   private final Map<ServiceId, ServiceSpec> services = new HashMap<>();
   private final ConnectionLimits limits;
+  private final Workspaces workspaces;
 
   /**
    * Creates a version.
@@ -33,11 +35,17 @@
    * @param routes the routes
    * @param services the services
    * @param limits limits of callers' requests and connections
+   * @param workspaces the workspaces; {@link Workspaces#NONE} if callers need no key
    */
   public ServingConfiguration(
-      long version, List<RouteSpec> routes, List<ServiceSpec> services, ConnectionLimits limits) {
+      long version,
+      List<RouteSpec> routes,
+      List<ServiceSpec> services,
+      ConnectionLimits limits,
+      Workspaces workspaces) {
     this.version = version;
     this.limits = limits;
+    this.workspaces = workspaces;
     routes.forEach(
         route -> routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route));
     Comparator<RouteSpec> longestFirst =
@@ -56,6 +64,11 @@
     return limits;
   }
 
+  /** Returns the workspaces. */
+  public Workspaces workspaces() {
+    return workspaces;
+  }
+
   /** Returns the services. */
   public List<ServiceSpec> services() {
     return List.copyOf(services.values());
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -9,6 +9,10 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.WorkspaceId;
+import io.sequoiapass.coordination.process.ClockReading;
+import io.sequoiapass.coordination.process.WorkspaceShare;
+import io.sequoiapass.coordination.process.WorkspaceUsage;
 import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
@@ -19,6 +23,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +36,9 @@
   private static final EndpointId ENGINE = new EndpointId("engine-1");
   private static final Load LOAD = new Load(3, 9_190, 12_000, 700);
 
+  private static final WorkspaceId WORKSPACE = new WorkspaceId("yards");
+  private static final ClockReading CLOCKS = new ClockReading(81_000, 1_700_000_000_000L);
+
   private static EndpointEntry entry() {
     return new EndpointEntry(
         ENGINE,
@@ -48,9 +56,11 @@
         new LinkMessage.Hello(new DaemonId("north-1"), new DataCentreId("north")),
         new LinkMessage.UsageReport(
             true,
+            CLOCKS,
             List.of(
                 new EndpointUsage(
-                    ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5))))),
+                    ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5)))),
+            List.of(new WorkspaceUsage(WORKSPACE, 18_380, 9_190))),
         new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600, true, List.of(ENGINE)),
         new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
         new LinkMessage.CoordinatorStatus(
@@ -62,7 +72,8 @@
             LinkMessage.StoreView.NONE,
             new LinkMessage.StoreView(9, 0),
             new LoadTimeEstimates(310, 28, 102),
-            true),
+            true,
+            List.of(new WorkspaceShare(WORKSPACE, 0.4))),
         new LinkMessage.Endpoints(
             true,
             900,
@@ -70,7 +81,9 @@
             List.of(new LinkMessage.GoneEndpoint(new EndpointId("engine-2"), 890, 2_200))),
         new LinkMessage.Placements(
             true, List.of(new LinkMessage.Placement(ENGINE, ADAPTER, 3, -1))),
-        new LinkMessage.Loads(List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
+        new LinkMessage.Loads(
+            Optional.of(CLOCKS), 77, List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
+        new LinkMessage.Loads(Optional.empty(), 0, List.of()),
         new LinkMessage.Releases(List.of(new LinkMessage.Release(ADAPTER, 4))),
         new LinkMessage.LoadRejected(ADAPTER, 400));
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/SharedRetryBudgetTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SharedRetryBudgetTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sequoiapass.gateway.spi.HostSettings;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class SharedRetryBudgetTest {
@@ -14,7 +15,18 @@
 
   private static SharedRetryBudget budget(int daemons) {
     return new SharedRetryBudget(
-        new HostSettings.Bounds(8_000, 2_000, 3_000, 5_000, RATIO, SLACK, WINDOW_MS, 5_000, true),
+        new HostSettings.Bounds(
+            8_000,
+            2_000,
+            3_000,
+            5_000,
+            RATIO,
+            SLACK,
+            WINDOW_MS,
+            5_000,
+            true,
+            3_000,
+            OptionalLong.empty()),
         () -> daemons);
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFreshnessTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFreshnessTest.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.process.StoreFreshness.Topic;
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +20,7 @@
   private static LinkMessage.CoordinatorStatus status(long revision, long ageMs, boolean stopping) {
     LinkMessage.StoreView view = new LinkMessage.StoreView(revision, ageMs);
     return new LinkMessage.CoordinatorStatus(
-        1, 5, 6, stopping, view, view, view, LoadTimeEstimates.FIRST, false);
+        1, 5, 6, stopping, view, view, view, LoadTimeEstimates.FIRST, false, List.of());
   }
 
   private void reportStatus(DataCentreId dataCentre, long viewAgeMs, long nowMs) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.gateway.process.Choice;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -27,7 +28,8 @@
     assertThat(search.loadRejected(NORTH, 250)).isTrue();
     assertThat(search.candidates(BOTH)).containsExactly(NORTH, SOUTH);
     assertThat(search.queueWaits()).containsEntry(NORTH, 250L);
-    assertThat(search.retryAfterMs()).isEqualTo(250);
+    assertThat(search.preferOverloaded(new Choice.Refuse(ErrorKind.NO_ENDPOINT, 1)))
+        .isEqualTo(new Choice.Refuse(ErrorKind.OVERLOADED, 250));
   }
 
   @Test
