--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
@@ -26,7 +26,7 @@
  *
  * <pre>{@code
  * allocator.report(daemon, dataCentre, usages, now);
- * List<WorkspaceShare> shares = allocator.allocate(now);   // once a round
+ * List<Allocation> allocations = allocator.allocate(now);   // once a round
  * }</pre>
  *
  * <p>Not safe for use by several threads.
@@ -64,6 +64,18 @@
   private final Map<WorkspaceId, Bucket> buckets = new HashMap<>();
   private long lastRoundAt;
 
+  /**
+   * The decision on one workspace that may not have all that it asks.
+   *
+   * @param workspace the workspace
+   * @param share the share of its requests that daemons may admit
+   * @param askedPerS units that its callers ask in a second
+   * @param allowedPerS units that the limit allows in a second here
+   * @param level units left of the burst; negative if too many were admitted
+   */
+  public record Allocation(
+      WorkspaceId workspace, double share, double askedPerS, double allowedPerS, double level) {}
+
   /** A moving average, in units per second. */
   private static final class Rate {
     private double unitsPerS;
@@ -158,14 +170,14 @@
    *
    * @param now the time, in milliseconds
    */
-  public List<WorkspaceShare> allocate(long now) {
+  public List<Allocation> allocate(long now) {
     double elapsedMs = Math.max(0, now - lastRoundAt);
     lastRoundAt = now;
     lost.values().removeIf(reporter -> now - reporter.lostAt >= LOST_USAGE_MS);
     assumeLostUsage(elapsedMs);
     advanceReporters(elapsedMs);
     double part = part(now);
-    List<WorkspaceShare> shares = new ArrayList<>();
+    List<Allocation> allocations = new ArrayList<>();
     Iterator<Map.Entry<WorkspaceId, Bucket>> all = buckets.entrySet().iterator();
     while (all.hasNext()) {
       Map.Entry<WorkspaceId, Bucket> entry = all.next();
@@ -174,12 +186,12 @@
         all.remove();
         continue;
       }
-      double share = advance(entry.getValue(), limit, part, elapsedMs);
-      if (share < 1) {
-        shares.add(new WorkspaceShare(entry.getKey(), share));
+      Allocation allocation = advance(entry.getKey(), entry.getValue(), limit, part, elapsedMs);
+      if (allocation.share() < 1) {
+        allocations.add(allocation);
       }
     }
-    return shares;
+    return allocations;
   }
 
   private void assumeLostUsage(double elapsedMs) {
@@ -215,7 +227,8 @@
     return Math.min(1, Math.max(1, heardAt.size()) / (double) dataCentres);
   }
 
-  private static double advance(Bucket bucket, UsageLimit limit, double part, double elapsedMs) {
+  private static Allocation advance(
+      WorkspaceId workspace, Bucket bucket, UsageLimit limit, double part, double elapsedMs) {
     double rate = limit.ratePerS() * part;
     bucket.level += rate * elapsedMs / MILLIS_PER_SECOND;
     bucket.level = Math.min(bucket.level, limit.burst() * part);
@@ -223,6 +236,7 @@
     double asked = Math.max(bucket.asked.unitsPerS, roundPerS);
     double target = TARGET_SHARE * rate + bucket.level * MILLIS_PER_SECOND / CORRECTION_MS;
     target = Math.max(target, MIN_TARGET_SHARE * rate);
-    return asked <= target ? 1 : target / asked;
+    double share = asked <= target ? 1 : target / asked;
+    return new Allocation(workspace, share, asked, rate, bucket.level);
   }
 }
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/UsageFleet.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/UsageFleet.java
@@ -119,7 +119,10 @@
 
   private void exchange() {
     for (int dc = 0; dc < DATA_CENTRES; dc++) {
-      List<WorkspaceShare> shares = allocators.get(dc).allocate(now);
+      List<WorkspaceShare> shares =
+          allocators.get(dc).allocate(now).stream()
+              .map(one -> new WorkspaceShare(one.workspace(), one.share()))
+              .toList();
       for (int daemon = 0; daemon < DAEMONS; daemon++) {
         if (linked[daemon][dc]) {
           throttles.get(daemon).update(dataCentre(dc), shares, DAEMONS, now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -292,7 +292,7 @@
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
       // Releases precede the status, which reports the revision up to which they are complete.
       sendReleases();
-      workspaceShares = usage.allocate(now);
+      allocateUsage(now);
       broadcastStatus();
       sendListChanges();
       sendUpdateBatch(now);
@@ -318,6 +318,21 @@
     asked.forEach((linked, clocks) -> linked.proved = Optional.of(clocks));
   }
 
+  private void allocateUsage(long now) {
+    List<UsageAllocator.Allocation> allocations = usage.allocate(now);
+    workspaceShares =
+        allocations.stream().map(one -> new WorkspaceShare(one.workspace(), one.share())).toList();
+    for (UsageAllocator.Allocation one : allocations) {
+      log.event("usage_limited")
+          .with("workspace", one.workspace())
+          .with("share", one.share())
+          .with("asked_per_s", Math.round(one.askedPerS()))
+          .with("allowed_per_s", Math.round(one.allowedPerS()))
+          .with("level", Math.round(one.level()))
+          .write();
+    }
+  }
+
   private void sendListChanges() {
     if (listed.isEmpty() && gone.isEmpty()) {
       return;
