--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
@@ -13,7 +13,7 @@
 
 /**
  * Decides which share of a workspace's requests all daemons may admit, so that its usage stays
- * within its limit.
+ * within its limit in every window.
  *
  * <p>The load it answers: callers of one workspace that ask several times their limit, spread
  * unevenly over many daemons of which each sees only a few requests a second. A part of the limit
@@ -35,33 +35,35 @@
 
   /**
    * How long the usage of a lost daemon is assumed to continue, in milliseconds. Afterwards it is
-   * known to be gone or cut off, and a daemon that is cut off admits only an equal part.
+   * gone, or cut off and admits only an equal part.
    */
   public static final long LOST_USAGE_MS = 4_000;
 
   /** Time constant of the asked rate, in milliseconds; a few rounds of reports. */
   private static final double RATE_WINDOW_MS = 1_000;
 
-  /** Time in which a surplus or deficit of the bucket is used up, in milliseconds. */
-  private static final double CORRECTION_MS = 3_000;
-
   /**
-   * Share of the rate that is allocated while the bucket is empty. The rest covers requests that
-   * daemons admit between two reports.
+   * Share of the rate that is allocated until a whole window was counted. What was admitted before
+   * is unknown, and may have been all that the window allows.
    */
-  private static final double TARGET_SHARE = 0.97;
+  private static final double UNCOUNTED_SHARE = 0.6;
 
-  /** Smallest share of the rate that is allocated while a deficit is paid back. */
-  private static final double MIN_TARGET_SHARE = 0.3;
+  /**
+   * Largest multiple of the rate that is allocated at once. If all coordinators are lost just after
+   * the window was used up in a moment, daemons would admit their parts on top of it.
+   */
+  private static final double MAX_RATE_MULTIPLE = 2.5;
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final int dataCentres;
+  private final long windowMs;
   private final Function<WorkspaceId, UsageLimit> limits;
   private final Map<DaemonId, Reporter> reporters = new HashMap<>();
   private final Map<DaemonId, Reporter> lost = new HashMap<>();
   private final Map<DataCentreId, Long> heardAt = new HashMap<>();
-  private final Map<WorkspaceId, Bucket> buckets = new HashMap<>();
+  private final Map<WorkspaceId, Usage> usages = new HashMap<>();
+  private final long startedAt;
   private long lastRoundAt;
 
   /**
@@ -70,11 +72,11 @@
    * @param workspace the workspace
    * @param share the share of its requests that daemons may admit
    * @param askedPerS units that its callers ask in a second
-   * @param allowedPerS units that the limit allows in a second here
-   * @param level units left of the burst; negative if too many were admitted
+   * @param allowedPerS units that may be admitted in the next second
+   * @param used the share of the window's limit that is used
    */
   public record Allocation(
-      WorkspaceId workspace, double share, double askedPerS, double allowedPerS, double level) {}
+      WorkspaceId workspace, double share, double askedPerS, double allowedPerS, double used) {}
 
   /** A moving average, in units per second. */
   private static final class Rate {
@@ -98,9 +100,14 @@
   }
 
   /** The usage of one workspace over all daemons. */
-  private static final class Bucket {
+  private static final class Usage {
     private final Rate asked = new Rate();
-    private double level;
+    private final UsageWindow window;
+    private double admitted;
+
+    Usage(long windowMs) {
+      window = new UsageWindow(windowMs);
+    }
   }
 
   /** A daemon that reports, or reported until it was lost. */
@@ -111,16 +118,19 @@
   }
 
   /**
-   * Creates an allocator without usage. Its buckets start empty, since another coordinator may have
-   * allocated the burst just before.
+   * Creates an allocator that has counted nothing.
    *
    * @param dataCentres number of data centres that share the limits
+   * @param windowMs length of the windows in which the limits hold, in milliseconds
    * @param limits the limit of each workspace in the configuration in use
    * @param now the time, in milliseconds
    */
-  public UsageAllocator(int dataCentres, Function<WorkspaceId, UsageLimit> limits, long now) {
+  public UsageAllocator(
+      int dataCentres, long windowMs, Function<WorkspaceId, UsageLimit> limits, long now) {
     this.dataCentres = Math.max(1, dataCentres);
+    this.windowMs = windowMs;
     this.limits = limits;
+    this.startedAt = now;
     this.lastRoundAt = now;
   }
 
@@ -129,27 +139,30 @@
    *
    * @param daemon the daemon
    * @param dataCentre where it runs
-   * @param usages what was asked of it since its last report
+   * @param reported what was asked of it since its last report
    * @param now the time, in milliseconds
    */
   public void report(
-      DaemonId daemon, DataCentreId dataCentre, List<WorkspaceUsage> usages, long now) {
+      DaemonId daemon, DataCentreId dataCentre, List<WorkspaceUsage> reported, long now) {
     lost.remove(daemon);
     heardAt.put(dataCentre, now);
     Reporter reporter = reporters.computeIfAbsent(daemon, any -> new Reporter());
-    for (WorkspaceUsage usage : usages) {
-      WorkspaceId workspace = usage.workspace();
-      Bucket bucket = buckets.computeIfAbsent(workspace, any -> new Bucket());
-      bucket.level -= (double) usage.admitted();
-      bucket.asked.add((double) usage.asked());
+    for (WorkspaceUsage one : reported) {
+      count(one.workspace(), (double) one.asked(), (double) one.admitted());
       reporter
           .admitted
-          .computeIfAbsent(workspace, any -> new Rate())
-          .add((double) usage.admitted());
-      reporter.asked.computeIfAbsent(workspace, any -> new Rate()).add((double) usage.asked());
+          .computeIfAbsent(one.workspace(), any -> new Rate())
+          .add((double) one.admitted());
+      reporter.asked.computeIfAbsent(one.workspace(), any -> new Rate()).add((double) one.asked());
     }
   }
 
+  private void count(WorkspaceId workspace, double asked, double admitted) {
+    Usage usage = usages.computeIfAbsent(workspace, any -> new Usage(windowMs));
+    usage.asked.add(asked);
+    usage.admitted += admitted;
+  }
+
   /**
    * Handles the loss of a daemon's link. The daemon may still admit requests.
    *
@@ -165,8 +178,16 @@
   }
 
   /**
-   * Returns the shares of all workspaces that may not have all that they ask, and advances the
-   * buckets.
+   * Returns whether a whole window was counted, so that daemons can rely on the shares.
+   *
+   * @param now the time, in milliseconds
+   */
+  public boolean hasCountedAWindow(long now) {
+    return now - startedAt >= windowMs;
+  }
+
+  /**
+   * Ends a round; returns the decisions on all workspaces that may not have all that they ask.
    *
    * @param now the time, in milliseconds
    */
@@ -178,15 +199,15 @@
     advanceReporters(elapsedMs);
     double part = part(now);
     List<Allocation> allocations = new ArrayList<>();
-    Iterator<Map.Entry<WorkspaceId, Bucket>> all = buckets.entrySet().iterator();
+    Iterator<Map.Entry<WorkspaceId, Usage>> all = usages.entrySet().iterator();
     while (all.hasNext()) {
-      Map.Entry<WorkspaceId, Bucket> entry = all.next();
+      Map.Entry<WorkspaceId, Usage> entry = all.next();
       UsageLimit limit = limits.apply(entry.getKey());
       if (!limit.isLimited()) {
         all.remove();
         continue;
       }
-      Allocation allocation = advance(entry.getKey(), entry.getValue(), limit, part, elapsedMs);
+      Allocation allocation = decide(entry.getKey(), entry.getValue(), limit, part, elapsedMs);
       if (allocation.share() < 1) {
         allocations.add(allocation);
       }
@@ -197,15 +218,9 @@
   private void assumeLostUsage(double elapsedMs) {
     for (Reporter reporter : lost.values()) {
       reporter.admitted.forEach(
-          (workspace, rate) ->
-              buckets.computeIfAbsent(workspace, any -> new Bucket()).level -=
-                  rate.unitsPerS * elapsedMs / MILLIS_PER_SECOND);
+          (workspace, rate) -> count(workspace, 0, rate.unitsPerS * elapsedMs / MILLIS_PER_SECOND));
       reporter.asked.forEach(
-          (workspace, rate) ->
-              buckets
-                  .computeIfAbsent(workspace, any -> new Bucket())
-                  .asked
-                  .add(rate.unitsPerS * elapsedMs / MILLIS_PER_SECOND));
+          (workspace, rate) -> count(workspace, rate.unitsPerS * elapsedMs / MILLIS_PER_SECOND, 0));
     }
   }
 
@@ -227,16 +242,20 @@
     return Math.min(1, Math.max(1, heardAt.size()) / (double) dataCentres);
   }
 
-  private static Allocation advance(
-      WorkspaceId workspace, Bucket bucket, UsageLimit limit, double part, double elapsedMs) {
-    double rate = limit.ratePerS() * part;
-    bucket.level += rate * elapsedMs / MILLIS_PER_SECOND;
-    bucket.level = Math.min(bucket.level, limit.burst() * part);
-    double roundPerS = bucket.asked.advance(elapsedMs);
-    double asked = Math.max(bucket.asked.unitsPerS, roundPerS);
-    double target = TARGET_SHARE * rate + bucket.level * MILLIS_PER_SECOND / CORRECTION_MS;
-    target = Math.max(target, MIN_TARGET_SHARE * rate);
-    double share = asked <= target ? 1 : target / asked;
-    return new Allocation(workspace, share, asked, rate, bucket.level);
+  private Allocation decide(
+      WorkspaceId workspace, Usage usage, UsageLimit limit, double part, double elapsedMs) {
+    double windowUnits = part * limit.unitsInWindow(windowMs);
+    usage.window.add(usage.admitted / windowUnits, lastRoundAt);
+    usage.admitted = 0;
+    double roundPerS = usage.asked.advance(elapsedMs);
+    double asked = Math.max(usage.asked.unitsPerS, roundPerS);
+    double allowed =
+        usage.window.allowedPerMs(lastRoundAt, elapsedMs) * windowUnits * MILLIS_PER_SECOND;
+    allowed = Math.min(allowed, MAX_RATE_MULTIPLE * part * limit.ratePerS());
+    if (!hasCountedAWindow(lastRoundAt)) {
+      allowed = Math.min(allowed, UNCOUNTED_SHARE * part * limit.ratePerS());
+    }
+    double share = asked <= allowed ? 1 : allowed / asked;
+    return new Allocation(workspace, share, asked, allowed, usage.window.used());
   }
 }
--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageThrottle.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageThrottle.java
@@ -29,6 +29,12 @@
   /** A coordinator that sent no shares for this long does not count, in milliseconds. */
   private static final long SHARES_VALID_MS = 1_500;
 
+  /**
+   * Share of the limit that daemons without a coordinator admit together. The window before may
+   * have been used up in its last seconds.
+   */
+  private static final double ALONE_SHARE = 0.5;
+
   /** Assumed number of daemons while the number is unknown; the largest planned fleet. */
   private static final int UNKNOWN_DAEMONS = 400;
 
@@ -46,7 +52,7 @@
   private int daemons;
   private boolean coordinated;
 
-  private record Shares(Map<WorkspaceId, Double> byWorkspace, long receivedAt) {}
+  private record Shares(Map<WorkspaceId, Double> byWorkspace, boolean counted, long receivedAt) {}
 
   /** What this daemon admitted for one workspace. */
   private static final class State {
@@ -76,14 +82,20 @@
    *
    * @param dataCentre the coordinator's data centre
    * @param received the shares
+   * @param counted whether the coordinator has counted a whole window; others are ignored while
+   *     there is one that has
    * @param linkedDaemons number of daemons that are linked to the coordinator
    * @param now the time, in milliseconds
    */
   public synchronized void update(
-      DataCentreId dataCentre, List<WorkspaceShare> received, int linkedDaemons, long now) {
+      DataCentreId dataCentre,
+      List<WorkspaceShare> received,
+      boolean counted,
+      int linkedDaemons,
+      long now) {
     Map<WorkspaceId, Double> byWorkspace = new HashMap<>();
     received.forEach(share -> byWorkspace.put(share.workspace(), share.share()));
-    shares.put(dataCentre, new Shares(byWorkspace, now));
+    shares.put(dataCentre, new Shares(byWorkspace, counted, now));
     daemons = Math.max(1, linkedDaemons);
   }
 
@@ -134,7 +146,9 @@
   }
 
   private double share(WorkspaceId workspace) {
+    boolean anyCounted = shares.values().stream().anyMatch(Shares::counted);
     return shares.values().stream()
+        .filter(one -> one.counted() || !anyCounted)
         .mapToDouble(one -> one.byWorkspace().getOrDefault(workspace, 1.0))
         .min()
         .orElse(0);
@@ -159,9 +173,10 @@
    */
   private boolean admitAlone(State state, UsageLimit limit, long cost, long now) {
     int sharing = daemons > 0 ? daemons : UNKNOWN_DAEMONS;
-    double filled = limit.ratePerS() / sharing * (now - state.filledAt) / MILLIS_PER_SECOND;
+    double partPerS = ALONE_SHARE * limit.ratePerS() / sharing;
+    double filled = partPerS * (now - state.filledAt) / MILLIS_PER_SECOND;
     state.filledAt = now;
-    state.level = Math.min(state.level + filled, Math.max((double) cost, limit.burst() / sharing));
+    state.level = Math.min(state.level + filled, Math.max((double) cost, partPerS));
     if (state.level < cost / 2.0) {
       return false;
     }
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/UsageLimit.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/UsageLimit.java
@@ -15,6 +15,8 @@
  */
 public record UsageLimit(Unit unit, double ratePerS, double burst, long defaultCost) {
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   /** No limit. */
   public static final UsageLimit NONE = new UsageLimit(Unit.REQUESTS, 0, 0, 1);
 
@@ -51,6 +53,15 @@
     return ratePerS > 0;
   }
 
+  /**
+   * Returns the units that may be used in any window.
+   *
+   * @param windowMs the window's length, in milliseconds
+   */
+  public double unitsInWindow(long windowMs) {
+    return ratePerS * windowMs / MILLIS_PER_SECOND + burst;
+  }
+
   /**
    * Returns the cost of a request, in units.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -127,6 +127,7 @@
             to.packString(share.workspace().value());
             to.packDouble(share.share());
           });
+      out.packBoolean(status.usageCounted());
     } else if (message instanceof LinkMessage.Placements placements) {
       out.packInt(PLACEMENTS);
       out.packBoolean(placements.snapshot());
@@ -286,7 +287,8 @@
               readView(in),
               new LoadTimeEstimates(in.unpackLong(), in.unpackLong(), in.unpackInt()),
               in.unpackBoolean(),
-              list(in, LinkFrames::readWorkspaceShare));
+              list(in, LinkFrames::readWorkspaceShare),
+              in.unpackBoolean());
       case PLACEMENTS ->
           new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
       case LOADS ->
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -101,6 +101,7 @@
    * @param slotsWanted whether requests wait for an adapter slot
    * @param workspaces workspaces of which daemons must refuse requests; all others may have all
    *     that they ask
+   * @param usageCounted whether it has counted the usage of a whole window
    */
   record CoordinatorStatus(
       long epoch,
@@ -112,7 +113,8 @@
       StoreView endpoints,
       LoadTimeEstimates loads,
       boolean slotsWanted,
-      List<WorkspaceShare> workspaces)
+      List<WorkspaceShare> workspaces,
+      boolean usageCounted)
       implements LinkMessage {
     /** Copies the list. */
     public CoordinatorStatus {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -46,6 +46,8 @@
   /** A daemon that sends nothing for this long is disconnected, in milliseconds. */
   private static final long IDLE_TIMEOUT_MS = 2_000;
 
+  private static final double PERCENT = 100;
+
   private final DaemonId daemon;
   private final DataCentreId here;
   private final EndpointDirectory directory;
@@ -325,10 +327,10 @@
     for (UsageAllocator.Allocation one : allocations) {
       log.event("usage_limited")
           .with("workspace", one.workspace())
-          .with("share", one.share())
+          .with("share", Math.round(one.share() * PERCENT) / PERCENT)
           .with("asked_per_s", Math.round(one.askedPerS()))
           .with("allowed_per_s", Math.round(one.allowedPerS()))
-          .with("level", Math.round(one.level()))
+          .with("used", Math.round(one.used() * PERCENT) / PERCENT)
           .write();
     }
   }
@@ -385,7 +387,8 @@
         store.of(StoreFreshness.Topic.ENDPOINTS),
         plan.loadTimes(clock.millis()),
         !loadQueue.isEmpty(),
-        workspaceShares);
+        workspaceShares,
+        usage.hasCountedAWindow(clock.millis()));
   }
 
   private void sendLoads(FrameChannel channel, LinkedDaemon linked) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -245,7 +245,12 @@
             directory,
             new PlacementPlan(versions, modelLoads, new LoadTime(directory)),
             new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log, versions),
-            () -> new UsageAllocator(settings.regions().size(), this::usageLimit, clock.millis()),
+            () ->
+                new UsageAllocator(
+                    settings.regions().size(),
+                    settings.bounds().usageWindowMs(),
+                    this::usageLimit,
+                    clock.millis()),
             now -> node.mayOrder(now, settings.bounds().fenced()),
             node::fenced);
     node.use(coordinator, links(transport));
@@ -278,7 +283,11 @@
                       node.updateStatus(dataCentre, status);
                       storeFreshness.update(dataCentre, status, clock.millis());
                       throttle.update(
-                          dataCentre, status.workspaces(), status.daemons(), clock.millis());
+                          dataCentre,
+                          status.workspaces(),
+                          status.usageCounted(),
+                          status.daemons(),
+                          clock.millis());
                     };
                 Runnable lost =
                     () -> {
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
@@ -59,6 +59,7 @@
    * @param configurationMs time after which a new configuration must be in force, in milliseconds
    * @param revocationMs time after which a removed API key must not be accepted by any daemon, in
    *     touch with the store or not, in milliseconds; empty if that is not required
+   * @param usageWindowMs length of the windows in which usage limits hold, in milliseconds
    */
   public record Bounds(
       long graceMs,
@@ -71,5 +72,6 @@
       long loadWindowMs,
       boolean fenced,
       long configurationMs,
-      OptionalLong revocationMs) {}
+      OptionalLong revocationMs,
+      long usageWindowMs) {}
 }
