--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
@@ -108,6 +108,11 @@
     Usage(long windowMs) {
       window = new UsageWindow(windowMs);
     }
+
+    /** Returns whether nothing was asked lately and nothing admitted in the window. */
+    boolean isIdle() {
+      return admitted == 0 && window.used() <= 0 && asked.unitsPerS < 1 && asked.pending <= 0;
+    }
   }
 
   /** A daemon that reports, or reported until it was lost. */
@@ -207,6 +212,10 @@
         all.remove();
         continue;
       }
+      if (entry.getValue().isIdle()) {
+        all.remove();
+        continue;
+      }
       Allocation allocation = decide(entry.getKey(), entry.getValue(), limit, part, elapsedMs);
       if (allocation.share() < 1) {
         allocations.add(allocation);
--- a/coordination/src/main/java/io/sequoiapass/coordination/version/Workspaces.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/version/Workspaces.java
@@ -14,19 +14,26 @@
  */
 public final class Workspaces {
 
-  /** A configuration without workspaces: callers need no key. */
-  public static final Workspaces NONE = new Workspaces(List.of());
+  /** A configuration that does not mention workspaces: callers need no key. */
+  public static final Workspaces NONE = new Workspaces(List.of(), false);
 
+  private final boolean keysRequired;
   private final Map<ApiKey, Workspace> byKey = new HashMap<>();
   private final Map<WorkspaceId, Workspace> byId = new HashMap<>();
 
   /**
-   * Creates an index.
+   * Creates an index. Callers need a key also if the list is empty, so that nobody is let in by
+   * removing the last workspace.
    *
    * @param workspaces the workspaces
    * @throws IllegalArgumentException if two have the same name or share a key
    */
   public Workspaces(List<Workspace> workspaces) {
+    this(workspaces, true);
+  }
+
+  private Workspaces(List<Workspace> workspaces, boolean keysRequired) {
+    this.keysRequired = keysRequired;
     for (Workspace workspace : workspaces) {
       if (byId.put(workspace.id(), workspace) != null) {
         throw new IllegalArgumentException("two workspaces are named " + workspace.id());
@@ -41,9 +48,9 @@
     }
   }
 
-  /** Returns whether the configuration has no workspaces, so that callers need no key. */
-  public boolean isEmpty() {
-    return byId.isEmpty();
+  /** Returns whether callers of routes that are not public need a key. */
+  public boolean areKeysRequired() {
+    return keysRequired;
   }
 
   /**
--- a/coordination/src/test/java/io/sequoiapass/coordination/version/WorkspacesTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/version/WorkspacesTest.java
@@ -9,14 +9,15 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class WorkspacesTest {
 
   private static Workspace workspace(String name, String... secrets) {
-    Set<ApiKey> keys =
-        Set.of(secrets).stream().map(ApiKey::of).collect(java.util.stream.Collectors.toSet());
+    Set<ApiKey> keys = Stream.of(secrets).map(ApiKey::of).collect(Collectors.toSet());
     return new Workspace(new WorkspaceId(name), keys, OptionalInt.empty(), UsageLimit.NONE);
   }
 
@@ -40,6 +41,13 @@
         .hasMessageNotContaining("same");
   }
 
+  /** Guards against a door that opens to everybody once the last workspace is removed. */
+  @Test
+  void emptyListStillRequiresKeys() {
+    assertThat(new Workspaces(List.of()).areKeysRequired()).isTrue();
+    assertThat(Workspaces.NONE.areKeysRequired()).isFalse();
+  }
+
   @Test
   void nameThatOccursTwiceIsRejected() {
     assertThatThrownBy(() -> new Workspaces(List.of(workspace("a", "1"), workspace("a", "2"))))
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.version.Workspace;
 import io.sequoiapass.daemon.connection.HttpHandler;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
@@ -103,7 +104,7 @@
     WorkspaceGate.Verdict.Known caller = (WorkspaceGate.Verdict.Known) verdict;
     OptionalLong retryAfterMs = charge(caller, facts);
     if (retryAfterMs.isPresent()) {
-      refuse(ErrorKind.USAGE_LIMIT, retryAfterMs, facts, responder);
+      refuse(ErrorKind.USAGE_LIMIT, caller.workspace(), retryAfterMs, facts, responder);
       return;
     }
     CallerAccess access = gate.access(caller, route.get(), facts);
@@ -177,15 +178,20 @@
   }
 
   private void refuse(ErrorKind kind, CallerFacts facts, HttpResponder responder) {
-    refuse(kind, kind.comeBackMillis(), facts, responder);
+    refuse(kind, Optional.empty(), kind.comeBackMillis(), facts, responder);
   }
 
   private void refuse(
-      ErrorKind kind, OptionalLong retryAfterMs, CallerFacts facts, HttpResponder responder) {
+      ErrorKind kind,
+      Optional<Workspace> workspace,
+      OptionalLong retryAfterMs,
+      CallerFacts facts,
+      HttpResponder responder) {
     context.metrics().count("sequoiapass_requests_total{outcome=\"refused_" + kind + "\"}");
     context
         .log()
         .request("ended", facts.requestId())
+        .with("workspace", workspace.map(one -> one.id().value()).orElse(""))
         .with("outcome", "refused_" + kind)
         .with("status", kind.httpStatus())
         .write();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/WorkspaceGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/WorkspaceGate.java
@@ -94,7 +94,7 @@
 
   /** Returns who the caller is, or why it is refused. */
   Verdict identify(ServingConfiguration known, RouteSpec route, CallerFacts facts) {
-    if (known.workspaces().isEmpty()) {
+    if (!known.workspaces().areKeysRequired()) {
       return new Verdict.Known(CallerIdentity.UNCHECKED, Optional.empty());
     }
     Optional<Workspace> workspace = facts.key().flatMap(known.workspaces()::find);
