--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Fleet.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Fleet.java
@@ -1,18 +1,23 @@
 package io.sequoiapass.testbed.capacity;
 
 import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.ApiKey;
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.HostId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.VersionId;
+import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.process.FencePolicy;
 import io.sequoiapass.coordination.version.ConfigurationObject;
 import io.sequoiapass.coordination.version.ConfigurationObject.AdapterRecord;
 import io.sequoiapass.coordination.version.ConfigurationObject.EndpointRecord;
 import io.sequoiapass.coordination.version.EndpointState;
 import io.sequoiapass.coordination.version.EndpointType;
+import io.sequoiapass.coordination.version.UsageLimit;
+import io.sequoiapass.coordination.version.Workspace;
+import io.sequoiapass.coordination.version.Workspaces;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -77,4 +82,21 @@
     }
     return daemons;
   }
+
+  /** Returns workspaces with two keys each and a limit that is never reached. */
+  static Workspaces workspaces(int count) {
+    UsageLimit limit = new UsageLimit(UsageLimit.Unit.TOKENS, 1e12, 1e12, 1);
+    List<Workspace> workspaces = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Set<ApiKey> keys = Set.of(ApiKey.of(secret(i)), ApiKey.of("old-" + secret(i)));
+      workspaces.add(
+          new Workspace(new WorkspaceId("workspace-" + i), keys, OptionalInt.empty(), limit));
+    }
+    return new Workspaces(workspaces);
+  }
+
+  /** Returns the secret of a workspace's first key. */
+  static String secret(int workspace) {
+    return "secret-of-workspace-" + workspace;
+  }
 }
--- a/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/capacity/Probe.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.testbed.capacity;
 
 import io.sequoiapass.coordination.AdapterVersion;
+import io.sequoiapass.coordination.ApiKey;
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
@@ -14,9 +15,11 @@
 import io.sequoiapass.coordination.process.OwnershipTable;
 import io.sequoiapass.coordination.process.PlatformConnectivity;
 import io.sequoiapass.coordination.process.PlatformReport;
+import io.sequoiapass.coordination.process.UsageThrottle;
 import io.sequoiapass.coordination.version.ConfigurationObject;
 import io.sequoiapass.coordination.version.ConfigurationSnapshot;
 import io.sequoiapass.coordination.version.ConfigurationStore;
+import io.sequoiapass.coordination.version.Workspaces;
 import io.sequoiapass.daemon.connection.peer.PeerChannel;
 import io.sequoiapass.daemon.connection.peer.PeerFrames;
 import io.sequoiapass.daemon.connection.peer.PeerMessage;
@@ -66,6 +69,33 @@
                   0, List.of(withNextVersion(changes.get(version.next() % size), version))));
     }
   },
+  /** Memory that the workspaces of one configuration occupy, with two keys each. */
+  WORKSPACES_MEMORY(
+      "workspaces held, MB", "workspaces", List.of(3_375, 6_750, 13_500, 27_000), 27_000) {
+    @Override
+    double measure(int size) {
+      return MicroBenchmark.megabytesOf(() -> Fleet.workspaces(size));
+    }
+  },
+  /** Time to identify a caller and to apply the usage limit of its workspace. */
+  WORKSPACE_DECISION(
+      "identifying a caller and applying its limit, us",
+      "workspaces",
+      List.of(3_375, 6_750, 13_500, 27_000),
+      27_000) {
+    @Override
+    double measure(int size) {
+      Workspaces workspaces = Fleet.workspaces(size);
+      UsageThrottle throttle = new UsageThrottle(() -> 0);
+      throttle.update(Fleet.DATA_CENTRE, List.of(), true, Fleet.DAEMONS_OF_A_CENTRE, 0);
+      MicroBenchmark.Counter caller = new MicroBenchmark.Counter(0);
+      return MicroBenchmark.microsOf(
+          () -> {
+            ApiKey key = ApiKey.of(Fleet.secret(caller.next() % size));
+            return throttle.admit(workspaces.find(key).orElseThrow(), 1_000, 0);
+          });
+    }
+  },
   /** Size of a pushed batch of changes on the wire. */
   CHANGE_BYTES("pushing one batch of changes, B", "changes", List.of(1, 2, 4, 8, 16), 1) {
     @Override
