--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageAllocator.java
@@ -46,13 +46,13 @@
    * Share of the rate that is allocated until a whole window was counted. What was admitted before
    * is unknown, and may have been all that the window allows.
    */
-  private static final double UNCOUNTED_SHARE = 0.6;
+  static final double UNCOUNTED_SHARE = 0.6;
 
   /**
    * Largest multiple of the rate that is allocated at once. If all coordinators are lost just after
    * the window was used up in a moment, daemons would admit their parts on top of it.
    */
-  private static final double MAX_RATE_MULTIPLE = 2.5;
+  private static final double MAX_RATE_MULTIPLE = 2;
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageThrottle.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageThrottle.java
@@ -52,7 +52,17 @@
   private int daemons;
   private boolean coordinated;
 
-  private record Shares(Map<WorkspaceId, Double> byWorkspace, boolean counted, long receivedAt) {}
+  private record Shares(Map<WorkspaceId, Double> byWorkspace, boolean counted, long receivedAt) {
+
+    /**
+     * A coordinator that has not counted a window allocates only part of the rate. While another
+     * one has, the whole rate counts: the other may not hear all daemons.
+     */
+    double shareOf(WorkspaceId workspace, boolean anyCounted) {
+      double share = byWorkspace.getOrDefault(workspace, 1.0);
+      return anyCounted && !counted ? Math.min(1, share / UsageAllocator.UNCOUNTED_SHARE) : share;
+    }
+  }
 
   /** What this daemon admitted for one workspace. */
   private static final class State {
@@ -82,8 +92,7 @@
    *
    * @param dataCentre the coordinator's data centre
    * @param received the shares
-   * @param counted whether the coordinator has counted a whole window; others are ignored while
-   *     there is one that has
+   * @param counted whether the coordinator has counted a whole window
    * @param linkedDaemons number of daemons that are linked to the coordinator
    * @param now the time, in milliseconds
    */
@@ -148,8 +157,7 @@
   private double share(WorkspaceId workspace) {
     boolean anyCounted = shares.values().stream().anyMatch(Shares::counted);
     return shares.values().stream()
-        .filter(one -> one.counted() || !anyCounted)
-        .mapToDouble(one -> one.byWorkspace().getOrDefault(workspace, 1.0))
+        .mapToDouble(one -> one.shareOf(workspace, anyCounted))
         .min()
         .orElse(0);
   }
--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageWindow.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageWindow.java
@@ -14,6 +14,12 @@
   /** Number of rounds ahead in which the window must not overflow. */
   private static final int ROUNDS_AHEAD = 3;
 
+  /**
+   * Share of the window that is allocated. The rest covers what is not counted: admissions of
+   * daemons without a coordinator, and of the time before a coordinator was replaced.
+   */
+  private static final double ALLOCATED_SHARE = 0.95;
+
   private final long lengthMs;
   private final Deque<Round> rounds = new ArrayDeque<>();
   private double used;
@@ -62,7 +68,7 @@
     double ahead = Math.max(1, roundMs);
     double allowed = Double.MAX_VALUE;
     for (int k = 1; k <= ROUNDS_AHEAD; k++) {
-      double free = 1 - used + leavingBy(now + (long) (k * ahead));
+      double free = ALLOCATED_SHARE - used + leavingBy(now + (long) (k * ahead));
       allowed = Math.min(allowed, free / (k * ahead));
     }
     return Math.max(0, allowed);
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/UsageAllocatorTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/UsageAllocatorTest.java
@@ -4,6 +4,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class UsageAllocatorTest {
 
@@ -36,4 +38,14 @@
           .isGreaterThan(0.9 * 9 * 0.2 * UsageFleet.RATE);
     }
   }
+
+  /** Guards against a coordinator that alone has counted a window but does not hear all daemons. */
+  @ParameterizedTest
+  @CsvSource({"131, 1.58", "131, 2.21", "3335, 1.42", "61, 1.42", "66115, 2.59"})
+  void replacedCoordinatorsAndFlakyLinksKeepTheLimit(long seed, double timesLimit) {
+    UsageFleet fleet = new UsageFleet(seed);
+    fleet.playReplacedCoordinatorsAndFlakyLinks(timesLimit);
+
+    assertThat(fleet.worstWindow()).isLessThanOrEqualTo(1);
+  }
 }
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/UsageFleet.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/UsageFleet.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiPredicate;
 
 /**
  * Plays callers of one workspace against daemons with throttles and one coordinator in each data
@@ -30,6 +31,7 @@
 
   static final double SLACK = 72_000;
 
+  private final long seed;
   private final Random random;
   private final List<UsageThrottle> throttles = new ArrayList<>();
   private final List<UsageAllocator> allocators = new ArrayList<>();
@@ -41,6 +43,7 @@
   private long now;
 
   UsageFleet(long seed) {
+    this.seed = seed;
     random = new Random(seed);
     for (int daemon = 0; daemon < DAEMONS; daemon++) {
       throttles.add(new UsageThrottle(random::nextDouble));
@@ -78,6 +81,17 @@
     }
   }
 
+  /** Cuts the links between a daemon and a data centre's coordinator for which the test holds. */
+  void cutAll(BiPredicate<Integer, Integer> test) {
+    for (int daemon = 0; daemon < DAEMONS; daemon++) {
+      for (int dc = 0; dc < DATA_CENTRES; dc++) {
+        if (test.test(daemon, dc)) {
+          cut(daemon, dc);
+        }
+      }
+    }
+  }
+
   void mend(int daemon, int dc) {
     if (!linked[daemon][dc]) {
       linked[daemon][dc] = true;
@@ -117,6 +131,24 @@
     }
   }
 
+  /** Replaces a coordinator, cuts a link or mends one each second, for ten seconds. */
+  void playReplacedCoordinatorsAndFlakyLinks(double timesLimit) {
+    play(6_000, timesLimit);
+    Random events = new Random(seed);
+    for (int i = 0; i < 10; i++) {
+      int daemon = events.nextInt(DAEMONS);
+      int dc = events.nextInt(DATA_CENTRES);
+      if (events.nextInt(5) == 0) {
+        replaceCoordinator(dc);
+      } else if (events.nextBoolean()) {
+        cut(daemon, dc);
+      } else {
+        mend(daemon, dc);
+      }
+      play(1_000, timesLimit);
+    }
+  }
+
   private void exchange() {
     for (int dc = 0; dc < DATA_CENTRES; dc++) {
       List<WorkspaceShare> shares =
