--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -221,7 +221,8 @@
    * @param asked the receiver's clocks in the last report that arrived before the coordinator asked
    *     the store for the configuration; empty if there is none
    * @param configurationRevision the configuration's revision in the store's answer
-   * @param loads one for each endpoint
+   * @param loads one for each endpoint of the coordinator that has any load; most have none in a
+   *     large fleet
    */
   record Loads(Optional<ClockReading> asked, long configurationRevision, List<EndpointLoad> loads)
       implements LinkMessage {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -246,14 +246,9 @@
       loads
           .asked()
           .ifPresent(asked -> listener.configurationProved(asked, loads.configurationRevision()));
-      loads
-          .loads()
-          .forEach(
-              load ->
-                  directory
-                      .groupOf(load.endpoint())
-                      .ifPresent(
-                          group -> group.setOthers(load.endpoint(), load.load(), clock.millis())));
+      Map<EndpointId, Load> others = new HashMap<>();
+      loads.loads().forEach(load -> others.put(load.endpoint(), load.load()));
+      directory.groups().forEach(group -> group.setOthers(dataCentre, others, clock.millis()));
     } else if (message instanceof LinkMessage.Endpoints endpoints) {
       directory.applyUpdate(endpoints);
     } else if (message instanceof LinkMessage.Releases releases) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
@@ -3,13 +3,11 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.gateway.version.AdapterName;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * The latest usage report of each daemon for the engines of one coordinator, with totals for each
@@ -93,14 +91,18 @@
     return total == null ? Load.NONE : total.load;
   }
 
-  /** Returns the load of all daemons but one at engines. */
-  Map<EndpointId, Load> loadsWithout(DaemonId daemon, Collection<EndpointId> endpoints) {
+  /** Returns the load of all daemons but one at each engine that has any. */
+  Map<EndpointId, Load> loadsWithout(DaemonId daemon) {
     Map<EndpointId, EndpointUsage> report = reports.getOrDefault(daemon, Map.of());
-    Map<EndpointId, Load> loads = new TreeMap<>();
-    for (EndpointId id : endpoints) {
-      EndpointUsage own = report.get(id);
-      loads.put(id, own == null ? load(id) : load(id).minus(own.load()));
-    }
+    Map<EndpointId, Load> loads = new HashMap<>();
+    totals.forEach(
+        (id, total) -> {
+          EndpointUsage own = report.get(id);
+          Load others = own == null ? total.load : total.load.minus(own.load());
+          if (!others.equals(Load.NONE)) {
+            loads.put(id, others);
+          }
+        });
     return loads;
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -387,11 +387,13 @@
     }
   }
 
-  /** Applies what a coordinator reports of the other daemons' load. */
-  synchronized void setOthers(EndpointId endpoint, Load load, long now) {
-    EndpointState state = endpoints.get(endpoint);
-    if (state != null) {
-      state.updateOthers(load, now).ifPresent(chooser::loadReported);
+  /** Sets the other daemons' load in a data centre; endpoints that are not listed have none. */
+  synchronized void setOthers(DataCentreId dataCentre, Map<EndpointId, Load> loads, long now) {
+    for (EndpointState state : endpoints.values()) {
+      if (state.entry.dataCentre().equals(dataCentre)) {
+        Load load = loads.getOrDefault(state.entry.endpoint(), Load.NONE);
+        state.updateOthers(load, now).ifPresent(chooser::loadReported);
+      }
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -173,7 +173,9 @@
 
   /** Returns the load of all daemons but one at the engines. */
   Map<EndpointId, Load> loadsWithout(DaemonId daemon) {
-    return usage.loadsWithout(daemon, endpoints.keySet());
+    Map<EndpointId, Load> loads = usage.loadsWithout(daemon);
+    loads.keySet().retainAll(endpoints.keySet());
+    return loads;
   }
 
   /** Plans a load of an adapter, unless an engine holds or loads it already. */
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -180,8 +180,9 @@
     void backlogBeyondTheDeadlineIsRefused() {
       hold("e1", 0);
       hold("e2", 0);
-      group.setOthers(id("e1"), new Load(60, 2_000_000, 0, 0), 0);
-      group.setOthers(id("e2"), new Load(60, 2_000_000, 0, 0), 0);
+      Load full = new Load(60, 2_000_000, 0, 0);
+      group.setOthers(NORTH, Map.of(id("e1"), full), 0);
+      group.setOthers(SOUTH, Map.of(id("e2"), full), 0);
 
       assertThat(choose(demand(800, 200), 10))
           .isInstanceOfSatisfying(
@@ -198,8 +199,8 @@
     void loadOneEngineWithPromptsAndOneWithResponses() {
       hold("e1", 0);
       hold("e2", 0);
-      group.setOthers(id("e1"), new Load(2, 0, 0, 60_000), 0);
-      group.setOthers(id("e2"), new Load(12, 0, 0, 5_000), 0);
+      group.setOthers(NORTH, Map.of(id("e1"), new Load(2, 0, 0, 60_000)), 0);
+      group.setOthers(SOUTH, Map.of(id("e2"), new Load(12, 0, 0, 5_000)), 0);
     }
 
     @Test
@@ -207,6 +208,14 @@
       assertThat(sentTo(choose(demand(800, 360), 10))).isEqualTo("e2");
     }
 
+    /** Guards against load that stays for ever, since idle engines are left out of reports. */
+    @Test
+    void engineThatIsNoLongerListedIsIdle() {
+      group.setOthers(NORTH, Map.of(), 100);
+
+      assertThat(sentTo(choose(demand(800, 360), 110))).isEqualTo("e1");
+    }
+
     @Test
     void longPromptAvoidsTheEngineThatGeneratesResponses() {
       assertThat(sentTo(choose(demand(9_190, 50), 10))).isEqualTo("e1");
