--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageThrottle.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageThrottle.java
@@ -15,8 +15,8 @@
  * Decides at one daemon whether a workspace's usage limit allows a request.
  *
  * <p>While coordinators are heard, it admits the smallest share that any of them allows, see {@link
- * UsageAllocator}. Without a coordinator it admits an equal part of the limit, so that all daemons
- * together keep it even if each is cut off from all others.
+ * UsageAllocator}. Without a coordinator it admits an equal part of half of the limit, so that all
+ * daemons together keep it even if each is cut off from all others.
  *
  * <pre>{@code
  * OptionalLong retryAfterMs = throttle.admit(workspace, cost, now);
@@ -176,8 +176,8 @@
   }
 
   /**
-   * Admits an equal part of the limit. A request may start with half of its cost, which on average
-   * rounds neither up nor down; a part is often smaller than one request.
+   * Admits an equal part of {@link #ALONE_SHARE} of the limit. A request may start with half of its
+   * cost, which on average rounds neither up nor down; a part is often smaller than one request.
    */
   private boolean admitAlone(State state, UsageLimit limit, long cost, long now) {
     int sharing = daemons > 0 ? daemons : UNKNOWN_DAEMONS;
@@ -212,7 +212,7 @@
     }
   }
 
-  /** What was asked and admitted since this process started, for each limited workspace. */
+  /** Returns what was asked and admitted since this process started, for each limited workspace. */
   public synchronized List<WorkspaceUsage> totals() {
     List<WorkspaceUsage> totals = new ArrayList<>();
     states.forEach(
