--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -120,6 +120,7 @@
   private final ControlRounds rounds;
   private HttpServer callers;
   private HttpServer operators;
+  private boolean closed;
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = Objects.requireNonNull(settings, "settings");
@@ -344,6 +345,18 @@
    */
   public void awaitStop() throws InterruptedException {
     stop.await();
+    shutdown();
+  }
+
+  /**
+   * Runs once, and later callers wait for it: on a signal the main thread and the shutdown hook
+   * both get here, and a channel group that is closed while its event loops end never completes.
+   */
+  private synchronized void shutdown() throws InterruptedException {
+    if (closed) {
+      return;
+    }
+    closed = true;
     stop.releaseLease(SHUTDOWN_TIMEOUT_MS);
     peers.stop();
     callers.close();
--- a/testbed/src/main/java/io/sequoiapass/testbed/launch/LaunchedProcess.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/launch/LaunchedProcess.java
@@ -184,12 +184,13 @@
    * Waits for the process to end and returns its exit code.
    *
    * @param limitMs maximum wait in milliseconds
-   * @throws IOException if the process is still running after that time
+   * @throws IOException if the process is still running after that time; the message contains the
+   *     last lines of its log
    * @throws InterruptedException if the wait is interrupted
    */
   public int awaitExit(long limitMs) throws IOException, InterruptedException {
     if (!process.waitFor(limitMs, TimeUnit.MILLISECONDS)) {
-      throw new IOException(name + " is still running after " + limitMs + " ms");
+      throw new IOException(name + " is still running after " + limitMs + " ms:\n" + logTail());
     }
     return process.exitValue();
   }
