--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/EntryFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/EntryFrames.java
@@ -43,10 +43,7 @@
   private static void writeEntry(MessageBufferPacker out, EndpointEntry entry) throws IOException {
     out.packString(entry.endpoint().value());
     out.packString(entry.service().value());
-    byte[] ip = entry.address().getAddress().getAddress();
-    out.packBinaryHeader(ip.length);
-    out.writePayload(ip);
-    out.packInt(entry.address().getPort());
+    writeAddress(out, entry.address());
     out.packString(entry.dataCentre().value());
     out.packInt(entry.slots());
     out.packBoolean(entry.leaving());
@@ -54,6 +51,18 @@
     LinkFrames.list(out, entry.models(), EntryFrames::writeModel);
   }
 
+  static void writeAddress(MessageBufferPacker out, InetSocketAddress address) throws IOException {
+    byte[] ip = address.getAddress().getAddress();
+    out.packBinaryHeader(ip.length);
+    out.writePayload(ip);
+    out.packInt(address.getPort());
+  }
+
+  static InetSocketAddress readAddress(MessageUnpacker in) throws IOException {
+    InetAddress ip = InetAddress.getByAddress(in.readPayload(in.unpackBinaryHeader()));
+    return new InetSocketAddress(ip, in.unpackInt());
+  }
+
   private static void writeModel(MessageBufferPacker out, EndpointEntry.HeldModel model)
       throws IOException {
     out.packString(model.model().value());
@@ -84,8 +93,7 @@
     return new EndpointEntry(
         new EndpointId(in.unpackString()),
         new ServiceId(in.unpackString()),
-        new InetSocketAddress(
-            InetAddress.getByAddress(in.readPayload(in.unpackBinaryHeader())), in.unpackInt()),
+        readAddress(in),
         new DataCentreId(in.unpackString()),
         in.unpackInt(),
         in.unpackBoolean(),
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -109,25 +109,7 @@
       throws IOException {
     if (message instanceof LinkMessage.CoordinatorStatus status) {
       out.packInt(COORDINATOR_STATUS);
-      out.packLong(status.epoch());
-      out.packLong(status.revision());
-      out.packInt(status.daemons());
-      out.packBoolean(status.stopping());
-      writeView(out, status.configuration());
-      writeView(out, status.releases());
-      writeView(out, status.endpoints());
-      out.packLong(status.loads().storeMs());
-      out.packLong(status.loads().memoryMs());
-      out.packInt(status.loads().cacheDepth());
-      out.packBoolean(status.slotsWanted());
-      list(
-          out,
-          status.workspaces(),
-          (to, share) -> {
-            to.packString(share.workspace().value());
-            to.packDouble(share.share());
-          });
-      out.packBoolean(status.usageCounted());
+      writeStatus(out, status);
     } else if (message instanceof LinkMessage.Placements placements) {
       out.packInt(PLACEMENTS);
       out.packBoolean(placements.snapshot());
@@ -167,6 +149,36 @@
     }
   }
 
+  private static void writeStatus(MessageBufferPacker out, LinkMessage.CoordinatorStatus status)
+      throws IOException {
+    out.packLong(status.epoch());
+    out.packLong(status.revision());
+    out.packInt(status.daemons());
+    out.packBoolean(status.stopping());
+    writeView(out, status.configuration());
+    writeView(out, status.releases());
+    writeView(out, status.endpoints());
+    out.packLong(status.loads().storeMs());
+    out.packLong(status.loads().memoryMs());
+    out.packInt(status.loads().cacheDepth());
+    out.packBoolean(status.slotsWanted());
+    list(
+        out,
+        status.workspaces(),
+        (to, share) -> {
+          to.packString(share.workspace().value());
+          to.packDouble(share.share());
+        });
+    out.packBoolean(status.usageCounted());
+    list(
+        out,
+        status.coordinators(),
+        (to, coordinator) -> {
+          to.packString(coordinator.dataCentre().value());
+          EntryFrames.writeAddress(to, coordinator.address());
+        });
+  }
+
   private static void writeClocks(MessageBufferPacker out, ClockReading clocks) throws IOException {
     out.packLong(clocks.monotonicMs());
     out.packLong(clocks.wallMs());
@@ -288,7 +300,8 @@
               new LoadTimeEstimates(in.unpackLong(), in.unpackLong(), in.unpackInt()),
               in.unpackBoolean(),
               list(in, LinkFrames::readWorkspaceShare),
-              in.unpackBoolean());
+              in.unpackBoolean(),
+              list(in, LinkFrames::readCoordinator));
       case PLACEMENTS ->
           new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
       case LOADS ->
@@ -317,6 +330,12 @@
     return new WorkspaceShare(new WorkspaceId(in.unpackString()), in.unpackDouble());
   }
 
+  private static LinkMessage.CoordinatorAddress readCoordinator(MessageUnpacker in)
+      throws IOException {
+    return new LinkMessage.CoordinatorAddress(
+        new DataCentreId(in.unpackString()), EntryFrames.readAddress(in));
+  }
+
   private static LinkMessage.StoreView readView(MessageUnpacker in) throws IOException {
     return new LinkMessage.StoreView(in.unpackLong(), in.unpackLong());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
 
@@ -102,6 +103,7 @@
    * @param workspaces workspaces of which daemons must refuse requests; all others may have all
    *     that they ask
    * @param usageCounted whether it has counted the usage of a whole window
+   * @param coordinators the coordinators of other data centres that are connected to its daemon
    */
   record CoordinatorStatus(
       long epoch,
@@ -114,14 +116,24 @@
       LoadTimeEstimates loads,
       boolean slotsWanted,
       List<WorkspaceShare> workspaces,
-      boolean usageCounted)
+      boolean usageCounted,
+      List<CoordinatorAddress> coordinators)
       implements LinkMessage {
-    /** Copies the list. */
+    /** Copies the lists. */
     public CoordinatorStatus {
       workspaces = List.copyOf(workspaces);
+      coordinators = List.copyOf(coordinators);
     }
   }
 
+  /**
+   * Where a coordinator accepts links.
+   *
+   * @param dataCentre its data centre
+   * @param address its address
+   */
+  record CoordinatorAddress(DataCentreId dataCentre, InetSocketAddress address) {}
+
   /**
    * How current a coordinator's view of one kind of objects in the platform's store is.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -26,11 +26,6 @@
  */
 final class CoordinationNode {
 
-  /**
-   * Interval between reads of the leases while a link to a coordinator is missing, in milliseconds.
-   */
-  private static final long READ_MS = 700;
-
   private final DataCentreId here;
   private final CoordinatorElection election;
   private final MetadataStore store;
@@ -40,8 +35,8 @@
   private final DecisionLog log;
   private final Map<DataCentreId, CoordinatorLink> links = new TreeMap<>();
   private Coordinator coordinator;
+  private final LeaseReadSchedule schedule = new LeaseReadSchedule();
   private boolean reading;
-  private long lastRead;
 
   /**
    * Creates a node; {@link #use} must be called before it is used.
@@ -69,7 +64,6 @@
     this.clock = clock;
     this.freezes = freezes;
     this.log = log;
-    this.lastRead = clock.millis() - READ_MS;
   }
 
   /** Sets the coordinator that runs while the lease is held, and the links. */
@@ -93,9 +87,17 @@
   }
 
   /** Handles a coordinator's status. */
-  synchronized void updateStatus(DataCentreId dataCentre, LinkMessage.CoordinatorStatus status) {
+  void updateStatus(DataCentreId dataCentre, LinkMessage.CoordinatorStatus status) {
     if (dataCentre.equals(here)) {
-      election.observeRevision(status.revision(), clock.millis());
+      synchronized (this) {
+        election.observeRevision(status.revision(), clock.millis());
+      }
+    }
+    for (LinkMessage.CoordinatorAddress coordinator : status.coordinators()) {
+      CoordinatorLink link = links.get(coordinator.dataCentre());
+      if (link != null) {
+        link.connect(coordinator.address());
+      }
     }
   }
 
@@ -119,8 +121,9 @@
   /** Performs periodic work; called several times a second. */
   void tick() {
     links.values().forEach(CoordinatorLink::tick);
+    links.values().forEach(CoordinatorLink::reconnect);
     long now = clock.millis();
-    boolean linked = links.get(here).isUp();
+    boolean linked = links.get(here).isUpOrOpening(now);
     CoordinatorElection.Step step;
     synchronized (this) {
       step = election.next(now, linked);
@@ -136,15 +139,16 @@
   }
 
   private boolean isReadDue(long now) {
+    boolean told = !election.isHolding() && links.values().stream().anyMatch(CoordinatorLink::isUp);
     return !reading
-        && now - lastRead >= READ_MS
+        && schedule.isDue(told, now)
         && links.values().stream().anyMatch(link -> !link.isOpenOrConnecting());
   }
 
   private void read(long now) {
     synchronized (this) {
       reading = true;
-      lastRead = now;
+      schedule.read(now);
     }
     store
         .list(StoreKind.LEASES)
@@ -189,8 +193,8 @@
     boolean changed;
     boolean holding;
     long revision;
+    WriteResult<CoordinatorLease> known = result == null ? new WriteResult.Unknown<>() : result;
     synchronized (this) {
-      WriteResult<CoordinatorLease> known = result == null ? new WriteResult.Unknown<>() : result;
       changed = election.written(known, clock.millis());
       holding = election.isHolding();
       revision = election.revision();
@@ -213,6 +217,8 @@
     }
     if (holding) {
       coordinator.renewed(revision);
+    } else if (known instanceof WriteResult.Conflict<CoordinatorLease> conflict) {
+      conflict.current().ifPresent(this::connect);
     }
   }
 
@@ -241,6 +247,14 @@
         .toList();
   }
 
+  /** Returns the coordinators of other data centres that are connected. */
+  List<LinkMessage.CoordinatorAddress> otherCoordinators() {
+    return links.values().stream()
+        .filter(link -> !link.dataCentre().equals(here))
+        .flatMap(link -> link.coordinator().stream())
+        .toList();
+  }
+
   /** Called when an adapter has become idle in a data centre; must not block. */
   void idle(DataCentreId dataCentre) {
     CoordinatorLink link = links.get(dataCentre);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -62,7 +62,7 @@
   private final LoadRouter router;
   private final LongPredicate mayOrder;
   private final Runnable onFenced;
-  private StoreViews store = topic -> LinkMessage.StoreView.NONE;
+  private DaemonView view = DaemonView.NONE;
   private final Map<FrameChannel, LinkedDaemon> links = new HashMap<>();
   private boolean active;
   private long epoch;
@@ -71,10 +71,8 @@
 
   private final AdapterSubscribers subscribers = new AdapterSubscribers();
   private final PlacementUpdateBatch updateBatch = new PlacementUpdateBatch();
-  private final List<LinkMessage.ListedEndpoint> listed = new ArrayList<>();
-  private final List<LinkMessage.GoneEndpoint> gone = new ArrayList<>();
+  private final EndpointUpdateBatch endpointUpdates = new EndpointUpdateBatch();
   private final List<LinkMessage.Release> releases = new ArrayList<>();
-  private long listedUpTo;
   private int rounds;
   private final Supplier<UsageAllocator> newAllocator;
   private UsageAllocator usage;
@@ -95,13 +93,6 @@
     private Optional<ClockReading> proved = Optional.empty();
   }
 
-  /** This daemon's own view of the store, for daemons that rely on it. */
-  interface StoreViews {
-
-    /** Returns the view of a topic. */
-    LinkMessage.StoreView of(StoreFreshness.Topic topic);
-  }
-
   /**
    * Creates a coordinator that is not active.
    *
@@ -170,9 +161,9 @@
       DecisionLog log,
       AdapterVersions versions) {}
 
-  /** Sets this daemon's view of the store. */
-  synchronized void use(StoreViews views) {
-    store = views;
+  /** Sets what this daemon knows of the store and of other coordinators. */
+  synchronized void use(DaemonView daemonView) {
+    view = daemonView;
   }
 
   /** Returns a listener that forwards changes of the endpoint list to the linked daemons. */
@@ -180,36 +171,29 @@
     return new EndpointDirectory.Watcher() {
       @Override
       public void listed(LinkMessage.ListedEndpoint entry) {
-        recordListed(entry);
+        synchronized (Coordinator.this) {
+          if (active) {
+            endpointUpdates.add(entry);
+          }
+        }
       }
 
       @Override
       public void unlisted(LinkMessage.GoneEndpoint endpoint) {
-        recordGone(endpoint);
+        synchronized (Coordinator.this) {
+          if (active) {
+            endpointUpdates.add(endpoint);
+          }
+        }
       }
     };
   }
 
-  private synchronized void recordListed(LinkMessage.ListedEndpoint entry) {
-    if (active) {
-      listed.add(entry);
-      listedUpTo = Math.max(listedUpTo, entry.revision());
-    }
-  }
-
-  private synchronized void recordGone(LinkMessage.GoneEndpoint endpoint) {
-    if (active) {
-      gone.add(endpoint);
-      listedUpTo = Math.max(listedUpTo, endpoint.revision());
-    }
-  }
-
   /** Starts coordinating under an epoch. */
   synchronized void activate(long newEpoch) {
     active = true;
     updateBatch.clear();
-    listed.clear();
-    gone.clear();
+    endpointUpdates.clear();
     releases.clear();
     usage = newAllocator.get();
     stopping = false;
@@ -296,7 +280,7 @@
       sendReleases();
       allocateUsage(now);
       broadcastStatus();
-      sendListChanges();
+      endpointUpdates.drain().ifPresent(this::sendAll);
       sendUpdateBatch(now);
       links.forEach(this::sendLoads);
     }
@@ -335,15 +319,6 @@
     }
   }
 
-  private void sendListChanges() {
-    if (listed.isEmpty() && gone.isEmpty()) {
-      return;
-    }
-    sendAll(new LinkMessage.Endpoints(false, listedUpTo, listed, gone));
-    listed.clear();
-    gone.clear();
-  }
-
   private void sendReleases() {
     if (!releases.isEmpty()) {
       sendAll(new LinkMessage.Releases(releases));
@@ -382,13 +357,14 @@
         revision,
         links.size(),
         stopping,
-        store.of(StoreFreshness.Topic.CONFIGURATION),
-        store.of(StoreFreshness.Topic.RELEASES),
-        store.of(StoreFreshness.Topic.ENDPOINTS),
+        view.of(StoreFreshness.Topic.CONFIGURATION),
+        view.of(StoreFreshness.Topic.RELEASES),
+        view.of(StoreFreshness.Topic.ENDPOINTS),
         plan.loadTimes(clock.millis()),
         !loadQueue.isEmpty(),
         workspaceShares,
-        usage.hasCountedAWindow(clock.millis()));
+        usage.hasCountedAWindow(clock.millis()),
+        view.coordinators());
   }
 
   private void sendLoads(FrameChannel channel, LinkedDaemon linked) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -50,9 +50,18 @@
    */
   static final long TAKE_AFTER_MS = 2_200;
 
-  /** Interval between reads while there is no coordinator, in milliseconds. */
+  /** Shortest interval between reads while there is no coordinator, in milliseconds. */
   private static final long READ_MS = 400;
 
+  /** Longest interval between reads of an unchanged lease, in milliseconds. */
+  private static final long MAX_READ_MS = 1_600;
+
+  /**
+   * Range of the time that the daemons of a data centre add to {@link #TAKE_AFTER_MS}, in
+   * milliseconds, so that most of them find the lease of the first instead of competing for it.
+   */
+  static final long SPREAD_MS = 300;
+
   /** Pause after a write without a response, in milliseconds. */
   private static final long RETRY_MS = 250;
 
@@ -65,6 +74,9 @@
   private boolean read;
   private long unchangedSince = NEVER;
   private long lastReadAt = NEVER;
+  private long nextReadAt = NEVER;
+  private long readPauseMs = READ_MS;
+  private final long spreadMs;
   private long lastWriteAt = NEVER;
   private long renewedAt = NEVER;
   private boolean holding;
@@ -78,11 +90,13 @@
    * @param daemon this daemon
    * @param process this process
    * @param address the address on which it accepts links
+   * @param spreadMs this daemon's part of {@link #SPREAD_MS}, in milliseconds
    */
-  CoordinatorElection(DaemonId daemon, String process, InetSocketAddress address) {
+  CoordinatorElection(DaemonId daemon, String process, InetSocketAddress address, long spreadMs) {
     this.daemon = daemon;
     this.process = process;
     this.address = address;
+    this.spreadMs = spreadMs;
   }
 
   /**
@@ -100,16 +114,18 @@
       return releasing || now >= due ? write(now) : Step.NONE;
     }
     if (releasing || linked) {
+      readPauseMs = READ_MS;
       return Step.NONE;
     }
-    boolean readDue = now - lastReadAt >= READ_MS;
-    if (read && mayTake(now) && !readDue && now - lastWriteAt >= RETRY_MS) {
+    boolean justRead = read && now - lastReadAt < READ_MS;
+    if (justRead && mayTake(now) && now - lastWriteAt >= RETRY_MS) {
       return write(now);
     }
-    if (!readDue) {
+    if (now < nextReadAt) {
       return Step.NONE;
     }
     lastReadAt = now;
+    nextReadAt = now + READ_MS;
     busy = true;
     return Step.READ;
   }
@@ -152,7 +168,12 @@
   void read(Optional<Stored<CoordinatorLease>> current, long now) {
     busy = false;
     read = true;
-    observe(current, now);
+    boolean changed = observe(current, now);
+    readPauseMs = changed ? READ_MS : Math.min(MAX_READ_MS, readPauseMs * 2);
+    if (!mayTake(now)) {
+      long expiresAt = unchangedSince + TAKE_AFTER_MS + spreadMs;
+      nextReadAt = Math.max(nextReadAt, Math.min(lastReadAt + readPauseMs, expiresAt));
+    }
   }
 
   /** Handles a failed read. */
@@ -160,7 +181,7 @@
     busy = false;
   }
 
-  private void observe(Optional<Stored<CoordinatorLease>> current, long now) {
+  private boolean observe(Optional<Stored<CoordinatorLease>> current, long now) {
     boolean same =
         current.map(Stored::revision).equals(seen.map(Stored::revision)) && unchangedSince != NEVER;
     seen = current;
@@ -169,6 +190,7 @@
     }
     // A write whose response was lost may have given this process the lease.
     holding = current.flatMap(Stored::value).filter(lease -> lease.isHeldBy(process)).isPresent();
+    return !same;
   }
 
   /** Handles the lease revision that a coordinator reported on its link. */
@@ -209,6 +231,7 @@
     holding = false;
     read = false;
     lastReadAt = NEVER;
+    nextReadAt = NEVER;
   }
 
   /** Returns whether this process assumes that it holds the lease. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -42,6 +43,12 @@
   /** Longest interval between usage reports, in milliseconds. They also serve as heartbeats. */
   private static final long MAX_REPORT_INTERVAL_MS = 500;
 
+  /**
+   * How long a connection that is being opened counts as a coordinator, in milliseconds; a
+   * suspended host accepts connections and does not answer.
+   */
+  private static final long OPENING_MS = 400;
+
   /** Delay of the report that an adapter became idle while loads are queued, in milliseconds. */
   private static final long IDLE_REPORT_DELAY_MS = 25;
 
@@ -84,7 +91,10 @@
   private FrameChannel channel;
   private InetSocketAddress address;
   private boolean connecting;
+  private long connectingSince;
   private boolean alive;
+  private boolean reconnects;
+  private boolean stopping;
   private long lastReceivedAt;
   private long lastReportAt;
   private boolean lastReportEmpty;
@@ -165,6 +175,34 @@
     return channel != null || connecting;
   }
 
+  /** Returns whether the coordinator is connected, or may be in a moment. */
+  synchronized boolean isUpOrOpening(long now) {
+    return isUp() || (isOpenOrConnecting() && now - connectingSince < OPENING_MS);
+  }
+
+  /** Returns the coordinator's address while it is connected. */
+  synchronized Optional<LinkMessage.CoordinatorAddress> coordinator() {
+    return isUp()
+        ? Optional.of(new LinkMessage.CoordinatorAddress(dataCentre, address))
+        : Optional.empty();
+  }
+
+  /**
+   * Opens a connection that was lost without notice once more: most are reset while the coordinator
+   * stays, and to read its address again is a call for each daemon.
+   */
+  void reconnect() {
+    InetSocketAddress to;
+    synchronized (this) {
+      if (!reconnects) {
+        return;
+      }
+      reconnects = false;
+      to = address;
+    }
+    connect(to);
+  }
+
   /** Returns how many daemons are linked to the coordinator, as last reported. */
   synchronized int daemons() {
     return isUp() ? daemons : 0;
@@ -177,6 +215,7 @@
         return;
       }
       connecting = true;
+      connectingSince = clock.millis();
       address = to;
     }
     transport.connect(to, new LinkListener());
@@ -221,6 +260,7 @@
         channel = null;
         connecting = false;
         alive = false;
+        reconnects = wasUp && !stopping;
       }
       if (wasUp) {
         directory.coordinatorDisconnected(dataCentre);
@@ -264,6 +304,7 @@
       daemons = status.daemons();
       first = !alive;
       alive = true;
+      stopping = status.stopping();
     }
     onStatus.accept(status);
     directory.setLoadTimes(dataCentre, status.loads());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -227,7 +227,11 @@
     FrameTransport transport = FrameTransport.create(loops);
     String process = settings.daemon() + "-" + wall.millis() + "-" + System.nanoTime();
     CoordinatorElection election =
-        new CoordinatorElection(settings.daemon(), process, settings.links());
+        new CoordinatorElection(
+            settings.daemon(),
+            process,
+            settings.links(),
+            ThreadLocalRandom.current().nextLong(CoordinatorElection.SPREAD_MS));
     node =
         new CoordinationNode(
             settings.dataCentre(),
@@ -257,15 +261,10 @@
     directory.onChange(coordinator::observe);
     directory.onIdle(node::idle);
     directory.setWatcher(coordinator.watcher());
-    coordinator.use(this::storeView);
+    coordinator.use(new OwnView());
     transport.listen(settings.links(), coordinator::listener);
   }
 
-  private LinkMessage.StoreView storeView(StoreFreshness.Topic topic) {
-    StoreFeed<?> feed = feeds.get(topic);
-    return feed == null ? LinkMessage.StoreView.NONE : feed.view();
-  }
-
   /** Returns one link for each data centre of this region. */
   private List<CoordinatorLink> links(FrameTransport transport) {
     String region = settings.regions().get(settings.dataCentre());
@@ -503,6 +502,20 @@
     }
   }
 
+  private final class OwnView implements DaemonView {
+
+    @Override
+    public LinkMessage.StoreView of(StoreFreshness.Topic topic) {
+      StoreFeed<?> feed = feeds.get(topic);
+      return feed == null ? LinkMessage.StoreView.NONE : feed.view();
+    }
+
+    @Override
+    public List<LinkMessage.CoordinatorAddress> coordinators() {
+      return node.otherCoordinators();
+    }
+  }
+
   private final class Adapters implements RelayContext.AdapterSource {
 
     @Override
