--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -27,7 +27,7 @@
  * Encodes and decodes the messages between daemons.
  *
  * <pre>{@code
- * byte[] frame = LinkFrames.encode(new LinkMessage.Hello(daemon, dataCentre));
+ * byte[] frame = LinkFrames.encode(new LinkMessage.Hello(daemon, dataCentre, revision));
  * LinkMessage message = LinkFrames.decode(frame);
  * }</pre>
  *
@@ -78,6 +78,7 @@
       out.packInt(HELLO);
       out.packString(hello.daemon().value());
       out.packString(hello.dataCentre().value());
+      out.packLong(hello.endpointsRevision());
     } else if (message instanceof LinkMessage.UsageReport usage) {
       out.packInt(USAGE_REPORT);
       out.packBoolean(usage.coordinator());
@@ -267,7 +268,9 @@
     return switch (type) {
       case HELLO ->
           new LinkMessage.Hello(
-              new DaemonId(in.unpackString()), new DataCentreId(in.unpackString()));
+              new DaemonId(in.unpackString()),
+              new DataCentreId(in.unpackString()),
+              in.unpackLong());
       case USAGE_REPORT ->
           new LinkMessage.UsageReport(
               in.unpackBoolean(),
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -27,8 +27,11 @@
    *
    * @param daemon its name
    * @param dataCentre where it runs
+   * @param endpointsRevision the store's revision up to which it knows the endpoint list; negative
+   *     if it does not
    */
-  record Hello(DaemonId daemon, DataCentreId dataCentre) implements LinkMessage {}
+  record Hello(DaemonId daemon, DataCentreId dataCentre, long endpointsRevision)
+      implements LinkMessage {}
 
   /**
    * A daemon reports its load on the coordinator's endpoints; an endpoint that is not listed has
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -11,11 +11,13 @@
 import io.sequoiapass.gateway.spi.Stored;
 import io.sequoiapass.gateway.spi.WriteResult;
 import io.sequoiapass.gateway.version.AdapterName;
+import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 
 /**
@@ -27,6 +29,7 @@
 final class CoordinationNode {
 
   private final DataCentreId here;
+  private final EndpointDirectory directory;
   private final CoordinatorElection election;
   private final MetadataStore store;
   private final ScheduledExecutorService loop;
@@ -35,13 +38,17 @@
   private final DecisionLog log;
   private final Map<DataCentreId, CoordinatorLink> links = new TreeMap<>();
   private Coordinator coordinator;
+  private final Map<DataCentreId, InetSocketAddress> postponed = new ConcurrentHashMap<>();
   private final LeaseReadSchedule schedule = new LeaseReadSchedule();
   private boolean reading;
+  private boolean leasesRead;
+  private boolean leasesExist;
 
   /**
    * Creates a node; {@link #use} must be called before it is used.
    *
    * @param here this daemon's data centre
+   * @param directory the endpoints
    * @param election decides on the lease
    * @param store holds the leases
    * @param loop runs callbacks and timers
@@ -51,6 +58,7 @@
    */
   CoordinationNode(
       DataCentreId here,
+      EndpointDirectory directory,
       CoordinatorElection election,
       MetadataStore store,
       ScheduledExecutorService loop,
@@ -58,6 +66,7 @@
       FreezeDetector freezes,
       DecisionLog log) {
     this.here = here;
+    this.directory = directory;
     this.election = election;
     this.store = store;
     this.loop = loop;
@@ -94,10 +103,7 @@
       }
     }
     for (LinkMessage.CoordinatorAddress coordinator : status.coordinators()) {
-      CoordinatorLink link = links.get(coordinator.dataCentre());
-      if (link != null) {
-        link.connect(coordinator.address());
-      }
+      connect(coordinator.dataCentre(), coordinator.address());
     }
   }
 
@@ -122,6 +128,7 @@
   void tick() {
     links.values().forEach(CoordinatorLink::tick);
     links.values().forEach(CoordinatorLink::reconnect);
+    connectPostponed();
     long now = clock.millis();
     boolean linked = links.get(here).isUpOrOpening(now);
     CoordinatorElection.Step step;
@@ -159,6 +166,8 @@
     boolean acquired;
     synchronized (this) {
       reading = false;
+      leasesRead = true;
+      leasesExist = failure != null || !list.items().isEmpty();
       if (failure != null) {
         election.readFailed();
         return;
@@ -172,13 +181,42 @@
     if (acquired) {
       startCoordinating();
     }
-    list.items().forEach(this::connect);
+    // This data centre's first: the others may have to wait for it.
+    list.items().stream()
+        .sorted(Comparator.comparing(item -> !item.name().equals(here.value())))
+        .forEach(this::connect);
   }
 
   private void connect(Stored<CoordinatorLease> lease) {
-    CoordinatorLink link = links.get(new DataCentreId(lease.name()));
-    if (link != null && lease.value().isPresent() && !lease.value().get().released()) {
-      link.connect(lease.value().get().address());
+    if (lease.value().isPresent() && !lease.value().get().released()) {
+      connect(new DataCentreId(lease.name()), lease.value().get().address());
+    }
+  }
+
+  /**
+   * Connects to a coordinator of the region. A starting daemon first gets the endpoint list from
+   * its own data centre's, since each one would send it the whole list.
+   */
+  private void connect(DataCentreId dataCentre, InetSocketAddress address) {
+    CoordinatorLink link = links.get(dataCentre);
+    if (link == null) {
+      return;
+    }
+    if (!dataCentre.equals(here) && awaitsList()) {
+      postponed.put(dataCentre, address);
+    } else {
+      link.connect(address);
+    }
+  }
+
+  private boolean awaitsList() {
+    return !directory.isListed() && links.get(here).isOpenOrConnecting();
+  }
+
+  private void connectPostponed() {
+    if (!awaitsList()) {
+      postponed.forEach((dataCentre, address) -> links.get(dataCentre).connect(address));
+      postponed.clear();
     }
   }
 
@@ -263,6 +301,19 @@
     }
   }
 
+  /**
+   * Returns whether coordinators may be connected soon: the leases are being read, none was ever
+   * written because the whole fleet is starting, or the links are open.
+   *
+   * @param number the number of coordinators
+   */
+  synchronized boolean expectsCoordinators(int number) {
+    return !leasesRead
+        || !leasesExist
+        || links.get(here).isOpenOrConnecting()
+        || links.values().stream().filter(CoordinatorLink::isOpenOrConnecting).count() >= number;
+  }
+
   /** Returns the largest number of daemons that a connected coordinator reports as linked. */
   int daemons() {
     return links.values().stream().mapToInt(CoordinatorLink::daemons).max().orElse(0);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -85,6 +85,8 @@
     private DataCentreId dataCentre;
     private long lastReceivedAt;
     private boolean coordinates;
+    private boolean hasEndpoints;
+    private long endpointsRevision;
 
     /** The daemon's clocks in its last report. */
     private ClockReading lastReport;
@@ -278,6 +280,7 @@
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
       // Releases precede the status, which reports the revision up to which they are complete.
       sendReleases();
+      links.forEach(this::sendEndpoints);
       allocateUsage(now);
       broadcastStatus();
       endpointUpdates.drain().ifPresent(this::sendAll);
@@ -526,7 +529,8 @@
     if (message instanceof LinkMessage.Hello hello) {
       linked.daemon = hello.daemon();
       linked.dataCentre = hello.dataCentre();
-      sendSnapshot(channel, now);
+      linked.endpointsRevision = hello.endpointsRevision();
+      sendSnapshot(channel, linked, now);
       log.event("daemon_linked").with("peer", hello.daemon()).with("links", links.size()).write();
     } else if (message instanceof LinkMessage.UsageReport report && linked.daemon != null) {
       linked.coordinates = report.coordinator();
@@ -544,13 +548,21 @@
     }
   }
 
-  private void sendSnapshot(FrameChannel channel, long now) {
-    channel.send(LinkFrames.encode(directory.allEntries()));
+  private void sendSnapshot(FrameChannel channel, LinkedDaemon linked, long now) {
+    sendEndpoints(channel, linked);
     channel.send(LinkFrames.encode(allReleases()));
     channel.send(LinkFrames.encode(status()));
     channel.send(LinkFrames.encode(new LinkMessage.Placements(true, plan.snapshot(now))));
   }
 
+  /** Waits until this daemon knows the whole list: a daemon takes a snapshot for that. */
+  private void sendEndpoints(FrameChannel channel, LinkedDaemon linked) {
+    if (!linked.hasEndpoints && linked.daemon != null && directory.isListed()) {
+      linked.hasEndpoints = true;
+      channel.send(LinkFrames.encode(directory.entriesSince(linked.endpointsRevision)));
+    }
+  }
+
   private LinkMessage.Releases allReleases() {
     List<LinkMessage.Release> all = new ArrayList<>();
     versions
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -109,7 +109,8 @@
   /**
    * Creates a link that is not connected.
    *
-   * @param self this daemon and its data centre
+   * @param daemon this daemon
+   * @param here its data centre
    * @param dataCentre the coordinator's data centre
    * @param directory the endpoints
    * @param io transport, executor, clock and log
@@ -118,7 +119,8 @@
    * @param onLost runs when the link is lost
    */
   CoordinatorLink(
-      LinkMessage.Hello self,
+      DaemonId daemon,
+      DataCentreId here,
       DataCentreId dataCentre,
       EndpointDirectory directory,
       Io io,
@@ -126,8 +128,8 @@
       Consumer<LinkMessage.CoordinatorStatus> onStatus,
       Runnable onLost) {
     this.coordinates = io.coordinates();
-    this.daemon = self.daemon();
-    this.here = self.dataCentre();
+    this.daemon = daemon;
+    this.here = here;
     this.dataCentre = dataCentre;
     this.directory = directory;
     this.transport = io.transport();
@@ -244,7 +246,8 @@
         lastReportAt = 0;
         workspaceReports.reset(throttle.totals());
       }
-      opened.send(LinkFrames.encode(new LinkMessage.Hello(daemon, here)));
+      opened.send(
+          LinkFrames.encode(new LinkMessage.Hello(daemon, here, directory.listedRevision())));
     }
 
     @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -15,7 +15,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -47,30 +46,19 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final Map<ServiceId, EndpointGroup> groups = new ConcurrentHashMap<>();
+
+  /** Stands for the revision of a list that is not known. */
+  static final long UNLISTED = -1;
+
   private final Map<EndpointId, EndpointEntry> known = new ConcurrentHashMap<>();
   private final Set<DataCentreId> coordinated = ConcurrentHashMap.newKeySet();
   private volatile boolean listed;
-  private final Map<EndpointId, Long> revisions = new ConcurrentHashMap<>();
-  private final Tombstones tombstones = new Tombstones();
+  private final EndpointHistory history = new EndpointHistory();
   private volatile long currentRevision;
   private volatile Runnable onChange = () -> {};
   private volatile Watcher watcher = Watcher.NONE;
   private volatile Consumer<DataCentreId> onIdle = dataCentre -> {};
 
-  /** The most recently removed endpoints, each with the revision of its removal. */
-  private static final class Tombstones extends LinkedHashMap<EndpointId, Long> {
-
-    private static final long serialVersionUID = 1L;
-
-    /** Far more than are removed while a message of a coordinator is in transit. */
-    private static final int MAX_TOMBSTONES = 1_000;
-
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<EndpointId, Long> eldest) {
-      return size() > MAX_TOMBSTONES;
-    }
-  }
-
   /** Receives changes of the list; must not block. */
   interface Watcher {
 
@@ -212,6 +200,7 @@
     }
     changed |= removeAllBut(present, list.revision(), afterOutage ? EXPIRY_GRACE_MS : 0);
     currentRevision = Math.max(currentRevision, list.revision());
+    history.listed(list.revision());
     listed = true;
     onChange.run();
     return changed;
@@ -253,21 +242,38 @@
     update.gone().forEach(gone -> remove(gone.endpoint(), gone.revision(), gone.graceMs()));
     if (update.snapshot()) {
       removeAllBut(present, update.revision(), 0);
+      history.listed(update.revision());
+      listed = true;
     }
     currentRevision = Math.max(currentRevision, update.revision());
     onChange.run();
   }
 
-  /** Returns all entries, for daemons that do not watch the store. */
-  LinkMessage.Endpoints allEntries() {
+  /**
+   * Returns what another daemon has to learn to know the list as this one does: all entries, or the
+   * changes that it has missed.
+   *
+   * @param known the revision up to which the other daemon knows the list; {@link #UNLISTED} if it
+   *     does not
+   */
+  LinkMessage.Endpoints entriesSince(long known) {
     // Read first: entries that change meanwhile are newer than this revision, which is harmless.
     long revision = currentRevision;
+    boolean changesOnly = known != UNLISTED && history.isCompleteSince(known);
     List<LinkMessage.ListedEndpoint> entries = new ArrayList<>();
-    for (EndpointEntry entry : known.values()) {
-      entries.add(
-          new LinkMessage.ListedEndpoint(entry, revisions.getOrDefault(entry.endpoint(), 0L)));
+    for (EndpointEntry entry : this.known.values()) {
+      EndpointId endpoint = entry.endpoint();
+      if (!changesOnly || history.isChangedSince(endpoint, known)) {
+        entries.add(new LinkMessage.ListedEndpoint(entry, history.newest(endpoint)));
+      }
     }
-    return new LinkMessage.Endpoints(true, revision, entries, List.of());
+    List<LinkMessage.GoneEndpoint> gone = changesOnly ? history.removals() : List.of();
+    return new LinkMessage.Endpoints(!changesOnly, revision, entries, gone);
+  }
+
+  /** Returns the revision up to which the list is known; {@link #UNLISTED} if it is not. */
+  long listedRevision() {
+    return listed ? currentRevision : UNLISTED;
   }
 
   private static EndpointId endpointOf(Stored<EndpointEntry> object) {
@@ -289,12 +295,9 @@
       return false;
     }
     EndpointEntry entry = item.value().get();
-    long newest =
-        revisions.getOrDefault(entry.endpoint(), tombstones.getOrDefault(entry.endpoint(), -1L));
-    if (newest >= item.revision()) {
+    if (history.isOutdated(entry.endpoint(), item.revision())) {
       return false;
     }
-    revisions.put(entry.endpoint(), item.revision());
     EndpointEntry before = known.put(entry.endpoint(), entry);
     boolean isCoordinated = coordinated.contains(entry.dataCentre());
     boolean restarted = group(entry.service()).put(entry, isCoordinated, clock.millis());
@@ -302,6 +305,7 @@
       logEntry(before == null ? "endpoint_known" : "endpoint_changed", entry, item.revision());
     }
     boolean changed = before == null || !before.equalsIgnoringAdapters(entry);
+    history.put(entry.endpoint(), item.revision(), changed);
     if (changed) {
       watcher.listed(new LinkMessage.ListedEndpoint(entry, item.revision()));
     }
@@ -325,11 +329,10 @@
    */
   private synchronized boolean remove(EndpointId endpoint, long revision, long graceMs) {
     EndpointEntry entry = known.get(endpoint);
-    if (entry == null || revisions.getOrDefault(endpoint, 0L) > revision) {
+    if (entry == null || history.isNewer(endpoint, revision)) {
       return false;
     }
-    revisions.remove(endpoint);
-    tombstones.put(endpoint, revision);
+    history.remove(endpoint, revision);
     long now = clock.millis();
     group(entry.service()).retireAt(endpoint, now + graceMs);
     known.remove(endpoint);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -235,6 +235,7 @@
     node =
         new CoordinationNode(
             settings.dataCentre(),
+            directory,
             election,
             store,
             loops,
@@ -268,7 +269,6 @@
   /** Returns one link for each data centre of this region. */
   private List<CoordinatorLink> links(FrameTransport transport) {
     String region = settings.regions().get(settings.dataCentre());
-    LinkMessage.Hello self = new LinkMessage.Hello(settings.daemon(), settings.dataCentre());
     CoordinatorLink.Io io =
         new CoordinatorLink.Io(transport, loops, clock, wall, throttle, log, node::isCoordinator);
     List<CoordinatorLink> links = new ArrayList<>();
@@ -296,7 +296,14 @@
                     };
                 links.add(
                     new CoordinatorLink(
-                        self, dataCentre, directory, io, new LinkEvents(), onStatus, lost));
+                        settings.daemon(),
+                        settings.dataCentre(),
+                        dataCentre,
+                        directory,
+                        io,
+                        new LinkEvents(),
+                        onStatus,
+                        lost));
               }
             });
     return links;
@@ -340,7 +347,11 @@
     StoreFeed<T> feed =
         new StoreFeed<>(store, kind, now, relay(topic), observer, listener, loops, clock, log);
     feeds.put(topic, feed);
-    feed.start();
+    if (topic == StoreFreshness.Topic.CONFIGURATION) {
+      feed.start();
+    } else {
+      feed.startWithRelay();
+    }
   }
 
   /**
@@ -359,6 +370,11 @@
             : storeFreshness.areFresh(topic, now);
       }
 
+      @Override
+      public boolean isExpected() {
+        return !node.isCoordinator() && node.expectsCoordinators(StoreFreshness.MIN_COORDINATORS);
+      }
+
       @Override
       public long revision() {
         return topic == StoreFreshness.Topic.CONFIGURATION ? storeFreshness.revision(topic) : 0;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -94,6 +94,11 @@
             return false;
           }
 
+          @Override
+          public boolean isExpected() {
+            return false;
+          }
+
           @Override
           public long revision() {
             return 0;
@@ -103,6 +108,9 @@
     /** Returns whether this daemon can rely on the coordinators instead of calling the store. */
     boolean isFresh(long now);
 
+    /** Returns whether coordinators that the daemon can rely on may be connected soon. */
+    boolean isExpected();
+
     /** Returns the revision of the last change that must be fetched; 0 if there is none. */
     long revision();
   }
@@ -142,6 +150,9 @@
    */
   private static final long OUTAGE_MS = 1_000;
 
+  /** How long a starting feed waits for coordinators that are expected, in milliseconds. */
+  private static final long START_WAIT_MS = 3_000;
+
   private static final long NEVER = -1;
 
   private final MetadataStore store;
@@ -156,6 +167,7 @@
   private long revision;
   private volatile View view = new View(0, NEVER, false);
   private boolean paused;
+  private long waitsUntil = NEVER;
   private long failingSince = NEVER;
   private long retryMs = RETRY_MS;
 
@@ -184,6 +196,16 @@
     list();
   }
 
+  /**
+   * Starts without a list if coordinators are expected: they send all objects to a new daemon, and
+   * lists of a large fleet are the most expensive part of a start.
+   */
+  synchronized void startWithRelay() {
+    paused = true;
+    waitsUntil = clock.millis() + START_WAIT_MS;
+    checkRelay();
+  }
+
   private void list() {
     LongConsumer onAnswer = observer.asking();
     store
@@ -219,8 +241,18 @@
    * times a second.
    */
   synchronized void checkRelay() {
-    if (paused && (relay.revision() > revision || !relay.isFresh(clock.millis()))) {
+    if (!paused) {
+      return;
+    }
+    long now = clock.millis();
+    boolean fresh = relay.isFresh(now);
+    if (fresh) {
+      waitsUntil = NEVER;
+    }
+    boolean waits = now < waitsUntil && relay.isExpected();
+    if (relay.revision() > revision || !(fresh || waits)) {
       paused = false;
+      waitsUntil = NEVER;
       list();
     }
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -53,7 +53,7 @@
 
   static Stream<LinkMessage> messages() {
     return Stream.of(
-        new LinkMessage.Hello(new DaemonId("north-1"), new DataCentreId("north")),
+        new LinkMessage.Hello(new DaemonId("north-1"), new DataCentreId("north"), 700),
         new LinkMessage.UsageReport(
             true,
             CLOCKS,
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointDirectoryTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointDirectoryTest.java
@@ -72,6 +72,51 @@
     }
   }
 
+  /** Guards against a daemon that is ready although it knows only the changes of a list. */
+  @Nested
+  class ListOfACoordinator {
+
+    @Test
+    void isCompleteOnlyAsASnapshot() {
+      directory.applyUpdate(update(false, 4));
+      assertThat(directory.isListed()).isFalse();
+
+      directory.applyUpdate(
+          new LinkMessage.Endpoints(
+              true, 5, List.of(new LinkMessage.ListedEndpoint(entry(false), 4)), List.of()));
+      assertThat(directory.isListed()).isTrue();
+    }
+  }
+
+  /** Guards against links that each send the whole list to a daemon that knows it already. */
+  @Nested
+  class EntriesForAnotherDaemon {
+
+    @Test
+    void areAllForADaemonWithoutAList() {
+      directory.replaced(new StoreList<>(5, List.of(stored(false, 4))), false);
+
+      LinkMessage.Endpoints entries = directory.entriesSince(EndpointDirectory.UNLISTED);
+      assertThat(entries.snapshot()).isTrue();
+      assertThat(entries.entries()).hasSize(1);
+      assertThat(directory.entriesSince(3).snapshot()).as("history starts at 5").isTrue();
+    }
+
+    @Test
+    void areChangesForADaemonWithAList() {
+      directory.replaced(new StoreList<>(5, List.of(stored(false, 4))), false);
+      assertThat(directory.entriesSince(5).entries()).isEmpty();
+
+      directory.applyUpdate(update(true, 9));
+      assertThat(directory.entriesSince(5).snapshot()).isFalse();
+      assertThat(directory.entriesSince(5).entries()).hasSize(1);
+      assertThat(directory.entriesSince(9).entries()).isEmpty();
+
+      directory.applyUpdate(removal(9));
+      assertThat(directory.entriesSince(9).gone()).hasSize(1);
+    }
+  }
+
   /**
    * Guards against the removal of a live endpoint after an outage of the store. Its entry expires,
    * and the endpoint writes it again; one response of the store contains both changes. Without the
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
@@ -60,6 +60,7 @@
 
   private static final class FakeRelay implements StoreFeed.Relay {
     private boolean fresh;
+    private boolean expected;
     private long revision;
 
     @Override
@@ -67,6 +68,11 @@
       return fresh;
     }
 
+    @Override
+    public boolean isExpected() {
+      return expected;
+    }
+
     @Override
     public long revision() {
       return revision;
@@ -174,6 +180,55 @@
     }
   }
 
+  /** Guards against daemons that restart together and all list what coordinators send them. */
+  @Nested
+  class StartWithRelay {
+
+    @Test
+    void listsNothingIfCoordinatorsComeInTime() {
+      relay.expected = true;
+      feed.startWithRelay();
+      time.set(600);
+      relay.fresh = true;
+      feed.checkRelay();
+      relay.expected = false;
+      time.set(60_000);
+      feed.checkRelay();
+
+      assertThat(store.lists).isZero();
+    }
+
+    @Test
+    void listsAtOnceIfNoCoordinatorsAreExpected() {
+      feed.startWithRelay();
+
+      assertThat(store.lists).isEqualTo(1);
+    }
+
+    @Test
+    void listsWhenExpectedCoordinatorsAreLost() {
+      relay.expected = true;
+      feed.startWithRelay();
+      relay.expected = false;
+      feed.checkRelay();
+
+      assertThat(store.lists).isEqualTo(1);
+    }
+
+    @Test
+    void listsWhenExpectedCoordinatorsStayAway() {
+      relay.expected = true;
+      feed.startWithRelay();
+      time.set(2_999);
+      feed.checkRelay();
+      assertThat(store.lists).isZero();
+
+      time.set(3_000);
+      feed.checkRelay();
+      assertThat(store.lists).isEqualTo(1);
+    }
+  }
+
   /**
    * Guards against two paused coordinators that list for ever because each takes the other's list
    * for a change.
