--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -28,6 +28,9 @@
  */
 final class CoordinationNode {
 
+  /** How long links of a restarted daemon wait for the endpoint list, in milliseconds. */
+  private static final long LIST_WAIT_MS = 300;
+
   private final DataCentreId here;
   private final EndpointDirectory directory;
   private final CoordinatorElection election;
@@ -41,8 +44,19 @@
   private final Map<DataCentreId, InetSocketAddress> postponed = new ConcurrentHashMap<>();
   private final LeaseReadSchedule schedule = new LeaseReadSchedule();
   private boolean reading;
-  private boolean leasesRead;
-  private boolean leasesExist;
+  private Fleet fleet = Fleet.UNKNOWN;
+  private long firstReadAt;
+  private volatile Runnable onFirstRead = () -> {};
+
+  /** State of the fleet when this daemon started. */
+  private enum Fleet {
+    /** The leases have not been read. */
+    UNKNOWN,
+    /** No lease had ever been written: all daemons start together. */
+    STARTING,
+    /** There were leases, so that other daemons serve. */
+    RUNNING
+  }
 
   /**
    * Creates a node; {@link #use} must be called before it is used.
@@ -81,6 +95,11 @@
     theLinks.forEach(link -> links.put(link.dataCentre(), link));
   }
 
+  /** Sets the callback for the first answer to a read of the leases; must not block. */
+  void onFirstRead(Runnable action) {
+    onFirstRead = action;
+  }
+
   /** Returns whether this daemon assumes that it coordinates its data centre. */
   synchronized boolean isCoordinator() {
     return election.isHolding();
@@ -164,10 +183,11 @@
 
   private void leasesRead(StoreList<CoordinatorLease> list, Throwable failure) {
     boolean acquired;
+    if (recordFleet(failure == null && list.items().isEmpty())) {
+      onFirstRead.run();
+    }
     synchronized (this) {
       reading = false;
-      leasesRead = true;
-      leasesExist = failure != null || !list.items().isEmpty();
       if (failure != null) {
         election.readFailed();
         return;
@@ -181,10 +201,16 @@
     if (acquired) {
       startCoordinating();
     }
-    // This data centre's first: the others may have to wait for it.
-    list.items().stream()
-        .sorted(Comparator.comparing(item -> !item.name().equals(here.value())))
-        .forEach(this::connect);
+    list.items().forEach(this::connect);
+  }
+
+  private synchronized boolean recordFleet(boolean withoutLeases) {
+    boolean first = fleet == Fleet.UNKNOWN;
+    if (first) {
+      fleet = withoutLeases ? Fleet.STARTING : Fleet.RUNNING;
+      firstReadAt = clock.millis();
+    }
+    return first;
   }
 
   private void connect(Stored<CoordinatorLease> lease) {
@@ -193,31 +219,41 @@
     }
   }
 
-  /**
-   * Connects to a coordinator of the region. A starting daemon first gets the endpoint list from
-   * its own data centre's, since each one would send it the whole list.
-   */
   private void connect(DataCentreId dataCentre, InetSocketAddress address) {
     CoordinatorLink link = links.get(dataCentre);
     if (link == null) {
       return;
     }
-    if (!dataCentre.equals(here) && awaitsList()) {
+    if (awaitsList(dataCentre)) {
       postponed.put(dataCentre, address);
     } else {
       link.connect(address);
     }
   }
 
-  private boolean awaitsList() {
-    return !directory.isListed() && links.get(here).isOpenOrConnecting();
+  /**
+   * Returns whether a link has to wait: each coordinator sends the whole endpoint list to a daemon
+   * that has none. When the whole fleet starts, the coordinator of this data centre sends it; a
+   * daemon that starts later has asked the store.
+   */
+  private synchronized boolean awaitsList(DataCentreId dataCentre) {
+    if (directory.isListed()) {
+      return false;
+    }
+    return fleet == Fleet.STARTING
+        ? !dataCentre.equals(here)
+        : clock.millis() - firstReadAt < LIST_WAIT_MS;
   }
 
-  private void connectPostponed() {
-    if (!awaitsList()) {
-      postponed.forEach((dataCentre, address) -> links.get(dataCentre).connect(address));
-      postponed.clear();
-    }
+  /** Opens the links that have waited for the endpoint list. */
+  void connectPostponed() {
+    postponed.forEach(
+        (dataCentre, address) -> {
+          if (!awaitsList(dataCentre)) {
+            postponed.remove(dataCentre, address);
+            links.get(dataCentre).connect(address);
+          }
+        });
   }
 
   private void write() {
@@ -302,16 +338,11 @@
   }
 
   /**
-   * Returns whether coordinators may be connected soon: the leases are being read, none was ever
-   * written because the whole fleet is starting, or the links are open.
-   *
-   * @param number the number of coordinators
+   * Returns whether a starting daemon need not ask the store for what coordinators send, because
+   * the whole fleet is starting and its coordinators are being elected.
    */
-  synchronized boolean expectsCoordinators(int number) {
-    return !leasesRead
-        || !leasesExist
-        || links.get(here).isOpenOrConnecting()
-        || links.values().stream().filter(CoordinatorLink::isOpenOrConnecting).count() >= number;
+  synchronized boolean expectsCoordinators() {
+    return fleet != Fleet.RUNNING && !election.isHolding();
   }
 
   /** Returns the largest number of daemons that a connected coordinator reports as linked. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -259,7 +259,12 @@
             now -> node.mayOrder(now, settings.bounds().fenced()),
             node::fenced);
     node.use(coordinator, links(transport));
-    directory.onChange(coordinator::observe);
+    directory.onChange(
+        () -> {
+          coordinator.observe();
+          node.connectPostponed();
+        });
+    node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
     directory.onIdle(node::idle);
     directory.setWatcher(coordinator.watcher());
     coordinator.use(new OwnView());
@@ -372,7 +377,7 @@
 
       @Override
       public boolean isExpected() {
-        return !node.isCoordinator() && node.expectsCoordinators(StoreFreshness.MIN_COORDINATORS);
+        return node.expectsCoordinators();
       }
 
       @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -108,7 +108,7 @@
     /** Returns whether this daemon can rely on the coordinators instead of calling the store. */
     boolean isFresh(long now);
 
-    /** Returns whether coordinators that the daemon can rely on may be connected soon. */
+    /** Returns whether coordinators are being elected that will send all objects. */
     boolean isExpected();
 
     /** Returns the revision of the last change that must be fetched; 0 if there is none. */
@@ -198,7 +198,7 @@
 
   /**
    * Starts without a list if coordinators are expected: they send all objects to a new daemon, and
-   * lists of a large fleet are the most expensive part of a start.
+   * lists are the most expensive part of a large fleet's first start.
    */
   synchronized void startWithRelay() {
     paused = true;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFreshness.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFreshness.java
@@ -20,7 +20,7 @@
    * Required number of current coordinators: a single one may be cut off from the store without
    * having detected it.
    */
-  static final int MIN_COORDINATORS = 2;
+  private static final int MIN_COORDINATORS = 2;
 
   private final Map<DataCentreId, Reported> reports = new HashMap<>();
 
