--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -65,8 +65,58 @@
    * @param message the message
    */
   public static byte[] encode(LinkMessage message) {
+    return bytes(out -> write(out, message));
+  }
+
+  /**
+   * Encodes the list of a {@link LinkMessage.Loads}, which is the same for many receivers.
+   *
+   * @param loads the list
+   */
+  public static byte[] encodeLoads(List<LinkMessage.EndpointLoad> loads) {
+    return bytes(
+        out ->
+            list(
+                out,
+                loads,
+                (to, load) -> {
+                  to.packString(load.endpoint().value());
+                  writeLoad(to, load.load());
+                }));
+  }
+
+  /**
+   * Returns the frame of a {@link LinkMessage.Loads}.
+   *
+   * @param asked the receiver's clocks before the coordinator asked for the configuration
+   * @param configurationRevision the configuration's revision
+   * @param included the receiver's clocks in the report that the loads contain
+   * @param loads the encoded list
+   */
+  public static byte[] loads(
+      Optional<ClockReading> asked,
+      long configurationRevision,
+      Optional<ClockReading> included,
+      byte[] loads) {
+    return bytes(
+        out -> {
+          out.packInt(LOADS);
+          writeOptionalClocks(out, asked);
+          out.packLong(configurationRevision);
+          writeOptionalClocks(out, included);
+          out.writePayload(loads);
+        });
+  }
+
+  /** Writes the parts of one frame. */
+  @FunctionalInterface
+  private interface FrameWriter {
+    void write(MessageBufferPacker out) throws IOException;
+  }
+
+  private static byte[] bytes(FrameWriter writer) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      write(out, message);
+      writer.write(out);
       return out.toByteArray();
     } catch (IOException impossible) {
       throw new UncheckedIOException("a buffer in memory cannot fail", impossible);
@@ -116,19 +166,12 @@
       out.packBoolean(placements.snapshot());
       list(out, placements.placements(), LinkFrames::writePlacement);
     } else if (message instanceof LinkMessage.Loads loads) {
-      out.packInt(LOADS);
-      out.packBoolean(loads.asked().isPresent());
-      if (loads.asked().isPresent()) {
-        writeClocks(out, loads.asked().get());
-      }
-      out.packLong(loads.configurationRevision());
-      list(
-          out,
-          loads.loads(),
-          (to, load) -> {
-            to.packString(load.endpoint().value());
-            writeLoad(to, load.load());
-          });
+      out.writePayload(
+          loads(
+              loads.asked(),
+              loads.configurationRevision(),
+              loads.included(),
+              encodeLoads(loads.loads())));
     } else if (message instanceof LinkMessage.LoadRejected rejected) {
       out.packInt(LOAD_REJECTED);
       writeAdapter(out, rejected.adapter());
@@ -180,6 +223,14 @@
         });
   }
 
+  private static void writeOptionalClocks(MessageBufferPacker out, Optional<ClockReading> clocks)
+      throws IOException {
+    out.packBoolean(clocks.isPresent());
+    if (clocks.isPresent()) {
+      writeClocks(out, clocks.get());
+    }
+  }
+
   private static void writeClocks(MessageBufferPacker out, ClockReading clocks) throws IOException {
     out.packLong(clocks.monotonicMs());
     out.packLong(clocks.wallMs());
@@ -309,8 +360,9 @@
           new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
       case LOADS ->
           new LinkMessage.Loads(
-              in.unpackBoolean() ? Optional.of(readClocks(in)) : Optional.empty(),
+              readOptionalClocks(in),
               in.unpackLong(),
+              readOptionalClocks(in),
               list(in, LinkFrames::readEndpointLoad));
       case LOAD_REJECTED -> new LinkMessage.LoadRejected(readAdapter(in), in.unpackLong());
       case ENDPOINTS -> EntryFrames.read(in);
@@ -321,6 +373,10 @@
     };
   }
 
+  private static Optional<ClockReading> readOptionalClocks(MessageUnpacker in) throws IOException {
+    return in.unpackBoolean() ? Optional.of(readClocks(in)) : Optional.empty();
+  }
+
   private static ClockReading readClocks(MessageUnpacker in) throws IOException {
     return new ClockReading(in.unpackLong(), in.unpackLong());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -230,16 +230,21 @@
   record Placement(EndpointId endpoint, AdapterName adapter, long version, long readyInMs) {}
 
   /**
-   * A coordinator reports the load that the other daemons put on its endpoints, and how recently it
-   * read the configuration.
+   * A coordinator reports the load that all daemons put on its endpoints, and how recently it read
+   * the configuration.
    *
    * @param asked the receiver's clocks in the last report that arrived before the coordinator asked
    *     the store for the configuration; empty if there is none
    * @param configurationRevision the configuration's revision in the store's answer
+   * @param included the receiver's clocks in the report that the loads contain; empty if none
    * @param loads one for each endpoint of the coordinator that has any load; most have none in a
    *     large fleet
    */
-  record Loads(Optional<ClockReading> asked, long configurationRevision, List<EndpointLoad> loads)
+  record Loads(
+      Optional<ClockReading> asked,
+      long configurationRevision,
+      Optional<ClockReading> included,
+      List<EndpointLoad> loads)
       implements LinkMessage {
     /** Copies the list. */
     public Loads {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -285,7 +285,7 @@
       broadcastStatus();
       endpointUpdates.drain().ifPresent(this::sendAll);
       sendUpdateBatch(now);
-      links.forEach(this::sendLoads);
+      sendLoads();
     }
   }
 
@@ -370,14 +370,20 @@
         view.coordinators());
   }
 
-  private void sendLoads(FrameChannel channel, LinkedDaemon linked) {
-    if (linked.daemon == null) {
-      return;
-    }
+  /** The list is the same for all daemons and is encoded once. */
+  private void sendLoads() {
     List<LinkMessage.EndpointLoad> loads = new ArrayList<>();
-    plan.loadsWithout(linked.daemon)
+    plan.loads()
         .forEach((endpoint, load) -> loads.add(new LinkMessage.EndpointLoad(endpoint, load)));
-    channel.send(LinkFrames.encode(new LinkMessage.Loads(linked.proved, provedRevision, loads)));
+    byte[] list = LinkFrames.encodeLoads(loads);
+    links.forEach(
+        (channel, linked) -> {
+          if (linked.daemon != null) {
+            channel.send(
+                LinkFrames.loads(
+                    linked.proved, provedRevision, Optional.ofNullable(linked.lastReport), list));
+          }
+        });
   }
 
   /** Assigns slots, requests due reports, sends due orders and publishes changes. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -103,6 +103,7 @@
   private volatile boolean slotsWanted;
   private final AtomicBoolean reportScheduled = new AtomicBoolean();
   private final UsageThrottle throttle;
+  private final ReportedLoads reportedLoads = new ReportedLoads();
   private final UsageReporter workspaceReports = new UsageReporter();
   private final MillisClock wall;
 
@@ -245,6 +246,7 @@
         lastReceivedAt = clock.millis();
         lastReportAt = 0;
         workspaceReports.reset(throttle.totals());
+        reportedLoads.clear();
       }
       opened.send(
           LinkFrames.encode(new LinkMessage.Hello(daemon, here, directory.listedRevision())));
@@ -289,8 +291,7 @@
       loads
           .asked()
           .ifPresent(asked -> listener.configurationProved(asked, loads.configurationRevision()));
-      Map<EndpointId, Load> others = new HashMap<>();
-      loads.loads().forEach(load -> others.put(load.endpoint(), load.load()));
+      Map<EndpointId, Load> others = others(loads);
       directory.groups().forEach(group -> group.setOthers(dataCentre, others, clock.millis()));
     } else if (message instanceof LinkMessage.Endpoints endpoints) {
       directory.applyUpdate(endpoints);
@@ -301,6 +302,12 @@
     }
   }
 
+  private synchronized Map<EndpointId, Load> others(LinkMessage.Loads loads) {
+    Map<EndpointId, Load> totals = new HashMap<>();
+    loads.loads().forEach(load -> totals.put(load.endpoint(), load.load()));
+    return reportedLoads.others(totals, loads.included());
+  }
+
   private void status(LinkMessage.CoordinatorStatus status) {
     boolean first;
     synchronized (this) {
@@ -424,6 +431,7 @@
     List<EndpointUsage> usages = new ArrayList<>();
     directory.groups().forEach(group -> usages.addAll(group.takeUsage(dataCentre, now)));
     List<WorkspaceUsage> workspaces;
+    ClockReading sentAt = ClockReading.now(clock, wall);
     synchronized (this) {
       workspaces = workspaceReports.next(throttle.totals());
       boolean empty = usages.isEmpty() && workspaces.isEmpty();
@@ -432,10 +440,10 @@
       }
       lastReportEmpty = empty;
       lastReportAt = now;
+      reportedLoads.add(sentAt, usages);
     }
     open.send(
         LinkFrames.encode(
-            new LinkMessage.UsageReport(
-                coordinates.getAsBoolean(), ClockReading.now(clock, wall), usages, workspaces)));
+            new LinkMessage.UsageReport(coordinates.getAsBoolean(), sentAt, usages, workspaces)));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
@@ -91,16 +91,13 @@
     return total == null ? Load.NONE : total.load;
   }
 
-  /** Returns the load of all daemons but one at each engine that has any. */
-  Map<EndpointId, Load> loadsWithout(DaemonId daemon) {
-    Map<EndpointId, EndpointUsage> report = reports.getOrDefault(daemon, Map.of());
+  /** Returns the load of all daemons at each engine that has any. */
+  Map<EndpointId, Load> loads() {
     Map<EndpointId, Load> loads = new HashMap<>();
     totals.forEach(
         (id, total) -> {
-          EndpointUsage own = report.get(id);
-          Load others = own == null ? total.load : total.load.minus(own.load());
-          if (!others.equals(Load.NONE)) {
-            loads.put(id, others);
+          if (!total.load.equals(Load.NONE)) {
+            loads.put(id, total.load);
           }
         });
     return loads;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -171,11 +171,11 @@
     usage.remove(daemon);
   }
 
-  /** Returns the load of all daemons but one at the engines. */
-  Map<EndpointId, Load> loadsWithout(DaemonId daemon) {
-    Map<EndpointId, Load> loads = usage.loadsWithout(daemon);
-    loads.keySet().retainAll(endpoints.keySet());
-    return loads;
+  /** Returns the load of all daemons at the engines. */
+  Map<EndpointId, Load> loads() {
+    Map<EndpointId, Load> all = usage.loads();
+    all.keySet().retainAll(endpoints.keySet());
+    return all;
   }
 
   /** Plans a load of an adapter, unless an engine holds or loads it already. */
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -87,8 +87,11 @@
         new LinkMessage.Placements(
             true, List.of(new LinkMessage.Placement(ENGINE, ADAPTER, 3, -1))),
         new LinkMessage.Loads(
-            Optional.of(CLOCKS), 77, List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
-        new LinkMessage.Loads(Optional.empty(), 0, List.of()),
+            Optional.of(CLOCKS),
+            77,
+            Optional.of(CLOCKS),
+            List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
+        new LinkMessage.Loads(Optional.empty(), 0, Optional.empty(), List.of()),
         new LinkMessage.Releases(List.of(new LinkMessage.Release(ADAPTER, 4))),
         new LinkMessage.LoadRejected(ADAPTER, 400));
   }
