--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/FrameChannel.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/FrameChannel.java
@@ -27,6 +27,22 @@
     return true;
   }
 
+  /**
+   * Queues a frame until {@link #flush} or the next {@link #send}, unless the connection is closed.
+   *
+   * @param frame the payload; not copied, so leave it unchanged
+   */
+  public void queue(byte[] frame) {
+    if (channel.isActive()) {
+      channel.write(Unpooled.wrappedBuffer(frame));
+    }
+  }
+
+  /** Sends the queued frames together, so that the peer is woken once. */
+  public void flush() {
+    channel.flush();
+  }
+
   /** Returns whether the write buffer is below its high watermark. */
   public boolean writable() {
     return channel.isWritable();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -219,7 +219,7 @@
   /** Notifies the daemons that the lease is being released. */
   synchronized void stop() {
     stopping = true;
-    broadcastStatus();
+    sendAll(status());
   }
 
   /** Sets the newest revision of the lease. */
@@ -278,17 +278,30 @@
     work(now);
     rounds++;
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
-      // Releases precede the status, which reports the revision up to which they are complete.
-      sendReleases();
-      links.forEach(this::sendEndpoints);
-      allocateUsage(now);
-      broadcastStatus();
-      endpointUpdates.drain().ifPresent(this::sendAll);
-      sendUpdateBatch(now);
-      sendLoads();
+      sendRound(now);
     }
   }
 
+  /** Sends what is due as one write to each daemon. */
+  private void sendRound(long now) {
+    // Releases precede the status, which reports the revision up to which they are complete.
+    if (!releases.isEmpty()) {
+      queueAll(new LinkMessage.Releases(releases));
+      releases.clear();
+    }
+    links.forEach(this::queueEndpoints);
+    allocateUsage(now);
+    queueAll(status());
+    endpointUpdates.drain().ifPresent(this::queueAll);
+    List<LinkMessage.Placement> changes = updateBatch.drain(now);
+    if (!changes.isEmpty()) {
+      queueAll(new LinkMessage.Placements(false, changes));
+    }
+    subscribers.expire(now);
+    queueLoads();
+    links.keySet().forEach(FrameChannel::flush);
+  }
+
   /**
    * Called before this daemon asks the store for the configuration; the returned action is to run
    * once the answer has been applied. Reports that arrive in between prove nothing.
@@ -322,24 +335,14 @@
     }
   }
 
-  private void sendReleases() {
-    if (!releases.isEmpty()) {
-      sendAll(new LinkMessage.Releases(releases));
-      releases.clear();
-    }
-  }
-
-  private void sendUpdateBatch(long now) {
-    List<LinkMessage.Placement> changes = updateBatch.drain(now);
-    if (!changes.isEmpty()) {
-      sendAll(new LinkMessage.Placements(false, changes));
-    }
-    subscribers.expire(now);
+  private void sendAll(LinkMessage message) {
+    queueAll(message);
+    links.keySet().forEach(FrameChannel::flush);
   }
 
-  private void sendAll(LinkMessage message) {
+  private void queueAll(LinkMessage message) {
     byte[] frame = LinkFrames.encode(message);
-    links.keySet().forEach(channel -> channel.send(frame));
+    links.keySet().forEach(channel -> channel.queue(frame));
   }
 
   private void closeIdle(long now) {
@@ -350,10 +353,6 @@
     }
   }
 
-  private void broadcastStatus() {
-    sendAll(status());
-  }
-
   private LinkMessage.CoordinatorStatus status() {
     return new LinkMessage.CoordinatorStatus(
         epoch,
@@ -371,7 +370,7 @@
   }
 
   /** The list is the same for all daemons and is encoded once. */
-  private void sendLoads() {
+  private void queueLoads() {
     List<LinkMessage.EndpointLoad> loads = new ArrayList<>();
     plan.loads()
         .forEach((endpoint, load) -> loads.add(new LinkMessage.EndpointLoad(endpoint, load)));
@@ -379,7 +378,7 @@
     links.forEach(
         (channel, linked) -> {
           if (linked.daemon != null) {
-            channel.send(
+            channel.queue(
                 LinkFrames.loads(
                     linked.proved, provedRevision, Optional.ofNullable(linked.lastReport), list));
           }
@@ -555,17 +554,18 @@
   }
 
   private void sendSnapshot(FrameChannel channel, LinkedDaemon linked, long now) {
-    sendEndpoints(channel, linked);
-    channel.send(LinkFrames.encode(allReleases()));
-    channel.send(LinkFrames.encode(status()));
-    channel.send(LinkFrames.encode(new LinkMessage.Placements(true, plan.snapshot(now))));
+    queueEndpoints(channel, linked);
+    channel.queue(LinkFrames.encode(allReleases()));
+    channel.queue(LinkFrames.encode(status()));
+    channel.queue(LinkFrames.encode(new LinkMessage.Placements(true, plan.snapshot(now))));
+    channel.flush();
   }
 
   /** Waits until this daemon knows the whole list: a daemon takes a snapshot for that. */
-  private void sendEndpoints(FrameChannel channel, LinkedDaemon linked) {
+  private void queueEndpoints(FrameChannel channel, LinkedDaemon linked) {
     if (!linked.hasEndpoints && linked.daemon != null && directory.isListed()) {
       linked.hasEndpoints = true;
-      channel.send(LinkFrames.encode(directory.entriesSince(linked.endpointsRevision)));
+      channel.queue(LinkFrames.encode(directory.entriesSince(linked.endpointsRevision)));
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -40,8 +40,17 @@
    */
   private static final long IDLE_TIMEOUT_MS = 1_000;
 
-  /** Longest interval between usage reports, in milliseconds. They also serve as heartbeats. */
-  private static final long MAX_REPORT_INTERVAL_MS = 500;
+  /**
+   * Interval between reports of an idle daemon, in milliseconds, which serve as heartbeats;
+   * coordinators disconnect a daemon after two seconds.
+   */
+  static final long IDLE_REPORT_MS = 1_200;
+
+  /**
+   * The same where API keys are revoked strictly, since each report carries the clocks with which a
+   * coordinator proves the configuration.
+   */
+  static final long STRICT_IDLE_REPORT_MS = 500;
 
   /**
    * How long a connection that is being opened counts as a coordinator, in milliseconds; a
@@ -77,6 +86,7 @@
   }
 
   private final BooleanSupplier coordinates;
+  private final long idleReportMs;
   private final DaemonId daemon;
   private final DataCentreId here;
   private final DataCentreId dataCentre;
@@ -129,6 +139,7 @@
       Consumer<LinkMessage.CoordinatorStatus> onStatus,
       Runnable onLost) {
     this.coordinates = io.coordinates();
+    this.idleReportMs = io.idleReportMs();
     this.daemon = daemon;
     this.here = here;
     this.dataCentre = dataCentre;
@@ -154,6 +165,7 @@
    * @param throttle what workspaces asked of this daemon
    * @param log the log
    * @param coordinates whether this daemon coordinates its data centre
+   * @param idleReportMs interval between reports of an idle daemon, in milliseconds
    */
   record Io(
       FrameTransport transport,
@@ -162,7 +174,8 @@
       MillisClock wall,
       UsageThrottle throttle,
       DecisionLog log,
-      BooleanSupplier coordinates) {}
+      BooleanSupplier coordinates,
+      long idleReportMs) {}
 
   DataCentreId dataCentre() {
     return dataCentre;
@@ -435,7 +448,7 @@
     synchronized (this) {
       workspaces = workspaceReports.next(throttle.totals());
       boolean empty = usages.isEmpty() && workspaces.isEmpty();
-      if (empty && lastReportEmpty && now - lastReportAt < MAX_REPORT_INTERVAL_MS) {
+      if (empty && lastReportEmpty && now - lastReportAt < idleReportMs) {
         return;
       }
       lastReportEmpty = empty;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -253,17 +253,17 @@
    * Returns what another daemon has to learn to know the list as this one does: all entries, or the
    * changes that it has missed.
    *
-   * @param known the revision up to which the other daemon knows the list; {@link #UNLISTED} if it
+   * @param since the revision up to which the other daemon knows the list; {@link #UNLISTED} if it
    *     does not
    */
-  LinkMessage.Endpoints entriesSince(long known) {
+  LinkMessage.Endpoints entriesSince(long since) {
     // Read first: entries that change meanwhile are newer than this revision, which is harmless.
     long revision = currentRevision;
-    boolean changesOnly = known != UNLISTED && history.isCompleteSince(known);
+    boolean changesOnly = since != UNLISTED && history.isCompleteSince(since);
     List<LinkMessage.ListedEndpoint> entries = new ArrayList<>();
-    for (EndpointEntry entry : this.known.values()) {
+    for (EndpointEntry entry : known.values()) {
       EndpointId endpoint = entry.endpoint();
-      if (!changesOnly || history.isChangedSince(endpoint, known)) {
+      if (!changesOnly || history.isChangedSince(endpoint, since)) {
         entries.add(new LinkMessage.ListedEndpoint(entry, history.newest(endpoint)));
       }
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -275,7 +275,17 @@
   private List<CoordinatorLink> links(FrameTransport transport) {
     String region = settings.regions().get(settings.dataCentre());
     CoordinatorLink.Io io =
-        new CoordinatorLink.Io(transport, loops, clock, wall, throttle, log, node::isCoordinator);
+        new CoordinatorLink.Io(
+            transport,
+            loops,
+            clock,
+            wall,
+            throttle,
+            log,
+            node::isCoordinator,
+            settings.bounds().revocationMs().isPresent()
+                ? CoordinatorLink.STRICT_IDLE_REPORT_MS
+                : CoordinatorLink.IDLE_REPORT_MS);
     List<CoordinatorLink> links = new ArrayList<>();
     settings
         .regions()
