--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -149,10 +149,10 @@
     links.values().forEach(CoordinatorLink::reconnect);
     connectPostponed();
     long now = clock.millis();
-    boolean linked = links.get(here).isUpOrOpening(now);
+    CoordinatorElection.Link link = links.get(here).state(now);
     CoordinatorElection.Step step;
     synchronized (this) {
-      step = election.next(now, linked);
+      step = election.next(now, link);
       if (step == CoordinatorElection.Step.NONE && isReadDue(now)) {
         step = CoordinatorElection.Step.READ;
       }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -12,7 +12,7 @@
  * Decides when this daemon acquires, renews and loses the lease of its data centre's coordinator.
  *
  * <pre>{@code
- * switch (election.next(now, linked)) {
+ * switch (election.next(now, link)) {
  *   case READ -> ...
  *   case WRITE -> store.write(LEASES, name, election.proposal(now), election.expected());
  * }
@@ -35,6 +35,16 @@
     WRITE
   }
 
+  /** State of the link to the coordinator of this data centre. */
+  enum Link {
+    /** There is none. */
+    DOWN,
+    /** A connection is being opened, perhaps to a process that coordinates no longer. */
+    OPENING,
+    /** The coordinator is connected. */
+    UP
+  }
+
   /** Renewal interval, in milliseconds; each renewal is a billed call. */
   static final long RENEW_MS = 1_000;
 
@@ -103,9 +113,9 @@
    * Returns the next step.
    *
    * @param now the time, in milliseconds
-   * @param linked whether the coordinator of this data centre is connected
+   * @param link the link to the coordinator of this data centre
    */
-  Step next(long now, boolean linked) {
+  Step next(long now, Link link) {
     if (busy) {
       return Step.NONE;
     }
@@ -113,7 +123,7 @@
       long due = lastWriteAt + (renewedAt == lastWriteAt ? RENEW_MS : RETRY_MS);
       return releasing || now >= due ? write(now) : Step.NONE;
     }
-    if (releasing || linked) {
+    if (releasing || link == Link.UP) {
       readPauseMs = READ_MS;
       return Step.NONE;
     }
@@ -121,7 +131,7 @@
     if (justRead && mayTake(now) && now - lastWriteAt >= RETRY_MS) {
       return write(now);
     }
-    if (now < nextReadAt) {
+    if (link == Link.OPENING || now < nextReadAt) {
       return Step.NONE;
     }
     lastReadAt = now;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -191,9 +191,13 @@
     return channel != null || connecting;
   }
 
-  /** Returns whether the coordinator is connected, or may be in a moment. */
-  synchronized boolean isUpOrOpening(long now) {
-    return isUp() || (isOpenOrConnecting() && now - connectingSince < OPENING_MS);
+  /** Returns the state of the link for the election of the data centre's coordinator. */
+  synchronized CoordinatorElection.Link state(long now) {
+    if (isUp()) {
+      return CoordinatorElection.Link.UP;
+    }
+    boolean opening = isOpenOrConnecting() && now - connectingSince < OPENING_MS;
+    return opening ? CoordinatorElection.Link.OPENING : CoordinatorElection.Link.DOWN;
   }
 
   /** Returns the coordinator's address while it is connected. */
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/CoordinatorElectionTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/CoordinatorElectionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.gateway.process.CoordinatorElection.Link;
 import io.sequoiapass.gateway.process.CoordinatorElection.Step;
 import io.sequoiapass.gateway.spi.CoordinatorLease;
 import io.sequoiapass.gateway.spi.Stored;
@@ -37,9 +38,9 @@
   }
 
   private void acquire(long now) {
-    assertThat(election.next(now, false)).isEqualTo(Step.READ);
+    assertThat(election.next(now, Link.DOWN)).isEqualTo(Step.READ);
     election.read(Optional.empty(), now);
-    assertThat(election.next(now + 1, false)).isEqualTo(Step.WRITE);
+    assertThat(election.next(now + 1, Link.DOWN)).isEqualTo(Step.WRITE);
     election.written(new WriteResult.Written<>(5), now + 2);
   }
 
@@ -57,15 +58,15 @@
 
     @Test
     void loserOfTheRaceDoesNotHoldTheLease() {
-      election.next(0, false);
+      election.next(0, Link.DOWN);
       election.read(Optional.empty(), 0);
-      election.next(1, false);
+      election.next(1, Link.DOWN);
       assertThat(election.expected()).isEqualTo(OptionalLong.empty());
 
       election.written(new WriteResult.Conflict<>(stored(5, lease("north-2", "p2", 1, 0))), 2);
 
       assertThat(election.isHolding()).isFalse();
-      assertThat(election.next(10, false)).isEqualTo(Step.NONE);
+      assertThat(election.next(10, Link.DOWN)).isEqualTo(Step.NONE);
     }
   }
 
@@ -82,7 +83,7 @@
     /** Returns when the election first writes; the lease in the store does not change. */
     private long firstWriteFrom(long startMs) {
       for (long now = startMs; now < startMs + 10_000; now += STEP_MS) {
-        Step step = election.next(now, false);
+        Step step = election.next(now, Link.DOWN);
         if (step == Step.WRITE) {
           return now;
         }
@@ -112,38 +113,56 @@
       assertThat(reads).isLessThanOrEqualTo(4);
     }
 
+    /** Guards against a restarted holder that waits for a link to its own previous process. */
+    @Test
+    void isReplacedByItsNextProcessWhileALinkIsOpened() {
+      election.next(0, Link.DOWN);
+      election.read(stored(7, lease("north-1", "former", 3, 4)), 0);
+
+      assertThat(election.next(150, Link.OPENING)).isEqualTo(Step.WRITE);
+    }
+
+    @Test
+    void isNotReadWhileALinkIsOpened() {
+      election.next(0, Link.DOWN);
+      election.read(stored(7, lease("north-2", "p2", 3, 4)), 0);
+
+      assertThat(election.next(450, Link.OPENING)).isEqualTo(Step.NONE);
+      assertThat(election.next(450, Link.DOWN)).isEqualTo(Step.READ);
+    }
+
     @Test
     void isReadAtOnceAfterItsLinkIsLost() {
-      election.next(0, false);
+      election.next(0, Link.DOWN);
       election.read(stored(7, lease("north-2", "p2", 3, 4)), 0);
-      election.next(5_000, true);
+      election.next(5_000, Link.UP);
 
-      assertThat(election.next(5_050, false)).isEqualTo(Step.READ);
+      assertThat(election.next(5_050, Link.DOWN)).isEqualTo(Step.READ);
     }
 
     @Test
     void isNotReplacedWhileItRenews() {
       for (long now = 0; now < 10_000; now += 400) {
-        election.next(now, false);
+        election.next(now, Link.DOWN);
         election.read(stored(7 + now, lease("north-2", "p2", 3, now)), now);
-        assertThat(election.next(now + 1, false)).isEqualTo(Step.NONE);
+        assertThat(election.next(now + 1, Link.DOWN)).isEqualTo(Step.NONE);
       }
     }
 
     @Test
     void isNotReplacedWhileItIsLinked() {
-      election.next(0, false);
+      election.next(0, Link.DOWN);
       election.read(stored(7, lease("north-2", "p2", 3, 4)), 0);
 
-      assertThat(election.next(60_000, true)).isEqualTo(Step.NONE);
+      assertThat(election.next(60_000, Link.UP)).isEqualTo(Step.NONE);
     }
 
     @Test
     void isReplacedImmediatelyByItsNextProcess() {
-      election.next(0, false);
+      election.next(0, Link.DOWN);
       election.read(stored(7, lease("north-1", "former", 3, 4)), 0);
 
-      assertThat(election.next(1, false)).isEqualTo(Step.WRITE);
+      assertThat(election.next(1, Link.DOWN)).isEqualTo(Step.WRITE);
       assertThat(election.proposal().epoch()).isEqualTo(4);
     }
   }
@@ -157,13 +176,13 @@
 
     @Test
     void toTheFirstWriteIsResolvedByARead() {
-      election.next(0, false);
+      election.next(0, Link.DOWN);
       election.read(Optional.empty(), 0);
-      election.next(1, false);
+      election.next(1, Link.DOWN);
       election.written(new WriteResult.Unknown<>(), 1_200);
       assertThat(election.isHolding()).isFalse();
 
-      assertThat(election.next(1_300, false)).isEqualTo(Step.READ);
+      assertThat(election.next(1_300, Link.DOWN)).isEqualTo(Step.READ);
       election.read(stored(5, lease("north-1", "p1", 1, 0)), 1_301);
 
       assertThat(election.isHolding()).isTrue();
@@ -173,9 +192,9 @@
     @Test
     void toARenewalIsResolvedByTheConflict() {
       acquire(0);
-      assertThat(election.next(1_001, false)).isEqualTo(Step.WRITE);
+      assertThat(election.next(1_001, Link.DOWN)).isEqualTo(Step.WRITE);
       election.written(new WriteResult.Unknown<>(), 1_100);
-      assertThat(election.next(1_300, false)).isEqualTo(Step.WRITE);
+      assertThat(election.next(1_300, Link.DOWN)).isEqualTo(Step.WRITE);
 
       election.written(new WriteResult.Conflict<>(stored(9, lease("north-1", "p1", 1, 1))), 1_301);
 
@@ -207,7 +226,7 @@
       election.superseded();
 
       assertThat(election.mayOrder(10, FENCED)).isFalse();
-      assertThat(election.next(10, false)).isEqualTo(Step.READ);
+      assertThat(election.next(10, Link.DOWN)).isEqualTo(Step.READ);
     }
   }
 
@@ -219,22 +238,22 @@
       acquire(0);
       election.release();
       assertThat(election.mayOrder(3, FENCED)).isFalse();
-      assertThat(election.next(3, true)).isEqualTo(Step.WRITE);
+      assertThat(election.next(3, Link.UP)).isEqualTo(Step.WRITE);
       assertThat(election.proposal().released()).isTrue();
 
       election.written(new WriteResult.Written<>(6), 4);
 
       assertThat(election.isHolding()).isFalse();
-      assertThat(election.next(5_000, false)).isEqualTo(Step.NONE);
+      assertThat(election.next(5_000, Link.DOWN)).isEqualTo(Step.NONE);
     }
 
     @Test
     void leavesTheLeaseFreeForAnother() {
       CoordinatorLease released = lease("north-2", "p2", 3, 4).asReleased();
-      election.next(0, false);
+      election.next(0, Link.DOWN);
       election.read(stored(8, released), 0);
 
-      assertThat(election.next(1, false)).isEqualTo(Step.WRITE);
+      assertThat(election.next(1, Link.DOWN)).isEqualTo(Step.WRITE);
       assertThat(election.proposal().epoch()).isEqualTo(4);
     }
   }
