--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointHistory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointHistory.java
@@ -25,13 +25,14 @@
   private static final int MAX_REMOVALS = 1_000;
 
   private static final long NONE = -1;
+  private static final long UNLISTED = Long.MAX_VALUE;
 
   /** Revisions of an entry: the newest, and the last that changed more than a heartbeat. */
   private record Revisions(long newest, long changed) {}
 
   private final Map<EndpointId, Revisions> entries = new HashMap<>();
   private final Map<EndpointId, Long> removals = new LinkedHashMap<>();
-  private long completeFrom = Long.MAX_VALUE;
+  private long completeFrom = UNLISTED;
   private long newestRevision;
 
   /** Returns whether an entry, or its removal, is known at this revision or a later one. */
@@ -68,13 +69,20 @@
     removals.put(endpoint, revision);
     if (removals.size() > MAX_REMOVALS) {
       removals.remove(removals.keySet().iterator().next());
-      completeFrom = newestRevision;
+      // Somebody who knows this revision may not know of the removals, which have none of their
+      // own.
+      completeFrom = newestRevision + 1;
     }
   }
 
-  /** Records that the whole list is known at a revision. */
+  /**
+   * Records that the whole list is known at a revision. Only the first list counts for what is
+   * complete: what was removed before it is not known here, even if a later list is older.
+   */
   synchronized void listed(long revision) {
-    completeFrom = Math.min(completeFrom, revision);
+    if (completeFrom == UNLISTED) {
+      completeFrom = revision;
+    }
     newestRevision = Math.max(newestRevision, revision);
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointHistoryTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointHistoryTest.java
@@ -34,21 +34,36 @@
     assertThat(history.isChangedSince(E1, 6)).isTrue();
   }
 
-  /** Guards against a removal that a daemon never learns of because it was forgotten. */
+  /** Guards against an endpoint that a daemon keeps because its removal is not known here. */
   @Test
-  void isIncompleteOnceRemovalsAreForgotten() {
+  void isCompleteFromItsFirstList() {
     assertThat(history.isCompleteSince(100)).isFalse();
     history.listed(50);
     assertThat(history.isCompleteSince(50)).isTrue();
     assertThat(history.isCompleteSince(49)).isFalse();
 
+    history.listed(30);
+    assertThat(history.isCompleteSince(30)).as("told by a daemon that lags").isFalse();
+  }
+
+  /** Guards against a removal that a daemon never learns of because it was forgotten. */
+  @Test
+  void isIncompleteOnceRemovalsAreForgotten() {
+    history.listed(50);
     for (int i = 0; i <= 1_000; i++) {
       EndpointId endpoint = new EndpointId("gone-" + i);
       history.put(endpoint, 100 + i, CHANGED);
-      history.remove(endpoint, 100 + i);
     }
+    for (int i = 0; i <= 1_000; i++) {
+      history.remove(new EndpointId("gone-" + i), 100 + i);
+    }
+
     assertThat(history.isCompleteSince(500)).isFalse();
-    assertThat(history.isCompleteSince(1_100)).isTrue();
+    assertThat(history.isCompleteSince(1_100)).as("known before the removals").isFalse();
+    assertThat(history.isCompleteSince(1_101)).isTrue();
     assertThat(history.removals()).hasSize(1_000);
+
+    history.listed(60);
+    assertThat(history.isCompleteSince(500)).as("told by a daemon that lags").isFalse();
   }
 }
