--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -109,6 +109,7 @@
     listening.close().awaitUninterruptibly();
   }
 
+  /** Closes all connections; the event loops must not end before this returns. */
   @Override
   public void close() {
     stopAccepting();
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/EntryDaemon.java
@@ -333,6 +333,11 @@
     owner.tick();
   }
 
+  /** Returns the port for callers. */
+  int callerPort() {
+    return callers.port();
+  }
+
   /** Begins a planned stop: requests in flight finish and owned endpoints are handed over. */
   public void drain() {
     stop.begin();
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/EntryDaemonStopTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/EntryDaemonStopTest.java
@@ -4,7 +4,6 @@
 
 import io.sequoiapass.daemon.process.settings.EntrySettings;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,10 +24,9 @@
     List<Thread> waiting = new ArrayList<>();
     try {
       for (int i = 0; i < DAEMONS; i++) {
-        int callerPort = freePort();
-        EntryDaemon daemon = EntryDaemon.start(settings(callerPort));
+        EntryDaemon daemon = EntryDaemon.start(settings());
         for (int c = 0; c < CONNECTIONS; c++) {
-          callers.add(new Socket(InetAddress.getLoopbackAddress(), callerPort));
+          callers.add(new Socket(InetAddress.getLoopbackAddress(), daemon.callerPort()));
         }
         waiting.add(awaitStop(daemon));
         waiting.add(awaitStop(daemon));
@@ -61,23 +59,18 @@
     return thread;
   }
 
-  private static EntrySettings settings(int callerPort) throws Exception {
+  /** Nothing listens at the platform's address. */
+  private static EntrySettings settings() throws Exception {
     return EntrySettings.parse(
         List.of(
             "--id", "d1",
             "--data-centre", "dc1",
             "--host", "h1",
             "--drain-limit-ms", "3000",
-            "--caller-port", Integer.toString(callerPort),
+            "--caller-port", "0",
             "--operator-port", "0",
             "--peer-port", "0",
-            "--platform", "127.0.0.1:" + freePort()),
+            "--platform", "127.0.0.1:1"),
         Map.of());
   }
-
-  private static int freePort() throws Exception {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
 }
