--- a/coordination/src/main/java/io/sequoiapass/coordination/process/UsageReporter.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/UsageReporter.java
@@ -9,8 +9,8 @@
 /**
  * Derives the reports on one link from totals, so that each link gets every unit once.
  *
- * <p>A coordinator that is newly linked does not learn what was admitted before: its buckets start
- * empty for that reason. Not safe for use by several threads.
+ * <p>A coordinator that is newly linked does not learn what was admitted before, so it allocates
+ * less until it has counted a whole window. Not safe for use by several threads.
  */
 public final class UsageReporter {
 
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/UsageFleet.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/UsageFleet.java
@@ -29,6 +29,7 @@
   /** What the platform allows beyond rate and burst, for the lag of reports. */
   static final double ALLOWED_OVERSHOOT = 1.1;
 
+  /** Units that it allows in addition, in any window. */
   static final double SLACK = 72_000;
 
   private final long seed;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -28,9 +28,6 @@
  */
 final class CoordinationNode {
 
-  /** How long links of a restarted daemon wait for the endpoint list, in milliseconds. */
-  private static final long LIST_WAIT_MS = 300;
-
   private final DataCentreId here;
   private final EndpointDirectory directory;
   private final CoordinatorElection election;
@@ -43,21 +40,10 @@
   private Coordinator coordinator;
   private final Map<DataCentreId, InetSocketAddress> postponed = new ConcurrentHashMap<>();
   private final LeaseReadSchedule schedule = new LeaseReadSchedule();
+  private final StartupListing startup = new StartupListing();
   private boolean reading;
-  private Fleet fleet = Fleet.UNKNOWN;
-  private long firstReadAt;
   private volatile Runnable onFirstRead = () -> {};
 
-  /** State of the fleet when this daemon started. */
-  private enum Fleet {
-    /** The leases have not been read. */
-    UNKNOWN,
-    /** No lease had ever been written: all daemons start together. */
-    STARTING,
-    /** There were leases, so that other daemons serve. */
-    RUNNING
-  }
-
   /**
    * Creates a node; {@link #use} must be called before it is used.
    *
@@ -183,7 +169,11 @@
 
   private void leasesRead(StoreList<CoordinatorLease> list, Throwable failure) {
     boolean acquired;
-    if (recordFleet(failure == null && list.items().isEmpty())) {
+    boolean first;
+    synchronized (this) {
+      first = startup.leasesRead(failure == null && list.items().isEmpty(), clock.millis());
+    }
+    if (first) {
       onFirstRead.run();
     }
     synchronized (this) {
@@ -204,15 +194,6 @@
     list.items().forEach(this::connect);
   }
 
-  private synchronized boolean recordFleet(boolean withoutLeases) {
-    boolean first = fleet == Fleet.UNKNOWN;
-    if (first) {
-      fleet = withoutLeases ? Fleet.STARTING : Fleet.RUNNING;
-      firstReadAt = clock.millis();
-    }
-    return first;
-  }
-
   private void connect(Stored<CoordinatorLease> lease) {
     if (lease.value().isPresent() && !lease.value().get().released()) {
       connect(new DataCentreId(lease.name()), lease.value().get().address());
@@ -231,18 +212,8 @@
     }
   }
 
-  /**
-   * Returns whether a link has to wait: each coordinator sends the whole endpoint list to a daemon
-   * that has none. When the whole fleet starts, the coordinator of this data centre sends it; a
-   * daemon that starts later has asked the store.
-   */
   private synchronized boolean awaitsList(DataCentreId dataCentre) {
-    if (directory.isListed()) {
-      return false;
-    }
-    return fleet == Fleet.STARTING
-        ? !dataCentre.equals(here)
-        : clock.millis() - firstReadAt < LIST_WAIT_MS;
+    return !directory.isListed() && startup.postponesLink(dataCentre.equals(here), clock.millis());
   }
 
   /** Opens the links that have waited for the endpoint list. */
@@ -337,12 +308,9 @@
     }
   }
 
-  /**
-   * Returns whether a starting daemon need not ask the store for what coordinators send, because
-   * the whole fleet is starting and its coordinators are being elected.
-   */
+  /** Returns whether coordinators will send a starting daemon what it would ask the store for. */
   synchronized boolean expectsCoordinators() {
-    return fleet != Fleet.RUNNING && !election.isHolding();
+    return startup.awaitsCoordinators() && !election.isHolding();
   }
 
   /** Returns the largest number of daemons that a connected coordinator reports as linked. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -80,13 +80,13 @@
   private final DaemonId daemon;
   private final String process;
   private final InetSocketAddress address;
+  private final long spreadMs;
   private Optional<Stored<CoordinatorLease>> seen = Optional.empty();
   private boolean read;
   private long unchangedSince = NEVER;
   private long lastReadAt = NEVER;
   private long nextReadAt = NEVER;
   private long readPauseMs = READ_MS;
-  private final long spreadMs;
   private long lastWriteAt = NEVER;
   private long renewedAt = NEVER;
   private boolean holding;
