Move the ticket of a request and its timers to files of their own

The ticket of a request at an endpoint, the timer of its response and the timer of its next dispatch move out; no behaviour changes.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -46,7 +46,7 @@
   private static final double FIRST_SERVICE_MS = 60;
 
   /** Time to the first token beyond the reading of the prompt, in milliseconds. */
-  private static final double FIRST_TOKEN_MS = 15;
+  static final double FIRST_TOKEN_MS = 15;
 
   /**
    * A load that is later than this has failed, in milliseconds. Loads among many concurrent ones
@@ -60,13 +60,13 @@
   private final DataCentreId here;
   private final AdapterVersions versions;
   private final EndpointChooser chooser;
-  private final EndpointHealth health = new EndpointHealth(HEALTH);
+  final EndpointHealth health = new EndpointHealth(HEALTH);
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
-  private final MovingAverage tokensPerMs = new MovingAverage(FIRST_TOKENS_PER_MS, 4, 400);
+  final MovingAverage tokensPerMs = new MovingAverage(FIRST_TOKENS_PER_MS, 4, 400);
   private final Map<DataCentreId, LoadTimeEstimates> loadTimes = new HashMap<>();
-  private final MovingAverage serviceMs = new MovingAverage(FIRST_SERVICE_MS, 1, 10_000);
-  private final Consumer<DataCentreId> onIdle;
-  private Optional<EngineSpec> engine = Optional.empty();
+  final MovingAverage serviceMs = new MovingAverage(FIRST_SERVICE_MS, 1, 10_000);
+  final Consumer<DataCentreId> onIdle;
+  Optional<EngineSpec> engine = Optional.empty();
 
   /**
    * Creates an empty group.
@@ -253,12 +253,12 @@
   }
 
   /** Records that a request is sent to an endpoint; the ticket tracks it until its end. */
-  public synchronized Optional<Ticket> begin(EndpointId endpoint, Demand demand, long now) {
+  public synchronized Optional<EndpointTicket> begin(EndpointId endpoint, Demand demand, long now) {
     EndpointState state = endpoints.get(endpoint);
     if (state == null) {
       return Optional.empty();
     }
-    Ticket ticket = new Ticket(state, demand.generation(), now);
+    EndpointTicket ticket = new EndpointTicket(this, state, demand.generation(), now);
     health.sent(endpoint, now);
     return Optional.of(ticket);
   }
@@ -448,152 +448,4 @@
   synchronized Optional<EngineSpec> engine() {
     return engine;
   }
-
-  /** Tracks one request at one endpoint from its sending to its end. */
-  public final class Ticket {
-
-    private final EndpointState state;
-    private final Optional<Generation> generation;
-    private final long sentAt;
-    private final Load load;
-    private final long backlog;
-    private final double usualMs;
-    private final int runningBefore;
-    private boolean begun;
-    private boolean stalled;
-    private boolean ended;
-
-    private Ticket(EndpointState state, Optional<Generation> generation, long now) {
-      this.state = state;
-      this.generation = generation;
-      this.sentAt = now;
-      this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
-      this.runningBefore = state.own.plus(state.others).running();
-      this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
-      this.usualMs =
-          FIRST_TOKEN_MS
-              + EngineCost.firstTokenMs(
-                  state.own.plus(state.others), load.prefillTokens(), tokensPerMs.value());
-      state.own = state.own.plus(load);
-      state.recent.add(load.prefillTokens(), now);
-      generation.ifPresent(
-          g -> {
-            state.prompts.sent(g, engine.map(EngineSpec::kvTokens).orElse(0L));
-            g.adapter().ifPresent(this::countStart);
-          });
-    }
-
-    private Load loadOf(EndpointState at, Generation wanted) {
-      long unread = Math.max(0, wanted.promptTokens() - at.prompts.cachedTokens(wanted));
-      return new Load(1, unread, wanted.memoryTokens(), 0);
-    }
-
-    private void countStart(AdapterName adapter) {
-      state.inUse.merge(adapter, 1, Integer::sum);
-      state.starts.merge(adapter, 1, Integer::sum);
-    }
-
-    /** Records that the response has started. */
-    public void begun(long now) {
-      synchronized (EndpointGroup.this) {
-        if (!begun && !ended) {
-          begun = true;
-          state.stalls.streamStarted(now);
-          state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
-          sampleReadingSpeed(now);
-          generation.ifPresent(g -> state.slowdown.sample((double) (now - sentAt), usualMs, now));
-        }
-      }
-    }
-
-    /** Records that a part of the response has arrived. */
-    public void progress(long now) {
-      synchronized (EndpointGroup.this) {
-        state.stalls.progress(now);
-      }
-    }
-
-    /** Returns whether the endpoint sends nothing on any of this daemon's streams. */
-    public boolean isEndpointStalled(long now) {
-      synchronized (EndpointGroup.this) {
-        return state.stalls.isStalled(now);
-      }
-    }
-
-    /** Records that the endpoint has stopped responding; the response may still arrive. */
-    public void stalled(long now) {
-      synchronized (EndpointGroup.this) {
-        if (!stalled && !ended) {
-          stalled = true;
-          health.failed(state.entry.endpoint(), now);
-        }
-      }
-    }
-
-    /** Samples long prompts only: the time of short ones depends on steps and round trips. */
-    private void sampleReadingSpeed(long now) {
-      double readingMs = now - sentAt - FIRST_TOKEN_MS;
-      if (generation.isPresent() && backlog >= 1_000 && readingMs > 0) {
-        tokensPerMs.sample(backlog / readingMs);
-      }
-    }
-
-    /** Records the end of the request at this endpoint. */
-    public void ended(Ending ending, long now) {
-      synchronized (EndpointGroup.this) {
-        if (ended) {
-          return;
-        }
-        ended = true;
-        if (begun) {
-          state.stalls.streamEnded();
-        }
-        state.own =
-            state.own.minus(new Load(1, begun ? 0 : load.prefillTokens(), load.memoryTokens(), 0));
-        generation.flatMap(Generation::adapter).ifPresent(this::countEnd);
-        EndpointId id = state.entry.endpoint();
-        switch (ending) {
-          case ANSWERED -> health.succeeded(id, now);
-          case FAILED -> failed(id, now);
-          default -> health.withdrawn(id, now);
-        }
-        if (ending == Ending.ANSWERED && generation.isEmpty()) {
-          serviceMs.sample((double) (now - sentAt));
-        }
-      }
-    }
-
-    private void failed(EndpointId id, long now) {
-      if (!stalled) {
-        health.failed(id, now);
-      }
-    }
-
-    private void countEnd(AdapterName adapter) {
-      state.inUse.computeIfPresent(adapter, (name, count) -> count > 1 ? count - 1 : null);
-      if (!state.inUse.containsKey(adapter)) {
-        onIdle.accept(state.entry.dataCentre());
-      }
-    }
-
-    /** Returns whether most slots of the endpoint were free when the request was sent. */
-    public boolean wasHalfEmpty() {
-      return runningBefore < state.entry.slots() / 2;
-    }
-
-    /** Returns the endpoint. */
-    public EndpointId endpoint() {
-      return state.entry.endpoint();
-    }
-  }
-
-  /** What the end of a request indicates about its endpoint. */
-  public enum Ending {
-    /** A complete response. */
-    ANSWERED,
-    /** A lost connection, a truncated response, or a failure of the endpoint. */
-    FAILED,
-    /** A refusal for lack of capacity, or a caller that disconnected. */
-    NO_BLAME
-  }
 }
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -0,0 +1,163 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.gateway.request.Generation;
+import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.EngineSpec;
+import java.util.Optional;
+
+/**
+ * Tracks one request at one endpoint from its sending to its end.
+ *
+ * <p>Safe for use by several threads: its state is guarded by the lock of its {@link
+ * EndpointGroup}.
+ */
+public final class EndpointTicket {
+
+  private final EndpointGroup group;
+  private final EndpointState state;
+  private final Optional<Generation> generation;
+  private final long sentAt;
+  private final Load load;
+  private final long backlog;
+  private final double usualMs;
+  private final int runningBefore;
+  private boolean begun;
+  private boolean stalled;
+  private boolean ended;
+
+  EndpointTicket(
+      EndpointGroup group, EndpointState state, Optional<Generation> generation, long now) {
+    this.group = group;
+    this.state = state;
+    this.generation = generation;
+    this.sentAt = now;
+    this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
+    this.runningBefore = state.own.plus(state.others).running();
+    this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
+    this.usualMs =
+        EndpointGroup.FIRST_TOKEN_MS
+            + EngineCost.firstTokenMs(
+                state.own.plus(state.others), load.prefillTokens(), group.tokensPerMs.value());
+    state.own = state.own.plus(load);
+    state.recent.add(load.prefillTokens(), now);
+    generation.ifPresent(
+        g -> {
+          state.prompts.sent(g, group.engine.map(EngineSpec::kvTokens).orElse(0L));
+          g.adapter().ifPresent(this::countStart);
+        });
+  }
+
+  private Load loadOf(EndpointState at, Generation wanted) {
+    long unread = Math.max(0, wanted.promptTokens() - at.prompts.cachedTokens(wanted));
+    return new Load(1, unread, wanted.memoryTokens(), 0);
+  }
+
+  private void countStart(AdapterName adapter) {
+    state.inUse.merge(adapter, 1, Integer::sum);
+    state.starts.merge(adapter, 1, Integer::sum);
+  }
+
+  /** Records that the response has started. */
+  public void begun(long now) {
+    synchronized (group) {
+      if (!begun && !ended) {
+        begun = true;
+        state.stalls.streamStarted(now);
+        state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
+        sampleReadingSpeed(now);
+        generation.ifPresent(g -> state.slowdown.sample((double) (now - sentAt), usualMs, now));
+      }
+    }
+  }
+
+  /** Records that a part of the response has arrived. */
+  public void progress(long now) {
+    synchronized (group) {
+      state.stalls.progress(now);
+    }
+  }
+
+  /** Returns whether the endpoint sends nothing on any of this daemon's streams. */
+  public boolean isEndpointStalled(long now) {
+    synchronized (group) {
+      return state.stalls.isStalled(now);
+    }
+  }
+
+  /** Records that the endpoint has stopped responding; the response may still arrive. */
+  public void stalled(long now) {
+    synchronized (group) {
+      if (!stalled && !ended) {
+        stalled = true;
+        group.health.failed(state.entry.endpoint(), now);
+      }
+    }
+  }
+
+  /** Samples long prompts only: the time of short ones depends on steps and round trips. */
+  private void sampleReadingSpeed(long now) {
+    double readingMs = now - sentAt - EndpointGroup.FIRST_TOKEN_MS;
+    if (generation.isPresent() && backlog >= 1_000 && readingMs > 0) {
+      group.tokensPerMs.sample(backlog / readingMs);
+    }
+  }
+
+  /** Records the end of the request at this endpoint. */
+  public void ended(Ending ending, long now) {
+    synchronized (group) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      if (begun) {
+        state.stalls.streamEnded();
+      }
+      state.own =
+          state.own.minus(new Load(1, begun ? 0 : load.prefillTokens(), load.memoryTokens(), 0));
+      generation.flatMap(Generation::adapter).ifPresent(this::countEnd);
+      EndpointId id = state.entry.endpoint();
+      switch (ending) {
+        case ANSWERED -> group.health.succeeded(id, now);
+        case FAILED -> failed(id, now);
+        default -> group.health.withdrawn(id, now);
+      }
+      if (ending == Ending.ANSWERED && generation.isEmpty()) {
+        group.serviceMs.sample((double) (now - sentAt));
+      }
+    }
+  }
+
+  private void failed(EndpointId id, long now) {
+    if (!stalled) {
+      group.health.failed(id, now);
+    }
+  }
+
+  private void countEnd(AdapterName adapter) {
+    state.inUse.computeIfPresent(adapter, (name, count) -> count > 1 ? count - 1 : null);
+    if (!state.inUse.containsKey(adapter)) {
+      group.onIdle.accept(state.entry.dataCentre());
+    }
+  }
+
+  /** Returns whether most slots of the endpoint were free when the request was sent. */
+  public boolean wasHalfEmpty() {
+    return runningBefore < state.entry.slots() / 2;
+  }
+
+  /** Returns the endpoint. */
+  public EndpointId endpoint() {
+    return state.entry.endpoint();
+  }
+
+  /** What the end of a request indicates about its endpoint. */
+  public enum Ending {
+    /** A complete response. */
+    ANSWERED,
+    /** A lost connection, a truncated response, or a failure of the endpoint. */
+    FAILED,
+    /** A refusal for lack of capacity, or a caller that disconnected. */
+    NO_BLAME
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -5,7 +5,7 @@
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.HttpStream;
 import io.sequoiapass.daemon.connection.HttpStreamListener;
-import io.sequoiapass.gateway.process.EndpointGroup;
+import io.sequoiapass.gateway.process.EndpointTicket;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import java.io.ByteArrayOutputStream;
 
@@ -18,7 +18,7 @@
   /** Largest answer that is buffered until it is complete, in bytes. */
   private static final int MAX_HELD_BYTES = 8 << 20;
 
-  final EndpointGroup.Ticket ticket;
+  final EndpointTicket ticket;
   final DataCentreId dataCentre;
   final long sentAt;
   volatile HttpStream stream;
@@ -34,7 +34,7 @@
   private volatile boolean completed;
 
   RelayAttempt(
-      RelayedRequest request, EndpointGroup.Ticket ticket, DataCentreId dataCentre, long sentAt) {
+      RelayedRequest request, EndpointTicket ticket, DataCentreId dataCentre, long sentAt) {
     this.request = request;
     this.ticket = ticket;
     this.dataCentre = dataCentre;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.gateway.process.Demand;
 import io.sequoiapass.gateway.process.EndpointChooser;
 import io.sequoiapass.gateway.process.EndpointGroup;
+import io.sequoiapass.gateway.process.EndpointTicket;
 import io.sequoiapass.gateway.process.SharedRetryBudget;
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.AnswerClass;
@@ -82,8 +83,8 @@
   private final EventRelay events;
   private final RequestLog requestLog;
   private Future<?> deadlineTimer;
-  private Future<?> waitTimer;
-  private Future<?> responseTimer;
+  private final DispatchTimer dispatchTimer;
+  private final ResponseTimer responseTimer;
   private final AdapterSearch search = new AdapterSearch();
   private final WaitTimes waits = new WaitTimes();
   private final ResponseTimes times;
@@ -127,6 +128,8 @@
     this.responder = exchange.responder();
     this.finished = finished;
     this.arrivedAt = context.clock().millis();
+    this.dispatchTimer = new DispatchTimer(context.loop(), context.clock());
+    this.responseTimer = new ResponseTimer(context.loop());
     this.times = new ResponseTimes(arrivedAt);
     long allowedMs = Math.min(route.timeoutMs(), facts.deadlineMs().orElse(route.timeoutMs()));
     this.deadlineAt = arrivedAt + allowedMs;
@@ -220,12 +223,10 @@
   }
 
   private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
-    return new LoadRequest(
-        facts.generation().orElseThrow(),
-        load.another(),
-        EndpointTimeouts.maxLoadDelayMs(route, now - arrivedAt, load.expectedMs()),
-        waitMs,
-        group.excluded(demand, now));
+    long maxDelayMs = EndpointTimeouts.maxLoadDelayMs(route, now - arrivedAt, load.expectedMs());
+    Generation generation = facts.generation().orElseThrow();
+    Set<EndpointId> excluded = group.excluded(demand, now);
+    return new LoadRequest(generation, load.another(), maxDelayMs, waitMs, excluded);
   }
 
   private void await(WaitTimes.Kind what, long now, long waitMs) {
@@ -236,24 +237,17 @@
   }
 
   private void scheduleDispatch(long ms) {
-    cancel(waitTimer);
-    long dueAt = context.clock().millis() + ms;
-    waitTimer = context.loop().schedule(() -> waitTimerFired(dueAt), ms, TimeUnit.MILLISECONDS);
+    dispatchTimer.schedule(ms, this::dispatchIfWaiting);
   }
 
-  private synchronized void waitTimerFired(long dueAt) {
-    if (!waiting || completed) {
-      return;
-    }
-    if (ResumeDelay.isAfterPause(dueAt, context.clock().millis())) {
-      scheduleDispatch(ResumeDelay.READ_DELAY_MS);
-    } else {
+  private synchronized void dispatchIfWaiting() {
+    if (waiting && !completed) {
       dispatch();
     }
   }
 
   private void stopWaiting() {
-    cancel(waitTimer);
+    dispatchTimer.cancel();
     if (waiting) {
       waits.end(context.clock().millis());
       waiting = false;
@@ -264,13 +258,13 @@
   private void send(Choice.Send choice, Demand demand, long now) {
     EndpointId endpoint = choice.candidate().endpoint();
     Optional<Target> target = group.target(endpoint, demand, now);
-    Optional<EndpointGroup.Ticket> ticket = group.begin(endpoint, demand, now);
+    Optional<EndpointTicket> ticket = group.begin(endpoint, demand, now);
     if (target.isEmpty() || ticket.isEmpty()) {
       refuseOrFail(new Choice.Refuse(ErrorKind.NO_ENDPOINT, RETRY_AFTER_MS));
       return;
     }
     if (sends > 0 && (sends >= MAX_SENDS || !budget.tryAcquire(now))) {
-      ticket.get().ended(EndpointGroup.Ending.NO_BLAME, now);
+      ticket.get().ended(EndpointTicket.Ending.NO_BLAME, now);
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, RETRY_AFTER_MS));
       return;
     }
@@ -292,21 +286,14 @@
 
   /** Watches for an endpoint's next event if another endpoint could replace it. */
   private void awaitResponse(RelayAttempt from, long abandonMs) {
-    cancel(responseTimer);
+    responseTimer.cancel();
     if (route.mayRepeat() && runs + 1 < route.maxAttempts()) {
       long now = context.clock().millis();
-      scheduleResponseCheck(from, new ResponseWatchdog(now, abandonMs), now);
+      ResponseWatchdog watch = new ResponseWatchdog(now, abandonMs);
+      responseTimer.schedule(watch, now, due -> checkResponse(from, due));
     }
   }
 
-  private void scheduleResponseCheck(RelayAttempt from, ResponseWatchdog watch, long now) {
-    responseTimer =
-        context
-            .loop()
-            .schedule(
-                () -> checkResponse(from, watch), watch.nextCheckMs(now), TimeUnit.MILLISECONDS);
-  }
-
   /** Fails over to another endpoint if this one has stopped responding. */
   private synchronized void checkResponse(RelayAttempt waitedFor, ResponseWatchdog watch) {
     long now = context.clock().millis();
@@ -318,7 +305,7 @@
       waitedFor.stream.cancel();
       broken(waitedFor, "silent");
     } else {
-      scheduleResponseCheck(waitedFor, watch, now);
+      responseTimer.schedule(watch, now, due -> checkResponse(waitedFor, due));
     }
   }
 
@@ -345,7 +332,7 @@
       return answer;
     }
     if (answer == AnswerClass.SUCCESS) {
-      cancel(responseTimer);
+      responseTimer.cancel();
       from.ticket.begun(context.clock().millis());
       if (route.streams()) {
         beginStream(status, headers);
@@ -400,7 +387,7 @@
     if (completed || from != attempt) {
       return;
     }
-    from.ticket.ended(EndpointGroup.Ending.ANSWERED, context.clock().millis());
+    from.ticket.ended(EndpointTicket.Ending.ANSWERED, context.clock().millis());
     if (events.remainder().length > 0) {
       responder.write(events.remainder());
     }
@@ -416,7 +403,7 @@
     }
     long now = context.clock().millis();
     boolean success = answer == AnswerClass.SUCCESS;
-    from.ticket.ended(success ? EndpointGroup.Ending.ANSWERED : EndpointGroup.Ending.FAILED, now);
+    from.ticket.ended(success ? EndpointTicket.Ending.ANSWERED : EndpointTicket.Ending.FAILED, now);
     runs++;
     if (!success && mayRetry(now)) {
       avoid.add(from.ticket.endpoint());
@@ -454,7 +441,7 @@
     // An endpoint that reports itself full with half of its slots free is faulty, and one without
     // the request's base model has restarted.
     boolean blame = busy ? from.ticket.wasHalfEmpty() : adapter.isEmpty();
-    from.ticket.ended(blame ? EndpointGroup.Ending.FAILED : EndpointGroup.Ending.NO_BLAME, now);
+    from.ticket.ended(blame ? EndpointTicket.Ending.FAILED : EndpointTicket.Ending.NO_BLAME, now);
     boolean early =
         !busy
             && adapter.isPresent()
@@ -477,7 +464,7 @@
     if (completed || from != attempt) {
       return;
     }
-    from.ticket.ended(EndpointGroup.Ending.FAILED, context.clock().millis());
+    from.ticket.ended(EndpointTicket.Ending.FAILED, context.clock().millis());
     requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), events.lastId());
     avoid.add(from.ticket.endpoint());
     dispatch();
@@ -489,7 +476,7 @@
       return;
     }
     long now = context.clock().millis();
-    from.ticket.ended(EndpointGroup.Ending.FAILED, now);
+    from.ticket.ended(EndpointTicket.Ending.FAILED, now);
     requestLog.lost("broken", from, reason, events.lastId());
     runs++;
     avoid.add(from.ticket.endpoint());
@@ -513,7 +500,7 @@
   private void abandonAttempt() {
     if (attempt != null && attempt.stream != null) {
       attempt.stream.cancel();
-      attempt.ticket.ended(EndpointGroup.Ending.NO_BLAME, context.clock().millis());
+      attempt.ticket.ended(EndpointTicket.Ending.NO_BLAME, context.clock().millis());
     }
   }
 
@@ -575,8 +562,10 @@
   private void finish(String outcome, int status) {
     completed = true;
     stopWaiting();
-    cancel(deadlineTimer);
-    cancel(responseTimer);
+    if (deadlineTimer != null) {
+      deadlineTimer.cancel(false);
+    }
+    responseTimer.cancel();
     finished.run();
     if (!hasRun()) {
       access.notRun().run();
@@ -588,10 +577,4 @@
   private long sinceArrival() {
     return context.clock().millis() - arrivedAt;
   }
-
-  private static void cancel(Future<?> timer) {
-    if (timer != null) {
-      timer.cancel(false);
-    }
-  }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -89,9 +89,9 @@
   class SlowEngine {
 
     private void begin(String name, long tookMs, long now) {
-      EndpointGroup.Ticket ticket = group.begin(id(name), demand(600, 70), now).orElseThrow();
+      EndpointTicket ticket = group.begin(id(name), demand(600, 70), now).orElseThrow();
       ticket.begun(now + tookMs);
-      ticket.ended(EndpointGroup.Ending.ANSWERED, now + tookMs + 1);
+      ticket.ended(EndpointTicket.Ending.ANSWERED, now + tookMs + 1);
     }
 
     @BeforeEach
@@ -122,13 +122,13 @@
     @Test
     void isReportedWhenItsLastRequestEnds() {
       hold("e1", 0);
-      EndpointGroup.Ticket first = group.begin(id("e1"), demand(100, 10), 10).orElseThrow();
-      EndpointGroup.Ticket second = group.begin(id("e1"), demand(100, 10), 20).orElseThrow();
+      EndpointTicket first = group.begin(id("e1"), demand(100, 10), 10).orElseThrow();
+      EndpointTicket second = group.begin(id("e1"), demand(100, 10), 20).orElseThrow();
 
-      first.ended(EndpointGroup.Ending.ANSWERED, 500);
+      first.ended(EndpointTicket.Ending.ANSWERED, 500);
       assertThat(idle).isEmpty();
 
-      second.ended(EndpointGroup.Ending.ANSWERED, 600);
+      second.ended(EndpointTicket.Ending.ANSWERED, 600);
       assertThat(idle).containsExactly(NORTH);
     }
   }
@@ -280,11 +280,11 @@
     @Test
     void loadCountsFromSendingToEnd() {
       Demand demand = demand(800, 200);
-      EndpointGroup.Ticket ticket = group.begin(id("e1"), demand, 10).orElseThrow();
+      EndpointTicket ticket = group.begin(id("e1"), demand, 10).orElseThrow();
       List<EndpointUsage> during = group.takeUsage(NORTH, 11);
       ticket.begun(50);
-      ticket.ended(EndpointGroup.Ending.ANSWERED, 100);
-      ticket.ended(EndpointGroup.Ending.FAILED, 101);
+      ticket.ended(EndpointTicket.Ending.ANSWERED, 100);
+      ticket.ended(EndpointTicket.Ending.FAILED, 101);
 
       assertThat(during).hasSize(1);
       assertThat(during.get(0).load().running()).isEqualTo(1);
