Log and count the request limits that endpoints name

Nothing recorded that an endpoint had named a limit, so the log of a breach did not tell whether a daemon knew of it. The header is decoded at the boundary, an endpoint_limit line is written when an endpoint names another limit or none, sent lines carry the limit known at that moment, and sends under a limit are counted. Nothing is decided by it yet.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.IntSupplier;
 
@@ -28,6 +29,7 @@
   final Map<AdapterName, Integer> starts = new HashMap<>();
   PrefixCacheModel prompts = new PrefixCacheModel();
   AdapterCacheModel cachedAdapters;
+  OptionalDouble requestsPerS = OptionalDouble.empty();
   private final IntSupplier cacheDepth;
 
   EndpointState(EndpointEntry entry, IntSupplier cacheDepth) {
@@ -127,5 +129,6 @@
     cachedAdapters = new AdapterCacheModel(cacheDepth);
     others = Load.NONE;
     othersAt = NEVER;
+    requestsPerS = OptionalDouble.empty();
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.EngineSpec;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Tracks one request at one endpoint from its sending to its end.
@@ -58,6 +59,26 @@
     state.starts.merge(adapter, 1, Integer::sum);
   }
 
+  /**
+   * Records the limit that an answer names; returns whether it differs from the one before.
+   *
+   * @param requestsPerS the requests a second that the endpoint accepts; empty for any number
+   */
+  public boolean limitNamed(OptionalDouble requestsPerS) {
+    synchronized (group) {
+      boolean changed = !state.requestsPerS.equals(requestsPerS);
+      state.requestsPerS = requestsPerS;
+      return changed;
+    }
+  }
+
+  /** Returns the limit that the endpoint has named, in requests a second. */
+  public OptionalDouble requestsPerS() {
+    synchronized (group) {
+      return state.requestsPerS;
+    }
+  }
+
   /** Records that the response has started. */
   public void begun(long now) {
     synchronized (group) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -16,6 +16,7 @@
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import io.sequoiapass.gateway.spi.CallerFacts;
+import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.HashSet;
@@ -269,7 +270,7 @@
       return;
     }
     sends++;
-    requestLog.sent(choice, sends, now - arrivedAt, demand.remainingMs());
+    requestLog.sent(choice, ticket.get(), sends, now - arrivedAt, demand.remainingMs());
     HttpCall call = forward.to(target.get(), demand.remainingMs(), events.lastId());
     attempt = new RelayAttempt(this, ticket.get(), choice.candidate().dataCentre(), now);
     attempt.stream = context.http().stream(call, demand.remainingMs() + CALL_SLACK_MS, attempt);
@@ -328,6 +329,10 @@
   /** Called when status and headers of an answer arrive; returns the answer's class. */
   synchronized AnswerClass began(RelayAttempt from, int status, HttpHeaders headers) {
     AnswerClass answer = context.endpoints().classify(status, headers);
+    EndpointNotice notice = context.endpoints().notice(headers);
+    if (from.ticket.limitNamed(notice.requestsPerS())) {
+      requestLog.limitNamed(from, notice.requestsPerS());
+    }
     if (completed || from != attempt) {
       return answer;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -3,10 +3,12 @@
 import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.gateway.process.Candidate;
 import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.process.EndpointTicket;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
+import java.util.OptionalDouble;
 
 /** Logs the decisions on one request. Used under the request's lock. */
 final class RequestLog {
@@ -29,11 +31,16 @@
   }
 
   /** Logs that the request is sent, with the estimates that the choice of the endpoint rests on. */
-  void sent(Choice.Send choice, int send, long waitedMs, long leftMs) {
+  void sent(Choice.Send choice, EndpointTicket ticket, int send, long waitedMs, long leftMs) {
     Candidate candidate = choice.candidate();
+    OptionalDouble limit = ticket.requestsPerS();
+    if (limit.isPresent()) {
+      context.metrics().count("sequoiapass_sends_under_a_limit_total");
+    }
     context
         .log()
         .request("sent", requestId)
+        .with("limit_per_s", limit.isPresent() ? limit.getAsDouble() : "")
         .with("route", route.name())
         .with("adapter", adapter)
         .with("endpoint", candidate.endpoint())
@@ -50,6 +57,16 @@
         .write();
   }
 
+  /** Logs that the endpoint names another limit of its requests, or none any more. */
+  void limitNamed(RelayAttempt from, OptionalDouble requestsPerS) {
+    context
+        .log()
+        .request("endpoint_limit", requestId)
+        .with("endpoint", from.ticket.endpoint())
+        .with("limit_per_s", requestsPerS.isPresent() ? requestsPerS.getAsDouble() : "")
+        .write();
+  }
+
   /** Logs that the endpoint reports that it did not run the request. */
   void notRun(RelayAttempt from, AnswerClass answer) {
     context
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointProtocol.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointProtocol.java
@@ -30,6 +30,13 @@
    */
   AnswerClass classify(int status, HttpHeaders headers);
 
+  /**
+   * Returns what an answer states about its endpoint.
+   *
+   * @param headers the headers
+   */
+  EndpointNotice notice(HttpHeaders headers);
+
   /**
    * Returns the headers with which an endpoint's answer is sent to the caller.
    *
