Send limited endpoints no more than they accept from all daemons

Callers saw nothing at first: an endpoint in need that named a limit of 1 request a second got 12 and more in 4 s, and rejected or failed them later.

Cause: what an endpoint states in its answers was passed to the caller and read by nobody. No daemon knew of the limit, and none could have kept it alone, since it holds for all daemons together.

Each request to an endpoint that has named a limit now needs a permit, which is taken where the ticket of every sending is issued, so that no way to an endpoint can go without. The coordinator of the endpoint's data centre, and only while its lease is provably valid, grants permits to the daemons that ask, one for each request; they are valid for 0.8 s. Without such a coordinator a daemon draws its own at random: independent draws rarely coincide, so the sum holds without a message. Requests whose permit would come too late are refused at once, with the time at which one is expected. Limited endpoints get no loads while others exist. A limit belongs to one process of an endpoint; an answer that may be older than the limit cannot end it.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -46,6 +46,8 @@
   private static final int LOAD_REJECTED = 8;
   private static final int ENDPOINTS = 9;
   private static final int RELEASES = 10;
+  private static final int PERMIT_REQUEST = 11;
+  private static final int PERMIT_REPLY = 12;
 
   private LinkFrames() {}
 
@@ -151,6 +153,11 @@
       out.packString(miss.endpoint().value());
       writeAdapter(out, miss.adapter());
       out.packBoolean(miss.early());
+    } else if (message instanceof LinkMessage.PermitRequest ask) {
+      out.packInt(PERMIT_REQUEST);
+      out.packString(ask.endpoint().value());
+      out.packDouble(ask.requestsPerS());
+      out.packLong(ask.usefulMs());
     } else {
       writeCoordinatorMessage(out, message);
     }
@@ -188,6 +195,11 @@
             writeAdapter(to, release.adapter());
             to.packLong(release.version());
           });
+    } else if (message instanceof LinkMessage.PermitReply reply) {
+      out.packInt(PERMIT_REPLY);
+      out.packString(reply.endpoint().value());
+      out.packString(reply.type().name());
+      out.packLong(reply.waitMs());
     } else {
       throw new IllegalArgumentException("no frame for " + message);
     }
@@ -369,10 +381,29 @@
       case RELEASES ->
           new LinkMessage.Releases(
               list(in, from -> new LinkMessage.Release(readAdapter(from), from.unpackLong())));
+      case PERMIT_REQUEST -> readPermitRequest(in);
+      case PERMIT_REPLY -> readPermitReply(in);
       default -> throw new IOException("unknown message type " + type);
     };
   }
 
+  private static LinkMessage.PermitRequest readPermitRequest(MessageUnpacker in)
+      throws IOException {
+    EndpointId endpoint = new EndpointId(in.unpackString());
+    double perS = in.unpackDouble();
+    if (!(perS >= 0 && perS < Double.MAX_VALUE)) {
+      throw new IOException("not a rate: " + perS);
+    }
+    return new LinkMessage.PermitRequest(endpoint, perS, in.unpackLong());
+  }
+
+  private static LinkMessage.PermitReply readPermitReply(MessageUnpacker in) throws IOException {
+    return new LinkMessage.PermitReply(
+        new EndpointId(in.unpackString()),
+        LinkMessage.PermitReply.Type.valueOf(in.unpackString()),
+        in.unpackLong());
+  }
+
   private static Optional<ClockReading> readOptionalClocks(MessageUnpacker in) throws IOException {
     return in.unpackBoolean() ? Optional.of(readClocks(in)) : Optional.empty();
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.connection.EndpointPermits;
 import io.sequoiapass.coordination.process.ClockReading;
 import io.sequoiapass.coordination.process.WorkspaceShare;
 import io.sequoiapass.coordination.process.WorkspaceUsage;
@@ -267,4 +268,58 @@
    * @param retryAfterMs when to request the load again, in milliseconds
    */
   record LoadRejected(AdapterName adapter, long retryAfterMs) implements LinkMessage {}
+
+  /**
+   * A daemon asks for a permit to send one request to an endpoint that accepts only so many.
+   *
+   * @param endpoint the endpoint
+   * @param requestsPerS the limit that it has named, in requests a second
+   * @param usefulMs how long the daemon's request can wait, in milliseconds
+   */
+  record PermitRequest(EndpointId endpoint, double requestsPerS, long usefulMs)
+      implements LinkMessage {}
+
+  /**
+   * A coordinator replies to an ask for a permit.
+   *
+   * @param endpoint the endpoint
+   * @param type the reply
+   * @param waitMs the expected time until the next permit of this daemon, in milliseconds
+   */
+  record PermitReply(EndpointId endpoint, Type type, long waitMs) implements LinkMessage {
+
+    /** The reply. */
+    public enum Type {
+      /** One request may be sent. */
+      GRANTED {
+        @Override
+        public void apply(EndpointPermits permits, long waitMs, long now) {
+          permits.granted(waitMs, now);
+        }
+      },
+      /** The permit follows as soon as the limit allows it. */
+      QUEUED {
+        @Override
+        public void apply(EndpointPermits permits, long waitMs, long now) {
+          permits.queued(waitMs, now);
+        }
+      },
+      /** The coordinator cannot prove that no other one grants permits. */
+      REFUSED {
+        @Override
+        public void apply(EndpointPermits permits, long waitMs, long now) {
+          permits.refused(now);
+        }
+      };
+
+      /**
+       * Updates the permits for the endpoint.
+       *
+       * @param permits the permits
+       * @param waitMs the expected time until the next one, in milliseconds
+       * @param now the time, in milliseconds
+       */
+      public abstract void apply(EndpointPermits permits, long waitMs, long now);
+    }
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -22,6 +22,22 @@
    */
   record AwaitLoad(Candidate candidate, long waitMs) implements Choice {}
 
+  /**
+   * Wait for a permit, since all endpoints that could serve the request accept only so many.
+   *
+   * @param waitMs the expected time until the next permit, in milliseconds
+   * @param gapMs the expected time between two permits, in milliseconds
+   * @param responseMs the expected time from the sending to the start of the response, in
+   *     milliseconds
+   */
+  record AwaitPermit(long waitMs, long gapMs, long responseMs) implements Choice {
+
+    /** Returns the expected time until a request with others before it is sent, in milliseconds. */
+    public long sentInMs(int before) {
+      return waitMs + gapMs * before;
+    }
+  }
+
   /**
    * Request a load of the adapter.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -28,6 +28,12 @@
  */
 final class CoordinationNode {
 
+  /**
+   * How long the largest number of daemons that a coordinator reported counts, in milliseconds. A
+   * new coordinator starts with few links.
+   */
+  private static final long DAEMONS_MS = 30_000;
+
   private final DataCentreId here;
   private final EndpointDirectory directory;
   private final CoordinatorElection election;
@@ -44,6 +50,8 @@
   private boolean reading;
   private volatile Runnable onFirstRead = () -> {};
 
+  private final RecentMaximum recentDaemons = new RecentMaximum(DAEMONS_MS);
+
   /**
    * Creates a node; {@link #use} must be called before it is used.
    *
@@ -102,6 +110,7 @@
 
   /** Handles a coordinator's status. */
   void updateStatus(DataCentreId dataCentre, LinkMessage.CoordinatorStatus status) {
+    recentDaemons.add(status.daemons(), clock.millis());
     if (dataCentre.equals(here)) {
       synchronized (this) {
         election.observeRevision(status.revision(), clock.millis());
@@ -318,6 +327,31 @@
     return links.values().stream().mapToInt(CoordinatorLink::daemons).max().orElse(0);
   }
 
+  /** Returns the source of permits for requests to limited endpoints. */
+  PermitSource permits() {
+    return new PermitSource() {
+      @Override
+      public boolean isConnected(DataCentreId dataCentre) {
+        CoordinatorLink link = links.get(dataCentre);
+        return link != null && link.isUp();
+      }
+
+      @Override
+      public int daemons() {
+        return recentDaemons.value();
+      }
+
+      @Override
+      public void ask(
+          DataCentreId dataCentre, EndpointId endpoint, double requestsPerS, long usefulMs) {
+        CoordinatorLink link = links.get(dataCentre);
+        if (link != null) {
+          link.send(new LinkMessage.PermitRequest(endpoint, requestsPerS, usefulMs));
+        }
+      }
+    };
+  }
+
   /**
    * Requests that an adapter be loaded in a data centre; returns false if there is no coordinator.
    */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -14,6 +14,7 @@
 import io.sequoiapass.gateway.connection.LinkFrames;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.spi.EndpointOrder;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.spi.OrderResult;
@@ -61,6 +62,7 @@
   private final LoadQueue loadQueue;
   private final LoadRouter router;
   private final LongPredicate mayOrder;
+  private final PermitGrants permits;
   private final Runnable onFenced;
   private DaemonView view = DaemonView.NONE;
   private final Map<FrameChannel, LinkedDaemon> links = new HashMap<>();
@@ -79,22 +81,6 @@
   private List<WorkspaceShare> workspaceShares = List.of();
   private long provedRevision;
 
-  /** A daemon that is linked. */
-  private static final class LinkedDaemon {
-    private DaemonId daemon;
-    private DataCentreId dataCentre;
-    private long lastReceivedAt;
-    private boolean coordinates;
-    private boolean hasEndpoints;
-    private long endpointsRevision;
-
-    /** The daemon's clocks in its last report. */
-    private ClockReading lastReport;
-
-    /** The daemon's clocks before the last question to the store that was answered. */
-    private Optional<ClockReading> proved = Optional.empty();
-  }
-
   /**
    * Creates a coordinator that is not active.
    *
@@ -104,6 +90,7 @@
    * @param io protocol, client, executor, clock and log
    * @param newAllocator creates an allocator of usage limits for a new term
    * @param mayOrder whether an order may be sent at a time
+   * @param mayGrant whether no other coordinator grants permits at a time
    * @param onFenced runs when an endpoint has received a higher epoch
    */
   Coordinator(
@@ -113,6 +100,7 @@
       Io io,
       Supplier<UsageAllocator> newAllocator,
       LongPredicate mayOrder,
+      LongPredicate mayGrant,
       Runnable onFenced) {
     this.daemon = settings.daemon();
     this.here = settings.dataCentre();
@@ -134,6 +122,7 @@
     this.newAllocator = newAllocator;
     this.usage = newAllocator.get();
     this.mayOrder = mayOrder;
+    this.permits = new PermitGrants(mayGrant);
     this.onFenced = onFenced;
   }
 
@@ -198,6 +187,7 @@
     endpointUpdates.clear();
     releases.clear();
     usage = newAllocator.get();
+    permits.clear();
     stopping = false;
     epoch = newEpoch;
     plan.requireReports();
@@ -219,6 +209,7 @@
   /** Notifies the daemons that the lease is being released. */
   synchronized void stop() {
     stopping = true;
+    permits.clear();
     sendAll(status());
   }
 
@@ -276,6 +267,7 @@
     plan.replaceOutdated(now);
     plan.advance(now);
     work(now);
+    permits.grant(links, now);
     rounds++;
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
       sendRound(now);
@@ -444,6 +436,7 @@
 
   private synchronized void reported(EndpointId endpoint, HttpAnswer answer, Throwable failure) {
     long now = clock.millis();
+    noticed(endpoint, answer, now);
     plan.reported(endpoint, failure == null ? protocol.report(answer) : Optional.empty(), now);
     work(now);
   }
@@ -474,6 +467,7 @@
           .with("took_ms", now - sentAt)
           .write();
       plan.ordered(order, result, now);
+      noticed(order.endpoint(), answer, now);
       fenced = result == OrderResult.FENCED && order.epoch() == epoch && active;
       if (!fenced) {
         work(now);
@@ -484,6 +478,13 @@
     }
   }
 
+  private void noticed(EndpointId endpoint, HttpAnswer answer, long now) {
+    if (answer != null) {
+      EndpointNotice notice = protocol.notice(answer.headers());
+      directory.groupOf(endpoint).ifPresent(group -> group.noticed(endpoint, notice, now, now));
+    }
+  }
+
   /** Returns a listener for the link of one daemon. */
   FrameListener listener() {
     return new FrameListener() {
@@ -519,6 +520,7 @@
     subscribers.unsubscribe(channel);
     if (linked != null && linked.daemon != null) {
       plan.removeDaemon(linked.daemon);
+      permits.remove(linked.daemon);
       usage.lost(linked.daemon, clock.millis());
       log.event("daemon_unlinked").with("peer", linked.daemon).write();
     }
@@ -550,6 +552,9 @@
     } else if (message instanceof LinkMessage.AdapterMiss miss) {
       plan.missed(miss.endpoint(), miss.adapter(), miss.early(), now);
       work(now);
+    } else if (message instanceof LinkMessage.PermitRequest ask && linked.daemon != null) {
+      permits.ask(channel, linked.daemon, ask, now);
+      permits.grant(links, now);
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -70,6 +70,14 @@
     /** Called when a data centre cannot load an adapter now. */
     void loadRejected(DataCentreId dataCentre, AdapterName adapter, long retryAfterMs);
 
+    /**
+     * Called when a coordinator has replied to an ask for a permit.
+     *
+     * @param group the endpoint's group
+     * @param granted whether a request may be sent
+     */
+    void permitReplied(EndpointGroup group, boolean granted);
+
     /** Called when a coordinator reports the version of an adapter. */
     void released(LinkMessage.Release release);
 
@@ -316,9 +324,16 @@
       releases.releases().forEach(listener::released);
     } else if (message instanceof LinkMessage.LoadRejected rejected) {
       listener.loadRejected(dataCentre, rejected.adapter(), rejected.retryAfterMs());
+    } else if (message instanceof LinkMessage.PermitReply reply) {
+      directory.groupOf(reply.endpoint()).ifPresent(group -> permitReplied(group, reply));
     }
   }
 
+  private void permitReplied(EndpointGroup group, LinkMessage.PermitReply reply) {
+    group.permitReplied(reply, clock.millis());
+    listener.permitReplied(group, reply.type() == LinkMessage.PermitReply.Type.GRANTED);
+  }
+
   private synchronized Map<EndpointId, Load> others(LinkMessage.Loads loads) {
     Map<EndpointId, Load> totals = new HashMap<>();
     loads.loads().forEach(load -> totals.put(load.endpoint(), load.load()));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -58,6 +58,7 @@
   private volatile Runnable onChange = () -> {};
   private volatile Watcher watcher = Watcher.NONE;
   private volatile Consumer<DataCentreId> onIdle = dataCentre -> {};
+  private volatile PermitSource permitSource = PermitSource.NONE;
 
   /** Receives changes of the list; must not block. */
   interface Watcher {
@@ -97,6 +98,11 @@
     onIdle = action;
   }
 
+  /** Sets where permits come from; called before there are endpoints. */
+  void usePermits(PermitSource source) {
+    permitSource = source;
+  }
+
   /** Sets the listener for each change of the list. */
   void setWatcher(Watcher newWatcher) {
     watcher = newWatcher;
@@ -111,12 +117,16 @@
   public EndpointGroup group(ServiceId service) {
     return groups.computeIfAbsent(
         service,
-        name ->
-            new EndpointGroup(
-                here,
-                versions,
-                dataCentre -> onIdle.accept(dataCentre),
-                () -> ThreadLocalRandom.current().nextDouble()));
+        name -> {
+          EndpointGroup group =
+              new EndpointGroup(
+                  here,
+                  versions,
+                  dataCentre -> onIdle.accept(dataCentre),
+                  () -> ThreadLocalRandom.current().nextDouble());
+          group.usePermits(permitSource);
+          return group;
+        });
   }
 
   void configure(ServingConfiguration configuration) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -3,11 +3,13 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.connection.EndpointHealth;
+import io.sequoiapass.coordination.connection.EndpointPermits;
 import io.sequoiapass.coordination.connection.HealthSettings;
 import io.sequoiapass.coordination.process.RendezvousHash;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
@@ -54,6 +56,9 @@
    */
   private static final long LATE_LOAD_MS = 1_500;
 
+  /** Largest number of endpoints from which one request asks for a permit. */
+  private static final int MAX_ASKS = 4;
+
   /** Leading prompt parts that requests share; the last part belongs to one request only. */
   private static final int SHARED_PARTS = 2;
 
@@ -66,6 +71,8 @@
   private final Map<DataCentreId, LoadTimeEstimates> loadTimes = new HashMap<>();
   final MovingAverage serviceMs = new MovingAverage(FIRST_SERVICE_MS, 1, 10_000);
   final Consumer<DataCentreId> onIdle;
+  private final DoubleSupplier random;
+  private PermitSource permitSource = PermitSource.NONE;
   Optional<EngineSpec> engine = Optional.empty();
 
   /**
@@ -84,10 +91,16 @@
       DoubleSupplier random) {
     this.chooser = new EndpointChooser(new LoadUncertainty(random));
     this.here = here;
+    this.random = random;
     this.versions = versions;
     this.onIdle = onIdle;
   }
 
+  /** Sets where permits come from. */
+  synchronized void usePermits(PermitSource source) {
+    permitSource = source;
+  }
+
   synchronized void configure(Optional<EngineSpec> spec) {
     engine = spec;
   }
@@ -96,7 +109,7 @@
   synchronized boolean put(EndpointEntry entry, boolean coordinated, long now) {
     EndpointState state = endpoints.get(entry.endpoint());
     if (state == null) {
-      state = new EndpointState(entry, () -> loadTimes(entry.dataCentre()).cacheDepth());
+      state = new EndpointState(entry, () -> loadTimes(entry.dataCentre()).cacheDepth(), random);
       endpoints.put(entry.endpoint(), state);
     }
     boolean restarted = state.entry.startTimeMs() != entry.startTimeMs();
@@ -132,6 +145,27 @@
       // An endpoint that failed before is better than a refusal.
       candidates = candidates(demand, now, false);
     }
+    List<Candidate> permitted = permitted(candidates, now);
+    Choice choice = choose(candidates, demand, loadable);
+    if (permitted.size() == candidates.size()) {
+      return choice;
+    }
+    if (permitted.isEmpty()) {
+      return choice instanceof Choice.Send send
+          ? awaitPermit(candidates, demand, send.expectedMs(), now)
+          : choice;
+    }
+    if (choice instanceof Choice.Send send) {
+      if (permitted.contains(send.candidate())) {
+        return choice;
+      }
+      askForPermit(endpoints.get(send.candidate().endpoint()), EndpointPermits.VALID_MS, now);
+    }
+    return choose(permitted, demand, loadable);
+  }
+
+  private Choice choose(
+      List<Candidate> candidates, Demand demand, EndpointChooser.Loadable loadable) {
     if (demand.generation().isEmpty()) {
       return chooser.forCall(candidates, serviceMs.value(), demand.remainingMs());
     }
@@ -139,6 +173,71 @@
         candidates, demand.generation().get(), tokensPerMs.value(), demand.remainingMs(), loadable);
   }
 
+  /** Returns the endpoints that a request may be sent to now. */
+  private List<Candidate> permitted(List<Candidate> candidates, long now) {
+    return candidates.stream()
+        .filter(candidate -> maySend(endpoints.get(candidate.endpoint()), now))
+        .toList();
+  }
+
+  private boolean maySend(EndpointState state, long now) {
+    if (!state.permits.isLimited()) {
+      return true;
+    }
+    boolean connected = permitSource.isConnected(state.entry.dataCentre());
+    state.permits.coordinated(connected, permitSource.daemons(), now);
+    return state.permits.mayTake(now);
+  }
+
+  private Choice awaitPermit(List<Candidate> candidates, Demand demand, long responseMs, long now) {
+    long usefulMs = Math.max(0, demand.remainingMs() - responseMs);
+    long waitMs = Long.MAX_VALUE;
+    double perMs = 0;
+    int asked = 0;
+    for (Candidate candidate : candidates) {
+      if (candidate.holds()) {
+        EndpointState state = endpoints.get(candidate.endpoint());
+        waitMs = Math.min(waitMs, state.permits.waitMs(now));
+        perMs += 1.0 / state.permits.gapMs();
+        asked += asked < MAX_ASKS && askForPermit(state, usefulMs, now) ? 1 : 0;
+      }
+    }
+    return new Choice.AwaitPermit(waitMs, (long) Math.ceil(1 / perMs), responseMs);
+  }
+
+  private boolean askForPermit(EndpointState state, long usefulMs, long now) {
+    if (!state.permits.shouldAsk(now)) {
+      return false;
+    }
+    state.permits.asked(now);
+    double perS = state.permits.limit().orElseThrow();
+    permitSource.ask(state.entry.dataCentre(), state.entry.endpoint(), perS, usefulMs);
+    return true;
+  }
+
+  /** Handles a coordinator's reply to an ask for a permit. */
+  synchronized void permitReplied(LinkMessage.PermitReply reply, long now) {
+    EndpointState state = endpoints.get(reply.endpoint());
+    if (state != null) {
+      reply.type().apply(state.permits, reply.waitMs(), now);
+    }
+  }
+
+  /** Records what an answer to a call of the coordinator states. */
+  synchronized void noticed(EndpointId endpoint, EndpointNotice notice, long sentAt, long now) {
+    EndpointState state = endpoints.get(endpoint);
+    if (state != null) {
+      noticed(state, notice, false, sentAt, now);
+    }
+  }
+
+  /** Records what an answer states; returns whether the limit has changed. */
+  boolean noticed(
+      EndpointState state, EndpointNotice notice, boolean byEndpoint, long sentAt, long now) {
+    return (byEndpoint || notice.requestsPerS().isPresent())
+        && state.permits.named(notice.requestsPerS(), sentAt, now);
+  }
+
   private List<Candidate> candidates(Demand demand, long now, boolean healthyOnly) {
     Optional<EndpointId> home = demand.generation().flatMap(generation -> home(generation, now));
     List<Candidate> candidates = new ArrayList<>();
@@ -159,14 +258,23 @@
   }
 
   /**
-   * Returns the endpoints that a request must not use: those that failed it, and unhealthy ones.
-   * Empty if there are no others.
+   * Returns the endpoints that a request must not use: those that failed it, unhealthy ones, and
+   * those that accept only so many requests. Empty if there are no others.
    */
   public synchronized Set<EndpointId> excluded(Demand demand, long now) {
-    if (endpoints.values().stream().noneMatch(s -> isCandidate(s, demand, now, true))) {
+    Set<EndpointId> excluded = new HashSet<>();
+    boolean others = false;
+    for (EndpointState state : endpoints.values()) {
+      if (state.permits.isLimited()) {
+        excluded.add(state.entry.endpoint());
+      } else {
+        others |= isCandidate(state, demand, now, true);
+      }
+    }
+    if (!others) {
       return Set.of();
     }
-    Set<EndpointId> excluded = new HashSet<>(demand.avoid());
+    excluded.addAll(demand.avoid());
     excluded.addAll(health.excluded(now));
     return excluded;
   }
@@ -252,10 +360,13 @@
     return Math.max(0, copy.readyAt() - now);
   }
 
-  /** Records that a request is sent to an endpoint; the ticket tracks it until its end. */
+  /**
+   * Records that a request is sent to an endpoint; the ticket tracks it until its end. Every
+   * request to an endpoint needs a ticket. Empty if it may not be sent there now.
+   */
   public synchronized Optional<EndpointTicket> begin(EndpointId endpoint, Demand demand, long now) {
     EndpointState state = endpoints.get(endpoint);
-    if (state == null) {
+    if (state == null || !maySend(state, now) || !state.permits.take(now)) {
       return Optional.empty();
     }
     EndpointTicket ticket = new EndpointTicket(this, state, demand.generation(), now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -1,13 +1,14 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.ModelId;
+import io.sequoiapass.coordination.connection.EndpointPermits;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
 
 /** This daemon's state of one endpoint; guarded by the lock of its {@link EndpointGroup}. */
@@ -29,11 +30,14 @@
   final Map<AdapterName, Integer> starts = new HashMap<>();
   PrefixCacheModel prompts = new PrefixCacheModel();
   AdapterCacheModel cachedAdapters;
-  OptionalDouble requestsPerS = OptionalDouble.empty();
+  EndpointPermits permits;
+  private final DoubleSupplier random;
   private final IntSupplier cacheDepth;
 
-  EndpointState(EndpointEntry entry, IntSupplier cacheDepth) {
+  EndpointState(EndpointEntry entry, IntSupplier cacheDepth, DoubleSupplier random) {
     this.entry = entry;
+    this.random = random;
+    this.permits = new EndpointPermits(random);
     this.cacheDepth = cacheDepth;
     this.cachedAdapters = new AdapterCacheModel(cacheDepth);
   }
@@ -129,6 +133,6 @@
     cachedAdapters = new AdapterCacheModel(cacheDepth);
     others = Load.NONE;
     othersAt = NEVER;
-    requestsPerS = OptionalDouble.empty();
+    permits = new EndpointPermits(random);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.gateway.request.Generation;
+import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.EngineSpec;
 import java.util.Optional;
@@ -60,22 +61,24 @@
   }
 
   /**
-   * Records the limit that an answer names; returns whether it differs from the one before.
+   * Records what the headers of an answer state.
    *
-   * @param requestsPerS the requests a second that the endpoint accepts; empty for any number
+   * @param notice the statement
+   * @param byEndpoint whether the answer certainly comes from the endpoint; a statement of another
+   *     one cannot end a limit
+   * @param now when the answer arrived, in milliseconds
+   * @return whether the limit has changed
    */
-  public boolean limitNamed(OptionalDouble requestsPerS) {
+  public boolean noticed(EndpointNotice notice, boolean byEndpoint, long now) {
     synchronized (group) {
-      boolean changed = !state.requestsPerS.equals(requestsPerS);
-      state.requestsPerS = requestsPerS;
-      return changed;
+      return group.noticed(state, notice, byEndpoint, sentAt, now);
     }
   }
 
   /** Returns the limit that the endpoint has named, in requests a second. */
   public OptionalDouble requestsPerS() {
     synchronized (group) {
-      return state.requestsPerS;
+      return state.permits.limit();
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -257,6 +257,7 @@
                     this::usageLimit,
                     clock.millis()),
             now -> node.mayOrder(now, settings.bounds().fenced()),
+            now -> node.mayOrder(now, false),
             node::fenced);
     node.use(coordinator, links(transport));
     directory.onChange(
@@ -266,6 +267,7 @@
         });
     node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
     directory.onIdle(node::idle);
+    directory.usePermits(node.permits());
     directory.setWatcher(coordinator.watcher());
     coordinator.use(new OwnView());
     transport.listen(settings.links(), coordinator::listener);
@@ -517,6 +519,11 @@
       waiting.loadRejected(dataCentre, adapter, retryAfterMs);
     }
 
+    @Override
+    public void permitReplied(EndpointGroup group, boolean granted) {
+      waiting.permitReplied(group, granted);
+    }
+
     @Override
     public void released(LinkMessage.Release release) {
       Gateway.this.released(release.adapter(), release.version(), "coordinator");
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -19,6 +19,9 @@
   /** Shortest timeout of an engine, in milliseconds. */
   private static final long MIN_ENGINE_TIMEOUT_MS = 1_200;
 
+  /** A stream counts as stalled after this multiple of the route's target gap. */
+  private static final long STALL_GAPS = 3;
+
   private EndpointTimeouts() {}
 
   /**
@@ -56,4 +59,9 @@
   static long engineTimeoutMs(RouteSpec route, long expectedMs) {
     return Math.max(MIN_ENGINE_TIMEOUT_MS, 2 * expectedMs + route.targetMs() / 2);
   }
+
+  /** Returns the pause after which a stream counts as stalled, in milliseconds. */
+  static long stallMs(RouteSpec route) {
+    return route.gapTargetMs() * STALL_GAPS;
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
@@ -1,17 +1,64 @@
 package io.sequoiapass.gateway.request;
 
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.gateway.process.EndpointGroup;
 import io.sequoiapass.gateway.version.AdapterName;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Requests that wait for an adapter. Safe for use by several threads. */
+/**
+ * Requests that wait for an adapter, or for a permit of an endpoint. Safe for use by several
+ * threads.
+ */
 public final class PendingRequests {
 
   private final Map<AdapterName, Set<RelayedRequest>> requests = new ConcurrentHashMap<>();
 
+  private final Map<EndpointGroup, Set<RelayedRequest>> forPermits = new ConcurrentHashMap<>();
+
+  /** Adds a request that waits for a permit of any endpoint of a group. */
+  void addForPermit(EndpointGroup group, RelayedRequest request) {
+    forPermits.computeIfAbsent(group, any -> ConcurrentHashMap.newKeySet()).add(request);
+  }
+
+  void removeForPermit(EndpointGroup group, RelayedRequest request) {
+    forPermits.computeIfPresent(
+        group,
+        (any, waiting) -> {
+          waiting.remove(request);
+          return waiting.isEmpty() ? null : waiting;
+        });
+  }
+
+  /** Returns how many requests that arrived before a time wait for a permit of a group. */
+  int countBefore(EndpointGroup group, long arrivedAt) {
+    return (int)
+        forPermits.getOrDefault(group, Set.of()).stream()
+            .filter(request -> request.arrivedAt() < arrivedAt)
+            .count();
+  }
+
+  /**
+   * Dispatches the oldest request that waits for a permit, or all of them if none was granted,
+   * since the expected wait has changed.
+   *
+   * @param group the endpoint's group
+   * @param granted whether a permit was granted
+   */
+  public void permitReplied(EndpointGroup group, boolean granted) {
+    List<RelayedRequest> waiting = List.copyOf(forPermits.getOrDefault(group, Set.of()));
+    if (granted) {
+      waiting.stream()
+          .min(Comparator.comparingLong(RelayedRequest::arrivedAt))
+          .ifPresent(RelayedRequest::retryDispatch);
+    } else {
+      waiting.forEach(RelayedRequest::retryDispatch);
+    }
+  }
+
   void add(AdapterName adapter, RelayedRequest request) {
     requests.computeIfAbsent(adapter, name -> ConcurrentHashMap.newKeySet()).add(request);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -57,15 +57,15 @@
    */
   private static final long COPY_WAIT_MS = 60;
 
-  /** A stream counts as stalled after this multiple of the route's target gap. */
-  private static final long STALL_GAPS = 3;
-
   /**
    * Delay before an endpoint that does not hold the adapter yet is tried again, in milliseconds for
    * each attempt so far.
    */
   private static final long EARLY_RETRY_MS = 60;
 
+  /** Interval between checks while a request waits for a permit, in milliseconds. */
+  private static final long PERMIT_CHECK_MS = 500;
+
   /** Retry advice to a caller whose request found no endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 300;
 
@@ -138,6 +138,11 @@
     this.events = new EventRelay(facts.lastEventId().orElse(EventRelay.NONE));
   }
 
+  /** Returns when the request arrived, in milliseconds. */
+  long arrivedAt() {
+    return arrivedAt;
+  }
+
   /** Starts the request. */
   public synchronized void start() {
     responder.onClose(this::callerLeft);
@@ -194,6 +199,8 @@
     } else if (choice instanceof Choice.AwaitLoad load) {
       search.loadFound();
       await(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
+    } else if (choice instanceof Choice.AwaitPermit permit) {
+      awaitPermit(permit, now);
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, demand, now);
     } else if (choice instanceof Choice.Refuse refusal) {
@@ -201,6 +208,18 @@
     }
   }
 
+  private void awaitPermit(Choice.AwaitPermit permit, long now) {
+    long sentInMs = permit.sentInMs(context.waiting().countBefore(group, arrivedAt));
+    if (sentInMs + permit.responseMs() > deadlineAt - now) {
+      refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, Math.max(RETRY_AFTER_MS, sentInMs)));
+      return;
+    }
+    context.waiting().addForPermit(group, this);
+    waits.begin(WaitTimes.Kind.SLOT, now);
+    waiting = true;
+    scheduleDispatch(Math.min(PERMIT_CHECK_MS, permit.waitMs() + 1));
+  }
+
   private EndpointChooser.Loadable loadable() {
     return new EndpointChooser.Loadable(
         search.candidates(context.adapters().loadable()), search.queueWaits());
@@ -253,6 +272,7 @@
       waits.end(context.clock().millis());
       waiting = false;
       adapter.ifPresent(name -> context.waiting().remove(name, this));
+      context.waiting().removeForPermit(group, this);
     }
   }
 
@@ -261,7 +281,8 @@
     Optional<Target> target = group.target(endpoint, demand, now);
     Optional<EndpointTicket> ticket = group.begin(endpoint, demand, now);
     if (target.isEmpty() || ticket.isEmpty()) {
-      refuseOrFail(new Choice.Refuse(ErrorKind.NO_ENDPOINT, RETRY_AFTER_MS));
+      // Another thread has used the permit, or removed the endpoint, since the choice.
+      dispatch();
       return;
     }
     if (sends > 0 && (sends >= MAX_SENDS || !budget.tryAcquire(now))) {
@@ -274,15 +295,11 @@
     HttpCall call = forward.to(target.get(), demand.remainingMs(), events.lastId());
     attempt = new RelayAttempt(this, ticket.get(), choice.candidate().dataCentre(), now);
     attempt.stream = context.http().stream(call, demand.remainingMs() + CALL_SLACK_MS, attempt);
-    startResponseTimer(choice.expectedMs());
-  }
-
-  private void startResponseTimer(long expectedMs) {
-    long abandonMs =
+    awaitResponse(
+        attempt,
         facts.generation().isPresent()
-            ? EndpointTimeouts.engineTimeoutMs(route, expectedMs)
-            : EndpointTimeouts.serviceTimeoutMs(group.usualServiceMs());
-    awaitResponse(attempt, abandonMs);
+            ? EndpointTimeouts.engineTimeoutMs(route, choice.expectedMs())
+            : EndpointTimeouts.serviceTimeoutMs(group.usualServiceMs()));
   }
 
   /** Watches for an endpoint's next event if another endpoint could replace it. */
@@ -330,7 +347,7 @@
   synchronized AnswerClass began(RelayAttempt from, int status, HttpHeaders headers) {
     AnswerClass answer = context.endpoints().classify(status, headers);
     EndpointNotice notice = context.endpoints().notice(headers);
-    if (from.ticket.limitNamed(notice.requestsPerS())) {
+    if (from.ticket.noticed(notice, answer.isByEndpoint(), context.clock().millis())) {
       requestLog.limitNamed(from, notice.requestsPerS());
     }
     if (completed || from != attempt) {
@@ -341,7 +358,7 @@
       from.ticket.begun(context.clock().millis());
       if (route.streams()) {
         beginStream(status, headers);
-        awaitResponse(from, stallMs());
+        awaitResponse(from, EndpointTimeouts.stallMs(route));
       }
     }
     return answer;
@@ -370,17 +387,13 @@
     if (complete.length > 0) {
       times.event(context.clock().millis());
       responder.write(complete);
-      awaitResponse(from, stallMs());
+      awaitResponse(from, EndpointTimeouts.stallMs(route));
       if (!responder.writable()) {
         from.stream.pause();
       }
     }
   }
 
-  private long stallMs() {
-    return route.gapTargetMs() * STALL_GAPS;
-  }
-
   private synchronized void resumeStream() {
     if (!completed && attempt != null && attempt.stream != null) {
       attempt.stream.resume();
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/AnswerClass.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/AnswerClass.java
@@ -16,6 +16,11 @@
   /** The answer does not come from the endpoint, or may be altered; the request may have run. */
   UNTRUSTED;
 
+  /** Returns whether the answer certainly comes from the endpoint that the request was sent to. */
+  public boolean isByEndpoint() {
+    return this != NOT_RUN_ELSEWHERE && this != UNTRUSTED;
+  }
+
   /** Returns whether the answer proves that the request did not run. */
   public boolean isNotRun() {
     return this == NOT_RUN_BUSY || this == NOT_RUN_ELSEWHERE;
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -8,8 +8,10 @@
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
@@ -20,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -115,6 +118,104 @@
     }
   }
 
+  /** Guards against requests to an endpoint beyond the limit that it has named. */
+  @Nested
+  class LimitedEndpoint {
+
+    private final List<EndpointId> asked = new ArrayList<>();
+
+    @BeforeEach
+    void bothHoldTheAdapterAndOneIsLimited() {
+      group.usePermits(
+          new PermitSource() {
+            @Override
+            public boolean isConnected(DataCentreId dataCentre) {
+              return true;
+            }
+
+            @Override
+            public int daemons() {
+              return 6;
+            }
+
+            @Override
+            public void ask(DataCentreId at, EndpointId endpoint, double perS, long usefulMs) {
+              asked.add(endpoint);
+            }
+          });
+      hold("e1", 0);
+      hold("e2", 0);
+      limit("e1");
+    }
+
+    private void limit(String name) {
+      EndpointTicket ticket = group.begin(id(name), demand(100, 10), 1).orElseThrow();
+      assertThat(ticket.noticed(new EndpointNotice(OptionalDouble.of(1)), true, 10)).isTrue();
+      ticket.ended(EndpointTicket.Ending.ANSWERED, 20);
+    }
+
+    private void reply(String name, LinkMessage.PermitReply.Type type, long waitMs, long now) {
+      group.permitReplied(new LinkMessage.PermitReply(id(name), type, waitMs), now);
+    }
+
+    @Test
+    void getsARequestOnlyWithAPermit() {
+      assertThat(sentTo(choose(demand(100, 10), 30))).isEqualTo("e2");
+      assertThat(asked).containsExactly(id("e1"));
+      assertThat(group.begin(id("e1"), demand(100, 10), 30)).isEmpty();
+
+      reply("e1", LinkMessage.PermitReply.Type.GRANTED, 1_000, 40);
+      assertThat(sentTo(choose(demand(100, 10), 50))).isEqualTo("e1");
+      assertThat(group.begin(id("e1"), demand(100, 10), 50)).isPresent();
+      assertThat(group.begin(id("e1"), demand(100, 10), 50)).isEmpty();
+    }
+
+    @Test
+    void isExcludedFromLoadsWhileOthersExist() {
+      assertThat(group.excluded(demand(100, 10), 30)).containsExactly(id("e1"));
+    }
+
+    @Test
+    void requestWaitsIfAllAreLimited() {
+      limit("e2");
+      reply("e1", LinkMessage.PermitReply.Type.QUEUED, 700, 30);
+      reply("e2", LinkMessage.PermitReply.Type.QUEUED, 300, 30);
+      Choice.AwaitPermit wait = (Choice.AwaitPermit) choose(demand(100, 10), 30);
+
+      assertThat(wait.waitMs()).isEqualTo(300);
+      assertThat(wait.sentInMs(2)).isBetween(700L, 760L);
+    }
+
+    @Test
+    void olderAnswerWithoutALimitDoesNotEndIt() {
+      EndpointTicket late = group.begin(id("e2"), demand(100, 10), 5).orElseThrow();
+      limit("e2");
+      EndpointNotice none = EndpointNotice.NONE;
+
+      assertThat(late.noticed(none, true, 30)).isFalse();
+      assertThat(group.begin(id("e2"), demand(100, 10), 40)).isEmpty();
+    }
+
+    @Test
+    void newProcessUnderTheNameStartsWithoutALimit() {
+      EndpointEntry before = entry("e1", NORTH, false);
+      group.put(
+          new EndpointEntry(
+              before.endpoint(),
+              before.service(),
+              before.address(),
+              before.dataCentre(),
+              before.slots(),
+              false,
+              2,
+              before.models()),
+          true,
+          50);
+
+      assertThat(group.begin(id("e1"), demand(100, 10), 60)).isPresent();
+    }
+  }
+
   /** Guards against slots that stay unused until the next usage report. */
   @Nested
   class IdleAdapter {
