Log the rest that endpoints ask for, and their leaving

A not_run line did not say that the endpoint wants no requests for a time, so no log told whether a send broke a rest that was known. The headers are decoded at the boundary; endpoint_rest and endpoint_leaving lines say what an endpoint stated, and rests are counted. Nothing is decided by them yet.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -480,7 +480,7 @@
 
   private void noticed(EndpointId endpoint, HttpAnswer answer, long now) {
     if (answer != null) {
-      EndpointNotice notice = protocol.notice(answer.headers());
+      EndpointNotice notice = protocol.notice(answer.status(), answer.headers());
       directory.groupOf(endpoint).ifPresent(group -> group.noticed(endpoint, notice, now, now));
     }
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -346,10 +346,11 @@
   /** Called when status and headers of an answer arrive; returns the answer's class. */
   synchronized AnswerClass began(RelayAttempt from, int status, HttpHeaders headers) {
     AnswerClass answer = context.endpoints().classify(status, headers);
-    EndpointNotice notice = context.endpoints().notice(headers);
+    EndpointNotice notice = context.endpoints().notice(status, headers);
     if (from.ticket.noticed(notice, answer.isByEndpoint(), context.clock().millis())) {
       requestLog.limitNamed(from, notice.requestsPerS());
     }
+    requestLog.noticed(from, notice);
     if (completed || from != attempt) {
       return answer;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.gateway.process.EndpointTicket;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import io.sequoiapass.gateway.spi.CallerFacts;
+import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.OptionalDouble;
@@ -67,6 +68,26 @@
         .write();
   }
 
+  /** Logs that the endpoint asks for rest or leaves. */
+  void noticed(RelayAttempt from, EndpointNotice notice) {
+    if (notice.restMs().isPresent()) {
+      context.metrics().count("sequoiapass_endpoint_rests_total");
+      context
+          .log()
+          .request("endpoint_rest", requestId)
+          .with("endpoint", from.ticket.endpoint())
+          .with("rest_ms", notice.restMs().getAsLong())
+          .write();
+    }
+    if (notice.leaving()) {
+      context
+          .log()
+          .request("endpoint_leaving", requestId)
+          .with("endpoint", from.ticket.endpoint())
+          .write();
+    }
+  }
+
   /** Logs that the endpoint reports that it did not run the request. */
   void notRun(RelayAttempt from, AnswerClass answer) {
     context
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointProtocol.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointProtocol.java
@@ -33,9 +33,10 @@
   /**
    * Returns what an answer states about its endpoint.
    *
+   * @param status the status
    * @param headers the headers
    */
-  EndpointNotice notice(HttpHeaders headers);
+  EndpointNotice notice(int status, HttpHeaders headers);
 
   /**
    * Returns the headers with which an endpoint's answer is sent to the caller.
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -150,7 +151,9 @@
 
     private void limit(String name) {
       EndpointTicket ticket = group.begin(id(name), demand(100, 10), 1).orElseThrow();
-      assertThat(ticket.noticed(new EndpointNotice(OptionalDouble.of(1)), true, 10)).isTrue();
+      EndpointNotice limited =
+          new EndpointNotice(OptionalDouble.of(1), OptionalLong.empty(), false);
+      assertThat(ticket.noticed(limited, true, 10)).isTrue();
       ticket.ended(EndpointTicket.Ending.ANSWERED, 20);
     }
 
