Send resting endpoints nothing until their rest ends

Callers were refused after two and three endpoints in turn had rejected their request, up to a second after it was known that none would take it.

Cause: an endpoint that rejects a request and says for how long it wants none was kept out by the circuit breaker alone, for times of its own, and where every candidate was out the fallback tried all of them again. Each rejection excluded the endpoint for that one request.

An endpoint's rest is kept with its process: a later statement never shortens it. It is no candidate meanwhile, neither at first nor as the fallback, and its ticket is not issued. A rest is no failure, so the circuit breaker does not add to it. Adapters that only resting endpoints hold are loaded elsewhere. If all that could serve a request rest, it waits for the first where that meets its deadline and the retry budget allows it, else it is refused at once with the time at which one is ready.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -23,14 +23,15 @@
   record AwaitLoad(Candidate candidate, long waitMs) implements Choice {}
 
   /**
-   * Wait for a permit, since all endpoints that could serve the request accept only so many.
+   * Wait until an endpoint accepts the request: all that could serve it rest, or accept only so
+   * many requests a second.
    *
-   * @param waitMs the expected time until the next permit, in milliseconds
-   * @param gapMs the expected time between two permits, in milliseconds
+   * @param waitMs the expected time until one accepts the next request, in milliseconds
+   * @param gapMs the expected time between two requests that are accepted, in milliseconds
    * @param responseMs the expected time from the sending to the start of the response, in
    *     milliseconds
    */
-  record AwaitPermit(long waitMs, long gapMs, long responseMs) implements Choice {
+  record AwaitEndpoint(long waitMs, long gapMs, long responseMs) implements Choice {
 
     /** Returns the expected time until a request with others before it is sent, in milliseconds. */
     public long sentInMs(int before) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.coordination.connection.EndpointPermits;
 import io.sequoiapass.coordination.connection.HealthSettings;
 import io.sequoiapass.coordination.process.RendezvousHash;
+import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.spi.EndpointEntry;
@@ -140,6 +141,14 @@
 
   /** Chooses the next action for a request. */
   public synchronized Choice choose(Demand demand, EndpointChooser.Loadable loadable, long now) {
+    Choice choice = chooseAccepting(demand, loadable, now);
+    boolean none =
+        choice instanceof Choice.Refuse refusal && refusal.kind() == ErrorKind.NO_ENDPOINT;
+    return none ? considerResting((Choice.Refuse) choice, demand, now) : choice;
+  }
+
+  /** Chooses among the endpoints that do not rest. */
+  private Choice chooseAccepting(Demand demand, EndpointChooser.Loadable loadable, long now) {
     List<Candidate> candidates = candidates(demand, now, true);
     if (candidates.isEmpty()) {
       // An endpoint that failed before is better than a refusal.
@@ -152,7 +161,7 @@
     }
     if (permitted.isEmpty()) {
       return choice instanceof Choice.Send send
-          ? awaitPermit(candidates, demand, send.expectedMs(), now)
+          ? awaitEndpoint(candidates, demand, send.expectedMs(), now)
           : choice;
     }
     if (choice instanceof Choice.Send send) {
@@ -164,6 +173,26 @@
     return choose(permitted, demand, loadable);
   }
 
+  /**
+   * Replaces a refusal for lack of endpoints where some only rest: waits for the first that holds
+   * the adapter, or names the time at which one is ready.
+   */
+  private Choice considerResting(Choice.Refuse refusal, Demand demand, long now) {
+    long readyInMs = Long.MAX_VALUE;
+    long holderInMs = Long.MAX_VALUE;
+    for (EndpointState state : endpoints.values()) {
+      if (state.isResting(now) && state.takesWork(now) && holdsModel(state, demand)) {
+        long restMs = state.restsUntil - now;
+        readyInMs = Math.min(readyInMs, restMs);
+        holderInMs = readyInMs(state, demand, now) < 0 ? holderInMs : Math.min(holderInMs, restMs);
+      }
+    }
+    if (holderInMs < Long.MAX_VALUE) {
+      return new Choice.AwaitEndpoint(holderInMs, 1, (long) serviceMs.value());
+    }
+    return readyInMs < Long.MAX_VALUE ? new Choice.Refuse(refusal.kind(), readyInMs) : refusal;
+  }
+
   private Choice choose(
       List<Candidate> candidates, Demand demand, EndpointChooser.Loadable loadable) {
     if (demand.generation().isEmpty()) {
@@ -181,6 +210,9 @@
   }
 
   private boolean maySend(EndpointState state, long now) {
+    if (state.isResting(now)) {
+      return false;
+    }
     if (!state.permits.isLimited()) {
       return true;
     }
@@ -189,7 +221,8 @@
     return state.permits.mayTake(now);
   }
 
-  private Choice awaitPermit(List<Candidate> candidates, Demand demand, long responseMs, long now) {
+  private Choice awaitEndpoint(
+      List<Candidate> candidates, Demand demand, long responseMs, long now) {
     long usefulMs = Math.max(0, demand.remainingMs() - responseMs);
     long waitMs = Long.MAX_VALUE;
     double perMs = 0;
@@ -202,7 +235,7 @@
         asked += asked < MAX_ASKS && askForPermit(state, usefulMs, now) ? 1 : 0;
       }
     }
-    return new Choice.AwaitPermit(waitMs, (long) Math.ceil(1 / perMs), responseMs);
+    return new Choice.AwaitEndpoint(waitMs, (long) Math.ceil(1 / perMs), responseMs);
   }
 
   private boolean askForPermit(EndpointState state, long usefulMs, long now) {
@@ -234,6 +267,7 @@
   /** Records what an answer states; returns whether the limit has changed. */
   boolean noticed(
       EndpointState state, EndpointNotice notice, boolean byEndpoint, long sentAt, long now) {
+    notice.restMs().ifPresent(restMs -> state.rest(restMs, now));
     return (byEndpoint || notice.requestsPerS().isPresent())
         && state.permits.named(notice.requestsPerS(), sentAt, now);
   }
@@ -253,19 +287,20 @@
   private boolean isCandidate(EndpointState state, Demand demand, long now, boolean healthyOnly) {
     EndpointId id = state.entry.endpoint();
     return state.takesWork(now)
+        && !state.isResting(now)
         && (!healthyOnly || (health.admits(id, now) && !demand.avoid().contains(id)))
         && holdsModel(state, demand);
   }
 
   /**
-   * Returns the endpoints that a request must not use: those that failed it, unhealthy ones, and
-   * those that accept only so many requests. Empty if there are no others.
+   * Returns the endpoints that a request must not use: those that failed it, unhealthy ones, those
+   * that rest, and those that accept only so many requests. Empty if there are no others.
    */
   public synchronized Set<EndpointId> excluded(Demand demand, long now) {
     Set<EndpointId> excluded = new HashSet<>();
     boolean others = false;
     for (EndpointState state : endpoints.values()) {
-      if (state.permits.isLimited()) {
+      if (state.permits.isLimited() || state.isResting(now)) {
         excluded.add(state.entry.endpoint());
       } else {
         others |= isCandidate(state, demand, now, true);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -31,6 +31,10 @@
   PrefixCacheModel prompts = new PrefixCacheModel();
   AdapterCacheModel cachedAdapters;
   EndpointPermits permits;
+
+  /** Until when the endpoint accepts no requests from this daemon, in milliseconds. */
+  long restsUntil = Long.MIN_VALUE;
+
   private final DoubleSupplier random;
   private final IntSupplier cacheDepth;
 
@@ -116,6 +120,15 @@
     }
   }
 
+  /** Records that the endpoint asks for rest; an earlier and longer rest is not shortened. */
+  void rest(long restMs, long now) {
+    restsUntil = Math.max(restsUntil, now + restMs);
+  }
+
+  boolean isResting(long now) {
+    return now < restsUntil;
+  }
+
   boolean takesWork(long now) {
     return !entry.leaving() && now < retiredAt;
   }
@@ -134,5 +147,6 @@
     others = Load.NONE;
     othersAt = NEVER;
     permits = new EndpointPermits(random);
+    restsUntil = Long.MIN_VALUE;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -165,9 +165,14 @@
     }
   }
 
-  /** Returns whether most slots of the endpoint were free when the request was sent. */
-  public boolean wasHalfEmpty() {
-    return runningBefore < state.entry.slots() / 2;
+  /**
+   * Returns whether a rejection as full is a fault of the endpoint: most of its slots were free
+   * when the request was sent, and it does not ask for rest.
+   */
+  public boolean isRejectionFaulty(long now) {
+    synchronized (group) {
+      return runningBefore < state.entry.slots() / 2 && !state.isResting(now);
+    }
   }
 
   /** Returns the endpoint. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
@@ -10,22 +10,22 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Requests that wait for an adapter, or for a permit of an endpoint. Safe for use by several
+ * Requests that wait for an adapter, or until an endpoint accepts them. Safe for use by several
  * threads.
  */
 public final class PendingRequests {
 
   private final Map<AdapterName, Set<RelayedRequest>> requests = new ConcurrentHashMap<>();
 
-  private final Map<EndpointGroup, Set<RelayedRequest>> forPermits = new ConcurrentHashMap<>();
+  private final Map<EndpointGroup, Set<RelayedRequest>> forEndpoints = new ConcurrentHashMap<>();
 
-  /** Adds a request that waits for a permit of any endpoint of a group. */
-  void addForPermit(EndpointGroup group, RelayedRequest request) {
-    forPermits.computeIfAbsent(group, any -> ConcurrentHashMap.newKeySet()).add(request);
+  /** Adds a request that waits until any endpoint of a group accepts it. */
+  void addForEndpoint(EndpointGroup group, RelayedRequest request) {
+    forEndpoints.computeIfAbsent(group, any -> ConcurrentHashMap.newKeySet()).add(request);
   }
 
-  void removeForPermit(EndpointGroup group, RelayedRequest request) {
-    forPermits.computeIfPresent(
+  void removeForEndpoint(EndpointGroup group, RelayedRequest request) {
+    forEndpoints.computeIfPresent(
         group,
         (any, waiting) -> {
           waiting.remove(request);
@@ -33,23 +33,23 @@
         });
   }
 
-  /** Returns how many requests that arrived before a time wait for a permit of a group. */
+  /** Returns how many requests that arrived before a time wait for endpoints of a group. */
   int countBefore(EndpointGroup group, long arrivedAt) {
     return (int)
-        forPermits.getOrDefault(group, Set.of()).stream()
+        forEndpoints.getOrDefault(group, Set.of()).stream()
             .filter(request -> request.arrivedAt() < arrivedAt)
             .count();
   }
 
   /**
-   * Dispatches the oldest request that waits for a permit, or all of them if none was granted,
+   * Dispatches the oldest request that waits for an endpoint, or all if no permit was granted,
    * since the expected wait has changed.
    *
    * @param group the endpoint's group
    * @param granted whether a permit was granted
    */
   public void permitReplied(EndpointGroup group, boolean granted) {
-    List<RelayedRequest> waiting = List.copyOf(forPermits.getOrDefault(group, Set.of()));
+    List<RelayedRequest> waiting = List.copyOf(forEndpoints.getOrDefault(group, Set.of()));
     if (granted) {
       waiting.stream()
           .min(Comparator.comparingLong(RelayedRequest::arrivedAt))
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -63,8 +63,8 @@
    */
   private static final long EARLY_RETRY_MS = 60;
 
-  /** Interval between checks while a request waits for a permit, in milliseconds. */
-  private static final long PERMIT_CHECK_MS = 500;
+  /** Interval between checks while a request waits for an endpoint, in milliseconds. */
+  private static final long ENDPOINT_CHECK_MS = 500;
 
   /** Retry advice to a caller whose request found no endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 300;
@@ -199,8 +199,8 @@
     } else if (choice instanceof Choice.AwaitLoad load) {
       search.loadFound();
       await(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
-    } else if (choice instanceof Choice.AwaitPermit permit) {
-      awaitPermit(permit, now);
+    } else if (choice instanceof Choice.AwaitEndpoint wait) {
+      awaitEndpoint(wait, now);
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, demand, now);
     } else if (choice instanceof Choice.Refuse refusal) {
@@ -208,16 +208,19 @@
     }
   }
 
-  private void awaitPermit(Choice.AwaitPermit permit, long now) {
-    long sentInMs = permit.sentInMs(context.waiting().countBefore(group, arrivedAt));
-    if (sentInMs + permit.responseMs() > deadlineAt - now) {
+  private void awaitEndpoint(Choice.AwaitEndpoint choice, long now) {
+    long sentInMs = choice.sentInMs(context.waiting().countBefore(group, arrivedAt));
+    if (sentInMs + choice.responseMs() > deadlineAt - now || !maySend(now)) {
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, Math.max(RETRY_AFTER_MS, sentInMs)));
       return;
     }
-    context.waiting().addForPermit(group, this);
-    waits.begin(WaitTimes.Kind.SLOT, now);
-    waiting = true;
-    scheduleDispatch(Math.min(PERMIT_CHECK_MS, permit.waitMs() + 1));
+    context.waiting().addForEndpoint(group, this);
+    await(WaitTimes.Kind.SLOT, now, Math.min(ENDPOINT_CHECK_MS, choice.waitMs() + 1));
+  }
+
+  /** Returns whether the request may be sent: for the first time, or once more. */
+  private boolean maySend(long now) {
+    return sends == 0 || (sends < MAX_SENDS && budget.allows(now));
   }
 
   private EndpointChooser.Loadable loadable() {
@@ -272,7 +275,7 @@
       waits.end(context.clock().millis());
       waiting = false;
       adapter.ifPresent(name -> context.waiting().remove(name, this));
-      context.waiting().removeForPermit(group, this);
+      context.waiting().removeForEndpoint(group, this);
     }
   }
 
@@ -347,16 +350,14 @@
   synchronized AnswerClass began(RelayAttempt from, int status, HttpHeaders headers) {
     AnswerClass answer = context.endpoints().classify(status, headers);
     EndpointNotice notice = context.endpoints().notice(status, headers);
-    if (from.ticket.noticed(notice, answer.isByEndpoint(), context.clock().millis())) {
-      requestLog.limitNamed(from, notice.requestsPerS());
-    }
-    requestLog.noticed(from, notice);
+    long now = context.clock().millis();
+    requestLog.noticed(from, notice, from.ticket.noticed(notice, answer.isByEndpoint(), now));
     if (completed || from != attempt) {
       return answer;
     }
     if (answer == AnswerClass.SUCCESS) {
       responseTimer.cancel();
-      from.ticket.begun(context.clock().millis());
+      from.ticket.begun(now);
       if (route.streams()) {
         beginStream(status, headers);
         awaitResponse(from, EndpointTimeouts.stallMs(route));
@@ -457,9 +458,8 @@
     long now = context.clock().millis();
     requestLog.notRun(from, answer);
     boolean busy = answer == AnswerClass.NOT_RUN_BUSY;
-    // An endpoint that reports itself full with half of its slots free is faulty, and one without
-    // the request's base model has restarted.
-    boolean blame = busy ? from.ticket.wasHalfEmpty() : adapter.isEmpty();
+    // An endpoint without the request's base model has restarted.
+    boolean blame = busy ? from.ticket.isRejectionFaulty(now) : adapter.isEmpty();
     from.ticket.ended(blame ? EndpointTicket.Ending.FAILED : EndpointTicket.Ending.NO_BLAME, now);
     boolean early =
         !busy
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -59,7 +59,7 @@
   }
 
   /** Logs that the endpoint names another limit of its requests, or none any more. */
-  void limitNamed(RelayAttempt from, OptionalDouble requestsPerS) {
+  private void limitNamed(RelayAttempt from, OptionalDouble requestsPerS) {
     context
         .log()
         .request("endpoint_limit", requestId)
@@ -68,8 +68,11 @@
         .write();
   }
 
-  /** Logs that the endpoint asks for rest or leaves. */
-  void noticed(RelayAttempt from, EndpointNotice notice) {
+  /** Logs what an answer states about its endpoint. */
+  void noticed(RelayAttempt from, EndpointNotice notice, boolean limitChanged) {
+    if (limitChanged) {
+      limitNamed(from, notice.requestsPerS());
+    }
     if (notice.restMs().isPresent()) {
       context.metrics().count("sequoiapass_endpoint_rests_total");
       context
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -183,7 +183,7 @@
       limit("e2");
       reply("e1", LinkMessage.PermitReply.Type.QUEUED, 700, 30);
       reply("e2", LinkMessage.PermitReply.Type.QUEUED, 300, 30);
-      Choice.AwaitPermit wait = (Choice.AwaitPermit) choose(demand(100, 10), 30);
+      Choice.AwaitEndpoint wait = (Choice.AwaitEndpoint) choose(demand(100, 10), 30);
 
       assertThat(wait.waitMs()).isEqualTo(300);
       assertThat(wait.sentInMs(2)).isBetween(700L, 760L);
@@ -219,6 +219,61 @@
     }
   }
 
+  /** Guards against requests to an endpoint that has asked for rest. */
+  @Nested
+  class RestingEndpoint {
+
+    @BeforeEach
+    void bothHoldTheAdapter() {
+      hold("e1", 0);
+      hold("e2", 0);
+    }
+
+    private void rest(String name, long restMs, long now) {
+      EndpointTicket ticket = group.begin(id(name), demand(100, 10), now).orElseThrow();
+      ticket.noticed(
+          new EndpointNotice(OptionalDouble.empty(), OptionalLong.of(restMs), false), true, now);
+      ticket.ended(EndpointTicket.Ending.NO_BLAME, now);
+    }
+
+    @Test
+    void getsNoRequestUntilItsRestEnds() {
+      rest("e1", 3_000, 10);
+
+      assertThat(sentTo(choose(demand(100, 10), 3_009))).isEqualTo("e2");
+      assertThat(group.begin(id("e1"), demand(100, 10), 3_009)).isEmpty();
+      assertThat(sentTo(choose(demand(100, 10), 3_010))).isEqualTo("e1");
+    }
+
+    @Test
+    void longerRestIsNotShortened() {
+      EndpointTicket slow = group.begin(id("e1"), demand(100, 10), 5).orElseThrow();
+      rest("e1", 3_000, 10);
+      slow.noticed(
+          new EndpointNotice(OptionalDouble.empty(), OptionalLong.of(100), false), true, 20);
+
+      assertThat(group.begin(id("e1"), demand(100, 10), 200)).isEmpty();
+    }
+
+    @Test
+    void adapterIsLoadedElsewhere() {
+      group.setCopy(id("e2"), ADAPTER, null);
+      rest("e1", 3_000, 10);
+
+      assertThat(choose(demand(100, 10), 20)).isInstanceOf(Choice.RequestLoad.class);
+      assertThat(group.excluded(demand(100, 10), 20)).containsExactly(id("e1"));
+    }
+
+    @Test
+    void requestWaitsForTheFirstIfAllRest() {
+      rest("e1", 3_000, 10);
+      rest("e2", 800, 10);
+
+      assertThat(((Choice.AwaitEndpoint) choose(demand(100, 10, id("e2")), 110)).waitMs())
+          .isEqualTo(700);
+    }
+  }
+
   /** Guards against slots that stay unused until the next usage report. */
   @Nested
   class IdleAdapter {
