Send nothing new to an endpoint that states that it leaves

An endpoint that leaves says so in its answers, up to seconds before the list does, and at times the list never says it. Daemons read the list only, so requests went to a process about to end, in an outage of the store for as long as that lasted.

The statement is kept with the process of the endpoint, from any answer, also one to an order or of a request whose caller has gone: the endpoint is then no candidate, no fallback, no place for a load, and its ticket is not issued; running requests stay. A successor starts without, and so does an endpoint whose leaving the list takes back.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -114,6 +114,7 @@
       endpoints.put(entry.endpoint(), state);
     }
     boolean restarted = state.entry.startTimeMs() != entry.startTimeMs();
+    state.leavingStated &= !state.entry.leaving() || entry.leaving();
     state.entry = entry;
     state.retiredAt = EndpointState.NEVER;
     if (restarted) {
@@ -210,7 +211,7 @@
   }
 
   private boolean maySend(EndpointState state, long now) {
-    if (state.isResting(now)) {
+    if (!state.takesWork(now) || state.isResting(now)) {
       return false;
     }
     if (!state.permits.isLimited()) {
@@ -267,6 +268,7 @@
   /** Records what an answer states; returns whether the limit has changed. */
   boolean noticed(
       EndpointState state, EndpointNotice notice, boolean byEndpoint, long sentAt, long now) {
+    state.leavingStated |= notice.leaving();
     notice.restMs().ifPresent(restMs -> state.rest(restMs, now));
     return (byEndpoint || notice.requestsPerS().isPresent())
         && state.permits.named(notice.requestsPerS(), sentAt, now);
@@ -294,13 +296,13 @@
 
   /**
    * Returns the endpoints that a request must not use: those that failed it, unhealthy ones, those
-   * that rest, and those that accept only so many requests. Empty if there are no others.
+   * that leave or rest, and those that accept only so many requests. Empty if there are no others.
    */
   public synchronized Set<EndpointId> excluded(Demand demand, long now) {
     Set<EndpointId> excluded = new HashSet<>();
     boolean others = false;
     for (EndpointState state : endpoints.values()) {
-      if (state.permits.isLimited() || state.isResting(now)) {
+      if (state.leavingStated || state.permits.isLimited() || state.isResting(now)) {
         excluded.add(state.entry.endpoint());
       } else {
         others |= isCandidate(state, demand, now, true);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -32,6 +32,9 @@
   AdapterCacheModel cachedAdapters;
   EndpointPermits permits;
 
+  /** Whether the endpoint has stated in an answer that it leaves; its list entry may lag behind. */
+  boolean leavingStated;
+
   /** Until when the endpoint accepts no requests from this daemon, in milliseconds. */
   long restsUntil = Long.MIN_VALUE;
 
@@ -130,7 +133,7 @@
   }
 
   boolean takesWork(long now) {
-    return !entry.leaving() && now < retiredAt;
+    return !entry.leaving() && !leavingStated && now < retiredAt;
   }
 
   /** Returns whether it accepts requests and holds or loads an adapter. */
@@ -148,5 +151,6 @@
     othersAt = NEVER;
     permits = new EndpointPermits(random);
     restsUntil = Long.MIN_VALUE;
+    leavingStated = false;
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -274,6 +274,52 @@
     }
   }
 
+  /** Guards against new requests to an endpoint that leaves before the list says so. */
+  @Nested
+  class EndpointThatStatesThatItLeaves {
+
+    private EndpointTicket running;
+
+    @BeforeEach
+    void bothHoldTheAdapterAndOneLeaves() {
+      hold("e1", 0);
+      hold("e2", 0);
+      running = group.begin(id("e1"), demand(100, 10), 5).orElseThrow();
+      EndpointNotice leaving =
+          new EndpointNotice(OptionalDouble.empty(), OptionalLong.empty(), true);
+      running.noticed(leaving, false, 10);
+    }
+
+    @Test
+    void getsNoRequest() {
+      assertThat(sentTo(choose(demand(100, 10), 20))).isEqualTo("e2");
+      assertThat(group.begin(id("e1"), demand(100, 10), 20)).isEmpty();
+      assertThat(group.excluded(demand(100, 10), 20)).containsExactly(id("e1"));
+    }
+
+    @Test
+    void isNotTheFallbackEither() {
+      group.put(entry("e2", SOUTH, true), true, 20);
+
+      assertThat(choose(demand(100, 10), 30)).isInstanceOf(Choice.Refuse.class);
+    }
+
+    @Test
+    void keepsItsRunningRequests() {
+      running.ended(EndpointTicket.Ending.ANSWERED, 20);
+
+      assertThat(group.takeUsage(NORTH, 30)).allMatch(usage -> usage.load().running() == 0);
+    }
+
+    @Test
+    void getsRequestsAgainOnceTheListTakesItsLeavingBack() {
+      group.put(entry("e1", NORTH, true), true, 20);
+      group.put(entry("e1", NORTH, false), true, 30);
+
+      assertThat(group.begin(id("e1"), demand(100, 10), 40)).isPresent();
+    }
+  }
+
   /** Guards against slots that stay unused until the next usage report. */
   @Nested
   class IdleAdapter {
