Put what endpoints state behind one gate, apart from the choice

The gate that every sending passes is a class of its own, the ticket knows the process it was issued for, asks are sent from the event loop, and only the asked endpoint's permits are granted with an ask. Groups without a limited endpoint choose once, as before.

--- a/coordination/src/main/java/io/sequoiapass/coordination/process/PermitAllocator.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/PermitAllocator.java
@@ -20,7 +20,8 @@
  *
  * <pre>{@code
  * permits.ask(daemon, endpoint, 1.5, 800, now);
- * permits.grant(now).forEach(this::send);   // after each ask, and several times a second
+ * permits.grant(endpoint, now).forEach(this::send);
+ * permits.grant(now).forEach(this::send);   // several times a second
  * }</pre>
  *
  * <p>A permit is valid for {@link io.sequoiapass.coordination.connection.EndpointPermits#VALID_MS}.
@@ -150,6 +151,22 @@
     return grants;
   }
 
+  /**
+   * Returns the permits of one endpoint that are due.
+   *
+   * @param endpoint the endpoint
+   * @param now the time, in milliseconds
+   */
+  public List<Grant> grant(EndpointId endpoint, long now) {
+    List<Grant> grants = new ArrayList<>();
+    Bucket bucket = buckets.get(endpoint);
+    if (bucket != null) {
+      bucket.removeExpired(now);
+      grant(endpoint, bucket, now, grants);
+    }
+    return grants;
+  }
+
   private static void grant(EndpointId endpoint, Bucket bucket, long now, List<Grant> grants) {
     bucket.fill(now);
     Iterator<DaemonId> queue = bucket.asks.keySet().iterator();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -346,7 +346,9 @@
           DataCentreId dataCentre, EndpointId endpoint, double requestsPerS, long usefulMs) {
         CoordinatorLink link = links.get(dataCentre);
         if (link != null) {
-          link.send(new LinkMessage.PermitRequest(endpoint, requestsPerS, usefulMs));
+          // A send that fails closes the link, which takes the locks of all groups.
+          loop.execute(
+              () -> link.send(new LinkMessage.PermitRequest(endpoint, requestsPerS, usefulMs)));
         }
       }
     };
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -553,8 +553,7 @@
       plan.missed(miss.endpoint(), miss.adapter(), miss.early(), now);
       work(now);
     } else if (message instanceof LinkMessage.PermitRequest ask && linked.daemon != null) {
-      permits.ask(channel, linked.daemon, ask, now);
-      permits.grant(links, now);
+      permits.ask(links, channel, ask, now);
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -73,7 +73,7 @@
   final MovingAverage serviceMs = new MovingAverage(FIRST_SERVICE_MS, 1, 10_000);
   final Consumer<DataCentreId> onIdle;
   private final DoubleSupplier random;
-  private PermitSource permitSource = PermitSource.NONE;
+  private SendGate gate = new SendGate(PermitSource.NONE);
   Optional<EngineSpec> engine = Optional.empty();
 
   /**
@@ -99,7 +99,7 @@
 
   /** Sets where permits come from. */
   synchronized void usePermits(PermitSource source) {
-    permitSource = source;
+    gate = new SendGate(source);
   }
 
   synchronized void configure(Optional<EngineSpec> spec) {
@@ -155,8 +155,11 @@
       // An endpoint that failed before is better than a refusal.
       candidates = candidates(demand, now, false);
     }
-    List<Candidate> permitted = permitted(candidates, now);
     Choice choice = choose(candidates, demand, loadable);
+    if (endpoints.values().stream().noneMatch(state -> state.permits.isLimited())) {
+      return choice;
+    }
+    List<Candidate> permitted = permitted(candidates, now);
     if (permitted.size() == candidates.size()) {
       return choice;
     }
@@ -169,7 +172,7 @@
       if (permitted.contains(send.candidate())) {
         return choice;
       }
-      askForPermit(endpoints.get(send.candidate().endpoint()), EndpointPermits.VALID_MS, now);
+      gate.askForPermit(endpoints.get(send.candidate().endpoint()), EndpointPermits.VALID_MS, now);
     }
     return choose(permitted, demand, loadable);
   }
@@ -206,22 +209,10 @@
   /** Returns the endpoints that a request may be sent to now. */
   private List<Candidate> permitted(List<Candidate> candidates, long now) {
     return candidates.stream()
-        .filter(candidate -> maySend(endpoints.get(candidate.endpoint()), now))
+        .filter(candidate -> gate.maySend(endpoints.get(candidate.endpoint()), now))
         .toList();
   }
 
-  private boolean maySend(EndpointState state, long now) {
-    if (!state.takesWork(now) || state.isResting(now)) {
-      return false;
-    }
-    if (!state.permits.isLimited()) {
-      return true;
-    }
-    boolean connected = permitSource.isConnected(state.entry.dataCentre());
-    state.permits.coordinated(connected, permitSource.daemons(), now);
-    return state.permits.mayTake(now);
-  }
-
   private Choice awaitEndpoint(
       List<Candidate> candidates, Demand demand, long responseMs, long now) {
     long usefulMs = Math.max(0, demand.remainingMs() - responseMs);
@@ -233,22 +224,12 @@
         EndpointState state = endpoints.get(candidate.endpoint());
         waitMs = Math.min(waitMs, state.permits.waitMs(now));
         perMs += 1.0 / state.permits.gapMs();
-        asked += asked < MAX_ASKS && askForPermit(state, usefulMs, now) ? 1 : 0;
+        asked += asked < MAX_ASKS && gate.askForPermit(state, usefulMs, now) ? 1 : 0;
       }
     }
     return new Choice.AwaitEndpoint(waitMs, (long) Math.ceil(1 / perMs), responseMs);
   }
 
-  private boolean askForPermit(EndpointState state, long usefulMs, long now) {
-    if (!state.permits.shouldAsk(now)) {
-      return false;
-    }
-    state.permits.asked(now);
-    double perS = state.permits.limit().orElseThrow();
-    permitSource.ask(state.entry.dataCentre(), state.entry.endpoint(), perS, usefulMs);
-    return true;
-  }
-
   /** Handles a coordinator's reply to an ask for a permit. */
   synchronized void permitReplied(LinkMessage.PermitReply reply, long now) {
     EndpointState state = endpoints.get(reply.endpoint());
@@ -403,7 +384,7 @@
    */
   public synchronized Optional<EndpointTicket> begin(EndpointId endpoint, Demand demand, long now) {
     EndpointState state = endpoints.get(endpoint);
-    if (state == null || !maySend(state, now) || !state.permits.take(now)) {
+    if (state == null || !gate.maySend(state, now) || !state.permits.take(now)) {
       return Optional.empty();
     }
     EndpointTicket ticket = new EndpointTicket(this, state, demand.generation(), now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -20,6 +20,7 @@
   private final EndpointState state;
   private final Optional<Generation> generation;
   private final long sentAt;
+  private final long processStartMs;
   private final Load load;
   private final long backlog;
   private final double usualMs;
@@ -34,6 +35,7 @@
     this.state = state;
     this.generation = generation;
     this.sentAt = now;
+    this.processStartMs = state.entry.startTimeMs();
     this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
     this.runningBefore = state.own.plus(state.others).running();
     this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
@@ -71,7 +73,9 @@
    */
   public boolean noticed(EndpointNotice notice, boolean byEndpoint, long now) {
     synchronized (group) {
-      return group.noticed(state, notice, byEndpoint, sentAt, now);
+      // A late answer of an earlier process says nothing about its successor.
+      return processStartMs == state.entry.startTimeMs()
+          && group.noticed(state, notice, byEndpoint, sentAt, now);
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PermitGrants.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PermitGrants.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.daemon.connection.FrameChannel;
 import io.sequoiapass.gateway.connection.LinkFrames;
 import io.sequoiapass.gateway.connection.LinkMessage;
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongPredicate;
 
@@ -27,25 +28,42 @@
     this.mayGrant = mayGrant;
   }
 
-  /** Queues a daemon for a permit, or refuses it. */
-  void ask(FrameChannel channel, DaemonId daemon, LinkMessage.PermitRequest request, long now) {
+  /**
+   * Queues a daemon for a permit, or refuses it.
+   *
+   * @param links the linked daemons
+   * @param channel the asking daemon's link
+   * @param request what it asks for
+   * @param now the time, in milliseconds
+   */
+  void ask(
+      Map<FrameChannel, LinkedDaemon> links,
+      FrameChannel channel,
+      LinkMessage.PermitRequest request,
+      long now) {
     EndpointId endpoint = request.endpoint();
-    if (mayGrant.test(now)) {
-      long waitMs =
-          allocator.ask(daemon, endpoint, request.requestsPerS(), request.usefulMs(), now);
-      reply(channel, endpoint, LinkMessage.PermitReply.Type.QUEUED, waitMs);
-    } else {
+    if (!mayGrant.test(now)) {
       reply(channel, endpoint, LinkMessage.PermitReply.Type.REFUSED, 0);
+      return;
     }
+    DaemonId daemon = links.get(channel).daemon;
+    long waitMs = allocator.ask(daemon, endpoint, request.requestsPerS(), request.usefulMs(), now);
+    reply(channel, endpoint, LinkMessage.PermitReply.Type.QUEUED, waitMs);
+    send(allocator.grant(endpoint, now), links);
   }
 
-  /** Sends the permits that are due; called after each ask, and several times a second. */
+  /** Sends the permits that are due; called several times a second. */
   void grant(Map<FrameChannel, LinkedDaemon> links, long now) {
-    if (!mayGrant.test(now)) {
+    if (mayGrant.test(now)) {
+      send(allocator.grant(now), links);
+    } else {
       allocator.clear();
-      return;
     }
-    for (PermitAllocator.Grant grant : allocator.grant(now)) {
+  }
+
+  private static void send(
+      List<PermitAllocator.Grant> grants, Map<FrameChannel, LinkedDaemon> links) {
+    for (PermitAllocator.Grant grant : grants) {
       links.forEach(
           (channel, linked) -> {
             if (grant.daemon().equals(linked.daemon)) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -60,6 +60,18 @@
         List.of(new EndpointEntry.HeldModel(MODEL, 1, Map.of())));
   }
 
+  private static EndpointEntry restarted(EndpointEntry before) {
+    return new EndpointEntry(
+        before.endpoint(),
+        before.service(),
+        before.address(),
+        before.dataCentre(),
+        before.slots(),
+        before.leaving(),
+        before.startTimeMs() + 1,
+        before.models());
+  }
+
   private static Demand demand(int prompt, int output, EndpointId... avoid) {
     Generation generation = new Generation(MODEL, Optional.of(ADAPTER), prompt, output, List.of());
     return new Demand(Optional.of(generation), Set.of(avoid), 5_000);
@@ -201,19 +213,7 @@
 
     @Test
     void newProcessUnderTheNameStartsWithoutALimit() {
-      EndpointEntry before = entry("e1", NORTH, false);
-      group.put(
-          new EndpointEntry(
-              before.endpoint(),
-              before.service(),
-              before.address(),
-              before.dataCentre(),
-              before.slots(),
-              false,
-              2,
-              before.models()),
-          true,
-          50);
+      group.put(restarted(entry("e1", NORTH, false)), true, 50);
 
       assertThat(group.begin(id("e1"), demand(100, 10), 60)).isPresent();
     }
@@ -311,6 +311,16 @@
       assertThat(group.takeUsage(NORTH, 30)).allMatch(usage -> usage.load().running() == 0);
     }
 
+    @Test
+    void lateAnswerOfAnEarlierProcessSaysNothingAboutItsSuccessor() {
+      group.put(restarted(entry("e1", NORTH, false)), true, 20);
+      EndpointNotice leaving =
+          new EndpointNotice(OptionalDouble.empty(), OptionalLong.empty(), true);
+
+      assertThat(running.noticed(leaving, true, 30)).isFalse();
+      assertThat(group.begin(id("e1"), demand(100, 10), 40)).isPresent();
+    }
+
     @Test
     void getsRequestsAgainOnceTheListTakesItsLeavingBack() {
       group.put(entry("e1", NORTH, true), true, 20);
