--- a/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPermits.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPermits.java
@@ -49,6 +49,12 @@
   /** How long this daemon relies on its own permits after a coordinator refused to grant any. */
   private static final long ALONE_MS = 2_000;
 
+  /**
+   * Expected wait for a permit that is overdue, in milliseconds. Waiting requests check again after
+   * the expected wait, and a permit that arrives earlier wakes them.
+   */
+  private static final long OVERDUE_MS = 50;
+
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -241,7 +247,7 @@
     if (mayTake(now)) {
       return 0;
     }
-    return alone ? (long) ownGapMs() : Math.max(1, expectedAt - now);
+    return alone ? (long) ownGapMs() : Math.max(OVERDUE_MS, expectedAt - now);
   }
 
   /** Returns the expected time between two permits of this daemon, in milliseconds. */
