Count the daemons of all regions where a limit is shared without permits

Found by reading: a daemon has links to the coordinators of its own region only. For endpoints elsewhere it draws its own permits, and an equal part among the daemons of one region would be used by those of each region. The number is multiplied by the number of regions; with one region nothing changes.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -327,8 +327,13 @@
     return links.values().stream().mapToInt(CoordinatorLink::daemons).max().orElse(0);
   }
 
-  /** Returns the source of permits for requests to limited endpoints. */
-  PermitSource permits() {
+  /**
+   * Returns the source of permits for requests to limited endpoints.
+   *
+   * @param regions the number of regions; daemons of another one have no link to the coordinator of
+   *     an endpoint, and each region is assumed to have as many daemons as this one
+   */
+  PermitSource permits(int regions) {
     return new PermitSource() {
       @Override
       public boolean isConnected(DataCentreId dataCentre) {
@@ -338,7 +343,7 @@
 
       @Override
       public int daemons() {
-        return recentDaemons.value();
+        return recentDaemons.value() * regions;
       }
 
       @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -36,6 +36,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -267,7 +268,8 @@
         });
     node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
     directory.onIdle(node::idle);
-    directory.usePermits(node.permits());
+    int regions = Set.copyOf(settings.regions().values()).size();
+    directory.usePermits(node.permits(regions));
     directory.setWatcher(coordinator.watcher());
     coordinator.use(new OwnView());
     transport.listen(settings.links(), coordinator::listener);
