Keep an endpoint that states that it leaves out, whatever the list says

Its list entry had gone from draining to ready meanwhile, which took the statement back, though the process still made it. Only a new process ends it now.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -114,7 +114,6 @@
       endpoints.put(entry.endpoint(), state);
     }
     boolean restarted = state.entry.startTimeMs() != entry.startTimeMs();
-    state.leavingStated &= !state.entry.leaving() || entry.leaving();
     state.entry = entry;
     state.retiredAt = EndpointState.NEVER;
     if (restarted) {
