Say what passes the gate and what does not

Read as a newcomer: the gate's comment claimed every sending, but orders and reports of a coordinator do not pass it; and why a request asks for a permit that it does not use was not said.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -147,7 +147,10 @@
     return none ? considerResting((Choice.Refuse) choice, demand, now) : choice;
   }
 
-  /** Chooses among the endpoints that do not rest. */
+  /**
+   * Chooses among the endpoints that do not rest. If the best one lacks a permit, one is asked for,
+   * for a later request, and this request uses the best of the others.
+   */
   private Choice chooseAccepting(Demand demand, EndpointChooser.Loadable loadable, long now) {
     List<Candidate> candidates = candidates(demand, now, true);
     if (candidates.isEmpty()) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SendGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SendGate.java
@@ -1,8 +1,12 @@
 package io.sequoiapass.gateway.process;
 
 /**
- * Decides whether an endpoint accepts a request of this daemon, by what it has stated about itself.
- * Every sending passes it. Guarded by the lock of an {@link EndpointGroup}.
+ * Decides whether an endpoint accepts a caller's request from this daemon, by what the endpoint has
+ * stated about itself: that it leaves, rests, or accepts only so many requests.
+ *
+ * <p>Every request passes it, since it is checked when the {@link EndpointTicket} is issued,
+ * without which nothing is sent. Orders and reports of a coordinator do not. Guarded by the lock of
+ * an {@link EndpointGroup}.
  */
 final class SendGate {
 
@@ -25,7 +29,13 @@
     return state.permits.mayTake(now);
   }
 
-  /** Asks for a permit unless one was asked for just before; returns whether it did. */
+  /**
+   * Asks for a permit unless one was asked for just before; returns whether it did.
+   *
+   * @param state the endpoint, which must be limited
+   * @param usefulMs how long the request can wait for the permit, in milliseconds
+   * @param now the time, in milliseconds
+   */
   boolean askForPermit(EndpointState state, long usefulMs, long now) {
     if (!state.permits.shouldAsk(now)) {
       return false;
