Let the testbed cut one daemon off from all endpoints

Cause: all daemons reach an endpoint under one address, so a fault proxy before the endpoint could only cut off all of them; a daemon without a path of its own could not be played. Change: a fault of FaultProxy may be limited to the connections from one address, and refuse_new closes new connections while open ones live on.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoiapass.coordination.MillisClock;
 import java.io.ByteArrayOutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
@@ -81,6 +82,16 @@
     return new HttpClient(bootstrap, echoedHeader);
   }
 
+  /**
+   * Returns a client with the same settings whose connections come from one address of this host.
+   *
+   * @param source the address
+   */
+  public HttpClient from(InetAddress source) {
+    return new HttpClient(
+        bootstrap.clone().localAddress(new InetSocketAddress(source, 0)), echoedHeader);
+  }
+
   /**
    * Sends a call and collects its response.
    *
@@ -128,9 +139,26 @@
         });
   }
 
+  /**
+   * Opens a connection and closes it again.
+   *
+   * @param address the server's address
+   * @return whether the connection could be opened
+   */
+  public CompletableFuture<Boolean> canConnect(InetSocketAddress address) {
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    ChannelFuture opening = bootstrap.connect(address);
+    opening.addListener(
+        done -> {
+          opening.channel().close();
+          result.complete(done.isSuccess());
+        });
+    return result;
+  }
+
   private Channel takeIdle(HttpCall call) {
     Deque<IdleConnection> connections = idle.get(call.address());
-    if (connections == null) {
+    if (connections == null || call.reuse() == ReusePolicy.NONE) {
       return null;
     }
     long now = clock.millis();
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ReusePolicy.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ReusePolicy.java
@@ -21,6 +21,13 @@
     boolean allows(long idleMs, long limitMs) {
       return limitMs < 0 ? idleMs < DEFAULT_RECENT_MAX_IDLE_MS : idleMs < limitMs / 2;
     }
+  },
+  /** No connection; for calls that show whether new ones can be opened. */
+  NONE {
+    @Override
+    boolean allows(long idleMs, long limitMs) {
+      return false;
+    }
   };
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
@@ -2,9 +2,11 @@
 
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -19,6 +21,7 @@
  * @param readiness the address of the load balancer's readiness check
  * @param links the address for other daemons
  * @param store the address of the platform's store
+ * @param endpointSource the address of this host from which it connects to endpoints; empty for any
  * @param cores number of processor cores to use
  * @param bounds times and limits that the deployment sets
  */
@@ -30,6 +33,7 @@
     InetSocketAddress readiness,
     InetSocketAddress links,
     InetSocketAddress store,
+    Optional<InetAddress> endpointSource,
     int cores,
     Bounds bounds) {
 
--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/FaultProxy.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/FaultProxy.java
@@ -15,9 +15,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.sequoiapass.testbed.cli.Addresses;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
@@ -31,8 +34,9 @@
  * }
  * }</pre>
  *
- * <p>A fault applies to open connections and to new ones. Safe for use by several threads; all
- * connections share one event loop.
+ * <p>A fault applies to open connections and to new ones; it may be limited to the connections from
+ * one address, so that one of several clients loses its path to the target. Safe for use by several
+ * threads; all connections share one event loop.
  */
 public final class FaultProxy implements AutoCloseable {
 
@@ -42,6 +46,7 @@
   private final EventLoop loop;
   private final InetSocketAddress target;
   private final List<ProxyLink> links = new ArrayList<>();
+  private final Map<InetAddress, ProxyFault> faultsBySource = new HashMap<>();
   private ProxyFault fault = ProxyFault.none();
   private Channel listening;
 
@@ -104,17 +109,47 @@
     loop.submit(
             () -> {
               fault = next;
-              List.copyOf(links).forEach(link -> link.apply(next));
+              applyFaults();
             })
         .awaitUninterruptibly();
   }
 
+  /**
+   * Replaces the fault of the connections from one address; returns once it is in effect. It takes
+   * precedence over the fault of all connections.
+   *
+   * @param source the address that the connections come from
+   * @param next the fault, or {@link ProxyFault#none} to apply the fault of all connections again
+   */
+  public void set(InetAddress source, ProxyFault next) {
+    Objects.requireNonNull(next, "next");
+    loop.submit(
+            () -> {
+              if (next.mode() == ProxyMode.NONE) {
+                faultsBySource.remove(source);
+              } else {
+                faultsBySource.put(source, next);
+              }
+              applyFaults();
+            })
+        .awaitUninterruptibly();
+  }
+
+  private void applyFaults() {
+    List.copyOf(links).forEach(link -> link.apply(faultOf(link.source())));
+  }
+
+  private ProxyFault faultOf(InetAddress source) {
+    return faultsBySource.getOrDefault(source, fault);
+  }
+
   private void accept(SocketChannel client) {
-    if (fault.mode() == ProxyMode.CUT) {
+    InetSocketAddress from = client.remoteAddress();
+    if (from == null || faultOf(from.getAddress()).refusesConnections()) {
       client.close();
       return;
     }
-    ProxyLink link = new ProxyLink(client, fault);
+    ProxyLink link = new ProxyLink(client, from.getAddress(), faultOf(from.getAddress()));
     links.add(link);
     link.onClose(() -> links.remove(link));
     new Bootstrap()
--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyControl.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyControl.java
@@ -18,7 +18,7 @@
  * <p>{@code POST /faults} takes {@code {"mode":"delay","delay_ms":20}}, {@code
  * {"mode":"drop_after","direction":"TO_TARGET","bytes":100}}, {@code
  * {"mode":"one_way_cut","direction":"FROM_TARGET"}}, {@code {"mode":"cut"}}, {@code
- * {"mode":"freeze"}}, and {@code {}} to clear the fault.
+ * {"mode":"freeze"}}, {@code {"mode":"refuse_new"}}, and {@code {}} to clear the fault.
  *
  * <p>Safe for use by several threads.
  */
@@ -90,6 +90,7 @@
         case FREEZE -> ProxyFault.freeze();
         case DROP_AFTER -> ProxyFault.dropAfter(direction, bytes);
         case ONE_WAY_CUT -> ProxyFault.oneWayCut(direction);
+        case REFUSE_NEW -> ProxyFault.refuseNew();
       };
     }
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyFault.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyFault.java
@@ -43,6 +43,11 @@
     return new ProxyFault(ProxyMode.CUT, 0, 0, null);
   }
 
+  /** Closes each new connection when it is accepted; open connections are unaffected. */
+  public static ProxyFault refuseNew() {
+    return new ProxyFault(ProxyMode.REFUSE_NEW, 0, 0, null);
+  }
+
   /**
    * Delays each chunk of bytes in both directions.
    *
@@ -89,6 +94,11 @@
     return bytes;
   }
 
+  /** Returns whether new connections are closed. */
+  boolean refusesConnections() {
+    return mode == ProxyMode.CUT || mode == ProxyMode.REFUSE_NEW;
+  }
+
   /** Returns whether bytes in this direction are held back. */
   boolean holdsBack(Direction queried) {
     return mode == ProxyMode.FREEZE || (mode == ProxyMode.ONE_WAY_CUT && direction == queried);
--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyLink.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyLink.java
@@ -1,11 +1,14 @@
 package io.sequoiapass.testbed.proxy;
 
 import io.netty.channel.Channel;
+import io.netty.channel.socket.SocketChannel;
+import java.net.InetAddress;
 
 /** Pairs a client connection with its connection to the target; confined to one event loop. */
 final class ProxyLink {
 
-  private final Channel client;
+  private final SocketChannel client;
+  private final InetAddress source;
   private Channel target;
   private ProxyFault fault;
   private ProxyPipe toTarget;
@@ -13,11 +16,17 @@
   private Runnable onClose = () -> {};
   private boolean closed;
 
-  ProxyLink(Channel client, ProxyFault fault) {
+  ProxyLink(SocketChannel client, InetAddress source, ProxyFault fault) {
     this.client = client;
+    this.source = source;
     this.fault = fault;
   }
 
+  /** Returns the address that the client connected from. */
+  InetAddress source() {
+    return source;
+  }
+
   void onClose(Runnable action) {
     onClose = action;
     client.closeFuture().addListener(done -> close());
--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyMode.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyMode.java
@@ -15,5 +15,7 @@
   @SerializedName("drop_after")
   DROP_AFTER,
   @SerializedName("one_way_cut")
-  ONE_WAY_CUT
+  ONE_WAY_CUT,
+  @SerializedName("refuse_new")
+  REFUSE_NEW
 }
--- a/testbed/src/test/java/io/sequoiapass/testbed/proxy/FaultProxyTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/proxy/FaultProxyTest.java
@@ -9,6 +9,8 @@
 import io.sequoiapass.testbed.standin.StandIn;
 import io.sequoiapass.testbed.standin.StandInKind;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -68,6 +70,31 @@
     assertThat(through.call("POST", "/a", "").statusCode()).isEqualTo(200);
   }
 
+  @Test
+  void refusesOnlyNewConnections() throws Exception {
+    assertThat(through.call("POST", "/a", "").statusCode()).isEqualTo(200);
+    proxy.set(ProxyFault.refuseNew());
+
+    assertThat(through.call("POST", "/a", "").statusCode()).isEqualTo(200);
+    try (Socket client = new Socket()) {
+      client.connect(proxy.address());
+      assertThat(client.getInputStream().read()).as("end of the connection").isEqualTo(-1);
+    }
+  }
+
+  @Test
+  void cutsOnlyTheConnectionsOfOneSource() throws Exception {
+    InetAddress other = InetAddress.getByName("127.0.0.9");
+    proxy.set(other, ProxyFault.cut());
+    assertThat(through.call("POST", "/a", "").statusCode()).isEqualTo(200);
+
+    proxy.set(InetAddress.getLoopbackAddress(), ProxyFault.cut());
+    assertThatThrownBy(() -> through.call("POST", "/a", "")).isInstanceOf(IOException.class);
+
+    proxy.set(InetAddress.getLoopbackAddress(), ProxyFault.none());
+    assertThat(through.call("POST", "/a", "").statusCode()).isEqualTo(200);
+  }
+
   // The request runs, but its answer does not arrive while the direction from the target is cut, so
   // a caller that times out must not report "not run". After the partition heals the answer
   // arrives, as it would after a TCP retransmission.
