Log and count that a daemon has no path to the endpoints

Cause: that a daemon had lost its path had to be put together from unsent lines over all endpoints, and a refusal for lack of retry budget did not say so; the hypotheses of the lost path incident could not be told apart. No decision uses it.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.sequoiapass.coordination.DataCentreId;
-import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.process.ClockReading;
@@ -17,8 +16,6 @@
 import io.sequoiapass.daemon.connection.HttpServer;
 import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.gateway.connection.LinkMessage;
-import io.sequoiapass.gateway.request.Generation;
-import io.sequoiapass.gateway.request.LoadRequest;
 import io.sequoiapass.gateway.request.PendingRequests;
 import io.sequoiapass.gateway.request.RelayContext;
 import io.sequoiapass.gateway.spi.Deployment;
@@ -134,6 +131,7 @@
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
   private CoordinationNode node;
+  private PathMonitor path;
   private Coordinator coordinator;
   private CallerHandler callers;
   private WorkspaceGate gate;
@@ -170,14 +168,20 @@
     HttpClient http = HttpClient.create(loops, CONNECT_TIMEOUT_MS);
     MetadataStore store = deployment.store(http, settings);
     HttpClient endpointHttp =
-        HttpClient.create(loops, CONNECT_TIMEOUT_MS, deployment.endpointProtocol().echoedHeader());
-    startCoordination(deployment, http, store);
+        toEndpoints(
+            HttpClient.create(
+                loops, CONNECT_TIMEOUT_MS, deployment.endpointProtocol().echoedHeader()));
+    startCoordination(deployment, toEndpoints(http), store);
+    path =
+        new PathMonitor(
+            directory, deployment.endpointProtocol(), endpointHttp, clock, log, metrics);
     RelayContext context =
         new RelayContext(
             endpointHttp,
             deployment.callerProtocol(),
             deployment.endpointProtocol(),
-            new Adapters(),
+            new AdapterLoads(node, directory, versions),
+            path,
             waiting,
             loops,
             clock,
@@ -207,6 +211,10 @@
     loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
+  private HttpClient toEndpoints(HttpClient client) {
+    return settings.endpointSource().map(client::from).orElse(client);
+  }
+
   private ClockReading clocks() {
     return ClockReading.now(clock, wall);
   }
@@ -415,6 +423,7 @@
     try {
       node.tick();
       coordinator.tick();
+      path.check();
       feeds.values().forEach(StoreFeed::checkRelay);
     } catch (RuntimeException e) {
       // The scheduler would cancel all later rounds after an exception.
@@ -555,36 +564,4 @@
       return node.otherCoordinators();
     }
   }
-
-  private final class Adapters implements RelayContext.AdapterSource {
-
-    @Override
-    public List<DataCentreId> loadable() {
-      return node.coordinatedDataCentres();
-    }
-
-    @Override
-    public boolean requestLoad(DataCentreId dataCentre, LoadRequest request) {
-      Generation generation = request.generation();
-      AdapterName adapter = generation.adapter().orElseThrow();
-      return node.requestLoad(
-          dataCentre,
-          new LinkMessage.LoadRequest(
-              adapter,
-              versions.newest(adapter),
-              request.another(),
-              generation.promptTokens(),
-              generation.expectedOutputTokens(),
-              request.maxDelayMs(),
-              request.waitMs(),
-              directory.isHeld(adapter),
-              List.copyOf(request.excluded())));
-    }
-
-    @Override
-    public void missed(
-        DataCentreId dataCentre, EndpointId endpoint, AdapterName adapter, boolean early) {
-      node.reportMiss(dataCentre, endpoint, adapter, early);
-    }
-  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -58,6 +58,7 @@
 
   @Override
   public void started(int newStatus, HttpHeaders newHeaders) {
+    request.path().received();
     status = newStatus;
     headers = newHeaders;
     answer = request.began(this, newStatus, newHeaders);
@@ -69,6 +70,7 @@
 
   @Override
   public void received(byte[] part) {
+    request.path().received();
     if (isStream()) {
       request.received(this, part);
     } else if (held.size() + part.length <= MAX_HELD_BYTES) {
@@ -95,6 +97,7 @@
   @Override
   public void failed(HttpFailure failure) {
     completed = true;
+    request.path().connectionFailed();
     if (answer != null && answer.isNotRun()) {
       request.rejected(this, answer);
     } else if (failure.mayHaveReached()) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -12,6 +12,7 @@
 import io.sequoiapass.gateway.process.EndpointChooser;
 import io.sequoiapass.gateway.process.EndpointGroup;
 import io.sequoiapass.gateway.process.EndpointTicket;
+import io.sequoiapass.gateway.process.PathMonitor;
 import io.sequoiapass.gateway.process.SharedRetryBudget;
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.AnswerClass;
@@ -36,9 +37,6 @@
  */
 public final class RelayedRequest {
 
-  /** Maximum number of times that a request is sent, including rejected attempts. */
-  private static final int MAX_SENDS = 4;
-
   /** Below this remaining time, in milliseconds, no endpoint can answer in time. */
   private static final long MIN_REMAINING_MS = 15;
 
@@ -72,7 +70,7 @@
   private final RelayContext context;
   private final RouteSpec route;
   private final EndpointGroup group;
-  private final SharedRetryBudget budget;
+  private final AttemptCount attempts;
   private final CallerFacts facts;
   private final CallerAccess access;
   private final Optional<AdapterName> adapter;
@@ -91,8 +89,6 @@
   private final ResponseTimes times;
   private final ForwardedRequest forward;
   private RelayAttempt attempt;
-  private int sends;
-  private int runs;
   private boolean waiting;
   private boolean responseStarted;
   private boolean completed;
@@ -121,7 +117,7 @@
     this.context = context;
     this.route = route;
     this.group = group;
-    this.budget = budget;
+    this.attempts = new AttemptCount(route, budget);
     this.facts = facts;
     this.access = access;
     this.adapter = facts.generation().flatMap(Generation::adapter);
@@ -210,7 +206,7 @@
 
   private void awaitEndpoint(Choice.AwaitEndpoint choice, long now) {
     long sentInMs = choice.sentInMs(context.waiting().countBefore(group, arrivedAt));
-    if (sentInMs + choice.responseMs() > deadlineAt - now || !maySend(now)) {
+    if (sentInMs + choice.responseMs() > deadlineAt - now || !attempts.maySend(now)) {
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, Math.max(RETRY_AFTER_MS, sentInMs)));
       return;
     }
@@ -218,11 +214,6 @@
     await(WaitTimes.Kind.SLOT, now, Math.min(ENDPOINT_CHECK_MS, choice.waitMs() + 1));
   }
 
-  /** Returns whether the request may be sent: for the first time, or once more. */
-  private boolean maySend(long now) {
-    return sends == 0 || (sends < MAX_SENDS && budget.allows(now));
-  }
-
   private EndpointChooser.Loadable loadable() {
     return new EndpointChooser.Loadable(
         search.candidates(context.adapters().loadable()), search.queueWaits());
@@ -288,13 +279,14 @@
       dispatch();
       return;
     }
-    if (sends > 0 && (sends >= MAX_SENDS || !budget.tryAcquire(now))) {
+    if (!attempts.trySend(now)) {
       ticket.get().ended(EndpointTicket.Ending.NO_BLAME, now);
+      requestLog.retryDenied(attempts);
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, RETRY_AFTER_MS));
       return;
     }
-    sends++;
-    requestLog.sent(choice, ticket.get(), sends, now - arrivedAt, demand.remainingMs());
+    context.path().sent();
+    requestLog.sent(choice, ticket.get(), attempts.sends(), now - arrivedAt, demand.remainingMs());
     HttpCall call = forward.to(target.get(), demand.remainingMs(), events.lastId());
     attempt = new RelayAttempt(this, ticket.get(), choice.candidate().dataCentre(), now);
     attempt.stream = context.http().stream(call, demand.remainingMs() + CALL_SLACK_MS, attempt);
@@ -308,7 +300,7 @@
   /** Watches for an endpoint's next event if another endpoint could replace it. */
   private void awaitResponse(RelayAttempt from, long abandonMs) {
     responseTimer.cancel();
-    if (route.mayRepeat() && runs + 1 < route.maxAttempts()) {
+    if (attempts.isReplaceable()) {
       long now = context.clock().millis();
       ResponseWatchdog watch = new ResponseWatchdog(now, abandonMs);
       responseTimer.schedule(watch, now, due -> checkResponse(from, due));
@@ -318,7 +310,7 @@
   /** Fails over to another endpoint if this one has stopped responding. */
   private synchronized void checkResponse(RelayAttempt waitedFor, ResponseWatchdog watch) {
     long now = context.clock().millis();
-    if (completed || attempt != waitedFor || !mayRetryAfter(runs + 1, now)) {
+    if (completed || attempt != waitedFor || !mayRetryAfter(attempts.runs() + 1, now)) {
       return;
     }
     if (watch.checkTimeout(waitedFor.ticket.isEndpointStalled(now), now)
@@ -337,7 +329,7 @@
     others.add(endpoint);
     Demand demand = new Demand(facts.generation(), others, deadlineAt - now);
     Choice choice = group.choose(demand, loadable(), now);
-    FailoverPolicy.Step step = FailoverPolicy.next(choice, endpoint, budget.allows(now));
+    FailoverPolicy.Step step = FailoverPolicy.next(choice, endpoint, attempts.budgetAllows(now));
     if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
       Choice.RequestLoad load = (Choice.RequestLoad) choice;
       LoadRequest loadRequest = loadRequest(load, demand, 0, now);
@@ -379,6 +371,10 @@
     return route.streams();
   }
 
+  PathMonitor path() {
+    return context.path();
+  }
+
   /** Forwards the complete events of a stream. */
   synchronized void received(RelayAttempt from, byte[] part) {
     if (completed || from != attempt) {
@@ -424,7 +420,7 @@
     long now = context.clock().millis();
     boolean success = answer == AnswerClass.SUCCESS;
     from.ticket.ended(success ? EndpointTicket.Ending.ANSWERED : EndpointTicket.Ending.FAILED, now);
-    runs++;
+    attempts.ran();
     if (!success && mayRetry(now)) {
       avoid.add(from.ticket.endpoint());
       dispatch();
@@ -440,14 +436,11 @@
   }
 
   private boolean mayRetry(long now) {
-    return mayRetryAfter(runs, now);
+    return mayRetryAfter(attempts.runs(), now);
   }
 
   private boolean mayRetryAfter(int possibleRuns, long now) {
-    return route.mayRepeat()
-        && possibleRuns < route.maxAttempts()
-        && sends < MAX_SENDS
-        && deadlineAt - now > MIN_REMAINING_MS;
+    return attempts.mayRepeatAfter(possibleRuns) && deadlineAt - now > MIN_REMAINING_MS;
   }
 
   /** Called when the endpoint reports that it did not run the request. */
@@ -465,7 +458,10 @@
         !busy
             && adapter.isPresent()
             && group.postpone(
-                from.ticket.endpoint(), adapter.get(), now, now + EARLY_RETRY_MS * sends);
+                from.ticket.endpoint(),
+                adapter.get(),
+                now,
+                now + EARLY_RETRY_MS * attempts.sends());
     if (adapter.isPresent() && !busy) {
       context.adapters().missed(from.dataCentre, from.ticket.endpoint(), adapter.get(), early);
     }
@@ -484,6 +480,7 @@
       return;
     }
     from.ticket.ended(EndpointTicket.Ending.FAILED, context.clock().millis());
+    attempts.unsent();
     requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), events.lastId());
     avoid.add(from.ticket.endpoint());
     dispatch();
@@ -497,7 +494,7 @@
     long now = context.clock().millis();
     from.ticket.ended(EndpointTicket.Ending.FAILED, now);
     requestLog.lost("broken", from, reason, events.lastId());
-    runs++;
+    attempts.ran();
     avoid.add(from.ticket.endpoint());
     if (mayRetry(now)) {
       events.discardRemainder();
@@ -536,7 +533,7 @@
 
   /** An open attempt may have run; ended attempts that may have run are counted in runs. */
   private boolean mayHaveRun() {
-    return runs > 0 || (attempt != null && !attempt.isCompleted());
+    return attempts.runs() > 0 || (attempt != null && !attempt.isCompleted());
   }
 
   /** Returns whether an endpoint has run the request, or still may; a rejected attempt does not. */
@@ -547,7 +544,7 @@
   private void refuseOrFail(Choice.Refuse refusal) {
     if (responseStarted) {
       abort(ErrorKind.STREAM_SHORT, "no other endpoint");
-    } else if (runs > 0) {
+    } else if (attempts.runs() > 0) {
       fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
     } else {
       refuse(refusal.kind(), OptionalLong.of(refusal.retryAfterMs()));
@@ -590,7 +587,7 @@
       access.notRun().run();
     }
     requestLog.ended(
-        outcome, status, times.log(context.clock().millis(), waits), sends, runs, events.lastId());
+        outcome, status, times.log(context.clock().millis(), waits), attempts, events.lastId());
   }
 
   private long sinceArrival() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -114,6 +114,17 @@
         .write();
   }
 
+  /** Logs that the retry budget does not allow another attempt. */
+  void retryDenied(AttemptCount attempts) {
+    context.metrics().count("sequoiapass_retries_denied_total");
+    context
+        .log()
+        .request("retry_denied", requestId)
+        .with("sends", attempts.sends())
+        .with("unsent", attempts.unsentCount())
+        .write();
+  }
+
   /**
    * The durations of a request.
    *
@@ -125,7 +136,7 @@
   record Times(long tookMs, long firstMs, long pauseMs, WaitTimes waits) {}
 
   /** Logs the end of the request. */
-  void ended(String outcome, int status, Times times, int sends, int runs, long lastEvent) {
+  void ended(String outcome, int status, Times times, AttemptCount attempts, long lastEvent) {
     String label = outcome.startsWith("cut_") ? "cut" : outcome;
     context.metrics().count("sequoiapass_requests_total{outcome=\"" + label + "\"}");
     context
@@ -143,8 +154,8 @@
         .with("gap_ms", route.gapTargetMs())
         .with("slot_wait_ms", times.waits().of(WaitTimes.Kind.SLOT))
         .with("load_ms", times.waits().of(WaitTimes.Kind.LOAD))
-        .with("sends", sends)
-        .with("runs", runs)
+        .with("sends", attempts.sends())
+        .with("runs", attempts.runs())
         .with("last_event", lastEvent)
         .write();
   }
