--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
@@ -67,6 +67,8 @@
   DEADLINE_PASSED_AFTER_START(504, UNKNOWN, IF_REPEATABLE, "The deadline passed after the start."),
   /** No endpoint can take the request. */
   NO_ENDPOINT(503, NOT_RUN, SAFE, 1_000, "No endpoint can take the request."),
+  /** This daemon has no path to the endpoints, and no peer that has one; others may have one. */
+  ENDPOINTS_UNREACHABLE(503, NOT_RUN, SAFE, 100, "This daemon cannot reach the endpoints."),
   /** The adapter could not be loaded. */
   LOAD_FAILED(502, NOT_RUN, SAFE, 2_000, "The adapter could not be loaded."),
   /** The endpoint or its owner was lost before the start. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -48,6 +48,7 @@
   private static final int RELEASES = 10;
   private static final int PERMIT_REQUEST = 11;
   private static final int PERMIT_REPLY = 12;
+  private static final int PEERS = 13;
 
   private LinkFrames() {}
 
@@ -112,11 +113,12 @@
 
   /** Writes the parts of one frame. */
   @FunctionalInterface
-  private interface FrameWriter {
+  interface FrameWriter {
     void write(MessageBufferPacker out) throws IOException;
   }
 
-  private static byte[] bytes(FrameWriter writer) {
+  /** Returns what a writer writes. */
+  static byte[] bytes(FrameWriter writer) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       writer.write(out);
       return out.toByteArray();
@@ -131,9 +133,11 @@
       out.packString(hello.daemon().value());
       out.packString(hello.dataCentre().value());
       out.packLong(hello.endpointsRevision());
+      EntryFrames.writeAddress(out, hello.peers());
     } else if (message instanceof LinkMessage.UsageReport usage) {
       out.packInt(USAGE_REPORT);
       out.packBoolean(usage.coordinator());
+      out.packBoolean(usage.servesPeers());
       writeClocks(out, usage.sentAt());
       list(out, usage.usages(), LinkFrames::writeUsage);
       list(out, usage.workspaces(), LinkFrames::writeWorkspaceUsage);
@@ -200,6 +204,15 @@
       out.packString(reply.endpoint().value());
       out.packString(reply.type().name());
       out.packLong(reply.waitMs());
+    } else if (message instanceof LinkMessage.Peers peers) {
+      out.packInt(PEERS);
+      list(
+          out,
+          peers.peers(),
+          (to, peer) -> {
+            to.packString(peer.daemon().value());
+            EntryFrames.writeAddress(to, peer.address());
+          });
     } else {
       throw new IllegalArgumentException("no frame for " + message);
     }
@@ -333,9 +346,11 @@
           new LinkMessage.Hello(
               new DaemonId(in.unpackString()),
               new DataCentreId(in.unpackString()),
-              in.unpackLong());
+              in.unpackLong(),
+              EntryFrames.readAddress(in));
       case USAGE_REPORT ->
           new LinkMessage.UsageReport(
+              in.unpackBoolean(),
               in.unpackBoolean(),
               readClocks(in),
               list(in, LinkFrames::readUsage),
@@ -370,12 +385,7 @@
               list(in, LinkFrames::readCoordinator));
       case PLACEMENTS ->
           new LinkMessage.Placements(in.unpackBoolean(), list(in, LinkFrames::readPlacement));
-      case LOADS ->
-          new LinkMessage.Loads(
-              readOptionalClocks(in),
-              in.unpackLong(),
-              readOptionalClocks(in),
-              list(in, LinkFrames::readEndpointLoad));
+      case LOADS -> readLoads(in);
       case LOAD_REJECTED -> new LinkMessage.LoadRejected(readAdapter(in), in.unpackLong());
       case ENDPOINTS -> EntryFrames.read(in);
       case RELEASES ->
@@ -383,10 +393,19 @@
               list(in, from -> new LinkMessage.Release(readAdapter(from), from.unpackLong())));
       case PERMIT_REQUEST -> readPermitRequest(in);
       case PERMIT_REPLY -> readPermitReply(in);
+      case PEERS -> new LinkMessage.Peers(list(in, LinkFrames::readPeer));
       default -> throw new IOException("unknown message type " + type);
     };
   }
 
+  private static LinkMessage.Loads readLoads(MessageUnpacker in) throws IOException {
+    return new LinkMessage.Loads(
+        readOptionalClocks(in),
+        in.unpackLong(),
+        readOptionalClocks(in),
+        list(in, LinkFrames::readEndpointLoad));
+  }
+
   private static LinkMessage.PermitRequest readPermitRequest(MessageUnpacker in)
       throws IOException {
     EndpointId endpoint = new EndpointId(in.unpackString());
@@ -426,6 +445,10 @@
         new DataCentreId(in.unpackString()), EntryFrames.readAddress(in));
   }
 
+  private static LinkMessage.Peer readPeer(MessageUnpacker in) throws IOException {
+    return new LinkMessage.Peer(new DaemonId(in.unpackString()), EntryFrames.readAddress(in));
+  }
+
   private static LinkMessage.StoreView readView(MessageUnpacker in) throws IOException {
     return new LinkMessage.StoreView(in.unpackLong(), in.unpackLong());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -30,21 +30,47 @@
    * @param dataCentre where it runs
    * @param endpointsRevision the store's revision up to which it knows the endpoint list; negative
    *     if it does not
+   * @param peers where it accepts requests of other daemons
    */
-  record Hello(DaemonId daemon, DataCentreId dataCentre, long endpointsRevision)
+  record Hello(
+      DaemonId daemon, DataCentreId dataCentre, long endpointsRevision, InetSocketAddress peers)
       implements LinkMessage {}
 
+  /**
+   * A coordinator names the daemons through which a daemon without a path to the endpoints can
+   * serve its callers.
+   *
+   * @param peers the daemons, in random order
+   */
+  record Peers(List<Peer> peers) implements LinkMessage {
+    /** Copies the list. */
+    public Peers {
+      peers = List.copyOf(peers);
+    }
+  }
+
+  /**
+   * A daemon that serves others.
+   *
+   * @param daemon its name
+   * @param address where it accepts requests of other daemons
+   */
+  record Peer(DaemonId daemon, InetSocketAddress address) {}
+
   /**
    * A daemon reports its load on the coordinator's endpoints; an endpoint that is not listed has
    * none.
    *
    * @param coordinator whether the daemon coordinates its data centre
+   * @param servesPeers whether it has a path to the endpoints and does not stop, so that it can
+   *     serve requests of other daemons
    * @param sentAt the daemon's clocks when it sent the report; the coordinator returns them
    * @param usages one for each endpoint
    * @param workspaces what workspaces asked of the daemon since its last report on this link
    */
   record UsageReport(
       boolean coordinator,
+      boolean servesPeers,
       ClockReading sentAt,
       List<EndpointUsage> usages,
       List<WorkspaceUsage> workspaces)
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -10,10 +10,11 @@
 import io.sequoiapass.daemon.connection.HttpResponder;
 import io.sequoiapass.gateway.request.CallerAccess;
 import io.sequoiapass.gateway.request.CallerExchange;
+import io.sequoiapass.gateway.request.ErrorFormat;
 import io.sequoiapass.gateway.request.Generation;
-import io.sequoiapass.gateway.request.LocalResponse;
 import io.sequoiapass.gateway.request.RelayContext;
 import io.sequoiapass.gateway.request.RelayedRequest;
+import io.sequoiapass.gateway.request.RequestOrigin;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.spi.HostSettings;
 import io.sequoiapass.gateway.version.AdapterName;
@@ -108,7 +109,10 @@
       return;
     }
     CallerAccess access = gate.access(caller, route.get(), facts);
-    start(request, responder, facts, route.get(), service, access);
+    long now = context.clock().millis();
+    budget(service).requestArrived(now);
+    RequestOrigin origin = RequestOrigin.caller(route.get(), facts, now);
+    start(service, route.get(), new CallerExchange(request, facts, access, origin, responder));
   }
 
   private OptionalLong charge(WorkspaceGate.Verdict.Known caller, CallerFacts facts) {
@@ -154,29 +158,24 @@
         .orElse(true);
   }
 
-  private void start(
-      HttpRequestMessage request,
-      HttpResponder responder,
-      CallerFacts facts,
-      RouteSpec route,
-      ServiceId service,
-      CallerAccess access) {
-    SharedRetryBudget budget =
-        budgets.computeIfAbsent(service, name -> new SharedRetryBudget(bounds, daemons));
-    budget.requestArrived(context.clock().millis());
+  /** Starts a request of a caller or a peer. */
+  void start(ServiceId service, RouteSpec route, CallerExchange exchange) {
     inFlight.incrementAndGet();
     new RelayedRequest(
             context,
             route,
+            service,
             directory.group(service),
-            budget,
-            facts,
-            access,
-            new CallerExchange(request, responder),
+            budget(service),
+            exchange,
             inFlight::decrementAndGet)
         .start();
   }
 
+  private SharedRetryBudget budget(ServiceId service) {
+    return budgets.computeIfAbsent(service, name -> new SharedRetryBudget(bounds, daemons));
+  }
+
   private void refuse(ErrorKind kind, CallerFacts facts, HttpResponder responder) {
     refuse(kind, Optional.empty(), kind.comeBackMillis(), facts, responder);
   }
@@ -195,6 +194,6 @@
         .with("outcome", "refused_" + kind)
         .with("status", kind.httpStatus())
         .write();
-    LocalResponse.send(context.callers(), facts, responder, kind, retryAfterMs);
+    ErrorFormat.CALLER.send(context.callers(), facts, responder, kind, retryAfterMs);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -34,6 +34,12 @@
    */
   private static final long DAEMONS_MS = 30_000;
 
+  /**
+   * A coordinator without a path to the endpoints can give no orders; it releases its lease after
+   * this time, in milliseconds, so that a mistaken loss of the path does not move it.
+   */
+  private static final long WITHDRAW_AFTER_MS = 700;
+
   private final DataCentreId here;
   private final EndpointDirectory directory;
   private final CoordinatorElection election;
@@ -129,6 +135,22 @@
     coordinator.deactivate("fenced");
   }
 
+  /**
+   * Leaves the coordination to others while this daemon has no path to the endpoints.
+   *
+   * @param pathLostMs for how long it has had none, in milliseconds; 0 if it has one
+   */
+  void withdrawIfLost(long pathLostMs) {
+    boolean releases;
+    synchronized (this) {
+      releases = election.withdraw(pathLostMs >= WITHDRAW_AFTER_MS);
+    }
+    if (releases) {
+      log.event("coordinator_withdraws").with("data_centre", here).write();
+      coordinator.stop();
+    }
+  }
+
   /** Releases the lease for a planned stop. */
   void releaseLease() {
     synchronized (this) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -63,6 +63,7 @@
   private final LoadRouter router;
   private final LongPredicate mayOrder;
   private final PermitGrants permits;
+  private final PeerOffers peers = new PeerOffers();
   private final Runnable onFenced;
   private DaemonView view = DaemonView.NONE;
   private final Map<FrameChannel, LinkedDaemon> links = new HashMap<>();
@@ -538,10 +539,12 @@
       linked.dataCentre = hello.dataCentre();
       linked.endpointsRevision = hello.endpointsRevision();
       sendSnapshot(channel, linked, now);
+      peers.linked(links.values(), channel, linked, hello.peers());
       log.event("daemon_linked").with("peer", hello.daemon()).with("links", links.size()).write();
     } else if (message instanceof LinkMessage.UsageReport report && linked.daemon != null) {
       linked.coordinates = report.coordinator();
       linked.lastReport = report.sentAt();
+      peers.reported(links.values(), channel, linked, report.servesPeers());
       plan.updateUsage(linked.daemon, report.usages(), now);
       usage.report(linked.daemon, linked.dataCentre, report.workspaces(), now);
       if (!loadQueue.isEmpty()) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -92,6 +92,7 @@
   private boolean holding;
   private boolean busy;
   private boolean releasing;
+  private boolean withdrawn;
   private CoordinatorLease proposed;
 
   /**
@@ -121,14 +122,14 @@
     }
     if (holding) {
       long due = lastWriteAt + (renewedAt == lastWriteAt ? RENEW_MS : RETRY_MS);
-      return releasing || now >= due ? write(now) : Step.NONE;
+      return releasing || withdrawn || now >= due ? write(now) : Step.NONE;
     }
     if (releasing || link == Link.UP) {
       readPauseMs = READ_MS;
       return Step.NONE;
     }
     boolean justRead = read && now - lastReadAt < READ_MS;
-    if (justRead && mayTake(now) && now - lastWriteAt >= RETRY_MS) {
+    if (justRead && !withdrawn && mayTake(now) && now - lastWriteAt >= RETRY_MS) {
       return write(now);
     }
     if (link == Link.OPENING || now < nextReadAt) {
@@ -157,7 +158,7 @@
       proposed = new CoordinatorLease(daemon, process, address, epoch + 1, 0, false);
     } else {
       CoordinatorLease held = seen.flatMap(Stored::value).orElseThrow();
-      proposed = releasing ? held.asReleased() : held.renewed();
+      proposed = releasing || withdrawn ? held.asReleased() : held.renewed();
     }
     lastWriteAt = now;
     busy = true;
@@ -236,6 +237,18 @@
     releasing = true;
   }
 
+  /**
+   * Sets whether this daemon leaves the lease to others: it releases the one that it holds, and
+   * acquires none.
+   *
+   * @return whether it begins to release the lease
+   */
+  boolean withdraw(boolean newWithdrawn) {
+    boolean releases = holding && newWithdrawn && !withdrawn;
+    withdrawn = newWithdrawn;
+    return releases;
+  }
+
   /** Ends the lease immediately because an endpoint has received a higher epoch. */
   void superseded() {
     holding = false;
@@ -268,6 +281,6 @@
    *     holder fences it off
    */
   boolean mayOrder(long now, boolean fenced) {
-    return holding && !releasing && (fenced || now - renewedAt < VALID_MS);
+    return holding && !releasing && !withdrawn && (fenced || now - renewedAt < VALID_MS);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -89,11 +89,16 @@
      */
     void configurationProved(ClockReading asked, long revision);
 
+    /** Called when a coordinator has selected peers for this daemon. */
+    void peersSelected(LinkMessage.Peers peers);
+
     /** Called when a coordinator's first status arrives, or its link is lost. */
     void changed();
   }
 
   private final BooleanSupplier coordinates;
+  private final BooleanSupplier servesPeers;
+  private final InetSocketAddress peerAddress;
   private final long idleReportMs;
   private final DaemonId daemon;
   private final DataCentreId here;
@@ -116,6 +121,7 @@
   private long lastReceivedAt;
   private long lastReportAt;
   private boolean lastReportEmpty;
+  private boolean lastReportServing = true;
   private int daemons;
   private int rounds;
   private volatile boolean slotsWanted;
@@ -147,6 +153,8 @@
       Consumer<LinkMessage.CoordinatorStatus> onStatus,
       Runnable onLost) {
     this.coordinates = io.coordinates();
+    this.servesPeers = io.servesPeers();
+    this.peerAddress = io.peerAddress();
     this.idleReportMs = io.idleReportMs();
     this.daemon = daemon;
     this.here = here;
@@ -173,6 +181,8 @@
    * @param throttle what workspaces asked of this daemon
    * @param log the log
    * @param coordinates whether this daemon coordinates its data centre
+   * @param servesPeers whether this daemon can serve requests of other daemons
+   * @param peerAddress where it accepts them
    * @param idleReportMs interval between reports of an idle daemon, in milliseconds
    */
   record Io(
@@ -183,6 +193,8 @@
       UsageThrottle throttle,
       DecisionLog log,
       BooleanSupplier coordinates,
+      BooleanSupplier servesPeers,
+      InetSocketAddress peerAddress,
       long idleReportMs) {}
 
   DataCentreId dataCentre() {
@@ -274,7 +286,8 @@
         reportedLoads.clear();
       }
       opened.send(
-          LinkFrames.encode(new LinkMessage.Hello(daemon, here, directory.listedRevision())));
+          LinkFrames.encode(
+              new LinkMessage.Hello(daemon, here, directory.listedRevision(), peerAddress)));
     }
 
     @Override
@@ -326,6 +339,8 @@
       listener.loadRejected(dataCentre, rejected.adapter(), rejected.retryAfterMs());
     } else if (message instanceof LinkMessage.PermitReply reply) {
       directory.groupOf(reply.endpoint()).ifPresent(group -> permitReplied(group, reply));
+    } else if (message instanceof LinkMessage.Peers peers) {
+      listener.peersSelected(peers);
     }
   }
 
@@ -464,18 +479,21 @@
     directory.groups().forEach(group -> usages.addAll(group.takeUsage(dataCentre, now)));
     List<WorkspaceUsage> workspaces;
     ClockReading sentAt = ClockReading.now(clock, wall);
+    boolean serving = servesPeers.getAsBoolean();
     synchronized (this) {
       workspaces = workspaceReports.next(throttle.totals());
-      boolean empty = usages.isEmpty() && workspaces.isEmpty();
+      boolean empty = usages.isEmpty() && workspaces.isEmpty() && serving == lastReportServing;
       if (empty && lastReportEmpty && now - lastReportAt < idleReportMs) {
         return;
       }
       lastReportEmpty = empty;
+      lastReportServing = serving;
       lastReportAt = now;
       reportedLoads.add(sentAt, usages);
     }
     open.send(
         LinkFrames.encode(
-            new LinkMessage.UsageReport(coordinates.getAsBoolean(), sentAt, usages, workspaces)));
+            new LinkMessage.UsageReport(
+                coordinates.getAsBoolean(), serving, sentAt, usages, workspaces)));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -394,6 +394,11 @@
     return Optional.of(ticket);
   }
 
+  /** Removes all records of failures. */
+  synchronized void resetHealth() {
+    health.retain(Set.of());
+  }
+
   /** Returns the mean time of a plain call, in milliseconds. */
   public synchronized double usualServiceMs() {
     return serviceMs.value();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -14,7 +14,7 @@
  * <p>Safe for use by several threads: its state is guarded by the lock of its {@link
  * EndpointGroup}.
  */
-public final class EndpointTicket {
+public final class EndpointTicket implements Recipient {
 
   private final EndpointGroup group;
   private final EndpointState state;
@@ -62,15 +62,7 @@
     state.starts.merge(adapter, 1, Integer::sum);
   }
 
-  /**
-   * Records what the headers of an answer state.
-   *
-   * @param notice the statement
-   * @param byEndpoint whether the answer certainly comes from the endpoint; a statement of another
-   *     one cannot end a limit
-   * @param now when the answer arrived, in milliseconds
-   * @return whether the limit has changed
-   */
+  @Override
   public boolean noticed(EndpointNotice notice, boolean byEndpoint, long now) {
     synchronized (group) {
       // A late answer of an earlier process says nothing about its successor.
@@ -86,7 +78,7 @@
     }
   }
 
-  /** Records that the response has started. */
+  @Override
   public void begun(long now) {
     synchronized (group) {
       if (!begun && !ended) {
@@ -99,21 +91,21 @@
     }
   }
 
-  /** Records that a part of the response has arrived. */
+  @Override
   public void progress(long now) {
     synchronized (group) {
       state.stalls.progress(now);
     }
   }
 
-  /** Returns whether the endpoint sends nothing on any of this daemon's streams. */
-  public boolean isEndpointStalled(long now) {
+  @Override
+  public boolean isStalled(long now) {
     synchronized (group) {
       return state.stalls.isStalled(now);
     }
   }
 
-  /** Records that the endpoint has stopped responding; the response may still arrive. */
+  @Override
   public void stalled(long now) {
     synchronized (group) {
       if (!stalled && !ended) {
@@ -131,7 +123,7 @@
     }
   }
 
-  /** Records the end of the request at this endpoint. */
+  @Override
   public void ended(Ending ending, long now) {
     synchronized (group) {
       if (ended) {
@@ -179,18 +171,13 @@
     }
   }
 
+  @Override
+  public String name() {
+    return state.entry.endpoint().value();
+  }
+
   /** Returns the endpoint. */
   public EndpointId endpoint() {
     return state.entry.endpoint();
   }
-
-  /** What the end of a request indicates about its endpoint. */
-  public enum Ending {
-    /** A complete response. */
-    ANSWERED,
-    /** A lost connection, a truncated response, or a failure of the endpoint. */
-    FAILED,
-    /** A refusal for lack of capacity, or a caller that disconnected. */
-    NO_BLAME
-  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -16,6 +16,7 @@
 import io.sequoiapass.daemon.connection.HttpServer;
 import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.request.PeerForwarder;
 import io.sequoiapass.gateway.request.PendingRequests;
 import io.sequoiapass.gateway.request.RelayContext;
 import io.sequoiapass.gateway.spi.Deployment;
@@ -108,6 +109,7 @@
   private static final long STOP_MARGIN_MS = 450;
 
   private static final long STOP_POLL_MS = 50;
+
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
 
@@ -128,6 +130,7 @@
   private final EndpointDirectory directory;
   private final PendingRequests waiting = new PendingRequests();
   private final GatewayMetrics metrics = new GatewayMetrics();
+  private final PeerDirectory peers = new PeerDirectory(clock);
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
   private CoordinationNode node;
@@ -136,6 +139,7 @@
   private CallerHandler callers;
   private WorkspaceGate gate;
   private HttpServer callerServer;
+  private HttpServer peerServer;
   private volatile boolean draining;
 
   private Gateway(HostSettings settings, DecisionLog log) {
@@ -171,17 +175,18 @@
         toEndpoints(
             HttpClient.create(
                 loops, CONNECT_TIMEOUT_MS, deployment.endpointProtocol().echoedHeader()));
-    startCoordination(deployment, toEndpoints(http), store);
     path =
         new PathMonitor(
             directory, deployment.endpointProtocol(), endpointHttp, clock, log, metrics);
+    path.onChange(this::pathChanged);
+    startCoordination(deployment, toEndpoints(http), store);
     RelayContext context =
         new RelayContext(
             endpointHttp,
             deployment.callerProtocol(),
             deployment.endpointProtocol(),
             new AdapterLoads(node, directory, versions),
-            path,
+            new PeerForwarder(settings.daemon(), path, peers, http, deployment.callerProtocol()),
             waiting,
             loops,
             clock,
@@ -195,6 +200,10 @@
     startFeeds(store);
     callerServer =
         HttpServer.builder(loops, callers).limits(this::limits).start(settings.callers());
+    peerServer =
+        HttpServer.builder(loops, new PeerHandler(context, callers, gate, () -> draining))
+            .limits(() -> PeerHandler.limits(limits()))
+            .start(settings.peers());
     HttpServer.builder(
             loops,
             (request, responder) ->
@@ -231,6 +240,18 @@
     return known == null ? FIRST_LIMITS : known.limits();
   }
 
+  /** Failures while the path was lost say nothing about the endpoints. */
+  private void pathChanged() {
+    if (!path.isLost()) {
+      directory.groups().forEach(EndpointGroup::resetHealth);
+    }
+    waiting.pathChanged();
+  }
+
+  private boolean servesPeers() {
+    return !draining && !path.isLost();
+  }
+
   private void startCoordination(Deployment deployment, HttpClient http, MetadataStore store)
       throws IOException {
     FrameTransport transport = FrameTransport.create(loops);
@@ -295,6 +316,8 @@
             throttle,
             log,
             node::isCoordinator,
+            this::servesPeers,
+            settings.peers(),
             settings.bounds().revocationMs().isPresent()
                 ? CoordinatorLink.STRICT_IDLE_REPORT_MS
                 : CoordinatorLink.IDLE_REPORT_MS);
@@ -421,6 +444,7 @@
 
   private void tick() {
     try {
+      node.withdrawIfLost(path.lostMs());
       node.tick();
       coordinator.tick();
       path.check();
@@ -432,7 +456,8 @@
   }
 
   private boolean isReady() {
-    return !draining && configuration.get() != null && directory.isListed();
+    boolean canServe = !path.isLost() || peers.isAvailable(Set.of());
+    return canServe && !draining && configuration.get() != null && directory.isListed();
   }
 
   /**
@@ -446,6 +471,7 @@
     draining = true;
     log.event("stopping").with("requests", callers.inFlight()).write();
     callerServer.closeAfterAnswers();
+    peerServer.closeAfterAnswers();
     node.releaseLease();
     long latest = startedAt + settings.bounds().graceMs() - STOP_MARGIN_MS;
     callers.startDrain(startedAt + MIN_STOP_MS, latest);
@@ -535,6 +561,11 @@
       waiting.permitReplied(group, granted);
     }
 
+    @Override
+    public void peersSelected(LinkMessage.Peers selected) {
+      peers.update(selected);
+    }
+
     @Override
     public void released(LinkMessage.Release release) {
       Gateway.this.released(release.adapter(), release.version(), "coordinator");
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.process.ClockReading;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 
 /** A daemon that is linked to a coordinator; guarded by the lock of the {@link Coordinator}. */
@@ -12,6 +13,8 @@
   DataCentreId dataCentre;
   long lastReceivedAt;
   boolean coordinates;
+  boolean servesPeers = true;
+  InetSocketAddress peerAddress;
   boolean hasEndpoints;
   long endpointsRevision;
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
@@ -24,6 +24,9 @@
   /** Timeout of a probe, in milliseconds: endpoints report within a few. */
   private static final long PROBE_TIMEOUT_MS = 300;
 
+  /** How long received bytes show that some connections live on, in milliseconds. */
+  private static final long RECENT_MS = 1_000;
+
   private final EndpointPath path = new EndpointPath();
   private final EndpointDirectory directory;
   private final EndpointProtocol protocol;
@@ -33,6 +36,7 @@
   private final GatewayMetrics metrics;
   private final List<Runnable> onChange = new CopyOnWriteArrayList<>();
   private volatile boolean lost;
+  private volatile long receivedAt = Long.MIN_VALUE / 2;
   private long lostAt;
 
   /**
@@ -70,6 +74,16 @@
     return lost;
   }
 
+  /** Returns whether endpoints have sent something lately, over connections that live on. */
+  public boolean isReceiving() {
+    return clock.millis() - receivedAt < RECENT_MS;
+  }
+
+  /** Returns for how long the path has been lost, in milliseconds; 0 if it is not. */
+  synchronized long lostMs() {
+    return lost ? clock.millis() - lostAt : 0;
+  }
+
   /** Records that a request is sent to an endpoint. */
   public synchronized void sent() {
     path.sent(clock.millis());
@@ -77,6 +91,7 @@
 
   /** Records that something was received from an endpoint. */
   public synchronized void received() {
+    receivedAt = clock.millis();
     path.received();
   }
 
@@ -155,6 +170,7 @@
       silentMs = path.silentMs(clock.millis());
       change = path.probed(answered);
       lost = path.isLost();
+      lostAt = change == EndpointPath.Change.LOST ? clock.millis() : lostAt;
     }
     switch (change) {
       case LOST -> lost(silentMs);
@@ -165,9 +181,6 @@
   }
 
   private void lost(long silentMs) {
-    synchronized (this) {
-      lostAt = clock.millis();
-    }
     metrics.count("sequoiapass_endpoint_path_losses_total");
     log.event("endpoint_path_lost").with("silent_ms", silentMs).write();
     onChange.forEach(Runnable::run);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/WorkspaceGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/WorkspaceGate.java
@@ -140,16 +140,21 @@
     return new CallerAccess(
         caller.identity(),
         workspace.priority(),
-        () -> recheck(caller, route, facts),
+        () -> recheck(caller.identity(), route, facts),
         () -> throttle.refund(workspace.id(), cost));
   }
 
-  private Optional<ErrorKind> recheck(Verdict.Known caller, RouteSpec route, CallerFacts facts) {
-    Verdict verdict = identify(configuration.get(), route, facts);
+  /** Returns why a request that was accepted may no longer be sent; empty if it may. */
+  Optional<ErrorKind> recheck(CallerIdentity identity, RouteSpec route, CallerFacts facts) {
+    ServingConfiguration known = configuration.get();
+    if (known == null) {
+      return Optional.of(ErrorKind.NO_CONFIGURATION);
+    }
+    Verdict verdict = identify(known, route, facts);
     if (verdict instanceof Verdict.Denied denied) {
       return Optional.of(denied.kind());
     }
-    return verdict instanceof Verdict.Known still && still.identity().equals(caller.identity())
+    return verdict instanceof Verdict.Known still && still.identity().equals(identity)
         ? Optional.empty()
         : Optional.of(ErrorKind.UNAUTHORIZED);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AttemptCount.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AttemptCount.java
@@ -10,40 +10,65 @@
  */
 final class AttemptCount {
 
+  /** Below this remaining time, in milliseconds, no endpoint can answer in time. */
+  static final long MIN_REMAINING_MS = 15;
+
   /** Maximum number of times that a request is sent, including rejected attempts. */
   private static final int MAX_SENDS = 4;
 
+  /** Maximum number of times that a request is sent through peers. */
+  private static final int MAX_PEER_SENDS = 3;
+
   private final RouteSpec route;
   private final SharedRetryBudget budget;
+  private final RequestOrigin origin;
   private int sends;
+  private int peerSends;
   private int unsent;
   private int runs;
 
   /**
-   * Creates the count of a request without attempts.
+   * Creates the count of a request that this daemon has not sent yet.
    *
    * @param route the request's route
    * @param budget limits retries
+   * @param origin where the request comes from, with the attempts of another daemon
    */
-  AttemptCount(RouteSpec route, SharedRetryBudget budget) {
+  AttemptCount(RouteSpec route, SharedRetryBudget budget, RequestOrigin origin) {
     this.route = route;
     this.budget = budget;
+    this.origin = origin;
+    this.runs = origin.runs();
   }
 
   /** Returns whether the request may be sent: for the first time, or once more. */
   boolean maySend(long now) {
-    return sends == 0 || (sends < MAX_SENDS && budget.allows(now));
+    return sends < MAX_SENDS && (isFirst() || budget.allows(now));
+  }
+
+  /** Returns whether nothing has reached an endpoint yet, so that a send is no retry. */
+  private boolean isFirst() {
+    return sends + peerSends == unsent;
   }
 
   /** Counts a send, and uses the budget if it is a retry; returns false if it is not allowed. */
   boolean trySend(long now) {
-    if (sends > 0 && (sends >= MAX_SENDS || !budget.tryAcquire(now))) {
+    if (sends >= MAX_SENDS || !(isFirst() || budget.tryAcquire(now))) {
       return false;
     }
     sends++;
     return true;
   }
 
+  /** Counts a send through a peer in the same way. */
+  boolean trySendThroughPeer(long now) {
+    if (peerSends >= MAX_PEER_SENDS || !(isFirst() || budget.tryAcquire(now))) {
+      return false;
+    }
+    peerSends++;
+    return true;
+  }
+
   /** Returns whether the budget allows a retry. */
   boolean budgetAllows(long now) {
     return budget.allows(now);
@@ -59,9 +84,21 @@
     runs++;
   }
 
-  /** Returns whether the request may be repeated if it has run so many times. */
-  boolean mayRepeatAfter(int possibleRuns) {
-    return route.mayRepeat() && possibleRuns < route.maxAttempts() && sends < MAX_SENDS;
+  /** Returns whether the request may be repeated after the attempts so far. */
+  boolean mayRepeat(long now) {
+    return mayRepeatAfter(runs, now);
+  }
+
+  /** Returns the same if the current attempt has run, too. */
+  boolean mayReplace(long now) {
+    return mayRepeatAfter(runs + 1, now);
+  }
+
+  private boolean mayRepeatAfter(int possibleRuns, long now) {
+    return route.mayRepeat()
+        && possibleRuns < route.maxAttempts()
+        && sends < MAX_SENDS
+        && origin.remainingMs(now) > MIN_REMAINING_MS;
   }
 
   /** Returns whether a response that does not arrive may be replaced by another endpoint's. */
@@ -69,8 +106,9 @@
     return route.mayRepeat() && runs + 1 < route.maxAttempts();
   }
 
+  /** Returns the number of sends, to endpoints and through peers. */
   int sends() {
-    return sends;
+    return sends + peerSends;
   }
 
   /** Returns the number of sends of which no byte reached an endpoint. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/CallerExchange.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerExchange.java
@@ -2,11 +2,20 @@
 
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
+import io.sequoiapass.gateway.spi.CallerFacts;
 
 /**
- * A caller's request and its responder.
+ * A caller's request, what is known about it, and its responder.
  *
  * @param request the request
+ * @param facts what its headers state
+ * @param access what the caller was granted
+ * @param origin the caller or peer that it comes from
  * @param responder sends the answer
  */
-public record CallerExchange(HttpRequestMessage request, HttpResponder responder) {}
+public record CallerExchange(
+    HttpRequestMessage request,
+    CallerFacts facts,
+    CallerAccess access,
+    RequestOrigin origin,
+    HttpResponder responder) {}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
@@ -0,0 +1,67 @@
+package io.sequoiapass.gateway.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.gateway.process.EndpointTicket;
+import io.sequoiapass.gateway.process.PathMonitor;
+import java.util.Optional;
+
+/** An attempt at an endpoint, over a connection of this daemon. */
+final class EndpointAttempt extends RelayAttempt {
+
+  final EndpointTicket ticket;
+  final DataCentreId dataCentre;
+  private final PathMonitor path;
+
+  EndpointAttempt(
+      RelayedRequest request,
+      EndpointTicket ticket,
+      DataCentreId dataCentre,
+      PathMonitor path,
+      long sentAt) {
+    super(request, ticket, sentAt);
+    this.ticket = ticket;
+    this.dataCentre = dataCentre;
+    this.path = path;
+  }
+
+  @Override
+  Optional<EndpointId> endpoint() {
+    return Optional.of(ticket.endpoint());
+  }
+
+  @Override
+  boolean isCutOff(long now) {
+    return path.isLost() && isSilent(now);
+  }
+
+  @Override
+  void avoidFrom(AvoidedRecipients avoided) {
+    avoided.add(ticket.endpoint());
+  }
+
+  @Override
+  public void started(int status, HttpHeaders headers) {
+    path.received();
+    super.started(status, headers);
+  }
+
+  @Override
+  public void received(byte[] part) {
+    path.received();
+    super.received(part);
+  }
+
+  @Override
+  void notRun() {
+    request.rejected(this, answer());
+  }
+
+  @Override
+  public void failed(HttpFailure failure) {
+    path.connectionFailed();
+    super.failed(failure);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
@@ -1,8 +1,11 @@
 package io.sequoiapass.gateway.request;
 
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.ReusePolicy;
+import io.sequoiapass.gateway.connection.PeerRequest;
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.spi.ForwardTerms;
@@ -13,12 +16,17 @@
  * A caller's request in the form in which it is sent to endpoints.
  *
  * @param protocol the wire protocol of the endpoints
+ * @param service the service that answers the request
  * @param route the request's route
  * @param access what the caller was granted
  * @param request the caller's request
  */
 record ForwardedRequest(
-    EndpointProtocol protocol, RouteSpec route, CallerAccess access, HttpRequestMessage request) {
+    EndpointProtocol protocol,
+    ServiceId service,
+    RouteSpec route,
+    CallerAccess access,
+    HttpRequestMessage request) {
 
   /**
    * Returns the call to an endpoint.
@@ -41,7 +49,35 @@
     return HttpCall.to(target.address(), request.method(), request.target())
         .headers(protocol.forwardHeaders(request.headers(), terms))
         .body(request.body())
-        .reuse(route.mayRepeat() ? ReusePolicy.ANY : ReusePolicy.RECENT)
+        .reuse(reusePolicy())
         .resetIfAbandoned();
   }
+
+  /**
+   * Returns what a peer needs to know to send the request to an endpoint.
+   *
+   * @param self this daemon
+   * @param origin the caller
+   * @param now the time, in milliseconds
+   * @param runs the number of attempts that may have run
+   * @param lastEventId the last event that the caller has received
+   */
+  PeerRequest decided(
+      DaemonId self, RequestOrigin origin, long now, int runs, OptionalLong lastEventId) {
+    return new PeerRequest(
+        self,
+        service,
+        route,
+        access.identity(),
+        access.priority(),
+        origin.waitedMs(now),
+        origin.remainingMs(now),
+        runs,
+        lastEventId);
+  }
+
+  /** Returns which idle connections the request may be sent on. */
+  ReusePolicy reusePolicy() {
+    return route.mayRepeat() ? ReusePolicy.ANY : ReusePolicy.RECENT;
+  }
 }
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
@@ -0,0 +1,100 @@
+package io.sequoiapass.gateway.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.gateway.connection.PeerRequest;
+import io.sequoiapass.gateway.process.PeerDirectory;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** An attempt through a peer, which sends the request to an endpoint of its choice. */
+final class PeerAttempt extends RelayAttempt {
+
+  /** The peer's answer if no endpoint has answered; empty if one has. */
+  private volatile Optional<PeerError> error = Optional.empty();
+
+  private final PeerDirectory.PeerTicket ticket;
+
+  PeerAttempt(RelayedRequest request, PeerDirectory.PeerTicket ticket, long sentAt) {
+    super(request, ticket, sentAt);
+    this.ticket = ticket;
+  }
+
+  /**
+   * Why a peer has no answer of an endpoint.
+   *
+   * @param kind the reason
+   * @param retryAfterMs when the caller may retry, in milliseconds; empty if unknown
+   */
+  record PeerError(ErrorKind kind, OptionalLong retryAfterMs) {
+
+    /** Reads an error from the headers of an answer; empty if the answer is an endpoint's. */
+    static Optional<PeerError> read(HttpHeaders headers) {
+      String kind = headers.get(PeerRequest.ERROR_HEADER);
+      if (kind == null) {
+        return Optional.empty();
+      }
+      String retryAfter = headers.get(PeerRequest.RETRY_AFTER_HEADER);
+      try {
+        return Optional.of(
+            new PeerError(
+                ErrorKind.valueOf(kind),
+                retryAfter == null
+                    ? OptionalLong.empty()
+                    : OptionalLong.of(Long.parseLong(retryAfter))));
+      } catch (IllegalArgumentException e) {
+        // A newer version of the peer may know other kinds.
+        return Optional.of(new PeerError(ErrorKind.INTERNAL, OptionalLong.empty()));
+      }
+    }
+
+    /** Returns whether another peer may serve the request: the reason lies in this one. */
+    boolean isOfPeer() {
+      return switch (kind) {
+        case DRAINING,
+            NO_CONFIGURATION,
+            CONFIGURATION_NOT_CURRENT,
+            ENDPOINTS_UNREACHABLE,
+            UNAUTHORIZED ->
+            true;
+        default -> false;
+      };
+    }
+  }
+
+  @Override
+  void avoidFrom(AvoidedRecipients avoided) {
+    avoided.add(ticket.daemon());
+  }
+
+  @Override
+  public void started(int status, HttpHeaders headers) {
+    error = PeerError.read(headers);
+    if (error.isEmpty()) {
+      super.started(status, headers);
+    }
+  }
+
+  @Override
+  public void received(byte[] part) {
+    if (error.isEmpty()) {
+      super.received(part);
+    }
+  }
+
+  @Override
+  public void ended() {
+    if (error.isPresent()) {
+      complete();
+      request.peerFailed(this, error.get());
+    } else {
+      super.ended();
+    }
+  }
+
+  /** Peers report an endpoint's rejection as an error of their own. */
+  @Override
+  void notRun() {
+    request.broken(this, "unexpected rejection by a peer");
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PendingRequests.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 
 /**
  * Requests that wait for an adapter, or until an endpoint accepts them. Safe for use by several
@@ -104,6 +105,16 @@
         .forEach(request -> request.coordinatorLost(dataCentre));
   }
 
+  /** Dispatches all requests, since the path to the endpoints is lost or restored. */
+  public void pathChanged() {
+    Stream.of(requests, forEndpoints)
+        .flatMap(waiting -> waiting.values().stream())
+        .flatMap(Set::stream)
+        .distinct()
+        .toList()
+        .forEach(RelayedRequest::retryDispatch);
+  }
+
   private List<RelayedRequest> waitingFor(AdapterName adapter) {
     return List.copyOf(requests.getOrDefault(adapter, Set.of()));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -1,44 +1,78 @@
 package io.sequoiapass.gateway.request;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.HttpStream;
 import io.sequoiapass.daemon.connection.HttpStreamListener;
-import io.sequoiapass.gateway.process.EndpointTicket;
+import io.sequoiapass.gateway.process.Recipient;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 
 /**
  * Receives the answer to one attempt of a request, classifies it and notifies the request. Used on
  * the event loop of the attempt's connection.
  */
-final class RelayAttempt implements HttpStreamListener {
+abstract class RelayAttempt implements HttpStreamListener {
 
   /** Largest answer that is buffered until it is complete, in bytes. */
   private static final int MAX_HELD_BYTES = 8 << 20;
 
-  final EndpointTicket ticket;
-  final DataCentreId dataCentre;
+  /**
+   * How long an attempt may be silent before a lost path is taken as the cause, in milliseconds.
+   */
+  private static final long SILENCE_MS = 400;
+
+  final RelayedRequest request;
+  final Recipient recipient;
   final long sentAt;
   volatile HttpStream stream;
 
   /** Whether a load at another endpoint was requested; used under the request's lock. */
   boolean loadRequested;
 
-  private final RelayedRequest request;
+  private volatile long receivedAt;
   private final ByteArrayOutputStream held = new ByteArrayOutputStream();
   private AnswerClass answer;
   private int status;
   private HttpHeaders headers;
   private volatile boolean completed;
 
-  RelayAttempt(
-      RelayedRequest request, EndpointTicket ticket, DataCentreId dataCentre, long sentAt) {
+  RelayAttempt(RelayedRequest request, Recipient recipient, long sentAt) {
     this.request = request;
-    this.ticket = ticket;
-    this.dataCentre = dataCentre;
+    this.recipient = recipient;
     this.sentAt = sentAt;
+    this.receivedAt = sentAt;
+  }
+
+  /** Returns the endpoint that the request was sent to; empty if a peer chooses it. */
+  Optional<EndpointId> endpoint() {
+    return Optional.empty();
+  }
+
+  /** Returns whether this daemon has no path to the recipient, which is silent. */
+  boolean isCutOff(long now) {
+    return false;
+  }
+
+  boolean isSilent(long now) {
+    return now - receivedAt >= SILENCE_MS;
+  }
+
+  /** Adds the recipient to those that the request must not be sent to again. */
+  abstract void avoidFrom(AvoidedRecipients avoided);
+
+  /** Called when a complete answer states that the request did not run. */
+  abstract void notRun();
+
+  AnswerClass answer() {
+    return answer;
+  }
+
+  /** Records that the attempt has ended. */
+  final void complete() {
+    completed = true;
   }
 
   /**
@@ -58,7 +92,7 @@
 
   @Override
   public void started(int newStatus, HttpHeaders newHeaders) {
-    request.path().received();
+    receivedAt = request.now();
     status = newStatus;
     headers = newHeaders;
     answer = request.began(this, newStatus, newHeaders);
@@ -70,7 +104,7 @@
 
   @Override
   public void received(byte[] part) {
-    request.path().received();
+    receivedAt = request.now();
     if (isStream()) {
       request.received(this, part);
     } else if (held.size() + part.length <= MAX_HELD_BYTES) {
@@ -84,7 +118,7 @@
   public void ended() {
     completed = true;
     if (answer.isNotRun()) {
-      request.rejected(this, answer);
+      notRun();
     } else if (answer == AnswerClass.UNTRUSTED) {
       request.broken(this, "untrusted answer with status " + status);
     } else if (isStream()) {
@@ -97,9 +131,8 @@
   @Override
   public void failed(HttpFailure failure) {
     completed = true;
-    request.path().connectionFailed();
     if (answer != null && answer.isNotRun()) {
-      request.rejected(this, answer);
+      notRun();
     } else if (failure.mayHaveReached()) {
       request.broken(this, String.valueOf(failure.getMessage()));
     } else {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -6,7 +6,6 @@
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.gateway.process.DecisionLog;
 import io.sequoiapass.gateway.process.GatewayMetrics;
-import io.sequoiapass.gateway.process.PathMonitor;
 import io.sequoiapass.gateway.spi.CallerProtocol;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.version.AdapterName;
@@ -20,7 +19,7 @@
  * @param callers the wire protocol of the callers
  * @param endpoints the wire protocol of the endpoints
  * @param adapters requests loads of adapters
- * @param path whether this daemon has a path to the endpoints
+ * @param peers sends requests through peers if this daemon has no path to the endpoints
  * @param waiting requests that wait for adapters
  * @param loop runs timers
  * @param clock the monotonic clock
@@ -32,7 +31,7 @@
     CallerProtocol callers,
     EndpointProtocol endpoints,
     AdapterSource adapters,
-    PathMonitor path,
+    PeerForwarder peers,
     PendingRequests waiting,
     ScheduledExecutorService loop,
     MillisClock clock,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -3,16 +3,17 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpFailure;
-import io.sequoiapass.daemon.connection.HttpResponder;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.Demand;
 import io.sequoiapass.gateway.process.EndpointChooser;
 import io.sequoiapass.gateway.process.EndpointGroup;
 import io.sequoiapass.gateway.process.EndpointTicket;
-import io.sequoiapass.gateway.process.PathMonitor;
+import io.sequoiapass.gateway.process.Recipient;
 import io.sequoiapass.gateway.process.SharedRetryBudget;
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.AnswerClass;
@@ -20,7 +21,6 @@
 import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -37,9 +37,6 @@
  */
 public final class RelayedRequest {
 
-  /** Below this remaining time, in milliseconds, no endpoint can answer in time. */
-  private static final long MIN_REMAINING_MS = 15;
-
   /**
    * Time after the deadline until the caller gets an error, in milliseconds; the endpoint's own
    * answer, which is more specific, may still arrive.
@@ -67,6 +64,11 @@
   /** Retry advice to a caller whose request found no endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 300;
 
+  private static final Choice.Refuse UNREACHABLE =
+      new Choice.Refuse(
+          ErrorKind.ENDPOINTS_UNREACHABLE,
+          ErrorKind.ENDPOINTS_UNREACHABLE.comeBackMillis().orElseThrow());
+
   private final RelayContext context;
   private final RouteSpec route;
   private final EndpointGroup group;
@@ -74,23 +76,18 @@
   private final CallerFacts facts;
   private final CallerAccess access;
   private final Optional<AdapterName> adapter;
-  private final HttpResponder responder;
+  private final RequestOrigin origin;
+  private final ResponseRelay response;
   private final Runnable finished;
-  private final long arrivedAt;
-  private final long deadlineAt;
-  private final Set<EndpointId> avoid = new HashSet<>();
-  private final EventRelay events;
+  private final AvoidedRecipients avoid = new AvoidedRecipients();
   private final RequestLog requestLog;
   private Future<?> deadlineTimer;
-  private final DispatchTimer dispatchTimer;
+  private final RequestWait wait;
   private final ResponseTimer responseTimer;
   private final AdapterSearch search = new AdapterSearch();
-  private final WaitTimes waits = new WaitTimes();
-  private final ResponseTimes times;
   private final ForwardedRequest forward;
+  private final PeerSender peerSender;
   private RelayAttempt attempt;
-  private boolean waiting;
-  private boolean responseStarted;
   private boolean completed;
 
   /**
@@ -98,52 +95,47 @@
    *
    * @param context the dependencies that all requests share
    * @param route the request's route
-   * @param group the endpoints of its service
+   * @param service the service that answers it
+   * @param group the endpoints of that service
    * @param budget limits retries
-   * @param facts what the request's headers state
-   * @param access what the caller was granted
-   * @param exchange the caller's request and its responder
+   * @param exchange the request, what is known about it, and its responder
    * @param finished runs once at the end
    */
   public RelayedRequest(
       RelayContext context,
       RouteSpec route,
+      ServiceId service,
       EndpointGroup group,
       SharedRetryBudget budget,
-      CallerFacts facts,
-      CallerAccess access,
       CallerExchange exchange,
       Runnable finished) {
     this.context = context;
     this.route = route;
     this.group = group;
-    this.attempts = new AttemptCount(route, budget);
-    this.facts = facts;
-    this.access = access;
+    this.origin = exchange.origin();
+    this.attempts = new AttemptCount(route, budget, origin);
+    this.facts = exchange.facts();
+    this.access = exchange.access();
     this.adapter = facts.generation().flatMap(Generation::adapter);
-    this.forward = new ForwardedRequest(context.endpoints(), route, access, exchange.request());
-    this.responder = exchange.responder();
+    this.forward =
+        new ForwardedRequest(context.endpoints(), service, route, access, exchange.request());
+    this.response = new ResponseRelay(context, exchange);
     this.finished = finished;
-    this.arrivedAt = context.clock().millis();
-    this.dispatchTimer = new DispatchTimer(context.loop(), context.clock());
+    this.wait = new RequestWait(context, group, adapter, this);
     this.responseTimer = new ResponseTimer(context.loop());
-    this.times = new ResponseTimes(arrivedAt);
-    long allowedMs = Math.min(route.timeoutMs(), facts.deadlineMs().orElse(route.timeoutMs()));
-    this.deadlineAt = arrivedAt + allowedMs;
-    this.requestLog = new RequestLog(context, route, facts, access);
-    this.events = new EventRelay(facts.lastEventId().orElse(EventRelay.NONE));
+    this.requestLog = new RequestLog(context, route, facts, access, !origin.mayUsePeers());
+    this.peerSender = new PeerSender(context, origin, forward, attempts, requestLog);
   }
 
   /** Returns when the request arrived, in milliseconds. */
   long arrivedAt() {
-    return arrivedAt;
+    return origin.arrivedAt();
   }
 
   /** Starts the request. */
   public synchronized void start() {
-    responder.onClose(this::callerLeft);
-    responder.onWritable(this::resumeStream);
-    long leftMs = deadlineAt - arrivedAt + DEADLINE_SLACK_MS;
+    response.listen(this::callerLeft, this::resumeStream);
+    long leftMs = origin.remainingMs(now()) + DEADLINE_SLACK_MS;
     deadlineTimer =
         context.loop().schedule(this::deadlinePassed, Math.max(0, leftMs), TimeUnit.MILLISECONDS);
     dispatch();
@@ -151,8 +143,8 @@
 
   /** Dispatches again because an endpoint holds or loads the adapter. */
   synchronized void retryDispatch() {
-    if (waiting && !completed) {
-      scheduleDispatch(ResumeDelay.READ_DELAY_MS);
+    if (wait.isWaiting() && !completed) {
+      wait.dispatchIn(ResumeDelay.READ_DELAY_MS);
     }
   }
 
@@ -161,23 +153,23 @@
    * there, since other replies do not affect its position in a queue.
    */
   synchronized void loadRejected(DataCentreId dataCentre, long queueWaitMs) {
-    if (waiting && !completed && search.loadRejected(dataCentre, queueWaitMs)) {
-      scheduleDispatch(ResumeDelay.READ_DELAY_MS);
+    if (wait.isWaiting() && !completed && search.loadRejected(dataCentre, queueWaitMs)) {
+      wait.dispatchIn(ResumeDelay.READ_DELAY_MS);
     }
   }
 
   /** Called when a coordinator is disconnected; loads that are queued there are lost. */
   synchronized void coordinatorLost(DataCentreId dataCentre) {
-    if (waiting && !completed && search.coordinatorLost(dataCentre)) {
-      scheduleDispatch(ResumeDelay.READ_DELAY_MS);
+    if (wait.isWaiting() && !completed && search.coordinatorLost(dataCentre)) {
+      wait.dispatchIn(ResumeDelay.READ_DELAY_MS);
     }
   }
 
   private void dispatch() {
-    stopWaiting();
-    long now = context.clock().millis();
-    long remainingMs = deadlineAt - now;
-    if (remainingMs < MIN_REMAINING_MS) {
+    wait.stop();
+    long now = now();
+    long remainingMs = origin.remainingMs(now);
+    if (remainingMs < AttemptCount.MIN_REMAINING_MS) {
       timeOut();
       return;
     }
@@ -186,15 +178,22 @@
       refuse(denied.get(), denied.get().comeBackMillis());
       return;
     }
+    if (context.peers().isNeeded() && sendThroughPeer(now)) {
+      return;
+    }
+    if (context.peers().isNeeded() && !context.peers().path().isReceiving()) {
+      refuseOrFail(UNREACHABLE);
+      return;
+    }
     search.excludeOverdue(now);
-    Demand demand = new Demand(facts.generation(), Set.copyOf(avoid), remainingMs);
+    Demand demand = new Demand(facts.generation(), avoid.endpoints(), remainingMs);
     Choice choice = group.choose(demand, loadable(), now);
     if (choice instanceof Choice.Send send) {
       search.reset();
       send(send, demand, now);
     } else if (choice instanceof Choice.AwaitLoad load) {
       search.loadFound();
-      await(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
+      wait.start(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
     } else if (choice instanceof Choice.AwaitEndpoint wait) {
       awaitEndpoint(wait, now);
     } else if (choice instanceof Choice.RequestLoad load) {
@@ -205,13 +204,12 @@
   }
 
   private void awaitEndpoint(Choice.AwaitEndpoint choice, long now) {
-    long sentInMs = choice.sentInMs(context.waiting().countBefore(group, arrivedAt));
-    if (sentInMs + choice.responseMs() > deadlineAt - now || !attempts.maySend(now)) {
+    long sentInMs = choice.sentInMs(wait.countBefore());
+    if (sentInMs + choice.responseMs() > origin.remainingMs(now) || !attempts.maySend(now)) {
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, Math.max(RETRY_AFTER_MS, sentInMs)));
       return;
     }
-    context.waiting().addForEndpoint(group, this);
-    await(WaitTimes.Kind.SLOT, now, Math.min(ENDPOINT_CHECK_MS, choice.waitMs() + 1));
+    wait.startForEndpoint(now, Math.min(ENDPOINT_CHECK_MS, choice.waitMs() + 1));
   }
 
   private EndpointChooser.Loadable loadable() {
@@ -220,10 +218,11 @@
   }
 
   private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
-    long waitedMs = now - arrivedAt;
+    long waitedMs = origin.waitedMs(now);
     long waitMs =
         load.waits()
-            ? EndpointTimeouts.maxQueueMs(route, waitedMs, deadlineAt - now, load.expectedMs())
+            ? EndpointTimeouts.maxQueueMs(
+                route, waitedMs, origin.remainingMs(now), load.expectedMs())
             : 0;
     LoadRequest loadRequest = loadRequest(load, demand, waitMs, now);
     search.request(load, waitMs, now);
@@ -233,43 +232,23 @@
       dispatch();
       return;
     }
-    await(WaitTimes.Kind.SLOT, now, load.another() ? COPY_WAIT_MS : search.overdueAt() - now);
+    wait.start(WaitTimes.Kind.SLOT, now, load.another() ? COPY_WAIT_MS : search.overdueAt() - now);
   }
 
   private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
-    long maxDelayMs = EndpointTimeouts.maxLoadDelayMs(route, now - arrivedAt, load.expectedMs());
+    long maxDelayMs =
+        EndpointTimeouts.maxLoadDelayMs(route, origin.waitedMs(now), load.expectedMs());
     Generation generation = facts.generation().orElseThrow();
     Set<EndpointId> excluded = group.excluded(demand, now);
     return new LoadRequest(generation, load.another(), maxDelayMs, waitMs, excluded);
   }
 
-  private void await(WaitTimes.Kind what, long now, long waitMs) {
-    waits.begin(what, now);
-    adapter.ifPresent(name -> context.waiting().add(name, this));
-    waiting = true;
-    scheduleDispatch(waitMs);
-  }
-
-  private void scheduleDispatch(long ms) {
-    dispatchTimer.schedule(ms, this::dispatchIfWaiting);
-  }
-
-  private synchronized void dispatchIfWaiting() {
-    if (waiting && !completed) {
+  synchronized void dispatchIfWaiting() {
+    if (wait.isWaiting() && !completed) {
       dispatch();
     }
   }
 
-  private void stopWaiting() {
-    dispatchTimer.cancel();
-    if (waiting) {
-      waits.end(context.clock().millis());
-      waiting = false;
-      adapter.ifPresent(name -> context.waiting().remove(name, this));
-      context.waiting().removeForEndpoint(group, this);
-    }
-  }
-
   private void send(Choice.Send choice, Demand demand, long now) {
     EndpointId endpoint = choice.candidate().endpoint();
     Optional<Target> target = group.target(endpoint, demand, now);
@@ -280,15 +259,18 @@
       return;
     }
     if (!attempts.trySend(now)) {
-      ticket.get().ended(EndpointTicket.Ending.NO_BLAME, now);
+      ticket.get().ended(Recipient.Ending.NO_BLAME, now);
       requestLog.retryDenied(attempts);
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, RETRY_AFTER_MS));
       return;
     }
-    context.path().sent();
-    requestLog.sent(choice, ticket.get(), attempts.sends(), now - arrivedAt, demand.remainingMs());
-    HttpCall call = forward.to(target.get(), demand.remainingMs(), events.lastId());
-    attempt = new RelayAttempt(this, ticket.get(), choice.candidate().dataCentre(), now);
+    context.peers().path().sent();
+    requestLog.sent(
+        choice, ticket.get(), attempts.sends(), origin.waitedMs(now), demand.remainingMs());
+    HttpCall call = forward.to(target.get(), demand.remainingMs(), response.lastEvent());
+    attempt =
+        new EndpointAttempt(
+            this, ticket.get(), choice.candidate().dataCentre(), context.peers().path(), now);
     attempt.stream = context.http().stream(call, demand.remainingMs() + CALL_SLACK_MS, attempt);
     awaitResponse(
         attempt,
@@ -297,11 +279,24 @@
             : EndpointTimeouts.serviceTimeoutMs(group.usualServiceMs()));
   }
 
+  /** Sends the request through a peer; returns false if there is none or no send is allowed. */
+  private boolean sendThroughPeer(long now) {
+    long timeoutMs = origin.remainingMs(now) + CALL_SLACK_MS;
+    Optional<PeerAttempt> sent = peerSender.send(this, avoid, response.lastEventId(), timeoutMs);
+    if (sent.isEmpty()) {
+      return false;
+    }
+    search.reset();
+    attempt = sent.get();
+    awaitResponse(attempt, EndpointTimeouts.peerTimeoutMs(route));
+    return true;
+  }
+
   /** Watches for an endpoint's next event if another endpoint could replace it. */
   private void awaitResponse(RelayAttempt from, long abandonMs) {
     responseTimer.cancel();
     if (attempts.isReplaceable()) {
-      long now = context.clock().millis();
+      long now = now();
       ResponseWatchdog watch = new ResponseWatchdog(now, abandonMs);
       responseTimer.schedule(watch, now, due -> checkResponse(from, due));
     }
@@ -309,12 +304,12 @@
 
   /** Fails over to another endpoint if this one has stopped responding. */
   private synchronized void checkResponse(RelayAttempt waitedFor, ResponseWatchdog watch) {
-    long now = context.clock().millis();
-    if (completed || attempt != waitedFor || !mayRetryAfter(attempts.runs() + 1, now)) {
+    long now = now();
+    if (completed || attempt != waitedFor || !attempts.mayReplace(now)) {
       return;
     }
-    if (watch.checkTimeout(waitedFor.ticket.isEndpointStalled(now), now)
-        && failOver(waitedFor, now) == FailoverPolicy.Step.MOVE) {
+    boolean stalled = waitedFor.recipient.isStalled(now) || waitedFor.isCutOff(now);
+    if (watch.checkTimeout(stalled, now) && failOver(waitedFor, now) == FailoverPolicy.Step.MOVE) {
       waitedFor.stream.cancel();
       broken(waitedFor, "silent");
     } else {
@@ -323,13 +318,15 @@
   }
 
   private FailoverPolicy.Step failOver(RelayAttempt from, long now) {
-    EndpointId endpoint = from.ticket.endpoint();
-    from.ticket.stalled(now);
-    Set<EndpointId> others = new HashSet<>(avoid);
-    others.add(endpoint);
-    Demand demand = new Demand(facts.generation(), others, deadlineAt - now);
+    from.recipient.stalled(now);
+    AvoidedRecipients others = avoid.with(from);
+    if (context.peers().isNeeded()) {
+      return FailoverPolicy.throughPeer(peerSender.isAvailable(others), attempts.budgetAllows(now));
+    }
+    Demand demand = new Demand(facts.generation(), others.endpoints(), origin.remainingMs(now));
     Choice choice = group.choose(demand, loadable(), now);
-    FailoverPolicy.Step step = FailoverPolicy.next(choice, endpoint, attempts.budgetAllows(now));
+    FailoverPolicy.Step step =
+        FailoverPolicy.next(choice, from.endpoint(), attempts.budgetAllows(now));
     if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
       Choice.RequestLoad load = (Choice.RequestLoad) choice;
       LoadRequest loadRequest = loadRequest(load, demand, 0, now);
@@ -342,37 +339,28 @@
   synchronized AnswerClass began(RelayAttempt from, int status, HttpHeaders headers) {
     AnswerClass answer = context.endpoints().classify(status, headers);
     EndpointNotice notice = context.endpoints().notice(status, headers);
-    long now = context.clock().millis();
-    requestLog.noticed(from, notice, from.ticket.noticed(notice, answer.isByEndpoint(), now));
+    long now = now();
+    requestLog.noticed(from, notice, from.recipient.noticed(notice, answer.isByEndpoint(), now));
     if (completed || from != attempt) {
       return answer;
     }
     if (answer == AnswerClass.SUCCESS) {
       responseTimer.cancel();
-      from.ticket.begun(now);
+      from.recipient.begun(now);
       if (route.streams()) {
-        beginStream(status, headers);
+        response.begin(status, headers);
         awaitResponse(from, EndpointTimeouts.stallMs(route));
       }
     }
     return answer;
   }
 
-  private void beginStream(int status, HttpHeaders headers) {
-    events.discardRemainder();
-    if (!responseStarted) {
-      responseStarted = true;
-      context.metrics().time("sequoiapass_first_event_ms", sinceArrival());
-      responder.begin(status, context.endpoints().answerHeaders(headers));
-    }
-  }
-
   boolean streams() {
     return route.streams();
   }
 
-  PathMonitor path() {
-    return context.path();
+  long now() {
+    return context.clock().millis();
   }
 
   /** Forwards the complete events of a stream. */
@@ -380,13 +368,10 @@
     if (completed || from != attempt) {
       return;
     }
-    byte[] complete = events.take(part);
-    from.ticket.progress(context.clock().millis());
-    if (complete.length > 0) {
-      times.event(context.clock().millis());
-      responder.write(complete);
+    from.recipient.progress(now());
+    if (response.write(part)) {
       awaitResponse(from, EndpointTimeouts.stallMs(route));
-      if (!responder.writable()) {
+      if (!response.isWritable()) {
         from.stream.pause();
       }
     }
@@ -403,12 +388,9 @@
     if (completed || from != attempt) {
       return;
     }
-    from.ticket.ended(EndpointTicket.Ending.ANSWERED, context.clock().millis());
-    if (events.remainder().length > 0) {
-      responder.write(events.remainder());
-    }
+    from.recipient.ended(Recipient.Ending.ANSWERED, now());
     finish("answered", 0);
-    responder.end();
+    response.end();
   }
 
   /** Forwards a complete answer, or retries after a failure. */
@@ -417,43 +399,35 @@
     if (completed || from != attempt) {
       return;
     }
-    long now = context.clock().millis();
+    long now = now();
     boolean success = answer == AnswerClass.SUCCESS;
-    from.ticket.ended(success ? EndpointTicket.Ending.ANSWERED : EndpointTicket.Ending.FAILED, now);
+    from.recipient.ended(success ? Recipient.Ending.ANSWERED : Recipient.Ending.FAILED, now);
     attempts.ran();
-    if (!success && mayRetry(now)) {
-      avoid.add(from.ticket.endpoint());
+    if (!success && attempts.mayRepeat(now)) {
+      from.avoidFrom(avoid);
       dispatch();
       return;
     }
-    if (responseStarted) {
+    if (response.isStarted()) {
       abort(ErrorKind.STREAM_SHORT, "resumption failed with " + status);
       return;
     }
-    context.metrics().time("sequoiapass_answer_ms", sinceArrival());
+    context.metrics().time("sequoiapass_answer_ms", response.sinceArrival());
     finish(success ? "answered" : "endpoint_failed", status);
-    responder.respond(status, context.endpoints().answerHeaders(body.headers()), body.bytes());
-  }
-
-  private boolean mayRetry(long now) {
-    return mayRetryAfter(attempts.runs(), now);
-  }
-
-  private boolean mayRetryAfter(int possibleRuns, long now) {
-    return attempts.mayRepeatAfter(possibleRuns) && deadlineAt - now > MIN_REMAINING_MS;
+    response.respond(status, body);
   }
 
   /** Called when the endpoint reports that it did not run the request. */
-  synchronized void rejected(RelayAttempt from, AnswerClass answer) {
+  synchronized void rejected(EndpointAttempt from, AnswerClass answer) {
     if (completed || from != attempt) {
       return;
     }
-    long now = context.clock().millis();
+    long now = now();
     requestLog.notRun(from, answer);
     boolean busy = answer == AnswerClass.NOT_RUN_BUSY;
     // An endpoint without the request's base model has restarted.
     boolean blame = busy ? from.ticket.isRejectionFaulty(now) : adapter.isEmpty();
-    from.ticket.ended(blame ? EndpointTicket.Ending.FAILED : EndpointTicket.Ending.NO_BLAME, now);
+    from.ticket.ended(blame ? Recipient.Ending.FAILED : Recipient.Ending.NO_BLAME, now);
     boolean early =
         !busy
             && adapter.isPresent()
@@ -474,15 +448,35 @@
     dispatch();
   }
 
+  /** Called when a peer has no answer of an endpoint. */
+  synchronized void peerFailed(PeerAttempt from, PeerAttempt.PeerError error) {
+    if (completed || from != attempt) {
+      return;
+    }
+    requestLog.peerFailed(from, error.kind());
+    from.recipient.ended(
+        error.isOfPeer() ? Recipient.Ending.FAILED : Recipient.Ending.NO_BLAME, now());
+    if (error.kind().outcomeClass() == OutcomeClass.UNKNOWN) {
+      attempts.ran();
+      endUnknown(error.kind(), "a peer lost the endpoint");
+    } else if (error.isOfPeer()) {
+      attempts.unsent();
+      from.avoidFrom(avoid);
+      dispatch();
+    } else {
+      refuseOrFail(new Choice.Refuse(error.kind(), error.retryAfterMs().orElse(RETRY_AFTER_MS)));
+    }
+  }
+
   /** Called when no byte of the request reached the endpoint. */
   synchronized void unsent(RelayAttempt from, HttpFailure failure) {
     if (completed || from != attempt) {
       return;
     }
-    from.ticket.ended(EndpointTicket.Ending.FAILED, context.clock().millis());
+    from.recipient.ended(Recipient.Ending.FAILED, now());
     attempts.unsent();
-    requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), events.lastId());
-    avoid.add(from.ticket.endpoint());
+    requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), response.lastEvent());
+    from.avoidFrom(avoid);
     dispatch();
   }
 
@@ -491,18 +485,24 @@
     if (completed || from != attempt) {
       return;
     }
-    long now = context.clock().millis();
-    from.ticket.ended(EndpointTicket.Ending.FAILED, now);
-    requestLog.lost("broken", from, reason, events.lastId());
+    long now = now();
+    from.recipient.ended(Recipient.Ending.FAILED, now);
+    requestLog.lost("broken", from, reason, response.lastEvent());
     attempts.ran();
-    avoid.add(from.ticket.endpoint());
-    if (mayRetry(now)) {
-      events.discardRemainder();
+    from.avoidFrom(avoid);
+    if (attempts.mayRepeat(now)) {
+      response.discardRemainder();
       dispatch();
-    } else if (responseStarted) {
+    } else {
+      endUnknown(ErrorKind.ENDPOINT_LOST_AFTER_START, reason);
+    }
+  }
+
+  private void endUnknown(ErrorKind kind, String reason) {
+    if (response.isStarted()) {
       abort(ErrorKind.STREAM_SHORT, reason);
     } else {
-      fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
+      fail(kind);
     }
   }
 
@@ -516,13 +516,13 @@
   private void abandonAttempt() {
     if (attempt != null && attempt.stream != null) {
       attempt.stream.cancel();
-      attempt.ticket.ended(EndpointTicket.Ending.NO_BLAME, context.clock().millis());
+      attempt.recipient.ended(Recipient.Ending.NO_BLAME, now());
     }
   }
 
   private void timeOut() {
     abandonAttempt();
-    if (responseStarted) {
+    if (response.isStarted()) {
       abort(ErrorKind.DEADLINE_PASSED_AFTER_START, "deadline");
     } else if (mayHaveRun()) {
       fail(ErrorKind.DEADLINE_PASSED_AFTER_START);
@@ -538,11 +538,15 @@
 
   /** Returns whether an endpoint has run the request, or still may; a rejected attempt does not. */
   private boolean hasRun() {
-    return responseStarted || mayHaveRun();
+    return response.isStarted() || mayHaveRun();
   }
 
+  /** Before it gives up, a request that no connection of this daemon could carry goes to a peer. */
   private void refuseOrFail(Choice.Refuse refusal) {
-    if (responseStarted) {
+    if (attempts.unsentCount() > 0 && sendThroughPeer(now())) {
+      return;
+    }
+    if (response.isStarted()) {
       abort(ErrorKind.STREAM_SHORT, "no other endpoint");
     } else if (attempts.runs() > 0) {
       fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
@@ -553,18 +557,18 @@
 
   private void refuse(ErrorKind kind, OptionalLong retryAfterMs) {
     finish("refused_" + kind, kind.httpStatus());
-    LocalResponse.send(context.callers(), facts, responder, kind, retryAfterMs);
+    response.error(kind, retryAfterMs);
   }
 
   private void fail(ErrorKind kind) {
     finish("failed_" + kind, kind.httpStatus());
-    LocalResponse.send(context.callers(), facts, responder, kind, OptionalLong.empty());
+    response.error(kind, OptionalLong.empty());
   }
 
   /** Aborts a stream, so that the caller does not take it for complete. */
   private void abort(ErrorKind kind, String reason) {
     finish("cut_" + kind + "_" + reason, 0);
-    responder.abort();
+    response.abort();
   }
 
   private synchronized void callerLeft() {
@@ -577,7 +581,7 @@
 
   private void finish(String outcome, int status) {
     completed = true;
-    stopWaiting();
+    wait.stop();
     if (deadlineTimer != null) {
       deadlineTimer.cancel(false);
     }
@@ -586,11 +590,6 @@
     if (!hasRun()) {
       access.notRun().run();
     }
-    requestLog.ended(
-        outcome, status, times.log(context.clock().millis(), waits), attempts, events.lastId());
-  }
-
-  private long sinceArrival() {
-    return context.clock().millis() - arrivedAt;
+    requestLog.ended(outcome, status, response.times(wait.times()), attempts, response.lastEvent());
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -1,9 +1,11 @@
 package io.sequoiapass.gateway.request;
 
 import io.sequoiapass.coordination.WorkspaceId;
+import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.gateway.process.Candidate;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.EndpointTicket;
+import io.sequoiapass.gateway.process.Recipient;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.spi.EndpointNotice;
@@ -18,13 +20,20 @@
 
   private final RelayContext context;
   private final RouteSpec route;
+  private final boolean forPeer;
   private final String requestId;
   private final String adapter;
   private final String workspace;
 
-  RequestLog(RelayContext context, RouteSpec route, CallerFacts facts, CallerAccess access) {
+  RequestLog(
+      RelayContext context,
+      RouteSpec route,
+      CallerFacts facts,
+      CallerAccess access,
+      boolean forPeer) {
     this.context = context;
     this.route = route;
+    this.forPeer = forPeer;
     this.requestId = facts.requestId();
     this.adapter =
         facts.generation().flatMap(Generation::adapter).map(AdapterName::toString).orElse("");
@@ -63,7 +72,7 @@
     context
         .log()
         .request("endpoint_limit", requestId)
-        .with("endpoint", from.ticket.endpoint())
+        .with("endpoint", from.recipient.name())
         .with("limit_per_s", requestsPerS.isPresent() ? requestsPerS.getAsDouble() : "")
         .write();
   }
@@ -78,7 +87,7 @@
       context
           .log()
           .request("endpoint_rest", requestId)
-          .with("endpoint", from.ticket.endpoint())
+          .with("endpoint", from.recipient.name())
           .with("rest_ms", notice.restMs().getAsLong())
           .write();
     }
@@ -86,7 +95,7 @@
       context
           .log()
           .request("endpoint_leaving", requestId)
-          .with("endpoint", from.ticket.endpoint())
+          .with("endpoint", from.recipient.name())
           .write();
     }
   }
@@ -96,18 +105,46 @@
     context
         .log()
         .request("not_run", requestId)
-        .with("endpoint", from.ticket.endpoint())
+        .with("endpoint", from.recipient.name())
         .with("answer", answer)
         .with("took_ms", context.clock().millis() - from.sentAt)
         .write();
   }
 
-  /** Logs that the endpoint was lost; the event's name states whether the request may have run. */
+  /** Logs that the request is sent through a peer. */
+  void sentThroughPeer(Recipient peer, int send, RequestOrigin origin, long now) {
+    context.metrics().count("sequoiapass_sends_through_peers_total");
+    context
+        .log()
+        .request("sent_through_peer", requestId)
+        .with("route", route.name())
+        .with("peer", peer.name())
+        .with("send", send)
+        .with("waited_ms", origin.waitedMs(now))
+        .with("left_ms", origin.remainingMs(now))
+        .write();
+  }
+
+  /** Logs that a peer has no answer of an endpoint. */
+  void peerFailed(RelayAttempt from, ErrorKind kind) {
+    context
+        .log()
+        .request("peer_failed", requestId)
+        .with("peer", from.recipient.name())
+        .with("reason", kind)
+        .with("took_ms", context.clock().millis() - from.sentAt)
+        .write();
+  }
+
+  /**
+   * Logs that the endpoint or peer was lost; the event's name states whether the request may have
+   * run.
+   */
   void lost(String event, RelayAttempt from, String reason, long lastEvent) {
     context
         .log()
         .request(event, requestId)
-        .with("endpoint", from.ticket.endpoint())
+        .with("endpoint", from.recipient.name())
         .with("reason", reason)
         .with("took_ms", context.clock().millis() - from.sentAt)
         .with("last_event", lastEvent)
@@ -138,10 +175,11 @@
   /** Logs the end of the request. */
   void ended(String outcome, int status, Times times, AttemptCount attempts, long lastEvent) {
     String label = outcome.startsWith("cut_") ? "cut" : outcome;
-    context.metrics().count("sequoiapass_requests_total{outcome=\"" + label + "\"}");
+    String counter = forPeer ? "sequoiapass_peer_requests_total" : "sequoiapass_requests_total";
+    context.metrics().count(counter + "{outcome=\"" + label + "\"}");
     context
         .log()
-        .request("ended", requestId)
+        .request(forPeer ? "ended_for_peer" : "ended", requestId)
         .with("route", route.name())
         .with("adapter", adapter)
         .with("workspace", workspace)
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
@@ -0,0 +1,121 @@
+package io.sequoiapass.gateway.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.connection.HttpResponder;
+import java.util.OptionalLong;
+
+/**
+ * The response to one request: relays the answers of endpoints, or states an error.
+ *
+ * <p>Not safe for use by several threads: used under the request's lock.
+ */
+final class ResponseRelay {
+
+  private final RelayContext context;
+  private final CallerExchange exchange;
+  private final HttpResponder responder;
+  private final EventRelay events;
+  private final ResponseTimes times;
+  private boolean started;
+
+  ResponseRelay(RelayContext context, CallerExchange exchange) {
+    this.context = context;
+    this.exchange = exchange;
+    this.responder = exchange.responder();
+    this.events = new EventRelay(exchange.origin().lastEventId().orElse(EventRelay.NONE));
+    this.times = new ResponseTimes(exchange.origin().arrivedAt());
+  }
+
+  /**
+   * Sets the actions for the caller's connection.
+   *
+   * @param onLeft runs if it closes before the response has ended
+   * @param onWritable runs each time it becomes writable again
+   */
+  void listen(Runnable onLeft, Runnable onWritable) {
+    responder.onClose(onLeft);
+    responder.onWritable(onWritable);
+  }
+
+  /** Returns whether the caller has received the head of a stream. */
+  boolean isStarted() {
+    return started;
+  }
+
+  /** Sends the head of a stream, unless this is a resumption; the last event is not repeated. */
+  void begin(int status, HttpHeaders headers) {
+    events.discardRemainder();
+    if (!started) {
+      started = true;
+      context.metrics().time("sequoiapass_first_event_ms", sinceArrival());
+      responder.begin(status, context.endpoints().answerHeaders(headers));
+    }
+  }
+
+  /** Sends the events that are complete; returns whether there are any. */
+  boolean write(byte[] part) {
+    byte[] complete = events.take(part);
+    if (complete.length > 0) {
+      times.event(context.clock().millis());
+      responder.write(complete);
+    }
+    return complete.length > 0;
+  }
+
+  boolean isWritable() {
+    return responder.writable();
+  }
+
+  /** Ends a stream that is complete. */
+  void end() {
+    if (events.remainder().length > 0) {
+      responder.write(events.remainder());
+    }
+    responder.end();
+  }
+
+  /** Sends a complete answer of an endpoint. */
+  void respond(int status, RelayAttempt.Body body) {
+    responder.respond(status, context.endpoints().answerHeaders(body.headers()), body.bytes());
+  }
+
+  /** States why there is no answer. */
+  void error(ErrorKind kind, OptionalLong retryAfterMs) {
+    exchange
+        .origin()
+        .errors()
+        .send(context.callers(), exchange.facts(), responder, kind, retryAfterMs);
+  }
+
+  /** Aborts a stream, so that the caller does not take it for complete. */
+  void abort() {
+    responder.abort();
+  }
+
+  /** Discards the part of an event that a lost endpoint has sent. */
+  void discardRemainder() {
+    events.discardRemainder();
+  }
+
+  /** Returns the last event that the caller has received, or {@link EventRelay#NONE}. */
+  long lastEvent() {
+    return events.lastId();
+  }
+
+  /** Returns the same; empty if there is none. */
+  OptionalLong lastEventId() {
+    return events.lastId() == EventRelay.NONE
+        ? OptionalLong.empty()
+        : OptionalLong.of(events.lastId());
+  }
+
+  /** Returns the durations for the log. */
+  RequestLog.Times times(WaitTimes waits) {
+    return times.log(context.clock().millis(), waits);
+  }
+
+  long sinceArrival() {
+    return exchange.origin().waitedMs(context.clock().millis());
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/CallerProtocol.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/CallerProtocol.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.spi;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -15,6 +16,14 @@
    */
   CallerFacts read(HttpRequestMessage request);
 
+  /**
+   * Returns the headers of a caller's request that are kept on its whole way, so without those that
+   * concern one connection or that only this system may set.
+   *
+   * @param headers what the caller sent
+   */
+  Map<String, String> forwardedHeaders(HttpHeaders headers);
+
   /**
    * Returns the headers of a response that this daemon generates.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
@@ -20,6 +20,7 @@
  * @param callers the address for callers
  * @param readiness the address of the load balancer's readiness check
  * @param links the address for other daemons
+ * @param peers the address for requests of other daemons
  * @param store the address of the platform's store
  * @param endpointSource the address of this host from which it connects to endpoints; empty for any
  * @param cores number of processor cores to use
@@ -32,6 +33,7 @@
     InetSocketAddress callers,
     InetSocketAddress readiness,
     InetSocketAddress links,
+    InetSocketAddress peers,
     InetSocketAddress store,
     Optional<InetAddress> endpointSource,
     int cores,
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -39,6 +39,9 @@
   private static final WorkspaceId WORKSPACE = new WorkspaceId("yards");
   private static final ClockReading CLOCKS = new ClockReading(81_000, 1_700_000_000_000L);
 
+  private static final InetSocketAddress PEERS =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 7002);
+
   private static EndpointEntry entry() {
     return new EndpointEntry(
         ENGINE,
@@ -53,9 +56,11 @@
 
   static Stream<LinkMessage> messages() {
     return Stream.of(
-        new LinkMessage.Hello(new DaemonId("north-1"), new DataCentreId("north"), 700),
+        new LinkMessage.Hello(new DaemonId("north-1"), new DataCentreId("north"), 700, PEERS),
+        new LinkMessage.Peers(List.of(new LinkMessage.Peer(new DaemonId("north-2"), PEERS))),
         new LinkMessage.UsageReport(
             true,
+            false,
             CLOCKS,
             List.of(
                 new EndpointUsage(
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -107,7 +107,7 @@
     private void begin(String name, long tookMs, long now) {
       EndpointTicket ticket = group.begin(id(name), demand(600, 70), now).orElseThrow();
       ticket.begun(now + tookMs);
-      ticket.ended(EndpointTicket.Ending.ANSWERED, now + tookMs + 1);
+      ticket.ended(Recipient.Ending.ANSWERED, now + tookMs + 1);
     }
 
     @BeforeEach
@@ -166,7 +166,7 @@
       EndpointNotice limited =
           new EndpointNotice(OptionalDouble.of(1), OptionalLong.empty(), false);
       assertThat(ticket.noticed(limited, true, 10)).isTrue();
-      ticket.ended(EndpointTicket.Ending.ANSWERED, 20);
+      ticket.ended(Recipient.Ending.ANSWERED, 20);
     }
 
     private void reply(String name, LinkMessage.PermitReply.Type type, long waitMs, long now) {
@@ -233,7 +233,7 @@
       EndpointTicket ticket = group.begin(id(name), demand(100, 10), now).orElseThrow();
       ticket.noticed(
           new EndpointNotice(OptionalDouble.empty(), OptionalLong.of(restMs), false), true, now);
-      ticket.ended(EndpointTicket.Ending.NO_BLAME, now);
+      ticket.ended(Recipient.Ending.NO_BLAME, now);
     }
 
     @Test
@@ -306,7 +306,7 @@
 
     @Test
     void keepsItsRunningRequests() {
-      running.ended(EndpointTicket.Ending.ANSWERED, 20);
+      running.ended(Recipient.Ending.ANSWERED, 20);
 
       assertThat(group.takeUsage(NORTH, 30)).allMatch(usage -> usage.load().running() == 0);
     }
@@ -340,10 +340,10 @@
       EndpointTicket first = group.begin(id("e1"), demand(100, 10), 10).orElseThrow();
       EndpointTicket second = group.begin(id("e1"), demand(100, 10), 20).orElseThrow();
 
-      first.ended(EndpointTicket.Ending.ANSWERED, 500);
+      first.ended(Recipient.Ending.ANSWERED, 500);
       assertThat(idle).isEmpty();
 
-      second.ended(EndpointTicket.Ending.ANSWERED, 600);
+      second.ended(Recipient.Ending.ANSWERED, 600);
       assertThat(idle).containsExactly(NORTH);
     }
   }
@@ -498,8 +498,8 @@
       EndpointTicket ticket = group.begin(id("e1"), demand, 10).orElseThrow();
       List<EndpointUsage> during = group.takeUsage(NORTH, 11);
       ticket.begun(50);
-      ticket.ended(EndpointTicket.Ending.ANSWERED, 100);
-      ticket.ended(EndpointTicket.Ending.FAILED, 101);
+      ticket.ended(Recipient.Ending.ANSWERED, 100);
+      ticket.ended(Recipient.Ending.FAILED, 101);
 
       assertThat(during).hasSize(1);
       assertThat(during.get(0).load().running()).isEqualTo(1);
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/FailoverPolicyTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/FailoverPolicyTest.java
@@ -8,6 +8,7 @@
 import io.sequoiapass.gateway.process.Candidate;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.Load;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -25,7 +26,7 @@
   }
 
   private static FailoverPolicy.Step next(Choice choice) {
-    return FailoverPolicy.next(choice, STALLED, true);
+    return FailoverPolicy.next(choice, Optional.of(STALLED), true);
   }
 
   @Test
@@ -50,7 +51,8 @@
 
   @Test
   void staysOnceTheRetryBudgetIsUsedUp() {
-    assertThat(FailoverPolicy.next(new Choice.Send(candidate(OTHER), 40), STALLED, false))
+    assertThat(
+            FailoverPolicy.next(new Choice.Send(candidate(OTHER), 40), Optional.of(STALLED), false))
         .isEqualTo(FailoverPolicy.Step.STAY);
   }
 }
