Let a coordinator's failed calls show that it has no path

Cause: only callers' requests told a daemon that its path was lost, so a coordinator with no traffic of its own kept its lease and ordered in vain. Change: orders and reports feed the path monitor (EndpointCalls); only failures of which nothing reached the endpoint count, since endpoints break off answers for reasons of their own.

--- a/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPath.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPath.java
@@ -76,7 +76,7 @@
     unansweredSince = NEVER;
   }
 
-  /** Records that a connection to an endpoint could not be opened, or has ended early. */
+  /** Records that a connection to an endpoint could not be opened. */
   public void connectionFailed() {
     connectionFailed = true;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -10,7 +10,6 @@
 import io.sequoiapass.daemon.connection.FrameChannel;
 import io.sequoiapass.daemon.connection.FrameListener;
 import io.sequoiapass.daemon.connection.HttpAnswer;
-import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.gateway.connection.LinkFrames;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.spi.EndpointEntry;
@@ -53,7 +52,7 @@
   private final DataCentreId here;
   private final EndpointDirectory directory;
   private final EndpointProtocol protocol;
-  private final HttpClient http;
+  private final EndpointCalls calls;
   private final ScheduledExecutorService loop;
   private final MillisClock clock;
   private final DecisionLog log;
@@ -71,7 +70,6 @@
   private long epoch;
   private long revision;
   private boolean stopping;
-
   private final AdapterSubscribers subscribers = new AdapterSubscribers();
   private final PlacementUpdateBatch updateBatch = new PlacementUpdateBatch();
   private final EndpointUpdateBatch endpointUpdates = new EndpointUpdateBatch();
@@ -116,7 +114,7 @@
             loadQueue,
             (adapter, version) -> directory.copyOutside(settings.dataCentre(), adapter, version));
     this.protocol = io.protocol();
-    this.http = io.http();
+    this.calls = io.calls();
     this.loop = io.loop();
     this.clock = io.clock();
     this.log = io.log();
@@ -139,7 +137,7 @@
    * Protocol, client, executor, clock, log and versions.
    *
    * @param protocol the protocol of the endpoints
-   * @param http the client for calls
+   * @param calls the client for calls
    * @param loop runs callbacks
    * @param clock the monotonic clock
    * @param log the log
@@ -147,7 +145,7 @@
    */
   record Io(
       EndpointProtocol protocol,
-      HttpClient http,
+      EndpointCalls calls,
       ScheduledExecutorService loop,
       MillisClock clock,
       DecisionLog log,
@@ -430,7 +428,8 @@
   }
 
   private void requestReport(EndpointEntry entry) {
-    http.send(protocol.reportCall(entry.endpoint(), entry.address()), ORDER_TIMEOUT_MS)
+    calls
+        .send(protocol.reportCall(entry.endpoint(), entry.address()), ORDER_TIMEOUT_MS)
         .whenComplete(
             (answer, failure) -> loop.execute(() -> reported(entry.endpoint(), answer, failure)));
   }
@@ -446,7 +445,8 @@
     plan.nextOrder(endpoint, daemon, epoch, now)
         .ifPresent(
             order ->
-                http.send(protocol.orderCall(order), ORDER_TIMEOUT_MS)
+                calls
+                    .send(protocol.orderCall(order), ORDER_TIMEOUT_MS)
                     .whenComplete(
                         (answer, failure) ->
                             loop.execute(() -> ordered(order, answer, failure, now))));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -179,7 +179,7 @@
         new PathMonitor(
             directory, deployment.endpointProtocol(), endpointHttp, clock, log, metrics);
     path.onChange(this::pathChanged);
-    startCoordination(deployment, toEndpoints(http), store);
+    startCoordination(deployment, new EndpointCalls(toEndpoints(http), path), store);
     RelayContext context =
         new RelayContext(
             endpointHttp,
@@ -252,7 +252,7 @@
     return !draining && !path.isLost();
   }
 
-  private void startCoordination(Deployment deployment, HttpClient http, MetadataStore store)
+  private void startCoordination(Deployment deployment, EndpointCalls calls, MetadataStore store)
       throws IOException {
     FrameTransport transport = FrameTransport.create(loops);
     String process = settings.daemon() + "-" + wall.millis() + "-" + System.nanoTime();
@@ -279,7 +279,7 @@
             new Coordinator.CoordinatorSettings(settings.daemon(), settings.dataCentre()),
             directory,
             new PlacementPlan(versions, modelLoads, new LoadTime(directory)),
-            new Coordinator.Io(deployment.endpointProtocol(), http, loops, clock, log, versions),
+            new Coordinator.Io(deployment.endpointProtocol(), calls, loops, clock, log, versions),
             () ->
                 new UsageAllocator(
                     settings.regions().size(),
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.connection.EndpointPath;
 import io.sequoiapass.daemon.connection.HttpClient;
+import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
@@ -95,8 +96,14 @@
     path.received();
   }
 
-  /** Records that a connection to an endpoint failed. */
-  public void connectionFailed() {
+  /**
+   * Records that a call to an endpoint failed. Only a connection that carried nothing points at the
+   * path; endpoints break off answers for reasons of their own.
+   */
+  public void failed(HttpFailure failure) {
+    if (failure.mayHaveReached()) {
+      return;
+    }
     synchronized (this) {
       path.connectionFailed();
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
@@ -61,7 +61,7 @@
 
   @Override
   public void failed(HttpFailure failure) {
-    path.connectionFailed();
+    path.failed(failure);
     super.failed(failure);
   }
 }
