Send brittle endpoints only what they have room for

Callers lost what was running at endpoints that fell over: these say in all answers how many rejections a second they bear, and nothing read it. Cause: the class of the earlier statements, one that no decision asks. What has to be bounded is the sum of sends on a guess, over all daemons. One endpoint's statement is presumed of all endpoints of its service until they answer. A request asks the best endpoint and uses a permit that it has for another one, so permits are not wasted (PermitChoice, out of EndpointGroup). EndpointLimitTest and EndpointGroupTest pass.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -3,7 +3,6 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.connection.EndpointHealth;
-import io.sequoiapass.coordination.connection.EndpointPermits;
 import io.sequoiapass.coordination.connection.HealthSettings;
 import io.sequoiapass.coordination.process.RendezvousHash;
 import io.sequoiapass.coordination.request.ErrorKind;
@@ -20,6 +19,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
@@ -48,6 +49,9 @@
   /** Initial estimate of the time of a plain call, in milliseconds. */
   private static final double FIRST_SERVICE_MS = 60;
 
+  /** Initial estimate of the time of a generation, in milliseconds. */
+  private static final double FIRST_GENERATION_MS = 2_000;
+
   /** Time to the first token beyond the reading of the prompt, in milliseconds. */
   static final double FIRST_TOKEN_MS = 15;
 
@@ -57,9 +61,6 @@
    */
   private static final long LATE_LOAD_MS = 1_500;
 
-  /** Largest number of endpoints from which one request asks for a permit. */
-  private static final int MAX_ASKS = 4;
-
   /** Leading prompt parts that requests share; the last part belongs to one request only. */
   private static final int SHARED_PARTS = 2;
 
@@ -70,10 +71,12 @@
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   final MovingAverage tokensPerMs = new MovingAverage(FIRST_TOKENS_PER_MS, 4, 400);
   private final Map<DataCentreId, LoadTimeEstimates> loadTimes = new HashMap<>();
+  final MovingAverage generationMs = new MovingAverage(FIRST_GENERATION_MS, 1, 60_000);
   final MovingAverage serviceMs = new MovingAverage(FIRST_SERVICE_MS, 1, 10_000);
   final Consumer<DataCentreId> onIdle;
   private final DoubleSupplier random;
-  private SendGate gate = new SendGate(PermitSource.NONE);
+  private SendGate gate;
+  private PermitChoice permitChoice;
   Optional<EngineSpec> engine = Optional.empty();
 
   /**
@@ -95,11 +98,13 @@
     this.random = random;
     this.versions = versions;
     this.onIdle = onIdle;
+    usePermits(PermitSource.NONE);
   }
 
   /** Sets where permits come from. */
-  synchronized void usePermits(PermitSource source) {
+  final synchronized void usePermits(PermitSource source) {
     gate = new SendGate(source);
+    permitChoice = new PermitChoice(endpoints, gate, this::usualMs);
   }
 
   synchronized void configure(Optional<EngineSpec> spec) {
@@ -147,10 +152,7 @@
     return none ? considerResting((Choice.Refuse) choice, demand, now) : choice;
   }
 
-  /**
-   * Chooses among the endpoints that do not rest. If the best one lacks a permit, one is asked for,
-   * for a later request, and this request uses the best of the others.
-   */
+  /** Chooses among the endpoints that do not rest. */
   private Choice chooseAccepting(Demand demand, EndpointChooser.Loadable loadable, long now) {
     List<Candidate> candidates = candidates(demand, now, true);
     if (candidates.isEmpty()) {
@@ -158,25 +160,9 @@
       candidates = candidates(demand, now, false);
     }
     Choice choice = choose(candidates, demand, loadable);
-    if (endpoints.values().stream().noneMatch(state -> state.permits.isLimited())) {
-      return choice;
-    }
-    List<Candidate> permitted = permitted(candidates, now);
-    if (permitted.size() == candidates.size()) {
-      return choice;
-    }
-    if (permitted.isEmpty()) {
-      return choice instanceof Choice.Send send
-          ? awaitEndpoint(candidates, demand, send.expectedMs(), now)
-          : choice;
-    }
-    if (choice instanceof Choice.Send send) {
-      if (permitted.contains(send.candidate())) {
-        return choice;
-      }
-      gate.askForPermit(endpoints.get(send.candidate().endpoint()), EndpointPermits.VALID_MS, now);
-    }
-    return choose(permitted, demand, loadable);
+    List<Candidate> all = candidates;
+    return permitChoice.adapt(
+        choice, all, demand, permitted -> choose(permitted, demand, loadable), now);
   }
 
   /**
@@ -208,30 +194,6 @@
         candidates, demand.generation().get(), tokensPerMs.value(), demand.remainingMs(), loadable);
   }
 
-  /** Returns the endpoints that a request may be sent to now. */
-  private List<Candidate> permitted(List<Candidate> candidates, long now) {
-    return candidates.stream()
-        .filter(candidate -> gate.maySend(endpoints.get(candidate.endpoint()), now))
-        .toList();
-  }
-
-  private Choice awaitEndpoint(
-      List<Candidate> candidates, Demand demand, long responseMs, long now) {
-    long usefulMs = Math.max(0, demand.remainingMs() - responseMs);
-    long waitMs = Long.MAX_VALUE;
-    double perMs = 0;
-    int asked = 0;
-    for (Candidate candidate : candidates) {
-      if (candidate.holds()) {
-        EndpointState state = endpoints.get(candidate.endpoint());
-        waitMs = Math.min(waitMs, state.permits.waitMs(now));
-        perMs += 1.0 / state.permits.gapMs();
-        asked += asked < MAX_ASKS && gate.askForPermit(state, usefulMs, now) ? 1 : 0;
-      }
-    }
-    return new Choice.AwaitEndpoint(waitMs, (long) Math.ceil(1 / perMs), responseMs);
-  }
-
   /** Handles a coordinator's reply to an ask for a permit. */
   synchronized void permitReplied(LinkMessage.PermitReply reply, long now) {
     EndpointState state = endpoints.get(reply.endpoint());
@@ -253,8 +215,42 @@
       EndpointState state, EndpointNotice notice, boolean byEndpoint, long sentAt, long now) {
     state.leavingStated |= notice.leaving();
     notice.restMs().ifPresent(restMs -> state.rest(restMs, now));
-    return (byEndpoint || notice.requestsPerS().isPresent())
-        && state.permits.named(notice.requestsPerS(), sentAt, now);
+    if (byEndpoint
+        && state.room.stated(notice.rejectionsPerS(), sentAt, now)
+        && state.room.isBrittle()) {
+      presumeBrittle(notice.rejectionsPerS(), sentAt, now);
+    }
+    if (byEndpoint || notice.requestsPerS().isPresent()) {
+      state.namedLimit = notice.requestsPerS();
+    }
+    OptionalDouble limit = limit(state, notice, now);
+    return (byEndpoint || limit.isPresent()) && state.permits.named(limit, sentAt, now);
+  }
+
+  /** The endpoints of a service become brittle together; each answer tells about one of them. */
+  private void presumeBrittle(OptionalInt rejectionsPerS, long sentAt, long now) {
+    for (EndpointState state : endpoints.values()) {
+      if (state.room.stated(rejectionsPerS, sentAt, now)) {
+        state.permits.named(roomPerS(state, now), sentAt, now);
+      }
+    }
+  }
+
+  /** Returns the limit that an answer names; a brittle endpoint needs one that is not named. */
+  private OptionalDouble limit(EndpointState state, EndpointNotice notice, long now) {
+    if (notice.requestsPerS().isPresent() || !state.room.isBrittle()) {
+      return notice.requestsPerS();
+    }
+    return state.permits.isLimited() ? state.permits.limit() : roomPerS(state, now);
+  }
+
+  private OptionalDouble roomPerS(EndpointState state, long now) {
+    return OptionalDouble.of(state.room.requestsPerS(state.entry.slots(), usualMs(), now));
+  }
+
+  /** Returns how long a request usually takes a slot, in milliseconds. */
+  double usualMs() {
+    return engine.isPresent() ? generationMs.value() : serviceMs.value();
   }
 
   private List<Candidate> candidates(Demand demand, long now, boolean healthyOnly) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -2,11 +2,13 @@
 
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.connection.EndpointPermits;
+import io.sequoiapass.coordination.connection.RoomEstimator;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
@@ -31,6 +33,10 @@
   PrefixCacheModel prompts = new PrefixCacheModel();
   AdapterCacheModel cachedAdapters;
   EndpointPermits permits;
+  RoomEstimator room = new RoomEstimator();
+
+  /** The limit that the endpoint has named, in requests a second; empty for any number. */
+  OptionalDouble namedLimit = OptionalDouble.empty();
 
   /** Whether the endpoint has stated in an answer that it leaves; its list entry may lag behind. */
   boolean leavingStated;
@@ -150,6 +156,8 @@
     others = Load.NONE;
     othersAt = NEVER;
     permits = new EndpointPermits(random);
+    room = new RoomEstimator();
+    namedLimit = OptionalDouble.empty();
     restsUntil = Long.MIN_VALUE;
     leavingStated = false;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -142,8 +142,9 @@
         case FAILED -> failed(id, now);
         default -> group.health.withdrawn(id, now);
       }
-      if (ending == Ending.ANSWERED && generation.isEmpty()) {
-        group.serviceMs.sample((double) (now - sentAt));
+      if (ending == Ending.ANSWERED) {
+        (generation.isEmpty() ? group.serviceMs : group.generationMs)
+            .sample((double) (now - sentAt));
       }
     }
   }
@@ -161,6 +162,13 @@
     }
   }
 
+  /** Records that the endpoint rejected the request for want of room. */
+  public void rejectedAsFull(long now) {
+    synchronized (group) {
+      state.room.rejected(now);
+    }
+  }
+
   /**
    * Returns whether a rejection as full is a fault of the endpoint: most of its slots were free
    * when the request was sent, and it does not ask for rest.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SendGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SendGate.java
@@ -29,19 +29,30 @@
     return state.permits.mayTake(now);
   }
 
+  /** Returns whether a coordinator grants permits for an endpoint. */
+  boolean isCoordinated(EndpointState state) {
+    return permits.isConnected(state.entry.dataCentre());
+  }
+
   /**
    * Asks for a permit unless one was asked for just before; returns whether it did.
    *
    * @param state the endpoint, which must be limited
    * @param usefulMs how long the request can wait for the permit, in milliseconds
+   * @param usualMs how long a request usually takes a slot, in milliseconds
    * @param now the time, in milliseconds
    */
-  boolean askForPermit(EndpointState state, long usefulMs, long now) {
+  boolean askForPermit(EndpointState state, long usefulMs, double usualMs, long now) {
     if (!state.permits.shouldAsk(now)) {
       return false;
     }
     state.permits.asked(now);
-    double perS = state.permits.limit().orElseThrow();
+    double perS =
+        state.room.isBrittle()
+            ? Math.min(
+                state.namedLimit.orElse(Double.MAX_VALUE),
+                state.room.requestsPerS(state.entry.slots(), usualMs, now))
+            : state.permits.limit().orElseThrow();
     permits.ask(state.entry.dataCentre(), state.entry.endpoint(), perS, usefulMs);
     return true;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -426,6 +426,9 @@
     requestLog.notRun(from, answer);
     boolean busy = answer == AnswerClass.NOT_RUN_BUSY;
     // An endpoint without the request's base model has restarted.
+    if (busy) {
+      from.ticket.rejectedAsFull(now);
+    }
     boolean blame = busy ? from.ticket.isRejectionFaulty(now) : adapter.isEmpty();
     from.ticket.ended(blame ? Recipient.Ending.FAILED : Recipient.Ending.NO_BLAME, now);
     boolean early =
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -164,7 +165,8 @@
     private void limit(String name) {
       EndpointTicket ticket = group.begin(id(name), demand(100, 10), 1).orElseThrow();
       EndpointNotice limited =
-          new EndpointNotice(OptionalDouble.of(1), OptionalLong.empty(), false);
+          new EndpointNotice(
+              OptionalDouble.of(1), OptionalLong.empty(), OptionalInt.empty(), false);
       assertThat(ticket.noticed(limited, true, 10)).isTrue();
       ticket.ended(Recipient.Ending.ANSWERED, 20);
     }
@@ -232,7 +234,10 @@
     private void rest(String name, long restMs, long now) {
       EndpointTicket ticket = group.begin(id(name), demand(100, 10), now).orElseThrow();
       ticket.noticed(
-          new EndpointNotice(OptionalDouble.empty(), OptionalLong.of(restMs), false), true, now);
+          new EndpointNotice(
+              OptionalDouble.empty(), OptionalLong.of(restMs), OptionalInt.empty(), false),
+          true,
+          now);
       ticket.ended(Recipient.Ending.NO_BLAME, now);
     }
 
@@ -250,7 +255,10 @@
       EndpointTicket slow = group.begin(id("e1"), demand(100, 10), 5).orElseThrow();
       rest("e1", 3_000, 10);
       slow.noticed(
-          new EndpointNotice(OptionalDouble.empty(), OptionalLong.of(100), false), true, 20);
+          new EndpointNotice(
+              OptionalDouble.empty(), OptionalLong.of(100), OptionalInt.empty(), false),
+          true,
+          20);
 
       assertThat(group.begin(id("e1"), demand(100, 10), 200)).isEmpty();
     }
@@ -286,7 +294,8 @@
       hold("e2", 0);
       running = group.begin(id("e1"), demand(100, 10), 5).orElseThrow();
       EndpointNotice leaving =
-          new EndpointNotice(OptionalDouble.empty(), OptionalLong.empty(), true);
+          new EndpointNotice(
+              OptionalDouble.empty(), OptionalLong.empty(), OptionalInt.empty(), true);
       running.noticed(leaving, false, 10);
     }
 
@@ -315,7 +324,8 @@
     void lateAnswerOfAnEarlierProcessSaysNothingAboutItsSuccessor() {
       group.put(restarted(entry("e1", NORTH, false)), true, 20);
       EndpointNotice leaving =
-          new EndpointNotice(OptionalDouble.empty(), OptionalLong.empty(), true);
+          new EndpointNotice(
+              OptionalDouble.empty(), OptionalLong.empty(), OptionalInt.empty(), true);
 
       assertThat(running.noticed(leaving, true, 30)).isFalse();
       assertThat(group.begin(id("e1"), demand(100, 10), 40)).isPresent();
