Leave work at an endpoint that is silent for a second

Cause: two streams without an event for 400 ms, or one without a first token for 1.2 s, were sent to another endpoint. A sound endpoint may be silent for a second or so and goes on with its work then, so the streams ran at two endpoints. Change: a silence counts as a stall from 1.6 s on, for both; a daemon whose path is lost still moves after 400 ms.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointStallDetector.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointStallDetector.java
@@ -11,10 +11,10 @@
   private static final int MIN_STREAMS = 2;
 
   /**
-   * Shortest pause that counts as a stall, in milliseconds; reading a long prompt takes about as
-   * long.
+   * Shortest pause that counts as a stall, in milliseconds. A sound endpoint may be silent for a
+   * second or so; a request that leaves it then would run at two endpoints at once.
    */
-  private static final long MIN_STALL_MS = 400;
+  private static final long MIN_STALL_MS = 1_600;
 
   /** Shortest pause that counts as a stall, relative to the usual pause. */
   private static final double STALL_PAUSE_RATIO = 8;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -16,8 +16,11 @@
   /** Shortest timeout of a plain endpoint, in milliseconds. */
   private static final long MIN_SERVICE_TIMEOUT_MS = 250;
 
-  /** Shortest timeout of an engine, in milliseconds. */
-  private static final long MIN_ENGINE_TIMEOUT_MS = 1_200;
+  /**
+   * Shortest timeout of an engine, in milliseconds: a sound one may be silent for a second or so,
+   * also in the middle of a stream.
+   */
+  private static final long MIN_ENGINE_TIMEOUT_MS = 1_600;
 
   /** A stream counts as stalled after this multiple of the route's target gap. */
   private static final long STALL_GAPS = 3;
@@ -70,6 +73,6 @@
 
   /** Returns the pause after which a stream counts as stalled, in milliseconds. */
   static long stallMs(RouteSpec route) {
-    return route.gapTargetMs() * STALL_GAPS;
+    return Math.max(MIN_ENGINE_TIMEOUT_MS, route.gapTargetMs() * STALL_GAPS);
   }
 }
