Refuse reservations of keys to lost entry daemons

Cause: a daemon that was isolated past its lease goes on as entry under its old incarnation until it reads the membership. The primary replica of a key counts that incarnation as lost, granted its reservation and start all the same, and closed the record as possibly run at the next tick; the caller's next attempt got 409. Found by reading; LedgerTest plays it: the reservation was granted before, is refused as not run now, and the key stays free. Change: a lost entry daemon gets neither reservation nor start. It joins again under a new incarnation within a read of the membership.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
@@ -203,7 +203,9 @@
   }
 
   private Optional<ErrorKind> refusal(LedgerEntry entry, Reserve reserve, long nowMillis) {
+    // A record of a lost entry daemon is closed as possibly run as soon as it is started.
     if (!decides(reserve.key(), nowMillis)
+        || lostEntryDaemons.containsKey(reserve.holder().entry())
         || replicas.secondary(reserve.key()).isEmpty()
         || (entry == null && entries.size() >= settings.maxRecords())) {
       return Optional.of(ErrorKind.LEDGER_UNAVAILABLE);
@@ -265,6 +267,7 @@
         entry != null
             && !entry.isExpired(nowMillis)
             && entry.record().holder().equals(start.holder())
+            && !lostEntryDaemons.containsKey(start.holder().entry())
             && entry.record().state().isOpen();
     if (!isHolder
         || !decides(start.key(), nowMillis)
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerTest.java
@@ -85,6 +85,18 @@
     assertThat(markStart(OTHER)).containsExactly(Optional.empty());
   }
 
+  /** Guards against a new key that a lost entry daemon reserves and leaves as possibly run. */
+  @Test
+  void entryDaemonThatIsLostMayNotReserve() {
+    ledger.entryDaemonLost(FIRST.entry(), 0);
+
+    assertThat(reserve(FIRST, "body", 0))
+        .containsExactly(Optional.of(ErrorKind.LEDGER_UNAVAILABLE));
+    markStart(FIRST);
+    ledger.tick(1);
+    assertThat(reserve(OTHER, "body", 1)).containsExactly(Optional.empty());
+  }
+
   @Test
   void startedKeyOfLostEntryDaemonIsUnknown() {
     reserve(FIRST, "body", 0);
