Grant permits for brittle endpoints in small parts, when they are due

Cause: a coordinator granted what had been saved for 250 ms at once, 19 permits for an endpoint of six slots, and otherwise in rounds of 150 ms only. Change: a permit request says how many may be granted at once, for a brittle endpoint a third of its slots; permits are granted when they are due; the used share of the slots' throughput is 1 - 1/sqrt(1 + slots), at most 0.8. PermitFleetTest plays an endpoint with that room: 7 to 8 rejections in a second of 5 borne at 8, 89 and 400 daemons before (six slots), at most 5 in all six cases after.

--- a/coordination/src/main/java/io/sequoiapass/coordination/connection/RoomEstimator.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/connection/RoomEstimator.java
@@ -15,8 +15,17 @@
  */
 public final class RoomEstimator {
 
-  /** Share of the slots' throughput that is used, since requests arrive unevenly. */
-  private static final double USED_SHARE = 0.8;
+  /**
+   * Largest share of the slots' throughput that is used. Daemons that are cut off from the
+   * coordinator use permits of their own in addition to those that it grants.
+   */
+  private static final double MAX_USED_SHARE = 0.8;
+
+  /**
+   * Largest part of the slots that is granted at once. Requests of several daemons that arrive
+   * together must fit into the slots that others have left.
+   */
+  private static final double BURST_SHARE = 1.0 / 3;
 
   /** Share of the rate that is used after a rejection. */
   private static final double REJECTED_SHARE = 0.25;
@@ -71,7 +80,21 @@
    * @param now the time, in milliseconds
    */
   public double requestsPerS(int slots, double usualMs, long now) {
-    double perS = USED_SHARE * slots * MILLIS_PER_SECOND / Math.max(1, usualMs);
+    double perS = usedShare(slots) * slots * MILLIS_PER_SECOND / Math.max(1, usualMs);
     return now - rejectedAt < REJECTED_MS ? perS * REJECTED_SHARE : perS;
   }
+
+  /**
+   * Returns the largest number of requests to admit at once.
+   *
+   * @param slots the requests that the endpoint runs concurrently
+   */
+  public int burst(int slots) {
+    return Math.max(1, (int) (BURST_SHARE * slots));
+  }
+
+  /** The number of requests in the slots varies by about the root of their mean. */
+  private static double usedShare(int slots) {
+    return Math.min(MAX_USED_SHARE, 1 - 1 / Math.sqrt(1.0 + slots));
+  }
 }
--- a/coordination/src/main/java/io/sequoiapass/coordination/process/PermitAllocator.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/process/PermitAllocator.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Grants daemons permits for requests to endpoints that accept only so many a second from all
@@ -19,7 +20,7 @@
  * ask, in turn, one for each request.
  *
  * <pre>{@code
- * permits.ask(daemon, endpoint, 1.5, 800, now);
+ * permits.ask(daemon, endpoint, 1.5, 1, 800, now);
  * permits.grant(endpoint, now).forEach(this::send);
  * permits.grant(now).forEach(this::send);   // several times a second
  * }</pre>
@@ -75,11 +76,14 @@
     private long filledAt;
     private long lastAskAt;
 
-    private void limit(double requestsPerS, long now) {
+    private int burst;
+
+    private void limit(double requestsPerS, int mostAtOnce, long now) {
       if (requestsPerS <= perS || now - limitAt >= LOWEST_LIMIT_MS) {
         perS = requestsPerS;
         limitAt = now;
       }
+      burst = mostAtOnce;
     }
 
     private void removeExpired(long now) {
@@ -88,7 +92,8 @@
 
     private void fill(long now) {
       double filled = perS * (now - filledAt) / MILLIS_PER_SECOND;
-      tokens = Math.min(1 + perS * SAVED_MS / MILLIS_PER_SECOND, tokens + filled);
+      double saved = Math.min(burst, 1 + perS * SAVED_MS / MILLIS_PER_SECOND);
+      tokens = Math.min(saved, tokens + filled);
       filledAt = now;
     }
 
@@ -105,21 +110,28 @@
    * @param daemon the daemon
    * @param endpoint the endpoint
    * @param requestsPerS the limit that the endpoint has named to the daemon, in requests a second
+   * @param mostAtOnce the largest number of permits that are granted at once
    * @param usefulMs how long the daemon's request can wait, in milliseconds
    * @param now the time, in milliseconds
    * @return the expected time until the permit, in milliseconds
    */
   public long ask(
-      DaemonId daemon, EndpointId endpoint, double requestsPerS, long usefulMs, long now) {
+      DaemonId daemon,
+      EndpointId endpoint,
+      double requestsPerS,
+      int mostAtOnce,
+      long usefulMs,
+      long now) {
     Bucket bucket = buckets.get(endpoint);
     if (bucket == null) {
       bucket = new Bucket();
       bucket.filledAt = now;
+      bucket.burst = mostAtOnce;
       buckets.put(endpoint, bucket);
     } else {
       bucket.fill(now);
     }
-    bucket.limit(Math.max(MIN_RATE_PER_S, requestsPerS), now);
+    bucket.limit(Math.max(MIN_RATE_PER_S, requestsPerS), Math.max(1, mostAtOnce), now);
     bucket.lastAskAt = now;
     bucket.removeExpired(now);
     int position = bucket.asks.size() + (bucket.asks.containsKey(daemon) ? 0 : 1);
@@ -178,6 +190,14 @@
     }
   }
 
+  /** Returns the time until the next permit is due, in milliseconds; empty if none is asked for. */
+  public OptionalLong nextGrantMs() {
+    return buckets.values().stream()
+        .filter(bucket -> !bucket.asks.isEmpty())
+        .mapToLong(bucket -> bucket.waitMs(1) + 1)
+        .min();
+  }
+
   /**
    * Removes a daemon from all queues.
    *
--- a/coordination/src/test/java/io/sequoiapass/coordination/process/PermitFleetTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/process/PermitFleetTest.java
@@ -5,11 +5,13 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.connection.EndpointPermits;
+import io.sequoiapass.coordination.connection.RoomEstimator;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -35,6 +37,11 @@
   /** Time in which a daemon sends what it sent before it noticed an outage, in milliseconds. */
   private static final long NOTICE_MS = 1_000;
 
+  /** Room for requests that wait at a brittle endpoint, and the rejections a second it bears. */
+  private static final int BRITTLE_QUEUE = 3;
+
+  private static final int MOST_REJECTED = 5;
+
   /** How the daemons share the limit. */
   private enum Sharing {
     /** Each request needs a permit. */
@@ -98,6 +105,7 @@
     private final List<Long> arrivals = new ArrayList<>();
     private PermitAllocator coordinator = new PermitAllocator();
     private final Sharing sharing;
+    private int mostAtOnce = Integer.MAX_VALUE;
     private double askedPerS = 1_000;
     private double askedNow;
     private boolean valid = true;
@@ -178,7 +186,7 @@
         later(() -> daemon.permits.refused(now));
         return;
       }
-      long waitMs = coordinator.ask(daemon.name, ENDPOINT, limit, usefulMs, now);
+      long waitMs = coordinator.ask(daemon.name, ENDPOINT, limit, mostAtOnce, usefulMs, now);
       later(() -> daemon.permits.queued(waitMs, now));
       grant();
     }
@@ -202,6 +210,35 @@
       return most;
     }
 
+    /**
+     * Returns the most rejections in a second by an endpoint with so much room for the arrivals.
+     */
+    int mostRejectedInASecond(int slots, int queue, long workMs) {
+      PriorityQueue<Long> slotsFreeAt = new PriorityQueue<>();
+      for (int i = 0; i < slots; i++) {
+        slotsFreeAt.add(0L);
+      }
+      Deque<Long> waitUntil = new ArrayDeque<>();
+      Deque<Long> rejected = new ArrayDeque<>();
+      int most = 0;
+      for (long at : arrivals) {
+        waitUntil.removeIf(until -> until <= at);
+        long startsAt = Math.max(at, slotsFreeAt.peek());
+        if (startsAt > at && waitUntil.size() >= queue) {
+          rejected.add(at);
+          rejected.removeIf(earlier -> at - earlier >= 1_000);
+          most = Math.max(most, rejected.size());
+          continue;
+        }
+        slotsFreeAt.poll();
+        slotsFreeAt.add(startsAt + workMs);
+        if (startsAt > at) {
+          waitUntil.add(startsAt);
+        }
+      }
+      return most;
+    }
+
     double servedPerS(long fromMs, long untilMs) {
       long count = arrivals.stream().filter(at -> at >= fromMs && at < untilMs).count();
       return count * 1_000.0 / (untilMs - fromMs);
@@ -232,6 +269,31 @@
     }
   }
 
+  /** Guards against a fleet that makes a brittle endpoint reject requests for want of room. */
+  @ParameterizedTest
+  @CsvSource({
+    "8, 6, 64",
+    "89, 6, 64",
+    "400, 6, 64",
+    "8, 96, 2000",
+    "89, 48, 2000",
+    "400, 96, 2000"
+  })
+  void brittleEndpointHasRoomForWhatItGets(int size, int slots, long workMs) {
+    RoomEstimator room = new RoomEstimator();
+    room.stated(OptionalInt.of(MOST_REJECTED), 0, 0);
+    for (long seed = 1; seed <= 3; seed++) {
+      double perS = room.requestsPerS(slots, (double) workMs, 10_000);
+      Fleet fleet = new Fleet(Sharing.PERMITS, size, perS, seed);
+      fleet.mostAtOnce = room.burst(slots);
+      fleet.play(3 * perS);
+
+      assertThat(fleet.mostRejectedInASecond(slots, BRITTLE_QUEUE, workMs))
+          .as("rejected in a second, seed %d", seed)
+          .isLessThanOrEqualTo(MOST_REJECTED);
+    }
+  }
+
   private static Fleet play(Sharing sharing, int size, double limit, long seed) {
     Fleet fleet = new Fleet(sharing, size, limit, seed);
     fleet.play(10 * limit);
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -161,6 +161,7 @@
       out.packInt(PERMIT_REQUEST);
       out.packString(ask.endpoint().value());
       out.packDouble(ask.requestsPerS());
+      out.packInt(ask.mostAtOnce());
       out.packLong(ask.usefulMs());
     } else {
       writeCoordinatorMessage(out, message);
@@ -413,7 +414,7 @@
     if (!(perS >= 0 && perS < Double.MAX_VALUE)) {
       throw new IOException("not a rate: " + perS);
     }
-    return new LinkMessage.PermitRequest(endpoint, perS, in.unpackLong());
+    return new LinkMessage.PermitRequest(endpoint, perS, in.unpackInt(), in.unpackLong());
   }
 
   private static LinkMessage.PermitReply readPermitReply(MessageUnpacker in) throws IOException {
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -300,9 +300,10 @@
    *
    * @param endpoint the endpoint
    * @param requestsPerS the limit that it has named, in requests a second
+   * @param mostAtOnce the largest number of permits that are granted at once
    * @param usefulMs how long the daemon's request can wait, in milliseconds
    */
-  record PermitRequest(EndpointId endpoint, double requestsPerS, long usefulMs)
+  record PermitRequest(EndpointId endpoint, double requestsPerS, int mostAtOnce, long usefulMs)
       implements LinkMessage {}
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -370,12 +370,18 @@
 
       @Override
       public void ask(
-          DataCentreId dataCentre, EndpointId endpoint, double requestsPerS, long usefulMs) {
+          DataCentreId dataCentre,
+          EndpointId endpoint,
+          double requestsPerS,
+          int mostAtOnce,
+          long usefulMs) {
         CoordinatorLink link = links.get(dataCentre);
         if (link != null) {
           // A send that fails closes the link, which takes the locks of all groups.
           loop.execute(
-              () -> link.send(new LinkMessage.PermitRequest(endpoint, requestsPerS, usefulMs)));
+              () ->
+                  link.send(
+                      new LinkMessage.PermitRequest(endpoint, requestsPerS, mostAtOnce, usefulMs)));
         }
       }
     };
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -121,7 +121,7 @@
     this.newAllocator = newAllocator;
     this.usage = newAllocator.get();
     this.mayOrder = mayOrder;
-    this.permits = new PermitGrants(mayGrant);
+    this.permits = new PermitGrants(this, links, mayGrant, io.loop(), io.clock());
     this.onFenced = onFenced;
   }
 
@@ -266,7 +266,7 @@
     plan.replaceOutdated(now);
     plan.advance(now);
     work(now);
-    permits.grant(links, now);
+    permits.grant(now);
     rounds++;
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
       sendRound(now);
@@ -556,7 +556,7 @@
       plan.missed(miss.endpoint(), miss.adapter(), miss.early(), now);
       work(now);
     } else if (message instanceof LinkMessage.PermitRequest ask && linked.daemon != null) {
-      permits.ask(links, channel, ask, now);
+      permits.ask(channel, ask, now);
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PermitSource.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PermitSource.java
@@ -24,7 +24,11 @@
 
         @Override
         public void ask(
-            DataCentreId dataCentre, EndpointId endpoint, double requestsPerS, long usefulMs) {}
+            DataCentreId dataCentre,
+            EndpointId endpoint,
+            double requestsPerS,
+            int mostAtOnce,
+            long usefulMs) {}
       };
 
   /** Returns whether the coordinator of a data centre is connected. */
@@ -39,7 +43,13 @@
    * @param dataCentre the endpoint's data centre
    * @param endpoint the endpoint
    * @param requestsPerS the limit that it has named, in requests a second
+   * @param mostAtOnce the largest number of permits that are granted at once
    * @param usefulMs how long the request can wait for it, in milliseconds
    */
-  void ask(DataCentreId dataCentre, EndpointId endpoint, double requestsPerS, long usefulMs);
+  void ask(
+      DataCentreId dataCentre,
+      EndpointId endpoint,
+      double requestsPerS,
+      int mostAtOnce,
+      long usefulMs);
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SendGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SendGate.java
@@ -53,7 +53,9 @@
                 state.namedLimit.orElse(Double.MAX_VALUE),
                 state.room.requestsPerS(state.entry.slots(), usualMs, now))
             : state.permits.limit().orElseThrow();
-    permits.ask(state.entry.dataCentre(), state.entry.endpoint(), perS, usefulMs);
+    int mostAtOnce =
+        state.room.isBrittle() ? state.room.burst(state.entry.slots()) : Integer.MAX_VALUE;
+    permits.ask(state.entry.dataCentre(), state.entry.endpoint(), perS, mostAtOnce, usefulMs);
     return true;
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -68,7 +68,7 @@
             List.of(new WorkspaceUsage(WORKSPACE, 18_380, 9_190))),
         new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600, true, List.of(ENGINE)),
         new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
-        new LinkMessage.PermitRequest(ENGINE, 2.5, 800),
+        new LinkMessage.PermitRequest(ENGINE, 2.5, 4, 800),
         new LinkMessage.PermitReply(ENGINE, LinkMessage.PermitReply.Type.QUEUED, 400),
         new LinkMessage.CoordinatorStatus(
             4,
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -153,7 +153,8 @@
             }
 
             @Override
-            public void ask(DataCentreId at, EndpointId endpoint, double perS, long usefulMs) {
+            public void ask(
+                DataCentreId at, EndpointId endpoint, double perS, int mostAtOnce, long usefulMs) {
               asked.add(endpoint);
             }
           });
