Count what a peer may have run as all attempts of a request

A request that failed at its endpoint behind a peer was sent through another peer, although the first one had used all attempts of its route: three runs where two are allowed, found by reading. The daemon that accepted the request can't know how many attempts a peer has used. Change: an answer that failed, a lost link and a stream that a peer broke off count as all attempts, and a peer's silence is no reason to leave it.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AttemptCount.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AttemptCount.java
@@ -84,6 +84,11 @@
     runs++;
   }
 
+  /** Records that a peer may have used all attempts that the route allows. */
+  void ranAtPeer() {
+    runs = Math.max(runs + 1, route.maxAttempts());
+  }
+
   /** Returns whether the request may be repeated after the attempts so far. */
   boolean mayRepeat(long now) {
     return mayRepeatAfter(runs, now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -63,14 +63,6 @@
     return Math.max(MIN_ENGINE_TIMEOUT_MS, 2 * expectedMs + route.targetMs() / 2);
   }
 
-  /**
-   * Returns the timeout of a peer, in milliseconds: what the peer needs to give up an endpoint and
-   * to use another one.
-   */
-  static long peerTimeoutMs(RouteSpec route) {
-    return 2 * Math.max(MIN_ENGINE_TIMEOUT_MS, route.targetMs());
-  }
-
   /** Returns the pause after which a stream counts as stalled, in milliseconds. */
   static long stallMs(RouteSpec route) {
     return Math.max(MIN_ENGINE_TIMEOUT_MS, route.gapTargetMs() * STALL_GAPS);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
@@ -62,6 +62,11 @@
     }
   }
 
+  @Override
+  void countRun(AttemptCount attempts) {
+    attempts.ranAtPeer();
+  }
+
   @Override
   void avoidFrom(AvoidedRecipients avoided) {
     avoided.add(ticket.daemon());
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -60,6 +60,11 @@
     return now - receivedAt >= SILENCE_MS;
   }
 
+  /** Counts that the attempt may have run. */
+  void countRun(AttemptCount attempts) {
+    attempts.ran();
+  }
+
   /** Adds the recipient to those that the request must not be sent to again. */
   abstract void avoidFrom(AvoidedRecipients avoided);
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -288,14 +288,13 @@
     }
     search.reset();
     attempt = sent.get();
-    awaitResponse(attempt, EndpointTimeouts.peerTimeoutMs(route));
     return true;
   }
 
   /** Watches for an endpoint's next event if another endpoint could replace it. */
   private void awaitResponse(RelayAttempt from, long abandonMs) {
     responseTimer.cancel();
-    if (attempts.isReplaceable()) {
+    if (attempts.isReplaceable() && from.endpoint().isPresent()) {
       long now = now();
       ResponseWatchdog watch = new ResponseWatchdog(now, abandonMs);
       responseTimer.schedule(watch, now, due -> checkResponse(from, due));
@@ -402,7 +401,7 @@
     long now = now();
     boolean success = answer == AnswerClass.SUCCESS;
     from.recipient.ended(success ? Recipient.Ending.ANSWERED : Recipient.Ending.FAILED, now);
-    attempts.ran();
+    from.countRun(attempts);
     if (!success && attempts.mayRepeat(now)) {
       from.avoidFrom(avoid);
       dispatch();
@@ -460,7 +459,7 @@
     from.recipient.ended(
         error.isOfPeer() ? Recipient.Ending.FAILED : Recipient.Ending.NO_BLAME, now());
     if (error.kind().outcomeClass() == OutcomeClass.UNKNOWN) {
-      attempts.ran();
+      from.countRun(attempts);
       endUnknown(error.kind(), "a peer lost the endpoint");
     } else if (error.isOfPeer()) {
       attempts.unsent();
@@ -491,7 +490,7 @@
     long now = now();
     from.recipient.ended(Recipient.Ending.FAILED, now);
     requestLog.lost("broken", from, reason, response.lastEvent());
-    attempts.ran();
+    from.countRun(attempts);
     from.avoidFrom(avoid);
     if (attempts.mayRepeat(now)) {
       response.discardRemainder();
