--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AvoidedRecipients.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AvoidedRecipients.java
@@ -5,7 +5,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
-/** Endpoints and peers that a request must not be sent to again. Not safe for use by threads. */
+/** Endpoints and peers that a request must not be sent to again. Not thread-safe. */
 final class AvoidedRecipients {
 
   private final Set<EndpointId> endpoints = new HashSet<>();
