Suspect the path when a connection ends without any answer

Cause: only failures of which nothing was sent raised a suspicion, and a closed connection had carried a request by then; the daemon never probed its path. Change: a connection that ended before any byte of an answer does, too.

--- a/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPath.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPath.java
@@ -76,7 +76,7 @@
     unansweredSince = NEVER;
   }
 
-  /** Records that a connection to an endpoint could not be opened. */
+  /** Records that a connection to an endpoint could not be opened, or ended without an answer. */
   public void connectionFailed() {
     connectionFailed = true;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointCalls.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointCalls.java
@@ -33,8 +33,8 @@
             (answer, failure) -> {
               if (failure == null) {
                 path.received();
-              } else if (failure instanceof HttpFailure lost) {
-                path.failed(lost);
+              } else if (failure instanceof HttpFailure lost && !lost.mayHaveReached()) {
+                path.connectionFailed();
               }
             });
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
@@ -4,7 +4,6 @@
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.connection.EndpointPath;
 import io.sequoiapass.daemon.connection.HttpClient;
-import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
@@ -97,13 +96,10 @@
   }
 
   /**
-   * Records that a call to an endpoint failed. Only a connection that carried nothing points at the
-   * path; endpoints break off answers for reasons of their own.
+   * Records that a connection to an endpoint could not be opened, or ended before any byte of an
+   * answer; what refuses connections may accept them first.
    */
-  public void failed(HttpFailure failure) {
-    if (failure.mayHaveReached()) {
-      return;
-    }
+  public void connectionFailed() {
     synchronized (this) {
       path.connectionFailed();
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
@@ -61,7 +61,9 @@
 
   @Override
   public void failed(HttpFailure failure) {
-    path.failed(failure);
+    if (answer() == null) {
+      path.connectionFailed();
+    }
     super.failed(failure);
   }
 }
