Log how an answer was framed and what was left after its last event

A stream that an endpoint broke off was logged as answered, like a whole one. The record could not show whether its end was marked by a length, by chunks or by the end of the connection, whether the connection was closed or reset, or whether bytes were left after the last whole event.

`ended`, `broken` and `unsent` now have framing and partial_bytes, the reason tells a reset from a close, and sequoiapass_answers_total counts answers by both. Behaviour is unchanged.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 
 /**
  * Passes what one client connection receives to the exchange in progress; used on its event loop.
@@ -67,7 +68,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    fail();
+    fail("connection closed");
   }
 
   /**
@@ -76,15 +77,15 @@
    */
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    fail();
+    fail(cause instanceof IOException ? "connection reset" : "connection failed");
     context.close();
   }
 
-  private void fail() {
+  private void fail(String end) {
     HttpExchange exchange = current;
     current = null;
     if (exchange != null) {
-      exchange.closed();
+      exchange.closed(end);
     }
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -166,8 +166,13 @@
     notReusable = true;
   }
 
-  void closed() {
-    fail(new HttpFailure("connection closed before the response was complete: " + call, written));
+  /**
+   * Fails the exchange because its connection has ended.
+   *
+   * @param end how it ended
+   */
+  void closed(String end) {
+    fail(new HttpFailure(end + " before the response was complete: " + call, written));
   }
 
   private void cancelTimeout() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
@@ -125,4 +125,17 @@
   long lastId() {
     return lastId;
   }
+
+  /** Returns how far the stream was read. */
+  Position position() {
+    return new Position(lastId, pending.length);
+  }
+
+  /**
+   * How far a stream was read.
+   *
+   * @param lastEvent the id of the last event that was forwarded; {@link #NONE} if there is none
+   * @param partialBytes the number of bytes after the last complete event
+   */
+  record Position(long lastEvent, int partialBytes) {}
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.daemon.connection.BodyFraming;
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.HttpStream;
 import io.sequoiapass.daemon.connection.HttpStreamListener;
@@ -36,7 +37,7 @@
   private final ByteArrayOutputStream held = new ByteArrayOutputStream();
   private AnswerClass answer;
   private int status;
-  private HttpHeaders headers;
+  private volatile HttpHeaders headers;
   private volatile boolean completed;
 
   RelayAttempt(RelayedRequest request, Recipient recipient, long sentAt) {
@@ -75,6 +76,11 @@
     return answer;
   }
 
+  /** Returns how the end of the answer is marked; empty if no answer has arrived. */
+  Optional<BodyFraming> framing() {
+    return Optional.ofNullable(headers).map(BodyFraming::of);
+  }
+
   /** Records that the attempt has ended. */
   final void complete() {
     completed = true;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -477,7 +477,7 @@
     }
     from.recipient.ended(Recipient.Ending.FAILED, now());
     attempts.unsent();
-    requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), response.lastEvent());
+    requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), response.position());
     from.avoidFrom(avoid);
     dispatch();
   }
@@ -489,7 +489,7 @@
     }
     long now = now();
     from.recipient.ended(Recipient.Ending.FAILED, now);
-    requestLog.lost("broken", from, reason, response.lastEvent());
+    requestLog.lost("broken", from, reason, response.position());
     from.countRun(attempts);
     from.avoidFrom(avoid);
     if (attempts.mayRepeat(now)) {
@@ -592,6 +592,6 @@
     if (!hasRun()) {
       access.notRun().run();
     }
-    requestLog.ended(outcome, status, response.times(wait.times()), attempts, response.lastEvent());
+    requestLog.ended(outcome, status, response.summary(wait.times(), attempt), attempts);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -11,6 +11,8 @@
 import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
+import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /** Logs the decisions on one request. Used under the request's lock. */
@@ -140,14 +142,18 @@
    * Logs that the endpoint or peer was lost; the event's name states whether the request may have
    * run.
    */
-  void lost(String event, RelayAttempt from, String reason, long lastEvent) {
+  void lost(String event, RelayAttempt from, String reason, EventRelay.Position position) {
+    AnswerEnd end = AnswerEnd.of(from, position);
+    context.metrics().count(end.counter("lost"));
     context
         .log()
         .request(event, requestId)
         .with("endpoint", from.recipient.name())
         .with("reason", reason)
         .with("took_ms", context.clock().millis() - from.sentAt)
-        .with("last_event", lastEvent)
+        .with("last_event", position.lastEvent())
+        .with("framing", end.framing())
+        .with("partial_bytes", position.partialBytes())
         .write();
   }
 
@@ -172,11 +178,48 @@
    */
   record Times(long tookMs, long firstMs, long pauseMs, WaitTimes waits) {}
 
+  /**
+   * How the last answer to a request ended.
+   *
+   * @param framing how its end is marked; empty if there was none
+   * @param position how far its stream was read
+   */
+  record AnswerEnd(String framing, EventRelay.Position position) {
+
+    static AnswerEnd of(RelayAttempt attempt, EventRelay.Position position) {
+      String framing =
+          Optional.ofNullable(attempt)
+              .flatMap(RelayAttempt::framing)
+              .map(value -> value.name().toLowerCase(Locale.ROOT))
+              .orElse("");
+      return new AnswerEnd(framing, position);
+    }
+
+    /** Returns the name of the counter of answers that ended so. */
+    private String counter(String end) {
+      return "sequoiapass_answers_total{end=\"%s\",framing=\"%s\",partial_event=\"%s\"}"
+          .formatted(end, framing, position.partialBytes() > 0);
+    }
+  }
+
+  /**
+   * What is logged about a response.
+   *
+   * @param times its durations
+   * @param end how the last answer ended
+   */
+  record Summary(Times times, AnswerEnd end) {}
+
   /** Logs the end of the request. */
-  void ended(String outcome, int status, Times times, AttemptCount attempts, long lastEvent) {
+  void ended(String outcome, int status, Summary summary, AttemptCount attempts) {
+    Times times = summary.times();
+    AnswerEnd end = summary.end();
     String label = outcome.startsWith("cut_") ? "cut" : outcome;
     String counter = forPeer ? "sequoiapass_peer_requests_total" : "sequoiapass_requests_total";
     context.metrics().count(counter + "{outcome=\"" + label + "\"}");
+    if (outcome.equals("answered")) {
+      context.metrics().count(end.counter("complete"));
+    }
     context
         .log()
         .request(forPeer ? "ended_for_peer" : "ended", requestId)
@@ -194,7 +237,9 @@
         .with("load_ms", times.waits().of(WaitTimes.Kind.LOAD))
         .with("sends", attempts.sends())
         .with("runs", attempts.runs())
-        .with("last_event", lastEvent)
+        .with("last_event", end.position().lastEvent())
+        .with("framing", end.framing())
+        .with("partial_bytes", end.position().partialBytes())
         .write();
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
@@ -103,16 +103,27 @@
     return events.lastId();
   }
 
-  /** Returns the same; empty if there is none. */
+  /** Returns how far the stream was read, for the log. */
+  EventRelay.Position position() {
+    return events.position();
+  }
+
+  /** Returns the same as {@link #lastEvent}; empty if there is none. */
   OptionalLong lastEventId() {
     return events.lastId() == EventRelay.NONE
         ? OptionalLong.empty()
         : OptionalLong.of(events.lastId());
   }
 
-  /** Returns the durations for the log. */
-  RequestLog.Times times(WaitTimes waits) {
-    return times.log(context.clock().millis(), waits);
+  /**
+   * Returns what the log states about the response.
+   *
+   * @param waits how long the request waited before it was sent
+   * @param last the last attempt; null if there was none
+   */
+  RequestLog.Summary summary(WaitTimes waits, RelayAttempt last) {
+    return new RequestLog.Summary(
+        times.log(context.clock().millis(), waits), RequestLog.AnswerEnd.of(last, position()));
   }
 
   long sinceArrival() {
