--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyFault.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyFault.java
@@ -38,7 +38,7 @@
     return new ProxyFault(ProxyMode.NONE, 0, 0, null);
   }
 
-  /** Closes all connections, and each new one when it is accepted. */
+  /** Resets all connections, and closes each new one when it is accepted. */
   public static ProxyFault cut() {
     return new ProxyFault(ProxyMode.CUT, 0, 0, null);
   }
--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyLink.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyLink.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.testbed.proxy;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetAddress;
 
@@ -38,8 +39,8 @@
       return;
     }
     target = opened;
-    toTarget = new ProxyPipe(Direction.TO_TARGET, target, fault, this::close);
-    fromTarget = new ProxyPipe(Direction.FROM_TARGET, client, fault, this::close);
+    toTarget = new ProxyPipe(Direction.TO_TARGET, target, fault, this);
+    fromTarget = new ProxyPipe(Direction.FROM_TARGET, client, fault, this);
     toTarget.reverse(fromTarget);
     fromTarget.reverse(toTarget);
     client.pipeline().addLast(toTarget);
@@ -57,7 +58,7 @@
   void apply(ProxyFault next) {
     fault = next;
     if (next.mode() == ProxyMode.CUT) {
-      close();
+      reset();
       return;
     }
     if (toTarget != null) {
@@ -66,6 +67,24 @@
     }
   }
 
+  /** Ends both connections with a reset, as opposed to the orderly end of one of its peers. */
+  void reset() {
+    if (closed) {
+      return;
+    }
+    resetOnClose(client);
+    if (target != null) {
+      resetOnClose(target);
+    }
+    close();
+  }
+
+  private static void resetOnClose(Channel channel) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+  }
+
   void close() {
     if (closed) {
       return;
--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyPipe.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/ProxyPipe.java
@@ -13,9 +13,9 @@
 /**
  * Forwards or holds back the bytes of one direction of a connection; confined to one event loop.
  *
- * <p>All chunks pass through one queue, so a change of the fault never reorders bytes. A close is
- * propagated only after the bytes before it, and not at all while the direction is held back: in a
- * real partition the other side would not receive it either.
+ * <p>All chunks pass through one queue, so a change of the fault never reorders bytes. A close or
+ * reset is propagated only after the bytes before it, and not at all while the direction is held
+ * back: in a real partition the other side would not receive it either.
  */
 final class ProxyPipe extends ChannelInboundHandlerAdapter {
 
@@ -24,7 +24,7 @@
 
   private final Direction direction;
   private final Channel to;
-  private final Runnable closeLink;
+  private final ProxyLink link;
   private final Deque<Chunk> queue = new ArrayDeque<>();
   private ProxyFault fault;
   private ProxyPipe reverse;
@@ -33,12 +33,13 @@
   private long forwardedUnderFault;
   private long lastDue;
   private boolean inputClosed;
+  private boolean inputReset;
 
-  ProxyPipe(Direction direction, Channel to, ProxyFault fault, Runnable closeLink) {
+  ProxyPipe(Direction direction, Channel to, ProxyFault fault, ProxyLink link) {
     this.direction = direction;
     this.to = to;
     this.fault = fault;
-    this.closeLink = closeLink;
+    this.link = link;
     this.lastDue = System.nanoTime();
   }
 
@@ -79,7 +80,7 @@
       to.eventLoop().schedule(this::drain, queue.peek().due - now, TimeUnit.NANOSECONDS);
     }
     if (inputClosed && queue.isEmpty() && !fault.holdsBack(direction)) {
-      to.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> closeLink.run());
+      to.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> endLink());
     }
     updateAutoRead();
   }
@@ -98,7 +99,7 @@
     forwardedUnderFault = fault.bytes();
     ByteBuf last = bytes.readRetainedSlice((int) remaining);
     bytes.release();
-    to.writeAndFlush(last).addListener(done -> closeLink.run());
+    to.writeAndFlush(last).addListener(done -> link.close());
   }
 
   private void updateAutoRead() {
@@ -116,8 +117,17 @@
     drain();
   }
 
+  private void endLink() {
+    if (inputReset) {
+      link.reset();
+    } else {
+      link.close();
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    inputReset = true;
     context.close();
   }
 
