Judge the end of a stream by its events, not by its framing

What callers saw: a stream that its endpoint had broken off reached them as a complete answer, framed by the daemon's own last chunk.

Cause: the end of a response was taken for the end of the answer. A response without a length and chunks ends with its connection, and a failing endpoint closes its connection just so; the client reports the same end for both. The relay then sent the part of an event that was left over and ended its own chunked response. The same holds where the framing is whole though the stream is not. The endpoint counted as one that had answered, and the stream was not resumed.

Change: one judge, EventRelay, is asked for every stream that ends, of an endpoint or of a peer, first or resumed. A stream that ends inside an event or without any is broken, whatever its framing: its part of an event is discarded, the endpoint counts as failed, and the stream is resumed after the last whole event or cut so that the caller sees it. Only a resumed stream may have no event left, if a length or last chunk says so. An answer on a streaming route that states another content type than an event stream is relayed as a plain answer.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.request;
 
+import io.sequoiapass.daemon.connection.BodyFraming;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -27,9 +28,12 @@
 
   private byte[] pending = new byte[0];
   private long lastId = NONE;
+  private boolean resumed;
+  private boolean hasEvents;
 
   EventRelay(long lastId) {
     this.lastId = lastId;
+    this.resumed = lastId != NONE;
   }
 
   /** Appends received bytes and returns the events that are now complete. */
@@ -46,6 +50,7 @@
     while (from < end) {
       int to = endOfEvent(all, from, end);
       long id = idOf(all, from, to);
+      hasEvents = true;
       if (id == NONE || id > lastId) {
         forwarded.write(all, from, to - from);
         lastId = Math.max(lastId, id);
@@ -109,16 +114,39 @@
   }
 
   /**
-   * Returns the bytes after the last complete event; they are part of the answer if the stream ends
-   * normally.
+   * Returns whether the stream of an endpoint that has ended may be complete. A whole framing does
+   * not prove it: an endpoint that fails closes its connection as it does after the last event of a
+   * stream without a length and chunks.
+   *
+   * <p>A stream is broken if it ends inside an event or without any. Only a resumed one may have no
+   * event left, which its length or last chunk then shows.
+   *
+   * @param framing how the end of the answer was marked
    */
+  boolean isComplete(BodyFraming framing) {
+    boolean mayBeEmpty = resumed && framing != BodyFraming.CONNECTION;
+    return isBlank(pending) && (hasEvents || mayBeEmpty);
+  }
+
+  private static boolean isBlank(byte[] bytes) {
+    for (byte next : bytes) {
+      if (next != '\n' && next != '\r') {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns the bytes after the last event; line breaks if the stream is complete. */
   byte[] remainder() {
     return pending;
   }
 
-  /** Discards the bytes after the last complete event. */
-  void discardRemainder() {
+  /** Starts the stream of another endpoint; a partial event of the one before is discarded. */
+  void resume() {
     pending = new byte[0];
+    resumed = lastId != NONE;
+    hasEvents = false;
   }
 
   /** Returns the id of the last event that was forwarded; {@link #NONE} if there is none. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
@@ -1,6 +1,9 @@
 package io.sequoiapass.gateway.request;
 
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.spi.CallerFacts;
+import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.Set;
 
 /**
@@ -26,4 +29,26 @@
   public LoadRequest {
     excluded = Set.copyOf(excluded);
   }
+
+  /**
+   * Returns the request of a waiting request.
+   *
+   * @param facts what is known about the waiting request; it is a generation
+   * @param load the load
+   * @param route the route of the waiting request
+   * @param waitedMs how long ago it arrived, in milliseconds
+   * @param waitMs how long it may be queued for a slot, in milliseconds; 0 if it may not
+   * @param excluded endpoints that it cannot use
+   */
+  static LoadRequest of(
+      CallerFacts facts,
+      Choice.RequestLoad load,
+      RouteSpec route,
+      long waitedMs,
+      long waitMs,
+      Set<EndpointId> excluded) {
+    long maxDelayMs = EndpointTimeouts.maxLoadDelayMs(route, waitedMs, load.expectedMs());
+    return new LoadRequest(
+        facts.generation().orElseThrow(), load.another(), maxDelayMs, waitMs, excluded);
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -1,6 +1,9 @@
 package io.sequoiapass.gateway.request;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpUtil;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.daemon.connection.BodyFraming;
 import io.sequoiapass.daemon.connection.HttpFailure;
@@ -109,14 +112,18 @@
     answer = request.began(this, newStatus, newHeaders);
   }
 
-  private boolean isStream() {
-    return answer == AnswerClass.SUCCESS && request.streams();
+  /** Returns whether the answer is a stream of events, which is relayed as it arrives. */
+  final boolean isStream(AnswerClass classified) {
+    CharSequence type = HttpUtil.getMimeType(headers.get(HttpHeaderNames.CONTENT_TYPE, ""));
+    return classified == AnswerClass.SUCCESS
+        && request.streams()
+        && (type == null || HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type));
   }
 
   @Override
   public void received(byte[] part) {
     receivedAt = request.now();
-    if (isStream()) {
+    if (isStream(answer)) {
       request.received(this, part);
     } else if (held.size() + part.length <= MAX_HELD_BYTES) {
       held.writeBytes(part);
@@ -132,8 +139,8 @@
       notRun();
     } else if (answer == AnswerClass.UNTRUSTED) {
       request.broken(this, "untrusted answer with status " + status);
-    } else if (isStream()) {
-      request.streamEnded(this);
+    } else if (isStream(answer)) {
+      request.streamEnded(this, BodyFraming.of(headers));
     } else {
       request.answered(this, answer, status, new Body(headers, held.toByteArray()));
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.request.OutcomeClass;
+import io.sequoiapass.daemon.connection.BodyFraming;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.gateway.process.Choice;
@@ -236,11 +237,8 @@
   }
 
   private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
-    long maxDelayMs =
-        EndpointTimeouts.maxLoadDelayMs(route, origin.waitedMs(now), load.expectedMs());
-    Generation generation = facts.generation().orElseThrow();
     Set<EndpointId> excluded = group.excluded(demand, now);
-    return new LoadRequest(generation, load.another(), maxDelayMs, waitMs, excluded);
+    return LoadRequest.of(facts, load, route, origin.waitedMs(now), waitMs, excluded);
   }
 
   synchronized void dispatchIfWaiting() {
@@ -346,7 +344,7 @@
     if (answer == AnswerClass.SUCCESS) {
       responseTimer.cancel();
       from.recipient.begun(now);
-      if (route.streams()) {
+      if (from.isStream(answer)) {
         response.begin(status, headers);
         awaitResponse(from, EndpointTimeouts.stallMs(route));
       }
@@ -382,11 +380,15 @@
     }
   }
 
-  /** Ends a stream that is complete. */
-  synchronized void streamEnded(RelayAttempt from) {
+  /** Ends a stream that is complete; one that an endpoint has broken off is lost. */
+  synchronized void streamEnded(RelayAttempt from, BodyFraming framing) {
     if (completed || from != attempt) {
       return;
     }
+    if (!response.isComplete(framing)) {
+      broken(from, "stream ended inside an event or without any");
+      return;
+    }
     from.recipient.ended(Recipient.Ending.ANSWERED, now());
     finish("answered", 0);
     response.end();
@@ -493,7 +495,6 @@
     from.countRun(attempts);
     from.avoidFrom(avoid);
     if (attempts.mayRepeat(now)) {
-      response.discardRemainder();
       dispatch();
     } else {
       endUnknown(ErrorKind.ENDPOINT_LOST_AFTER_START, reason);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.connection.BodyFraming;
 import io.sequoiapass.daemon.connection.HttpResponder;
 import java.util.OptionalLong;
 
@@ -45,7 +46,7 @@
 
   /** Sends the head of a stream, unless this is a resumption; the last event is not repeated. */
   void begin(int status, HttpHeaders headers) {
-    events.discardRemainder();
+    events.resume();
     if (!started) {
       started = true;
       context.metrics().time("sequoiapass_first_event_ms", sinceArrival());
@@ -67,6 +68,15 @@
     return responder.writable();
   }
 
+  /**
+   * Returns whether the stream of an endpoint, which has ended, may be complete.
+   *
+   * @param framing how the end of the answer was marked
+   */
+  boolean isComplete(BodyFraming framing) {
+    return events.isComplete(framing);
+  }
+
   /** Ends a stream that is complete. */
   void end() {
     if (events.remainder().length > 0) {
@@ -93,11 +103,6 @@
     responder.abort();
   }
 
-  /** Discards the part of an event that a lost endpoint has sent. */
-  void discardRemainder() {
-    events.discardRemainder();
-  }
-
   /** Returns the last event that the caller has received, or {@link EventRelay#NONE}. */
   long lastEvent() {
     return events.lastId();
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/EventRelayTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/EventRelayTest.java
@@ -2,9 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sequoiapass.daemon.connection.BodyFraming;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class EventRelayTest {
 
@@ -49,7 +55,7 @@
     @Test
     void dropsPartialAndDuplicateEvents() {
       take("id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\nda");
-      relay.discardRemainder();
+      relay.resume();
 
       assertThat(take("id: 1\ndata: b\n\nid: 2\ndata: c\n\n")).isEqualTo("id: 2\ndata: c\n\n");
       assertThat(relay.lastId()).isEqualTo(2);
@@ -64,4 +70,60 @@
           .isEqualTo("id: 13\n\n");
     }
   }
+
+  /** Guards against a stream that an endpoint broke off and that is taken as complete. */
+  @Nested
+  class EndOfStream {
+
+    private static final String STREAM = "id: 0\ndata: a\n\nid: 1\r\ndata: \u00e4\r\n\r\n: c\n\n";
+
+    private boolean isCompleteAfter(byte[] stream, int bytes, BodyFraming framing) {
+      EventRelay cut = new EventRelay(EventRelay.NONE);
+      cut.take(Arrays.copyOf(stream, bytes));
+      return cut.isComplete(framing);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void isCompleteOnlyBetweenEvents(BodyFraming framing) {
+      byte[] stream = STREAM.getBytes(StandardCharsets.UTF_8);
+      List<Integer> complete =
+          IntStream.rangeClosed(0, stream.length)
+              .filter(bytes -> isCompleteAfter(stream, bytes, framing))
+              .boxed()
+              .toList();
+
+      int first = STREAM.indexOf("id: 1");
+      int second = stream.length - ": c\n\n".length();
+      assertThat(complete).containsExactly(first, second, stream.length);
+    }
+
+    @Test
+    void mayHaveFurtherLineBreaks() {
+      take("id: 0\ndata: a\n\n");
+      take("\n");
+
+      assertThat(relay.isComplete(BodyFraming.CONNECTION)).isTrue();
+      assertThat(relay.remainder()).isEqualTo(new byte[] {'\n'});
+    }
+
+    @Test
+    void ofAResumedStreamMayFollowNoEventIfItsFramingShowsIt() {
+      take("id: 0\ndata: a\n\nid");
+      relay.resume();
+
+      assertThat(relay.isComplete(BodyFraming.CHUNKED)).isTrue();
+      assertThat(relay.isComplete(BodyFraming.LENGTH)).isTrue();
+      assertThat(relay.isComplete(BodyFraming.CONNECTION)).isFalse();
+    }
+
+    @Test
+    void ofAResumedStreamMayNotBeInsideAnEvent() {
+      take("id: 0\ndata: a\n\nid");
+      relay.resume();
+      take("id: 1\ndata: b\n");
+
+      assertThat(relay.isComplete(BodyFraming.CHUNKED)).isFalse();
+    }
+  }
 }
