Take an answer that ends inside a JSON document as broken off

What callers saw: the first part of a JSON document as a complete answer of a plain call, where its endpoint stated no length and closed the connection. The calls of the daemons themselves, which collect answers, took such an answer for complete, too.

Cause: the class of the fault before, in readers that buffer an answer: the end of a connection proves nothing, and the content was not asked.

Change: ResponseBody tells for all buffered answers whether they are certainly broken off: neither a length nor chunks, JSON by its type, and an object or array that does not end. The call fails then; a request that may be repeated is, and another one gets 502.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -222,7 +222,12 @@
 
     @Override
     public void ended() {
-      result.complete(new HttpAnswer(status, headers, body.toByteArray()));
+      HttpAnswer answer = new HttpAnswer(status, headers, body.toByteArray());
+      if (ResponseBody.isBrokenOff(headers, answer.body())) {
+        failed(new HttpFailure("response ended inside a JSON document", true));
+      } else {
+        result.complete(answer);
+      }
     }
 
     @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -9,6 +9,7 @@
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.HttpStream;
 import io.sequoiapass.daemon.connection.HttpStreamListener;
+import io.sequoiapass.daemon.connection.ResponseBody;
 import io.sequoiapass.gateway.process.Recipient;
 import io.sequoiapass.gateway.spi.AnswerClass;
 import java.io.ByteArrayOutputStream;
@@ -142,7 +143,15 @@
     } else if (isStream(answer)) {
       request.streamEnded(this, BodyFraming.of(headers));
     } else {
-      request.answered(this, answer, status, new Body(headers, held.toByteArray()));
+      plainAnswerEnded(held.toByteArray());
+    }
+  }
+
+  private void plainAnswerEnded(byte[] body) {
+    if (ResponseBody.isBrokenOff(headers, body)) {
+      request.broken(this, "answer ended inside a JSON document");
+    } else {
+      request.answered(this, answer, status, new Body(headers, body));
     }
   }
 
