Keep a peer in use if an endpoint breaks off an answer through it

What callers saw: a daemon without a path to the endpoints served nobody for a second after endpoints had broken off streams that went through its peers: 502 for calls that any peer would have answered.

Cause: an answer that ends early was blamed on the recipient, which is the peer, though it had relayed the endpoint's head and events. Two such streams leave a daemon with two peers without any.

Change: once an answer has begun, its early end is no failure of the peer. A peer that is lost shows in the next connection to it, which then cannot be opened.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.gateway.connection.PeerRequest;
 import io.sequoiapass.gateway.process.PeerDirectory;
+import io.sequoiapass.gateway.process.Recipient;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -62,6 +63,12 @@
     }
   }
 
+  /** Once an answer has begun, its endpoint is the likely cause of its end, not the peer. */
+  @Override
+  Recipient.Ending lostEnding() {
+    return answer() == null ? Recipient.Ending.FAILED : Recipient.Ending.NO_BLAME;
+  }
+
   @Override
   void countRun(AttemptCount attempts) {
     attempts.ranAtPeer();
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -65,6 +65,11 @@
     return now - receivedAt >= SILENCE_MS;
   }
 
+  /** Returns what an answer that is lost or broken off indicates about the recipient. */
+  Recipient.Ending lostEnding() {
+    return Recipient.Ending.FAILED;
+  }
+
   /** Counts that the attempt may have run. */
   void countRun(AttemptCount attempts) {
     attempts.ran();
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -490,7 +490,7 @@
       return;
     }
     long now = now();
-    from.recipient.ended(Recipient.Ending.FAILED, now);
+    from.recipient.ended(from.lostEnding(), now);
     requestLog.lost("broken", from, reason, response.position());
     from.countRun(attempts);
     from.avoidFrom(avoid);
