Judge only that a JSON body ends too early, not how it is written

Some servers write NaN or several documents. Such a body is not broken off, but without a length it was taken for that: 502, or a second run. The parser is lenient now; every cut of a document still shows.

EventRelay's method that starts a stream has a name that fits the first one, too.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseBody.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseBody.java
@@ -27,7 +27,7 @@
         && HttpHeaderValues.APPLICATION_JSON.contentEqualsIgnoreCase(
             HttpUtil.getMimeType(headers.get(HttpHeaderNames.CONTENT_TYPE, "")))
         && startsDocument(body)
-        && !isDocument(body);
+        && endsInsideDocument(body);
   }
 
   private static boolean startsDocument(byte[] body) {
@@ -39,13 +39,17 @@
     return false;
   }
 
-  private static boolean isDocument(byte[] body) {
+  private static boolean endsInsideDocument(byte[] body) {
     String text = new String(body, StandardCharsets.UTF_8);
     try (JsonReader reader = new JsonReader(new StringReader(text))) {
-      reader.skipValue();
-      return reader.peek() == JsonToken.END_DOCUMENT;
-    } catch (IOException incomplete) {
+      // Some servers write NaN, or several documents, which does not break the body off.
+      reader.setLenient(true);
+      while (reader.peek() != JsonToken.END_DOCUMENT) {
+        reader.skipValue();
+      }
       return false;
+    } catch (IOException incomplete) {
+      return true;
     }
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
@@ -28,7 +28,10 @@
 
   private byte[] pending = new byte[0];
   private long lastId = NONE;
+
+  /** Whether the caller has received events before this stream. */
   private boolean resumed;
+
   private boolean hasEvents;
 
   EventRelay(long lastId) {
@@ -142,8 +145,8 @@
     return pending;
   }
 
-  /** Starts the stream of another endpoint; a partial event of the one before is discarded. */
-  void resume() {
+  /** Starts the stream of the next endpoint; a partial event of the one before is discarded. */
+  void begin() {
     pending = new byte[0];
     resumed = lastId != NONE;
     hasEvents = false;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
@@ -46,7 +46,7 @@
 
   /** Sends the head of a stream, unless this is a resumption; the last event is not repeated. */
   void begin(int status, HttpHeaders headers) {
-    events.resume();
+    events.begin();
     if (!started) {
       started = true;
       context.metrics().time("sequoiapass_first_event_ms", sinceArrival());
