Log the software version of endpoints and what a request resumes

Three hypotheses of how streams come to hold events of two software versions could not be told apart: no log line had a version, nor said which attempt of a caller a request takes up.

The version is decoded from the endpoint's entry, sent with the endpoint list, and logged with endpoint_known; sent has the version, the last event and the attempt that is resumed. Nothing decides by it yet.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/EntryFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/EntryFrames.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.gateway.spi.EndpointEntry;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -48,6 +49,7 @@
     out.packInt(entry.slots());
     out.packBoolean(entry.leaving());
     out.packLong(entry.startTimeMs());
+    out.packString(entry.software().value());
     LinkFrames.list(out, entry.models(), EntryFrames::writeModel);
   }
 
@@ -98,6 +100,7 @@
         in.unpackInt(),
         in.unpackBoolean(),
         in.unpackLong(),
+        new SoftwareVersion(in.unpackString()),
         LinkFrames.list(in, EntryFrames::readModel));
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -327,6 +327,7 @@
         .with("endpoint", entry.endpoint())
         .with("service", entry.service())
         .with("data_centre", entry.dataCentre())
+        .with("software", entry.software())
         .with("leaving", entry.leaving())
         .with("born_ms", entry.startTimeMs())
         .with("revision", revision)
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.EngineSpec;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.Optional;
 import java.util.OptionalDouble;
 
@@ -21,6 +22,7 @@
   private final Optional<Generation> generation;
   private final long sentAt;
   private final long processStartMs;
+  private final SoftwareVersion software;
   private final Load load;
   private final long backlog;
   private final double usualMs;
@@ -36,6 +38,7 @@
     this.generation = generation;
     this.sentAt = now;
     this.processStartMs = state.entry.startTimeMs();
+    this.software = state.entry.software();
     this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
     this.runningBefore = state.own.plus(state.others).running();
     this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
@@ -71,6 +74,11 @@
     }
   }
 
+  /** Returns the software version of the process that the request is sent to. */
+  public SoftwareVersion software() {
+    return software;
+  }
+
   /** Returns the limit that the endpoint has named, in requests a second. */
   public OptionalDouble requestsPerS() {
     synchronized (group) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -263,8 +263,7 @@
       return;
     }
     context.peers().path().sent();
-    requestLog.sent(
-        choice, ticket.get(), attempts.sends(), origin.waitedMs(now), demand.remainingMs());
+    requestLog.sent(choice, ticket.get(), attempts, response.lastEvent(), origin, now);
     HttpCall call = forward.to(target.get(), demand.remainingMs(), response.lastEvent());
     attempt =
         new EndpointAttempt(
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -26,6 +26,7 @@
   private final String requestId;
   private final String adapter;
   private final String workspace;
+  private final String resumes;
 
   RequestLog(
       RelayContext context,
@@ -37,13 +38,20 @@
     this.route = route;
     this.forPeer = forPeer;
     this.requestId = facts.requestId();
+    this.resumes = facts.resumes().orElse("");
     this.adapter =
         facts.generation().flatMap(Generation::adapter).map(AdapterName::toString).orElse("");
     this.workspace = access.identity().workspace().map(WorkspaceId::toString).orElse("");
   }
 
   /** Logs that the request is sent, with the estimates that the choice of the endpoint rests on. */
-  void sent(Choice.Send choice, EndpointTicket ticket, int send, long waitedMs, long leftMs) {
+  void sent(
+      Choice.Send choice,
+      EndpointTicket ticket,
+      AttemptCount attempts,
+      long lastEvent,
+      RequestOrigin origin,
+      long now) {
     Candidate candidate = choice.candidate();
     OptionalDouble limit = ticket.requestsPerS();
     if (limit.isPresent()) {
@@ -56,11 +64,14 @@
         .with("route", route.name())
         .with("adapter", adapter)
         .with("endpoint", candidate.endpoint())
+        .with("software", ticket.software())
+        .with("last_event", lastEvent)
+        .with("resumes", resumes)
         .with("near", candidate.near())
-        .with("send", send)
+        .with("send", attempts.sends())
         .with("expected_ms", choice.expectedMs())
-        .with("waited_ms", waitedMs)
-        .with("left_ms", leftMs)
+        .with("waited_ms", origin.waitedMs(now))
+        .with("left_ms", origin.remainingMs(now))
         .with("running", candidate.load().running())
         .with("prefill_tokens", candidate.load().prefillTokens())
         .with("recent_tokens", candidate.load().recentTokens())
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointEntry.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/EndpointEntry.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
  * @param leaving whether it is draining and takes no new work
  * @param startTimeMs when its process started, in milliseconds since 1970; 0 if not stated. An
  *     endpoint of the same name with another start time has lost all state
+ * @param software the version of its software
  * @param models the base models that it holds
  */
 public record EndpointEntry(
@@ -34,6 +36,7 @@
     int slots,
     boolean leaving,
     long startTimeMs,
+    SoftwareVersion software,
     List<HeldModel> models) {
 
   /** Copies the models. */
@@ -54,6 +57,7 @@
         && slots == other.slots
         && leaving == other.leaving
         && startTimeMs == other.startTimeMs
+        && software.equals(other.software)
         && modelNames().equals(other.modelNames());
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -18,6 +18,7 @@
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
@@ -51,6 +52,7 @@
         96,
         true,
         1_700_000_000_000L,
+        new SoftwareVersion("v1.2"),
         List.of(new EndpointEntry.HeldModel(ADAPTER.model(), 2, Map.of(ADAPTER.adapter(), 3L))));
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointDirectoryTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointDirectoryTest.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.gateway.spi.StoreList;
 import io.sequoiapass.gateway.spi.Stored;
 import io.sequoiapass.gateway.version.AdapterVersions;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -35,6 +36,7 @@
         96,
         leaving,
         1,
+        SoftwareVersion.UNSTATED,
         List.of());
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -16,6 +16,7 @@
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
 import io.sequoiapass.gateway.version.ModelSpec;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -58,6 +59,7 @@
         96,
         leaving,
         1,
+        SoftwareVersion.UNSTATED,
         List.of(new EndpointEntry.HeldModel(MODEL, 1, Map.of())));
   }
 
@@ -70,6 +72,7 @@
         before.slots(),
         before.leaving(),
         before.startTimeMs() + 1,
+        SoftwareVersion.UNSTATED,
         before.models());
   }
 
@@ -531,6 +534,7 @@
               96,
               false,
               2,
+              SoftwareVersion.UNSTATED,
               List.of(new EndpointEntry.HeldModel(MODEL, 1, Map.of())));
 
       assertThat(group.put(again, true, 100)).isTrue();
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
@@ -9,6 +9,7 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.EngineSpec;
 import io.sequoiapass.gateway.version.ModelSpec;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -58,6 +59,7 @@
         96,
         false,
         startTimeMs,
+        SoftwareVersion.UNSTATED,
         holdsModel ? List.of(new EndpointEntry.HeldModel(MODEL, 1, Map.of())) : List.of());
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/WorkspaceGateTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/WorkspaceGateTest.java
@@ -103,6 +103,7 @@
         OptionalLong.empty(),
         Optional.empty(),
         OptionalLong.empty(),
+        Optional.empty(),
         OptionalLong.of(1_540),
         Optional.ofNullable(secret).map(ApiKey::of));
   }
