Continue a stream only at the software version that began it

Callers saw streams with events of two software versions of a service.

Cause: an endpoint's version was decoded by nothing, so neither a daemon's own failover nor a caller's resumption at another daemon could ask for it; who began a stream was known only to the daemon that had relayed it, which is often the one that has just failed. The class: what must stay the same over the attempts of a request is kept in the process that made the first.

Change: a stream is bound to the version of the endpoint that wrote its first event (StreamBinding), and each choice, ticket and load request of it asks for that version; a peer is told the version and states the one that began. A daemon tells two to four others which version began its streams (StreamReplication) and a daemon that is asked to resume one it does not know asks all others (StreamSearch). What nobody knows, and what no endpoint can serve, is refused at once. Coordinators name the daemons of their region for that (MemberUpdates).

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
@@ -67,6 +67,11 @@
   DEADLINE_PASSED_AFTER_START(504, UNKNOWN, IF_REPEATABLE, "The deadline passed after the start."),
   /** No endpoint can take the request. */
   NO_ENDPOINT(503, NOT_RUN, SAFE, 1_000, "No endpoint can take the request."),
+  /**
+   * No endpoint of the software version that began the stream is known, or nobody knows that
+   * version; other versions must not continue it.
+   */
+  STREAM_NOT_RESUMABLE(503, NOT_RUN, CHANGE_FIRST, "The stream cannot continue; begin it anew."),
   /** This daemon has no path to the endpoints, and no peer that has one; others may have one. */
   ENDPOINTS_UNREACHABLE(503, NOT_RUN, SAFE, 100, "This daemon cannot reach the endpoints."),
   /** The adapter could not be loaded. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/EntryFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/EntryFrames.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.connection;
 
 import io.sequoiapass.coordination.AdapterId;
+import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
@@ -16,7 +17,10 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Encodes and decodes the entries of the endpoint list within a frame. The methods are pure. */
+/**
+ * Encodes and decodes entries of the endpoint list and of the daemons within a frame. The methods
+ * are pure.
+ */
 final class EntryFrames {
 
   private EntryFrames() {}
@@ -53,6 +57,32 @@
     LinkFrames.list(out, entry.models(), EntryFrames::writeModel);
   }
 
+  static void write(MessageBufferPacker out, LinkMessage.Members members) throws IOException {
+    out.packBoolean(members.snapshot());
+    LinkFrames.list(
+        out,
+        members.joined(),
+        (to, member) -> {
+          to.packString(member.daemon().value());
+          to.packString(member.dataCentre().value());
+          writeAddress(to, member.address());
+        });
+    LinkFrames.list(out, members.left(), (to, daemon) -> to.packString(daemon.value()));
+  }
+
+  static LinkMessage.Members readMembers(MessageUnpacker in) throws IOException {
+    return new LinkMessage.Members(
+        in.unpackBoolean(),
+        LinkFrames.list(
+            in,
+            from ->
+                new LinkMessage.Member(
+                    new DaemonId(from.unpackString()),
+                    new DataCentreId(from.unpackString()),
+                    readAddress(from))),
+        LinkFrames.list(in, from -> new DaemonId(from.unpackString())));
+  }
+
   static void writeAddress(MessageBufferPacker out, InetSocketAddress address) throws IOException {
     byte[] ip = address.getAddress().getAddress();
     out.packBinaryHeader(ip.length);
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -49,6 +49,7 @@
   private static final int PERMIT_REQUEST = 11;
   private static final int PERMIT_REPLY = 12;
   private static final int PEERS = 13;
+  private static final int MEMBERS = 14;
 
   private LinkFrames() {}
 
@@ -214,6 +215,9 @@
             to.packString(peer.daemon().value());
             EntryFrames.writeAddress(to, peer.address());
           });
+    } else if (message instanceof LinkMessage.Members members) {
+      out.packInt(MEMBERS);
+      EntryFrames.write(out, members);
     } else {
       throw new IllegalArgumentException("no frame for " + message);
     }
@@ -394,6 +398,7 @@
               list(in, from -> new LinkMessage.Release(readAdapter(from), from.unpackLong())));
       case PERMIT_REQUEST -> readPermitRequest(in);
       case PERMIT_REPLY -> readPermitReply(in);
+      case MEMBERS -> EntryFrames.readMembers(in);
       case PEERS -> new LinkMessage.Peers(list(in, LinkFrames::readPeer));
       default -> throw new IOException("unknown message type " + type);
     };
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -57,6 +57,31 @@
    */
   record Peer(DaemonId daemon, InetSocketAddress address) {}
 
+  /**
+   * A coordinator names the daemons that are linked to it, the receiver among them.
+   *
+   * @param snapshot whether these are all daemons rather than changes
+   * @param joined daemons that are new or have another address
+   * @param left daemons that are not linked any more
+   */
+  record Members(boolean snapshot, List<Member> joined, List<DaemonId> left)
+      implements LinkMessage {
+    /** Copies the lists. */
+    public Members {
+      joined = List.copyOf(joined);
+      left = List.copyOf(left);
+    }
+  }
+
+  /**
+   * A daemon that is linked to a coordinator.
+   *
+   * @param daemon its name
+   * @param dataCentre where it runs
+   * @param address where it accepts requests of other daemons
+   */
+  record Member(DaemonId daemon, DataCentreId dataCentre, InetSocketAddress address) {}
+
   /**
    * A daemon reports its load on the coordinator's endpoints; an endpoint that is not listed has
    * none.
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/PeerRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/PeerRequest.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.gateway.spi.CallerIdentity;
 import io.sequoiapass.gateway.version.RequestKind;
 import io.sequoiapass.gateway.version.RouteSpec;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.io.IOException;
 import java.util.Base64;
 import java.util.List;
@@ -33,6 +34,7 @@
  * @param remainingMs how long the caller still waits, in milliseconds
  * @param runs the number of attempts that may have run
  * @param lastEventId the last event that the caller has received; empty if there is none
+ * @param software the software version that has to serve the request; empty if any may
  */
 public record PeerRequest(
     DaemonId from,
@@ -43,7 +45,8 @@
     long waitedMs,
     long remainingMs,
     int runs,
-    OptionalLong lastEventId) {
+    OptionalLong lastEventId,
+    Optional<SoftwareVersion> software) {
 
   /** The header that carries this record. */
   public static final String HEADER = "Peer-Request";
@@ -54,6 +57,9 @@
   /** The header of an answer with the time after which to retry, in milliseconds. */
   public static final String RETRY_AFTER_HEADER = "Peer-Retry-After-Ms";
 
+  /** The header of an answer with the software version of the endpoint that answers. */
+  public static final String SOFTWARE_HEADER = "Peer-Software-Version";
+
   private static final long NO_EVENT = -1;
   private static final int NO_PRIORITY = -1;
 
@@ -72,6 +78,8 @@
               out.packLong(remainingMs);
               out.packInt(runs);
               out.packLong(lastEventId.orElse(NO_EVENT));
+              out.packBoolean(software.isPresent());
+              out.packString(software.map(SoftwareVersion::value).orElse(""));
             });
     return Base64.getEncoder().encodeToString(bytes);
   }
@@ -110,7 +118,8 @@
           in.unpackLong(),
           in.unpackLong(),
           in.unpackInt(),
-          readLastEvent(in));
+          readLastEvent(in),
+          readSoftware(in));
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
       throw new LinkFrames.FormatException("malformed request of a peer: " + e.getMessage(), e);
     }
@@ -147,6 +156,12 @@
     return priority == NO_PRIORITY ? OptionalInt.empty() : OptionalInt.of(priority);
   }
 
+  private static Optional<SoftwareVersion> readSoftware(MessageUnpacker in) throws IOException {
+    boolean isBound = in.unpackBoolean();
+    SoftwareVersion software = new SoftwareVersion(in.unpackString());
+    return isBound ? Optional.of(software) : Optional.empty();
+  }
+
   private static OptionalLong readLastEvent(MessageUnpacker in) throws IOException {
     long event = in.unpackLong();
     return event == NO_EVENT ? OptionalLong.empty() : OptionalLong.of(event);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -26,6 +26,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -41,6 +42,7 @@
   private final HostSettings.Bounds bounds;
   private final IntSupplier daemons;
   private final WorkspaceGate gate;
+  private final StreamResumption resumption;
   private final Map<ServiceId, SharedRetryBudget> budgets = new ConcurrentHashMap<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile DrainSchedule drain = DrainSchedule.NEVER;
@@ -51,13 +53,15 @@
       EndpointDirectory directory,
       HostSettings.Bounds bounds,
       IntSupplier daemons,
-      WorkspaceGate gate) {
+      WorkspaceGate gate,
+      StreamResumption resumption) {
     this.context = context;
     this.configuration = configuration;
     this.directory = directory;
     this.bounds = bounds;
     this.daemons = daemons;
     this.gate = gate;
+    this.resumption = resumption;
   }
 
   /** Returns the number of requests in flight. */
@@ -112,7 +116,31 @@
     long now = context.clock().millis();
     budget(service).requestArrived(now);
     RequestOrigin origin = RequestOrigin.caller(route.get(), facts, now);
-    start(service, route.get(), new CallerExchange(request, facts, access, origin, responder));
+    CallerExchange exchange = new CallerExchange(request, facts, access, origin, responder);
+    if (StreamResumption.isNeeded(route.get(), facts)) {
+      resume(route.get(), exchange);
+    } else {
+      start(service, route.get(), exchange);
+    }
+  }
+
+  /** Starts a request that continues a stream, once it is known who began it. */
+  private void resume(RouteSpec route, CallerExchange exchange) {
+    inFlight.incrementAndGet();
+    AtomicBoolean left = new AtomicBoolean();
+    exchange.responder().onClose(() -> left.set(true));
+    resumption
+        .find(route, exchange.facts())
+        .whenComplete(
+            (found, failure) -> {
+              if (!left.get() && failure == null && found.isPresent()) {
+                start(found.get().service(), route, exchange.boundTo(found.get().software()));
+              } else {
+                exchange.access().notRun().run();
+                refuse(ErrorKind.STREAM_NOT_RESUMABLE, exchange.facts(), exchange.responder());
+              }
+              inFlight.decrementAndGet();
+            });
   }
 
   private OptionalLong charge(WorkspaceGate.Verdict.Known caller, CallerFacts facts) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -63,6 +63,7 @@
   private final LongPredicate mayOrder;
   private final PermitGrants permits;
   private final PeerOffers peers = new PeerOffers();
+  private final MemberUpdates members = new MemberUpdates();
   private final Runnable onFenced;
   private DaemonView view = DaemonView.NONE;
   private final Map<FrameChannel, LinkedDaemon> links = new HashMap<>();
@@ -125,14 +126,6 @@
     this.onFenced = onFenced;
   }
 
-  /**
-   * A coordinator's daemon and data centre.
-   *
-   * @param daemon this daemon
-   * @param dataCentre its data centre
-   */
-  record CoordinatorSettings(DaemonId daemon, DataCentreId dataCentre) {}
-
   /**
    * Protocol, client, executor, clock, log and versions.
    *
@@ -281,6 +274,7 @@
       releases.clear();
     }
     links.forEach(this::queueEndpoints);
+    members.queue(links);
     allocateUsage(now);
     queueAll(status());
     endpointUpdates.drain().ifPresent(this::queueAll);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -92,6 +92,9 @@
     /** Called when a coordinator has selected peers for this daemon. */
     void peersSelected(LinkMessage.Peers peers);
 
+    /** Called when the coordinator of a data centre names the daemons that are linked to it. */
+    void membersNamed(DataCentreId coordinator, LinkMessage.Members members);
+
     /** Called when a coordinator's first status arrives, or its link is lost. */
     void changed();
   }
@@ -341,6 +344,8 @@
       directory.groupOf(reply.endpoint()).ifPresent(group -> permitReplied(group, reply));
     } else if (message instanceof LinkMessage.Peers peers) {
       listener.peersSelected(peers);
+    } else if (message instanceof LinkMessage.Members members) {
+      listener.membersNamed(dataCentre, members);
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Demand.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Demand.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.gateway.request.Generation;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.Optional;
 import java.util.Set;
 
@@ -10,6 +11,17 @@
  *
  * @param generation the generation; empty for a plain call
  * @param avoid endpoints that failed the request before
+ * @param software the software version that has to serve it; empty if any may
  * @param remainingMs time until the caller's deadline, in milliseconds
  */
-public record Demand(Optional<Generation> generation, Set<EndpointId> avoid, long remainingMs) {}
+public record Demand(
+    Optional<Generation> generation,
+    Set<EndpointId> avoid,
+    Optional<SoftwareVersion> software,
+    long remainingMs) {
+
+  /** Returns whether an endpoint of a software version may serve the request. */
+  boolean allows(SoftwareVersion version) {
+    return software.isEmpty() || software.get().equals(version);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -13,6 +13,7 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -67,6 +68,7 @@
   private final DataCentreId here;
   private final AdapterVersions versions;
   private final EndpointChooser chooser;
+  private final Set<SoftwareVersion> softwareVersions = new HashSet<>();
   final EndpointHealth health = new EndpointHealth(HEALTH);
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   final MovingAverage tokensPerMs = new MovingAverage(FIRST_TOKENS_PER_MS, 4, 400);
@@ -118,6 +120,7 @@
       state = new EndpointState(entry, () -> loadTimes(entry.dataCentre()).cacheDepth(), random);
       endpoints.put(entry.endpoint(), state);
     }
+    softwareVersions.add(entry.software());
     boolean restarted = state.entry.startTimeMs() != entry.startTimeMs();
     state.entry = entry;
     state.retiredAt = EndpointState.NEVER;
@@ -173,7 +176,8 @@
     long readyInMs = Long.MAX_VALUE;
     long holderInMs = Long.MAX_VALUE;
     for (EndpointState state : endpoints.values()) {
-      if (state.isResting(now) && state.takesWork(now) && holdsModel(state, demand)) {
+      boolean serves = demand.allows(state.entry.software()) && holdsModel(state, demand);
+      if (serves && state.isResting(now) && state.takesWork(now)) {
         long restMs = state.restsUntil - now;
         readyInMs = Math.min(readyInMs, restMs);
         holderInMs = readyInMs(state, demand, now) < 0 ? holderInMs : Math.min(holderInMs, restMs);
@@ -269,30 +273,35 @@
     EndpointId id = state.entry.endpoint();
     return state.takesWork(now)
         && !state.isResting(now)
+        && demand.allows(state.entry.software())
         && (!healthyOnly || (health.admits(id, now) && !demand.avoid().contains(id)))
         && holdsModel(state, demand);
   }
 
   /**
    * Returns the endpoints that a request must not use: those that failed it, unhealthy ones, those
-   * that leave or rest, and those that accept only so many requests. Empty if there are no others.
+   * that leave or rest, those that accept only so many requests, and those of another software
+   * version. If there are no others, only the last.
    */
   public synchronized Set<EndpointId> excluded(Demand demand, long now) {
+    Set<EndpointId> unsuitable = new HashSet<>();
     Set<EndpointId> excluded = new HashSet<>();
     boolean others = false;
     for (EndpointState state : endpoints.values()) {
-      if (state.leavingStated || state.permits.isLimited() || state.isResting(now)) {
+      if (!demand.allows(state.entry.software())) {
+        unsuitable.add(state.entry.endpoint());
+      } else if (state.leavingStated || state.permits.isLimited() || state.isResting(now)) {
         excluded.add(state.entry.endpoint());
       } else {
         others |= isCandidate(state, demand, now, true);
       }
     }
-    if (!others) {
-      return Set.of();
+    if (others) {
+      unsuitable.addAll(excluded);
+      unsuitable.addAll(demand.avoid());
+      unsuitable.addAll(health.excluded(now));
     }
-    excluded.addAll(demand.avoid());
-    excluded.addAll(health.excluded(now));
-    return excluded;
+    return unsuitable;
   }
 
   private static boolean holdsModel(EndpointState state, Demand demand) {
@@ -382,7 +391,10 @@
    */
   public synchronized Optional<EndpointTicket> begin(EndpointId endpoint, Demand demand, long now) {
     EndpointState state = endpoints.get(endpoint);
-    if (state == null || !gate.maySend(state, now) || !state.permits.take(now)) {
+    if (state == null
+        || !demand.allows(state.entry.software())
+        || !gate.maySend(state, now)
+        || !state.permits.take(now)) {
       return Optional.empty();
     }
     EndpointTicket ticket = new EndpointTicket(this, state, demand.generation(), now);
@@ -570,6 +582,11 @@
     return count;
   }
 
+  /** Returns the software versions of all endpoints that this daemon has known. */
+  synchronized Set<SoftwareVersion> softwareVersions() {
+    return Set.copyOf(softwareVersions);
+  }
+
   synchronized List<EndpointEntry> entries(long now) {
     return endpoints.values().stream()
         .filter(state -> state.takesWork(now))
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -29,7 +29,6 @@
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.ServingConfiguration;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -110,9 +109,6 @@
 
   private static final long STOP_POLL_MS = 50;
 
-  private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
-
   /** Limits until the first configuration is read. */
   private static final ConnectionLimits FIRST_LIMITS =
       new ConnectionLimits(16 << 10, 4 << 20, 3_000, 15_000);
@@ -131,6 +127,8 @@
   private final PendingRequests waiting = new PendingRequests();
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final PeerDirectory peers = new PeerDirectory(clock);
+  private final StreamVersions streams = new StreamVersions(clock);
+  private final MemberDirectory members;
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
   private CoordinationNode node;
@@ -148,6 +146,7 @@
     this.loops = SocketTransport.best().group(settings.cores());
     long graceMs = (long) (settings.bounds().versionMs() * OLD_VERSION_SHARE);
     this.versions = new AdapterVersions(graceMs);
+    this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
   }
 
@@ -187,6 +186,7 @@
             deployment.endpointProtocol(),
             new AdapterLoads(node, directory, versions),
             new PeerForwarder(settings.daemon(), path, peers, http, deployment.callerProtocol()),
+            streams,
             waiting,
             loops,
             clock,
@@ -194,29 +194,26 @@
             metrics);
     gate =
         new WorkspaceGate(currency, throttle, configuration::get, this::clocks, settings.bounds());
+    StreamVersionLinks streamLinks = new StreamVersionLinks(streams, members, http, loops, clock);
     callers =
         new CallerHandler(
-            context, configuration::get, directory, settings.bounds(), () -> node.daemons(), gate);
+            context,
+            configuration::get,
+            directory,
+            settings.bounds(),
+            () -> node.daemons(),
+            gate,
+            new StreamResumption(streamLinks, directory));
     startFeeds(store);
     callerServer =
         HttpServer.builder(loops, callers).limits(this::limits).start(settings.callers());
     peerServer =
-        HttpServer.builder(loops, new PeerHandler(context, callers, gate, () -> draining))
+        HttpServer.builder(
+                loops, streamLinks.handler(new PeerHandler(context, callers, gate, () -> draining)))
             .limits(() -> PeerHandler.limits(limits()))
             .start(settings.peers());
-    HttpServer.builder(
-            loops,
-            (request, responder) ->
-                responder.respond(isReady() ? OK : UNAVAILABLE, Map.of(), new byte[0]))
-        .start(settings.readiness());
-    if (metricsPort.isPresent()) {
-      String host = settings.callers().getHostString();
-      HttpServer.builder(
-              loops,
-              (request, responder) ->
-                  responder.respond(OK, Map.of("Content-Type", "text/plain"), metrics.text()))
-          .start(new InetSocketAddress(host, metricsPort.getAsInt()));
-    }
+    streamLinks.start();
+    StatusServers.start(loops, settings, this::isReady, metricsPort, metrics);
     loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -276,7 +273,7 @@
         new ModelLoadLimiter(settings.bounds().loadWindowMs(), settings.regions().size());
     coordinator =
         new Coordinator(
-            new Coordinator.CoordinatorSettings(settings.daemon(), settings.dataCentre()),
+            new CoordinatorSettings(settings.daemon(), settings.dataCentre()),
             directory,
             new PlacementPlan(versions, modelLoads, new LoadTime(directory)),
             new Coordinator.Io(deployment.endpointProtocol(), calls, loops, clock, log, versions),
@@ -566,6 +563,11 @@
       peers.update(selected);
     }
 
+    @Override
+    public void membersNamed(DataCentreId coordinator, LinkMessage.Members named) {
+      members.update(coordinator, named);
+    }
+
     @Override
     public void released(LinkMessage.Release release) {
       Gateway.this.released(release.adapter(), release.version(), "coordinator");
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
@@ -16,6 +16,7 @@
   boolean servesPeers = true;
   InetSocketAddress peerAddress;
   boolean hasEndpoints;
+  boolean hasMembers;
   long endpointsRevision;
 
   /** The daemon's clocks in its last report. */
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StreamReplication.java
@@ -0,0 +1,126 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.version.StreamVersion;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Decides which of this daemon's streams are sent to which other daemons, which keep them for the
+ * case that this one fails.
+ *
+ * <pre>{@code
+ * for (Batch batch : replication.due(members.ranked(), members.keepers(), now)) {
+ *   send(batch);   // then delivered(batch, process), or failed(batch, now)
+ * }
+ * }</pre>
+ *
+ * <p>A daemon that takes the place of another, and one whose process is new, gets all streams that
+ * are still kept. Safe for use by several threads.
+ */
+final class StreamReplication {
+
+  /** Largest number of streams in a batch: 18 KB. */
+  private static final int MAX_BATCH = 2_000;
+
+  /** How long a daemon that could not be reached is left out, in milliseconds. */
+  private static final long EXCLUSION_MS = 1_000;
+
+  private static final class Keeper {
+    private long next;
+    private boolean sending;
+    private String process = "";
+    private long excludedUntil = Long.MIN_VALUE;
+  }
+
+  private final StreamVersions versions;
+  private final Map<DaemonId, Keeper> keepers = new HashMap<>();
+
+  /**
+   * Creates a replication to no daemons.
+   *
+   * @param versions this daemon's streams
+   */
+  StreamReplication(StreamVersions versions) {
+    this.versions = versions;
+  }
+
+  /**
+   * Streams that one daemon is to keep.
+   *
+   * @param to the daemon
+   * @param streams the keys of the streams that each version began
+   * @param next the number of the first stream after them
+   */
+  record Batch(LinkMessage.Member to, Map<StreamVersion, List<Long>> streams, long next) {}
+
+  /**
+   * Returns the batches that are due; each has to be reported as delivered or failed.
+   *
+   * @param ranked the other daemons, best first
+   * @param count how many of them keep the streams
+   * @param now the time, in milliseconds
+   */
+  synchronized List<Batch> due(List<LinkMessage.Member> ranked, int count, long now) {
+    keepers.keySet().retainAll(ranked.stream().map(LinkMessage.Member::daemon).toList());
+    List<Batch> due = new ArrayList<>();
+    int chosen = 0;
+    for (LinkMessage.Member member : ranked) {
+      if (chosen == count) {
+        break;
+      }
+      Keeper keeper = keepers.computeIfAbsent(member.daemon(), any -> new Keeper());
+      if (now < keeper.excludedUntil) {
+        continue;
+      }
+      chosen++;
+      if (!keeper.sending) {
+        List<StreamVersions.OwnStream> streams = versions.own(keeper.next);
+        if (!streams.isEmpty()) {
+          keeper.sending = true;
+          due.add(batch(member, streams.subList(0, Math.min(MAX_BATCH, streams.size()))));
+        }
+      }
+    }
+    return due;
+  }
+
+  private static Batch batch(LinkMessage.Member to, List<StreamVersions.OwnStream> streams) {
+    Map<StreamVersion, List<Long>> byVersion = new LinkedHashMap<>();
+    streams.forEach(
+        stream ->
+            byVersion
+                .computeIfAbsent(stream.version(), any -> new ArrayList<>())
+                .add(stream.key()));
+    return new Batch(to, byVersion, streams.get(streams.size() - 1).number() + 1);
+  }
+
+  /**
+   * Records that a daemon keeps the streams of a batch.
+   *
+   * @param batch the batch
+   * @param process identifies the daemon's process; another one than before has lost earlier ones
+   */
+  synchronized void delivered(Batch batch, String process) {
+    Keeper keeper = keepers.get(batch.to().daemon());
+    if (keeper != null) {
+      boolean lost = !keeper.process.isEmpty() && !keeper.process.equals(process);
+      keeper.process = process;
+      keeper.sending = false;
+      keeper.next = lost ? 0 : batch.next();
+    }
+  }
+
+  /** Records that a batch may not have arrived; the next daemon takes its place for a while. */
+  synchronized void failed(Batch batch, long now) {
+    Keeper keeper = keepers.get(batch.to().daemon());
+    if (keeper != null) {
+      keeper.sending = false;
+      keeper.excludedUntil = now + EXCLUSION_MS;
+    }
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/CallerExchange.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerExchange.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.HttpResponder;
 import io.sequoiapass.gateway.spi.CallerFacts;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 
 /**
  * A caller's request, what is known about it, and its responder.
@@ -18,4 +19,10 @@
     CallerFacts facts,
     CallerAccess access,
     RequestOrigin origin,
-    HttpResponder responder) {}
+    HttpResponder responder) {
+
+  /** Returns the same exchange of a request that one software version has to serve. */
+  public CallerExchange boundTo(SoftwareVersion version) {
+    return new CallerExchange(request, facts, access, origin.boundTo(version), responder);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.gateway.process.EndpointTicket;
 import io.sequoiapass.gateway.process.PathMonitor;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.Optional;
 
 /** An attempt at an endpoint, over a connection of this daemon. */
@@ -27,6 +28,11 @@
     this.path = path;
   }
 
+  @Override
+  SoftwareVersion software() {
+    return ticket.software();
+  }
+
   @Override
   Optional<EndpointId> endpoint() {
     return Optional.of(ticket.endpoint());
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -25,6 +25,24 @@
   /** A stream counts as stalled after this multiple of the route's target gap. */
   private static final long STALL_GAPS = 3;
 
+  /** Timeout of a call to an endpoint beyond the request's deadline, in milliseconds. */
+  static final long CALL_SLACK_MS = 300;
+
+  /**
+   * How long a request waits until a further copy of its adapter is loading, in milliseconds; then
+   * it is sent to the existing copy.
+   */
+  static final long COPY_WAIT_MS = 60;
+
+  /**
+   * Delay before an endpoint that does not hold the adapter yet is tried again, in milliseconds for
+   * each attempt so far.
+   */
+  static final long EARLY_RETRY_MS = 60;
+
+  /** Interval between checks while a request waits for an endpoint, in milliseconds. */
+  static final long ENDPOINT_CHECK_MS = 500;
+
   private EndpointTimeouts() {}
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
@@ -10,6 +10,8 @@
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.spi.ForwardTerms;
 import io.sequoiapass.gateway.version.RouteSpec;
+import io.sequoiapass.gateway.version.SoftwareVersion;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -61,9 +63,15 @@
    * @param now the time, in milliseconds
    * @param runs the number of attempts that may have run
    * @param lastEventId the last event that the caller has received
+   * @param software the software version that has to serve the request; empty if any may
    */
   PeerRequest decided(
-      DaemonId self, RequestOrigin origin, long now, int runs, OptionalLong lastEventId) {
+      DaemonId self,
+      RequestOrigin origin,
+      long now,
+      int runs,
+      OptionalLong lastEventId,
+      Optional<SoftwareVersion> software) {
     return new PeerRequest(
         self,
         service,
@@ -73,7 +81,8 @@
         origin.waitedMs(now),
         origin.remainingMs(now),
         runs,
-        lastEventId);
+        lastEventId,
+        software);
   }
 
   /** Returns which idle connections the request may be sent on. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.gateway.connection.PeerRequest;
 import io.sequoiapass.gateway.process.PeerDirectory;
 import io.sequoiapass.gateway.process.Recipient;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -14,6 +15,8 @@
   /** The peer's answer if no endpoint has answered; empty if one has. */
   private volatile Optional<PeerError> error = Optional.empty();
 
+  private volatile SoftwareVersion software = SoftwareVersion.UNSTATED;
+
   private final PeerDirectory.PeerTicket ticket;
 
   PeerAttempt(RelayedRequest request, PeerDirectory.PeerTicket ticket, long sentAt) {
@@ -63,6 +66,11 @@
     }
   }
 
+  @Override
+  SoftwareVersion software() {
+    return software;
+  }
+
   /** Once an answer has begun, its endpoint is the likely cause of its end, not the peer. */
   @Override
   Recipient.Ending lostEnding() {
@@ -83,7 +91,8 @@
   public void started(int status, HttpHeaders headers) {
     error = PeerError.read(headers);
     if (error.isEmpty()) {
-      super.started(status, headers);
+      software = new SoftwareVersion(headers.get(PeerRequest.SOFTWARE_HEADER, ""));
+      super.started(status, headers.copy().remove(PeerRequest.SOFTWARE_HEADER));
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PeerSender.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PeerSender.java
@@ -16,18 +16,21 @@
   private final ForwardedRequest forward;
   private final AttemptCount attempts;
   private final RequestLog requestLog;
+  private final StreamBinding binding;
 
   PeerSender(
       RelayContext context,
       RequestOrigin origin,
       ForwardedRequest forward,
       AttemptCount attempts,
-      RequestLog requestLog) {
+      RequestLog requestLog,
+      StreamBinding binding) {
     this.context = context;
     this.origin = origin;
     this.forward = forward;
     this.attempts = attempts;
     this.requestLog = requestLog;
+    this.binding = binding;
   }
 
   /**
@@ -60,7 +63,13 @@
             .send(
                 ticket.get(),
                 forward,
-                forward.decided(context.peers().self(), origin, now, attempts.runs(), lastEventId),
+                forward.decided(
+                    context.peers().self(),
+                    origin,
+                    now,
+                    attempts.runs(),
+                    lastEventId,
+                    binding.software()),
                 timeoutMs,
                 attempt);
     return Optional.of(attempt);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayAttempt.java
@@ -12,6 +12,7 @@
 import io.sequoiapass.daemon.connection.ResponseBody;
 import io.sequoiapass.gateway.process.Recipient;
 import io.sequoiapass.gateway.spi.AnswerClass;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 
@@ -51,6 +52,9 @@
     this.receivedAt = sentAt;
   }
 
+  /** Returns the software version of the endpoint that answers. */
+  abstract SoftwareVersion software();
+
   /** Returns the endpoint that the request was sent to; empty if a peer chooses it. */
   Optional<EndpointId> endpoint() {
     return Optional.empty();
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.gateway.process.DecisionLog;
 import io.sequoiapass.gateway.process.GatewayMetrics;
+import io.sequoiapass.gateway.process.StreamVersions;
 import io.sequoiapass.gateway.spi.CallerProtocol;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.version.AdapterName;
@@ -20,6 +21,7 @@
  * @param endpoints the wire protocol of the endpoints
  * @param adapters requests loads of adapters
  * @param peers sends requests through peers if this daemon has no path to the endpoints
+ * @param streams the streams that callers may resume at other daemons
  * @param waiting requests that wait for adapters
  * @param loop runs timers
  * @param clock the monotonic clock
@@ -32,6 +34,7 @@
     EndpointProtocol endpoints,
     AdapterSource adapters,
     PeerForwarder peers,
+    StreamVersions streams,
     PendingRequests waiting,
     ScheduledExecutorService loop,
     MillisClock clock,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -44,24 +44,6 @@
    */
   private static final long DEADLINE_SLACK_MS = 40;
 
-  /** Timeout of a call to an endpoint beyond the request's deadline, in milliseconds. */
-  private static final long CALL_SLACK_MS = 300;
-
-  /**
-   * How long a request waits until a further copy of its adapter is loading, in milliseconds; then
-   * it is sent to the existing copy.
-   */
-  private static final long COPY_WAIT_MS = 60;
-
-  /**
-   * Delay before an endpoint that does not hold the adapter yet is tried again, in milliseconds for
-   * each attempt so far.
-   */
-  private static final long EARLY_RETRY_MS = 60;
-
-  /** Interval between checks while a request waits for an endpoint, in milliseconds. */
-  private static final long ENDPOINT_CHECK_MS = 500;
-
   /** Retry advice to a caller whose request found no endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 300;
 
@@ -79,6 +61,7 @@
   private final Optional<AdapterName> adapter;
   private final RequestOrigin origin;
   private final ResponseRelay response;
+  private final StreamBinding binding;
   private final Runnable finished;
   private final AvoidedRecipients avoid = new AvoidedRecipients();
   private final RequestLog requestLog;
@@ -121,11 +104,12 @@
     this.forward =
         new ForwardedRequest(context.endpoints(), service, route, access, exchange.request());
     this.response = new ResponseRelay(context, exchange);
+    this.binding = new StreamBinding(context.streams(), service, route, facts, origin);
     this.finished = finished;
     this.wait = new RequestWait(context, group, adapter, this);
     this.responseTimer = new ResponseTimer(context.loop());
     this.requestLog = new RequestLog(context, route, facts, access, !origin.mayUsePeers());
-    this.peerSender = new PeerSender(context, origin, forward, attempts, requestLog);
+    this.peerSender = new PeerSender(context, origin, forward, attempts, requestLog, binding);
   }
 
   /** Returns when the request arrived, in milliseconds. */
@@ -187,7 +171,7 @@
       return;
     }
     search.excludeOverdue(now);
-    Demand demand = new Demand(facts.generation(), avoid.endpoints(), remainingMs);
+    Demand demand = demand(avoid, now);
     Choice choice = group.choose(demand, loadable(), now);
     if (choice instanceof Choice.Send send) {
       search.reset();
@@ -210,7 +194,12 @@
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, Math.max(RETRY_AFTER_MS, sentInMs)));
       return;
     }
-    wait.startForEndpoint(now, Math.min(ENDPOINT_CHECK_MS, choice.waitMs() + 1));
+    wait.startForEndpoint(now, Math.min(EndpointTimeouts.ENDPOINT_CHECK_MS, choice.waitMs() + 1));
+  }
+
+  private Demand demand(AvoidedRecipients avoided, long now) {
+    return new Demand(
+        facts.generation(), avoided.endpoints(), binding.software(), origin.remainingMs(now));
   }
 
   private EndpointChooser.Loadable loadable() {
@@ -233,7 +222,10 @@
       dispatch();
       return;
     }
-    wait.start(WaitTimes.Kind.SLOT, now, load.another() ? COPY_WAIT_MS : search.overdueAt() - now);
+    wait.start(
+        WaitTimes.Kind.SLOT,
+        now,
+        load.another() ? EndpointTimeouts.COPY_WAIT_MS : search.overdueAt() - now);
   }
 
   private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
@@ -268,7 +260,8 @@
     attempt =
         new EndpointAttempt(
             this, ticket.get(), choice.candidate().dataCentre(), context.peers().path(), now);
-    attempt.stream = context.http().stream(call, demand.remainingMs() + CALL_SLACK_MS, attempt);
+    attempt.stream =
+        context.http().stream(call, demand.remainingMs() + EndpointTimeouts.CALL_SLACK_MS, attempt);
     awaitResponse(
         attempt,
         facts.generation().isPresent()
@@ -278,7 +271,7 @@
 
   /** Sends the request through a peer; returns false if there is none or no send is allowed. */
   private boolean sendThroughPeer(long now) {
-    long timeoutMs = origin.remainingMs(now) + CALL_SLACK_MS;
+    long timeoutMs = origin.remainingMs(now) + EndpointTimeouts.CALL_SLACK_MS;
     Optional<PeerAttempt> sent = peerSender.send(this, avoid, response.lastEventId(), timeoutMs);
     if (sent.isEmpty()) {
       return false;
@@ -319,7 +312,7 @@
     if (context.peers().isNeeded()) {
       return FailoverPolicy.throughPeer(peerSender.isAvailable(others), attempts.budgetAllows(now));
     }
-    Demand demand = new Demand(facts.generation(), others.endpoints(), origin.remainingMs(now));
+    Demand demand = demand(others, now);
     Choice choice = group.choose(demand, loadable(), now);
     FailoverPolicy.Step step =
         FailoverPolicy.next(choice, from.endpoint(), attempts.budgetAllows(now));
@@ -344,7 +337,8 @@
       responseTimer.cancel();
       from.recipient.begun(now);
       if (from.isStream(answer)) {
-        response.begin(status, headers);
+        binding.headSent(from);
+        response.begin(status, headers, from.software());
         awaitResponse(from, EndpointTimeouts.stallMs(route));
       }
     }
@@ -366,6 +360,7 @@
     }
     from.recipient.progress(now());
     if (response.write(part)) {
+      binding.eventSent(from);
       awaitResponse(from, EndpointTimeouts.stallMs(route));
       if (!response.isWritable()) {
         from.stream.pause();
@@ -438,7 +433,7 @@
                 from.ticket.endpoint(),
                 adapter.get(),
                 now,
-                now + EARLY_RETRY_MS * attempts.sends());
+                now + EndpointTimeouts.EARLY_RETRY_MS * attempts.sends());
     if (adapter.isPresent() && !busy) {
       context.adapters().missed(from.dataCentre, from.ticket.endpoint(), adapter.get(), early);
     }
@@ -553,7 +548,8 @@
     } else if (attempts.runs() > 0) {
       fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
     } else {
-      refuse(refusal.kind(), OptionalLong.of(refusal.retryAfterMs()));
+      StreamBinding.Refusal stated = binding.refusal(refusal);
+      refuse(stated.kind(), stated.retryAfterMs());
     }
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestOrigin.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestOrigin.java
@@ -3,6 +3,8 @@
 import io.sequoiapass.gateway.connection.PeerRequest;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.version.RouteSpec;
+import io.sequoiapass.gateway.version.SoftwareVersion;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -12,10 +14,16 @@
  * @param deadlineAt until when the caller waits, in milliseconds of this daemon's clock
  * @param runs the number of attempts of the first daemon that may have run
  * @param lastEventId the last event that the caller has received; empty if there is none
+ * @param software the software version that has to serve it; empty if any may
  * @param errors how errors are stated
  */
 public record RequestOrigin(
-    long arrivedAt, long deadlineAt, int runs, OptionalLong lastEventId, ErrorFormat errors) {
+    long arrivedAt,
+    long deadlineAt,
+    int runs,
+    OptionalLong lastEventId,
+    Optional<SoftwareVersion> software,
+    ErrorFormat errors) {
 
   /**
    * Returns the origin of a caller's request.
@@ -26,7 +34,14 @@
    */
   public static RequestOrigin caller(RouteSpec route, CallerFacts facts, long now) {
     long allowedMs = Math.min(route.timeoutMs(), facts.deadlineMs().orElse(route.timeoutMs()));
-    return new RequestOrigin(now, now + allowedMs, 0, facts.lastEventId(), ErrorFormat.CALLER);
+    return new RequestOrigin(
+        now, now + allowedMs, 0, facts.lastEventId(), Optional.empty(), ErrorFormat.CALLER);
+  }
+
+  /** Returns the same origin of a request that one software version has to serve. */
+  public RequestOrigin boundTo(SoftwareVersion version) {
+    return new RequestOrigin(
+        arrivedAt, deadlineAt, runs, lastEventId, Optional.of(version), errors);
   }
 
   /**
@@ -41,6 +56,7 @@
         now + request.remainingMs(),
         request.runs(),
         request.lastEventId(),
+        request.software(),
         ErrorFormat.PEER);
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ResponseRelay.java
@@ -4,6 +4,10 @@
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.daemon.connection.BodyFraming;
 import io.sequoiapass.daemon.connection.HttpResponder;
+import io.sequoiapass.gateway.connection.PeerRequest;
+import io.sequoiapass.gateway.version.SoftwareVersion;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.OptionalLong;
 
 /**
@@ -44,13 +48,20 @@
     return started;
   }
 
-  /** Sends the head of a stream, unless this is a resumption; the last event is not repeated. */
-  void begin(int status, HttpHeaders headers) {
+  /**
+   * Sends the head of a stream, unless this is a resumption; the last event is not repeated. A peer
+   * gets the software version with it.
+   */
+  void begin(int status, HttpHeaders headers, SoftwareVersion software) {
     events.begin();
     if (!started) {
       started = true;
       context.metrics().time("sequoiapass_first_event_ms", sinceArrival());
-      responder.begin(status, context.endpoints().answerHeaders(headers));
+      Map<String, String> sent = new LinkedHashMap<>(context.endpoints().answerHeaders(headers));
+      if (!exchange.origin().mayUsePeers()) {
+        sent.put(PeerRequest.SOFTWARE_HEADER, software.value());
+      }
+      responder.begin(status, sent);
     }
   }
 
