Log the shared parts of the prompt of a request that is broken

Endpoints that end one after the other break off all their requests at once. No line said what those that were just beginning have in common, so a part of the prompt, a kind of request and the daemons' own repeats could not be told apart as the cause.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/Generation.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/Generation.java
@@ -39,6 +39,11 @@
     parts = List.copyOf(parts);
   }
 
+  /** Returns the parts that other requests may have, too: all but the last. */
+  public List<PromptPart> sharedParts() {
+    return parts.subList(0, Math.max(0, parts.size() - 1));
+  }
+
   /**
    * Returns the expected length of the answer, in tokens. Callers state a maximum; most answers
    * stay below it.
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -11,9 +11,11 @@
 import io.sequoiapass.gateway.spi.EndpointNotice;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.RouteSpec;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.stream.Collectors;
 
 /** Logs the decisions on one request. Used under the request's lock. */
 final class RequestLog {
@@ -27,6 +29,7 @@
   private final String adapter;
   private final String workspace;
   private final String resumes;
+  private final Optional<Generation> generation;
 
   RequestLog(
       RelayContext context,
@@ -39,6 +42,7 @@
     this.forPeer = forPeer;
     this.requestId = facts.requestId();
     this.resumes = facts.resumes().orElse("");
+    this.generation = facts.generation();
     this.adapter =
         facts.generation().flatMap(Generation::adapter).map(AdapterName::toString).orElse("");
     this.workspace = access.identity().workspace().map(WorkspaceId::toString).orElse("");
@@ -165,9 +169,17 @@
         .with("last_event", position.lastEvent())
         .with("framing", end.framing())
         .with("partial_bytes", position.partialBytes())
+        .with("shared_parts", sharedParts())
         .write();
   }
 
+  /** Returns the parts of the prompt that other requests may have, too. */
+  private String sharedParts() {
+    return generation.map(Generation::sharedParts).orElse(List.of()).stream()
+        .map(Generation.PromptPart::id)
+        .collect(Collectors.joining(","));
+  }
+
   /** Logs that the retry budget does not allow another attempt. */
   void retryDenied(AttemptCount attempts) {
     context.metrics().count("sequoiapass_retries_denied_total");
