Refuse requests with a part of the prompt that crashes endpoints

Cause: nothing connected the end of an endpoint's process with the requests that it was beginning, so each repeat and each new request carried the part to the next one. The class: a retry carries its cause to the next victim.

Change: an answer that breaks just after its head makes its daemon ask whether the process has ended (CrashWatch); if so, it reports the parts of the requests that were beginning to the coordinators, without those on which it has lately received an answer. Each attempt asks the verdicts before it is sent (PromptPartGuard), also through a peer; a refusal has no Retry-After. An answer on a part lifts any suspicion and verdict, daemons that start get all verdicts, new coordinators get them from the daemons.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
@@ -72,6 +72,8 @@
    * version; other versions must not continue it.
    */
   STREAM_NOT_RESUMABLE(503, NOT_RUN, CHANGE_FIRST, "The stream cannot continue; begin it anew."),
+  /** A part of the prompt has ended each endpoint that began to write an answer on it. */
+  PROMPT_CRASHES_ENDPOINTS(503, NOT_RUN, CHANGE_FIRST, "A part of the prompt crashes endpoints."),
   /** This daemon has no path to the endpoints, and no peer that has one; others may have one. */
   ENDPOINTS_UNREACHABLE(503, NOT_RUN, SAFE, 100, "This daemon cannot reach the endpoints."),
   /** The adapter could not be loaded. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -50,6 +50,9 @@
   private static final int PERMIT_REPLY = 12;
   private static final int PEERS = 13;
   private static final int MEMBERS = 14;
+  private static final int CRASH_REPORT = 15;
+  private static final int PARTS_CLEARED = 16;
+  private static final int PART_VERDICTS = 17;
 
   private LinkFrames() {}
 
@@ -218,6 +221,22 @@
     } else if (message instanceof LinkMessage.Members members) {
       out.packInt(MEMBERS);
       EntryFrames.write(out, members);
+    } else {
+      writePartMessage(out, message);
+    }
+  }
+
+  private static void writePartMessage(MessageBufferPacker out, LinkMessage message)
+      throws IOException {
+    if (message instanceof LinkMessage.CrashReport report) {
+      out.packInt(CRASH_REPORT);
+      PartFrames.write(out, report);
+    } else if (message instanceof LinkMessage.PartsCleared cleared) {
+      out.packInt(PARTS_CLEARED);
+      PartFrames.write(out, cleared.parts());
+    } else if (message instanceof LinkMessage.PartVerdicts verdicts) {
+      out.packInt(PART_VERDICTS);
+      PartFrames.write(out, verdicts);
     } else {
       throw new IllegalArgumentException("no frame for " + message);
     }
@@ -400,6 +419,15 @@
       case PERMIT_REPLY -> readPermitReply(in);
       case MEMBERS -> EntryFrames.readMembers(in);
       case PEERS -> new LinkMessage.Peers(list(in, LinkFrames::readPeer));
+      default -> readPartMessage(in, type);
+    };
+  }
+
+  private static LinkMessage readPartMessage(MessageUnpacker in, int type) throws IOException {
+    return switch (type) {
+      case CRASH_REPORT -> PartFrames.readReport(in);
+      case PARTS_CLEARED -> new LinkMessage.PartsCleared(PartFrames.readParts(in));
+      case PART_VERDICTS -> PartFrames.readVerdicts(in);
       default -> throw new IOException("unknown message type " + type);
     };
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -10,6 +10,7 @@
 import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
+import io.sequoiapass.gateway.process.PartKey;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.net.InetSocketAddress;
@@ -82,6 +83,64 @@
    */
   record Member(DaemonId daemon, DataCentreId dataCentre, InetSocketAddress address) {}
 
+  /**
+   * A daemon reports that an endpoint's process ended, and which requests were just beginning.
+   *
+   * @param process the endpoint's process
+   * @param suspects the requests, one of which may have caused it
+   */
+  record CrashReport(EndpointId process, List<CrashSuspect> suspects) implements LinkMessage {
+    /** Copies the list. */
+    public CrashReport {
+      suspects = List.copyOf(suspects);
+    }
+  }
+
+  /**
+   * A request that may have ended an endpoint's process.
+   *
+   * @param request stands for the request; the same for each attempt of it
+   * @param parts the parts of its prompt on which the daemon has received no answer lately
+   */
+  record CrashSuspect(long request, List<PartKey> parts) {
+    /** Copies the list. */
+    public CrashSuspect {
+      parts = List.copyOf(parts);
+    }
+  }
+
+  /**
+   * A daemon reports that it has received answers written on parts of prompts.
+   *
+   * @param parts the parts
+   */
+  record PartsCleared(List<PartKey> parts) implements LinkMessage {
+    /** Copies the list. */
+    public PartsCleared {
+      parts = List.copyOf(parts);
+    }
+  }
+
+  /**
+   * Which parts of prompts crash endpoints: from a coordinator, or from a daemon what it knew
+   * before.
+   *
+   * @param snapshot whether these are all parts rather than changes
+   * @param suspected parts on which a daemon may have received answers
+   * @param convicted parts that crash endpoints
+   * @param ended parts that are neither any more
+   */
+  record PartVerdicts(
+      boolean snapshot, List<PartKey> suspected, List<PartKey> convicted, List<PartKey> ended)
+      implements LinkMessage {
+    /** Copies the lists. */
+    public PartVerdicts {
+      suspected = List.copyOf(suspected);
+      convicted = List.copyOf(convicted);
+      ended = List.copyOf(ended);
+    }
+  }
+
   /**
    * A daemon reports its load on the coordinator's endpoints; an endpoint that is not listed has
    * none.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -395,6 +395,11 @@
     return link != null && link.send(request);
   }
 
+  /** Sends a message to all connected coordinators. */
+  void sendToAll(LinkMessage message) {
+    loop.execute(() -> links.values().forEach(link -> link.send(message)));
+  }
+
   /** Reports that an endpoint refused a request for an adapter that it was assumed to hold. */
   void reportMiss(
       DataCentreId dataCentre, EndpointId endpoint, AdapterName adapter, boolean early) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -64,6 +64,7 @@
   private final PermitGrants permits;
   private final PeerOffers peers = new PeerOffers();
   private final MemberUpdates members = new MemberUpdates();
+  private final PartVerdictUpdates parts = new PartVerdictUpdates();
   private final Runnable onFenced;
   private DaemonView view = DaemonView.NONE;
   private final Map<FrameChannel, LinkedDaemon> links = new HashMap<>();
@@ -275,6 +276,7 @@
     }
     links.forEach(this::queueEndpoints);
     members.queue(links);
+    parts.queue(links, now);
     allocateUsage(now);
     queueAll(status());
     endpointUpdates.drain().ifPresent(this::queueAll);
@@ -528,6 +530,7 @@
     }
     long now = clock.millis();
     linked.lastReceivedAt = now;
+    parts.receive(message, now);
     if (message instanceof LinkMessage.Hello hello) {
       linked.daemon = hello.daemon();
       linked.dataCentre = hello.dataCentre();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -95,6 +95,12 @@
     /** Called when the coordinator of a data centre names the daemons that are linked to it. */
     void membersNamed(DataCentreId coordinator, LinkMessage.Members members);
 
+    /** Called when the coordinator of a data centre has judged parts of prompts. */
+    void partsJudged(DataCentreId coordinator, LinkMessage.PartVerdicts verdicts);
+
+    /** Returns the verdicts on parts of prompts that a newly connected coordinator may not know. */
+    LinkMessage knownVerdicts();
+
     /** Called when a coordinator's first status arrives, or its link is lost. */
     void changed();
   }
@@ -346,6 +352,8 @@
       listener.peersSelected(peers);
     } else if (message instanceof LinkMessage.Members members) {
       listener.membersNamed(dataCentre, members);
+    } else if (message instanceof LinkMessage.PartVerdicts verdicts) {
+      listener.partsJudged(dataCentre, verdicts);
     }
   }
 
@@ -378,6 +386,7 @@
           .with("epoch", status.epoch())
           .with("revision", status.revision())
           .write();
+      send(listener.knownVerdicts());
       listener.changed();
     }
     if (status.stopping()) {
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CrashWatch.java
@@ -0,0 +1,119 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.daemon.connection.HttpAnswer;
+import io.sequoiapass.daemon.connection.HttpClient;
+import io.sequoiapass.daemon.connection.ReusePolicy;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.request.Generation;
+import io.sequoiapass.gateway.spi.AnswerClass;
+import io.sequoiapass.gateway.spi.EndpointProtocol;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Finds out whether an endpoint's process has ended when answers that were just beginning there
+ * break: a broken connection alone does not show it.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class CrashWatch {
+
+  /** How long broken answers are collected before the endpoint is asked, in milliseconds. */
+  private static final long COLLECT_MS = 10;
+
+  /** Maximum time until the answer, in milliseconds; a silent endpoint may be cut off. */
+  private static final long PROBE_MS = 300;
+
+  private final PromptPartGuard guard;
+  private final EndpointProtocol protocol;
+  private final HttpClient http;
+  private final ScheduledExecutorService loop;
+  private final MillisClock clock;
+  private final Map<EndpointId, List<LinkMessage.CrashSuspect>> collected = new HashMap<>();
+
+  /**
+   * Creates a watch.
+   *
+   * @param guard records crashes
+   * @param protocol how an endpoint is asked for a report
+   * @param http opens connections to endpoints
+   * @param loop runs timers
+   * @param clock the monotonic clock
+   */
+  CrashWatch(
+      PromptPartGuard guard,
+      EndpointProtocol protocol,
+      HttpClient http,
+      ScheduledExecutorService loop,
+      MillisClock clock) {
+    this.guard = guard;
+    this.protocol = protocol;
+    this.http = http;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Returns the guard of parts that crash endpoints. */
+  public PromptPartGuard guard() {
+    return guard;
+  }
+
+  /**
+   * Records that an answer broke as it was beginning.
+   *
+   * @param endpoint the endpoint's process
+   * @param address where it listens
+   * @param service its service
+   * @param generation the request
+   */
+  public void broken(
+      EndpointId endpoint, InetSocketAddress address, ServiceId service, Generation generation) {
+    guard
+        .suspect(service, generation)
+        .ifPresent(
+            suspect -> {
+              if (collect(endpoint, suspect)) {
+                loop.schedule(() -> probe(endpoint, address), COLLECT_MS, TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  /** Returns whether this is the first suspect. */
+  private synchronized boolean collect(EndpointId endpoint, LinkMessage.CrashSuspect suspect) {
+    List<LinkMessage.CrashSuspect> suspects =
+        collected.computeIfAbsent(endpoint, any -> new ArrayList<>());
+    suspects.add(suspect);
+    return suspects.size() == 1;
+  }
+
+  private void probe(EndpointId endpoint, InetSocketAddress address) {
+    long sentAt = clock.millis();
+    http.send(protocol.reportCall(endpoint, address).reuse(ReusePolicy.NONE), PROBE_MS)
+        .whenComplete((answer, failure) -> probed(endpoint, answer, clock.millis() - sentAt));
+  }
+
+  private void probed(EndpointId endpoint, HttpAnswer answer, long tookMs) {
+    List<LinkMessage.CrashSuspect> suspects;
+    synchronized (this) {
+      suspects = collected.remove(endpoint);
+    }
+    if (suspects != null && hasEnded(answer, tookMs)) {
+      guard.crashed(endpoint, suspects);
+    }
+  }
+
+  /** A process has ended if its address refuses connections or belongs to another one. */
+  private boolean hasEnded(HttpAnswer answer, long tookMs) {
+    return answer == null
+        ? tookMs < PROBE_MS
+        : protocol.classify(answer.status(), answer.headers()) == AnswerClass.NOT_RUN_ELSEWHERE;
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -1,7 +1,6 @@
 package io.sequoiapass.gateway.process;
 
 import io.netty.channel.EventLoopGroup;
-import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.process.ClockReading;
@@ -129,6 +128,7 @@
   private final PeerDirectory peers = new PeerDirectory(clock);
   private final StreamVersions streams = new StreamVersions(clock);
   private final MemberDirectory members;
+  private final PromptPartGuard parts;
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
   private CoordinationNode node;
@@ -146,6 +146,7 @@
     this.loops = SocketTransport.best().group(settings.cores());
     long graceMs = (long) (settings.bounds().versionMs() * OLD_VERSION_SHARE);
     this.versions = new AdapterVersions(graceMs);
+    this.parts = new PromptPartGuard(clock, log, metrics);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
   }
@@ -187,6 +188,7 @@
             new AdapterLoads(node, directory, versions),
             new PeerForwarder(settings.daemon(), path, peers, http, deployment.callerProtocol()),
             streams,
+            new CrashWatch(parts, deployment.endpointProtocol(), endpointHttp, loops, clock),
             waiting,
             loops,
             clock,
@@ -292,6 +294,7 @@
           coordinator.observe();
           node.connectPostponed();
         });
+    parts.reportTo(node::sendToAll);
     node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
     directory.onIdle(node::idle);
     int regions = Set.copyOf(settings.regions().values()).size();
@@ -318,6 +321,7 @@
             settings.bounds().revocationMs().isPresent()
                 ? CoordinatorLink.STRICT_IDLE_REPORT_MS
                 : CoordinatorLink.IDLE_REPORT_MS);
+    LinkEvents events = linkEvents();
     List<CoordinatorLink> links = new ArrayList<>();
     settings
         .regions()
@@ -348,7 +352,7 @@
                         dataCentre,
                         directory,
                         io,
-                        new LinkEvents(),
+                        events,
                         onStatus,
                         lost));
               }
@@ -356,6 +360,17 @@
     return links;
   }
 
+  private LinkEvents linkEvents() {
+    return new LinkEvents(
+        waiting,
+        peers,
+        members,
+        parts,
+        currency,
+        metrics,
+        release -> released(release.adapter(), release.version(), "coordinator"));
+  }
+
   private void startFeeds(MetadataStore store) {
     startFeed(
         store,
@@ -541,49 +556,6 @@
     coordinator.released(adapter, version);
   }
 
-  private final class LinkEvents implements CoordinatorLink.Listener {
-
-    @Override
-    public void placed(AdapterName adapter) {
-      waiting.placed(adapter);
-    }
-
-    @Override
-    public void loadRejected(DataCentreId dataCentre, AdapterName adapter, long retryAfterMs) {
-      waiting.loadRejected(dataCentre, adapter, retryAfterMs);
-    }
-
-    @Override
-    public void permitReplied(EndpointGroup group, boolean granted) {
-      waiting.permitReplied(group, granted);
-    }
-
-    @Override
-    public void peersSelected(LinkMessage.Peers selected) {
-      peers.update(selected);
-    }
-
-    @Override
-    public void membersNamed(DataCentreId coordinator, LinkMessage.Members named) {
-      members.update(coordinator, named);
-    }
-
-    @Override
-    public void released(LinkMessage.Release release) {
-      Gateway.this.released(release.adapter(), release.version(), "coordinator");
-    }
-
-    @Override
-    public void configurationProved(ClockReading asked, long revision) {
-      currency.proved(asked, revision);
-    }
-
-    @Override
-    public void changed() {
-      metrics.count("sequoiapass_coordinator_changes_total");
-    }
-  }
-
   private final class OwnView implements DaemonView {
 
     @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
@@ -17,6 +17,7 @@
   InetSocketAddress peerAddress;
   boolean hasEndpoints;
   boolean hasMembers;
+  boolean hasVerdicts;
   long endpointsRevision;
 
   /** The daemon's clocks in its last report. */
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PartVerdictUpdates.java
@@ -0,0 +1,74 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.daemon.connection.FrameChannel;
+import io.sequoiapass.gateway.connection.LinkFrames;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A coordinator's verdicts on parts of prompts that crash endpoints, and what its daemons know of
+ * them. Guarded by the lock of the {@link Coordinator}.
+ */
+final class PartVerdictUpdates {
+
+  private final CrashVerdicts verdicts = new CrashVerdicts();
+  private Set<PartKey> sentSuspected = Set.of();
+  private Set<PartKey> sentConvicted = Set.of();
+
+  /** Handles a daemon's message if it concerns parts. */
+  void receive(LinkMessage message, long now) {
+    if (message instanceof LinkMessage.CrashReport report) {
+      report
+          .suspects()
+          .forEach(one -> verdicts.crashed(report.process(), one.request(), one.parts(), now));
+    } else if (message instanceof LinkMessage.PartsCleared cleared) {
+      verdicts.cleared(cleared.parts(), now);
+    } else if (message instanceof LinkMessage.PartVerdicts known) {
+      verdicts.adopt(known.convicted(), now);
+    }
+  }
+
+  /** Queues what daemons have not been told yet. */
+  void queue(Map<FrameChannel, LinkedDaemon> links, long now) {
+    Set<PartKey> convicted = verdicts.convicted(now);
+    Set<PartKey> suspected = verdicts.suspected(now);
+    Set<PartKey> ended = new HashSet<>(sentSuspected);
+    ended.addAll(sentConvicted);
+    ended.removeAll(suspected);
+    ended.removeAll(convicted);
+    byte[] changes =
+        LinkFrames.encode(
+            new LinkMessage.PartVerdicts(
+                false,
+                without(suspected, sentSuspected),
+                without(convicted, sentConvicted),
+                List.copyOf(ended)));
+    boolean isChanged = !suspected.equals(sentSuspected) || !convicted.equals(sentConvicted);
+    byte[] all = null;
+    for (Map.Entry<FrameChannel, LinkedDaemon> link : links.entrySet()) {
+      LinkedDaemon linked = link.getValue();
+      if (linked.hasVerdicts && isChanged) {
+        link.getKey().queue(changes);
+      } else if (!linked.hasVerdicts && linked.daemon != null) {
+        linked.hasVerdicts = true;
+        all = all == null ? snapshot(suspected, convicted) : all;
+        link.getKey().queue(all);
+      }
+    }
+    sentSuspected = suspected;
+    sentConvicted = convicted;
+  }
+
+  private static List<PartKey> without(Set<PartKey> parts, Set<PartKey> known) {
+    return parts.stream().filter(part -> !known.contains(part)).toList();
+  }
+
+  private static byte[] snapshot(Set<PartKey> suspected, Set<PartKey> convicted) {
+    return LinkFrames.encode(
+        new LinkMessage.PartVerdicts(
+            true, List.copyOf(suspected), List.copyOf(convicted), List.of()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptPartGuard.java
@@ -0,0 +1,199 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.request.Generation;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Refuses requests with parts that crash endpoints, and collects what shows which parts do.
+ *
+ * <p>Verdicts come from the coordinators, which learn of the crashes at all daemons; without a
+ * coordinator this daemon decides on those that it has seen. A part on which it has lately received
+ * an answer is never refused. Safe for use by several threads: one shard under its own lock.
+ */
+public final class PromptPartGuard {
+
+  /** How long an answer shows that its parts crash no endpoint, in milliseconds. */
+  private static final long WRITTEN_MS = 300_000;
+
+  /** Largest number of parts on which answers were received; the oldest are dropped. */
+  private static final int MAX_WRITTEN = 16_384;
+
+  private record Verdicts(Set<PartKey> suspected, Map<PartKey, Long> convicted) {}
+
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private final GatewayMetrics metrics;
+  private final CrashVerdicts own = new CrashVerdicts();
+  private final Map<DataCentreId, Verdicts> reported = new HashMap<>();
+  private final LinkedHashMap<PartKey, Long> written = new LinkedHashMap<>(16, 0.75f, true);
+  private volatile boolean watches;
+  private volatile Consumer<LinkMessage> coordinators = message -> {};
+
+  /**
+   * Creates a guard that refuses nothing.
+   *
+   * @param clock the monotonic clock
+   * @param log the log
+   * @param metrics the counters
+   */
+  PromptPartGuard(MillisClock clock, DecisionLog log, GatewayMetrics metrics) {
+    this.clock = clock;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /** Sets what sends messages to all coordinators; must not block. */
+  void reportTo(Consumer<LinkMessage> action) {
+    coordinators = action;
+  }
+
+  /** Returns whether a part of a prompt crashes endpoints. */
+  public boolean isRefused(ServiceId service, Generation generation) {
+    if (!watches) {
+      return false;
+    }
+    List<PartKey> parts = shared(service, generation);
+    boolean refused;
+    synchronized (this) {
+      refused = parts.stream().anyMatch(this::isConvicted);
+    }
+    if (refused) {
+      metrics.count("sequoiapass_crashing_prompts_refused_total");
+    }
+    return refused;
+  }
+
+  private boolean isConvicted(PartKey part) {
+    long now = clock.millis();
+    if (isWritten(part, now)) {
+      return false;
+    }
+    return own.convicted(now).contains(part)
+        || reported.values().stream()
+            .map(verdicts -> verdicts.convicted().get(part))
+            .anyMatch(at -> at != null && now - at <= CrashVerdicts.VERDICT_MS);
+  }
+
+  private boolean isWritten(PartKey part, long now) {
+    Long at = written.get(part);
+    return at != null && now - at <= WRITTEN_MS;
+  }
+
+  private static List<PartKey> shared(ServiceId service, Generation generation) {
+    return generation.sharedParts().stream()
+        .map(part -> PartKey.of(service, part.id()))
+        .distinct()
+        .toList();
+  }
+
+  /** Records that an endpoint has written an answer, or enough of it, on a prompt. */
+  public void written(ServiceId service, Generation generation) {
+    List<PartKey> parts = shared(service, generation);
+    List<PartKey> cleared;
+    synchronized (this) {
+      long now = clock.millis();
+      parts.forEach(part -> written.put(part, now));
+      while (written.size() > MAX_WRITTEN) {
+        written.remove(written.keySet().iterator().next());
+      }
+      cleared = watches ? parts.stream().filter(this::isQuestioned).toList() : List.of();
+      own.cleared(cleared, now);
+    }
+    report(cleared);
+  }
+
+  private boolean isQuestioned(PartKey part) {
+    long now = clock.millis();
+    return own.suspected(now).contains(part)
+        || own.convicted(now).contains(part)
+        || reported.values().stream()
+            .anyMatch(v -> v.suspected().contains(part) || v.convicted().containsKey(part));
+  }
+
+  private void report(List<PartKey> cleared) {
+    if (!cleared.isEmpty()) {
+      coordinators.accept(new LinkMessage.PartsCleared(cleared));
+    }
+  }
+
+  /** Returns what a request adds to the suspicion if the process that was beginning it ends. */
+  Optional<LinkMessage.CrashSuspect> suspect(ServiceId service, Generation generation) {
+    long now = clock.millis();
+    List<PartKey> parts;
+    synchronized (this) {
+      parts = shared(service, generation).stream().filter(part -> !isWritten(part, now)).toList();
+    }
+    if (parts.isEmpty()) {
+      return Optional.empty();
+    }
+    List<Generation.PromptPart> all = generation.parts();
+    long request = PartKey.of(service, all.get(all.size() - 1).id()).value();
+    return Optional.of(new LinkMessage.CrashSuspect(request, parts));
+  }
+
+  /** Records the requests that an endpoint's process was beginning when it ended. */
+  void crashed(EndpointId process, List<LinkMessage.CrashSuspect> suspects) {
+    synchronized (this) {
+      watches = true;
+      long now = clock.millis();
+      suspects.forEach(one -> own.crashed(process, one.request(), one.parts(), now));
+    }
+    metrics.count("sequoiapass_endpoint_crashes_total");
+    log.event("endpoint_crashed")
+        .with("endpoint", process)
+        .with("suspects", suspects.size())
+        .write();
+    coordinators.accept(new LinkMessage.CrashReport(process, suspects));
+  }
+
+  /** Applies the verdicts of a coordinator. */
+  void update(DataCentreId coordinator, LinkMessage.PartVerdicts update) {
+    List<PartKey> cleared = new ArrayList<>();
+    synchronized (this) {
+      long now = clock.millis();
+      if (update.snapshot()) {
+        reported.remove(coordinator);
+      }
+      Verdicts verdicts =
+          reported.computeIfAbsent(
+              coordinator, any -> new Verdicts(new HashSet<>(), new HashMap<>()));
+      verdicts.suspected().addAll(update.suspected());
+      verdicts.suspected().removeAll(update.convicted());
+      verdicts.suspected().removeAll(update.ended());
+      update.convicted().forEach(part -> verdicts.convicted().put(part, now));
+      verdicts.convicted().keySet().removeAll(update.ended());
+      update.suspected().stream().filter(part -> isWritten(part, now)).forEach(cleared::add);
+      update.convicted().stream().filter(part -> isWritten(part, now)).forEach(cleared::add);
+      watches |= !update.suspected().isEmpty() || !update.convicted().isEmpty();
+    }
+    report(cleared);
+    for (PartKey part : update.convicted()) {
+      log.event("prompt_part_refused")
+          .with("part", Long.toHexString(part.value()))
+          .with("data_centre", coordinator)
+          .write();
+    }
+  }
+
+  /** Returns the verdicts that this daemon knows, for a coordinator that is new to it. */
+  synchronized LinkMessage.PartVerdicts known() {
+    long now = clock.millis();
+    Set<PartKey> convicted = new HashSet<>(own.convicted(now));
+    reported.values().forEach(verdicts -> convicted.addAll(verdicts.convicted().keySet()));
+    convicted.removeIf(part -> isWritten(part, now));
+    return new LinkMessage.PartVerdicts(false, List.of(), List.copyOf(convicted), List.of());
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.process.EndpointChooser;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -47,6 +48,11 @@
     return queueWaits;
   }
 
+  /** Returns the data centres in which the adapter may be loaded, with their expected waits. */
+  EndpointChooser.Loadable loadable(RelayContext.AdapterSource adapters) {
+    return new EndpointChooser.Loadable(candidates(adapters.loadable()), queueWaits);
+  }
+
   /**
    * Records that a load is requested.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointAttempt.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.gateway.process.EndpointTicket;
 import io.sequoiapass.gateway.process.PathMonitor;
+import io.sequoiapass.gateway.spi.AnswerClass;
 import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.Optional;
 
@@ -15,17 +16,20 @@
   final EndpointTicket ticket;
   final DataCentreId dataCentre;
   private final PathMonitor path;
+  private final PromptParts.Progress progress;
 
   EndpointAttempt(
       RelayedRequest request,
       EndpointTicket ticket,
       DataCentreId dataCentre,
       PathMonitor path,
+      PromptParts.Progress progress,
       long sentAt) {
     super(request, ticket, sentAt);
     this.ticket = ticket;
     this.dataCentre = dataCentre;
     this.path = path;
+    this.progress = progress;
   }
 
   @Override
@@ -52,14 +56,24 @@
   public void started(int status, HttpHeaders headers) {
     path.received();
     super.started(status, headers);
+    if (answer() == AnswerClass.SUCCESS) {
+      progress.begun(request.now());
+    }
   }
 
   @Override
   public void received(byte[] part) {
     path.received();
+    progress.received(request.now());
     super.received(part);
   }
 
+  @Override
+  public void ended() {
+    progress.ended();
+    super.ended();
+  }
+
   @Override
   void notRun() {
     request.rejected(this, answer());
@@ -70,6 +84,7 @@
     if (answer() == null) {
       path.connectionFailed();
     }
+    progress.failed(request.now());
     super.failed(failure);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -43,6 +43,12 @@
   /** Interval between checks while a request waits for an endpoint, in milliseconds. */
   static final long ENDPOINT_CHECK_MS = 500;
 
+  /**
+   * Time after the deadline until the caller gets an error, in milliseconds; the endpoint's own
+   * answer, which is more specific, may still arrive.
+   */
+  static final long DEADLINE_SLACK_MS = 40;
+
   private EndpointTimeouts() {}
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.daemon.connection.HttpClient;
+import io.sequoiapass.gateway.process.CrashWatch;
 import io.sequoiapass.gateway.process.DecisionLog;
 import io.sequoiapass.gateway.process.GatewayMetrics;
 import io.sequoiapass.gateway.process.StreamVersions;
@@ -22,6 +23,7 @@
  * @param adapters requests loads of adapters
  * @param peers sends requests through peers if this daemon has no path to the endpoints
  * @param streams the streams that callers may resume at other daemons
+ * @param crashes endpoints that end while they begin to write, and parts of prompts that cause it
  * @param waiting requests that wait for adapters
  * @param loop runs timers
  * @param clock the monotonic clock
@@ -35,6 +37,7 @@
     AdapterSource adapters,
     PeerForwarder peers,
     StreamVersions streams,
+    CrashWatch crashes,
     PendingRequests waiting,
     ScheduledExecutorService loop,
     MillisClock clock,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -11,7 +11,6 @@
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.Demand;
-import io.sequoiapass.gateway.process.EndpointChooser;
 import io.sequoiapass.gateway.process.EndpointGroup;
 import io.sequoiapass.gateway.process.EndpointTicket;
 import io.sequoiapass.gateway.process.Recipient;
@@ -38,12 +37,6 @@
  */
 public final class RelayedRequest {
 
-  /**
-   * Time after the deadline until the caller gets an error, in milliseconds; the endpoint's own
-   * answer, which is more specific, may still arrive.
-   */
-  private static final long DEADLINE_SLACK_MS = 40;
-
   /** Retry advice to a caller whose request found no endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 300;
 
@@ -62,6 +55,7 @@
   private final RequestOrigin origin;
   private final ResponseRelay response;
   private final StreamBinding binding;
+  private final PromptParts parts;
   private final Runnable finished;
   private final AvoidedRecipients avoid = new AvoidedRecipients();
   private final RequestLog requestLog;
@@ -104,6 +98,7 @@
     this.forward =
         new ForwardedRequest(context.endpoints(), service, route, access, exchange.request());
     this.response = new ResponseRelay(context, exchange);
+    this.parts = new PromptParts(context.crashes(), service, facts.generation());
     this.binding = new StreamBinding(context.streams(), service, route, facts, origin);
     this.finished = finished;
     this.wait = new RequestWait(context, group, adapter, this);
@@ -120,7 +115,7 @@
   /** Starts the request. */
   public synchronized void start() {
     response.listen(this::callerLeft, this::resumeStream);
-    long leftMs = origin.remainingMs(now()) + DEADLINE_SLACK_MS;
+    long leftMs = origin.remainingMs(now()) + EndpointTimeouts.DEADLINE_SLACK_MS;
     deadlineTimer =
         context.loop().schedule(this::deadlinePassed, Math.max(0, leftMs), TimeUnit.MILLISECONDS);
     dispatch();
@@ -163,6 +158,10 @@
       refuse(denied.get(), denied.get().comeBackMillis());
       return;
     }
+    if (parts.isRefused()) {
+      giveUp(new Choice.Refuse(ErrorKind.PROMPT_CRASHES_ENDPOINTS, 0));
+      return;
+    }
     if (context.peers().isNeeded() && sendThroughPeer(now)) {
       return;
     }
@@ -172,7 +171,7 @@
     }
     search.excludeOverdue(now);
     Demand demand = demand(avoid, now);
-    Choice choice = group.choose(demand, loadable(), now);
+    Choice choice = group.choose(demand, search.loadable(context.adapters()), now);
     if (choice instanceof Choice.Send send) {
       search.reset();
       send(send, demand, now);
@@ -202,11 +201,6 @@
         facts.generation(), avoided.endpoints(), binding.software(), origin.remainingMs(now));
   }
 
-  private EndpointChooser.Loadable loadable() {
-    return new EndpointChooser.Loadable(
-        search.candidates(context.adapters().loadable()), search.queueWaits());
-  }
-
   private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
     long waitedMs = origin.waitedMs(now);
     long waitMs =
@@ -259,7 +253,12 @@
     HttpCall call = forward.to(target.get(), demand.remainingMs(), response.lastEvent());
     attempt =
         new EndpointAttempt(
-            this, ticket.get(), choice.candidate().dataCentre(), context.peers().path(), now);
+            this,
+            ticket.get(),
+            choice.candidate().dataCentre(),
+            context.peers().path(),
+            parts.progress(endpoint, target.get().address()),
+            now);
     attempt.stream =
         context.http().stream(call, demand.remainingMs() + EndpointTimeouts.CALL_SLACK_MS, attempt);
     awaitResponse(
@@ -313,7 +312,7 @@
       return FailoverPolicy.throughPeer(peerSender.isAvailable(others), attempts.budgetAllows(now));
     }
     Demand demand = demand(others, now);
-    Choice choice = group.choose(demand, loadable(), now);
+    Choice choice = group.choose(demand, search.loadable(context.adapters()), now);
     FailoverPolicy.Step step =
         FailoverPolicy.next(choice, from.endpoint(), attempts.budgetAllows(now));
     if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
@@ -543,6 +542,10 @@
     if (attempts.unsentCount() > 0 && sendThroughPeer(now())) {
       return;
     }
+    giveUp(refusal);
+  }
+
+  private void giveUp(Choice.Refuse refusal) {
     if (response.isStarted()) {
       abort(ErrorKind.STREAM_SHORT, "no other endpoint");
     } else if (attempts.runs() > 0) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/StreamBinding.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/StreamBinding.java
@@ -80,10 +80,13 @@
 
   /** Returns why a request is refused; a stream whose version is gone can't be continued later. */
   Refusal refusal(Choice.Refuse choice) {
-    return software.isPresent() && choice.kind() == ErrorKind.NO_ENDPOINT
-        ? new Refusal(
-            ErrorKind.STREAM_NOT_RESUMABLE, ErrorKind.STREAM_NOT_RESUMABLE.comeBackMillis())
-        : new Refusal(choice.kind(), OptionalLong.of(choice.retryAfterMs()));
+    boolean isGone = software.isPresent() && choice.kind() == ErrorKind.NO_ENDPOINT;
+    ErrorKind kind = isGone ? ErrorKind.STREAM_NOT_RESUMABLE : choice.kind();
+    return new Refusal(
+        kind,
+        kind.comeBackMillis().isPresent()
+            ? OptionalLong.of(choice.retryAfterMs())
+            : OptionalLong.empty());
   }
 
   /**
