Keep streams at as many daemons as the bytes for control allow

With four keepers and 65 streams a second a daemon sent 5,486 bytes a second for them, above the 3,000 for control. Their number now follows from the rate of streams, two to four.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/MemberDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/MemberDirectory.java
@@ -18,12 +18,6 @@
  */
 final class MemberDirectory {
 
-  /** Largest number of daemons of which four keep the streams of another one. */
-  private static final int SMALL_FLEET = 16;
-
-  /** Largest number of daemons of which three do. */
-  private static final int MEDIUM_FLEET = 64;
-
   private final DaemonId self;
   private final DataCentreId here;
   private final Map<DataCentreId, Map<DaemonId, LinkMessage.Member>> reported = new HashMap<>();
@@ -91,13 +85,4 @@
   synchronized List<LinkMessage.Member> ranked() {
     return ranked;
   }
-
-  /**
-   * Returns how many daemons keep a daemon's streams: as many as the bytes for control allow, since
-   * several daemons may fail at once.
-   */
-  synchronized int keepers() {
-    int daemons = members.size() + 1;
-    return daemons <= SMALL_FLEET ? 4 : daemons <= MEDIUM_FLEET ? 3 : 2;
-  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StreamReplication.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StreamReplication.java
@@ -14,7 +14,7 @@
  * case that this one fails.
  *
  * <pre>{@code
- * for (Batch batch : replication.due(members.ranked(), members.keepers(), now)) {
+ * for (Batch batch : replication.due(members.ranked(), now)) {
  *   send(batch);   // then delivered(batch, process), or failed(batch, now)
  * }
  * }</pre>
@@ -30,6 +30,19 @@
   /** How long a daemon that could not be reached is left out, in milliseconds. */
   private static final long EXCLUSION_MS = 1_000;
 
+  /** Bytes that a daemon may send for its streams in a second. */
+  private static final double MAX_BYTES_PER_S = 2_600;
+
+  /** Bytes of one batch besides its streams: the heads of a request and its response. */
+  private static final double BATCH_BYTES = 150;
+
+  /** Bytes of one stream in a batch. */
+  private static final double STREAM_BYTES = 9.5;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final int MIN_KEEPERS = 2;
+  private static final int MAX_KEEPERS = 4;
+
   private static final class Keeper {
     private long next;
     private boolean sending;
@@ -62,10 +75,10 @@
    * Returns the batches that are due; each has to be reported as delivered or failed.
    *
    * @param ranked the other daemons, best first
-   * @param count how many of them keep the streams
    * @param now the time, in milliseconds
    */
-  synchronized List<Batch> due(List<LinkMessage.Member> ranked, int count, long now) {
+  synchronized List<Batch> due(List<LinkMessage.Member> ranked, long now) {
+    int count = keepers(versions.ratePerS());
     keepers.keySet().retainAll(ranked.stream().map(LinkMessage.Member::daemon).toList());
     List<Batch> due = new ArrayList<>();
     int chosen = 0;
@@ -89,6 +102,17 @@
     return due;
   }
 
+  /**
+   * Returns how many daemons keep the streams: as many as the bytes allow, since several daemons
+   * may fail at once.
+   */
+  private static int keepers(double streamsPerS) {
+    double each =
+        BATCH_BYTES * MILLIS_PER_SECOND / StreamVersionLinks.INTERVAL_MS
+            + STREAM_BYTES * streamsPerS;
+    return (int) Math.max(MIN_KEEPERS, Math.min(MAX_KEEPERS, MAX_BYTES_PER_S / each));
+  }
+
   private static Batch batch(LinkMessage.Member to, List<StreamVersions.OwnStream> streams) {
     Map<StreamVersion, List<Long>> byVersion = new LinkedHashMap<>();
     streams.forEach(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StreamVersionLinks.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StreamVersionLinks.java
@@ -37,8 +37,8 @@
   /** Header of an answer that identifies the process. */
   static final String PROCESS_HEADER = "Peer-Process";
 
-  /** Interval between batches, in milliseconds. */
-  private static final long INTERVAL_MS = 250;
+  /** Interval between batches, in milliseconds; streams of the last one are lost with a daemon. */
+  static final long INTERVAL_MS = 300;
 
   /** Maximum time until a batch is acknowledged, in milliseconds. */
   private static final long DELIVERY_MS = 500;
@@ -60,7 +60,6 @@
   private final MillisClock clock;
   private final String process = Long.toHexString(ThreadLocalRandom.current().nextLong());
   private Map<Long, CompletableFuture<Optional<StreamVersion>>> collected = new HashMap<>();
-  private int ticks;
 
   /**
    * Creates links that send nothing until {@link #start}.
@@ -91,9 +90,7 @@
   }
 
   private void tick() {
-    if (++ticks % BroadcastInterval.rounds(members.members().size()) == 0) {
-      replication.due(members.ranked(), members.keepers(), clock.millis()).forEach(this::deliver);
-    }
+    replication.due(members.ranked(), clock.millis()).forEach(this::deliver);
   }
 
   private void deliver(StreamReplication.Batch batch) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StreamVersions.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StreamVersions.java
@@ -34,6 +34,9 @@
    */
   static final int MAX_STREAMS = 24_000;
 
+  private static final long RATE_MS = 5_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private record Stream(StreamVersion version, long at) {}
 
   private final MillisClock clock;
@@ -108,6 +111,17 @@
         .map(Stream::version);
   }
 
+  /** Returns how many streams of this daemon begin in a second. */
+  synchronized double ratePerS() {
+    long since = clock.millis() - RATE_MS;
+    Iterator<OwnStream> newest = own.descendingIterator();
+    int count = 0;
+    while (newest.hasNext() && newest.next().at() > since) {
+      count++;
+    }
+    return count * MILLIS_PER_SECOND / RATE_MS;
+  }
+
   /** Returns the streams of this daemon from a number on, oldest first. */
   synchronized List<OwnStream> own(long from) {
     Deque<OwnStream> found = new ArrayDeque<>();
