Refuse new connections while a load balancer gives one daemon most

Nothing kept a daemon that gets several times its usual share of new connections from reading more than it can serve. If its event loop runs late for 200 ms and new connections are four times as many as usual, it closes them unread, so that callers try another daemon at once, and it is not ready, so that the load balancer uses another one. A daemon that has just started, one that is as busy as all, and one that was suspended refuse nothing (ConnectionSurge).

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -20,6 +20,7 @@
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -128,6 +129,7 @@
     private int maxLineBytes = 4 << 10;
     private int maxHeaderBytes = 16 << 10;
     private Supplier<ConnectionLimits> limits;
+    private BooleanSupplier accepts = () -> true;
 
     private Builder(EventLoopGroup group, HttpHandler handler) {
       this.group = Objects.requireNonNull(group, "group");
@@ -158,6 +160,16 @@
       return this;
     }
 
+    /**
+     * Sets what decides on each new connection; one that is not accepted is closed unread.
+     *
+     * @param condition whether a connection that has just been opened is kept
+     */
+    public Builder acceptIf(BooleanSupplier condition) {
+      this.accepts = Objects.requireNonNull(condition, "condition");
+      return this;
+    }
+
     /**
      * Starts listening.
      *
@@ -193,6 +205,10 @@
       return new ChannelInitializer<>() {
         @Override
         protected void initChannel(SocketChannel channel) {
+          if (!accepts.getAsBoolean()) {
+            channel.close();
+            return;
+          }
           connections.add(channel);
           channel.pipeline().addLast(new FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true));
           ConnectionLimits bounds = limits == null ? fixedLimits() : limits.get();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -129,6 +129,7 @@
   private final StreamVersions streams = new StreamVersions(clock);
   private final MemberDirectory members;
   private final PromptPartGuard parts;
+  private final SurgeGuard surge;
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
   private CoordinationNode node;
@@ -146,6 +147,7 @@
     this.loops = SocketTransport.best().group(settings.cores());
     long graceMs = (long) (settings.bounds().versionMs() * OLD_VERSION_SHARE);
     this.versions = new AdapterVersions(graceMs);
+    this.surge = new SurgeGuard(clock, log, metrics);
     this.parts = new PromptPartGuard(clock, log, metrics);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
@@ -208,7 +210,10 @@
             new StreamResumption(streamLinks, directory));
     startFeeds(store);
     callerServer =
-        HttpServer.builder(loops, callers).limits(this::limits).start(settings.callers());
+        HttpServer.builder(loops, callers)
+            .limits(this::limits)
+            .acceptIf(surge.start(loops)::accepts)
+            .start(settings.callers());
     peerServer =
         HttpServer.builder(
                 loops, streamLinks.handler(new PeerHandler(context, callers, gate, () -> draining)))
@@ -469,7 +474,11 @@
 
   private boolean isReady() {
     boolean canServe = !path.isLost() || peers.isAvailable(Set.of());
-    return canServe && !draining && configuration.get() != null && directory.isListed();
+    return canServe
+        && !surge.isRefusing()
+        && !draining
+        && configuration.get() != null
+        && directory.isListed();
   }
 
   /**
