Judge crashes anew only after a change, and count resumptions

Each answer and each round judged all crashes that are kept; it is done after a change and at most each 100 ms now, and frames are encoded only if they are sent. sequoiapass_resumptions_total counts streams that callers take up, by whether their version was found.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -133,7 +133,11 @@
         .find(route, exchange.facts())
         .whenComplete(
             (found, failure) -> {
-              if (!left.get() && failure == null && found.isPresent()) {
+              boolean isKnown = failure == null && found.isPresent();
+              context
+                  .metrics()
+                  .count("sequoiapass_resumptions_total{version_known=\"" + isKnown + "\"}");
+              if (isKnown && !left.get()) {
                 start(found.get().service(), route, exchange.boundTo(found.get().software()));
               } else {
                 exchange.access().notRun().run();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CrashVerdicts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CrashVerdicts.java
@@ -97,6 +97,8 @@
   private final Map<PartKey, Long> adopted = new LinkedHashMap<>();
   private final Map<PartKey, Long> cleared = new LinkedHashMap<>();
   private Set<PartKey> convicted = Set.of();
+  private Set<PartKey> suspected = Set.of();
+  private long judgedAt = Long.MIN_VALUE / 2;
 
   /**
    * Records that a process ended while it was beginning to write an answer.
@@ -108,6 +110,7 @@
    */
   void crashed(EndpointId process, long request, Collection<PartKey> parts, long now) {
     expire(now);
+    judgedAt = Long.MIN_VALUE / 2;
     Crash crash = crashes.computeIfAbsent(process, any -> new Crash(now));
     if (crash.suspects++ < MAX_SUSPECTS) {
       parts.stream()
@@ -128,6 +131,7 @@
 
   /** Records that an endpoint has written an answer on parts. */
   void cleared(Collection<PartKey> parts, long now) {
+    judgedAt = Long.MIN_VALUE / 2;
     for (PartKey part : parts) {
       crashes.values().forEach(crash -> crash.requests.remove(part));
       adopted.remove(part);
@@ -139,6 +143,7 @@
 
   /** Adopts verdicts of another daemon. */
   void adopt(Collection<PartKey> parts, long now) {
+    judgedAt = Long.MIN_VALUE / 2;
     for (PartKey part : parts) {
       if (!cleared.containsKey(part)) {
         adopted.putIfAbsent(part, now);
@@ -161,18 +166,22 @@
 
   /** Returns the parts that daemons may clear: those of crashes that are not explained. */
   Set<PartKey> suspected(long now) {
-    Set<PartKey> refused = convicted(now);
-    Set<PartKey> suspected = new HashSet<>();
-    for (Crash crash : crashes.values()) {
-      if (!crash.isExplainedBy(refused)) {
-        suspected.addAll(crash.requests.keySet());
-      }
-    }
+    judge(now);
     return suspected;
   }
 
   /** Returns the parts that crash endpoints. */
   Set<PartKey> convicted(long now) {
+    judge(now);
+    return convicted;
+  }
+
+  /** Judges anew after a change, and after some time, as reports are awaited. */
+  private void judge(long now) {
+    if (now - judgedAt < REPORTS_MS / 2) {
+      return;
+    }
+    judgedAt = now;
     expire(now);
     Set<PartKey> result = new HashSet<>(adopted.keySet());
     Optional<PartKey> next = mostGuilty(result, now);
@@ -180,8 +189,14 @@
       result.add(next.get());
       next = mostGuilty(result, now);
     }
+    Set<PartKey> questioned = new HashSet<>();
+    for (Crash crash : crashes.values()) {
+      if (!crash.isExplainedBy(result)) {
+        questioned.addAll(crash.requests.keySet());
+      }
+    }
     convicted = Set.copyOf(result);
-    return convicted;
+    suspected = Set.copyOf(questioned);
   }
 
   private Optional<PartKey> mostGuilty(Set<PartKey> known, long now) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/MemberUpdates.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/MemberUpdates.java
@@ -34,8 +34,9 @@
     List<DaemonId> left =
         named.keySet().stream().filter(daemon -> !current.containsKey(daemon)).toList();
     named = current;
-    byte[] changes = LinkFrames.encode(new LinkMessage.Members(false, joined, left));
     boolean isChanged = !joined.isEmpty() || !left.isEmpty();
+    byte[] changes =
+        isChanged ? LinkFrames.encode(new LinkMessage.Members(false, joined, left)) : null;
     byte[] all = null;
     for (Map.Entry<FrameChannel, LinkedDaemon> link : links.entrySet()) {
       LinkedDaemon linked = link.getValue();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PartVerdictUpdates.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PartVerdictUpdates.java
@@ -35,18 +35,8 @@
   void queue(Map<FrameChannel, LinkedDaemon> links, long now) {
     Set<PartKey> convicted = verdicts.convicted(now);
     Set<PartKey> suspected = verdicts.suspected(now);
-    Set<PartKey> ended = new HashSet<>(sentSuspected);
-    ended.addAll(sentConvicted);
-    ended.removeAll(suspected);
-    ended.removeAll(convicted);
-    byte[] changes =
-        LinkFrames.encode(
-            new LinkMessage.PartVerdicts(
-                false,
-                without(suspected, sentSuspected),
-                without(convicted, sentConvicted),
-                List.copyOf(ended)));
     boolean isChanged = !suspected.equals(sentSuspected) || !convicted.equals(sentConvicted);
+    byte[] changes = isChanged ? changes(suspected, convicted) : null;
     byte[] all = null;
     for (Map.Entry<FrameChannel, LinkedDaemon> link : links.entrySet()) {
       LinkedDaemon linked = link.getValue();
@@ -62,6 +52,19 @@
     sentConvicted = convicted;
   }
 
+  private byte[] changes(Set<PartKey> suspected, Set<PartKey> convicted) {
+    Set<PartKey> ended = new HashSet<>(sentSuspected);
+    ended.addAll(sentConvicted);
+    ended.removeAll(suspected);
+    ended.removeAll(convicted);
+    return LinkFrames.encode(
+        new LinkMessage.PartVerdicts(
+            false,
+            without(suspected, sentSuspected),
+            without(convicted, sentConvicted),
+            List.copyOf(ended)));
+  }
+
   private static List<PartKey> without(Set<PartKey> parts, Set<PartKey> known) {
     return parts.stream().filter(part -> !known.contains(part)).toList();
   }
