Look for new streams, too, in the fleet test of resumed streams

The test looked for the 36 oldest open streams of a daemon that fails, which have all been told to others; it looks for each fifth now.

--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StreamVersionFleetTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StreamVersionFleetTest.java
@@ -35,7 +35,10 @@
   private static final int STREAMS_PER_S = 65;
   private static final int STREAM_MS = 3_000;
   private static final long STEP_MS = 50;
-  private static final int SAMPLE = 12;
+
+  /** One open stream in so many is looked for, old and new ones. */
+  private static final int SAMPLE = 5;
+
   private static final ServiceId SERVICE = new ServiceId("notes");
 
   private static StreamVersion version(int number) {
@@ -148,10 +151,10 @@
       int found = 0;
       int all = 0;
       for (Node node : lost) {
-        int asked = 0;
+        int number = 0;
         for (Map.Entry<String, StreamVersion> stream : node.open.entrySet()) {
-          if (asked++ == SAMPLE * STREAM_MS / 1_000) {
-            break;
+          if (number++ % SAMPLE != 0) {
+            continue;
           }
           Optional<StreamVersion> known =
               askers.get(random.nextInt(askers.size())).find(stream.getKey());
