--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -395,6 +395,11 @@
     return link != null && link.send(request);
   }
 
+  /** Returns whether a coordinator is connected. */
+  boolean hasCoordinator() {
+    return links.values().stream().anyMatch(CoordinatorLink::isUp);
+  }
+
   /** Sends a message to all connected coordinators. */
   void sendToAll(LinkMessage message) {
     loop.execute(() -> links.values().forEach(link -> link.send(message)));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -299,7 +299,7 @@
           coordinator.observe();
           node.connectPostponed();
         });
-    parts.reportTo(node::sendToAll);
+    parts.reportTo(node::sendToAll, node::hasCoordinator);
     node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
     directory.onIdle(node::idle);
     int regions = Set.copyOf(settings.regions().values()).size();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptPartGuard.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptPartGuard.java
@@ -14,14 +14,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
  * Refuses requests with parts that crash endpoints, and collects what shows which parts do.
  *
  * <p>Verdicts come from the coordinators, which learn of the crashes at all daemons; a daemon that
- * never had a coordinator decides on those that it has seen. A part on which it has lately received
- * an answer is never refused. Safe for use by several threads: one shard under its own lock.
+ * has none decides on those that it has seen. A part on which it has lately received an answer is
+ * never refused. Safe for use by several threads: one shard under its own lock.
  */
 public final class PromptPartGuard {
 
@@ -41,6 +42,7 @@
   private final LinkedHashMap<PartKey, Long> written = new LinkedHashMap<>(16, 0.75f, true);
   private volatile boolean watches;
   private volatile Consumer<LinkMessage> coordinators = message -> {};
+  private volatile BooleanSupplier isCoordinated = () -> false;
 
   /**
    * Creates a guard that refuses nothing.
@@ -55,9 +57,15 @@
     this.metrics = metrics;
   }
 
-  /** Sets what sends messages to all coordinators; must not block. */
-  void reportTo(Consumer<LinkMessage> action) {
+  /**
+   * Sets the coordinators.
+   *
+   * @param action sends a message to all of them; must not block
+   * @param connected whether there is any
+   */
+  void reportTo(Consumer<LinkMessage> action, BooleanSupplier connected) {
     coordinators = action;
+    isCoordinated = connected;
   }
 
   /** Returns whether a part of a prompt crashes endpoints. */
@@ -81,8 +89,8 @@
     if (isWritten(part, now)) {
       return false;
     }
-    boolean isCoordinated = !reported.isEmpty();
-    return (!isCoordinated && own.convicted(now).contains(part))
+    boolean isAlone = !isCoordinated.getAsBoolean();
+    return (isAlone && own.convicted(now).contains(part))
         || reported.values().stream()
             .map(verdicts -> verdicts.convicted().get(part))
             .anyMatch(at -> at != null && now - at <= CrashVerdicts.VERDICT_MS);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/CrashFleetTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/CrashFleetTest.java
@@ -69,7 +69,7 @@
       for (int i = 0; i < size; i++) {
         PromptPartGuard guard =
             new PromptPartGuard(() -> now, DecisionLog.silent(), new GatewayMetrics());
-        guard.reportTo(message -> later(5, () -> receive(message)));
+        guard.reportTo(message -> later(5, () -> receive(message)), () -> true);
         daemons.add(guard);
       }
       for (int i = 0; i < endpointCount; i++) {
