Keep the usual connections in a surge, and see it in young daemons

A daemon that the load balancer sends most new connections read requests that it could not serve. Two causes in ConnectionSurge: the usual number followed the surge, so that after some four seconds it was none any more, and nothing was a surge in a process younger than 30 s; and four late probes in a row take seconds once a probe itself waits behind the work.

The usual number now lags three seconds and stands still in a surge, the loop counts as behind 0.2 s after its last timely probe, and a daemon that was behind keeps twice the usual number first instead of all again.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
@@ -1,18 +1,23 @@
 package io.sequoiapass.gateway.process;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
- * Decides whether this daemon refuses new connections of callers, because the load balancer sends
- * it several times its usual share and it can't keep up; other daemons have room then.
+ * Decides which new connections of callers this daemon keeps while the load balancer sends it
+ * several times its usual number and it can't keep up; other daemons have room then.
  *
  * <pre>{@code
- * surge.opened(now);                        // for each new connection
+ * boolean isKept = surge.opened(now);       // for each new connection
  * surge.probed(latenessMs, now);            // at a fixed interval
- * if (surge.isRefusing()) { ... }
+ * boolean isReady = !surge.isRefusing();
  * }</pre>
  *
- * <p>A caller whose connection is closed with its request unread tries another daemon at once. A
- * daemon that is merely busy, as all others are, refuses nothing. Not safe for use by several
- * threads.
+ * <p>A caller whose connection is closed with its request unread tries another daemon at once.
+ * While the event loop is behind, no connection is kept; afterwards a number that begins near the
+ * usual one and grows as long as the loop keeps up, since the requests of a whole interval would
+ * put it behind again. A daemon that keeps up, or gets what it always gets, refuses nothing. Not
+ * safe for use by several threads.
  */
 final class ConnectionSurge {
 
@@ -22,29 +27,49 @@
   /** Lateness of a probe that shows that the loop does not keep up, in milliseconds. */
   private static final long LATE_MS = 40;
 
-  /** Late probes in a row, so that one pause of the process does not count. */
-  private static final int LATE_PROBES = 4;
-
-  /** Probes in time, in a row, after which connections are accepted again. */
-  private static final int TIMELY_PROBES = 4;
+  /** Time since the last timely probe after which the loop is behind, in milliseconds. */
+  private static final long BEHIND_MS = 200;
 
-  /** New connections in relation to the usual number; a burst of all callers stays below it. */
-  private static final double SURGE = 4;
+  /** New connections in relation to the usual number that are a surge. */
+  private static final double SURGE = 3;
 
   /** Fewest new connections in a second that are a surge. */
   private static final double MIN_PER_S = 5;
 
+  /** Connections that are kept after the loop was behind, in relation to the usual number. */
+  private static final double FIRST_KEPT = 2;
+
+  /** Growth of the number that is kept with each timely probe. */
+  private static final double GROWTH = 1.1;
+
+  /** Seconds for which the usual number does not follow a surge. */
+  private static final int MAX_SURGE_S = 30;
+
+  /** Seconds after which connections count for the usual number, so that a surge shows first. */
+  private static final int LAG_S = 3;
+
+  /** Seconds that have to count before their mean is the usual number. */
+  private static final double MIN_KNOWN_S = 2;
+
   private static final double RECENT_MS = 1_000;
-  private static final double USUAL_MS = 30_000;
-  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double USUAL_S = 30;
+  private static final long SECOND_MS = 1_000;
+  private static final double MAX_TOKENS = 1;
 
-  private double recentPerS;
-  private double usualPerS;
-  private final long startedAt;
   private long countedAt;
-  private int late;
-  private int timely;
+  private long secondEndsAt;
+  private long timelyAt;
+  private double recentPerS;
+  private int inThisSecond;
+  private final Deque<Integer> lastSeconds = new ArrayDeque<>();
+  private double usualSum;
+  private double usualSeconds;
+  private int surgeSeconds;
+  private boolean hasOpened;
+  private boolean isLate;
   private boolean refusing;
+  private double keptPerS;
+  private double tokens;
 
   /**
    * Creates it without connections.
@@ -52,22 +77,28 @@
    * @param now the time, in milliseconds
    */
   ConnectionSurge(long now) {
-    startedAt = now;
     countedAt = now;
+    secondEndsAt = now + SECOND_MS;
+    timelyAt = now;
   }
 
-  /** Records a new connection. */
-  void opened(long now) {
-    decay(now);
-    recentPerS += MILLIS_PER_SECOND / RECENT_MS;
-    usualPerS += MILLIS_PER_SECOND / USUAL_MS;
-  }
-
-  private void decay(long now) {
-    double elapsed = (double) (now - countedAt);
-    recentPerS *= Math.exp(-elapsed / RECENT_MS);
-    usualPerS *= Math.exp(-elapsed / USUAL_MS);
-    countedAt = now;
+  /** Records a new connection; returns whether it is kept. */
+  boolean opened(long now) {
+    advance(now);
+    hasOpened = true;
+    inThisSecond++;
+    recentPerS += SECOND_MS / RECENT_MS;
+    if (isBehind(now) && isSurge()) {
+      refusing = true;
+      keptPerS = FIRST_KEPT * usualPerS();
+      tokens = 0;
+      return false;
+    }
+    if (refusing && tokens < 1) {
+      return false;
+    }
+    tokens -= refusing ? 1 : 0;
+    return true;
   }
 
   /**
@@ -77,20 +108,56 @@
    * @param now the time, in milliseconds
    */
   void probed(long latenessMs, long now) {
-    decay(now);
-    boolean isLate = latenessMs >= LATE_MS;
-    late = isLate ? late + 1 : 0;
-    timely = isLate ? 0 : timely + 1;
-    boolean isUsualKnown = now - startedAt >= USUAL_MS;
-    boolean isSurge = isUsualKnown && recentPerS >= Math.max(MIN_PER_S, SURGE * usualPerS);
-    if (late >= LATE_PROBES && isSurge) {
-      refusing = true;
-    } else if (timely >= TIMELY_PROBES) {
-      refusing = false;
+    advance(now);
+    isLate = latenessMs >= LATE_MS;
+    if (!isLate) {
+      timelyAt = now;
+      keptPerS *= GROWTH;
+    }
+    refusing &= recentPerS > keptPerS;
+  }
+
+  private void advance(long now) {
+    long elapsed = Math.max(0, now - countedAt);
+    countedAt = now;
+    recentPerS *= Math.exp(-elapsed / RECENT_MS);
+    tokens = Math.min(MAX_TOKENS, tokens + keptPerS * elapsed / SECOND_MS);
+    while (secondEndsAt <= now) {
+      secondEndsAt += SECOND_MS;
+      endSecond();
+    }
+  }
+
+  private void endSecond() {
+    surgeSeconds = isSurge() ? surgeSeconds + 1 : 0;
+    boolean isUsual = surgeSeconds == 0 || surgeSeconds > MAX_SURGE_S;
+    if (!isUsual) {
+      lastSeconds.clear();
+    } else if (hasOpened) {
+      lastSeconds.add(inThisSecond);
+    }
+    inThisSecond = 0;
+    if (lastSeconds.size() > LAG_S) {
+      double kept = Math.exp(-1 / USUAL_S);
+      usualSum = usualSum * kept + lastSeconds.remove();
+      usualSeconds = usualSeconds * kept + 1;
     }
   }
 
-  /** Returns whether new connections are closed unread, and the load balancer is to use others. */
+  private double usualPerS() {
+    return usualSum / usualSeconds;
+  }
+
+  private boolean isSurge() {
+    return usualSeconds >= MIN_KNOWN_S && recentPerS >= Math.max(MIN_PER_S, SURGE * usualPerS());
+  }
+
+  /** Whether requests wait: after a pause of the process the next probe is timely. */
+  private boolean isBehind(long now) {
+    return isLate && now - timelyAt >= BEHIND_MS;
+  }
+
+  /** Returns whether new connections are refused, and the load balancer is to use others. */
   boolean isRefusing() {
     return refusing;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SurgeGuard.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SurgeGuard.java
@@ -41,28 +41,37 @@
   }
 
   private void probe() {
-    boolean isChanged;
     synchronized (this) {
       long now = clock.millis();
       surge.probed(now - probedAt - ConnectionSurge.PROBE_MS, now);
       probedAt = now;
-      isChanged = surge.isRefusing() != refusing;
-      refusing = surge.isRefusing();
     }
-    if (isChanged) {
-      log.event("connection_surge").with("refusing", refusing).write();
+    publish();
+  }
+
+  private void publish() {
+    boolean isRefusing;
+    synchronized (this) {
+      isRefusing = surge.isRefusing();
+      if (isRefusing == refusing) {
+        return;
+      }
+      refusing = isRefusing;
     }
+    log.event("connection_surge").with("refusing", isRefusing).write();
   }
 
   /** Returns whether a connection that has just been opened is kept. */
   boolean accepts() {
+    boolean isKept;
     synchronized (this) {
-      surge.opened(clock.millis());
+      isKept = surge.opened(clock.millis());
     }
-    if (refusing) {
+    publish();
+    if (!isKept) {
       metrics.count("sequoiapass_connections_refused_total");
     }
-    return !refusing;
+    return isKept;
   }
 
   /** Returns whether new connections are refused. */
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/ConnectionSurgeTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/ConnectionSurgeTest.java
@@ -43,6 +43,33 @@
       assertThat(surge.isRefusing()).isFalse();
     }
 
+    @Test
+    void acceptsThemAgainOnceOtherDaemonsGetThem() {
+      run(60_000, 10, 0);
+      run(2_000, 80, LATE_MS);
+      run(2_000, 0, LATE_MS);
+
+      assertThat(surge.isRefusing()).isFalse();
+    }
+
+    @Test
+    void refusesThemAgainAfterSomeSeconds() {
+      run(60_000, 10, 0);
+      run(2_000, 80, LATE_MS);
+      run(5_000, 80, 0);
+      run(2_000, 80, LATE_MS);
+
+      assertThat(surge.isRefusing()).isTrue();
+    }
+
+    @Test
+    void refusesThemSoonAfterItsStart() {
+      run(8_000, 10, 0);
+      run(2_000, 80, LATE_MS);
+
+      assertThat(surge.isRefusing()).isTrue();
+    }
+
     @Test
     void refusesNoneIfItKeepsUp() {
       run(60_000, 10, 0);
