Probe refusals at a fixed rate in the overload test

The probes were sent one after the other.

Now twenty probes are sent, two a second, whatever the others do, and each of their refusals has to state a positive Retry-After; before, only the first one had to.

--- a/testbed/src/test/java/io/sequoiapass/testbed/failure/OverloadTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/failure/OverloadTest.java
@@ -17,9 +17,14 @@
 import io.sequoiapass.testbed.load.Verdict;
 import io.sequoiapass.testbed.wire.ObjectValues;
 import java.net.InetSocketAddress;
+import java.net.http.HttpHeaders;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Nested;
@@ -32,6 +37,8 @@
   private static final int ADAPTERS = 4;
   private static final int SECONDS = 12;
   private static final int DEADLINE_MS = 3_000;
+  private static final int PROBES = 20;
+  private static final long PROBE_INTERVAL_MS = 500;
 
   /**
    * Sized for some 35 answers a second: 16 streams of 5 tokens, with steps that are long compared
@@ -189,7 +196,7 @@
       try (Cluster cluster = cluster();
           LoadTool quiet = load(cluster, ClusterNames.NOTES, plan(QUIET_RATE, 1));
           LoadTool flood = load(cluster, FLOOD, interactive(plan(FLOOD_RATE, 2)))) {
-        String retryAfter = retryAfterOfARefusal(cluster.daemons().get(0));
+        List<String> retryAfter = retryAfterOfRefusals(cluster.daemons().get(0));
         LoadReport quietReport = quiet.await(LIMIT_MS);
         LoadReport floodReport = flood.await(LIMIT_MS);
         ConsistencyChecker checker = ConsistencyChecker.of(cluster);
@@ -220,20 +227,36 @@
         assertThat(refused).isGreaterThan(floodReport.sent() / 3);
         assertThat(heldBeforeRefusalMs(cluster)).as("held by the owner").isLessThan(MAX_HOLD_MS);
         assertThat(refusedWithinMs(floodReport, 1)).as("the last one").isLessThan(DEADLINE_MS);
-        assertThat(Integer.parseInt(retryAfter)).isPositive();
+        assertThat(retryAfter)
+            .isNotEmpty()
+            .allSatisfy(seconds -> assertThat(Integer.parseInt(seconds)).isPositive());
       }
     }
 
-    /** Returns -1 if nothing was refused until the load has ended. */
-    private static String retryAfterOfARefusal(DaemonNode daemon) throws Exception {
-      long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(SECONDS);
-      for (int tries = 0; System.nanoTime() < until; tries++) {
-        HttpResponse<String> answer = sendRequest(daemon, tries % ADAPTERS);
-        if (answer.headers().firstValue("Outcome").equals(Optional.of("NOT_RUN"))) {
-          return answer.headers().firstValue("Retry-After").orElse("-1");
+    /**
+     * Returns the Retry-After of refusals. Probes are sent at a fixed rate, since each of those
+     * that are answered waits in the queue for seconds.
+     */
+    private static List<String> retryAfterOfRefusals(DaemonNode daemon) throws Exception {
+      ExecutorService senders = Executors.newFixedThreadPool(PROBES);
+      try {
+        List<Future<HttpResponse<String>>> probes = new ArrayList<>();
+        for (int i = 0; i < PROBES; i++) {
+          int adapter = i % ADAPTERS;
+          probes.add(senders.submit(() -> sendRequest(daemon, adapter)));
+          TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MS);
         }
+        List<String> found = new ArrayList<>();
+        for (Future<HttpResponse<String>> probe : probes) {
+          HttpHeaders headers = probe.get().headers();
+          if (headers.firstValue("Outcome").equals(Optional.of("NOT_RUN"))) {
+            found.add(headers.firstValue("Retry-After").orElse("-1"));
+          }
+        }
+        return found;
+      } finally {
+        senders.shutdown();
       }
-      return "-1";
     }
   }
 }
