Pass reports on crashes to the coordinators of other regions

A part of a prompt that crashed endpoints of one region crashed three or four more in each other region: daemons are linked to the coordinators of their own region only, and each region judged on its own crashes.

Coordinators now pass what their daemons report (crashes, and parts that an answer has cleared) to the coordinators of other regions over connections that are opened on demand; a coordinator that hears it does not pass it on. A deployment of one region does nothing new.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -64,7 +64,7 @@
   private final PermitGrants permits;
   private final PeerOffers peers = new PeerOffers();
   private final MemberUpdates members = new MemberUpdates();
-  private final PartVerdictUpdates parts = new PartVerdictUpdates();
+  private final PartVerdictUpdates parts;
   private final Runnable onFenced;
   private DaemonView view = DaemonView.NONE;
   private final Map<FrameChannel, LinkedDaemon> links = new HashMap<>();
@@ -107,6 +107,7 @@
     this.here = settings.dataCentre();
     this.directory = directory;
     this.versions = io.versions();
+    this.parts = io.parts();
     this.plan = plan;
     this.loadQueue =
         new LoadQueue(plan, adapter -> directory.isHeldOutside(settings.dataCentre(), adapter));
@@ -128,7 +129,7 @@
   }
 
   /**
-   * Protocol, client, executor, clock, log and versions.
+   * Protocol, client, executor, clock, log, versions and verdicts.
    *
    * @param protocol the protocol of the endpoints
    * @param calls the client for calls
@@ -136,6 +137,7 @@
    * @param clock the monotonic clock
    * @param log the log
    * @param versions the newest versions of adapters
+   * @param parts the verdicts on parts of prompts
    */
   record Io(
       EndpointProtocol protocol,
@@ -143,7 +145,8 @@
       ScheduledExecutorService loop,
       MillisClock clock,
       DecisionLog log,
-      AdapterVersions versions) {}
+      AdapterVersions versions,
+      PartVerdictUpdates parts) {}
 
   /** Sets what this daemon knows of the store and of other coordinators. */
   synchronized void use(DaemonView daemonView) {
@@ -530,7 +533,7 @@
     }
     long now = clock.millis();
     linked.lastReceivedAt = now;
-    parts.receive(message, now);
+    parts.receive(message, linked.daemon != null, now);
     if (message instanceof LinkMessage.Hello hello) {
       linked.daemon = hello.daemon();
       linked.dataCentre = hello.dataCentre();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.process;
 
 import io.netty.channel.EventLoopGroup;
+import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.process.ClockReading;
@@ -278,12 +279,20 @@
             log);
     ModelLoadLimiter modelLoads =
         new ModelLoadLimiter(settings.bounds().loadWindowMs(), settings.regions().size());
+    RegionRelay relay = new RegionRelay(otherRegions(), store, transport, loops, clock);
     coordinator =
         new Coordinator(
             new CoordinatorSettings(settings.daemon(), settings.dataCentre()),
             directory,
             new PlacementPlan(versions, modelLoads, new LoadTime(directory)),
-            new Coordinator.Io(deployment.endpointProtocol(), calls, loops, clock, log, versions),
+            new Coordinator.Io(
+                deployment.endpointProtocol(),
+                calls,
+                loops,
+                clock,
+                log,
+                versions,
+                new PartVerdictUpdates(relay::forward)),
             () ->
                 new UsageAllocator(
                     settings.regions().size(),
@@ -309,6 +318,14 @@
     transport.listen(settings.links(), coordinator::listener);
   }
 
+  private List<DataCentreId> otherRegions() {
+    String region = settings.regions().get(settings.dataCentre());
+    return settings.regions().entrySet().stream()
+        .filter(entry -> !entry.getValue().equals(region))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** Returns one link for each data centre of this region. */
   private List<CoordinatorLink> links(FrameTransport transport) {
     String region = settings.regions().get(settings.dataCentre());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PartVerdictUpdates.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PartVerdictUpdates.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * A coordinator's verdicts on parts of prompts that crash endpoints, and what its daemons know of
@@ -15,11 +16,32 @@
 final class PartVerdictUpdates {
 
   private final CrashVerdicts verdicts = new CrashVerdicts();
+  private final Consumer<LinkMessage> otherRegions;
   private Set<PartKey> sentSuspected = Set.of();
   private Set<PartKey> sentConvicted = Set.of();
 
-  /** Handles a daemon's message if it concerns parts. */
-  void receive(LinkMessage message, long now) {
+  /**
+   * Creates updates without verdicts.
+   *
+   * @param otherRegions receives the reports of this region's daemons; must not block
+   */
+  PartVerdictUpdates(Consumer<LinkMessage> otherRegions) {
+    this.otherRegions = otherRegions;
+  }
+
+  /**
+   * Handles a message if it concerns parts.
+   *
+   * @param message the message
+   * @param isLinked whether it comes from a linked daemon, or from a coordinator of another region
+   * @param now the time, in milliseconds
+   */
+  void receive(LinkMessage message, boolean isLinked, long now) {
+    boolean isEvidence =
+        message instanceof LinkMessage.CrashReport || message instanceof LinkMessage.PartsCleared;
+    if (isLinked && isEvidence) {
+      otherRegions.accept(message);
+    }
     if (message instanceof LinkMessage.CrashReport report) {
       report
           .suspects()
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/CrashFleetTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/CrashFleetTest.java
@@ -44,36 +44,65 @@
 
   private record Attempt(PromptPartGuard daemon, Generation generation, long begunAt, int left) {}
 
-  /** Daemons with one coordinator, whose messages arrive late. */
+  /** Daemons and endpoints with one coordinator. */
+  private static final class Region {
+    private final List<PromptPartGuard> daemons = new ArrayList<>();
+    private final List<Endpoint> endpoints = new ArrayList<>();
+    private final CrashVerdicts coordinator = new CrashVerdicts();
+    private Set<PartKey> suspected = Set.of();
+    private Set<PartKey> convicted = Set.of();
+
+    private void receive(LinkMessage message, long now) {
+      if (message instanceof LinkMessage.CrashReport report) {
+        report
+            .suspects()
+            .forEach(s -> coordinator.crashed(report.process(), s.request(), s.parts(), now));
+      } else if (message instanceof LinkMessage.PartsCleared cleared) {
+        coordinator.cleared(cleared.parts(), now);
+      }
+    }
+  }
+
+  /** Regions, whose messages arrive late. */
   private static final class Fleet {
+    private static final long LINK_MS = 5;
+    private static final long RELAY_MS = 150;
+
     private final Random random;
     private final PriorityQueue<Event> events =
         new PriorityQueue<>(Comparator.comparingLong(Event::at));
-    private final List<PromptPartGuard> daemons = new ArrayList<>();
+    private final List<Region> regions = new ArrayList<>();
     private final List<Endpoint> endpoints = new ArrayList<>();
-    private final CrashVerdicts coordinator = new CrashVerdicts();
     private final Set<String> bad = new HashSet<>();
     private final List<Long> crashes = new ArrayList<>();
     private final List<Long> badArrivals = new ArrayList<>();
     private final long intervalMs;
-    private Set<PartKey> suspected = Set.of();
-    private Set<PartKey> convicted = Set.of();
     private long now = 1;
     private int sound;
     private int soundRefused;
     private int requests;
 
     Fleet(int size, int endpointCount, long seed) {
+      this(1, size, endpointCount, seed);
+    }
+
+    Fleet(int regionCount, int size, int endpointCount, long seed) {
       random = new Random(seed);
-      intervalMs = BroadcastInterval.intervalMs(size);
+      intervalMs = BroadcastInterval.intervalMs(size / regionCount);
+      for (int i = 0; i < regionCount; i++) {
+        regions.add(new Region());
+      }
       for (int i = 0; i < size; i++) {
+        Region region = regions.get(i % regionCount);
         PromptPartGuard guard =
             new PromptPartGuard(() -> now, DecisionLog.silent(), new GatewayMetrics());
-        guard.reportTo(message -> later(5, () -> receive(message)), () -> true);
-        daemons.add(guard);
+        guard.reportTo(message -> report(region, message), () -> true);
+        region.daemons.add(guard);
       }
       for (int i = 0; i < endpointCount; i++) {
-        endpoints.add(new Endpoint());
+        Endpoint endpoint = new Endpoint();
+        endpoints.add(endpoint);
+        regions.get(i % regionCount).endpoints.add(endpoint);
       }
       later(intervalMs, this::broadcast);
     }
@@ -82,33 +111,34 @@
       events.add(new Event(now + ms, action));
     }
 
-    private void receive(LinkMessage message) {
-      if (message instanceof LinkMessage.CrashReport report) {
-        report
-            .suspects()
-            .forEach(s -> coordinator.crashed(report.process(), s.request(), s.parts(), now));
-      } else if (message instanceof LinkMessage.PartsCleared cleared) {
-        coordinator.cleared(cleared.parts(), now);
+    private void report(Region region, LinkMessage message) {
+      for (Region other : regions) {
+        later(other == region ? LINK_MS : RELAY_MS, () -> other.receive(message, now));
       }
     }
 
     private void broadcast() {
-      Set<PartKey> nowConvicted = coordinator.convicted(now);
-      Set<PartKey> nowSuspected = coordinator.suspected(now);
-      Set<PartKey> ended = new HashSet<>(suspected);
-      ended.addAll(convicted);
-      ended.removeAll(nowConvicted);
-      ended.removeAll(nowSuspected);
+      regions.forEach(this::broadcast);
+      later(intervalMs, this::broadcast);
+    }
+
+    private void broadcast(Region region) {
+      Set<PartKey> convicted = region.coordinator.convicted(now);
+      Set<PartKey> suspected = region.coordinator.suspected(now);
+      Set<PartKey> ended = new HashSet<>(region.suspected);
+      ended.addAll(region.convicted);
+      ended.removeAll(convicted);
+      ended.removeAll(suspected);
       LinkMessage.PartVerdicts update =
           new LinkMessage.PartVerdicts(
-              false, List.copyOf(nowSuspected), List.copyOf(nowConvicted), List.copyOf(ended));
-      boolean isChanged = !nowSuspected.equals(suspected) || !nowConvicted.equals(convicted);
-      suspected = nowSuspected;
-      convicted = nowConvicted;
+              false, List.copyOf(suspected), List.copyOf(convicted), List.copyOf(ended));
+      boolean isChanged =
+          !suspected.equals(region.suspected) || !convicted.equals(region.convicted);
+      region.suspected = suspected;
+      region.convicted = convicted;
       if (isChanged) {
-        daemons.forEach(daemon -> later(5, () -> daemon.update(HERE, update)));
+        region.daemons.forEach(daemon -> later(LINK_MS, () -> daemon.update(HERE, update)));
       }
-      later(intervalMs, this::broadcast);
     }
 
     private Generation generation(String... parts) {
@@ -131,13 +161,14 @@
     }
 
     private void send(Generation generation, int left, boolean again) {
-      PromptPartGuard daemon = daemons.get(random.nextInt(daemons.size()));
+      Region region = regions.get(random.nextInt(regions.size()));
+      PromptPartGuard daemon = region.daemons.get(random.nextInt(region.daemons.size()));
       boolean isBad = generation.sharedParts().stream().anyMatch(p -> bad.contains(p.id()));
       if (daemon.isRefused(SERVICE, generation)) {
         soundRefused += isBad || again ? 0 : 1;
         return;
       }
-      List<Endpoint> up = endpoints.stream().filter(endpoint -> !endpoint.down).toList();
+      List<Endpoint> up = region.endpoints.stream().filter(endpoint -> !endpoint.down).toList();
       if (up.isEmpty()) {
         return;
       }
@@ -246,6 +277,22 @@
     }
   }
 
+  @Nested
+  class BadPartInManyRegions {
+
+    @ParameterizedTest
+    @CsvSource({"24,48,240,2,1", "24,48,240,10,1", "400,300,2000,1,1", "400,300,2000,10,30"})
+    void isContainedInAllOfThem(int daemons, int endpoints, int perS, int badPercent, int batch) {
+      for (long seed = 1; seed <= 3; seed++) {
+        Fleet fleet = new Fleet(6, daemons, endpoints, seed);
+        fleet.run(perS, badPercent, batch, List.of("bad"));
+
+        assertThat(fleet.lateArrivals()).as("seed %d", seed).isLessThanOrEqualTo(MAX_LATE);
+        assertThat(fleet.soundRefused).as("seed %d", seed).isLessThanOrEqualTo(fleet.sound / 100);
+      }
+    }
+  }
+
   @Nested
   class CrashesOfOtherCause {
 
