--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
@@ -9,7 +9,8 @@
  *
  * <pre>{@code
  * boolean isKept = surge.opened(now);       // for each new connection
- * surge.probed(latenessMs, now);            // at a fixed interval
+ * if (surge.wantsProbe()) { ... }           // schedule one, unless one is scheduled already
+ * surge.probed(latenessMs, now);            // when it has run
  * boolean isReady = !surge.isRefusing();
  * }</pre>
  *
@@ -21,13 +22,16 @@
  */
 final class ConnectionSurge {
 
-  /** Interval between probes of the event loop, in milliseconds. */
+  /** Delay of a probe of the event loop, in milliseconds; idle daemons are not woken for it. */
   static final long PROBE_MS = 50;
 
   /** Lateness of a probe that shows that the loop does not keep up, in milliseconds. */
   private static final long LATE_MS = 40;
 
-  /** Time since the last timely probe after which the loop is behind, in milliseconds. */
+  /**
+   * Time since the last timely probe, or the first one, after which the loop is behind, in
+   * milliseconds.
+   */
   private static final long BEHIND_MS = 200;
 
   /** New connections in relation to the usual number that are a surge. */
@@ -66,6 +70,7 @@
   private double usualSeconds;
   private int surgeSeconds;
   private boolean hasOpened;
+  private boolean probes;
   private boolean isLate;
   private boolean refusing;
   private double keptPerS;
@@ -88,6 +93,11 @@
     hasOpened = true;
     inThisSecond++;
     recentPerS += SECOND_MS / RECENT_MS;
+    if (!probes && wantsProbe()) {
+      probes = true;
+      isLate = false;
+      timelyAt = now;
+    }
     if (isBehind(now) && isSurge()) {
       refusing = true;
       keptPerS = FIRST_KEPT * usualPerS();
@@ -115,6 +125,12 @@
       keptPerS *= GROWTH;
     }
     refusing &= recentPerS > keptPerS;
+    probes = wantsProbe();
+  }
+
+  /** Returns whether the lateness of the event loop matters now. */
+  boolean wantsProbe() {
+    return refusing || isSurge();
   }
 
   private void advance(long now) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -148,7 +148,7 @@
     this.loops = SocketTransport.best().group(settings.cores());
     long graceMs = (long) (settings.bounds().versionMs() * OLD_VERSION_SHARE);
     this.versions = new AdapterVersions(graceMs);
-    this.surge = new SurgeGuard(clock, log, metrics);
+    this.surge = new SurgeGuard(loops, clock, log, metrics);
     this.parts = new PromptPartGuard(clock, log, metrics);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
@@ -213,7 +213,7 @@
     callerServer =
         HttpServer.builder(loops, callers)
             .limits(this::limits)
-            .acceptIf(surge.start(loops)::accepts)
+            .acceptIf(surge::accepts)
             .start(settings.callers());
     peerServer =
         HttpServer.builder(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SurgeGuard.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SurgeGuard.java
@@ -11,42 +11,51 @@
  */
 final class SurgeGuard {
 
+  private final ScheduledExecutorService loop;
   private final MillisClock clock;
   private final DecisionLog log;
   private final GatewayMetrics metrics;
   private final ConnectionSurge surge;
-  private long probedAt;
+  private boolean isScheduled;
+  private long dueAt;
   private volatile boolean refusing;
 
   /**
-   * Creates a guard that refuses nothing until {@link #start}.
+   * Creates a guard that refuses nothing.
    *
+   * @param loop runs probes
    * @param clock the monotonic clock
    * @param log the log
    * @param metrics the counters
    */
-  SurgeGuard(MillisClock clock, DecisionLog log, GatewayMetrics metrics) {
+  SurgeGuard(
+      ScheduledExecutorService loop, MillisClock clock, DecisionLog log, GatewayMetrics metrics) {
+    this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
     this.surge = new ConnectionSurge(clock.millis());
   }
 
-  /** Starts the probes; returns this. */
-  SurgeGuard start(ScheduledExecutorService loop) {
-    probedAt = clock.millis();
-    loop.scheduleAtFixedRate(
-        this::probe, ConnectionSurge.PROBE_MS, ConnectionSurge.PROBE_MS, TimeUnit.MILLISECONDS);
-    return this;
+  private void scheduleProbe() {
+    synchronized (this) {
+      if (isScheduled || !surge.wantsProbe()) {
+        return;
+      }
+      isScheduled = true;
+      dueAt = clock.millis() + ConnectionSurge.PROBE_MS;
+    }
+    loop.schedule(this::probe, ConnectionSurge.PROBE_MS, TimeUnit.MILLISECONDS);
   }
 
   private void probe() {
     synchronized (this) {
+      isScheduled = false;
       long now = clock.millis();
-      surge.probed(now - probedAt - ConnectionSurge.PROBE_MS, now);
-      probedAt = now;
+      surge.probed(now - dueAt, now);
     }
     publish();
+    scheduleProbe();
   }
 
   private void publish() {
@@ -68,6 +77,7 @@
       isKept = surge.opened(clock.millis());
     }
     publish();
+    scheduleProbe();
     if (!isKept) {
       metrics.count("sequoiapass_connections_refused_total");
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/ConnectionSurgeFleetTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/ConnectionSurgeFleetTest.java
@@ -62,7 +62,7 @@
     private boolean isBusy;
     private int misses;
     private boolean isIn = true;
-    private long probeDueMicros;
+    private boolean isProbed;
   }
 
   /** Callers, a load balancer and daemons. */
@@ -100,7 +100,6 @@
       for (int i = 0; i < size; i++) {
         Daemon daemon = new Daemon();
         daemons.add(daemon);
-        probe(daemon);
       }
       later(0, this::arrive);
       later(1_000 * MS, this::checkReadiness);
@@ -114,17 +113,19 @@
       events.add(new Event(micros + delay, action));
     }
 
-    private void probe(Daemon daemon) {
-      daemon.probeDueMicros = micros;
-      add(
-          daemon,
-          new Work(
-              0,
-              () -> {
-                daemon.surge.probed((micros - daemon.probeDueMicros) / MS, now());
-                long next = daemon.probeDueMicros + ConnectionSurge.PROBE_MS * MS;
-                later(Math.max(1, next - micros), () -> probe(daemon));
-              }));
+    private void scheduleProbe(Daemon daemon) {
+      if (!daemon.isProbed && daemon.surge.wantsProbe()) {
+        daemon.isProbed = true;
+        long dueAt = micros + ConnectionSurge.PROBE_MS * MS;
+        Work probe = new Work(0, () -> probed(daemon, (micros - dueAt) / MS));
+        later(ConnectionSurge.PROBE_MS * MS, () -> add(daemon, probe));
+      }
+    }
+
+    private void probed(Daemon daemon, long latenessMs) {
+      daemon.isProbed = false;
+      daemon.surge.probed(latenessMs, now());
+      scheduleProbe(daemon);
     }
 
     private void checkReadiness() {
@@ -153,6 +154,7 @@
     private void send(Daemon daemon, boolean opens, long firstSent, int attempt) {
       if (opens) {
         boolean isKept = daemon.surge.opened(now());
+        scheduleProbe(daemon);
         add(daemon, new Work(ACCEPT_MICROS, () -> {}));
         if (!isKept && way.refuses()) {
           tryElsewhere(firstSent, attempt);
