--- a/gateway/src/test/java/io/sequoiapass/gateway/process/RegionRelayTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/RegionRelayTest.java
@@ -29,7 +29,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -45,6 +44,7 @@
   private final EventLoopGroup loops = SocketTransport.best().group(1);
   private final FrameTransport transport = FrameTransport.create(loops);
   private final BlockingQueue<LinkMessage> received = new LinkedBlockingQueue<>();
+  private final BlockingQueue<FrameChannel> rejected = new LinkedBlockingQueue<>();
   private final LeaseStore store = new LeaseStore();
 
   @AfterEach
@@ -54,16 +54,16 @@
 
   /** A store that has the lease of one coordinator. */
   private static final class LeaseStore implements MetadataStore {
-    private final AtomicInteger reads = new AtomicInteger();
+    private final BlockingQueue<StoreKind<?>> reads = new LinkedBlockingQueue<>();
     private volatile InetSocketAddress address;
 
     @Override
     @SuppressWarnings("unchecked")
     public <T> CompletableFuture<StoreList<T>> list(StoreKind<T> kind) {
-      reads.incrementAndGet();
       CoordinatorLease lease =
           new CoordinatorLease(new DaemonId("far"), "far-1", address, 1, 1, false);
       Stored<T> item = new Stored<>(AWAY.value(), 1, Optional.of((T) lease), "");
+      reads.add(kind);
       return CompletableFuture.completedFuture(new StoreList<>(1, List.of(item)));
     }
 
@@ -90,6 +90,7 @@
                   @Override
                   public void opened(FrameChannel channel) {
                     if (!coordinates) {
+                      rejected.add(channel);
                       channel.close();
                     }
                   }
@@ -140,7 +141,7 @@
       assertThat(next()).isEqualTo(crash("e2"));
       relay.forward(crash("e3"));
       assertThat(next()).isEqualTo(crash("e3"));
-      assertThat(store.reads).hasValue(1);
+      assertThat(store.reads).hasSize(1);
     }
 
     @Test
@@ -148,7 +149,7 @@
       store.address = listen(false);
       RegionRelay relay = relay();
       relay.forward(crash("e1"));
-      TimeUnit.MILLISECONDS.sleep(1_000);
+      assertThat(rejected.poll(WAIT_MS, TimeUnit.MILLISECONDS)).isNotNull();
       store.address = listen(true);
 
       assertThat(next()).isEqualTo(crash("e1"));
@@ -159,7 +160,7 @@
       store.address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
       RegionRelay relay = relay();
       relay.forward(crash("e1"));
-      TimeUnit.MILLISECONDS.sleep(1_000);
+      assertThat(store.reads.poll(WAIT_MS, TimeUnit.MILLISECONDS)).isNotNull();
       store.address = listen(true);
 
       assertThat(next()).isEqualTo(crash("e1"));
