Read a coordinator's lease before it is taken over by its revision

A daemon that is linked to a coordinator follows the revision of its lease, but kept the holder and the epoch of the lease that it had read last. If that one was released, or its own of before, and the link was lost within 400 ms of the read, it took the lease with the new revision and the old epoch plus one, which the holder has. A holder that had lost the lease unnoticed and was linked to its successor renewed with the successor's revision, so that its write did not conflict, and the next one to take the lease used the successor's epoch again.

A revision that was only heard now wants a read before the lease is taken, and a holder keeps the revision that it wrote.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -204,11 +204,16 @@
     return !same;
   }
 
-  /** Handles the lease revision that a coordinator reported on its link. */
+  /**
+   * Handles the lease revision that a coordinator reported on its link. It may be the revision of
+   * another holder's lease, of which neither holder nor epoch are known: the lease is read before
+   * it is taken, and a holder keeps the revision that it wrote, so that its renewal conflicts.
+   */
   void observeRevision(long revision, long now) {
-    if (seen.isPresent() && seen.get().revision() < revision) {
+    if (!holding && seen.isPresent() && seen.get().revision() < revision) {
       seen = Optional.of(new Stored<>(seen.get().name(), revision, seen.get().value(), ""));
       unchangedSince = now;
+      read = false;
     }
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/CoordinatorElectionTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/CoordinatorElectionTest.java
@@ -257,4 +257,37 @@
       assertThat(election.proposal().epoch()).isEqualTo(4);
     }
   }
+
+  /** Two holders would order in one epoch. */
+  @Nested
+  class HolderOfWhichOnlyTheRevisionIsKnown {
+
+    private Step firstStep(long from) {
+      long now = from;
+      Step step = election.next(now, Link.DOWN);
+      while (step == Step.NONE) {
+        now += STEP_MS;
+        step = election.next(now, Link.DOWN);
+      }
+      return step;
+    }
+
+    @Test
+    void isReadBeforeItsLeaseIsTaken() {
+      election.next(0, Link.DOWN);
+      election.read(stored(10, lease("north-2", "p2", 7, 3).asReleased()), 5);
+      election.observeRevision(12, 10);
+
+      assertThat(firstStep(20)).isEqualTo(Step.READ);
+    }
+
+    @Test
+    void isNotOverwrittenByAnEarlierHolder() {
+      acquire(0);
+      election.observeRevision(12, 100);
+
+      assertThat(firstStep(200)).isEqualTo(Step.WRITE);
+      assertThat(election.expected()).isEqualTo(OptionalLong.of(5));
+    }
+  }
 }
