Keep some connections in a surge at a daemon that was idle

A daemon that had no connections for minutes, and then got many and fell behind, kept twice its usual number, which is none, and a tenth more of none: it refused all connections and stayed out of the load balancer for minutes after the surge. Found by reading.

It now keeps at least twice a third of the fewest that are a surge.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
@@ -100,7 +100,7 @@
     }
     if (isBehind(now) && isSurge()) {
       refusing = true;
-      keptPerS = FIRST_KEPT * usualPerS();
+      keptPerS = FIRST_KEPT * Math.max(MIN_PER_S / SURGE, usualPerS());
       tokens = 0;
       return false;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/RegionRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/RegionRelay.java
@@ -193,6 +193,8 @@
 
     private final Target target;
     private final Deque<Message> sent = new ArrayDeque<>();
+
+    /** In the future until it has opened, so that a connection that fails counts as rejected. */
     private long openedAt = Long.MAX_VALUE / 2;
 
     Connection(Target target) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/ConnectionSurgeTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/ConnectionSurgeTest.java
@@ -91,6 +91,20 @@
     }
   }
 
+  @Nested
+  class DaemonThatWasIdle {
+
+    @Test
+    void acceptsConnectionsAgainOnceItKeepsUp() {
+      run(5_000, 10, 0);
+      run(600_000, 0, 0);
+      run(2_000, 40, LATE_MS);
+      run(3_000, 40, 0);
+
+      assertThat(surge.isRefusing()).isFalse();
+    }
+  }
+
   @Nested
   class DaemonThatHasJustStarted {
 
