--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionSurge.java
@@ -58,6 +58,8 @@
   private static final double RECENT_MS = 1_000;
   private static final double USUAL_S = 30;
   private static final long SECOND_MS = 1_000;
+
+  /** Largest number of connections that may be kept at once, later ones at {@code keptPerS}. */
   private static final double MAX_TOKENS = 1;
 
   private long countedAt;
