Carry a request's priority and workspace to every decision on room

Cause: the priority reached the engine's header and nothing else, and the workspace only the usage limits. So neither the queue for adapter slots nor the choice of an endpoint can tell whose request waits.

Change: Flow (priority and workspace) is part of Demand, LoadNeed and load requests between daemons; merged needs keep the most urgent flow. Messages for demand, shortages, speeds and spill have frames; CoordinatorModule and LinkModule are the places where their parts join. Nothing decides by it yet, so requests are served as before.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -9,6 +9,7 @@
 import io.sequoiapass.coordination.process.ClockReading;
 import io.sequoiapass.coordination.process.WorkspaceShare;
 import io.sequoiapass.coordination.process.WorkspaceUsage;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
@@ -53,6 +54,11 @@
   private static final int CRASH_REPORT = 15;
   private static final int PARTS_CLEARED = 16;
   private static final int PART_VERDICTS = 17;
+  private static final int DEMAND_REPORT = 18;
+  private static final int SHORTAGES = 19;
+  private static final int SPEED_REPORT = 20;
+  private static final int SPEEDS = 21;
+  private static final int SPILL_PLAN = 22;
 
   private LinkFrames() {}
 
@@ -149,6 +155,7 @@
       out.packInt(LOAD_REQUEST);
       writeAdapter(out, request.adapter());
       out.packLong(request.version());
+      writeFlow(out, request.flow());
       out.packBoolean(request.another());
       out.packLong(request.promptTokens());
       out.packLong(request.outputTokens());
@@ -237,6 +244,28 @@
     } else if (message instanceof LinkMessage.PartVerdicts verdicts) {
       out.packInt(PART_VERDICTS);
       PartFrames.write(out, verdicts);
+    } else {
+      writeRoomMessage(out, message);
+    }
+  }
+
+  private static void writeRoomMessage(MessageBufferPacker out, LinkMessage message)
+      throws IOException {
+    if (message instanceof LinkMessage.DemandReport report) {
+      out.packInt(DEMAND_REPORT);
+      ShortageFrames.write(out, report);
+    } else if (message instanceof LinkMessage.Shortages shortages) {
+      out.packInt(SHORTAGES);
+      ShortageFrames.write(out, shortages);
+    } else if (message instanceof LinkMessage.SpeedReport report) {
+      out.packInt(SPEED_REPORT);
+      SpeedFrames.write(out, report);
+    } else if (message instanceof LinkMessage.Speeds speeds) {
+      out.packInt(SPEEDS);
+      SpeedFrames.write(out, speeds);
+    } else if (message instanceof LinkMessage.SpillPlan plan) {
+      out.packInt(SPILL_PLAN);
+      SpillFrames.write(out, plan);
     } else {
       throw new IllegalArgumentException("no frame for " + message);
     }
@@ -318,6 +347,27 @@
     out.packString(adapter.adapter().value());
   }
 
+  /** Reads a part of a whole, from 0 to 1. */
+  static double readShare(MessageUnpacker in) throws IOException {
+    double share = in.unpackFloat();
+    if (!(share >= 0 && share <= 1)) {
+      throw new IOException("not a share: " + share);
+    }
+    return share;
+  }
+
+  static void writeFlow(MessageBufferPacker out, Flow flow) throws IOException {
+    out.packInt(flow.priority());
+    out.packString(flow.workspace().map(WorkspaceId::value).orElse(""));
+  }
+
+  static Flow readFlow(MessageUnpacker in) throws IOException {
+    int priority = in.unpackInt();
+    String workspace = in.unpackString();
+    return new Flow(
+        priority, workspace.isEmpty() ? Optional.empty() : Optional.of(new WorkspaceId(workspace)));
+  }
+
   private static void writeLoad(MessageBufferPacker out, Load load) throws IOException {
     out.packInt(load.running());
     out.packLong(load.prefillTokens());
@@ -383,6 +433,7 @@
           new LinkMessage.LoadRequest(
               readAdapter(in),
               in.unpackLong(),
+              readFlow(in),
               in.unpackBoolean(),
               in.unpackLong(),
               in.unpackLong(),
@@ -428,6 +479,17 @@
       case CRASH_REPORT -> PartFrames.readReport(in);
       case PARTS_CLEARED -> new LinkMessage.PartsCleared(PartFrames.readParts(in));
       case PART_VERDICTS -> PartFrames.readVerdicts(in);
+      default -> readRoomMessage(in, type);
+    };
+  }
+
+  private static LinkMessage readRoomMessage(MessageUnpacker in, int type) throws IOException {
+    return switch (type) {
+      case DEMAND_REPORT -> ShortageFrames.readDemand(in);
+      case SHORTAGES -> ShortageFrames.readShortages(in);
+      case SPEED_REPORT -> SpeedFrames.readReport(in);
+      case SPEEDS -> SpeedFrames.readSpeeds(in);
+      case SPILL_PLAN -> SpillFrames.read(in);
       default -> throw new IOException("unknown message type " + type);
     };
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -3,10 +3,12 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.connection.EndpointPermits;
 import io.sequoiapass.coordination.process.ClockReading;
 import io.sequoiapass.coordination.process.WorkspaceShare;
 import io.sequoiapass.coordination.process.WorkspaceUsage;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
@@ -171,6 +173,7 @@
    *
    * @param adapter the adapter
    * @param version the lowest acceptable version
+   * @param flow the priority and workspace of the waiting request
    * @param another whether a further copy is requested although one exists
    * @param promptTokens length of the waiting request's prompt, in tokens
    * @param outputTokens expected length of its answer, in tokens
@@ -183,6 +186,7 @@
   record LoadRequest(
       AdapterName adapter,
       long version,
+      Flow flow,
       boolean another,
       long promptTokens,
       long outputTokens,
@@ -433,4 +437,131 @@
       public abstract void apply(EndpointPermits permits, long waitMs, long now);
     }
   }
+
+  /**
+   * A daemon reports how much its callers asked for since its last report on this link.
+   *
+   * @param flows one for each service and flow with any request
+   */
+  record DemandReport(List<FlowDemand> flows) implements LinkMessage {
+    /** Copies the list. */
+    public DemandReport {
+      flows = List.copyOf(flows);
+    }
+  }
+
+  /**
+   * The requests of one flow to one service.
+   *
+   * @param service the service
+   * @param flow the flow
+   * @param asked number of requests
+   * @param refused number of them that were refused for a shortage
+   */
+  record FlowDemand(ServiceId service, Flow flow, int asked, int refused) {}
+
+  /**
+   * A coordinator reports which services have too little room for all that is asked of them;
+   * replaces its earlier report.
+   *
+   * @param shortages one for each service that is short of room
+   */
+  record Shortages(List<Shortage> shortages) implements LinkMessage {
+    /** Copies the list. */
+    public Shortages {
+      shortages = List.copyOf(shortages);
+    }
+  }
+
+  /**
+   * What each flow gets of a service that has too little room.
+   *
+   * @param service the service
+   * @param retryAfterMs when there is room for requests that are refused now, in milliseconds
+   * @param shares flows that get only a part; all others get everything. A flow without a workspace
+   *     stands for all workspaces of its priority that are not listed
+   */
+  record Shortage(ServiceId service, long retryAfterMs, List<FlowShare> shares) {
+    /** Copies the list. */
+    public Shortage {
+      shares = List.copyOf(shares);
+    }
+  }
+
+  /**
+   * The part of a flow's requests that may be sent.
+   *
+   * @param flow the flow
+   * @param share the part, from 0 to 1
+   */
+  record FlowShare(Flow flow, double share) {}
+
+  /**
+   * A daemon reports how long endpoints took for its requests since its last report on this link.
+   *
+   * @param endpoints one for each endpoint that answered
+   */
+  record SpeedReport(List<SpeedSamples> endpoints) implements LinkMessage {
+    /** Copies the list. */
+    public SpeedReport {
+      endpoints = List.copyOf(endpoints);
+    }
+  }
+
+  /**
+   * How long an endpoint took, compared with what was expected of one of average speed.
+   *
+   * @param endpoint the endpoint
+   * @param startTimeMs when its process started, in milliseconds of the wall clock
+   * @param count number of answers
+   * @param actualMs sum of the times that they took, in milliseconds
+   * @param expectedMs sum of the expected times, in milliseconds
+   */
+  record SpeedSamples(
+      EndpointId endpoint, long startTimeMs, int count, long actualMs, long expectedMs) {}
+
+  /**
+   * A coordinator reports the speeds of its endpoints.
+   *
+   * @param snapshot whether these are all endpoints rather than changes
+   * @param speeds endpoints that are slower or faster than average
+   */
+  record Speeds(boolean snapshot, List<EndpointSpeed> speeds) implements LinkMessage {
+    /** Copies the list. */
+    public Speeds {
+      speeds = List.copyOf(speeds);
+    }
+  }
+
+  /**
+   * The speed of one endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param startTimeMs when its process started, in milliseconds of the wall clock
+   * @param lasting its usual response time relative to the other endpoints of its service
+   * @param current the same over the last moments
+   */
+  record EndpointSpeed(EndpointId endpoint, long startTimeMs, double lasting, double current) {}
+
+  /**
+   * A coordinator reports which part of its data centre's demand other data centres should serve;
+   * replaces its earlier report.
+   *
+   * @param shares one for each service and data centre
+   */
+  record SpillPlan(List<SpillShare> shares) implements LinkMessage {
+    /** Copies the list. */
+    public SpillPlan {
+      shares = List.copyOf(shares);
+    }
+  }
+
+  /**
+   * The part of a data centre's demand for a service that another one serves.
+   *
+   * @param service the service
+   * @param to the data centre that serves it
+   * @param share the part, from 0 to 1
+   */
+  record SpillShare(ServiceId service, DataCentreId to, double share) {}
 }
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/ShortageFrames.java
@@ -0,0 +1,68 @@
+package io.sequoiapass.gateway.connection;
+
+import io.sequoiapass.coordination.ServiceId;
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes and decodes messages about demand and shortages in a frame. The methods are pure. */
+final class ShortageFrames {
+
+  private ShortageFrames() {}
+
+  static void write(MessageBufferPacker out, LinkMessage.DemandReport report) throws IOException {
+    LinkFrames.list(
+        out,
+        report.flows(),
+        (to, demand) -> {
+          to.packString(demand.service().value());
+          LinkFrames.writeFlow(to, demand.flow());
+          to.packInt(demand.asked());
+          to.packInt(demand.refused());
+        });
+  }
+
+  static LinkMessage.DemandReport readDemand(MessageUnpacker in) throws IOException {
+    return new LinkMessage.DemandReport(
+        LinkFrames.list(
+            in,
+            from ->
+                new LinkMessage.FlowDemand(
+                    new ServiceId(from.unpackString()),
+                    LinkFrames.readFlow(from),
+                    from.unpackInt(),
+                    from.unpackInt())));
+  }
+
+  static void write(MessageBufferPacker out, LinkMessage.Shortages report) throws IOException {
+    LinkFrames.list(
+        out,
+        report.shortages(),
+        (to, shortage) -> {
+          to.packString(shortage.service().value());
+          to.packLong(shortage.retryAfterMs());
+          LinkFrames.list(to, shortage.shares(), ShortageFrames::writeShare);
+        });
+  }
+
+  private static void writeShare(MessageBufferPacker out, LinkMessage.FlowShare share)
+      throws IOException {
+    LinkFrames.writeFlow(out, share.flow());
+    out.packFloat((float) share.share());
+  }
+
+  static LinkMessage.Shortages readShortages(MessageUnpacker in) throws IOException {
+    return new LinkMessage.Shortages(
+        LinkFrames.list(
+            in,
+            from ->
+                new LinkMessage.Shortage(
+                    new ServiceId(from.unpackString()),
+                    from.unpackLong(),
+                    LinkFrames.list(from, ShortageFrames::readShare))));
+  }
+
+  private static LinkMessage.FlowShare readShare(MessageUnpacker in) throws IOException {
+    return new LinkMessage.FlowShare(LinkFrames.readFlow(in), LinkFrames.readShare(in));
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
@@ -37,6 +37,7 @@
         new LinkMessage.LoadRequest(
             adapter,
             versions.newest(adapter),
+            request.flow(),
             request.another(),
             generation.promptTokens(),
             generation.expectedOutputTokens(),
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -63,8 +63,7 @@
   private final LongPredicate mayOrder;
   private final PermitGrants permits;
   private final PeerOffers peers = new PeerOffers();
-  private final MemberUpdates members = new MemberUpdates();
-  private final PartVerdictUpdates parts;
+  private final List<CoordinatorModule> modules;
   private final Runnable onFenced;
   private DaemonView view = DaemonView.NONE;
   private final Map<FrameChannel, LinkedDaemon> links = new HashMap<>();
@@ -107,7 +106,6 @@
     this.here = settings.dataCentre();
     this.directory = directory;
     this.versions = io.versions();
-    this.parts = io.parts();
     this.plan = plan;
     this.loadQueue =
         new LoadQueue(plan, adapter -> directory.isHeldOutside(settings.dataCentre(), adapter));
@@ -116,6 +114,7 @@
             plan,
             loadQueue,
             (adapter, version) -> directory.copyOutside(settings.dataCentre(), adapter, version));
+    this.modules = CoordinatorModules.create(io, plan, loadQueue);
     this.protocol = io.protocol();
     this.calls = io.calls();
     this.loop = io.loop();
@@ -184,6 +183,7 @@
     releases.clear();
     usage = newAllocator.get();
     permits.clear();
+    modules.forEach(module -> module.activated(clock.millis()));
     stopping = false;
     epoch = newEpoch;
     plan.requireReports();
@@ -278,8 +278,7 @@
       releases.clear();
     }
     links.forEach(this::queueEndpoints);
-    members.queue(links);
-    parts.queue(links, now);
+    modules.forEach(module -> module.queue(links, now));
     allocateUsage(now);
     queueAll(status());
     endpointUpdates.drain().ifPresent(this::queueAll);
@@ -520,6 +519,7 @@
     subscribers.unsubscribe(channel);
     if (linked != null && linked.daemon != null) {
       plan.removeDaemon(linked.daemon);
+      modules.forEach(module -> module.unlinked(linked.daemon, clock.millis()));
       permits.remove(linked.daemon);
       usage.lost(linked.daemon, clock.millis());
       log.event("daemon_unlinked").with("peer", linked.daemon).write();
@@ -533,7 +533,7 @@
     }
     long now = clock.millis();
     linked.lastReceivedAt = now;
-    parts.receive(message, linked.daemon != null, now);
+    modules.forEach(module -> module.receive(linked, message, now));
     if (message instanceof LinkMessage.Hello hello) {
       linked.daemon = hello.daemon();
       linked.dataCentre = hello.dataCentre();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -101,6 +101,15 @@
     /** Returns the verdicts on parts of prompts that a newly connected coordinator may not know. */
     LinkMessage knownVerdicts();
 
+    /** Called for a message that concerns no other method of this interface. */
+    void received(DataCentreId coordinator, LinkMessage message);
+
+    /** Returns the messages to send with a report to a coordinator. */
+    List<LinkMessage> reports(DataCentreId coordinator);
+
+    /** Called when the link to a coordinator that was connected is lost. */
+    void lost(DataCentreId coordinator);
+
     /** Called when a coordinator's first status arrives, or its link is lost. */
     void changed();
   }
@@ -317,6 +326,7 @@
       if (wasUp) {
         directory.coordinatorDisconnected(dataCentre);
         onLost.run();
+        listener.lost(dataCentre);
         log.event("coordinator_lost")
             .with("data_centre", dataCentre)
             .with("address", String.valueOf(address))
@@ -354,6 +364,8 @@
       listener.membersNamed(dataCentre, members);
     } else if (message instanceof LinkMessage.PartVerdicts verdicts) {
       listener.partsJudged(dataCentre, verdicts);
+    } else {
+      listener.received(dataCentre, message);
     }
   }
 
@@ -494,9 +506,14 @@
     List<WorkspaceUsage> workspaces;
     ClockReading sentAt = ClockReading.now(clock, wall);
     boolean serving = servesPeers.getAsBoolean();
+    List<LinkMessage> reports = listener.reports(dataCentre);
     synchronized (this) {
       workspaces = workspaceReports.next(throttle.totals());
-      boolean empty = usages.isEmpty() && workspaces.isEmpty() && serving == lastReportServing;
+      boolean empty =
+          usages.isEmpty()
+              && workspaces.isEmpty()
+              && reports.isEmpty()
+              && serving == lastReportServing;
       if (empty && lastReportEmpty && now - lastReportAt < idleReportMs) {
         return;
       }
@@ -505,6 +522,7 @@
       lastReportAt = now;
       reportedLoads.add(sentAt, usages);
     }
+    reports.forEach(report -> open.queue(LinkFrames.encode(report)));
     open.send(
         LinkFrames.encode(
             new LinkMessage.UsageReport(
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModule.java
@@ -0,0 +1,33 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.daemon.connection.FrameChannel;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import java.util.Map;
+
+/**
+ * A part of a coordinator with state and messages of its own.
+ *
+ * <p>Implementations need not be safe for use by several threads: all methods are called under the
+ * lock of the {@link Coordinator}, and must not block.
+ */
+interface CoordinatorModule {
+
+  /** Called when a term of the coordinator begins; state of an earlier term is outdated. */
+  default void activated(long now) {}
+
+  /**
+   * Called for each message.
+   *
+   * @param from the sender, whose {@link LinkedDaemon#daemon} is null before its introduction
+   * @param message the message, which concerns other modules in most cases
+   * @param now the time, in milliseconds
+   */
+  default void receive(LinkedDaemon from, LinkMessage message, long now) {}
+
+  /** Called when a daemon's link is lost. */
+  default void unlinked(DaemonId daemon, long now) {}
+
+  /** Queues the messages that are due in a round of updates. */
+  default void queue(Map<FrameChannel, LinkedDaemon> links, long now) {}
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -0,0 +1,21 @@
+package io.sequoiapass.gateway.process;
+
+import java.util.List;
+
+/** Creates the modules of a coordinator. */
+final class CoordinatorModules {
+
+  private CoordinatorModules() {}
+
+  /**
+   * Creates the modules, in the order in which their messages are sent.
+   *
+   * @param io protocol, client, executor, clock, log, versions and verdicts
+   * @param plan the coordinator's plan
+   * @param loadQueue the loads that wait for a slot
+   */
+  static List<CoordinatorModule> create(
+      Coordinator.Io io, PlacementPlan plan, LoadQueue loadQueue) {
+    return List.of(new MemberUpdates(), io.parts());
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Demand.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Demand.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.Optional;
@@ -12,12 +13,14 @@
  * @param generation the generation; empty for a plain call
  * @param avoid endpoints that failed the request before
  * @param software the software version that has to serve it; empty if any may
+ * @param flow its priority and workspace
  * @param remainingMs time until the caller's deadline, in milliseconds
  */
 public record Demand(
     Optional<Generation> generation,
     Set<EndpointId> avoid,
     Optional<SoftwareVersion> software,
+    Flow flow,
     long remainingMs) {
 
   /** Returns whether an endpoint of a software version may serve the request. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -4,7 +4,6 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.connection.EndpointHealth;
 import io.sequoiapass.coordination.connection.HealthSettings;
-import io.sequoiapass.coordination.process.RendezvousHash;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
@@ -62,10 +61,6 @@
    */
   private static final long LATE_LOAD_MS = 1_500;
 
-  /** Leading prompt parts that requests share; the last part belongs to one request only. */
-  private static final int SHARED_PARTS = 2;
-
-  private final DataCentreId here;
   private final AdapterVersions versions;
   private final EndpointChooser chooser;
   private final Set<SoftwareVersion> softwareVersions = new HashSet<>();
@@ -77,6 +72,7 @@
   final MovingAverage serviceMs = new MovingAverage(FIRST_SERVICE_MS, 1, 10_000);
   final Consumer<DataCentreId> onIdle;
   private final DoubleSupplier random;
+  private final CandidateSource candidates;
   private SendGate gate;
   private PermitChoice permitChoice;
   Optional<EngineSpec> engine = Optional.empty();
@@ -96,10 +92,10 @@
       Consumer<DataCentreId> onIdle,
       DoubleSupplier random) {
     this.chooser = new EndpointChooser(new LoadUncertainty(random));
-    this.here = here;
     this.random = random;
     this.versions = versions;
     this.onIdle = onIdle;
+    this.candidates = new CandidateSource(this, endpoints, here, versions);
     usePermits(PermitSource.NONE);
   }
 
@@ -157,13 +153,10 @@
 
   /** Chooses among the endpoints that do not rest. */
   private Choice chooseAccepting(Demand demand, EndpointChooser.Loadable loadable, long now) {
-    List<Candidate> candidates = candidates(demand, now, true);
-    if (candidates.isEmpty()) {
-      // An endpoint that failed before is better than a refusal.
-      candidates = candidates(demand, now, false);
-    }
-    Choice choice = choose(candidates, demand, loadable);
-    List<Candidate> all = candidates;
+    List<Candidate> healthy = candidates.of(demand, now, true);
+    // An endpoint that failed before is better than a refusal.
+    List<Candidate> all = healthy.isEmpty() ? candidates.of(demand, now, false) : healthy;
+    Choice choice = choose(all, demand, loadable);
     return permitChoice.adapt(
         choice, all, demand, permitted -> choose(permitted, demand, loadable), now);
   }
@@ -176,11 +169,15 @@
     long readyInMs = Long.MAX_VALUE;
     long holderInMs = Long.MAX_VALUE;
     for (EndpointState state : endpoints.values()) {
-      boolean serves = demand.allows(state.entry.software()) && holdsModel(state, demand);
+      boolean serves =
+          demand.allows(state.entry.software()) && CandidateSource.holdsModel(state, demand);
       if (serves && state.isResting(now) && state.takesWork(now)) {
         long restMs = state.restsUntil - now;
         readyInMs = Math.min(readyInMs, restMs);
-        holderInMs = readyInMs(state, demand, now) < 0 ? holderInMs : Math.min(holderInMs, restMs);
+        holderInMs =
+            candidates.readyInMs(state, demand, now) < 0
+                ? holderInMs
+                : Math.min(holderInMs, restMs);
       }
     }
     if (holderInMs < Long.MAX_VALUE) {
@@ -257,27 +254,6 @@
     return engine.isPresent() ? generationMs.value() : serviceMs.value();
   }
 
-  private List<Candidate> candidates(Demand demand, long now, boolean healthyOnly) {
-    Optional<EndpointId> home = demand.generation().flatMap(generation -> home(generation, now));
-    List<Candidate> candidates = new ArrayList<>();
-    for (EndpointState state : endpoints.values()) {
-      if (isCandidate(state, demand, now, healthyOnly)) {
-        EndpointId id = state.entry.endpoint();
-        candidates.add(candidate(state, demand, home.filter(id::equals).isPresent(), now));
-      }
-    }
-    return candidates;
-  }
-
-  private boolean isCandidate(EndpointState state, Demand demand, long now, boolean healthyOnly) {
-    EndpointId id = state.entry.endpoint();
-    return state.takesWork(now)
-        && !state.isResting(now)
-        && demand.allows(state.entry.software())
-        && (!healthyOnly || (health.admits(id, now) && !demand.avoid().contains(id)))
-        && holdsModel(state, demand);
-  }
-
   /**
    * Returns the endpoints that a request must not use: those that failed it, unhealthy ones, those
    * that leave or rest, those that accept only so many requests, and those of another software
@@ -293,7 +269,7 @@
       } else if (state.leavingStated || state.permits.isLimited() || state.isResting(now)) {
         excluded.add(state.entry.endpoint());
       } else {
-        others |= isCandidate(state, demand, now, true);
+        others |= candidates.contains(state, demand, now, true);
       }
     }
     if (others) {
@@ -304,31 +280,7 @@
     return unsuitable;
   }
 
-  private static boolean holdsModel(EndpointState state, Demand demand) {
-    return demand.generation().isEmpty() || state.holdsModel(demand.generation().get().model());
-  }
-
-  private Candidate candidate(EndpointState state, Demand demand, boolean home, long now) {
-    Load load = state.own(now).plus(state.others);
-    long cachedTokens = demand.generation().map(g -> cachedTokens(state, g, home)).orElse(0L);
-    Optional<AdapterName> adapter = demand.generation().flatMap(Generation::adapter);
-    boolean cachesAdapter = adapter.filter(state.cachedAdapters::isCached).isPresent();
-    LoadTimeEstimates estimates = loadTimes(state.entry.dataCentre());
-    return new Candidate(
-        state.entry.endpoint(),
-        state.entry.dataCentre(),
-        state.entry.dataCentre().equals(here),
-        state.entry.slots(),
-        load,
-        engine.map(EngineSpec::kvTokens).orElse(0L),
-        cachedTokens,
-        readyInMs(state, demand, now),
-        cachesAdapter,
-        state.slowdown.value(now),
-        cachesAdapter ? estimates.memoryMs() : estimates.storeMs());
-  }
-
-  private LoadTimeEstimates loadTimes(DataCentreId dataCentre) {
+  LoadTimeEstimates loadTimes(DataCentreId dataCentre) {
     return loadTimes.getOrDefault(dataCentre, LoadTimeEstimates.FIRST);
   }
 
@@ -337,54 +289,6 @@
     loadTimes.put(dataCentre, estimates);
   }
 
-  /**
-   * Returns the number of leading tokens that are likely to be cached. All daemons rank the holders
-   * of an adapter in the same order, so the first holder is likely to have read the shared parts
-   * for another daemon.
-   */
-  private static long cachedTokens(EndpointState state, Generation generation, boolean home) {
-    long known = state.prompts.cachedTokens(generation);
-    if (!home) {
-      return known;
-    }
-    long shared =
-        generation.parts().stream()
-            .limit(Math.min(SHARED_PARTS, Math.max(0, generation.parts().size() - 1)))
-            .mapToLong(Generation.PromptPart::tokens)
-            .sum();
-    return Math.max(known, shared / 2);
-  }
-
-  private Optional<EndpointId> home(Generation generation, long now) {
-    if (generation.adapter().isEmpty() || generation.parts().size() <= 1) {
-      return Optional.empty();
-    }
-    List<EndpointId> holders = new ArrayList<>();
-    for (EndpointState state : endpoints.values()) {
-      if (state.holds(generation.adapter().get(), now)) {
-        holders.add(state.entry.endpoint());
-      }
-    }
-    if (holders.size() < 2) {
-      return Optional.empty();
-    }
-    int last = Math.min(SHARED_PARTS, generation.parts().size() - 1) - 1;
-    String key = generation.adapter().get() + ":" + generation.parts().get(last).id();
-    return RendezvousHash.first(key, holders);
-  }
-
-  private long readyInMs(EndpointState state, Demand demand, long now) {
-    Optional<AdapterName> adapter = demand.generation().flatMap(Generation::adapter);
-    if (adapter.isEmpty()) {
-      return 0;
-    }
-    EndpointState.Copy copy = state.copies.get(adapter.get());
-    if (copy == null || !versions.isUsable(adapter.get(), copy.version(), now)) {
-      return -1;
-    }
-    return Math.max(0, copy.readyAt() - now);
-  }
-
   /**
    * Records that a request is sent to an endpoint; the ticket tracks it until its end. Every
    * request to an endpoint needs a ticket. Empty if it may not be sent there now.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -131,6 +131,7 @@
   private final MemberDirectory members;
   private final PromptPartGuard parts;
   private final SurgeGuard surge;
+  private final List<LinkModule> linkModules;
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
   private CoordinationNode node;
@@ -150,6 +151,7 @@
     this.versions = new AdapterVersions(graceMs);
     this.surge = new SurgeGuard(loops, clock, log, metrics);
     this.parts = new PromptPartGuard(clock, log, metrics);
+    this.linkModules = List.of();
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
   }
@@ -390,6 +392,8 @@
         parts,
         currency,
         metrics,
+        linkModules,
+        clock,
         release -> released(release.adapter(), release.version(), "coordinator"));
   }
 
@@ -429,7 +433,16 @@
     Supplier<StoreFeed.Timing> now =
         () -> node.isCoordinator() ? COORDINATOR_TIMING.get(topic) : timing;
     StoreFeed<T> feed =
-        new StoreFeed<>(store, kind, now, relay(topic), observer, listener, loops, clock, log);
+        new StoreFeed<>(
+            store,
+            kind,
+            now,
+            new CoordinatorRelay(topic, settings.dataCentre(), node, gate, storeFreshness),
+            observer,
+            listener,
+            loops,
+            clock,
+            log);
     feeds.put(topic, feed);
     if (topic == StoreFreshness.Topic.CONFIGURATION) {
       feed.start();
@@ -438,34 +451,6 @@
     }
   }
 
-  /**
-   * Returns the coordinators' view of a topic. A coordinator itself relies only on those before it.
-   * Coordinators push endpoints and releases; only configurations are fetched.
-   */
-  private StoreFeed.Relay relay(StoreFreshness.Topic topic) {
-    return new StoreFeed.Relay() {
-      @Override
-      public boolean isFresh(long now) {
-        if (topic == StoreFreshness.Topic.CONFIGURATION && !gate.isConfirmed()) {
-          return false;
-        }
-        return node.isCoordinator()
-            ? storeFreshness.areFreshForCoordinator(settings.dataCentre(), topic, now)
-            : storeFreshness.areFresh(topic, now);
-      }
-
-      @Override
-      public boolean isExpected() {
-        return node.expectsCoordinators();
-      }
-
-      @Override
-      public long revision() {
-        return topic == StoreFreshness.Topic.CONFIGURATION ? storeFreshness.revision(topic) : 0;
-      }
-    };
-  }
-
   /** Proves the configuration to this daemon and, while it coordinates, to the linked ones. */
   private LongConsumer configurationAsked() {
     ClockReading asked = clocks();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LinkEvents.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LinkEvents.java
@@ -1,11 +1,13 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.process.ClockReading;
 import io.sequoiapass.coordination.process.ConfigurationCurrency;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.PendingRequests;
 import io.sequoiapass.gateway.version.AdapterName;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -18,6 +20,8 @@
  * @param parts the parts of prompts that crash endpoints
  * @param currency how current the configuration is
  * @param metrics the counters
+ * @param modules parts with messages of their own
+ * @param clock the monotonic clock
  * @param onRelease receives the versions of adapters
  */
 record LinkEvents(
@@ -27,9 +31,33 @@
     PromptPartGuard parts,
     ConfigurationCurrency currency,
     GatewayMetrics metrics,
+    List<LinkModule> modules,
+    MillisClock clock,
     Consumer<LinkMessage.Release> onRelease)
     implements CoordinatorLink.Listener {
 
+  /** Copies the modules. */
+  LinkEvents {
+    modules = List.copyOf(modules);
+  }
+
+  @Override
+  public void received(DataCentreId coordinator, LinkMessage message) {
+    modules.forEach(module -> module.receive(coordinator, message, clock.millis()));
+  }
+
+  @Override
+  public List<LinkMessage> reports(DataCentreId coordinator) {
+    return modules.stream()
+        .flatMap(module -> module.report(coordinator, clock.millis()).stream())
+        .toList();
+  }
+
+  @Override
+  public void lost(DataCentreId coordinator) {
+    modules.forEach(module -> module.lost(coordinator, clock.millis()));
+  }
+
   @Override
   public void placed(AdapterName adapter) {
     waiting.placed(adapter);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadNeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadNeed.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.HashSet;
 import java.util.Objects;
@@ -12,14 +13,17 @@
  * @param adapter the adapter
  * @param version the smallest version that is accepted
  * @param size the size of the waiting request
+ * @param flow the most urgent of the waiting requests' flows
  * @param excluded endpoints that the request cannot use, even if they hold the adapter
  */
-record LoadNeed(AdapterName adapter, long version, RequestSize size, Set<EndpointId> excluded) {
+record LoadNeed(
+    AdapterName adapter, long version, RequestSize size, Flow flow, Set<EndpointId> excluded) {
 
   /** Copies the excluded endpoints. */
   LoadNeed {
     Objects.requireNonNull(adapter, "adapter");
     Objects.requireNonNull(size, "size");
+    Objects.requireNonNull(flow, "flow");
     excluded = Set.copyOf(excluded);
   }
 
@@ -27,6 +31,7 @@
   LoadNeed merge(LoadNeed other) {
     Set<EndpointId> both = new HashSet<>(excluded);
     both.addAll(other.excluded);
-    return new LoadNeed(adapter, Math.max(version, other.version), size, both);
+    return new LoadNeed(
+        adapter, Math.max(version, other.version), size, flow.mostUrgent(other.flow), both);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
@@ -85,6 +85,7 @@
             request.adapter(),
             request.version(),
             new RequestSize(request.promptTokens(), request.outputTokens()),
+            request.flow(),
             Set.copyOf(request.excluded())),
         now + request.maxDelayMs(),
         now + request.waitMs());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/MemberUpdates.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/MemberUpdates.java
@@ -13,12 +13,13 @@
  * Names all daemons that are linked to a coordinator to each of them: once in full, then changes.
  * Guarded by the lock of the {@link Coordinator}.
  */
-final class MemberUpdates {
+final class MemberUpdates implements CoordinatorModule {
 
   private Map<DaemonId, LinkMessage.Member> named = Map.of();
 
   /** Queues what daemons have not been told yet. */
-  void queue(Map<FrameChannel, LinkedDaemon> links) {
+  @Override
+  public void queue(Map<FrameChannel, LinkedDaemon> links, long now) {
     Map<DaemonId, LinkMessage.Member> current = new HashMap<>();
     for (LinkedDaemon linked : links.values()) {
       if (linked.daemon != null && linked.peerAddress != null) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PartVerdictUpdates.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PartVerdictUpdates.java
@@ -13,7 +13,7 @@
  * A coordinator's verdicts on parts of prompts that crash endpoints, and what its daemons know of
  * them. Guarded by the lock of the {@link Coordinator}.
  */
-final class PartVerdictUpdates {
+final class PartVerdictUpdates implements CoordinatorModule {
 
   private final CrashVerdicts verdicts = new CrashVerdicts();
   private final Consumer<LinkMessage> otherRegions;
@@ -29,17 +29,12 @@
     this.otherRegions = otherRegions;
   }
 
-  /**
-   * Handles a message if it concerns parts.
-   *
-   * @param message the message
-   * @param isLinked whether it comes from a linked daemon, or from a coordinator of another region
-   * @param now the time, in milliseconds
-   */
-  void receive(LinkMessage message, boolean isLinked, long now) {
+  /** Messages of a sender that was not introduced come from a coordinator of another region. */
+  @Override
+  public void receive(LinkedDaemon from, LinkMessage message, long now) {
     boolean isEvidence =
         message instanceof LinkMessage.CrashReport || message instanceof LinkMessage.PartsCleared;
-    if (isLinked && isEvidence) {
+    if (from.daemon != null && isEvidence) {
       otherRegions.accept(message);
     }
     if (message instanceof LinkMessage.CrashReport report) {
@@ -54,7 +49,8 @@
   }
 
   /** Queues what daemons have not been told yet. */
-  void queue(Map<FrameChannel, LinkedDaemon> links, long now) {
+  @Override
+  public void queue(Map<FrameChannel, LinkedDaemon> links, long now) {
     Set<PartKey> convicted = verdicts.convicted(now);
     Set<PartKey> suspected = verdicts.suspected(now);
     boolean isChanged = !suspected.equals(sentSuspected) || !convicted.equals(sentConvicted);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
@@ -1,7 +1,9 @@
 package io.sequoiapass.gateway.request;
 
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.spi.CallerIdentity;
+import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Supplier;
@@ -21,6 +23,15 @@
     Supplier<Optional<ErrorKind>> recheck,
     Runnable notRun) {
 
+  /**
+   * Returns the flow of a request. The workspace's priority takes precedence over the route's.
+   *
+   * @param route the request's route
+   */
+  public Flow flow(RouteSpec route) {
+    return Flow.of(priority.orElse(route.priority()), identity.workspace());
+  }
+
   /**
    * Returns access that is not checked again and not counted.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.request;
 
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.version.RouteSpec;
@@ -12,6 +13,7 @@
  * <p>Instances are immutable and safe for use by several threads.
  *
  * @param generation the generation that waits for it
+ * @param flow its priority and workspace
  * @param another whether a further copy is requested although one exists
  * @param maxDelayMs the longest delay of the load that still meets the target latency, in
  *     milliseconds
@@ -20,6 +22,7 @@
  */
 public record LoadRequest(
     Generation generation,
+    Flow flow,
     boolean another,
     long maxDelayMs,
     long waitMs,
@@ -34,6 +37,7 @@
    * Returns the request of a waiting request.
    *
    * @param facts what is known about the waiting request; it is a generation
+   * @param flow its priority and workspace
    * @param load the load
    * @param route the route of the waiting request
    * @param waitedMs how long ago it arrived, in milliseconds
@@ -42,6 +46,7 @@
    */
   static LoadRequest of(
       CallerFacts facts,
+      Flow flow,
       Choice.RequestLoad load,
       RouteSpec route,
       long waitedMs,
@@ -49,6 +54,6 @@
       Set<EndpointId> excluded) {
     long maxDelayMs = EndpointTimeouts.maxLoadDelayMs(route, waitedMs, load.expectedMs());
     return new LoadRequest(
-        facts.generation().orElseThrow(), load.another(), maxDelayMs, waitMs, excluded);
+        facts.generation().orElseThrow(), flow, load.another(), maxDelayMs, waitMs, excluded);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.daemon.connection.BodyFraming;
 import io.sequoiapass.daemon.connection.HttpCall;
@@ -51,6 +52,7 @@
   private final AttemptCount attempts;
   private final CallerFacts facts;
   private final CallerAccess access;
+  private final Flow flow;
   private final Optional<AdapterName> adapter;
   private final RequestOrigin origin;
   private final ResponseRelay response;
@@ -94,6 +96,7 @@
     this.attempts = new AttemptCount(route, budget, origin);
     this.facts = exchange.facts();
     this.access = exchange.access();
+    this.flow = access.flow(route);
     this.adapter = facts.generation().flatMap(Generation::adapter);
     this.forward =
         new ForwardedRequest(context.endpoints(), service, route, access, exchange.request());
@@ -198,7 +201,7 @@
 
   private Demand demand(AvoidedRecipients avoided, long now) {
     return new Demand(
-        facts.generation(), avoided.endpoints(), binding.software(), origin.remainingMs(now));
+        facts.generation(), avoided.endpoints(), binding.software(), flow, origin.remainingMs(now));
   }
 
   private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
@@ -224,7 +227,7 @@
 
   private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
     Set<EndpointId> excluded = group.excluded(demand, now);
-    return LoadRequest.of(facts, load, route, origin.waitedMs(now), waitMs, excluded);
+    return LoadRequest.of(facts, flow, load, route, origin.waitedMs(now), waitMs, excluded);
   }
 
   synchronized void dispatchIfWaiting() {
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -13,6 +13,7 @@
 import io.sequoiapass.coordination.process.ClockReading;
 import io.sequoiapass.coordination.process.WorkspaceShare;
 import io.sequoiapass.coordination.process.WorkspaceUsage;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.process.EndpointUsage;
 import io.sequoiapass.gateway.process.Load;
 import io.sequoiapass.gateway.process.LoadTimeEstimates;
@@ -38,6 +39,8 @@
   private static final Load LOAD = new Load(3, 9_190, 12_000, 700);
 
   private static final WorkspaceId WORKSPACE = new WorkspaceId("yards");
+  private static final Flow FLOW = new Flow(2, Optional.of(WORKSPACE));
+  private static final ServiceId SERVICE = new ServiceId("notes");
   private static final ClockReading CLOCKS = new ClockReading(81_000, 1_700_000_000_000L);
 
   private static final InetSocketAddress PEERS =
@@ -68,7 +71,8 @@
                 new EndpointUsage(
                     ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5)))),
             List.of(new WorkspaceUsage(WORKSPACE, 18_380, 9_190))),
-        new LinkMessage.LoadRequest(ADAPTER, 3, true, 9_190, 52, 450, 1_600, true, List.of(ENGINE)),
+        new LinkMessage.LoadRequest(
+            ADAPTER, 3, FLOW, true, 9_190, 52, 450, 1_600, true, List.of(ENGINE)),
         new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
         new LinkMessage.PermitRequest(ENGINE, 2.5, 4, 800),
         new LinkMessage.PermitReply(ENGINE, LinkMessage.PermitReply.Type.QUEUED, 400),
@@ -102,7 +106,18 @@
             List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
         new LinkMessage.Loads(Optional.empty(), 0, Optional.empty(), List.of()),
         new LinkMessage.Releases(List.of(new LinkMessage.Release(ADAPTER, 4))),
-        new LinkMessage.LoadRejected(ADAPTER, 400));
+        new LinkMessage.LoadRejected(ADAPTER, 400),
+        new LinkMessage.DemandReport(List.of(new LinkMessage.FlowDemand(SERVICE, FLOW, 40, 12))),
+        new LinkMessage.Shortages(
+            List.of(
+                new LinkMessage.Shortage(
+                    SERVICE, 900, List.of(new LinkMessage.FlowShare(FLOW, 0.25))))),
+        new LinkMessage.SpeedReport(
+            List.of(new LinkMessage.SpeedSamples(ENGINE, 1_000, 7, 3_500, 2_800))),
+        new LinkMessage.Speeds(
+            false, List.of(new LinkMessage.EndpointSpeed(ENGINE, 1_000, 1.75, 2.5))),
+        new LinkMessage.SpillPlan(
+            List.of(new LinkMessage.SpillShare(SERVICE, new DataCentreId("south"), 0.125))));
   }
 
   @ParameterizedTest
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -78,7 +78,8 @@
 
   private static Demand demand(int prompt, int output, EndpointId... avoid) {
     Generation generation = new Generation(MODEL, Optional.of(ADAPTER), prompt, output, List.of());
-    return new Demand(Optional.of(generation), Set.of(avoid), Optional.empty(), 5_000);
+    return new Demand(
+        Optional.of(generation), Set.of(avoid), Optional.empty(), PlanFixtures.FLOW, 5_000);
   }
 
   private void hold(String name, long readyAt) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.EngineSpec;
@@ -14,12 +15,14 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** An engine, its adapters and an idle weight store, for tests of placement. */
 final class PlanFixtures {
 
   static final ModelId MODEL = new ModelId("base");
+  static final Flow FLOW = new Flow(1, Optional.empty());
   static final EndpointId ENGINE = new EndpointId("engine-1");
 
   private PlanFixtures() {}
@@ -43,7 +46,7 @@
   }
 
   static LoadNeed need(int number, Set<EndpointId> excluded) {
-    return new LoadNeed(adapter(number), 1, new RequestSize(800, 200), excluded);
+    return new LoadNeed(adapter(number), 1, new RequestSize(800, 200), FLOW, excluded);
   }
 
   static EndpointEntry entry(long startTimeMs, boolean holdsModel) {
