--- a/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterSubscribers.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterSubscribers.java
@@ -3,7 +3,7 @@
 import io.sequoiapass.daemon.connection.FrameChannel;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -20,7 +20,7 @@
   private final Map<AdapterName, Subscription> subscriptions = new HashMap<>();
 
   private static final class Subscription {
-    private final Set<FrameChannel> daemons = new HashSet<>();
+    private final Set<FrameChannel> daemons = new LinkedHashSet<>();
     private long lastAt;
   }
 
@@ -37,6 +37,17 @@
     return known == null ? Set.of() : known.daemons;
   }
 
+  /** Returns whether a daemon has subscribed to an adapter. */
+  boolean contains(AdapterName adapter, FrameChannel daemon) {
+    return subscribersOf(adapter).contains(daemon);
+  }
+
+  /** Returns whether a daemon was the first of those that have subscribed to an adapter. */
+  boolean isFirst(AdapterName adapter, FrameChannel daemon) {
+    Set<FrameChannel> daemons = subscribersOf(adapter);
+    return !daemons.isEmpty() && daemons.iterator().next().equals(daemon);
+  }
+
   /** Removes a daemon whose link has closed. */
   void unsubscribe(FrameChannel daemon) {
     subscriptions.values().forEach(known -> known.daemons.remove(daemon));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
@@ -140,6 +140,8 @@
     if (copy == null || !versions.isUsable(adapter.get(), copy.version(), now)) {
       return -1;
     }
-    return Math.max(0, copy.readyAt() - now);
+    return copy.readyAt() > now
+        ? copy.readyAt() - now
+        : state.canaries.waitMs(adapter.get(), copy, now);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -71,8 +71,7 @@
   private long epoch;
   private long revision;
   private boolean stopping;
-  private final AdapterSubscribers subscribers = new AdapterSubscribers();
-  private final PlacementUpdateBatch updateBatch = new PlacementUpdateBatch();
+  private final PlacementPublisher publisher = new PlacementPublisher(links);
   private final EndpointUpdateBatch endpointUpdates = new EndpointUpdateBatch();
   private final List<LinkMessage.Release> releases = new ArrayList<>();
   private int rounds;
@@ -178,7 +177,7 @@
   /** Starts coordinating under an epoch. */
   synchronized void activate(long newEpoch) {
     active = true;
-    updateBatch.clear();
+    publisher.activated();
     endpointUpdates.clear();
     releases.clear();
     usage = newAllocator.get();
@@ -282,11 +281,7 @@
     allocateUsage(now);
     queueAll(status());
     endpointUpdates.drain().ifPresent(this::queueAll);
-    List<LinkMessage.Placement> changes = updateBatch.drain(now);
-    if (!changes.isEmpty()) {
-      queueAll(new LinkMessage.Placements(false, changes));
-    }
-    subscribers.expire(now);
+    publisher.queue(now);
     queueLoads();
     links.keySet().forEach(FrameChannel::flush);
   }
@@ -384,45 +379,13 @@
       plan.dueForReport(now).forEach(this::requestReport);
       plan.endpoints().forEach(id -> order(id, now));
     }
-    publish(plan.drainChanges(), now);
+    publisher.publish(plan.drainChanges(), now);
   }
 
   private void rejectExpired(LoadQueue.Expired expired) {
     byte[] frame =
         LinkFrames.encode(new LinkMessage.LoadRejected(expired.adapter(), expired.retryAfterMs()));
-    subscribers.subscribersOf(expired.adapter()).forEach(channel -> channel.send(frame));
-  }
-
-  /**
-   * Notifies subscribers and other coordinators immediately; other daemons get the next batch.
-   * Sending every change to all would take 140 frames a second to each of 79 daemons, most of their
-   * work.
-   */
-  private void publish(List<LinkMessage.Placement> changes, long now) {
-    if (changes.isEmpty()) {
-      return;
-    }
-    if (BroadcastInterval.broadcastsImmediately(links.size())) {
-      sendAll(new LinkMessage.Placements(false, changes));
-      return;
-    }
-    updateBatch.add(changes, now);
-    Map<FrameChannel, List<LinkMessage.Placement>> wanted = new HashMap<>();
-    for (LinkMessage.Placement placement : changes) {
-      for (FrameChannel channel : subscribers.subscribersOf(placement.adapter())) {
-        wanted.computeIfAbsent(channel, any -> new ArrayList<>()).add(placement);
-      }
-    }
-    // Otherwise coordinators of other data centres would load the same adapters.
-    links.forEach(
-        (channel, linked) -> {
-          if (linked.coordinates) {
-            wanted.put(channel, changes);
-          }
-        });
-    wanted.forEach(
-        (channel, placements) ->
-            channel.send(LinkFrames.encode(new LinkMessage.Placements(false, placements))));
+    publisher.subscribersOf(expired.adapter()).forEach(channel -> channel.send(frame));
   }
 
   private void requestReport(EndpointEntry entry) {
@@ -516,7 +479,7 @@
 
   private synchronized void unlink(FrameChannel channel) {
     LinkedDaemon linked = links.remove(channel);
-    subscribers.unsubscribe(channel);
+    publisher.unlinked(channel);
     if (linked != null && linked.daemon != null) {
       plan.removeDaemon(linked.daemon);
       modules.forEach(module -> module.unlinked(linked.daemon, clock.millis()));
@@ -585,7 +548,7 @@
   }
 
   private void handleLoadRequest(FrameChannel channel, LinkMessage.LoadRequest request, long now) {
-    subscribers.subscribe(request.adapter(), channel, now);
+    publisher.subscribe(request.adapter(), channel, now);
     LoadReply reply = router.route(request, now);
     if (reply instanceof LoadReply.Rejected rejected) {
       channel.send(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorLink.java
@@ -423,9 +423,7 @@
 
   private void place(LinkMessage.Placement placement, long now) {
     EndpointState.Copy copy =
-        placement.readyInMs() < 0
-            ? null
-            : new EndpointState.Copy(placement.version(), now + placement.readyInMs());
+        placement.readyInMs() < 0 ? null : EndpointState.Copy.reported(placement, now);
     directory
         .groupOf(placement.endpoint())
         .ifPresent(group -> group.setCopy(placement.endpoint(), placement.adapter(), copy));
@@ -441,9 +439,7 @@
     for (LinkMessage.Placement placement : placements) {
       copies
           .computeIfAbsent(placement.endpoint(), id -> new HashMap<>())
-          .put(
-              placement.adapter(),
-              new EndpointState.Copy(placement.version(), now + placement.readyInMs()));
+          .put(placement.adapter(), EndpointState.Copy.reported(placement, now));
     }
     copies.forEach(
         (endpoint, held) ->
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -298,6 +298,7 @@
     if (state == null
         || !demand.allows(state.entry.software())
         || !gate.maySend(state, now)
+        || candidates.readyInMs(state, demand, now) > 0
         || !state.permits.take(now)) {
       return Optional.empty();
     }
@@ -330,6 +331,7 @@
       Set<AdapterName> left = new HashSet<>(state.copies.keySet());
       left.removeAll(copies.keySet());
       left.forEach(state.prompts::removeAdapter);
+      left.forEach(state.canaries::remove);
       state.copies.clear();
       state.copies.putAll(copies);
       copies.keySet().forEach(state.cachedAdapters::held);
@@ -389,6 +391,7 @@
     }
     if (copy == null) {
       state.copies.remove(adapter);
+      state.canaries.remove(adapter);
       state.prompts.removeAdapter(adapter);
     } else {
       state.copies.put(adapter, copy);
@@ -414,7 +417,7 @@
       return false;
     }
     long later = Math.max(copy.readyAt(), readyAt);
-    state.copies.put(adapter, new EndpointState.Copy(copy.version(), later));
+    state.copies.put(adapter, new EndpointState.Copy(copy.version(), later, true));
     return true;
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.connection.EndpointPermits;
 import io.sequoiapass.coordination.connection.RoomEstimator;
+import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.HashMap;
@@ -28,6 +29,7 @@
   Load others = Load.NONE;
   private long othersAt = NEVER;
   final Map<AdapterName, Copy> copies = new HashMap<>();
+  final CanaryRequests canaries = new CanaryRequests();
   final Map<AdapterName, Integer> inUse = new HashMap<>();
   final Map<AdapterName, Integer> starts = new HashMap<>();
   PrefixCacheModel prompts = new PrefixCacheModel();
@@ -60,8 +62,16 @@
    *
    * @param version its version
    * @param readyAt when it is loaded, in milliseconds of the monotonic clock
+   * @param loading whether that is an estimate
    */
-  record Copy(long version, long readyAt) {}
+  record Copy(long version, long readyAt, boolean loading) {
+
+    /** Returns a copy as its coordinator reports it. */
+    static Copy reported(LinkMessage.Placement placement, long now) {
+      long readyInMs = placement.readyInMs();
+      return new Copy(placement.version(), now + readyInMs, readyInMs > 0);
+    }
+  }
 
   /** Replaces the adapters by those of the endpoint's list entry, which may be outdated. */
   void adoptEntryCopies(long now) {
@@ -74,7 +84,8 @@
                     .forEach(
                         (adapter, version) ->
                             copies.put(
-                                new AdapterName(held.model(), adapter), new Copy(version, now))));
+                                new AdapterName(held.model(), adapter),
+                                new Copy(version, now, false))));
   }
 
   /**
@@ -150,6 +161,7 @@
   /** Clears the state of an earlier process under the same name, whose memory was lost with it. */
   void restarted() {
     copies.clear();
+    canaries.clear();
     prompts = new PrefixCacheModel();
     slowdown = new EndpointSpeedEstimator();
     cachedAdapters = new AdapterCacheModel(cacheDepth);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -51,7 +51,7 @@
     generation.ifPresent(
         g -> {
           state.prompts.sent(g, group.engine.map(EngineSpec::kvTokens).orElse(0L));
-          g.adapter().ifPresent(this::countStart);
+          g.adapter().ifPresent(adapter -> countStart(adapter, now));
         });
   }
 
@@ -60,7 +60,11 @@
     return new Load(1, unread, wanted.memoryTokens(), 0);
   }
 
-  private void countStart(AdapterName adapter) {
+  private void countStart(AdapterName adapter, long now) {
+    EndpointState.Copy copy = state.copies.get(adapter);
+    if (copy != null) {
+      state.canaries.sent(adapter, copy, now);
+    }
     state.inUse.merge(adapter, 1, Integer::sum);
     state.starts.merge(adapter, 1, Integer::sum);
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -83,7 +83,7 @@
   }
 
   private void hold(String name, long readyAt) {
-    group.setCopy(id(name), ADAPTER, new EndpointState.Copy(1, readyAt));
+    group.setCopy(id(name), ADAPTER, new EndpointState.Copy(1, readyAt, false));
   }
 
   private Choice choose(Demand demand, long now) {
@@ -542,4 +542,43 @@
       assertThat(choose(demand(800, 200), 100)).isInstanceOf(Choice.RequestLoad.class);
     }
   }
+
+  /** Guards against rejections of all requests that waited for an adapter which is late. */
+  @Nested
+  class AdapterExpectedByNow {
+
+    @BeforeEach
+    void isLoadingAtOneEngine() {
+      group.setCopy(id("e1"), ADAPTER, new EndpointState.Copy(1, 200, true));
+    }
+
+    @Test
+    void secondRequestWaitsForTheOutcomeOfTheFirst() {
+      assertThat(sentTo(choose(demand(600, 70), 200))).isEqualTo("e1");
+      assertThat(group.begin(id("e1"), demand(600, 70), 200)).isPresent();
+
+      assertThat(choose(demand(600, 70), 201)).isInstanceOf(Choice.AwaitLoad.class);
+      assertThat(group.begin(id("e1"), demand(600, 70), 201)).isEmpty();
+      assertThat(sentTo(choose(demand(600, 70), 200 + CanaryRequests.REJECTION_MS)))
+          .isEqualTo("e1");
+    }
+
+    @Test
+    void rejectionOfTheFirstPostponesTheOthers() {
+      assertThat(group.begin(id("e1"), demand(600, 70), 200)).isPresent();
+      group.postpone(id("e1"), ADAPTER, 205, 260);
+
+      assertThat(choose(demand(600, 70), 220)).isInstanceOf(Choice.AwaitLoad.class);
+      assertThat(group.begin(id("e1"), demand(600, 70), 260)).isPresent();
+      assertThat(group.begin(id("e1"), demand(600, 70), 261)).isEmpty();
+    }
+
+    @Test
+    void copyThatIsHeldTakesAllRequestsAtOnce() {
+      group.setCopy(id("e1"), ADAPTER, new EndpointState.Copy(1, 300, false));
+
+      assertThat(group.begin(id("e1"), demand(600, 70), 300)).isPresent();
+      assertThat(group.begin(id("e1"), demand(600, 70), 300)).isPresent();
+    }
+  }
 }
