--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -54,11 +54,6 @@
   private static final int CRASH_REPORT = 15;
   private static final int PARTS_CLEARED = 16;
   private static final int PART_VERDICTS = 17;
-  private static final int DEMAND_REPORT = 18;
-  private static final int SHORTAGES = 19;
-  private static final int SPEED_REPORT = 20;
-  private static final int SPEEDS = 21;
-  private static final int SPILL_PLAN = 22;
 
   private LinkFrames() {}
 
@@ -244,28 +239,8 @@
     } else if (message instanceof LinkMessage.PartVerdicts verdicts) {
       out.packInt(PART_VERDICTS);
       PartFrames.write(out, verdicts);
-    } else {
-      writeRoomMessage(out, message);
-    }
-  }
-
-  private static void writeRoomMessage(MessageBufferPacker out, LinkMessage message)
-      throws IOException {
-    if (message instanceof LinkMessage.DemandReport report) {
-      out.packInt(DEMAND_REPORT);
-      ShortageFrames.write(out, report);
-    } else if (message instanceof LinkMessage.Shortages shortages) {
-      out.packInt(SHORTAGES);
-      ShortageFrames.write(out, shortages);
-    } else if (message instanceof LinkMessage.SpeedReport report) {
-      out.packInt(SPEED_REPORT);
-      SpeedFrames.write(out, report);
-    } else if (message instanceof LinkMessage.Speeds speeds) {
-      out.packInt(SPEEDS);
-      SpeedFrames.write(out, speeds);
-    } else if (message instanceof LinkMessage.SpillPlan plan) {
-      out.packInt(SPILL_PLAN);
-      SpillFrames.write(out, plan);
+    } else if (message instanceof RoomMessage room) {
+      RoomFrames.write(out, room);
     } else {
       throw new IllegalArgumentException("no frame for " + message);
     }
@@ -341,8 +316,7 @@
     }
   }
 
-  private static void writeAdapter(MessageBufferPacker out, AdapterName adapter)
-      throws IOException {
+  static void writeAdapter(MessageBufferPacker out, AdapterName adapter) throws IOException {
     out.packString(adapter.model().value());
     out.packString(adapter.adapter().value());
   }
@@ -479,18 +453,7 @@
       case CRASH_REPORT -> PartFrames.readReport(in);
       case PARTS_CLEARED -> new LinkMessage.PartsCleared(PartFrames.readParts(in));
       case PART_VERDICTS -> PartFrames.readVerdicts(in);
-      default -> readRoomMessage(in, type);
-    };
-  }
-
-  private static LinkMessage readRoomMessage(MessageUnpacker in, int type) throws IOException {
-    return switch (type) {
-      case DEMAND_REPORT -> ShortageFrames.readDemand(in);
-      case SHORTAGES -> ShortageFrames.readShortages(in);
-      case SPEED_REPORT -> SpeedFrames.readReport(in);
-      case SPEEDS -> SpeedFrames.readSpeeds(in);
-      case SPILL_PLAN -> SpillFrames.read(in);
-      default -> throw new IOException("unknown message type " + type);
+      default -> RoomFrames.read(in, type);
     };
   }
 
@@ -565,7 +528,7 @@
     return values;
   }
 
-  private static AdapterName readAdapter(MessageUnpacker in) throws IOException {
+  static AdapterName readAdapter(MessageUnpacker in) throws IOException {
     return new AdapterName(new ModelId(in.unpackString()), new AdapterId(in.unpackString()));
   }
 
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
@@ -0,0 +1,62 @@
+package io.sequoiapass.gateway.connection;
+
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes and decodes messages about scarce room in a frame. The methods are pure. */
+final class RoomFrames {
+
+  private static final int DEMAND_REPORT = 18;
+  private static final int SHORTAGES = 19;
+  private static final int SPEED_REPORT = 20;
+  private static final int SPEEDS = 21;
+  private static final int SPILL_PLAN = 22;
+  private static final int PROMPT_REQUEST = 23;
+  private static final int PROMPT_TURN = 24;
+  private static final int PROMPT_READ = 25;
+
+  private RoomFrames() {}
+
+  static void write(MessageBufferPacker out, RoomMessage message) throws IOException {
+    if (message instanceof RoomMessage.DemandReport report) {
+      out.packInt(DEMAND_REPORT);
+      ShortageFrames.write(out, report);
+    } else if (message instanceof RoomMessage.Shortages shortages) {
+      out.packInt(SHORTAGES);
+      ShortageFrames.write(out, shortages);
+    } else if (message instanceof RoomMessage.SpeedReport report) {
+      out.packInt(SPEED_REPORT);
+      SpeedFrames.write(out, report);
+    } else if (message instanceof RoomMessage.Speeds speeds) {
+      out.packInt(SPEEDS);
+      SpeedFrames.write(out, speeds);
+    } else if (message instanceof RoomMessage.SpillPlan plan) {
+      out.packInt(SPILL_PLAN);
+      SpillFrames.write(out, plan);
+    } else if (message instanceof RoomMessage.PromptRequest request) {
+      out.packInt(PROMPT_REQUEST);
+      PromptFrames.write(out, request);
+    } else if (message instanceof RoomMessage.PromptTurn turn) {
+      out.packInt(PROMPT_TURN);
+      PromptFrames.write(out, turn);
+    } else if (message instanceof RoomMessage.PromptRead read) {
+      out.packInt(PROMPT_READ);
+      out.packLong(read.id());
+    }
+  }
+
+  static LinkMessage read(MessageUnpacker in, int type) throws IOException {
+    return switch (type) {
+      case DEMAND_REPORT -> ShortageFrames.readDemand(in);
+      case SHORTAGES -> ShortageFrames.readShortages(in);
+      case SPEED_REPORT -> SpeedFrames.readReport(in);
+      case SPEEDS -> SpeedFrames.readSpeeds(in);
+      case SPILL_PLAN -> SpillFrames.read(in);
+      case PROMPT_REQUEST -> PromptFrames.readRequest(in);
+      case PROMPT_TURN -> PromptFrames.readTurn(in);
+      case PROMPT_READ -> new RoomMessage.PromptRead(in.unpackLong());
+      default -> throw new IOException("unknown message type " + type);
+    };
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
@@ -0,0 +1,187 @@
+package io.sequoiapass.gateway.connection;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.request.Flow;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A message between a daemon and a coordinator about room that is scarce or uneven: demand and
+ * shortages, speeds of endpoints, spill between data centres, and turns of long prompts.
+ *
+ * <p>Messages are immutable and safe for use by several threads.
+ */
+public sealed interface RoomMessage extends LinkMessage.Extension {
+
+  /**
+   * A daemon reports how much its callers asked for since its last report on this link.
+   *
+   * @param flows one for each service and flow with any request
+   */
+  record DemandReport(List<FlowDemand> flows) implements RoomMessage {
+    /** Copies the list. */
+    public DemandReport {
+      flows = List.copyOf(flows);
+    }
+  }
+
+  /**
+   * The requests of one flow to one service.
+   *
+   * @param service the service
+   * @param flow the flow
+   * @param asked number of requests
+   * @param refused number of them that were refused for a shortage
+   */
+  record FlowDemand(ServiceId service, Flow flow, int asked, int refused) {}
+
+  /**
+   * A coordinator reports which services have too little room for all that is asked of them;
+   * replaces its earlier report.
+   *
+   * @param shortages one for each service that is short of room
+   */
+  record Shortages(List<Shortage> shortages) implements RoomMessage {
+    /** Copies the list. */
+    public Shortages {
+      shortages = List.copyOf(shortages);
+    }
+  }
+
+  /**
+   * What each flow gets of a service that has too little room.
+   *
+   * @param service the service
+   * @param retryAfterMs when there is room for requests that are refused now, in milliseconds
+   * @param shares flows that get only a part; all others get everything. A flow without a workspace
+   *     stands for all workspaces of its priority that are not listed
+   */
+  record Shortage(ServiceId service, long retryAfterMs, List<FlowShare> shares) {
+    /** Copies the list. */
+    public Shortage {
+      shares = List.copyOf(shares);
+    }
+  }
+
+  /**
+   * The part of a flow's requests that may be sent.
+   *
+   * @param flow the flow
+   * @param share the part, from 0 to 1
+   */
+  record FlowShare(Flow flow, double share) {}
+
+  /**
+   * A daemon reports how long endpoints took for its requests since its last report on this link.
+   *
+   * @param endpoints one for each endpoint that answered
+   */
+  record SpeedReport(List<SpeedSamples> endpoints) implements RoomMessage {
+    /** Copies the list. */
+    public SpeedReport {
+      endpoints = List.copyOf(endpoints);
+    }
+  }
+
+  /**
+   * How long an endpoint took, compared with what was expected of one of average speed.
+   *
+   * @param endpoint the endpoint
+   * @param startTimeMs when its process started, in milliseconds of the wall clock
+   * @param count number of answers
+   * @param actualMs sum of the times that they took, in milliseconds
+   * @param expectedMs sum of the expected times, in milliseconds
+   */
+  record SpeedSamples(
+      EndpointId endpoint, long startTimeMs, int count, long actualMs, long expectedMs) {}
+
+  /**
+   * A coordinator reports the speeds of its endpoints.
+   *
+   * @param snapshot whether these are all endpoints rather than changes
+   * @param speeds endpoints that are slower or faster than average
+   */
+  record Speeds(boolean snapshot, List<EndpointSpeed> speeds) implements RoomMessage {
+    /** Copies the list. */
+    public Speeds {
+      speeds = List.copyOf(speeds);
+    }
+  }
+
+  /**
+   * The speed of one endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param startTimeMs when its process started, in milliseconds of the wall clock
+   * @param lasting its usual response time relative to the other endpoints of its service
+   * @param current the same over the last moments
+   */
+  record EndpointSpeed(EndpointId endpoint, long startTimeMs, double lasting, double current) {}
+
+  /**
+   * A coordinator reports which part of its data centre's demand other data centres should serve;
+   * replaces its earlier report.
+   *
+   * @param shares one for each service and data centre
+   */
+  record SpillPlan(List<SpillShare> shares) implements RoomMessage {
+    /** Copies the list. */
+    public SpillPlan {
+      shares = List.copyOf(shares);
+    }
+  }
+
+  /**
+   * The part of a data centre's demand for a service that another one serves.
+   *
+   * @param service the service
+   * @param to the data centre that serves it
+   * @param share the part, from 0 to 1
+   */
+  record SpillShare(ServiceId service, DataCentreId to, double share) {}
+
+  /**
+   * A daemon asks when an engine may read a long prompt.
+   *
+   * @param id stands for the request; unique for the daemon
+   * @param adapter the adapter of the request; empty for the base model alone
+   * @param flow the priority and workspace of the request
+   * @param gapMs the target for the longest pause between two events of a stream, in milliseconds
+   * @param options the engines of the coordinator that can serve the request, the preferred first
+   */
+  record PromptRequest(
+      long id, Optional<AdapterName> adapter, Flow flow, long gapMs, List<PromptOption> options)
+      implements RoomMessage {
+    /** Copies the list. */
+    public PromptRequest {
+      options = List.copyOf(options);
+    }
+  }
+
+  /**
+   * An engine that can serve a request.
+   *
+   * @param endpoint the engine
+   * @param tokens the part of the prompt that it has to read, in tokens
+   */
+  record PromptOption(EndpointId endpoint, long tokens) {}
+
+  /**
+   * A coordinator states that an engine may read a prompt.
+   *
+   * @param id stands for the request
+   * @param endpoint the engine
+   * @param delayMs after which time it may be sent, in milliseconds
+   */
+  record PromptTurn(long id, EndpointId endpoint, long delayMs) implements RoomMessage {}
+
+  /**
+   * A daemon reports that a prompt was read, or that it does not need its turn any more.
+   *
+   * @param id stands for the request
+   */
+  record PromptRead(long id) implements RoomMessage {}
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/ShortageFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/ShortageFrames.java
@@ -10,7 +10,7 @@
 
   private ShortageFrames() {}
 
-  static void write(MessageBufferPacker out, LinkMessage.DemandReport report) throws IOException {
+  static void write(MessageBufferPacker out, RoomMessage.DemandReport report) throws IOException {
     LinkFrames.list(
         out,
         report.flows(),
@@ -22,19 +22,19 @@
         });
   }
 
-  static LinkMessage.DemandReport readDemand(MessageUnpacker in) throws IOException {
-    return new LinkMessage.DemandReport(
+  static RoomMessage.DemandReport readDemand(MessageUnpacker in) throws IOException {
+    return new RoomMessage.DemandReport(
         LinkFrames.list(
             in,
             from ->
-                new LinkMessage.FlowDemand(
+                new RoomMessage.FlowDemand(
                     new ServiceId(from.unpackString()),
                     LinkFrames.readFlow(from),
                     from.unpackInt(),
                     from.unpackInt())));
   }
 
-  static void write(MessageBufferPacker out, LinkMessage.Shortages report) throws IOException {
+  static void write(MessageBufferPacker out, RoomMessage.Shortages report) throws IOException {
     LinkFrames.list(
         out,
         report.shortages(),
@@ -45,24 +45,24 @@
         });
   }
 
-  private static void writeShare(MessageBufferPacker out, LinkMessage.FlowShare share)
+  private static void writeShare(MessageBufferPacker out, RoomMessage.FlowShare share)
       throws IOException {
     LinkFrames.writeFlow(out, share.flow());
     out.packFloat((float) share.share());
   }
 
-  static LinkMessage.Shortages readShortages(MessageUnpacker in) throws IOException {
-    return new LinkMessage.Shortages(
+  static RoomMessage.Shortages readShortages(MessageUnpacker in) throws IOException {
+    return new RoomMessage.Shortages(
         LinkFrames.list(
             in,
             from ->
-                new LinkMessage.Shortage(
+                new RoomMessage.Shortage(
                     new ServiceId(from.unpackString()),
                     from.unpackLong(),
                     LinkFrames.list(from, ShortageFrames::readShare))));
   }
 
-  private static LinkMessage.FlowShare readShare(MessageUnpacker in) throws IOException {
-    return new LinkMessage.FlowShare(LinkFrames.readFlow(in), LinkFrames.readShare(in));
+  private static RoomMessage.FlowShare readShare(MessageUnpacker in) throws IOException {
+    return new RoomMessage.FlowShare(LinkFrames.readFlow(in), LinkFrames.readShare(in));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/SpeedFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/SpeedFrames.java
@@ -10,7 +10,7 @@
 
   private SpeedFrames() {}
 
-  static void write(MessageBufferPacker out, LinkMessage.SpeedReport report) throws IOException {
+  static void write(MessageBufferPacker out, RoomMessage.SpeedReport report) throws IOException {
     LinkFrames.list(
         out,
         report.endpoints(),
@@ -23,12 +23,12 @@
         });
   }
 
-  static LinkMessage.SpeedReport readReport(MessageUnpacker in) throws IOException {
-    return new LinkMessage.SpeedReport(
+  static RoomMessage.SpeedReport readReport(MessageUnpacker in) throws IOException {
+    return new RoomMessage.SpeedReport(
         LinkFrames.list(
             in,
             from ->
-                new LinkMessage.SpeedSamples(
+                new RoomMessage.SpeedSamples(
                     new EndpointId(from.unpackString()),
                     from.unpackLong(),
                     from.unpackInt(),
@@ -36,7 +36,7 @@
                     from.unpackLong())));
   }
 
-  static void write(MessageBufferPacker out, LinkMessage.Speeds speeds) throws IOException {
+  static void write(MessageBufferPacker out, RoomMessage.Speeds speeds) throws IOException {
     out.packBoolean(speeds.snapshot());
     LinkFrames.list(
         out,
@@ -49,13 +49,13 @@
         });
   }
 
-  static LinkMessage.Speeds readSpeeds(MessageUnpacker in) throws IOException {
-    return new LinkMessage.Speeds(
+  static RoomMessage.Speeds readSpeeds(MessageUnpacker in) throws IOException {
+    return new RoomMessage.Speeds(
         in.unpackBoolean(),
         LinkFrames.list(
             in,
             from ->
-                new LinkMessage.EndpointSpeed(
+                new RoomMessage.EndpointSpeed(
                     new EndpointId(from.unpackString()),
                     from.unpackLong(),
                     readRatio(from),
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/SpillFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/SpillFrames.java
@@ -11,7 +11,7 @@
 
   private SpillFrames() {}
 
-  static void write(MessageBufferPacker out, LinkMessage.SpillPlan plan) throws IOException {
+  static void write(MessageBufferPacker out, RoomMessage.SpillPlan plan) throws IOException {
     LinkFrames.list(
         out,
         plan.shares(),
@@ -22,12 +22,12 @@
         });
   }
 
-  static LinkMessage.SpillPlan read(MessageUnpacker in) throws IOException {
-    return new LinkMessage.SpillPlan(
+  static RoomMessage.SpillPlan read(MessageUnpacker in) throws IOException {
+    return new RoomMessage.SpillPlan(
         LinkFrames.list(
             in,
             from ->
-                new LinkMessage.SpillShare(
+                new RoomMessage.SpillShare(
                     new ServiceId(from.unpackString()),
                     new DataCentreId(from.unpackString()),
                     LinkFrames.readShare(from))));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
@@ -32,7 +32,7 @@
   public boolean requestLoad(DataCentreId dataCentre, LoadRequest request) {
     Generation generation = request.generation();
     AdapterName adapter = generation.adapter().orElseThrow();
-    return node.requestLoad(
+    return node.send(
         dataCentre,
         new LinkMessage.LoadRequest(
             adapter,
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -57,5 +57,15 @@
    * @param kind the reason
    * @param retryAfterMs when the caller may retry, in milliseconds
    */
-  record Refuse(ErrorKind kind, long retryAfterMs) implements Choice {}
+  record Refuse(ErrorKind kind, long retryAfterMs) implements Choice {
+
+    /**
+     * Returns a refusal with the time of its reason.
+     *
+     * @param kind the reason, which names a time
+     */
+    public static Refuse of(ErrorKind kind) {
+      return new Refuse(kind, kind.comeBackMillis().orElseThrow());
+    }
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -387,12 +387,10 @@
     };
   }
 
-  /**
-   * Requests that an adapter be loaded in a data centre; returns false if there is no coordinator.
-   */
-  boolean requestLoad(DataCentreId dataCentre, LinkMessage.LoadRequest request) {
+  /** Sends a message to a data centre's coordinator; returns false if there is none. */
+  boolean send(DataCentreId dataCentre, LinkMessage message) {
     CoordinatorLink link = links.get(dataCentre);
-    return link != null && link.send(request);
+    return link != null && link.send(message);
   }
 
   /** Returns whether a coordinator is connected. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -113,7 +113,7 @@
             plan,
             loadQueue,
             (adapter, version) -> directory.copyOutside(settings.dataCentre(), adapter, version));
-    this.modules = CoordinatorModules.create(io, plan, loadQueue);
+    this.modules = CoordinatorModules.create(io, directory, plan, loadQueue);
     this.protocol = io.protocol();
     this.calls = io.calls();
     this.loop = io.loop();
@@ -472,7 +472,7 @@
       channel.close();
       return;
     }
-    LinkedDaemon linked = new LinkedDaemon();
+    LinkedDaemon linked = new LinkedDaemon(channel);
     linked.lastReceivedAt = clock.millis();
     links.put(channel, linked);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -61,6 +61,9 @@
    */
   private static final long LATE_LOAD_MS = 1_500;
 
+  /** Largest number of engines that a request names when it asks for a turn. */
+  private static final int MAX_ALTERNATIVES = 6;
+
   private final AdapterVersions versions;
   private final EndpointChooser chooser;
   private final Set<SoftwareVersion> softwareVersions = new HashSet<>();
@@ -312,13 +315,33 @@
     health.retain(Set.of());
   }
 
+  /**
+   * Returns the engines of the same data centre that could serve a request just as well, the chosen
+   * one first.
+   */
+  public synchronized List<Candidate> alternatives(Candidate chosen, Demand demand, long now) {
+    List<Candidate> found = new ArrayList<>(List.of(chosen));
+    candidates.of(demand, now, true).stream()
+        .filter(candidate -> candidate.dataCentre().equals(chosen.dataCentre()))
+        .filter(candidate -> !candidate.endpoint().equals(chosen.endpoint()))
+        .filter(candidate -> candidate.readyInMs() == 0)
+        .limit(MAX_ALTERNATIVES - 1)
+        .forEach(found::add);
+    return found;
+  }
+
   /** Returns the mean time of a plain call, in milliseconds. */
   public synchronized double usualServiceMs() {
     return serviceMs.value();
   }
 
-  /** Returns the prompt reading speed of an engine, in tokens per millisecond. */
-  synchronized double tokensPerMs(EndpointId endpoint, long now) {
+  /**
+   * Returns the prompt reading speed of an engine, in tokens per millisecond.
+   *
+   * @param endpoint the engine
+   * @param now the time, in milliseconds
+   */
+  public synchronized double tokensPerMs(EndpointId endpoint, long now) {
     EndpointState state = endpoints.get(endpoint);
     return tokensPerMs.value() / (state == null ? 1 : state.slowdown.value(now));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -27,6 +27,7 @@
   private final long backlog;
   private final double usualMs;
   private final int runningBefore;
+  private Runnable onRead = () -> {};
   private boolean begun;
   private boolean stalled;
   private boolean ended;
@@ -78,6 +79,18 @@
     }
   }
 
+  /** Sets what runs once, when the prompt was read or the attempt has ended; must not block. */
+  public void onRead(Runnable action) {
+    synchronized (group) {
+      onRead = action;
+    }
+  }
+
+  private void read() {
+    onRead.run();
+    onRead = () -> {};
+  }
+
   /** Returns the software version of the process that the request is sent to. */
   public SoftwareVersion software() {
     return software;
@@ -95,6 +108,7 @@
     synchronized (group) {
       if (!begun && !ended) {
         begun = true;
+        read();
         state.stalls.streamStarted(now);
         state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
         sampleReadingSpeed(now);
@@ -142,6 +156,7 @@
         return;
       }
       ended = true;
+      read();
       if (begun) {
         state.stalls.streamEnded();
       }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -131,6 +131,7 @@
   private final MemberDirectory members;
   private final PromptPartGuard parts;
   private final SurgeGuard surge;
+  private final PromptGate prompts;
   private final List<LinkModule> linkModules;
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
@@ -151,7 +152,8 @@
     this.versions = new AdapterVersions(graceMs);
     this.surge = new SurgeGuard(loops, clock, log, metrics);
     this.parts = new PromptPartGuard(clock, log, metrics);
-    this.linkModules = List.of();
+    this.prompts = new PromptGate(metrics);
+    this.linkModules = List.of(prompts);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
   }
@@ -194,6 +196,7 @@
             new PeerForwarder(settings.daemon(), path, peers, http, deployment.callerProtocol()),
             streams,
             new CrashWatch(parts, deployment.endpointProtocol(), endpointHttp, loops, clock),
+            prompts,
             waiting,
             loops,
             clock,
@@ -310,6 +313,7 @@
           coordinator.observe();
           node.connectPostponed();
         });
+    prompts.use(node::send, loops);
     parts.reportTo(node::sendToAll, node::hasCoordinator);
     node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
     directory.onIdle(node::idle);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -529,6 +529,11 @@
     endpoint.noOrdersUntil = now + REPORT_LAG_MS;
   }
 
+  /** Keeps an adapter at an engine until a time, since a request is to be sent there. */
+  void keep(EndpointId id, AdapterName adapter, long until) {
+    Optional.ofNullable(endpoints.get(id)).ifPresent(endpoint -> endpoint.keep(adapter, until));
+  }
+
   /** Handles a refused request for an adapter that the engine was assumed to hold. */
   void missed(EndpointId id, AdapterName adapter, boolean early, long now) {
     PlannedEndpoint endpoint = endpoints.get(id);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -139,6 +139,14 @@
     synced = false;
   }
 
+  /** Keeps an adapter until a time, in milliseconds. */
+  void keep(AdapterName adapter, long until) {
+    Copy copy = copies.get(adapter);
+    if (copy != null) {
+      copy.lastUsed = Math.max(copy.lastUsed, until);
+    }
+  }
+
   /** Returns the number of occupied slots, including those of adapters that are being unloaded. */
   int occupiedSlots() {
     int count = 0;
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
@@ -0,0 +1,141 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.request.Flow;
+import io.sequoiapass.gateway.connection.LinkMessage;
+import io.sequoiapass.gateway.connection.RoomMessage;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Asks coordinators when and where engines may read the long prompts of this daemon's requests.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class PromptGate implements LinkModule {
+
+  private final GatewayMetrics metrics;
+  private final AtomicLong ids = new AtomicLong();
+  private final Map<Long, Asked> asked = new ConcurrentHashMap<>();
+  private volatile Links links = (dataCentre, message) -> false;
+  private volatile Executor executor = Runnable::run;
+
+  /** Sends messages to coordinators. */
+  @FunctionalInterface
+  interface Links {
+
+    /** Sends a message to a data centre's coordinator; returns false if there is none. */
+    boolean send(DataCentreId dataCentre, LinkMessage message);
+  }
+
+  /** Receives the reply for one request; called by any thread. */
+  public interface Listener {
+
+    /**
+     * Called when an engine may read the prompt.
+     *
+     * @param endpoint the engine
+     * @param delayMs after which time the request may be sent, in milliseconds
+     */
+    void given(EndpointId endpoint, long delayMs);
+
+    /** Called when no reply can come any more. */
+    void lost();
+  }
+
+  private record Asked(DataCentreId dataCentre, Listener listener) {}
+
+  /**
+   * Creates a gate without links.
+   *
+   * @param metrics the counters
+   */
+  PromptGate(GatewayMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  /**
+   * Sets how messages are sent.
+   *
+   * @param newLinks the links to the coordinators
+   * @param newExecutor runs sends that must not happen under a lock
+   */
+  void use(Links newLinks, Executor newExecutor) {
+    links = newLinks;
+    executor = newExecutor;
+  }
+
+  /**
+   * Asks for a turn.
+   *
+   * @param dataCentre the data centre of the engines
+   * @param adapter the adapter; empty for the base model alone
+   * @param flow the priority and workspace of the request
+   * @param gapMs the target for the longest pause between two events, in milliseconds
+   * @param options the engines that can serve the request, the preferred first
+   * @param listener receives the reply
+   * @return stands for the request; empty if there is no coordinator
+   */
+  public OptionalLong ask(
+      DataCentreId dataCentre,
+      Optional<AdapterName> adapter,
+      Flow flow,
+      long gapMs,
+      List<RoomMessage.PromptOption> options,
+      Listener listener) {
+    long id = ids.incrementAndGet();
+    asked.put(id, new Asked(dataCentre, listener));
+    LinkMessage request = new RoomMessage.PromptRequest(id, adapter, flow, gapMs, options);
+    if (links.send(dataCentre, request)) {
+      return OptionalLong.of(id);
+    }
+    asked.remove(id);
+    return OptionalLong.empty();
+  }
+
+  /**
+   * Reports that a prompt was read, or that the request does not need its turn any more.
+   *
+   * @param dataCentre the data centre that was asked
+   * @param id stands for the request
+   */
+  public void read(DataCentreId dataCentre, long id) {
+    asked.remove(id);
+    // The caller may hold locks that a send which fails needs.
+    executor.execute(() -> links.send(dataCentre, new RoomMessage.PromptRead(id)));
+  }
+
+  /** Counts how the wait for a turn has ended. */
+  public void count(String result) {
+    metrics.count("sequoiapass_prompt_turns_total{result=\"" + result + "\"}");
+  }
+
+  @Override
+  public void receive(DataCentreId coordinator, LinkMessage message, long now) {
+    if (message instanceof RoomMessage.PromptTurn turn) {
+      Asked request = asked.remove(turn.id());
+      if (request == null) {
+        read(coordinator, turn.id());
+      } else {
+        request.listener().given(turn.endpoint(), turn.delayMs());
+      }
+    }
+  }
+
+  @Override
+  public void lost(DataCentreId coordinator, long now) {
+    asked.forEach(
+        (id, request) -> {
+          if (request.dataCentre().equals(coordinator) && asked.remove(id, request)) {
+            request.listener().lost();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -0,0 +1,167 @@
+package io.sequoiapass.gateway.request;
+
+import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.gateway.connection.RoomMessage;
+import io.sequoiapass.gateway.process.Candidate;
+import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.process.Demand;
+import io.sequoiapass.gateway.process.EndpointGroup;
+import io.sequoiapass.gateway.process.EndpointTicket;
+import io.sequoiapass.gateway.process.PromptGate;
+import io.sequoiapass.gateway.version.RouteSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The turn of one request to have its prompt read.
+ *
+ * <p>A long prompt that is read beside others delays all streams of an engine. Its request asks the
+ * coordinator for a turn, which also knows the prompts of other daemons. Used under the request's
+ * lock, but for the coordinator's reply.
+ */
+final class PromptWait implements PromptGate.Listener {
+
+  /** A prompt that takes less than this share of the target for pauses needs no turn. */
+  private static final double SHORT_SHARE = 0.1;
+
+  /** Longest wait for a turn, as a multiple of the route's target latency. */
+  private static final long MAX_WAIT_TARGETS = 2;
+
+  /** Maximum number of turns that one request asks for. */
+  private static final int MAX_ASKS = 3;
+
+  private final PromptGate gate;
+  private final EndpointGroup group;
+  private final RouteSpec route;
+  private final RelayedRequest request;
+  private OptionalLong id = OptionalLong.empty();
+  private DataCentreId dataCentre;
+  private List<Candidate> options = List.of();
+  private int asks;
+  private long until;
+  private boolean used;
+  private volatile EndpointId given;
+  private volatile boolean lost;
+
+  PromptWait(PromptGate gate, EndpointGroup group, RouteSpec route, RelayedRequest request) {
+    this.gate = gate;
+    this.group = group;
+    this.route = route;
+    this.request = request;
+  }
+
+  /**
+   * Returns how to send the request; empty if it has to wait for its turn.
+   *
+   * @param choice the chosen endpoint
+   * @param demand the requirements of the request
+   * @param now the time, in milliseconds
+   */
+  Optional<Choice.Send> turn(Choice.Send choice, Demand demand, long now) {
+    if (used) {
+      end();
+    }
+    if (id.isPresent()) {
+      return reply(choice, now);
+    }
+    long readMs = readMs(choice.candidate(), demand, now);
+    if (asks >= MAX_ASKS || readMs <= SHORT_SHARE * route.gapTargetMs() || !route.streams()) {
+      return Optional.of(choice);
+    }
+    return ask(choice, demand, now) ? Optional.empty() : Optional.of(choice);
+  }
+
+  private Optional<Choice.Send> reply(Choice.Send choice, long now) {
+    EndpointId endpoint = given;
+    if (endpoint != null) {
+      used = true;
+      gate.count("given");
+      return options.stream()
+          .filter(candidate -> candidate.endpoint().equals(endpoint))
+          .findFirst()
+          .map(candidate -> new Choice.Send(candidate, choice.expectedMs()))
+          .or(() -> Optional.of(choice));
+    }
+    if (!lost && now < until) {
+      return Optional.empty();
+    }
+    gate.count(lost ? "lost" : "waited_out");
+    end();
+    return Optional.of(choice);
+  }
+
+  private boolean ask(Choice.Send choice, Demand demand, long now) {
+    asks++;
+    given = null;
+    lost = false;
+    dataCentre = choice.candidate().dataCentre();
+    options = group.alternatives(choice.candidate(), demand, now);
+    long waitMs = Math.min(MAX_WAIT_TARGETS * route.targetMs(), demand.remainingMs() / 2);
+    until = now + waitMs;
+    List<RoomMessage.PromptOption> asked = new ArrayList<>();
+    options.forEach(
+        candidate ->
+            asked.add(
+                new RoomMessage.PromptOption(candidate.endpoint(), unread(candidate, demand))));
+    id =
+        gate.ask(
+            dataCentre,
+            demand.generation().flatMap(Generation::adapter),
+            demand.flow(),
+            route.gapTargetMs(),
+            asked,
+            this);
+    return id.isPresent();
+  }
+
+  private long readMs(Candidate candidate, Demand demand, long now) {
+    return (long) (unread(candidate, demand) / group.tokensPerMs(candidate.endpoint(), now));
+  }
+
+  private static long unread(Candidate candidate, Demand demand) {
+    return demand
+        .generation()
+        .map(generation -> Math.max(0, generation.promptTokens() - candidate.cachedTokens()))
+        .orElse(0L);
+  }
+
+  /** Waits for the turn that was asked for. */
+  void await(RequestWait wait, long now) {
+    wait.start(WaitTimes.Kind.TURN, now, Math.max(1, until - now));
+  }
+
+  /** Records that the request is sent: its turn ends once the prompt is read. */
+  void sent(EndpointTicket ticket) {
+    if (used && id.isPresent()) {
+      long turn = id.getAsLong();
+      DataCentreId asked = dataCentre;
+      id = OptionalLong.empty();
+      used = false;
+      ticket.onRead(() -> gate.read(asked, turn));
+    }
+  }
+
+  /** Ends the turn, or the wait for one. */
+  void end() {
+    if (id.isPresent()) {
+      gate.read(dataCentre, id.getAsLong());
+      id = OptionalLong.empty();
+    }
+    used = false;
+  }
+
+  @Override
+  public void given(EndpointId endpoint, long delayMs) {
+    given = endpoint;
+    request.dispatchIn(delayMs);
+  }
+
+  @Override
+  public void lost() {
+    lost = true;
+    request.dispatchIn(0);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -7,6 +7,7 @@
 import io.sequoiapass.gateway.process.CrashWatch;
 import io.sequoiapass.gateway.process.DecisionLog;
 import io.sequoiapass.gateway.process.GatewayMetrics;
+import io.sequoiapass.gateway.process.PromptGate;
 import io.sequoiapass.gateway.process.StreamVersions;
 import io.sequoiapass.gateway.spi.CallerProtocol;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
@@ -24,6 +25,7 @@
  * @param peers sends requests through peers if this daemon has no path to the endpoints
  * @param streams the streams that callers may resume at other daemons
  * @param crashes endpoints that end while they begin to write, and parts of prompts that cause it
+ * @param prompts asks when engines may read long prompts
  * @param waiting requests that wait for adapters
  * @param loop runs timers
  * @param clock the monotonic clock
@@ -38,6 +40,7 @@
     PeerForwarder peers,
     StreamVersions streams,
     CrashWatch crashes,
+    PromptGate prompts,
     PendingRequests waiting,
     ScheduledExecutorService loop,
     MillisClock clock,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -41,11 +41,6 @@
   /** Retry advice to a caller whose request found no endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 300;
 
-  private static final Choice.Refuse UNREACHABLE =
-      new Choice.Refuse(
-          ErrorKind.ENDPOINTS_UNREACHABLE,
-          ErrorKind.ENDPOINTS_UNREACHABLE.comeBackMillis().orElseThrow());
-
   private final RelayContext context;
   private final RouteSpec route;
   private final EndpointGroup group;
@@ -63,6 +58,7 @@
   private final RequestLog requestLog;
   private Future<?> deadlineTimer;
   private final RequestWait wait;
+  private final PromptWait prompt;
   private final ResponseTimer responseTimer;
   private final AdapterSearch search = new AdapterSearch();
   private final ForwardedRequest forward;
@@ -104,6 +100,7 @@
     this.parts = new PromptParts(context.crashes(), service, facts.generation());
     this.binding = new StreamBinding(context.streams(), service, route, facts, origin);
     this.finished = finished;
+    this.prompt = new PromptWait(context.prompts(), group, route, this);
     this.wait = new RequestWait(context, group, adapter, this);
     this.responseTimer = new ResponseTimer(context.loop());
     this.requestLog = new RequestLog(context, route, facts, access, !origin.mayUsePeers());
@@ -125,9 +122,14 @@
   }
 
   /** Dispatches again because an endpoint holds or loads the adapter. */
-  synchronized void retryDispatch() {
+  void retryDispatch() {
+    dispatchIn(ResumeDelay.READ_DELAY_MS);
+  }
+
+  /** Dispatches again after a time, in milliseconds, if the request waits. */
+  synchronized void dispatchIn(long delayMs) {
     if (wait.isWaiting() && !completed) {
-      wait.dispatchIn(ResumeDelay.READ_DELAY_MS);
+      wait.dispatchIn(delayMs);
     }
   }
 
@@ -158,7 +160,7 @@
     }
     Optional<ErrorKind> denied = hasRun() ? Optional.empty() : access.recheck().get();
     if (denied.isPresent()) {
-      refuse(denied.get(), denied.get().comeBackMillis());
+      end("refused_", denied.get(), denied.get().comeBackMillis());
       return;
     }
     if (parts.isRefused()) {
@@ -169,7 +171,7 @@
       return;
     }
     if (context.peers().isNeeded() && !context.peers().path().isReceiving()) {
-      refuseOrFail(UNREACHABLE);
+      refuseOrFail(Choice.Refuse.of(ErrorKind.ENDPOINTS_UNREACHABLE));
       return;
     }
     search.excludeOverdue(now);
@@ -177,7 +179,9 @@
     Choice choice = group.choose(demand, search.loadable(context.adapters()), now);
     if (choice instanceof Choice.Send send) {
       search.reset();
-      send(send, demand, now);
+      prompt
+          .turn(send, demand, now)
+          .ifPresentOrElse(turn -> send(turn, demand, now), () -> prompt.await(wait, now));
     } else if (choice instanceof Choice.AwaitLoad load) {
       search.loadFound();
       wait.start(WaitTimes.Kind.LOAD, now, load.waitMs() + 1);
@@ -251,6 +255,7 @@
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, RETRY_AFTER_MS));
       return;
     }
+    prompt.sent(ticket.get());
     context.peers().path().sent();
     requestLog.sent(choice, ticket.get(), attempts, response.lastEvent(), origin, now);
     HttpCall call = forward.to(target.get(), demand.remainingMs(), response.lastEvent());
@@ -501,7 +506,7 @@
     if (response.isStarted()) {
       abort(ErrorKind.STREAM_SHORT, reason);
     } else {
-      fail(kind);
+      end("failed_", kind, OptionalLong.empty());
     }
   }
 
@@ -524,9 +529,9 @@
     if (response.isStarted()) {
       abort(ErrorKind.DEADLINE_PASSED_AFTER_START, "deadline");
     } else if (mayHaveRun()) {
-      fail(ErrorKind.DEADLINE_PASSED_AFTER_START);
+      end("failed_", ErrorKind.DEADLINE_PASSED_AFTER_START, OptionalLong.empty());
     } else {
-      refuse(ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS));
+      end("refused_", ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS));
     }
   }
 
@@ -552,23 +557,18 @@
     if (response.isStarted()) {
       abort(ErrorKind.STREAM_SHORT, "no other endpoint");
     } else if (attempts.runs() > 0) {
-      fail(ErrorKind.ENDPOINT_LOST_AFTER_START);
+      end("failed_", ErrorKind.ENDPOINT_LOST_AFTER_START, OptionalLong.empty());
     } else {
       StreamBinding.Refusal stated = binding.refusal(refusal);
-      refuse(stated.kind(), stated.retryAfterMs());
+      end("refused_", stated.kind(), stated.retryAfterMs());
     }
   }
 
-  private void refuse(ErrorKind kind, OptionalLong retryAfterMs) {
-    finish("refused_" + kind, kind.httpStatus());
+  private void end(String outcome, ErrorKind kind, OptionalLong retryAfterMs) {
+    finish(outcome + kind, kind.httpStatus());
     response.error(kind, retryAfterMs);
   }
 
-  private void fail(ErrorKind kind) {
-    finish("failed_" + kind, kind.httpStatus());
-    response.error(kind, OptionalLong.empty());
-  }
-
   /** Aborts a stream, so that the caller does not take it for complete. */
   private void abort(ErrorKind kind, String reason) {
     finish("cut_" + kind + "_" + reason, 0);
@@ -586,6 +586,7 @@
   private void finish(String outcome, int status) {
     completed = true;
     wait.stop();
+    prompt.end();
     if (deadlineTimer != null) {
       deadlineTimer.cancel(false);
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -258,6 +258,7 @@
         .with("gap_ms", route.gapTargetMs())
         .with("slot_wait_ms", times.waits().of(WaitTimes.Kind.SLOT))
         .with("load_ms", times.waits().of(WaitTimes.Kind.LOAD))
+        .with("turn_ms", times.waits().of(WaitTimes.Kind.TURN))
         .with("sends", attempts.sends())
         .with("runs", attempts.runs())
         .with("last_event", end.position().lastEvent())
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/WaitTimes.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/WaitTimes.java
@@ -15,7 +15,9 @@
     /** A slot for its adapter at an engine, and the order to load it. */
     SLOT,
     /** Its adapter, which is loading. */
-    LOAD
+    LOAD,
+    /** The turn to have its prompt read. */
+    TURN
   }
 
   private final Map<Kind, Long> times = new EnumMap<>(Kind.class);
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -106,28 +106,40 @@
             List.of(new LinkMessage.EndpointLoad(ENGINE, LOAD))),
         new LinkMessage.Loads(Optional.empty(), 0, Optional.empty(), List.of()),
         new LinkMessage.Releases(List.of(new LinkMessage.Release(ADAPTER, 4))),
-        new LinkMessage.LoadRejected(ADAPTER, 400),
-        new LinkMessage.DemandReport(List.of(new LinkMessage.FlowDemand(SERVICE, FLOW, 40, 12))),
-        new LinkMessage.Shortages(
+        new LinkMessage.LoadRejected(ADAPTER, 400));
+  }
+
+  static Stream<LinkMessage> roomMessages() {
+    return Stream.of(
+        new RoomMessage.DemandReport(List.of(new RoomMessage.FlowDemand(SERVICE, FLOW, 40, 12))),
+        new RoomMessage.Shortages(
             List.of(
-                new LinkMessage.Shortage(
-                    SERVICE, 900, List.of(new LinkMessage.FlowShare(FLOW, 0.25))))),
-        new LinkMessage.SpeedReport(
-            List.of(new LinkMessage.SpeedSamples(ENGINE, 1_000, 7, 3_500, 2_800))),
-        new LinkMessage.Speeds(
-            false, List.of(new LinkMessage.EndpointSpeed(ENGINE, 1_000, 1.75, 2.5))),
-        new LinkMessage.SpillPlan(
-            List.of(new LinkMessage.SpillShare(SERVICE, new DataCentreId("south"), 0.125))));
+                new RoomMessage.Shortage(
+                    SERVICE, 900, List.of(new RoomMessage.FlowShare(FLOW, 0.25))))),
+        new RoomMessage.SpeedReport(
+            List.of(new RoomMessage.SpeedSamples(ENGINE, 1_000, 7, 3_500, 2_800))),
+        new RoomMessage.Speeds(
+            false, List.of(new RoomMessage.EndpointSpeed(ENGINE, 1_000, 1.75, 2.5))),
+        new RoomMessage.SpillPlan(
+            List.of(new RoomMessage.SpillShare(SERVICE, new DataCentreId("south"), 0.125))),
+        new RoomMessage.PromptRequest(
+            7,
+            Optional.of(ADAPTER),
+            FLOW,
+            500,
+            List.of(new RoomMessage.PromptOption(ENGINE, 9_190))),
+        new RoomMessage.PromptTurn(7, ENGINE, 12),
+        new RoomMessage.PromptRead(7));
   }
 
   @ParameterizedTest
-  @MethodSource("messages")
+  @MethodSource({"messages", "roomMessages"})
   void messageIsDecodedFromItsFrame(LinkMessage message) throws LinkFrames.FormatException {
     assertThat(LinkFrames.decode(LinkFrames.encode(message))).isEqualTo(message);
   }
 
   @ParameterizedTest
-  @MethodSource("messages")
+  @MethodSource({"messages", "roomMessages"})
   void truncatedFrameIsRejected(LinkMessage message) {
     byte[] frame = LinkFrames.encode(message);
 
