Show operators the waits of long prompts

Cause: a request that waits for its turn was classified as waiting for a slot. Ran: LossReportTest, EndpointGroupTest.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/Loss.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/Loss.java
@@ -8,6 +8,8 @@
   SLOT("late: waited for an adapter slot"),
   /** Late; it mostly waited for its adapter to load. */
   LOAD("late: waited for its adapter to load"),
+  /** Late; it mostly waited for its turn to have its prompt read. */
+  TURN("late: waited for the turn of its prompt"),
   /** Late; most of its time was spent on attempts that endpoints refused or lost. */
   RETRIED("late: retried after a refusal or a loss"),
   /** Late; the endpoint took much longer than expected. */
@@ -70,9 +72,10 @@
   private static Loss ofLate(RequestTrace trace) {
     long place = trace.slotWaitMs();
     long load = trace.loadWaitMs();
+    long turn = trace.turnWaitMs();
     long again = trace.failedAttemptsMs();
     long endpoint = trace.atEndpointMs();
-    long most = Math.max(Math.max(place, load), Math.max(again, endpoint));
+    long most = Math.max(Math.max(Math.max(place, load), turn), Math.max(again, endpoint));
     if (most == endpoint) {
       boolean slow = trace.excessMs() > SLOW_EXCESS_SHARE * endpoint;
       return slow ? SLOW_ENDPOINT : BUSY_ENDPOINT;
@@ -80,6 +83,9 @@
     if (most == again) {
       return RETRIED;
     }
+    if (most == turn) {
+      return TURN;
+    }
     return most == place ? SLOT : LOAD;
   }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
@@ -87,6 +87,10 @@
     return end.number("load_ms");
   }
 
+  long turnWaitMs() {
+    return end.number("turn_ms");
+  }
+
   /** Returns the time spent on attempts that were refused or lost, in milliseconds. */
   long failedAttemptsMs() {
     long waits = Math.max(0, lastSentMs - firstSentMs);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -14,6 +14,7 @@
 import io.sequoiapass.gateway.version.EngineSpec;
 import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -325,6 +326,7 @@
         .filter(candidate -> candidate.dataCentre().equals(chosen.dataCentre()))
         .filter(candidate -> !candidate.endpoint().equals(chosen.endpoint()))
         .filter(candidate -> candidate.readyInMs() == 0)
+        .sorted(Comparator.comparingLong(candidate -> candidate.load().prefillTokens()))
         .limit(MAX_ALTERNATIVES - 1)
         .forEach(found::add);
     return found;
