Rely on half of the prompt tokens that are believed to be cached

A prompt that is read whole makes its batch longer than the pauses that streams bear.

Change: turns count half of the cached tokens as unread.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -27,6 +27,12 @@
   /** A prompt that takes less than this share of the target for pauses needs no turn. */
   private static final double SHORT_SHARE = 0.1;
 
+  /**
+   * Part of the believed cached tokens that is relied on: engines evict parts without notice, and a
+   * prompt that is read whole makes its batch too long.
+   */
+  private static final double CACHED_SHARE = 0.5;
+
   /** Longest wait for a turn, as a multiple of the route's target latency. */
   private static final long MAX_WAIT_TARGETS = 2;
 
@@ -124,7 +130,8 @@
   private static long unread(Candidate candidate, Demand demand) {
     return demand
         .generation()
-        .map(generation -> Math.max(0, generation.promptTokens() - candidate.cachedTokens()))
+        .map(generation -> generation.promptTokens() - CACHED_SHARE * candidate.cachedTokens())
+        .map(tokens -> Math.max(0, Math.round(tokens)))
         .orElse(0L);
   }
 
