Write the coordinator's lease with the revision that its epoch follows

The daemon's callbacks run on a group of event loops. The step to write the lease was decided under the lock, but the expected revision was read later and without it: a status of the coordinator that arrived in between raised the revision to the successor's, and the write succeeded with the epoch that the successor has. A read that ended during a write made room for a second write, and the answer to the first then counted for the second. A list that was read before a write, and arrived after it, put the holder back to a state in which it neither renews nor orders.

The revision is now kept with the proposal; a read during a write, or one that a write overtook, is ignored; epoch and revision of an acquired lease are taken under the lock under which it was acquired.

Both tests of CoordinatorElectionTest$WriteInProgress failed on the code before (18 others passed). The check for an overtaken list is in CoordinationNode and has no test.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
@@ -189,17 +190,23 @@
   }
 
   private void read(long now) {
+    long writeChanges;
     synchronized (this) {
       reading = true;
       schedule.read(now);
+      writeChanges = election.writeChanges();
     }
     store
         .list(StoreKind.LEASES)
-        .whenComplete((list, failure) -> loop.execute(() -> leasesRead(list, failure)));
+        .whenComplete(
+            (list, failure) -> loop.execute(() -> leasesRead(list, failure, writeChanges)));
   }
 
-  private void leasesRead(StoreList<CoordinatorLease> list, Throwable failure) {
+  private void leasesRead(
+      StoreList<CoordinatorLease> list, Throwable failure, long writeChangesBefore) {
     boolean acquired;
+    long epoch;
+    long revision;
     boolean first;
     synchronized (this) {
       first = startup.leasesRead(failure == null && list.items().isEmpty(), clock.millis());
@@ -216,11 +223,18 @@
       boolean before = election.isHolding();
       Optional<Stored<CoordinatorLease>> mine =
           list.items().stream().filter(item -> item.name().equals(here.value())).findFirst();
-      election.read(mine, clock.millis());
+      if (election.writeChanges() == writeChangesBefore) {
+        election.read(mine, clock.millis());
+      } else {
+        // The list may be older than the lease that was written meanwhile.
+        election.readFailed();
+      }
       acquired = !before && election.isHolding();
+      epoch = election.epoch();
+      revision = election.revision();
     }
     if (acquired) {
-      startCoordinating();
+      startCoordinating(epoch, revision);
     }
     list.items().forEach(this::connect);
   }
@@ -259,20 +273,27 @@
   }
 
   private void write() {
-    CoordinatorLease proposal = election.proposal();
+    CoordinatorLease proposal;
+    OptionalLong expected;
+    synchronized (this) {
+      proposal = election.proposal();
+      expected = election.expected();
+    }
     store
-        .write(StoreKind.LEASES, here.value(), proposal, election.expected())
+        .write(StoreKind.LEASES, here.value(), proposal, expected)
         .whenComplete((result, failure) -> loop.execute(() -> leaseWritten(proposal, result)));
   }
 
   private void leaseWritten(CoordinatorLease proposal, WriteResult<CoordinatorLease> result) {
     boolean changed;
     boolean holding;
+    long epoch;
     long revision;
     WriteResult<CoordinatorLease> known = result == null ? new WriteResult.Unknown<>() : result;
     synchronized (this) {
       changed = election.written(known, clock.millis());
       holding = election.isHolding();
+      epoch = election.epoch();
       revision = election.revision();
       if (known instanceof WriteResult.Written) {
         freezes.leaseRenewed();
@@ -287,7 +308,7 @@
           .write();
     }
     if (changed && holding) {
-      startCoordinating();
+      startCoordinating(epoch, revision);
     } else if (changed) {
       coordinator.deactivate("lease lost");
     }
@@ -298,13 +319,9 @@
     }
   }
 
-  private void startCoordinating() {
-    long epoch;
-    long revision;
+  private void startCoordinating(long epoch, long revision) {
     CoordinatorLease lease;
     synchronized (this) {
-      epoch = election.epoch();
-      revision = election.revision();
       lease = election.proposal();
     }
     coordinator.activate(epoch);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorElection.java
@@ -91,6 +91,9 @@
   private long renewedAt = NEVER;
   private boolean holding;
   private boolean busy;
+  private boolean writing;
+  private long writeChanges;
+  private OptionalLong expected = OptionalLong.empty();
   private boolean releasing;
   private boolean withdrawn;
   private CoordinatorLease proposed;
@@ -160,8 +163,11 @@
       CoordinatorLease held = seen.flatMap(Stored::value).orElseThrow();
       proposed = releasing || withdrawn ? held.asReleased() : held.renewed();
     }
+    expected = seen.isPresent() ? OptionalLong.of(seen.get().revision()) : OptionalLong.empty();
     lastWriteAt = now;
     busy = true;
+    writing = true;
+    writeChanges++;
     return Step.WRITE;
   }
 
@@ -170,13 +176,27 @@
     return proposed;
   }
 
-  /** Returns the revision that the object must have; empty if it must not exist. */
+  /**
+   * Returns the revision that the object must have; empty if it must not exist. It is the one on
+   * which {@link #proposal} is based, also if a later one has been observed since.
+   */
   OptionalLong expected() {
-    return seen.isPresent() ? OptionalLong.of(seen.get().revision()) : OptionalLong.empty();
+    return expected;
+  }
+
+  /** Returns a number that changes when a write begins and when it ends. */
+  long writeChanges() {
+    return writeChanges;
   }
 
-  /** Handles the result of a read; empty if the lease does not exist. */
+  /**
+   * Handles the result of a read; empty if the lease does not exist. Ignored during a write, whose
+   * response is newer.
+   */
   void read(Optional<Stored<CoordinatorLease>> current, long now) {
+    if (writing) {
+      return;
+    }
     busy = false;
     read = true;
     boolean changed = observe(current, now);
@@ -189,7 +209,7 @@
 
   /** Handles a failed read. */
   void readFailed() {
-    busy = false;
+    busy = writing;
   }
 
   private boolean observe(Optional<Stored<CoordinatorLease>> current, long now) {
@@ -220,6 +240,8 @@
   /** Handles the result of a write; returns whether it acquired or lost the lease. */
   boolean written(WriteResult<CoordinatorLease> result, long now) {
     busy = false;
+    writing = false;
+    writeChanges++;
     boolean before = holding;
     if (result instanceof WriteResult.Written<CoordinatorLease> written) {
       seen = Optional.of(new Stored<>("", written.revision(), Optional.of(proposed), ""));
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/CoordinatorElectionTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/CoordinatorElectionTest.java
@@ -290,4 +290,36 @@
       assertThat(election.expected()).isEqualTo(OptionalLong.of(5));
     }
   }
+
+  /** The store's answers and the links' messages arrive on several threads, in any order. */
+  @Nested
+  class WriteInProgress {
+
+    private final CoordinatorLease free = lease("north-2", "p2", 7, 3).asReleased();
+
+    private void beginWrite() {
+      election.next(0, Link.DOWN);
+      election.read(stored(10, free), 5);
+      assertThat(election.next(6, Link.DOWN)).isEqualTo(Step.WRITE);
+    }
+
+    /** With the successor's revision, the write would give two daemons epoch 8. */
+    @Test
+    void expectsTheRevisionOfWhichItsEpochFollows() {
+      beginWrite();
+      election.observeRevision(12, 6);
+
+      assertThat(election.proposal().epoch()).isEqualTo(8);
+      assertThat(election.expected()).isEqualTo(OptionalLong.of(10));
+    }
+
+    /** The answer to the first of two writes would count as that to the second. */
+    @Test
+    void isTheOnlyOneUntilItsAnswer() {
+      beginWrite();
+      election.read(stored(12, lease("north-3", "p3", 9, 0).asReleased()), 300);
+
+      assertThat(election.next(600, Link.DOWN)).isEqualTo(Step.NONE);
+    }
+  }
 }
