Free a reserved key only where no other replica can have started it

Three ways were found to free a key whose start was granted:

- A primary that leaves has an open reservation whose copy the secondary holds.
Its authority has ended, so the confirmation grants nothing; after 500 ms it released the record under a higher sequence number and sent the copy to its successor, which may have granted the start by then.
No message needs to be lost.
- A replica that took over a reservation cannot know whether its predecessor granted the start.
A late reservation of the same holder that timed out there released the key all the same.
- A late copy of a previous primary replaced the record of the present one if its sequence number was higher, though the numbers of two primaries are not comparable.

A record is now released only by a replica that decides and has been primary since its creation, and a primary ignores copies of a key that it has. A refused entry sends its reservation again, and ends as NOT RUN otherwise, so no key stays open by that.

LedgerTest$ReleasedByAReplica has a test for each way; all three failed before. Mutants, each found by one: without the check of the creation (isNotFreedByOneThatTookOver), without that of the authority (isNotCopiedByOneThatHasLeft), copies taken by a primary (doesNotReplaceTheRecordOfTheNextPrimary).

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/Ledger.java
@@ -343,10 +343,11 @@
   }
 
   private void abandonPending(LedgerEntry entry, long nowMillis) {
-    boolean neverConfirmed =
-        entry.hasPendingReply(Step.RESERVE) && entry.record().state() == LedgerState.RESERVED;
+    boolean reservationPending = entry.hasPendingReply(Step.RESERVE);
     refusePendingReplies(entry);
-    if (neverConfirmed) {
+    if (reservationPending
+        && isProvedNotStarted(entry)
+        && decides(entry.record().key(), nowMillis)) {
       change(entry, LedgerState.RELEASED, nowMillis);
     }
   }
@@ -371,18 +372,28 @@
           || !decides(record.key(), nowMillis)) {
         continue;
       }
-      // Only the primary replica that created the record can rule out that a start was granted; a
-      // copy cannot.
-      boolean provedNotStarted =
-          entry.isPrimarySinceCreation() && record.state() == LedgerState.RESERVED;
-      change(entry, provedNotStarted ? LedgerState.RELEASED : LedgerState.UNKNOWN, nowMillis);
+      change(
+          entry, isProvedNotStarted(entry) ? LedgerState.RELEASED : LedgerState.UNKNOWN, nowMillis);
     }
   }
 
+  /**
+   * Returns whether no start was granted. Only the primary replica that created the record can rule
+   * it out, as long as it decides; a copy cannot.
+   */
+  private static boolean isProvedNotStarted(LedgerEntry entry) {
+    return entry.isPrimarySinceCreation() && entry.record().state() == LedgerState.RESERVED;
+  }
+
   // Replication and membership changes.
 
   private void storeCopy(DaemonId from, LedgerRecord record, long nowMillis) {
     LedgerEntry stored = entries.get(record.key());
+    if (stored != null && isPrimary(record.key())) {
+      // Sent by an earlier primary replica, whose sequence numbers say nothing about the starts
+      // that this one has granted since.
+      return;
+    }
     if (stored != null && stored.record().sequence() > record.sequence()) {
       // A delayed copy must not overwrite a later one, nor be confirmed as stored.
       sends.add(new LedgerSend(from, new Copy(stored.recordAt(nowMillis))));
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerSimulation.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerSimulation.java
@@ -59,6 +59,7 @@
     private LedgerView view = new LedgerView(0, Set.of());
     private long frozenUntil;
     private long cutUntil;
+    private long endsAt;
 
     private Daemon(LedgerMember self) {
       this.self = self;
@@ -132,6 +133,10 @@
   }
 
   private void step(Daemon daemon) {
+    if (now < daemon.endsAt) {
+      send(daemon, daemon.ledger.tick(now));
+      return;
+    }
     if (!leases.containsKey(daemon.self)) {
       // An incarnation whose lease has expired ends: its records have gaps that it cannot detect.
       start(daemon.self.daemon());
@@ -162,14 +167,24 @@
   }
 
   private void injectFault(Daemon daemon) {
-    switch (random.nextInt(4)) {
+    switch (random.nextInt(5)) {
       case 0 -> start(daemon.self.daemon());
       case 1 -> daemon.frozenUntil = now + random.nextInt(400);
       case 2 -> daemon.cutUntil = now + random.nextInt(400);
+      case 3 -> leave(daemon);
       default -> inFlight.removeIf(envelope -> random.nextInt(2) == 0);
     }
   }
 
+  /** A planned stop: the process runs on for a time as no member. */
+  private void leave(Daemon daemon) {
+    if (daemon.open.isEmpty() && leases.remove(daemon.self) != null) {
+      membership++;
+      daemon.ledger.authorityUntil(Long.MIN_VALUE);
+      daemon.endsAt = now + random.nextInt(200);
+    }
+  }
+
   private void notRun(Daemon daemon, KeyUse use) {
     refused++;
     end(daemon, use, OutcomeClass.NOT_RUN);
@@ -244,7 +259,11 @@
     if (use == null || answer.step() == Step.FINISH) {
       return;
     }
-    if (answer.refusal().isPresent()) {
+    boolean unavailable =
+        answer.refusal().filter(kind -> kind == ErrorKind.LEDGER_UNAVAILABLE).isPresent();
+    if (unavailable && random.nextInt(2) == 0) {
+      sendToPrimary(daemon, use.key, new LedgerMessage.Reserve(use.key, "body", use.holder));
+    } else if (answer.refusal().isPresent()) {
       refused(use, answer.refusal().get());
       notRun(daemon, use);
     } else if (answer.step() == Step.RESERVE) {
--- a/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerTest.java
+++ b/coordination/src/test/java/io/sequoiapass/coordination/request/LedgerTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class LedgerTest {
@@ -172,4 +173,53 @@
     assertThat(answers(ledger.receive(FIRST.entry().daemon(), finish, 2)))
         .contains(Optional.of(ErrorKind.KEY_ALREADY_RAN));
   }
+
+  /**
+   * A key runs twice if a replica frees it that cannot know whether another one permitted a start.
+   */
+  @Nested
+  class ReleasedByAReplica {
+
+    private static final long COPY_TIMED_OUT = 900;
+
+    private final LedgerRecord copy =
+        new LedgerRecord(KEY, "body", FIRST, LedgerState.RESERVED, 4, 5_000);
+
+    private List<LedgerState> copies(List<LedgerSend> sends) {
+      return sends.stream()
+          .filter(send -> send.message() instanceof LedgerMessage.Copy)
+          .map(send -> ((LedgerMessage.Copy) send.message()).record().state())
+          .toList();
+    }
+
+    /** A planned stop ends the authority while a reservation waits for its copy. */
+    @Test
+    void isNotCopiedByOneThatHasLeft() {
+      ledger.receive(FIRST.entry().daemon(), new LedgerMessage.Reserve(KEY, "body", FIRST), 0);
+      ledger.authorityUntil(Long.MIN_VALUE);
+
+      assertThat(copies(ledger.tick(COPY_TIMED_OUT))).isEmpty();
+    }
+
+    /** The previous primary permitted the start; a late reservation waits for its copy here. */
+    @Test
+    void isNotFreedByOneThatTookOver() {
+      ledger.receive(SECONDARY.daemon(), new LedgerMessage.Copy(copy), 0);
+      ledger.receive(FIRST.entry().daemon(), new LedgerMessage.Reserve(KEY, "body", FIRST), 0);
+
+      assertThat(copies(ledger.tick(COPY_TIMED_OUT))).doesNotContain(LedgerState.RELEASED);
+    }
+
+    /** The copy of a previous primary arrives after the start was permitted here. */
+    @Test
+    void doesNotReplaceTheRecordOfTheNextPrimary() {
+      assertThat(reserve(FIRST, "body", 0)).containsExactly(Optional.empty());
+      assertThat(markStart(FIRST)).containsExactly(Optional.empty());
+      LedgerRecord released = copy.with(LedgerState.RELEASED, 90, 5_000);
+
+      ledger.receive(SECONDARY.daemon(), new LedgerMessage.Copy(released), 1);
+
+      assertThat(reserve(OTHER, "body", 2)).containsExactly(Optional.of(ErrorKind.KEY_IN_PROGRESS));
+    }
+  }
 }
