Keep idle connections that a once-only call may not use

Cause: a call that must not run twice took every idle connection to its endpoint that was idle for over 400 ms, closed all of them and opened one. The repeatable calls after it had to open theirs again. Repeatable calls gave up connections after 4 s, although each daemon sends an endpoint a request only every few seconds where daemons are many.

Change: IdleConnections decides. A once-only call without a recent connection replaces the oldest one, so that the number an endpoint keeps does not grow, and leaves the others. Repeatable calls may reuse for 10 s; after a call on a reused connection got no response, the others to that address are closed. The limit of once-only calls is unchanged: a server may forget connections without notice, and no observed close proves that it does not. An observer counts opened and reused connections.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -13,10 +13,9 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ConcurrentMap;
 
 /**
@@ -31,18 +30,20 @@
  */
 public final class HttpClient {
 
-  /** Maximum idle connections per address; further connections are closed after use. */
-  private static final int MAX_IDLE_PER_ADDRESS = 32;
+  /** Beyond this number of addresses, those without idle connections are removed. */
+  private static final int MAX_ADDRESSES = 32_768;
 
   private final Bootstrap bootstrap;
   private final String echoedHeader;
-  private final ConcurrentMap<InetSocketAddress, Deque<IdleConnection>> idle =
+  private final ConnectionObserver observer;
+  private final ConcurrentMap<InetSocketAddress, IdleConnections<Channel>> idle =
       new ConcurrentHashMap<>();
   private final MillisClock clock = MillisClock.monotonic();
 
-  private HttpClient(Bootstrap bootstrap, String echoedHeader) {
+  private HttpClient(Bootstrap bootstrap, String echoedHeader, ConnectionObserver observer) {
     this.bootstrap = bootstrap;
     this.echoedHeader = echoedHeader;
+    this.observer = observer;
   }
 
   /**
@@ -79,7 +80,7 @@
                     channel.pipeline().addLast(new HttpClientHandler());
                   }
                 });
-    return new HttpClient(bootstrap, echoedHeader);
+    return new HttpClient(bootstrap, echoedHeader, ConnectionObserver.NONE);
   }
 
   /**
@@ -89,7 +90,16 @@
    */
   public HttpClient from(InetAddress source) {
     return new HttpClient(
-        bootstrap.clone().localAddress(new InetSocketAddress(source, 0)), echoedHeader);
+        bootstrap.clone().localAddress(new InetSocketAddress(source, 0)), echoedHeader, observer);
+  }
+
+  /**
+   * Returns a client with the same settings and no connections that reports to an observer.
+   *
+   * @param to the observer
+   */
+  public HttpClient observedBy(ConnectionObserver to) {
+    return new HttpClient(bootstrap, echoedHeader, to);
   }
 
   /**
@@ -116,25 +126,30 @@
   public HttpStream stream(HttpCall call, long timeoutMs, HttpStreamListener listener) {
     HttpExchange exchange = new HttpExchange(this, call, listener);
     exchange.startTimeout(bootstrap.config().group().next(), timeoutMs);
-    Channel reused = takeIdle(call);
-    if (reused == null) {
-      open(exchange, call.address());
-    } else if (reused.eventLoop().inEventLoop()) {
-      exchange.begin(reused);
+    Optional<Channel> taken = takeIdle(call);
+    if (taken.isEmpty()) {
+      open(exchange, call);
+      return exchange;
+    }
+    observer.reused();
+    Channel reused = taken.get();
+    if (reused.eventLoop().inEventLoop()) {
+      exchange.begin(reused, true);
     } else {
-      reused.eventLoop().execute(() -> exchange.begin(reused));
+      reused.eventLoop().execute(() -> exchange.begin(reused, true));
     }
     return exchange;
   }
 
-  private void open(HttpExchange exchange, InetSocketAddress address) {
-    ChannelFuture opening = bootstrap.connect(address);
+  private void open(HttpExchange exchange, HttpCall call) {
+    ChannelFuture opening = bootstrap.connect(call.address());
     opening.addListener(
         done -> {
           if (done.isSuccess()) {
-            exchange.begin(opening.channel());
+            observer.opened(call.reuse());
+            exchange.begin(opening.channel(), false);
           } else {
-            exchange.fail(new HttpFailure("cannot connect to " + address, false));
+            exchange.fail(new HttpFailure("cannot connect to " + call.address(), false));
           }
         });
   }
@@ -150,28 +165,29 @@
     ChannelFuture opening = bootstrap.connect(address);
     opening.addListener(
         done -> {
+          if (done.isSuccess()) {
+            observer.opened(ReusePolicy.NONE);
+          }
           opening.channel().close();
           result.complete(done.isSuccess());
         });
     return result;
   }
 
-  private Channel takeIdle(HttpCall call) {
-    Deque<IdleConnection> connections = idle.get(call.address());
-    if (connections == null || call.reuse() == ReusePolicy.NONE) {
-      return null;
-    }
-    long now = clock.millis();
-    for (IdleConnection next = connections.pollLast();
-        next != null;
-        next = connections.pollLast()) {
-      if (next.channel().isActive()
-          && call.reuse().allows(now - next.idleSince(), next.limitMs())) {
-        return next.channel();
-      }
-      next.channel().close();
-    }
-    return null;
+  /**
+   * Returns whether an idle connection to an address can be reused now.
+   *
+   * @param address the server's address
+   * @param policy the policy of the call
+   */
+  public boolean canReuse(InetSocketAddress address, ReusePolicy policy) {
+    IdleConnections<Channel> connections = idle.get(address);
+    return connections != null && connections.has(policy, clock.millis());
+  }
+
+  private Optional<Channel> takeIdle(HttpCall call) {
+    IdleConnections<Channel> connections = idle.get(call.address());
+    return connections == null ? Optional.empty() : connections.take(call.reuse(), clock.millis());
   }
 
   String echoedHeader() {
@@ -186,16 +202,31 @@
    * @param limitMs idle timeout stated by the server, in milliseconds; negative if none
    */
   void addIdle(InetSocketAddress address, Channel channel, long limitMs) {
-    Deque<IdleConnection> connections =
-        idle.computeIfAbsent(address, a -> new ConcurrentLinkedDeque<>());
-    if (connections.size() >= MAX_IDLE_PER_ADDRESS) {
-      channel.close();
-    } else {
-      connections.addLast(new IdleConnection(channel, clock.millis(), limitMs));
+    long now = clock.millis();
+    if (idle.size() >= MAX_ADDRESSES) {
+      idle.keySet()
+          .forEach(a -> idle.computeIfPresent(a, (k, old) -> old.removeUnusable(now) ? null : old));
     }
+    idle.compute(
+        address,
+        (a, old) -> {
+          IdleConnections<Channel> connections =
+              old == null ? new IdleConnections<>(Channel::isActive, Channel::close) : old;
+          connections.add(channel, limitMs, now);
+          return connections;
+        });
   }
 
-  private record IdleConnection(Channel channel, long idleSince, long limitMs) {}
+  /**
+   * Closes the idle connections to an address, after a call on one of them got no response: the
+   * others have probably ended with it.
+   */
+  void closeIdle(InetSocketAddress address) {
+    IdleConnections<Channel> connections = idle.get(address);
+    if (connections != null) {
+      connections.closeAll();
+    }
+  }
 
   /** Collects the parts of one response. */
   private static final class Collector implements HttpStreamListener {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -37,6 +37,8 @@
   private volatile boolean written;
   private volatile Future<?> timeoutTask;
   private volatile boolean flushed;
+  private volatile boolean reused;
+  private volatile boolean answered;
   private boolean keepAlive = true;
   private boolean notReusable;
   private long keepAliveMs = NO_KEEP_ALIVE_LIMIT;
@@ -54,6 +56,7 @@
 
   private void onTimeout() {
     Channel current = channel;
+    closeOthersIfUnanswered();
     fail(new HttpFailure("timed out before the response was complete: " + call, written));
     abandon(current);
   }
@@ -70,8 +73,22 @@
     }
   }
 
-  void begin(Channel opened) {
+  /** Closes the other idle connections if the server has ignored this one. */
+  private void closeOthersIfUnanswered() {
+    if (reused && !answered && !completed.get()) {
+      client.closeIdle(call.address());
+    }
+  }
+
+  /**
+   * Sends the request.
+   *
+   * @param opened the connection
+   * @param wasIdle whether it carried an earlier call
+   */
+  void begin(Channel opened, boolean wasIdle) {
     channel = opened;
+    reused = wasIdle;
     if (completed.get()) {
       opened.close();
       return;
@@ -108,6 +125,7 @@
   }
 
   void head(int status, HttpHeaders headers, boolean keepConnection) {
+    answered = true;
     keepAlive = keepConnection && !notReusable;
     keepAliveMs = keepAliveLimitMs(headers);
     if (!completed.get()) {
@@ -172,6 +190,7 @@
    * @param end how it ended
    */
   void closed(String end) {
+    closeOthersIfUnanswered();
     fail(new HttpFailure(end + " before the response was complete: " + call, written));
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ReusePolicy.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ReusePolicy.java
@@ -31,10 +31,11 @@
   };
 
   /**
-   * Maximum idle time of a connection whose server states no limit. Limits are stated in full
-   * seconds, so an unstated limit may be any time below a second, or none.
+   * Maximum idle time of a connection whose server states no limit. A server that closes it is
+   * noticed, and a call that meets the close is sent again; the time bounds how many connections
+   * that a network has dropped without notice are found one by one.
    */
-  private static final long DEFAULT_MAX_IDLE_MS = 4_000;
+  private static final long DEFAULT_MAX_IDLE_MS = 10_000;
 
   /** The same for calls that must not run twice; below half a second, which is a short limit. */
   private static final long DEFAULT_RECENT_MAX_IDLE_MS = 400;
