Prefer endpoints with open connections, within a subset for each daemon

Cause: 87 daemons before 63 engines spread their requests over all of them.

Connections opened and reused are counted by purpose; sent lines have connection_ms.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -19,6 +19,8 @@
  *     memory
  * @param slowdown its response time relative to the other endpoints
  * @param loadMs expected time of a load of the adapter, in milliseconds
+ * @param connectionMs what a new connection to it counts against it, in milliseconds; 0 if an open
+ *     one can be used
  */
 public record Candidate(
     EndpointId endpoint,
@@ -31,7 +33,8 @@
     long readyInMs,
     boolean cachesAdapter,
     double slowdown,
-    long loadMs) {
+    long loadMs,
+    double connectionMs) {
 
   boolean holds() {
     return readyInMs >= 0;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
@@ -88,7 +88,8 @@
         readyInMs(state, demand, now),
         cachesAdapter,
         state.slowdown.value(now),
-        cachesAdapter ? estimates.memoryMs() : estimates.storeMs());
+        cachesAdapter ? estimates.memoryMs() : estimates.storeMs(),
+        group.connections.ms(state, demand, now));
   }
 
   /**
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
@@ -0,0 +1,42 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.daemon.connection.ConnectionObserver;
+import io.sequoiapass.daemon.connection.ReusePolicy;
+
+/** Counts the connections to endpoints by purpose. Safe for use by several threads. */
+final class ConnectionCounters {
+
+  private static final String OPENED = "sequoiapass_connections_opened_total{purpose=\"%s\"}";
+  private static final String REUSED = "sequoiapass_connections_reused_total{purpose=\"%s\"}";
+
+  private final GatewayMetrics metrics;
+
+  ConnectionCounters(GatewayMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  /** Returns the observer of the client that sends callers' requests and probes. */
+  ConnectionObserver requests() {
+    return observer("request");
+  }
+
+  /** Returns the observer of the client that sends a coordinator's orders. */
+  ConnectionObserver orders() {
+    return observer("order");
+  }
+
+  private ConnectionObserver observer(String purpose) {
+    return new ConnectionObserver() {
+      @Override
+      public void opened(ReusePolicy policy) {
+        String name = policy == ReusePolicy.NONE ? "probe" : purpose;
+        metrics.count(OPENED.formatted(name));
+      }
+
+      @Override
+      public void reused() {
+        metrics.count(REUSED.formatted(purpose));
+      }
+    };
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -87,7 +87,9 @@
     List<Candidate> holders = candidates.stream().filter(Candidate::holds).toList();
     double unreportedMs = uncertainty.prefillMs(holders, tokensPerMs);
     Optional<Candidate> holder =
-        cheapest(holders, c -> cost.applyAsDouble(c) + unreportedMs * uncertainty.draw());
+        cheapest(
+            holders,
+            c -> cost.applyAsDouble(c) + c.connectionMs() + unreportedMs * uncertainty.draw());
     Optional<Candidate> other =
         candidates.stream()
             .filter(c -> !c.holds() && loadable.has(c.dataCentre()))
@@ -203,7 +205,9 @@
   Choice forCall(List<Candidate> candidates, double serviceMs, long remainingMs) {
     double unreported = uncertainty.calls(candidates, serviceMs);
     Optional<Candidate> best =
-        cheapest(candidates, c -> callMs(c, unreported * uncertainty.draw(), serviceMs));
+        cheapest(
+            candidates,
+            c -> callMs(c, unreported * uncertainty.draw(), serviceMs) + c.connectionMs());
     if (best.isEmpty()) {
       return noEndpoint();
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -59,6 +59,7 @@
   private volatile Watcher watcher = Watcher.NONE;
   private volatile Consumer<DataCentreId> onIdle = dataCentre -> {};
   private volatile PermitSource permitSource = PermitSource.NONE;
+  private volatile Optional<ConnectionSource> connectionSource = Optional.empty();
 
   /** Receives changes of the list; must not block. */
   interface Watcher {
@@ -103,6 +104,11 @@
     permitSource = source;
   }
 
+  /** Sets the connections to endpoints; called before there are endpoints. */
+  void useConnections(ConnectionSource source) {
+    connectionSource = Optional.of(source);
+  }
+
   /** Sets the listener for each change of the list. */
   void setWatcher(Watcher newWatcher) {
     watcher = newWatcher;
@@ -125,6 +131,7 @@
                   dataCentre -> onIdle.accept(dataCentre),
                   () -> ThreadLocalRandom.current().nextDouble());
           group.usePermits(permitSource);
+          connectionSource.ifPresent(group::useConnections);
           return group;
         });
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -76,6 +76,7 @@
   final Consumer<DataCentreId> onIdle;
   private final DoubleSupplier random;
   private final CandidateSource candidates;
+  final ConnectionCost connections;
   private SendGate gate;
   private PermitChoice permitChoice;
   Optional<EngineSpec> engine = Optional.empty();
@@ -99,9 +100,15 @@
     this.versions = versions;
     this.onIdle = onIdle;
     this.candidates = new CandidateSource(this, endpoints, here, versions);
+    this.connections = new ConnectionCost(endpoints, health);
     usePermits(PermitSource.NONE);
   }
 
+  /** Sets the connections to the endpoints; without them the choice does not consider any. */
+  synchronized void useConnections(ConnectionSource source) {
+    connections.use(source);
+  }
+
   /** Sets where permits come from. */
   final synchronized void usePermits(PermitSource source) {
     gate = new SendGate(source);
@@ -118,6 +125,7 @@
     if (state == null) {
       state = new EndpointState(entry, () -> loadTimes(entry.dataCentre()).cacheDepth(), random);
       endpoints.put(entry.endpoint(), state);
+      connections.listChanged();
     }
     softwareVersions.add(entry.software());
     boolean restarted = state.entry.startTimeMs() != entry.startTimeMs();
@@ -142,8 +150,12 @@
 
   /** Removes endpoints that were retired before a time and have no requests of this daemon. */
   synchronized void prune(long before) {
-    endpoints.values().removeIf(state -> state.retiredAt < before && state.own.running() == 0);
+    boolean removed =
+        endpoints.values().removeIf(state -> state.retiredAt < before && state.own.running() == 0);
     health.retain(endpoints.keySet());
+    if (removed) {
+      connections.listChanged();
+    }
   }
 
   /** Chooses the next action for a request. */
@@ -307,6 +319,7 @@
     }
     EndpointTicket ticket = new EndpointTicket(this, state, demand.generation(), now);
     health.sent(endpoint, now);
+    connections.sent(now);
     return Optional.of(ticket);
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -177,16 +177,22 @@
 
   private void start(Deployment deployment, OptionalInt metricsPort) throws IOException {
     HttpClient http = HttpClient.create(loops, CONNECT_TIMEOUT_MS);
+    ConnectionCounters counters = new ConnectionCounters(metrics);
     MetadataStore store = deployment.store(http, settings);
     HttpClient endpointHttp =
         toEndpoints(
             HttpClient.create(
-                loops, CONNECT_TIMEOUT_MS, deployment.endpointProtocol().echoedHeader()));
+                    loops, CONNECT_TIMEOUT_MS, deployment.endpointProtocol().echoedHeader())
+                .observedBy(counters.requests()));
+    directory.useConnections(new ConnectionSource(settings.daemon(), endpointHttp::canReuse));
     path =
         new PathMonitor(
             directory, deployment.endpointProtocol(), endpointHttp, clock, log, metrics);
     path.onChange(this::pathChanged);
-    startCoordination(deployment, new EndpointCalls(toEndpoints(http), path), store);
+    startCoordination(
+        deployment,
+        new EndpointCalls(toEndpoints(http).observedBy(counters.orders()), path),
+        store);
     RelayContext context =
         new RelayContext(
             endpointHttp,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/ForwardedRequest.java
@@ -1,11 +1,14 @@
 package io.sequoiapass.gateway.request;
 
 import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpRequestMessage;
 import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.connection.PeerRequest;
+import io.sequoiapass.gateway.process.Demand;
 import io.sequoiapass.gateway.process.Target;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.spi.ForwardTerms;
@@ -13,6 +16,7 @@
 import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * A caller's request in the form in which it is sent to endpoints.
@@ -85,6 +89,24 @@
         software);
   }
 
+  /**
+   * Returns what the request needs of an endpoint.
+   *
+   * @param generation the generation; empty for a plain call
+   * @param avoid endpoints that failed the request before
+   * @param software the software version that has to serve it; empty if any may
+   * @param flow its priority and workspace
+   * @param remainingMs time until the caller's deadline, in milliseconds
+   */
+  Demand demand(
+      Optional<Generation> generation,
+      Set<EndpointId> avoid,
+      Optional<SoftwareVersion> software,
+      Flow flow,
+      long remainingMs) {
+    return new Demand(generation, avoid, software, flow, reusePolicy(), remainingMs);
+  }
+
   /** Returns which idle connections the request may be sent on. */
   ReusePolicy reusePolicy() {
     return route.mayRepeat() ? ReusePolicy.ANY : ReusePolicy.RECENT;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -204,7 +204,7 @@
   }
 
   private Demand demand(AvoidedRecipients avoided, long now) {
-    return new Demand(
+    return forward.demand(
         facts.generation(), avoided.endpoints(), binding.software(), flow, origin.remainingMs(now));
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -80,6 +80,7 @@
         .with("prefill_tokens", candidate.load().prefillTokens())
         .with("recent_tokens", candidate.load().recentTokens())
         .with("cached_tokens", candidate.cachedTokens())
+        .with("connection_ms", candidate.connectionMs())
         .with("slowdown", Math.round(candidate.slowdown() * PERCENT) / PERCENT)
         .write();
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
@@ -51,7 +51,8 @@
         NOT_THERE,
         caches,
         1,
-        caches ? MEMORY_MS : LOAD_MS);
+        caches ? MEMORY_MS : LOAD_MS,
+        0);
   }
 
   private Choice choose(
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -8,6 +8,7 @@
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.spi.EndpointEntry;
@@ -79,7 +80,12 @@
   private static Demand demand(int prompt, int output, EndpointId... avoid) {
     Generation generation = new Generation(MODEL, Optional.of(ADAPTER), prompt, output, List.of());
     return new Demand(
-        Optional.of(generation), Set.of(avoid), Optional.empty(), PlanFixtures.FLOW, 5_000);
+        Optional.of(generation),
+        Set.of(avoid),
+        Optional.empty(),
+        PlanFixtures.FLOW,
+        ReusePolicy.ANY,
+        5_000);
   }
 
   private void hold(String name, long readyAt) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadUncertaintyTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadUncertaintyTest.java
@@ -25,7 +25,7 @@
 
   private static Candidate engine(int index, Load load) {
     return new Candidate(
-        new EndpointId("e" + index), NORTH, true, 48, load, 0, 0, 0, false, 1, 300);
+        new EndpointId("e" + index), NORTH, true, 48, load, 0, 0, 0, false, 1, 300, 0);
   }
 
   @Test
@@ -190,6 +190,7 @@
                 0,
                 false,
                 1,
+                0,
                 0));
       }
       Choice choice = chooser.forCall(candidates, SERVICE_MS, 60_000);
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/FailoverPolicyTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/FailoverPolicyTest.java
@@ -22,7 +22,7 @@
   private static final EndpointId OTHER = new EndpointId("e2");
 
   private static Candidate candidate(EndpointId endpoint) {
-    return new Candidate(endpoint, NORTH, true, 8, Load.NONE, 0, 0, 0, false, 1, 200);
+    return new Candidate(endpoint, NORTH, true, 8, Load.NONE, 0, 0, 0, false, 1, 200, 0);
   }
 
   private static FailoverPolicy.Step next(Choice choice) {
