--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -549,7 +549,8 @@
 
   private void handleLoadRequest(FrameChannel channel, LinkMessage.LoadRequest request, long now) {
     publisher.subscribe(request.adapter(), channel, now);
-    LoadReply reply = router.route(request, now);
+    Optional<DaemonId> daemon = Optional.ofNullable(links.get(channel)).map(one -> one.daemon);
+    LoadReply reply = router.route(request, daemon, now);
     if (reply instanceof LoadReply.Rejected rejected) {
       channel.send(
           LinkFrames.encode(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DaemonUsageTable.java
@@ -85,6 +85,13 @@
     return totals.computeIfAbsent(endpoint, any -> new Total());
   }
 
+  /** Returns how many requests a daemon runs at all engines. */
+  int running(DaemonId daemon) {
+    return reports.getOrDefault(daemon, Map.of()).values().stream()
+        .mapToInt(one -> one.load().running())
+        .sum();
+  }
+
   /** Returns the load of all daemons at an engine. */
   Load load(EndpointId endpoint) {
     Total total = totals.get(endpoint);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.process;
 
+import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.Optional;
@@ -10,7 +11,7 @@
  * daemon to a copy in another data centre.
  *
  * <pre>{@code
- * LoadReply reply = router.route(request, now);
+ * LoadReply reply = router.route(request, daemon, now);
  * }</pre>
  *
  * <p>Requests for one adapter may reach the coordinators of several data centres before placement
@@ -46,14 +47,15 @@
    * Handles a load request.
    *
    * @param request the request
+   * @param daemon the daemon that sends it; empty if it is not known
    * @param now the time, in milliseconds
    */
-  LoadReply route(LinkMessage.LoadRequest request, long now) {
+  LoadReply route(LinkMessage.LoadRequest request, Optional<DaemonId> daemon, long now) {
     Optional<LinkMessage.Placement> remote = remoteCopy(request);
     if (remote.isPresent()) {
       return new LoadReply.HeldElsewhere(remote.get());
     }
-    LoadQueue.Entry entry = entry(request, now);
+    LoadQueue.Entry entry = entry(request, daemon, now);
     if (request.waitMs() > 0) {
       return queue.loadOrEnqueue(entry, now);
     }
@@ -79,14 +81,16 @@
         : Optional.empty();
   }
 
-  private static LoadQueue.Entry entry(LinkMessage.LoadRequest request, long now) {
+  private static LoadQueue.Entry entry(
+      LinkMessage.LoadRequest request, Optional<DaemonId> daemon, long now) {
     return new LoadQueue.Entry(
         new LoadNeed(
             request.adapter(),
             request.version(),
             new RequestSize(request.promptTokens(), request.outputTokens()),
             request.flow(),
-            Set.copyOf(request.excluded())),
+            Set.copyOf(request.excluded()),
+            daemon),
         now + request.maxDelayMs(),
         now + request.waitMs());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -85,7 +85,8 @@
     this.versions = versions;
     this.modelLoads = modelLoads;
     this.loads = new LoadTracker(loadTime);
-    this.slotChooser = new SlotChooser(versions, demand, usage, loads);
+    SubsetTable subsets = new SubsetTable(endpoints.keySet(), usage);
+    this.slotChooser = new SlotChooser(versions, demand, usage, loads, subsets);
   }
 
   /**
@@ -204,13 +205,7 @@
   private Optional<EndpointId> planAtCheapest(LoadNeed need, long now) {
     AdapterName adapter = need.adapter();
     long version = Math.max(need.version(), versions.newest(adapter));
-    Optional<PlannedEndpoint> best =
-        endpoints.values().stream()
-            .filter(endpoint -> !need.excluded().contains(endpoint.entry.endpoint()))
-            .filter(endpoint -> slotChooser.canTake(endpoint, adapter, now))
-            .min(
-                Comparator.comparingDouble(
-                    endpoint -> slotChooser.cost(endpoint, adapter, need.size(), now)));
+    Optional<PlannedEndpoint> best = slotChooser.cheapest(endpoints.values(), need, now);
     best.ifPresent(endpoint -> planLoad(endpoint, adapter, version, now));
     return best.map(endpoint -> endpoint.entry.endpoint());
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
@@ -1,7 +1,9 @@
 package io.sequoiapass.gateway.process;
 
+import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
@@ -38,14 +40,20 @@
   private final AdapterDemand demand;
   private final DaemonUsageTable usage;
   private final LoadTracker loads;
+  private final SubsetTable subsets;
   private long reportIntervalMs = BroadcastInterval.ROUND_MS;
 
   SlotChooser(
-      AdapterVersions versions, AdapterDemand demand, DaemonUsageTable usage, LoadTracker loads) {
+      AdapterVersions versions,
+      AdapterDemand demand,
+      DaemonUsageTable usage,
+      LoadTracker loads,
+      SubsetTable subsets) {
     this.versions = versions;
     this.demand = demand;
     this.usage = usage;
     this.loads = loads;
+    this.subsets = subsets;
   }
 
   /** Returns whether an adapter can be loaded at an engine now. */
@@ -71,8 +79,27 @@
     return endpoint.copies.size() < endpoint.engine.adapterSlots();
   }
 
+  /** Returns the cheapest engine that can take a load; empty if there is none. */
+  Optional<PlannedEndpoint> cheapest(
+      Collection<PlannedEndpoint> endpoints, LoadNeed need, long now) {
+    Set<EndpointId> preferred = need.daemon().map(subsets::preferred).orElse(Set.of());
+    return endpoints.stream()
+        .filter(endpoint -> !need.excluded().contains(endpoint.entry.endpoint()))
+        .filter(endpoint -> canTake(endpoint, need.adapter(), now))
+        .min(
+            Comparator.comparingDouble(
+                endpoint ->
+                    cost(endpoint, need.adapter(), need.size(), now)
+                        + connectionMs(endpoint, preferred)));
+  }
+
+  private static double connectionMs(PlannedEndpoint endpoint, Set<EndpointId> preferred) {
+    boolean open = preferred.isEmpty() || preferred.contains(endpoint.entry.endpoint());
+    return open ? 0 : ConnectionCost.OUTSIDE_MS;
+  }
+
   /** Returns the cost of a load and its request at an engine, in milliseconds. */
-  double cost(PlannedEndpoint endpoint, AdapterName adapter, RequestSize size, long now) {
+  private double cost(PlannedEndpoint endpoint, AdapterName adapter, RequestSize size, long now) {
     double evictionMs =
         hasFreeSlot(endpoint)
             ? 0
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
@@ -46,7 +46,7 @@
 
     LoadReply route(LoadRouter.RemoteCopies copies, LinkMessage.LoadRequest request, long now) {
       boolean held = plan.holds(request.adapter(), request.version());
-      LoadReply reply = new LoadRouter(plan, queue, copies).route(request, now);
+      LoadReply reply = new LoadRouter(plan, queue, copies).route(request, Optional.empty(), now);
       loads += !held && reply instanceof LoadReply.Assigned ? 1 : 0;
       return reply;
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlanFixtures.java
@@ -46,7 +46,8 @@
   }
 
   static LoadNeed need(int number, Set<EndpointId> excluded) {
-    return new LoadNeed(adapter(number), 1, new RequestSize(800, 200), FLOW, excluded);
+    return new LoadNeed(
+        adapter(number), 1, new RequestSize(800, 200), FLOW, excluded, Optional.empty());
   }
 
   static EndpointEntry entry(long startTimeMs, boolean holdsModel) {
