Show preferred endpoints, and count connections only at holders

Cause: every endpoint's connections were looked up for a request that only holders of its adapter can serve, and a new connection near by cost more than one to another data centre, which would draw requests away to an open connection there.

Change: the cost is asked for where the adapter is held; a new connection within the subset counts 5 ms, less than a crossing. Gauge sequoiapass_preferred_endpoints by service.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
@@ -77,6 +77,7 @@
     Optional<AdapterName> adapter = demand.generation().flatMap(Generation::adapter);
     boolean cachesAdapter = adapter.filter(state.cachedAdapters::isCached).isPresent();
     LoadTimeEstimates estimates = group.loadTimes(state.entry.dataCentre());
+    long readyInMs = readyInMs(state, demand, now);
     return new Candidate(
         state.entry.endpoint(),
         state.entry.dataCentre(),
@@ -85,11 +86,11 @@
         load,
         group.engine.map(EngineSpec::kvTokens).orElse(0L),
         cachedTokens,
-        readyInMs(state, demand, now),
+        readyInMs,
         cachesAdapter,
         state.slowdown.value(now),
         cachesAdapter ? estimates.memoryMs() : estimates.storeMs(),
-        group.connections.ms(state, demand, now));
+        readyInMs < 0 ? 0 : group.connections.ms(state, demand, now));
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCost.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCost.java
@@ -23,8 +23,11 @@
  */
 final class ConnectionCost {
 
-  /** Cost of a new connection to a member of the subset, in milliseconds. */
-  static final double NEW_MS = 7.5;
+  /**
+   * Cost of a new connection to a member of the subset, in milliseconds. Less than that of another
+   * data centre, so that an open connection there does not draw requests away.
+   */
+  static final double NEW_MS = 5;
 
   /**
    * Cost of a new connection to another endpoint, in milliseconds: the most by which a caller's
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -142,6 +142,15 @@
         .forEach(service -> group(service.service()).configure(service.engine()));
   }
 
+  /** Reports how many endpoints of each service this daemon prefers. */
+  void reportSubsets(GatewayMetrics metrics) {
+    groups.forEach(
+        (service, group) ->
+            metrics.set(
+                "sequoiapass_preferred_endpoints{service=\"" + service + "\"}",
+                group.preferredEndpoints()));
+  }
+
   /** Returns the group that an endpoint belongs to. */
   Optional<EndpointGroup> groupOf(EndpointId endpoint) {
     return Optional.ofNullable(known.get(endpoint)).map(entry -> group(entry.service()));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -104,6 +104,11 @@
     usePermits(PermitSource.NONE);
   }
 
+  /** Returns how many endpoints this daemon prefers; the number of all if it prefers none. */
+  synchronized int preferredEndpoints() {
+    return connections.preferred();
+  }
+
   /** Sets the connections to the endpoints; without them the choice does not consider any. */
   synchronized void useConnections(ConnectionSource source) {
     connections.use(source);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -477,6 +477,7 @@
       node.tick();
       coordinator.tick();
       path.check();
+      directory.reportSubsets(metrics);
       feeds.values().forEach(StoreFeed::checkRelay);
     } catch (RuntimeException e) {
       // The scheduler would cancel all later rounds after an exception.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.Snapshot;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,6 +23,7 @@
   private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
   private final MetricRegistry registry = new MetricRegistry();
+  private final Map<String, Long> gauges = new ConcurrentHashMap<>();
 
   /**
    * Counts one event.
@@ -46,12 +48,23 @@
         .update(ms);
   }
 
+  /**
+   * Replaces a current value.
+   *
+   * @param name the gauge's name, with labels in braces where it has any
+   * @param value the value
+   */
+  public void set(String name, long value) {
+    gauges.put(name, value);
+  }
+
   /** Returns all metrics as text. */
   public String text() {
     StringBuilder text = new StringBuilder();
     for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
       text.append(counter.getKey()).append(' ').append(counter.getValue().getCount()).append('\n');
     }
+    gauges.forEach((name, value) -> text.append(name).append(' ').append(value).append('\n'));
     registry.getHistograms().forEach((name, histogram) -> append(text, name, histogram));
     Runtime runtime = Runtime.getRuntime();
     text.append("sequoiapass_heap_bytes ")
