Refuse for the deadline only if no endpoint or load is in time

Cause: the chooser took the way of least cost and refused if that was too late. Cost includes the delay of others, transfers, the home data centre and new connections, so another holder, or a load in another data centre, could have been in time.

Change: before such a refusal the choice is made once more by the time of the response alone. Other choices are unchanged. A load of a further copy is not considered, since its request waits on.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -81,6 +81,54 @@
       double tokensPerMs,
       long remainingMs,
       Loadable loadable) {
+    Choice choice = leastCost(candidates, generation, tokensPerMs, remainingMs, loadable);
+    return isTooLate(choice)
+        ? earliest(candidates, generation, tokensPerMs, remainingMs, loadable).orElse(choice)
+        : choice;
+  }
+
+  private static boolean isTooLate(Choice choice) {
+    return choice instanceof Choice.Refuse refusal
+        && refusal.kind() == ErrorKind.DEADLINE_UNREACHABLE;
+  }
+
+  /**
+   * Returns the choice whose response begins first; empty if that is too late as well. The least
+   * cost may be that of a later response, since it counts the delay of others.
+   */
+  private static Optional<Choice> earliest(
+      List<Candidate> candidates,
+      Generation generation,
+      double tokensPerMs,
+      long remainingMs,
+      Loadable loadable) {
+    List<Candidate> holders = candidates.stream().filter(Candidate::holds).toList();
+    if (!holders.isEmpty()) {
+      return holders.stream()
+          .min(Comparator.comparingDouble(c -> firstTokenMs(c, generation, tokensPerMs)))
+          .filter(c -> firstTokenMs(c, generation, tokensPerMs) <= remainingMs)
+          .map(c -> sendOrAwait(c, firstTokenMs(c, generation, tokensPerMs)));
+    }
+    return candidates.stream()
+        .filter(c -> loadable.has(c.dataCentre()))
+        .min(
+            Comparator.comparingLong(
+                c -> expectedMs(c, generation, tokensPerMs) + loadable.queueWaitMs(c)))
+        .map(c -> loadOrRefuse(c, loadable, expectedMs(c, generation, tokensPerMs), remainingMs));
+  }
+
+  private static Choice sendOrAwait(Candidate holder, double firstTokenMs) {
+    return holder.readyInMs() > 0
+        ? new Choice.AwaitLoad(holder, holder.readyInMs())
+        : new Choice.Send(holder, (long) firstTokenMs);
+  }
+
+  private Choice leastCost(
+      List<Candidate> candidates,
+      Generation generation,
+      double tokensPerMs,
+      long remainingMs,
+      Loadable loadable) {
     Optional<DataCentreId> home = home(generation, loadable.dataCentres());
     ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, home) + loadable.queueWaitMs(c);
     ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
@@ -116,10 +164,7 @@
     if (firstTokenMs > remainingMs) {
       return tooLate(firstTokenMs, remainingMs);
     }
-    if (holder.get().readyInMs() > 0) {
-      return new Choice.AwaitLoad(holder.get(), holder.get().readyInMs());
-    }
-    return new Choice.Send(holder.get(), (long) firstTokenMs);
+    return sendOrAwait(holder.get(), firstTokenMs);
   }
 
   /** Returns the candidate with the least cost; each cost is drawn once. */
@@ -212,6 +257,10 @@
       return noEndpoint();
     }
     double expectedMs = callMs(best.get(), 0, serviceMs);
+    if (expectedMs > remainingMs) {
+      best = cheapest(candidates, c -> callMs(c, 0, serviceMs));
+      expectedMs = callMs(best.get(), 0, serviceMs);
+    }
     return expectedMs > remainingMs
         ? tooLate(expectedMs, remainingMs)
         : new Choice.Send(best.get(), (long) expectedMs);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointChooserTest.java
@@ -124,4 +124,59 @@
       assertThat(load.waits()).isFalse();
     }
   }
+
+  /**
+   * A request would be refused because its cheapest way is too late, although another is in time.
+   */
+  @Nested
+  class CheapestIsTooLate {
+
+    private static final long SERVICE_MS = 60;
+
+    @Test
+    void loadsInTheDataCentreThatIsInTime() {
+      List<Candidate> candidates = List.of(engine("e1", NORTH), cachingEngine("e3", SOUTH));
+      EndpointChooser.Loadable loadable =
+          new EndpointChooser.Loadable(List.of(NORTH, SOUTH), Map.of(SOUTH, 290L));
+
+      Choice choice = chooser.forGeneration(candidates, GENERATION, TOKENS_PER_MS, 310, loadable);
+
+      assertThat(load(choice).dataCentre()).isEqualTo(NORTH);
+    }
+
+    @Test
+    void sendsToTheHolderThatIsInTime() {
+      Candidate reading = holder("reading", new Load(0, 6_000, 0, 0), 0);
+      Candidate busy = holder("busy", new Load(40, 0, 0, 60_000), 0);
+      EndpointChooser.Loadable none = new EndpointChooser.Loadable(List.of(), Map.of());
+
+      Choice choice =
+          chooser.forGeneration(List.of(reading, busy), GENERATION, TOKENS_PER_MS, 150, none);
+
+      assertThat(((Choice.Send) choice).candidate()).isEqualTo(busy);
+    }
+
+    @Test
+    void callsTheEndpointThatIsInTimeOverANewConnection() {
+      Candidate open = holder("open", new Load(100, 0, 0, 0), 0);
+      Candidate idle = holder("idle", Load.NONE, ConnectionCost.OUTSIDE_MS + 100);
+
+      Choice choice = chooser.forCall(List.of(open, idle), SERVICE_MS, 80);
+
+      assertThat(((Choice.Send) choice).candidate()).isEqualTo(idle);
+    }
+
+    @Test
+    void isRefusedIfNothingIsInTime() {
+      Candidate reading = holder("reading", new Load(0, 6_000, 0, 0), 0);
+
+      assertThat(chooser.forCall(List.of(reading), SERVICE_MS, 10))
+          .isInstanceOf(Choice.Refuse.class);
+    }
+
+    private static Candidate holder(String name, Load load, double connectionMs) {
+      return new Candidate(
+          new EndpointId(name), NORTH, true, 64, load, 0, 0, 0, false, 1, 0, connectionMs);
+    }
+  }
 }
