Test that idle connections close after one got no response

Guards against a network that drops idle connections without notice: each of them would cost a call.

--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -194,4 +195,61 @@
 
     assertThat(outcome(address, "r1")).isEqualTo("failed");
   }
+
+  /**
+   * A network that drops idle connections does so without notice. Each of them would cost a call
+   * its timeout before the next one is tried.
+   */
+  @Test
+  void closesOtherIdleConnectionsAfterOneIsLost() throws IOException {
+    CountDownLatch both = new CountDownLatch(2);
+    InetSocketAddress address =
+        serverOfMany(
+            (socket, out) -> {
+              if (both.getCount() == 0) {
+                socket.close();
+                return;
+              }
+              both.countDown();
+              await(both);
+              send(out, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            });
+    HttpCall call = HttpCall.to(address, "GET", "/");
+    CompletableFuture.allOf(http.send(call, CALL_MS), http.send(call, CALL_MS)).join();
+    assertThat(http.canReuse(address, ReusePolicy.ANY)).isTrue();
+
+    assertThat(outcome(address, "r3")).isEqualTo("failed");
+
+    assertThat(http.canReuse(address, ReusePolicy.ANY)).isFalse();
+  }
+
+  private static void await(CountDownLatch latch) throws IOException {
+    try {
+      latch.await(CALL_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
+  /** Starts a server that runs the script on each of two connections at a time. */
+  private static InetSocketAddress serverOfMany(ConnectionScript script) throws IOException {
+    ServerSocket listening = new ServerSocket(0, 2, InetAddress.getLoopbackAddress());
+    for (int i = 0; i < 2; i++) {
+      Thread thread =
+          new Thread(
+              () -> {
+                try (Socket socket = listening.accept()) {
+                  while (readRequest(socket)) {
+                    script.run(socket, socket.getOutputStream());
+                  }
+                } catch (IOException closed) {
+                  // Expected: the script closed the connection.
+                  assertThat(closed).isNotNull();
+                }
+              });
+      thread.setDaemon(true);
+      thread.start();
+    }
+    return new InetSocketAddress(listening.getInetAddress(), listening.getLocalPort());
+  }
 }
