Share the speeds of endpoints among daemons

Cause: a daemon learned an engine's speed from its own requests only. With 87 daemons before 63 engines that is a sample an engine each ten to twenty seconds, forgotten in five.

Change: daemons report sums of actual and expected times with their usage (SpeedReporter), coordinators join them relative to the service (SpeedTable) on two time scales and send bounded changes (SpeedUpdates, SpeedModule), daemons hold them with age limits (SharedSpeeds). The choice for generations and plain calls, the time-outs, and the reading speed for the plan and for prompt turns use them; own samples replace them where there are many. A new process starts without samples. The ten slowest are a metric, and slow endpoints are logged, at the coordinator.

The current speed follows in 0.5 s, but is sent from 1.5 times on: with 1.25 noise took the budget of the lasting ones.

Mutants, each failing: speed ignored (nearlyAsManyAreInTimeAsWithTheTrueSpeeds and three others), word that never lapses (speedsLapseWithoutMessages), sums without decay (endpointWithoutSamplesCountsAsUsualAfterAWhile), a new process that inherits in the table or at the daemon (newProcessUnderTheSameNameStartsAnew), no budget (changesAreBoundedWhenAllSpeedsChange).

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
@@ -87,7 +87,7 @@
         cachedTokens,
         readyInMs(state, demand, now),
         cachesAdapter,
-        state.slowdown.value(now),
+        group.slowdown(state, now),
         cachesAdapter ? estimates.memoryMs() : estimates.storeMs());
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -113,7 +113,7 @@
             plan,
             loadQueue,
             (adapter, version) -> directory.copyOutside(settings.dataCentre(), adapter, version));
-    this.modules = CoordinatorModules.create(io, directory, plan, loadQueue);
+    this.modules = CoordinatorModules.create(here, io, directory, plan, loadQueue);
     this.protocol = io.protocol();
     this.calls = io.calls();
     this.loop = io.loop();
@@ -127,7 +127,7 @@
   }
 
   /**
-   * Protocol, client, executor, clock, log, versions and verdicts.
+   * Protocol, client, executor, clock, log, versions, verdicts and counters.
    *
    * @param protocol the protocol of the endpoints
    * @param calls the client for calls
@@ -136,6 +136,7 @@
    * @param log the log
    * @param versions the newest versions of adapters
    * @param parts the verdicts on parts of prompts
+   * @param metrics the counters
    */
   record Io(
       EndpointProtocol protocol,
@@ -144,7 +145,8 @@
       MillisClock clock,
       DecisionLog log,
       AdapterVersions versions,
-      PartVerdictUpdates parts) {}
+      PartVerdictUpdates parts,
+      GatewayMetrics metrics) {}
 
   /** Sets what this daemon knows of the store and of other coordinators. */
   synchronized void use(DaemonView daemonView) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.process;
 
+import io.sequoiapass.coordination.DataCentreId;
 import java.util.List;
 
 /** Creates the modules of a coordinator. */
@@ -10,13 +11,22 @@
   /**
    * Creates the modules, in the order in which their messages are sent.
    *
-   * @param io protocol, client, executor, clock, log, versions and verdicts
+   * @param here the coordinator's data centre
+   * @param io protocol, client, executor, clock, log, versions, verdicts and counters
    * @param directory the endpoints
    * @param plan the coordinator's plan
    * @param loadQueue the loads that wait for a slot
    */
   static List<CoordinatorModule> create(
-      Coordinator.Io io, EndpointDirectory directory, PlacementPlan plan, LoadQueue loadQueue) {
-    return List.of(new MemberUpdates(), io.parts(), new PromptTurns(plan, directory, io.clock()));
+      DataCentreId here,
+      Coordinator.Io io,
+      EndpointDirectory directory,
+      PlacementPlan plan,
+      LoadQueue loadQueue) {
+    return List.of(
+        new MemberUpdates(),
+        io.parts(),
+        new PromptTurns(plan, directory, io.clock()),
+        new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -215,10 +215,22 @@
 
   private static double callMs(Candidate candidate, double unreported, double serviceMs) {
     double running = candidate.load().running() + unreported;
-    double perSlot = (running + 1) / Math.max(1, candidate.slots());
+    return candidate.slowdown() * callMs(running, candidate.slots(), serviceMs)
+        + (candidate.near() ? 0 : CROSSING_MS);
+  }
+
+  /**
+   * Returns the time of a call to an endpoint of average speed, in milliseconds.
+   *
+   * @param running number of requests that it runs
+   * @param slots number of requests that it can run concurrently
+   * @param serviceMs the mean time of a request, in milliseconds
+   */
+  static double callMs(double running, int slots, double serviceMs) {
+    double perSlot = (running + 1) / Math.max(1, slots);
     double waitMs = Math.max(0, perSlot - 1) * serviceMs;
     double busyMs = perSlot * serviceMs / 4;
-    return serviceMs + waitMs + busyMs + (candidate.near() ? 0 : CROSSING_MS);
+    return serviceMs + waitMs + busyMs;
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -59,6 +59,7 @@
   private volatile Watcher watcher = Watcher.NONE;
   private volatile Consumer<DataCentreId> onIdle = dataCentre -> {};
   private volatile PermitSource permitSource = PermitSource.NONE;
+  private volatile EndpointSpeeds speeds = EndpointSpeeds.NONE;
 
   /** Receives changes of the list; must not block. */
   interface Watcher {
@@ -103,6 +104,11 @@
     permitSource = source;
   }
 
+  /** Sets what is known of the speeds of endpoints; called before there are endpoints. */
+  void useSpeeds(EndpointSpeeds newSpeeds) {
+    speeds = newSpeeds;
+  }
+
   /** Sets the listener for each change of the list. */
   void setWatcher(Watcher newWatcher) {
     watcher = newWatcher;
@@ -125,6 +131,7 @@
                   dataCentre -> onIdle.accept(dataCentre),
                   () -> ThreadLocalRandom.current().nextDouble());
           group.usePermits(permitSource);
+          group.useSpeeds(speeds);
           return group;
         });
   }
@@ -135,6 +142,11 @@
         .forEach(service -> group(service.service()).configure(service.engine()));
   }
 
+  /** Returns the entry of an endpoint; empty if there is no such endpoint. */
+  Optional<EndpointEntry> entry(EndpointId endpoint) {
+    return Optional.ofNullable(known.get(endpoint));
+  }
+
   /** Returns the group that an endpoint belongs to. */
   Optional<EndpointGroup> groupOf(EndpointId endpoint) {
     return Optional.ofNullable(known.get(endpoint)).map(entry -> group(entry.service()));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -78,6 +78,7 @@
   private final CandidateSource candidates;
   private SendGate gate;
   private PermitChoice permitChoice;
+  EndpointSpeeds speeds = EndpointSpeeds.NONE;
   Optional<EngineSpec> engine = Optional.empty();
 
   /**
@@ -108,6 +109,11 @@
     permitChoice = new PermitChoice(endpoints, gate, this::usualMs);
   }
 
+  /** Sets what all daemons together know of the speeds of endpoints. */
+  final synchronized void useSpeeds(EndpointSpeeds newSpeeds) {
+    speeds = newSpeeds;
+  }
+
   synchronized void configure(Optional<EngineSpec> spec) {
     engine = spec;
   }
@@ -330,9 +336,9 @@
     return found;
   }
 
-  /** Returns the mean time of a plain call, in milliseconds. */
-  public synchronized double usualServiceMs() {
-    return serviceMs.value();
+  /** Returns the mean time of a plain call to an endpoint, in milliseconds. */
+  public synchronized double usualServiceMs(Candidate candidate) {
+    return serviceMs.value() * Math.max(1, candidate.slowdown());
   }
 
   /**
@@ -343,7 +349,12 @@
    */
   public synchronized double tokensPerMs(EndpointId endpoint, long now) {
     EndpointState state = endpoints.get(endpoint);
-    return tokensPerMs.value() / (state == null ? 1 : state.slowdown.value(now));
+    return tokensPerMs.value() / (state == null ? 1 : slowdown(state, now));
+  }
+
+  /** Returns an endpoint's response time relative to the average, as far as it is known. */
+  double slowdown(EndpointState state, long now) {
+    return state.slowdown.value(speeds.slowdown(state.entry, now), now);
   }
 
   /** Replaces the adapters of an endpoint by its coordinator's report. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointSpeedEstimator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointSpeedEstimator.java
@@ -23,6 +23,7 @@
   private static final double DECAY_MS = 5_000;
 
   private double logarithm;
+  private double certainty;
   private long sampledAt;
 
   /**
@@ -36,15 +37,25 @@
     double ratio = Math.max(MIN_RATIO, Math.min(MAX_RATIO, actualMs / expectedMs));
     double known = decayed(now);
     logarithm = known + WEIGHT * (Math.log(ratio) - known);
+    certainty = certainty * decay(now) + WEIGHT * (1 - certainty * decay(now));
     sampledAt = now;
   }
 
-  /** Returns the engine's response time relative to the average. */
-  double value(long now) {
-    return Math.exp(decayed(now));
+  /**
+   * Returns the engine's response time relative to the average.
+   *
+   * @param assumed the value without samples; many recent ones replace it
+   * @param now the time, in milliseconds
+   */
+  double value(double assumed, long now) {
+    return Math.exp(decayed(now) + (1 - certainty * decay(now)) * Math.log(assumed));
   }
 
   private double decayed(long now) {
-    return logarithm * Math.exp((sampledAt - now) / DECAY_MS);
+    return logarithm * decay(now);
+  }
+
+  private double decay(long now) {
+    return Math.exp((sampledAt - now) / DECAY_MS);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -43,10 +43,7 @@
     this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
     this.runningBefore = state.own.plus(state.others).running();
     this.backlog = state.own.plus(state.others).prefillTokens() + load.prefillTokens();
-    this.usualMs =
-        EndpointGroup.FIRST_TOKEN_MS
-            + EngineCost.firstTokenMs(
-                state.own.plus(state.others), load.prefillTokens(), group.tokensPerMs.value());
+    this.usualMs = usualMs();
     state.own = state.own.plus(load);
     state.recent.add(load.prefillTokens(), now);
     generation.ifPresent(
@@ -56,6 +53,15 @@
         });
   }
 
+  /** Returns the time that an endpoint of average speed would take, in milliseconds. */
+  private double usualMs() {
+    Load before = state.own.plus(state.others);
+    return generation.isPresent()
+        ? EndpointGroup.FIRST_TOKEN_MS
+            + EngineCost.firstTokenMs(before, load.prefillTokens(), group.tokensPerMs.value())
+        : EndpointChooser.callMs(before.running(), state.entry.slots(), group.serviceMs.value());
+  }
+
   private Load loadOf(EndpointState at, Generation wanted) {
     long unread = Math.max(0, wanted.promptTokens() - at.prompts.cachedTokens(wanted));
     return new Load(1, unread, wanted.memoryTokens(), 0);
@@ -112,7 +118,11 @@
         state.stalls.streamStarted(now);
         state.own = state.own.minus(new Load(0, load.prefillTokens(), 0, 0));
         sampleReadingSpeed(now);
-        generation.ifPresent(g -> state.slowdown.sample((double) (now - sentAt), usualMs, now));
+        generation.ifPresent(
+            g -> {
+              state.slowdown.sample((double) (now - sentAt), usualMs, now);
+              sampleSpeed(now);
+            });
       }
     }
   }
@@ -141,6 +151,13 @@
     }
   }
 
+  /** The answer of an earlier process says nothing about the speed of its successor. */
+  private void sampleSpeed(long now) {
+    if (processStartMs == state.entry.startTimeMs()) {
+      group.speeds.sample(state.entry, (double) (now - sentAt), usualMs, now);
+    }
+  }
+
   /** Samples long prompts only: the time of short ones depends on steps and round trips. */
   private void sampleReadingSpeed(long now) {
     double readingMs = now - sentAt - EndpointGroup.FIRST_TOKEN_MS;
@@ -170,6 +187,9 @@
         default -> group.health.withdrawn(id, now);
       }
       if (ending == Ending.ANSWERED) {
+        if (generation.isEmpty()) {
+          sampleSpeed(now);
+        }
         (generation.isEmpty() ? group.serviceMs : group.generationMs)
             .sample((double) (now - sentAt));
       }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -153,9 +153,11 @@
     this.surge = new SurgeGuard(loops, clock, log, metrics);
     this.parts = new PromptPartGuard(clock, log, metrics);
     this.prompts = new PromptGate(metrics);
-    this.linkModules = List.of(prompts);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
+    SpeedExchange speeds = new SpeedExchange(directory, metrics);
+    directory.useSpeeds(speeds);
+    this.linkModules = List.of(prompts, speeds);
   }
 
   /**
@@ -297,7 +299,8 @@
                 clock,
                 log,
                 versions,
-                new PartVerdictUpdates(relay::forward)),
+                new PartVerdictUpdates(relay::forward),
+                metrics),
             () ->
                 new UsageAllocator(
                     settings.regions().size(),
@@ -317,8 +320,7 @@
     parts.reportTo(node::sendToAll, node::hasCoordinator);
     node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
     directory.onIdle(node::idle);
-    int regions = Set.copyOf(settings.regions().values()).size();
-    directory.usePermits(node.permits(regions));
+    directory.usePermits(node.permits(Set.copyOf(settings.regions().values()).size()));
     directory.setWatcher(coordinator.watcher());
     coordinator.use(new OwnView());
     transport.listen(settings.links(), coordinator::listener);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
@@ -7,7 +7,9 @@
 import com.codahale.metrics.Snapshot;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Counters and histograms of the daemon, written in the text format of metrics collectors.
@@ -22,6 +24,7 @@
   private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
   private final MetricRegistry registry = new MetricRegistry();
+  private final Map<String, Supplier<Map<String, Double>>> gauges = new ConcurrentHashMap<>();
 
   /**
    * Counts one event.
@@ -46,6 +49,17 @@
         .update(ms);
   }
 
+  /**
+   * Sets the source of a metric's current values.
+   *
+   * @param name the metric's name
+   * @param values returns the value for each of its labels, which are in braces; called by any
+   *     thread
+   */
+  void gauges(String name, Supplier<Map<String, Double>> values) {
+    gauges.put(name, values);
+  }
+
   /** Returns all metrics as text. */
   public String text() {
     StringBuilder text = new StringBuilder();
@@ -53,6 +67,14 @@
       text.append(counter.getKey()).append(' ').append(counter.getValue().getCount()).append('\n');
     }
     registry.getHistograms().forEach((name, histogram) -> append(text, name, histogram));
+    gauges.forEach(
+        (name, values) ->
+            values
+                .get()
+                .forEach(
+                    (labels, value) ->
+                        text.append(
+                            String.format(Locale.ROOT, "%s%s %.2f%n", name, labels, value))));
     Runtime runtime = Runtime.getRuntime();
     text.append("sequoiapass_heap_bytes ")
         .append(runtime.totalMemory() - runtime.freeMemory())
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LinkedDaemon.java
@@ -19,6 +19,7 @@
   InetSocketAddress peerAddress;
   boolean hasEndpoints;
   boolean hasMembers;
+  boolean hasSpeeds;
   boolean hasVerdicts;
   long endpointsRevision;
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -273,7 +273,7 @@
         attempt,
         facts.generation().isPresent()
             ? EndpointTimeouts.engineTimeoutMs(route, choice.expectedMs())
-            : EndpointTimeouts.serviceTimeoutMs(group.usualServiceMs()));
+            : EndpointTimeouts.serviceTimeoutMs(group.usualServiceMs(choice.candidate())));
   }
 
   /** Sends the request through a peer; returns false if there is none or no send is allowed. */
