--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
@@ -88,7 +88,7 @@
         cachedTokens,
         readyInMs,
         cachesAdapter,
-        state.slowdown.value(now),
+        group.slowdown(state, now),
         cachesAdapter ? estimates.memoryMs() : estimates.storeMs(),
         readyInMs < 0 ? 0 : group.connections.ms(state, demand, now));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -60,6 +60,7 @@
   private volatile Consumer<DataCentreId> onIdle = dataCentre -> {};
   private volatile PermitSource permitSource = PermitSource.NONE;
   private volatile Optional<ConnectionSource> connectionSource = Optional.empty();
+  private volatile EndpointSpeeds speeds = EndpointSpeeds.NONE;
 
   /** Receives changes of the list; must not block. */
   interface Watcher {
@@ -109,6 +110,11 @@
     connectionSource = Optional.of(source);
   }
 
+  /** Sets what is known of the speeds of endpoints; called before there are endpoints. */
+  void useSpeeds(EndpointSpeeds newSpeeds) {
+    speeds = newSpeeds;
+  }
+
   /** Sets the listener for each change of the list. */
   void setWatcher(Watcher newWatcher) {
     watcher = newWatcher;
@@ -132,6 +138,7 @@
                   () -> ThreadLocalRandom.current().nextDouble());
           group.usePermits(permitSource);
           connectionSource.ifPresent(group::useConnections);
+          group.useSpeeds(speeds);
           return group;
         });
   }
@@ -151,6 +158,11 @@
                 group.preferredEndpoints()));
   }
 
+  /** Returns the entry of an endpoint; empty if there is no such endpoint. */
+  Optional<EndpointEntry> entry(EndpointId endpoint) {
+    return Optional.ofNullable(known.get(endpoint));
+  }
+
   /** Returns the group that an endpoint belongs to. */
   Optional<EndpointGroup> groupOf(EndpointId endpoint) {
     return Optional.ofNullable(known.get(endpoint)).map(entry -> group(entry.service()));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Counters and histograms of the daemon, written in the text format of metrics collectors.
@@ -23,7 +24,8 @@
   private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
   private final MetricRegistry registry = new MetricRegistry();
-  private final Map<String, Long> gauges = new ConcurrentHashMap<>();
+  private final Map<String, Long> current = new ConcurrentHashMap<>();
+  private final Map<String, Supplier<Map<String, Double>>> gauges = new ConcurrentHashMap<>();
 
   /**
    * Counts one event.
@@ -55,7 +57,18 @@
    * @param value the value
    */
   public void set(String name, long value) {
-    gauges.put(name, value);
+    current.put(name, value);
+  }
+
+  /**
+   * Sets the source of a metric's current values.
+   *
+   * @param name the metric's name
+   * @param values returns the value for each of its labels, which are in braces; called by any
+   *     thread
+   */
+  void gauges(String name, Supplier<Map<String, Double>> values) {
+    gauges.put(name, values);
   }
 
   /** Returns all metrics as text. */
@@ -64,8 +77,16 @@
     for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
       text.append(counter.getKey()).append(' ').append(counter.getValue().getCount()).append('\n');
     }
-    gauges.forEach((name, value) -> text.append(name).append(' ').append(value).append('\n'));
+    current.forEach((name, value) -> text.append(name).append(' ').append(value).append('\n'));
     registry.getHistograms().forEach((name, histogram) -> append(text, name, histogram));
+    gauges.forEach(
+        (name, values) ->
+            values
+                .get()
+                .forEach(
+                    (labels, value) ->
+                        text.append(
+                            String.format(Locale.ROOT, "%s%s %.2f%n", name, labels, value))));
     Runtime runtime = Runtime.getRuntime();
     text.append("sequoiapass_heap_bytes ")
         .append(runtime.totalMemory() - runtime.freeMemory())
