State a shortage of room and admit by priority and workspace

Cause: while room is short, all requests waited by deadline until they were late, the most urgent ones too, and nothing stated it.

Change: daemons report demand by flow (FlowDemandCounter), coordinators decide shares for each service and kind of room (ShortageMonitor, ServiceShortage, ShortageDetector, AdmissionRate, PriorityShares, FairShares), daemons refuse above them before a request waits (AdmissionControl, CallerAdmission). Log events, metrics, explain, a design note and an operators' page.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/Loss.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/Loss.java
@@ -41,12 +41,17 @@
   /** Returns a detail that subdivides the class, or an empty string if there is none. */
   String detail(RequestTrace trace) {
     return switch (this) {
-      case REFUSED, FAILED -> trace.outcome().substring(trace.outcome().indexOf('_') + 1);
+      case REFUSED -> kind(trace) + trace.shortage();
+      case FAILED -> kind(trace);
       case LEFT -> trace.isStream() ? "midway" : "before the answer began";
       default -> "";
     };
   }
 
+  private static String kind(RequestTrace trace) {
+    return trace.outcome().substring(trace.outcome().indexOf('_') + 1);
+  }
+
   static Loss of(RequestTrace trace) {
     String outcome = trace.outcome();
     if (outcome.startsWith("refused")) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
@@ -60,6 +60,14 @@
     return end.text("outcome");
   }
 
+  /** Returns the shortage for which the request was refused, or an empty string. */
+  String shortage() {
+    return end.has("shortage")
+        ? ", short of %s, shortage %s of %s"
+            .formatted(end.text("room"), end.text("shortage"), end.text("coordinator"))
+        : "";
+  }
+
   boolean isStream() {
     return end.number("first_ms") >= 0;
   }
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/explain/LossReportTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/explain/LossReportTest.java
@@ -101,6 +101,16 @@
       assertReason("refused: OVERLOADED");
     }
 
+    @Test
+    void namesTheShortage() {
+      ended(
+          "r1",
+          "refused_OVERLOADED",
+          "\"took_ms\":0,\"room\":\"engine_time\",\"shortage\":3,\"coordinator\":\"north\"");
+
+      assertReason("refused: OVERLOADED, short of engine_time, shortage 3 of north");
+    }
+
     @Test
     void isClassifiedByWhenTheCallerLeft() {
       ended("r1", "caller_left", "\"took_ms\":3000,\"first_ms\":-1");
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
@@ -20,23 +20,36 @@
    * A daemon reports how much its callers asked for since its last report on this link.
    *
    * @param flows one for each service and flow with any request
+   * @param inFlight the requests that have not ended, by service
    */
-  record DemandReport(List<FlowDemand> flows) implements RoomMessage {
-    /** Copies the list. */
+  record DemandReport(List<FlowDemand> flows, List<InFlight> inFlight) implements RoomMessage {
+    /** Copies the lists. */
     public DemandReport {
       flows = List.copyOf(flows);
+      inFlight = List.copyOf(inFlight);
     }
   }
 
+  /**
+   * The requests to a service that a daemon has admitted and that have not ended.
+   *
+   * @param service the service
+   * @param requests number of requests
+   */
+  record InFlight(ServiceId service, int requests) {}
+
   /**
    * The requests of one flow to one service.
    *
    * @param service the service
    * @param flow the flow
+   * @param adapterHeld whether an endpoint held or loaded the adapter when the requests arrived
    * @param asked number of requests
    * @param refused number of them that were refused for a shortage
+   * @param served number of admitted requests that ended after an endpoint ran them
    */
-  record FlowDemand(ServiceId service, Flow flow, int asked, int refused) {}
+  record FlowDemand(
+      ServiceId service, Flow flow, boolean adapterHeld, int asked, int refused, int served) {}
 
   /**
    * A coordinator reports which services have too little room for all that is asked of them;
@@ -55,11 +68,14 @@
    * What each flow gets of a service that has too little room.
    *
    * @param service the service
+   * @param room what is short
+   * @param number identifies the shortage in the log of its coordinator
    * @param retryAfterMs when there is room for requests that are refused now, in milliseconds
    * @param shares flows that get only a part; all others get everything. A flow without a workspace
    *     stands for all workspaces of its priority that are not listed
    */
-  record Shortage(ServiceId service, long retryAfterMs, List<FlowShare> shares) {
+  record Shortage(
+      ServiceId service, Room room, long number, long retryAfterMs, List<FlowShare> shares) {
     /** Copies the list. */
     public Shortage {
       shares = List.copyOf(shares);
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/ShortageFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/ShortageFrames.java
@@ -17,8 +17,17 @@
         (to, demand) -> {
           to.packString(demand.service().value());
           LinkFrames.writeFlow(to, demand.flow());
+          to.packBoolean(demand.adapterHeld());
           to.packInt(demand.asked());
           to.packInt(demand.refused());
+          to.packInt(demand.served());
+        });
+    LinkFrames.list(
+        out,
+        report.inFlight(),
+        (to, inFlight) -> {
+          to.packString(inFlight.service().value());
+          to.packInt(inFlight.requests());
         });
   }
 
@@ -30,8 +39,14 @@
                 new RoomMessage.FlowDemand(
                     new ServiceId(from.unpackString()),
                     LinkFrames.readFlow(from),
+                    from.unpackBoolean(),
                     from.unpackInt(),
-                    from.unpackInt())));
+                    from.unpackInt(),
+                    from.unpackInt())),
+        LinkFrames.list(
+            in,
+            from ->
+                new RoomMessage.InFlight(new ServiceId(from.unpackString()), from.unpackInt())));
   }
 
   static void write(MessageBufferPacker out, RoomMessage.Shortages report) throws IOException {
@@ -40,6 +55,8 @@
         report.shortages(),
         (to, shortage) -> {
           to.packString(shortage.service().value());
+          to.packString(shortage.room().name());
+          to.packLong(shortage.number());
           to.packLong(shortage.retryAfterMs());
           LinkFrames.list(to, shortage.shares(), ShortageFrames::writeShare);
         });
@@ -58,10 +75,21 @@
             from ->
                 new RoomMessage.Shortage(
                     new ServiceId(from.unpackString()),
+                    readRoom(from),
+                    from.unpackLong(),
                     from.unpackLong(),
                     LinkFrames.list(from, ShortageFrames::readShare))));
   }
 
+  private static Room readRoom(MessageUnpacker in) throws IOException {
+    String name = in.unpackString();
+    try {
+      return Room.valueOf(name);
+    } catch (IllegalArgumentException e) {
+      throw new IOException("not a kind of room: " + name, e);
+    }
+  }
+
   private static RoomMessage.FlowShare readShare(MessageUnpacker in) throws IOException {
     return new RoomMessage.FlowShare(LinkFrames.readFlow(in), LinkFrames.readShare(in));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.request.ErrorKind;
 import io.sequoiapass.coordination.version.Workspace;
 import io.sequoiapass.daemon.connection.HttpHandler;
@@ -36,12 +37,15 @@
  */
 final class CallerHandler implements HttpHandler {
 
+  private static final double PERCENT = 100;
+
   private final RelayContext context;
   private final Supplier<ServingConfiguration> configuration;
   private final EndpointDirectory directory;
   private final HostSettings.Bounds bounds;
   private final IntSupplier daemons;
   private final WorkspaceGate gate;
+  private final CallerAdmission admission;
   private final StreamResumption resumption;
   private final Map<ServiceId, SharedRetryBudget> budgets = new ConcurrentHashMap<>();
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -54,6 +58,7 @@
       HostSettings.Bounds bounds,
       IntSupplier daemons,
       WorkspaceGate gate,
+      CallerAdmission admission,
       StreamResumption resumption) {
     this.context = context;
     this.configuration = configuration;
@@ -61,6 +66,7 @@
     this.bounds = bounds;
     this.daemons = daemons;
     this.gate = gate;
+    this.admission = admission;
     this.resumption = resumption;
   }
 
@@ -114,13 +120,25 @@
     }
     CallerAccess access = gate.access(caller, route.get(), facts);
     long now = context.clock().millis();
-    budget(service).requestArrived(now);
     RequestOrigin origin = RequestOrigin.caller(route.get(), facts, now);
     CallerExchange exchange = new CallerExchange(request, facts, access, origin, responder);
     if (StreamResumption.isNeeded(route.get(), facts)) {
+      budget(service).requestArrived(now);
       resume(route.get(), exchange);
     } else {
-      start(service, route.get(), exchange);
+      admit(service, route.get(), exchange);
+    }
+  }
+
+  /** Starts a request unless its service is short of room. */
+  private void admit(ServiceId service, RouteSpec route, CallerExchange exchange) {
+    CallerAdmission.Decision decision = admission.decide(service, route, exchange);
+    if (decision instanceof CallerAdmission.Decision.Refused refused) {
+      exchange.access().notRun().run();
+      refuse(service, route, refused, exchange);
+    } else if (decision instanceof CallerAdmission.Decision.Admitted admitted) {
+      budget(service).requestArrived(exchange.origin().arrivedAt());
+      start(service, route, admitted.exchange(), admitted.ended());
     }
   }
 
@@ -192,6 +210,10 @@
 
   /** Starts a request of a caller or a peer. */
   void start(ServiceId service, RouteSpec route, CallerExchange exchange) {
+    start(service, route, exchange, () -> {});
+  }
+
+  private void start(ServiceId service, RouteSpec route, CallerExchange exchange, Runnable ended) {
     inFlight.incrementAndGet();
     new RelayedRequest(
             context,
@@ -200,7 +222,10 @@
             directory.group(service),
             budget(service),
             exchange,
-            inFlight::decrementAndGet)
+            () -> {
+              inFlight.decrementAndGet();
+              ended.run();
+            })
         .start();
   }
 
@@ -218,14 +243,45 @@
       OptionalLong retryAfterMs,
       CallerFacts facts,
       HttpResponder responder) {
+    refused(kind, facts)
+        .with("workspace", workspace.map(one -> one.id().value()).orElse(""))
+        .write();
+    ErrorFormat.CALLER.send(context.callers(), facts, responder, kind, retryAfterMs);
+  }
+
+  private void refuse(
+      ServiceId service,
+      RouteSpec route,
+      CallerAdmission.Decision.Refused refused,
+      CallerExchange exchange) {
+    AdmissionControl.Limit limit = refused.limit();
+    CallerFacts facts = exchange.facts();
+    refused(ErrorKind.OVERLOADED, facts)
+        .with("route", route.name())
+        .with("workspace", refused.flow().workspace().map(WorkspaceId::value).orElse(""))
+        .with("priority", refused.flow().priority())
+        .with("service", service)
+        .with("room", limit.room())
+        .with("share", Math.round(limit.share() * PERCENT) / PERCENT)
+        .with("coordinator", limit.dataCentre())
+        .with("shortage", limit.number())
+        .with("retry_after_ms", limit.retryAfterMs())
+        .write();
+    ErrorFormat.CALLER.send(
+        context.callers(),
+        facts,
+        exchange.responder(),
+        ErrorKind.OVERLOADED,
+        OptionalLong.of(limit.retryAfterMs()));
+  }
+
+  /** Counts a refusal and starts its log line. */
+  private DecisionLog.Line refused(ErrorKind kind, CallerFacts facts) {
     context.metrics().count("sequoiapass_requests_total{outcome=\"refused_" + kind + "\"}");
-    context
+    return context
         .log()
         .request("ended", facts.requestId())
-        .with("workspace", workspace.map(one -> one.id().value()).orElse(""))
         .with("outcome", "refused_" + kind)
-        .with("status", kind.httpStatus())
-        .write();
-    ErrorFormat.CALLER.send(context.callers(), facts, responder, kind, retryAfterMs);
+        .with("status", kind.httpStatus());
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -17,6 +17,10 @@
    */
   static List<CoordinatorModule> create(
       Coordinator.Io io, EndpointDirectory directory, PlacementPlan plan, LoadQueue loadQueue) {
-    return List.of(new MemberUpdates(), io.parts(), new PromptTurns(plan, directory, io.clock()));
+    return List.of(
+        new MemberUpdates(),
+        io.parts(),
+        new PromptTurns(plan, directory, io.clock()),
+        new ShortageMonitor(io.log(), directory, plan, loadQueue));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -11,13 +11,16 @@
 import io.sequoiapass.gateway.spi.Stored;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
+import io.sequoiapass.gateway.version.RouteSpec;
 import io.sequoiapass.gateway.version.ServingConfiguration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -59,6 +62,7 @@
   private volatile Watcher watcher = Watcher.NONE;
   private volatile Consumer<DataCentreId> onIdle = dataCentre -> {};
   private volatile PermitSource permitSource = PermitSource.NONE;
+  private volatile Map<ServiceId, Long> targetsMs = Map.of();
 
   /** Receives changes of the list; must not block. */
   interface Watcher {
@@ -129,12 +133,46 @@
         });
   }
 
+  /** Returns the group of a service; empty if the service is not known. */
+  Optional<EndpointGroup> find(ServiceId service) {
+    return Optional.ofNullable(groups.get(service));
+  }
+
+  /** Returns the shortest target time of the routes to a service, in milliseconds. */
+  OptionalLong targetMs(ServiceId service) {
+    Long targetMs = targetsMs.get(service);
+    return targetMs == null ? OptionalLong.empty() : OptionalLong.of(targetMs);
+  }
+
+  /** Returns the data centres with endpoints of a service and a connected coordinator. */
+  Set<DataCentreId> coordinated(ServiceId service, long now) {
+    Set<DataCentreId> serving = new HashSet<>();
+    find(service).stream()
+        .flatMap(group -> group.entries(now).stream())
+        .forEach(entry -> serving.add(entry.dataCentre()));
+    serving.retainAll(coordinated);
+    return serving;
+  }
+
   void configure(ServingConfiguration configuration) {
+    targetsMs = targetsMs(configuration);
     configuration
         .services()
         .forEach(service -> group(service.service()).configure(service.engine()));
   }
 
+  private static Map<ServiceId, Long> targetsMs(ServingConfiguration configuration) {
+    Map<ServiceId, Long> targets = new HashMap<>();
+    for (RouteSpec route : configuration.routes()) {
+      if (route.targetMs() > 0) {
+        route
+            .targets()
+            .forEach(target -> targets.merge(target.service(), route.targetMs(), Math::min));
+      }
+    }
+    return Map.copyOf(targets);
+  }
+
   /** Returns the group that an endpoint belongs to. */
   Optional<EndpointGroup> groupOf(EndpointId endpoint) {
     return Optional.ofNullable(known.get(endpoint)).map(entry -> group(entry.service()));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -132,6 +132,7 @@
   private final PromptPartGuard parts;
   private final SurgeGuard surge;
   private final PromptGate prompts;
+  private final CallerAdmission admission;
   private final List<LinkModule> linkModules;
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
@@ -153,9 +154,11 @@
     this.surge = new SurgeGuard(loops, clock, log, metrics);
     this.parts = new PromptPartGuard(clock, log, metrics);
     this.prompts = new PromptGate(metrics);
-    this.linkModules = List.of(prompts);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
+    this.admission = new CallerAdmission(directory, clock, metrics);
+    this.linkModules = new ArrayList<>(List.of(prompts));
+    this.linkModules.addAll(admission.modules());
   }
 
   /**
@@ -213,6 +216,7 @@
             settings.bounds(),
             () -> node.daemons(),
             gate,
+            admission,
             new StreamResumption(streamLinks, directory));
     startFeeds(store);
     callerServer =
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayMetrics.java
@@ -5,9 +5,12 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import com.codahale.metrics.Snapshot;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Counters and histograms of the daemon, written in the text format of metrics collectors.
@@ -22,6 +25,16 @@
   private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
   private final MetricRegistry registry = new MetricRegistry();
+  private final List<Supplier<Map<String, Long>>> gauges = new CopyOnWriteArrayList<>();
+
+  /**
+   * Adds gauges.
+   *
+   * @param values returns the current values by name; called by any thread
+   */
+  void addGauges(Supplier<Map<String, Long>> values) {
+    gauges.add(values);
+  }
 
   /**
    * Counts one event.
@@ -52,6 +65,12 @@
     for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
       text.append(counter.getKey()).append(' ').append(counter.getValue().getCount()).append('\n');
     }
+    gauges.forEach(
+        values ->
+            values
+                .get()
+                .forEach(
+                    (name, value) -> text.append(name).append(' ').append(value).append('\n')));
     registry.getHistograms().forEach((name, histogram) -> append(text, name, histogram));
     Runtime runtime = Runtime.getRuntime();
     text.append("sequoiapass_heap_bytes ")
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -115,6 +115,16 @@
     return Math.max(inTimeMs, lateTurnover.expectedMs((int) lateAhead, plan.slots(), now));
   }
 
+  /**
+   * Returns the expected wait of the last queued load, in milliseconds; 0 if no load of such an
+   * adapter is queued.
+   */
+  long lastWaitMs(Predicate<AdapterName> adapters, long now) {
+    return entries.keySet().stream().anyMatch(adapters)
+        ? turnover.expectedMs(entries.size() - 1, plan.slots(), now)
+        : 0;
+  }
+
   private static boolean isAhead(Entry other, Entry entry, long now) {
     return !other.isLate(now) && other.inTimeUntil() <= entry.inTimeUntil();
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
@@ -32,6 +32,20 @@
     return Flow.of(priority.orElse(route.priority()), identity.workspace());
   }
 
+  /**
+   * Returns the same access with a further action for a request that ends without having run.
+   *
+   * @param action the action
+   */
+  public CallerAccess onNotRun(Runnable action) {
+    Runnable both =
+        () -> {
+          notRun.run();
+          action.run();
+        };
+    return new CallerAccess(identity, priority, recheck, both);
+  }
+
   /**
    * Returns access that is not checked again and not counted.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/CallerExchange.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerExchange.java
@@ -25,4 +25,9 @@
   public CallerExchange boundTo(SoftwareVersion version) {
     return new CallerExchange(request, facts, access, origin.boundTo(version), responder);
   }
+
+  /** Returns the same exchange with other access. */
+  public CallerExchange withAccess(CallerAccess other) {
+    return new CallerExchange(request, facts, other, origin, responder);
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/ServingConfiguration.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/ServingConfiguration.java
@@ -83,6 +83,11 @@
     return Optional.ofNullable(services.get(service));
   }
 
+  /** Returns all routes. */
+  public List<RouteSpec> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /**
    * Returns the route of a request: among the routes of its host, the one with the longest prefix
    * of its path.
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -111,11 +111,17 @@
 
   static Stream<LinkMessage> roomMessages() {
     return Stream.of(
-        new RoomMessage.DemandReport(List.of(new RoomMessage.FlowDemand(SERVICE, FLOW, 40, 12))),
+        new RoomMessage.DemandReport(
+            List.of(new RoomMessage.FlowDemand(SERVICE, FLOW, true, 40, 12, 20)),
+            List.of(new RoomMessage.InFlight(SERVICE, 8))),
         new RoomMessage.Shortages(
             List.of(
                 new RoomMessage.Shortage(
-                    SERVICE, 900, List.of(new RoomMessage.FlowShare(FLOW, 0.25))))),
+                    SERVICE,
+                    Room.ENGINE_TIME,
+                    3,
+                    900,
+                    List.of(new RoomMessage.FlowShare(FLOW, 0.25))))),
         new RoomMessage.SpeedReport(
             List.of(new RoomMessage.SpeedSamples(ENGINE, 1_000, 7, 3_500, 2_800))),
         new RoomMessage.Speeds(
