--- a/coordination/src/main/java/io/sequoiapass/coordination/request/Flow.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/Flow.java
@@ -27,6 +27,9 @@
   /** The priority that goes last. */
   public static final int LAST_PRIORITY = 9;
 
+  /** The flow of all requests where there are no workspaces. */
+  public static final Flow COMMON = new Flow(FIRST_PRIORITY, Optional.empty());
+
   private static final Comparator<Flow> ORDER =
       Comparator.comparingInt(Flow::priority)
           .thenComparing(flow -> flow.workspace().map(WorkspaceId::value).orElse(""));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -27,6 +27,7 @@
         new MemberUpdates(),
         io.parts(),
         new PromptTurns(plan, directory, io.clock()),
-        new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()));
+        new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()),
+        new ShortageMonitor(io.log(), directory, plan, loadQueue));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -132,6 +132,7 @@
   private final PromptPartGuard parts;
   private final SurgeGuard surge;
   private final PromptGate prompts;
+  private final CallerAdmission admission;
   private final List<LinkModule> linkModules;
   private final StoreFreshness storeFreshness = new StoreFreshness();
   private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
@@ -157,7 +158,9 @@
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
     SpeedExchange speeds = new SpeedExchange(directory, metrics);
     directory.useSpeeds(speeds);
-    this.linkModules = List.of(prompts, speeds);
+    this.admission = new CallerAdmission(directory, clock, metrics);
+    this.linkModules = new ArrayList<>(List.of(prompts, speeds));
+    this.linkModules.addAll(admission.modules());
   }
 
   /**
@@ -221,6 +224,7 @@
             settings.bounds(),
             () -> node.daemons(),
             gate,
+            admission,
             new StreamResumption(streamLinks, directory));
     startFeeds(store);
     callerServer =
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
@@ -24,12 +24,29 @@
     Runnable notRun) {
 
   /**
-   * Returns the flow of a request. The workspace's priority takes precedence over the route's.
+   * Returns the flow of a request. The workspace's priority takes precedence over the route's. Where
+   * callers need no key, all requests share one flow, and room is given as if all were alike.
    *
    * @param route the request's route
    */
   public Flow flow(RouteSpec route) {
-    return Flow.of(priority.orElse(route.priority()), identity.workspace());
+    return identity.workspace().isEmpty()
+        ? Flow.COMMON
+        : Flow.of(priority.orElse(route.priority()), identity.workspace());
+  }
+
+  /**
+   * Returns the same access with a further action for a request that ends without having run.
+   *
+   * @param action the action
+   */
+  public CallerAccess onNotRun(Runnable action) {
+    Runnable both =
+        () -> {
+          notRun.run();
+          action.run();
+        };
+    return new CallerAccess(identity, priority, recheck, both);
   }
 
   /**
