Weigh demand by priority in evictions while slots are short

Cause: the victim of a load was the idle adapter with the least demand, so a burst of less urgent loads evicted adapters that more urgent requests keep requesting.

Change: for a second after a load found no slot, an adapter's demand is weighted by the priority of its load requests, relative to the mean. With one priority the weight is 1. Usage reports carry no priority; a loaded adapter keeps the weight of its load requests.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadReply.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadReply.java
@@ -29,5 +29,14 @@
    *
    * @param retryAfterMs delay before the load should be requested again, in milliseconds
    */
-  record Rejected(long retryAfterMs) implements LoadReply {}
+  record Rejected(long retryAfterMs) implements LoadReply {
+
+    /** Time until the next attempt if no adapter can be evicted, in milliseconds. */
+    private static final long NO_SLOT_RETRY_AFTER_MS = 400;
+
+    /** Returns the rejection of a load for which no adapter can be evicted. */
+    static Rejected noSlot() {
+      return new Rejected(NO_SLOT_RETRY_AFTER_MS);
+    }
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -62,9 +62,6 @@
    */
   private static final long ENTRY_LAG_MS = 2_500;
 
-  /** Time until the next attempt if no adapter can be evicted, in milliseconds. */
-  private static final long RETRY_AFTER_MS = 400;
-
   private final AdapterVersions versions;
   private final AdapterDemand demand = new AdapterDemand();
   private final Map<EndpointId, PlannedEndpoint> endpoints = new TreeMap<>();
@@ -180,7 +177,7 @@
 
   /** Plans a load of an adapter, unless an engine holds or loads it already. */
   LoadReply request(LoadNeed need, boolean another, long now) {
-    demand.record(need.adapter(), 1, now);
+    demand.record(need, now);
     return assign(need, another, now);
   }
 
@@ -197,7 +194,7 @@
     }
     return planAtCheapest(need, now)
         .<LoadReply>map(LoadReply.Assigned::new)
-        .orElseGet(() -> new LoadReply.Rejected(RETRY_AFTER_MS));
+        .orElseGet(LoadReply.Rejected::noSlot);
   }
 
   /** Plans a load at the cheapest engine that can take it. */
@@ -211,7 +208,8 @@
             .min(
                 Comparator.comparingDouble(
                     endpoint -> slotChooser.cost(endpoint, adapter, need.size(), now)));
-    best.ifPresent(endpoint -> planLoad(endpoint, adapter, version, now));
+    best.ifPresentOrElse(
+        endpoint -> planLoad(endpoint, adapter, version, now), () -> demand.noSlot(now));
     return best.map(endpoint -> endpoint.entry.endpoint());
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SlotChooser.java
@@ -77,7 +77,7 @@
         hasFreeSlot(endpoint)
             ? 0
             : victim(endpoint, now)
-                .map(name -> EVICTION_COST_MS * demand.of(name, now))
+                .map(name -> EVICTION_COST_MS * demand.weighted(name, now))
                 .orElse(0.0);
     Load load = usage.load(endpoint.entry.endpoint());
     return EngineCost.ms(load, size.promptTokens(), size.outputTokens(), endpoint.tokensPerMs)
@@ -86,7 +86,10 @@
         + (endpoint.cachedAdapters.isCached(adapter) ? 0 : loads.storeMs(now) + TRANSFER_COST_MS);
   }
 
-  /** Returns the adapter to evict: an outdated one, otherwise the one with the least demand. */
+  /**
+   * Returns the adapter to evict: an outdated one, otherwise the one with the least weighted
+   * demand.
+   */
   Optional<AdapterName> victim(PlannedEndpoint endpoint, long now) {
     Set<AdapterName> inUse = usage.inUse(endpoint.entry.endpoint());
     return endpoint.copies.entrySet().stream()
@@ -98,7 +101,7 @@
                 entry ->
                     entry.getValue().version < versions.newest(entry.getKey())
                         ? -1
-                        : demand.of(entry.getKey(), now)))
+                        : demand.weighted(entry.getKey(), now)))
         .map(Map.Entry::getKey);
   }
 
