Give adapter slots by priority and share before remaining time

Cause: the queue went by remaining time alone, so the kind with the long deadline and the workspace that sends most took the others' slots. A new load could also take a slot that became free for a queued one.

Change: SlotOrder orders by priority, workspace turns and time, in time before late. The expected wait follows the same order. A load request carries the time until it is useless and a key of its retries; a request that returns after a rejection keeps the place of its first arrival.

Not done: a load whose caller has left keeps its place; no metrics.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -156,6 +156,8 @@
       out.packLong(request.outputTokens());
       out.packLong(request.maxDelayMs());
       out.packLong(request.waitMs());
+      out.packLong(request.deadlineMs());
+      out.packLong(request.returnKey());
       out.packBoolean(request.copyKnown());
       list(out, request.excluded(), (to, endpoint) -> to.packString(endpoint.value()));
     } else if (message instanceof LinkMessage.AdapterMiss miss) {
@@ -403,18 +405,7 @@
               readClocks(in),
               list(in, LinkFrames::readUsage),
               list(in, LinkFrames::readWorkspaceUsage));
-      case LOAD_REQUEST ->
-          new LinkMessage.LoadRequest(
-              readAdapter(in),
-              in.unpackLong(),
-              readFlow(in),
-              in.unpackBoolean(),
-              in.unpackLong(),
-              in.unpackLong(),
-              in.unpackLong(),
-              in.unpackLong(),
-              in.unpackBoolean(),
-              list(in, from -> new EndpointId(from.unpackString())));
+      case LOAD_REQUEST -> readLoadRequest(in);
       case ADAPTER_MISS ->
           new LinkMessage.AdapterMiss(
               new EndpointId(in.unpackString()), readAdapter(in), in.unpackBoolean());
@@ -448,6 +439,22 @@
     };
   }
 
+  private static LinkMessage.LoadRequest readLoadRequest(MessageUnpacker in) throws IOException {
+    return new LinkMessage.LoadRequest(
+        readAdapter(in),
+        in.unpackLong(),
+        readFlow(in),
+        in.unpackBoolean(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackBoolean(),
+        list(in, from -> new EndpointId(from.unpackString())));
+  }
+
   private static LinkMessage readPartMessage(MessageUnpacker in, int type) throws IOException {
     return switch (type) {
       case CRASH_REPORT -> PartFrames.readReport(in);
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -179,6 +179,8 @@
    * @param maxDelayMs the longest delay of the load that still meets the target latency, in
    *     milliseconds
    * @param waitMs how long the request may be queued for a slot, in milliseconds; 0 if it may not
+   * @param deadlineMs how long a queued load could still serve the request, in milliseconds
+   * @param returnKey a key that is equal for the retries of a request; 0 if unknown
    * @param copyKnown whether the daemon has a record of a copy that the request cannot use
    * @param excluded endpoints that the request cannot use, even if they hold the adapter
    */
@@ -191,6 +193,8 @@
       long outputTokens,
       long maxDelayMs,
       long waitMs,
+      long deadlineMs,
+      long returnKey,
       boolean copyKnown,
       List<EndpointId> excluded)
       implements LinkMessage {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
@@ -43,6 +43,8 @@
             generation.expectedOutputTokens(),
             request.maxDelayMs(),
             request.waitMs(),
+            request.deadlineMs(),
+            ReturnKey.of(generation, request.flow()),
             directory.isHeld(adapter),
             List.copyOf(request.excluded())));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -2,7 +2,6 @@
 
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,13 +15,14 @@
  * queue.dispatch(now);   // whenever a slot may have become free
  * }</pre>
  *
- * <p>Entries that can still be served in time come first, ordered by their remaining time: in order
- * of arrival, a queue longer than the wanted time would serve every entry late. Late entries get
- * the remaining slots. An entry whose expected wait exceeds its deadline is rejected immediately,
- * since a caller gains nothing from waiting first. Without the queue, rejected requests would be
- * retried every 400 ms, and a freed slot would stay unused until then or go to whichever request
- * came next. This matters under heavy load, when three quarters of the slots hold adapters in use,
- * or all of them while a quarter of the engines is down. Not safe for use by several threads.
+ * <p>Entries that can still be served in time come first, by priority, share and remaining time
+ * (see {@link SlotOrder}): in order of arrival, a queue longer than the wanted time would serve
+ * every entry late. Late entries get the remaining slots. An entry whose expected wait exceeds its
+ * deadline is rejected immediately, since a caller gains nothing from waiting first. Without the
+ * queue, rejected requests would be retried every 400 ms, and a freed slot would stay unused until
+ * then or go to whichever request came next. This matters under heavy load, when three quarters of
+ * the slots hold adapters in use, or all of them while a quarter of the engines is down. Not safe
+ * for use by several threads.
  */
 final class LoadQueue {
 
@@ -30,6 +30,8 @@
   private final Predicate<AdapterName> isHeldOutside;
   private final SlotTurnoverEstimator turnover = new SlotTurnoverEstimator();
   private final SlotTurnoverEstimator lateTurnover = new SlotTurnoverEstimator();
+  private final SlotOrder order = new SlotOrder();
+  private final ReturningRequests returning = new ReturningRequests();
   private boolean hadLateEntries;
   private final Map<AdapterName, Entry> entries = new HashMap<>();
 
@@ -40,15 +42,22 @@
    * @param inTimeUntil latest start of a load that serves the first of them in time, in
    *     milliseconds
    * @param until when the last of them times out, in milliseconds
+   * @param place its place among equals
    */
-  record Entry(LoadNeed need, long inTimeUntil, long until) {
+  record Entry(LoadNeed need, long inTimeUntil, long until, Place place) {
 
-    private AdapterName adapter() {
+    /** Returns the adapter. */
+    AdapterName adapter() {
       return need.adapter();
     }
 
+    /** Returns the most urgent priority of the requests. */
+    int priority() {
+      return need.flow().priority();
+    }
+
     /** Returns whether a load that begins now is too late to serve it in time. */
-    private boolean isLate(long now) {
+    boolean isLate(long now) {
       return inTimeUntil < now;
     }
 
@@ -56,10 +65,21 @@
       return new Entry(
           need.merge(other.need),
           Math.min(inTimeUntil, other.inTimeUntil),
-          Math.max(until, other.until));
+          Math.max(until, other.until),
+          other.place.time() < place.time() ? other.place : place);
     }
   }
 
+  /**
+   * The place of an entry among those of its priority and workspace.
+   *
+   * @param time the time by which it is ordered while in time, in milliseconds; earlier than {@link
+   *     Entry#inTimeUntil} for a request that returns after a rejection
+   * @param returnKey the key of its retries; 0 if unknown
+   * @param arrivedAt when it arrived first, in milliseconds
+   */
+  record Place(long time, long returnKey, long arrivedAt) {}
+
   /**
    * An adapter that cannot get a slot in time.
    *
@@ -79,6 +99,26 @@
     this.isHeldOutside = isHeldOutside;
   }
 
+  /**
+   * Plans a load immediately, unless other loads precede it.
+   *
+   * @param entry the load; its {@code until} is the caller's deadline
+   * @param another whether a further copy is requested although one exists
+   * @param now the time, in milliseconds
+   * @return the reply; a rejection states the expected wait in the queue
+   */
+  LoadReply load(Entry entry, boolean another, long now) {
+    LoadReply reply = request(entry, another, now);
+    if (!(reply instanceof LoadReply.Rejected)) {
+      return reply;
+    }
+    long expectedMs = queueWaitMs(entry, now);
+    if (now + expectedMs > entry.until() && !entries.containsKey(entry.adapter())) {
+      rejected(entry, now);
+    }
+    return new LoadReply.Rejected(expectedMs);
+  }
+
   /**
    * Plans a load immediately, or queues it.
    *
@@ -86,7 +126,7 @@
    * @param now the time, in milliseconds
    */
   LoadReply loadOrEnqueue(Entry entry, long now) {
-    LoadReply reply = plan.request(entry.need(), false, now);
+    LoadReply reply = request(entry, false, now);
     if (!(reply instanceof LoadReply.Rejected)) {
       return reply;
     }
@@ -94,6 +134,7 @@
     if (!entries.containsKey(entry.adapter())) {
       long expectedMs = queueWaitMs(entry, now);
       if (now + expectedMs > entry.until()) {
+        rejected(entry, now);
         return new LoadReply.Rejected(expectedMs);
       }
       if (entries.isEmpty()) {
@@ -104,19 +145,65 @@
     return new LoadReply.Queued();
   }
 
+  private LoadReply request(Entry entry, boolean another, long now) {
+    assignPreceding(entry, now);
+    boolean isNew = another || !plan.holds(entry.adapter(), entry.need().version());
+    LoadReply reply = plan.request(entry.need(), another, now);
+    if (isNew && reply instanceof LoadReply.Assigned) {
+      assigned(entry, now);
+    }
+    return reply;
+  }
+
+  /**
+   * Gives slots that became free since the last dispatch to entries of other flows that precede a
+   * new one, which would otherwise overtake them.
+   */
+  private void assignPreceding(Entry entry, long now) {
+    boolean competes =
+        entries.values().stream()
+            .anyMatch(other -> !other.need().flow().equals(entry.need().flow()));
+    if (competes) {
+      for (Entry other : order.preceding(entries.values(), entry, now)) {
+        boolean waits = other.until() >= now && !isHeldOutside.test(other.adapter());
+        if (waits && !assign(other, now) && other.need().excluded().isEmpty()) {
+          return;
+        }
+      }
+    }
+  }
+
+  /**
+   * Returns the place of a new entry.
+   *
+   * @param returnKey the key of its retries; 0 if unknown
+   * @param inTimeUntil latest start of a load that serves it in time, in milliseconds
+   * @param now the time, in milliseconds
+   */
+  Place place(long returnKey, long inTimeUntil, long now) {
+    long sinceMs = returning.sinceFirst(returnKey, now);
+    return new Place(inTimeUntil - sinceMs, returnKey, now - sinceMs);
+  }
+
+  private void rejected(Entry entry, long now) {
+    order.rejected(entry, now);
+    returning.rejected(entry.place(), now);
+  }
+
+  private void assigned(Entry entry, long now) {
+    order.assigned(entry, now);
+    returning.assigned(entry.place());
+  }
+
   /** Returns the expected wait of a new entry, in milliseconds. */
   long queueWaitMs(Entry entry, long now) {
-    long ahead = entries.values().stream().filter(other -> isAhead(other, entry, now)).count();
-    long inTimeMs = turnover.expectedMs((int) ahead, plan.slots(), now);
+    int ahead = entry.isLate(now) ? 0 : order.preceding(entries.values(), entry, now).size();
+    long inTimeMs = turnover.expectedMs(ahead, plan.slots(), now);
     if (now + inTimeMs <= entry.inTimeUntil()) {
       return inTimeMs;
     }
-    long lateAhead = entries.values().stream().filter(other -> other.isLate(now)).count();
-    return Math.max(inTimeMs, lateTurnover.expectedMs((int) lateAhead, plan.slots(), now));
-  }
-
-  private static boolean isAhead(Entry other, Entry entry, long now) {
-    return !other.isLate(now) && other.inTimeUntil() <= entry.inTimeUntil();
+    int lateAhead = order.lateAhead(entries.values(), entry, now);
+    return Math.max(inTimeMs, lateTurnover.expectedMs(lateAhead, plan.slots(), now));
   }
 
   /**
@@ -132,19 +219,24 @@
     // Their requests are sent to the copy elsewhere; a slot here would stay unused.
     entries.keySet().removeIf(isHeldOutside);
     updateLate(now);
-    for (Entry entry : inOrder(now)) {
-      LoadReply reply = plan.assign(entry.need(), false, now);
-      if (reply instanceof LoadReply.Assigned) {
-        entries.remove(entry.adapter());
-        turnover.slotAssigned(now);
-        if (entry.isLate(now)) {
-          lateTurnover.slotAssigned(now);
-        }
-      }
-    }
+    inOrder(now).forEach(entry -> assign(entry, now));
     return removeExpired(now);
   }
 
+  /** Returns whether an entry got a slot. */
+  private boolean assign(Entry entry, long now) {
+    if (!(plan.assign(entry.need(), false, now) instanceof LoadReply.Assigned)) {
+      return false;
+    }
+    entries.remove(entry.adapter());
+    assigned(entry, now);
+    turnover.slotAssigned(now);
+    if (entry.isLate(now)) {
+      lateTurnover.slotAssigned(now);
+    }
+    return true;
+  }
+
   private void updateLate(long now) {
     boolean anyLate = entries.values().stream().anyMatch(entry -> entry.isLate(now));
     if (anyLate && !hadLateEntries) {
@@ -167,6 +259,7 @@
       long expectedMs = lateTurnover.expectedMs(ahead, plan.slots(), now);
       if (now + expectedMs > entry.until()) {
         entries.remove(entry.adapter());
+        rejected(entry, now);
         expired.add(new Expired(entry.adapter(), expectedMs));
       } else {
         ahead++;
@@ -183,11 +276,6 @@
   /** Returns the entries in the order in which they get slots, and removes expired ones. */
   private List<Entry> inOrder(long now) {
     entries.values().removeIf(entry -> entry.until() < now);
-    List<Entry> inOrder = new ArrayList<>(entries.values());
-    inOrder.sort(
-        Comparator.comparing((Entry entry) -> entry.isLate(now))
-            .thenComparingLong(entry -> entry.isLate(now) ? entry.until() : entry.inTimeUntil())
-            .thenComparing(entry -> entry.adapter().toString()));
-    return inOrder;
+    return order.sort(entries.values(), now);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
@@ -19,6 +19,9 @@
  */
 final class LoadRouter {
 
+  /** Longest delay in a load request, in milliseconds; a larger one is taken for this one. */
+  private static final long MAX_DELAY_MS = 600_000;
+
   private final PlacementPlan plan;
   private final LoadQueue queue;
   private final RemoteCopies remoteCopies;
@@ -54,13 +57,9 @@
       return new LoadReply.HeldElsewhere(remote.get());
     }
     LoadQueue.Entry entry = entry(request, now);
-    if (request.waitMs() > 0) {
-      return queue.loadOrEnqueue(entry, now);
-    }
-    LoadReply reply = plan.request(entry.need(), request.another(), now);
-    return reply instanceof LoadReply.Rejected
-        ? new LoadReply.Rejected(queue.queueWaitMs(entry, now))
-        : reply;
+    return request.waitMs() > 0
+        ? queue.loadOrEnqueue(entry, now)
+        : queue.load(entry, request.another(), now);
   }
 
   /**
@@ -79,7 +78,9 @@
         : Optional.empty();
   }
 
-  private static LoadQueue.Entry entry(LinkMessage.LoadRequest request, long now) {
+  private LoadQueue.Entry entry(LinkMessage.LoadRequest request, long now) {
+    long inTimeUntil = now + bounded(request.maxDelayMs());
+    long waitMs = bounded(request.waitMs() > 0 ? request.waitMs() : request.deadlineMs());
     return new LoadQueue.Entry(
         new LoadNeed(
             request.adapter(),
@@ -87,7 +88,12 @@
             new RequestSize(request.promptTokens(), request.outputTokens()),
             request.flow(),
             Set.copyOf(request.excluded())),
-        now + request.maxDelayMs(),
-        now + request.waitMs());
+        inTimeUntil,
+        now + waitMs,
+        queue.place(request.returnKey(), inTimeUntil, now));
+  }
+
+  private static long bounded(long delayMs) {
+    return Math.max(0, Math.min(delayMs, MAX_DELAY_MS));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.process.Demand;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.Set;
@@ -18,6 +19,7 @@
  * @param maxDelayMs the longest delay of the load that still meets the target latency, in
  *     milliseconds
  * @param waitMs how long the request may be queued for a slot, in milliseconds; 0 if it may not
+ * @param deadlineMs how long a queued load could still serve the request, in milliseconds
  * @param excluded endpoints that the request cannot use, even if they hold the adapter
  */
 public record LoadRequest(
@@ -26,6 +28,7 @@
     boolean another,
     long maxDelayMs,
     long waitMs,
+    long deadlineMs,
     Set<EndpointId> excluded) {
 
   /** Copies the excluded endpoints. */
@@ -37,7 +40,7 @@
    * Returns the request of a waiting request.
    *
    * @param facts what is known about the waiting request; it is a generation
-   * @param flow its priority and workspace
+   * @param demand its requirements
    * @param load the load
    * @param route the route of the waiting request
    * @param waitedMs how long ago it arrived, in milliseconds
@@ -46,14 +49,22 @@
    */
   static LoadRequest of(
       CallerFacts facts,
-      Flow flow,
+      Demand demand,
       Choice.RequestLoad load,
       RouteSpec route,
       long waitedMs,
       long waitMs,
       Set<EndpointId> excluded) {
     long maxDelayMs = EndpointTimeouts.maxLoadDelayMs(route, waitedMs, load.expectedMs());
+    long deadlineMs =
+        EndpointTimeouts.maxQueueMs(route, waitedMs, demand.remainingMs(), load.expectedMs());
     return new LoadRequest(
-        facts.generation().orElseThrow(), flow, load.another(), maxDelayMs, waitMs, excluded);
+        facts.generation().orElseThrow(),
+        demand.flow(),
+        load.another(),
+        maxDelayMs,
+        waitMs,
+        deadlineMs,
+        excluded);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -231,7 +231,7 @@
 
   private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
     Set<EndpointId> excluded = group.excluded(demand, now);
-    return LoadRequest.of(facts, flow, load, route, origin.waitedMs(now), waitMs, excluded);
+    return LoadRequest.of(facts, demand, load, route, origin.waitedMs(now), waitMs, excluded);
   }
 
   synchronized void dispatchIfWaiting() {
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -72,7 +72,7 @@
                     ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5)))),
             List.of(new WorkspaceUsage(WORKSPACE, 18_380, 9_190))),
         new LinkMessage.LoadRequest(
-            ADAPTER, 3, FLOW, true, 9_190, 52, 450, 1_600, true, List.of(ENGINE)),
+            ADAPTER, 3, FLOW, true, 9_190, 52, 450, 1_600, 1_700, -7L, true, List.of(ENGINE)),
         new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
         new LinkMessage.PermitRequest(ENGINE, 2.5, 4, 800),
         new LinkMessage.PermitReply(ENGINE, LinkMessage.PermitReply.Type.QUEUED, 400),
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -8,6 +8,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sequoiapass.coordination.DaemonId;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.connection.LinkMessage.Placement;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointOrder;
@@ -40,7 +41,8 @@
   private final LoadQueue queue = new LoadQueue(plan, elsewhere::contains);
 
   private static LoadQueue.Entry entry(int number, long inTimeUntil, long until) {
-    return new LoadQueue.Entry(need(number), inTimeUntil, until);
+    return new LoadQueue.Entry(
+        need(number), inTimeUntil, until, new LoadQueue.Place(inTimeUntil, 0, 0));
   }
 
   @BeforeEach
@@ -113,6 +115,21 @@
       assertThat(placed()).containsExactly(adapter(9));
     }
 
+    /** Guards against a new load that takes a slot which became free since the last dispatch. */
+    @Test
+    void lessUrgentLoadDoesNotOvertakeAQueuedOne() {
+      queue.loadOrEnqueue(entry(9, 1_900, 3_000), 1_100);
+      use(1_300, 1);
+      LoadNeed relaxed =
+          new LoadNeed(
+              adapter(8), 1, need(8).size(), Flow.of(2, need(8).flow().workspace()), Set.of());
+      LoadQueue.Entry added =
+          new LoadQueue.Entry(relaxed, 1_600, 3_000, new LoadQueue.Place(1_600, 0, 0));
+
+      assertThat(queue.load(added, false, 1_550)).isInstanceOf(LoadReply.Rejected.class);
+      assertThat(placed()).containsExactly(adapter(9));
+    }
+
     /** Guards against a slot reserved for an adapter that another data centre loads. */
     @Test
     void adapterHeldElsewhereGetsNoSlot() {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
@@ -54,12 +54,34 @@
 
   private static LinkMessage.LoadRequest request(int adapter, boolean another, boolean copyKnown) {
     return new LinkMessage.LoadRequest(
-        adapter(adapter), 1, PlanFixtures.FLOW, another, 100, 20, 500, 0, copyKnown, List.of());
+        adapter(adapter),
+        1,
+        PlanFixtures.FLOW,
+        another,
+        100,
+        20,
+        500,
+        0,
+        900,
+        0,
+        copyKnown,
+        List.of());
   }
 
   private static LinkMessage.LoadRequest excluding(int adapter, EndpointId endpoint) {
     return new LinkMessage.LoadRequest(
-        adapter(adapter), 1, PlanFixtures.FLOW, false, 100, 20, 500, 0, false, List.of(endpoint));
+        adapter(adapter),
+        1,
+        PlanFixtures.FLOW,
+        false,
+        100,
+        20,
+        500,
+        0,
+        900,
+        0,
+        false,
+        List.of(endpoint));
   }
 
   private LoadReply heldElsewhere() {
