Spread the retries of refused callers over the time until room

Cause: all callers refused within a second got nearly the same Retry-After, so they returned together.

Change: for OVERLOADED and DEADLINE_UNREACHABLE the delay is spread from half to twice the stated time, earlier for the more urgent, and is at most a third of the caller's remaining time, which is all that callers honour.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -560,7 +560,7 @@
       end("failed_", ErrorKind.ENDPOINT_LOST_AFTER_START, OptionalLong.empty());
     } else {
       StreamBinding.Refusal stated = binding.refusal(refusal);
-      end("refused_", stated.kind(), stated.retryAfterMs());
+      end("refused_", stated.kind(), RetryDelay.of(stated, flow, origin.remainingMs(now())));
     }
   }
 
