--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -1,7 +1,6 @@
 package io.sequoiapass.gateway.process;
 
 import io.netty.channel.EventLoopGroup;
-import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.process.ClockReading;
@@ -227,6 +226,14 @@
             admission,
             new StreamResumption(streamLinks, directory));
     startFeeds(store);
+    startServers(context, streamLinks);
+    streamLinks.start();
+    StatusServers.start(loops, settings, this::isReady, metricsPort, metrics);
+    loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void startServers(RelayContext context, StreamVersionLinks streamLinks)
+      throws IOException {
     callerServer =
         HttpServer.builder(loops, callers)
             .limits(this::limits)
@@ -237,9 +244,6 @@
                 loops, streamLinks.handler(new PeerHandler(context, callers, gate, () -> draining)))
             .limits(() -> PeerHandler.limits(limits()))
             .start(settings.peers());
-    streamLinks.start();
-    StatusServers.start(loops, settings, this::isReady, metricsPort, metrics);
-    loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
   private HttpClient toEndpoints(HttpClient client) {
@@ -296,7 +300,7 @@
             log);
     ModelLoadLimiter modelLoads =
         new ModelLoadLimiter(settings.bounds().loadWindowMs(), settings.regions().size());
-    RegionRelay relay = new RegionRelay(otherRegions(), store, transport, loops, clock);
+    RegionRelay relay = new RegionRelay(settings.otherRegions(), store, transport, loops, clock);
     coordinator =
         new Coordinator(
             new CoordinatorSettings(settings.daemon(), settings.dataCentre()),
@@ -336,14 +340,6 @@
     transport.listen(settings.links(), coordinator::listener);
   }
 
-  private List<DataCentreId> otherRegions() {
-    String region = settings.regions().get(settings.dataCentre());
-    return settings.regions().entrySet().stream()
-        .filter(entry -> !entry.getValue().equals(region))
-        .map(Map.Entry::getKey)
-        .toList();
-  }
-
   /** Returns one link for each data centre of this region. */
   private List<CoordinatorLink> links(FrameTransport transport) {
     String region = settings.regions().get(settings.dataCentre());
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/CallerAccess.java
@@ -24,8 +24,8 @@
     Runnable notRun) {
 
   /**
-   * Returns the flow of a request. The workspace's priority takes precedence over the route's. Where
-   * callers need no key, all requests share one flow, and room is given as if all were alike.
+   * Returns the flow of a request. The workspace's priority takes precedence over the route's.
+   * Where callers need no key, all requests share one flow, and room is given as if all were alike.
    *
    * @param route the request's route
    */
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/HostSettings.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.DataCentreId;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -49,6 +50,15 @@
     }
   }
 
+  /** Returns the data centres of other regions. */
+  public List<DataCentreId> otherRegions() {
+    String region = regions.get(dataCentre);
+    return regions.entrySet().stream()
+        .filter(entry -> !entry.getValue().equals(region))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /**
    * Times and limits that the deployment sets.
    *
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointSpeedsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointSpeedsTest.java
@@ -7,6 +7,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.ServiceId;
+import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.connection.RoomMessage;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.spi.EndpointEntry;
@@ -297,7 +298,9 @@
     }
 
     private EndpointId chosen(Optional<Generation> generation) {
-      Demand demand = new Demand(generation, Set.of(), Optional.empty(), PlanFixtures.FLOW, 5_000);
+      Demand demand =
+          new Demand(
+              generation, Set.of(), Optional.empty(), PlanFixtures.FLOW, ReusePolicy.ANY, 5_000);
       EndpointChooser.Loadable loadable = new EndpointChooser.Loadable(List.of(HERE), Map.of());
       return ((Choice.Send) group.choose(demand, loadable, 0)).candidate().endpoint();
     }
