--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
@@ -11,10 +11,9 @@
   private static final int SHORTAGES = 19;
   private static final int SPEED_REPORT = 20;
   private static final int SPEEDS = 21;
-  private static final int SPILL_PLAN = 22;
-  private static final int PROMPT_REQUEST = 23;
-  private static final int PROMPT_TURN = 24;
-  private static final int PROMPT_READ = 25;
+  private static final int PROMPT_REQUEST = 22;
+  private static final int PROMPT_TURN = 23;
+  private static final int PROMPT_READ = 24;
 
   private RoomFrames() {}
 
@@ -31,9 +30,6 @@
     } else if (message instanceof RoomMessage.Speeds speeds) {
       out.packInt(SPEEDS);
       SpeedFrames.write(out, speeds);
-    } else if (message instanceof RoomMessage.SpillPlan plan) {
-      out.packInt(SPILL_PLAN);
-      SpillFrames.write(out, plan);
     } else if (message instanceof RoomMessage.PromptRequest request) {
       out.packInt(PROMPT_REQUEST);
       PromptFrames.write(out, request);
@@ -52,7 +48,6 @@
       case SHORTAGES -> ShortageFrames.readShortages(in);
       case SPEED_REPORT -> SpeedFrames.readReport(in);
       case SPEEDS -> SpeedFrames.readSpeeds(in);
-      case SPILL_PLAN -> SpillFrames.read(in);
       case PROMPT_REQUEST -> PromptFrames.readRequest(in);
       case PROMPT_TURN -> PromptFrames.readTurn(in);
       case PROMPT_READ -> new RoomMessage.PromptRead(in.unpackLong());
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.gateway.connection;
 
-import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.Flow;
@@ -10,7 +9,7 @@
 
 /**
  * A message between a daemon and a coordinator about room that is scarce or uneven: demand and
- * shortages, speeds of endpoints, spill between data centres, and turns of long prompts.
+ * shortages, speeds of endpoints, and turns of long prompts.
  *
  * <p>Messages are immutable and safe for use by several threads.
  */
@@ -137,28 +136,6 @@
    */
   record EndpointSpeed(EndpointId endpoint, long startTimeMs, double lasting, double current) {}
 
-  /**
-   * A coordinator reports which part of its data centre's demand other data centres should serve;
-   * replaces its earlier report.
-   *
-   * @param shares one for each service and data centre
-   */
-  record SpillPlan(List<SpillShare> shares) implements RoomMessage {
-    /** Copies the list. */
-    public SpillPlan {
-      shares = List.copyOf(shares);
-    }
-  }
-
-  /**
-   * The part of a data centre's demand for a service that another one serves.
-   *
-   * @param service the service
-   * @param to the data centre that serves it
-   * @param share the part, from 0 to 1
-   */
-  record SpillShare(ServiceId service, DataCentreId to, double share) {}
-
   /**
    * A daemon asks when an engine may read a long prompt.
    *
