--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
@@ -21,6 +21,12 @@
  */
 public final class PromptGate implements LinkModule {
 
+  /** A prompt that takes less than this share of the target for pauses needs no turn. */
+  private static final double SHORT_SHARE = 0.1;
+
+  /** Least number of prompts in a batch for which turns are worth the breaks between batches. */
+  private static final int MIN_BATCH = 2;
+
   private final GatewayMetrics metrics;
   private final AtomicLong ids = new AtomicLong();
   private final Map<Long, Asked> asked = new ConcurrentHashMap<>();
@@ -72,6 +78,18 @@
     executor = newExecutor;
   }
 
+  /**
+   * Returns whether a prompt needs a turn. If a batch holds only one such prompt, engines would
+   * read one at a time with a break after each, and first events would be late instead of later
+   * ones.
+   *
+   * @param readMs how long an engine takes to read the prompt, in milliseconds
+   * @param gapMs the target for the longest pause between two events, in milliseconds
+   */
+  public static boolean needsTurn(double readMs, long gapMs) {
+    return readMs > SHORT_SHARE * gapMs && MIN_BATCH * readMs <= PromptSchedule.BATCH_SHARE * gapMs;
+  }
+
   /**
    * Asks for a turn.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -24,14 +24,8 @@
  */
 final class PromptWait implements PromptGate.Listener {
 
-  /** A prompt that takes less than this share of the target for pauses needs no turn. */
-  private static final double SHORT_SHARE = 0.1;
-
-  /**
-   * Part of the believed cached tokens that is relied on: engines evict parts without notice, and a
-   * prompt that is read whole makes its batch too long.
-   */
-  private static final double CACHED_SHARE = 0.5;
+  /** Part of the tokens that are believed to be cached; engines evict the others unnoticed. */
+  private static final double CACHED_SHARE = 0.67;
 
   /** Longest wait for a turn, as a multiple of the route's target latency. */
   private static final long MAX_WAIT_TARGETS = 2;
@@ -73,11 +67,13 @@
     if (id.isPresent()) {
       return reply(choice, now);
     }
-    long readMs = readMs(choice.candidate(), demand, now);
-    if (asks >= MAX_ASKS || readMs <= SHORT_SHARE * route.gapTargetMs() || !route.streams()) {
-      return Optional.of(choice);
-    }
-    return ask(choice, demand, now) ? Optional.empty() : Optional.of(choice);
+    double readMs = readMs(choice.candidate(), demand, now);
+    boolean asking =
+        asks < MAX_ASKS
+            && route.streams()
+            && PromptGate.needsTurn(readMs, route.gapTargetMs())
+            && ask(choice, demand, now);
+    return asking ? Optional.empty() : Optional.of(choice);
   }
 
   private Optional<Choice.Send> reply(Choice.Send choice, long now) {
@@ -123,8 +119,8 @@
     return id.isPresent();
   }
 
-  private long readMs(Candidate candidate, Demand demand, long now) {
-    return (long) (unread(candidate, demand) / group.tokensPerMs(candidate.endpoint(), now));
+  private double readMs(Candidate candidate, Demand demand, long now) {
+    return unread(candidate, demand) / group.tokensPerMs(candidate.endpoint(), now);
   }
 
   private static long unread(Candidate candidate, Demand demand) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptGateTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptGateTest.java
@@ -61,6 +61,13 @@
     assertThat(replies).containsExactly("given engine-1 12");
   }
 
+  @Test
+  void needsNoTurnIfShortOrTooLongForABatch() {
+    assertThat(PromptGate.needsTurn(225, 600)).isTrue();
+    assertThat(PromptGate.needsTurn(40, 600)).isFalse();
+    assertThat(PromptGate.needsTurn(240, 400)).isFalse();
+  }
+
   @Nested
   class Failure {
 
