Ask for turns where two usual long prompts fit into a gap

Deciding prompt by prompt would leave the longest ones without a turn where turns are worth most.

Change: the usual reading time decides, a moving average of long prompts, in place of each prompt's own.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
@@ -24,10 +24,17 @@
   /** A prompt that takes less than this share of the target for pauses needs no turn. */
   private static final double SHORT_SHARE = 0.1;
 
-  /** Least number of prompts in a batch for which turns are worth the breaks between batches. */
-  private static final int MIN_BATCH = 2;
+  /**
+   * Largest share of the target for pauses that the usual long prompt may take. If two do not fit,
+   * engines would read one at a time with a break after each, and first events would be late
+   * instead of later ones.
+   */
+  private static final double MAX_USUAL_SHARE = 0.5;
+
+  private static final double MAX_READ_MS = 60_000;
 
   private final GatewayMetrics metrics;
+  private final MovingAverage usualReadMs = new MovingAverage(0, 0, MAX_READ_MS);
   private final AtomicLong ids = new AtomicLong();
   private final Map<Long, Asked> asked = new ConcurrentHashMap<>();
   private volatile Links links = (dataCentre, message) -> false;
@@ -79,15 +86,19 @@
   }
 
   /**
-   * Returns whether a prompt needs a turn. If a batch holds only one such prompt, engines would
-   * read one at a time with a break after each, and first events would be late instead of later
-   * ones.
+   * Returns whether a prompt needs a turn.
    *
    * @param readMs how long an engine takes to read the prompt, in milliseconds
    * @param gapMs the target for the longest pause between two events, in milliseconds
    */
-  public static boolean needsTurn(double readMs, long gapMs) {
-    return readMs > SHORT_SHARE * gapMs && MIN_BATCH * readMs <= PromptSchedule.BATCH_SHARE * gapMs;
+  public boolean needsTurn(double readMs, long gapMs) {
+    if (readMs <= SHORT_SHARE * gapMs) {
+      return false;
+    }
+    synchronized (usualReadMs) {
+      usualReadMs.sample(readMs);
+      return usualReadMs.value() <= MAX_USUAL_SHARE * gapMs;
+    }
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
@@ -32,13 +32,10 @@
 final class PromptSchedule<K> {
 
   /** Share of the target for pauses in which one batch is read. */
-  static final double BATCH_SHARE = 0.9;
+  private static final double BATCH_SHARE = 0.75;
 
-  /**
-   * Break between two batches, in milliseconds: a step of an engine. The report that a prompt was
-   * read comes with its first event, some steps later, so that the whole break is longer.
-   */
-  static final long BREAK_MS = 5;
+  /** Break between two batches, in milliseconds: a few steps of an engine. */
+  static final long BREAK_MS = 12;
 
   /** A turn ends after this multiple of the time in which its batch should be read. */
   private static final double EXPIRY_RATIO = 4;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -24,8 +24,11 @@
  */
 final class PromptWait implements PromptGate.Listener {
 
-  /** Part of the tokens that are believed to be cached; engines evict the others unnoticed. */
-  private static final double CACHED_SHARE = 0.67;
+  /**
+   * Part of the tokens believed to be cached that is relied on: engines evict parts unnoticed, and
+   * a prompt that is read whole makes its batch too long.
+   */
+  private static final double CACHED_SHARE = 0.5;
 
   /** Longest wait for a turn, as a multiple of the route's target latency. */
   private static final long MAX_WAIT_TARGETS = 2;
@@ -71,7 +74,7 @@
     boolean asking =
         asks < MAX_ASKS
             && route.streams()
-            && PromptGate.needsTurn(readMs, route.gapTargetMs())
+            && gate.needsTurn(readMs, route.gapTargetMs())
             && ask(choice, demand, now);
     return asking ? Optional.empty() : Optional.of(choice);
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptGateTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptGateTest.java
@@ -62,10 +62,20 @@
   }
 
   @Test
-  void needsNoTurnIfShortOrTooLongForABatch() {
-    assertThat(PromptGate.needsTurn(225, 600)).isTrue();
-    assertThat(PromptGate.needsTurn(40, 600)).isFalse();
-    assertThat(PromptGate.needsTurn(240, 400)).isFalse();
+  void shortPromptNeedsNoTurn() {
+    assertThat(gate.needsTurn(225, 600)).isTrue();
+    assertThat(gate.needsTurn(40, 600)).isFalse();
+  }
+
+  @Test
+  void nothingNeedsATurnIfTwoUsualPromptsAreTooLong() {
+    for (int i = 0; i < 100; i++) {
+      gate.needsTurn(240, 400);
+    }
+
+    assertThat(gate.needsTurn(240, 400)).isFalse();
+    assertThat(gate.needsTurn(100, 400)).isFalse();
+    assertThat(gate.needsTurn(240, 600)).isTrue();
   }
 
   @Nested
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptScheduleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptScheduleTest.java
@@ -49,9 +49,9 @@
 
     @Test
     void takesWhatIsReadWithinAShareOfTheGap() {
-      assertThat(ask(1, 0, 10_000, FIRST)).contains(FIRST);
-      assertThat(ask(2, 0, 10_000, FIRST)).contains(FIRST);
-      assertThat(ask(3, 0, 10_000, FIRST)).isEmpty();
+      assertThat(ask(1, 0, 9_000, FIRST)).contains(FIRST);
+      assertThat(ask(2, 0, 9_000, FIRST)).contains(FIRST);
+      assertThat(ask(3, 0, 9_000, FIRST)).isEmpty();
     }
 
     @Test
