--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
@@ -3,6 +3,7 @@
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.connection.RoomMessage.PromptOption;
+import io.sequoiapass.gateway.version.AdapterName;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -55,11 +56,13 @@
   /**
    * A request for a turn.
    *
+   * @param adapter its adapter; empty for the base model alone
    * @param flow its priority and workspace
    * @param gapMs the target for pauses of streams, in milliseconds
    * @param options the engines that can serve it, the preferred first; not empty
    */
-  record Request(Flow flow, long gapMs, List<PromptOption> options) {}
+  record Request(
+      Optional<AdapterName> adapter, Flow flow, long gapMs, List<PromptOption> options) {}
 
   /**
    * A turn.
@@ -163,9 +166,9 @@
     return giveWaiting(now);
   }
 
-  /** Returns the number of requests that wait. */
-  int waiting() {
-    return waiting.size();
+  /** Returns the requests that wait. */
+  List<Request> waiting() {
+    return waiting.values().stream().map(Waiting::request).toList();
   }
 
   /** Removes all requests. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
@@ -14,8 +14,11 @@
 /** Gives the daemons of a coordinator turns to have long prompts read. */
 final class PromptTurns implements CoordinatorModule {
 
-  /** How long an adapter is kept for a request that waits for its turn, in milliseconds. */
-  private static final long KEEP_MS = 500;
+  /**
+   * How long an adapter is kept for a request that waits for its turn, in milliseconds; longer than
+   * the time between two rounds of updates.
+   */
+  private static final long KEEP_MS = 700;
 
   private final PlacementPlan plan;
   private final PromptSchedule<Key> schedule;
@@ -49,18 +52,11 @@
   @Override
   public void receive(LinkedDaemon from, LinkMessage message, long now) {
     if (message instanceof RoomMessage.PromptRequest asked && !asked.options().isEmpty()) {
-      asked
-          .adapter()
-          .ifPresent(
-              adapter ->
-                  asked
-                      .options()
-                      .forEach(option -> plan.keep(option.endpoint(), adapter, now + KEEP_MS)));
+      PromptSchedule.Request request =
+          new PromptSchedule.Request(asked.adapter(), asked.flow(), asked.gapMs(), asked.options());
+      keep(request, now);
       Optional<PromptSchedule.Turn<Key>> turn =
-          schedule.ask(
-              new Key(from, asked.id()),
-              new PromptSchedule.Request(asked.flow(), asked.gapMs(), asked.options()),
-              now);
+          schedule.ask(new Key(from, asked.id()), request, now);
       turn.ifPresent(PromptTurns::send);
     } else if (message instanceof RoomMessage.PromptRead read) {
       schedule.read(new Key(from, read.id()), now).forEach(PromptTurns::send);
@@ -77,6 +73,18 @@
   @Override
   public void queue(Map<FrameChannel, LinkedDaemon> links, long now) {
     schedule.expire(now).forEach(PromptTurns::send);
+    schedule.waiting().forEach(request -> keep(request, now));
+  }
+
+  /** Otherwise the adapter is evicted as unused while its request waits. */
+  private void keep(PromptSchedule.Request request, long now) {
+    request
+        .adapter()
+        .ifPresent(
+            adapter ->
+                request
+                    .options()
+                    .forEach(option -> plan.keep(option.endpoint(), adapter, now + KEEP_MS)));
   }
 
   private static void send(PromptSchedule.Turn<Key> turn) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptScheduleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptScheduleTest.java
@@ -29,6 +29,7 @@
 
   private static PromptSchedule.Request request(int priority, long tokens, EndpointId... engines) {
     return new PromptSchedule.Request(
+        Optional.empty(),
         Flow.of(priority, Optional.empty()),
         GAP_MS,
         List.of(engines).stream().map(engine -> new PromptOption(engine, tokens)).toList());
@@ -129,7 +130,7 @@
       read(2, 10);
 
       assertThat(read(1, 100)).isEmpty();
-      assertThat(schedule.waiting()).isZero();
+      assertThat(schedule.waiting()).isEmpty();
     }
   }
 
