Give turns by the route's priority where there are no workspaces

Change: a request for a turn states the route's priority in that case.

Ran: 20 tests (whole path, gate, schedule, frames).

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.connection.RoomMessage;
 import io.sequoiapass.gateway.process.Candidate;
 import io.sequoiapass.gateway.process.Choice;
@@ -115,13 +116,19 @@
         gate.ask(
             dataCentre,
             demand.generation().flatMap(Generation::adapter),
-            demand.flow(),
+            flow(demand),
             route.gapTargetMs(),
             asked,
             this);
     return id.isPresent();
   }
 
+  /** Engines admit by priority, too, whether there are workspaces or not. */
+  private Flow flow(Demand demand) {
+    Flow flow = demand.flow();
+    return flow.workspace().isPresent() ? flow : Flow.of(route.priority(), flow.workspace());
+  }
+
   private double readMs(Candidate candidate, Demand demand, long now) {
     return unread(candidate, demand) / group.tokensPerMs(candidate.endpoint(), now);
   }
