Never tell refused callers to return before there is room

Cause: the spread of Retry-After was capped at a third of the caller's remaining time and began at half of the stated time, so a caller of endpoints that rest for 3 s was told to return after 0.133 s.

Change: the spread only adds to the stated time; one that is longer than callers honour is stated as it is.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RetryDelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RetryDelay.java
@@ -18,10 +18,11 @@
   /** Callers honour at most this part of the time that they have left. */
   private static final int MAX_SHARE_OF_REMAINING = 3;
 
-  /** Delays are spread from half of the stated time to this multiple of it. */
-  private static final double LATEST = 2;
+  /** The least urgent priority returns later by this part of the stated time. */
+  private static final double URGENCY_SPREAD = 0.5;
 
-  private static final double EARLIEST = 0.5;
+  /** Delays are spread over this part of the stated time. */
+  private static final double RANDOM_SPREAD = 0.5;
 
   private static final Set<ErrorKind> WANT_OF_ROOM =
       EnumSet.of(ErrorKind.OVERLOADED, ErrorKind.DEADLINE_UNREACHABLE);
@@ -45,7 +46,8 @@
   }
 
   /**
-   * Returns a delay, in milliseconds.
+   * Returns a delay, in milliseconds. It is not shorter than the time until there is room; a time
+   * that is longer than callers honour is stated as it is.
    *
    * @param roomInMs time until there is room, in milliseconds
    * @param priority the request's priority
@@ -53,9 +55,12 @@
    * @param random a random number from 0 to 1
    */
   static long spread(long roomInMs, int priority, long remainingMs, double random) {
-    double longestMs = Math.max(0, remainingMs) / (double) MAX_SHARE_OF_REMAINING;
-    double baseMs = Math.min((double) Math.max(0, roomInMs), longestMs / LATEST);
-    double urgencyPart = EARLIEST * priority / Flow.LAST_PRIORITY;
-    return (long) (baseMs * (EARLIEST + urgencyPart + random));
+    long longestMs = Math.max(0, remainingMs) / MAX_SHARE_OF_REMAINING;
+    if (roomInMs > longestMs) {
+      return roomInMs;
+    }
+    double urgencyPart = URGENCY_SPREAD * priority / Flow.LAST_PRIORITY;
+    double spread = roomInMs * (1 + urgencyPart + RANDOM_SPREAD * random);
+    return Math.max(0, Math.min(longestMs, (long) spread));
   }
 }
