Do not prefer endpoints for small differences in speed

Cause: shared speeds, new for plain calls, made the endpoint that seemed a few percent faster win every choice of every daemon at low load. The other one got no request any more, so nobody measured it, a raised limit was not noticed, and the first one was full before others were tried. At higher load the wait for a slot was taken for slowness.

A difference below 1.25 does not count now, calls that were sent to an endpoint with all slots in use are no samples, and coordinators of up to ten daemons send no speeds, as each daemon measures often enough there: small deployments are served as before.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -187,7 +187,8 @@
         default -> group.health.withdrawn(id, now);
       }
       if (ending == Ending.ANSWERED) {
-        if (generation.isEmpty()) {
+        // The time of a call that waits for a slot shows the load, not the speed.
+        if (generation.isEmpty() && runningBefore < state.entry.slots()) {
           sampleSpeed(now);
         }
         (generation.isEmpty() ? group.serviceMs : group.generationMs)
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SharedSpeeds.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SharedSpeeds.java
@@ -25,6 +25,9 @@
    */
   static final long LASTING_MS = 10_000;
 
+  /** Smallest difference from the average speed that counts, as a logarithm. */
+  private static final double MIN_DIFFERENCE = Math.log(1.25);
+
   private final Map<DataCentreId, Reported> reported = new ConcurrentHashMap<>();
 
   private static final class Reported {
@@ -72,7 +75,15 @@
     if (speed == null || speed.startTimeMs != startTimeMs || now - from.receivedAt > LASTING_MS) {
       return 1;
     }
-    return now - speed.receivedAt > CURRENT_MS ? speed.lasting : speed.current;
+    return significant(now - speed.receivedAt > CURRENT_MS ? speed.lasting : speed.current);
+  }
+
+  /**
+   * Small differences are noise of few samples. If they counted, all daemons would send to the
+   * endpoint that seems the fastest, and none of them would measure the others.
+   */
+  private static double significant(double ratio) {
+    return Math.abs(Math.log(ratio)) < MIN_DIFFERENCE ? 1 : ratio;
   }
 
   /** Makes the current speeds of a data centre lapse, since its coordinator's link is lost. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SpeedModule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SpeedModule.java
@@ -17,7 +17,10 @@
 import java.util.Set;
 import java.util.function.Function;
 
-/** Joins the speeds that daemons report, and sends them to all daemons of a coordinator. */
+/**
+ * Joins the speeds that daemons report, and sends them to all daemons of a coordinator. The daemons
+ * of a small fleet receive none: each of them measures the endpoints often enough by itself.
+ */
 final class SpeedModule implements CoordinatorModule {
 
   /** Changes a second to each daemon of the same data centre, which uses the endpoints most. */
@@ -114,6 +117,9 @@
       reviewedAt = now;
       review(now);
     }
+    if (!isSent(links.size())) {
+      return;
+    }
     List<RoomMessage.EndpointSpeed> speeds = table.speeds(now);
     Optional<byte[]> nearFrame = near.due(speeds, now).map(LinkFrames::encode);
     Optional<byte[]> farFrame = far.due(speeds, now).map(LinkFrames::encode);
@@ -136,6 +142,11 @@
     }
   }
 
+  /** Returns whether speeds are sent to a number of daemons. */
+  static boolean isSent(int daemons) {
+    return !BroadcastInterval.broadcastsImmediately(daemons);
+  }
+
   private void review(long now) {
     table.retain(
         (endpoint, startTimeMs) ->
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointSpeedsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointSpeedsTest.java
@@ -359,6 +359,16 @@
       assertThat(slowdown(SLOW, 1)).isEqualTo(1.3);
     }
 
+    /** Guards against daemons that all send to the endpoint which seems faster by chance. */
+    @Test
+    void smallDifferencesDoNotCount() {
+      RoomMessage.EndpointSpeed speed = new RoomMessage.EndpointSpeed(SLOW, 1, 0.85, 1.2);
+      shared.update(HERE, new RoomMessage.Speeds(true, List.of(speed)), id -> true, 0);
+
+      assertThat(slowdown(SLOW, 1)).isEqualTo(1);
+      assertThat(slowdown(SLOW, SharedSpeeds.CURRENT_MS + 1)).isEqualTo(1);
+    }
+
     /** Guards against a new process that is avoided for the speed of its predecessor. */
     @Test
     void newProcessUnderTheSameNameStartsAnew() {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/SpeedModuleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SpeedModuleTest.java
@@ -75,4 +75,11 @@
 
     assertThat(metrics.text()).contains("sequoiapass_endpoint_slowdown{endpoint=\"e0\"} 1.00");
   }
+
+  /** Guards against few daemons that all prefer the endpoint which seems faster by chance. */
+  @ParameterizedTest
+  @CsvSource({"10, false", "11, true"})
+  void speedsAreSentInLargeFleetsOnly(int daemons, boolean isSent) {
+    assertThat(SpeedModule.isSent(daemons)).isEqualTo(isSent);
+  }
 }
