Load another copy of an adapter whose prompts wait for turns

The coordinator, which alone knows who waits, loads another copy where more prompts wait for an adapter than engines hold it, unless loads wait for slots. A waiting request asks anew once a copy has come that it did not name.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -26,7 +26,7 @@
     return List.of(
         new MemberUpdates(),
         io.parts(),
-        new PromptTurns(plan, directory, io.clock()),
+        new PromptTurns(plan, loadQueue, directory, io.clock()),
         new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()),
         new ShortageMonitor(io.log(), directory, plan, loadQueue));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
@@ -21,6 +21,7 @@
   private static final long KEEP_MS = 700;
 
   private final PlacementPlan plan;
+  private final LoadQueue loadQueue;
   private final PromptSchedule<Key> schedule;
 
   private record Key(LinkedDaemon daemon, long id) {}
@@ -29,11 +30,14 @@
    * Creates a module without requests.
    *
    * @param plan the plan
+   * @param loadQueue the loads that wait for a slot
    * @param directory the endpoints and their speeds
    * @param clock the monotonic clock
    */
-  PromptTurns(PlacementPlan plan, EndpointDirectory directory, MillisClock clock) {
+  PromptTurns(
+      PlacementPlan plan, LoadQueue loadQueue, EndpointDirectory directory, MillisClock clock) {
     this.plan = plan;
+    this.loadQueue = loadQueue;
     this.schedule = new PromptSchedule<>(endpoint -> speed(directory, endpoint, clock.millis()));
   }
 
@@ -73,7 +77,16 @@
   @Override
   public void queue(Map<FrameChannel, LinkedDaemon> links, long now) {
     schedule.expire(now).forEach(PromptTurns::send);
-    schedule.waiting().forEach(request -> keep(request, now));
+    List<PromptSchedule.Request> waiting = schedule.waiting();
+    waiting.forEach(request -> keep(request, now));
+    loadCopies(waiting, now);
+  }
+
+  /** Loads that wait for a slot go first: their requests have no engine at all. */
+  private void loadCopies(List<PromptSchedule.Request> waiting, long now) {
+    if (loadQueue.isEmpty()) {
+      PromptCopies.needed(waiting).forEach(need -> plan.request(need, true, now));
+    }
   }
 
   /** Otherwise the adapter is evicted as unused while its request waits. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -68,6 +68,9 @@
     if (used) {
       end();
     }
+    if (id.isPresent() && hasNewHolder(choice)) {
+      end();
+    }
     if (id.isPresent()) {
       return reply(choice, now);
     }
@@ -79,6 +82,14 @@
     return asking ? Optional.empty() : Optional.of(choice);
   }
 
+  /** Returns whether a copy has been loaded that the request did not name when it asked. */
+  private boolean hasNewHolder(Choice.Send choice) {
+    EndpointId chosen = choice.candidate().endpoint();
+    return given == null
+        && asks < MAX_ASKS
+        && options.stream().noneMatch(option -> option.endpoint().equals(chosen));
+  }
+
   private Optional<Choice.Send> reply(Choice.Send choice, long now) {
     EndpointId endpoint = given;
     if (endpoint != null) {
