Withdraw queued loads that no request waits for

A queued load kept its place until it expired, also after its callers had left: a freed slot then went to an adapter that nobody asked for.

A daemon counts its requests for each queued load and sends LoadWithdrawn when the last one ends without a copy. The coordinator keeps the needs of each linked daemon apart: a load that others wait for keeps what those need, and one without any is removed. A lost link withdraws its daemon's loads; the link counts, not the daemon, which may have linked again before the loss is noticed. A load request carries a number, so that a withdrawal never removes a later request, and an activated coordinator starts with an empty queue.

Tests: LoadQueueTest, LoadWithdrawalsTest, AdapterSearchTest and LinkFramesTest pass.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkFrames.java
@@ -158,6 +158,7 @@
       out.packLong(request.waitMs());
       out.packLong(request.deadlineMs());
       out.packLong(request.returnKey());
+      out.packLong(request.number());
       out.packBoolean(request.copyKnown());
       list(out, request.excluded(), (to, endpoint) -> to.packString(endpoint.value()));
     } else if (message instanceof LinkMessage.AdapterMiss miss) {
@@ -451,6 +452,7 @@
         in.unpackLong(),
         in.unpackLong(),
         in.unpackLong(),
+        in.unpackLong(),
         in.unpackBoolean(),
         list(in, from -> new EndpointId(from.unpackString())));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/LinkMessage.java
@@ -181,6 +181,7 @@
    * @param waitMs how long the request may be queued for a slot, in milliseconds; 0 if it may not
    * @param deadlineMs how long a queued load could still serve the request, in milliseconds
    * @param returnKey a key that is equal for the retries of a request; 0 if unknown
+   * @param number rises with each load request of a daemon that may be queued; 0 if it may not
    * @param copyKnown whether the daemon has a record of a copy that the request cannot use
    * @param excluded endpoints that the request cannot use, even if they hold the adapter
    */
@@ -195,6 +196,7 @@
       long waitMs,
       long deadlineMs,
       long returnKey,
+      long number,
       boolean copyKnown,
       List<EndpointId> excluded)
       implements LinkMessage {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
@@ -14,6 +14,7 @@
   private static final int PROMPT_REQUEST = 22;
   private static final int PROMPT_TURN = 23;
   private static final int PROMPT_READ = 24;
+  private static final int LOAD_WITHDRAWN = 25;
 
   private RoomFrames() {}
 
@@ -39,6 +40,10 @@
     } else if (message instanceof RoomMessage.PromptRead read) {
       out.packInt(PROMPT_READ);
       out.packLong(read.id());
+    } else if (message instanceof RoomMessage.LoadWithdrawn withdrawn) {
+      out.packInt(LOAD_WITHDRAWN);
+      LinkFrames.writeAdapter(out, withdrawn.adapter());
+      out.packLong(withdrawn.lastRequest());
     }
   }
 
@@ -51,6 +56,8 @@
       case PROMPT_REQUEST -> PromptFrames.readRequest(in);
       case PROMPT_TURN -> PromptFrames.readTurn(in);
       case PROMPT_READ -> new RoomMessage.PromptRead(in.unpackLong());
+      case LOAD_WITHDRAWN ->
+          new RoomMessage.LoadWithdrawn(LinkFrames.readAdapter(in), in.unpackLong());
       default -> throw new IOException("unknown message type " + type);
     };
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
@@ -9,7 +9,7 @@
 
 /**
  * A message between a daemon and a coordinator about room that is scarce or uneven: demand and
- * shortages, speeds of endpoints, and turns of long prompts.
+ * shortages, speeds of endpoints, turns of long prompts, and loads that nobody waits for.
  *
  * <p>Messages are immutable and safe for use by several threads.
  */
@@ -177,4 +177,12 @@
    * @param id stands for the request
    */
   record PromptRead(long id) implements RoomMessage {}
+
+  /**
+   * A daemon reports that none of its requests waits for a queued load any more.
+   *
+   * @param adapter the adapter
+   * @param lastRequest the number of the last load request to which this applies; later ones wait
+   */
+  record LoadWithdrawn(AdapterName adapter, long lastRequest) implements RoomMessage {}
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/AdapterLoads.java
@@ -5,10 +5,12 @@
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.Generation;
 import io.sequoiapass.gateway.request.LoadRequest;
+import io.sequoiapass.gateway.request.QueuePlace;
 import io.sequoiapass.gateway.request.RelayContext;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
 import java.util.List;
+import java.util.Optional;
 
 /** Requests loads of adapters from the coordinators. Safe for use by several threads. */
 final class AdapterLoads implements RelayContext.AdapterSource {
@@ -16,11 +18,17 @@
   private final CoordinationNode node;
   private final EndpointDirectory directory;
   private final AdapterVersions versions;
+  private final LoadWithdrawals withdrawals;
 
-  AdapterLoads(CoordinationNode node, EndpointDirectory directory, AdapterVersions versions) {
+  AdapterLoads(
+      CoordinationNode node,
+      EndpointDirectory directory,
+      AdapterVersions versions,
+      LoadWithdrawals withdrawals) {
     this.node = node;
     this.directory = directory;
     this.versions = versions;
+    this.withdrawals = withdrawals;
   }
 
   @Override
@@ -29,7 +37,20 @@
   }
 
   @Override
-  public boolean requestLoad(DataCentreId dataCentre, LoadRequest request) {
+  public Optional<QueuePlace> requestLoad(DataCentreId dataCentre, LoadRequest request) {
+    if (request.waitMs() == 0) {
+      return send(dataCentre, request, 0) ? Optional.of(QueuePlace.NONE) : Optional.empty();
+    }
+    LoadWithdrawals.Place place =
+        withdrawals.enqueue(dataCentre, request.generation().adapter().orElseThrow());
+    if (send(dataCentre, request, place.number())) {
+      return Optional.of(place);
+    }
+    place.settled();
+    return Optional.empty();
+  }
+
+  private boolean send(DataCentreId dataCentre, LoadRequest request, long number) {
     Generation generation = request.generation();
     AdapterName adapter = generation.adapter().orElseThrow();
     return node.send(
@@ -45,6 +66,7 @@
             request.waitMs(),
             request.deadlineMs(),
             ReturnKey.of(generation, request.flow()),
+            number,
             directory.isHeld(adapter),
             List.copyOf(request.excluded())));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -483,6 +483,7 @@
     LinkedDaemon linked = links.remove(channel);
     publisher.unlinked(channel);
     if (linked != null && linked.daemon != null) {
+      loadQueue.unlinked(linked);
       plan.removeDaemon(linked.daemon);
       modules.forEach(module -> module.unlinked(linked.daemon, clock.millis()));
       permits.remove(linked.daemon);
@@ -551,8 +552,7 @@
 
   private void handleLoadRequest(FrameChannel channel, LinkMessage.LoadRequest request, long now) {
     publisher.subscribe(request.adapter(), channel, now);
-    Optional<DaemonId> daemon = Optional.ofNullable(links.get(channel)).map(one -> one.daemon);
-    LoadReply reply = router.route(request, daemon, now);
+    LoadReply reply = router.route(request, links.get(channel), now);
     if (reply instanceof LoadReply.Rejected rejected) {
       channel.send(
           LinkFrames.encode(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -131,6 +131,7 @@
   private final PromptPartGuard parts;
   private final SurgeGuard surge;
   private final PromptGate prompts;
+  private final LoadWithdrawals withdrawals = new LoadWithdrawals();
   private final CallerAdmission admission;
   private final List<LinkModule> linkModules;
   private final StoreFreshness storeFreshness = new StoreFreshness();
@@ -158,7 +159,7 @@
     SpeedExchange speeds = new SpeedExchange(directory, metrics);
     directory.useSpeeds(speeds);
     this.admission = new CallerAdmission(directory, clock, metrics);
-    this.linkModules = new ArrayList<>(List.of(prompts, speeds));
+    this.linkModules = new ArrayList<>(List.of(prompts, withdrawals, speeds));
     this.linkModules.addAll(admission.modules());
   }
 
@@ -197,12 +198,13 @@
         deployment,
         new EndpointCalls(toEndpoints(http).observedBy(counters.orders()), path),
         store);
+    withdrawals.use(node::send, loops);
     RelayContext context =
         new RelayContext(
             endpointHttp,
             deployment.callerProtocol(),
             deployment.endpointProtocol(),
-            new AdapterLoads(node, directory, versions),
+            new AdapterLoads(node, directory, versions, withdrawals),
             new PeerForwarder(settings.daemon(), path, peers, http, deployment.callerProtocol()),
             streams,
             new CrashWatch(parts, deployment.endpointProtocol(), endpointHttp, loops, clock),
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -2,16 +2,14 @@
 
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Predicate;
 
 /**
  * Queues load requests while every adapter slot is in use.
  *
  * <pre>{@code
- * LoadReply reply = queue.loadOrEnqueue(entry, now);
+ * LoadReply reply = queue.loadOrEnqueue(entry, source, now);
  * queue.dispatch(now);   // whenever a slot may have become free
  * }</pre>
  *
@@ -30,10 +28,11 @@
   private final Predicate<AdapterName> isHeldOutside;
   private final SlotTurnoverEstimator turnover = new SlotTurnoverEstimator();
   private final SlotTurnoverEstimator lateTurnover = new SlotTurnoverEstimator();
-  private final SlotOrder order = new SlotOrder();
-  private final ReturningRequests returning = new ReturningRequests();
+  private final QueuedLoads entries = new QueuedLoads();
+  private SlotOrder order = new SlotOrder();
+  private ReturningRequests returning = new ReturningRequests();
+  private LoadOutcome.Listener outcomes = (outcome, priority) -> {};
   private boolean hadLateEntries;
-  private final Map<AdapterName, Entry> entries = new HashMap<>();
 
   /**
    * The requests that wait for one adapter.
@@ -61,7 +60,8 @@
       return inTimeUntil < now;
     }
 
-    private Entry merge(Entry other) {
+    /** Returns an entry that serves the requests of both. */
+    Entry merge(Entry other) {
       return new Entry(
           need.merge(other.need),
           Math.min(inTimeUntil, other.inTimeUntil),
@@ -99,6 +99,19 @@
     this.isHeldOutside = isHeldOutside;
   }
 
+  /** Sets what receives the outcomes of loads. */
+  void setListener(LoadOutcome.Listener listener) {
+    outcomes = listener;
+  }
+
+  /** Removes all loads and what is known of earlier ones. */
+  void clear() {
+    entries.clear();
+    order = new SlotOrder();
+    returning = new ReturningRequests();
+    hadLateEntries = false;
+  }
+
   /**
    * Plans a load immediately, unless other loads precede it.
    *
@@ -113,7 +126,7 @@
       return reply;
     }
     long expectedMs = queueWaitMs(entry, now);
-    if (now + expectedMs > entry.until() && !entries.containsKey(entry.adapter())) {
+    if (now + expectedMs > entry.until() && !entries.contains(entry.adapter())) {
       rejected(entry, now);
     }
     return new LoadReply.Rejected(expectedMs);
@@ -123,15 +136,16 @@
    * Plans a load immediately, or queues it.
    *
    * @param entry the load and how long it may wait
+   * @param source who waits for it
    * @param now the time, in milliseconds
    */
-  LoadReply loadOrEnqueue(Entry entry, long now) {
+  LoadReply loadOrEnqueue(Entry entry, QueuedLoads.Source source, long now) {
     LoadReply reply = request(entry, false, now);
     if (!(reply instanceof LoadReply.Rejected)) {
       return reply;
     }
     // An entry that is merged with a queued one needs no further slot.
-    if (!entries.containsKey(entry.adapter())) {
+    if (!entries.contains(entry.adapter())) {
       long expectedMs = queueWaitMs(entry, now);
       if (now + expectedMs > entry.until()) {
         rejected(entry, now);
@@ -141,10 +155,34 @@
         turnover.queueStarted(now);
       }
     }
-    entries.merge(entry.adapter(), entry, Entry::merge);
+    if (entry.place().arrivedAt() < now) {
+      outcomes.ended(LoadOutcome.RETURNED, entry.priority());
+    }
+    entries.add(entry, source);
     return new LoadReply.Queued();
   }
 
+  /**
+   * Removes a daemon from those that wait for a load, and the load once there is none: its slot
+   * would stay unused.
+   *
+   * @param adapter the adapter
+   * @param daemon the daemon
+   * @param lastRequest the number of the last load request that does not wait any more
+   */
+  void withdraw(AdapterName adapter, LinkedDaemon daemon, long lastRequest) {
+    entries.withdraw(adapter, daemon, lastRequest).ifPresent(this::withdrawn);
+  }
+
+  /** Removes a daemon whose link is lost from those that wait for loads. */
+  void unlinked(LinkedDaemon daemon) {
+    entries.withdrawAll(daemon).forEach(this::withdrawn);
+  }
+
+  private void withdrawn(Entry entry) {
+    outcomes.ended(LoadOutcome.WITHDRAWN, entry.priority());
+  }
+
   private LoadReply request(Entry entry, boolean another, long now) {
     assignPreceding(entry, now);
     boolean isNew = another || !plan.holds(entry.adapter(), entry.need().version());
@@ -161,10 +199,9 @@
    */
   private void assignPreceding(Entry entry, long now) {
     boolean competes =
-        entries.values().stream()
-            .anyMatch(other -> !other.need().flow().equals(entry.need().flow()));
+        entries.all().stream().anyMatch(other -> !other.need().flow().equals(entry.need().flow()));
     if (competes) {
-      for (Entry other : order.preceding(entries.values(), entry, now)) {
+      for (Entry other : order.preceding(entries.all(), entry, now)) {
         boolean waits = other.until() >= now && !isHeldOutside.test(other.adapter());
         if (waits && !assign(other, now) && other.need().excluded().isEmpty()) {
           return;
@@ -186,23 +223,25 @@
   }
 
   private void rejected(Entry entry, long now) {
+    outcomes.ended(LoadOutcome.REJECTED, entry.priority());
     order.rejected(entry, now);
     returning.rejected(entry.place(), now);
   }
 
   private void assigned(Entry entry, long now) {
+    outcomes.ended(LoadOutcome.ASSIGNED, entry.priority());
     order.assigned(entry, now);
     returning.assigned(entry.place());
   }
 
   /** Returns the expected wait of a new entry, in milliseconds. */
   long queueWaitMs(Entry entry, long now) {
-    int ahead = entry.isLate(now) ? 0 : order.preceding(entries.values(), entry, now).size();
+    int ahead = entry.isLate(now) ? 0 : order.preceding(entries.all(), entry, now).size();
     long inTimeMs = turnover.expectedMs(ahead, plan.slots(), now);
     if (now + inTimeMs <= entry.inTimeUntil()) {
       return inTimeMs;
     }
-    int lateAhead = order.lateAhead(entries.values(), entry, now);
+    int lateAhead = order.lateAhead(entries.all(), entry, now);
     return Math.max(inTimeMs, lateTurnover.expectedMs(lateAhead, plan.slots(), now));
   }
 
@@ -211,7 +250,7 @@
    * adapter is queued.
    */
   long lastWaitMs(Predicate<AdapterName> adapters, long now) {
-    return entries.keySet().stream().anyMatch(adapters)
+    return entries.all().stream().map(Entry::adapter).anyMatch(adapters)
         ? turnover.expectedMs(entries.size() - 1, plan.slots(), now)
         : 0;
   }
@@ -227,7 +266,7 @@
       return List.of();
     }
     // Their requests are sent to the copy elsewhere; a slot here would stay unused.
-    entries.keySet().removeIf(isHeldOutside);
+    entries.removeIf(entry -> isHeldOutside.test(entry.adapter()));
     updateLate(now);
     inOrder(now).forEach(entry -> assign(entry, now));
     return removeExpired(now);
@@ -248,7 +287,7 @@
   }
 
   private void updateLate(long now) {
-    boolean anyLate = entries.values().stream().anyMatch(entry -> entry.isLate(now));
+    boolean anyLate = entries.all().stream().anyMatch(entry -> entry.isLate(now));
     if (anyLate && !hadLateEntries) {
       lateTurnover.queueStarted(now);
     }
@@ -285,7 +324,7 @@
 
   /** Returns the entries in the order in which they get slots, and removes expired ones. */
   private List<Entry> inOrder(long now) {
-    entries.values().removeIf(entry -> entry.until() < now);
-    return order.sort(entries.values(), now);
+    entries.removeIf(entry -> entry.until() < now);
+    return order.sort(entries.all(), now);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadRouter.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.gateway.process;
 
-import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.Optional;
@@ -11,7 +10,7 @@
  * daemon to a copy in another data centre.
  *
  * <pre>{@code
- * LoadReply reply = router.route(request, daemon, now);
+ * LoadReply reply = router.route(request, linkedDaemon, now);
  * }</pre>
  *
  * <p>Requests for one adapter may reach the coordinators of several data centres before placement
@@ -50,17 +49,17 @@
    * Handles a load request.
    *
    * @param request the request
-   * @param daemon the daemon that sends it; empty if it is not known
+   * @param from the daemon that sends it
    * @param now the time, in milliseconds
    */
-  LoadReply route(LinkMessage.LoadRequest request, Optional<DaemonId> daemon, long now) {
+  LoadReply route(LinkMessage.LoadRequest request, LinkedDaemon from, long now) {
     Optional<LinkMessage.Placement> remote = remoteCopy(request);
     if (remote.isPresent()) {
       return new LoadReply.HeldElsewhere(remote.get());
     }
-    LoadQueue.Entry entry = entry(request, daemon, now);
+    LoadQueue.Entry entry = entry(request, from, now);
     return request.waitMs() > 0
-        ? queue.loadOrEnqueue(entry, now)
+        ? queue.loadOrEnqueue(entry, new QueuedLoads.Source(from, request.number()), now)
         : queue.load(entry, request.another(), now);
   }
 
@@ -80,8 +79,7 @@
         : Optional.empty();
   }
 
-  private LoadQueue.Entry entry(
-      LinkMessage.LoadRequest request, Optional<DaemonId> daemon, long now) {
+  private LoadQueue.Entry entry(LinkMessage.LoadRequest request, LinkedDaemon from, long now) {
     long inTimeUntil = now + bounded(request.maxDelayMs());
     long waitMs = bounded(request.waitMs() > 0 ? request.waitMs() : request.deadlineMs());
     return new LoadQueue.Entry(
@@ -91,7 +89,7 @@
             new RequestSize(request.promptTokens(), request.outputTokens()),
             request.flow(),
             Set.copyOf(request.excluded()),
-            daemon),
+            Optional.ofNullable(from.daemon)),
         inTimeUntil,
         now + waitMs,
         queue.place(request.returnKey(), inTimeUntil, now));
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -28,6 +29,7 @@
   private DataCentreId requested;
   private boolean requestedCopy;
   private boolean enqueued;
+  private QueuePlace place = QueuePlace.NONE;
   private long overdueAt;
   private long retryAfterMs;
 
@@ -67,6 +69,25 @@
     overdueAt = now + Math.max(REPLY_TIMEOUT_MS, waitMs);
   }
 
+  /**
+   * Requests a load; an earlier place in a queue ends.
+   *
+   * @return false if it is too late or the data centre has no connected coordinator
+   */
+  boolean send(
+      RelayContext.AdapterSource adapters,
+      Choice.RequestLoad load,
+      LoadRequest loadRequest,
+      long now) {
+    request(load, loadRequest.waitMs(), now);
+    boolean isTooLate = load.waits() && loadRequest.waitMs() == 0;
+    Optional<QueuePlace> newPlace =
+        isTooLate ? Optional.empty() : adapters.requestLoad(load.dataCentre(), loadRequest);
+    place.release();
+    place = newPlace.orElse(QueuePlace.NONE);
+    return newPlace.isPresent();
+  }
+
   /** Returns when the reply is overdue, in milliseconds. */
   long overdueAt() {
     return overdueAt;
@@ -83,22 +104,44 @@
   void exclude() {
     excluded.add(requested);
     requested = null;
+    end();
   }
 
-  /** Ends the pending load request because the adapter is loading; a later reply is ignored. */
+  /**
+   * Ends the pending load request because the adapter is held or loading; a later reply is ignored.
+   */
   void loadFound() {
     requested = null;
+    settled();
+  }
+
+  /** Ends the search of a request that does not wait any more. */
+  void end() {
+    place.release();
+    place = QueuePlace.NONE;
+  }
+
+  private void settled() {
+    place.settled();
+    place = QueuePlace.NONE;
+  }
+
+  /** Clears the search when the request is sent to an endpoint that holds the adapter. */
+  void copyFound() {
+    settled();
+    reset();
   }
 
   /**
-   * Clears the search when the request is sent to an endpoint. If the endpoint rejects it or fails,
-   * a new search starts, since the earlier replies may be out of date.
+   * Clears the search when the request is sent. If the receiver rejects it or fails, a new search
+   * starts, since the earlier replies may be out of date.
    */
   void reset() {
     requested = null;
     requestedCopy = false;
     queueWaits.clear();
     excluded.clear();
+    end();
   }
 
   /**
@@ -112,6 +155,7 @@
     }
     retryAfterMs = retryAfterMs == 0 ? queueWaitMs : Math.min(retryAfterMs, queueWaitMs);
     if (enqueued) {
+      settled();
       exclude();
     } else {
       queueWaits.put(dataCentre, queueWaitMs);
@@ -128,6 +172,7 @@
     if (!dataCentre.equals(requested)) {
       return false;
     }
+    settled();
     exclude();
     return true;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -13,6 +13,7 @@
 import io.sequoiapass.gateway.spi.EndpointProtocol;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 
 /**
@@ -58,9 +59,10 @@
      *
      * @param dataCentre the data centre whose engines are to load it
      * @param request the adapter, and how long the request may be queued
-     * @return false if the data centre has no connected coordinator
+     * @return the place of the request in the queue, which it has to end; empty if the data centre
+     *     has no connected coordinator
      */
-    boolean requestLoad(DataCentreId dataCentre, LoadRequest request);
+    Optional<QueuePlace> requestLoad(DataCentreId dataCentre, LoadRequest request);
 
     /**
      * Reports that an endpoint rejected a request because it does not hold the adapter, although it
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -178,7 +178,7 @@
     Demand demand = demand(avoid, now);
     Choice choice = group.choose(demand, search.loadable(context.adapters()), now);
     if (choice instanceof Choice.Send send) {
-      search.reset();
+      search.copyFound();
       prompt
           .turn(send, demand, now)
           .ifPresentOrElse(turn -> send(turn, demand, now), () -> prompt.await(wait, now));
@@ -216,9 +216,7 @@
                 route, waitedMs, origin.remainingMs(now), load.expectedMs())
             : 0;
     LoadRequest loadRequest = loadRequest(load, demand, waitMs, now);
-    search.request(load, waitMs, now);
-    boolean expired = load.waits() && waitMs == 0;
-    if (expired || !context.adapters().requestLoad(load.dataCentre(), loadRequest)) {
+    if (!search.send(context.adapters(), load, loadRequest, now)) {
       search.exclude();
       dispatch();
       return;
@@ -326,7 +324,8 @@
     if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
       Choice.RequestLoad load = (Choice.RequestLoad) choice;
       LoadRequest loadRequest = loadRequest(load, demand, 0, now);
-      from.loadRequested = context.adapters().requestLoad(load.dataCentre(), loadRequest);
+      from.loadRequested =
+          context.adapters().requestLoad(load.dataCentre(), loadRequest).isPresent();
     }
     return step;
   }
@@ -586,6 +585,7 @@
   private void finish(String outcome, int status) {
     completed = true;
     wait.stop();
+    search.end();
     prompt.end();
     if (deadlineTimer != null) {
       deadlineTimer.cancel(false);
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -72,7 +72,7 @@
                     ENGINE, LOAD, List.of(new EndpointUsage.AdapterUse(ADAPTER, 2, 5)))),
             List.of(new WorkspaceUsage(WORKSPACE, 18_380, 9_190))),
         new LinkMessage.LoadRequest(
-            ADAPTER, 3, FLOW, true, 9_190, 52, 450, 1_600, 1_700, -7L, true, List.of(ENGINE)),
+            ADAPTER, 3, FLOW, true, 9_190, 52, 450, 1_600, 1_700, -7L, 12, true, List.of(ENGINE)),
         new LinkMessage.AdapterMiss(ENGINE, ADAPTER, true),
         new LinkMessage.PermitRequest(ENGINE, 2.5, 4, 800),
         new LinkMessage.PermitReply(ENGINE, LinkMessage.PermitReply.Type.QUEUED, 400),
@@ -133,7 +133,8 @@
             500,
             List.of(new RoomMessage.PromptOption(ENGINE, 9_190))),
         new RoomMessage.PromptTurn(7, ENGINE, 12),
-        new RoomMessage.PromptRead(7));
+        new RoomMessage.PromptRead(7),
+        new RoomMessage.LoadWithdrawn(ADAPTER, 12));
   }
 
   @ParameterizedTest
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueFairnessTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueFairnessTest.java
@@ -28,6 +28,8 @@
 class LoadQueueFairnessTest {
 
   private static final DaemonId DAEMON = new DaemonId("north-1");
+  private static final QueuedLoads.Source SOURCE =
+      new QueuedLoads.Source(new LinkedDaemon(null), 1);
   private static final int ENGINES = 4;
   private static final int SLOTS = 4;
   private static final int WORKSPACES = 8;
@@ -143,7 +145,7 @@
     }
 
     private void request(Caller caller, long now) {
-      LoadReply reply = queue.loadOrEnqueue(caller.entry(queue, now), now);
+      LoadReply reply = queue.loadOrEnqueue(caller.entry(queue, now), SOURCE, now);
       boolean isRejected = reply instanceof LoadReply.Rejected;
       caller.repeatAt = isRejected && repeats(caller) ? now + repeatMs : Long.MAX_VALUE;
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -10,6 +10,7 @@
 import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.connection.LinkMessage.Placement;
+import io.sequoiapass.gateway.connection.RoomMessage;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointOrder;
 import io.sequoiapass.gateway.spi.EndpointReport;
@@ -31,6 +32,8 @@
 class LoadQueueTest {
 
   private static final DaemonId DAEMON = new DaemonId("north-1");
+  private static final QueuedLoads.Source SOURCE =
+      new QueuedLoads.Source(new LinkedDaemon(null), 1);
   private static final int SLOTS = 2;
   private static final EngineSpec SPEC = PlanFixtures.engineOf(SLOTS);
 
@@ -92,7 +95,7 @@
 
     @Test
     void freeSlotIsAssignedImmediately() {
-      assertThat(queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100))
+      assertThat(queue.loadOrEnqueue(entry(9, 1_500, 3_000), SOURCE, 1_100))
           .isInstanceOf(LoadReply.Queued.class);
       queue.dispatch(1_200);
       assertThat(placed()).isEmpty();
@@ -106,9 +109,9 @@
 
     @Test
     void entryThatIsStillInTimeComesFirst() {
-      queue.loadOrEnqueue(entry(7, 1_200, 4_000), 1_100);
-      queue.loadOrEnqueue(entry(8, 1_900, 4_000), 1_110);
-      queue.loadOrEnqueue(entry(9, 1_800, 4_000), 1_120);
+      queue.loadOrEnqueue(entry(7, 1_200, 4_000), SOURCE, 1_100);
+      queue.loadOrEnqueue(entry(8, 1_900, 4_000), SOURCE, 1_110);
+      queue.loadOrEnqueue(entry(9, 1_800, 4_000), SOURCE, 1_120);
 
       use(1_300, 1);
       queue.dispatch(1_550);
@@ -118,7 +121,7 @@
     /** Guards against a new load that takes a slot which became free since the last dispatch. */
     @Test
     void lessUrgentLoadDoesNotOvertakeAQueuedOne() {
-      queue.loadOrEnqueue(entry(9, 1_900, 3_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_900, 3_000), SOURCE, 1_100);
       use(1_300, 1);
       LoadNeed relaxed =
           new LoadNeed(
@@ -138,8 +141,8 @@
     /** Guards against a slot reserved for an adapter that another data centre loads. */
     @Test
     void adapterHeldElsewhereGetsNoSlot() {
-      queue.loadOrEnqueue(entry(7, 1_500, 4_000), 1_100);
-      queue.loadOrEnqueue(entry(8, 1_900, 4_000), 1_110);
+      queue.loadOrEnqueue(entry(7, 1_500, 4_000), SOURCE, 1_100);
+      queue.loadOrEnqueue(entry(8, 1_900, 4_000), SOURCE, 1_110);
       elsewhere.add(adapter(7));
       use(1_300, 1);
       queue.dispatch(1_550);
@@ -150,8 +153,8 @@
 
     @Test
     void twoRequestsForOneAdapterGetOneSlot() {
-      queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100);
-      queue.loadOrEnqueue(entry(9, 1_600, 3_500), 1_110);
+      queue.loadOrEnqueue(entry(9, 1_500, 3_000), SOURCE, 1_100);
+      queue.loadOrEnqueue(entry(9, 1_600, 3_500), SOURCE, 1_110);
       use(1_300);
       queue.dispatch(1_550);
 
@@ -160,7 +163,7 @@
 
     @Test
     void waitingDoesNotCountAsDemand() {
-      queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_500, 3_000), SOURCE, 1_100);
       for (long now = 1_100; now < 1_500; now += 10) {
         queue.dispatch(now);
       }
@@ -180,16 +183,95 @@
     }
   }
 
+  /** Guards against slots for loads that no request waits for. */
+  @Nested
+  class Withdrawal {
+
+    private final LoadQueueModule module = new LoadQueueModule(queue);
+    private final LinkedDaemon one = new LinkedDaemon(null);
+    private final LinkedDaemon other = new LinkedDaemon(null);
+
+    private void enqueue(LoadQueue.Entry entry, LinkedDaemon daemon, long request) {
+      assertThat(queue.loadOrEnqueue(entry, new QueuedLoads.Source(daemon, request), 1_100))
+          .isInstanceOf(LoadReply.Queued.class);
+    }
+
+    private List<AdapterName> placedOnceASlotIsFree() {
+      use(1_300, 1);
+      queue.dispatch(1_550);
+      return placed();
+    }
+
+    /** Guards against a slot for a caller that has left; the next in the queue gets it. */
+    @Test
+    void loadWhoseCallerLeftGetsNoSlot() {
+      enqueue(entry(7, 1_700, 4_000), one, 1);
+      enqueue(entry(8, 1_900, 4_000), other, 1);
+
+      module.receive(one, new RoomMessage.LoadWithdrawn(adapter(7), 1), 1_200);
+
+      assertThat(placedOnceASlotIsFree()).containsExactly(adapter(8));
+    }
+
+    @Test
+    void loadThatAnotherDaemonWaitsForStaysAsThatOneNeedsIt() {
+      enqueue(entry(7, 1_700, 4_000), one, 1);
+      enqueue(entry(7, 2_000, 4_000), other, 1);
+      enqueue(entry(8, 1_900, 4_000), other, 2);
+
+      module.receive(one, new RoomMessage.LoadWithdrawn(adapter(7), 1), 1_200);
+
+      assertThat(placedOnceASlotIsFree()).containsExactly(adapter(8));
+      assertThat(queue.isEmpty()).isFalse();
+    }
+
+    /** Guards against a withdrawal that crosses a later request of the same daemon. */
+    @Test
+    void laterRequestOfTheSameDaemonStays() {
+      enqueue(entry(7, 1_700, 4_000), one, 2);
+
+      module.receive(one, new RoomMessage.LoadWithdrawn(adapter(7), 1), 1_200);
+
+      assertThat(placedOnceASlotIsFree()).containsExactly(adapter(7));
+    }
+
+    /** Guards against a load that stays for ever because its withdrawal was lost. */
+    @Test
+    void loadExpiresIfItsWithdrawalIsLost() {
+      enqueue(entry(7, 1_700, 2_000), one, 1);
+
+      queue.dispatch(2_001);
+
+      assertThat(queue.isEmpty()).isTrue();
+    }
+
+    /** Guards against the late loss of an old link that takes the loads of the new one. */
+    @Test
+    void daemonThatLinkedAgainKeepsWhatItRequestedAnew() {
+      LinkedDaemon again = new LinkedDaemon(null);
+      one.daemon = DAEMON;
+      again.daemon = DAEMON;
+      enqueue(entry(7, 1_700, 4_000), one, 1);
+      enqueue(entry(8, 1_900, 4_000), one, 2);
+      enqueue(entry(8, 1_900, 4_000), again, 3);
+
+      queue.unlinked(one);
+
+      assertThat(placedOnceASlotIsFree()).containsExactly(adapter(8));
+      assertThat(queue.isEmpty()).isTrue();
+    }
+  }
+
   @Nested
   class Refusal {
 
     @Test
     void entryThatCannotBeServedIsRejectedImmediately() {
       for (int i = 10; i < 13; i++) {
-        queue.loadOrEnqueue(entry(i, 1_500, 4_000), 1_100);
+        queue.loadOrEnqueue(entry(i, 1_500, 4_000), SOURCE, 1_100);
       }
 
-      assertThat(queue.loadOrEnqueue(entry(20, 1_500, 2_000), 1_200))
+      assertThat(queue.loadOrEnqueue(entry(20, 1_500, 2_000), SOURCE, 1_200))
           .isInstanceOfSatisfying(
               LoadReply.Rejected.class,
               rejected -> assertThat(rejected.retryAfterMs()).isEqualTo(3_000));
@@ -197,10 +279,10 @@
 
     @Test
     void entryForAQueuedAdapterIsNotRejected() {
-      queue.loadOrEnqueue(entry(9, 1_500, 3_000), 1_100);
-      queue.loadOrEnqueue(entry(10, 1_500, 4_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_500, 3_000), SOURCE, 1_100);
+      queue.loadOrEnqueue(entry(10, 1_500, 4_000), SOURCE, 1_100);
 
-      assertThat(queue.loadOrEnqueue(entry(9, 1_400, 1_600), 1_110))
+      assertThat(queue.loadOrEnqueue(entry(9, 1_400, 1_600), SOURCE, 1_110))
           .isInstanceOf(LoadReply.Queued.class);
     }
 
@@ -210,8 +292,8 @@
      */
     @Test
     void lateEntryIsRemovedBeforeItsDeadline() {
-      queue.loadOrEnqueue(entry(9, 1_300, 4_000), 1_100);
-      queue.loadOrEnqueue(entry(10, 1_300, 4_100), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_300, 4_000), SOURCE, 1_100);
+      queue.loadOrEnqueue(entry(10, 1_300, 4_100), SOURCE, 1_100);
       assertThat(queue.dispatch(1_400)).isEmpty();
 
       List<LoadQueue.Expired> expired = queue.dispatch(2_800);
@@ -223,17 +305,17 @@
     /** A long queue of late entries must not delay a caller that can still be served in time. */
     @Test
     void lateEntriesDoNotDelayEntriesInTime() {
-      queue.loadOrEnqueue(entry(9, 1_150, 6_000), 1_100);
-      queue.loadOrEnqueue(entry(10, 1_150, 6_000), 1_100);
-      queue.loadOrEnqueue(entry(11, 1_150, 6_000), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_150, 6_000), SOURCE, 1_100);
+      queue.loadOrEnqueue(entry(10, 1_150, 6_000), SOURCE, 1_100);
+      queue.loadOrEnqueue(entry(11, 1_150, 6_000), SOURCE, 1_100);
 
-      assertThat(queue.loadOrEnqueue(entry(12, 2_100, 2_200), 1_200))
+      assertThat(queue.loadOrEnqueue(entry(12, 2_100, 2_200), SOURCE, 1_200))
           .isInstanceOf(LoadReply.Queued.class);
     }
 
     @Test
     void expiredEntryGetsNoSlot() {
-      queue.loadOrEnqueue(entry(9, 1_500, 1_700), 1_100);
+      queue.loadOrEnqueue(entry(9, 1_500, 1_700), SOURCE, 1_100);
       use(1_300, 1);
       queue.dispatch(1_800);
 
@@ -284,7 +366,7 @@
     void entriesThatCanBeServedInTimeAreQueued() {
       for (int caller = 0; caller < CALLERS; caller++) {
         LoadQueue.Entry entry = entry(100 + caller, 10_600, 11_100);
-        assertThat(queue.loadOrEnqueue(entry, 10_050)).isInstanceOf(LoadReply.Queued.class);
+        assertThat(queue.loadOrEnqueue(entry, SOURCE, 10_050)).isInstanceOf(LoadReply.Queued.class);
       }
       for (int ended = 1; ended <= CALLERS; ended++) {
         long now = 10_050 + ended * EACH_MS;
@@ -353,7 +435,7 @@
 
     private void send(long[] one, boolean enqueues, long now) {
       if (enqueues) {
-        queue.loadOrEnqueue(entry((int) one[0], one[1] + IN_TIME_MS, one[1] + 2_000), now);
+        queue.loadOrEnqueue(entry((int) one[0], one[1] + IN_TIME_MS, one[1] + 2_000), SOURCE, now);
         one[2] = Long.MAX_VALUE;
       } else {
         plan.request(need((int) one[0]), false, now);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
@@ -46,7 +46,8 @@
 
     LoadReply route(LoadRouter.RemoteCopies copies, LinkMessage.LoadRequest request, long now) {
       boolean held = plan.holds(request.adapter(), request.version());
-      LoadReply reply = new LoadRouter(plan, queue, copies).route(request, Optional.empty(), now);
+      LoadReply reply =
+          new LoadRouter(plan, queue, copies).route(request, new LinkedDaemon(null), now);
       loads += !held && reply instanceof LoadReply.Assigned ? 1 : 0;
       return reply;
     }
@@ -64,6 +65,7 @@
         0,
         900,
         0,
+        0,
         copyKnown,
         List.of());
   }
@@ -80,6 +82,7 @@
         0,
         900,
         0,
+        0,
         false,
         List.of(endpoint));
   }
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
@@ -2,10 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sequoiapass.coordination.AdapterId;
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.coordination.EndpointId;
+import io.sequoiapass.coordination.ModelId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.process.Choice;
+import io.sequoiapass.gateway.version.AdapterName;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a reply that is attributed to another data centre or an earlier request. */
@@ -14,6 +24,8 @@
   private static final DataCentreId NORTH = new DataCentreId("north");
   private static final DataCentreId SOUTH = new DataCentreId("south");
   private static final List<DataCentreId> BOTH = List.of(NORTH, SOUTH);
+  private static final AdapterName ADAPTER =
+      new AdapterName(new ModelId("base"), new AdapterId("a1"));
 
   private final AdapterSearch search = new AdapterSearch();
 
@@ -104,4 +116,105 @@
 
     assertThat(search.candidates(BOTH)).isEmpty();
   }
+
+  /** Guards against places in a queue that requests keep although they do not wait for them. */
+  @Nested
+  class PlaceInAQueue {
+
+    private final List<String> ended = new ArrayList<>();
+
+    @BeforeEach
+    void enqueue() {
+      request(NORTH, "first");
+    }
+
+    private void request(DataCentreId dataCentre, String name) {
+      search.send(new Source(name), load(dataCentre, true), loadRequest(), 100);
+    }
+
+    @Test
+    void isReleasedByARequestThatEnds() {
+      search.end();
+      search.end();
+
+      assertThat(ended).containsExactly("first released");
+    }
+
+    @Test
+    void isReleasedByARequestThatIsSentThroughAPeer() {
+      search.reset();
+
+      assertThat(ended).containsExactly("first released");
+    }
+
+    @Test
+    void isReleasedOnceAnotherDataCentreIsAsked() {
+      request(SOUTH, "second");
+
+      assertThat(ended).containsExactly("first released");
+    }
+
+    @Test
+    void isReleasedIfTheReplyIsOverdue() {
+      search.excludeOverdue(2_000);
+
+      assertThat(ended).containsExactly("first released");
+    }
+
+    @Test
+    void isSettledOnceACopyIsFound() {
+      search.copyFound();
+      search.end();
+
+      assertThat(ended).containsExactly("first settled");
+    }
+
+    @Test
+    void isSettledByARejection() {
+      search.loadRejected(NORTH, 500);
+      search.end();
+
+      assertThat(ended).containsExactly("first settled");
+    }
+
+    private LoadRequest loadRequest() {
+      Generation generation =
+          new Generation(ADAPTER.model(), Optional.of(ADAPTER), 0, 0, List.of());
+      return new LoadRequest(generation, Flow.COMMON, false, 500, 900, 900, Set.of());
+    }
+
+    /** Places in a queue that record how they end. */
+    private final class Source implements RelayContext.AdapterSource, QueuePlace {
+
+      private final String name;
+
+      Source(String name) {
+        this.name = name;
+      }
+
+      @Override
+      public List<DataCentreId> loadable() {
+        return BOTH;
+      }
+
+      @Override
+      public Optional<QueuePlace> requestLoad(DataCentreId dataCentre, LoadRequest request) {
+        return Optional.of(this);
+      }
+
+      @Override
+      public void missed(
+          DataCentreId dataCentre, EndpointId endpoint, AdapterName adapter, boolean early) {}
+
+      @Override
+      public void settled() {
+        ended.add(name + " settled");
+      }
+
+      @Override
+      public void release() {
+        ended.add(name + " released");
+      }
+    }
+  }
 }
