Show the queue for adapter slots in metrics and events

Operators saw a shortage of slots, but neither how many loads of each priority waited nor what became of them.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -28,7 +28,7 @@
         io.parts(),
         new PromptTurns(plan, directory, io.clock()),
         new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()),
-        new LoadQueueModule(loadQueue),
+        new LoadQueueModule(loadQueue, io.clock(), io.log(), io.metrics()),
         new ShortageMonitor(io.log(), directory, plan, loadQueue));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Predicate;
 
@@ -317,6 +318,11 @@
     return expired;
   }
 
+  /** Returns the loads that wait. */
+  Collection<Entry> waiting() {
+    return entries.all();
+  }
+
   /** Returns whether the queue is empty. */
   boolean isEmpty() {
     return entries.isEmpty();
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -187,7 +187,8 @@
   @Nested
   class Withdrawal {
 
-    private final LoadQueueModule module = new LoadQueueModule(queue);
+    private final LoadQueueModule module =
+        new LoadQueueModule(queue, () -> 0, DecisionLog.silent(), new GatewayMetrics());
     private final LinkedDaemon one = new LinkedDaemon(null);
     private final LinkedDaemon other = new LinkedDaemon(null);
 
