Let queued requests ask the next coordinator of a lost queue

A request whose load was queued excluded that data centre when its coordinator was lost, and was refused at once where no other data centre could load the adapter.

While it can still be in time, such a request waits for the next coordinator and asks once more. One that is late is refused as before.

Tests: AdapterSearchTest, LoadQueueModuleTest and LoadQueueTest pass.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -27,6 +27,7 @@
   private final Map<DataCentreId, Long> queueWaits = new HashMap<>();
   private final Set<DataCentreId> excluded = new HashSet<>();
   private DataCentreId requested;
+  private DataCentreId lostQueue;
   private boolean requestedCopy;
   private boolean enqueued;
   private QueuePlace place = QueuePlace.NONE;
@@ -64,6 +65,7 @@
    */
   void request(Choice.RequestLoad load, long waitMs, long now) {
     requested = load.dataCentre();
+    lostQueue = null;
     requestedCopy = load.another();
     enqueued = waitMs > 0;
     overdueAt = now + Math.max(REPLY_TIMEOUT_MS, waitMs);
@@ -172,11 +174,27 @@
     if (!dataCentre.equals(requested)) {
       return false;
     }
+    lostQueue = enqueued ? dataCentre : null;
     settled();
     exclude();
     return true;
   }
 
+  /**
+   * Returns whether a request whose queue was lost with a coordinator waits for the next one
+   * instead of being refused; that data centre is a candidate again once it is connected.
+   *
+   * @param refusal why the request would be refused
+   * @param inTime whether it can still be served in time
+   */
+  boolean asksAnew(Choice.Refuse refusal, boolean inTime) {
+    if (lostQueue == null || !inTime || refusal.kind() != ErrorKind.NO_ENDPOINT) {
+      return false;
+    }
+    excluded.remove(lostQueue);
+    return true;
+  }
+
   /** Replaces NO_ENDPOINT if a data centre was full, since OVERLOADED is more specific. */
   Choice.Refuse preferOverloaded(Choice.Refuse refusal) {
     return refusal.kind() == ErrorKind.NO_ENDPOINT && retryAfterMs > 0
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointTimeouts.java
@@ -34,6 +34,9 @@
    */
   static final long COPY_WAIT_MS = 60;
 
+  /** Interval between checks whether a data centre has a coordinator again, in milliseconds. */
+  static final long COORDINATOR_CHECK_MS = 100;
+
   /**
    * Delay before an endpoint that does not hold the adapter yet is tried again, in milliseconds for
    * each attempt so far.
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/LoadRequest.java
@@ -44,7 +44,7 @@
    * @param load the load
    * @param route the route of the waiting request
    * @param waitedMs how long ago it arrived, in milliseconds
-   * @param waitMs how long it may be queued for a slot, in milliseconds; 0 if it may not
+   * @param queues whether it may be queued for a slot
    * @param excluded endpoints that it cannot use
    */
   static LoadRequest of(
@@ -53,7 +53,7 @@
       Choice.RequestLoad load,
       RouteSpec route,
       long waitedMs,
-      long waitMs,
+      boolean queues,
       Set<EndpointId> excluded) {
     long maxDelayMs = EndpointTimeouts.maxLoadDelayMs(route, waitedMs, load.expectedMs());
     long deadlineMs =
@@ -63,7 +63,7 @@
         demand.flow(),
         load.another(),
         maxDelayMs,
-        waitMs,
+        queues ? deadlineMs : 0,
         deadlineMs,
         excluded);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -189,6 +189,9 @@
       awaitEndpoint(wait, now);
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, demand, now);
+    } else if (choice instanceof Choice.Refuse refusal
+        && search.asksAnew(refusal, origin.waitedMs(now) < route.targetMs())) {
+      wait.start(WaitTimes.Kind.SLOT, now, EndpointTimeouts.COORDINATOR_CHECK_MS);
     } else if (choice instanceof Choice.Refuse refusal) {
       refuseOrFail(search.preferOverloaded(refusal));
     }
@@ -209,13 +212,7 @@
   }
 
   private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
-    long waitedMs = origin.waitedMs(now);
-    long waitMs =
-        load.waits()
-            ? EndpointTimeouts.maxQueueMs(
-                route, waitedMs, origin.remainingMs(now), load.expectedMs())
-            : 0;
-    LoadRequest loadRequest = loadRequest(load, demand, waitMs, now);
+    LoadRequest loadRequest = loadRequest(load, demand, load.waits(), now);
     if (!search.send(context.adapters(), load, loadRequest, now)) {
       search.exclude();
       dispatch();
@@ -227,9 +224,10 @@
         load.another() ? EndpointTimeouts.COPY_WAIT_MS : search.overdueAt() - now);
   }
 
-  private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
+  private LoadRequest loadRequest(
+      Choice.RequestLoad load, Demand demand, boolean queues, long now) {
     Set<EndpointId> excluded = group.excluded(demand, now);
-    return LoadRequest.of(facts, demand, load, route, origin.waitedMs(now), waitMs, excluded);
+    return LoadRequest.of(facts, demand, load, route, origin.waitedMs(now), queues, excluded);
   }
 
   synchronized void dispatchIfWaiting() {
@@ -323,7 +321,7 @@
         FailoverPolicy.next(choice, from.endpoint(), attempts.budgetAllows(now));
     if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
       Choice.RequestLoad load = (Choice.RequestLoad) choice;
-      LoadRequest loadRequest = loadRequest(load, demand, 0, now);
+      LoadRequest loadRequest = loadRequest(load, demand, false, now);
       from.loadRequested =
           context.adapters().requestLoad(load.dataCentre(), loadRequest).isPresent();
     }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueModuleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueModuleTest.java
@@ -97,13 +97,17 @@
     assertThat(metrics.text()).doesNotContain("sequoiapass_queued_loads");
   }
 
-  /** Guards against loads of an earlier term, whose requests have asked others meanwhile. */
+  /** Guards against loads of an earlier term, and against refusals of what is requested anew. */
   @Test
-  void newTermStartsEmpty() {
+  void requestLosesOnlyItsPlaceInANewTerm() {
     request(1, 0, 9_000);
+    request(2, 0, 9_000);
+    clock = 100;
 
     module.activated(100);
 
     assertThat(queue.isEmpty()).isTrue();
+    assertThat(request(2, 100, 9_000)).isInstanceOf(LoadReply.Queued.class);
+    assertThat(queue.waiting()).extracting(LoadQueue.Entry::adapter).containsExactly(adapter(2));
   }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AdapterSearchTest.java
@@ -94,6 +94,22 @@
     assertThat(search.candidates(BOTH)).containsExactly(NORTH);
   }
 
+  /** Guards against refusals of all queued requests when their coordinator is lost. */
+  @Test
+  void requestWhoseQueueWasLostAsksTheNextCoordinatorOnce() {
+    Choice.Refuse refusal = new Choice.Refuse(ErrorKind.NO_ENDPOINT, 1);
+    search.request(load(NORTH, true), 2_000, 100);
+    search.coordinatorLost(NORTH);
+
+    assertThat(search.asksAnew(refusal, false)).isFalse();
+    assertThat(search.asksAnew(refusal, true)).isTrue();
+    assertThat(search.candidates(List.of())).isEmpty();
+    assertThat(search.candidates(BOTH)).contains(NORTH);
+    search.request(load(NORTH, true), 2_000, 300);
+    search.loadRejected(NORTH, 900);
+    assertThat(search.asksAnew(refusal, true)).isFalse();
+  }
+
   /**
    * Guards against a retry that has no candidates because the previous attempt requested a further
    * copy.
