--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AdapterSearch.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -26,8 +27,10 @@
   private final Map<DataCentreId, Long> queueWaits = new HashMap<>();
   private final Set<DataCentreId> excluded = new HashSet<>();
   private DataCentreId requested;
+  private DataCentreId lostQueue;
   private boolean requestedCopy;
   private boolean enqueued;
+  private QueuePlace place = QueuePlace.NONE;
   private long overdueAt;
   private long retryAfterMs;
 
@@ -62,11 +65,31 @@
    */
   void request(Choice.RequestLoad load, long waitMs, long now) {
     requested = load.dataCentre();
+    lostQueue = null;
     requestedCopy = load.another();
     enqueued = waitMs > 0;
     overdueAt = now + Math.max(REPLY_TIMEOUT_MS, waitMs);
   }
 
+  /**
+   * Requests a load; an earlier place in a queue ends.
+   *
+   * @return false if it is too late or the data centre has no connected coordinator
+   */
+  boolean send(
+      RelayContext.AdapterSource adapters,
+      Choice.RequestLoad load,
+      LoadRequest loadRequest,
+      long now) {
+    request(load, loadRequest.waitMs(), now);
+    boolean isTooLate = load.waits() && loadRequest.waitMs() == 0;
+    Optional<QueuePlace> newPlace =
+        isTooLate ? Optional.empty() : adapters.requestLoad(load.dataCentre(), loadRequest);
+    place.release();
+    place = newPlace.orElse(QueuePlace.NONE);
+    return newPlace.isPresent();
+  }
+
   /** Returns when the reply is overdue, in milliseconds. */
   long overdueAt() {
     return overdueAt;
@@ -83,22 +106,44 @@
   void exclude() {
     excluded.add(requested);
     requested = null;
+    end();
   }
 
-  /** Ends the pending load request because the adapter is loading; a later reply is ignored. */
+  /**
+   * Ends the pending load request because the adapter is held or loading; a later reply is ignored.
+   */
   void loadFound() {
     requested = null;
+    settled();
+  }
+
+  /** Ends the search of a request that does not wait any more. */
+  void end() {
+    place.release();
+    place = QueuePlace.NONE;
+  }
+
+  private void settled() {
+    place.settled();
+    place = QueuePlace.NONE;
+  }
+
+  /** Clears the search when the request is sent to an endpoint that holds the adapter. */
+  void copyFound() {
+    settled();
+    reset();
   }
 
   /**
-   * Clears the search when the request is sent to an endpoint. If the endpoint rejects it or fails,
-   * a new search starts, since the earlier replies may be out of date.
+   * Clears the search when the request is sent. If the receiver rejects it or fails, a new search
+   * starts, since the earlier replies may be out of date.
    */
   void reset() {
     requested = null;
     requestedCopy = false;
     queueWaits.clear();
     excluded.clear();
+    end();
   }
 
   /**
@@ -112,6 +157,7 @@
     }
     retryAfterMs = retryAfterMs == 0 ? queueWaitMs : Math.min(retryAfterMs, queueWaitMs);
     if (enqueued) {
+      settled();
       exclude();
     } else {
       queueWaits.put(dataCentre, queueWaitMs);
@@ -128,10 +174,27 @@
     if (!dataCentre.equals(requested)) {
       return false;
     }
+    lostQueue = enqueued ? dataCentre : null;
+    settled();
     exclude();
     return true;
   }
 
+  /**
+   * Returns whether a request whose queue was lost with a coordinator waits for the next one
+   * instead of being refused; that data centre is a candidate again once it is connected.
+   *
+   * @param refusal why the request would be refused
+   * @param inTime whether it can still be served in time
+   */
+  boolean asksAnew(Choice.Refuse refusal, boolean inTime) {
+    if (lostQueue == null || !inTime || refusal.kind() != ErrorKind.NO_ENDPOINT) {
+      return false;
+    }
+    excluded.remove(lostQueue);
+    return true;
+  }
+
   /** Replaces NO_ENDPOINT if a data centre was full, since OVERLOADED is more specific. */
   Choice.Refuse preferOverloaded(Choice.Refuse refusal) {
     return refusal.kind() == ErrorKind.NO_ENDPOINT && retryAfterMs > 0
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -178,7 +178,7 @@
     Demand demand = demand(avoid, now);
     Choice choice = group.choose(demand, search.loadable(context.adapters()), now);
     if (choice instanceof Choice.Send send) {
-      search.reset();
+      search.copyFound();
       prompt
           .turn(send, demand, now)
           .ifPresentOrElse(turn -> send(turn, demand, now), () -> prompt.await(wait, now));
@@ -189,6 +189,9 @@
       awaitEndpoint(wait, now);
     } else if (choice instanceof Choice.RequestLoad load) {
       requestLoad(load, demand, now);
+    } else if (choice instanceof Choice.Refuse refusal
+        && search.asksAnew(refusal, origin.waitedMs(now) < route.targetMs())) {
+      wait.start(WaitTimes.Kind.SLOT, now, EndpointTimeouts.COORDINATOR_CHECK_MS);
     } else if (choice instanceof Choice.Refuse refusal) {
       refuseOrFail(search.preferOverloaded(refusal));
     }
@@ -209,16 +212,8 @@
   }
 
   private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
-    long waitedMs = origin.waitedMs(now);
-    long waitMs =
-        load.waits()
-            ? EndpointTimeouts.maxQueueMs(
-                route, waitedMs, origin.remainingMs(now), load.expectedMs())
-            : 0;
-    LoadRequest loadRequest = loadRequest(load, demand, waitMs, now);
-    search.request(load, waitMs, now);
-    boolean expired = load.waits() && waitMs == 0;
-    if (expired || !context.adapters().requestLoad(load.dataCentre(), loadRequest)) {
+    LoadRequest loadRequest = loadRequest(load, demand, load.waits(), now);
+    if (!search.send(context.adapters(), load, loadRequest, now)) {
       search.exclude();
       dispatch();
       return;
@@ -229,9 +224,10 @@
         load.another() ? EndpointTimeouts.COPY_WAIT_MS : search.overdueAt() - now);
   }
 
-  private LoadRequest loadRequest(Choice.RequestLoad load, Demand demand, long waitMs, long now) {
+  private LoadRequest loadRequest(
+      Choice.RequestLoad load, Demand demand, boolean queues, long now) {
     Set<EndpointId> excluded = group.excluded(demand, now);
-    return LoadRequest.of(facts, demand, load, route, origin.waitedMs(now), waitMs, excluded);
+    return LoadRequest.of(facts, demand, load, route, origin.waitedMs(now), queues, excluded);
   }
 
   synchronized void dispatchIfWaiting() {
@@ -325,8 +321,9 @@
         FailoverPolicy.next(choice, from.endpoint(), attempts.budgetAllows(now));
     if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
       Choice.RequestLoad load = (Choice.RequestLoad) choice;
-      LoadRequest loadRequest = loadRequest(load, demand, 0, now);
-      from.loadRequested = context.adapters().requestLoad(load.dataCentre(), loadRequest);
+      LoadRequest loadRequest = loadRequest(load, demand, false, now);
+      from.loadRequested =
+          context.adapters().requestLoad(load.dataCentre(), loadRequest).isPresent();
     }
     return step;
   }
@@ -586,6 +583,7 @@
   private void finish(String outcome, int status) {
     completed = true;
     wait.stop();
+    search.end();
     prompt.end();
     if (deadlineTimer != null) {
       deadlineTimer.cancel(false);
