Keep a stated rest when the endpoint's list entry changes

An answer does not name the process that gave it, and the list entry of a new process under a known name arrives after its first answers. A rest that the new process stated was cleared when the entry arrived, or ignored if the entry arrived between a request and its answer; requests that waited for the rest to end were then sent at once. A rest ends by itself, so it now counts for either process.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -158,7 +158,11 @@
     return takesWork(now) && copies.containsKey(adapter);
   }
 
-  /** Clears the state of an earlier process under the same name, whose memory was lost with it. */
+  /**
+   * Clears the state of an earlier process under the same name, whose memory was lost with it. A
+   * rest remains: answers do not name their process, and those of the new one can arrive before its
+   * entry.
+   */
   void restarted() {
     copies.clear();
     canaries.clear();
@@ -170,7 +174,6 @@
     permits = new EndpointPermits(random);
     room = new RoomEstimator();
     namedLimit = OptionalDouble.empty();
-    restsUntil = Long.MIN_VALUE;
     leavingStated = false;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -79,9 +79,13 @@
   @Override
   public boolean noticed(EndpointNotice notice, boolean byEndpoint, long now) {
     synchronized (group) {
-      // A late answer of an earlier process says nothing about its successor.
-      return processStartMs == state.entry.startTimeMs()
-          && group.noticed(state, notice, byEndpoint, sentAt, now);
+      if (processStartMs != state.entry.startTimeMs()) {
+        // A late answer of an earlier process says nothing about its successor. A rest ends by
+        // itself and may be the successor's, whose answers can arrive before its entry.
+        notice.restMs().ifPresent(restMs -> state.rest(restMs, now));
+        return false;
+      }
+      return group.noticed(state, notice, byEndpoint, sentAt, now);
     }
   }
 
