Bound a workspace that is much larger than most over all priorities

AdmissionLoadTest drew its requests in the order of a Map.of, which differs between processes; decisions did not depend on it.

A workspace of more than three times the median now gets at most its max-min part of all that is admitted, divided among its own priorities. Ties of equal parts are ordered by flow.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/FairShares.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/FairShares.java
@@ -1,7 +1,11 @@
 package io.sequoiapass.gateway.process;
 
+import io.sequoiapass.coordination.request.Flow;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /**
  * Divides the requests that one priority can send among its workspaces by weighted max-min
@@ -36,6 +40,34 @@
     }
   }
 
+  /**
+   * Returns the claims of flows of one priority. A flow without a workspace stands for several
+   * workspaces, taken as large as the others.
+   *
+   * @param asked requests per second by flow
+   */
+  static SortedMap<Flow, Claim> claims(Map<Flow, Double> asked) {
+    double usualPerS = medianPerS(asked);
+    SortedMap<Flow, Claim> claims = new TreeMap<>();
+    asked.forEach(
+        (flow, perS) -> {
+          boolean isOne = flow.workspace().isPresent() || usualPerS <= 0;
+          claims.put(flow, new Claim(perS, isOne ? 1 : Math.max(1, perS / usualPerS)));
+        });
+    return claims;
+  }
+
+  /** Returns what the median workspace asks for, in requests per second; 0 if there is none. */
+  static double medianPerS(Map<Flow, Double> asked) {
+    double[] each =
+        asked.entrySet().stream()
+            .filter(entry -> entry.getKey().workspace().isPresent())
+            .mapToDouble(Map.Entry::getValue)
+            .sorted()
+            .toArray();
+    return each.length == 0 ? 0 : each[each.length / 2];
+  }
+
   /**
    * Returns how much each unit of weight gets, in requests per second; infinite if all claims can
    * be met.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ServiceShortage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ServiceShortage.java
@@ -4,7 +4,6 @@
 import io.sequoiapass.gateway.connection.RoomMessage;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -63,62 +62,60 @@
   }
 
   private static List<RoomMessage.FlowShare> shares(Map<Flow, Double> asked, double admittedPerS) {
-    SortedMap<Integer, Map<Flow, Double>> byPriority = new TreeMap<>();
-    asked.forEach(
-        (flow, perS) ->
-            byPriority.computeIfAbsent(flow.priority(), any -> new HashMap<>()).put(flow, perS));
+    SortedMap<Integer, SortedMap<Flow, Double>> byPriority = new TreeMap<>();
+    WorkspaceBounds.within(asked, admittedPerS)
+        .forEach(
+            (flow, perS) ->
+                byPriority
+                    .computeIfAbsent(flow.priority(), any -> new TreeMap<>())
+                    .put(flow, perS));
     SortedMap<Integer, Double> totals = new TreeMap<>();
     byPriority.forEach(
         (priority, flows) ->
             totals.put(priority, flows.values().stream().mapToDouble(Double::doubleValue).sum()));
     SortedMap<Integer, Double> admitted = PriorityShares.divide(totals, admittedPerS);
     List<RoomMessage.FlowShare> shares = new ArrayList<>();
-    byPriority.forEach((priority, flows) -> add(flows, admitted.get(priority), shares));
+    byPriority.forEach(
+        (priority, flows) -> add(asked, parts(asked, flows, admitted.get(priority)), shares));
     return shares;
   }
 
-  /** Adds the flows of one priority that are limited, those that ask for most by themselves. */
-  private static void add(
-      Map<Flow, Double> flows, double availablePerS, List<RoomMessage.FlowShare> shares) {
-    Map<Flow, FairShares.Claim> claims = claims(flows);
+  /** Returns the part of its requests that each flow of one priority may send. */
+  private static Map<Flow, Double> parts(
+      Map<Flow, Double> asked, Map<Flow, Double> bounded, double availablePerS) {
+    SortedMap<Flow, FairShares.Claim> claims = FairShares.claims(bounded);
     double level = FairShares.level(List.copyOf(claims.values()), availablePerS);
+    Map<Flow, Double> parts = new TreeMap<>();
+    claims.forEach(
+        (flow, claim) -> {
+          double askedPerS = asked.get(flow);
+          double givenPerS = claim.askedPerS() * claim.share(level);
+          parts.put(flow, askedPerS <= 0 ? 1 : givenPerS / askedPerS);
+        });
+    return parts;
+  }
+
+  /** Adds the flows of one priority that are limited, those that get the least by themselves. */
+  private static void add(
+      Map<Flow, Double> asked, Map<Flow, Double> parts, List<RoomMessage.FlowShare> shares) {
     List<Flow> limited =
-        claims.keySet().stream()
-            .filter(flow -> claims.get(flow).share(level) < ALMOST_ALL)
-            .sorted(Comparator.comparingDouble((Flow flow) -> claims.get(flow).share(level)))
+        parts.keySet().stream()
+            .filter(flow -> parts.get(flow) < ALMOST_ALL)
+            .sorted(Comparator.comparing(parts::get))
             .toList();
     List<Flow> listed =
         limited.stream().filter(flow -> flow.workspace().isPresent()).limit(MAX_LISTED).toList();
-    listed.forEach(
-        flow -> shares.add(new RoomMessage.FlowShare(flow, claims.get(flow).share(level))));
+    listed.forEach(flow -> shares.add(new RoomMessage.FlowShare(flow, parts.get(flow))));
     if (listed.size() < limited.size()) {
-      claims.keySet().removeAll(listed);
+      parts.keySet().removeAll(listed);
       double askedPerS = 0;
       double givenPerS = 0;
-      for (FairShares.Claim claim : claims.values()) {
-        askedPerS += claim.askedPerS();
-        givenPerS += claim.askedPerS() * claim.share(level);
+      for (var entry : parts.entrySet()) {
+        askedPerS += asked.get(entry.getKey());
+        givenPerS += asked.get(entry.getKey()) * entry.getValue();
       }
       Flow others = Flow.of(limited.get(0).priority(), Optional.empty());
       shares.add(new RoomMessage.FlowShare(others, givenPerS / askedPerS));
     }
   }
-
-  /** A flow without a workspace stands for several workspaces, taken as large as the others. */
-  private static Map<Flow, FairShares.Claim> claims(Map<Flow, Double> flows) {
-    double[] each =
-        flows.entrySet().stream()
-            .filter(entry -> entry.getKey().workspace().isPresent())
-            .mapToDouble(Map.Entry::getValue)
-            .sorted()
-            .toArray();
-    double usualPerS = each.length == 0 ? 0 : each[each.length / 2];
-    Map<Flow, FairShares.Claim> claims = new HashMap<>();
-    flows.forEach(
-        (flow, perS) -> {
-          boolean isOne = flow.workspace().isPresent() || usualPerS <= 0;
-          claims.put(flow, new FairShares.Claim(perS, isOne ? 1 : Math.max(1, perS / usualPerS)));
-        });
-    return claims;
-  }
 }
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/AdmissionLoadTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/AdmissionLoadTest.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.junit.jupiter.api.Nested;
@@ -31,7 +33,12 @@
   private static final DataCentreId HERE = new DataCentreId("north");
   private static final double CAPACITY_PER_S = 150;
   private static final int WORKSPACES = 16;
-  private static final Map<Integer, Double> USUAL_PER_S = Map.of(0, 40.0, 1, 10.0, 2, 70.0);
+
+  /**
+   * In an order that is the same in each run, since the order in which requests are drawn counts.
+   */
+  private static final SortedMap<Integer, Double> USUAL_PER_S =
+      new TreeMap<>(Map.of(0, 40.0, 1, 10.0, 2, 70.0)).descendingMap();
 
   private static WorkspaceId workspace(int number) {
     return new WorkspaceId("w" + number);
