Remove the records of a lost link by link, not by daemon

A daemon that links anew before the loss of its old link is noticed lost the turns of its new link with it. Modules now get the link that is lost.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -484,7 +484,7 @@
     publisher.unlinked(channel);
     if (linked != null && linked.daemon != null) {
       plan.removeDaemon(linked.daemon);
-      modules.forEach(module -> module.unlinked(linked.daemon, clock.millis()));
+      modules.forEach(module -> module.unlinked(linked, clock.millis()));
       permits.remove(linked.daemon);
       usage.lost(linked.daemon, clock.millis());
       log.event("daemon_unlinked").with("peer", linked.daemon).write();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModule.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.gateway.process;
 
-import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.daemon.connection.FrameChannel;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import java.util.Map;
@@ -25,8 +24,13 @@
    */
   default void receive(LinkedDaemon from, LinkMessage message, long now) {}
 
-  /** Called when a daemon's link is lost. */
-  default void unlinked(DaemonId daemon, long now) {}
+  /**
+   * Called when a link is lost.
+   *
+   * @param daemon the daemon on this link; the same daemon may be linked anew already
+   * @param now the time, in milliseconds
+   */
+  default void unlinked(LinkedDaemon daemon, long now) {}
 
   /** Queues the messages that are due in a round of updates. */
   default void queue(Map<FrameChannel, LinkedDaemon> links, long now) {}
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
@@ -1,6 +1,5 @@
 package io.sequoiapass.gateway.process;
 
-import io.sequoiapass.coordination.DaemonId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.daemon.connection.FrameChannel;
@@ -64,9 +63,8 @@
   }
 
   @Override
-  public void unlinked(DaemonId daemon, long now) {
-    List<PromptSchedule.Turn<Key>> given =
-        schedule.removeIf(key -> daemon.equals(key.daemon().daemon), now);
+  public void unlinked(LinkedDaemon daemon, long now) {
+    List<PromptSchedule.Turn<Key>> given = schedule.removeIf(key -> key.daemon() == daemon, now);
     given.forEach(PromptTurns::send);
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ShortageMonitor.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ShortageMonitor.java
@@ -121,8 +121,8 @@
   }
 
   @Override
-  public void unlinked(DaemonId daemon, long now) {
-    inFlight.remove(daemon);
+  public void unlinked(LinkedDaemon linked, long now) {
+    inFlight.remove(linked.daemon);
   }
 
   @Override
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/ShortageMonitorTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/ShortageMonitorTest.java
@@ -154,7 +154,7 @@
     @Test
     void ofADaemonEndsItsRequests() {
       statementAfter(SERVICE, 30, 15, 25, 0, 5_000);
-      monitor.unlinked(linked.daemon, 5_000);
+      monitor.unlinked(linked, 5_000);
       Optional<RoomMessage.Shortages> last = Optional.empty();
       for (long now = 5_000; now <= 7_100; now += 150) {
         last = monitor.statement(Set.of(NORTH), now);
