Let waiting prompts move up, and count all unread prompts of engines

Under a steady stream of urgent prompts the others waited up to two targets and were then sent unknown to the schedule, as were prompts sent without a coordinator, so the streams of their engine paused too long.

Requests state the time within which they can be in time, and move up as it runs out; at most every other turn of an engine goes to one of them before more urgent ones. A prompt sent without a turn is reported and fills the batch of its engine. What usage reports hold beyond a daemon's own turns counts as unread, less what the engine can have read since. Metrics and prompt_turns_expired show waiting, given and expired turns and the size of batches.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/PromptFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/PromptFrames.java
@@ -19,13 +19,8 @@
     }
     LinkFrames.writeFlow(out, request.flow());
     out.packLong(request.gapMs());
-    LinkFrames.list(
-        out,
-        request.options(),
-        (to, option) -> {
-          to.packString(option.endpoint().value());
-          to.packLong(option.tokens());
-        });
+    out.packLong(request.inTimeMs());
+    LinkFrames.list(out, request.options(), PromptFrames::write);
   }
 
   static RoomMessage.PromptRequest readRequest(MessageUnpacker in) throws IOException {
@@ -34,11 +29,28 @@
         in.unpackBoolean() ? Optional.of(LinkFrames.readAdapter(in)) : Optional.empty(),
         LinkFrames.readFlow(in),
         in.unpackLong(),
-        LinkFrames.list(
-            in,
-            from ->
-                new RoomMessage.PromptOption(
-                    new EndpointId(from.unpackString()), from.unpackLong())));
+        in.unpackLong(),
+        LinkFrames.list(in, PromptFrames::readOption));
+  }
+
+  private static void write(MessageBufferPacker out, RoomMessage.PromptOption option)
+      throws IOException {
+    out.packString(option.endpoint().value());
+    out.packLong(option.tokens());
+  }
+
+  private static RoomMessage.PromptOption readOption(MessageUnpacker in) throws IOException {
+    return new RoomMessage.PromptOption(new EndpointId(in.unpackString()), in.unpackLong());
+  }
+
+  static void write(MessageBufferPacker out, RoomMessage.PromptSent sent) throws IOException {
+    out.packLong(sent.id());
+    out.packLong(sent.gapMs());
+    write(out, sent.engine());
+  }
+
+  static RoomMessage.PromptSent readSent(MessageUnpacker in) throws IOException {
+    return new RoomMessage.PromptSent(in.unpackLong(), in.unpackLong(), readOption(in));
   }
 
   static void write(MessageBufferPacker out, RoomMessage.PromptTurn turn) throws IOException {
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
@@ -14,6 +14,7 @@
   private static final int PROMPT_REQUEST = 22;
   private static final int PROMPT_TURN = 23;
   private static final int PROMPT_READ = 24;
+  private static final int PROMPT_SENT = 25;
 
   private RoomFrames() {}
 
@@ -36,6 +37,9 @@
     } else if (message instanceof RoomMessage.PromptTurn turn) {
       out.packInt(PROMPT_TURN);
       PromptFrames.write(out, turn);
+    } else if (message instanceof RoomMessage.PromptSent sent) {
+      out.packInt(PROMPT_SENT);
+      PromptFrames.write(out, sent);
     } else if (message instanceof RoomMessage.PromptRead read) {
       out.packInt(PROMPT_READ);
       out.packLong(read.id());
@@ -50,6 +54,7 @@
       case SPEEDS -> SpeedFrames.readSpeeds(in);
       case PROMPT_REQUEST -> PromptFrames.readRequest(in);
       case PROMPT_TURN -> PromptFrames.readTurn(in);
+      case PROMPT_SENT -> PromptFrames.readSent(in);
       case PROMPT_READ -> new RoomMessage.PromptRead(in.unpackLong());
       default -> throw new IOException("unknown message type " + type);
     };
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
@@ -143,10 +143,17 @@
    * @param adapter the adapter of the request; empty for the base model alone
    * @param flow the priority and workspace of the request
    * @param gapMs the target for the longest pause between two events of a stream, in milliseconds
+   * @param inTimeMs time within which the prompt has to be sent for the answer to begin in time, in
+   *     milliseconds; 0 if it will be late in any case
    * @param options the engines of the coordinator that can serve the request, the preferred first
    */
   record PromptRequest(
-      long id, Optional<AdapterName> adapter, Flow flow, long gapMs, List<PromptOption> options)
+      long id,
+      Optional<AdapterName> adapter,
+      Flow flow,
+      long gapMs,
+      long inTimeMs,
+      List<PromptOption> options)
       implements RoomMessage {
     /** Copies the list. */
     public PromptRequest {
@@ -171,6 +178,15 @@
    */
   record PromptTurn(long id, EndpointId endpoint, long delayMs) implements RoomMessage {}
 
+  /**
+   * A daemon reports that it sends a prompt without a turn.
+   *
+   * @param id stands for the request; unique for the daemon
+   * @param gapMs the target for the longest pause between two events of a stream, in milliseconds
+   * @param engine the engine that it is sent to, with the part that it has to read
+   */
+  record PromptSent(long id, long gapMs, PromptOption engine) implements RoomMessage {}
+
   /**
    * A daemon reports that a prompt was read, or that it does not need its turn any more.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.DataCentreId;
+import io.sequoiapass.gateway.connection.LinkFrames;
 import java.util.List;
 
 /** Creates the modules of a coordinator. */
@@ -26,7 +27,13 @@
     return List.of(
         new MemberUpdates(),
         io.parts(),
-        new PromptTurns(plan, directory, io.clock()),
+        new PromptTurns(
+            plan,
+            endpoint -> directory.tokensPerMs(endpoint, io.clock().millis()),
+            (daemon, turn) -> daemon.channel.send(LinkFrames.encode(turn)),
+            io.clock(),
+            io.log(),
+            io.metrics()),
         new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()),
         new ShortageMonitor(io.log(), directory, plan, loadQueue));
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -206,6 +206,13 @@
     return Optional.ofNullable(known.get(endpoint)).map(entry -> group(entry.service()));
   }
 
+  /** Returns the prompt reading speed of an engine, in tokens per millisecond. */
+  double tokensPerMs(EndpointId endpoint, long now) {
+    return groupOf(endpoint)
+        .map(group -> group.tokensPerMs(endpoint, now))
+        .orElse(EndpointGroup.FIRST_TOKENS_PER_MS);
+  }
+
   /** Returns the groups. */
   List<EndpointGroup> groups() {
     return List.copyOf(groups.values());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
@@ -108,6 +108,8 @@
    * @param adapter the adapter; empty for the base model alone
    * @param flow the priority and workspace of the request
    * @param gapMs the target for the longest pause between two events, in milliseconds
+   * @param inTimeMs time within which the prompt has to be sent to be answered in time, in
+   *     milliseconds
    * @param options the engines that can serve the request, the preferred first
    * @param listener receives the reply
    * @return stands for the request; empty if there is no coordinator
@@ -117,11 +119,13 @@
       Optional<AdapterName> adapter,
       Flow flow,
       long gapMs,
+      long inTimeMs,
       List<RoomMessage.PromptOption> options,
       Listener listener) {
     long id = ids.incrementAndGet();
     asked.put(id, new Asked(dataCentre, listener));
-    LinkMessage request = new RoomMessage.PromptRequest(id, adapter, flow, gapMs, options);
+    LinkMessage request =
+        new RoomMessage.PromptRequest(id, adapter, flow, gapMs, inTimeMs, options);
     if (links.send(dataCentre, request)) {
       return OptionalLong.of(id);
     }
@@ -129,6 +133,20 @@
     return OptionalLong.empty();
   }
 
+  /**
+   * Reports that a prompt is sent without a turn, so that others are not sent there at once.
+   *
+   * @param dataCentre the data centre of the engine
+   * @param gapMs the target for the longest pause between two events, in milliseconds
+   * @param engine the engine, with the part of the prompt that it has to read
+   * @return stands for the request; empty if there is no coordinator
+   */
+  public OptionalLong sent(DataCentreId dataCentre, long gapMs, RoomMessage.PromptOption engine) {
+    long id = ids.incrementAndGet();
+    boolean isReported = links.send(dataCentre, new RoomMessage.PromptSent(id, gapMs, engine));
+    return isReported ? OptionalLong.of(id) : OptionalLong.empty();
+  }
+
   /**
    * Reports that a prompt was read, or that the request does not need its turn any more.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -25,8 +26,12 @@
  * as long as a chunk while there is a prompt to read. The load is several long prompts that meet at
  * one engine: all its streams pause until the last of them is read. An engine therefore gets
  * prompts in batches that are read within a share of the target for pauses, and a short break
- * between two batches, in which streams make progress. Prompts that wait go by priority, then by
- * arrival. Not safe for use by several threads.
+ * between two batches, in which streams make progress.
+ *
+ * <p>Prompts that wait go by priority, then by arrival. Under a steady stream of urgent prompts the
+ * others would wait until they are late, so they move up as the time runs out in which they can be
+ * in time. At most every other turn at an engine goes to one of them while more urgent ones wait,
+ * which therefore keep half of it. Not safe for use by several threads.
  *
  * @param <K> identifies a request
  */
@@ -35,6 +40,9 @@
   /** Share of the target for pauses in which one batch is read. */
   private static final double BATCH_SHARE = 0.75;
 
+  /** Unscheduled reading up to this share of the target for pauses does not make an engine busy. */
+  private static final double IDLE_SHARE = 0.1;
+
   /** Break between two batches, in milliseconds: a few steps of an engine. */
   static final long BREAK_MS = 12;
 
@@ -48,21 +56,48 @@
   private static final int MAX_WAITING = 10_000;
 
   private final ToDoubleFunction<EndpointId> tokensPerMs;
+  private final UnscheduledPrompts<?> unscheduled;
+  private final Listener listener;
   private final Map<EndpointId, Batch<K>> batches = new HashMap<>();
-  private final Map<K, Waiting> waiting = new HashMap<>();
+  private final Map<K, Waiting<K>> waiting = new HashMap<>();
   private final Map<K, EndpointId> turns = new HashMap<>();
   private long arrivals;
 
+  /** Receives what operators need to know. */
+  interface Listener {
+
+    /**
+     * Called when turns ended because they were not reported as read in time.
+     *
+     * @param endpoint the engine
+     * @param count number of turns
+     * @param tokens the tokens that the engine had to read for them
+     */
+    void expired(EndpointId endpoint, int count, long tokens);
+
+    /**
+     * Called when all prompts of a batch were read.
+     *
+     * @param readMs how long they take to read, in milliseconds
+     */
+    void batchRead(long readMs);
+  }
+
   /**
    * A request for a turn.
    *
    * @param adapter its adapter; empty for the base model alone
    * @param flow its priority and workspace
    * @param gapMs the target for pauses of streams, in milliseconds
+   * @param inTimeMs time within which it has to be sent to be answered in time, in milliseconds
    * @param options the engines that can serve it, the preferred first; not empty
    */
   record Request(
-      Optional<AdapterName> adapter, Flow flow, long gapMs, List<PromptOption> options) {}
+      Optional<AdapterName> adapter,
+      Flow flow,
+      long gapMs,
+      long inTimeMs,
+      List<PromptOption> options) {}
 
   /**
    * A turn.
@@ -73,9 +108,28 @@
    */
   record Turn<K>(K key, EndpointId endpoint, long delayMs) {}
 
-  private record Waiting(Request request, long arrival) {}
+  private record Waiting<K>(K key, Request request, long arrival, long askedAt) {
 
-  private record Unread(double readMs, long expiresAt) {}
+    private int priority() {
+      return request.flow().priority();
+    }
+
+    /**
+     * Returns its place among the priorities. It moves up step by step, and is as urgent as any in
+     * the last gap between two batches; if it is late in any case, it has its own priority.
+     */
+    private int rank(long now) {
+      long leftMs = request.inTimeMs() - (now - askedAt);
+      if (leftMs <= 0) {
+        return priority();
+      }
+      long lastMs = Math.min(request.gapMs(), request.inTimeMs() / 2);
+      double leftShare = (double) (leftMs - lastMs) / (request.inTimeMs() - lastMs);
+      return (int) Math.ceil(priority() * Math.max(0, leftShare));
+    }
+  }
+
+  private record Unread(long tokens, double readMs, long expiresAt) {}
 
   /** The prompts that one engine reads without a break. */
   private static final class Batch<K> {
@@ -84,21 +138,24 @@
     private double unreadMs;
     private long gapMs = Long.MAX_VALUE;
     private long opensAt;
+    private boolean lastMovedUp;
 
-    private boolean canTake(double readMs, long otherGapMs) {
-      return unread.isEmpty() || totalMs + readMs <= BATCH_SHARE * Math.min(gapMs, otherGapMs);
+    private boolean canTake(double readMs, double unscheduledMs, long otherGapMs) {
+      boolean idle = unread.isEmpty() && unscheduledMs <= IDLE_SHARE * otherGapMs;
+      return idle || totalMs + unscheduledMs + readMs <= BATCH_SHARE * Math.min(gapMs, otherGapMs);
     }
 
     private double finishMs(double readMs, long now) {
       return Math.max(0, opensAt - now) + unreadMs + readMs;
     }
 
-    private void add(K key, double readMs, long otherGapMs, long now) {
+    private void add(K key, PromptOption option, double readMs, long otherGapMs, long now) {
       totalMs += readMs;
       unreadMs += readMs;
       gapMs = Math.min(gapMs, otherGapMs);
       long expectedMs = (long) (EXPIRY_RATIO * finishMs(0, now));
-      unread.put(key, new Unread(readMs, now + Math.max(MIN_EXPIRY_MS, expectedMs)));
+      long expiresAt = now + Math.max(MIN_EXPIRY_MS, expectedMs);
+      unread.put(key, new Unread(Math.max(0, option.tokens()), readMs, expiresAt));
     }
 
     private void remove(K key, long now) {
@@ -119,9 +176,16 @@
    * Creates a schedule without requests.
    *
    * @param tokensPerMs returns the reading speed of an engine, in tokens per millisecond
+   * @param unscheduled prompts that engines got otherwise
+   * @param listener receives what operators need to know
    */
-  PromptSchedule(ToDoubleFunction<EndpointId> tokensPerMs) {
+  PromptSchedule(
+      ToDoubleFunction<EndpointId> tokensPerMs,
+      UnscheduledPrompts<?> unscheduled,
+      Listener listener) {
     this.tokensPerMs = tokensPerMs;
+    this.unscheduled = unscheduled;
+    this.listener = listener;
   }
 
   /** Adds a request; returns its turn if it can be given now. */
@@ -129,13 +193,22 @@
     if (waiting.size() >= MAX_WAITING) {
       return Optional.of(new Turn<>(key, request.options().get(0).endpoint(), 0));
     }
-    Optional<Turn<K>> turn = give(key, request, now);
+    Waiting<K> asked = new Waiting<>(key, request, arrivals++, now);
+    Optional<Turn<K>> turn = give(asked, false, now);
     if (turn.isEmpty()) {
-      waiting.put(key, new Waiting(request, arrivals++));
+      waiting.put(key, asked);
     }
     return turn;
   }
 
+  /** Adds a prompt that was sent without a turn: it is read in the current batch of its engine. */
+  void sent(K key, PromptOption engine, long gapMs, long now) {
+    waiting.remove(key);
+    end(key, now);
+    batch(engine.endpoint()).add(key, engine, readMs(engine), gapMs, now);
+    turns.put(key, engine.endpoint());
+  }
+
   /** Ends a turn, or the wait for one; returns the turns that can be given now. */
   List<Turn<K>> read(K key, long now) {
     waiting.remove(key);
@@ -152,18 +225,40 @@
 
   /** Ends the turns that were not reported as read in time; called several times a second. */
   List<Turn<K>> expire(long now) {
+    batches.forEach((endpoint, batch) -> expire(endpoint, batch, now));
+    batches.values().removeIf(batch -> batch.unread.isEmpty() && batch.opensAt < now);
+    return giveWaiting(now);
+  }
+
+  private void expire(EndpointId endpoint, Batch<K> batch, long now) {
     List<K> expired = new ArrayList<>();
-    for (Batch<K> batch : batches.values()) {
-      batch.unread.forEach(
-          (key, unread) -> {
-            if (unread.expiresAt() < now) {
-              expired.add(key);
-            }
+    long tokens = 0;
+    for (Map.Entry<K, Unread> entry : batch.unread.entrySet()) {
+      if (entry.getValue().expiresAt() < now) {
+        expired.add(entry.getKey());
+        tokens += entry.getValue().tokens();
+      }
+    }
+    if (!expired.isEmpty()) {
+      expired.forEach(
+          key -> {
+            turns.remove(key);
+            batch.remove(key, now);
           });
+      listener.expired(endpoint, expired.size(), tokens);
     }
-    expired.forEach(key -> end(key, now));
-    batches.values().removeIf(batch -> batch.unread.isEmpty() && batch.opensAt < now);
-    return giveWaiting(now);
+  }
+
+  /** Returns the tokens that an engine has to read for the requests that match. */
+  long unreadTokens(EndpointId endpoint, Predicate<K> matches) {
+    Batch<K> batch = batches.get(endpoint);
+    long sum = 0;
+    if (batch != null) {
+      for (Map.Entry<K, Unread> entry : batch.unread.entrySet()) {
+        sum += matches.test(entry.getKey()) ? entry.getValue().tokens() : 0;
+      }
+    }
+    return sum;
   }
 
   /** Returns the requests that wait. */
@@ -181,46 +276,94 @@
   private void end(K key, long now) {
     EndpointId endpoint = turns.remove(key);
     if (endpoint != null) {
-      batches.get(endpoint).remove(key, now);
+      Batch<K> batch = batches.get(endpoint);
+      long totalMs = Math.round(batch.totalMs);
+      batch.remove(key, now);
+      if (batch.unread.isEmpty()) {
+        listener.batchRead(totalMs);
+      }
     }
   }
 
-  private List<Turn<K>> giveWaiting(long now) {
-    if (waiting.isEmpty()) {
+  /** Gives turns to waiting requests; called whenever an engine may have become free. */
+  List<Turn<K>> giveWaiting(long now) {
+    List<Waiting<K>> inOrder = waitingForOpenEngines();
+    if (inOrder.isEmpty()) {
       return List.of();
     }
-    List<Map.Entry<K, Waiting>> inOrder = new ArrayList<>(waiting.entrySet());
     inOrder.sort(
-        Comparator.comparingInt(
-                (Map.Entry<K, Waiting> entry) -> entry.getValue().request().flow().priority())
-            .thenComparingLong(entry -> entry.getValue().arrival()));
+        Comparator.comparingInt((Waiting<K> one) -> one.rank(now))
+            .thenComparingLong(Waiting::arrival));
     List<Turn<K>> given = new ArrayList<>();
-    for (Map.Entry<K, Waiting> entry : inOrder) {
-      give(entry.getKey(), entry.getValue().request(), now).ifPresent(given::add);
+    List<Waiting<K>> heldBack = new ArrayList<>();
+    for (Waiting<K> one : inOrder) {
+      boolean movedUp = one.rank(now) < one.priority();
+      Optional<Turn<K>> turn = give(one, movedUp, now);
+      turn.ifPresent(given::add);
+      if (movedUp && turn.isEmpty()) {
+        heldBack.add(one);
+      }
     }
+    // They get the room that no more urgent request could take.
+    heldBack.forEach(one -> give(one, false, now).ifPresent(given::add));
     given.forEach(turn -> waiting.remove(turn.key()));
     return given;
   }
 
+  /** Under overload most engines are full, and many requests wait; the others are not sorted. */
+  private List<Waiting<K>> waitingForOpenEngines() {
+    long fewestTokens = Long.MAX_VALUE;
+    for (Waiting<K> one : waiting.values()) {
+      for (PromptOption option : one.request().options()) {
+        fewestTokens = Math.min(fewestTokens, option.tokens());
+      }
+    }
+    long shortest = fewestTokens;
+    Function<EndpointId, Boolean> isOpen = endpoint -> isOpen(endpoint, shortest);
+    Map<EndpointId, Boolean> open = new HashMap<>();
+    List<Waiting<K>> found = new ArrayList<>();
+    for (Waiting<K> one : waiting.values()) {
+      for (PromptOption option : one.request().options()) {
+        if (open.computeIfAbsent(option.endpoint(), isOpen)) {
+          found.add(one);
+          break;
+        }
+      }
+    }
+    return found;
+  }
+
   /** Gives a turn at the engine that finishes first, if there is one that can take the prompt. */
-  private Optional<Turn<K>> give(K key, Request request, long now) {
+  private Optional<Turn<K>> give(Waiting<K> one, boolean movedUp, long now) {
+    long gapMs = one.request().gapMs();
     PromptOption best = null;
     double bestMs = Double.MAX_VALUE;
-    for (PromptOption option : request.options()) {
+    for (PromptOption option : one.request().options()) {
       Batch<K> batch = batch(option.endpoint());
-      double readMs = readMs(option);
-      if (batch.canTake(readMs, request.gapMs()) && batch.finishMs(readMs, now) < bestMs) {
+      double speed = tokensPerMs.applyAsDouble(option.endpoint());
+      double otherMs = unscheduled.unreadMs(option.endpoint(), speed, now);
+      double readMs = Math.max(0, option.tokens()) / speed;
+      double finishMs = otherMs + batch.finishMs(readMs, now);
+      boolean allowed = !(movedUp && batch.lastMovedUp) && batch.canTake(readMs, otherMs, gapMs);
+      if (allowed && finishMs < bestMs) {
         best = option;
-        bestMs = batch.finishMs(readMs, now);
+        bestMs = finishMs;
       }
     }
     if (best == null) {
       return Optional.empty();
     }
     Batch<K> batch = batch(best.endpoint());
-    batch.add(key, readMs(best), request.gapMs(), now);
-    turns.put(key, best.endpoint());
-    return Optional.of(new Turn<>(key, best.endpoint(), Math.max(0, batch.opensAt - now)));
+    batch.add(one.key(), best, readMs(best), gapMs, now);
+    batch.lastMovedUp = movedUp;
+    turns.put(one.key(), best.endpoint());
+    return Optional.of(new Turn<>(one.key(), best.endpoint(), Math.max(0, batch.opensAt - now)));
+  }
+
+  private boolean isOpen(EndpointId endpoint, long tokens) {
+    Batch<K> batch = batches.get(endpoint);
+    return batch == null
+        || batch.canTake(readMs(new PromptOption(endpoint, tokens)), 0, Long.MAX_VALUE);
   }
 
   private double readMs(PromptOption option) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongConsumer;
 
 /**
  * The turn of one request to have its prompt read.
@@ -40,21 +41,38 @@
   private final PromptGate gate;
   private final EndpointGroup group;
   private final RouteSpec route;
-  private final RelayedRequest request;
+  private final RequestOrigin origin;
+  private final LongConsumer dispatchIn;
   private OptionalLong id = OptionalLong.empty();
   private DataCentreId dataCentre;
   private List<Candidate> options = List.of();
   private int asks;
   private long until;
   private boolean used;
+  private boolean sentWithoutTurn;
   private volatile EndpointId given;
   private volatile boolean lost;
 
-  PromptWait(PromptGate gate, EndpointGroup group, RouteSpec route, RelayedRequest request) {
+  /**
+   * Creates a wait that has not begun.
+   *
+   * @param gate asks coordinators
+   * @param group the engines
+   * @param route the request's route
+   * @param origin when the request arrived
+   * @param dispatchIn dispatches the request after a time, in milliseconds; called by any thread
+   */
+  PromptWait(
+      PromptGate gate,
+      EndpointGroup group,
+      RouteSpec route,
+      RequestOrigin origin,
+      LongConsumer dispatchIn) {
     this.gate = gate;
     this.group = group;
     this.route = route;
-    this.request = request;
+    this.origin = origin;
+    this.dispatchIn = dispatchIn;
   }
 
   /**
@@ -72,12 +90,12 @@
       return reply(choice, now);
     }
     double readMs = readMs(choice.candidate(), demand, now);
-    boolean asking =
-        asks < MAX_ASKS
-            && route.streams()
-            && gate.needsTurn(readMs, route.gapTargetMs())
-            && ask(choice, demand, now);
-    return asking ? Optional.empty() : Optional.of(choice);
+    boolean needed = route.streams() && gate.needsTurn(readMs, route.gapTargetMs());
+    if (needed && asks < MAX_ASKS && ask(choice, demand, readMs, now)) {
+      return Optional.empty();
+    }
+    sentWithoutTurn = needed;
+    return Optional.of(choice);
   }
 
   private Optional<Choice.Send> reply(Choice.Send choice, long now) {
@@ -96,10 +114,12 @@
     }
     gate.count(lost ? "lost" : "waited_out");
     end();
+    asks = MAX_ASKS;
+    sentWithoutTurn = true;
     return Optional.of(choice);
   }
 
-  private boolean ask(Choice.Send choice, Demand demand, long now) {
+  private boolean ask(Choice.Send choice, Demand demand, double readMs, long now) {
     asks++;
     given = null;
     lost = false;
@@ -107,22 +127,25 @@
     options = group.alternatives(choice.candidate(), demand, now);
     long waitMs = Math.min(MAX_WAIT_TARGETS * route.targetMs(), demand.remainingMs() / 2);
     until = now + waitMs;
+    long inTimeMs = route.targetMs() - origin.waitedMs(now) - Math.round(readMs);
     List<RoomMessage.PromptOption> asked = new ArrayList<>();
-    options.forEach(
-        candidate ->
-            asked.add(
-                new RoomMessage.PromptOption(candidate.endpoint(), unread(candidate, demand))));
+    options.forEach(candidate -> asked.add(option(candidate, demand)));
     id =
         gate.ask(
             dataCentre,
             demand.generation().flatMap(Generation::adapter),
             flow(demand),
             route.gapTargetMs(),
+            Math.max(0, Math.min(waitMs, inTimeMs)),
             asked,
             this);
     return id.isPresent();
   }
 
+  private static RoomMessage.PromptOption option(Candidate candidate, Demand demand) {
+    return new RoomMessage.PromptOption(candidate.endpoint(), unread(candidate, demand));
+  }
+
   /** Engines admit by priority, too, whether there are workspaces or not. */
   private Flow flow(Demand demand) {
     Flow flow = demand.flow();
@@ -146,15 +169,27 @@
     wait.start(WaitTimes.Kind.TURN, now, Math.max(1, until - now));
   }
 
-  /** Records that the request is sent: its turn ends once the prompt is read. */
-  void sent(EndpointTicket ticket) {
-    if (used && id.isPresent()) {
+  /**
+   * Records that the request is sent: its turn ends once the prompt is read. A prompt that is sent
+   * without a turn is reported, since it delays the streams of its engine just as well.
+   *
+   * @param ticket tracks the request
+   * @param engine the engine that it is sent to
+   * @param demand the requirements of the request
+   */
+  void sent(EndpointTicket ticket, Candidate engine, Demand demand) {
+    if (sentWithoutTurn) {
+      dataCentre = engine.dataCentre();
+      id = gate.sent(dataCentre, route.gapTargetMs(), option(engine, demand));
+    }
+    if ((used || sentWithoutTurn) && id.isPresent()) {
       long turn = id.getAsLong();
       DataCentreId asked = dataCentre;
       id = OptionalLong.empty();
-      used = false;
       ticket.onRead(() -> gate.read(asked, turn));
     }
+    used = false;
+    sentWithoutTurn = false;
   }
 
   /** Ends the turn, or the wait for one. */
@@ -164,17 +199,18 @@
       id = OptionalLong.empty();
     }
     used = false;
+    sentWithoutTurn = false;
   }
 
   @Override
   public void given(EndpointId endpoint, long delayMs) {
     given = endpoint;
-    request.dispatchIn(delayMs);
+    dispatchIn.accept(delayMs);
   }
 
   @Override
   public void lost() {
     lost = true;
-    request.dispatchIn(0);
+    dispatchIn.accept(0);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -100,7 +100,7 @@
     this.parts = new PromptParts(context.crashes(), service, facts.generation());
     this.binding = new StreamBinding(context.streams(), service, route, facts, origin);
     this.finished = finished;
-    this.prompt = new PromptWait(context.prompts(), group, route, this);
+    this.prompt = new PromptWait(context.prompts(), group, route, origin, this::dispatchIn);
     this.wait = new RequestWait(context, group, adapter, this);
     this.responseTimer = new ResponseTimer(context.loop());
     this.requestLog = new RequestLog(context, route, facts, access, !origin.mayUsePeers());
@@ -255,7 +255,7 @@
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, RETRY_AFTER_MS));
       return;
     }
-    prompt.sent(ticket.get());
+    prompt.sent(ticket.get(), choice.candidate(), demand);
     context.peers().path().sent();
     requestLog.sent(choice, ticket.get(), attempts, response.lastEvent(), origin, now);
     HttpCall call = forward.to(target.get(), demand.remainingMs(), response.lastEvent());
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -131,8 +131,10 @@
             Optional.of(ADAPTER),
             FLOW,
             500,
+            800,
             List.of(new RoomMessage.PromptOption(ENGINE, 9_190))),
         new RoomMessage.PromptTurn(7, ENGINE, 12),
+        new RoomMessage.PromptSent(8, 500, new RoomMessage.PromptOption(ENGINE, 9_190)),
         new RoomMessage.PromptRead(7));
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -136,6 +136,13 @@
       assertThat(sentTo(choose(demand(600, 70), 4_200))).isEqualTo("e2");
     }
 
+    @Test
+    void isTakenToReadPromptsMoreSlowly() {
+      double speed = group.tokensPerMs(id("e1"), 4_200);
+
+      assertThat(speed).isLessThan(group.tokensPerMs(id("e2"), 4_200) / 2);
+    }
+
     @Test
     void isTriedAgainAfterAWhile() {
       assertThat(sentTo(choose(demand(600, 70), 40_000))).isEqualTo("e1");
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptGateTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptGateTest.java
@@ -48,6 +48,7 @@
         Optional.empty(),
         PlanFixtures.FLOW,
         500,
+        800,
         List.of(new RoomMessage.PromptOption(ENGINE, 9_190)),
         request);
   }
