Count losses by priority and workspace in explain

Operators saw losses by route and second only, and no column counted requests that were late for the turn of their prompt. Ended lines state the priority; the tables have a column for turns.

--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/LossReport.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/LossReport.java
@@ -9,11 +9,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
  * Report on late and failed requests, built from the decision logs of all daemons: by reason, with
- * example request ids, by route and by second of arrival.
+ * example request ids, by route, priority, workspace and second of arrival.
  *
  * <pre>{@code
  * LossReport report = new LossReport();
@@ -71,7 +72,9 @@
         traces.size(),
         traces.size() - ended.size());
     printReasons(out, ended);
-    printRoutes(out, ended);
+    printBy(out, ended, "route", RequestTrace::route);
+    printBy(out, ended, "priority", RequestTrace::priority);
+    printBy(out, ended, "workspace", RequestTrace::workspace);
     printSeconds(out, ended);
     printFirstEvents(out, ended);
     out.printf("orders: %s%n", orders);
@@ -103,12 +106,12 @@
     out.println();
   }
 
-  private static void printRoutes(PrintStream out, List<RequestTrace> ended) {
-    Map<String, List<RequestTrace>> routes =
-        ended.stream()
-            .collect(Collectors.groupingBy(RequestTrace::route, TreeMap::new, Collectors.toList()));
-    header(out, "route");
-    routes.forEach((route, traces) -> row(out, route, traces));
+  private static void printBy(
+      PrintStream out, List<RequestTrace> ended, String what, Function<RequestTrace, String> key) {
+    Map<String, List<RequestTrace>> groups =
+        ended.stream().collect(Collectors.groupingBy(key, TreeMap::new, Collectors.toList()));
+    header(out, what);
+    groups.forEach((name, traces) -> row(out, name, traces));
     out.println();
   }
 
@@ -128,12 +131,13 @@
 
   private static void header(PrintStream out, String what) {
     out.printf(
-        "%-28s %8s %8s %6s %6s %6s %8s %6s %6s %6s%n",
+        "%-28s %8s %8s %6s %6s %6s %6s %8s %6s %6s %6s%n",
         what,
         "requests",
         "in time",
         "place",
         "load",
+        "turn",
         "again",
         "endpoint",
         "pause",
@@ -146,12 +150,13 @@
         traces.stream().collect(Collectors.groupingBy(Loss::of, Collectors.counting()));
     out.printf(
         Locale.ROOT,
-        "%-28s %8d %7.1f%% %6d %6d %6d %8d %6d %6d %6d%n",
+        "%-28s %8d %7.1f%% %6d %6d %6d %6d %8d %6d %6d %6d%n",
         name,
         traces.size(),
         PERCENT * count(losses, Loss.NONE) / traces.size(),
         count(losses, Loss.SLOT),
         count(losses, Loss.LOAD),
+        count(losses, Loss.TURN),
         count(losses, Loss.RETRIED),
         count(losses, Loss.SLOW_ENDPOINT) + count(losses, Loss.BUSY_ENDPOINT),
         count(losses, Loss.PAUSED),
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.daemon.process.explain;
 
+import java.util.Optional;
+
 /**
  * Trace of one request, built from its decision log entries.
  *
@@ -51,6 +53,16 @@
     return end.text("route");
   }
 
+  /** Returns the priority, or a dash if it is unknown. */
+  String priority() {
+    return end.has("priority") ? end.text("priority") : "-";
+  }
+
+  /** Returns the workspace, or a dash if there is none. */
+  String workspace() {
+    return end.text("workspace").isEmpty() ? "-" : end.text("workspace");
+  }
+
   /** Returns the arrival time, in milliseconds of the wall clock. */
   long arrivedAt() {
     return end.number("time_ms") - end.number("took_ms");
@@ -68,6 +80,11 @@
         : "";
   }
 
+  /** Returns the entry of the refusal if a shortage caused it. */
+  Optional<DecisionLine> cut() {
+    return Optional.of(end).filter(line -> line.has("shortage"));
+  }
+
   boolean isStream() {
     return end.number("first_ms") >= 0;
   }
@@ -84,7 +101,17 @@
   }
 
   boolean hasLongPause() {
-    return isStream() && end.number("pause_ms") > end.number("gap_ms");
+    return isStream() && pauseMs() > gapTargetMs();
+  }
+
+  /** Returns the longest pause between two events, in milliseconds. */
+  long pauseMs() {
+    return end.number("pause_ms");
+  }
+
+  /** Returns the target for the longest pause, in milliseconds. */
+  long gapTargetMs() {
+    return end.number("gap_ms");
   }
 
   long slotWaitMs() {
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/explain/LossReportTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/explain/LossReportTest.java
@@ -111,6 +111,16 @@
       assertReason("refused: OVERLOADED, short of engine_time, shortage 3 of north");
     }
 
+    @Test
+    void isCountedByPriorityAndWorkspace() {
+      ended("r1", "refused_OVERLOADED", "\"took_ms\":0,\"priority\":2,\"workspace\":\"yards\"");
+      ended("r2", "refused_OVERLOADED", "\"took_ms\":0,\"priority\":2,\"workspace\":\"\"");
+
+      assertThat(printed())
+          .containsPattern("priority .*refuse.*\\R2 +2 +0.0%.* 2 +0\\R")
+          .containsPattern("workspace .*refuse.*\\R- +1 .*\\Ryards +1 +0.0%.* 1 +0\\R");
+    }
+
     @Test
     void isClassifiedByWhenTheCallerLeft() {
       ended("r1", "caller_left", "\"took_ms\":3000,\"first_ms\":-1");
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.process.Candidate;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.EndpointTicket;
@@ -28,6 +29,7 @@
   private final String requestId;
   private final String adapter;
   private final String workspace;
+  private final int priority;
   private final String resumes;
   private final Optional<Generation> generation;
 
@@ -45,6 +47,8 @@
     this.generation = facts.generation();
     this.adapter =
         facts.generation().flatMap(Generation::adapter).map(AdapterName::toString).orElse("");
+    Flow flow = access.flow(route);
+    this.priority = flow.workspace().isPresent() ? flow.priority() : route.priority();
     this.workspace = access.identity().workspace().map(WorkspaceId::toString).orElse("");
   }
 
@@ -250,6 +254,7 @@
         .with("route", route.name())
         .with("adapter", adapter)
         .with("workspace", workspace)
+        .with("priority", priority)
         .with("outcome", outcome)
         .with("status", status)
         .with("took_ms", times.tookMs())
