--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -485,7 +485,7 @@
     if (linked != null && linked.daemon != null) {
       loadQueue.unlinked(linked);
       plan.removeDaemon(linked.daemon);
-      modules.forEach(module -> module.unlinked(linked.daemon, clock.millis()));
+      modules.forEach(module -> module.unlinked(linked, clock.millis()));
       permits.remove(linked.daemon);
       usage.lost(linked.daemon, clock.millis());
       log.event("daemon_unlinked").with("peer", linked.daemon).write();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -206,6 +206,13 @@
     return Optional.ofNullable(known.get(endpoint)).map(entry -> group(entry.service()));
   }
 
+  /** Returns the speed at which an engine reads a prompt alone, in tokens per millisecond. */
+  double readingTokensPerMs(EndpointId endpoint, long now) {
+    return groupOf(endpoint)
+        .map(group -> group.readingTokensPerMs(endpoint, now))
+        .orElse(EndpointGroup.FIRST_TOKENS_PER_MS);
+  }
+
   /** Returns the groups. */
   List<EndpointGroup> groups() {
     return List.copyOf(groups.values());
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptCopiesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptCopiesTest.java
@@ -18,7 +18,7 @@
 
   private static PromptSchedule.Request request(int adapter, PromptOption... options) {
     return new PromptSchedule.Request(
-        Optional.of(PlanFixtures.adapter(adapter)), PlanFixtures.FLOW, 500, List.of(options));
+        Optional.of(PlanFixtures.adapter(adapter)), PlanFixtures.FLOW, 500, 800, List.of(options));
   }
 
   private static List<PromptSchedule.Request> requests(int count, PromptOption... options) {
