Wait for turns no longer than a quarter of the target

A turn serves the pauses of others; it may cost a caller what it can spare. What waits longer is sent without a turn and reported, so that its engine gets no other meanwhile.

PromptWaitTest and PromptCopiesTest, 8 of 8.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -32,8 +32,11 @@
    */
   private static final double CACHED_SHARE = 0.5;
 
-  /** Longest wait for a turn, as a multiple of the route's target latency. */
-  private static final long MAX_WAIT_TARGETS = 2;
+  /**
+   * Longest wait of a request for its turns, as a share of the route's target latency: what can
+   * wait longer than that has become late for the sake of others' pauses.
+   */
+  private static final double MAX_WAIT_SHARE = 0.25;
 
   /** Maximum number of turns that one request asks for. */
   private static final int MAX_ASKS = 3;
@@ -135,8 +138,10 @@
     lost = false;
     dataCentre = choice.candidate().dataCentre();
     options = group.alternatives(choice.candidate(), demand, now);
-    long waitMs = Math.min(MAX_WAIT_TARGETS * route.targetMs(), demand.remainingMs() / 2);
-    until = now + waitMs;
+    if (asks == 1) {
+      until =
+          now + Math.min(Math.round(MAX_WAIT_SHARE * route.targetMs()), demand.remainingMs() / 2);
+    }
     double readMs = unread(choice.candidate(), demand) / group.usualReadingTokensPerMs();
     long inTimeMs = route.targetMs() - origin.waitedMs(now) - Math.round(readMs);
     List<RoomMessage.PromptOption> asked = new ArrayList<>();
@@ -147,7 +152,7 @@
             demand.generation().flatMap(Generation::adapter),
             flow(demand),
             route.gapTargetMs(),
-            Math.max(0, Math.min(waitMs, inTimeMs)),
+            Math.max(0, inTimeMs),
             asked,
             this);
     return id.isPresent();
