--- a/testbed/src/main/java/io/sequoiapass/testbed/proxy/FaultProxy.java
+++ b/testbed/src/main/java/io/sequoiapass/testbed/proxy/FaultProxy.java
@@ -22,6 +22,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -47,6 +49,7 @@
   private final InetSocketAddress target;
   private final List<ProxyLink> links = new ArrayList<>();
   private final Map<InetAddress, ProxyFault> faultsBySource = new HashMap<>();
+  private final Map<Integer, InetAddress> sources = new ConcurrentHashMap<>();
   private ProxyFault fault = ProxyFault.none();
   private Channel listening;
 
@@ -135,6 +138,16 @@
         .awaitUninterruptibly();
   }
 
+  /**
+   * Returns the address of the client whose connection is forwarded from a local port; empty if
+   * there is none.
+   *
+   * @param localPort the port that the target sees
+   */
+  public Optional<InetAddress> source(int localPort) {
+    return Optional.ofNullable(sources.get(localPort));
+  }
+
   private void applyFaults() {
     List.copyOf(links).forEach(link -> link.apply(faultOf(link.source())));
   }
@@ -152,7 +165,22 @@
     ProxyLink link = new ProxyLink(client, from.getAddress(), faultOf(from.getAddress()));
     links.add(link);
     link.onClose(() -> links.remove(link));
-    new Bootstrap()
+    ChannelFuture opening = connect(link);
+    opening.addListener(
+        done -> {
+          if (!done.isSuccess()) {
+            link.close();
+            return;
+          }
+          int localPort = ((InetSocketAddress) opening.channel().localAddress()).getPort();
+          sources.put(localPort, from.getAddress());
+          opening.channel().closeFuture().addListener(closed -> sources.remove(localPort));
+          link.start();
+        });
+  }
+
+  private ChannelFuture connect(ProxyLink link) {
+    return new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.AUTO_READ, false)
@@ -165,15 +193,7 @@
                 link.targetOpened(channel);
               }
             })
-        .connect(target)
-        .addListener(
-            done -> {
-              if (done.isSuccess()) {
-                link.start();
-              } else {
-                link.close();
-              }
-            });
+        .connect(target);
   }
 
   @Override
--- a/testbed/src/test/java/io/sequoiapass/testbed/proxy/FaultProxyTest.java
+++ b/testbed/src/test/java/io/sequoiapass/testbed/proxy/FaultProxyTest.java
@@ -10,6 +10,8 @@
 import io.sequoiapass.testbed.standin.StandInKind;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
@@ -95,6 +97,23 @@
     assertThat(through.call("POST", "/a", "").statusCode()).isEqualTo(200);
   }
 
+  @Test
+  void knowsTheSourceOfAForwardedConnection() throws Exception {
+    InetAddress source = InetAddress.getByName("127.0.0.9");
+    try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        FaultProxy forwarding = FaultProxy.start(0, Addresses.loopback(target.getLocalPort()));
+        Socket client = new Socket()) {
+      client.bind(new InetSocketAddress(source, 0));
+      client.connect(forwarding.address());
+      client.getOutputStream().write(1);
+      try (Socket accepted = target.accept()) {
+        assertThat(accepted.getInputStream().read()).isEqualTo(1);
+        assertThat(forwarding.source(accepted.getPort())).contains(source);
+        assertThat(forwarding.source(client.getLocalPort())).isEmpty();
+      }
+    }
+  }
+
   // The request runs, but its answer does not arrive while the direction from the target is cut, so
   // a caller that times out must not report "not run". After the partition heals the answer
   // arrives, as it would after a TCP retransmission.
