--- a/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/command/Command.java
@@ -137,7 +137,9 @@
   },
   /** Reports late and failed requests from decision logs. */
   EXPLAIN(
-      "FILE...", "report from daemons' decision logs which requests were late or failed, and why") {
+      "FILE... [--request ID]",
+      "report from daemons' decision logs which requests were late or failed, and why",
+      CommandFlag.REQUEST) {
     @Override
     ExitCode execute(Invocation invocation) throws CommandException, SettingsException {
       return ExplainCommand.run(invocation);
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/DecisionLine.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/DecisionLine.java
@@ -61,4 +61,10 @@
   boolean has(String field) {
     return fields.has(field) && fields.get(field).isJsonPrimitive();
   }
+
+  /** Returns the entry as JSON. */
+  @Override
+  public String toString() {
+    return fields.toString();
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/explain/RequestTrace.java
@@ -81,10 +81,15 @@
   }
 
   /** Returns the entry of the refusal if a shortage caused it. */
-  Optional<DecisionLine> cut() {
+  Optional<DecisionLine> shortageRefusal() {
     return Optional.of(end).filter(line -> line.has("shortage"));
   }
 
+  /** Returns the entry of the refusal if the usage limit of the workspace caused it. */
+  Optional<DecisionLine> usageRefusal() {
+    return Optional.of(end).filter(line -> outcome().equals("refused_USAGE_LIMIT"));
+  }
+
   boolean isStream() {
     return end.number("first_ms") >= 0;
   }
--- a/daemon/src/test/java/io/sequoiapass/daemon/process/command/ExplainCommandTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/process/command/ExplainCommandTest.java
@@ -34,6 +34,23 @@
     assertThat(run.out()).contains("2 requests").contains("refused: OVERLOADED");
   }
 
+  @Test
+  void oneRequestIsReportedAlone() throws IOException {
+    String log =
+        file(
+            "north.log",
+            """
+            {"event":"ended","request":"r1","outcome":"refused_OVERLOADED"}
+            {"event":"ended","request":"r11","outcome":"answered"}
+            """);
+
+    assertThat(CommandRun.of(Map.of(), "explain", log, "--request", "r1").out())
+        .contains("r1: refused: OVERLOADED")
+        .doesNotContain("r11");
+    assertThat(CommandRun.of(Map.of(), "explain", log, "--request", "r2").err())
+        .contains("no decision on request r2");
+  }
+
   @Test
   void unreadableFileIsReported() {
     CommandRun run = CommandRun.of(Map.of(), "explain", folder.resolve("none.log").toString());
