Weigh the way to a data centre apart from its time

Cause: a plan has to change what a crossing counts in the choice and the home of an adapter, but not the expected time of a response.

Change: candidates carry the weight, 6 ms or 0 as before; Loadable may name another home.

Ran: EndpointChooserTest, EndpointGroupTest, LoadUncertaintyTest: no failure.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Candidate.java
@@ -21,6 +21,7 @@
  * @param loadMs expected time of a load of the adapter, in milliseconds
  * @param connectionMs what a new connection to it counts against it, in milliseconds; 0 if an open
  *     one can be used
+ * @param crossingMs what the way to its data centre counts against it, in milliseconds
  */
 public record Candidate(
     EndpointId endpoint,
@@ -34,7 +35,64 @@
     boolean cachesAdapter,
     double slowdown,
     long loadMs,
-    double connectionMs) {
+    double connectionMs,
+    double crossingMs) {
+
+  /** Penalty for another data centre, in milliseconds: the round trip and the transferred bytes. */
+  static final double CROSSING_MS = 6;
+
+  /** Creates a candidate whose crossing counts as usual. */
+  public Candidate(
+      EndpointId endpoint,
+      DataCentreId dataCentre,
+      boolean near,
+      int slots,
+      Load load,
+      long memoryLimit,
+      long cachedTokens,
+      long readyInMs,
+      boolean cachesAdapter,
+      double slowdown,
+      long loadMs,
+      double connectionMs) {
+    this(
+        endpoint,
+        dataCentre,
+        near,
+        slots,
+        load,
+        memoryLimit,
+        cachedTokens,
+        readyInMs,
+        cachesAdapter,
+        slowdown,
+        loadMs,
+        connectionMs,
+        near ? 0 : CROSSING_MS);
+  }
+
+  /** Returns the same candidate with another weight of the crossing, in milliseconds. */
+  Candidate withCrossing(double newCrossingMs) {
+    return new Candidate(
+        endpoint,
+        dataCentre,
+        near,
+        slots,
+        load,
+        memoryLimit,
+        cachedTokens,
+        readyInMs,
+        cachesAdapter,
+        slowdown,
+        loadMs,
+        connectionMs,
+        newCrossingMs);
+  }
+
+  /** Returns the time of the way to its data centre, in milliseconds. */
+  double wayMs() {
+    return near ? 0 : CROSSING_MS;
+  }
 
   boolean holds() {
     return readyInMs >= 0;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointChooser.java
@@ -22,9 +22,6 @@
  */
 public final class EndpointChooser {
 
-  /** Penalty for another data centre, in milliseconds: the round trip and the transferred bytes. */
-  private static final double CROSSING_MS = 6;
-
   /** Round trip of the order for a load, in milliseconds. */
   private static final double ORDER_MS = 15;
 
@@ -129,7 +126,7 @@
       double tokensPerMs,
       long remainingMs,
       Loadable loadable) {
-    Optional<DataCentreId> home = home(generation, loadable.dataCentres());
+    Optional<DataCentreId> home = loadable.home(generation);
     ToDoubleFunction<Candidate> loadCost = c -> loadCost(c, home) + loadable.queueWaitMs(c);
     ToDoubleFunction<Candidate> cost = c -> cost(c, generation, tokensPerMs);
     List<Candidate> holders = candidates.stream().filter(Candidate::holds).toList();
@@ -197,12 +194,6 @@
     return loadMs(candidate) + transferMs + (away ? AWAY_MS : 0);
   }
 
-  private static Optional<DataCentreId> home(Generation generation, List<DataCentreId> loadable) {
-    return generation
-        .adapter()
-        .flatMap(adapter -> RendezvousHash.first(adapter.toString(), loadable));
-  }
-
   private static Choice loadOrRefuse(
       Candidate best, Loadable loadable, long expectedMs, long remainingMs) {
     long withQueueMs = expectedMs + loadable.queueWaitMs(best);
@@ -218,8 +209,17 @@
    * @param queueWaitsMs expected wait for a slot, in milliseconds, in data centres without a free
    *     one. A short wait for an engine that has the adapter cached may be better than a transfer
    *     elsewhere
+   * @param plannedHome where the adapter is to be loaded first; empty for its usual home
    */
-  public record Loadable(List<DataCentreId> dataCentres, Map<DataCentreId, Long> queueWaitsMs) {
+  public record Loadable(
+      List<DataCentreId> dataCentres,
+      Map<DataCentreId, Long> queueWaitsMs,
+      Optional<DataCentreId> plannedHome) {
+
+    /** Creates one in which each adapter has its usual home. */
+    public Loadable(List<DataCentreId> dataCentres, Map<DataCentreId, Long> queueWaitsMs) {
+      this(dataCentres, queueWaitsMs, Optional.empty());
+    }
 
     /** Copies the collections. */
     public Loadable {
@@ -227,6 +227,21 @@
       queueWaitsMs = Map.copyOf(queueWaitsMs);
     }
 
+    /** Returns the same data centres with another home of the adapter. */
+    Loadable withHome(DataCentreId home) {
+      return new Loadable(dataCentres, queueWaitsMs, Optional.of(home));
+    }
+
+    private Optional<DataCentreId> home(Generation generation) {
+      return plannedHome
+          .filter(dataCentres::contains)
+          .or(
+              () ->
+                  generation
+                      .adapter()
+                      .flatMap(name -> RendezvousHash.first(name.toString(), dataCentres)));
+    }
+
     private boolean has(DataCentreId dataCentre) {
       return dataCentres.contains(dataCentre);
     }
@@ -252,7 +267,10 @@
     Optional<Candidate> best =
         cheapest(
             candidates,
-            c -> callMs(c, unreported * uncertainty.draw(), serviceMs) + c.connectionMs());
+            c ->
+                atEndpointMs(c, unreported * uncertainty.draw(), serviceMs)
+                    + c.crossingMs()
+                    + c.connectionMs());
     if (best.isEmpty()) {
       return noEndpoint();
     }
@@ -267,9 +285,12 @@
   }
 
   private static double callMs(Candidate candidate, double unreported, double serviceMs) {
+    return atEndpointMs(candidate, unreported, serviceMs) + candidate.wayMs();
+  }
+
+  private static double atEndpointMs(Candidate candidate, double unreported, double serviceMs) {
     double running = candidate.load().running() + unreported;
-    return candidate.slowdown() * callMs(running, candidate.slots(), serviceMs)
-        + (candidate.near() ? 0 : CROSSING_MS);
+    return candidate.slowdown() * callMs(running, candidate.slots(), serviceMs);
   }
 
   /**
@@ -295,7 +316,9 @@
     double prefillMs =
         EngineCost.firstTokenMs(
             candidate.load(), uncachedTokens(candidate, generation), tokensPerMs);
-    return candidate.slowdown() * prefillMs + overhead(candidate, generation, tokensPerMs);
+    return candidate.slowdown() * prefillMs
+        + overhead(candidate, generation, tokensPerMs)
+        + candidate.wayMs();
   }
 
   private static double cost(Candidate candidate, Generation generation, double tokensPerMs) {
@@ -305,7 +328,9 @@
             uncachedTokens(candidate, generation),
             generation.expectedOutputTokens(),
             tokensPerMs);
-    return candidate.slowdown() * engineMs + overhead(candidate, generation, tokensPerMs);
+    return candidate.slowdown() * engineMs
+        + overhead(candidate, generation, tokensPerMs)
+        + candidate.crossingMs();
   }
 
   private static long uncachedTokens(Candidate candidate, Generation generation) {
@@ -315,8 +340,7 @@
   private static double overhead(Candidate candidate, Generation generation, double tokensPerMs) {
     double backlogMs = candidate.load().prefillTokens() / tokensPerMs;
     return Math.max(0, candidate.readyInMs() - backlogMs)
-        + (isFull(candidate, generation) ? FULL_MS : 0)
-        + (candidate.near() ? 0 : CROSSING_MS);
+        + (isFull(candidate, generation) ? FULL_MS : 0);
   }
 
   private static boolean isFull(Candidate candidate, Generation generation) {
