Route requests by the shares that coordinators state

Change: message SpillShares (frame type 26). Daemons keep the last statement of each coordinator for 1.2 s and draw a place by the adapter's hash, or at random without one. No share in force or no endpoint in the place: the choice is as before.

Ran: SpillRoutesTest, LinkFramesTest and SpillLoadTest, no failure. Mutant "shares never lapse": 2 tests of SpillRoutesTest fail.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
@@ -14,6 +14,7 @@
   private static final int PROMPT_REQUEST = 22;
   private static final int PROMPT_TURN = 23;
   private static final int PROMPT_READ = 24;
+  private static final int SPILL_SHARES = 26;
 
   private RoomFrames() {}
 
@@ -39,6 +40,9 @@
     } else if (message instanceof RoomMessage.PromptRead read) {
       out.packInt(PROMPT_READ);
       out.packLong(read.id());
+    } else if (message instanceof RoomMessage.SpillShares shares) {
+      out.packInt(SPILL_SHARES);
+      SpillFrames.write(out, shares);
     }
   }
 
@@ -51,6 +55,7 @@
       case PROMPT_REQUEST -> PromptFrames.readRequest(in);
       case PROMPT_TURN -> PromptFrames.readTurn(in);
       case PROMPT_READ -> new RoomMessage.PromptRead(in.unpackLong());
+      case SPILL_SHARES -> SpillFrames.read(in);
       default -> throw new IOException("unknown message type " + type);
     };
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
@@ -1,15 +1,17 @@
 package io.sequoiapass.gateway.connection;
 
+import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.coordination.EndpointId;
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.gateway.version.AdapterName;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
  * A message between a daemon and a coordinator about room that is scarce or uneven: demand and
- * shortages, speeds of endpoints, and turns of long prompts.
+ * shortages, speeds of endpoints, turns of long prompts, and shares of demand that go elsewhere.
  *
  * <p>Messages are immutable and safe for use by several threads.
  */
@@ -177,4 +179,43 @@
    * @param id stands for the request
    */
   record PromptRead(long id) implements RoomMessage {}
+
+  /**
+   * A coordinator reports which shares of the demand for its data centre go to others; replaces its
+   * earlier report.
+   *
+   * @param loads the use of its endpoints by service; only for other coordinators
+   * @param shares the shares that are not zero
+   */
+  record SpillShares(List<SlotUse> loads, List<SpillShare> shares) implements RoomMessage {
+    /** Copies the lists. */
+    public SpillShares {
+      loads = List.copyOf(loads);
+      shares = List.copyOf(shares);
+    }
+  }
+
+  /**
+   * The use of a data centre's endpoints of one service.
+   *
+   * @param service the service
+   * @param slots number of adapter slots, or of slots of plain endpoints
+   * @param used number of slots that the demand for each data centre takes, waiting requests
+   *     included
+   */
+  record SlotUse(ServiceId service, int slots, Map<DataCentreId, Integer> used) {
+    /** Copies the map. */
+    public SlotUse {
+      used = Map.copyOf(used);
+    }
+  }
+
+  /**
+   * The share of the demand for one service that goes to another data centre.
+   *
+   * @param service the service
+   * @param to the other data centre
+   * @param share the share, from 0 to 1
+   */
+  record SpillShare(ServiceId service, DataCentreId to, double share) {}
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -64,6 +64,7 @@
   private volatile PermitSource permitSource = PermitSource.NONE;
   private volatile Optional<ConnectionSource> connectionSource = Optional.empty();
   private volatile EndpointSpeeds speeds = EndpointSpeeds.NONE;
+  private volatile SpillRoutes spill;
   private volatile Map<ServiceId, Long> targetsMs = Map.of();
 
   /** Receives changes of the list; must not block. */
@@ -92,6 +93,7 @@
     this.versions = versions;
     this.clock = clock;
     this.log = log;
+    this.spill = new SpillRoutes(here, clock, new GatewayMetrics());
   }
 
   /** Sets the callback for any change of the list. */
@@ -119,6 +121,16 @@
     speeds = newSpeeds;
   }
 
+  /** Sets where requests go while demand is shared out; called before there are endpoints. */
+  void useSpill(SpillRoutes routes) {
+    spill = routes;
+  }
+
+  /** Returns where requests go while demand is shared out between data centres. */
+  SpillRoutes spill() {
+    return spill;
+  }
+
   /** Sets the listener for each change of the list. */
   void setWatcher(Watcher newWatcher) {
     watcher = newWatcher;
@@ -143,6 +155,7 @@
           group.usePermits(permitSource);
           connectionSource.ifPresent(group::useConnections);
           group.useSpeeds(speeds);
+          group.useSpill(spill.of(name));
           return group;
         });
   }
@@ -206,6 +219,11 @@
     return Optional.ofNullable(known.get(endpoint)).map(entry -> group(entry.service()));
   }
 
+  /** Returns the services. */
+  Set<ServiceId> services() {
+    return Set.copyOf(groups.keySet());
+  }
+
   /** Returns the groups. */
   List<EndpointGroup> groups() {
     return List.copyOf(groups.values());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -80,6 +80,7 @@
   final ConnectionCost connections;
   private SendGate gate;
   private PermitChoice permitChoice;
+  private SpillSource spill = SpillSource.NONE;
   EndpointSpeeds speeds = EndpointSpeeds.NONE;
   Optional<EngineSpec> engine = Optional.empty();
 
@@ -127,6 +128,11 @@
     speeds = newSpeeds;
   }
 
+  /** Sets where requests go while demand is shared out between data centres. */
+  final synchronized void useSpill(SpillSource source) {
+    spill = source;
+  }
+
   synchronized void configure(Optional<EngineSpec> spec) {
     engine = spec;
   }
@@ -182,10 +188,18 @@
   private Choice chooseAccepting(Demand demand, EndpointChooser.Loadable loadable, long now) {
     List<Candidate> healthy = candidates.of(demand, now, true);
     // An endpoint that failed before is better than a refusal.
-    List<Candidate> all = healthy.isEmpty() ? candidates.of(demand, now, false) : healthy;
-    Choice choice = choose(all, demand, loadable);
+    List<Candidate> able = healthy.isEmpty() ? candidates.of(demand, now, false) : healthy;
+    Optional<SpillRoute> route =
+        spill
+            .route(demand.generation().flatMap(Generation::adapter), loadable.dataCentres(), now)
+            .filter(one -> one.isServed(able));
+    double callMs = demand.generation().isPresent() ? 0 : serviceMs.value();
+    List<Candidate> all = route.map(one -> one.weigh(able, callMs)).orElse(able);
+    EndpointChooser.Loadable planned =
+        route.map(one -> loadable.withHome(one.place())).orElse(loadable);
+    Choice choice = choose(all, demand, planned);
     return permitChoice.adapt(
-        choice, all, demand, permitted -> choose(permitted, demand, loadable), now);
+        choice, all, demand, permitted -> choose(permitted, demand, planned), now);
   }
 
   /**
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -157,8 +157,10 @@
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
     SpeedExchange speeds = new SpeedExchange(directory, metrics);
     directory.useSpeeds(speeds);
+    SpillRoutes spill = new SpillRoutes(settings.dataCentre(), clock, metrics);
+    directory.useSpill(spill);
     this.admission = new CallerAdmission(directory, clock, metrics);
-    this.linkModules = new ArrayList<>(List.of(prompts, speeds));
+    this.linkModules = new ArrayList<>(List.of(prompts, speeds, spill));
     this.linkModules.addAll(admission.modules());
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -133,7 +133,10 @@
             500,
             List.of(new RoomMessage.PromptOption(ENGINE, 9_190))),
         new RoomMessage.PromptTurn(7, ENGINE, 12),
-        new RoomMessage.PromptRead(7));
+        new RoomMessage.PromptRead(7),
+        new RoomMessage.SpillShares(
+            List.of(new RoomMessage.SlotUse(SERVICE, 70, Map.of(new DataCentreId("south"), 64))),
+            List.of(new RoomMessage.SpillShare(SERVICE, new DataCentreId("east"), 0.25))));
   }
 
   @ParameterizedTest
