Let coordinators state shares of demand and their load

Change: SpillModule counts slots in use by the data centre that their demand belongs to, states them to other coordinators each round and the shares to daemons on change, repeated while in force. A new term states nothing for 1.5 s.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -28,6 +28,7 @@
         io.parts(),
         new PromptTurns(plan, directory, io.clock()),
         new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()),
-        new ShortageMonitor(io.log(), directory, plan, loadQueue));
+        new ShortageMonitor(io.log(), directory, plan, loadQueue),
+        new SpillModule(here, directory, plan, loadQueue, directory.spill(), io.log()));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Queues load requests while every adapter slot is in use.
@@ -278,6 +280,11 @@
     return expired;
   }
 
+  /** Returns the adapters that wait for a slot. */
+  Set<AdapterName> waiting(Predicate<AdapterName> adapters) {
+    return entries.keySet().stream().filter(adapters).collect(Collectors.toSet());
+  }
+
   /** Returns whether the queue is empty. */
   boolean isEmpty() {
     return entries.isEmpty();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlacementPlan.java
@@ -176,6 +176,11 @@
     return all;
   }
 
+  /** Returns the adapters with running requests or a load in progress at an engine. */
+  Set<AdapterName> inUse(EndpointId id, long now) {
+    return endpoints.get(id).inUse(usage.inUse(id), now);
+  }
+
   /** Plans a load of an adapter, unless an engine holds or loads it already. */
   LoadReply request(LoadNeed need, boolean another, long now) {
     demand.record(need, now);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedEndpoint.java
@@ -191,6 +191,18 @@
     return count;
   }
 
+  /** Returns the adapters with running requests or a load in progress. */
+  Set<AdapterName> inUse(Set<AdapterName> running, long now) {
+    Set<AdapterName> found = new HashSet<>(running);
+    copies.forEach(
+        (name, copy) -> {
+          if (copy.state == State.PLANNED || copy.readyAt > now) {
+            found.add(name);
+          }
+        });
+    return found;
+  }
+
   /** Returns whether it holds or is to load an adapter that is not being unloaded. */
   boolean holds(AdapterName adapter, long version) {
     Copy copy = copies.get(adapter);
