--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomFrames.java
@@ -16,6 +16,7 @@
   private static final int PROMPT_READ = 24;
   private static final int LOAD_WITHDRAWN = 25;
   private static final int PROMPT_SENT = 27;
+  private static final int SPILL_SHARES = 26;
 
   private RoomFrames() {}
 
@@ -48,6 +49,9 @@
       out.packInt(LOAD_WITHDRAWN);
       LinkFrames.writeAdapter(out, withdrawn.adapter());
       out.packLong(withdrawn.lastRequest());
+    } else if (message instanceof RoomMessage.SpillShares shares) {
+      out.packInt(SPILL_SHARES);
+      SpillFrames.write(out, shares);
     }
   }
 
@@ -63,6 +67,7 @@
       case PROMPT_READ -> new RoomMessage.PromptRead(in.unpackLong());
       case LOAD_WITHDRAWN ->
           new RoomMessage.LoadWithdrawn(LinkFrames.readAdapter(in), in.unpackLong());
+      case SPILL_SHARES -> SpillFrames.read(in);
       default -> throw new IOException("unknown message type " + type);
     };
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorModules.java
@@ -2,6 +2,7 @@
 
 import io.sequoiapass.coordination.DataCentreId;
 import io.sequoiapass.gateway.connection.LinkFrames;
+import java.util.ArrayList;
 import java.util.List;
 
 /** Creates the modules of a coordinator. */
@@ -24,19 +25,26 @@
       EndpointDirectory directory,
       PlacementPlan plan,
       LoadQueue loadQueue) {
-    return List.of(
-        new MemberUpdates(),
-        io.parts(),
-        new PromptTurns(
-            plan,
-            loadQueue,
-            endpoint -> directory.readingTokensPerMs(endpoint, io.clock().millis()),
-            (daemon, turn) -> daemon.channel.send(LinkFrames.encode(turn)),
-            io.clock(),
-            io.log(),
-            io.metrics()),
-        new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()),
-        new LoadQueueModule(loadQueue, io.clock(), io.log(), io.metrics()),
-        new ShortageMonitor(io.log(), directory, plan, loadQueue));
+    List<CoordinatorModule> modules =
+        new ArrayList<>(
+            List.of(
+                new MemberUpdates(),
+                io.parts(),
+                new PromptTurns(
+                    plan,
+                    loadQueue,
+                    endpoint -> directory.readingTokensPerMs(endpoint, io.clock().millis()),
+                    (daemon, turn) -> daemon.channel.send(LinkFrames.encode(turn)),
+                    io.clock(),
+                    io.log(),
+                    io.metrics()),
+                new SpeedModule(here, directory::entry, io.clock(), io.log(), io.metrics()),
+                new LoadQueueModule(loadQueue, io.clock(), io.log(), io.metrics()),
+                new ShortageMonitor(io.log(), directory, plan, loadQueue)));
+    directory
+        .spill()
+        .map(routes -> new SpillModule(here, directory, plan, loadQueue, routes, io.log()))
+        .ifPresent(modules::add);
+    return modules;
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -64,6 +64,7 @@
   private volatile PermitSource permitSource = PermitSource.NONE;
   private volatile Optional<ConnectionSource> connectionSource = Optional.empty();
   private volatile EndpointSpeeds speeds = EndpointSpeeds.NONE;
+  private volatile Optional<SpillRoutes> spill = Optional.empty();
   private volatile Map<ServiceId, Long> targetsMs = Map.of();
 
   /** Receives changes of the list; must not block. */
@@ -119,6 +120,16 @@
     speeds = newSpeeds;
   }
 
+  /** Sets where requests go while demand is shared out; called before there are endpoints. */
+  void useSpill(SpillRoutes routes) {
+    spill = Optional.of(routes);
+  }
+
+  /** Returns where requests go while demand is shared out; empty if it never is. */
+  Optional<SpillRoutes> spill() {
+    return spill;
+  }
+
   /** Sets the listener for each change of the list. */
   void setWatcher(Watcher newWatcher) {
     watcher = newWatcher;
@@ -143,6 +154,7 @@
           group.usePermits(permitSource);
           connectionSource.ifPresent(group::useConnections);
           group.useSpeeds(speeds);
+          spill.ifPresent(routes -> group.useSpill(routes.of(name)));
           return group;
         });
   }
@@ -213,6 +225,11 @@
         .orElse(EndpointGroup.FIRST_TOKENS_PER_MS);
   }
 
+  /** Returns the services. */
+  Set<ServiceId> services() {
+    return Set.copyOf(groups.keySet());
+  }
+
   /** Returns the groups. */
   List<EndpointGroup> groups() {
     return List.copyOf(groups.values());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -145,7 +145,7 @@
   private HttpServer peerServer;
   private volatile boolean draining;
 
-  private Gateway(HostSettings settings, DecisionLog log) {
+  private Gateway(HostSettings settings, GatewayOptions options, DecisionLog log) {
     this.settings = settings;
     this.log = log;
     this.loops = SocketTransport.best().group(settings.cores());
@@ -161,6 +161,11 @@
     this.admission = new CallerAdmission(directory, clock, metrics);
     this.linkModules = new ArrayList<>(List.of(prompts, withdrawals, speeds));
     this.linkModules.addAll(admission.modules());
+    if (options.spills()) {
+      SpillRoutes spill = new SpillRoutes(settings.dataCentre(), clock, metrics);
+      directory.useSpill(spill);
+      linkModules.add(spill);
+    }
   }
 
   /**
@@ -175,7 +180,17 @@
   public static Gateway start(
       Deployment deployment, HostSettings settings, OptionalInt metricsPort, DecisionLog log)
       throws IOException {
-    Gateway gateway = new Gateway(settings, log);
+    return start(deployment, settings, metricsPort, GatewayOptions.NONE, log);
+  }
+
+  static Gateway start(
+      Deployment deployment,
+      HostSettings settings,
+      OptionalInt metricsPort,
+      GatewayOptions options,
+      DecisionLog log)
+      throws IOException {
+    Gateway gateway = new Gateway(settings, options, log);
     gateway.start(deployment, metricsPort);
     return gateway;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
@@ -42,7 +42,8 @@
       HostSettings settings,
       OptionalInt metricsPort,
       Map<String, String> environment)
-      throws IOException, InterruptedException {
+      throws IOException, InterruptedException, SettingsException {
+    GatewayOptions options = GatewayOptions.of(environment);
     PrintStream out =
         new PrintStream(
             new java.io.BufferedOutputStream(
@@ -55,7 +56,7 @@
         .with("callers", settings.callers())
         .with("store", settings.store())
         .write();
-    Gateway gateway = Gateway.start(deployment, settings, metricsPort, log);
+    Gateway gateway = Gateway.start(deployment, settings, metricsPort, options, log);
     Signals.onReload(() -> reload(deployment, environment, log));
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "stop"));
     new CountDownLatch(1).await();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/LoadQueue.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Queues load requests while every adapter slot is in use.
@@ -323,6 +325,11 @@
     return entries.all();
   }
 
+  /** Returns the adapters that wait for a slot. */
+  Set<AdapterName> waiting(Predicate<AdapterName> adapters) {
+    return entries.all().stream().map(Entry::adapter).filter(adapters).collect(Collectors.toSet());
+  }
+
   /** Returns whether the queue is empty. */
   boolean isEmpty() {
     return entries.isEmpty();
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -136,7 +136,10 @@
         new RoomMessage.PromptTurn(7, ENGINE, 12),
         new RoomMessage.PromptSent(8, 500, new RoomMessage.PromptOption(ENGINE, 9_190)),
         new RoomMessage.PromptRead(7),
-        new RoomMessage.LoadWithdrawn(ADAPTER, 12));
+        new RoomMessage.LoadWithdrawn(ADAPTER, 12),
+        new RoomMessage.SpillShares(
+            List.of(new RoomMessage.SlotUse(SERVICE, 70, Map.of(new DataCentreId("south"), 64))),
+            List.of(new RoomMessage.SpillShare(SERVICE, new DataCentreId("east"), 0.25))));
   }
 
   @ParameterizedTest
