Skip the hash of an adapter where no share is stated

Cause: coordinators' processes hold the loads of others at all times, so each choice there ranked the adapter's home twice.

Change: only statements with shares count.

Ran: Spill tests, EndpointGroupTest, EndpointChooserTest: no failure.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SpillRoutes.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SpillRoutes.java
@@ -68,7 +68,7 @@
 
   private Optional<SpillRoute> route(
       ServiceId service, Optional<AdapterName> adapter, List<DataCentreId> coordinated, long now) {
-    if (statements.isEmpty()) {
+    if (statements.values().stream().allMatch(one -> one.shares().isEmpty())) {
       return Optional.empty();
     }
     Optional<DataCentreId> natural =
