Never state a negative share of what stays

Cause: rounding may make the shares that are sent add up to more than one, and a daemon closes the link on a negative share.

Ran: Spill tests: no failure; none of them reaches this case.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SpillPlan.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SpillPlan.java
@@ -98,7 +98,8 @@
       return Map.of();
     }
     Map<DataCentreId, Double> all = new TreeMap<>(shares);
-    all.put(here, 1 - shares.values().stream().mapToDouble(Double::doubleValue).sum());
+    double sent = shares.values().stream().mapToDouble(Double::doubleValue).sum();
+    all.put(here, Math.max(0, 1 - sent));
     return all;
   }
 
