Keep giving turns where prompts without a turn fill an engine

Prompts sent without a turn extended the batch of their engine, which never ended under overload: those that waited longest would have held back all more urgent ones. They are now counted apart from batches, and an engine that has only them to read still gets one turn a gap.

PromptSent no longer needs the target for pauses.

--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/PromptFrames.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/PromptFrames.java
@@ -45,12 +45,11 @@
 
   static void write(MessageBufferPacker out, RoomMessage.PromptSent sent) throws IOException {
     out.packLong(sent.id());
-    out.packLong(sent.gapMs());
     write(out, sent.engine());
   }
 
   static RoomMessage.PromptSent readSent(MessageUnpacker in) throws IOException {
-    return new RoomMessage.PromptSent(in.unpackLong(), in.unpackLong(), readOption(in));
+    return new RoomMessage.PromptSent(in.unpackLong(), readOption(in));
   }
 
   static void write(MessageBufferPacker out, RoomMessage.PromptTurn turn) throws IOException {
--- a/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/connection/RoomMessage.java
@@ -182,10 +182,9 @@
    * A daemon reports that it sends a prompt without a turn.
    *
    * @param id stands for the request; unique for the daemon
-   * @param gapMs the target for the longest pause between two events of a stream, in milliseconds
    * @param engine the engine that it is sent to, with the part that it has to read
    */
-  record PromptSent(long id, long gapMs, PromptOption engine) implements RoomMessage {}
+  record PromptSent(long id, PromptOption engine) implements RoomMessage {}
 
   /**
    * A daemon reports that a prompt was read, or that it does not need its turn any more.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
@@ -137,13 +137,12 @@
    * Reports that a prompt is sent without a turn, so that others are not sent there at once.
    *
    * @param dataCentre the data centre of the engine
-   * @param gapMs the target for the longest pause between two events, in milliseconds
    * @param engine the engine, with the part of the prompt that it has to read
    * @return stands for the request; empty if there is no coordinator
    */
-  public OptionalLong sent(DataCentreId dataCentre, long gapMs, RoomMessage.PromptOption engine) {
+  public OptionalLong sent(DataCentreId dataCentre, RoomMessage.PromptOption engine) {
     long id = ids.incrementAndGet();
-    boolean isReported = links.send(dataCentre, new RoomMessage.PromptSent(id, gapMs, engine));
+    boolean isReported = links.send(dataCentre, new RoomMessage.PromptSent(id, engine));
     return isReported ? OptionalLong.of(id) : OptionalLong.empty();
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptSchedule.java
@@ -55,6 +55,8 @@
   /** Largest number of requests that wait; further ones are sent without a turn. */
   private static final int MAX_WAITING = 10_000;
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final ToDoubleFunction<EndpointId> tokensPerMs;
   private final UnscheduledPrompts<?> unscheduled;
   private final Listener listener;
@@ -134,31 +136,72 @@
   /** The prompts that one engine reads without a break. */
   private static final class Batch<K> {
     private final Map<K, Unread> unread = new HashMap<>();
+
+    /** Prompts that were sent without a turn. */
+    private final Map<K, Unread> others = new HashMap<>();
+
     private double totalMs;
     private double unreadMs;
+    private double othersMs;
     private long gapMs = Long.MAX_VALUE;
     private long opensAt;
     private boolean lastMovedUp;
+    private long blockedSince;
+    private long blockedAt = NEVER;
+
+    /**
+     * Returns whether a prompt can be read with the others. An engine that has no turns left to
+     * read, but too much else, takes a prompt once a gap: prompts without a turn would hold back
+     * more urgent ones otherwise.
+     */
+    private boolean canTake(double readMs, double unscheduledMs, long otherGapMs, long now) {
+      double elseMs = unscheduledMs + othersMs;
+      if (totalMs + elseMs + readMs <= BATCH_SHARE * Math.min(gapMs, otherGapMs)) {
+        return true;
+      }
+      if (!unread.isEmpty()) {
+        return false;
+      }
+      return elseMs <= IDLE_SHARE * otherGapMs || isBlockedFor(otherGapMs, now);
+    }
 
-    private boolean canTake(double readMs, double unscheduledMs, long otherGapMs) {
-      boolean idle = unread.isEmpty() && unscheduledMs <= IDLE_SHARE * otherGapMs;
-      return idle || totalMs + unscheduledMs + readMs <= BATCH_SHARE * Math.min(gapMs, otherGapMs);
+    private boolean isBlockedFor(long otherGapMs, long now) {
+      if (now - blockedAt > otherGapMs) {
+        blockedSince = now;
+      }
+      blockedAt = now;
+      return now - blockedSince > otherGapMs;
     }
 
     private double finishMs(double readMs, long now) {
-      return Math.max(0, opensAt - now) + unreadMs + readMs;
+      return Math.max(0, opensAt - now) + unreadMs + othersMs + readMs;
+    }
+
+    private Unread unread(PromptOption option, double readMs, long now) {
+      long expectedMs = (long) (EXPIRY_RATIO * finishMs(0, now));
+      long expiresAt = now + Math.max(MIN_EXPIRY_MS, expectedMs);
+      return new Unread(Math.max(0, option.tokens()), readMs, expiresAt);
     }
 
     private void add(K key, PromptOption option, double readMs, long otherGapMs, long now) {
       totalMs += readMs;
       unreadMs += readMs;
       gapMs = Math.min(gapMs, otherGapMs);
-      long expectedMs = (long) (EXPIRY_RATIO * finishMs(0, now));
-      long expiresAt = now + Math.max(MIN_EXPIRY_MS, expectedMs);
-      unread.put(key, new Unread(Math.max(0, option.tokens()), readMs, expiresAt));
+      blockedAt = NEVER;
+      unread.put(key, unread(option, readMs, now));
+    }
+
+    private void addOther(K key, PromptOption option, double readMs, long now) {
+      othersMs += readMs;
+      others.put(key, unread(option, readMs, now));
     }
 
     private void remove(K key, long now) {
+      Unread other = others.remove(key);
+      if (other != null) {
+        othersMs = others.isEmpty() ? 0 : othersMs - other.readMs();
+        return;
+      }
       Unread removed = unread.remove(key);
       if (removed != null) {
         unreadMs = Math.max(0, unreadMs - removed.readMs());
@@ -170,6 +213,19 @@
         opensAt = now + BREAK_MS;
       }
     }
+
+    private Map<K, Unread> all() {
+      Map<K, Unread> all = new HashMap<>(unread);
+      all.putAll(others);
+      return all;
+    }
+
+    private boolean isIdle(long now) {
+      return unread.isEmpty()
+          && others.isEmpty()
+          && opensAt < now
+          && blockedAt + MIN_EXPIRY_MS < now;
+    }
   }
 
   /**
@@ -201,11 +257,11 @@
     return turn;
   }
 
-  /** Adds a prompt that was sent without a turn: it is read in the current batch of its engine. */
-  void sent(K key, PromptOption engine, long gapMs, long now) {
+  /** Adds a prompt that was sent without a turn; its engine gets fewer until it is read. */
+  void sent(K key, PromptOption engine, long now) {
     waiting.remove(key);
     end(key, now);
-    batch(engine.endpoint()).add(key, engine, readMs(engine), gapMs, now);
+    batch(engine.endpoint()).addOther(key, engine, readMs(engine), now);
     turns.put(key, engine.endpoint());
   }
 
@@ -226,14 +282,14 @@
   /** Ends the turns that were not reported as read in time; called several times a second. */
   List<Turn<K>> expire(long now) {
     batches.forEach((endpoint, batch) -> expire(endpoint, batch, now));
-    batches.values().removeIf(batch -> batch.unread.isEmpty() && batch.opensAt < now);
+    batches.values().removeIf(batch -> batch.isIdle(now));
     return giveWaiting(now);
   }
 
   private void expire(EndpointId endpoint, Batch<K> batch, long now) {
     List<K> expired = new ArrayList<>();
     long tokens = 0;
-    for (Map.Entry<K, Unread> entry : batch.unread.entrySet()) {
+    for (Map.Entry<K, Unread> entry : batch.all().entrySet()) {
       if (entry.getValue().expiresAt() < now) {
         expired.add(entry.getKey());
         tokens += entry.getValue().tokens();
@@ -254,7 +310,7 @@
     Batch<K> batch = batches.get(endpoint);
     long sum = 0;
     if (batch != null) {
-      for (Map.Entry<K, Unread> entry : batch.unread.entrySet()) {
+      for (Map.Entry<K, Unread> entry : batch.all().entrySet()) {
         sum += matches.test(entry.getKey()) ? entry.getValue().tokens() : 0;
       }
     }
@@ -279,7 +335,7 @@
       Batch<K> batch = batches.get(endpoint);
       long totalMs = Math.round(batch.totalMs);
       batch.remove(key, now);
-      if (batch.unread.isEmpty()) {
+      if (totalMs > 0 && batch.unread.isEmpty()) {
         listener.batchRead(totalMs);
       }
     }
@@ -344,7 +400,8 @@
       double otherMs = unscheduled.unreadMs(option.endpoint(), speed, now);
       double readMs = Math.max(0, option.tokens()) / speed;
       double finishMs = otherMs + batch.finishMs(readMs, now);
-      boolean allowed = !(movedUp && batch.lastMovedUp) && batch.canTake(readMs, otherMs, gapMs);
+      boolean allowed =
+          !(movedUp && batch.lastMovedUp) && batch.canTake(readMs, otherMs, gapMs, now);
       if (allowed && finishMs < bestMs) {
         best = option;
         bestMs = finishMs;
@@ -363,7 +420,8 @@
   private boolean isOpen(EndpointId endpoint, long tokens) {
     Batch<K> batch = batches.get(endpoint);
     return batch == null
-        || batch.canTake(readMs(new PromptOption(endpoint, tokens)), 0, Long.MAX_VALUE);
+        || batch.unread.isEmpty()
+        || batch.canTake(readMs(new PromptOption(endpoint, tokens)), 0, Long.MAX_VALUE, 0);
   }
 
   private double readMs(PromptOption option) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptTurns.java
@@ -111,7 +111,7 @@
       keep(request, now);
       schedule.ask(new Key(from, asked.id()), request, now).ifPresent(this::send);
     } else if (message instanceof RoomMessage.PromptSent sent) {
-      schedule.sent(new Key(from, sent.id()), sent.engine(), sent.gapMs(), now);
+      schedule.sent(new Key(from, sent.id()), sent.engine(), now);
     } else if (message instanceof RoomMessage.PromptRead read) {
       schedule.read(new Key(from, read.id()), now).forEach(this::send);
     } else if (message instanceof LinkMessage.UsageReport report) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PromptWait.java
@@ -180,7 +180,7 @@
   void sent(EndpointTicket ticket, Candidate engine, Demand demand) {
     if (sentWithoutTurn) {
       dataCentre = engine.dataCentre();
-      id = gate.sent(dataCentre, route.gapTargetMs(), option(engine, demand));
+      id = gate.sent(dataCentre, option(engine, demand));
     }
     if ((used || sentWithoutTurn) && id.isPresent()) {
       long turn = id.getAsLong();
--- a/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/connection/LinkFramesTest.java
@@ -134,7 +134,7 @@
             800,
             List.of(new RoomMessage.PromptOption(ENGINE, 9_190))),
         new RoomMessage.PromptTurn(7, ENGINE, 12),
-        new RoomMessage.PromptSent(8, 500, new RoomMessage.PromptOption(ENGINE, 9_190)),
+        new RoomMessage.PromptSent(8, new RoomMessage.PromptOption(ENGINE, 9_190)),
         new RoomMessage.PromptRead(7));
   }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptScheduleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptScheduleTest.java
@@ -107,12 +107,23 @@
 
     @Test
     void isFilledByAPromptThatWasSentWithoutATurn() {
-      schedule.sent(1, new PromptOption(FIRST, 18_000), GAP_MS, 0);
+      schedule.sent(1, new PromptOption(FIRST, 18_000), 0);
 
       assertThat(ask(2, 0, 9_000, FIRST)).isEmpty();
       assertThat(read(1, 450)).containsExactly(2);
     }
 
+    @Test
+    void beginsOnceAGapThoughPromptsWithoutATurnAreUnread() {
+      schedule.sent(1, new PromptOption(FIRST, 90_000), 0);
+      ask(2, 0, 9_000, FIRST);
+      ask(3, 0, 18_000, FIRST);
+
+      assertThat(schedule.giveWaiting(GAP_MS / 2)).isEmpty();
+      assertThat(schedule.giveWaiting(GAP_MS + 1)).hasSize(1);
+      assertThat(read(2, GAP_MS + 300)).isEmpty();
+    }
+
     @Test
     void isFilledByAReportedPromptUntilItCanHaveBeenRead() {
       unscheduled.replace("daemon", Map.of(FIRST, 18_000L), 0);
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/PromptWaitTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/PromptWaitTest.java
@@ -111,7 +111,7 @@
       RoomMessage.PromptOption engine =
           new RoomMessage.PromptOption(choice.candidate().endpoint(), TOKENS);
       assertThat(fixtures.takeSent())
-          .containsExactly(waitEnds, new RoomMessage.PromptSent(2, GAP_MS, engine));
+          .containsExactly(waitEnds, new RoomMessage.PromptSent(2, engine));
       ticket.begun(later + READ_MS);
       assertThat(fixtures.takeSent()).containsExactly(new RoomMessage.PromptRead(2));
     }
