--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -156,16 +156,11 @@
     this.prompts = new PromptGate(metrics);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
-    SpeedExchange speeds = new SpeedExchange(directory, metrics);
-    directory.useSpeeds(speeds);
     this.admission = new CallerAdmission(directory, clock, metrics);
-    this.linkModules = new ArrayList<>(List.of(prompts, withdrawals, speeds));
-    this.linkModules.addAll(admission.modules());
-    if (options.spills()) {
-      SpillRoutes spill = new SpillRoutes(settings.dataCentre(), clock, metrics);
-      directory.useSpill(spill);
-      linkModules.add(spill);
-    }
+    this.linkModules = new ArrayList<>(List.of(prompts, withdrawals));
+    linkModules.addAll(
+        LinkModules.create(settings.dataCentre(), directory, options, clock, metrics));
+    linkModules.addAll(admission.modules());
   }
 
   /**
@@ -173,25 +168,15 @@
    *
    * @param deployment the names, formats and calls of the platform
    * @param settings this host's settings
-   * @param metricsPort the port for metrics; empty to serve none
+   * @param options what is switched on
    * @param log the log
    * @throws IOException if an address cannot be bound
    */
   public static Gateway start(
-      Deployment deployment, HostSettings settings, OptionalInt metricsPort, DecisionLog log)
-      throws IOException {
-    return start(deployment, settings, metricsPort, GatewayOptions.NONE, log);
-  }
-
-  static Gateway start(
-      Deployment deployment,
-      HostSettings settings,
-      OptionalInt metricsPort,
-      GatewayOptions options,
-      DecisionLog log)
+      Deployment deployment, HostSettings settings, GatewayOptions options, DecisionLog log)
       throws IOException {
     Gateway gateway = new Gateway(settings, options, log);
-    gateway.start(deployment, metricsPort);
+    gateway.start(deployment, options.metricsPort());
     return gateway;
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
@@ -43,7 +43,7 @@
       OptionalInt metricsPort,
       Map<String, String> environment)
       throws IOException, InterruptedException, SettingsException {
-    GatewayOptions options = GatewayOptions.of(environment);
+    GatewayOptions options = GatewayOptions.of(metricsPort, environment);
     PrintStream out =
         new PrintStream(
             new java.io.BufferedOutputStream(
@@ -56,7 +56,7 @@
         .with("callers", settings.callers())
         .with("store", settings.store())
         .write();
-    Gateway gateway = Gateway.start(deployment, settings, metricsPort, options, log);
+    Gateway gateway = Gateway.start(deployment, settings, options, log);
     Signals.onReload(() -> reload(deployment, environment, log));
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "stop"));
     new CountDownLatch(1).await();
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/SpillModuleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SpillModuleTest.java
@@ -105,7 +105,7 @@
     @Test
     void ofADaemonEndsItsDemand() {
       statementAfter(105, 0, 6_000);
-      module.unlinked(linked.daemon, 6_000);
+      module.unlinked(linked, 6_000);
       for (long now = 6_000; now < 12_000; now += 450) {
         module.statement(now);
       }
