--- a/gateway/src/test/java/io/sequoiapass/gateway/process/GatewayOptionsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/GatewayOptionsTest.java
@@ -17,12 +17,14 @@
 
   @Test
   void spillIsSwitchedOnByItsVariable() throws SettingsException {
-    assertThat(GatewayOptions.of(OptionalInt.empty(), Map.of("SEQUOIAPASS_SPILL", "true")).spills()).isTrue();
+    assertThat(GatewayOptions.of(OptionalInt.empty(), Map.of("SEQUOIAPASS_SPILL", "true")).spills())
+        .isTrue();
   }
 
   @Test
   void otherValuesAreRejectedByName() {
-    assertThatThrownBy(() -> GatewayOptions.of(OptionalInt.empty(), Map.of("SEQUOIAPASS_SPILL", "yes")))
+    assertThatThrownBy(
+            () -> GatewayOptions.of(OptionalInt.empty(), Map.of("SEQUOIAPASS_SPILL", "yes")))
         .isInstanceOf(SettingsException.class)
         .hasMessageContaining("SEQUOIAPASS_SPILL");
   }
