Ask for turns where two usual long prompts fit into a gap, from the start

The limit is half of the gap again, by the whole prompt and the uncontended speed, whose guess is 40 now.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -222,7 +222,7 @@
   double readingTokensPerMs(EndpointId endpoint, long now) {
     return groupOf(endpoint)
         .map(group -> group.readingTokensPerMs(endpoint, now))
-        .orElse(EndpointGroup.FIRST_TOKENS_PER_MS);
+        .orElse(EndpointGroup.FIRST_READING_TOKENS_PER_MS);
   }
 
   /** Returns the services. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -47,6 +47,9 @@
   /** Initial estimate of the prompt reading speed, in tokens per millisecond. */
   static final double FIRST_TOKENS_PER_MS = 25;
 
+  /** Reading speed of a prompt that is read alone, until one was, in tokens per millisecond. */
+  static final double FIRST_READING_TOKENS_PER_MS = 40;
+
   /** Initial estimate of the time of a plain call, in milliseconds. */
   private static final double FIRST_SERVICE_MS = 60;
 
@@ -71,7 +74,7 @@
   final EndpointHealth health = new EndpointHealth(HEALTH);
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   final MovingAverage tokensPerMs = new MovingAverage(FIRST_TOKENS_PER_MS, 4, 400);
-  final ReadingSpeedEstimator readingSpeed = new ReadingSpeedEstimator(FIRST_TOKENS_PER_MS);
+  final ReadingSpeedEstimator readingSpeed = new ReadingSpeedEstimator(FIRST_READING_TOKENS_PER_MS);
   private final Map<DataCentreId, LoadTimeEstimates> loadTimes = new HashMap<>();
   final MovingAverage generationMs = new MovingAverage(FIRST_GENERATION_MS, 1, 60_000);
   final MovingAverage serviceMs = new MovingAverage(FIRST_SERVICE_MS, 1, 10_000);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptGate.java
@@ -25,11 +25,11 @@
   private static final double SHORT_SHARE = 0.1;
 
   /**
-   * Largest share of the target for pauses that the usual long prompt may take. If two do not fit
-   * beside the steps of one event, engines would read one at a time with a break after each, and
-   * first events would be late instead of later ones.
+   * Largest share of the target for pauses that the usual long prompt may take. If two do not fit,
+   * engines would read one at a time with a break after each, and first events would be late
+   * instead of later ones.
    */
-  private static final double MAX_USUAL_SHARE = 0.45;
+  private static final double MAX_USUAL_SHARE = 0.5;
 
   /** Weight of a long prompt in the usual length. */
   private static final double WEIGHT = 0.1;
