--- a/review/standin/Daemons.java
+++ b/review/standin/Daemons.java
@@ -15,6 +15,8 @@
 /** Runs the project's program in separate processes, with the command of the deploy file. */
 final class Daemons implements AutoCloseable {
 
+  private static final long MOST_MS = 115_000;
+
   /** One process, and where it listens. */
   static final class Daemon {
     final String name;
@@ -50,6 +52,17 @@
     ThreadLocalRandom random = ThreadLocalRandom.current();
     this.network = "127." + random.nextInt(10, 250) + "." + random.nextInt(1, 250) + ".";
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+    Http.daemonThread(Daemons::endInTime);
+  }
+
+  /** Ends the script as one that couldn't run if it takes too long. */
+  private static void endInTime() {
+    try {
+      Thread.sleep(MOST_MS);
+    } catch (InterruptedException e) {
+      return;
+    }
+    System.exit(2);
   }
 
   /** Returns an address of the loopback interface that no other stand-in uses. */
@@ -179,6 +192,9 @@
     for (Daemon daemon : all) {
       daemon.process.destroyForcibly();
     }
+    for (Daemon daemon : all) {
+      daemon.process.onExit().join();
+    }
     File[] files = folder.toFile().listFiles();
     for (File file : files == null ? new File[0] : files) {
       file.delete();
--- a/review/standin/InPlace.java
+++ b/review/standin/InPlace.java
@@ -134,7 +134,7 @@
     int exit = 2;
     try (Daemons daemons = new Daemons(folder)) {
       exit = play(trouble, record, daemons);
-    } catch (Exception e) {
+    } catch (Throwable e) {
       record.say("could not run: " + e);
     }
     System.exit(exit);
--- a/review/standin/LateRejection.java
+++ b/review/standin/LateRejection.java
@@ -22,7 +22,7 @@
     int exit = 2;
     try (Daemons daemons = new Daemons(folder)) {
       exit = play(trouble, record, daemons);
-    } catch (Exception e) {
+    } catch (Throwable e) {
       record.say("could not run: " + e);
     }
     System.exit(exit);
@@ -64,10 +64,10 @@
     long startedAt = record.ms();
     // The largest dose: three of five runners (share 0.6), 3 answers in 100, for 5 s at a time.
     for (Runner runner : runners.subList(0, 3)) {
+      runner.isFaulty = () -> trouble && (record.ms() - startedAt) % 7_000 < 5_000;
       runner.repeatsRejection =
           () ->
-              trouble
-                  && (record.ms() - startedAt) % 7_000 < 5_000
+              runner.isFaulty.getAsBoolean()
                   && ThreadLocalRandom.current().nextInt(100) < 3;
       runner.onRepeat =
           id -> {
--- a/review/standin/PartialEntry.java
+++ b/review/standin/PartialEntry.java
@@ -22,7 +22,7 @@
     int exit = 2;
     try (Daemons daemons = new Daemons(folder)) {
       exit = play(trouble, record, daemons);
-    } catch (Exception e) {
+    } catch (Throwable e) {
       record.say("could not run: " + e);
     }
     System.exit(exit);
