Recognize the echoed id however a caller writes its header

What callers saw: a caller that writes the header of the request id in another case than the platform does could get a late duplicate response to another request on the same connection.

Cause: headers are forwarded as callers write them, but the client looked the id up by the platform's spelling, found none, and took any response for the one to its call. HTTP header names have no case.

Test: ResponseToAnotherRequest.isDiscardedHoweverTheHeaderIsWritten failed before ('not yours' in place of 'mine'), passes now.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpCall.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpCall.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * An HTTP request to send.
@@ -161,6 +162,14 @@
     return headers;
   }
 
+  /** Returns the value of a header, whose name may be written in any case; empty if absent. */
+  Optional<String> header(String name) {
+    return headers.entrySet().stream()
+        .filter(header -> header.getKey().equalsIgnoreCase(name))
+        .map(Map.Entry::getValue)
+        .findFirst();
+  }
+
   byte[] body() {
     return body;
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -182,7 +182,7 @@
   /** Returns false if the response echoes a request header with the value of another request. */
   boolean matchesRequest(HttpHeaders headers) {
     String name = client.echoedHeader();
-    String sent = name == null ? null : call.headers().get(name);
+    String sent = name == null ? null : call.header(name).orElse(null);
     String echoed = sent == null ? null : headers.get(name);
     return echoed == null || echoed.equals(sent);
   }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -145,6 +146,18 @@
       assertThat(outcome(address, "r1")).isEqualTo("mine");
     }
 
+    /** Guards against callers whose header names are in lower case getting others' responses. */
+    @Test
+    void isDiscardedHoweverTheHeaderIsWritten() throws IOException {
+      InetSocketAddress address =
+          server(
+              (socket, out) -> send(out, answer("stranger", "not yours") + answer("r1", "mine")));
+      HttpCall call =
+          HttpCall.to(address, "GET", "/").header(ECHOED.toLowerCase(Locale.ROOT), "r1");
+
+      assertThat(http.send(call, CALL_MS).join().text()).isEqualTo("mine");
+    }
+
     @Test
     void preventsReuseOfConnection() throws IOException {
       InetSocketAddress address =
