Never send a request over a connection that has carried it

Cause: responses are matched to calls by the id of the request, and all sends of a request have the same id. An endpoint's late copy of a rejection was taken for the answer to the next send of that request on the same connection, while that send ran. A rejected send returns its connection first, so the next send took just that one.

Evidence: each affected request is one whose rejection was copied; its second not_run comes within 1 ms of the send. Ruled out: lost answers taken for rejections (no broken or unsent line), false rejections (none without copies), two daemons (one sends all).

Change: a connection keeps the ids that it has carried (256 at most, then it is replaced), and a call takes one that has not carried its id. Idle connections that only this call passes over stay open. A response that names no request is accepted but its connection is not reused, so that it cannot be copied as the next answer; one that names a request is never taken for the answer to a call without an id.

Why it works: a copy bears the id of its request; no later call on the connection has that id, so the copy is discarded as a response to another request, as before.

HttpClientFaultsTest.closesOtherIdleConnectionsAfterOneIsLost used responses without an id on a client that expects one, whose connections are not kept any more; its calls have ids now, its assertions are the same.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionObserver.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionObserver.java
@@ -11,6 +11,15 @@
 
         @Override
         public void reused() {}
+
+        @Override
+        public void passedOver() {}
+
+        @Override
+        public void discarded() {}
+
+        @Override
+        public void unattributed() {}
       };
 
   /**
@@ -22,4 +31,16 @@
 
   /** Called when a call is sent on a connection that was idle. */
   void reused();
+
+  /**
+   * Called when a call takes no idle connection, since those that it may use have carried the same
+   * request before.
+   */
+  void passedOver();
+
+  /** Called when a response to another request was discarded. */
+  void discarded();
+
+  /** Called when a response did not name its request, after which its connection is closed. */
+  void unattributed();
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -65,9 +65,11 @@
   }
 
   /**
-   * Returns a client for servers that echo a request header in the response. A response that echoes
-   * another value belongs to another request, such as a late duplicate response to the previous
-   * one. It is discarded, since accepting it would deliver one caller's response to another.
+   * Returns a client for servers that echo the header with a request's id in the response. A
+   * response that echoes another id belongs to another request, such as a late duplicate response
+   * to the previous one. It is discarded, since accepting it would deliver one caller's response to
+   * another. A request that is sent again takes a connection that has not carried it, where a
+   * duplicate response to an earlier send cannot arrive.
    *
    * @param group the event loops to run on
    * @param connectTimeoutMs maximum time to open a connection, in milliseconds
@@ -160,7 +162,7 @@
   public HttpStream stream(HttpCall call, long timeoutMs, HttpStreamListener listener) {
     HttpExchange exchange = new HttpExchange(this, call, listener);
     exchange.startTimeout(bootstrap.config().group().next(), timeoutMs);
-    Optional<Channel> taken = takeIdle(call);
+    Optional<Channel> taken = takeIdle(call, exchange);
     if (taken.isEmpty()) {
       open(exchange, call);
       return exchange;
@@ -219,15 +221,27 @@
     return connections != null && connections.has(policy, clock.millis());
   }
 
-  private Optional<Channel> takeIdle(HttpCall call) {
+  private Optional<Channel> takeIdle(HttpCall call, HttpExchange exchange) {
     IdleConnections<Channel> connections = idle.get(call.address());
-    return connections == null ? Optional.empty() : connections.take(call.reuse(), clock.millis());
+    if (connections == null) {
+      return Optional.empty();
+    }
+    IdleConnections.Taken<Channel> taken =
+        connections.take(call.reuse(), exchange::maySendOn, clock.millis());
+    if (taken.passedOver() && taken.connection().isEmpty()) {
+      observer.passedOver();
+    }
+    return taken.connection();
   }
 
   String echoedHeader() {
     return echoedHeader;
   }
 
+  ConnectionObserver observer() {
+    return observer;
+  }
+
   /**
    * Adds an idle connection for reuse by later calls to its address.
    *
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -18,6 +18,7 @@
   private static final int FIRST_FINAL_STATUS = 200;
 
   private final ResponseGuard guard;
+  private final CarriedRequests carried = new CarriedRequests();
   private HttpExchange current;
   private boolean discarding;
 
@@ -28,9 +29,18 @@
   void expect(HttpExchange exchange) {
     current = exchange;
     discarding = false;
+    exchange.requestId().ifPresent(carried::add);
+    if (carried.isFull()) {
+      exchange.markNotReusable();
+    }
     guard.expectHead();
   }
 
+  /** Returns whether the connection has carried a request; called while no exchange uses it. */
+  boolean hasCarried(String requestId) {
+    return carried.contains(requestId);
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     HttpExchange exchange = current;
@@ -49,9 +59,8 @@
   private void begin(HttpExchange exchange, HttpResponse head) {
     if (head.status().code() < FIRST_FINAL_STATUS) {
       discarding = true;
-    } else if (!exchange.matchesRequest(head.headers())) {
+    } else if (!exchange.accepts(head.headers())) {
       discarding = true;
-      exchange.markNotReusable();
     } else {
       guard.headReceived();
       exchange.head(head.status().code(), head.headers(), HttpUtil.isKeepAlive(head));
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
@@ -179,15 +180,48 @@
     }
   }
 
-  /** Returns false if the response echoes a request header with the value of another request. */
-  boolean matchesRequest(HttpHeaders headers) {
+  /** Returns the id of the request, which the server echoes; empty if there is none. */
+  Optional<String> requestId() {
     String name = client.echoedHeader();
-    String sent = name == null ? null : call.header(name).orElse(null);
-    String echoed = sent == null ? null : headers.get(name);
-    return echoed == null || echoed.equals(sent);
+    return name == null ? Optional.empty() : call.header(name);
   }
 
-  /** Excludes the connection from reuse, since it carried a response to another request. */
+  /**
+   * Returns whether an idle connection may carry the call: one that has not carried its request.
+   */
+  boolean maySendOn(Channel connection) {
+    HttpClientHandler handler = connection.pipeline().get(HttpClientHandler.class);
+    return handler != null && requestId().map(id -> !handler.hasCarried(id)).orElse(true);
+  }
+
+  /**
+   * Returns whether a response is the one to this call.
+   *
+   * <p>A response that names no request is accepted: each earlier one on the connection has named
+   * its own, so it is no copy of one of these. As it may itself be copied, its connection is not
+   * reused. A response to another request shows that the server sends some twice.
+   *
+   * @param headers the headers of the response
+   */
+  boolean accepts(HttpHeaders headers) {
+    if (client.echoedHeader() == null) {
+      return true;
+    }
+    String echoed = headers.get(client.echoedHeader(), "");
+    if (echoed.isEmpty()) {
+      notReusable = true;
+      client.observer().unattributed();
+      return true;
+    }
+    boolean isOwn = requestId().filter(echoed::equals).isPresent();
+    if (!isOwn) {
+      notReusable = true;
+      client.observer().discarded();
+    }
+    return isOwn;
+  }
+
+  /** Excludes the connection from reuse. */
   void markNotReusable() {
     notReusable = true;
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/IdleConnections.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/IdleConnections.java
@@ -28,6 +28,15 @@
   private final Consumer<C> close;
   private final Deque<Idle<C>> connections = new ArrayDeque<>();
 
+  /**
+   * A connection for a call.
+   *
+   * @param connection the connection; empty if a new one is needed
+   * @param passedOver whether the policy allows a connection that does not suit the call
+   * @param <C> the type of the connection
+   */
+  record Taken<C>(Optional<C> connection, boolean passedOver) {}
+
   private record Idle<C>(C connection, long since, long limitMs) {
     private boolean mayServe(ReusePolicy policy, long now) {
       return policy.allows(now - since, limitMs);
@@ -60,23 +69,32 @@
   }
 
   /**
-   * Removes and returns the most recently used connection that a policy allows. If there is none,
-   * the caller opens one, in place of the oldest.
+   * Removes and returns the most recently used connection that a policy allows and that suits a
+   * call. If the policy allows none, the caller opens one, in place of the oldest; those that do
+   * not suit this call stay, since they suit others.
+   *
+   * @param policy the policy of the call
+   * @param suits whether a connection may carry the call
+   * @param now the time, in milliseconds
    */
-  synchronized Optional<C> take(ReusePolicy policy, long now) {
+  synchronized Taken<C> take(ReusePolicy policy, Predicate<C> suits, long now) {
     removeUnusable(now);
+    boolean passedOver = false;
     Iterator<Idle<C>> newestFirst = connections.descendingIterator();
     while (newestFirst.hasNext()) {
       Idle<C> next = newestFirst.next();
       if (next.mayServe(policy, now)) {
-        newestFirst.remove();
-        return Optional.of(next.connection());
+        if (suits.test(next.connection())) {
+          newestFirst.remove();
+          return new Taken<>(Optional.of(next.connection()), passedOver);
+        }
+        passedOver = true;
       }
     }
-    if (policy != ReusePolicy.NONE && !connections.isEmpty()) {
+    if (policy != ReusePolicy.NONE && !passedOver && !connections.isEmpty()) {
       close.accept(connections.removeFirst().connection());
     }
-    return Optional.empty();
+    return new Taken<>(Optional.empty(), passedOver);
   }
 
   /** Returns whether there is a connection that a policy allows. */
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
@@ -170,6 +170,37 @@
     }
   }
 
+  /** Guards against a response that names no request being copied as the response to the next. */
+  @Nested
+  class ResponseWithoutAnId {
+
+    private static final String ANONYMOUS = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+
+    @Test
+    void isAccepted() throws IOException {
+      InetSocketAddress address = server((socket, out) -> send(out, ANONYMOUS));
+
+      assertThat(outcome(address, "r1")).isEqualTo("mine");
+    }
+
+    @Test
+    void preventsReuseOfConnection() throws IOException {
+      InetSocketAddress address = server((socket, out) -> send(out, ANONYMOUS));
+      outcome(address, "r1");
+
+      assertThat(http.canReuse(address, ReusePolicy.ANY)).isFalse();
+    }
+
+    @Test
+    void isTheOneToACallWithoutAnId() throws IOException {
+      InetSocketAddress address =
+          server((socket, out) -> send(out, answer("stranger", "not yours") + ANONYMOUS));
+
+      assertThat(http.send(HttpCall.to(address, "GET", "/"), CALL_MS).join().text())
+          .isEqualTo("mine");
+    }
+  }
+
   /**
    * The caller disconnects or times out while the network delays the request. After a plain close
    * the request would still arrive and run without a client, so the server must receive a reset.
@@ -225,9 +256,9 @@
               }
               both.countDown();
               await(both);
-              send(out, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+              send(out, answer("r1", ""));
             });
-    HttpCall call = HttpCall.to(address, "GET", "/");
+    HttpCall call = HttpCall.to(address, "GET", "/").header(ECHOED, "r1");
     CompletableFuture.allOf(http.send(call, CALL_MS), http.send(call, CALL_MS)).join();
     assertThat(http.canReuse(address, ReusePolicy.ANY)).isTrue();
 
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/IdleConnectionsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/IdleConnectionsTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -18,29 +19,56 @@
   private final IdleConnections<String> idle =
       new IdleConnections<>(connection -> !ended.contains(connection), closed::add);
 
+  private Optional<String> take(ReusePolicy policy, long now) {
+    return idle.take(policy, connection -> true, now).connection();
+  }
+
   @Test
   void takesTheMostRecentlyUsed() {
     idle.add("old", UNSTATED, 0);
     idle.add("new", UNSTATED, 10);
 
-    assertThat(idle.take(ReusePolicy.ANY, 20)).contains("new");
+    assertThat(take(ReusePolicy.ANY, 20)).contains("new");
   }
 
   @Test
   void servesRepeatableCallsForSeconds() {
     idle.add("a", UNSTATED, 0);
 
-    assertThat(idle.take(ReusePolicy.ANY, 9_000)).contains("a");
+    assertThat(take(ReusePolicy.ANY, 9_000)).contains("a");
   }
 
   @Test
   void closesAfterTheLimit() {
     idle.add("a", UNSTATED, 0);
 
-    assertThat(idle.take(ReusePolicy.ANY, 11_000)).isEmpty();
+    assertThat(take(ReusePolicy.ANY, 11_000)).isEmpty();
     assertThat(closed).containsExactly("a");
   }
 
+  /** Guards against needless new connections while requests are sent again. */
+  @Nested
+  class CallThatSuitsNotAll {
+
+    @Test
+    void usesTheNextOlderOne() {
+      idle.add("a", UNSTATED, 0);
+      idle.add("b", UNSTATED, 1);
+
+      assertThat(idle.take(ReusePolicy.ANY, "a"::equals, 2).connection()).contains("a");
+    }
+
+    @Test
+    void leavesTheOthersToOtherCalls() {
+      idle.add("a", UNSTATED, 0);
+
+      assertThat(idle.take(ReusePolicy.ANY, connection -> false, 1))
+          .isEqualTo(new IdleConnections.Taken<>(Optional.empty(), true));
+      assertThat(closed).isEmpty();
+      assertThat(take(ReusePolicy.ANY, 2)).contains("a");
+    }
+  }
+
   /** A request sent while the server closes the connection may be lost, or may have run. */
   @Nested
   class CallThatMustNotRunTwice {
@@ -49,7 +77,7 @@
     void usesNoOldConnection() {
       idle.add("a", UNSTATED, 0);
 
-      assertThat(idle.take(ReusePolicy.RECENT, 500)).isEmpty();
+      assertThat(take(ReusePolicy.RECENT, 500)).isEmpty();
       assertThat(idle.has(ReusePolicy.RECENT, 500)).isFalse();
     }
 
@@ -59,9 +87,9 @@
       idle.add("a", UNSTATED, 0);
       idle.add("b", UNSTATED, 1);
 
-      idle.take(ReusePolicy.RECENT, 500);
+      take(ReusePolicy.RECENT, 500);
 
-      assertThat(idle.take(ReusePolicy.ANY, 600)).contains("b");
+      assertThat(take(ReusePolicy.ANY, 600)).contains("b");
     }
 
     /** Servers reset connections beyond a number, and with them requests that may have run. */
@@ -70,7 +98,7 @@
       idle.add("a", UNSTATED, 0);
       idle.add("b", UNSTATED, 1);
 
-      idle.take(ReusePolicy.RECENT, 500);
+      take(ReusePolicy.RECENT, 500);
 
       assertThat(closed).containsExactly("a");
     }
@@ -81,7 +109,7 @@
   void keepsConnectionsFromProbes() {
     idle.add("a", UNSTATED, 0);
 
-    assertThat(idle.take(ReusePolicy.NONE, 1)).isEmpty();
+    assertThat(take(ReusePolicy.NONE, 1)).isEmpty();
     assertThat(closed).isEmpty();
   }
 
@@ -91,7 +119,7 @@
     ended.add("a");
 
     assertThat(idle.has(ReusePolicy.ANY, 1)).isFalse();
-    assertThat(idle.take(ReusePolicy.ANY, 1)).isEmpty();
+    assertThat(take(ReusePolicy.ANY, 1)).isEmpty();
   }
 
   @Test
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
@@ -12,6 +12,12 @@
   private static final String OPENED = "sequoiapass_connections_opened_total{purpose=\"%s\"}";
   private static final String REUSED = "sequoiapass_connections_reused_total{purpose=\"%s\"}";
 
+  private static final String PASSED_OVER =
+      "sequoiapass_connections_passed_over_total{purpose=\"%s\"}";
+  private static final String DISCARDED = "sequoiapass_responses_to_others_total{purpose=\"%s\"}";
+  private static final String UNATTRIBUTED =
+      "sequoiapass_responses_unattributed_total{purpose=\"%s\"}";
+
   private final GatewayMetrics metrics;
 
   ConnectionCounters(GatewayMetrics metrics) {
@@ -45,6 +51,21 @@
       public void reused() {
         metrics.count(REUSED.formatted(purpose));
       }
+
+      @Override
+      public void passedOver() {
+        metrics.count(PASSED_OVER.formatted(purpose));
+      }
+
+      @Override
+      public void discarded() {
+        metrics.count(DISCARDED.formatted(purpose));
+      }
+
+      @Override
+      public void unattributed() {
+        metrics.count(UNATTRIBUTED.formatted(purpose));
+      }
     };
   }
 }
