Give unloads and reports connections of their own

Cause: answers to orders and reports name no call, and shared idle connections. After any other answer that is taken for the wrong order the endpoint refuses the next order by its number, and a report decides.

Change: reports have a pool of their own; an unload takes a new connection and closes it.

Found by reading; no run of ours shows an endpoint that copies answers to orders.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
@@ -31,20 +31,25 @@
         "sequoiapass_held_response_bytes", () -> Map.of("", (double) memory.usedBytes()));
     metrics.gauges(
         "sequoiapass_responses_discarded_total", () -> Map.of("", (double) memory.discarded()));
-    return client.observedBy(observer("request"));
+    return client.observedBy(observer("request", "probe"));
   }
 
   /** Returns the observer of the client that sends a coordinator's orders. */
   ConnectionObserver orders() {
-    return observer("order");
+    return observer("order", "order");
   }
 
-  private ConnectionObserver observer(String purpose) {
+  /**
+   * Returns an observer of one client.
+   *
+   * @param purpose what its calls are for
+   * @param unpooledPurpose what those are for that take no idle connection
+   */
+  private ConnectionObserver observer(String purpose, String unpooledPurpose) {
     return new ConnectionObserver() {
       @Override
       public void opened(ReusePolicy policy) {
-        String name = policy == ReusePolicy.NONE ? "probe" : purpose;
-        metrics.count(OPENED.formatted(name));
+        metrics.count(OPENED.formatted(policy == ReusePolicy.NONE ? unpooledPurpose : purpose));
       }
 
       @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -393,7 +393,7 @@
 
   private void requestReport(EndpointEntry entry) {
     calls
-        .send(protocol.reportCall(entry.endpoint(), entry.address()), ORDER_TIMEOUT_MS)
+        .report(protocol.reportCall(entry.endpoint(), entry.address()), ORDER_TIMEOUT_MS)
         .whenComplete(
             (answer, failure) -> loop.execute(() -> reported(entry.endpoint(), answer, failure)));
   }
@@ -410,7 +410,7 @@
         .ifPresent(
             order ->
                 calls
-                    .send(protocol.orderCall(order), ORDER_TIMEOUT_MS)
+                    .order(order.type(), protocol.orderCall(order), ORDER_TIMEOUT_MS)
                     .whenComplete(
                         (answer, failure) ->
                             loop.execute(() -> ordered(order, answer, failure, now))));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointCalls.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointCalls.java
@@ -1,9 +1,13 @@
 package io.sequoiapass.gateway.process;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.sequoiapass.daemon.connection.HttpAnswer;
 import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpFailure;
+import io.sequoiapass.daemon.connection.ReusePolicy;
+import io.sequoiapass.gateway.spi.EndpointOrder;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -15,21 +19,55 @@
   /** Largest report of an endpoint, or answer to an order, in bytes. */
   static final int MAX_ANSWER_BYTES = 256 << 10;
 
-  private final HttpClient http;
+  private final HttpClient orders;
+  private final HttpClient reports;
   private final PathMonitor path;
 
-  EndpointCalls(HttpClient http, PathMonitor path) {
-    this.http = http;
+  /**
+   * Creates a client. Answers to orders and reports name no call, so the two use connections of
+   * their own: a late copy of a report would be taken for an order that is done.
+   *
+   * @param orders sends orders
+   * @param reports requests reports, over other connections
+   * @param path notified of what the calls show
+   */
+  EndpointCalls(HttpClient orders, HttpClient reports, PathMonitor path) {
+    this.orders = orders;
+    this.reports = reports;
     this.path = path;
   }
 
   /**
-   * Sends a call.
+   * Sends an order.
+   *
+   * <p>An unload gets a connection of its own. A copy of an earlier unload's answer would free the
+   * slot of an adapter that still runs, and the next load would crash the endpoint. After any other
+   * answer that is taken for the wrong order, the endpoint refuses the next order by its number.
    *
+   * @param type the type of the order
    * @param call the call
    * @param timeoutMs maximum time until the answer is complete, in milliseconds
    */
-  CompletableFuture<HttpAnswer> send(HttpCall call, long timeoutMs) {
+  CompletableFuture<HttpAnswer> order(EndpointOrder.Type type, HttpCall call, long timeoutMs) {
+    HttpCall alone =
+        type == EndpointOrder.Type.UNLOAD
+            ? call.reuse(ReusePolicy.NONE)
+                .header(HttpHeaderNames.CONNECTION.toString(), HttpHeaderValues.CLOSE.toString())
+            : call;
+    return send(orders, alone, timeoutMs);
+  }
+
+  /**
+   * Requests a report.
+   *
+   * @param call the call
+   * @param timeoutMs maximum time until the answer is complete, in milliseconds
+   */
+  CompletableFuture<HttpAnswer> report(HttpCall call, long timeoutMs) {
+    return send(reports, call, timeoutMs);
+  }
+
+  private CompletableFuture<HttpAnswer> send(HttpClient http, HttpCall call, long timeoutMs) {
     path.sent();
     return http.send(call.maxBodyBytes(MAX_ANSWER_BYTES), timeoutMs)
         .whenComplete(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -200,7 +200,10 @@
     path.onChange(this::pathChanged);
     startCoordination(
         deployment,
-        new EndpointCalls(toEndpoints(shared).observedBy(counters.orders()), path),
+        new EndpointCalls(
+            toEndpoints(shared).observedBy(counters.orders()),
+            toEndpoints(shared).observedBy(counters.orders()),
+            path),
         store);
     withdrawals.use(node::send, loops);
     RelayContext context =
