Keep feeds and rounds going whatever one item does

Readiness said 200.

Cause: StoreFeed called its listener before it asked for the next watch and expected no exception. The removal of a foreign entry whose name is no id threw in EndpointDirectory, so the feed of the endpoints ended for good on each daemon that watched.

Change: one place, TaskGuard, runs each item of a loop, logs and counts an exception, and lets the next item run: objects of feeds, steps of the daemon's and the coordinator's rounds, links, leases, relayed entries, modules. A feed whose answer never comes lists anew. Names that are no ids are another writer's. An entry that another writer replaces names no endpoint any more.

Tests: StoreFeedTest$BadObject and $LostAnswer, EndpointDirectoryTest $EntryOfAnotherWriter are new; EndpointDirectoryTest's calls follow the listener's new shape, with the same assertions.

--- a/coordination/src/main/java/io/sequoiapass/coordination/DataCentreId.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/DataCentreId.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.coordination;
 
+import java.util.Optional;
+
 /**
  * Identifier of a data centre.
  *
@@ -14,6 +16,16 @@
     Names.check("data centre", value);
   }
 
+  /**
+   * Returns the identifier with a name from outside, such as that of an object in the platform's
+   * store; empty if the name cannot be one.
+   *
+   * @param name the name
+   */
+  public static Optional<DataCentreId> parse(String name) {
+    return Names.isValid(name) ? Optional.of(new DataCentreId(name)) : Optional.empty();
+  }
+
   @Override
   public int compareTo(DataCentreId other) {
     return value.compareTo(other.value);
--- a/coordination/src/main/java/io/sequoiapass/coordination/Names.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/Names.java
@@ -11,6 +11,11 @@
 
   private Names() {}
 
+  /** Returns whether a text is valid as an identifier. */
+  static boolean isValid(String value) {
+    return value != null && !value.isBlank() && value.length() <= MAX_LENGTH && isPrintable(value);
+  }
+
   static void check(String what, String value) {
     if (value == null || value.isBlank()) {
       throw new IllegalArgumentException(what + " must not be blank: " + value);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinationNode.java
@@ -44,6 +44,7 @@
   private final MillisClock clock;
   private final FreezeDetector freezes;
   private final DecisionLog log;
+  private final TaskGuard guard;
   private final Map<DataCentreId, CoordinatorLink> links = new TreeMap<>();
   private Coordinator coordinator;
   private final Map<DataCentreId, InetSocketAddress> postponed = new ConcurrentHashMap<>();
@@ -65,6 +66,7 @@
    * @param clock the monotonic clock
    * @param freezes detects that the host was suspended
    * @param log the log
+   * @param guard keeps an error of one link from the others
    */
   CoordinationNode(
       DataCentreId here,
@@ -74,7 +76,8 @@
       ScheduledExecutorService loop,
       MillisClock clock,
       FreezeDetector freezes,
-      DecisionLog log) {
+      DecisionLog log,
+      TaskGuard guard) {
     this.here = here;
     this.directory = directory;
     this.election = election;
@@ -83,6 +86,7 @@
     this.clock = clock;
     this.freezes = freezes;
     this.log = log;
+    this.guard = guard;
   }
 
   /** Sets the coordinator that runs while the lease is held, and the links. */
@@ -160,9 +164,9 @@
 
   /** Performs periodic work; called several times a second. */
   void tick() {
-    links.values().forEach(CoordinatorLink::tick);
-    links.values().forEach(CoordinatorLink::reconnect);
-    connectPostponed();
+    links.values().forEach(link -> guard.run("link", link::tick));
+    links.values().forEach(link -> guard.run("link", link::reconnect));
+    guard.run("link", this::connectPostponed);
     long now = clock.millis();
     CoordinatorElection.Link link = links.get(here).state(now);
     CoordinatorElection.Step step;
@@ -206,13 +210,13 @@
     long revision;
     boolean first;
     synchronized (this) {
+      reading = false;
       first = startup.leasesRead(failure == null && list.items().isEmpty(), clock.millis());
     }
     if (first) {
       onFirstRead.run();
     }
     synchronized (this) {
-      reading = false;
       if (failure != null) {
         election.readFailed();
         return;
@@ -233,13 +237,17 @@
     if (acquired) {
       startCoordinating(epoch, revision);
     }
-    list.items().forEach(this::connect);
+    list.items().forEach(lease -> guard.run("lease " + lease.name(), () -> connect(lease)));
   }
 
   private void connect(Stored<CoordinatorLease> lease) {
-    if (lease.value().isPresent() && !lease.value().get().released()) {
-      connect(new DataCentreId(lease.name()), lease.value().get().address());
-    }
+    lease
+        .value()
+        .filter(value -> !value.released())
+        .ifPresent(
+            value ->
+                DataCentreId.parse(lease.name())
+                    .ifPresent(dataCentre -> connect(dataCentre, value.address())));
   }
 
   private void connect(DataCentreId dataCentre, InetSocketAddress address) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -53,6 +53,7 @@
   private final EndpointDirectory directory;
   private final EndpointProtocol protocol;
   private final EndpointCalls calls;
+  private final TaskGuard guard;
   private final ScheduledExecutorService loop;
   private final MillisClock clock;
   private final DecisionLog log;
@@ -124,6 +125,7 @@
     this.mayOrder = mayOrder;
     this.permits = new PermitGrants(this, links, mayGrant, io.loop(), io.clock());
     this.onFenced = onFenced;
+    this.guard = TaskGuard.counting(io.log(), io.metrics(), io.clock());
   }
 
   /**
@@ -262,10 +264,10 @@
     long now = clock.millis();
     closeIdle(now);
     plan.setReportInterval(BroadcastInterval.intervalMs(links.size()));
-    plan.replaceOutdated(now);
-    plan.advance(now);
-    work(now);
-    permits.grant(now);
+    guard.run("outdated adapters", () -> plan.replaceOutdated(now));
+    guard.run("placement", () -> plan.advance(now));
+    guard.run("orders", () -> work(now));
+    guard.run("permits", () -> permits.grant(now));
     rounds++;
     if (rounds % BroadcastInterval.rounds(links.size()) == 0) {
       sendRound(now);
@@ -279,13 +281,14 @@
       queueAll(new LinkMessage.Releases(releases));
       releases.clear();
     }
-    links.forEach(this::queueEndpoints);
-    modules.forEach(module -> module.queue(links, now));
-    allocateUsage(now);
+    guard.run("endpoints", () -> links.forEach(this::queueEndpoints));
+    modules.forEach(
+        module -> guard.run(module.getClass().getSimpleName(), () -> module.queue(links, now)));
+    guard.run("usage", () -> allocateUsage(now));
     queueAll(status());
-    endpointUpdates.drain().ifPresent(this::queueAll);
-    publisher.queue(now);
-    queueLoads();
+    guard.run("updates", () -> endpointUpdates.drain().ifPresent(this::queueAll));
+    guard.run("placements", () -> publisher.queue(now));
+    guard.run("loads", this::queueLoads);
     links.keySet().forEach(FrameChannel::flush);
   }
 
@@ -402,7 +405,7 @@
     long now = clock.millis();
     noticed(endpoint, answer, now);
     plan.reported(endpoint, failure == null ? protocol.report(answer) : Optional.empty(), now);
-    work(now);
+    guard.run("orders", () -> work(now));
   }
 
   private void order(EndpointId endpoint, long now) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -6,7 +6,6 @@
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.spi.EndpointEntry;
-import io.sequoiapass.gateway.spi.StoreChanges;
 import io.sequoiapass.gateway.spi.StoreList;
 import io.sequoiapass.gateway.spi.Stored;
 import io.sequoiapass.gateway.version.AdapterName;
@@ -64,6 +63,7 @@
   private volatile PermitSource permitSource = PermitSource.NONE;
   private volatile Optional<ConnectionSource> connectionSource = Optional.empty();
   private volatile EndpointSpeeds speeds = EndpointSpeeds.NONE;
+  private volatile TaskGuard guard;
   private volatile Optional<SpillRoutes> spill = Optional.empty();
   private volatile Map<ServiceId, Long> targetsMs = Map.of();
 
@@ -93,6 +93,7 @@
     this.versions = versions;
     this.clock = clock;
     this.log = log;
+    this.guard = new TaskGuard(log, () -> {}, clock);
   }
 
   /** Sets the callback for any change of the list. */
@@ -130,6 +131,11 @@
     return spill;
   }
 
+  /** Sets what records errors of single entries; called before there are endpoints. */
+  void useGuard(TaskGuard newGuard) {
+    guard = newGuard;
+  }
+
   /** Sets the listener for each change of the list. */
   void setWatcher(Watcher newWatcher) {
     watcher = newWatcher;
@@ -291,18 +297,17 @@
   }
 
   @Override
-  public boolean replaced(StoreList<EndpointEntry> list, boolean afterOutage) {
+  public boolean present(Stored<EndpointEntry> object) {
+    return apply(object);
+  }
+
+  @Override
+  public boolean listed(StoreList<EndpointEntry> list, boolean afterOutage) {
     Set<EndpointId> present = new HashSet<>();
-    boolean changed = false;
-    for (Stored<EndpointEntry> item : list.items()) {
-      changed |= apply(item);
-      item.value().ifPresent(entry -> present.add(entry.endpoint()));
-    }
-    changed |= removeAllBut(present, list.revision(), afterOutage ? EXPIRY_GRACE_MS : 0);
-    currentRevision = Math.max(currentRevision, list.revision());
+    list.items().forEach(item -> item.value().ifPresent(entry -> present.add(entry.endpoint())));
+    boolean changed = removeAllBut(present, list.revision(), afterOutage ? EXPIRY_GRACE_MS : 0);
     history.listed(list.revision());
     listed = true;
-    onChange.run();
     return changed;
   }
 
@@ -316,19 +321,19 @@
     return changed;
   }
 
+  /** The name of another writer's entry need not be that of an endpoint. */
   @Override
-  public boolean changed(
-      StoreChanges.Change<EndpointEntry> change, long revision, boolean afterOutage) {
-    boolean changed =
-        change.removed()
-            ? remove(
-                endpointOf(change.object()),
-                change.object().revision(),
-                afterOutage ? EXPIRY_GRACE_MS : 0)
-            : apply(change.object());
+  public boolean removed(Stored<EndpointEntry> object, boolean afterOutage) {
+    long graceMs = afterOutage ? EXPIRY_GRACE_MS : 0;
+    return EndpointId.parse(object.name())
+        .map(endpoint -> remove(endpoint, object.revision(), graceMs))
+        .orElse(false);
+  }
+
+  @Override
+  public void upTo(long revision) {
     currentRevision = Math.max(currentRevision, revision);
     onChange.run();
-    return changed;
   }
 
   /** Applies an update of the list that a coordinator relays. */
@@ -337,9 +342,17 @@
     for (LinkMessage.ListedEndpoint item : update.entries()) {
       EndpointId endpoint = item.entry().endpoint();
       present.add(endpoint);
-      apply(new Stored<>(endpoint.value(), item.revision(), Optional.of(item.entry()), ""));
+      guard.run(
+          "update " + endpoint,
+          () ->
+              apply(
+                  new Stored<>(endpoint.value(), item.revision(), Optional.of(item.entry()), "")));
+    }
+    for (LinkMessage.GoneEndpoint gone : update.gone()) {
+      guard.run(
+          "update " + gone.endpoint(),
+          () -> remove(gone.endpoint(), gone.revision(), gone.graceMs()));
     }
-    update.gone().forEach(gone -> remove(gone.endpoint(), gone.revision(), gone.graceMs()));
     if (update.snapshot()) {
       removeAllBut(present, update.revision(), 0);
       history.listed(update.revision());
@@ -376,14 +389,11 @@
     return listed ? currentRevision : UNLISTED;
   }
 
-  private static EndpointId endpointOf(Stored<EndpointEntry> object) {
-    return new EndpointId(object.name());
-  }
-
   /**
    * Applies an entry; returns whether it changes anything that requests depend on. An unreadable
-   * entry comes from another writer and is ignored. So is an entry older than the known one, since
-   * changes of the store and of the coordinators may arrive out of order.
+   * entry comes from another writer and names no endpoint, also if it replaces the entry of one. An
+   * entry older than the known one is ignored, since changes of the store and of the coordinators
+   * may arrive out of order.
    */
   private synchronized boolean apply(Stored<EndpointEntry> item) {
     if (item.value().isEmpty()) {
@@ -392,7 +402,7 @@
           .with("revision", item.revision())
           .with("problem", item.problem())
           .write();
-      return false;
+      return removed(item, false);
     }
     EndpointEntry entry = item.value().get();
     if (history.isOutdated(entry.endpoint(), item.revision())) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -126,6 +126,7 @@
   private final EndpointDirectory directory;
   private final PendingRequests waiting = new PendingRequests();
   private final GatewayMetrics metrics = new GatewayMetrics();
+  private final TaskGuard guard;
   private final PeerDirectory peers = new PeerDirectory(clock);
   private final StreamVersions streams = new StreamVersions(clock);
   private final MemberDirectory members;
@@ -157,7 +158,9 @@
     this.parts = new PromptPartGuard(clock, log, metrics);
     this.prompts = new PromptGate(metrics);
     this.members = new MemberDirectory(settings.daemon(), settings.dataCentre());
+    this.guard = TaskGuard.counting(log, metrics, clock);
     this.directory = new EndpointDirectory(settings.dataCentre(), versions, clock, log);
+    directory.useGuard(guard);
     this.admission = new CallerAdmission(directory, clock, metrics);
     this.retries = new RetryBudgets(settings, configuration::get, clock, wall, metrics);
     this.linkModules = new ArrayList<>(List.of(prompts, withdrawals, retries));
@@ -223,7 +226,8 @@
             metrics);
     gate =
         new WorkspaceGate(currency, throttle, configuration::get, this::clocks, settings.bounds());
-    StreamVersionLinks streamLinks = new StreamVersionLinks(streams, members, shared, loops, clock);
+    StreamVersionLinks streamLinks =
+        new StreamVersionLinks(streams, members, shared, loops, clock, guard);
     callers =
         new CallerHandler(
             context,
@@ -305,7 +309,8 @@
             loops,
             clock,
             new FreezeDetector(clock, wall),
-            log);
+            log,
+            guard);
     ModelLoadLimiter modelLoads =
         new ModelLoadLimiter(settings.bounds().loadWindowMs(), settings.regions().size());
     RegionRelay relay = new RegionRelay(settings.otherRegions(), store, transport, loops, clock);
@@ -462,7 +467,8 @@
             listener,
             loops,
             clock,
-            log);
+            log,
+            guard);
     feeds.put(topic, feed);
     if (topic == StoreFreshness.Topic.CONFIGURATION) {
       feed.start();
@@ -482,17 +488,12 @@
   }
 
   private void tick() {
-    try {
-      node.withdrawIfLost(path.lostMs());
-      node.tick();
-      coordinator.tick();
-      path.check();
-      directory.reportSubsets(metrics);
-      feeds.values().forEach(StoreFeed::checkRelay);
-    } catch (RuntimeException e) {
-      // The scheduler would cancel all later rounds after an exception.
-      log.event("internal_error").with("where", "tick").with("cause", e.toString()).write();
-    }
+    guard.run("election", () -> node.withdrawIfLost(path.lostMs()));
+    guard.run("election", node::tick);
+    guard.run("coordinator", coordinator::tick);
+    guard.run("path", path::check);
+    guard.run("subsets", () -> directory.reportSubsets(metrics));
+    feeds.forEach((topic, feed) -> guard.run("feed " + topic, feed::checkRelay));
   }
 
   private boolean isReady() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/RegionRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/RegionRelay.java
@@ -11,6 +11,7 @@
 import io.sequoiapass.gateway.spi.MetadataStore;
 import io.sequoiapass.gateway.spi.StoreKind;
 import io.sequoiapass.gateway.spi.StoreList;
+import io.sequoiapass.gateway.spi.Stored;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -152,20 +153,21 @@
       if (leases != null) {
         leases
             .items()
-            .forEach(
-                item -> {
-                  Target target = targets.get(new DataCentreId(item.name()));
-                  if (target != null) {
-                    item.value()
-                        .filter(lease -> !lease.released())
-                        .ifPresent(lease -> target.address = lease.address());
-                  }
-                });
+            .forEach(item -> DataCentreId.parse(item.name()).ifPresent(name -> read(name, item)));
       }
     }
     deliverAll();
   }
 
+  private void read(DataCentreId dataCentre, Stored<CoordinatorLease> item) {
+    Target target = targets.get(dataCentre);
+    if (target != null) {
+      item.value()
+          .filter(lease -> !lease.released())
+          .ifPresent(lease -> target.address = lease.address());
+    }
+  }
+
   private synchronized void deliverAll() {
     long oldest = clock.millis() - MAX_AGE_MS;
     for (Target target : targets.values()) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreFeed.java
@@ -9,8 +9,11 @@
 import io.sequoiapass.gateway.spi.StoreList;
 import io.sequoiapass.gateway.spi.Stored;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
@@ -22,7 +25,8 @@
  * <pre>{@code
  * StoreFeed<EndpointEntry> feed =
  *     new StoreFeed<>(
- *         store, StoreKind.ENDPOINTS, timing, relay, CallObserver.NONE, listener, loop, clock, log);
+ *         store, StoreKind.ENDPOINTS, timing, relay, CallObserver.NONE, listener, loop, clock, log,
+ *         guard);
  * feed.start();
  * }</pre>
  *
@@ -36,27 +40,44 @@
  */
 final class StoreFeed<T> {
 
-  /** Receives what the store returns; must not block. */
+  /**
+   * Receives what the store returns, one object at a time; must not block. An exception concerns
+   * the object of the call only: the feed logs it and continues with the next one.
+   */
   interface Listener<T> {
 
     /**
-     * Called with all objects.
+     * Called with an object that is listed or has changed.
      *
-     * @param list the objects
+     * @param object the object; without a value if it comes from another writer
+     * @return whether it contains anything new
+     */
+    boolean present(Stored<T> object);
+
+    /**
+     * Called with an object that was removed.
+     *
+     * @param object the object, whose name may be any text
      * @param afterOutage whether the store was unreachable before
-     * @return whether the list contains anything new
+     * @return whether it was known
      */
-    boolean replaced(StoreList<T> list, boolean afterOutage);
+    boolean removed(Stored<T> object, boolean afterOutage);
 
     /**
-     * Called with one change.
+     * Called after all objects of a list: all others have been removed.
      *
-     * @param change the change
-     * @param revision the store's revision up to which changes are reported
+     * @param list the list
      * @param afterOutage whether the store was unreachable before
-     * @return whether the change contains anything new
+     * @return whether any other was known
      */
-    boolean changed(StoreChanges.Change<T> change, long revision, boolean afterOutage);
+    boolean listed(StoreList<T> list, boolean afterOutage);
+
+    /**
+     * Called after a list or some changes.
+     *
+     * @param revision the store's revision up to which objects have been passed on
+     */
+    void upTo(long revision);
 
     /**
      * Returns a listener for objects that are never removed.
@@ -67,18 +88,23 @@
     static <T> Listener<T> ofEach(Consumer<Stored<T>> consumer) {
       return new Listener<>() {
         @Override
-        public boolean replaced(StoreList<T> list, boolean afterOutage) {
-          list.items().forEach(consumer);
+        public boolean present(Stored<T> object) {
+          consumer.accept(object);
           return true;
         }
 
         @Override
-        public boolean changed(StoreChanges.Change<T> change, long revision, boolean afterOutage) {
-          if (!change.removed()) {
-            consumer.accept(change.object());
-          }
+        public boolean removed(Stored<T> object, boolean afterOutage) {
           return true;
         }
+
+        @Override
+        public boolean listed(StoreList<T> list, boolean afterOutage) {
+          return true;
+        }
+
+        @Override
+        public void upTo(long revision) {}
       };
     }
   }
@@ -153,6 +179,15 @@
   /** How long a starting feed waits for coordinators that are expected, in milliseconds. */
   private static final long START_WAIT_MS = 3_000;
 
+  /** Time in which all pages of a list arrive also from a slow store, in milliseconds. */
+  private static final long LIST_TIMEOUT_MS = 60_000;
+
+  /**
+   * Time after which an overdue answer is taken for lost, in milliseconds. Much longer than any
+   * call takes beyond its timeout, since a restart of the feed lists all objects.
+   */
+  private static final long STALL_SLACK_MS = 5_000;
+
   private static final long NEVER = -1;
 
   private final MetadataStore store;
@@ -164,9 +199,15 @@
   private final ScheduledExecutorService loop;
   private final MillisClock clock;
   private final DecisionLog log;
+  private final TaskGuard guard;
   private long revision;
   private volatile View view = new View(0, NEVER, false);
   private boolean paused;
+  private long calls;
+
+  /** When the next step of the feed is overdue, in milliseconds. */
+  private long dueAt = NEVER;
+
   private long waitsUntil = NEVER;
   private long failingSince = NEVER;
   private long retryMs = RETRY_MS;
@@ -180,7 +221,8 @@
       Listener<T> listener,
       ScheduledExecutorService loop,
       MillisClock clock,
-      DecisionLog log) {
+      DecisionLog log,
+      TaskGuard guard) {
     this.store = Objects.requireNonNull(store, "store");
     this.kind = kind;
     this.timing = timing;
@@ -190,6 +232,7 @@
     this.loop = loop;
     this.clock = clock;
     this.log = log;
+    this.guard = guard;
   }
 
   void start() {
@@ -206,27 +249,87 @@
     checkRelay();
   }
 
-  private void list() {
+  private synchronized void list() {
     LongConsumer onAnswer = observer.asking();
-    store
-        .list(kind)
-        .whenComplete((list, failure) -> loop.execute(() -> listed(list, failure, onAnswer)));
+    call(
+        LIST_TIMEOUT_MS,
+        this::list,
+        () -> store.list(kind),
+        (list, failure) -> listed(list, failure, onAnswer));
   }
 
-  private synchronized void listed(StoreList<T> list, Throwable failure, LongConsumer onAnswer) {
+  /**
+   * Makes a call and handles its answer. Whatever happens to the answer, the feed calls again: an
+   * exception counts as a failed call, and {@link #checkRelay} lists anew if no answer comes.
+   */
+  private <R> void call(
+      long timeoutMs,
+      Runnable again,
+      Supplier<CompletableFuture<R>> call,
+      BiConsumer<R, Throwable> onAnswer) {
+    long number = ++calls;
+    dueAt = clock.millis() + timeoutMs + STALL_SLACK_MS;
+    CompletableFuture<R> answer;
+    try {
+      answer = call.get();
+    } catch (RuntimeException e) {
+      answer = CompletableFuture.failedFuture(e);
+    }
+    answer.whenComplete(
+        (result, failure) ->
+            loop.execute(
+                () -> {
+                  if (!guard.run(
+                      "feed " + kind.name(), () -> accept(number, result, failure, onAnswer))) {
+                    retryAfterError(number, again);
+                  }
+                }));
+  }
+
+  private synchronized <R> void accept(
+      long number, R result, Throwable failure, BiConsumer<R, Throwable> onAnswer) {
+    if (number == calls) {
+      onAnswer.accept(result, failure);
+    }
+  }
+
+  private synchronized void retryAfterError(long number, Runnable again) {
+    if (number == calls) {
+      retry(new IllegalStateException("the answer could not be applied"), again);
+    }
+  }
+
+  private void listed(StoreList<T> list, Throwable failure, LongConsumer onAnswer) {
     if (failure != null) {
       retry(failure, this::list);
       return;
     }
     boolean afterOutage = answered();
     revision = list.revision();
-    if (listener.replaced(list, afterOutage)) {
+    boolean changed = false;
+    for (Stored<T> item : list.items()) {
+      changed |= pass(item.name(), () -> listener.present(item));
+    }
+    changed |= pass("list", () -> listener.listed(list, afterOutage));
+    if (changed) {
       recordChange(newestRevision(list));
     }
-    onAnswer.accept(view.changedRevision());
+    applied(onAnswer);
     watchOrPause();
   }
 
+  /** Passes one object to the listener; returns whether that was anything new. */
+  private boolean pass(String name, BooleanSupplier call) {
+    boolean[] isNew = new boolean[1];
+    guard.run("feed " + kind.name() + " " + name, () -> isNew[0] = call.getAsBoolean());
+    return isNew[0];
+  }
+
+  private void applied(LongConsumer onAnswer) {
+    guard.run("feed " + kind.name(), () -> listener.upTo(revision));
+    guard.run("feed " + kind.name(), () -> onAnswer.accept(view.changedRevision()));
+  }
+
   /** Watches for changes, or pauses while coordinators do so. */
   private void watchOrPause() {
     if (relay.isFresh(clock.millis())) {
@@ -237,14 +340,18 @@
   }
 
   /**
-   * Ends a pause when there is a newer revision or too few current coordinators; called several
-   * times a second.
+   * Ends a pause when there is a newer revision or too few current coordinators, and starts anew if
+   * the answer to a call is overdue; called several times a second.
    */
   synchronized void checkRelay() {
+    long now = clock.millis();
     if (!paused) {
+      if (dueAt != NEVER && now > dueAt) {
+        log.event("store_feed_stalled").with("kind", kind.name()).with("call", calls).write();
+        list();
+      }
       return;
     }
-    long now = clock.millis();
     boolean fresh = relay.isFresh(now);
     if (fresh) {
       waitsUntil = NEVER;
@@ -271,16 +378,17 @@
         known.changedRevision(), current ? clock.millis() - known.answeredAt() : -1);
   }
 
-  private void watch() {
+  private synchronized void watch() {
     LongConsumer onAnswer = observer.asking();
-    store
-        .watch(kind, revision, timing.get().waitMs())
-        .whenComplete(
-            (changes, failure) -> loop.execute(() -> watched(changes, failure, onAnswer)));
+    long waitMs = timing.get().waitMs();
+    call(
+        waitMs,
+        this::watch,
+        () -> store.watch(kind, revision, waitMs),
+        (changes, failure) -> watched(changes, failure, onAnswer));
   }
 
-  private synchronized void watched(
-      StoreChanges<T> changes, Throwable failure, LongConsumer onAnswer) {
+  private void watched(StoreChanges<T> changes, Throwable failure, LongConsumer onAnswer) {
     if (failure != null) {
       if (StoreException.reasonOf(failure) == StoreException.Reason.HISTORY_GONE) {
         log.event("store_history_gone").with("kind", kind.name()).with("after", revision).write();
@@ -293,20 +401,36 @@
     boolean afterOutage = answered();
     revision = Math.max(revision, changes.revision());
     for (StoreChanges.Change<T> change : changes.changes()) {
-      if (listener.changed(change, revision, afterOutage)) {
-        recordChange(change.object().revision());
+      Stored<T> object = change.object();
+      BooleanSupplier call =
+          change.removed()
+              ? () -> listener.removed(object, afterOutage)
+              : () -> listener.present(object);
+      if (pass(object.name(), call)) {
+        recordChange(object.revision());
       }
     }
-    onAnswer.accept(view.changedRevision());
+    applied(onAnswer);
     if (changes.changes().isEmpty()) {
       watchOrPause();
     } else {
-      loop.schedule(this::resume, timing.get().pauseMs(), TimeUnit.MILLISECONDS);
+      long pauseMs = timing.get().pauseMs();
+      dueAt = clock.millis() + pauseMs + STALL_SLACK_MS;
+      long number = calls;
+      loop.schedule(() -> resume(number), pauseMs, TimeUnit.MILLISECONDS);
     }
   }
 
-  private synchronized void resume() {
-    watchOrPause();
+  private synchronized void resume(long after) {
+    if (after == calls) {
+      watchOrPause();
+    }
+  }
+
+  private synchronized void repeat(long failed, Runnable call) {
+    if (failed == calls) {
+      call.run();
+    }
   }
 
   private static long newestRevision(StoreList<?> list) {
@@ -344,7 +468,9 @@
           .with("message", String.valueOf(failure.getMessage()))
           .write();
     }
-    loop.schedule(call, retryMs, TimeUnit.MILLISECONDS);
+    dueAt = clock.millis() + retryMs + STALL_SLACK_MS;
+    long failed = calls;
+    loop.schedule(() -> repeat(failed, call), retryMs, TimeUnit.MILLISECONDS);
     retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StreamVersionLinks.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StreamVersionLinks.java
@@ -58,6 +58,7 @@
   private final HttpClient http;
   private final ScheduledExecutorService loop;
   private final MillisClock clock;
+  private final TaskGuard guard;
   private final String process = Long.toHexString(ThreadLocalRandom.current().nextLong());
   private Map<Long, CompletableFuture<Optional<StreamVersion>>> collected = new HashMap<>();
 
@@ -75,18 +76,24 @@
       MemberDirectory members,
       HttpClient http,
       ScheduledExecutorService loop,
-      MillisClock clock) {
+      MillisClock clock,
+      TaskGuard guard) {
     this.versions = versions;
     this.members = members;
     this.replication = new StreamReplication(versions);
     this.http = http;
     this.loop = loop;
     this.clock = clock;
+    this.guard = guard;
   }
 
   /** Starts to send batches. */
   void start() {
-    loop.scheduleWithFixedDelay(this::tick, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        guard.guarded("stream records", this::tick),
+        INTERVAL_MS,
+        INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   private void tick() {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointDirectoryTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointDirectoryTest.java
@@ -57,6 +57,25 @@
         false, revision, List.of(), List.of(new LinkMessage.GoneEndpoint(ENDPOINT, revision, 0)));
   }
 
+  private boolean replaced(StoreList<EndpointEntry> list) {
+    boolean changed = false;
+    for (Stored<EndpointEntry> item : list.items()) {
+      changed |= directory.present(item);
+    }
+    changed |= directory.listed(list, false);
+    directory.upTo(list.revision());
+    return changed;
+  }
+
+  private boolean changed(StoreChanges.Change<EndpointEntry> change, long revision) {
+    boolean changed =
+        change.removed()
+            ? directory.removed(change.object(), false)
+            : directory.present(change.object());
+    directory.upTo(revision);
+    return changed;
+  }
+
   private List<EndpointEntry> serving() {
     return directory.group(new ServiceId("notes")).entries(1_000);
   }
@@ -66,11 +85,39 @@
 
     @Test
     void isFalseForHeartbeats() {
-      assertThat(directory.replaced(new StoreList<>(5, List.of(stored(false, 4))), false)).isTrue();
-      assertThat(directory.changed(new StoreChanges.Change<>(stored(false, 9), false), 9, false))
-          .isFalse();
-      assertThat(directory.changed(new StoreChanges.Change<>(stored(true, 12), false), 12, false))
-          .isTrue();
+      assertThat(replaced(new StoreList<>(5, List.of(stored(false, 4))))).isTrue();
+      assertThat(changed(new StoreChanges.Change<>(stored(false, 9), false), 9)).isFalse();
+      assertThat(changed(new StoreChanges.Change<>(stored(true, 12), false), 12)).isTrue();
+    }
+  }
+
+  /** Guards against entries of other writers that hide or replace those of endpoints. */
+  @Nested
+  class EntryOfAnotherWriter {
+
+    private Stored<EndpointEntry> foreign(String name, long revision) {
+      return new Stored<>(name, revision, Optional.empty(), "not an endpoint");
+    }
+
+    @Test
+    void mayHaveAnyName() {
+      replaced(new StoreList<>(5, List.of(stored(false, 4))));
+      for (String name : List.of("rack 7", "gestell-ä", "x".repeat(201), "", " ")) {
+        changed(new StoreChanges.Change<>(foreign(name, 6), false), 6);
+        assertThat(changed(new StoreChanges.Change<>(foreign(name, 6), true), 7)).isFalse();
+      }
+
+      assertThat(serving()).hasSize(1);
+    }
+
+    @Test
+    void namesNoEndpointIfItReplacesTheEntryOfOne() {
+      replaced(new StoreList<>(5, List.of(stored(false, 4))));
+      assertThat(changed(new StoreChanges.Change<>(foreign("e1", 6), false), 6)).isTrue();
+      assertThat(serving()).isEmpty();
+
+      changed(new StoreChanges.Change<>(stored(false, 8), false), 8);
+      assertThat(serving()).hasSize(1);
     }
   }
 
@@ -96,7 +143,7 @@
 
     @Test
     void areAllForADaemonWithoutAList() {
-      directory.replaced(new StoreList<>(5, List.of(stored(false, 4))), false);
+      replaced(new StoreList<>(5, List.of(stored(false, 4))));
 
       LinkMessage.Endpoints entries = directory.entriesSince(EndpointDirectory.UNLISTED);
       assertThat(entries.snapshot()).isTrue();
@@ -106,7 +153,7 @@
 
     @Test
     void areChangesForADaemonWithAList() {
-      directory.replaced(new StoreList<>(5, List.of(stored(false, 4))), false);
+      replaced(new StoreList<>(5, List.of(stored(false, 4))));
       assertThat(directory.entriesSince(5).entries()).isEmpty();
 
       directory.applyUpdate(update(true, 9));
@@ -129,9 +176,9 @@
 
     @Test
     void endpointStaysInUse() {
-      directory.replaced(new StoreList<>(5, List.of(stored(false, 4))), false);
-      directory.changed(new StoreChanges.Change<>(stored(false, 4), true), 20, false);
-      directory.changed(new StoreChanges.Change<>(stored(false, 15), false), 20, false);
+      replaced(new StoreList<>(5, List.of(stored(false, 4))));
+      changed(new StoreChanges.Change<>(stored(false, 4), true), 20);
+      changed(new StoreChanges.Change<>(stored(false, 15), false), 20);
 
       assertThat(serving()).hasSize(1);
     }
@@ -186,10 +233,10 @@
     @Test
     void olderListOfTheStoreKeepsANewerRelayedEntry() {
       directory.applyUpdate(update(false, 40));
-      directory.replaced(new StoreList<>(35, List.of()), false);
+      replaced(new StoreList<>(35, List.of()));
       assertThat(serving()).hasSize(1);
 
-      directory.replaced(new StoreList<>(45, List.of()), false);
+      replaced(new StoreList<>(45, List.of()));
       assertThat(serving()).isEmpty();
     }
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StoreFeedTest.java
@@ -11,11 +11,15 @@
 import io.sequoiapass.gateway.spi.WriteResult;
 import io.sequoiapass.gateway.version.AdapterRelease;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -28,6 +32,8 @@
   private final FakeRelay relay = new FakeRelay();
   private final List<String> taken = new ArrayList<>();
   private final InlineLoop loop = new InlineLoop();
+  private final AtomicInteger errors = new AtomicInteger();
+  private final Set<String> bad = new HashSet<>();
   private final StoreFeed<AdapterRelease> feed =
       new StoreFeed<>(
           store,
@@ -35,10 +41,18 @@
           () -> new StoreFeed.Timing(1_000, 0),
           relay,
           StoreFeed.CallObserver.NONE,
-          StoreFeed.Listener.ofEach(item -> taken.add(item.name())),
+          StoreFeed.Listener.ofEach(this::take),
           loop,
           time::get,
-          DecisionLog.silent());
+          DecisionLog.silent(),
+          new TaskGuard(DecisionLog.silent(), errors::incrementAndGet, time::get));
+
+  private void take(Stored<AdapterRelease> item) {
+    if (bad.contains(item.name())) {
+      throw new IllegalArgumentException("bad item " + item.name());
+    }
+    taken.add(item.name());
+  }
 
   @AfterEach
   void stop() {
@@ -56,6 +70,11 @@
     public void execute(Runnable command) {
       command.run();
     }
+
+    /** Waits until the tasks that are scheduled without a delay have run. */
+    void awaitScheduled() throws Exception {
+      schedule(() -> null, 0, TimeUnit.MILLISECONDS).get();
+    }
   }
 
   private static final class FakeRelay implements StoreFeed.Relay {
@@ -108,6 +127,12 @@
       return open;
     }
 
+    @SuppressWarnings("unchecked")
+    void complete(List<StoreChanges.Change<AdapterRelease>> changes, long upTo) {
+      ((CompletableFuture<StoreChanges<AdapterRelease>>) watch)
+          .complete(new StoreChanges<>(upTo, changes));
+    }
+
     @Override
     public <T> CompletableFuture<WriteResult<T>> write(
         StoreKind<T> kind, String name, T value, OptionalLong expected) {
@@ -115,6 +140,71 @@
     }
   }
 
+  /** Guards against one bad object that ends a feed, or hides the objects after it. */
+  @Nested
+  class BadObject {
+
+    private StoreChanges.Change<AdapterRelease> change(String name, long revision) {
+      return new StoreChanges.Change<>(
+          new Stored<>(name, revision, Optional.empty(), "not read in this test"), false);
+    }
+
+    @Test
+    void ofAListConcernsOnlyItself() {
+      bad.add("b");
+      store.add("a");
+      store.add("b");
+      store.add("c");
+      feed.start();
+
+      assertThat(taken).containsExactly("a", "c");
+      assertThat(errors).hasValue(1);
+      assertThat(store.watches).isEqualTo(1);
+    }
+
+    @Test
+    void ofAWatchConcernsOnlyItself() throws Exception {
+      bad.add("b");
+      feed.start();
+      for (int i = 1; i <= 2; i++) {
+        store.complete(List.of(change("a", 20), change("b", 21), change("c", 22)), 22);
+        loop.awaitScheduled();
+        assertThat(store.watches).isEqualTo(1 + i);
+      }
+
+      assertThat(taken).containsExactly("a", "c", "a", "c");
+    }
+  }
+
+  /** Guards against a feed that waits for ever for an answer that never comes. */
+  @Nested
+  class LostAnswer {
+
+    @Test
+    void isFollowedByAList() {
+      feed.start();
+      time.set(5_900);
+      feed.checkRelay();
+      assertThat(store.lists).isEqualTo(1);
+
+      time.set(6_100);
+      feed.checkRelay();
+      assertThat(store.lists).isEqualTo(2);
+      assertThat(store.watches).isEqualTo(2);
+    }
+
+    @Test
+    void isIgnoredIfItArrivesAfterAll() {
+      feed.start();
+      CompletableFuture<?> lost = store.watch;
+      time.set(6_100);
+      feed.checkRelay();
+      lost.completeExceptionally(new StoreException(StoreException.Reason.NO_ANSWER, "late"));
+
+      assertThat(feed.view().ageMs()).isZero();
+    }
+  }
+
   @Nested
   class WithoutRelay {
 
@@ -249,7 +339,8 @@
             StoreFeed.Listener.ofEach(item -> taken.add(item.name())),
             loop,
             time::get,
-            DecisionLog.silent());
+            DecisionLog.silent(),
+            new TaskGuard(DecisionLog.silent(), () -> {}, time::get));
 
     private void exchange() {
       for (int round = 0; round < ROUNDS; round++) {
