--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/ResponseBodyTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ResponseBodyTest.java
@@ -43,6 +43,16 @@
       assertThat(ResponseBody.isBrokenOff(json(), body.getBytes(StandardCharsets.UTF_8))).isFalse();
     }
 
+    /** Guards against a complete document that is taken for broken off because it is nested. */
+    @ParameterizedTest
+    @ValueSource(ints = {300, 20_000})
+    void areNotJudgedByTheirDepth(int levels) {
+      byte[] nested = ("[".repeat(levels) + "]".repeat(levels)).getBytes(StandardCharsets.UTF_8);
+
+      assertThat(ResponseBody.isBrokenOff(json(), nested)).isFalse();
+      assertThat(ResponseBody.isBrokenOff(json(), Arrays.copyOf(nested, 300))).isTrue();
+    }
+
     @Test
     void areNotJudgedIfTheirFramingIsWhole() {
       byte[] half = Arrays.copyOf(DOCUMENT, DOCUMENT.length / 2);
