Let a stream that nobody knows go on by a record of versions only

What callers would see: streams answered 200 to their end whose first part is of one software version and whose rest is of another, after all daemons were killed at a release.

Cause: a stream whose caller does not name its attempt went on where this process had known one version. A process that starts after the old version's last endpoint has left knows the new one only.

Change: coordinators keep one object in the store with the versions that have served lately: added when listed, removed once a coordinator has followed the list for as long as streams may be taken up. A stream that nobody knows goes on if the record, read at that moment, has one version and this process has seen no other; else it is refused.

Why it works: a version is recorded while its streams begin and for as long as they may be taken up, in a place that outlives the processes.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CoordinatorRelay.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.DataCentreId;
+import java.util.function.BooleanSupplier;
 
 /**
  * The coordinators' view of one kind of objects in the store. A coordinator itself relies only on
@@ -11,20 +12,20 @@
  * @param topic the kind of objects
  * @param here this daemon's data centre
  * @param node the links to the coordinators
- * @param gate whether coordinators may confirm the configuration
+ * @param confirmed whether coordinators may confirm the configuration
  * @param freshness how current their views are
  */
 record CoordinatorRelay(
     StoreFreshness.Topic topic,
     DataCentreId here,
     CoordinationNode node,
-    WorkspaceGate gate,
+    BooleanSupplier confirmed,
     StoreFreshness freshness)
     implements StoreFeed.Relay {
 
   @Override
   public boolean isFresh(long now) {
-    if (topic == StoreFreshness.Topic.CONFIGURATION && !gate.isConfirmed()) {
+    if (topic == StoreFreshness.Topic.CONFIGURATION && !confirmed.getAsBoolean()) {
       return false;
     }
     return node.isCoordinator()
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -12,6 +12,7 @@
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.RouteSpec;
 import io.sequoiapass.gateway.version.ServingConfiguration;
+import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -231,6 +232,19 @@
         .orElse(EndpointGroup.FIRST_READING_TOKENS_PER_MS);
   }
 
+  /** Returns the software versions of the listed endpoints, by service. */
+  Map<ServiceId, Set<SoftwareVersion>> softwareVersions() {
+    Map<ServiceId, Set<SoftwareVersion>> versions = new HashMap<>();
+    known
+        .values()
+        .forEach(
+            entry ->
+                versions
+                    .computeIfAbsent(entry.service(), any -> new HashSet<>())
+                    .add(entry.software()));
+    return versions;
+  }
+
   /** Returns the services. */
   Set<ServiceId> services() {
     return Set.copyOf(groups.keySet());
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -12,7 +12,6 @@
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterVersions;
 import io.sequoiapass.gateway.version.EngineSpec;
-import io.sequoiapass.gateway.version.SoftwareVersion;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -70,7 +69,6 @@
 
   private final AdapterVersions versions;
   private final EndpointChooser chooser;
-  private final Set<SoftwareVersion> softwareVersions = new HashSet<>();
   final EndpointHealth health = new EndpointHealth(HEALTH);
   private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
   final MovingAverage tokensPerMs = new MovingAverage(FIRST_TOKENS_PER_MS, 4, 400);
@@ -149,7 +147,6 @@
       endpoints.put(entry.endpoint(), state);
       connections.listChanged();
     }
-    softwareVersions.add(entry.software());
     boolean restarted = state.entry.startTimeMs() != entry.startTimeMs();
     state.entry = entry;
     state.retiredAt = EndpointState.NEVER;
@@ -577,11 +574,6 @@
     return count;
   }
 
-  /** Returns the software versions of all endpoints that this daemon has known. */
-  synchronized Set<SoftwareVersion> softwareVersions() {
-    return Set.copyOf(softwareVersions);
-  }
-
   synchronized List<EndpointEntry> entries(long now) {
     return endpoints.values().stream()
         .filter(state -> state.takesWork(now))
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.coordination.WorkspaceId;
 import io.sequoiapass.coordination.process.ClockReading;
 import io.sequoiapass.coordination.process.ConfigurationCurrency;
@@ -21,7 +22,6 @@
 import io.sequoiapass.gateway.spi.Deployment;
 import io.sequoiapass.gateway.spi.HostSettings;
 import io.sequoiapass.gateway.spi.MetadataStore;
-import io.sequoiapass.gateway.spi.StoreKind;
 import io.sequoiapass.gateway.spi.Stored;
 import io.sequoiapass.gateway.version.AdapterName;
 import io.sequoiapass.gateway.version.AdapterRelease;
@@ -30,16 +30,13 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import java.util.function.Supplier;
 
 /**
  * The entry daemon in front of endpoints that check adapter versions and the sequence of orders
@@ -61,36 +58,6 @@
    */
   private static final int CONNECT_TIMEOUT_MS = 350;
 
-  /**
-   * Endpoints write about once a second and serve for two seconds after they started to leave, so
-   * one call a second is enough; each call is billed, and a shorter pause would cost more calls.
-   */
-  private static final StoreFeed.Timing ENDPOINT_TIMING = new StoreFeed.Timing(2_500, 1_000);
-
-  /** Changes of the configuration must take effect within about two seconds. */
-  private static final StoreFeed.Timing CONFIGURATION_TIMING = new StoreFeed.Timing(2_500, 50);
-
-  /**
-   * Timing where a removed API key must not be accepted for longer than a few seconds: an answer
-   * proves only that the configuration was in force when the call was sent.
-   */
-  private static final StoreFeed.Timing STRICT_CONFIGURATION_TIMING =
-      new StoreFeed.Timing(1_000, 50);
-
-  /** New adapter versions must take effect within about five seconds. */
-  private static final StoreFeed.Timing RELEASE_TIMING = new StoreFeed.Timing(4_000, 300);
-
-  /**
-   * Timing of a coordinator, on whose view other daemons rely while it is fresh. With one call a
-   * second and a status every 450 ms the view would be up to 1.9 s old, more than daemons accept,
-   * and all of them would call the store themselves.
-   */
-  private static final Map<StoreFreshness.Topic, StoreFeed.Timing> COORDINATOR_TIMING =
-      Map.of(
-          StoreFreshness.Topic.ENDPOINTS, new StoreFeed.Timing(600, 600),
-          StoreFreshness.Topic.CONFIGURATION, new StoreFeed.Timing(700, 50),
-          StoreFreshness.Topic.RELEASES, new StoreFeed.Timing(2_000, 300));
-
   /**
    * Share of the time allowed for a new adapter version during which requests may still start on
    * the old one.
@@ -138,7 +105,9 @@
   private final RetryBudgets retries;
   private final List<LinkModule> linkModules;
   private final StoreFreshness storeFreshness = new StoreFreshness();
-  private final Map<StoreFreshness.Topic, StoreFeed<?>> feeds = new ConcurrentHashMap<>();
+  private final SoftwareHistory software = new SoftwareHistory();
+  private StoreFeeds feeds;
+  private SoftwareRecorder recorder;
   private CoordinationNode node;
   private PathMonitor path;
   private Coordinator coordinator;
@@ -236,7 +205,12 @@
             retries,
             gate,
             admission,
-            new StreamResumption(streamLinks, directory));
+            new StreamResumption(
+                streamLinks,
+                new SoleVersion(software, store, this::streamRetentionMs, clock, metrics)));
+    recorder =
+        new SoftwareRecorder(
+            store, software, this::resumableServices, this::streamRetentionMs, loops, clock, log);
     startFeeds(store);
     startServers(context, streamLinks);
     streamLinks.start();
@@ -262,6 +236,16 @@
     return settings.endpointSource().map(client::from).orElse(client);
   }
 
+  private long streamRetentionMs() {
+    ServingConfiguration known = configuration.get();
+    return known == null ? Long.MAX_VALUE : StreamResumption.retentionMs(known);
+  }
+
+  private Set<ServiceId> resumableServices() {
+    ServingConfiguration known = configuration.get();
+    return known == null ? Set.of() : StreamResumption.services(known);
+  }
+
   private ClockReading clocks() {
     return ClockReading.now(clock, wall);
   }
@@ -343,9 +327,19 @@
           coordinator.observe();
           node.connectPostponed();
         });
+    feeds =
+        new StoreFeeds(
+            topic ->
+                new CoordinatorRelay(
+                    topic, settings.dataCentre(), node, () -> gate.isConfirmed(), storeFreshness),
+            node::isCoordinator,
+            loops,
+            clock,
+            log,
+            guard);
     prompts.use(node::send, loops);
     parts.reportTo(node::sendToAll, node::hasCoordinator);
-    node.onFirstRead(() -> feeds.values().forEach(StoreFeed::checkRelay));
+    node.onFirstRead(feeds::check);
     directory.onIdle(node::idle);
     directory.usePermits(node.permits(Set.copyOf(settings.regions().values()).size()));
     directory.setWatcher(coordinator.watcher());
@@ -423,58 +417,13 @@
   }
 
   private void startFeeds(MetadataStore store) {
-    startFeed(
+    feeds.startConfigurations(
         store,
-        StoreKind.CONFIGURATION,
-        settings.bounds().revocationMs().isPresent()
-            ? STRICT_CONFIGURATION_TIMING
-            : CONFIGURATION_TIMING,
-        StoreFreshness.Topic.CONFIGURATION,
+        settings.bounds().revocationMs().isPresent(),
         this::configurationAsked,
-        StoreFeed.Listener.ofEach(this::applyConfiguration));
-    startFeed(
-        store,
-        StoreKind.ENDPOINTS,
-        ENDPOINT_TIMING,
-        StoreFreshness.Topic.ENDPOINTS,
-        StoreFeed.CallObserver.NONE,
-        directory);
-    startFeed(
-        store,
-        StoreKind.RELEASES,
-        RELEASE_TIMING,
-        StoreFreshness.Topic.RELEASES,
-        StoreFeed.CallObserver.NONE,
-        StoreFeed.Listener.ofEach(this::applyRelease));
-  }
-
-  private <T> void startFeed(
-      MetadataStore store,
-      StoreKind<T> kind,
-      StoreFeed.Timing timing,
-      StoreFreshness.Topic topic,
-      StoreFeed.CallObserver observer,
-      StoreFeed.Listener<T> listener) {
-    Supplier<StoreFeed.Timing> now =
-        () -> node.isCoordinator() ? COORDINATOR_TIMING.get(topic) : timing;
-    StoreFeed<T> feed =
-        new StoreFeed<>(
-            store,
-            kind,
-            now,
-            new CoordinatorRelay(topic, settings.dataCentre(), node, gate, storeFreshness),
-            observer,
-            listener,
-            loops,
-            clock,
-            log,
-            guard);
-    feeds.put(topic, feed);
-    if (topic == StoreFreshness.Topic.CONFIGURATION) {
-      feed.start();
-    } else {
-      feed.startWithRelay();
-    }
+        this::applyConfiguration);
+    feeds.startEndpoints(store, directory);
+    feeds.startReleases(store, this::applyRelease);
   }
 
   /** Proves the configuration to this daemon and, while it coordinates, to the linked ones. */
@@ -488,12 +437,19 @@
   }
 
   private void tick() {
-    guard.run("election", () -> node.withdrawIfLost(path.lostMs()));
-    guard.run("election", node::tick);
+    guard.run("tick", () -> node.withdrawIfLost(path.lostMs()));
+    guard.run("tick", node::tick);
     guard.run("coordinator", coordinator::tick);
     guard.run("path", path::check);
     guard.run("subsets", () -> directory.reportSubsets(metrics));
-    feeds.forEach((topic, feed) -> guard.run("feed " + topic, feed::checkRelay));
+    feeds.check();
+    guard.run("software", this::recordSoftware);
+  }
+
+  private void recordSoftware() {
+    boolean isCurrent = directory.isListed() && feeds.isCurrent(StoreFreshness.Topic.ENDPOINTS);
+    software.observe(directory.softwareVersions(), isCurrent, clock.millis());
+    recorder.tick(node.isCoordinator());
   }
 
   private boolean isReady() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StreamResumption.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StreamResumption.java
@@ -3,11 +3,12 @@
 import io.sequoiapass.coordination.ServiceId;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.version.RouteSpec;
-import io.sequoiapass.gateway.version.SoftwareVersion;
+import io.sequoiapass.gateway.version.ServingConfiguration;
 import io.sequoiapass.gateway.version.StreamVersion;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 
 /**
  * Finds the version that has to continue a stream which its caller has received in part.
@@ -16,18 +17,49 @@
  */
 final class StreamResumption {
 
+  /** How long an endpoint may serve after its entry was removed, in milliseconds. */
+  private static final long SERVES_ON_MS = 30_000;
+
   private final StreamVersionLinks links;
-  private final EndpointDirectory directory;
+  private final SoleVersion soleVersion;
 
   /**
    * Creates it.
    *
    * @param links knows or asks who began a stream
-   * @param directory the endpoints
+   * @param soleVersion proves that there is only one version
    */
-  StreamResumption(StreamVersionLinks links, EndpointDirectory directory) {
+  StreamResumption(StreamVersionLinks links, SoleVersion soleVersion) {
     this.links = links;
-    this.directory = directory;
+    this.soleVersion = soleVersion;
+  }
+
+  /**
+   * Returns how long after the last endpoint of a version has left the list a caller may take up
+   * one of its streams, in milliseconds: the endpoint may serve on, a stream lasts as long as its
+   * route allows, and so does its caller's return.
+   */
+  static long retentionMs(ServingConfiguration configuration) {
+    long longestMs =
+        configuration.routes().stream()
+            .filter(StreamResumption::isResumable)
+            .mapToLong(RouteSpec::timeoutMs)
+            .max()
+            .orElse(0);
+    return 2 * longestMs + SERVES_ON_MS;
+  }
+
+  /** Returns the services whose streams may be taken up. */
+  static Set<ServiceId> services(ServingConfiguration configuration) {
+    return configuration.routes().stream()
+        .filter(StreamResumption::isResumable)
+        .flatMap(route -> route.targets().stream())
+        .map(RouteSpec.Target::service)
+        .collect(Collectors.toSet());
+  }
+
+  private static boolean isResumable(RouteSpec route) {
+    return route.streams() && route.mayRepeat();
   }
 
   /** Returns whether a request continues a stream. */
@@ -46,7 +78,12 @@
     return facts
         .resumes()
         .map(links::find)
-        .orElseGet(() -> CompletableFuture.completedFuture(onlyVersion(route)))
+        .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()))
+        .thenCompose(
+            found ->
+                found.isPresent()
+                    ? CompletableFuture.completedFuture(found)
+                    : findSoleVersion(route))
         .thenApply(found -> found.filter(version -> leadsTo(route, version.service())));
   }
 
@@ -54,18 +91,14 @@
     return route.targets().stream().anyMatch(target -> target.service().equals(service));
   }
 
-  /**
-   * Returns the version of a stream whose caller does not name the attempt that began it: where a
-   * route's only service has never had two, there is no other.
-   */
-  private Optional<StreamVersion> onlyVersion(RouteSpec route) {
+  /** Returns the version of a stream that no daemon knows, if there is only one it can be of. */
+  private CompletableFuture<Optional<StreamVersion>> findSoleVersion(RouteSpec route) {
     if (route.targets().size() != 1) {
-      return Optional.empty();
+      return CompletableFuture.completedFuture(Optional.empty());
     }
     ServiceId service = route.targets().get(0).service();
-    Set<SoftwareVersion> versions = directory.group(service).softwareVersions();
-    return versions.size() == 1
-        ? Optional.of(new StreamVersion(service, versions.iterator().next()))
-        : Optional.empty();
+    return soleVersion
+        .find(service)
+        .thenApply(found -> found.map(version -> new StreamVersion(service, version)));
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreKind.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreKind.java
@@ -29,4 +29,8 @@
   /** The leases of coordinators: one object for each data centre, written by this system. */
   public static final StoreKind<CoordinatorLease> LEASES =
       new StoreKind<>("leases", CoordinatorLease.class);
+
+  /** The software versions that have served lately: one object, written by this system. */
+  public static final StoreKind<SoftwareRecord> SOFTWARE =
+      new StoreKind<>("software", SoftwareRecord.class);
 }
