--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -205,12 +205,8 @@
             retries,
             gate,
             admission,
-            new StreamResumption(
-                streamLinks,
-                new SoleVersion(software, store, this::streamRetentionMs, clock, metrics)));
-    recorder =
-        new SoftwareRecorder(
-            store, software, this::resumableServices, this::streamRetentionMs, loops, clock, log);
+            new StreamResumption(streamLinks, soleVersion(store)));
+    startRecorder(store);
     startFeeds(store);
     startServers(context, streamLinks);
     streamLinks.start();
@@ -218,6 +214,16 @@
     loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
+  private SoleVersion soleVersion(MetadataStore store) {
+    return new SoleVersion(software, store, this::streamRetentionMs, clock, metrics);
+  }
+
+  private void startRecorder(MetadataStore store) {
+    recorder =
+        new SoftwareRecorder(
+            store, software, this::resumableServices, this::streamRetentionMs, loops, clock, log);
+  }
+
   private void startServers(RelayContext context, StreamVersionLinks streamLinks)
       throws IOException {
     callerServer =
@@ -312,12 +318,7 @@
                 versions,
                 new PartVerdictUpdates(relay::forward),
                 metrics),
-            () ->
-                new UsageAllocator(
-                    settings.regions().size(),
-                    settings.bounds().usageWindowMs(),
-                    this::usageLimit,
-                    clock.millis()),
+            this::newAllocator,
             now -> node.mayOrder(now, settings.bounds().fenced()),
             now -> node.mayOrder(now, false),
             node::fenced);
@@ -327,16 +328,7 @@
           coordinator.observe();
           node.connectPostponed();
         });
-    feeds =
-        new StoreFeeds(
-            topic ->
-                new CoordinatorRelay(
-                    topic, settings.dataCentre(), node, () -> gate.isConfirmed(), storeFreshness),
-            node::isCoordinator,
-            loops,
-            clock,
-            log,
-            guard);
+    feeds = storeFeeds();
     prompts.use(node::send, loops);
     parts.reportTo(node::sendToAll, node::hasCoordinator);
     node.onFirstRead(feeds::check);
@@ -347,6 +339,26 @@
     transport.listen(settings.links(), coordinator::listener);
   }
 
+  private UsageAllocator newAllocator() {
+    return new UsageAllocator(
+        settings.regions().size(),
+        settings.bounds().usageWindowMs(),
+        this::usageLimit,
+        clock.millis());
+  }
+
+  private StoreFeeds storeFeeds() {
+    return new StoreFeeds(
+        topic ->
+            new CoordinatorRelay(
+                topic, settings.dataCentre(), node, () -> gate.isConfirmed(), storeFreshness),
+        node::isCoordinator,
+        loops,
+        clock,
+        log,
+        guard);
+  }
+
   /** Returns one link for each data centre of this region. */
   private List<CoordinatorLink> links(FrameTransport transport) {
     String region = settings.regions().get(settings.dataCentre());
