Count a send as open until the request has recorded its end

Cause: an attempt counted as ended as soon as its answer was complete on the event loop, before the request's lock was taken to record that it had run. A deadline that struck in between saw neither an open attempt nor a run, and stated that nothing had run.

Change: AttemptCount, which is used under the lock only, knows whether the last send is open: from the send until its end is recorded as unsent, rejected or run. The deadline asks it alone.

Why it works: the state that the deadline reads and the record of an answer are written under one lock, in one place; an answer that has arrived but is not recorded leaves the send open, which is answered 504.

Tests: AttemptCountTest$SendWhoseEndIsNotRecorded (new interface).

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/AttemptCount.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/AttemptCount.java
@@ -26,6 +26,7 @@
   private int peerSends;
   private int unsent;
   private int runs;
+  private boolean isOpen;
   private boolean handedOn;
   private boolean hasLacked;
 
@@ -59,6 +60,7 @@
       return false;
     }
     sends++;
+    isOpen = true;
     return true;
   }
 
@@ -68,6 +70,7 @@
       return false;
     }
     peerSends++;
+    isOpen = true;
     return true;
   }
 
@@ -101,6 +104,20 @@
   /** Records that no byte of the last send reached an endpoint. */
   void unsent() {
     unsent++;
+    isOpen = false;
+  }
+
+  /** Records that the last send was rejected, and has not run. */
+  void rejected() {
+    isOpen = false;
+  }
+
+  /**
+   * Returns whether any send may have run. The last one may until its end has been recorded here:
+   * its answer may have arrived already, on another thread.
+   */
+  boolean mayHaveRun() {
+    return runs > 0 || isOpen;
   }
 
   /**
@@ -110,6 +127,7 @@
    *     retry
    */
   void refusedByPeer(boolean hasSent) {
+    isOpen = false;
     if (!hasSent) {
       unsent();
     }
@@ -123,11 +141,13 @@
   /** Records that the last send may have run. */
   void ran() {
     runs++;
+    isOpen = false;
   }
 
   /** Records that a peer may have used all attempts that the route allows. */
   void ranAtPeer() {
     runs = Math.max(runs + 1, route.maxAttempts());
+    isOpen = false;
   }
 
   /** Returns whether the request may be repeated after the attempts so far. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -422,6 +422,7 @@
       return;
     }
     long now = now();
+    attempts.rejected();
     requestLog.notRun(from, answer);
     boolean busy = answer == AnswerClass.NOT_RUN_BUSY;
     // An endpoint without the request's base model has restarted.
@@ -466,6 +467,7 @@
       from.avoidFrom(avoid);
       dispatch();
     } else {
+      attempts.rejected();
       refuseOrFail(new Choice.Refuse(error.kind(), error.retryAfterMs().orElse(RETRY_AFTER_MS)));
     }
   }
@@ -525,21 +527,16 @@
     abandonAttempt();
     if (response.isStarted()) {
       abort(ErrorKind.DEADLINE_PASSED_AFTER_START, "deadline");
-    } else if (mayHaveRun()) {
+    } else if (attempts.mayHaveRun()) {
       end("failed_", ErrorKind.DEADLINE_PASSED_AFTER_START, OptionalLong.empty());
     } else {
       end("refused_", ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS));
     }
   }
 
-  /** An open attempt may have run; ended attempts that may have run are counted in runs. */
-  private boolean mayHaveRun() {
-    return attempts.runs() > 0 || (attempt != null && !attempt.isCompleted());
-  }
-
   /** Returns whether an endpoint has run the request, or still may; a rejected attempt does not. */
   private boolean hasRun() {
-    return response.isStarted() || mayHaveRun();
+    return response.isStarted() || attempts.mayHaveRun();
   }
 
   /** Before it gives up, a request that no connection of this daemon could carry goes to a peer. */
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AttemptCountTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AttemptCountTest.java
@@ -50,6 +50,39 @@
     return PeerAttempt.PeerError.read(headers).orElseThrow();
   }
 
+  /** Guards against a deadline that refuses a request whose answer has just arrived, unrecorded. */
+  @Nested
+  class SendWhoseEndIsNotRecorded {
+
+    @Test
+    void mayHaveRun() {
+      assertThat(attempts.mayHaveRun()).isFalse();
+      assertThat(attempts.trySend(0)).isTrue();
+      assertThat(attempts.mayHaveRun()).isTrue();
+    }
+
+    @Test
+    void hasNotRunOnceItsRejectionIsRecorded() {
+      attempts.trySend(0);
+      attempts.rejected();
+      assertThat(attempts.mayHaveRun()).isFalse();
+    }
+
+    @Test
+    void hasNotRunOnceItIsRecordedAsUnsent() {
+      attempts.trySendThroughPeer(0);
+      attempts.refusedByPeer(false);
+      assertThat(attempts.mayHaveRun()).isFalse();
+    }
+
+    @Test
+    void mayHaveRunForGoodOnceThatIsRecorded() {
+      attempts.trySend(0);
+      attempts.ran();
+      assertThat(attempts.mayHaveRun()).isTrue();
+    }
+  }
+
   /** Guards against a retry beyond the budget after a peer whose endpoint rejected the request. */
   @Nested
   class RefusedByAPeer {
