Verify an endpoint's process before a stream continues there

Cause: an endpoint that starts again under its name as another version was taken for the version of its last entry read. Streams of that version went on there, and new ones were recorded as of that version.

Change: a lost or refused connection puts the process in doubt. Bound streams do not continue there, and streams that begin there are bound once the process is known: when an older connection shows that it lives, or when the same entry has been read after a new connection was opened. Verified on demand, by one connection and one call of the store.

Why it works: a process registers before it serves, so an entry that is read after a connection was opened is that of the process behind it; if it is the entry from before the loss, there has been no other process.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CandidateSource.java
@@ -61,7 +61,7 @@
     EndpointId id = state.entry.endpoint();
     return state.takesWork(now)
         && !state.isResting(now)
-        && demand.allows(state.entry.software())
+        && state.allows(demand)
         && (!healthyOnly || (group.health.admits(id, now) && !demand.avoid().contains(id)))
         && holdsModel(state, demand);
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointDirectory.java
@@ -65,6 +65,7 @@
   private volatile Optional<ConnectionSource> connectionSource = Optional.empty();
   private volatile EndpointSpeeds speeds = EndpointSpeeds.NONE;
   private volatile TaskGuard guard;
+  private volatile Consumer<EndpointEntry> verifier = entry -> {};
   private volatile Optional<SpillRoutes> spill = Optional.empty();
   private volatile Map<ServiceId, Long> targetsMs = Map.of();
 
@@ -159,6 +160,7 @@
                   dataCentre -> onIdle.accept(dataCentre),
                   () -> ThreadLocalRandom.current().nextDouble());
           group.usePermits(permitSource);
+          group.useVerifier(verifier);
           connectionSource.ifPresent(group::useConnections);
           group.useSpeeds(speeds);
           spill.ifPresent(routes -> group.useSpill(routes.of(name)));
@@ -232,6 +234,25 @@
         .orElse(EndpointGroup.FIRST_READING_TOKENS_PER_MS);
   }
 
+  /** Applies an entry that was read after a connection to its endpoint had been opened. */
+  void verified(Stored<EndpointEntry> object) {
+    present(object);
+    object
+        .value()
+        .ifPresent(entry -> find(entry.service()).ifPresent(group -> group.verified(entry)));
+  }
+
+  /** Records that an endpoint could not be verified. */
+  void verificationFailed(EndpointEntry entry) {
+    find(entry.service())
+        .ifPresent(group -> group.verificationFailed(entry.endpoint(), clock.millis()));
+  }
+
+  /** Sets what finds out which process an endpoint is; called before there are endpoints. */
+  void useVerifier(Consumer<EndpointEntry> newVerifier) {
+    verifier = newVerifier;
+  }
+
   /** Returns the software versions of the listed endpoints, by service. */
   Map<ServiceId, Set<SoftwareVersion>> softwareVersions() {
     Map<ServiceId, Set<SoftwareVersion>> versions = new HashMap<>();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointGroup.java
@@ -79,8 +79,10 @@
   final Consumer<DataCentreId> onIdle;
   private final DoubleSupplier random;
   private final CandidateSource candidates;
+  private final UnavailableEndpoints unavailable;
   final ConnectionCost connections;
   private SendGate gate;
+  Consumer<EndpointEntry> verifier = entry -> {};
   private PermitChoice permitChoice;
   private SpillSource spill = SpillSource.NONE;
   EndpointSpeeds speeds = EndpointSpeeds.NONE;
@@ -105,6 +107,8 @@
     this.versions = versions;
     this.onIdle = onIdle;
     this.candidates = new CandidateSource(this, endpoints, here, versions);
+    this.unavailable =
+        new UnavailableEndpoints(endpoints.values(), candidates, entry -> verifier.accept(entry));
     this.connections = new ConnectionCost(endpoints, health);
     usePermits(PermitSource.NONE);
   }
@@ -119,6 +123,26 @@
     connections.use(source);
   }
 
+  /** Sets what finds out which process an endpoint is. */
+  final synchronized void useVerifier(Consumer<EndpointEntry> newVerifier) {
+    verifier = newVerifier;
+  }
+
+  /** Records that an endpoint's entry was read after a connection to it had been opened. */
+  synchronized void verified(EndpointEntry entry) {
+    EndpointState state = endpoints.get(entry.endpoint());
+    if (state != null && state.entry.equals(entry)) {
+      state.processConfirmed();
+    }
+  }
+
+  /** Records that an endpoint could not be verified. */
+  synchronized void verificationFailed(EndpointId endpoint, long now) {
+    Optional.ofNullable(endpoints.get(endpoint))
+        .flatMap(state -> state.doubt)
+        .ifPresent(doubt -> doubt.verificationFailed(now));
+  }
+
   /** Sets where permits come from. */
   final synchronized void usePermits(PermitSource source) {
     gate = new SendGate(source);
@@ -147,7 +171,9 @@
       endpoints.put(entry.endpoint(), state);
       connections.listChanged();
     }
-    boolean restarted = state.entry.startTimeMs() != entry.startTimeMs();
+    boolean restarted =
+        state.entry.startTimeMs() != entry.startTimeMs()
+            || !state.entry.software().equals(entry.software());
     state.entry = entry;
     state.retiredAt = EndpointState.NEVER;
     if (restarted) {
@@ -182,7 +208,9 @@
     Choice choice = chooseAccepting(demand, loadable, now);
     boolean none =
         choice instanceof Choice.Refuse refusal && refusal.kind() == ErrorKind.NO_ENDPOINT;
-    return none ? considerResting((Choice.Refuse) choice, demand, now) : choice;
+    return none
+        ? unavailable.consider((Choice.Refuse) choice, demand, (long) serviceMs.value(), now)
+        : choice;
   }
 
   /** Chooses among the endpoints that do not rest. */
@@ -203,31 +231,6 @@
         choice, all, demand, permitted -> choose(permitted, demand, planned), now);
   }
 
-  /**
-   * Replaces a refusal for lack of endpoints where some only rest: waits for the first that holds
-   * the adapter, or names the time at which one is ready.
-   */
-  private Choice considerResting(Choice.Refuse refusal, Demand demand, long now) {
-    long readyInMs = Long.MAX_VALUE;
-    long holderInMs = Long.MAX_VALUE;
-    for (EndpointState state : endpoints.values()) {
-      boolean serves =
-          demand.allows(state.entry.software()) && CandidateSource.holdsModel(state, demand);
-      if (serves && state.isResting(now) && state.takesWork(now)) {
-        long restMs = state.restsUntil - now;
-        readyInMs = Math.min(readyInMs, restMs);
-        holderInMs =
-            candidates.readyInMs(state, demand, now) < 0
-                ? holderInMs
-                : Math.min(holderInMs, restMs);
-      }
-    }
-    if (holderInMs < Long.MAX_VALUE) {
-      return new Choice.AwaitEndpoint(holderInMs, 1, (long) serviceMs.value());
-    }
-    return readyInMs < Long.MAX_VALUE ? new Choice.Refuse(refusal.kind(), readyInMs) : refusal;
-  }
-
   private Choice choose(
       List<Candidate> candidates, Demand demand, EndpointChooser.Loadable loadable) {
     if (demand.generation().isEmpty()) {
@@ -306,7 +309,7 @@
     Set<EndpointId> excluded = new HashSet<>();
     boolean others = false;
     for (EndpointState state : endpoints.values()) {
-      if (!demand.allows(state.entry.software())) {
+      if (!state.allows(demand)) {
         unsuitable.add(state.entry.endpoint());
       } else if (state.leavingStated || state.permits.isLimited() || state.isResting(now)) {
         excluded.add(state.entry.endpoint());
@@ -338,7 +341,7 @@
   public synchronized Optional<EndpointTicket> begin(EndpointId endpoint, Demand demand, long now) {
     EndpointState state = endpoints.get(endpoint);
     if (state == null
-        || !demand.allows(state.entry.software())
+        || !state.allows(demand)
         || !gate.maySend(state, now)
         || candidates.readyInMs(state, demand, now) > 0
         || !state.permits.take(now)) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointState.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
@@ -43,6 +44,9 @@
   /** Whether the endpoint has stated in an answer that it leaves; its list entry may lag behind. */
   boolean leavingStated;
 
+  /** Whether its process may be another one than that of its entry. */
+  Optional<ProcessDoubt> doubt = Optional.empty();
+
   /** Until when the endpoint accepts no requests from this daemon, in milliseconds. */
   long restsUntil = Long.MIN_VALUE;
 
@@ -73,6 +77,25 @@
     }
   }
 
+  /**
+   * Returns whether the endpoint's software may serve a request: any if the request begins, else
+   * the version that began it, which has to be known.
+   */
+  boolean allows(Demand demand) {
+    return demand.allows(entry.software()) && (demand.software().isEmpty() || doubt.isEmpty());
+  }
+
+  /** Records that a connection was lost, so that the process may have ended. */
+  void connectionLost(long now) {
+    doubt = doubt.or(() -> Optional.of(new ProcessDoubt(now)));
+  }
+
+  /** Records that the process is that of the entry, and has been all the time. */
+  void processConfirmed() {
+    doubt.ifPresent(one -> one.confirmed(entry.software()));
+    doubt = Optional.empty();
+  }
+
   /** Replaces the adapters by those of the endpoint's list entry, which may be outdated. */
   void adoptEntryCopies(long now) {
     copies.clear();
@@ -164,6 +187,7 @@
    * entry.
    */
   void restarted() {
+    doubt = Optional.empty();
     copies.clear();
     canaries.clear();
     prompts = new PrefixCacheModel();
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointTicket.java
@@ -22,6 +22,7 @@
   private final Optional<Generation> generation;
   private final long sentAt;
   private final long processStartMs;
+  private final Optional<ProcessDoubt> doubt;
   private final SoftwareVersion software;
   private final Load load;
   private final long backlog;
@@ -39,6 +40,7 @@
     this.generation = generation;
     this.sentAt = now;
     this.processStartMs = state.entry.startTimeMs();
+    this.doubt = state.doubt;
     this.software = state.entry.software();
     this.load = generation.map(g -> loadOf(state, g)).orElse(new Load(1, 0, 0, 0));
     this.runningBefore = state.own.plus(state.others).running();
@@ -101,9 +103,38 @@
     onRead = () -> {};
   }
 
-  /** Returns the software version of the process that the request is sent to. */
+  /**
+   * Returns the software version of the process that the request is sent to; unstated if it is not
+   * known yet, or never was.
+   */
   public SoftwareVersion software() {
-    return software;
+    synchronized (group) {
+      return doubt.map(ProcessDoubt::software).orElse(software);
+    }
+  }
+
+  @Override
+  public void verify() {
+    synchronized (group) {
+      group.verifier.accept(state.entry);
+    }
+  }
+
+  @Override
+  public void connectionLost(long now) {
+    synchronized (group) {
+      if (processStartMs == state.entry.startTimeMs()) {
+        state.connectionLost(now);
+      }
+    }
+  }
+
+  /** A connection on which bytes arrive shows that its process has lived all the time. */
+  private void lives() {
+    boolean isOlder = state.doubt.filter(one -> one.isSentBefore(sentAt)).isPresent();
+    if (isOlder && processStartMs == state.entry.startTimeMs()) {
+      state.processConfirmed();
+    }
   }
 
   /** Returns the limit that the endpoint has named, in requests a second. */
@@ -116,6 +147,7 @@
   @Override
   public void begun(long now) {
     synchronized (group) {
+      lives();
       if (!begun && !ended) {
         begun = true;
         read();
@@ -134,6 +166,7 @@
   @Override
   public void progress(long now) {
     synchronized (group) {
+      lives();
       state.stalls.progress(now);
     }
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -165,6 +165,8 @@
                 HttpClient.create(
                     loops, CONNECT_TIMEOUT_MS, deployment.endpointProtocol().echoedHeader())));
     HttpClient shared = http.within(endpointHttp.memory());
+    directory.useVerifier(
+        new ProcessVerifier(toEndpoints(shared), store, directory, loops, metrics));
     directory.useConnections(new ConnectionSource(settings.daemon(), endpointHttp::canReuse));
     path =
         new PathMonitor(
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Recipient.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Recipient.java
@@ -34,6 +34,15 @@
   /** Records that the process has stopped responding; the response may still arrive. */
   void stalled(long now);
 
+  /**
+   * Records that the connection was lost, so that the process may have ended. Called before {@link
+   * #ended}.
+   */
+  default void connectionLost(long now) {}
+
+  /** Finds out which software version the process is, if that is in doubt. */
+  default void verify() {}
+
   /** Records the end of the attempt. */
   void ended(Ending ending, long now);
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -477,6 +477,7 @@
     if (completed || from != attempt) {
       return;
     }
+    from.recipient.connectionLost(now());
     from.recipient.ended(Recipient.Ending.FAILED, now());
     attempts.unsent();
     requestLog.lost("unsent", from, String.valueOf(failure.getMessage()), response.position());
@@ -490,6 +491,7 @@
       return;
     }
     long now = now();
+    from.recipient.connectionLost(now);
     from.recipient.ended(from.lostEnding(), now);
     requestLog.lost("broken", from, reason, response.position());
     from.countRun(attempts);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/StreamBinding.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/StreamBinding.java
@@ -26,6 +26,9 @@
   private final String requestId;
   private Optional<SoftwareVersion> software;
 
+  /** The attempt that brought the first event. */
+  private Optional<RelayAttempt> writer = Optional.empty();
+
   /**
    * Creates the binding of a request.
    *
@@ -49,8 +52,14 @@
     this.isRecorded = route.streams() && route.mayRepeat() && origin.mayUsePeers();
   }
 
-  /** Returns the version that has to continue the stream; empty if any version may serve it. */
+  /**
+   * Returns the version that has to continue the stream, which is unstated if it is not known;
+   * empty if any version may serve it.
+   */
   Optional<SoftwareVersion> software() {
+    if (software.isEmpty() && writer.isPresent() && !isResolved()) {
+      return Optional.of(SoftwareVersion.UNSTATED);
+    }
     return software;
   }
 
@@ -70,17 +79,32 @@
   }
 
   private void bind(RelayAttempt from) {
-    if (software.isEmpty()) {
-      software = Optional.of(from.software());
-      if (isRecorded) {
-        versions.began(requestId, new StreamVersion(service, from.software()));
+    if (software.isEmpty() && writer.isEmpty()) {
+      writer = Optional.of(from);
+      if (!isResolved()) {
+        from.recipient.verify();
       }
+    } else if (software.isEmpty()) {
+      isResolved();
+    }
+  }
+
+  /** Returns whether the version of the process that wrote the first event is known. */
+  private boolean isResolved() {
+    SoftwareVersion version = writer.orElseThrow().software();
+    if (version.equals(SoftwareVersion.UNSTATED)) {
+      return false;
+    }
+    software = Optional.of(version);
+    if (isRecorded) {
+      versions.began(requestId, new StreamVersion(service, version));
     }
+    return true;
   }
 
   /** Returns why a request is refused; a stream whose version is gone can't be continued later. */
   Refusal refusal(Choice.Refuse choice) {
-    boolean isGone = software.isPresent() && choice.kind() == ErrorKind.NO_ENDPOINT;
+    boolean isGone = software().isPresent() && choice.kind() == ErrorKind.NO_ENDPOINT;
     ErrorKind kind = isGone ? ErrorKind.STREAM_NOT_RESUMABLE : choice.kind();
     return new Refusal(
         kind,
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/MetadataStore.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/MetadataStore.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.gateway.spi;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
@@ -18,6 +19,18 @@
    */
   <T> CompletableFuture<StoreList<T>> list(StoreKind<T> kind);
 
+  /**
+   * Reads one object; empty if there is none.
+   *
+   * @param kind the kind
+   * @param name the object's name
+   */
+  default <T> CompletableFuture<Optional<Stored<T>>> get(StoreKind<T> kind, String name) {
+    return list(kind)
+        .thenApply(
+            list -> list.items().stream().filter(item -> item.name().equals(name)).findFirst());
+  }
+
   /**
    * Waits for changes.
    *
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/SoftwareVersion.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/SoftwareVersion.java
@@ -12,7 +12,7 @@
  */
 public record SoftwareVersion(String value) {
 
-  /** The version of endpoints that state none. */
+  /** A version that is not known; no endpoint has it, so none continues its streams. */
   public static final SoftwareVersion UNSTATED = new SoftwareVersion("");
 
   /** Checks the version. */
