Give unloads their own connections only where responses are copied

Change: a daemon remembers for a minute which endpoints have sent a response that belongs to another request or to none, over any connection; their unloads get connections of their own. Bytes on an idle connection count, too.

What remains: the first copy that a daemon sees may be the one of an unload's answer.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionObserver.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionObserver.java
@@ -1,5 +1,7 @@
 package io.sequoiapass.daemon.connection;
 
+import java.net.InetSocketAddress;
+
 /** Receives how the calls of a client get their connections; must not block. */
 public interface ConnectionObserver {
 
@@ -16,7 +18,7 @@
         public void passedOver() {}
 
         @Override
-        public void discarded() {}
+        public void discarded(InetSocketAddress server) {}
 
         @Override
         public void unattributed() {}
@@ -38,8 +40,12 @@
    */
   void passedOver();
 
-  /** Called when a response to another request was discarded. */
-  void discarded();
+  /**
+   * Called when a response was discarded that belongs to another request, or to none.
+   *
+   * @param server the server that has sent it
+   */
+  void discarded(InetSocketAddress server);
 
   /** Called when a response did not name its request, after which its connection is closed. */
   void unattributed();
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -20,14 +20,23 @@
   private final ResponseGuard guard;
   private final CarriedRequests carried = new CarriedRequests();
   private HttpExchange current;
+  private HttpExchange latest;
   private boolean discarding;
 
   HttpClientHandler(ResponseGuard guard) {
     this.guard = guard;
+    guard.onUnrequested(this::unrequested);
+  }
+
+  private void unrequested() {
+    if (latest != null) {
+      latest.responseDiscarded();
+    }
   }
 
   void expect(HttpExchange exchange) {
     current = exchange;
+    latest = exchange;
     discarding = false;
     exchange.requestId().ifPresent(carried::add);
     if (carried.isFull()) {
@@ -44,6 +53,9 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     HttpExchange exchange = current;
+    if (exchange == null) {
+      unrequested();
+    }
     if (exchange == null || message.decoderResult().isFailure()) {
       context.close();
       return;
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -216,11 +216,16 @@
     boolean isOwn = requestId().filter(echoed::equals).isPresent();
     if (!isOwn) {
       notReusable = true;
-      client.observer().discarded();
+      responseDiscarded();
     }
     return isOwn;
   }
 
+  /** Records that the server has sent a response that nobody has requested. */
+  void responseDiscarded() {
+    client.observer().discarded(call.address());
+  }
+
   /** Excludes the connection from reuse. */
   void markNotReusable() {
     notReusable = true;
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseGuard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseGuard.java
@@ -23,6 +23,7 @@
   private static final long HEAD_MS = 1_500;
 
   private State state = State.IDLE;
+  private Runnable onUnrequested = () -> {};
   private long received;
   private Future<?> timeout;
 
@@ -36,6 +37,11 @@
     READS_BODY
   }
 
+  /** Sets what runs when bytes arrive that no request has asked for. */
+  void onUnrequested(Runnable action) {
+    onUnrequested = action;
+  }
+
   /** Starts to await a head. */
   void expectHead() {
     enter(State.AWAITS_HEAD);
@@ -73,6 +79,7 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (state == State.IDLE) {
       ((ByteBuf) message).release();
+      onUnrequested.run();
       context.close();
       return;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
@@ -1,12 +1,18 @@
 package io.sequoiapass.gateway.process;
 
+import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.daemon.connection.ConnectionObserver;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.ResponseMemory;
 import io.sequoiapass.daemon.connection.ReusePolicy;
+import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
-/** Counts the connections to endpoints by purpose. Safe for use by several threads. */
+/**
+ * Counts the connections to endpoints by purpose, and remembers which endpoints send responses
+ * twice. Safe for use by several threads.
+ */
 final class ConnectionCounters {
 
   private static final String OPENED = "sequoiapass_connections_opened_total{purpose=\"%s\"}";
@@ -18,10 +24,35 @@
   private static final String UNATTRIBUTED =
       "sequoiapass_responses_unattributed_total{purpose=\"%s\"}";
 
+  /** How long an endpoint that has sent a response twice counts as faulty, in milliseconds. */
+  private static final long COPIES_MS = 60_000;
+
   private final GatewayMetrics metrics;
+  private final MillisClock clock;
+  private final Map<InetSocketAddress, Long> copiedAt = new ConcurrentHashMap<>();
 
-  ConnectionCounters(GatewayMetrics metrics) {
+  /**
+   * Creates counters.
+   *
+   * @param metrics the metrics
+   * @param clock the monotonic clock
+   */
+  ConnectionCounters(GatewayMetrics metrics, MillisClock clock) {
     this.metrics = metrics;
+    this.clock = clock;
+  }
+
+  /** Returns whether an endpoint has lately sent a response that nobody had requested. */
+  boolean copiesResponses(InetSocketAddress endpoint) {
+    Long at = copiedAt.get(endpoint);
+    if (at == null) {
+      return false;
+    }
+    boolean isRecent = clock.millis() - at < COPIES_MS;
+    if (!isRecent) {
+      copiedAt.remove(endpoint, at);
+    }
+    return isRecent;
   }
 
   /** Returns the client that sends callers' requests and probes, whose responses are measured. */
@@ -63,8 +94,9 @@
       }
 
       @Override
-      public void discarded() {
+      public void discarded(InetSocketAddress server) {
         metrics.count(DISCARDED.formatted(purpose));
+        copiedAt.put(server, clock.millis());
       }
 
       @Override
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Coordinator.java
@@ -413,7 +413,7 @@
         .ifPresent(
             order ->
                 calls
-                    .order(order.type(), protocol.orderCall(order), ORDER_TIMEOUT_MS)
+                    .order(order, protocol.orderCall(order), ORDER_TIMEOUT_MS)
                     .whenComplete(
                         (answer, failure) ->
                             loop.execute(() -> ordered(order, answer, failure, now))));
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointCalls.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/EndpointCalls.java
@@ -8,7 +8,9 @@
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.spi.EndpointOrder;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 /**
  * Sends a coordinator's calls to endpoints; their failures show a lost path, too. Safe for use by
@@ -21,6 +23,7 @@
 
   private final HttpClient orders;
   private final HttpClient reports;
+  private final Predicate<InetSocketAddress> copies;
   private final PathMonitor path;
 
   /**
@@ -29,9 +32,15 @@
    *
    * @param orders sends orders
    * @param reports requests reports, over other connections
+   * @param copies whether an endpoint sends responses twice
    * @param path notified of what the calls show
    */
-  EndpointCalls(HttpClient orders, HttpClient reports, PathMonitor path) {
+  EndpointCalls(
+      HttpClient orders,
+      HttpClient reports,
+      Predicate<InetSocketAddress> copies,
+      PathMonitor path) {
+    this.copies = copies;
     this.orders = orders;
     this.reports = reports;
     this.path = path;
@@ -40,17 +49,18 @@
   /**
    * Sends an order.
    *
-   * <p>An unload gets a connection of its own. A copy of an earlier unload's answer would free the
-   * slot of an adapter that still runs, and the next load would crash the endpoint. After any other
-   * answer that is taken for the wrong order, the endpoint refuses the next order by its number.
+   * <p>Where the endpoint sends responses twice, an unload gets a connection of its own. A copy of
+   * an earlier unload's answer would free the slot of an adapter that still runs, and the next load
+   * would crash the endpoint. After any other answer that is taken for the wrong order, the
+   * endpoint refuses the next order by its number.
    *
-   * @param type the type of the order
+   * @param order the order
    * @param call the call
    * @param timeoutMs maximum time until the answer is complete, in milliseconds
    */
-  CompletableFuture<HttpAnswer> order(EndpointOrder.Type type, HttpCall call, long timeoutMs) {
+  CompletableFuture<HttpAnswer> order(EndpointOrder order, HttpCall call, long timeoutMs) {
     HttpCall alone =
-        type == EndpointOrder.Type.UNLOAD
+        order.type() == EndpointOrder.Type.UNLOAD && copies.test(order.address())
             ? call.reuse(ReusePolicy.NONE)
                 .header(HttpHeaderNames.CONNECTION.toString(), HttpHeaderValues.CLOSE.toString())
             : call;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -157,7 +157,7 @@
 
   private void start(Deployment deployment, OptionalInt metricsPort) throws IOException {
     HttpClient http = HttpClient.create(loops, CONNECT_TIMEOUT_MS);
-    ConnectionCounters counters = new ConnectionCounters(metrics);
+    ConnectionCounters counters = new ConnectionCounters(metrics, clock);
     MetadataStore store = deployment.store(http, settings);
     HttpClient endpointHttp =
         toEndpoints(
@@ -172,13 +172,7 @@
         new PathMonitor(
             directory, deployment.endpointProtocol(), endpointHttp, clock, log, metrics);
     path.onChange(this::pathChanged);
-    startCoordination(
-        deployment,
-        new EndpointCalls(
-            toEndpoints(shared).observedBy(counters.orders()),
-            toEndpoints(shared).observedBy(counters.orders()),
-            path),
-        store);
+    startCoordination(deployment, endpointCalls(shared, counters), store);
     withdrawals.use(node::send, loops);
     RelayContext context =
         new RelayContext(
@@ -216,6 +210,14 @@
     loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
+  private EndpointCalls endpointCalls(HttpClient client, ConnectionCounters counters) {
+    return new EndpointCalls(
+        toEndpoints(client).observedBy(counters.orders()),
+        toEndpoints(client).observedBy(counters.orders()),
+        counters::copiesResponses,
+        path);
+  }
+
   private SoleVersion soleVersion(MetadataStore store) {
     return new SoleVersion(software, store, this::streamRetentionMs, clock, metrics);
   }
