Count stray responses of endpoints by what they are

Responses to other requests and bytes that nobody has asked for had one counter, so the hypotheses on the incident could not be told apart on a running host. Behaviour is unchanged.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionObserver.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionObserver.java
@@ -18,7 +18,7 @@
         public void passedOver() {}
 
         @Override
-        public void discarded(InetSocketAddress server) {}
+        public void stray(InetSocketAddress server, StrayResponse response) {}
 
         @Override
         public void unattributed() {}
@@ -44,8 +44,9 @@
    * Called when a response was discarded that belongs to another request, or to none.
    *
    * @param server the server that has sent it
+   * @param response what it was
    */
-  void discarded(InetSocketAddress server);
+  void stray(InetSocketAddress server, StrayResponse response);
 
   /** Called when a response did not name its request, after which its connection is closed. */
   void unattributed();
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -30,7 +30,7 @@
 
   private void unrequested() {
     if (latest != null) {
-      latest.responseDiscarded();
+      latest.stray(StrayResponse.UNREQUESTED);
     }
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -227,14 +227,14 @@
     boolean isOwn = requestId().filter(echoed::equals).isPresent();
     if (!isOwn) {
       notReusable = true;
-      responseDiscarded();
+      stray(StrayResponse.TO_ANOTHER_REQUEST);
     }
     return isOwn;
   }
 
-  /** Records that the server has sent a response that nobody has requested. */
-  void responseDiscarded() {
-    client.observer().discarded(call.address());
+  /** Records what the server has sent that no request has asked for. */
+  void stray(StrayResponse response) {
+    client.observer().stray(call.address(), response);
   }
 
   /** Excludes the connection from reuse. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ConnectionCounters.java
@@ -5,6 +5,7 @@
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.ResponseMemory;
 import io.sequoiapass.daemon.connection.ReusePolicy;
+import io.sequoiapass.daemon.connection.StrayResponse;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,7 +21,8 @@
 
   private static final String PASSED_OVER =
       "sequoiapass_connections_passed_over_total{purpose=\"%s\"}";
-  private static final String DISCARDED = "sequoiapass_responses_to_others_total{purpose=\"%s\"}";
+  private static final String DISCARDED =
+      "sequoiapass_responses_to_others_total{purpose=\"%s\",kind=\"%s\"}";
   private static final String UNATTRIBUTED =
       "sequoiapass_responses_unattributed_total{purpose=\"%s\"}";
 
@@ -94,8 +96,8 @@
       }
 
       @Override
-      public void discarded(InetSocketAddress server) {
-        metrics.count(DISCARDED.formatted(purpose));
+      public void stray(InetSocketAddress server, StrayResponse response) {
+        metrics.count(DISCARDED.formatted(purpose, response.label()));
         copiedAt.put(server, clock.millis());
       }
 
