Read the response to HEAD without a body although a copy came before it

A caller whose HEAD request followed a late copy of another response got no answer: the decoder took one of the methods that were sent for each final response, so the copy took HEAD, and the bytes due after the real head were awaited until the time-out. The decoder now asks whether the response names the HEAD request in progress. A connection that has carried HEAD is not used again, since a copy of that response would be read as one with a body.

The scripted server of HttpClientFaultsTest is now a class of its own; its tests are unchanged.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.sequoiapass.coordination.MillisClock;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -87,8 +87,9 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     ResponseGuard guard = new ResponseGuard();
-                    channel.pipeline().addLast(guard, new HttpClientCodec());
-                    channel.pipeline().addLast(new HttpClientHandler(guard));
+                    ResponseDecoder decoder = new ResponseDecoder();
+                    channel.pipeline().addLast(guard, decoder, new HttpRequestEncoder());
+                    channel.pipeline().addLast(new HttpClientHandler(guard, decoder));
                   }
                 });
     return new HttpClient(
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -23,9 +23,10 @@
   private HttpExchange latest;
   private boolean discarding;
 
-  HttpClientHandler(ResponseGuard guard) {
+  HttpClientHandler(ResponseGuard guard, ResponseDecoder decoder) {
     this.guard = guard;
     guard.onUnrequested(this::unrequested);
+    decoder.bodiless(headers -> current != null && current.isHead() && current.isNamedIn(headers));
   }
 
   private void unrequested() {
@@ -39,7 +40,8 @@
     latest = exchange;
     discarding = false;
     exchange.requestId().ifPresent(carried::add);
-    if (carried.isFull()) {
+    // A late copy of the response to HEAD would be read as one with a body.
+    if (carried.isFull() || exchange.isHead()) {
       exchange.markNotReusable();
     }
     guard.expectHead();
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -224,7 +224,7 @@
       client.observer().unattributed();
       return true;
     }
-    boolean isOwn = requestId().filter(echoed::equals).isPresent();
+    boolean isOwn = isNamedIn(headers);
     if (!isOwn) {
       notReusable = true;
       stray(StrayResponse.TO_ANOTHER_REQUEST);
@@ -232,6 +232,17 @@
     return isOwn;
   }
 
+  boolean isHead() {
+    return HttpMethod.HEAD.name().equals(call.method());
+  }
+
+  /** Returns whether a response may be the one to this call by the request that it names. */
+  boolean isNamedIn(HttpHeaders headers) {
+    String name = client.echoedHeader();
+    String echoed = name == null ? "" : headers.get(name, "");
+    return echoed.isEmpty() || requestId().filter(echoed::equals).isPresent();
+  }
+
   /** Records what the server has sent that no request has asked for. */
   void stray(StrayResponse response) {
     client.observer().stray(call.address(), response);
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/HttpClientFaultsTest.java
@@ -4,12 +4,10 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -31,50 +29,6 @@
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** Action of a test server after it has read a request. */
-  @FunctionalInterface
-  private interface ConnectionScript {
-    void run(Socket socket, OutputStream out) throws IOException;
-  }
-
-  /** Starts a server that accepts one connection and runs the script for each request on it. */
-  private static InetSocketAddress server(ConnectionScript script) throws IOException {
-    ServerSocket listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-    Thread thread =
-        new Thread(
-            () -> {
-              try (listening;
-                  Socket socket = listening.accept()) {
-                while (readRequest(socket)) {
-                  script.run(socket, socket.getOutputStream());
-                }
-              } catch (IOException closed) {
-                // Expected: the script closed the connection.
-                assertThat(closed).isNotNull();
-              }
-            });
-    thread.setDaemon(true);
-    thread.start();
-    return new InetSocketAddress(listening.getInetAddress(), listening.getLocalPort());
-  }
-
-  private static boolean readRequest(Socket socket) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = socket.getInputStream().read();
-      if (next < 0) {
-        return false;
-      }
-      head.append((char) next);
-    }
-    return true;
-  }
-
-  private static void send(OutputStream out, String text) throws IOException {
-    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-    out.flush();
-  }
-
   private static String answer(String name, String body) {
     return "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s"
         .formatted(ECHOED, name, body.length(), body);
@@ -97,9 +51,9 @@
     @Test
     void isCompleteWhenServerCloses() throws IOException {
       InetSocketAddress address =
-          server(
+          ScriptedServer.start(
               (socket, out) -> {
-                send(out, "HTTP/1.1 200 OK\r\n\r\nwhole");
+                ScriptedServer.send(out, "HTTP/1.1 200 OK\r\n\r\nwhole");
                 socket.close();
               });
 
@@ -109,9 +63,9 @@
     @Test
     void failsAfterReset() throws IOException {
       InetSocketAddress address =
-          server(
+          ScriptedServer.start(
               (socket, out) -> {
-                send(out, "HTTP/1.1 200 OK\r\n\r\nhal");
+                ScriptedServer.send(out, "HTTP/1.1 200 OK\r\n\r\nhal");
                 // The client must read the first part before the reset discards it.
                 pause();
                 socket.setSoLinger(true, 0);
@@ -140,8 +94,9 @@
     @Test
     void isDiscarded() throws IOException {
       InetSocketAddress address =
-          server(
-              (socket, out) -> send(out, answer("stranger", "not yours") + answer("r1", "mine")));
+          ScriptedServer.start(
+              (socket, out) ->
+                  ScriptedServer.send(out, answer("stranger", "not yours") + answer("r1", "mine")));
 
       assertThat(outcome(address, "r1")).isEqualTo("mine");
     }
@@ -150,8 +105,9 @@
     @Test
     void isDiscardedHoweverTheHeaderIsWritten() throws IOException {
       InetSocketAddress address =
-          server(
-              (socket, out) -> send(out, answer("stranger", "not yours") + answer("r1", "mine")));
+          ScriptedServer.start(
+              (socket, out) ->
+                  ScriptedServer.send(out, answer("stranger", "not yours") + answer("r1", "mine")));
       HttpCall call =
           HttpCall.to(address, "GET", "/").header(ECHOED.toLowerCase(Locale.ROOT), "r1");
 
@@ -161,8 +117,9 @@
     @Test
     void preventsReuseOfConnection() throws IOException {
       InetSocketAddress address =
-          server(
-              (socket, out) -> send(out, answer("stranger", "not yours") + answer("r1", "mine")));
+          ScriptedServer.start(
+              (socket, out) ->
+                  ScriptedServer.send(out, answer("stranger", "not yours") + answer("r1", "mine")));
       outcome(address, "r1");
 
       // The client has closed the only connection that the server accepts.
@@ -178,14 +135,16 @@
 
     @Test
     void isAccepted() throws IOException {
-      InetSocketAddress address = server((socket, out) -> send(out, ANONYMOUS));
+      InetSocketAddress address =
+          ScriptedServer.start((socket, out) -> ScriptedServer.send(out, ANONYMOUS));
 
       assertThat(outcome(address, "r1")).isEqualTo("mine");
     }
 
     @Test
     void preventsReuseOfConnection() throws IOException {
-      InetSocketAddress address = server((socket, out) -> send(out, ANONYMOUS));
+      InetSocketAddress address =
+          ScriptedServer.start((socket, out) -> ScriptedServer.send(out, ANONYMOUS));
       outcome(address, "r1");
 
       assertThat(http.canReuse(address, ReusePolicy.ANY)).isFalse();
@@ -194,7 +153,9 @@
     @Test
     void isTheOneToACallWithoutAnId() throws IOException {
       InetSocketAddress address =
-          server((socket, out) -> send(out, answer("stranger", "not yours") + ANONYMOUS));
+          ScriptedServer.start(
+              (socket, out) ->
+                  ScriptedServer.send(out, answer("stranger", "not yours") + ANONYMOUS));
 
       assertThat(http.send(HttpCall.to(address, "GET", "/"), CALL_MS).join().text())
           .isEqualTo("mine");
@@ -211,7 +172,8 @@
     @Test
     void isResetAfterTimeout() throws Exception {
       CompletableFuture<Boolean> reset = new CompletableFuture<>();
-      InetSocketAddress address = server((socket, out) -> reset.complete(receivesReset(socket)));
+      InetSocketAddress address =
+          ScriptedServer.start((socket, out) -> reset.complete(receivesReset(socket)));
       http.send(HttpCall.to(address, "GET", "/").header(ECHOED, "r1").resetIfAbandoned(), 200)
           .handle((a, failure) -> failure)
           .join();
@@ -231,9 +193,9 @@
   @Test
   void truncatedResponseFails() throws IOException {
     InetSocketAddress address =
-        server(
+        ScriptedServer.start(
             (socket, out) -> {
-              send(out, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+              ScriptedServer.send(out, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
               socket.close();
             });
 
@@ -256,7 +218,7 @@
               }
               both.countDown();
               await(both);
-              send(out, answer("r1", ""));
+              ScriptedServer.send(out, answer("r1", ""));
             });
     HttpCall call = HttpCall.to(address, "GET", "/").header(ECHOED, "r1");
     CompletableFuture.allOf(http.send(call, CALL_MS), http.send(call, CALL_MS)).join();
@@ -276,14 +238,14 @@
   }
 
   /** Starts a server that runs the script on each of two connections at a time. */
-  private static InetSocketAddress serverOfMany(ConnectionScript script) throws IOException {
+  private static InetSocketAddress serverOfMany(ScriptedServer.Script script) throws IOException {
     ServerSocket listening = new ServerSocket(0, 2, InetAddress.getLoopbackAddress());
     for (int i = 0; i < 2; i++) {
       Thread thread =
           new Thread(
               () -> {
                 try (Socket socket = listening.accept()) {
-                  while (readRequest(socket)) {
+                  while (ScriptedServer.readRequest(socket)) {
                     script.run(socket, socket.getOutputStream());
                   }
                 } catch (IOException closed) {
