Close a connection on which a part of another response has arrived

Cause: an endpoint that sends an answer again may stop inside its status line. The start 'HTTP/1.1 200 O' and the head of the next answer are then read as one head, with the status of the copy and the id, stamp and body of the answer, so the id does not help. Bytes behind a complete answer stayed in the decoder when its connection became idle: ResponseGuard looks at the state before each read only.

Now a connection with bytes behind a complete answer is closed instead of becoming idle, and a head whose reason or header values hold a status line fails its call, which counts as possibly run. A joined head always holds the second status line as text, in the reason or in a value; where the copy stops elsewhere the decoder fails by itself.

StrayResponseTest$CutCopy (a copy cut after each byte, behind its response or before the next one) was red: "200 second" where the server had answered 500, after 13 to 15 and 22 to 25 bytes among others.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -18,6 +18,7 @@
   private static final int FIRST_FINAL_STATUS = 200;
 
   private final ResponseGuard guard;
+  private final ResponseDecoder decoder;
   private final CarriedRequests carried = new CarriedRequests();
   private HttpExchange current;
   private HttpExchange latest;
@@ -25,6 +26,7 @@
 
   HttpClientHandler(ResponseGuard guard, ResponseDecoder decoder) {
     this.guard = guard;
+    this.decoder = decoder;
     guard.onUnrequested(this::unrequested);
     decoder.bodiless(headers -> current != null && current.isHead() && current.isNamedIn(headers));
   }
@@ -63,6 +65,10 @@
       return;
     }
     if (message instanceof HttpResponse head) {
+      if (ResponseDecoder.isJoined(head)) {
+        reject(context, StrayResponse.JOINED_HEAD);
+        return;
+      }
       begin(exchange, head);
     }
     if (message instanceof HttpContent content) {
@@ -70,8 +76,19 @@
     }
   }
 
+  /** Fails the exchange, whose response cannot be told from others any more. */
+  private void reject(ChannelHandlerContext context, StrayResponse response) {
+    current.stray(response);
+    fail("received " + response.label());
+    context.close();
+  }
+
+  private static boolean isFinal(HttpResponse head) {
+    return head.status().code() >= FIRST_FINAL_STATUS;
+  }
+
   private void begin(HttpExchange exchange, HttpResponse head) {
-    if (head.status().code() < FIRST_FINAL_STATUS) {
+    if (!isFinal(head)) {
       discarding = true;
     } else if (!exchange.accepts(head.headers())) {
       discarding = true;
@@ -96,6 +113,9 @@
     if (last) {
       current = null;
       guard.ended();
+      if (decoder.hasMore()) {
+        exchange.stray(StrayResponse.UNREQUESTED);
+      }
       exchange.end();
     }
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -139,7 +139,7 @@
 
   void head(int status, HttpHeaders headers, boolean keepConnection) {
     answered = true;
-    keepAlive = keepConnection && !notReusable;
+    keepAlive = keepConnection;
     keepAliveMs = keepAliveLimitMs(headers);
     if (!completed.get()) {
       listener.started(status, headers);
@@ -172,7 +172,7 @@
    * of that body would be read as the next request, so such a connection is not reused.
    */
   void end() {
-    if (keepAlive && flushed) {
+    if (keepAlive && flushed && !notReusable) {
       channel.config().setAutoRead(true);
       client.addIdle(call.address(), channel, keepAliveMs);
     } else {
@@ -226,7 +226,6 @@
     }
     boolean isOwn = isNamedIn(headers);
     if (!isOwn) {
-      notReusable = true;
       stray(StrayResponse.TO_ANOTHER_REQUEST);
     }
     return isOwn;
@@ -245,6 +244,7 @@
 
   /** Records what the server has sent that no request has asked for. */
   void stray(StrayResponse response) {
+    notReusable = true;
     client.observer().stray(call.address(), response);
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/StrayResponse.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/StrayResponse.java
@@ -6,6 +6,8 @@
 public enum StrayResponse {
   /** A response that names another request, as a late copy does; the right one may follow. */
   TO_ANOTHER_REQUEST,
+  /** A head that begins with the start of another one, whose status it would seem to have. */
+  JOINED_HEAD,
   /** Bytes that no request has asked for: behind a complete response, or while none is due. */
   UNREQUESTED;
 
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/StrayResponseTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/StrayResponseTest.java
@@ -5,6 +5,8 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -16,6 +18,7 @@
 
   private static final String ECHOED = "Request-Name";
   private static final long CALL_MS = 1_000;
+  private static final String FAILED = "failed";
   private static final String FIRST = response("200 OK", "r1", "first");
   private static final String SECOND = response("500 Internal Server Error", "r2", "second");
 
@@ -40,10 +43,49 @@
 
   private String outcome(InetSocketAddress address, String method, String name) {
     return http.send(HttpCall.to(address, method, "/").header(ECHOED, name), CALL_MS)
-        .handle((a, failure) -> failure == null ? a.status() + " " + a.text() : "failed")
+        .handle((a, failure) -> failure == null ? a.status() + " " + a.text() : FAILED)
         .join();
   }
 
+  /** Returns the outcome of the second request, where the server writes some bytes at a time. */
+  private String second(String... responses) throws IOException {
+    InetSocketAddress address = server(responses);
+
+    assertThat(outcome(address, "GET", "r1")).isEqualTo("200 first");
+    return outcome(address, "GET", "r2");
+  }
+
+  /** Guards against the status of a copy that is cut off with the body of the next response. */
+  @Nested
+  class CutCopy {
+
+    @Test
+    void behindItsResponseDoesNotChangeTheNext() throws IOException {
+      List<String> wrong = new ArrayList<>();
+      for (int cut = 1; cut < FIRST.length(); cut++) {
+        String outcome = second(FIRST + FIRST.substring(0, cut), SECOND);
+        if (!outcome.equals(FAILED)) {
+          wrong.add(cut + ": " + outcome);
+        }
+      }
+
+      assertThat(wrong).as("outcomes on a connection that carries no further request").isEmpty();
+    }
+
+    @Test
+    void beforeTheNextResponseDoesNotChangeIt() throws IOException {
+      List<String> wrong = new ArrayList<>();
+      for (int cut = 1; cut < FIRST.length(); cut++) {
+        String outcome = second(FIRST, FIRST.substring(0, cut) + SECOND);
+        if (!outcome.equals(FAILED) && !outcome.equals("500 second")) {
+          wrong.add(cut + ": " + outcome);
+        }
+      }
+
+      assertThat(wrong).isEmpty();
+    }
+  }
+
   /** Guards against a copy after which the response to HEAD is read as one with a body. */
   @Nested
   class CopyBeforeTheResponseToHead {
