Do not take a response without an id on a used connection

A late copy that names no request was taken for the answer to the request in progress: its caller got the answer of another one (MIXED), a rejection that was copied so let a request run twice (TWICE) or refused one that had run (REFUSED).

Cause: each earlier response on the connection had named its request, but a copy of one need not. On a new connection there is nothing to copy; there such a response is accepted as before, and the connection is not used again. On a used one the call now fails as possibly run and the connection is closed: it can't be told whether the response is its own.

StrayResponseTest$CopyWithoutAnId was red ('expected: "failed" but was: "200 first"').

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -69,6 +69,10 @@
         reject(context, StrayResponse.JOINED_HEAD);
         return;
       }
+      if (isFinal(head) && exchange.mayBeCopy(head.headers())) {
+        reject(context, StrayResponse.WITHOUT_ID);
+        return;
+      }
       begin(exchange, head);
     }
     if (message instanceof HttpContent content) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -208,9 +208,8 @@
   /**
    * Returns whether a response is the one to this call.
    *
-   * <p>A response that names no request is accepted: each earlier one on the connection has named
-   * its own, so it is no copy of one of these. As it may itself be copied, its connection is not
-   * reused. A response to another request shows that the server sends some twice.
+   * <p>A response that names no request is accepted on a new connection. As it may be copied, its
+   * connection is not reused. A response to another request shows that the server sends some twice.
    *
    * @param headers the headers of the response
    */
@@ -231,6 +230,17 @@
     return isOwn;
   }
 
+  /**
+   * Returns whether a response that names no request may be a late copy: the connection has carried
+   * other requests.
+   *
+   * @param headers the headers of the response
+   */
+  boolean mayBeCopy(HttpHeaders headers) {
+    String echoed = client.echoedHeader();
+    return reused && echoed != null && headers.get(echoed, "").isEmpty();
+  }
+
   boolean isHead() {
     return HttpMethod.HEAD.name().equals(call.method());
   }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/StrayResponseTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/StrayResponseTest.java
@@ -86,6 +86,18 @@
     }
   }
 
+  /** Guards against a copy without an id that is taken for the response to the next request. */
+  @Nested
+  class CopyWithoutAnId {
+
+    @Test
+    void isNotTheNextResponse() throws IOException {
+      String copy = FIRST.replace(ECHOED + ": r1\r\n", "");
+
+      assertThat(second(FIRST, copy + SECOND)).isEqualTo(FAILED);
+    }
+  }
+
   /** Guards against a copy after which the response to HEAD is read as one with a body. */
   @Nested
   class CopyBeforeTheResponseToHead {
