Answer every request before a planned stop ends the process

Cause: a request was checked against the end of the stop once, when it was accepted, and during the first 2.6 s not at all. It may wait for room, a load, a turn or a retry and be sent at any moment; at the end the process exited under those that waited and those that ran. A time-out that ended with the stop raced the exit by 40 ms.

Now each send asks whether the request can end in time, by the mean and deviation of its route's answers here (RFC 6298). One that can't is rejected as not run at once, so that its caller uses another daemon in good time; so are waiting ones, when the stop begins or as soon as their time runs out. 200 ms before the exit what is still open is ended: rejected if it provably did not run, 502 STOPPED_AFTER_START if it may have, streams broken off so that they can be resumed; then the process waits until these answers are sent.

RelayedRequest had no room for it: the choice and the sending are classes of their own, with the same behaviour.

--- a/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/request/ErrorKind.java
@@ -90,6 +90,8 @@
   LEDGER_UNAVAILABLE(503, NOT_RUN, SAFE, 2_000, "The record of this key cannot be asked now."),
   /** This daemon is stopping and takes no new work. */
   DRAINING(503, NOT_RUN, SAFE, 100, "This daemon is stopping."),
+  /** This daemon stopped while the request may have been running. */
+  STOPPED_AFTER_START(502, UNKNOWN, IF_REPEATABLE, "This daemon stopped after the start."),
   /** No configuration has been received from the platform or a peer. */
   NO_CONFIGURATION(503, NOT_RUN, SAFE, 2_000, "No configuration has been learnt yet."),
   /** It cannot be proved that the known configuration, and so the API key, is still in force. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -43,7 +43,6 @@
   private final CallerAdmission admission;
   private final StreamResumption resumption;
   private final AtomicInteger inFlight = new AtomicInteger();
-  private volatile DrainSchedule drain = DrainSchedule.NEVER;
 
   CallerHandler(
       RelayContext context,
@@ -67,11 +66,6 @@
     return inFlight.get();
   }
 
-  /** Starts a planned stop; see {@link DrainSchedule} for the requests that are still accepted. */
-  void startDrain(long acceptsAllUntil, long endsAt) {
-    drain = new DrainSchedule(acceptsAllUntil, endsAt);
-  }
-
   @Override
   public void handle(HttpRequestMessage request, HttpResponder responder) {
     CallerFacts facts = context.callers().read(request);
@@ -95,7 +89,7 @@
       refuse(denied.kind(), facts, responder);
       return;
     }
-    if (!drain.accepts(route.get().timeoutMs(), context.clock().millis())) {
+    if (!context.stop().accepts(route.get().timeoutMs(), context.clock().millis())) {
       refuse(ErrorKind.DRAINING, facts, responder);
       return;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Choice.java
@@ -6,6 +6,15 @@
 /** The next action for a request. */
 public sealed interface Choice {
 
+  /**
+   * Returns the expected time until the request is sent, in milliseconds.
+   *
+   * @param before the number of requests that wait for an endpoint and arrived earlier
+   */
+  default long delayMs(int before) {
+    return 0;
+  }
+
   /**
    * Send the request.
    *
@@ -20,7 +29,12 @@
    * @param candidate the endpoint that loads it
    * @param waitMs for how long, in milliseconds
    */
-  record AwaitLoad(Candidate candidate, long waitMs) implements Choice {}
+  record AwaitLoad(Candidate candidate, long waitMs) implements Choice {
+    @Override
+    public long delayMs(int before) {
+      return waitMs;
+    }
+  }
 
   /**
    * Wait until an endpoint accepts the request: all that could serve it rest, or accept only so
@@ -33,8 +47,8 @@
    */
   record AwaitEndpoint(long waitMs, long gapMs, long responseMs) implements Choice {
 
-    /** Returns the expected time until a request with others before it is sent, in milliseconds. */
-    public long sentInMs(int before) {
+    @Override
+    public long delayMs(int before) {
       return waitMs + gapMs * before;
     }
   }
@@ -49,7 +63,12 @@
    *     milliseconds
    */
   record RequestLoad(DataCentreId dataCentre, boolean another, boolean waits, long expectedMs)
-      implements Choice {}
+      implements Choice {
+    @Override
+    public long delayMs(int before) {
+      return expectedMs;
+    }
+  }
 
   /**
    * Refuse the request; it has not run.
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DrainSchedule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DrainSchedule.java
@@ -8,13 +8,18 @@
  *
  * @param acceptsAllUntil until then all requests are accepted, since the load balancer still sends
  *     them here; in milliseconds of the monotonic clock
- * @param endsAt when the process ends
+ * @param endsAt until when answers are sent, in milliseconds of the monotonic clock
  */
 record DrainSchedule(long acceptsAllUntil, long endsAt) {
 
   /** No stop is planned. */
   static final DrainSchedule NEVER = new DrainSchedule(Long.MAX_VALUE, Long.MAX_VALUE);
 
+  /** Returns whether a request that is sent at a time ends before the process. */
+  boolean endsInTime(long durationMs, long sentAt) {
+    return sentAt + durationMs <= endsAt;
+  }
+
   boolean accepts(long timeoutMs, long now) {
     return now < acceptsAllUntil || now + timeoutMs <= endsAt;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -73,7 +73,11 @@
   /** Last part of the grace period, left for the exit of the process, in milliseconds. */
   private static final long STOP_MARGIN_MS = 450;
 
+  /** Part of the grace period before that in which the last answers are sent, in milliseconds. */
+  private static final long LAST_ANSWERS_MS = 200;
+
   private static final long STOP_POLL_MS = 50;
+  private static final long LAST_ANSWERS_POLL_MS = 10;
   private static final long CLOSE_TIMEOUT_MS = 500;
 
   /** Limits until the first configuration is read. */
@@ -92,6 +96,7 @@
   private final AdapterVersions versions;
   private final EndpointDirectory directory;
   private final PendingRequests waiting = new PendingRequests();
+  private final PlannedStop stop = new PlannedStop();
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final TaskGuard guard;
   private final PeerDirectory peers = new PeerDirectory(clock);
@@ -185,6 +190,7 @@
             new CrashWatch(parts, deployment.endpointProtocol(), endpointHttp, loops, clock),
             prompts,
             waiting,
+            stop,
             loops,
             clock,
             log,
@@ -490,9 +496,11 @@
     callerServer.closeAfterAnswers();
     peerServer.closeAfterAnswers();
     node.releaseLease();
-    long latest = startedAt + settings.bounds().graceMs() - STOP_MARGIN_MS;
-    callers.startDrain(startedAt + MIN_STOP_MS, latest);
+    long exitsAt = startedAt + settings.bounds().graceMs() - STOP_MARGIN_MS;
+    long latest = exitsAt - LAST_ANSWERS_MS;
+    stop.start(new DrainSchedule(startedAt + MIN_STOP_MS, latest));
     while (clock.millis() < latest) {
+      stop.rejectLate();
       boolean polledLongEnough = clock.millis() - startedAt >= MIN_STOP_MS;
       if (polledLongEnough) {
         callerServer.closeIdle();
@@ -503,9 +511,18 @@
       TimeUnit.MILLISECONDS.sleep(STOP_POLL_MS);
     }
     log.event("stopped").with("requests_cut", callers.inFlight()).write();
+    stop.end();
+    awaitLastAnswers(exitsAt);
     log.flush();
   }
 
+  private void awaitLastAnswers(long until) throws InterruptedException {
+    while (clock.millis() < until && callerServer.openConnections() > 0) {
+      callerServer.closeIdle();
+      TimeUnit.MILLISECONDS.sleep(LAST_ANSWERS_POLL_MS);
+    }
+  }
+
   /** Ends the daemon at once: connections are closed, requests in flight are cut off. */
   @Override
   public void close() {
--- /dev/null
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
@@ -0,0 +1,80 @@
+package io.sequoiapass.gateway.process;
+
+import io.sequoiapass.gateway.request.RelayedRequest;
+import io.sequoiapass.gateway.version.RouteSpec;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The planned stop of the process: which requests it still accepts and sends, and the end of those
+ * that are open when it ends.
+ *
+ * <p>A request may wait for most of the stop after it was accepted. One that is not expected to end
+ * in time is not sent any more, but rejected while its caller has time to use another daemon.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class PlannedStop {
+
+  private final Set<RelayedRequest> open = ConcurrentHashMap.newKeySet();
+  private final Map<String, DurationEstimator> durations = new ConcurrentHashMap<>();
+  private volatile DrainSchedule schedule = DrainSchedule.NEVER;
+
+  /** Adds a request that the stop may have to end. */
+  public void opened(RelayedRequest request) {
+    open.add(request);
+  }
+
+  /** Removes a request that has ended. */
+  public void ended(RelayedRequest request) {
+    open.remove(request);
+  }
+
+  /**
+   * Records how long an endpoint took for a request.
+   *
+   * @param route the request's route
+   * @param tookMs the time from the sending to the end of the answer, in milliseconds
+   */
+  public void answered(RouteSpec route, long tookMs) {
+    durations.computeIfAbsent(route.name(), name -> new DurationEstimator()).add(tookMs);
+  }
+
+  /** Returns whether a request with a time-out, in milliseconds, is accepted. */
+  boolean accepts(long timeoutMs, long now) {
+    return schedule.accepts(timeoutMs, now);
+  }
+
+  /**
+   * Returns whether a request is expected to end before the process if it is sent.
+   *
+   * @param route the request's route
+   * @param sentAt when it would be sent, in milliseconds
+   */
+  public boolean allowsSend(RouteSpec route, long sentAt) {
+    return schedule.endsInTime(durationMs(route), sentAt);
+  }
+
+  private long durationMs(RouteSpec route) {
+    DurationEstimator known = durations.get(route.name());
+    return Math.min(route.timeoutMs(), known == null ? route.targetMs() : known.mostMs());
+  }
+
+  /** Starts the stop, and rejects requests whose wait does not end in time. */
+  void start(DrainSchedule next) {
+    schedule = next;
+    List.copyOf(open).forEach(RelayedRequest::dispatchIfWaiting);
+  }
+
+  /** Rejects the waiting requests for which there is not enough time any more. */
+  void rejectLate() {
+    open.forEach(RelayedRequest::rejectIfLate);
+  }
+
+  /** Ends all requests that are open, each with a complete answer unless its stream has begun. */
+  void end() {
+    List.copyOf(open).forEach(RelayedRequest::endForStop);
+  }
+}
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayContext.java
@@ -7,6 +7,7 @@
 import io.sequoiapass.gateway.process.CrashWatch;
 import io.sequoiapass.gateway.process.DecisionLog;
 import io.sequoiapass.gateway.process.GatewayMetrics;
+import io.sequoiapass.gateway.process.PlannedStop;
 import io.sequoiapass.gateway.process.PromptGate;
 import io.sequoiapass.gateway.process.StreamVersions;
 import io.sequoiapass.gateway.spi.CallerProtocol;
@@ -28,6 +29,7 @@
  * @param crashes endpoints that end while they begin to write, and parts of prompts that cause it
  * @param prompts asks when engines may read long prompts
  * @param waiting requests that wait for adapters
+ * @param stop the planned stop of the process
  * @param loop runs timers
  * @param clock the monotonic clock
  * @param log the log
@@ -43,6 +45,7 @@
     CrashWatch crashes,
     PromptGate prompts,
     PendingRequests waiting,
+    PlannedStop stop,
     ScheduledExecutorService loop,
     MillisClock clock,
     DecisionLog log,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -8,7 +8,6 @@
 import io.sequoiapass.coordination.request.Flow;
 import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.daemon.connection.BodyFraming;
-import io.sequoiapass.daemon.connection.HttpCall;
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.gateway.process.Choice;
 import io.sequoiapass.gateway.process.Demand;
@@ -24,7 +23,6 @@
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -64,6 +62,8 @@
   private final AdapterSearch search = new AdapterSearch();
   private final ForwardedRequest forward;
   private final PeerSender peerSender;
+  private final EndpointSelection selection;
+  private final EndpointSender sender;
   private RelayAttempt attempt;
   private boolean completed;
 
@@ -106,6 +106,9 @@
     this.responseTimer = new ResponseTimer(context.loop());
     this.requestLog = new RequestLog(context, route, facts, access, !origin.mayUsePeers());
     this.peerSender = new PeerSender(context, origin, forward, attempts, requestLog, binding);
+    this.selection =
+        new EndpointSelection(context, route, group, facts, flow, origin, forward, binding, search);
+    this.sender = new EndpointSender(selection, attempts, response, crashes, prompt, requestLog);
   }
 
   /** Returns when the request arrived, in milliseconds. */
@@ -115,10 +118,11 @@
 
   /** Starts the request. */
   public synchronized void start() {
-    response.listen(this::callerLeft, this::resumeStream);
+    context.stop().opened(this);
     long leftMs = origin.remainingMs(now()) + EndpointTimeouts.DEADLINE_SLACK_MS;
     deadlineTimer =
         context.loop().schedule(this::deadlinePassed, Math.max(0, leftMs), TimeUnit.MILLISECONDS);
+    response.listen(this::callerLeft, this::resumeStream);
     dispatch();
   }
 
@@ -169,9 +173,8 @@
 
   private void dispatchNow() {
     long now = now();
-    long remainingMs = origin.remainingMs(now);
-    if (remainingMs < AttemptCount.MIN_REMAINING_MS) {
-      timeOut();
+    if (origin.remainingMs(now) < AttemptCount.MIN_REMAINING_MS) {
+      deadlinePassed();
       return;
     }
     Optional<ErrorKind> denied = hasRun() ? Optional.empty() : access.recheck().get();
@@ -183,6 +186,10 @@
       giveUp(new Choice.Refuse(ErrorKind.PROMPT_CRASHES_ENDPOINTS, 0));
       return;
     }
+    if (isTooLate(now)) {
+      rejectForStop();
+      return;
+    }
     if (context.peers().isNeeded() && sendThroughPeer(now)) {
       return;
     }
@@ -191,9 +198,11 @@
       return;
     }
     search.excludeOverdue(now);
-    Demand demand = demand(avoid, now);
-    Choice choice = group.choose(demand, search.loadable(context.adapters()), now);
-    if (choice instanceof Choice.Send send) {
+    Demand demand = selection.demand(avoid, now);
+    Choice choice = selection.choose(demand, now);
+    if (isTooLate(now + choice.delayMs(wait.countBefore()))) {
+      rejectForStop();
+    } else if (choice instanceof Choice.Send send) {
       search.copyFound();
       prompt
           .turn(send, demand, now)
@@ -213,8 +222,31 @@
     }
   }
 
+  /** Returns whether the process ends before a request that is sent at a time; one that ran may. */
+  private boolean isTooLate(long sentAt) {
+    return !hasRun() && !context.stop().allowsSend(route, sentAt);
+  }
+
+  private void rejectForStop() {
+    end("refused_", ErrorKind.DRAINING, ErrorKind.DRAINING.comeBackMillis());
+  }
+
+  /** Rejects the request if it waits and the process ends too early for it. */
+  public synchronized void rejectIfLate() {
+    if (!completed && wait.isWaiting() && isTooLate(now())) {
+      rejectForStop();
+    }
+  }
+
+  /** Ends the request because the process ends. */
+  public synchronized void endForStop() {
+    if (!completed) {
+      endOpen(ErrorKind.STOPPED_AFTER_START, this::rejectForStop);
+    }
+  }
+
   private void awaitEndpoint(Choice.AwaitEndpoint choice, long now) {
-    long sentInMs = choice.sentInMs(wait.countBefore());
+    long sentInMs = choice.delayMs(wait.countBefore());
     if (sentInMs + choice.responseMs() > origin.remainingMs(now) || !attempts.maySend(now)) {
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, Math.max(RETRY_AFTER_MS, sentInMs)));
       return;
@@ -222,13 +254,8 @@
     wait.startForEndpoint(now, Math.min(EndpointTimeouts.ENDPOINT_CHECK_MS, choice.waitMs() + 1));
   }
 
-  private Demand demand(AvoidedRecipients avoided, long now) {
-    return forward.demand(
-        facts.generation(), avoided.endpoints(), binding.software(), flow, origin.remainingMs(now));
-  }
-
   private void requestLoad(Choice.RequestLoad load, Demand demand, long now) {
-    LoadRequest loadRequest = loadRequest(load, demand, load.waits(), now);
+    LoadRequest loadRequest = selection.loadRequest(load, demand, load.waits(), now);
     if (!search.send(context.adapters(), load, loadRequest, now)) {
       search.exclude();
       dispatch();
@@ -240,13 +267,8 @@
         load.another() ? EndpointTimeouts.COPY_WAIT_MS : search.overdueAt() - now);
   }
 
-  private LoadRequest loadRequest(
-      Choice.RequestLoad load, Demand demand, boolean queues, long now) {
-    Set<EndpointId> excluded = group.excluded(demand, now);
-    return LoadRequest.of(facts, demand, load, route, origin.waitedMs(now), queues, excluded);
-  }
-
-  synchronized void dispatchIfWaiting() {
+  /** Dispatches the request if it waits. */
+  public synchronized void dispatchIfWaiting() {
     if (wait.isWaiting() && !completed) {
       dispatch();
     }
@@ -267,26 +289,8 @@
       refuseOrFail(new Choice.Refuse(ErrorKind.OVERLOADED, RETRY_AFTER_MS));
       return;
     }
-    prompt.sent(ticket.get(), choice.candidate(), demand);
-    context.peers().path().sent();
-    requestLog.sent(
-        choice, ticket.get(), attempts, response.lastEvent(), origin, forward.caller(), now);
-    HttpCall call = forward.to(target.get(), demand.remainingMs(), response.lastEvent());
-    attempt =
-        new EndpointAttempt(
-            this,
-            ticket.get(),
-            choice.candidate().dataCentre(),
-            context.peers().path(),
-            crashes.progress(endpoint, target.get().address()),
-            now);
-    attempt.stream =
-        context.http().stream(call, demand.remainingMs() + EndpointTimeouts.CALL_SLACK_MS, attempt);
-    awaitResponse(
-        attempt,
-        facts.generation().isPresent()
-            ? EndpointTimeouts.engineTimeoutMs(route, choice.expectedMs())
-            : EndpointTimeouts.serviceTimeoutMs(group.usualServiceMs(choice.candidate())));
+    attempt = sender.send(this, choice, target.get(), ticket.get(), demand, now);
+    awaitResponse(attempt, sender.silenceMs(choice, demand));
   }
 
   /** Sends the request through a peer; returns false if there is none or no send is allowed. */
@@ -333,17 +337,7 @@
       return FailoverPolicy.throughPeer(
           peerSender.isAvailable(others), () -> attempts.budgetAllows(now));
     }
-    Demand demand = demand(others, now);
-    Choice choice = group.choose(demand, search.loadable(context.adapters()), now);
-    FailoverPolicy.Step step =
-        FailoverPolicy.next(choice, from.endpoint(), () -> attempts.budgetAllows(now));
-    if (step == FailoverPolicy.Step.LOAD && !from.loadRequested) {
-      Choice.RequestLoad load = (Choice.RequestLoad) choice;
-      LoadRequest loadRequest = loadRequest(load, demand, false, now);
-      from.loadRequested =
-          context.adapters().requestLoad(load.dataCentre(), loadRequest).isPresent();
-    }
-    return step;
+    return selection.failOver(from, others, () -> attempts.budgetAllows(now), now);
   }
 
   /** Called when status and headers of an answer arrive; returns the answer's class. */
@@ -407,6 +401,7 @@
     }
     from.recipient.ended(Recipient.Ending.ANSWERED, now());
     crashes.answered();
+    context.stop().answered(route, now() - from.sentAt);
     finish("answered", 0);
     response.end();
   }
@@ -434,6 +429,7 @@
       return;
     }
     context.metrics().time("sequoiapass_answer_ms", response.sinceArrival());
+    context.stop().answered(route, now - from.sentAt);
     finish(success ? "answered" : "endpoint_failed", status);
     response.respond(status, body);
   }
@@ -514,7 +510,9 @@
 
   private synchronized void deadlinePassed() {
     if (!completed) {
-      timeOut();
+      endOpen(
+          ErrorKind.DEADLINE_PASSED_AFTER_START,
+          () -> end("refused_", ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS)));
     }
   }
 
@@ -526,14 +524,15 @@
     }
   }
 
-  private void timeOut() {
+  /** Ends the request while its last send may be open. */
+  private void endOpen(ErrorKind ifMayHaveRun, Runnable ifNotRun) {
     abandonAttempt();
     if (response.isStarted()) {
-      abort(ErrorKind.DEADLINE_PASSED_AFTER_START, "deadline");
+      abort(ifMayHaveRun, "open");
     } else if (attempts.mayHaveRun()) {
-      end("failed_", ErrorKind.DEADLINE_PASSED_AFTER_START, OptionalLong.empty());
+      end("failed_", ifMayHaveRun, OptionalLong.empty());
     } else {
-      end("refused_", ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS));
+      ifNotRun.run();
     }
   }
 
@@ -583,12 +582,11 @@
 
   private void finish(String outcome, int status) {
     completed = true;
+    context.stop().ended(this);
     wait.stop();
     search.end();
     prompt.end();
-    if (deadlineTimer != null) {
-      deadlineTimer.cancel(false);
-    }
+    deadlineTimer.cancel(false);
     responseTimer.cancel();
     finished.run();
     if (!hasRun()) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/EndpointGroupTest.java
@@ -218,7 +218,7 @@
       Choice.AwaitEndpoint wait = (Choice.AwaitEndpoint) choose(demand(100, 10), 30);
 
       assertThat(wait.waitMs()).isEqualTo(300);
-      assertThat(wait.sentInMs(2)).isBetween(700L, 760L);
+      assertThat(wait.delayMs(2)).isBetween(700L, 760L);
     }
 
     @Test
