Do not dispatch a request whose caller has left before its start

The action for a closed connection runs at once if the connection is closed already, and ended the request; it was dispatched all the same, and nobody would have cancelled the send (GONE). Found by reading. Only a stream that is taken up starts on another thread than that of its connection, so the window is short; no test of its own.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -123,7 +123,9 @@
     deadlineTimer =
         context.loop().schedule(this::deadlinePassed, Math.max(0, leftMs), TimeUnit.MILLISECONDS);
     response.listen(this::callerLeft, this::resumeStream);
-    dispatch();
+    if (!completed) {
+      dispatch();
+    }
   }
 
   /** Dispatches again because an endpoint holds or loads the adapter. */
