Apply pauses of a response on its connection's event loop

A caller waited for an answer that its endpoint had sent: the daemon did not read it any more, until the time-out.

Cause: a pause from another thread marks the connection and leaves the rest to its event loop; if the pause is lifted there before, NIO clears the interest in reads after it was set again, and nothing sets it any more. Epoll looks at the mark once more and is not affected. The own interface pauses from the threads that hold a shard's lock.

Now pauses and their ends set a flag and are applied on the event loop, which reads the flag; one that arrives after the exchange has ended changes nothing, so a connection that is idle again stays readable.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -45,6 +45,7 @@
   private volatile boolean flushed;
   private volatile boolean reused;
   private volatile boolean answered;
+  private volatile boolean paused;
   private int clientReads;
   private boolean keepAlive = true;
   private boolean notReusable;
@@ -282,17 +283,29 @@
 
   @Override
   public void pause() {
-    Channel current = channel;
-    if (current != null && !completed.get()) {
-      current.config().setAutoRead(false);
-    }
+    paused = true;
+    applyPause();
   }
 
   @Override
   public void resume() {
+    paused = false;
+    applyPause();
+  }
+
+  /**
+   * Starts or stops reading on the connection's event loop: a transport may stop it there later
+   * than it was started again by another thread.
+   */
+  private void applyPause() {
     Channel current = channel;
-    if (current != null) {
-      current.config().setAutoRead(true);
+    if (current == null) {
+      return;
+    }
+    if (!current.eventLoop().inEventLoop()) {
+      current.eventLoop().execute(this::applyPause);
+    } else if (!completed.get()) {
+      current.config().setAutoRead(!paused);
     }
   }
 
