Accept calls late in a planned stop by the time that they take

A call has its answer at the end of the stop in any case now, so the time that its route takes here decides. A stream that is broken off then has none; it is still accepted by its time-out.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -89,7 +89,7 @@
       refuse(denied.kind(), facts, responder);
       return;
     }
-    if (!context.stop().accepts(route.get().timeoutMs(), context.clock().millis())) {
+    if (!context.stop().accepts(route.get(), context.clock().millis())) {
       refuse(ErrorKind.DRAINING, facts, responder);
       return;
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
@@ -42,9 +42,17 @@
     durations.computeIfAbsent(route.name(), name -> new DurationEstimator()).add(tookMs);
   }
 
-  /** Returns whether a request with a time-out, in milliseconds, is accepted. */
-  boolean accepts(long timeoutMs, long now) {
-    return schedule.accepts(timeoutMs, now);
+  /**
+   * Returns whether a request is accepted. A call has an answer at the end of the stop in any case;
+   * a stream that is broken off then has none.
+   */
+  boolean accepts(RouteSpec route, long now) {
+    return accepts(route.streams() ? route.timeoutMs() : durationMs(route), now);
+  }
+
+  /** Returns whether a request that takes a time, in milliseconds, is accepted. */
+  boolean accepts(long durationMs, long now) {
+    return schedule.accepts(durationMs, now);
   }
 
   /**
