Do not take an id that holds a status line for the start of another response

A caller whose request id contains text such as 'HTTP/1.1 200 x' got no answer: each endpoint echoes the id, the head was taken for two joined ones (JOINED_HEAD), the call failed as possibly run, and the endpoint was blamed for a lost connection. Ids are forwarded as callers send them, so one caller could have sound endpoints blamed.

Cause: isJoined looks for a status line in all values, including the one that the caller chooses. The echoed id is now left out if it is the id of the request in progress.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -65,7 +65,7 @@
       return;
     }
     if (message instanceof HttpResponse head) {
-      if (ResponseDecoder.isJoined(head)) {
+      if (ResponseDecoder.isJoined(head, exchange::isOwnId)) {
         reject(context, StrayResponse.JOINED_HEAD);
         return;
       }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -253,6 +254,12 @@
     return echoed.isEmpty() || requestId().filter(echoed::equals).isPresent();
   }
 
+  /** Returns whether a header of a response repeats the id of the request. */
+  boolean isOwnId(Map.Entry<String, String> header) {
+    return header.getKey().equalsIgnoreCase(client.echoedHeader())
+        && requestId().filter(header.getValue()::equals).isPresent();
+  }
+
   /** Records what the server has sent that no request has asked for. */
   void stray(StrayResponse response) {
     notReusable = true;
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseDecoder.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseDecoder.java
@@ -34,14 +34,18 @@
   /**
    * Returns whether a head begins with the start of another one that was cut off inside a line. It
    * has the status of that one, and the id and the body of its own.
+   *
+   * @param head the head
+   * @param isChosenByCaller whether the text of a header is the caller's, and so shows nothing
    */
-  static boolean isJoined(HttpResponse head) {
+  static boolean isJoined(
+      HttpResponse head, Predicate<Map.Entry<String, String>> isChosenByCaller) {
     if (hasStatusLine(head.status().reasonPhrase())) {
       return true;
     }
     HttpHeaders headers = head.headers();
     for (Map.Entry<String, String> header : headers) {
-      if (hasStatusLine(header.getValue())) {
+      if (hasStatusLine(header.getValue()) && !isChosenByCaller.test(header)) {
         return true;
       }
     }
