Send a request without an id over a connection of its own

A caller that leaves off its request id gets 400 with 'Not-Executed' from the endpoint, without an id, as there is none to echo. On a used connection this response was rejected as a possible copy (WITHOUT_ID): the caller got 'may have run' in place of the 400, the endpoint was blamed for a lost connection, and a repeatable request was sent on to the next.

Cause: maySendOn let a call without an id take any idle connection, where its response can't be told from a copy. Such a call now takes a new connection, where a response without an id is accepted; the connection is not used again, as before.

Clients without an echoed header are as before.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -200,11 +200,15 @@
   }
 
   /**
-   * Returns whether an idle connection may carry the call: one that has not carried its request.
+   * Returns whether an idle connection may carry the call: one that has not carried its request. A
+   * response to a call without an id could not be told from a copy there.
    */
   boolean maySendOn(Channel connection) {
     HttpClientHandler handler = connection.pipeline().get(HttpClientHandler.class);
-    return handler != null && requestId().map(id -> !handler.hasCarried(id)).orElse(true);
+    if (handler == null || client.echoedHeader() == null) {
+      return handler != null;
+    }
+    return requestId().filter(id -> !id.isEmpty() && !handler.hasCarried(id)).isPresent();
   }
 
   /**
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/CutResponseTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/CutResponseTest.java
@@ -4,7 +4,11 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -129,4 +133,56 @@
       assertThat(answer(server(FIRST.replace("r1", name)), name).text()).isEqualTo("first.");
     }
   }
+
+  /** Guards against a rejection of a request without an id that is taken for a copy. */
+  @Nested
+  class RequestWithoutAnId {
+
+    @Test
+    void getsItsResponseAlsoAfterOtherRequests() throws IOException {
+      InetSocketAddress address =
+          eachConnection(FIRST, "HTTP/1.1 400 Bad Request\r\n" + SIZED + "no id.");
+
+      assertThat(answer(address, "r1").text()).isEqualTo("first.");
+      HttpAnswer answer = http.send(HttpCall.to(address, "GET", "/"), SOUND_MS).join();
+      assertThat(answer.status()).isEqualTo(400);
+    }
+
+    /** Starts a server that sends the responses in turn, over as many connections as are opened. */
+    private static InetSocketAddress eachConnection(String... responses) throws IOException {
+      ServerSocket listening = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+      AtomicInteger next = new AtomicInteger();
+      Thread thread =
+          new Thread(
+              () -> {
+                for (int i = 0; i < responses.length; i++) {
+                  accept(listening, responses, next);
+                }
+              });
+      thread.setDaemon(true);
+      thread.start();
+      return new InetSocketAddress(listening.getInetAddress(), listening.getLocalPort());
+    }
+
+    private static void accept(ServerSocket listening, String[] responses, AtomicInteger next) {
+      try {
+        Socket socket = listening.accept();
+        Thread thread = new Thread(() -> serve(socket, responses, next));
+        thread.setDaemon(true);
+        thread.start();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    private static void serve(Socket socket, String[] responses, AtomicInteger next) {
+      try (socket) {
+        while (ScriptedServer.readRequest(socket)) {
+          ScriptedServer.send(socket.getOutputStream(), responses[next.getAndIncrement()]);
+        }
+      } catch (IOException closed) {
+        assertThat(closed).isNotNull();
+      }
+    }
+  }
 }
