Accept nothing after the end of a planned stop

A planned stop ends early once no request and no connection is open. Until the process has exited, its sockets still listen, and the schedule then allowed requests up to the end of the grace period: one that came in between was sent to an endpoint, and cut off (LOST).

Cause: PlannedStop.end() ended the open requests, but left the schedule as it was. Now it accepts and sends nothing from then on; such a request is rejected as not run.

The fault itself was not reproduced in a process: the window is that of the exit.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DrainSchedule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DrainSchedule.java
@@ -15,6 +15,9 @@
   /** No stop is planned. */
   static final DrainSchedule NEVER = new DrainSchedule(Long.MAX_VALUE, Long.MAX_VALUE);
 
+  /** The stop is over: nothing is accepted or sent any more. */
+  static final DrainSchedule OVER = new DrainSchedule(Long.MIN_VALUE, Long.MIN_VALUE);
+
   /** Returns whether a request that is sent at a time ends before the process. */
   boolean endsInTime(long durationMs, long sentAt) {
     return sentAt + durationMs <= endsAt;
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
@@ -83,6 +83,7 @@
 
   /** Ends all requests that are open, each with a complete answer unless its stream has begun. */
   void end() {
+    schedule = DrainSchedule.OVER;
     List.copyOf(open).forEach(RelayedRequest::endForStop);
   }
 }
