Read events that arrive in short parts in linear time

Cause: each part was joined with a copy of all bytes of the event before it, which were searched for the end of an event again and copied once more. Now the array grows by half, only new bytes are searched, and nothing is copied until an event ends.

The bytes before the new ones hold no end of an event, since those are removed with it, so a search from there finds the same ends; the other tests of the class pass unchanged.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EventRelay.java
@@ -23,10 +23,14 @@
   /** No event has been forwarded. */
   static final long NONE = -1;
 
+  private static final byte[] NO_BYTES = new byte[0];
   private static final String ID_FIELD = "id:";
   private static final Pattern LINE_END = Pattern.compile("\\r?\\n");
 
-  private byte[] pending = new byte[0];
+  /** The first {@link #pendingBytes} bytes are those after the last complete event. */
+  private byte[] pending = NO_BYTES;
+
+  private int pendingBytes;
   private long lastId = NONE;
 
   /** Whether the caller has received events before this stream. */
@@ -41,10 +45,26 @@
 
   /** Appends received bytes and returns the events that are now complete. */
   byte[] take(byte[] part) {
-    byte[] all = join(pending, part);
-    int end = endOfLastEvent(all);
-    pending = Arrays.copyOfRange(all, end, all.length);
-    return forward(all, end);
+    int before = pendingBytes;
+    append(part);
+    int end = endOfLastEvent(before);
+    if (end == 0) {
+      return NO_BYTES;
+    }
+    byte[] complete = forward(pending, end);
+    pending = Arrays.copyOfRange(pending, end, pendingBytes);
+    pendingBytes = pending.length;
+    return complete;
+  }
+
+  /** Grows by half, so that the time for an event does not grow with the square of its parts. */
+  private void append(byte[] part) {
+    int size = pendingBytes + part.length;
+    if (size > pending.length) {
+      pending = Arrays.copyOf(pending, Math.max(size, pending.length + pending.length / 2));
+    }
+    System.arraycopy(part, 0, pending, pendingBytes, part.length);
+    pendingBytes = size;
   }
 
   private byte[] forward(byte[] all, int end) {
@@ -63,18 +83,10 @@
     return forwarded.toByteArray();
   }
 
-  private static byte[] join(byte[] first, byte[] second) {
-    if (first.length == 0) {
-      return second;
-    }
-    byte[] all = Arrays.copyOf(first, first.length + second.length);
-    System.arraycopy(second, 0, all, first.length, second.length);
-    return all;
-  }
-
-  private static int endOfLastEvent(byte[] bytes) {
-    for (int i = bytes.length; i > 1; i--) {
-      if (endsEvent(bytes, i)) {
+  /** Returns where the last event ends; no event ends within the bytes before the new ones. */
+  private int endOfLastEvent(int before) {
+    for (int i = pendingBytes; i > before; i--) {
+      if (endsEvent(pending, i)) {
         return i;
       }
     }
@@ -128,11 +140,12 @@
    */
   boolean isComplete(BodyFraming framing) {
     boolean mayBeEmpty = resumed && framing != BodyFraming.CONNECTION;
-    return isBlank(pending) && (hasEvents || mayBeEmpty);
+    return isBlank() && (hasEvents || mayBeEmpty);
   }
 
-  private static boolean isBlank(byte[] bytes) {
-    for (byte next : bytes) {
+  private boolean isBlank() {
+    for (int i = 0; i < pendingBytes; i++) {
+      byte next = pending[i];
       if (next != '\n' && next != '\r') {
         return false;
       }
@@ -142,12 +155,13 @@
 
   /** Returns the bytes after the last event; line breaks if the stream is complete. */
   byte[] remainder() {
-    return pending;
+    return Arrays.copyOf(pending, pendingBytes);
   }
 
   /** Starts the stream of the next endpoint; a partial event of the one before is discarded. */
   void begin() {
-    pending = new byte[0];
+    pending = NO_BYTES;
+    pendingBytes = 0;
     resumed = lastId != NONE;
     hasEvents = false;
   }
@@ -159,7 +173,7 @@
 
   /** Returns how far the stream was read. */
   Position position() {
-    return new Position(lastId, pending.length);
+    return new Position(lastId, pendingBytes);
   }
 
   /**
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/EventRelayTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/EventRelayTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -30,6 +31,19 @@
       assertThat(relay.lastId()).isEqualTo(1);
     }
 
+    /** Guards against time that grows with the square of the parts of an event. */
+    @Test
+    @Timeout(10)
+    void areJoinedFromManyShortParts() {
+      int bytes = 1 << 20;
+      for (int i = 0; i < bytes; i++) {
+        assertThat(relay.take(new byte[] {'a'}).length).isZero();
+      }
+
+      assertThat(take("\n\n")).hasSize(bytes + 2);
+      assertThat(relay.remainder()).isEmpty();
+    }
+
     @Test
     void areJoinedFromParts() {
       assertThat(take("id: 0\nda")).isEmpty();
