Hold short parts of responses in common arrays

A daemon has 128 MB, so one endpoint that sends a body in chunks of one byte could exceed it, while ResponseMemory counted 8 of 24 MiB.

Cause: each part was an array and a list entry of its own, some 28 bytes for one byte of content; the bound counted the content only. Now parts are joined in arrays of up to 8 KiB, so the memory exceeds what is counted by one such array for each response.

That the heap of a process was exceeded by this was not seen by itself: in the runs of EndlessBytesProcessTest the event loop was too busy to read as much.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HeldResponse.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HeldResponse.java
@@ -11,8 +11,13 @@
  */
 public final class HeldResponse implements AutoCloseable {
 
+  /** Largest array for several parts, in bytes; one for each part would exceed a short part. */
+  private static final int MAX_BLOCK_BYTES = 8 << 10;
+
   private final ResponseMemory.Share share;
-  private final List<byte[]> parts = new ArrayList<>();
+  private final List<byte[]> blocks = new ArrayList<>();
+  private byte[] last = new byte[0];
+  private int lastBytes;
   private int size;
   private boolean closed;
 
@@ -41,11 +46,24 @@
     if (closed || !share.resize(size + (long) part.length)) {
       return false;
     }
-    parts.add(part);
+    append(part);
     size += part.length;
     return true;
   }
 
+  private void append(byte[] part) {
+    int fitting = Math.min(part.length, last.length - lastBytes);
+    System.arraycopy(part, 0, last, lastBytes, fitting);
+    lastBytes += fitting;
+    int rest = part.length - fitting;
+    if (rest > 0) {
+      last = new byte[Math.max(rest, Math.min(size, MAX_BLOCK_BYTES))];
+      System.arraycopy(part, fitting, last, 0, rest);
+      lastBytes = rest;
+      blocks.add(last);
+    }
+  }
+
   /**
    * Counts bytes that are held elsewhere for a response whose parts are passed on.
    *
@@ -63,11 +81,12 @@
 
   /** Returns the body and closes this. */
   public synchronized byte[] take() {
-    byte[] all = new byte[parts.stream().mapToInt(part -> part.length).sum()];
+    byte[] all = new byte[blocks.isEmpty() ? 0 : size];
     int at = 0;
-    for (byte[] part : parts) {
-      System.arraycopy(part, 0, all, at, part.length);
-      at += part.length;
+    for (byte[] block : blocks) {
+      int length = Math.min(block.length, all.length - at);
+      System.arraycopy(block, 0, all, at, length);
+      at += length;
     }
     close();
     return all;
@@ -77,7 +96,9 @@
   @Override
   public synchronized void close() {
     closed = true;
-    parts.clear();
+    blocks.clear();
+    last = new byte[0];
+    lastBytes = 0;
     size = 0;
     share.close();
   }
