--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/StrayResponseTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/StrayResponseTest.java
@@ -72,6 +72,20 @@
       assertThat(wrong).as("outcomes on a connection that carries no further request").isEmpty();
     }
 
+    @Test
+    void behindItsResponseExcludesTheConnectionFromReuse() throws IOException {
+      List<Integer> reusable = new ArrayList<>();
+      for (int cut = 1; cut < FIRST.length(); cut++) {
+        InetSocketAddress address = server(FIRST + FIRST.substring(0, cut));
+        assertThat(outcome(address, "GET", "r1")).isEqualTo("200 first");
+        if (http.canReuse(address, ReusePolicy.ANY)) {
+          reusable.add(cut);
+        }
+      }
+
+      assertThat(reusable).as("cuts").isEmpty();
+    }
+
     @Test
     void beforeTheNextResponseDoesNotChangeIt() throws IOException {
       List<String> wrong = new ArrayList<>();
