Add a property test of copies, whole or cut, of earlier responses

A server answers each send with 200, 421 or 500 at random and copies any earlier response of the connection, whole or cut, with or without the id, behind a response or before the next one. Each outcome is the answer to its own send or a failure, and a connection carries no request after bytes behind a response.

--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/LateResponseTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/LateResponseTest.java
@@ -33,6 +33,9 @@
   private static final int CALLERS = 4;
   private static final int MOST_REJECTIONS = 4;
   private static final int COPIES_IN_100 = 30;
+  private static final int SENDS = 60;
+  private static final int SENDS_OF_EACH = 3;
+  private static final String FAILED = "failed";
 
   /** A server that rejects each request some times, runs it then, and copies responses. */
   private static final class CopyingServer implements AutoCloseable {
@@ -168,6 +171,47 @@
     }
   }
 
+  /** Sends each request some times, whatever its outcomes; returns the wrong ones. */
+  private static List<String> wrong(HttpClient http, StutteringServer server, int caller) {
+    List<String> wrong = new ArrayList<>();
+    for (int i = 0; i < SENDS; i++) {
+      String name = "r" + caller + "-" + i / SENDS_OF_EACH;
+      String send = "/" + caller + "-" + i;
+      HttpCall call = HttpCall.to(server.address(), "GET", send).header(ECHOED, name);
+      String outcome =
+          http.send(call, CALL_MS)
+              .handle((a, failure) -> failure == null ? a.status() + " " + a.text() : FAILED)
+              .join();
+      if (!outcome.equals(FAILED) && !outcome.equals(server.outcomes.get(send))) {
+        wrong.add(outcome + " for " + server.outcomes.get(send));
+      }
+      server.answered.addAndGet(outcome.equals(FAILED) ? 0 : 1);
+    }
+    return wrong;
+  }
+
+  /** Guards against a copy, whole or cut, that changes the outcome of another send. */
+  @Property(tries = 10, seed = "7")
+  void eachSendHasItsOwnOutcomeWhateverIsCopied(@ForAll long seed) throws IOException {
+    EventLoopGroup loops = SocketTransport.best().group(2);
+    try (StutteringServer server = new StutteringServer(seed, ECHOED)) {
+      HttpClient http = HttpClient.create(loops, 500, ECHOED);
+      List<CompletableFuture<List<String>>> callers = new ArrayList<>();
+      for (int i = 0; i < CALLERS; i++) {
+        int caller = i;
+        callers.add(CompletableFuture.supplyAsync(() -> wrong(http, server, caller)));
+      }
+
+      assertThat(callers.stream().flatMap(caller -> caller.join().stream())).isEmpty();
+      assertThat(server.carriedBehindCopies.get())
+          .as("requests on connections with bytes behind a response")
+          .isZero();
+      assertThat(server.answered.get()).as("answers").isGreaterThan(CALLERS * SENDS / 2);
+    } finally {
+      loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
   /** Guards against an unbounded record of the requests that a connection has carried. */
   @Test
   void connectionIsReplacedOnceItsRecordIsFull() {
