Bound the framing of a response's body

EndlessResponseTest[CHUNK_EXTENSIONS] failed before: a body in chunks of one byte, each with an extension of 1 KB, was read until the call's timeout; the test wants an end within 5 s and 32 MiB. Only content counted, so 1 MiB of it could come with 1 GB of framing, all of it decoded on the event loop that serves other callers. Now ResponseGuard counts what it reads against the content: beyond 256 KiB and as much again as the content, the connection is closed and the request fails as "may have run". Sound framing is a few bytes for each part, so only parts of a few bytes could exceed it, after 256 KiB of framing.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -112,6 +112,7 @@
       return;
     }
     if (content.content().isReadable()) {
+      guard.contentRead(content.content().readableBytes());
       exchange.part(ByteBufUtil.getBytes(content.content()));
     }
     if (last) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseGuard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseGuard.java
@@ -8,8 +8,8 @@
 
 /**
  * Closes a client connection on which bytes arrive that are no response: before the head, in a head
- * that does not end, in responses to other requests, or on an idle connection. Used on the event
- * loop of its connection.
+ * that does not end, in responses to other requests, in the framing of a body, or on an idle
+ * connection. Used on the event loop of its connection.
  */
 final class ResponseGuard extends ChannelInboundHandlerAdapter {
 
@@ -19,6 +19,9 @@
    */
   private static final long MAX_BYTES = 256 << 10;
 
+  /** Bytes of framing that may arrive in a body beyond {@link #MAX_BYTES}, for each of content. */
+  private static final long FRAMING_RATIO = 1;
+
   /** Time in which a head has to be complete after its first byte, in milliseconds. */
   private static final long HEAD_MS = 1_500;
 
@@ -33,7 +36,7 @@
     IDLE,
     /** The head of a response is due. */
     AWAITS_HEAD,
-    /** The body of the response is being read, and is limited there. */
+    /** The body of the response is being read; its content is limited by its reader. */
     READS_BODY
   }
 
@@ -52,6 +55,11 @@
     enter(State.READS_BODY);
   }
 
+  /** Called when content of the body was read. */
+  void contentRead(int bytes) {
+    received -= (1 + FRAMING_RATIO) * bytes;
+  }
+
   /** Called when a message was read that is not the response; the wait for its head starts anew. */
   void otherMessageRead() {
     cancelTimeout();
@@ -85,12 +93,9 @@
     }
     received += ((ByteBuf) message).readableBytes();
     context.fireChannelRead(message);
-    if (state != State.AWAITS_HEAD) {
-      return;
-    }
     if (received > MAX_BYTES) {
       context.close();
-    } else if (timeout == null) {
+    } else if (state == State.AWAITS_HEAD && timeout == null) {
       timeout =
           context.executor().schedule(() -> timedOut(context), HEAD_MS, TimeUnit.MILLISECONDS);
     }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/EndlessResponseTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/EndlessResponseTest.java
@@ -44,6 +44,11 @@
         0),
     CHUNK_SIZE("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", 0),
     TRAILERS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", 0),
+    CHUNK_EXTENSIONS(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "1;a=" + "b".repeat(1000) + "\r\na\r\n",
+        0),
+    SHORT_CHUNKS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", 0),
     CHUNKED_BODY("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n", 0),
     BODY("HTTP/1.1 200 OK\r\n\r\n", "abcd", 0);
 
