Reject an invalid pipelined request after earlier responses

Callers: a request followed on its connection by an invalid one (malformed, or body too large) got the rejection of the second as its answer (400, 413) and a closed connection, although it had been passed on and ran. Valid requests queued between the two were dropped without an answer.

Cause: HttpServerHandler.refuse wrote the rejection at once, whether or not an earlier response was open or requests were queued.

The rejection is now kept as the last item of the connection: it is sent when no response is open and no request is queued, and nothing is read after it.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -29,7 +29,7 @@
   private final ConnectionReads reads;
   private final Queue<PendingRequest> pipelined = new ArrayDeque<>();
   private ServerExchange current;
-  private boolean refused;
+  private HttpFault fault;
 
   /**
    * Creates a handler.
@@ -52,12 +52,12 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (refused) {
+    if (fault != null) {
       ReferenceCountUtil.release(message);
       return;
     }
-    if (message instanceof HttpFault fault) {
-      refuse(context, fault);
+    if (message instanceof HttpFault found) {
+      refuse(context, found);
       return;
     }
     FullHttpRequest request = (FullHttpRequest) message;
@@ -113,8 +113,15 @@
     return HttpFault.MALFORMED;
   }
 
-  private void refuse(ChannelHandlerContext context, HttpFault fault) {
-    refused = true;
+  /** Reads no further request, and rejects this one after the responses to earlier ones. */
+  private void refuse(ChannelHandlerContext context, HttpFault found) {
+    fault = found;
+    if (current == null && pipelined.isEmpty()) {
+      respondToFault(context);
+    }
+  }
+
+  private void respondToFault(ChannelHandlerContext context) {
     handler.refuse(fault, new ServerExchange(context, reads, () -> false, () -> {}));
   }
 
@@ -133,10 +140,12 @@
 
   private void responseEnded(ChannelHandlerContext context) {
     current = null;
-    if (pipelined.isEmpty()) {
-      timeouts.responseEnded();
-    } else {
+    if (!pipelined.isEmpty()) {
       handleAfterRead(context);
+    } else if (fault != null) {
+      respondToFault(context);
+    } else {
+      timeouts.responseEnded();
     }
   }
 
