Allow eight bytes of framing for each byte of content

A bound of one byte of framing for each of content, beyond 256 KiB, would close a sound stream that is sent in chunks of a few bytes: a chunk of one byte has five bytes of framing. Eight leave room for it; chunk extensions without end are still closed.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseGuard.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseGuard.java
@@ -19,8 +19,11 @@
    */
   private static final long MAX_BYTES = 256 << 10;
 
-  /** Bytes of framing that may arrive in a body beyond {@link #MAX_BYTES}, for each of content. */
-  private static final long FRAMING_RATIO = 1;
+  /**
+   * Bytes of framing that may arrive in a body beyond {@link #MAX_BYTES}, for each of content; a
+   * chunk of one byte has five.
+   */
+  private static final long FRAMING_RATIO = 8;
 
   /** Time in which a head has to be complete after its first byte, in milliseconds. */
   private static final long HEAD_MS = 1_500;
