Await the last answers to peers in a planned stop, and look at waits only then

The process waited for callers' connections only, so a rejection of a peer's request could be lost, and the peer counted it as possibly run. The expected wait of a request was computed at each dispatch although only a stop asks for it; it walks all requests that wait for the service.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -517,8 +517,10 @@
   }
 
   private void awaitLastAnswers(long until) throws InterruptedException {
-    while (clock.millis() < until && callerServer.openConnections() > 0) {
+    while (clock.millis() < until
+        && callerServer.openConnections() + peerServer.openConnections() > 0) {
       callerServer.closeIdle();
+      peerServer.closeIdle();
       TimeUnit.MILLISECONDS.sleep(LAST_ANSWERS_POLL_MS);
     }
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
@@ -70,6 +70,11 @@
     return Math.min(route.timeoutMs(), known == null ? route.targetMs() : known.mostMs());
   }
 
+  /** Returns whether the stop has started. */
+  public boolean isStarted() {
+    return schedule.endsAt() != DrainSchedule.NEVER.endsAt();
+  }
+
   /** Starts the stop, and rejects requests whose wait does not end in time. */
   void start(DrainSchedule next) {
     schedule = next;
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -202,7 +202,7 @@
     search.excludeOverdue(now);
     Demand demand = selection.demand(avoid, now);
     Choice choice = selection.choose(demand, now);
-    if (isTooLate(now + choice.delayMs(wait.countBefore()))) {
+    if (context.stop().isStarted() && isTooLate(now + choice.delayMs(wait.countBefore()))) {
       rejectForStop();
     } else if (choice instanceof Choice.Send send) {
       search.copyFound();
