--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DurationEstimator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DurationEstimator.java
@@ -11,7 +11,7 @@
   private static final double MEAN_WEIGHT = 0.125;
   private static final double DEVIATION_WEIGHT = 0.25;
 
-  /** About one in seven takes longer; being rejected costs a caller less than being cut off. */
+  /** More would reject many that end in time; being rejected costs a caller a retry, though. */
   private static final double DEVIATIONS = 1;
 
   private boolean hasSamples;
