--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DurationEstimator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DurationEstimator.java
@@ -11,7 +11,7 @@
   private static final double MEAN_WEIGHT = 0.125;
   private static final double DEVIATION_WEIGHT = 0.25;
 
-  /** More would reject many that end in time; being rejected costs a caller a retry, though. */
+  /** More would reject many requests that end in time, each of which costs its caller a retry. */
   private static final double DEVIATIONS = 1;
 
   private boolean hasSamples;
