Log streams cut at their deadline under their old reason

The outcome cut_DEADLINE_PASSED_AFTER_START_deadline of a request's last line had become ..._open when the ends of a deadline and of a stop were joined; it is an outer name and stays letter for letter. A stop's reason is 'stop'. Compiled, linted; no test was run for it.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -243,7 +243,7 @@
   /** Ends the request because the process ends. */
   public synchronized void endForStop() {
     if (!completed) {
-      endOpen(ErrorKind.STOPPED_AFTER_START, this::rejectForStop);
+      endOpen(ErrorKind.STOPPED_AFTER_START, "stop", this::rejectForStop);
     }
   }
 
@@ -514,6 +514,7 @@
     if (!completed) {
       endOpen(
           ErrorKind.DEADLINE_PASSED_AFTER_START,
+          "deadline",
           () -> end("refused_", ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS)));
     }
   }
@@ -527,10 +528,10 @@
   }
 
   /** Ends the request while its last send may be open. */
-  private void endOpen(ErrorKind ifMayHaveRun, Runnable ifNotRun) {
+  private void endOpen(ErrorKind ifMayHaveRun, String reason, Runnable ifNotRun) {
     abandonAttempt();
     if (response.isStarted()) {
-      abort(ifMayHaveRun, "open");
+      abort(ifMayHaveRun, reason);
     } else if (attempts.mayHaveRun()) {
       end("failed_", ifMayHaveRun, OptionalLong.empty());
     } else {
