--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DrainSchedule.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DrainSchedule.java
@@ -23,7 +23,8 @@
     return sentAt + durationMs <= endsAt;
   }
 
-  boolean accepts(long timeoutMs, long now) {
-    return now < acceptsAllUntil || now + timeoutMs <= endsAt;
+  /** Returns whether a request that arrives now and takes a time is accepted. */
+  boolean accepts(long durationMs, long now) {
+    return now < acceptsAllUntil || endsInTime(durationMs, now);
   }
 }
