--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/OpenRequestsTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/OpenRequestsTest.java
@@ -83,6 +83,7 @@
     TimeUnit.MILLISECONDS.sleep(LONGER_THAN_IDLE_MS);
   }
 
+  /** Guards against a rejection that is taken for the response to the request before it. */
   @Nested
   class BeforeAnInvalidRequest {
 
@@ -90,8 +91,6 @@
     private static final String TOO_LARGE =
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n";
 
-    // The rejection of a pipelined request would be taken for the response to the one before it,
-    // which runs.
     @ParameterizedTest
     @ValueSource(strings = {MALFORMED, TOO_LARGE})
     void areAnsweredFirst(String invalid) throws Exception {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/DurationEstimator.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/DurationEstimator.java
@@ -4,6 +4,9 @@
  * Estimates a duration that most of the next ones do not exceed, as TCP estimates its
  * retransmission time-out (RFC 6298): by the mean and the mean deviation.
  *
+ * <p>The load it answers: the requests of one route, whose durations differ by their size and by
+ * the load of their endpoints.
+ *
  * <p>Safe for use by several threads.
  */
 final class DurationEstimator {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
@@ -14,6 +14,9 @@
  * <p>A request may wait for most of the stop after it was accepted. One that is not expected to end
  * in time is not sent any more, but rejected while its caller has time to use another daemon.
  *
+ * <p>The load it answers: callers that keep sending while a daemon stops, with calls of some
+ * milliseconds beside streams that take most of the grace period.
+ *
  * <p>Safe for use by several threads.
  */
 public final class PlannedStop {
