Count and log why a server closes a connection, and exceptions there

A connection of a caller or a peer that this process closed had neither a line nor a counter, and an exception in a handler had none at all, so the hypotheses of the incident (idle limit, exception, pipelining, silence) could not be told apart. Now each close counts by reason, one under an open request is logged with how late the event loop was, exceptions count as internal errors, and a configuration's line states how long it took to apply. No logic changed.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
@@ -1,5 +1,6 @@
 package io.sequoiapass.daemon.connection;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.sequoiapass.coordination.MillisClock;
@@ -20,14 +21,17 @@
 
   private final ConnectionLimits limits;
   private final MillisClock clock;
+  private final ServerObserver observer;
   private long idleSince;
   private long receivingSince;
   private boolean receiving;
   private boolean busy;
+  private long checkDueAt;
 
-  ConnectionTimeoutHandler(ConnectionLimits limits, MillisClock clock) {
+  ConnectionTimeoutHandler(ConnectionLimits limits, MillisClock clock, ServerObserver observer) {
     this.limits = limits;
     this.clock = clock;
+    this.observer = observer;
   }
 
   @Override
@@ -58,12 +62,20 @@
     idleSince = clock.millis();
   }
 
-  /** Returns whether no request is being received or processed. */
-  boolean isIdle() {
+  /** Closes the connection unless a request is being received or processed. */
+  void closeIfIdle(Channel connection) {
+    if (isIdle()) {
+      observer.closing(CloseReason.STOP, false, 0);
+      connection.close();
+    }
+  }
+
+  private boolean isIdle() {
     return !busy && !receiving;
   }
 
   private void scheduleCheck(ChannelHandlerContext context) {
+    checkDueAt = clock.millis() + CHECK_INTERVAL_MS;
     context
         .executor()
         .schedule(() -> checkTimeouts(context), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -77,6 +89,8 @@
     boolean tooSlow = receiving && isExceeded(now - receivingSince, limits.headerTimeoutMs());
     boolean idleTooLong = isIdle() && isExceeded(now - idleSince, limits.idleTimeoutMs());
     if (tooSlow || idleTooLong) {
+      observer.closing(
+          tooSlow ? CloseReason.SLOW_REQUEST : CloseReason.IDLE, receiving, now - checkDueAt);
       context.close();
     } else {
       scheduleCheck(context);
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -93,8 +93,8 @@
           .eventLoop()
           .execute(
               () -> {
-                if (timeouts != null && timeouts.isIdle()) {
-                  connection.close();
+                if (timeouts != null) {
+                  timeouts.closeIfIdle(connection);
                 }
               });
     }
@@ -124,6 +124,7 @@
     private int maxHeaderBytes = 16 << 10;
     private Supplier<ConnectionLimits> limits;
     private BooleanSupplier accepts = () -> true;
+    private ServerObserver observer = ServerObserver.NONE;
 
     private Builder(EventLoopGroup group, HttpHandler handler) {
       this.group = Objects.requireNonNull(group, "group");
@@ -164,6 +165,16 @@
       return this;
     }
 
+    /**
+     * Sets what receives why connections and responses end.
+     *
+     * @param receiver the receiver
+     */
+    public Builder observer(ServerObserver receiver) {
+      this.observer = Objects.requireNonNull(receiver, "receiver");
+      return this;
+    }
+
     /**
      * Starts listening.
      *
@@ -207,7 +218,7 @@
           channel.pipeline().addLast(new FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true));
           ConnectionLimits bounds = limits == null ? fixedLimits() : limits.get();
           ConnectionTimeoutHandler timeouts =
-              new ConnectionTimeoutHandler(bounds, MillisClock.monotonic());
+              new ConnectionTimeoutHandler(bounds, MillisClock.monotonic(), observer);
           channel.pipeline().addLast(timeouts);
           channel
               .pipeline()
@@ -220,7 +231,7 @@
                       new ConnectionReads((SingleThreadEventLoop) loop, MillisClock.monotonic()));
           channel
               .pipeline()
-              .addLast(new HttpServerHandler(handler, timeouts, closing::get, loopReads));
+              .addLast(new HttpServerHandler(handler, timeouts, closing::get, loopReads, observer));
         }
       };
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.function.BooleanSupplier;
@@ -27,6 +28,7 @@
   private final ConnectionTimeoutHandler timeouts;
   private final BooleanSupplier closing;
   private final ConnectionReads reads;
+  private final ServerObserver observer;
   private final Queue<PendingRequest> pipelined = new ArrayDeque<>();
   private ServerExchange current;
   private HttpFault fault;
@@ -38,16 +40,19 @@
    * @param timeouts enforces the connection's timeouts
    * @param closing whether the connection closes after the next response
    * @param reads reads the connections of the event loop
+   * @param observer receives why the connection ends
    */
   HttpServerHandler(
       HttpHandler handler,
       ConnectionTimeoutHandler timeouts,
       BooleanSupplier closing,
-      ConnectionReads reads) {
+      ConnectionReads reads,
+      ServerObserver observer) {
     this.handler = handler;
     this.timeouts = timeouts;
     this.closing = closing;
     this.reads = reads;
+    this.observer = observer;
   }
 
   @Override
@@ -168,6 +173,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      observer.failed(cause);
+      observer.closing(CloseReason.EXCEPTION, current != null || !pipelined.isEmpty(), 0);
+    }
     context.close();
   }
 
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -240,11 +240,13 @@
         HttpServer.builder(loops, callers)
             .limits(this::limits)
             .acceptIf(surge::accepts)
+            .observer(new ServerLog("callers", log, guard, metrics))
             .start(settings.callers());
     peerServer =
         HttpServer.builder(
                 loops, streamLinks.handler(new PeerHandler(context, callers, gate, () -> draining)))
             .limits(() -> PeerHandler.limits(limits()))
+            .observer(new ServerLog("peers", log, guard, metrics))
             .start(settings.peers());
   }
 
@@ -551,6 +553,7 @@
       }
       return;
     }
+    long startedAt = clock.millis();
     directory.configure(next);
     configuration.set(next);
     currency.applied(item.revision());
@@ -558,6 +561,7 @@
     log.event("configuration")
         .with("version", next.version())
         .with("revision", item.revision())
+        .with("apply_ms", clock.millis() - startedAt)
         .write();
   }
 
