Go on with a request that a peer has not sent

Its host took its path for lost and sent it through a peer with the count of its earlier run; the peer had no path either, sent nothing, and failed it with ENDPOINT_LOST_AFTER_START for the run that it had been told of. The first host took that for a run at the peer and gave up.

A peer states whether it has sent a request. If it has not, an error that counts only earlier runs is a fault of that peer: the request goes on, to another peer or an endpoint.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/PeerAttempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoiapass.coordination.request.ErrorKind;
+import io.sequoiapass.coordination.request.OutcomeClass;
 import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.gateway.connection.PeerRequest;
 import io.sequoiapass.gateway.process.PeerDirectory;
@@ -56,8 +57,16 @@
       }
     }
 
-    /** Returns whether another peer may serve the request: the reason lies in this one. */
+    /**
+     * Returns whether another recipient may serve the request: the reason lies in this peer, or it
+     * counts only what this daemon has sent before.
+     */
     boolean isOfPeer() {
+      boolean isEarlierRun = kind.outcomeClass() == OutcomeClass.UNKNOWN && !hasSent;
+      return isEarlierRun || isOfPeer(kind);
+    }
+
+    private static boolean isOfPeer(ErrorKind kind) {
       return switch (kind) {
         case DRAINING,
             NO_CONFIGURATION,
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -431,15 +431,15 @@
     requestLog.peerFailed(from, error.kind());
     from.recipient.ended(
         error.isOfPeer() ? Recipient.Ending.FAILED : Recipient.Ending.NO_BLAME, now());
-    if (error.kind().outcomeClass() == OutcomeClass.UNKNOWN) {
+    if (error.isOfPeer()) {
+      attempts.refusedByPeer(error.hasSent());
+      from.avoidFrom(avoid);
+      dispatchUnlessOpen(from);
+    } else if (error.kind().outcomeClass() == OutcomeClass.UNKNOWN) {
       from.countRun(attempts);
       if (!silence.awaitsOther(from)) {
         endUnknown(error.kind(), "a peer lost the endpoint");
       }
-    } else if (error.isOfPeer()) {
-      attempts.refusedByPeer(error.hasSent());
-      from.avoidFrom(avoid);
-      dispatchUnlessOpen(from);
     } else {
       attempts.rejected();
       if (!silence.awaitsOther(from)) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/request/AttemptCountTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/request/AttemptCountTest.java
@@ -43,10 +43,12 @@
               0, 4_000, 0, OptionalLong.empty(), Optional.empty(), ErrorFormat.CALLER));
 
   private static PeerAttempt.PeerError error(boolean hasSent) {
+    return error(ErrorKind.ENDPOINTS_UNREACHABLE, hasSent);
+  }
+
+  private static PeerAttempt.PeerError error(ErrorKind kind, boolean hasSent) {
     HttpHeaders headers = new DefaultHttpHeaders();
-    ErrorFormat.PEER
-        .headers(null, null, ErrorKind.ENDPOINTS_UNREACHABLE, OptionalLong.empty(), hasSent)
-        .forEach(headers::set);
+    ErrorFormat.PEER.headers(null, null, kind, OptionalLong.empty(), hasSent).forEach(headers::set);
     return PeerAttempt.PeerError.read(headers).orElseThrow();
   }
 
@@ -104,6 +106,15 @@
       assertThat(attempts.trySendThroughPeer(1)).isTrue();
     }
 
+    /** Guards against a stream that is cut for an earlier run, which the peer was told of. */
+    @Test
+    void earlierRunsAreNoneOfThePeer() {
+      ErrorKind lost = ErrorKind.ENDPOINT_LOST_AFTER_START;
+
+      assertThat(error(lost, false).isOfPeer()).isTrue();
+      assertThat(error(lost, true).isOfPeer()).isFalse();
+    }
+
     @Test
     void headerStatesWhetherItWasSent() {
       assertThat(error(true).isOfPeer()).isTrue();
