Do not take silence for the loss of the path at once

Cause: three probes without an answer in 300 ms made a host take its path to all endpoints for lost, 1.1 s after the last byte. Sound endpoints that are all silent for a second gave the same sign. The host then sent everything through peers, which thought the same, left open attempts after 400 ms, and refused requests with ENDPOINTS_UNREACHABLE.

A probe that times out on a connection that was opened now counts as silent, not as failed. Probes that are refused, closed or not connected confirm it at once, as before.

EndpointPathTest.SilentEndpoints: with the rule before, two silent rounds lost the path. EndpointPathTest's other cases state their probes as failed, which is what they stood for; none is easier.

--- a/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPath.java
+++ b/coordination/src/main/java/io/sequoiapass/coordination/connection/EndpointPath.java
@@ -5,13 +5,14 @@
  *
  * <p>A failure of one endpoint and the loss of the path look alike from one connection. A failed or
  * silent connection is therefore only a suspicion, which probes of several endpoints over new
- * connections confirm or refute.
+ * connections confirm or refute. Probes that fail confirm it at once. Probes that get no answer do
+ * so only after a time, since sound endpoints may all be silent for a second or so.
  *
  * <pre>{@code
  * path.connectionFailed();
  * int probes = path.probesDue(now);   // probe so many endpoints
  * path.roundStarted(probes, now);
- * EndpointPath.Change change = path.probed(answered);
+ * EndpointPath.Change change = path.probed(EndpointPath.Probe.ANSWERED, now);
  * }</pre>
  *
  * <p>Answers on open connections do not prove that new ones can be opened. Not safe for use by
@@ -19,6 +20,16 @@
  */
 public final class EndpointPath {
 
+  /** The result of a probe. */
+  public enum Probe {
+    /** The endpoint has answered. */
+    ANSWERED,
+    /** The connection was opened, but nothing has arrived in time. */
+    SILENT,
+    /** The connection could not be opened, or was closed. */
+    FAILED
+  }
+
   /** The effect of a probe's result. */
   public enum Change {
     /** The state is as before. */
@@ -35,6 +46,15 @@
    */
   private static final long SILENCE_MS = 500;
 
+  /**
+   * How long endpoints may be silent on connections that were opened before the path counts as
+   * lost, in milliseconds from the first round of probes.
+   */
+  private static final long SOUND_SILENCE_MS = 1_500;
+
+  /** Time after a round without another one that ends a silence, in milliseconds. */
+  private static final long MAX_PAUSE_MS = 1_000;
+
   /** Interval between two rounds of probes, in milliseconds. */
   private static final long ROUND_MS = 250;
 
@@ -59,6 +79,8 @@
   private long roundAt = NEVER;
   private int probing;
   private boolean answered;
+  private boolean hasSilent;
+  private long silentSince = NEVER;
 
   /**
    * Records that a request is sent to an endpoint.
@@ -120,22 +142,28 @@
    * @param now the time, in milliseconds
    */
   public void roundStarted(int probes, long now) {
+    if (now - roundAt > MAX_PAUSE_MS) {
+      silentSince = NEVER;
+    }
     probing = probes;
     roundAt = now;
     answered = false;
+    hasSilent = false;
   }
 
   /**
    * Records the result of one probe of the current round.
    *
-   * @param byEndpoint whether the endpoint answered
+   * @param result the result
+   * @param now the time, in milliseconds
    */
-  public Change probed(boolean byEndpoint) {
+  public Change probed(Probe result, long now) {
     probing--;
-    if (byEndpoint) {
+    if (result == Probe.ANSWERED) {
       answered = true;
       return proved();
     }
+    hasSilent |= result == Probe.SILENT;
     if (probing > 0 || answered || lost) {
       return Change.NONE;
     }
@@ -144,7 +172,23 @@
       return Change.NONE;
     }
     confirming = false;
+    return mayBeSilent(now) ? Change.NONE : lost();
+  }
+
+  /** Returns whether the round shows no more than a silence which sound endpoints may keep. */
+  private boolean mayBeSilent(long now) {
+    if (!hasSilent) {
+      return false;
+    }
+    if (silentSince == NEVER) {
+      silentSince = roundAt;
+    }
+    return now - silentSince < SOUND_SILENCE_MS;
+  }
+
+  private Change lost() {
     lost = true;
+    silentSince = NEVER;
     return Change.LOST;
   }
 
@@ -152,6 +196,7 @@
     connectionFailed = false;
     confirming = false;
     unansweredSince = NEVER;
+    silentSince = NEVER;
     boolean restored = lost;
     lost = false;
     return restored ? Change.RESTORED : Change.NONE;
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpFailure.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpFailure.java
@@ -9,6 +9,7 @@
   private static final long serialVersionUID = 1L;
 
   private final boolean mayHaveReached;
+  private final boolean timedOut;
 
   /**
    * Creates a failure.
@@ -17,12 +18,33 @@
    * @param mayHaveReached whether any byte of the request was passed to a connection
    */
   public HttpFailure(String message, boolean mayHaveReached) {
+    this(message, mayHaveReached, false);
+  }
+
+  private HttpFailure(String message, boolean mayHaveReached, boolean timedOut) {
     super(message);
     this.mayHaveReached = mayHaveReached;
+    this.timedOut = timedOut;
+  }
+
+  /**
+   * Returns the failure of a call that was not complete in time.
+   *
+   * @param call the call
+   * @param mayHaveReached whether any byte of the request was passed to a connection
+   */
+  static HttpFailure timedOut(HttpCall call, boolean mayHaveReached) {
+    return new HttpFailure(
+        "timed out before the response was complete: " + call, mayHaveReached, true);
   }
 
   /** Returns false only if no byte of the request was passed to a connection. */
   public boolean mayHaveReached() {
     return mayHaveReached;
   }
+
+  /** Returns whether the response was not complete in time on a connection that has stayed open. */
+  public boolean isUnanswered() {
+    return timedOut && mayHaveReached;
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PathMonitor.java
@@ -4,6 +4,7 @@
 import io.sequoiapass.coordination.MillisClock;
 import io.sequoiapass.coordination.connection.EndpointPath;
 import io.sequoiapass.daemon.connection.HttpClient;
+import io.sequoiapass.daemon.connection.HttpFailure;
 import io.sequoiapass.daemon.connection.ReusePolicy;
 import io.sequoiapass.gateway.spi.EndpointEntry;
 import io.sequoiapass.gateway.spi.EndpointProtocol;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
@@ -150,7 +152,7 @@
     return engines.isEmpty() ? others : engines;
   }
 
-  private CompletableFuture<Boolean> probe(EndpointEntry endpoint) {
+  private CompletableFuture<EndpointPath.Probe> probe(EndpointEntry endpoint) {
     boolean reports =
         directory
             .groupOf(endpoint.endpoint())
@@ -163,16 +165,27 @@
                     .reuse(ReusePolicy.NONE)
                     .maxBodyBytes(EndpointCalls.MAX_ANSWER_BYTES),
                 PROBE_TIMEOUT_MS)
-            .handle((answer, failure) -> failure == null)
-        : http.canConnect(endpoint.address());
+            .handle((answer, failure) -> resultOf(failure))
+        : http.canConnect(endpoint.address())
+            .thenApply(
+                connected -> connected ? EndpointPath.Probe.ANSWERED : EndpointPath.Probe.FAILED);
   }
 
-  private void probed(boolean answered) {
+  private static EndpointPath.Probe resultOf(Throwable failure) {
+    if (failure == null) {
+      return EndpointPath.Probe.ANSWERED;
+    }
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    boolean isSilent = cause instanceof HttpFailure unanswered && unanswered.isUnanswered();
+    return isSilent ? EndpointPath.Probe.SILENT : EndpointPath.Probe.FAILED;
+  }
+
+  private void probed(EndpointPath.Probe result) {
     EndpointPath.Change change;
     long silentMs;
     synchronized (this) {
       silentMs = path.silentMs(clock.millis());
-      change = path.probed(answered);
+      change = path.probed(result, clock.millis());
       lost = path.isLost();
       lostAt = change == EndpointPath.Change.LOST ? clock.millis() : lostAt;
     }
