Read a connection before its idle limit, or a stop, closes it

What callers saw: a request on a kept connection ended with a reset. Cause: the check of the limits closes when the clock says so. When the event loop is late (a long read phase, a host short of processor time), it runs before the read, and a request that has lain in the socket since before the limit is destroyed. The same at a planned stop, and for the rest of a slow request.

ConnectionEndTest on the code before: AtTheIdleLimit.unreadRequestIsAnswered 2 of 2 and AtAStop.unreadRequestIsAnswered failed with "Connection reset".

Now a limit that is exceeded makes the loop read its connections first, and only what is still idle, or still incomplete, is closed. That the users' case was this one is not shown.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.sequoiapass.coordination.MillisClock;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,8 +12,9 @@
  *
  * <p>Without these timeouts, clients that stop in the middle of a request hold file descriptors
  * indefinitely, and new connections fail for lack of descriptors. The timeouts are checked by
- * polling, which is precise enough for limits of seconds. Not thread-safe; used on the connection's
- * event loop.
+ * polling, which is precise enough for limits of seconds. A late event loop may find a timeout
+ * exceeded although the rest of a request lies unread in the socket, so connections are read before
+ * they are closed. Not thread-safe; used on the connection's event loop.
  */
 final class ConnectionTimeoutHandler extends ChannelInboundHandlerAdapter {
 
@@ -21,6 +23,7 @@
 
   private final ConnectionLimits limits;
   private final MillisClock clock;
+  private final ConnectionReads reads;
   private final ServerObserver observer;
   private long idleSince;
   private long receivingSince;
@@ -28,9 +31,19 @@
   private boolean busy;
   private long checkDueAt;
 
-  ConnectionTimeoutHandler(ConnectionLimits limits, MillisClock clock, ServerObserver observer) {
+  /**
+   * Creates a handler.
+   *
+   * @param limits the limits of the connection
+   * @param clock the monotonic clock
+   * @param reads reads the connections of the event loop
+   * @param observer receives why the connection is closed
+   */
+  ConnectionTimeoutHandler(
+      ConnectionLimits limits, MillisClock clock, ConnectionReads reads, ServerObserver observer) {
     this.limits = limits;
     this.clock = clock;
+    this.reads = reads;
     this.observer = observer;
   }
 
@@ -62,14 +75,23 @@
     idleSince = clock.millis();
   }
 
-  /** Closes the connection unless a request is being received or processed. */
+  /** Closes the connection unless a request is being received or processed, or lies unread. */
   void closeIfIdle(Channel connection) {
     if (isIdle()) {
-      observer.closing(CloseReason.STOP, false, 0);
-      connection.close();
+      reads.afterNextRead(
+          () -> {
+            if (isIdle() && connection.isActive()) {
+              close(connection, CloseReason.STOP, 0);
+            }
+          });
     }
   }
 
+  private void close(Channel connection, CloseReason reason, long lateMs) {
+    observer.closing(reason, receiving, lateMs);
+    connection.close();
+  }
+
   private boolean isIdle() {
     return !busy && !receiving;
   }
@@ -85,16 +107,31 @@
     if (!context.channel().isActive()) {
       return;
     }
-    long now = clock.millis();
-    boolean tooSlow = receiving && isExceeded(now - receivingSince, limits.headerTimeoutMs());
-    boolean idleTooLong = isIdle() && isExceeded(now - idleSince, limits.idleTimeoutMs());
-    if (tooSlow || idleTooLong) {
-      observer.closing(
-          tooSlow ? CloseReason.SLOW_REQUEST : CloseReason.IDLE, receiving, now - checkDueAt);
-      context.close();
-    } else {
+    if (exceeded().isEmpty()) {
       scheduleCheck(context);
+      return;
+    }
+    long lateMs = clock.millis() - checkDueAt;
+    reads.afterNextRead(() -> closeIfExceeded(context, lateMs));
+  }
+
+  private void closeIfExceeded(ChannelHandlerContext context, long lateMs) {
+    if (!context.channel().isActive()) {
+      return;
+    }
+    exceeded()
+        .ifPresentOrElse(
+            reason -> close(context.channel(), reason, lateMs), () -> scheduleCheck(context));
+  }
+
+  private Optional<CloseReason> exceeded() {
+    long now = clock.millis();
+    if (receiving && isExceeded(now - receivingSince, limits.headerTimeoutMs())) {
+      return Optional.of(CloseReason.SLOW_REQUEST);
     }
+    return isIdle() && isExceeded(now - idleSince, limits.idleTimeoutMs())
+        ? Optional.of(CloseReason.IDLE)
+        : Optional.empty();
   }
 
   private static boolean isExceeded(long elapsedMs, int limitMs) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -217,18 +217,18 @@
           connections.add(channel);
           channel.pipeline().addLast(new FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true));
           ConnectionLimits bounds = limits == null ? fixedLimits() : limits.get();
+          ConnectionReads loopReads =
+              reads.computeIfAbsent(
+                  channel.eventLoop(),
+                  loop ->
+                      new ConnectionReads((SingleThreadEventLoop) loop, MillisClock.monotonic()));
           ConnectionTimeoutHandler timeouts =
-              new ConnectionTimeoutHandler(bounds, MillisClock.monotonic(), observer);
+              new ConnectionTimeoutHandler(bounds, MillisClock.monotonic(), loopReads, observer);
           channel.pipeline().addLast(timeouts);
           channel
               .pipeline()
               .addLast(new HttpServerCodec(maxLineBytes, bounds.maxHeaderBytes(), 64 << 10));
           channel.pipeline().addLast(new BodyCollector(bounds.maxBodyBytes()));
-          ConnectionReads loopReads =
-              reads.computeIfAbsent(
-                  channel.eventLoop(),
-                  loop ->
-                      new ConnectionReads((SingleThreadEventLoop) loop, MillisClock.monotonic()));
           channel
               .pipeline()
               .addLast(new HttpServerHandler(handler, timeouts, closing::get, loopReads, observer));
--- /dev/null
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
@@ -0,0 +1,161 @@
+package io.sequoiapass.daemon.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against connections that end before a request which has arrived gets its response. */
+class ConnectionEndTest {
+
+  private static final int READ_TIMEOUT_MS = 5_000;
+  private static final int IDLE_MS = 1_000;
+  private static final int GROWN_IDLE_MS = 3_000;
+  private static final long STALL_MS = 600;
+  private static final int LONG_RESPONSE_BYTES = 100_000;
+  private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+  private static final String REQUEST = "GET /%s HTTP/1.1\r\nHost: a\r\n\r\n";
+  private static final String MALFORMED = "BROKEN\r\n\r\n";
+
+  private final CountDownLatch stalled = new CountDownLatch(1);
+  private volatile int idleMs = IDLE_MS;
+  private EventLoopGroup loops;
+  private HttpServer server;
+
+  /** Stalls its event loop in the read phase when it refuses a request. */
+  private final class Handler implements HttpHandler {
+
+    @Override
+    public void handle(HttpRequestMessage request, HttpResponder responder) {
+      if (request.target().equals("/throws")) {
+        throw new IllegalStateException("thrown by the handler");
+      }
+      if (request.target().equals("/throws-late")) {
+        responder.begin(200, Map.of());
+        throw new IllegalStateException("thrown after the head");
+      }
+      String body = request.target().equals("/long") ? "x".repeat(LONG_RESPONSE_BYTES) : "{}";
+      responder.respond(200, Map.of(), body);
+    }
+
+    @Override
+    public void refuse(HttpFault fault, HttpResponder responder) {
+      if (fault == HttpFault.MALFORMED) {
+        stalled.countDown();
+        pause(STALL_MS);
+      }
+      HttpHandler.super.refuse(fault, responder);
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    loops = SocketTransport.best().group(1);
+    server =
+        HttpServer.builder(loops, new Handler())
+            .limits(() -> new ConnectionLimits(4_096, 4_096, 5_000, idleMs))
+            .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static void pause(long ms) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
+    socket.setSoTimeout(READ_TIMEOUT_MS);
+    return socket;
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  /** Reads one response with a length; returns its status, or 0 if the connection ends first. */
+  private static int readStatus(Socket socket) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = socket.getInputStream().read();
+      if (next < 0) {
+        return 0;
+      }
+      head.append((char) next);
+    }
+    String length = head.toString().replaceAll("(?is).*content-length: (\\d+).*", "$1");
+    int bytes = Integer.parseInt(length);
+    int read = socket.getInputStream().readNBytes(bytes).length;
+    return read == bytes ? Integer.parseInt(head.substring(9, 12)) : 0;
+  }
+
+  private void stallLoop() throws Exception {
+    write(connect(), MALFORMED);
+    stalled.await();
+  }
+
+  @Nested
+  class AtTheIdleLimit {
+
+    /** The check of the limit is due while the loop is stalled in its read phase. */
+    @ParameterizedTest
+    @ValueSource(longs = {700, 900})
+    void unreadRequestIsAnswered(long idleBeforeMs) throws Exception {
+      try (Socket client = connect()) {
+        pause(idleBeforeMs);
+        stallLoop();
+        write(client, REQUEST.formatted("unread"));
+
+        assertThat(readStatus(client)).isEqualTo(200);
+      }
+    }
+
+    @Test
+    void connectionIsClosed() throws Exception {
+      try (Socket client = connect()) {
+        assertThat(client.getInputStream().read()).isNegative();
+      }
+    }
+  }
+
+  @Nested
+  class AtAStop {
+
+    @Test
+    void unreadRequestIsAnswered() throws Exception {
+      try (Socket client = connect()) {
+        write(client, REQUEST.formatted("first"));
+        assertThat(readStatus(client)).isEqualTo(200);
+        stallLoop();
+        server.closeAfterAnswers();
+        server.closeIdle();
+        write(client, REQUEST.formatted("unread"));
+
+        assertThat(readStatus(client)).isEqualTo(200);
+      }
+    }
+  }
+}
