Apply a longer idle limit to open connections

Cause: the limits of a connection were those of its opening. Callers learn a longer limit at once and use a connection for most of it; it was closed by the old one, under a request. ConnectionEndTest.AtTheIdleLimit on the code before: requestWithinALimitThatHasGrownIsAnswered failed (closed unanswered).

The timeouts are read at each check, and the longest since the opening holds: callers that know an earlier, longer one may rely on it until they reconnect. Cost: a connection that was opened under a longer limit is kept for that long, as before; others as long as the configuration says.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionLimits.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionLimits.java
@@ -32,4 +32,21 @@
           "timeouts must not be negative: " + headerTimeoutMs + ", " + idleTimeoutMs);
     }
   }
+
+  /**
+   * Returns these limits with the longer timeouts of both.
+   *
+   * @param other the other limits
+   */
+  ConnectionLimits longer(ConnectionLimits other) {
+    return new ConnectionLimits(
+        maxHeaderBytes,
+        maxBodyBytes,
+        longer(headerTimeoutMs, other.headerTimeoutMs),
+        longer(idleTimeoutMs, other.idleTimeoutMs));
+  }
+
+  private static int longer(int timeoutMs, int otherMs) {
+    return timeoutMs == 0 || otherMs == 0 ? 0 : Math.max(timeoutMs, otherMs);
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
@@ -6,6 +6,7 @@
 import io.sequoiapass.coordination.MillisClock;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Closes a server connection that is idle too long or receives its request too slowly.
@@ -21,12 +22,13 @@
   /** Interval between two checks; a timeout fires at most this much late. */
   private static final long CHECK_INTERVAL_MS = 500;
 
-  private final ConnectionLimits limits;
+  private final Supplier<ConnectionLimits> limits;
   private final MillisClock clock;
   private final ConnectionReads reads;
   private final ServerObserver observer;
   private long idleSince;
   private long receivingSince;
+  private ConnectionLimits largest;
   private boolean receiving;
   private boolean busy;
   private long checkDueAt;
@@ -34,14 +36,18 @@
   /**
    * Creates a handler.
    *
-   * @param limits the limits of the connection
+   * @param limits supplies the current limits
    * @param clock the monotonic clock
    * @param reads reads the connections of the event loop
    * @param observer receives why the connection is closed
    */
   ConnectionTimeoutHandler(
-      ConnectionLimits limits, MillisClock clock, ConnectionReads reads, ServerObserver observer) {
+      Supplier<ConnectionLimits> limits,
+      MillisClock clock,
+      ConnectionReads reads,
+      ServerObserver observer) {
     this.limits = limits;
+    this.largest = limits.get();
     this.clock = clock;
     this.reads = reads;
     this.observer = observer;
@@ -124,12 +130,14 @@
             reason -> close(context.channel(), reason, lateMs), () -> scheduleCheck(context));
   }
 
+  /** Clients may rely on a larger limit at once, and on an earlier one until they reconnect. */
   private Optional<CloseReason> exceeded() {
     long now = clock.millis();
-    if (receiving && isExceeded(now - receivingSince, limits.headerTimeoutMs())) {
+    largest = largest.longer(limits.get());
+    if (receiving && isExceeded(now - receivingSince, largest.headerTimeoutMs())) {
       return Optional.of(CloseReason.SLOW_REQUEST);
     }
-    return isIdle() && isExceeded(now - idleSince, limits.idleTimeoutMs())
+    return isIdle() && isExceeded(now - idleSince, largest.idleTimeoutMs())
         ? Optional.of(CloseReason.IDLE)
         : Optional.empty();
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -146,7 +146,8 @@
     }
 
     /**
-     * Sets a source of limits, read for each connection as it opens, instead of fixed limits.
+     * Sets a source of limits instead of fixed ones. The sizes are read for each connection as it
+     * opens; of the timeouts the longest since then holds.
      *
      * @param source supplies the current limits
      */
@@ -207,6 +208,7 @@
     }
 
     private ChannelInitializer<SocketChannel> initializer(ChannelGroup connections) {
+      Supplier<ConnectionLimits> current = limits == null ? this::fixedLimits : limits;
       return new ChannelInitializer<>() {
         @Override
         protected void initChannel(SocketChannel channel) {
@@ -216,14 +218,14 @@
           }
           connections.add(channel);
           channel.pipeline().addLast(new FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true));
-          ConnectionLimits bounds = limits == null ? fixedLimits() : limits.get();
+          ConnectionLimits bounds = current.get();
           ConnectionReads loopReads =
               reads.computeIfAbsent(
                   channel.eventLoop(),
                   loop ->
                       new ConnectionReads((SingleThreadEventLoop) loop, MillisClock.monotonic()));
           ConnectionTimeoutHandler timeouts =
-              new ConnectionTimeoutHandler(bounds, MillisClock.monotonic(), loopReads, observer);
+              new ConnectionTimeoutHandler(current, MillisClock.monotonic(), loopReads, observer);
           channel.pipeline().addLast(timeouts);
           channel
               .pipeline()
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
@@ -133,6 +133,18 @@
       }
     }
 
+    @Test
+    void requestWithinALimitThatHasGrownIsAnswered() throws Exception {
+      try (Socket client = connect()) {
+        pause(IDLE_MS / 2);
+        idleMs = GROWN_IDLE_MS;
+        pause(2 * IDLE_MS);
+        write(client, REQUEST.formatted("grown"));
+
+        assertThat(readStatus(client)).isEqualTo(200);
+      }
+    }
+
     @Test
     void connectionIsClosed() throws Exception {
       try (Socket client = connect()) {
