Close connections without a reset

Cause: close() while bytes of the client lie unread, or arrive later, makes the system reset the connection, which destroys what the client has not received of the last response. A caller that sends its next request behind a response that announces the close loses that response. ConnectionEndTest.AfterALastResponse on the code before: "Connection reset".

Now the sending half is closed first, what still arrives is discarded, and the connection ends when the client closes its half, after a second at the latest. Cost: a descriptor for up to a second for clients that do not close.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import io.sequoiapass.coordination.MillisClock;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,7 @@
   private ConnectionLimits largest;
   private boolean receiving;
   private boolean busy;
+  private boolean closing;
   private long checkDueAt;
 
   /**
@@ -62,6 +64,10 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object bytes) {
+    if (closing) {
+      ReferenceCountUtil.release(bytes);
+      return;
+    }
     if (!busy && !receiving) {
       receiving = true;
       receivingSince = clock.millis();
@@ -95,11 +101,19 @@
 
   private void close(Channel connection, CloseReason reason, long lateMs) {
     observer.closing(reason, receiving, lateMs);
-    connection.close();
+    closing = true;
+    LingeringClose.close(connection);
+  }
+
+  /** Closes the connection after the last response. */
+  void closeAfterLast(Channel connection) {
+    if (!closing) {
+      close(connection, CloseReason.LAST_RESPONSE, 0);
+    }
   }
 
   private boolean isIdle() {
-    return !busy && !receiving;
+    return !busy && !receiving && !closing;
   }
 
   private void scheduleCheck(ChannelHandlerContext context) {
@@ -110,7 +124,7 @@
   }
 
   private void checkTimeouts(ChannelHandlerContext context) {
-    if (!context.channel().isActive()) {
+    if (!context.channel().isActive() || closing) {
       return;
     }
     if (exceeded().isEmpty()) {
@@ -122,7 +136,7 @@
   }
 
   private void closeIfExceeded(ChannelHandlerContext context, long lateMs) {
-    if (!context.channel().isActive()) {
+    if (!context.channel().isActive() || closing) {
       return;
     }
     exceeded()
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -127,7 +127,7 @@
   }
 
   private void respondToFault(ChannelHandlerContext context) {
-    handler.refuse(fault, new ServerExchange(context, reads, () -> false, () -> {}));
+    handler.refuse(fault, exchange(context, () -> false, () -> {}));
   }
 
   private void handleNext(ChannelHandlerContext context) {
@@ -139,10 +139,16 @@
       return;
     }
     BooleanSupplier keep = () -> call.keepAlive() && !closing.getAsBoolean();
-    current = new ServerExchange(context, reads, keep, () -> responseEnded(context));
+    current = exchange(context, keep, () -> responseEnded(context));
     handler.handle(call.request(), current);
   }
 
+  private ServerExchange exchange(
+      ChannelHandlerContext context, BooleanSupplier keep, Runnable onEnded) {
+    return new ServerExchange(
+        context, reads, keep, onEnded, () -> timeouts.closeAfterLast(context.channel()));
+  }
+
   private void responseEnded(ChannelHandlerContext context) {
     current = null;
     if (!pipelined.isEmpty()) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ServerExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ServerExchange.java
@@ -1,7 +1,6 @@
 package io.sequoiapass.daemon.connection;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -28,20 +27,32 @@
   private final BooleanSupplier keepAlive;
   private boolean closeAfterResponse;
   private final Runnable onEnded;
+  private final Runnable closeAfterLast;
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile Runnable onWritable = () -> {};
   private volatile Runnable onClose = () -> {};
   private volatile boolean closed;
 
+  /**
+   * Creates an exchange.
+   *
+   * @param context the connection
+   * @param presence whether the client is still connected
+   * @param keepAlive whether the connection stays open after the response
+   * @param onEnded runs after a response on a connection that stays open
+   * @param closeAfterLast closes the connection once the response has been written
+   */
   ServerExchange(
       ChannelHandlerContext context,
       ClientPresence presence,
       BooleanSupplier keepAlive,
-      Runnable onEnded) {
+      Runnable onEnded,
+      Runnable closeAfterLast) {
     this.context = context;
     this.presence = presence;
     this.keepAlive = keepAlive;
     this.onEnded = onEnded;
+    this.closeAfterLast = closeAfterLast;
   }
 
   @Override
@@ -101,7 +112,7 @@
     if (!closeAfterResponse) {
       context.executor().execute(onEnded);
     } else {
-      written.addListener(ChannelFutureListener.CLOSE);
+      written.addListener(done -> closeAfterLast.run());
     }
   }
 
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
@@ -170,4 +170,22 @@
       }
     }
   }
+
+  @Nested
+  class AfterALastResponse {
+
+    @Test
+    void responseIsCompleteThoughTheClientHasSentMore() throws Exception {
+      server.closeAfterAnswers();
+      try (Socket client = connect()) {
+        write(client, REQUEST.formatted("long"));
+        pause(IDLE_MS / 4);
+        write(client, REQUEST.formatted("more"));
+        pause(IDLE_MS / 4);
+
+        assertThat(readStatus(client)).isEqualTo(200);
+        assertThat(client.getInputStream().read()).isNegative();
+      }
+    }
+  }
 }
