Stop reading a connection with many pipelined requests instead of closing it

Cause: the seventeenth waiting request closed the connection with an open response and sixteen requests unanswered. ConnectionEndTest.OfManyPipelined Requests on the code before: "Connection reset". Now the connection is not read while 16 requests or more wait, and read again when none does. A client that leaves meanwhile is noticed when the connection is read again.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -17,11 +17,12 @@
  * Passes the requests of one server connection to the handler, one at a time.
  *
  * <p>Pipelined requests wait until the previous response has ended, since responses must keep the
- * order of their requests. Used on the connection's event loop.
+ * order of their requests. While many wait, the connection is not read. Used on the connection's
+ * event loop.
  */
 final class HttpServerHandler extends ChannelInboundHandlerAdapter {
 
-  /** Maximum pipelined requests per connection; above it the connection is closed. */
+  /** Number of waiting pipelined requests at which the connection is not read any more. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
   private final HttpHandler handler;
@@ -86,9 +87,8 @@
             request.headers().copy(),
             ByteBufUtil.getBytes(request.content()));
     pipelined.add(new PendingRequest(call, HttpUtil.isKeepAlive(request)));
-    if (pipelined.size() > MAX_PIPELINED_REQUESTS) {
-      context.close();
-      return;
+    if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
+      context.channel().config().setAutoRead(false);
     }
     handleAfterRead(context);
   }
@@ -138,6 +138,9 @@
     if (call == null) {
       return;
     }
+    if (pipelined.isEmpty()) {
+      context.channel().config().setAutoRead(true);
+    }
     BooleanSupplier keep = () -> call.keepAlive() && !closing.getAsBoolean();
     current = exchange(context, keep, () -> responseEnded(context));
     handler.handle(call.request(), current);
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
@@ -188,4 +188,21 @@
       }
     }
   }
+
+  @Nested
+  class OfManyPipelinedRequests {
+
+    private static final int REQUESTS = 100;
+
+    @Test
+    void allAreAnswered() throws Exception {
+      try (Socket client = connect()) {
+        write(client, REQUEST.formatted("pipelined").repeat(REQUESTS));
+
+        for (int i = 0; i < REQUESTS; i++) {
+          assertThat(readStatus(client)).as("response %d", i).isEqualTo(200);
+        }
+      }
+    }
+  }
 }
