Answer a request whose handler throws an exception

Cause: whatever a handler threw closed the connection: no response, no line, no counter, and what the request had started went on. ConnectionEndTest.AfterAnException.requestIsAnsweredAndTheNextOneToo on the code before: the connection ended. Now the request is answered 500, which promises nothing about whether it ran, its work is cancelled, and the next request of the connection is handled. A response that has begun is cut, so that it does not look complete.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
@@ -112,7 +112,8 @@
     }
   }
 
-  private boolean isIdle() {
+  /** Returns whether no request is being received or processed. */
+  boolean isIdle() {
     return !busy && !receiving && !closing;
   }
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpFault.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpFault.java
@@ -9,7 +9,9 @@
   /** The headers are too large. */
   HEADERS_TOO_LARGE(431),
   /** The body is too large. */
-  BODY_TOO_LARGE(413);
+  BODY_TOO_LARGE(413),
+  /** An exception was thrown while the request was handled; it may have run. */
+  INTERNAL(500);
 
   private final int status;
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -103,11 +103,19 @@
           try {
             handleNext(context);
           } catch (RuntimeException e) {
-            exceptionCaught(context, e);
+            failed(e);
           }
         });
   }
 
+  /** Responds to a request whose handler has thrown an exception. */
+  private void failed(RuntimeException cause) {
+    observer.failed(cause);
+    if (current != null) {
+      current.failed(exchange -> handler.refuse(HttpFault.INTERNAL, exchange));
+    }
+  }
+
   private static HttpFault faultOf(Throwable cause) {
     if (cause instanceof TooLongHttpLineException) {
       return HttpFault.LINE_TOO_LONG;
@@ -118,7 +126,7 @@
     return HttpFault.MALFORMED;
   }
 
-  /** Reads no further request, and rejects this one after the responses to earlier ones. */
+  /** Reads no further request, and responds to this one after the responses to earlier ones. */
   private void refuse(ChannelHandlerContext context, HttpFault found) {
     fault = found;
     if (current == null && pipelined.isEmpty()) {
@@ -182,11 +190,17 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      observer.failed(cause);
-      observer.closing(CloseReason.EXCEPTION, current != null || !pipelined.isEmpty(), 0);
+    if (cause instanceof IOException) {
+      context.close();
+      return;
+    }
+    observer.failed(cause);
+    if (fault == null && !timeouts.isIdle()) {
+      refuse(context, HttpFault.INTERNAL);
+    } else if (current == null && pipelined.isEmpty()) {
+      observer.closing(CloseReason.EXCEPTION, fault != null, 0);
+      context.close();
     }
-    context.close();
   }
 
   private record PendingRequest(HttpRequestMessage request, boolean keepAlive) {}
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ServerExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ServerExchange.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /** Sends the response to one request of one server connection; thread-safe. */
 final class ServerExchange implements HttpResponder {
@@ -32,6 +33,7 @@
   private volatile Runnable onWritable = () -> {};
   private volatile Runnable onClose = () -> {};
   private volatile boolean closed;
+  private volatile boolean begun;
 
   /**
    * Creates an exchange.
@@ -79,6 +81,7 @@
     headers.forEach((name, value) -> head.headers().set(name, value));
     HttpUtil.setTransferEncodingChunked(head, true);
     setConnectionHeader(head);
+    begun = true;
     context.writeAndFlush(head);
   }
 
@@ -101,6 +104,24 @@
     }
   }
 
+  /**
+   * Ends the response after an exception, and what works on it.
+   *
+   * @param response sends the response if none has begun
+   */
+  void failed(Consumer<HttpResponder> response) {
+    if (ended.get()) {
+      return;
+    }
+    Runnable left = onClose;
+    if (begun) {
+      abort();
+    } else {
+      response.accept(this);
+    }
+    left.run();
+  }
+
   private void finish(Object last) {
     if (!ended.compareAndSet(false, true)) {
       return;
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/CallerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/CallerHandler.java
@@ -90,11 +90,18 @@
 
   @Override
   public void refuse(HttpFault fault, HttpResponder responder) {
+    if (fault == HttpFault.INTERNAL) {
+      // The request may have run, unlike one that was not read.
+      HttpHandler.super.refuse(fault, responder);
+      return;
+    }
     ErrorKind kind =
         switch (fault) {
           case MALFORMED -> ErrorKind.MALFORMED_REQUEST;
           case LINE_TOO_LONG, HEADERS_TOO_LARGE -> ErrorKind.HEADERS_TOO_LARGE;
           case BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE;
+          case INTERNAL ->
+              throw new IllegalArgumentException(fault + " is no fault of the request");
         };
     ErrorAnswer.refuse(responder, kind, "");
   }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
@@ -205,4 +205,30 @@
       }
     }
   }
+
+  @Nested
+  class AfterAnException {
+
+    @Test
+    void requestIsAnsweredAndTheNextOneToo() throws Exception {
+      try (Socket client = connect()) {
+        write(client, REQUEST.formatted("throws") + REQUEST.formatted("next"));
+
+        assertThat(readStatus(client)).isEqualTo(500);
+        assertThat(readStatus(client)).isEqualTo(200);
+      }
+    }
+
+    @Test
+    void responseThatHasBegunDoesNotLookComplete() throws Exception {
+      try (Socket client = connect()) {
+        write(client, REQUEST.formatted("throws-late"));
+        byte[] all = client.getInputStream().readAllBytes();
+
+        assertThat(new String(all, StandardCharsets.US_ASCII))
+            .startsWith("HTTP/1.1 200")
+            .doesNotEndWith("0\r\n\r\n");
+      }
+    }
+  }
 }
