End a resumption whose search does not end

Cause: a request that continues a stream waits until a peer or the store says who began the stream, and had neither a deadline nor a part in a planned stop before that. If the search did not end, neither did the request, and the number of requests in flight never fell; an exception after the search was swallowed by its future, with the same result.

PendingResumption ends the wait with its search, the deadline, the stop or the caller, whichever is first, and answers 500 if the start throws. PendingResumptionTest: on the code before there was no class to test; its cases (no end at the deadline, none at the stop, an exception) are read from CallerHandler.resume, which had no timer and no handler of exceptions.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -21,10 +21,11 @@
 import io.sequoiapass.gateway.version.EngineSpec;
 import io.sequoiapass.gateway.version.RouteSpec;
 import io.sequoiapass.gateway.version.ServingConfiguration;
+import io.sequoiapass.gateway.version.StreamVersion;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
@@ -42,6 +43,7 @@
   private final WorkspaceGate gate;
   private final CallerAdmission admission;
   private final StreamResumption resumption;
+  private final TaskGuard guard;
   private final AtomicInteger inFlight = new AtomicInteger();
 
   CallerHandler(
@@ -51,7 +53,8 @@
       RetryBudgets budgets,
       WorkspaceGate gate,
       CallerAdmission admission,
-      StreamResumption resumption) {
+      StreamResumption resumption,
+      TaskGuard guard) {
     this.context = context;
     this.configuration = configuration;
     this.directory = directory;
@@ -59,6 +62,7 @@
     this.gate = gate;
     this.admission = admission;
     this.resumption = resumption;
+    this.guard = guard;
   }
 
   /** Returns the number of requests in flight. */
@@ -130,25 +134,26 @@
 
   /** Starts a request that continues a stream, once it is known who began it. */
   private void resume(RouteSpec route, CallerExchange exchange) {
+    CompletableFuture<Optional<StreamVersion>> search = resumption.find(route, exchange.facts());
     inFlight.incrementAndGet();
-    AtomicBoolean left = new AtomicBoolean();
-    exchange.responder().onClose(() -> left.set(true));
-    resumption
-        .find(route, exchange.facts())
-        .whenComplete(
-            (found, failure) -> {
-              boolean isKnown = failure == null && found.isPresent();
-              context
-                  .metrics()
-                  .count("sequoiapass_resumptions_total{version_known=\"" + isKnown + "\"}");
-              if (isKnown && !left.get()) {
-                start(found.get().service(), route, exchange.boundTo(found.get().software()));
-              } else {
-                exchange.access().notRun().run();
-                refuse(ErrorKind.STREAM_NOT_RESUMABLE, exchange.facts(), exchange.responder());
-              }
-              inFlight.decrementAndGet();
-            });
+    PendingResumption.Outcome outcome =
+        new PendingResumption.Outcome() {
+          @Override
+          public void found(StreamVersion version) {
+            start(version.service(), route, exchange.boundTo(version.software()));
+          }
+
+          @Override
+          public void refused(ErrorKind kind) {
+            refuse(kind, exchange.facts(), exchange.responder());
+          }
+
+          @Override
+          public void ended() {
+            inFlight.decrementAndGet();
+          }
+        };
+    new PendingResumption(context, exchange, guard, outcome).start(search);
   }
 
   private OptionalLong charge(WorkspaceGate.Verdict.Known caller, CallerFacts facts) {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -207,7 +207,8 @@
             retries,
             gate,
             admission,
-            new StreamResumption(streamLinks, soleVersion(store)));
+            new StreamResumption(streamLinks, soleVersion(store)),
+            guard);
     startRecorder(store);
     startFeeds(store);
     startServers(context, streamLinks);
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PlannedStop.java
@@ -1,6 +1,6 @@
 package io.sequoiapass.gateway.process;
 
-import io.sequoiapass.gateway.request.RelayedRequest;
+import io.sequoiapass.gateway.request.StoppableRequest;
 import io.sequoiapass.gateway.version.RouteSpec;
 import java.util.List;
 import java.util.Map;
@@ -21,17 +21,17 @@
  */
 public final class PlannedStop {
 
-  private final Set<RelayedRequest> open = ConcurrentHashMap.newKeySet();
+  private final Set<StoppableRequest> open = ConcurrentHashMap.newKeySet();
   private final Map<String, DurationEstimator> durations = new ConcurrentHashMap<>();
   private volatile DrainSchedule schedule = DrainSchedule.NEVER;
 
   /** Adds a request that the stop may have to end. */
-  public void opened(RelayedRequest request) {
+  public void opened(StoppableRequest request) {
     open.add(request);
   }
 
   /** Removes a request that has ended. */
-  public void ended(RelayedRequest request) {
+  public void ended(StoppableRequest request) {
     open.remove(request);
   }
 
@@ -81,17 +81,17 @@
   /** Starts the stop, and rejects requests whose wait does not end in time. */
   void start(DrainSchedule next) {
     schedule = next;
-    List.copyOf(open).forEach(RelayedRequest::dispatchIfWaiting);
+    List.copyOf(open).forEach(StoppableRequest::dispatchIfWaiting);
   }
 
   /** Rejects the waiting requests for which there is not enough time any more. */
   void rejectLate() {
-    open.forEach(RelayedRequest::rejectIfLate);
+    open.forEach(StoppableRequest::rejectIfLate);
   }
 
   /** Ends all requests that are open, each with a complete answer unless its stream has begun. */
   void end() {
     schedule = DrainSchedule.OVER;
-    List.copyOf(open).forEach(RelayedRequest::endForStop);
+    List.copyOf(open).forEach(StoppableRequest::endForStop);
   }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -32,7 +32,7 @@
  * use by several threads: one lock guards its state, and events of an attempt that has ended are
  * ignored.
  */
-public final class RelayedRequest {
+public final class RelayedRequest implements StoppableRequest {
 
   /** Retry advice to a caller whose request found no endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 300;
@@ -229,14 +229,14 @@
     end("refused_", ErrorKind.DRAINING, ErrorKind.DRAINING.comeBackMillis());
   }
 
-  /** Rejects the request if it waits and the process ends too early for it. */
+  @Override
   public synchronized void rejectIfLate() {
     if (!completed && wait.isWaiting() && isTooLate(now())) {
       rejectForStop();
     }
   }
 
-  /** Ends the request because the process ends. */
+  @Override
   public synchronized void endForStop() {
     if (!completed) {
       endOpen(ErrorKind.STOPPED_AFTER_START, "stop", this::rejectForStop);
@@ -265,7 +265,7 @@
         load.another() ? EndpointTimeouts.COPY_WAIT_MS : search.overdueAt() - now);
   }
 
-  /** Dispatches the request if it waits. */
+  @Override
   public synchronized void dispatchIfWaiting() {
     if (wait.isWaiting() && !completed) {
       dispatch();
