End a request whose dispatch throws an exception

Cause: a request is dispatched again by timers and other events after a wait. An exception there was swallowed by the scheduler, and the request had no next step until its deadline; no line, no counter. Now it is logged and counted, the open attempts end, and the caller gets 500, or a cut stream.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointSender.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointSender.java
@@ -76,6 +76,16 @@
    */
   EndpointAttempt send(
       RelayedRequest request, Choice.Send choice, Permit permit, Demand demand, long now) {
+    try {
+      return sendTo(request, choice, permit, demand, now);
+    } catch (RuntimeException e) {
+      permit.ticket().ended(Recipient.Ending.NO_BLAME, now);
+      throw e;
+    }
+  }
+
+  private EndpointAttempt sendTo(
+      RelayedRequest request, Choice.Send choice, Permit permit, Demand demand, long now) {
     EndpointTicket ticket = permit.ticket();
     prompt.sent(ticket, choice.candidate(), demand);
     RelayContext context = selection.context();
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RelayedRequest.java
@@ -170,6 +170,18 @@
   }
 
   private void dispatchNow() {
+    try {
+      chooseAndSend();
+    } catch (RuntimeException e) {
+      requestLog.failed(e);
+      endOpen(
+          ErrorKind.INTERNAL,
+          "exception",
+          () -> end("failed_", ErrorKind.INTERNAL, OptionalLong.empty()));
+    }
+  }
+
+  private void chooseAndSend() {
     long now = now();
     if (origin.remainingMs(now) < AttemptCount.MIN_REMAINING_MS) {
       deadlinePassed();
@@ -238,9 +250,7 @@
 
   @Override
   public synchronized void endForStop() {
-    if (!completed) {
-      endOpen(ErrorKind.STOPPED_AFTER_START, "stop", this::rejectForStop);
-    }
+    endOpen(ErrorKind.STOPPED_AFTER_START, "stop", this::rejectForStop);
   }
 
   private void awaitEndpoint(Choice.AwaitEndpoint choice, long now) {
@@ -498,12 +508,10 @@
   }
 
   private synchronized void deadlinePassed() {
-    if (!completed) {
-      endOpen(
-          ErrorKind.DEADLINE_PASSED_AFTER_START,
-          "deadline",
-          () -> end("refused_", ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS)));
-    }
+    endOpen(
+        ErrorKind.DEADLINE_PASSED_AFTER_START,
+        "deadline",
+        () -> end("refused_", ErrorKind.DEADLINE_UNREACHABLE, OptionalLong.of(RETRY_AFTER_MS)));
   }
 
   /** Cancels the open attempts without counting them as failures of their endpoints. */
@@ -514,8 +522,11 @@
     }
   }
 
-  /** Ends the request while sends may be open. */
+  /** Ends the request while sends may be open, unless it has ended. */
   private void endOpen(ErrorKind ifMayHaveRun, String reason, Runnable ifNotRun) {
+    if (completed) {
+      return;
+    }
     abandonAttempts();
     if (response.isStarted()) {
       abort(ifMayHaveRun, reason);
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/RequestLog.java
@@ -221,6 +221,19 @@
         .write();
   }
 
+  /** Logs an exception that was thrown while the request was dispatched. */
+  void failed(RuntimeException cause) {
+    StackTraceElement[] trace = cause.getStackTrace();
+    context.metrics().count("sequoiapass_internal_errors_total");
+    context
+        .log()
+        .request("internal_error", requestId)
+        .with("where", "dispatch")
+        .with("cause", cause.toString())
+        .with("at", trace.length == 0 ? "" : trace[0].toString())
+        .write();
+  }
+
   /** Returns the parts of the prompt that other requests may have, too. */
   private String sharedParts() {
     return generation.map(Generation::sharedParts).orElse(List.of()).stream()
