Send a stream that its caller took up to one endpoint at a time

It waits now as a stream does that has begun here, and then leaves the silent endpoint for the other one. Nor is a request sent a second time once a verdict says that it, or a part of its prompt, crashes endpoints; dispatches asked for that, second sends did not.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
@@ -12,9 +12,9 @@
  * them sends nothing for too long.
  *
  * <p>Silence is no failure: a sound endpoint may be silent and continue. An attempt that has not
- * begun to answer is therefore kept until a second one answers. A stream that has begun may run at
- * one endpoint only, so it leaves a silent one only when another can take it at once. Used under
- * the request's lock.
+ * begun to answer is therefore kept until a second one answers. A stream that has begun, here or
+ * before its caller took it up, may go on at one endpoint only, so it leaves a silent one later,
+ * and only when another can take it at once. Used under the request's lock.
  */
 final class SilenceWatch {
 
@@ -62,12 +62,22 @@
 
   /** Waits for an attempt to begin to answer. */
   void awaitAnswer(RelayAttempt attempt) {
-    await(attempt, attempt.silenceMs());
+    long silenceMs = attempt.silenceMs();
+    await(attempt, isContinued() ? Math.max(silenceMs, stallMs()) : silenceMs);
   }
 
   /** Waits for the next event of a stream. */
   void awaitEvent(RelayAttempt attempt) {
-    await(attempt, EndpointTimeouts.stallMs(selection.route()));
+    await(attempt, stallMs());
+  }
+
+  private long stallMs() {
+    return EndpointTimeouts.stallMs(selection.route());
+  }
+
+  /** Returns whether the caller has received a part of the stream. */
+  private boolean isContinued() {
+    return response.isStarted() || response.lastEventId().isPresent();
   }
 
   private void await(RelayAttempt attempt, long silenceMs) {
@@ -90,7 +100,7 @@
     synchronized (request) {
       long now = request.now();
       if (request.isLatest(attempt) && !attempt.isCompleted() && attempts.mayReplace(now)) {
-        boolean stalled = !response.isStarted() && attempt.recipient.isStalled(now);
+        boolean stalled = !isContinued() && attempt.recipient.isStalled(now);
         boolean due = watch.checkTimeout(stalled || attempt.isCutOff(now), now);
         if (!due || !sendAnother(attempt, now)) {
           schedule(attempt, watch, now);
@@ -101,6 +111,9 @@
 
   private boolean sendAnother(RelayAttempt silent, long now) {
     silent.recipient.stalled(now);
+    if (sender.crashes().isRefused()) {
+      return false;
+    }
     Optional<? extends RelayAttempt> next =
         context.peers().isNeeded() ? throughPeer(silent, now) : toEndpoint(silent, now);
     next.ifPresent(attempt -> sent(silent, attempt));
@@ -139,7 +152,7 @@
 
   private void sent(RelayAttempt silent, RelayAttempt next) {
     silent.avoidFrom(avoid);
-    if (response.isStarted()) {
+    if (isContinued()) {
       open.add(next);
       leave(silent);
     } else {
