Respond to a resumption whose wait ends while it starts

What callers saw: no answer and no refusal. Cause: the wait registers with the planned stop, and schedules its deadline, before the timer is stored. A stop that ends, or a deadline that has passed, on another thread in that moment marked the wait as ended and then threw a NullPointerException: no response, and the count of requests in flight never fell.

Why the cure works: the end does without the timer if there is none yet, and the start cancels the timer of a wait that has ended meanwhile.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PendingResumption.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PendingResumption.java
@@ -25,7 +25,7 @@
   private final TaskGuard guard;
   private final Outcome outcome;
   private final AtomicBoolean ended = new AtomicBoolean();
-  private Future<?> deadline;
+  private volatile Future<?> deadline;
 
   /**
    * What follows the wait; one of the methods is called, unless the caller has left, and {@code
@@ -70,6 +70,9 @@
                 () -> refuse(ErrorKind.DEADLINE_UNREACHABLE),
                 Math.max(0, leftMs),
                 TimeUnit.MILLISECONDS);
+    if (ended.get()) {
+      deadline.cancel(false);
+    }
     exchange.responder().onClose(() -> end(exchange.access().notRun()));
     search.whenComplete((found, failure) -> searched(failure == null ? found : Optional.empty()));
   }
@@ -98,7 +101,11 @@
     if (!ended.compareAndSet(false, true)) {
       return;
     }
-    deadline.cancel(false);
+    Future<?> timer = deadline;
+    if (timer != null) {
+      // Without one, another thread ends the wait while it starts.
+      timer.cancel(false);
+    }
     context.stop().ended(this);
     if (!guard.run("resumption", action)) {
       outcome.refused(ErrorKind.INTERNAL);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PendingResumptionTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PendingResumptionTest.java
@@ -22,6 +22,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -37,7 +39,7 @@
   private static final StreamVersion VERSION =
       new StreamVersion(new ServiceId("llm"), new SoftwareVersion("v1"));
 
-  private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
+  private ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
   private final MillisClock clock = MillisClock.monotonic();
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final PlannedStop stop = new PlannedStop();
@@ -135,6 +137,58 @@
     }
   }
 
+  /** Guards against a wait that ends while it starts, and never responds. */
+  @Nested
+  class EndsWhileItStarts {
+
+    @Test
+    void isRejectedAtADeadlineThatHasPassed() throws Exception {
+      loop = new EagerLoop();
+      start(0);
+      awaitEnd();
+
+      assertThat(events).containsExactly("not run", "DEADLINE_UNREACHABLE");
+    }
+
+    @Test
+    void isRejectedAtTheEndOfAStop() throws Exception {
+      loop = new StoppingLoop();
+      start(MAX_WAIT_MS);
+      awaitEnd();
+
+      assertThat(events).containsExactly("not run", "DRAINING");
+    }
+
+    /** Runs a task that is due before its scheduling returns, as another thread may. */
+    private static final class EagerLoop extends ScheduledThreadPoolExecutor {
+
+      EagerLoop() {
+        super(1);
+      }
+
+      @Override
+      public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+        ScheduledFuture<?> scheduled = super.schedule(() -> {}, delay, unit);
+        task.run();
+        return scheduled;
+      }
+    }
+
+    /** Ends the stop while a task is scheduled, as another thread may. */
+    private final class StoppingLoop extends ScheduledThreadPoolExecutor {
+
+      StoppingLoop() {
+        super(1);
+      }
+
+      @Override
+      public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+        stop.end();
+        return super.schedule(task, delay, unit);
+      }
+    }
+  }
+
   @Nested
   class WithAResult {
 
