Call the listener of an HTTP call only after the call returns

What callers saw: a request that waits until its deadline. Cause: a call that takes an idle connection of its own event loop wrote at once. If the server had reset the connection, the write failed and the listener was called before the call returned. A relayed request adds an attempt after its send, so it ignored that failure as one of an unknown attempt, and had no next step until its deadline, which also returned the endpoint's load (read, not run, beyond the client).

Why the cure works: the exchange begins in a task of its own, after what the loop does now.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -154,7 +154,8 @@
   }
 
   /**
-   * Sends a call and passes its response to a listener part by part.
+   * Sends a call and passes its response to a listener part by part. On an event loop, the listener
+   * is not called by this method, but after it has returned.
    *
    * @param call the request
    * @param timeoutMs maximum time until the response is complete, in milliseconds
@@ -170,11 +171,8 @@
     }
     observer.reused();
     Channel reused = taken.get();
-    if (reused.eventLoop().inEventLoop()) {
-      exchange.begin(reused, true);
-    } else {
-      reused.eventLoop().execute(() -> exchange.begin(reused, true));
-    }
+    // A write may fail at once, and the listener has to know its stream first.
+    reused.eventLoop().execute(() -> exchange.begin(reused, true));
     return exchange;
   }
 
