Drop a check for silence that was cancelled while it ran

Cause: a timer's task that already waits for the request's lock can't be cancelled. If the answer began meanwhile, the check still acted: a stream left its endpoint at the event that ended the silence; a plain answer got a second attempt beside it, which nothing ended once the answer was complete.

Evidence: read, not reproduced.

Why the cure works: a check acts only if it is the one that is scheduled, and that is decided under the lock.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
@@ -99,7 +99,10 @@
   private void check(RelayAttempt attempt, ResponseWatchdog watch) {
     synchronized (request) {
       long now = request.now();
-      if (request.isLatest(attempt) && !attempt.isCompleted() && attempts.mayReplace(now)) {
+      if (timer.isScheduled(watch)
+          && request.isLatest(attempt)
+          && !attempt.isCompleted()
+          && attempts.mayReplace(now)) {
         boolean stalled = !isContinued() && attempt.recipient.isStalled(now);
         boolean due = watch.checkTimeout(stalled || attempt.isCutOff(now), now);
         if (!due || !sendAnother(attempt, now)) {
