Keep the watch of a request after an exception in a second send

Cause, read by the reviewer: an exception while a silent attempt's request was sent a second time was swallowed by the scheduler. The watch ended, so that the request stayed at the silent endpoint until its deadline, without a line, and the send counted as open for good. Now it is logged and counted, the send counts as one that may have run, and the next check tries again. The guard is of the kind that ThrowingDispatchTest shows for dispatches; this one has no test of its own.

--- a/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointSender.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/EndpointSender.java
@@ -80,6 +80,7 @@
       return sendTo(request, choice, permit, demand, now);
     } catch (RuntimeException e) {
       permit.ticket().ended(Recipient.Ending.NO_BLAME, now);
+      attempts.ran();
       throw e;
     }
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
@@ -105,13 +105,23 @@
           && attempts.mayReplace(now)) {
         boolean stalled = !isContinued() && attempt.recipient.isStalled(now);
         boolean due = watch.checkTimeout(stalled || attempt.isCutOff(now), now);
-        if (!due || !sendAnother(attempt, now)) {
+        if (!due || !isSentAgain(attempt, now)) {
           schedule(attempt, watch, now);
         }
       }
     }
   }
 
+  /** An exception leaves the attempt as it is, and the next check tries again. */
+  private boolean isSentAgain(RelayAttempt silent, long now) {
+    try {
+      return sendAnother(silent, now);
+    } catch (RuntimeException e) {
+      log.failed(e);
+      return false;
+    }
+  }
+
   private boolean sendAnother(RelayAttempt silent, long now) {
     silent.recipient.stalled(now);
     if (sender.crashes().isRefused()) {
