Read at most 16 KiB of a response in an iteration of the event loop

Callers of sound endpoints got no answer, "timed out" or "connection reset", while other endpoints sent without end.

Cause: each connection to an endpoint read up to 16 buffers of 64 KiB before the event loop turned to the next one. In chunks of one byte 1 MiB is 170,000 parts. In EndlessBytesProcessTest$Endpoints, 23 of 342 sound requests without an answer at a load of 23, the daemon's only event loop used nine tenths of a core; 10 of its last 11 stacks (jstack) decode responses, 6 of them parts of bodies or chunk sizes.

A connection now takes one buffer of 16 KiB at most in an iteration, and every other connection has its turn before it reads again. Nothing is closed sooner and nothing is lost.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClient.java
@@ -1,11 +1,13 @@
 package io.sequoiapass.daemon.connection;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -35,6 +37,16 @@
   /** Largest body that is collected if the call states no limit, in bytes. */
   private static final int MAX_COLLECTED_BYTES = 1 << 20;
 
+  private static final int MIN_READ_BYTES = 256;
+  private static final int FIRST_READ_BYTES = 2 << 10;
+
+  /**
+   * Most bytes that a connection reads in one iteration of its event loop. A server that sends
+   * faster than its bytes are decoded, as in chunks of one byte, delays the other connections of
+   * the loop by the time for these bytes in each iteration.
+   */
+  static final int MAX_READ_BYTES = 16 << 10;
+
   private final Bootstrap bootstrap;
   private final String echoedHeader;
   private final ConnectionObserver observer;
@@ -81,6 +93,7 @@
             .group(group)
             .channel(SocketTransport.of(group).client())
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, oneRead())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
@@ -99,6 +112,12 @@
         new ResponseMemory(ResponseMemory.DEFAULT_BYTES, group));
   }
 
+  /** Returns buffers for one read of a connection in each iteration of its event loop. */
+  private static RecvByteBufAllocator oneRead() {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+        .maxMessagesPerRead(1);
+  }
+
   /**
    * Returns a client with the same settings whose connections come from one address of this host.
    *
