Pass on what a read has decoded in one part

Callers of sound endpoints waited while other endpoints sent chunks of one byte without end.

Cause: each chunk went through the exchange, the classification of the attempt and the shared memory of responses on its own. Stacks of the daemon in EndlessBytesProcessTest show its event loop in RelayAttempt.received, its header look-up and ResponseMemory.resize.

Evidence: FairReadTest failed on both transports before, 65,536 parts for as many chunks that had arrived together where fewer than 4,096 are expected.

The content of one read, 16 KiB at most, is passed on at its end, before the end of the response, and before a failure of its connection, so that nothing that has arrived is held back or lost.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -1,6 +1,6 @@
 package io.sequoiapass.daemon.connection;
 
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.util.Arrays;
 
 /**
  * Passes what one client connection receives to the exchange in progress; used on its event loop.
@@ -16,6 +17,7 @@
 final class HttpClientHandler extends SimpleChannelInboundHandler<HttpObject> {
 
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final byte[] NO_BYTES = {};
 
   private final ResponseGuard guard;
   private final ResponseDecoder decoder;
@@ -24,6 +26,14 @@
   private HttpExchange latest;
   private boolean discarding;
 
+  /**
+   * The content that the current read has decoded. It is passed on in one part: in chunks of one
+   * byte, a part for each costs many times what reading it does.
+   */
+  private byte[] content = NO_BYTES;
+
+  private int contentBytes;
+
   HttpClientHandler(ResponseGuard guard, ResponseDecoder decoder) {
     this.guard = guard;
     this.decoder = decoder;
@@ -102,8 +112,8 @@
     }
   }
 
-  private void read(HttpExchange exchange, HttpContent content) {
-    boolean last = content instanceof LastHttpContent;
+  private void read(HttpExchange exchange, HttpContent message) {
+    boolean last = message instanceof LastHttpContent;
     if (discarding) {
       discarding = !last;
       if (last) {
@@ -111,11 +121,12 @@
       }
       return;
     }
-    if (content.content().isReadable()) {
-      guard.contentRead(content.content().readableBytes());
-      exchange.part(ByteBufUtil.getBytes(content.content()));
+    if (message.content().isReadable()) {
+      guard.contentRead(message.content().readableBytes());
+      collect(message.content());
     }
     if (last) {
+      passOn(exchange);
       current = null;
       guard.ended();
       if (decoder.hasMore()) {
@@ -125,6 +136,32 @@
     }
   }
 
+  private void collect(ByteBuf bytes) {
+    int total = contentBytes + bytes.readableBytes();
+    if (total > content.length) {
+      content = Arrays.copyOf(content, Math.max(total, 2 * content.length));
+    }
+    bytes.getBytes(bytes.readerIndex(), content, contentBytes, bytes.readableBytes());
+    contentBytes = total;
+  }
+
+  private void passOn(HttpExchange exchange) {
+    if (contentBytes > 0) {
+      byte[] part = contentBytes == content.length ? content : Arrays.copyOf(content, contentBytes);
+      content = NO_BYTES;
+      contentBytes = 0;
+      exchange.part(part);
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (current != null) {
+      passOn(current);
+    }
+    context.fireChannelReadComplete();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     fail("connection closed");
@@ -144,6 +181,7 @@
     HttpExchange exchange = current;
     current = null;
     if (exchange != null) {
+      passOn(exchange);
       exchange.closed(end);
     }
   }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/FairReadTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/FairReadTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -18,6 +19,7 @@
   private static final long WAIT_MS = 10_000;
   private static final long FILL_MS = 300;
   private static final int BODY_BYTES = 4 << 20;
+  private static final int SHORT_CHUNKS = 64 << 10;
 
   private EventLoopGroup loops;
 
@@ -26,14 +28,15 @@
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** Counts the bytes that arrive in each iteration of the event loop. */
+  /** Counts the parts, and the bytes that arrive in each iteration of the event loop. */
   private static final class Counter implements HttpStreamListener {
 
     final CompletableFuture<Integer> total = new CompletableFuture<>();
     private final EventLoopGroup loop;
+    private final AtomicInteger parts = new AtomicInteger();
+    private volatile int mostInIteration;
     private int all;
     private int inIteration;
-    volatile int mostInIteration;
 
     Counter(EventLoopGroup loop) {
       this.loop = loop;
@@ -49,6 +52,7 @@
       if (inIteration == 0) {
         loop.execute(this::endIteration);
       }
+      parts.incrementAndGet();
       inIteration += part.length;
       all += part.length;
     }
@@ -97,4 +101,23 @@
     assertThat(counter.total.get(WAIT_MS, TimeUnit.MILLISECONDS)).isEqualTo(BODY_BYTES);
     assertThat(counter.mostInIteration).isLessThanOrEqualTo(HttpClient.MAX_READ_BYTES);
   }
+
+  /** Guards against a server that takes the event loop of sound ones by sending short chunks. */
+  @ParameterizedTest
+  @EnumSource
+  void passesOnShortChunksTogether(SocketTransport transport) throws Exception {
+    loops = (transport == SocketTransport.EPOLL ? SocketTransport.best() : transport).group(1);
+    InetSocketAddress address =
+        ScriptedServer.start(
+            (socket, out) -> {
+              ScriptedServer.send(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+              ScriptedServer.send(out, "1\r\na\r\n".repeat(SHORT_CHUNKS) + "0\r\n\r\n");
+            });
+    Counter counter = new Counter(loops);
+
+    HttpClient.create(loops, 500).stream(HttpCall.to(address, "GET", "/"), CALL_MS, counter);
+
+    assertThat(counter.total.get(WAIT_MS, TimeUnit.MILLISECONDS)).isEqualTo(SHORT_CHUNKS);
+    assertThat(counter.parts.get()).isLessThan(SHORT_CHUNKS / 16);
+  }
 }
