Close no connection after a read during which the loop was late

Callers saw a connection end without a response to a request that they had sent hundreds of milliseconds before.

The read before a close of an idle connection may itself be late: when another connection stalls the loop in the read phase, whatever arrives after the loop has asked for events lies unread, and the close followed at once.

Both tests failed before: ConnectionEndTest, requestThatArrivesDuring- TheReadIsAnswered at the idle limit and at a stop, no response (status 0 where 200 is expected).

A close now waits for a read that ended at most 50 ms after its start, up to 8 times (8 checks, some 4 s, at the idle limit), so that a loop that is always late still frees its descriptors. A request that arrives within these 50 ms, or after the eighth time, may still be lost.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
@@ -23,6 +23,12 @@
   /** Interval between two checks; a timeout fires at most this much late. */
   private static final long CHECK_INTERVAL_MS = 500;
 
+  /** Age of the last read above which a close waits for another one, in milliseconds. */
+  private static final long MAX_READ_AGE_MS = 50;
+
+  /** Bounds how long a loop that is always late keeps connections beyond their timeouts. */
+  private static final int MAX_POSTPONED = 8;
+
   private final Supplier<ConnectionLimits> limits;
   private final MillisClock clock;
   private final ConnectionReads reads;
@@ -34,6 +40,7 @@
   private boolean busy;
   private boolean closing;
   private long checkDueAt;
+  private int postponed;
 
   /**
    * Creates a handler.
@@ -77,6 +84,7 @@
 
   /** Records that a complete request has been received. */
   void requestReceived() {
+    postponed = 0;
     busy = true;
     receiving = false;
   }
@@ -90,13 +98,28 @@
   /** Closes the connection unless a request is being received or processed, or lies unread. */
   void closeIfIdle(Channel connection) {
     if (isIdle()) {
-      reads.afterNextRead(
-          () -> {
-            if (isIdle() && connection.isActive()) {
-              close(connection, CloseReason.STOP, 0);
-            }
-          });
+      reads.afterNextRead(() -> closeIfStillIdle(connection));
+    }
+  }
+
+  private void closeIfStillIdle(Channel connection) {
+    if (!isIdle() || !connection.isActive()) {
+      return;
     }
+    if (isPostponed()) {
+      closeIfIdle(connection);
+    } else {
+      close(connection, CloseReason.STOP, 0);
+    }
+  }
+
+  /** Returns whether a request may have arrived since the read, in which the loop was late. */
+  private boolean isPostponed() {
+    if (reads.ageMs() <= MAX_READ_AGE_MS || postponed >= MAX_POSTPONED) {
+      return false;
+    }
+    postponed++;
+    return true;
   }
 
   private void close(Channel connection, CloseReason reason, long lateMs) {
@@ -140,9 +163,12 @@
     if (!context.channel().isActive() || closing) {
       return;
     }
-    exceeded()
-        .ifPresentOrElse(
-            reason -> close(context.channel(), reason, lateMs), () -> scheduleCheck(context));
+    Optional<CloseReason> reason = exceeded();
+    if (reason.isEmpty() || isPostponed()) {
+      scheduleCheck(context);
+    } else {
+      close(context.channel(), reason.get(), lateMs);
+    }
   }
 
   /** Clients may rely on a larger limit at once, and on an earlier one until they reconnect. */
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
@@ -133,6 +133,21 @@
       }
     }
 
+    /** The read before the close comes to the connection before the loop is stalled again. */
+    @Test
+    void requestThatArrivesDuringTheReadIsAnswered() throws Exception {
+      try (Socket client = connect();
+          Socket other = connect()) {
+        pause(IDLE_MS - STALL_MS / 2);
+        stallLoop();
+        write(other, MALFORMED);
+        pause(STALL_MS + STALL_MS / 2);
+        write(client, REQUEST.formatted("during"));
+
+        assertThat(readStatus(client)).isEqualTo(200);
+      }
+    }
+
     @Test
     void requestWithinALimitThatHasGrownIsAnswered() throws Exception {
       try (Socket client = connect()) {
@@ -169,6 +184,23 @@
         assertThat(readStatus(client)).isEqualTo(200);
       }
     }
+
+    @Test
+    void requestThatArrivesDuringTheReadIsAnswered() throws Exception {
+      try (Socket client = connect();
+          Socket other = connect()) {
+        write(client, REQUEST.formatted("first"));
+        assertThat(readStatus(client)).isEqualTo(200);
+        stallLoop();
+        server.closeAfterAnswers();
+        server.closeIdle();
+        write(other, MALFORMED);
+        pause(STALL_MS + STALL_MS / 2);
+        write(client, REQUEST.formatted("during"));
+
+        assertThat(readStatus(client)).isEqualTo(200);
+      }
+    }
   }
 
   @Nested
