Answer pipelined requests before a stopping server closes

Callers that had pipelined requests got the first response with "Connection: close" and none to the others, though all had arrived.

After closeAfterAnswers the next response of each connection announced the close, whatever waited behind it, and the rest was discarded.

ConnectionEndTest, pipelinedRequestsAreAnswered failed before with 3 and with 40 requests: no response to the second one.

While requests wait, or may lie unread since reading was paused, a response no longer announces the close; the last one does. Where none follows after a pause, closeIdle ends the connection. A request that arrives after the last of these was read, and before its response, is read and answered, too (read from the code; no test of its own); one that lies unread in a late loop is not.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -80,7 +80,10 @@
     return connections.size();
   }
 
-  /** Closes each connection after the response that is in progress or next on it. */
+  /**
+   * Closes each connection after the response that is in progress or next on it, or after those to
+   * the requests that wait behind it.
+   */
   public void closeAfterAnswers() {
     closing.set(true);
   }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -33,6 +33,7 @@
   private final Queue<PendingRequest> pipelined = new ArrayDeque<>();
   private ServerExchange current;
   private HttpFault fault;
+  private volatile boolean hasMore;
 
   /**
    * Creates a handler.
@@ -87,6 +88,7 @@
             request.headers().copy(),
             ByteBufUtil.getBytes(request.content()));
     pipelined.add(new PendingRequest(call, HttpUtil.isKeepAlive(request)));
+    hasMore = true;
     if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
       context.channel().config().setAutoRead(false);
     }
@@ -146,10 +148,13 @@
     if (call == null) {
       return;
     }
+    boolean isPaused = !context.channel().config().isAutoRead();
+    hasMore = isPaused || !pipelined.isEmpty();
     if (pipelined.isEmpty()) {
       context.channel().config().setAutoRead(true);
     }
-    BooleanSupplier keep = () -> call.keepAlive() && !closing.getAsBoolean();
+    // A client may have sent requests behind this one before it could read of the close.
+    BooleanSupplier keep = () -> call.keepAlive() && (hasMore || !closing.getAsBoolean());
     current = exchange(context, keep, () -> responseEnded(context));
     handler.handle(call.request(), current);
   }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/ConnectionEndTest.java
@@ -201,6 +201,21 @@
         assertThat(readStatus(client)).isEqualTo(200);
       }
     }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 40})
+    void pipelinedRequestsAreAnswered(int requests) throws Exception {
+      server.closeAfterAnswers();
+      try (Socket client = connect()) {
+        write(client, REQUEST.formatted("pipelined").repeat(requests));
+
+        for (int i = 0; i < requests; i++) {
+          assertThat(readStatus(client)).as("response %d", i).isEqualTo(200);
+        }
+        server.closeIdle();
+        assertThat(client.getInputStream().read()).isNegative();
+      }
+    }
   }
 
   @Nested
