Close idle connections at once, and blame the open request for an exception

An exception outside a request's handling, such as when its connection becomes writable again, left the open request alone and was answered behind it with a 500 that nobody had asked for. Now it ends the open request, as an exception of its handler does.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ConnectionTimeoutHandler.java
@@ -125,7 +125,12 @@
   private void close(Channel connection, CloseReason reason, long lateMs) {
     observer.closing(reason, receiving, lateMs);
     closing = true;
-    LingeringClose.close(connection);
+    if (reason == CloseReason.IDLE) {
+      // Its last response was read long ago, and a late request must not look received.
+      connection.close();
+    } else {
+      LingeringClose.close(connection);
+    }
   }
 
   /** Closes the connection after the last response. */
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -111,7 +111,7 @@
   }
 
   /** Responds to a request whose handler has thrown an exception. */
-  private void failed(RuntimeException cause) {
+  private void failed(Throwable cause) {
     observer.failed(cause);
     if (current != null) {
       current.failed(exchange -> handler.refuse(HttpFault.INTERNAL, exchange));
@@ -199,10 +199,14 @@
       context.close();
       return;
     }
+    if (current != null) {
+      failed(cause);
+      return;
+    }
     observer.failed(cause);
     if (fault == null && !timeouts.isIdle()) {
       refuse(context, HttpFault.INTERNAL);
-    } else if (current == null && pipelined.isEmpty()) {
+    } else if (pipelined.isEmpty()) {
       observer.closing(CloseReason.EXCEPTION, fault != null, 0);
       context.close();
     }
