--- a/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/request/SilenceWatch.java
@@ -105,7 +105,7 @@
           && attempts.mayReplace(now)) {
         boolean stalled = !isContinued() && attempt.recipient.isStalled(now);
         boolean due = watch.checkTimeout(stalled || attempt.isCutOff(now), now);
-        if (!due || !isSentAgain(attempt, now)) {
+        if (!due || !trySendAnother(attempt, now)) {
           schedule(attempt, watch, now);
         }
       }
@@ -113,7 +113,7 @@
   }
 
   /** An exception leaves the attempt as it is, and the next check tries again. */
-  private boolean isSentAgain(RelayAttempt silent, long now) {
+  private boolean trySendAnother(RelayAttempt silent, long now) {
     try {
       return sendAnother(silent, now);
     } catch (RuntimeException e) {
