Fail a call at once on a status outside 100 to 599

Callers of a server in trouble got nothing for 1.5 s (000, 001, 099, 0, 20), or a body under a status that no server may send (600, 999, 2000). Cause: each status below 200 counted as informational, so its body was dropped and the head of the response awaited, and each from 200 up was passed on.

Such bytes are no response: the call fails at once as one that may have run, its connection is closed, and the response is counted as invalid_status. All callers' requests, orders, reports, peers and the store use this client.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
@@ -16,7 +17,6 @@
  */
 final class HttpClientHandler extends SimpleChannelInboundHandler<HttpObject> {
 
-  private static final int FIRST_FINAL_STATUS = 200;
   private static final byte[] NO_BYTES = {};
 
   private final ResponseGuard guard;
@@ -75,6 +75,10 @@
       return;
     }
     if (message instanceof HttpResponse head) {
+      if (!ResponseDecoder.hasStatus(head)) {
+        reject(context, StrayResponse.INVALID_STATUS);
+        return;
+      }
       if (ResponseDecoder.isJoined(head, exchange::isOwnId)) {
         reject(context, StrayResponse.JOINED_HEAD);
         return;
@@ -98,7 +102,7 @@
   }
 
   private static boolean isFinal(HttpResponse head) {
-    return head.status().code() >= FIRST_FINAL_STATUS;
+    return head.status().codeClass() != HttpStatusClass.INFORMATIONAL;
   }
 
   private void begin(HttpExchange exchange, HttpResponse head) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseDecoder.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
@@ -31,6 +32,11 @@
     return actualReadableBytes() > 0;
   }
 
+  /** Returns whether the status of a head is one that a server may send, from 100 to 599. */
+  static boolean hasStatus(HttpResponse head) {
+    return head.status().codeClass() != HttpStatusClass.UNKNOWN;
+  }
+
   /**
    * Returns whether a head begins with the start of another one that was cut off inside a line. It
    * has the status of that one, and the id and the body of its own.
