Take a response that ends with its connection for whole only if its request was read

A server answered a long upload at once with a 200 that had no length, sent a part of its body and closed the connection with the upload unread; the caller got the part as a complete response. The kernel of such a server sends the end of its side first and the reset behind it, so the client saw an orderly end. The upload was in the kernel's buffers, so that it had been flushed showed nothing.

When a response without a length to a request with a body ends, the client now ends its own side and asks the kernel how that was taken: a server that has read all acknowledges it, any other one resets the connection. Half-closed connections are allowed for such a response only. It may have run, as with any response that breaks off.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpClientHandler.java
@@ -1,8 +1,12 @@
 package io.sequoiapass.daemon.connection;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -26,6 +30,12 @@
   private HttpExchange latest;
   private boolean discarding;
 
+  /** Whether the end of the connection marks that of the response, if that has a body. */
+  private boolean endsWithConnection;
+
+  /** Whether it is being found out if the server had read the whole request. */
+  private boolean awaitsClose;
+
   /**
    * The content that the current read has decoded. It is passed on in one part: in chunks of one
    * byte, a part for each costs many times what reading it does.
@@ -87,10 +97,10 @@
         reject(context, StrayResponse.WITHOUT_ID);
         return;
       }
-      begin(exchange, head);
+      begin(context, exchange, head);
     }
     if (message instanceof HttpContent content) {
-      read(exchange, content);
+      read(context, exchange, content);
     }
   }
 
@@ -105,18 +115,22 @@
     return head.status().codeClass() != HttpStatusClass.INFORMATIONAL;
   }
 
-  private void begin(HttpExchange exchange, HttpResponse head) {
+  private void begin(ChannelHandlerContext context, HttpExchange exchange, HttpResponse head) {
     if (!isFinal(head)) {
       discarding = true;
     } else if (!exchange.accepts(head.headers())) {
       discarding = true;
     } else {
       guard.headReceived();
+      endsWithConnection = BodyFraming.of(head.headers()) == BodyFraming.CONNECTION;
+      if (endsWithConnection && exchange.hasBody()) {
+        context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+      }
       exchange.head(head.status().code(), head.headers(), HttpUtil.isKeepAlive(head));
     }
   }
 
-  private void read(HttpExchange exchange, HttpContent message) {
+  private void read(ChannelHandlerContext context, HttpExchange exchange, HttpContent message) {
     boolean last = message instanceof LastHttpContent;
     if (discarding) {
       discarding = !last;
@@ -129,15 +143,63 @@
       guard.contentRead(message.content().readableBytes());
       collect(message.content());
     }
-    if (last) {
-      passOn(exchange);
-      current = null;
-      guard.ended();
-      if (decoder.hasMore()) {
-        exchange.stray(StrayResponse.UNREQUESTED);
-      }
-      exchange.end();
+    if (last && mayBeUnread(context.channel(), exchange)) {
+      awaitClose(context, exchange);
+    } else if (last) {
+      end(exchange);
+    }
+  }
+
+  /**
+   * Returns whether a response has ended with its connection while the server may not have read the
+   * whole request. The end of its side arrives before the reset that follows from unread bytes.
+   */
+  private boolean mayBeUnread(Channel channel, HttpExchange exchange) {
+    boolean hasEnded = !channel.isActive() || isInputShutdown(channel);
+    return endsWithConnection && exchange.hasBody() && hasEnded;
+  }
+
+  private static boolean isInputShutdown(Channel channel) {
+    return channel instanceof DuplexChannel duplex && duplex.isInputShutdown();
+  }
+
+  private void awaitClose(ChannelHandlerContext context, HttpExchange exchange) {
+    if (!context.channel().isActive() || !exchange.isFlushed()) {
+      fail("connection closed");
+      context.close();
+      return;
+    }
+    awaitsClose = true;
+    passOn(exchange);
+    OrderlyClose.await(
+        context.channel(),
+        isOrderly -> {
+          if (isOrderly && current == exchange) {
+            exchange.markNotReusable();
+            end(exchange);
+          } else {
+            fail("connection reset");
+            context.close();
+          }
+        });
+  }
+
+  private void end(HttpExchange exchange) {
+    passOn(exchange);
+    current = null;
+    guard.ended();
+    if (decoder.hasMore()) {
+      exchange.stray(StrayResponse.UNREQUESTED);
+    }
+    exchange.end();
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent && !awaitsClose) {
+      context.close();
     }
+    context.fireUserEventTriggered(event);
   }
 
   private void collect(ByteBuf bytes) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpExchange.java
@@ -247,6 +247,16 @@
     return reused && echoed != null && headers.get(echoed, "").isEmpty();
   }
 
+  /** Returns whether the request has a body. */
+  boolean hasBody() {
+    return call.body().length > 0;
+  }
+
+  /** Returns whether all of the request was passed to the socket. */
+  boolean isFlushed() {
+    return flushed;
+  }
+
   boolean isHead() {
     return HttpMethod.HEAD.name().equals(call.method());
   }
