Keep verdicts on requests that crash endpoints in the store

A part of a prompt that crashes each endpoint which begins to write on it was sent again after its verdict, up to 20 times later than 3 s after the fifth crash, by daemons whose processes had run all the while.

The class: what the fleet has learned is kept in its processes alone.

Coordinators now keep the verdicts in one object in the store, written when a verdict begins and when it ends; a daemon reads it once at its start, since it may serve before a coordinator is elected, and passes it on to coordinators. An answer written on a part ends its verdict as before.

Cost: one call to the store for each start of a process, two for each verdict and a conflict for each further data centre; none while nothing changes.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -113,6 +113,7 @@
   private final SoftwareHistory software = new SoftwareHistory();
   private StoreFeeds feeds;
   private SoftwareRecorder recorder;
+  private VerdictRecorder verdicts;
   private CoordinationNode node;
   private PathMonitor path;
   private Coordinator coordinator;
@@ -234,6 +235,7 @@
     recorder =
         new SoftwareRecorder(
             store, software, this::resumableServices, this::streamRetentionMs, loops, clock, log);
+    verdicts = new VerdictRecorder(store, parts, loops, clock, log);
   }
 
   private void startServers(RelayContext context, StreamVersionLinks streamLinks)
@@ -472,6 +474,7 @@
     guard.run("subsets", () -> directory.reportSubsets(metrics));
     feeds.check();
     guard.run("software", this::recordSoftware);
+    guard.run("verdicts", () -> verdicts.tick(node.isCoordinator()));
   }
 
   private void recordSoftware() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptPartGuard.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptPartGuard.java
@@ -47,6 +47,10 @@
   private final Map<DataCentreId, Verdicts> reported = new HashMap<>();
   private final LinkedHashMap<PartKey, Long> written = new LinkedHashMap<>(16, 0.75f, true);
   private final LinkedHashMap<PartKey, Long> answered = new LinkedHashMap<>(16, 0.75f, true);
+
+  /** When verdicts that the store keeps were read, in milliseconds. */
+  private final Map<PartKey, Long> recorded = new HashMap<>();
+
   private volatile boolean watches;
   private volatile Consumer<LinkMessage> coordinators = message -> {};
   private volatile BooleanSupplier isCoordinated = () -> false;
@@ -104,11 +108,17 @@
     }
     boolean isAlone = !isCoordinated.getAsBoolean();
     return (isAlone && own.convicted(now).contains(part))
+        || isRecorded(part, now)
         || reported.values().stream()
             .map(verdicts -> verdicts.convicted().get(part))
             .anyMatch(at -> at != null && now - at <= CrashVerdicts.VERDICT_MS);
   }
 
+  private boolean isRecorded(PartKey part, long now) {
+    Long at = recorded.get(part);
+    return at != null && now - at <= CrashVerdicts.VERDICT_MS;
+  }
+
   private boolean isWritten(PartKey part, long now) {
     Long at = written.getOrDefault(part, answered.get(part));
     return at != null && now - at <= WRITTEN_MS;
@@ -141,6 +151,7 @@
       }
       cleared = watches ? parts.stream().filter(this::isQuestioned).toList() : List.of();
       own.cleared(cleared, now);
+      recorded.keySet().removeAll(cleared);
     }
     report(cleared);
   }
@@ -152,6 +163,7 @@
   private boolean isQuestioned(PartKey part) {
     long now = clock.millis();
     return own.suspected(now).contains(part)
+        || isRecorded(part, now)
         || own.convicted(now).contains(part)
         || reported.values().stream()
             .anyMatch(v -> v.suspected().contains(part) || v.convicted().containsKey(part));
@@ -218,6 +230,7 @@
       verdicts.suspected().removeAll(update.ended());
       update.convicted().forEach(part -> verdicts.convicted().put(part, now));
       verdicts.convicted().keySet().removeAll(update.ended());
+      recorded.keySet().removeAll(update.ended());
       update.suspected().stream().filter(part -> isWritten(part, now)).forEach(cleared::add);
       update.convicted().stream().filter(part -> isWritten(part, now)).forEach(cleared::add);
       watches |= !update.suspected().isEmpty() || !update.convicted().isEmpty();
@@ -235,8 +248,37 @@
   synchronized LinkMessage.PartVerdicts known() {
     long now = clock.millis();
     Set<PartKey> convicted = new HashSet<>(own.convicted(now));
-    reported.values().forEach(verdicts -> convicted.addAll(verdicts.convicted().keySet()));
+    convicted.addAll(convicted());
     convicted.removeIf(part -> isWritten(part, now));
     return new LinkMessage.PartVerdicts(false, List.of(), List.copyOf(convicted), List.of());
   }
+
+  /** Adopts verdicts that the store keeps. */
+  void adopt(Set<PartKey> parts) {
+    List<PartKey> added;
+    synchronized (this) {
+      long now = clock.millis();
+      added =
+          parts.stream()
+              .filter(part -> !isWritten(part, now) && !recorded.containsKey(part))
+              .toList();
+      added.forEach(part -> recorded.put(part, now));
+      watches |= !added.isEmpty();
+    }
+    if (added.isEmpty()) {
+      return;
+    }
+    coordinators.accept(new LinkMessage.PartVerdicts(false, List.of(), added, List.of()));
+    log.event("verdicts_adopted").with("parts", added.size()).write();
+  }
+
+  /** Returns the verdicts of coordinators and of the store that are in force. */
+  synchronized Set<PartKey> convicted() {
+    long now = clock.millis();
+    Set<PartKey> convicted = new HashSet<>();
+    reported.values().forEach(verdicts -> convicted.addAll(verdicts.convicted().keySet()));
+    recorded.keySet().stream().filter(part -> isRecorded(part, now)).forEach(convicted::add);
+    convicted.removeIf(part -> isWritten(part, now));
+    return convicted;
+  }
 }
--- a/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreKind.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/spi/StoreKind.java
@@ -33,4 +33,8 @@
   /** The software versions that have served lately: one object, written by this system. */
   public static final StoreKind<SoftwareRecord> SOFTWARE =
       new StoreKind<>("software", SoftwareRecord.class);
+
+  /** What crashes endpoints: one object, written by this system. */
+  public static final StoreKind<VerdictRecord> VERDICTS =
+      new StoreKind<>("verdicts", VerdictRecord.class);
 }
