Adopt a verdict anew after an earlier one on the same part has run out

A daemon that had adopted a verdict from the store kept it after its ten minutes, without effect, and took a later verdict on the same part for known. A coordinator then would have removed another one's verdict from the record.

VerdictRecorderTest$Verdict#isAdoptedOnceMoreAfterItHasRunOut failed before.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/PromptPartGuard.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/PromptPartGuard.java
@@ -258,6 +258,7 @@
     List<PartKey> added;
     synchronized (this) {
       long now = clock.millis();
+      recorded.keySet().removeIf(part -> !isRecorded(part, now));
       added =
           parts.stream()
               .filter(part -> !isWritten(part, now) && !recorded.containsKey(part))
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/VerdictRecorderTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/VerdictRecorderTest.java
@@ -122,6 +122,21 @@
       assertThat(next.guard.convicted()).containsExactly(BAD);
     }
 
+    @Test
+    void isAdoptedOnceMoreAfterItHasRunOut() {
+      Daemon coordinator = coordinatorWithVerdict();
+      Daemon other = new Daemon();
+      other.ticks(true);
+      now += CrashVerdicts.VERDICT_MS;
+      assertThat(other.guard.convicted()).isEmpty();
+
+      coordinator.update(List.of(BAD), List.of());
+      coordinator.ticks(true);
+      other.guard.adopt(store.stored.orElseThrow().value().orElseThrow().parts());
+
+      assertThat(other.guard.convicted()).containsExactly(BAD);
+    }
+
     @Test
     void isRemovedWhenItEnds() {
       Daemon process = coordinatorWithVerdict();
