Observe what the store holds before the next value is written

A tick of another thread between the read of a record and its adoption would have written the record without what it held, and once more with it: coordinators would have removed each other's verdicts for a moment. Found on reading the change.

StoreRecordTest failed before.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/StoreRecord.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/StoreRecord.java
@@ -110,22 +110,31 @@
   }
 
   private void readEnded(StoreList<T> list) {
-    Known<T> read;
+    if (list == null) {
+      pause();
+      return;
+    }
+    use(
+        list.items().stream()
+            .filter(item -> item.name().equals(name))
+            .findFirst()
+            .map(this::of)
+            .orElse(absent));
+  }
+
+  /** A value is observed before the next one is decided on. */
+  private void use(Known<T> read) {
+    observed.accept(read.value());
     synchronized (this) {
-      busy = false;
-      if (list == null) {
-        nextAt = clock.millis() + RETRY_MS;
-        return;
-      }
-      read =
-          list.items().stream()
-              .filter(item -> item.name().equals(name))
-              .findFirst()
-              .map(this::of)
-              .orElse(absent);
       known = Optional.of(read);
+      busy = false;
     }
-    observed.accept(read.value());
+  }
+
+  private synchronized void pause() {
+    known = Optional.empty();
+    nextAt = clock.millis() + RETRY_MS;
+    busy = false;
   }
 
   private Known<T> of(Stored<T> object) {
@@ -139,23 +148,17 @@
   }
 
   private void writeEnded(T value, WriteResult<T> result, Consumer<T> written) {
-    Optional<T> current = Optional.empty();
-    synchronized (this) {
-      busy = false;
-      if (result instanceof WriteResult.Written<T> done) {
+    if (result instanceof WriteResult.Written<T> done) {
+      synchronized (this) {
         known = Optional.of(new Known<>(value, OptionalLong.of(done.revision())));
-      } else if (result instanceof WriteResult.Conflict<T> conflict) {
-        known = conflict.current().map(this::of).or(() -> Optional.of(absent));
-        current = known.map(Known::value);
-      } else {
-        // The write may still take effect, so the object has to be read first.
-        known = Optional.empty();
-        nextAt = clock.millis() + RETRY_MS;
+        busy = false;
       }
-    }
-    current.ifPresent(observed);
-    if (result instanceof WriteResult.Written<T>) {
       written.accept(value);
+    } else if (result instanceof WriteResult.Conflict<T> conflict) {
+      use(conflict.current().map(this::of).orElse(absent));
+    } else {
+      // The write may still take effect, so the object has to be read first.
+      pause();
     }
   }
 }
