Await the reset of a server that closes a moment after its end

A Java server ends its side first and closes its socket then. If it is preempted between the two, its kernel still acknowledges the end of the client's side, with the upload unread, and the reset comes too late to be seen.

The client now awaits a reset for 50 ms before it ends its own side. Cost: responses without a length to requests with a body end 50 ms later; events of streams are passed on as before. A server that leaves its socket open for longer, with the upload unread, can't be told.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/OrderlyClose.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/OrderlyClose.java
@@ -9,18 +9,23 @@
 
 /**
  * Finds out whether a server that has ended its side of a connection had read all that was sent to
- * it: it then acknowledges the end of the client's side, and resets the connection otherwise.
+ * it: if not, its kernel resets the connection when it is closed.
  *
- * <p>Used on the event loop of the connection.
+ * <p>A server may end its side a moment before it closes, and its kernel acknowledges what nobody
+ * has read. So a reset is awaited first, and the client's side is ended then: that is acknowledged
+ * only behind all bytes of the request. Used on the event loop of the connection.
  */
 final class OrderlyClose {
 
-  /** Time within which the server has to acknowledge, in milliseconds. */
+  /** Time within which a server that has ended its side closes, in milliseconds. */
+  private static final long RESET_MS = 50;
+
+  /** Time within which the end of the client's side has to be acknowledged, in milliseconds. */
   private static final long ACKNOWLEDGED_MS = 500;
 
   private static final long FIRST_CHECK_MS = 1;
 
-  /** The state of a TCP connection whose both sides have ended, as the kernel reports it. */
+  /** The state of a TCP connection that has been reset or ended by both, as the kernel reports. */
   private static final int TCP_CLOSE = 7;
 
   private final EpollSocketChannel channel;
@@ -40,34 +45,49 @@
    */
   static void await(Channel channel, Consumer<Boolean> result) {
     if (channel instanceof EpollSocketChannel epoll) {
-      epoll
-          .shutdownOutput()
-          .addListener(
-              done -> {
-                if (done.isSuccess()) {
-                  new OrderlyClose(epoll, result).check(FIRST_CHECK_MS);
-                } else {
-                  result.accept(false);
-                }
-              });
+      OrderlyClose close = new OrderlyClose(epoll, result);
+      epoll.eventLoop().schedule(close::endSide, RESET_MS, TimeUnit.MILLISECONDS);
     } else {
       result.accept(false);
     }
   }
 
+  private void endSide() {
+    if (isClosed()) {
+      result.accept(false);
+      return;
+    }
+    channel
+        .shutdownOutput()
+        .addListener(
+            done -> {
+              if (done.isSuccess()) {
+                check(FIRST_CHECK_MS);
+              } else {
+                result.accept(false);
+              }
+            });
+  }
+
   private void check(long nextMs) {
+    if (isClosed()) {
+      result.accept(channel.isOpen() && isWithoutError());
+    } else if (nextMs > ACKNOWLEDGED_MS) {
+      result.accept(false);
+    } else {
+      channel.eventLoop().schedule(() -> check(2 * nextMs), nextMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean isClosed() {
+    return !channel.isOpen() || channel.tcpInfo().state() == TCP_CLOSE;
+  }
+
+  private boolean isWithoutError() {
     try {
-      if (!channel.isOpen()) {
-        result.accept(false);
-      } else if (channel.tcpInfo().state() == TCP_CLOSE) {
-        result.accept(((Socket) channel.fd()).getSoError() == 0);
-      } else if (nextMs > ACKNOWLEDGED_MS) {
-        result.accept(false);
-      } else {
-        channel.eventLoop().schedule(() -> check(2 * nextMs), nextMs, TimeUnit.MILLISECONDS);
-      }
+      return ((Socket) channel.fd()).getSoError() == 0;
     } catch (IOException e) {
-      result.accept(false);
+      return false;
     }
   }
 }
--- a/daemon/src/test/java/io/sequoiapass/daemon/connection/UnreadUploadTest.java
+++ b/daemon/src/test/java/io/sequoiapass/daemon/connection/UnreadUploadTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -24,6 +25,7 @@
 
   private static final long CALL_MS = 5_000;
   private static final int CALLS = 20;
+  private static final long CLOSED_AFTER_MS = 10;
   private static final String FAILED = "failed";
   private static final String BODY = "part of a body";
   private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
@@ -62,10 +64,19 @@
 
   /** Answers the next call after a part of the upload and closes the connection. */
   private void answerAfter(long readBytes) throws IOException {
+    answerAfter(readBytes, 0);
+  }
+
+  /** Ends its side of the connection a time before it closes it. */
+  private void answerAfter(long readBytes, long closedAfterMs) throws IOException {
     try (Socket socket = listening.accept()) {
       ScriptedServer.readRequest(socket);
       skip(socket.getInputStream(), readBytes);
       send(socket.getOutputStream());
+      if (closedAfterMs > 0) {
+        socket.shutdownOutput();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(closedAfterMs));
+      }
     }
   }
 
@@ -96,6 +107,18 @@
       }
     }
 
+    @ParameterizedTest
+    @CsvSource({"20000", "1048576"})
+    void isNotCompleteIfTheServerClosesAMomentAfterItsEnd(int uploadBytes) throws IOException {
+      start(SocketTransport.best());
+      for (int i = 0; i < CALLS; i++) {
+        CompletableFuture<String> outcome = outcome(uploadBytes);
+        answerAfter(0, CLOSED_AFTER_MS);
+
+        assertThat(outcome.join()).as("call %d", i).isEqualTo(FAILED);
+      }
+    }
+
     @ParameterizedTest
     @CsvSource({"1", "1048576", "8388608"})
     void isCompleteIfItsRequestWasRead(int uploadBytes) throws IOException {
