--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -34,7 +34,8 @@
   final Map<String, Long> adapters = new TreeMap<>();
   volatile Hook hook = (runner, request, connection) -> null;
   volatile String state = "ready";
-  volatile String version = "v1";
+  volatile String version;
+  private final long born;
   volatile boolean registered = true;
   volatile boolean beats = true;
   volatile long workMs = 85;
@@ -56,6 +57,24 @@
 
   Runner(Store store, String ip, String id, String service, String zone, int slots, boolean isModel)
       throws Exception {
+    this(store, ip, 0, id, service, zone, slots, isModel, "v1", 0);
+  }
+
+  /** Creates a runner that states when it was started, unless {@code born} is 0. */
+  Runner(
+      Store store,
+      String ip,
+      int port,
+      String id,
+      String service,
+      String zone,
+      int slots,
+      boolean isModel,
+      String version,
+      long born)
+      throws Exception {
+    this.version = version;
+    this.born = born;
     this.store = store;
     this.id = id;
     this.service = service;
@@ -63,7 +82,7 @@
     this.slotCount = slots;
     this.slots = new Semaphore(slots, true);
     this.isModel = isModel;
-    this.server = new Http.Server(ip, 0, this::handle);
+    this.server = new Http.Server(ip, port, this::handle);
     if (store == null) {
       return;
     }
@@ -101,6 +120,7 @@
         + version
         + "\",\"Slots\":"
         + slotCount
+        + (born == 0 ? "" : ",\"born\":" + born)
         + ",\"State\":\""
         + state
         + "\",\"ColdRemainingMs\":0,\"Stage\":\"both\",\"Models\":"
@@ -244,8 +264,8 @@
     return ("answer to " + requestId + " ").repeat(20);
   }
 
-  static String event(String requestId, int number) {
-    return "id: " + number + "\ndata: " + requestId + " piece " + number + "\n\n";
+  private String event(String requestId, int number) {
+    return "id: " + number + "\ndata: " + requestId + " piece " + number + " by " + version + "\n\n";
   }
 
   void stream(Http.Message request, Http.Connection connection) throws Exception {
