--- a/review/standin-2/Daemon.java
+++ b/review/standin-2/Daemon.java
@@ -139,7 +139,7 @@
   }
 
   void signal(String name) throws Exception {
-    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
   }
 
   /** Returns the status of the readiness call; -1 if there is none within a second. */
--- a/review/standin-2/RunnerProcess.java
+++ b/review/standin-2/RunnerProcess.java
@@ -61,7 +61,7 @@
   }
 
   void kill() throws Exception {
-    new ProcessBuilder("kill", "-KILL", Long.toString(process.pid())).start().waitFor();
+    new ProcessBuilder("sh", "-c", "kill -KILL " + process.pid()).start().waitFor();
     process.waitFor();
   }
 
