--- a/review/standin-2/KilledDaemon.java
+++ b/review/standin-2/KilledDaemon.java
@@ -81,6 +81,7 @@
     setting.say(
         "new streams: " + begun + " of " + first + " begin; taken up: " + goneOn + " of " + takenUp
             + " go on");
+    Case.require(2 * begun.get() > first.get(), "too few streams began");
     return takenUp.get() < TAKEN_UP || upShare >= newShare / 2;
   }
 
--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -27,7 +27,7 @@
   final String id;
   final String service;
   final String zone;
-  final Http.Server server;
+  Http.Server server;
   final List<Run> runs = Collections.synchronizedList(new ArrayList<>());
   final List<String> received = Collections.synchronizedList(new ArrayList<>());
   final List<String> orders = Collections.synchronizedList(new ArrayList<>());
@@ -36,6 +36,7 @@
   volatile String state = "ready";
   volatile String version;
   private final long born;
+  private final String fixedAddress;
   volatile boolean registered = true;
   volatile boolean beats = true;
   volatile long workMs = 85;
@@ -44,8 +45,11 @@
   volatile long firstMs = 40;
   volatile Map<String, String> extraHeaders = Map.of();
 
-  /** Whether streams have neither a length nor chunks and end with their connection. */
-  volatile boolean unframed;
+  /** Share of the streams that have neither a length nor chunks and end with their connection. */
+  volatile double unframedShare;
+
+  /** Whether each run is printed when it begins. */
+  volatile boolean reportsRuns;
 
   private final Store store;
   private final Semaphore slots;
@@ -82,6 +86,11 @@
     this.slotCount = slots;
     this.slots = new Semaphore(slots, true);
     this.isModel = isModel;
+    // A process that starts again registers before it serves.
+    this.fixedAddress = ip + ":" + port;
+    if (store != null && port > 0) {
+      register();
+    }
     this.server = new Http.Server(ip, port, this::handle);
     if (store == null) {
       return;
@@ -131,6 +140,9 @@
   }
 
   String address() {
+    if (server == null) {
+      return fixedAddress;
+    }
     return server.listening.getInetAddress().getHostAddress() + ":" + server.port();
   }
 
@@ -241,13 +253,15 @@
     slots.acquire();
     try {
       runs.add(new Run(Case.now(), id, requestId, request));
+      if (reportsRuns) {
+        System.out.println("ran " + requestId + " at " + id);
+      }
       Boolean kept = hook.answer(this, request, connection);
       if (kept != null) {
         return kept;
       }
       if (isModel) {
-        stream(request, connection);
-        return !unframed;
+        return stream(request, connection);
       } else {
         Thread.sleep(workMs);
         Map<String, String> headers = headers(request, true);
@@ -268,7 +282,9 @@
     return "id: " + number + "\ndata: " + requestId + " piece " + number + " by " + version + "\n\n";
   }
 
-  void stream(Http.Message request, Http.Connection connection) throws Exception {
+  /** Writes a stream; returns whether the connection is kept. */
+  boolean stream(Http.Message request, Http.Connection connection) throws Exception {
+    boolean unframed = java.util.concurrent.ThreadLocalRandom.current().nextDouble() < unframedShare;
     String requestId = request.header("Sequoiapass-Request-Id");
     Map<String, String> headers = headers(request, true);
     headers.put("Content-Type", "text/event-stream");
@@ -293,6 +309,7 @@
     if (!unframed) {
       connection.lastChunk();
     }
+    return !unframed;
   }
 
   @Override
--- a/review/standin-2/RunnerProcess.java
+++ b/review/standin-2/RunnerProcess.java
@@ -19,7 +19,8 @@
   /** Serves until the process is killed; the port is its first line. */
   public static void main(String[] arguments) throws Exception {
     Runner runner = new Runner(null, arguments[0], arguments[1], "llm", arguments[2], 96, true);
-    runner.unframed = Boolean.parseBoolean(arguments[3]);
+    runner.unframedShare = Double.parseDouble(arguments[3]);
+    runner.reportsRuns = true;
     runner.events = Integer.parseInt(arguments[4]);
     runner.eventMs = 5 * 4.73;
     System.out.println(runner.address());
@@ -28,7 +29,7 @@
     Runtime.getRuntime().halt(0);
   }
 
-  static RunnerProcess start(String ip, String id, String zone, boolean unframed, int events)
+  static RunnerProcess start(String ip, String id, String zone, double unframedShare, int events, Case setting)
       throws Exception {
     Process process =
         new ProcessBuilder(
@@ -43,12 +44,19 @@
                     ip,
                     id,
                     zone,
-                    Boolean.toString(unframed),
+                    Double.toString(unframedShare),
                     Integer.toString(events)))
             .redirectError(ProcessBuilder.Redirect.INHERIT)
             .start();
-    String address =
-        new BufferedReader(new InputStreamReader(process.getInputStream())).readLine();
+    BufferedReader output = new BufferedReader(new InputStreamReader(process.getInputStream()));
+    String address = output.readLine();
+    Http.daemon(
+        () -> {
+          for (String line = output.readLine(); line != null; line = output.readLine()) {
+            setting.record(line);
+          }
+          return null;
+        });
     return new RunnerProcess(process, id, address);
   }
 
