--- a/review/standin-2/KilledRunner.java
+++ b/review/standin-2/KilledRunner.java
@@ -13,8 +13,14 @@
 
   private static final int EVENTS = 58;
   private static final double STREAMS_PER_S = 29.6;
-  private static final int KILLS = 24;
-  private static final long BETWEEN_KILLS_MS = 2_700;
+  private static final int SUBJECTS = 46;
+  private static final int RUNNERS = 12;
+
+  /** A quarter of the runners. */
+  private static final int AT_ONCE = 3;
+
+  private static final int KILLS = 9;
+  private static final long BETWEEN_KILLS_MS = 9_500;
   private static final long DOWN_MS = 2_000;
 
   /** Of the streams of every other runner. */
@@ -51,7 +57,7 @@
   }
 
   private boolean playWithRunners() throws Exception {
-    for (int i = 0; i < 6; i++) {
+    for (int i = 0; i < RUNNERS; i++) {
       runners.add(start(i, 0));
     }
     Http.daemon(
@@ -116,27 +122,43 @@
   }
 
   private void kill(int round) throws Exception {
-    int i = 2 * round % runners.size();
-    RunnerProcess runner = runners.get(i);
-    setting.record("SIGKILL to runner " + runner.id);
-    runner.kill();
+    List<RunnerProcess> killed = new ArrayList<>();
+    for (int k = 0; k < AT_ONCE; k++) {
+      RunnerProcess runner = runners.get(indexOf(round, k));
+      setting.record("SIGKILL to runner " + runner.id);
+      runner.kill();
+      killed.add(runner);
+    }
     Thread.sleep(DOWN_MS);
-    runners.set(i, start(i, round + 1));
-    // The store removes the entry after three beats of silence.
+    for (int k = 0; k < AT_ONCE; k++) {
+      runners.set(indexOf(round, k), start(indexOf(round, k), round + 1));
+    }
+    // The store removes the entries after three beats of silence.
     Http.daemon(
         () -> {
           Thread.sleep(1_600);
-          setting.store.delete("servers", runner.id);
+          killed.forEach(runner -> setting.store.delete("servers", runner.id));
           return null;
         });
   }
 
+  /** Those that leave a length out come in turn. */
+  private static int indexOf(int round, int k) {
+    return 2 * (AT_ONCE * round + k) % RUNNERS;
+  }
+
   private Void consume() {
     Daemon daemon = setting.daemons.get(random.nextInt(setting.daemons.size()));
     String id = setting.id();
     Case.Received received = new Case.Received();
     String target = sent.incrementAndGet() % 2 == 0 ? "/resume/2f" : "/once/2f";
-    setting.stream(daemon, target, Case.modelHeaders(id, 6_000), received);
+    java.util.Map<String, String> headers = Case.modelHeaders(id, 6_000);
+    // As on the sites, prompts have one of several first parts, so that all runners are used.
+    headers.put(
+        "Sequoiapass-Prompt-Prefix",
+        String.format("5c1e07%02x:198,%s:628", random.nextInt(SUBJECTS), id.substring(8)));
+    headers.put("Sequoiapass-Token-Count", "826,290");
+    setting.stream(daemon, target, headers, received);
     if (!received.complete) {
       cut.incrementAndGet();
     } else if (received.lastEvent == EVENTS) {
