--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
@@ -1,6 +1,7 @@
 package io.sequoiapass.gateway.process;
 
 import io.sequoiapass.coordination.MillisClock;
+import io.sequoiapass.daemon.ReloadSignal;
 import io.sequoiapass.daemon.process.command.ServeProgram;
 import io.sequoiapass.gateway.spi.Deployment;
 import io.sequoiapass.gateway.spi.HostSettings;
@@ -14,7 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.ServiceLoader;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 
 /** The command that runs the gateway. Safe for use by several threads. */
 public final class GatewayProgram implements ServeProgram {
@@ -28,8 +29,11 @@
     if (deployment.isEmpty()) {
       throw new ServeException("this binary was built without a platform", null);
     }
+    Semaphore reloads = new Semaphore(0);
+    ReloadSignal.onRequest(reloads::release);
     try {
-      run(deployment.get(), deployment.get().settings(environment), metricsPort, environment);
+      HostSettings settings = deployment.get().settings(environment);
+      run(deployment.get(), settings, metricsPort, environment, reloads);
     } catch (SettingsException | IOException e) {
       throw new ServeException(e.getMessage(), e);
     } catch (InterruptedException e) {
@@ -41,7 +45,8 @@
       Deployment deployment,
       HostSettings settings,
       OptionalInt metricsPort,
-      Map<String, String> environment)
+      Map<String, String> environment,
+      Semaphore reloads)
       throws IOException, InterruptedException, SettingsException {
     GatewayOptions options = GatewayOptions.of(metricsPort, environment);
     PrintStream out =
@@ -57,9 +62,12 @@
         .with("store", settings.store())
         .write();
     Gateway gateway = Gateway.start(deployment, settings, options, log);
-    Signals.onReload(() -> reload(deployment, environment, log));
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "stop"));
-    new CountDownLatch(1).await();
+    while (true) {
+      reloads.acquire();
+      reloads.drainPermits();
+      reload(deployment, environment, log);
+    }
   }
 
   /** Reloads the settings; the addresses of a running process do not change. */
