Apply changed settings to a running daemon

An operator who changed a time or a limit in the settings file got a `reloaded` line, and the daemon went on with the old value until its next restart; a change without a signal got no line.

Cause: GatewayProgram.reload read the settings, logged and dropped them, and nothing looked at the file without a signal.

Change: SettingsReload reads the file on SIGHUP and once a second, and compares what it reads with what it had read before, so a change is neither missed within the resolution of the file's time nor lost with a signal during a start. HostSetting lists every setting and whether a running daemon applies it: the grace period, fencing, the time of adapter versions, the window of model loads and the time for a configuration are applied, others are named in the line as `needs_restart`. A file that can't be read or holds an invalid value changes nothing.

Test: SettingsReloadTest, and ReloadSignalTest$ChangedSettings with processes, whose file changes while they start, without a signal, and in two steps.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -64,20 +64,6 @@
    */
   private static final double OLD_VERSION_SHARE = 0.5;
 
-  /**
-   * Shortest time that a stopping daemon waits, in milliseconds: the load balancer polls readiness
-   * once a second and needs two failures.
-   */
-  private static final long MIN_STOP_MS = 2_600;
-
-  /** Last part of the grace period, left for the exit of the process, in milliseconds. */
-  private static final long STOP_MARGIN_MS = 450;
-
-  /** Part of the grace period before that in which the last answers are sent, in milliseconds. */
-  private static final long LAST_ANSWERS_MS = 200;
-
-  private static final long STOP_POLL_MS = 50;
-  private static final long LAST_ANSWERS_POLL_MS = 10;
   private static final long CLOSE_TIMEOUT_MS = 500;
 
   /** Limits until the first configuration is read. */
@@ -121,14 +107,15 @@
   private WorkspaceGate gate;
   private HttpServer callerServer;
   private HttpServer peerServer;
+  private volatile HostSettings.Bounds bounds;
   private volatile boolean draining;
 
   private Gateway(HostSettings settings, GatewayOptions options, DecisionLog log) {
     this.settings = settings;
     this.log = log;
+    this.bounds = settings.bounds();
     this.loops = SocketTransport.best().group(settings.cores());
-    long graceMs = (long) (settings.bounds().versionMs() * OLD_VERSION_SHARE);
-    this.versions = new AdapterVersions(graceMs);
+    this.versions = new AdapterVersions(() -> (long) (bounds.versionMs() * OLD_VERSION_SHARE));
     this.surge = new SurgeGuard(loops, clock, log, metrics);
     this.parts = new PromptPartGuard(clock, log, metrics);
     this.prompts = new PromptGate(metrics);
@@ -197,8 +184,7 @@
             clock,
             log,
             metrics);
-    gate =
-        new WorkspaceGate(currency, throttle, configuration::get, this::clocks, settings.bounds());
+    gate = workspaceGate();
     StreamVersionLinks streamLinks =
         new StreamVersionLinks(streams, members, shared, loops, clock, guard);
     callers =
@@ -219,6 +205,25 @@
     loops.scheduleWithFixedDelay(this::tick, 0, BroadcastInterval.ROUND_MS, TimeUnit.MILLISECONDS);
   }
 
+  private WorkspaceGate workspaceGate() {
+    return new WorkspaceGate(
+        currency,
+        throttle,
+        configuration::get,
+        this::clocks,
+        settings.bounds().revocationMs(),
+        () -> bounds.configurationMs());
+  }
+
+  /**
+   * Applies those settings that take effect without a restart, {@link HostSetting#isApplied}.
+   *
+   * @param next the settings
+   */
+  void apply(HostSettings next) {
+    bounds = next.bounds();
+  }
+
   private EndpointCalls endpointCalls(HttpClient client, ConnectionCounters counters) {
     return new EndpointCalls(
         toEndpoints(client).observedBy(counters.orders()),
@@ -319,7 +324,7 @@
             log,
             guard);
     ModelLoadLimiter modelLoads =
-        new ModelLoadLimiter(settings.bounds().loadWindowMs(), settings.regions().size());
+        new ModelLoadLimiter(() -> bounds.loadWindowMs(), settings.regions().size());
     RegionRelay relay = new RegionRelay(settings.otherRegions(), store, transport, loops, clock);
     coordinator =
         new Coordinator(
@@ -336,7 +341,7 @@
                 new PartVerdictUpdates(relay::forward),
                 metrics),
             this::newAllocator,
-            now -> node.mayOrder(now, settings.bounds().fenced()),
+            now -> node.mayOrder(now, bounds.fenced()),
             now -> node.mayOrder(now, false),
             node::fenced);
     node.use(coordinator, links(transport));
@@ -499,41 +504,17 @@
    * @throws InterruptedException if the thread is interrupted
    */
   public void drain() throws InterruptedException {
-    long startedAt = clock.millis();
     draining = true;
     log.event("stopping").with("requests", callers.inFlight()).write();
-    callerServer.closeAfterAnswers();
-    peerServer.closeAfterAnswers();
+    ServerDrain drain =
+        new ServerDrain(callerServer, peerServer, callers::inFlight, stop, clock, bounds.graceMs());
     node.releaseLease();
-    long exitsAt = startedAt + settings.bounds().graceMs() - STOP_MARGIN_MS;
-    long latest = exitsAt - LAST_ANSWERS_MS;
-    stop.start(new DrainSchedule(startedAt + MIN_STOP_MS, latest));
-    while (clock.millis() < latest) {
-      stop.rejectLate();
-      boolean polledLongEnough = clock.millis() - startedAt >= MIN_STOP_MS;
-      if (polledLongEnough) {
-        callerServer.closeIdle();
-      }
-      if (polledLongEnough && callers.inFlight() == 0 && callerServer.openConnections() == 0) {
-        break;
-      }
-      TimeUnit.MILLISECONDS.sleep(STOP_POLL_MS);
-    }
+    drain.awaitRequests();
     log.event("stopped").with("requests_cut", callers.inFlight()).write();
-    stop.end();
-    awaitLastAnswers(exitsAt);
+    drain.awaitLastAnswers();
     log.flush();
   }
 
-  private void awaitLastAnswers(long until) throws InterruptedException {
-    while (clock.millis() < until
-        && callerServer.openConnections() + peerServer.openConnections() > 0) {
-      callerServer.closeIdle();
-      peerServer.closeIdle();
-      TimeUnit.MILLISECONDS.sleep(LAST_ANSWERS_POLL_MS);
-    }
-  }
-
   /** Ends the daemon at once: connections are closed, requests in flight are cut off. */
   @Override
   public void close() {
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
@@ -15,7 +15,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.ServiceLoader;
-import java.util.concurrent.Semaphore;
 
 /** The command that runs the gateway. Safe for use by several threads. */
 public final class GatewayProgram implements ServeProgram {
@@ -29,11 +28,10 @@
     if (deployment.isEmpty()) {
       throw new ServeException("this binary was built without a platform", null);
     }
-    Semaphore reloads = new Semaphore(0);
-    ReloadSignal.onRequest(reloads::release);
+    SettingsReload reload = new SettingsReload(() -> deployment.get().settings(environment));
+    ReloadSignal.onRequest(reload::request);
     try {
-      HostSettings settings = deployment.get().settings(environment);
-      run(deployment.get(), settings, metricsPort, environment, reloads);
+      run(deployment.get(), reload, GatewayOptions.of(metricsPort, environment));
     } catch (SettingsException | IOException e) {
       throw new ServeException(e.getMessage(), e);
     } catch (InterruptedException e) {
@@ -41,14 +39,9 @@
     }
   }
 
-  private static void run(
-      Deployment deployment,
-      HostSettings settings,
-      OptionalInt metricsPort,
-      Map<String, String> environment,
-      Semaphore reloads)
+  private static void run(Deployment deployment, SettingsReload reload, GatewayOptions options)
       throws IOException, InterruptedException, SettingsException {
-    GatewayOptions options = GatewayOptions.of(metricsPort, environment);
+    HostSettings settings = reload.first();
     PrintStream out =
         new PrintStream(
             new java.io.BufferedOutputStream(
@@ -63,22 +56,7 @@
         .write();
     Gateway gateway = Gateway.start(deployment, settings, options, log);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "stop"));
-    while (true) {
-      reloads.acquire();
-      reloads.drainPermits();
-      reload(deployment, environment, log);
-    }
-  }
-
-  /** Reloads the settings; the addresses of a running process do not change. */
-  private static void reload(
-      Deployment deployment, Map<String, String> environment, DecisionLog log) {
-    try {
-      HostSettings settings = deployment.settings(environment);
-      log.event("reloaded").with("data_centre", settings.dataCentre()).write();
-    } catch (SettingsException e) {
-      log.event("reload_failed").with("cause", e.getMessage()).write();
-    }
+    reload.run(gateway::apply, log);
   }
 
   /** Drains the gateway in the shutdown hook; the JVM exits once this returns. */
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/ModelLoadLimiter.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/ModelLoadLimiter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.LongSupplier;
 
 /**
  * Limits the number of base model loads in a sliding window.
@@ -19,22 +20,23 @@
   private static final double USED_SHARE = 0.8;
 
   private final Deque<Long> startedAt = new ArrayDeque<>();
-  private final long windowMs;
+  private final LongSupplier windowLengthMs;
   private final int coordinators;
 
   /**
    * Creates a limiter with the share of one coordinator.
    *
-   * @param windowMs the window, in milliseconds
+   * @param windowLengthMs returns the length of the window, in milliseconds
    * @param coordinators how many coordinators share the store
    */
-  ModelLoadLimiter(long windowMs, int coordinators) {
-    this.windowMs = windowMs;
+  ModelLoadLimiter(LongSupplier windowLengthMs, int coordinators) {
+    this.windowLengthMs = windowLengthMs;
     this.coordinators = coordinators;
   }
 
   /** Records one load if the window allows it; returns false otherwise. */
   boolean tryAcquire(double loadsPerSecond, long now) {
+    long windowMs = windowLengthMs.getAsLong();
     while (!startedAt.isEmpty() && now - startedAt.peek() >= windowMs) {
       startedAt.poll();
     }
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/WorkspaceGate.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/WorkspaceGate.java
@@ -9,11 +9,11 @@
 import io.sequoiapass.gateway.request.CallerAccess;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.spi.CallerIdentity;
-import io.sequoiapass.gateway.spi.HostSettings;
 import io.sequoiapass.gateway.version.RouteSpec;
 import io.sequoiapass.gateway.version.ServingConfiguration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -43,7 +43,7 @@
   private final Supplier<ClockReading> clocks;
   private final long maxAgeMs;
   private final long askAgeMs;
-  private final long maxUnknownKeyAgeMs;
+  private final LongSupplier configurationMs;
 
   /**
    * Creates a gate.
@@ -52,21 +52,25 @@
    * @param throttle applies the usage limits
    * @param configuration returns the configuration in use
    * @param clocks reads this host's clocks
-   * @param bounds times that the deployment sets
+   * @param revocationMs time after which a removed API key must not be accepted, in milliseconds;
+   *     empty if that is not required
+   * @param configurationMs returns the time after which a new configuration must be in force, in
+   *     milliseconds
    */
   WorkspaceGate(
       ConfigurationCurrency currency,
       UsageThrottle throttle,
       Supplier<ServingConfiguration> configuration,
       Supplier<ClockReading> clocks,
-      HostSettings.Bounds bounds) {
+      OptionalLong revocationMs,
+      LongSupplier configurationMs) {
     this.currency = currency;
     this.throttle = throttle;
     this.configuration = configuration;
     this.clocks = clocks;
-    this.maxAgeMs = share(bounds.revocationMs(), MAX_AGE_SHARE);
-    this.askAgeMs = share(bounds.revocationMs(), ASK_AGE_SHARE);
-    this.maxUnknownKeyAgeMs = Math.min(maxAgeMs, bounds.configurationMs());
+    this.maxAgeMs = share(revocationMs, MAX_AGE_SHARE);
+    this.askAgeMs = share(revocationMs, ASK_AGE_SHARE);
+    this.configurationMs = configurationMs;
   }
 
   private static long share(OptionalLong boundMs, double share) {
@@ -111,7 +115,7 @@
 
   /** A key that was added a moment ago may be unknown here; it must not be denied for good. */
   private ErrorKind unknownKey(Optional<ApiKey> key) {
-    return key.isEmpty() || ageMs() <= maxUnknownKeyAgeMs
+    return key.isEmpty() || ageMs() <= Math.min(maxAgeMs, configurationMs.getAsLong())
         ? ErrorKind.UNAUTHORIZED
         : ErrorKind.CONFIGURATION_NOT_CURRENT;
   }
--- a/gateway/src/main/java/io/sequoiapass/gateway/version/AdapterVersions.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/version/AdapterVersions.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 
 /**
  * Tracks the newest announced version of each adapter, and whether an older copy may still start
@@ -23,7 +24,7 @@
   public static final long FIRST = 1;
 
   private final Map<AdapterName, Release> releases = new ConcurrentHashMap<>();
-  private final long graceMs;
+  private final LongSupplier graceMs;
 
   /**
    * Creates an instance without announced versions.
@@ -32,6 +33,15 @@
    *     below the limit after which no request may start on an older copy
    */
   public AdapterVersions(long graceMs) {
+    this(() -> graceMs);
+  }
+
+  /**
+   * Creates an instance without announced versions, with a grace period that may change.
+   *
+   * @param graceMs returns how long an older copy stays usable, in milliseconds
+   */
+  public AdapterVersions(LongSupplier graceMs) {
     this.graceMs = graceMs;
   }
 
@@ -78,7 +88,7 @@
    */
   public boolean isUsable(AdapterName name, long version, long now) {
     Release known = releases.get(name);
-    return known == null || version >= known.version() || now - known.since() < graceMs;
+    return known == null || version >= known.version() || now - known.since() < graceMs.getAsLong();
   }
 
   /**
@@ -90,7 +100,7 @@
    */
   public boolean isGraceElapsed(AdapterName name, long now) {
     Release known = releases.get(name);
-    return known != null && now - known.since() >= graceMs;
+    return known != null && now - known.since() >= graceMs.getAsLong();
   }
 
   private record Release(long version, long since) {}
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LinkListingsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LinkListingsTest.java
@@ -44,7 +44,8 @@
           links,
           LINK_BYTES_PER_S,
           directory,
-          new PlacementPlan(versions, new ModelLoadLimiter(5_000, 1), new LoadTime(directory)),
+          new PlacementPlan(
+              versions, new ModelLoadLimiter(() -> 5_000, 1), new LoadTime(directory)),
           new Coordinator.Io(
               null,
               null,
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueFairnessTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueFairnessTest.java
@@ -86,7 +86,9 @@
   private static final class Site {
     final PlacementPlan plan =
         new PlacementPlan(
-            new AdapterVersions(2_500), new ModelLoadLimiter(5_000, 1), new LoadTime(idleStore()));
+            new AdapterVersions(2_500),
+            new ModelLoadLimiter(() -> 5_000, 1),
+            new LoadTime(idleStore()));
     final LoadQueue queue = new LoadQueue(plan, name -> false);
     final Random random = new Random(7);
     final List<Caller> callers = new ArrayList<>();
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueModuleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueModuleTest.java
@@ -22,7 +22,7 @@
       new LoadQueue(
           new PlacementPlan(
               new AdapterVersions(2_500),
-              new ModelLoadLimiter(5_000, 1),
+              new ModelLoadLimiter(() -> 5_000, 1),
               new LoadTime(idleStore())),
           name -> false);
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadQueueTest.java
@@ -39,7 +39,9 @@
 
   private final PlacementPlan plan =
       new PlacementPlan(
-          new AdapterVersions(2_500), new ModelLoadLimiter(5_000, 1), new LoadTime(idleStore()));
+          new AdapterVersions(2_500),
+          new ModelLoadLimiter(() -> 5_000, 1),
+          new LoadTime(idleStore()));
   private final Set<AdapterName> elsewhere = new HashSet<>();
   private final LoadQueue queue = new LoadQueue(plan, elsewhere::contains);
 
@@ -339,7 +341,9 @@
 
     private final PlacementPlan large =
         new PlacementPlan(
-            new AdapterVersions(2_500), new ModelLoadLimiter(5_000, 1), new LoadTime(idleStore()));
+            new AdapterVersions(2_500),
+            new ModelLoadLimiter(() -> 5_000, 1),
+            new LoadTime(idleStore()));
     private final LoadQueue queue = new LoadQueue(large, name -> false);
 
     private void uses(int from, long now) {
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/LoadRouterTest.java
@@ -29,7 +29,9 @@
   private static final class DataCentre {
     private final PlacementPlan plan =
         new PlacementPlan(
-            new AdapterVersions(2_500), new ModelLoadLimiter(5_000, 1), new LoadTime(idleStore()));
+            new AdapterVersions(2_500),
+            new ModelLoadLimiter(() -> 5_000, 1),
+            new LoadTime(idleStore()));
     private final LoadQueue queue = new LoadQueue(plan, name -> false);
     private int loads;
 
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PlacementPlanTest.java
@@ -40,7 +40,7 @@
 
   private final AdapterVersions versions = new AdapterVersions(2_500);
   private final PlacementPlan plan =
-      new PlacementPlan(versions, new ModelLoadLimiter(5_000, 1), new LoadTime(idleStore()));
+      new PlacementPlan(versions, new ModelLoadLimiter(() -> 5_000, 1), new LoadTime(idleStore()));
   private final FakeEngine engine = new FakeEngine();
 
   /**
@@ -322,7 +322,8 @@
     /** The engine checks its slots at each order. */
     private void simulateLostAndDelayedOrders(Random random, boolean runs) {
       PlacementPlan fresh =
-          new PlacementPlan(versions, new ModelLoadLimiter(5_000, 1), new LoadTime(idleStore()));
+          new PlacementPlan(
+              versions, new ModelLoadLimiter(() -> 5_000, 1), new LoadTime(idleStore()));
       FakeEngine other = new FakeEngine();
       fresh.observe(entry(1, true), SPEC, 0);
       List<EndpointOrder> delayed = new java.util.ArrayList<>();
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/PromptTurnsTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/PromptTurnsTest.java
@@ -31,7 +31,7 @@
           new DataCentreId("north"), new AdapterVersions(0), () -> 0, DecisionLog.silent());
   private final PlacementPlan plan =
       new PlacementPlan(
-          new AdapterVersions(0), new ModelLoadLimiter(5_000, 1), new LoadTime(directory));
+          new AdapterVersions(0), new ModelLoadLimiter(() -> 5_000, 1), new LoadTime(directory));
   private final PromptTurns turns =
       new PromptTurns(
           plan,
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/ShortageMonitorTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/ShortageMonitorTest.java
@@ -62,7 +62,7 @@
   private final EndpointDirectory directory =
       new EndpointDirectory(NORTH, versions, () -> 0, DecisionLog.silent());
   private final PlacementPlan plan =
-      new PlacementPlan(versions, new ModelLoadLimiter(5_000, 1), new LoadTime(directory));
+      new PlacementPlan(versions, new ModelLoadLimiter(() -> 5_000, 1), new LoadTime(directory));
   private final ShortageMonitor monitor =
       new ShortageMonitor(
           DecisionLog.silent(), directory, plan, new LoadQueue(plan, adapter -> false));
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/SpillModuleTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SpillModuleTest.java
@@ -27,7 +27,7 @@
   private final EndpointDirectory directory =
       new EndpointDirectory(NORTH, versions, () -> 0, DecisionLog.silent());
   private final PlacementPlan plan =
-      new PlacementPlan(versions, new ModelLoadLimiter(5_000, 1), new LoadTime(directory));
+      new PlacementPlan(versions, new ModelLoadLimiter(() -> 5_000, 1), new LoadTime(directory));
   private final SpillRoutes routes = new SpillRoutes(NORTH, () -> 0, new GatewayMetrics());
   private final SpillModule module =
       new SpillModule(
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/SubsetTableTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/SubsetTableTest.java
@@ -75,7 +75,7 @@
     PlacementPlan plan =
         new PlacementPlan(
             new AdapterVersions(2_500),
-            new ModelLoadLimiter(5_000, 1),
+            new ModelLoadLimiter(() -> 5_000, 1),
             new LoadTime(PlanFixtures.idleStore()));
     for (EndpointId engine : engines) {
       var entry = PlanFixtures.entry(engine, 1, true);
--- a/gateway/src/test/java/io/sequoiapass/gateway/process/WorkspaceGateTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/WorkspaceGateTest.java
@@ -19,7 +19,6 @@
 import io.sequoiapass.gateway.request.CallerAccess;
 import io.sequoiapass.gateway.spi.CallerFacts;
 import io.sequoiapass.gateway.spi.CallerIdentity;
-import io.sequoiapass.gateway.spi.HostSettings;
 import io.sequoiapass.gateway.version.RequestKind;
 import io.sequoiapass.gateway.version.RouteSpec;
 import io.sequoiapass.gateway.version.ServingConfiguration;
@@ -37,27 +36,20 @@
 
   private static final WorkspaceId YARDS = new WorkspaceId("yards");
   private static final long REVOCATION_MS = 5_000;
-  private static final HostSettings.Bounds BOUNDS =
-      new HostSettings.Bounds(
-          8_000,
-          2_000,
-          3_000,
-          5_000,
-          0.2,
-          50,
-          10_000,
-          5_000,
-          true,
-          3_000,
-          OptionalLong.of(REVOCATION_MS),
-          8_000);
+  private static final long CONFIGURATION_MS = 3_000;
 
   private final ConfigurationCurrency currency = new ConfigurationCurrency();
   private final UsageThrottle throttle = new UsageThrottle(() -> 0.5);
   private ServingConfiguration configuration = configuration("secret");
   private ClockReading now = new ClockReading(10_000, 1_000_000);
   private final WorkspaceGate gate =
-      new WorkspaceGate(currency, throttle, () -> configuration, () -> now, BOUNDS);
+      new WorkspaceGate(
+          currency,
+          throttle,
+          () -> configuration,
+          () -> now,
+          OptionalLong.of(REVOCATION_MS),
+          () -> CONFIGURATION_MS);
 
   @BeforeEach
   void confirm() {
