Drain a daemon that is stopped while it starts

What callers saw: a request that a daemon had read ended with a reset, without an answer, when the daemon got SIGTERM in the moment of its start.

Cause: the shutdown hook was registered once the gateway had started, and the callers' server accepts before that. Until then SIGTERM ends the process at once (status 143, no `stopped` line).

Change: the hook is registered first, awaits the start for up to 3 s, and drains the gateway. A start that fails has nothing to drain.

--- a/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/GatewayProgram.java
@@ -15,12 +15,20 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.ServiceLoader;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** The command that runs the gateway. Safe for use by several threads. */
 public final class GatewayProgram implements ServeProgram {
 
   private static final int BUFFER_BYTES = 8 << 10;
 
+  /** Longest time that a stop waits for a start, in milliseconds. */
+  private static final long START_TIMEOUT_MS = 3_000;
+
   @Override
   public void serve(OptionalInt metricsPort, Map<String, String> environment)
       throws ServeException {
@@ -54,15 +62,26 @@
         .with("callers", settings.callers())
         .with("store", settings.store())
         .write();
-    Gateway gateway = Gateway.start(deployment, settings, options, log);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "stop"));
-    reload.run(gateway::apply, log);
+    CompletableFuture<Gateway> started = new CompletableFuture<>();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(started), "stop"));
+    try {
+      started.complete(Gateway.start(deployment, settings, options, log));
+    } finally {
+      // No effect unless the start has failed.
+      started.cancel(false);
+    }
+    reload.run(started.join()::apply, log);
   }
 
-  /** Drains the gateway in the shutdown hook; the JVM exits once this returns. */
-  private static void stop(Gateway gateway) {
+  /**
+   * Drains the gateway in the shutdown hook; the JVM exits once this returns. A gateway that is
+   * still starting may have accepted requests, so its start is awaited.
+   */
+  private static void stop(CompletableFuture<Gateway> started) {
     try {
-      gateway.drain();
+      started.get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS).drain();
+    } catch (CancellationException | ExecutionException | TimeoutException e) {
+      // Nothing is served that could be drained.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
