Bound the bodies of all requests together

Cause: each body is bounded, but not the sum; a daemon keeps the body of each request in progress, and its heap of 128 MB ran out.

Change: RequestMemory bounds the bodies of callers' requests to 0.3 of the heap. One whose announced length has no room is refused as OVERLOADED, not run, before its body is read; one without a length after that. Bodies of up to 16 KB always have room. A peer's requests are not bounded, as a refusal there would be taken for the endpoint's.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpFault.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpFault.java
@@ -10,6 +10,8 @@
   HEADERS_TOO_LARGE(431),
   /** The body is too large. */
   BODY_TOO_LARGE(413),
+  /** There is no room for the body; it was not read. */
+  NO_MEMORY(503),
   /** An exception was thrown while the request was handled; it may have run. */
   INTERNAL(500);
 
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpHandler.java
@@ -23,4 +23,15 @@
   default void refuse(HttpFault fault, HttpResponder responder) {
     responder.respond(fault.status(), Map.of(), "{\"error\":\"" + fault + "\"}");
   }
+
+  /**
+   * Responds to a request whose body was not read for want of memory; the connection is closed
+   * afterwards.
+   *
+   * @param head the request without its body
+   * @param responder sends the response
+   */
+  default void refuseUnread(HttpRequestMessage head, HttpResponder responder) {
+    refuse(HttpFault.NO_MEMORY, responder);
+  }
 }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServer.java
@@ -127,6 +127,7 @@
     private int maxHeaderBytes = 16 << 10;
     private Supplier<ConnectionLimits> limits;
     private BooleanSupplier accepts = () -> true;
+    private RequestMemory memory = RequestMemory.UNBOUNDED;
     private ServerObserver observer = ServerObserver.NONE;
 
     private Builder(EventLoopGroup group, HttpHandler handler) {
@@ -169,6 +170,16 @@
       return this;
     }
 
+    /**
+     * Sets what bounds the bodies of all requests together.
+     *
+     * @param bound the memory
+     */
+    public Builder memory(RequestMemory bound) {
+      this.memory = Objects.requireNonNull(bound, "bound");
+      return this;
+    }
+
     /**
      * Sets what receives why connections and responses end.
      *
@@ -233,10 +244,14 @@
           channel
               .pipeline()
               .addLast(new HttpServerCodec(maxLineBytes, bounds.maxHeaderBytes(), 64 << 10));
-          channel.pipeline().addLast(new BodyCollector(bounds.maxBodyBytes()));
+          BodyCollector bodies = new BodyCollector(bounds.maxBodyBytes(), memory);
+          channel.pipeline().addLast(bodies);
+          RequestBodies room = new RequestBodies(bodies, memory);
           channel
               .pipeline()
-              .addLast(new HttpServerHandler(handler, timeouts, closing::get, loopReads, observer));
+              .addLast(
+                  new HttpServerHandler(
+                      handler, timeouts, closing::get, loopReads, room, observer));
         }
       };
     }
--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/HttpServerHandler.java
@@ -29,10 +29,15 @@
   private final ConnectionTimeoutHandler timeouts;
   private final BooleanSupplier closing;
   private final ConnectionReads reads;
+  private final RequestBodies bodies;
   private final ServerObserver observer;
   private final Queue<PendingRequest> pipelined = new ArrayDeque<>();
   private ServerExchange current;
   private HttpFault fault;
+
+  /** The request that has no room; null for other faults. */
+  private HttpRequestMessage unread;
+
   private volatile boolean hasMore;
 
   /**
@@ -42,6 +47,7 @@
    * @param timeouts enforces the connection's timeouts
    * @param closing whether the connection closes after the next response
    * @param reads reads the connections of the event loop
+   * @param bodies the room of the connection's requests
    * @param observer receives why the connection ends
    */
   HttpServerHandler(
@@ -49,11 +55,13 @@
       ConnectionTimeoutHandler timeouts,
       BooleanSupplier closing,
       ConnectionReads reads,
+      RequestBodies bodies,
       ServerObserver observer) {
     this.handler = handler;
     this.timeouts = timeouts;
     this.closing = closing;
     this.reads = reads;
+    this.bodies = bodies;
     this.observer = observer;
   }
 
@@ -67,6 +75,10 @@
       refuse(context, found);
       return;
     }
+    if (message instanceof BodyCollector.UnreadRequest found) {
+      refuseUnread(context, found.head());
+      return;
+    }
     FullHttpRequest request = (FullHttpRequest) message;
     try {
       accept(context, request);
@@ -81,12 +93,17 @@
       refuse(context, faultOf(request.decoderResult().cause()));
       return;
     }
+    boolean hasRoom = bodies.add(request.content().readableBytes());
     HttpRequestMessage call =
         new HttpRequestMessage(
             request.method().name(),
             request.uri(),
             request.headers().copy(),
-            ByteBufUtil.getBytes(request.content()));
+            hasRoom ? ByteBufUtil.getBytes(request.content()) : new byte[0]);
+    if (!hasRoom) {
+      refuseUnread(context, call);
+      return;
+    }
     pipelined.add(new PendingRequest(call, HttpUtil.isKeepAlive(request), arrivedAt));
     hasMore = true;
     if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
@@ -136,8 +153,18 @@
     }
   }
 
+  private void refuseUnread(ChannelHandlerContext context, HttpRequestMessage head) {
+    unread = head;
+    refuse(context, HttpFault.NO_MEMORY);
+  }
+
   private void respondToFault(ChannelHandlerContext context) {
-    handler.refuse(fault, exchange(context, ServerExchange.Persistence.CLOSE, () -> {}));
+    ServerExchange last = exchange(context, ServerExchange.Persistence.CLOSE, () -> {});
+    if (unread != null) {
+      handler.refuseUnread(unread, last);
+    } else {
+      handler.refuse(fault, last);
+    }
   }
 
   private void handleNext(ChannelHandlerContext context) {
@@ -165,6 +192,7 @@
 
   private void responseEnded(ChannelHandlerContext context) {
     current = null;
+    bodies.removeFirst();
     if (!pipelined.isEmpty()) {
       handleAfterRead(context);
     } else if (fault != null) {
@@ -184,6 +212,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     pipelined.clear();
+    bodies.clear();
     ServerExchange exchange = current;
     current = null;
     if (exchange != null) {
--- a/daemon/src/main/java/io/sequoiapass/daemon/process/entry/CallerHandler.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/process/entry/CallerHandler.java
@@ -100,6 +100,7 @@
           case MALFORMED -> ErrorKind.MALFORMED_REQUEST;
           case LINE_TOO_LONG, HEADERS_TOO_LARGE -> ErrorKind.HEADERS_TOO_LARGE;
           case BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE;
+          case NO_MEMORY -> ErrorKind.OVERLOADED;
           case INTERNAL ->
               throw new IllegalArgumentException(fault + " is no fault of the request");
         };
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/CallerHandler.java
@@ -157,6 +157,11 @@
     new PendingResumption(context, exchange, guard, outcome).start(search);
   }
 
+  @Override
+  public void refuseUnread(HttpRequestMessage head, HttpResponder responder) {
+    refuse(ErrorKind.OVERLOADED, context.callers().read(head), responder);
+  }
+
   private OptionalLong charge(WorkspaceGate.Verdict.Known caller, CallerFacts facts) {
     return caller.workspace().isPresent()
         ? gate.charge(caller.workspace().get(), facts, context.clock().millis())
--- a/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/Gateway.java
@@ -14,6 +14,7 @@
 import io.sequoiapass.daemon.connection.FrameTransport;
 import io.sequoiapass.daemon.connection.HttpClient;
 import io.sequoiapass.daemon.connection.HttpServer;
+import io.sequoiapass.daemon.connection.RequestMemory;
 import io.sequoiapass.daemon.connection.SocketTransport;
 import io.sequoiapass.gateway.connection.LinkMessage;
 import io.sequoiapass.gateway.request.PeerForwarder;
@@ -248,6 +249,7 @@
     callerServer =
         HttpServer.builder(loops, callers)
             .limits(this::limits)
+            .memory(RequestMemory.ofHeap())
             .acceptIf(surge::accepts)
             .observer(new ServerLog("callers", log, guard, metrics))
             .start(settings.callers());
