Leave a malformed length to the decoder

An announced length that is no number would have ended the read of a body with an exception in BodyCollector. Whether the decoder passes one on was not shown; found by reading.

--- a/daemon/src/main/java/io/sequoiapass/daemon/connection/BodyCollector.java
+++ b/daemon/src/main/java/io/sequoiapass/daemon/connection/BodyCollector.java
@@ -36,12 +36,19 @@
       return true;
     }
     release();
-    if (HttpUtil.isContentLengthSet(start)) {
-      reserve(HttpUtil.getContentLength(start, 0L));
-    }
+    reserve(announcedBytes(start));
     return !hasRoom;
   }
 
+  private static long announcedBytes(HttpMessage start) {
+    try {
+      return HttpUtil.getContentLength(start, 0L);
+    } catch (NumberFormatException e) {
+      // The decoder marks the request as malformed.
+      return 0;
+    }
+  }
+
   private void reserve(long bytes) {
     hasRoom = memory.tryReserve(bytes);
     reservedBytes = hasRoom ? bytes : 0;
