--- a/gateway/src/main/java/io/sequoiapass/gateway/process/SettingsReload.java
+++ b/gateway/src/main/java/io/sequoiapass/gateway/process/SettingsReload.java
@@ -13,10 +13,10 @@
  * without a request. Settings that cannot be read leave those in force as they are.
  *
  * <pre>{@code
- * SettingsReload reload = new SettingsReload(() -> deployment.settings(environment), log);
+ * SettingsReload reload = new SettingsReload(() -> deployment.settings(environment));
  * ReloadSignal.onRequest(reload::request);
  * HostSettings settings = reload.first();
- * reload.run(gateway::apply);
+ * reload.run(gateway::apply, log);
  * }</pre>
  *
  * <p>{@link #request} may be called by any thread, the other methods by one thread.
