Count only kills that cut open streams in the fleet model

A kill without open streams counted as found, so the shares at 1 stream a second said little, and a sample without streams passed where it had failed before. Such kills are drawn again, and an empty sample fails again: the check is stricter.

--- a/gateway/src/test/java/io/sequoiapass/gateway/process/StreamVersionFleetTest.java
+++ b/gateway/src/test/java/io/sequoiapass/gateway/process/StreamVersionFleetTest.java
@@ -199,7 +199,7 @@
           all++;
         }
       }
-      return all == 0 ? 1 : (double) found / all;
+      return (double) found / all;
     }
   }
 
@@ -222,9 +222,14 @@
       fleet.nodes.forEach(node -> node.bytes = 0);
       long startedAt = fleet.now;
       double share = 0;
-      for (int i = 0; i < KILLS; i++) {
+      int kills = 0;
+      while (kills < KILLS) {
         fleet.run(BETWEEN_KILLS_MS);
         Fleet.Node killed = fleet.nodes.get(fleet.random.nextInt(daemons));
+        if (killed.open.isEmpty()) {
+          continue;
+        }
+        kills++;
         List<Fleet.Node> others = fleet.nodes.stream().filter(node -> node != killed).toList();
         fleet.unreachable.add(killed);
         share += fleet.foundShare(List.of(killed), others, 1) / KILLS;
